Workspace of thirteen crates with shared types and interfaces

Cause: nothing exists; every part needs one vocabulary to be built side by side. Conclusion: parts can now be written against fixed types.

--- /dev/null
+++ b/crates/base/src/outcome.rs
@@ -0,0 +1,27 @@
+//! The three-valued outcome of a try.
+
+/// Whether a request ran on a backend server, as far as this process can prove.
+///
+/// `No` is a promise, `Unknown` is the honest answer to a lost reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RanState {
+    /// It is proved that no backend server ran any part of it.
+    No,
+    /// It ran.
+    Yes,
+    /// It may have run.
+    Unknown,
+}
+
+impl RanState {
+    /// The state of a request after two tries: `No` only when both are `No`.
+    #[must_use]
+    pub const fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::No, Self::No) => Self::No,
+            (Self::Yes, _) | (_, Self::Yes) => Self::Yes,
+            (Self::Unknown, _) | (_, Self::Unknown) => Self::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/base/src/refusal.rs
@@ -0,0 +1,111 @@
+//! The one typed error that callers receive.
+
+use crate::outcome;
+
+/// Why a request was refused or ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalCode {
+    /// The body or a header is malformed.
+    BadRequest,
+    /// The body is larger than the limit.
+    TooLarge,
+    /// No API key, or one that is not known.
+    Unauthenticated,
+    /// The key is known but may not do this.
+    Forbidden,
+    /// No such model, service, request or generation.
+    NotFound,
+    /// An idempotency key is required on this call.
+    IdempotencyKeyRequired,
+    /// The idempotency key is older than the window in which repeats are recognised.
+    IdempotencyKeyExpired,
+    /// Another call with the same idempotency key is in progress.
+    InProgress,
+    /// The organisation is over its limit.
+    RateLimited,
+    /// The system is full; nothing was started.
+    Overloaded,
+    /// The content was found to crash backend servers.
+    Quarantined,
+    /// No backend server can serve this now.
+    Unavailable,
+    /// The deadline passed.
+    DeadlineExceeded,
+    /// The generation was lost after its first token and cannot be continued.
+    GenerationLost,
+    /// The backend server's answer was lost or was nonsense.
+    BackendFault,
+    /// This entry VM has no accepted configuration yet, or is leaving.
+    NotReady,
+    /// A fault of the system itself.
+    Internal,
+}
+
+impl RefusalCode {
+    /// The HTTP status that carries this code.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::IdempotencyKeyRequired => 400,
+            Self::Unauthenticated => 401,
+            Self::Forbidden => 403,
+            Self::NotFound => 404,
+            Self::InProgress => 409,
+            Self::TooLarge => 413,
+            Self::IdempotencyKeyExpired | Self::Quarantined => 422,
+            Self::RateLimited => 429,
+            Self::Internal => 500,
+            Self::GenerationLost | Self::BackendFault => 502,
+            Self::Overloaded | Self::Unavailable | Self::NotReady => 503,
+            Self::DeadlineExceeded => 504,
+        }
+    }
+}
+
+/// The body of every refusal: what happened, what to do, and whether the request ran.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+pub struct RefusalBody {
+    /// What happened, for programs.
+    pub code: RefusalCode,
+    /// What happened and what to do about it, for people.
+    pub message: String,
+    /// Whether the request ran; `no` is a promise.
+    pub ran: outcome::RanState,
+    /// When to ask again, in milliseconds from now; absent when asking again is no use.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl RefusalBody {
+    /// A refusal before anything was started.
+    pub fn not_run(code: RefusalCode, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            ran: outcome::RanState::No,
+            retry_after_ms: None,
+        }
+    }
+
+    /// The same refusal with the time after which asking again makes sense.
+    #[must_use]
+    pub fn retry_after_ms(mut self, delay_ms: u64) -> Self {
+        self.retry_after_ms = Some(delay_ms);
+        self
+    }
+
+    /// The same refusal with another outcome.
+    #[must_use]
+    pub fn ran(mut self, ran: outcome::RanState) -> Self {
+        self.ran = ran;
+        self
+    }
+}
+
+/// The JSON envelope on the wire, in the shape that client libraries of the field expect.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+pub struct RefusalEnvelope {
+    /// The refusal itself.
+    pub error: RefusalBody,
+}
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,4 @@
+//! Inventory, rules and settings: parsing, checking, differences and revisions.
+
+pub mod inventory;
+pub mod rules;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' client.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: HTTP faces, controllers and the wiring of the other crates.
--- /dev/null
+++ b/crates/gossip/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership by gossip with suspicion, and the state that spreads with it.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Seeded load, experiments and the demonstration.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Thin front; the work is in the library.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames and datagrams between pollenchute processes: encoding, authentication, replay protection.
