--- /dev/null
+++ b/crates/sched/src/driver.rs
@@ -0,0 +1,338 @@
+//! Runs a [`core::DispatchCore`] on the runtime's clock for the request plane.
+
+use std::{future, sync};
+
+use base::id;
+use tokio::{sync as async_sync, time};
+
+use crate::{
+    ask::{self, TicketKey},
+    core,
+    explain::{self, Decision},
+};
+
+/// A request that got no place. Nothing of it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusedAsk {
+    /// Why.
+    pub reason: explain::RefusalReason,
+    /// When asking again makes sense; absent when it does not.
+    pub retry_after: Option<std::time::Duration>,
+}
+
+/// Where a generation is to be started.
+#[derive(Clone, Copy, Debug)]
+struct GrantedPlace {
+    server: id::ServerKey,
+    priority: u8,
+    why: explain::DispatchReason,
+}
+
+/// The two ends that a ticket's holder listens to.
+#[derive(Debug)]
+struct TicketSlot {
+    /// Taken by the decision that ends the wait.
+    answer: Option<async_sync::oneshot::Sender<Result<GrantedPlace, RefusedAsk>>>,
+    /// Tells the holder to stop the generation.
+    preempt: async_sync::watch::Sender<Option<explain::PreemptReason>>,
+}
+
+#[derive(Debug)]
+struct DriverState {
+    core: core::DispatchCore,
+    slots: slotmap::SecondaryMap<TicketKey, TicketSlot>,
+    /// Empty between calls; kept for its capacity.
+    decisions: Vec<Decision>,
+}
+
+impl DriverState {
+    fn poll(&mut self, now: time::Instant) {
+        let mut decisions = std::mem::take(&mut self.decisions);
+        self.core.poll(now, &mut decisions);
+        for decision in decisions.drain(..) {
+            self.deliver(decision);
+        }
+        self.decisions = decisions;
+    }
+
+    fn deliver(&mut self, decision: Decision) {
+        match decision {
+            Decision::Dispatch {
+                ticket,
+                server,
+                priority,
+                why,
+            } => {
+                let place = GrantedPlace {
+                    server,
+                    priority,
+                    why,
+                };
+                self.answer(ticket, Ok(place));
+            }
+            Decision::Refuse {
+                ticket,
+                reason,
+                retry_after,
+            } => {
+                self.answer(
+                    ticket,
+                    Err(RefusedAsk {
+                        reason,
+                        retry_after,
+                    }),
+                );
+                self.slots.remove(ticket);
+            }
+            Decision::Preempt { ticket, why, .. } => {
+                if let Some(slot) = self.slots.get(ticket) {
+                    slot.preempt.send_replace(Some(why));
+                }
+            }
+        }
+    }
+
+    /// A holder that is gone has a guard that withdraws the ticket, so a failed send is no loss.
+    fn answer(&mut self, ticket: TicketKey, answer: Result<GrantedPlace, RefusedAsk>) {
+        let sender = self
+            .slots
+            .get_mut(ticket)
+            .and_then(|slot| slot.answer.take());
+        if let Some(sender) = sender {
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct SharedDriver {
+    state: sync::Mutex<DriverState>,
+    /// Wakes the loop of [`Driver::run`] when something began to wait.
+    woken: async_sync::Notify,
+}
+
+impl SharedDriver {
+    /// The state stays usable after a panic elsewhere: each call leaves it whole.
+    fn lock(&self) -> sync::MutexGuard<'_, DriverState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn change<R>(&self, change: impl FnOnce(&mut core::DispatchCore, time::Instant) -> R) -> R {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        let result = change(&mut state.core, now);
+        state.poll(now);
+        drop(state);
+        self.woken.notify_one();
+        result
+    }
+
+    fn end(&self, ticket: TicketKey, end: impl FnOnce(&mut core::DispatchCore, time::Instant)) {
+        self.lock().slots.remove(ticket);
+        self.change(end);
+    }
+}
+
+/// Handle to one decision core; clones share it.
+#[derive(Clone, Debug)]
+pub struct Driver {
+    shared: sync::Arc<SharedDriver>,
+}
+
+impl Driver {
+    /// A driver of `core`. Spawn [`Self::run`] beside it.
+    #[must_use]
+    pub fn new(core: core::DispatchCore) -> Self {
+        let state = DriverState {
+            core,
+            slots: slotmap::SecondaryMap::new(),
+            decisions: Vec::new(),
+        };
+        Self {
+            shared: sync::Arc::new(SharedDriver {
+                state: sync::Mutex::new(state),
+                woken: async_sync::Notify::new(),
+            }),
+        }
+    }
+
+    /// Feeds the core from outside (servers, reports, organisations), then acts on what follows.
+    pub fn change<R>(&self, change: impl FnOnce(&mut core::DispatchCore, time::Instant) -> R) -> R {
+        self.shared.change(change)
+    }
+
+    /// Polls the core whenever it is due; never ends.
+    pub async fn run(self) {
+        loop {
+            let now = time::Instant::now();
+            let wake = {
+                let mut state = self.shared.lock();
+                state.poll(now);
+                state.core.next_wake(now)
+            };
+            let woken = self.shared.woken.notified();
+            match wake {
+                Some(wake) => {
+                    let _ = time::timeout_at(wake, woken).await;
+                }
+                None => woken.await,
+            }
+        }
+    }
+
+    /// Waits for a place. Dropping the future withdraws the request.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusedAsk`] when it gets none; nothing of it ran.
+    pub async fn admit(&self, ask: ask::Ask) -> Result<Grant, RefusedAsk> {
+        let (answer, answered) = async_sync::oneshot::channel();
+        let (preempt, preempted) = async_sync::watch::channel(None);
+        let ticket = {
+            let now = time::Instant::now();
+            let mut state = self.shared.lock();
+            let ticket = state.core.submit(ask, now);
+            let slot = TicketSlot {
+                answer: Some(answer),
+                preempt,
+            };
+            state.slots.insert(ticket, slot);
+            ticket
+        };
+        let guard = TicketGuard {
+            shared: self.shared.clone(),
+            ticket,
+            held: true,
+        };
+        self.shared.change(|_, _| ());
+        guard.wait(answered, preempted).await
+    }
+}
+
+/// Withdraws a ticket when its holder goes away without ending it.
+#[derive(Debug)]
+struct TicketGuard {
+    shared: sync::Arc<SharedDriver>,
+    ticket: TicketKey,
+    held: bool,
+}
+
+impl TicketGuard {
+    async fn wait(
+        mut self,
+        answered: async_sync::oneshot::Receiver<Result<GrantedPlace, RefusedAsk>>,
+        preempted: async_sync::watch::Receiver<Option<explain::PreemptReason>>,
+    ) -> Result<Grant, RefusedAsk> {
+        // The sender lives in the ticket's slot until it answers, so it is never just dropped.
+        match answered.await.expect("a waiting ticket keeps its sender") {
+            Ok(place) => Ok(Grant {
+                guard: self,
+                place,
+                preempted,
+            }),
+            Err(refused) => {
+                self.held = false;
+                Err(refused)
+            }
+        }
+    }
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        if self.held {
+            let ticket = self.ticket;
+            self.shared
+                .end(ticket, |core, now| core.withdrawn(ticket, now));
+        }
+    }
+}
+
+/// A place on a server, held until it is ended or dropped.
+#[derive(Debug)]
+pub struct Grant {
+    guard: TicketGuard,
+    place: GrantedPlace,
+    preempted: async_sync::watch::Receiver<Option<explain::PreemptReason>>,
+}
+
+impl Grant {
+    /// Where to start the generation.
+    #[must_use]
+    pub fn server(&self) -> id::ServerKey {
+        self.place.server
+    }
+
+    /// Engine priority to start it with.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        self.place.priority
+    }
+
+    /// Why there, and why not earlier.
+    #[must_use]
+    pub fn why(&self) -> &explain::DispatchReason {
+        &self.place.why
+    }
+
+    /// Tells the core that `count` further tokens arrived, the first included.
+    pub fn progress(&self, count: u32) {
+        let now = time::Instant::now();
+        self.guard
+            .shared
+            .lock()
+            .core
+            .tokens(self.guard.ticket, count, now);
+    }
+
+    /// Completes when the generation is to be stopped and started again later: cancel it on its
+    /// server, then call [`Self::requeue`].
+    pub async fn preempted(&mut self) -> explain::PreemptReason {
+        match self.preempted.wait_for(Option::is_some).await {
+            Ok(reason) => reason.expect("waited until it is there"),
+            Err(_) => future::pending().await,
+        }
+    }
+
+    /// Ends it: the generation finished with `produced` tokens in all.
+    pub fn finished(mut self, produced: u32) {
+        self.guard.held = false;
+        let ticket = self.guard.ticket;
+        let shared = &self.guard.shared;
+        shared.end(ticket, |core, now| core.finished(ticket, produced, now));
+    }
+
+    /// Ends it: the generation failed on its server.
+    pub fn failed(mut self, failure: ask::FailureKind) {
+        self.guard.held = false;
+        let ticket = self.guard.ticket;
+        let shared = &self.guard.shared;
+        shared.end(ticket, |core, now| core.failed(ticket, failure, now));
+    }
+
+    /// Gives the place back and waits for another, ahead of its organisation's others. Only
+    /// after the generation is known to be stopped on its server.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusedAsk`] when it gets none.
+    pub async fn requeue(self) -> Result<Self, RefusedAsk> {
+        let (answer, answered) = async_sync::oneshot::channel();
+        let (preempt, preempted) = async_sync::watch::channel(None);
+        let ticket = self.guard.ticket;
+        {
+            let mut state = self.guard.shared.lock();
+            let slot = TicketSlot {
+                answer: Some(answer),
+                preempt,
+            };
+            state.slots.insert(ticket, slot);
+        }
+        self.guard
+            .shared
+            .change(|core, now| core.requeued(ticket, now));
+        self.guard.wait(answered, preempted).await
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/driver.rs
@@ -0,0 +1,90 @@
+//! The driver on the paused clock.
+
+use base::{class, id};
+use rand::{SeedableRng as _, rngs};
+use sched::{ask, core, driver, explain, settings, view};
+use tokio::time;
+
+struct Fixture {
+    driver: driver::Driver,
+    model: id::ModelKey,
+    organisation: id::OrganisationKey,
+}
+
+impl Fixture {
+    fn new(max_batch: u32) -> Self {
+        let mut models = slotmap::SlotMap::<id::ModelKey, ()>::with_key();
+        let mut servers = slotmap::SlotMap::<id::ServerKey, ()>::with_key();
+        let mut organisations = slotmap::SlotMap::<id::OrganisationKey, ()>::with_key();
+        let (model, organisation) = (models.insert(()), organisations.insert(()));
+        let spec = view::EngineSpec {
+            place: view::ServerPlace::default(),
+            models: vec![model],
+            total_blocks: 1_000,
+            block_tokens: 16,
+            max_batch,
+        };
+        let rng = rngs::StdRng::seed_from_u64(1);
+        let mut core = core::DispatchCore::new(settings::PolicySettings::default(), rng);
+        core.server_added(servers.insert(()), spec);
+        core.organisation_set(organisation, settings::OrganisationPlan::default());
+        let driver = driver::Driver::new(core);
+        tokio::spawn(driver.clone().run());
+        Self {
+            driver,
+            model,
+            organisation,
+        }
+    }
+
+    fn ask(&self) -> ask::Ask {
+        let class = class::TrafficClass::Normal;
+        ask::Ask::new(self.organisation, class, self.model, 100, 100)
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dropped_grant_frees_its_place() {
+    let fixture = Fixture::new(1);
+    let grant = fixture.driver.admit(fixture.ask()).await.unwrap();
+    let waiting = tokio::spawn({
+        let (driver, ask) = (fixture.driver.clone(), fixture.ask());
+        async move { driver.admit(ask).await.map(|grant| grant.server()) }
+    });
+    time::sleep(time::Duration::from_secs(1)).await;
+    assert!(!waiting.is_finished());
+    let server = grant.server();
+    drop(grant);
+    assert_eq!(waiting.await.unwrap(), Ok(server));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dropped_wait_takes_no_place() {
+    let fixture = Fixture::new(1);
+    let grant = fixture.driver.admit(fixture.ask()).await.unwrap();
+    let second = fixture.driver.admit(fixture.ask());
+    assert!(
+        time::timeout(time::Duration::from_secs(1), second)
+            .await
+            .is_err()
+    );
+    grant.finished(10);
+    let third = time::timeout(
+        time::Duration::from_secs(1),
+        fixture.driver.admit(fixture.ask()),
+    );
+    assert!(third.await.unwrap().is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_passed_deadline_is_refused_and_not_run() {
+    let fixture = Fixture::new(1);
+    let _grant = fixture.driver.admit(fixture.ask()).await.unwrap();
+    let mut ask = fixture.ask();
+    let started = time::Instant::now();
+    ask.deadline = Some(started + time::Duration::from_secs(2));
+    let refused = fixture.driver.admit(ask).await.unwrap_err();
+    assert_eq!(refused.reason, explain::RefusalReason::Deadline);
+    assert!(refused.retry_after.is_some());
+    assert!(started.elapsed() <= time::Duration::from_millis(2_100));
+}
