--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod class;
 pub mod fingerprint;
 pub mod id;
+pub mod ops;
 pub mod outcome;
 pub mod refusal;
 pub mod rendezvous;
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -1,1 +1,11 @@
 //! The time line of events: hybrid logical clocks, event rings, merging and drawing.
+//!
+//! A process records into one [`journal::EventJournal`]; an operators' client fetches what each
+//! process kept and puts it in one causal order with [`merge::merge`].
+
+pub mod clock;
+pub mod event;
+pub mod journal;
+pub mod kind;
+pub mod query;
+pub mod ring;
