--- a/crates/base/src/class.rs
+++ b/crates/base/src/class.rs
@@ -5,9 +5,8 @@
 /// How long a request may wait.
 ///
 /// The order is the order of service: a class never waits behind a greater one.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TrafficClass {
     /// Somebody stands and waits, for instance at a gate.
--- a/crates/base/src/fingerprint.rs
+++ b/crates/base/src/fingerprint.rs
@@ -3,9 +3,8 @@
 use sha2::Digest as _;
 
 /// SHA-256 of some content: an API key, a request body, a configuration.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct ContentHash(#[serde(with = "hex::serde")] pub [u8; 32]);
 
 impl ContentHash {
--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -3,7 +3,8 @@
 /// Whether a request ran on a backend server, as far as this process can prove.
 ///
 /// `No` is a promise, `Unknown` is the honest answer to a lost reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RanState {
     /// It is proved that no backend server ran any part of it.
--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -3,7 +3,8 @@
 use crate::outcome;
 
 /// Why a request was refused or ended early.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCode {
     /// The body or a header is malformed.
@@ -64,7 +65,8 @@
 }
 
 /// The body of every refusal: what happened, what to do, and whether the request ran.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct RefusalBody {
     /// What happened, for programs.
     pub code: RefusalCode,
@@ -104,7 +106,8 @@
 }
 
 /// The JSON envelope on the wire, in the shape that client libraries of the field expect.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct RefusalEnvelope {
     /// The refusal itself.
     pub error: RefusalBody,
--- a/crates/conf/src/inventory.rs
+++ b/crates/conf/src/inventory.rs
@@ -3,7 +3,8 @@
 use std::{collections, net};
 
 /// Everything that exists.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Inventory {
     /// Regions by name.
@@ -25,7 +26,8 @@
 }
 
 /// One region.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RegionEntry {
     /// Names of its failure domains; a failure domain belongs to one region.
@@ -33,7 +35,8 @@
 }
 
 /// One entry VM.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmEntry {
     /// Its failure domain.
@@ -45,7 +48,8 @@
 }
 
 /// One backend server.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServerEntry {
     /// Its failure domain.
@@ -57,7 +61,8 @@
 }
 
 /// What a backend server is.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum ServerKind {
     /// A model engine.
@@ -70,7 +75,8 @@
 }
 
 /// What is particular to a model engine.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineEntry {
     /// Models that it may serve; the first is loaded when nothing else is asked of it.
@@ -86,7 +92,8 @@
 }
 
 /// One model.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelEntry {
     /// The version that is wanted in force.
@@ -102,7 +109,8 @@
 }
 
 /// One plain service.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// Path prefixes whose calls are not idempotent: they need a key and run at most once.
@@ -113,7 +121,8 @@
 }
 
 /// One organisation.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OrganisationEntry {
     /// SHA-256 of each API key, in hexadecimal; two are valid while a key is rotated.
@@ -123,7 +132,8 @@
 }
 
 /// One operator.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorEntry {
     /// SHA-256 of each key, in hexadecimal.
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,4 +1,13 @@
 //! Inventory, rules and settings: parsing, checking, differences and revisions.
+//!
+//! The configuration in force is a pure function of the log's prefix: [`state::ConfigState`]
+//! applies records in order, and every reader of the same records comes to the same state.
+//! Nothing here does I/O or reads a clock.
 
+pub mod change;
+pub mod document;
+pub mod fault;
 pub mod inventory;
 pub mod rules;
+pub mod snapshot;
+pub mod state;
--- /dev/null
+++ b/crates/conf/src/snapshot.rs
@@ -0,0 +1,499 @@
+//! One revision as the request path reads it: immutable, indexed, shared behind an `Arc`.
+
+use std::{collections, sync};
+
+use base::{class, fingerprint, id, rendezvous};
+
+use crate::{document, inventory, rules};
+
+/// One organisation of a snapshot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrganisationView {
+    /// Its name in the inventory.
+    pub name: String,
+    /// Its home region.
+    pub region: String,
+    /// Its own rule, or the default one.
+    pub rule: rules::OrganisationRule,
+}
+
+/// One backend server of a snapshot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerView {
+    /// Its name in the inventory.
+    pub name: String,
+    /// The region of its failure domain.
+    pub region: String,
+    /// Its entry in the inventory.
+    pub entry: inventory::ServerEntry,
+}
+
+/// One entry VM of a snapshot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VmView {
+    /// Its name in the inventory.
+    pub name: String,
+    /// The region of its failure domain.
+    pub region: String,
+    /// Its entry in the inventory.
+    pub entry: inventory::VmEntry,
+}
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestTarget<'a> {
+    /// A generation by this model.
+    Model(&'a str),
+    /// A call of this plain service.
+    Service(&'a str),
+}
+
+/// Arena of one kind of thing, with the key of each name.
+#[derive(Clone, Debug)]
+struct NamedArena<K: slotmap::Key, V> {
+    entries: slotmap::SlotMap<K, V>,
+    /// One name for each entry of the arena.
+    keys: collections::HashMap<String, K>,
+}
+
+impl<K: slotmap::Key, V> Default for NamedArena<K, V> {
+    fn default() -> Self {
+        Self {
+            entries: slotmap::SlotMap::with_key(),
+            keys: collections::HashMap::new(),
+        }
+    }
+}
+
+impl<K: slotmap::Key, V: Clone> NamedArena<K, V> {
+    /// The arena of the next revision: a name that stays keeps its key, and the key of a name
+    /// that went is never given to another.
+    fn next<I: Iterator<Item = (String, V)>>(&self, named: I) -> Self {
+        let mut arena = self.clone();
+        let mut gone = std::mem::take(&mut arena.keys);
+        for (name, value) in named {
+            let key = match gone.remove(&name) {
+                Some(key) => {
+                    arena.entries[key] = value;
+                    key
+                }
+                None => arena.entries.insert(value),
+            };
+            arena.keys.insert(name, key);
+        }
+        for key in gone.into_values() {
+            arena.entries.remove(key);
+        }
+        arena
+    }
+}
+
+/// A class rule with its names resolved.
+#[derive(Clone, Debug)]
+struct ClassMatcher {
+    organisations: Option<collections::HashSet<id::OrganisationKey>>,
+    models: Option<collections::HashSet<String>>,
+    services: Option<collections::HashSet<String>>,
+    requested: Option<class::TrafficClass>,
+    class: class::TrafficClass,
+}
+
+impl ClassMatcher {
+    fn matches(
+        &self,
+        organisation: id::OrganisationKey,
+        target: RequestTarget<'_>,
+        requested: Option<class::TrafficClass>,
+    ) -> bool {
+        let target_matches = match target {
+            RequestTarget::Model(name) => {
+                self.services.is_none() && self.models.as_ref().is_none_or(|set| set.contains(name))
+            }
+            RequestTarget::Service(name) => {
+                self.models.is_none() && self.services.as_ref().is_none_or(|set| set.contains(name))
+            }
+        };
+        target_matches
+            && self
+                .organisations
+                .as_ref()
+                .is_none_or(|set| set.contains(&organisation))
+            && (self.requested.is_none() || self.requested == requested)
+    }
+}
+
+/// One revision, indexed for requests.
+///
+/// Keys stay valid from one snapshot to the next of the same process for as long as the name is
+/// in the inventory; a key of something that was removed resolves to nothing.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigSnapshot {
+    revision: u64,
+    /// Offset of the first log record that is not part of it.
+    offset: u64,
+    configuration: sync::Arc<document::Configuration>,
+    organisations: NamedArena<id::OrganisationKey, OrganisationView>,
+    servers: NamedArena<id::ServerKey, ServerView>,
+    vms: NamedArena<id::VmKey, VmView>,
+    api_keys: collections::HashMap<fingerprint::ContentHash, id::OrganisationKey>,
+    operator_keys: collections::HashMap<fingerprint::ContentHash, String>,
+    model_servers: collections::HashMap<String, Vec<id::ServerKey>>,
+    service_servers: collections::HashMap<String, Vec<id::ServerKey>>,
+    region_vms: collections::HashMap<String, Vec<id::VmKey>>,
+    matchers: Vec<ClassMatcher>,
+}
+
+impl ConfigSnapshot {
+    /// The snapshot that follows `self`, of a checked configuration.
+    ///
+    /// `offset` is that of the first log record that is not part of it.
+    #[must_use]
+    pub fn next(
+        &self,
+        revision: u64,
+        offset: u64,
+        configuration: sync::Arc<document::Configuration>,
+    ) -> Self {
+        let inventory = &configuration.inventory;
+        let regions = region_of_domain(inventory);
+        let region = |domain: &str| regions.get(domain).cloned().unwrap_or_default();
+        let servers = self
+            .servers
+            .next(inventory.backend_servers.iter().map(|(name, entry)| {
+                let view = ServerView {
+                    name: name.clone(),
+                    region: region(&entry.failure_domain),
+                    entry: entry.clone(),
+                };
+                (name.clone(), view)
+            }));
+        let vms = self
+            .vms
+            .next(inventory.entry_vms.iter().map(|(name, entry)| {
+                let view = VmView {
+                    name: name.clone(),
+                    region: region(&entry.failure_domain),
+                    entry: entry.clone(),
+                };
+                (name.clone(), view)
+            }));
+        let organisations = self.organisations.next(organisation_views(&configuration));
+        let (model_servers, service_servers) = servers_by_use(inventory, &servers);
+        Self {
+            revision,
+            offset,
+            api_keys: api_keys(inventory, &organisations),
+            operator_keys: operator_keys(inventory),
+            model_servers,
+            service_servers,
+            region_vms: vms_by_region(&vms),
+            matchers: matchers(&configuration.rules, &organisations),
+            organisations,
+            servers,
+            vms,
+            configuration,
+        }
+    }
+
+    /// Revision number; 0 is the empty configuration before any change.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Offset of the first log record that is not part of it.
+    #[must_use]
+    pub const fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// The inventory.
+    #[must_use]
+    pub fn inventory(&self) -> &inventory::Inventory {
+        &self.configuration.inventory
+    }
+
+    /// The rules.
+    #[must_use]
+    pub fn rules(&self) -> &rules::RuleSet {
+        &self.configuration.rules
+    }
+
+    /// The whole configuration.
+    #[must_use]
+    pub const fn configuration(&self) -> &sync::Arc<document::Configuration> {
+        &self.configuration
+    }
+
+    /// The organisation whose API key this is.
+    #[must_use]
+    pub fn organisation_by_api_key(&self, api_key: &str) -> Option<id::OrganisationKey> {
+        let hash = fingerprint::ContentHash::of(api_key.as_bytes());
+        self.api_keys.get(&hash).copied()
+    }
+
+    /// The operator whose key this is.
+    #[must_use]
+    pub fn operator_by_key(&self, operator_key: &str) -> Option<&str> {
+        let hash = fingerprint::ContentHash::of(operator_key.as_bytes());
+        self.operator_keys.get(&hash).map(String::as_str)
+    }
+
+    /// The key of the organisation with this name.
+    #[must_use]
+    pub fn organisation_key(&self, name: &str) -> Option<id::OrganisationKey> {
+        self.organisations.keys.get(name).copied()
+    }
+
+    /// One organisation; absent once it was removed.
+    #[must_use]
+    pub fn organisation(&self, key: id::OrganisationKey) -> Option<&OrganisationView> {
+        self.organisations.entries.get(key)
+    }
+
+    /// The key of the backend server with this name.
+    #[must_use]
+    pub fn server_key(&self, name: &str) -> Option<id::ServerKey> {
+        self.servers.keys.get(name).copied()
+    }
+
+    /// One backend server; absent once it was removed.
+    #[must_use]
+    pub fn server(&self, key: id::ServerKey) -> Option<&ServerView> {
+        self.servers.entries.get(key)
+    }
+
+    /// All backend servers.
+    pub fn servers(&self) -> impl Iterator<Item = (id::ServerKey, &ServerView)> {
+        self.servers.entries.iter()
+    }
+
+    /// The key of the entry VM with this name.
+    #[must_use]
+    pub fn vm_key(&self, name: &str) -> Option<id::VmKey> {
+        self.vms.keys.get(name).copied()
+    }
+
+    /// One entry VM; absent once it was removed.
+    #[must_use]
+    pub fn vm(&self, key: id::VmKey) -> Option<&VmView> {
+        self.vms.entries.get(key)
+    }
+
+    /// All entry VMs.
+    pub fn vms(&self) -> impl Iterator<Item = (id::VmKey, &VmView)> {
+        self.vms.entries.iter()
+    }
+
+    /// Model engines that may serve this model, by name.
+    #[must_use]
+    pub fn servers_of_model(&self, model: &str) -> &[id::ServerKey] {
+        self.model_servers.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Servers of this plain service, by name.
+    #[must_use]
+    pub fn servers_of_service(&self, service: &str) -> &[id::ServerKey] {
+        self.service_servers.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The class of a request by the rules: the first rule that matches, else normal.
+    #[must_use]
+    pub fn class_of(
+        &self,
+        organisation: id::OrganisationKey,
+        target: RequestTarget<'_>,
+        requested: Option<class::TrafficClass>,
+    ) -> class::TrafficClass {
+        self.matchers
+            .iter()
+            .find(|matcher| matcher.matches(organisation, target, requested))
+            .map_or(class::TrafficClass::Normal, |matcher| matcher.class)
+    }
+
+    /// Whether calls of this path are not idempotent: they need a key and run at most once.
+    #[must_use]
+    pub fn is_non_idempotent(&self, service: &str, path: &str) -> bool {
+        self.inventory().services.get(service).is_some_and(|entry| {
+            let path = path.trim_start_matches('/');
+            entry
+                .non_idempotent_paths
+                .iter()
+                .any(|prefix| path.starts_with(prefix.trim_start_matches('/')))
+        })
+    }
+
+    /// The entry VMs that callers of an organisation are told, best first.
+    ///
+    /// The first place falls evenly on all usable VMs of the home region (rendezvous hash); the
+    /// next ones are the best of failure domains not yet named, so that the loss of one domain
+    /// leaves others. Only when the home region has none are VMs of other regions named.
+    #[must_use]
+    pub fn entries_of<F>(&self, organisation: id::OrganisationKey, usable: F) -> Vec<id::VmKey>
+    where
+        F: Fn(id::VmKey) -> bool,
+    {
+        let Some(view) = self.organisation(organisation) else {
+            return Vec::new();
+        };
+        let home = self
+            .region_vms
+            .get(&view.region)
+            .map_or(&[][..], Vec::as_slice);
+        let mut candidates: Vec<id::VmKey> =
+            home.iter().copied().filter(|key| usable(*key)).collect();
+        if candidates.is_empty() {
+            candidates = self.vms.entries.keys().filter(|key| usable(*key)).collect();
+        }
+        self.spread(&view.name, candidates)
+    }
+
+    /// Ranks `candidates` for `subject`, one of each failure domain before a second of any.
+    fn spread(&self, subject: &str, candidates: Vec<id::VmKey>) -> Vec<id::VmKey> {
+        let mut ranking: Vec<(u64, &VmView, id::VmKey)> = candidates
+            .into_iter()
+            .map(|key| {
+                let view = &self.vms.entries[key];
+                (rendezvous::score(subject, &view.name), view, key)
+            })
+            .collect();
+        ranking
+            .sort_unstable_by(|left, right| (right.0, &right.1.name).cmp(&(left.0, &left.1.name)));
+        let mut taken: collections::HashMap<&str, usize> = collections::HashMap::new();
+        let mut order: Vec<(usize, usize, id::VmKey)> = ranking
+            .iter()
+            .enumerate()
+            .map(|(rank, (_, view, key))| {
+                let round = taken.entry(view.entry.failure_domain.as_str()).or_default();
+                *round += 1;
+                (*round, rank, *key)
+            })
+            .collect();
+        order.sort_unstable_by_key(|(round, rank, _)| (*round, *rank));
+        order.truncate(self.rules().entries.per_organisation as usize);
+        order.into_iter().map(|(_, _, key)| key).collect()
+    }
+}
+
+fn region_of_domain(inventory: &inventory::Inventory) -> collections::HashMap<String, String> {
+    let mut regions = collections::HashMap::new();
+    for (region, entry) in &inventory.regions {
+        for domain in &entry.failure_domains {
+            regions.insert(domain.clone(), region.clone());
+        }
+    }
+    regions
+}
+
+fn organisation_views(
+    configuration: &document::Configuration,
+) -> impl Iterator<Item = (String, OrganisationView)> {
+    let rules = &configuration.rules;
+    configuration
+        .inventory
+        .organisations
+        .iter()
+        .map(|(name, entry)| {
+            let rule = rules
+                .organisations
+                .get(name)
+                .unwrap_or(&rules.default_organisation);
+            let view = OrganisationView {
+                name: name.clone(),
+                region: entry.region.clone(),
+                rule: rule.clone(),
+            };
+            (name.clone(), view)
+        })
+}
+
+fn api_keys(
+    inventory: &inventory::Inventory,
+    organisations: &NamedArena<id::OrganisationKey, OrganisationView>,
+) -> collections::HashMap<fingerprint::ContentHash, id::OrganisationKey> {
+    let mut keys = collections::HashMap::with_capacity(inventory.organisations.len());
+    for (name, entry) in &inventory.organisations {
+        for hash in entry.key_hashes.iter().filter_map(|text| parse_hash(text)) {
+            keys.insert(hash, organisations.keys[name]);
+        }
+    }
+    keys
+}
+
+fn operator_keys(
+    inventory: &inventory::Inventory,
+) -> collections::HashMap<fingerprint::ContentHash, String> {
+    let mut keys = collections::HashMap::new();
+    for (name, entry) in &inventory.operators {
+        for hash in entry.key_hashes.iter().filter_map(|text| parse_hash(text)) {
+            keys.insert(hash, name.clone());
+        }
+    }
+    keys
+}
+
+/// A SHA-256 in 64 hexadecimal digits.
+pub(crate) fn parse_hash(text: &str) -> Option<fingerprint::ContentHash> {
+    let mut bytes = [0_u8; 32];
+    hex::decode_to_slice(text, &mut bytes).ok()?;
+    Some(fingerprint::ContentHash(bytes))
+}
+
+type ServersByName = collections::HashMap<String, Vec<id::ServerKey>>;
+
+fn servers_by_use(
+    inventory: &inventory::Inventory,
+    servers: &NamedArena<id::ServerKey, ServerView>,
+) -> (ServersByName, ServersByName) {
+    let mut by_model = ServersByName::new();
+    let mut by_service = ServersByName::new();
+    for (name, entry) in &inventory.backend_servers {
+        let key = servers.keys[name];
+        match &entry.kind {
+            inventory::ServerKind::ModelEngine(engine) => {
+                for model in &engine.models {
+                    by_model.entry(model.clone()).or_default().push(key);
+                }
+            }
+            inventory::ServerKind::PlainService { service } => {
+                by_service.entry(service.clone()).or_default().push(key);
+            }
+        }
+    }
+    (by_model, by_service)
+}
+
+fn vms_by_region(
+    vms: &NamedArena<id::VmKey, VmView>,
+) -> collections::HashMap<String, Vec<id::VmKey>> {
+    let mut regions: collections::HashMap<String, Vec<id::VmKey>> = collections::HashMap::new();
+    for (key, view) in &vms.entries {
+        regions.entry(view.region.clone()).or_default().push(key);
+    }
+    regions
+}
+
+fn matchers(
+    rules: &rules::RuleSet,
+    organisations: &NamedArena<id::OrganisationKey, OrganisationView>,
+) -> Vec<ClassMatcher> {
+    let names = |list: &Option<Vec<String>>| {
+        list.as_ref()
+            .map(|names| names.iter().cloned().collect::<collections::HashSet<_>>())
+    };
+    rules
+        .classes
+        .iter()
+        .map(|rule| ClassMatcher {
+            organisations: rule.organisations.as_ref().map(|list| {
+                list.iter()
+                    .filter_map(|name| organisations.keys.get(name).copied())
+                    .collect()
+            }),
+            models: names(&rule.models),
+            services: names(&rule.services),
+            requested: rule.requested,
+            class: rule.class,
+        })
+        .collect()
+}
