Time line: merge in causal order, text, JSON lines, SVG picture, explain

k-way merge by stamp over what each process kept; gaps (lost, omitted, silent, unordered) are part of the answer.

--- a/crates/base/src/ops.rs
+++ b/crates/base/src/ops.rs
@@ -6,7 +6,8 @@
 use crate::{class, fingerprint, id};
 
 /// Answer of `GET /ops/status`: one VM's whole view.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct StatusBody {
     /// The VM that answers.
     pub vm: String,
@@ -51,7 +52,8 @@
 }
 
 /// Whether an entry VM takes requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReadyState {
     /// It has no accepted configuration yet.
@@ -63,7 +65,8 @@
 }
 
 /// The configuration that one VM acts by.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct ConfigurationStatus {
     /// Its revision; 0 when the VM has none.
     pub revision: u64,
@@ -81,7 +84,8 @@
 }
 
 /// One stream of the log as a VM last found it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LogStatus {
     /// The stream.
     pub stream: String,
@@ -95,7 +99,8 @@
 }
 
 /// State of an entry VM or backend server in the eyes of the VM that answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HealthState {
     /// Nothing has been heard of it yet.
@@ -125,7 +130,8 @@
 }
 
 /// One entry VM in the eyes of another.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct MemberStatus {
     /// Its name.
     pub vm: String,
@@ -153,7 +159,8 @@
 }
 
 /// What a backend server is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServerRole {
     /// A model engine.
@@ -163,7 +170,8 @@
 }
 
 /// One backend server.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct ServerStatus {
     /// Its name.
     pub server: String,
@@ -197,7 +205,8 @@
 }
 
 /// A model that an engine has ready, or the service of a plain service server.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LoadedModel {
     /// The model or service.
     pub name: String,
@@ -210,7 +219,8 @@
 }
 
 /// One model: what is wanted and what there is.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct PlacementStatus {
     /// The model.
     pub model: String,
@@ -232,7 +242,8 @@
 }
 
 /// One class's queue in one VM.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct QueueStatus {
     /// The class.
     pub class: class::TrafficClass,
@@ -252,7 +263,8 @@
 }
 
 /// One lease.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LeaseStatus {
     /// What it is on, for instance a backend server.
     pub subject: String,
@@ -267,7 +279,8 @@
 }
 
 /// How far content has come towards being refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum QuarantineState {
     /// It was there at a death; it runs alone or not at all.
@@ -277,7 +290,8 @@
 }
 
 /// One content fingerprint that is watched or refused.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct QuarantineStatus {
     /// The fingerprint.
     pub fingerprint: fingerprint::ContentHash,
@@ -297,7 +311,8 @@
 }
 
 /// How full a process's ring of events is.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct JournalStatus {
     /// Events kept.
     pub events: u64,
@@ -309,7 +324,8 @@
 
 /// Answer of `GET /ops/configuration`, for the revision in force or, with `?revision=N`, for an
 /// older one as far as the VM still knows it (`404` when it does not).
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct ConfigurationBody {
     /// The revision.
     pub revision: u64,
@@ -323,14 +339,15 @@
 }
 
 /// Body of `POST /ops/publish`.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct PublishAsk {
     /// Drawn by the client. The same ask sent twice, to one VM or two, takes effect once and has
     /// the same answer: whoever reads the log applies the first record with this id only.
     pub record: id::RecordId,
     /// The revision that the change was made against.
     pub base_revision: u64,
-    /// The difference between the two states (crate `conf`).
+    /// The difference between the two states as a JSON merge patch (RFC 7396).
     pub change: serde_json::Value,
     /// The operator, as the VM knows them by their key; what the client sends is not believed.
     #[serde(default)]
@@ -341,7 +358,8 @@
 }
 
 /// Answer of `POST /ops/publish`: what the log decided.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "verdict", rename_all = "snake_case")]
 pub enum PublishAnswer {
     /// The change stands (`200`).
@@ -357,8 +375,12 @@
         base_revision: u64,
         /// The revision in force.
         current_revision: u64,
-        /// The changes in between, oldest first.
-        since: Vec<HistoryEntry>,
+        /// The changes in between, oldest first, as far as they are remembered.
+        since: Vec<ConflictEntry>,
+        /// Paths that this change and one of `since` both touch; empty when the same change can
+        /// be published again on the revision in force.
+        #[serde(default)]
+        overlapping: Vec<String>,
     },
     /// The state that it would make is faulty (`422`); nothing of it takes effect.
     Invalid {
@@ -386,8 +408,25 @@
     }
 }
 
+/// An accepted change that a refused one did not know of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ConflictEntry {
+    /// The revision that it made.
+    pub revision: u64,
+    /// The operator.
+    pub author: String,
+    /// Why it was made.
+    #[serde(default)]
+    pub comment: String,
+    /// Paths that it touched, names with dots between them.
+    #[serde(default)]
+    pub paths: Vec<String>,
+}
+
 /// One change that was on the log.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct HistoryEntry {
     /// Offset of its record.
     pub offset: u64,
@@ -408,20 +447,22 @@
     /// Why it was made.
     #[serde(default)]
     pub comment: String,
-    /// Paths that it changes, for instance `/rules/organisations/troupe-7/weight`.
+    /// Paths that it changes, for instance `rules.organisations.troupe-7.weight`.
     #[serde(default)]
     pub paths: Vec<String>,
 }
 
 /// Answer of `GET /ops/history`, oldest first, as far back as the VM knows.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct HistoryBody {
     /// The changes, accepted and refused.
     pub entries: Vec<HistoryEntry>,
 }
 
 /// Answer of `GET /ops/timeline`; `E` is the event (crate `trace`).
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct TimelineBody<E> {
     /// The VM that answers.
     pub vm: String,
@@ -440,7 +481,8 @@
 }
 
 /// Body of `POST /ops/drain`: `{"server": "…"}` or `{"vm": "…"}`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DrainAsk {
     /// A backend server.
@@ -450,7 +492,8 @@
 }
 
 /// Answer of `POST /ops/drain`. Asking again is harmless.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct DrainAnswer {
     /// What takes no new work now.
     pub subject: String,
@@ -462,21 +505,24 @@
 }
 
 /// Answer of `GET /ops/quarantine`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct QuarantineBody {
     /// Suspected and refused content.
     pub entries: Vec<QuarantineStatus>,
 }
 
 /// Body of `POST /ops/quarantine/lift`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LiftAsk {
     /// The fingerprint.
     pub fingerprint: fingerprint::ContentHash,
 }
 
 /// Answer of `POST /ops/quarantine/lift`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LiftAnswer {
     /// Whether there was something to lift.
     pub lifted: bool,
--- /dev/null
+++ b/crates/trace/src/explain.rs
@@ -0,0 +1,241 @@
+//! Why one request went where it went, waited, or was refused.
+
+use std::{collections, fmt::Write as _};
+
+use base::{id, outcome};
+
+use crate::{event, kind, merge, moment, text};
+
+/// Explains `request` from a time line that holds all events, not only its own.
+///
+/// Deaths and departures of the backend servers that it used are told among its own events,
+/// because they are the cause of most retries. Returns `None` when no event of it is kept.
+#[must_use]
+pub fn explain(timeline: &merge::MergedTimeline, request: id::RequestId) -> Option<String> {
+    let own: Vec<&event::Event> = timeline
+        .events
+        .iter()
+        .filter(|event| event.request == Some(request))
+        .collect();
+    let (first, last) = (own.first()?, own.last()?);
+    let start_ms = first.stamp.wall_ms();
+    let servers: collections::BTreeSet<&str> =
+        own.iter().filter_map(|event| event.kind.server()).collect();
+    let mut out = format!("request {request}\n");
+    if !matches!(first.kind, kind::EventKind::RequestTaken { .. }) {
+        out.push_str("  its beginning is not kept: what led up to the first line is unknown\n");
+    }
+    let window = first.stamp..=last.stamp;
+    let mut vm = "";
+    for event in timeline
+        .events
+        .iter()
+        .filter(|event| window.contains(&event.stamp))
+    {
+        let is_own = event.request == Some(request);
+        let is_cause = event.request.is_none()
+            && server_sentence(&event.kind).is_some()
+            && event
+                .kind
+                .server()
+                .is_some_and(|server| servers.contains(server));
+        if !is_own && !is_cause {
+            continue;
+        }
+        if event.vm != vm {
+            let _ = writeln!(out, "  on {}:", text::clean(&event.vm));
+            vm = &event.vm;
+        }
+        let after_ms = event.stamp.wall_ms().saturating_sub(start_ms);
+        let _ = writeln!(
+            out,
+            "  {:>10}  {}",
+            format!("+{after_ms} ms"),
+            sentence(&event.kind)
+        );
+    }
+    let _ = writeln!(out, "  began {}", moment::full_text(start_ms));
+    let _ = writeln!(out, "outcome: {}", outcome_text(&own));
+    for gap in timeline.gaps.iter().filter(|gap| may_hide(gap, start_ms)) {
+        let _ = writeln!(out, "caution: {}", text::gap_text(gap));
+    }
+    Some(out)
+}
+
+/// Whether a gap may hide something about a request that began at `start_ms`.
+fn may_hide(gap: &merge::TimelineGap, start_ms: u64) -> bool {
+    match gap {
+        merge::TimelineGap::Lost { up_to_ms, .. } => *up_to_ms >= start_ms,
+        _ => true,
+    }
+}
+
+fn outcome_text(own: &[&event::Event]) -> String {
+    let waited_ms: u64 = own
+        .iter()
+        .filter_map(|event| match &event.kind {
+            kind::EventKind::RequestDispatched { waited_ms, .. } => Some(*waited_ms),
+            _ => None,
+        })
+        .sum();
+    let tries = own
+        .iter()
+        .filter(|event| matches!(event.kind, kind::EventKind::RequestDispatched { .. }))
+        .count();
+    let end = own.iter().rev().find(|event| is_end(&event.kind));
+    let how = end.map_or_else(|| open_text(own), |event| sentence(&event.kind));
+    let tries_text = if tries == 1 {
+        "1 try".to_owned()
+    } else {
+        format!("{tries} tries")
+    };
+    format!(
+        "{how}; {tries_text}, {} waiting here",
+        moment::span_text(waited_ms)
+    )
+}
+
+fn open_text(own: &[&event::Event]) -> String {
+    let last = own.last().map_or("", |event| event.kind.name());
+    format!("not ended as far as is known (last: {last})")
+}
+
+fn is_end(kind: &kind::EventKind) -> bool {
+    matches!(
+        kind,
+        kind::EventKind::RequestFinished { .. }
+            | kind::EventKind::RequestRefused { .. }
+            | kind::EventKind::RequestCancelled { .. }
+    )
+}
+
+const fn ran_text(ran: outcome::RanState) -> &'static str {
+    match ran {
+        outcome::RanState::No => "it did not run",
+        outcome::RanState::Yes => "it ran",
+        outcome::RanState::Unknown => "whether it ran is unknown",
+    }
+}
+
+/// An event in words.
+fn sentence(kind: &kind::EventKind) -> String {
+    let sentence = path_sentence(kind)
+        .or_else(|| setback_sentence(kind))
+        .or_else(|| server_sentence(kind))
+        .unwrap_or_else(|| plain_sentence(kind));
+    text::clean(&sentence)
+}
+
+/// What leads a request forward.
+fn path_sentence(kind: &kind::EventKind) -> Option<String> {
+    use kind::EventKind as Kind;
+    let sentence = match kind {
+        Kind::RequestTaken {
+            organisation,
+            target,
+        } => format!("taken from {organisation} for {target}"),
+        Kind::RequestClassified { class, reason } => format!("class {class}, by {reason}"),
+        Kind::RequestAccepted { partition, offset } => {
+            format!("accepted for later: on the log, partition {partition}, offset {offset}")
+        }
+        Kind::RequestQueued { ahead, reason, .. } => format!("waits behind {ahead}: {reason}"),
+        Kind::RequestDispatched {
+            server,
+            attempt,
+            candidates,
+            waited_ms,
+            reason,
+        } => format!(
+            "sent to {server} after {} (try {attempt}, best of {candidates}): {reason}",
+            moment::span_text(*waited_ms)
+        ),
+        Kind::RequestFirstToken { server, after_ms } => {
+            let after = moment::span_text(*after_ms);
+            format!("first token from {server} after {after}")
+        }
+        Kind::RequestFinished {
+            tokens,
+            after_ms,
+            finish,
+        } => {
+            let after = moment::span_text(*after_ms);
+            format!("whole answer, {tokens} tokens in {after} ({finish})")
+        }
+        _ => return None,
+    };
+    Some(sentence)
+}
+
+/// What holds a request up or ends it early.
+fn setback_sentence(kind: &kind::EventKind) -> Option<String> {
+    use kind::EventKind as Kind;
+    let sentence = match kind {
+        Kind::RequestRefused {
+            ran,
+            reason,
+            retry_after_ms,
+            ..
+        } => {
+            let retry = retry_text(*retry_after_ms);
+            format!("refused, {}: {reason}{retry}", ran_text(*ran))
+        }
+        Kind::RequestRetried {
+            server,
+            attempt,
+            ran,
+            reason,
+        } => format!(
+            "try {attempt} on {server} failed, {}: {reason}",
+            ran_text(*ran)
+        ),
+        Kind::RequestResumed {
+            server,
+            from_token,
+            reason,
+        } => format!("continued on {server} from token {from_token}: {reason}"),
+        Kind::RequestPreempted {
+            server,
+            produced,
+            reason,
+        } => format!("stopped on {server} after {produced} tokens to make room: {reason}"),
+        Kind::RequestCancelled { ran, reason } => {
+            format!("called off, {}: {reason}", ran_text(*ran))
+        }
+        Kind::RequestTakenOver { from_vm, offset } => {
+            format!("taken over from {from_vm} by the claim at offset {offset}")
+        }
+        _ => return None,
+    };
+    Some(sentence)
+}
+
+/// What became of a backend server that the request was on.
+fn server_sentence(kind: &kind::EventKind) -> Option<String> {
+    use kind::EventKind as Kind;
+    let sentence = match kind {
+        Kind::ServerSuspected { server, reason } => format!("({server} suspected: {reason})"),
+        Kind::ServerDead { server, reason } => format!("({server} taken to be dead: {reason})"),
+        Kind::ServerUp { server, reason } => format!("({server} answers: {reason})"),
+        Kind::ServerLeaving { server, source } => format!("({server} is leaving, says {source})"),
+        _ => return None,
+    };
+    Some(sentence)
+}
+
+fn retry_text(retry_after_ms: u64) -> String {
+    if retry_after_ms == 0 {
+        return String::new();
+    }
+    format!(
+        "; told to come back after {}",
+        moment::span_text(retry_after_ms)
+    )
+}
+
+fn plain_sentence(kind: &kind::EventKind) -> String {
+    let mut sentence = kind.name().replace('_', " ");
+    for (name, value) in kind.fields() {
+        let _ = write!(sentence, " {name}={value}");
+    }
+    sentence
+}
--- a/crates/trace/src/kind.rs
+++ b/crates/trace/src/kind.rs
@@ -397,6 +397,28 @@
     }
 }
 
+impl EventKind {
+    /// The backend server that the event is about.
+    #[must_use]
+    pub fn server(&self) -> Option<&str> {
+        match self {
+            Self::RequestDispatched { server, .. }
+            | Self::RequestFirstToken { server, .. }
+            | Self::RequestRetried { server, .. }
+            | Self::RequestResumed { server, .. }
+            | Self::RequestPreempted { server, .. }
+            | Self::ServerSuspected { server, .. }
+            | Self::ServerDead { server, .. }
+            | Self::ServerUp { server, .. }
+            | Self::ServerLeaving { server, .. }
+            | Self::ServerLoaded { server, .. }
+            | Self::OrderSent { server, .. }
+            | Self::OrderAnswered { server, .. } => Some(server),
+            _ => None,
+        }
+    }
+}
+
 /// Bytes that a field holds on the heap.
 trait HeapSize {
     fn heap_bytes(&self) -> usize {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -5,7 +5,14 @@
 
 pub mod clock;
 pub mod event;
+pub mod explain;
 pub mod journal;
 pub mod kind;
+pub mod lines;
+pub mod merge;
+pub mod moment;
+pub mod picture;
 pub mod query;
 pub mod ring;
+pub mod svg;
+pub mod text;
--- a/crates/trace/src/ring.rs
+++ b/crates/trace/src/ring.rs
@@ -208,6 +208,6 @@
 
     fn note_loss(&mut self, stamp: clock::HybridStamp) {
         self.lost += 1;
-        self.lost_up_to = Some(stamp);
+        self.lost_up_to = self.lost_up_to.max(Some(stamp));
     }
 }
--- /dev/null
+++ b/crates/trace/src/text.rs
@@ -0,0 +1,118 @@
+//! A time line as lines of text for people.
+
+use std::fmt::Write as _;
+
+use base::id;
+
+use crate::{event, merge, moment};
+
+/// Digits of a request's id that stand in a line; commands take them in place of the whole.
+pub const SHORT_ID_DIGITS: usize = 8;
+
+/// The whole time line: what is missing first, then one line for each event.
+#[must_use]
+pub fn render(timeline: &merge::MergedTimeline) -> String {
+    let mut out = String::new();
+    for gap in &timeline.gaps {
+        let _ = writeln!(out, "!! {}", gap_text(gap));
+    }
+    let vm_width = timeline
+        .events
+        .iter()
+        .map(|event| event.vm.len())
+        .max()
+        .unwrap_or(0);
+    let mut date = String::new();
+    for event in &timeline.events {
+        let event_date = moment::date_text(event.stamp.wall_ms());
+        if event_date != date {
+            let _ = writeln!(out, "-- {event_date} UTC");
+            date = event_date;
+        }
+        out.push_str(&line(event, vm_width));
+        out.push('\n');
+    }
+    if timeline.events.is_empty() {
+        out.push_str("no matching events are kept\n");
+    }
+    out
+}
+
+/// One event as one line, its VM padded to `vm_width`.
+#[must_use]
+pub fn line(event: &event::Event, vm_width: usize) -> String {
+    let mut line = format!(
+        "{} {:<vm_width$} {:<8} {}",
+        moment::clock_text(event.stamp.wall_ms()),
+        clean(&event.vm),
+        event.request.map(short_id).unwrap_or_default(),
+        event.kind.name(),
+    );
+    for (name, value) in event.kind.fields() {
+        let _ = write!(line, " {name}={}", quoted(&value));
+    }
+    line
+}
+
+/// What a gap means, in one sentence.
+#[must_use]
+pub fn gap_text(gap: &merge::TimelineGap) -> String {
+    match gap {
+        merge::TimelineGap::Lost { vm, lost, up_to_ms } => format!(
+            "{} lost {lost} events, the last at {}; what it did until then is not all here",
+            clean(vm),
+            moment::full_text(*up_to_ms)
+        ),
+        merge::TimelineGap::Omitted { vm, omitted } => format!(
+            "{} left out {omitted} older matching events; narrow --since or --kind, or raise --limit",
+            clean(vm)
+        ),
+        merge::TimelineGap::Silent { vm, reason } => {
+            format!(
+                "{} did not answer ({}); nothing of it is here",
+                clean(vm),
+                clean(reason)
+            )
+        }
+        merge::TimelineGap::Unordered {
+            vm,
+            member,
+            ahead_ms,
+        } => format!(
+            "the clock of {} is {} ahead of {}; the order of their events is not certain; set its clock",
+            clean(member),
+            moment::span_text(*ahead_ms),
+            clean(vm)
+        ),
+    }
+}
+
+/// The first digits of a request's id.
+#[must_use]
+pub fn short_id(request: id::RequestId) -> String {
+    let mut digits = request.to_string();
+    digits.truncate(SHORT_ID_DIGITS);
+    digits
+}
+
+/// `text` without control characters.
+///
+/// Names and reasons may hold what a caller sent; printed as it is, an escape sequence in it
+/// would rewrite the operator's terminal.
+#[must_use]
+pub fn clean(text: &str) -> String {
+    text.chars()
+        .map(|letter| if letter.is_control() { '?' } else { letter })
+        .collect()
+}
+
+fn quoted(value: &str) -> String {
+    let plain = |letter: char| letter.is_alphanumeric() || "-_.:/@+".contains(letter);
+    if !value.is_empty() && value.chars().all(plain) {
+        return value.to_owned();
+    }
+    format!(
+        "\"{}\"",
+        clean(value).replace('\\', "\\\\").replace('"', "\\\"")
+    )
+}
--- /dev/null
+++ b/crates/trace/tests/render.rs
@@ -0,0 +1,138 @@
+//! What operators read: text, JSON lines, picture, explanation.
+
+mod sample;
+
+use base::id;
+use trace::{explain, kind, lines, merge, moment, picture, text};
+
+#[test]
+fn explanation_tells_why_and_how_it_ended() {
+    let told = explain::explain(&sample::story(), sample::story_request()).unwrap();
+    for part in [
+        "taken from troupe-7 for review-llm",
+        "waits behind 3: memory at risk on every engine",
+        "sent to engine-4 after 229 ms (try 1, best of 4): soonest first token",
+        "(engine-4 taken to be dead: connection refused)",
+        "try 1 on engine-4 failed, whether it ran is unknown",
+        "on hall-a-2:",
+        "outcome: whole answer, 512 tokens in 9.0 s (stop); 2 tries, 269 ms waiting here",
+    ] {
+        assert!(told.contains(part), "no {part:?} in:\n{told}");
+    }
+    assert!(
+        !told.contains("engine-9") && !told.contains("vendor-2"),
+        "{told}"
+    );
+    assert!(explain::explain(&sample::story(), id::RequestId(77)).is_none());
+}
+
+#[test]
+fn explanation_warns_of_what_is_lost() {
+    let mut timeline = sample::story();
+    timeline.events.remove(0);
+    timeline.gaps.push(merge::TimelineGap::Lost {
+        vm: "hall-a-1".to_owned(),
+        lost: 3,
+        up_to_ms: sample::START_MS + 10,
+    });
+    let told = explain::explain(&timeline, sample::story_request()).unwrap();
+    assert!(told.contains("its beginning is not kept"), "{told}");
+    assert!(told.contains("caution: hall-a-1 lost 3 events"), "{told}");
+}
+
+#[test]
+fn text_shows_gaps_first_and_no_control_characters() {
+    // Symptom: showing a time line clears the operator's terminal or recolours it.
+    // Sequence: a caller sends a header with an escape sequence; it becomes part of a reason.
+    // Cause: text of strangers was printed as it came.
+    let mut timeline = sample::story();
+    timeline.gaps.push(merge::TimelineGap::Silent {
+        vm: "hall-b-1".to_owned(),
+        reason: "connection refused".to_owned(),
+    });
+    timeline.events[1].kind = kind::EventKind::RequestCancelled {
+        ran: base::outcome::RanState::No,
+        reason: "\u{1b}[2Jgone\n".to_owned(),
+    };
+    let shown = text::render(&timeline);
+    assert!(shown.starts_with("!! hall-b-1 did not answer"), "{shown}");
+    assert_eq!(shown.lines().count(), timeline.events.len() + 2, "{shown}");
+    assert!(!shown.contains('\u{1b}'));
+    assert!(shown.contains("06:13:20.000 hall-a-1 abcd0000 request_taken organisation=troupe-7"));
+}
+
+#[test]
+fn json_lines_read_back_equal() {
+    let mut timeline = sample::story();
+    timeline.gaps.push(merge::TimelineGap::Omitted {
+        vm: "hall-a-1".to_owned(),
+        omitted: 5,
+    });
+    let shown = lines::render(&timeline).unwrap();
+    assert_eq!(lines::parse(&shown).unwrap(), timeline);
+}
+
+#[test]
+fn picture_has_lanes_for_vms_and_servers() {
+    let mut timeline = sample::story();
+    timeline.events[0].vm = "<b>&\"".to_owned();
+    let svg = picture::render(&timeline);
+    for part in [
+        "hall-a-1</text>",
+        "engine-4</text>",
+        "&lt;b&gt;&amp;&quot;</text>",
+    ] {
+        assert!(svg.contains(part), "no {part:?}");
+    }
+    assert!(!svg.contains("<b>"));
+    if let Ok(path) = std::env::var("POLLENCHUTE_PICTURE") {
+        std::fs::write(path, picture::render(&sample::story())).unwrap();
+    }
+}
+
+#[test]
+fn picture_of_nothing_and_of_much_is_bounded() {
+    assert!(picture::render(&merge::MergedTimeline::default()).contains("no matching events"));
+    let event = sample::story().events.swap_remove(0);
+    let mut timeline = merge::MergedTimeline::default();
+    for number in 0..5_000_u64 {
+        let mut event = event.clone();
+        event.vm = format!("vm-{}", number % 100);
+        event.seq = number;
+        timeline.events.push(event);
+    }
+    let svg = picture::render(&timeline);
+    assert!(svg.contains("4400 older events are not drawn"));
+    assert!(svg.contains("76 processes with fewer events are not drawn"));
+    assert!(svg.len() < 400_000, "{}", svg.len());
+}
+
+#[test]
+fn moments_read_back() {
+    let moments = [
+        0,
+        951_782_400_000,
+        1_709_164_799_999,
+        1_772_000_000_123,
+        4_102_444_799_000,
+    ];
+    for unix_ms in moments {
+        assert_eq!(
+            moment::parse_full(&moment::full_text(unix_ms)),
+            Some(unix_ms)
+        );
+    }
+    assert_eq!(
+        moment::full_text(951_782_400_000),
+        "2000-02-29T00:00:00.000Z"
+    );
+    assert_eq!(moment::parse_full("1970-01-01T00:00:01.5Z"), Some(1_500));
+    for wrong in [
+        "",
+        "2026-02-30T00:00:00Z",
+        "2026-13-01T00:00:00Z",
+        "2026-01-01T24:00:00Z",
+    ] {
+        assert_eq!(moment::parse_full(wrong), None, "{wrong}");
+    }
+}
