Whole-file checks of inventory and rules, and both example deployments

A wrong file now gives all its faults at once, each with line, column and remedy: the JSON schema of the types is walked over the syntax tree, wrong parts are replaced so that the checks of meaning run too, and findings that rest on a replaced part are left out. Changes from the log pass the same check. Paths are compared without escapes and dot segments, so that a call that may not be repeated cannot slip past its rule. settings::parse is there for the daemons' own settings.

--- a/crates/base/src/class.rs
+++ b/crates/base/src/class.rs
@@ -6,7 +6,7 @@
 ///
 /// The order is the order of service: a class never waits behind a greater one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TrafficClass {
     /// Somebody stands and waits, for instance at a gate.
--- /dev/null
+++ b/crates/conf/src/check.rs
@@ -0,0 +1,143 @@
+//! Checks the meaning of a whole configuration: references, addresses, numbers, contradictions.
+//!
+//! Files and changes read from the log go through the same check, so what an operator's check
+//! accepts is what every reader of the log accepts.
+
+use std::collections;
+
+use crate::{document, fault, inventory};
+
+/// Part of the document that a fault's finding rests on.
+///
+/// While that part itself has faults of structure, the finding may be a mere consequence of them
+/// and is left out of the report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FaultBasis {
+    /// Path of the part.
+    pub section: [&'static str; 2],
+    /// Whether the values below matter, or only the names in the section itself.
+    pub is_deep: bool,
+}
+
+/// A fault together with what its finding rests on.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct BasedFault {
+    pub fault: fault::ConfigFault,
+    pub basis: Option<FaultBasis>,
+}
+
+impl FaultBasis {
+    const fn names(part: &'static str) -> Self {
+        let section = ["inventory", part];
+        Self {
+            section,
+            is_deep: false,
+        }
+    }
+
+    const fn values(part: &'static str) -> Self {
+        let section = ["inventory", part];
+        Self {
+            section,
+            is_deep: true,
+        }
+    }
+
+    /// Whether a repaired value at `path` makes the finding doubtful.
+    pub fn is_shaken_by(&self, path: &[String]) -> bool {
+        let shared = path
+            .iter()
+            .zip(self.section)
+            .all(|(name, section)| name == section);
+        shared && (self.is_deep || path.len() <= self.section.len())
+    }
+}
+
+/// Failure domains stand in the entries of the regions.
+pub(crate) const DOMAINS: FaultBasis = FaultBasis::values("regions");
+/// Names of regions.
+pub(crate) const REGIONS: FaultBasis = FaultBasis::names("regions");
+/// What the engines may serve.
+pub(crate) const ENGINES: FaultBasis = FaultBasis::values("backend_servers");
+/// Names of models.
+pub(crate) const MODELS: FaultBasis = FaultBasis::names("models");
+/// Names of services.
+pub(crate) const SERVICES: FaultBasis = FaultBasis::names("services");
+/// Names of organisations.
+pub(crate) const ORGANISATIONS: FaultBasis = FaultBasis::names("organisations");
+
+/// All faults of `configuration`.
+///
+/// # Errors
+/// The list of faults, when there is any.
+pub fn check(configuration: &document::Configuration) -> Result<(), fault::FaultList> {
+    let faults: Vec<fault::ConfigFault> = find(configuration)
+        .into_iter()
+        .map(|based| based.fault)
+        .collect();
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(fault::FaultList { faults })
+}
+
+pub(crate) fn find(configuration: &document::Configuration) -> Vec<BasedFault> {
+    let mut checker = MeaningCheck::new(&configuration.inventory);
+    checker.check_inventory();
+    checker.check_rules(&configuration.rules);
+    checker.faults
+}
+
+/// The check at work.
+pub(crate) struct MeaningCheck<'a> {
+    pub inventory: &'a inventory::Inventory,
+    /// Region of each failure domain.
+    pub domains: collections::HashMap<&'a str, &'a str>,
+    faults: Vec<BasedFault>,
+}
+
+impl<'a> MeaningCheck<'a> {
+    fn new(inventory: &'a inventory::Inventory) -> Self {
+        let domains = inventory.regions.iter().flat_map(|(region, entry)| {
+            let names = entry.failure_domains.iter();
+            names.map(move |domain| (domain.as_str(), region.as_str()))
+        });
+        Self {
+            inventory,
+            domains: domains.collect(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Adds a fault that rests on nothing but the value at `path`.
+    pub fn fault(&mut self, path: &[&str], message: impl Into<String>, remedy: impl Into<String>) {
+        let fault = fault::ConfigFault::at(path, message, remedy);
+        self.faults.push(BasedFault { fault, basis: None });
+    }
+
+    /// Adds a fault whose finding rests on `basis`.
+    pub fn fault_on(
+        &mut self,
+        basis: FaultBasis,
+        path: &[&str],
+        message: impl Into<String>,
+        remedy: impl Into<String>,
+    ) {
+        let fault = fault::ConfigFault::at(path, message, remedy);
+        self.faults.push(BasedFault {
+            fault,
+            basis: Some(basis),
+        });
+    }
+
+    /// Adds a fault when a number is zero.
+    pub fn positive(&mut self, path: &[&str], number: f64) {
+        if number <= 0.0 {
+            self.fault(
+                path,
+                format!("{number} is not above zero"),
+                "write a greater number",
+            );
+        }
+    }
+}
--- a/crates/conf/src/fault.rs
+++ b/crates/conf/src/fault.rs
@@ -66,3 +66,26 @@
 }
 
 impl std::error::Error for FaultList {}
+
+impl ConfigFault {
+    /// A fault at a path, without a place in a file.
+    pub fn at(path: &[&str], message: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self {
+            path: path.iter().map(|name| (*name).to_owned()).collect(),
+            place: None,
+            message: message.into(),
+            remedy: remedy.into(),
+        }
+    }
+}
+
+impl FaultList {
+    /// The list in the order of places, faults without a place last.
+    #[must_use]
+    pub fn in_order(mut faults: Vec<ConfigFault>) -> Self {
+        faults.sort_by(|left, right| {
+            (left.place.is_none(), &left.place).cmp(&(right.place.is_none(), &right.place))
+        });
+        Self { faults }
+    }
+}
--- a/crates/conf/src/inventory.rs
+++ b/crates/conf/src/inventory.rs
@@ -4,7 +4,7 @@
 
 /// Everything that exists.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Inventory {
     /// Regions by name.
@@ -27,7 +27,7 @@
 
 /// One region.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RegionEntry {
     /// Names of its failure domains; a failure domain belongs to one region.
@@ -36,25 +36,28 @@
 
 /// One entry VM.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmEntry {
     /// Its failure domain.
     pub failure_domain: String,
     /// Where callers and operators connect.
+    #[schemars(extend("format" = "socket-address"))]
     pub callers: net::SocketAddr,
     /// Where the other entry VMs connect: TCP for frames, UDP for gossip, at one number.
+    #[schemars(extend("format" = "socket-address"))]
     pub peers: net::SocketAddr,
 }
 
 /// One backend server.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServerEntry {
     /// Its failure domain.
     pub failure_domain: String,
     /// Where it listens.
+    #[schemars(extend("format" = "socket-address"))]
     pub address: net::SocketAddr,
     /// What it is.
     pub kind: ServerKind,
@@ -62,7 +65,7 @@
 
 /// What a backend server is.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum ServerKind {
     /// A model engine.
@@ -76,7 +79,7 @@
 
 /// What is particular to a model engine.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineEntry {
     /// Models that it may serve; the first is loaded when nothing else is asked of it.
@@ -93,7 +96,7 @@
 
 /// One model.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelEntry {
     /// The version that is wanted in force.
@@ -110,7 +113,7 @@
 
 /// One plain service.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// Path prefixes whose calls are not idempotent: they need a key and run at most once.
@@ -122,10 +125,11 @@
 
 /// One organisation.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OrganisationEntry {
     /// SHA-256 of each API key, in hexadecimal; two are valid while a key is rotated.
+    #[schemars(inner(regex(pattern = "^[0-9a-f]{64}$")))]
     pub key_hashes: Vec<String>,
     /// Home region, whose entry VMs its callers are told.
     pub region: String,
@@ -133,9 +137,10 @@
 
 /// One operator.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorEntry {
     /// SHA-256 of each key, in hexadecimal.
+    #[schemars(inner(regex(pattern = "^[0-9a-f]{64}$")))]
     pub key_hashes: Vec<String>,
 }
--- /dev/null
+++ b/crates/conf/src/inventory_check.rs
@@ -0,0 +1,258 @@
+//! Checks the meaning of the inventory.
+
+use std::{collections, net};
+
+use crate::{
+    check::{self, MeaningCheck},
+    inventory, structure,
+};
+
+/// Keys of one organisation or operator that are valid at once, at the most.
+const VALID_KEYS: usize = 2;
+
+impl MeaningCheck<'_> {
+    pub(crate) fn check_inventory(&mut self) {
+        self.check_regions();
+        self.check_addresses();
+        self.check_vms();
+        self.check_servers();
+        self.check_models();
+        self.check_services();
+        self.check_organisations();
+        self.check_keys();
+    }
+
+    fn check_regions(&mut self) {
+        let mut owners: collections::HashMap<&str, &str> = collections::HashMap::new();
+        for (region, entry) in &self.inventory.regions {
+            let path = ["inventory", "regions", region, "failure_domains"];
+            if entry.failure_domains.is_empty() {
+                self.fault(
+                    &path,
+                    "the region has no failure domain",
+                    "name at least one",
+                );
+            }
+            for (index, domain) in entry.failure_domains.iter().enumerate() {
+                let index = index.to_string();
+                let path = ["inventory", "regions", region, "failure_domains", &index];
+                if domain.is_empty() {
+                    self.fault(&path, "the failure domain has no name", "give it one");
+                }
+                if let Some(owner) = owners.insert(domain, region) {
+                    let message = format!("failure domain \"{domain}\" is in \"{owner}\" already");
+                    self.fault(&path, message, "name it in one region only, and once");
+                }
+            }
+        }
+    }
+
+    /// Two listeners on one address: the second cannot start, or answers for the first.
+    fn check_addresses(&mut self) {
+        let mut owners: collections::HashMap<net::SocketAddr, String> = collections::HashMap::new();
+        let inventory = self.inventory;
+        for (name, entry) in &inventory.entry_vms {
+            for (field, address) in [("callers", entry.callers), ("peers", entry.peers)] {
+                self.check_address(&mut owners, &["entry_vms", name, field], address);
+            }
+        }
+        for (name, entry) in &inventory.backend_servers {
+            let path = ["backend_servers", name, "address"];
+            self.check_address(&mut owners, &path, entry.address);
+        }
+    }
+
+    fn check_address(
+        &mut self,
+        owners: &mut collections::HashMap<net::SocketAddr, String>,
+        field: &[&str; 3],
+        address: net::SocketAddr,
+    ) {
+        let path = ["inventory", field[0], field[1], field[2]];
+        if address.port() == 0 || address.ip().is_unspecified() {
+            let message = format!("nobody can connect to {address}");
+            self.fault(&path, message, "write the address and port that others use");
+        }
+        if let Some(owner) = owners.insert(address, field.join(".")) {
+            let message = format!("{address} is the address of {owner} already");
+            self.fault(&path, message, "give each its own address or port");
+        }
+    }
+
+    fn check_vms(&mut self) {
+        let inventory = self.inventory;
+        for (name, entry) in &inventory.entry_vms {
+            self.check_domain(["entry_vms", name], &entry.failure_domain);
+        }
+    }
+
+    fn check_domain(&mut self, owner: [&str; 2], domain: &str) {
+        if !self.domains.contains_key(domain) {
+            let path = ["inventory", owner[0], owner[1], "failure_domain"];
+            let message = format!("no region has a failure domain \"{domain}\"");
+            let remedy = "add it to a region's failure_domains, or name one that is there";
+            self.fault_on(check::DOMAINS, &path, message, remedy);
+        }
+    }
+
+    fn check_servers(&mut self) {
+        let inventory = self.inventory;
+        for (name, entry) in &inventory.backend_servers {
+            self.check_domain(["backend_servers", name], &entry.failure_domain);
+            match &entry.kind {
+                inventory::ServerKind::ModelEngine(engine) => self.check_engine(name, engine),
+                inventory::ServerKind::PlainService { service } => {
+                    if !inventory.services.contains_key(service) {
+                        let tail = ["kind", "plain_service", "service"];
+                        let path = [&["inventory", "backend_servers", name][..], &tail].concat();
+                        let message = format!("no service \"{service}\" in the inventory");
+                        let remedy = "add it to services, or name one that is there";
+                        self.fault_on(check::SERVICES, &path, message, remedy);
+                    }
+                }
+            }
+        }
+    }
+
+    fn check_engine(&mut self, name: &str, engine: &inventory::EngineEntry) {
+        let base = ["inventory", "backend_servers", name, "kind", "model_engine"];
+        let path = |field| [&base[..], &[field]].concat();
+        let numbers = [
+            ("kv_blocks", engine.kv_blocks),
+            ("block_tokens", engine.block_tokens),
+            ("max_batch", engine.max_batch),
+        ];
+        for (field, number) in numbers {
+            self.positive(&path(field), f64::from(number));
+        }
+        if engine.models.is_empty() {
+            self.fault(
+                &path("models"),
+                "the engine may serve no model",
+                "name at least one",
+            );
+        }
+        for (index, model) in engine.models.iter().enumerate() {
+            let number = index.to_string();
+            let path = [&path("models")[..], &[number.as_str()]].concat();
+            if engine.models[..index].contains(model) {
+                self.fault(&path, format!("\"{model}\" stands twice"), "name it once");
+            }
+            self.check_engine_model(&path, engine, model);
+        }
+    }
+
+    fn check_engine_model(&mut self, path: &[&str], engine: &inventory::EngineEntry, model: &str) {
+        let Some(entry) = self.inventory.models.get(model) else {
+            let message = format!("no model \"{model}\" in the inventory");
+            let remedy = "add it to models, or name one that is there";
+            self.fault_on(check::MODELS, path, message, remedy);
+            return;
+        };
+        let held = u64::from(engine.kv_blocks) * u64::from(engine.block_tokens);
+        let longest = u64::from(entry.context_tokens);
+        if held > 0 && longest > held {
+            let message = format!(
+                "the engine's KV cache holds {held} tokens, one generation of \"{model}\" up to \
+                 {longest}"
+            );
+            let remedy = "lower the model's context_tokens, or serve it on larger engines";
+            self.fault(path, message, remedy);
+        }
+    }
+
+    fn check_models(&mut self) {
+        let inventory = self.inventory;
+        let mut engines: collections::HashMap<&str, u32> = collections::HashMap::new();
+        for entry in inventory.backend_servers.values() {
+            if let inventory::ServerKind::ModelEngine(engine) = &entry.kind {
+                for model in &engine.models {
+                    *engines.entry(model.as_str()).or_default() += 1;
+                }
+            }
+        }
+        for (name, entry) in &inventory.models {
+            let path = |field| ["inventory", "models", name, field];
+            if entry.version.is_empty() {
+                self.fault(&path("version"), "the version has no name", "give it one");
+            }
+            self.positive(&path("context_tokens"), f64::from(entry.context_tokens));
+            let available = engines.get(name.as_str()).copied().unwrap_or_default();
+            if entry.min_engines > available {
+                let message = format!(
+                    "{} engines are wanted, {available} may serve the model",
+                    entry.min_engines
+                );
+                let remedy = "lower min_engines, or name the model on more engines";
+                self.fault_on(check::ENGINES, &path("min_engines"), message, remedy);
+            }
+            for (index, adapter) in entry.adapters.iter().enumerate() {
+                if entry.adapters[..index].contains(adapter) {
+                    let message = format!("adapter \"{adapter}\" stands twice");
+                    self.fault(&path("adapters"), message, "name it once");
+                }
+            }
+        }
+    }
+
+    fn check_services(&mut self) {
+        let inventory = self.inventory;
+        for (name, entry) in &inventory.services {
+            let path = |field| ["inventory", "services", name, field];
+            if name.is_empty() || name.contains('/') {
+                let message = "the name cannot stand in a path";
+                let path = ["inventory", "services", name];
+                self.fault(&path, message, "use a name without \"/\"");
+            }
+            self.positive(&path("max_concurrency"), f64::from(entry.max_concurrency));
+            if entry.non_idempotent_paths.iter().any(String::is_empty) {
+                let message = "an empty prefix stands for every path";
+                let remedy = "write \"/\" if all calls are meant, else the prefix";
+                self.fault(&path("non_idempotent_paths"), message, remedy);
+            }
+        }
+    }
+
+    fn check_organisations(&mut self) {
+        let inventory = self.inventory;
+        for (name, entry) in &inventory.organisations {
+            if !inventory.regions.contains_key(&entry.region) {
+                let path = ["inventory", "organisations", name, "region"];
+                let message = format!("no region \"{}\" in the inventory", entry.region);
+                let remedy = "add it to regions, or name one that is there";
+                self.fault_on(check::REGIONS, &path, message, remedy);
+            }
+        }
+    }
+
+    /// One key of two owners: a caller would be taken for somebody else.
+    fn check_keys(&mut self) {
+        let inventory = self.inventory;
+        let organisations = inventory.organisations.iter();
+        let organisations =
+            organisations.map(|(name, entry)| ("organisations", name, &entry.key_hashes));
+        let operators = inventory.operators.iter();
+        let operators = operators.map(|(name, entry)| ("operators", name, &entry.key_hashes));
+        let mut owners: collections::HashMap<&str, &str> =
+            collections::HashMap::with_capacity(inventory.organisations.len());
+        for (section, name, hashes) in organisations.chain(operators) {
+            let path = ["inventory", section, name, "key_hashes"];
+            if hashes.len() > VALID_KEYS {
+                let message = format!("{} keys are valid at once", hashes.len());
+                self.fault(&path, message, "keep two, the old and the new");
+            }
+            for (index, hash) in hashes.iter().enumerate() {
+                let number = index.to_string();
+                let path = [&path[..], &[number.as_str()]].concat();
+                if !structure::is_hash_text(hash) {
+                    let remedy = "write the key's SHA-256 in 64 lower-case hexadecimal digits";
+                    self.fault(&path, "this is not a key hash", remedy);
+                }
+                if let Some(owner) = owners.insert(hash, name) {
+                    let message = format!("\"{owner}\" has the same key");
+                    self.fault(&path, message, "draw a new key for one of them");
+                }
+            }
+        }
+    }
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -5,9 +5,16 @@
 //! Nothing here does I/O or reads a clock.
 
 pub mod change;
+pub mod check;
 pub mod document;
 pub mod fault;
 pub mod inventory;
+mod inventory_check;
+pub mod place;
 pub mod rules;
+mod rules_check;
+mod schema;
+pub mod settings;
 pub mod snapshot;
 pub mod state;
+mod structure;
--- a/crates/conf/src/rules.rs
+++ b/crates/conf/src/rules.rs
@@ -6,7 +6,7 @@
 
 /// All rules. Every field has a default, so that an empty file is valid.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RuleSet {
     /// Which class a request gets; the first match wins, else `normal`.
@@ -27,7 +27,7 @@
 
 /// Gives a class to the requests that match every field present.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClassRule {
     /// Organisations that it is for; absent: all.
@@ -48,7 +48,7 @@
 
 /// Limits and weight of one organisation, over all entry VMs together.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct OrganisationRule {
     /// Weight in the fair share of tokens among organisations; 1 is usual.
@@ -77,7 +77,7 @@
 
 /// Time limits in milliseconds.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TimeLimits {
     /// An urgent request that has no first token after this is refused.
@@ -109,7 +109,7 @@
 
 /// Chance of running out of engine memory that admission accepts, by class, from 0 to 1.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AdmissionRules {
     /// For urgent requests.
@@ -132,7 +132,7 @@
 
 /// Retry budget.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RetryRules {
     /// Retries as a fraction of first tries.
@@ -152,7 +152,7 @@
 
 /// Naming of entry VMs to callers.
 #[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Deserialize, serde::Serialize)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EntryRules {
     /// Entry VMs named to one organisation.
--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -314,13 +314,14 @@
     /// Whether calls of this path are not idempotent: they need a key and run at most once.
     #[must_use]
     pub fn is_non_idempotent(&self, service: &str, path: &str) -> bool {
-        self.inventory().services.get(service).is_some_and(|entry| {
-            let path = path.trim_start_matches('/');
-            entry
-                .non_idempotent_paths
-                .iter()
-                .any(|prefix| path.starts_with(prefix.trim_start_matches('/')))
-        })
+        let Some(entry) = self.inventory().services.get(service) else {
+            return false;
+        };
+        let path = plain_path(path);
+        entry
+            .non_idempotent_paths
+            .iter()
+            .any(|prefix| path.starts_with(&plain_path(prefix)))
     }
 
     /// The entry VMs that callers of an organisation are told, best first.
@@ -375,6 +376,43 @@
     }
 }
 
+/// A path without its query, percent escapes, empty and dot segments.
+///
+/// A caller could otherwise write a path that is not idempotent in a way that its rule does not
+/// match and its server still understands, and the call would run without its key.
+fn plain_path(path: &str) -> Vec<u8> {
+    let path = path.split(['?', '#']).next().unwrap_or_default();
+    let decoded = percent_decoded(path.as_bytes());
+    let mut segments: Vec<&[u8]> = Vec::new();
+    for segment in decoded.split(|byte| *byte == b'/') {
+        match segment {
+            b"" | b"." => {}
+            b".." => {
+                segments.pop();
+            }
+            _ => segments.push(segment),
+        }
+    }
+    segments.join(&b'/')
+}
+
+fn percent_decoded(text: &[u8]) -> Vec<u8> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut rest = text;
+    while let [first, tail @ ..] = rest {
+        let mut byte = [0_u8];
+        if *first == b'%' && tail.len() >= 2 && hex::decode_to_slice(&tail[..2], &mut byte).is_ok()
+        {
+            decoded.push(byte[0]);
+            rest = &tail[2..];
+        } else {
+            decoded.push(*first);
+            rest = tail;
+        }
+    }
+    decoded
+}
+
 fn region_of_domain(inventory: &inventory::Inventory) -> collections::HashMap<String, String> {
     let mut regions = collections::HashMap::new();
     for (region, entry) in &inventory.regions {
--- /dev/null
+++ b/crates/conf/tests/examples.rs
@@ -0,0 +1,154 @@
+//! The committed examples are valid and say what the README beside them says.
+
+use std::{fs, path};
+
+use base::class;
+use conf::{document, place, snapshot};
+
+fn root() -> path::PathBuf {
+    path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn read(path: &str) -> String {
+    fs::read_to_string(root().join(path)).expect("the file is committed")
+}
+
+fn example(name: &str) -> document::Configuration {
+    let inventory = read(&format!("examples/{name}/inventory.jsonc"));
+    let rules = read(&format!("examples/{name}/rules.jsonc"));
+    let source = |file, text| place::SourceText { file, text };
+    document::parse(
+        source("inventory.jsonc", &inventory),
+        source("rules.jsonc", &rules),
+    )
+    .unwrap_or_else(|faults| panic!("{name}:\n{faults}"))
+}
+
+fn index(configuration: document::Configuration) -> snapshot::ConfigSnapshot {
+    snapshot::ConfigSnapshot::default().next(1, 1, configuration.into())
+}
+
+#[test]
+fn both_deployments_have_the_size_of_today() {
+    for (name, model, service, vms) in [
+        ("pass-works", "review-llm", "pass-app", 9),
+        ("ridebook", "pollen-lm", "ridebook-app", 7),
+    ] {
+        let snapshot = index(example(name));
+        assert_eq!(snapshot.servers_of_model(model).len(), 9, "{name}");
+        assert_eq!(snapshot.servers_of_service(service).len(), 3, "{name}");
+        assert_eq!(snapshot.inventory().organisations.len(), 10, "{name}");
+        assert_eq!(snapshot.vms().count(), vms, "{name}");
+        let domains = snapshot
+            .inventory()
+            .regions
+            .values()
+            .map(|entry| entry.failure_domains.len());
+        assert_eq!(domains.collect::<Vec<_>>(), [3], "{name}");
+    }
+}
+
+#[test]
+fn the_keys_of_the_readme_are_the_keys_of_the_files() {
+    let snapshots = [
+        ("pass-works", index(example("pass-works"))),
+        ("ridebook", index(example("ridebook"))),
+    ];
+    let readme = read("examples/README.md");
+    let mut found = 0;
+    for line in readme.lines() {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let [_, deployment, owner, key, _] = cells[..] else {
+            continue;
+        };
+        let Some((_, snapshot)) = snapshots.iter().find(|(name, _)| *name == deployment) else {
+            continue;
+        };
+        let key = key.trim_matches('`');
+        if let Some(name) = owner.strip_prefix("organisation ") {
+            let organisation = snapshot.organisation_by_api_key(key).expect(line);
+            assert_eq!(snapshot.organisation(organisation).expect(line).name, name);
+            assert_eq!(snapshot.operator_by_key(key), None);
+        } else {
+            let name = owner.strip_prefix("operator ").expect(line);
+            assert_eq!(snapshot.operator_by_key(key), Some(name), "{line}");
+        }
+        found += 1;
+    }
+    assert_eq!(found, 24);
+}
+
+#[test]
+fn classes_follow_the_first_rule_that_matches() {
+    use snapshot::RequestTarget::{Model, Service};
+    let snapshot = index(example("pass-works"));
+    let class_of = |organisation, target, requested| {
+        snapshot.class_of(
+            snapshot.organisation_key(organisation).expect("known"),
+            target,
+            requested,
+        )
+    };
+    let cases = [
+        (
+            "gate-scanners",
+            Model("review-llm"),
+            None,
+            class::TrafficClass::Urgent,
+        ),
+        (
+            "vendor-bureau",
+            Service("pass-app"),
+            None,
+            class::TrafficClass::Urgent,
+        ),
+        (
+            "vendor-bureau",
+            Model("review-llm"),
+            None,
+            class::TrafficClass::Normal,
+        ),
+        (
+            "vendor-bureau",
+            Model("review-llm"),
+            Some(class::TrafficClass::Urgent),
+            class::TrafficClass::Normal,
+        ),
+        (
+            "vendor-bureau",
+            Model("review-llm"),
+            Some(class::TrafficClass::Deferrable),
+            class::TrafficClass::Deferrable,
+        ),
+        (
+            "troupe-paper-tiger",
+            Model("review-llm"),
+            None,
+            class::TrafficClass::Deferrable,
+        ),
+        (
+            "troupe-paper-tiger",
+            Service("pass-app"),
+            Some(class::TrafficClass::Deferrable),
+            class::TrafficClass::Urgent,
+        ),
+    ];
+    for (organisation, target, requested, class) in cases {
+        assert_eq!(
+            class_of(organisation, target, requested),
+            class,
+            "{organisation} {target:?}"
+        );
+    }
+    for path in [
+        "charges",
+        "/charges/7",
+        "//charges",
+        "/x/../charges",
+        "/%63harges?a=b",
+        "./charges",
+    ] {
+        assert!(snapshot.is_non_idempotent("pass-app", path), "{path}");
+    }
+    assert!(!snapshot.is_non_idempotent("pass-app", "status"));
+}
