--- a/crates/trace/src/kind.rs
+++ b/crates/trace/src/kind.rs
@@ -2,6 +2,8 @@
 
 use base::{class, fingerprint, outcome, refusal};
 
+use crate::field;
+
 macro_rules! event_kinds {
     ($(
         $(#[$doc:meta])*
@@ -40,7 +42,7 @@
             #[allow(unused_variables, reason = "kinds without text have nothing to measure")]
             pub fn heap_bytes(&self) -> usize {
                 match self {
-                    $(Self::$variant { $($field,)* } => 0 $(+ HeapSize::heap_bytes($field))*,)*
+                    $(Self::$variant { $($field,)* } => 0 $(+ field::HeapSize::heap_bytes($field))*,)*
                     Self::Unrecognised => 0,
                 }
             }
@@ -50,7 +52,7 @@
             pub fn fields(&self) -> Vec<(&'static str, String)> {
                 match self {
                     $(Self::$variant { $($field,)* } => vec![
-                        $((stringify!($field), FieldText::field_text($field)),)*
+                        $((stringify!($field), field::FieldText::field_text($field)),)*
                     ],)*
                     Self::Unrecognised => Vec::new(),
                 }
@@ -418,78 +420,3 @@
         }
     }
 }
-
-/// Bytes that a field holds on the heap.
-trait HeapSize {
-    fn heap_bytes(&self) -> usize {
-        0
-    }
-}
-
-impl HeapSize for u32 {}
-impl HeapSize for u64 {}
-impl HeapSize for class::TrafficClass {}
-impl HeapSize for refusal::RefusalCode {}
-impl HeapSize for outcome::RanState {}
-impl HeapSize for fingerprint::ContentHash {}
-
-impl HeapSize for String {
-    fn heap_bytes(&self) -> usize {
-        self.capacity()
-    }
-}
-
-/// A field as people read it.
-trait FieldText {
-    fn field_text(&self) -> String;
-}
-
-impl FieldText for u32 {
-    fn field_text(&self) -> String {
-        self.to_string()
-    }
-}
-
-impl FieldText for u64 {
-    fn field_text(&self) -> String {
-        self.to_string()
-    }
-}
-
-impl FieldText for String {
-    fn field_text(&self) -> String {
-        self.clone()
-    }
-}
-
-impl FieldText for class::TrafficClass {
-    fn field_text(&self) -> String {
-        self.name().to_owned()
-    }
-}
-
-impl FieldText for refusal::RefusalCode {
-    fn field_text(&self) -> String {
-        json_name(self)
-    }
-}
-
-impl FieldText for outcome::RanState {
-    fn field_text(&self) -> String {
-        json_name(self)
-    }
-}
-
-impl FieldText for fingerprint::ContentHash {
-    fn field_text(&self) -> String {
-        self.to_string()
-    }
-}
-
-/// The name that JSON gives to a unit variant.
-fn json_name<T: serde::Serialize>(value: &T) -> String {
-    match serde_json::to_value(value) {
-        Ok(serde_json::Value::String(name)) => name,
-        _ => "unknown".to_owned(),
-    }
-}
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod event;
 pub mod explain;
+pub mod field;
 pub mod journal;
 pub mod kind;
 pub mod lines;
--- a/crates/trace/src/picture.rs
+++ b/crates/trace/src/picture.rs
@@ -21,7 +21,10 @@
 const HEAD_HEIGHT: u32 = 34;
 const NOTE_HEIGHT: u32 = 18;
 const MARGIN: u32 = 16;
-const LABEL_LETTERS: usize = 30;
+const LABEL_LETTERS: usize = 28;
+/// Room between a dot and its label, for the head of an arrow.
+const LABEL_OFFSET: u32 = 15;
+const LETTER_WIDTH: u32 = 6;
 
 const VM_FILL: &str = "#f4f6fa";
 const SERVER_FILL: &str = "#f7f3ea";
@@ -230,12 +233,26 @@
             };
             let title = text::line(event, 0);
             drawing.dot(svg::SvgPoint { x, y: *y }, 4, colour(event), &title);
-            let at = svg::SvgPoint { x: x + 9, y: y + 4 };
-            drawing.text(at, svg::TextAnchor::Start, "label", &label(event));
+            draw_label(drawing, x, *y, &label(event));
         }
     }
 }
 
+/// A label right of its dot, on a ground of its own, so that arrows do not run through it.
+fn draw_label(drawing: &mut svg::SvgDrawing, x: u32, y: u32, label: &str) {
+    let width = u32::try_from(label.chars().count()).unwrap_or(0) * LETTER_WIDTH;
+    let corner = svg::SvgPoint {
+        x: x + LABEL_OFFSET - 2,
+        y: y - ROW_HEIGHT / 2 + 1,
+    };
+    drawing.rectangle(corner, width + 4, ROW_HEIGHT - 2, VM_FILL);
+    let at = svg::SvgPoint {
+        x: x + LABEL_OFFSET,
+        y: y + 4,
+    };
+    drawing.text(at, svg::TextAnchor::Start, "label", label);
+}
+
 fn top(notes: &[String]) -> u32 {
     MARGIN + u32::try_from(notes.len()).unwrap_or(0) * NOTE_HEIGHT
 }
--- a/crates/trace/src/svg.rs
+++ b/crates/trace/src/svg.rs
@@ -106,7 +106,7 @@
             r##"<svg xmlns="http://www.w3.org/2000/svg" width="{width}" height="{height}" viewBox="0 0 {width} {height}">
 <style>
 text {{ font-family: sans-serif; fill: #222; }}
-.label {{ font-size: 11px; paint-order: stroke; stroke: #fff; stroke-width: 3px; }}
+.label {{ font-size: 11px; }}
 .lane {{ font-size: 13px; font-weight: bold; }}
 .time {{ font-size: 10px; font-family: monospace; fill: #666; }}
 .note {{ font-size: 12px; fill: #a40000; }}
--- a/crates/trace/tests/ring.rs
+++ b/crates/trace/tests/ring.rs
@@ -80,7 +80,7 @@
         ring.write(|| clock.tick(number), request, sample::member_up("x"));
     }
     let query = query::EventQuery {
-        request: Some(id::RequestId(1)),
+        request: Some(id::RequestId(1).into()),
         since_ms: Some(500),
         kinds: query::KindFilter::parse_list("lease, member").unwrap(),
         limit: Some(10),
@@ -110,3 +110,23 @@
         "{error}"
     );
 }
+
+#[test]
+fn request_prefix_matches_its_beginnings_only() {
+    let request: id::RequestId = "00ab3400000000000000000000000001".parse().unwrap();
+    for text in ["0", "00ab", "00AB34", "00ab3400000000000000000000000001"] {
+        assert!(
+            query::RequestPrefix::parse(text).unwrap().matches(request),
+            "{text}"
+        );
+    }
+    for text in ["1", "ab34", "00ab3400000000000000000000000002"] {
+        assert!(
+            !query::RequestPrefix::parse(text).unwrap().matches(request),
+            "{text}"
+        );
+    }
+    for text in ["", "+1", "0x1", "000000000000000000000000000000000"] {
+        assert!(query::RequestPrefix::parse(text).is_err(), "{text}");
+    }
+}
