--- a/crates/conf/tests/examples.rs
+++ b/crates/conf/tests/examples.rs
@@ -78,68 +78,49 @@
     assert_eq!(found, 24);
 }
 
-#[test]
-fn classes_follow_the_first_rule_that_matches() {
+/// Organisation, target, what the caller asked for, and the class by the rules of Pass Works.
+const CLASS_CASES: [(
+    &str,
+    snapshot::RequestTarget<'_>,
+    Option<class::TrafficClass>,
+    class::TrafficClass,
+); 7] = {
+    use class::TrafficClass::{Deferrable, Normal, Urgent};
     use snapshot::RequestTarget::{Model, Service};
-    let snapshot = index(example("pass-works"));
-    let class_of = |organisation, target, requested| {
-        snapshot.class_of(
-            snapshot.organisation_key(organisation).expect("known"),
-            target,
-            requested,
-        )
-    };
-    let cases = [
-        (
-            "gate-scanners",
-            Model("review-llm"),
-            None,
-            class::TrafficClass::Urgent,
-        ),
-        (
-            "vendor-bureau",
-            Service("pass-app"),
-            None,
-            class::TrafficClass::Urgent,
-        ),
-        (
-            "vendor-bureau",
-            Model("review-llm"),
-            None,
-            class::TrafficClass::Normal,
-        ),
+    [
+        ("gate-scanners", Model("review-llm"), None, Urgent),
+        ("vendor-bureau", Service("pass-app"), None, Urgent),
+        ("vendor-bureau", Model("review-llm"), None, Normal),
+        ("vendor-bureau", Model("review-llm"), Some(Urgent), Normal),
         (
             "vendor-bureau",
             Model("review-llm"),
-            Some(class::TrafficClass::Urgent),
-            class::TrafficClass::Normal,
-        ),
-        (
-            "vendor-bureau",
-            Model("review-llm"),
-            Some(class::TrafficClass::Deferrable),
-            class::TrafficClass::Deferrable,
-        ),
-        (
-            "troupe-paper-tiger",
-            Model("review-llm"),
-            None,
-            class::TrafficClass::Deferrable,
+            Some(Deferrable),
+            Deferrable,
         ),
+        ("troupe-paper-tiger", Model("review-llm"), None, Deferrable),
         (
             "troupe-paper-tiger",
             Service("pass-app"),
-            Some(class::TrafficClass::Deferrable),
-            class::TrafficClass::Urgent,
+            Some(Deferrable),
+            Urgent,
         ),
-    ];
-    for (organisation, target, requested, class) in cases {
-        assert_eq!(
-            class_of(organisation, target, requested),
-            class,
-            "{organisation} {target:?}"
-        );
+    ]
+};
+
+#[test]
+fn classes_follow_the_first_rule_that_matches() {
+    let snapshot = index(example("pass-works"));
+    for (name, target, requested, class) in CLASS_CASES {
+        let organisation = snapshot.organisation_key(name).expect("known");
+        let found = snapshot.class_of(organisation, target, requested);
+        assert_eq!(found, class, "{name} {target:?}");
     }
+}
+
+#[test]
+fn no_spelling_of_a_path_escapes_its_rule() {
+    let snapshot = index(example("pass-works"));
     for path in [
         "charges",
         "/charges/7",
