load: scenarios, open-loop arrivals, callers, checks, reports, comparison, plot

Cause: the users' measures need seeded load whose latency counts from the intended start. Change: crate load with scenario files (all faults at once, by line), a call plan fixed ahead from the seed, callers that follow /v1/entries, continue broken streams and repeat only what is safe, a check of every token, histograms by class, saved reports, comparison with a verdict, SVG plots.

--- /dev/null
+++ b/crates/load/src/arrival.rs
@@ -0,0 +1,197 @@
+//! The plan of all calls, fixed ahead from the seed.
+//!
+//! Arrivals are open-loop: a call starts at its planned time however slow the answers to earlier
+//! ones are, and its latency counts from that time. A loop that waits for answers would ask less
+//! just when the system is slow, and would not see the waiting (coordinated omission).
+
+use std::time;
+
+use base::class;
+use rand::SeedableRng as _;
+use rand_distr::Distribution as _;
+
+use crate::scenario;
+
+/// One call that will be made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedCall {
+    /// Intended start, from the start of the run; latency counts from here.
+    pub at: time::Duration,
+    /// Index of its workload in the scenario.
+    pub workload: usize,
+    /// Class that the caller asks for.
+    pub class: class::TrafficClass,
+    /// Name of the calling organisation.
+    pub organisation: String,
+    /// What is asked.
+    pub ask: PlannedAsk,
+}
+
+/// What one planned call asks.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlannedAsk {
+    /// A generation.
+    Generation(PlannedGeneration),
+    /// A call to a plain service.
+    Service {
+        /// Service by the name that callers use.
+        service: String,
+        /// Path below it.
+        path: String,
+        /// Text part of its idempotency key, unique in this run; absent: the call may be repeated.
+        key_text: Option<String>,
+    },
+}
+
+/// One planned generation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedGeneration {
+    /// Model by the name that callers use.
+    pub model: String,
+    /// Words of the prompt that the organisation's other calls share.
+    pub shared_words: u32,
+    /// Words of the prompt that are its own.
+    pub own_words: u32,
+    /// Most tokens that the caller takes; far above most answers, so it tells the system little.
+    pub max_tokens: u32,
+    /// Length that the answer really has.
+    pub output_tokens: u32,
+    /// Seed of the generation; the stand-in's text follows from it, so that an answer which
+    /// belongs to another call is recognised.
+    pub seed: u64,
+    /// How the caller wants the answer.
+    pub delivery: CallDelivery,
+}
+
+/// How a caller wants its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallDelivery {
+    /// As server-sent events.
+    Streamed,
+    /// In one piece.
+    Whole,
+    /// Accepted now and fetched later.
+    RespondAsync,
+}
+
+impl CallDelivery {
+    const ALL: [Self; 3] = [Self::Streamed, Self::Whole, Self::RespondAsync];
+}
+
+/// All calls of `scenario` in the order of their start.
+///
+/// Each workload draws from a stream of its own, so that a change of one leaves the calls of the
+/// others as they were.
+#[must_use]
+pub fn plan_calls(scenario: &scenario::LoadScenario) -> Vec<PlannedCall> {
+    let mut calls = Vec::new();
+    for (index, workload) in scenario.workloads.iter().enumerate() {
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(scenario.seed);
+        rng.set_stream(index as u64);
+        plan_workload(scenario, index, workload, &mut rng, &mut calls);
+    }
+    calls.sort_by_key(|call| call.at);
+    calls
+}
+
+fn plan_workload(
+    scenario: &scenario::LoadScenario,
+    index: usize,
+    workload: &scenario::CallWorkload,
+    rng: &mut rand_chacha::ChaCha8Rng,
+    calls: &mut Vec<PlannedCall>,
+) {
+    let duration = time::Duration::from_millis(scenario.duration_ms);
+    let callers = callers_of(scenario, workload);
+    let mut at = 0.0;
+    loop {
+        let gap: f64 = rand_distr::Exp1.sample(rng);
+        at += gap / workload.per_second;
+        let start = time::Duration::from_secs_f64(at);
+        if start >= duration {
+            return;
+        }
+        let organisation = pick(&callers, rng).clone();
+        let text = format!("{}-{index}-{}", scenario.seed, calls.len());
+        calls.push(PlannedCall {
+            at: start,
+            workload: index,
+            class: workload.class,
+            organisation,
+            ask: plan_ask(&workload.ask, text, rng),
+        });
+    }
+}
+
+fn callers_of(
+    scenario: &scenario::LoadScenario,
+    workload: &scenario::CallWorkload,
+) -> Vec<(f64, String)> {
+    let is_caller = |name: &String| {
+        let names = workload.organisations.as_ref();
+        names.is_none_or(|names| names.contains(name))
+    };
+    scenario
+        .organisations
+        .iter()
+        .filter(|(name, _)| is_caller(name))
+        .map(|(name, organisation)| (organisation.share, name.clone()))
+        .collect()
+}
+
+/// One of `choices` by its weight.
+fn pick<'a, T, R: rand::Rng>(choices: &'a [(f64, T)], rng: &mut R) -> &'a T {
+    let total: f64 = choices.iter().map(|(weight, _)| weight).sum();
+    let mut point = rand::RngExt::random::<f64>(rng) * total;
+    for (weight, choice) in choices {
+        point -= weight;
+        if point < 0.0 {
+            return choice;
+        }
+    }
+    &choices[choices.len() - 1].1
+}
+
+fn plan_ask<R: rand::Rng>(ask: &scenario::CallAsk, text: String, rng: &mut R) -> PlannedAsk {
+    match ask {
+        scenario::CallAsk::Service(ask) => PlannedAsk::Service {
+            service: ask.service.clone(),
+            path: ask.path.clone(),
+            key_text: ask.at_most_once.then_some(text),
+        },
+        scenario::CallAsk::Generation(ask) => {
+            let [streamed, whole, respond_async] = ask.delivery.weights();
+            let [first, second, third] = CallDelivery::ALL;
+            let choices = [(streamed, first), (whole, second), (respond_async, third)];
+            let prompt_tokens = ask.prompt_tokens.sample(rng);
+            let shared_words = ask.shared_prefix_tokens.min(prompt_tokens - 1);
+            PlannedAsk::Generation(PlannedGeneration {
+                model: ask.model.clone(),
+                shared_words,
+                own_words: prompt_tokens - shared_words,
+                max_tokens: ask.output_tokens.longest(),
+                output_tokens: ask.output_tokens.sample(rng),
+                seed: rng.next_u64() >> SEED_SHIFT,
+                delivery: *pick(&choices, rng),
+            })
+        }
+    }
+}
+
+/// Seeds keep 53 bits, so that no JSON reader on the way rounds them.
+const SEED_SHIFT: u32 = 11;
+
+/// The prompt of a planned generation: words shared within the organisation, then its own.
+#[must_use]
+pub fn prompt_text(organisation: &str, generation: &PlannedGeneration) -> String {
+    let mut text = String::new();
+    for word in 0..generation.shared_words {
+        text.push_str(&format!("{organisation}/{word} "));
+    }
+    for word in 0..generation.own_words {
+        text.push_str(&format!("{:x}/{word} ", generation.seed));
+    }
+    text
+}
--- /dev/null
+++ b/crates/load/src/command.rs
@@ -0,0 +1,62 @@
+//! What the program does: the actions of the command line.
+
+use std::path;
+
+use argh::FromArgs as _;
+
+use crate::{cli, compare, exit, plot, report};
+
+/// Parses `arguments` and does what they say; prints to standard output and standard error.
+#[must_use]
+pub fn execute(program: &str, arguments: &[String]) -> exit::ExitKind {
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let name = path::Path::new(program).file_name().unwrap_or_default();
+    let command = match cli::LoadCommand::from_args(&[&name.to_string_lossy()], &words) {
+        Ok(command) => command,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return exit::ExitKind::Success;
+        }
+        Err(early) => {
+            eprintln!("{}\nRun {program} --help for what there is.", early.output);
+            return exit::ExitKind::Usage;
+        }
+    };
+    match command.action {
+        cli::LoadAction::Compare(action) => told(compare_runs(&action)),
+        cli::LoadAction::Plot(action) => told(plot_run(&action)),
+        cli::LoadAction::Demo(_) | cli::LoadAction::Run(_) => exit::ExitKind::Failed,
+    }
+}
+
+/// The kind of a success, or of a failure after it is told.
+fn told<E: std::error::Error>(outcome: Result<exit::ExitKind, E>) -> exit::ExitKind {
+    outcome.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        exit::ExitKind::Failed
+    })
+}
+
+fn compare_runs(action: &cli::CompareAction) -> Result<exit::ExitKind, report::ReportError> {
+    let before = report::RunReport::read(&action.before)?;
+    let after = report::RunReport::read(&action.after)?;
+    let thresholds = compare::CompareThresholds {
+        fraction: action.percent / 100.0,
+        floor_ms: action.floor_ms,
+    };
+    let comparison = compare::RunComparison::of(&before, &after, thresholds);
+    print!("{comparison}");
+    Ok(match comparison.verdict() {
+        compare::CompareVerdict::Worse => exit::ExitKind::Worse,
+        compare::CompareVerdict::Better | compare::CompareVerdict::Same => exit::ExitKind::Success,
+    })
+}
+
+fn plot_run(action: &cli::PlotAction) -> Result<exit::ExitKind, plot::PlotError> {
+    let report = report::RunReport::read(&action.report)?;
+    let beside = action.report.with_extension("svg");
+    let output = action.output.as_ref().unwrap_or(&beside);
+    plot::draw_report(&report, output)?;
+    println!("{}", output.display());
+    Ok(exit::ExitKind::Success)
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,12 @@
-//! Thin front; the work is in the library.
+//! Thin front of `pollenload`; the work is in the library.
 
-fn main() {}
+use std::process;
+
+use load::command;
+
+fn main() -> process::ExitCode {
+    let mut arguments = std::env::args();
+    let program = arguments.next().unwrap_or_else(|| "pollenload".into());
+    let arguments: Vec<String> = arguments.collect();
+    command::execute(&program, &arguments).into()
+}
--- /dev/null
+++ b/crates/load/src/perform.rs
@@ -0,0 +1,306 @@
+//! Makes one planned call and records what became of it.
+
+use std::{net, time::Duration};
+
+use base::refusal;
+use futures_util::StreamExt as _;
+use tokio::time;
+
+use crate::{arrival, body, caller, check, record, sse};
+
+/// Pause between two questions for the outcome of accepted work.
+const POLL_TIME: Duration = Duration::from_millis(200);
+
+/// Times that one stream is continued before it counts as cut.
+const MAX_CONTINUATIONS: u32 = 6;
+
+const GENERATION_TOKEN: &str = "x-generation-token";
+
+/// One call in progress.
+struct CallRun<'a, E> {
+    caller: &'a caller::EntryCaller,
+    /// Intended start.
+    start: time::Instant,
+    check: check::AnswerCheck<E>,
+    record: record::CallRecord,
+    /// Arrival of the last token.
+    last: time::Instant,
+}
+
+/// How one connection of a stream ended.
+enum StreamEnd {
+    Done,
+    Refused(refusal::RefusalBody),
+    Broken(String),
+    Faulty(check::AnswerFault),
+}
+
+/// Makes `call`, whose intended start is `start`; `expect` gives the text that it must get.
+pub async fn perform<E: check::ExpectedText>(
+    caller: &caller::EntryCaller,
+    call: &arrival::PlannedCall,
+    start: time::Instant,
+    expect: impl FnOnce(&arrival::PlannedGeneration) -> E,
+) -> record::CallRecord {
+    match &call.ask {
+        arrival::PlannedAsk::Service {
+            service,
+            path,
+            key_text,
+        } => {
+            let path = format!("/v1/services/{service}/{path}");
+            call_service(caller, call, start, &path, key_text.as_deref()).await
+        }
+        arrival::PlannedAsk::Generation(generation) => {
+            let mut run = CallRun {
+                caller,
+                start,
+                check: check::AnswerCheck::new(expect(generation)),
+                record: record::CallRecord::begin(call.workload, call.class),
+                last: start,
+            };
+            let request = RequestParts {
+                body: body::ChatRequest::of(&call.organisation, generation),
+                class: call.class.name(),
+            };
+            let outcome = match generation.delivery {
+                arrival::CallDelivery::Streamed => run.stream(&request).await,
+                arrival::CallDelivery::Whole => run.whole(&request).await,
+                arrival::CallDelivery::RespondAsync => run.respond_async(&request).await,
+            };
+            run.record.outcome = outcome.unwrap_or_else(|outcome| outcome);
+            run.record
+        }
+    }
+}
+
+/// What every try of one generation sends.
+struct RequestParts {
+    body: body::ChatRequest,
+    class: &'static str,
+}
+
+impl RequestParts {
+    fn build(
+        &self,
+        caller: &caller::EntryCaller,
+        address: net::SocketAddr,
+    ) -> reqwest::RequestBuilder {
+        caller
+            .request(reqwest::Method::POST, address, "/v1/chat/completions")
+            .header("x-traffic-class", self.class)
+            .json(&self.body)
+    }
+}
+
+type CallResult = Result<record::CallOutcome, record::CallOutcome>;
+
+impl<E: check::ExpectedText> CallRun<'_, E> {
+    async fn stream(&mut self, request: &RequestParts) -> CallResult {
+        let caller = self.caller;
+        let mut answer = caller
+            .send(&mut self.record, |address| request.build(caller, address))
+            .await?;
+        let mut token: Option<String> = None;
+        loop {
+            token = generation_token(&answer.response).or(token);
+            let broken = match self.read_stream(answer.response).await {
+                StreamEnd::Done => return Ok(verdict_of(self.check.finish())),
+                StreamEnd::Faulty(fault) => return Ok(record::CallOutcome::Faulty(fault)),
+                StreamEnd::Refused(refusal) => return Ok(self.refused(refusal)),
+                StreamEnd::Broken(broken) => broken,
+            };
+            caller.suspect(answer.address);
+            self.record.continuations += 1;
+            let Some(token) = token.as_ref().filter(|_| self.may_continue()) else {
+                let seen = format!("after token {}: {broken}", self.check.next());
+                return Ok(record::CallOutcome::Faulty(check::AnswerFault::Cut {
+                    seen,
+                }));
+            };
+            let path = format!("/v1/generations/{token}?from={}", self.check.next());
+            let next = caller
+                .send(&mut self.record, |address| {
+                    caller.request(reqwest::Method::GET, address, &path)
+                })
+                .await;
+            answer = match next {
+                Err(record::CallOutcome::Refused(refusal)) => return Ok(self.refused(refusal)),
+                next => next?,
+            };
+        }
+    }
+
+    const fn may_continue(&self) -> bool {
+        self.record.continuations <= MAX_CONTINUATIONS
+    }
+
+    /// An honest end is told apart from a refusal by the tokens that came before it.
+    const fn refused(&self, refusal: refusal::RefusalBody) -> record::CallOutcome {
+        if self.check.next() == 0 {
+            record::CallOutcome::Refused(refusal)
+        } else {
+            record::CallOutcome::Ended(refusal)
+        }
+    }
+
+    async fn read_stream(&mut self, response: reqwest::Response) -> StreamEnd {
+        let mut events = sse::read_events(response);
+        loop {
+            let event = match time::timeout(self.caller.settings.idle, events.next()).await {
+                Err(_) => return StreamEnd::Broken("the connection went silent".into()),
+                Ok(None) => return StreamEnd::Broken("ended without [DONE]".into()),
+                Ok(Some(Err(error))) => return StreamEnd::Broken(format!("{error:?}")),
+                Ok(Some(Ok(event))) => event,
+            };
+            let sse::StreamEvent::Data(data) = event else {
+                continue;
+            };
+            if data == "[DONE]" {
+                return StreamEnd::Done;
+            }
+            if let Err(end) = self.take_chunk(&data) {
+                return end;
+            }
+        }
+    }
+
+    fn take_chunk(&mut self, data: &str) -> Result<(), StreamEnd> {
+        let Ok(chunk) = serde_json::from_str::<body::ChatChunk>(data) else {
+            let seen = format!("a chunk that is none: {data:.100}");
+            return Err(StreamEnd::Faulty(check::AnswerFault::Mixed { seen }));
+        };
+        if let Some(refusal) = chunk.error {
+            return Err(StreamEnd::Refused(refusal));
+        }
+        let text = chunk
+            .choices
+            .into_iter()
+            .find_map(|choice| choice.delta.content);
+        let (Some(text), Some(number)) = (text, chunk.pollenchute) else {
+            return Ok(());
+        };
+        let now = time::Instant::now();
+        let checked = self.check.take_token(number.index, &text);
+        checked.map_err(StreamEnd::Faulty)?;
+        let settings = self.caller.settings;
+        let gap = now - self.last;
+        self.record
+            .take_token(now - self.start, gap, settings.expected_step);
+        self.last = now;
+        Ok(())
+    }
+
+    async fn whole(&mut self, request: &RequestParts) -> CallResult {
+        let caller = self.caller;
+        let exchanged = caller
+            .exchange(&mut self.record, |address| request.build(caller, address))
+            .await?;
+        Ok(self.take_answer(&exchanged.text))
+    }
+
+    async fn respond_async(&mut self, request: &RequestParts) -> CallResult {
+        let caller = self.caller;
+        let accepted = caller
+            .exchange(&mut self.record, |address| {
+                request
+                    .build(caller, address)
+                    .header("prefer", "respond-async")
+            })
+            .await?;
+        let location = accepted.headers.get(reqwest::header::LOCATION);
+        let Some(location) = location.and_then(|location| location.to_str().ok()) else {
+            let seen = format!("status {} without a location", accepted.status);
+            return Ok(record::CallOutcome::Faulty(check::AnswerFault::Cut {
+                seen,
+            }));
+        };
+        let deadline = time::Instant::now() + caller.settings.patience;
+        while time::Instant::now() < deadline {
+            time::sleep(POLL_TIME).await;
+            let polled = caller
+                .exchange(&mut self.record, |address| {
+                    caller.request(reqwest::Method::GET, address, location)
+                })
+                .await?;
+            let Ok(body) = serde_json::from_str::<body::AcceptedWork>(&polled.text) else {
+                let seen = format!("an outcome that is none: {:.100}", polled.text);
+                return Ok(record::CallOutcome::Faulty(check::AnswerFault::Mixed {
+                    seen,
+                }));
+            };
+            if let Some(refusal) = body.error {
+                return Ok(self.refused(refusal));
+            }
+            if let Some(answer) = body.answer {
+                return Ok(self.take_answer(&answer.to_string()));
+            }
+        }
+        let seen = format!(
+            "accepted work had no outcome within {:?}",
+            caller.settings.patience
+        );
+        Ok(record::CallOutcome::Faulty(check::AnswerFault::Cut {
+            seen,
+        }))
+    }
+
+    fn take_answer(&mut self, text: &str) -> record::CallOutcome {
+        let parsed = serde_json::from_str::<body::ChatAnswer>(text).ok();
+        let choice = parsed.and_then(|answer| answer.choices.into_iter().next());
+        let Some(choice) = choice else {
+            let seen = format!("an answer that is none: {text:.100}");
+            return record::CallOutcome::Faulty(check::AnswerFault::Mixed { seen });
+        };
+        let verdict = self.check.take_whole(&choice.message.content);
+        let expected = self.caller.settings.expected_step * self.check.next();
+        self.record.tokens = self.check.next();
+        self.record.take_answer(self.start.elapsed(), expected);
+        verdict_of(verdict)
+    }
+}
+
+async fn call_service(
+    caller: &caller::EntryCaller,
+    call: &arrival::PlannedCall,
+    start: time::Instant,
+    path: &str,
+    key_text: Option<&str>,
+) -> record::CallRecord {
+    let mut record = record::CallRecord::begin(call.workload, call.class);
+    let key = key_text.map(|text| format!("{}-{text}", unix_ms()));
+    let exchanged = caller
+        .exchange(&mut record, |address| {
+            let request = caller
+                .request(reqwest::Method::POST, address, path)
+                .header("x-traffic-class", call.class.name())
+                .body(path.to_owned());
+            match &key {
+                Some(key) => request.header("idempotency-key", key),
+                None => request,
+            }
+        })
+        .await;
+    match exchanged {
+        Ok(_) => record.take_answer(start.elapsed(), Duration::ZERO),
+        Err(outcome) => record.outcome = outcome,
+    }
+    record
+}
+
+fn verdict_of(verdict: Result<(), check::AnswerFault>) -> record::CallOutcome {
+    match verdict {
+        Ok(()) => record::CallOutcome::Whole,
+        Err(fault) => record::CallOutcome::Faulty(fault),
+    }
+}
+
+fn generation_token(response: &reqwest::Response) -> Option<String> {
+    let value = response.headers().get(GENERATION_TOKEN)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+fn unix_ms() -> u128 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis())
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,276 @@
+//! The outcome of a run: a table for people, a file for comparison.
+
+use std::{collections, fmt, fs, path};
+
+use base::class;
+use hdrhistogram::serialization::{self, Serializer as _};
+use snafu::ResultExt as _;
+
+use crate::measure;
+
+/// The outcome of one run.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunReport {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Seed of the scenario.
+    pub seed: u64,
+    /// From the first call to the last outcome.
+    pub elapsed_ms: u64,
+    /// Generations that engines preempted, by the engines' own counters; absent when no engine
+    /// could be asked.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub preemptions: Option<u64>,
+    /// One for each class that made a call.
+    pub classes: collections::BTreeMap<class::TrafficClass, ClassReport>,
+    /// The first few broken answers, in words.
+    #[serde(default)]
+    pub samples: Vec<String>,
+}
+
+/// The outcome of one class.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassReport {
+    /// Calls made.
+    pub requests: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Calls refused in the end.
+    pub refused: u64,
+    /// Answers that ended early with an honest error.
+    pub ended: u64,
+    /// Answers with missing tokens, or no outcome at all.
+    pub cut: u64,
+    /// Answers with a part of another.
+    pub mixed: u64,
+    /// Answers or calls of which something came or ran twice.
+    pub doubled: u64,
+    /// Refusals of single tries by code.
+    pub refused_tries: collections::BTreeMap<String, u64>,
+    /// Streams continued after a break.
+    pub continuations: u64,
+    /// Calls sent again after their answer was lost before its first byte.
+    pub resends: u64,
+    /// Tokens that arrived.
+    pub tokens: u64,
+    /// Stall time of each whole answer.
+    pub stall: SavedTimes,
+    /// Intended start to first token, or to the answer in one piece.
+    pub first: SavedTimes,
+    /// Between two tokens.
+    pub gap: SavedTimes,
+}
+
+/// Measured times, readable and complete.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SavedTimes {
+    /// Number of times.
+    pub count: u64,
+    /// Mean.
+    pub mean_ms: f64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 99 in 100 lie below.
+    pub p99_ms: f64,
+    /// Greatest.
+    pub max_ms: f64,
+    /// The whole histogram in microseconds: format V2 of HdrHistogram, in hexadecimal.
+    pub histogram: String,
+}
+
+/// A report cannot be saved or read.
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
+pub enum ReportError {
+    /// The file cannot be read or written.
+    #[snafu(display("report {}: {source}; check the path", path.display()))]
+    FileAccess {
+        /// Path as given.
+        path: path::PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The file is no report.
+    #[snafu(display("report {}: {source}; give a file that --save wrote", path.display()))]
+    NoReport {
+        /// Path as given.
+        path: path::PathBuf,
+        /// What the parser says.
+        source: serde_json::Error,
+    },
+    /// A histogram cannot be decoded.
+    #[snafu(display("a saved histogram cannot be decoded; run the scenario again with --save"))]
+    NoHistogram,
+}
+
+impl SavedTimes {
+    fn of(histogram: &measure::TimeHistogram) -> Self {
+        let mut bytes = Vec::new();
+        let written = serialization::V2Serializer::new().serialize(histogram.inner(), &mut bytes);
+        // Writing to memory fails only for counters too large for the format.
+        written.expect("a histogram of a run fits its format");
+        Self {
+            count: histogram.count(),
+            mean_ms: histogram.mean_ms(),
+            p50_ms: histogram.quantile_ms(0.5),
+            p99_ms: histogram.quantile_ms(0.99),
+            max_ms: histogram.quantile_ms(1.0),
+            histogram: hex::encode(bytes),
+        }
+    }
+
+    /// The histogram as it was measured.
+    pub fn decode(&self) -> Result<measure::TimeHistogram, ReportError> {
+        let bytes = hex::decode(&self.histogram).map_err(|_| ReportError::NoHistogram)?;
+        serialization::Deserializer::new()
+            .deserialize(&mut bytes.as_slice())
+            .map(measure::TimeHistogram::from_inner)
+            .map_err(|_| ReportError::NoHistogram)
+    }
+}
+
+impl ClassReport {
+    fn of(measure: &measure::ClassMeasure) -> Self {
+        Self {
+            requests: measure.requests,
+            whole: measure.whole,
+            refused: measure.refused,
+            ended: measure.ended,
+            cut: measure.cut,
+            mixed: measure.mixed,
+            doubled: measure.doubled,
+            refused_tries: measure.refused_tries.clone(),
+            continuations: measure.continuations,
+            resends: measure.resends,
+            tokens: measure.tokens,
+            stall: SavedTimes::of(&measure.stall),
+            first: SavedTimes::of(&measure.first),
+            gap: SavedTimes::of(&measure.gap),
+        }
+    }
+
+    /// Answers that break a promise.
+    #[must_use]
+    pub const fn broken(&self) -> u64 {
+        self.cut + self.mixed + self.doubled
+    }
+}
+
+impl RunReport {
+    /// The report of a run that `measure` has seen.
+    #[must_use]
+    pub fn of(scenario: &str, seed: u64, elapsed_ms: u64, measure: &measure::RunMeasure) -> Self {
+        let classes = measure.classes.iter();
+        Self {
+            scenario: scenario.to_owned(),
+            seed,
+            elapsed_ms,
+            preemptions: None,
+            classes: classes
+                .map(|(class, measure)| (*class, ClassReport::of(measure)))
+                .collect(),
+            samples: measure.samples.clone(),
+        }
+    }
+
+    /// Answers that break a promise, over all classes.
+    #[must_use]
+    pub fn broken(&self) -> u64 {
+        self.classes.values().map(ClassReport::broken).sum()
+    }
+
+    /// Writes the report to `path`.
+    pub fn save(&self, path: &path::Path) -> Result<(), ReportError> {
+        let text = serde_json::to_string_pretty(self).context(NoReportSnafu { path })?;
+        fs::write(path, text + "\n").context(FileAccessSnafu { path })
+    }
+
+    /// Reads the report that [`Self::save`] wrote to `path`.
+    pub fn read(path: &path::Path) -> Result<Self, ReportError> {
+        let text = fs::read_to_string(path).context(FileAccessSnafu { path })?;
+        serde_json::from_str(&text).context(NoReportSnafu { path })
+    }
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "scenario {}, seed {}, {:.1} s",
+            self.scenario,
+            self.seed,
+            self.elapsed_ms as f64 / 1_000.0
+        )?;
+        writeln!(
+            formatter,
+            "{:<10} {:>8} {:>7} {:>6} {:>5} {:>6}  {:>15}  {:>13}",
+            "class", "requests", "refused", "whole", "ended", "broken", "stall ms", "token gap ms"
+        )?;
+        writeln!(
+            formatter,
+            "{:>46}  {:>7} {:>7}  {:>6} {:>6}",
+            "", "p50", "p99", "p50", "p99"
+        )?;
+        for (class, report) in &self.classes {
+            write_class(formatter, *class, report)?;
+        }
+        self.write_remarks(formatter)
+    }
+}
+
+fn write_class(
+    formatter: &mut fmt::Formatter<'_>,
+    class: class::TrafficClass,
+    report: &ClassReport,
+) -> fmt::Result {
+    writeln!(
+        formatter,
+        "{:<10} {:>8} {:>7} {:>6} {:>5} {:>6}  {:>7.1} {:>7.1}  {:>6.1} {:>6.1}",
+        class.name(),
+        report.requests,
+        report.refused,
+        report.whole,
+        report.ended,
+        report.broken(),
+        report.stall.p50_ms,
+        report.stall.p99_ms,
+        report.gap.p50_ms,
+        report.gap.p99_ms,
+    )
+}
+
+impl RunReport {
+    fn write_remarks(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.preemptions {
+            Some(preemptions) => writeln!(formatter, "preemptions on all engines: {preemptions}")?,
+            None => writeln!(formatter, "preemptions: not measured, no engine was asked")?,
+        }
+        for (class, report) in &self.classes {
+            let codes: Vec<String> = report
+                .refused_tries
+                .iter()
+                .map(|(code, count)| format!("{code} {count}"))
+                .collect();
+            if !codes.is_empty() {
+                writeln!(formatter, "{class}: refused tries: {}", codes.join(", "))?;
+            }
+            if report.continuations + report.resends > 0 {
+                writeln!(
+                    formatter,
+                    "{class}: streams continued {}, calls sent again {}",
+                    report.continuations, report.resends
+                )?;
+            }
+        }
+        for sample in &self.samples {
+            writeln!(formatter, "broken: {sample}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/load/tests/scenario.rs
@@ -0,0 +1,83 @@
+//! Scenario files: what is refused, and that the plan follows from the seed alone.
+
+use conf::{fault, settings};
+use load::{arrival, scenario};
+
+const SCENARIO: &str = r#"{
+    // Two workloads of one organisation.
+    "name": "small", "seed": 3, "duration_ms": 20000, "expected_step_ms": 20,
+    "organisations": { "saigon": { "api_key": "k1" }, "hue": { "api_key": "k2", "share": 3 } },
+    "workloads": [
+        { "name": "verdict", "class": "normal", "per_second": 20, "ask": { "generation": {
+            "model": "review-llm", "shared_prefix_tokens": 10,
+            "prompt_tokens": { "uniform": { "min": 20, "max": 40 } },
+            "output_tokens": { "log_normal": { "median": 30, "sigma": 0.8, "max": 400 } },
+            "delivery": { "streamed": 3, "whole": 1 } } } },
+        { "name": "charge", "class": "urgent", "per_second": 5, "organisations": ["hue"],
+          "ask": { "service": { "service": "pass-app", "path": "charges", "at_most_once": true } } },
+    ],
+}"#;
+
+fn parse(text: &str) -> Result<scenario::LoadScenario, fault::FaultList> {
+    settings::parse("scenario.jsonc", text)
+}
+
+#[test]
+fn the_plan_follows_from_the_seed() {
+    let scenario = parse(SCENARIO).expect("the scenario is valid");
+    let calls = arrival::plan_calls(&scenario);
+    assert_eq!(calls, arrival::plan_calls(&scenario));
+    assert!(calls.is_sorted_by_key(|call| call.at));
+    let charges = calls.iter().filter(|call| call.workload == 1);
+    assert!(charges.clone().all(|call| call.organisation == "hue"));
+    // 20 and 5 a second for 20 s: 400 and 100 on average.
+    assert!(
+        (70..130).contains(&charges.count()),
+        "{} calls",
+        calls.len()
+    );
+    assert!((430..570).contains(&calls.len()), "{} calls", calls.len());
+}
+
+#[test]
+fn a_change_of_one_workload_leaves_the_calls_of_the_others() {
+    let scenario = parse(SCENARIO).expect("the scenario is valid");
+    let mut changed = scenario.clone();
+    changed.workloads[0].per_second = 80.0;
+    let charges = |scenario: &scenario::LoadScenario| -> Vec<_> {
+        let calls = arrival::plan_calls(scenario).into_iter();
+        calls
+            .filter(|call| call.workload == 1)
+            .map(|call| (call.at, call.organisation))
+            .collect()
+    };
+    assert_eq!(charges(&scenario), charges(&changed));
+}
+
+#[test]
+fn all_faults_of_a_scenario_are_told_at_once() {
+    let text = SCENARIO
+        .replace(r#""share": 3"#, r#""share": 0"#)
+        .replace(r#""per_second": 5"#, r#""per_second": 0"#)
+        .replace(r#"["hue"]"#, r#"["hanoi"]"#)
+        .replace(r#""min": 20, "max": 40"#, r#""min": 50, "max": 40"#);
+    let message = parse(&text).expect_err("four faults").to_string();
+    for part in [
+        "organisations.hue.share",
+        "per_second",
+        "\"hanoi\"",
+        "prompt_tokens",
+    ] {
+        assert!(message.contains(part), "{part} is missing in: {message}");
+    }
+}
+
+#[test]
+fn an_unknown_field_is_refused_with_its_line() {
+    let text = SCENARIO.replace("\"seed\"", "\"sed\"");
+    let message = parse(&text).expect_err("unknown field").to_string();
+    assert!(
+        message.contains("sed") && message.contains("scenario.jsonc:3:"),
+        "{message}"
+    );
+}
