Gossip skeleton over authenticated datagrams

Cause: entry VMs had no word of each other, and others build on the interface. Conclusion: the interface stands and will only grow.

--- /dev/null
+++ b/crates/gossip/src/driver.rs
@@ -0,0 +1,214 @@
+//! Runs the core over a UDP socket.
+
+use std::sync;
+
+use rand::SeedableRng as _;
+use snafu::ResultExt as _;
+use tokio::{net, sync as channels, time};
+use wire::{datagram, identity, key};
+
+use crate::{claim, core, event, handle, settings, view};
+
+/// Events that a slow listener may lag behind before it loses some and is told so.
+const EVENT_BACKLOG: usize = 1024;
+
+/// Commands that wait for the driver at the most.
+const COMMAND_BACKLOG: usize = 256;
+
+/// Ticks during which a goodbye spreads.
+const GOODBYE_TICKS: u32 = 5;
+
+/// Why gossip did not start.
+#[derive(Debug, snafu::Snafu)]
+pub enum StartError {
+    /// The socket could not be bound.
+    #[snafu(display(
+        "gossip cannot listen for datagrams at {address}: {source}; \
+         free the port or change the VM's address for peers"
+    ))]
+    Bind {
+        /// Where it should listen.
+        address: std::net::SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// Starts gossip; it runs until the handle departs or all handles are dropped.
+///
+/// # Errors
+/// When the socket cannot be bound.
+pub async fn start(
+    settings: settings::GossipSettings,
+    keys: key::KeyHandle,
+    rng_seed: [u8; 32],
+) -> Result<handle::GossipHandle, StartError> {
+    let address = settings.bind;
+    let socket = net::UdpSocket::bind(address)
+        .await
+        .context(BindSnafu { address })?;
+    let started_at = time::Instant::now();
+    let identity = settings.own.identity.clone();
+    let core = core::MemberCore::new(
+        settings.own,
+        settings.timing.clone(),
+        settings.seeds,
+        rand::rngs::StdRng::from_seed(rng_seed),
+        std::time::Duration::ZERO,
+    );
+    let (snapshots, members) = channels::watch::channel(sync::Arc::default());
+    let (events, _) = channels::broadcast::channel(EVENT_BACKLOG);
+    let (commands, inbox) = channels::mpsc::channel(COMMAND_BACKLOG);
+    let driver = GossipDriver {
+        codec: datagram::DatagramCodec::new(identity.clone(), keys),
+        socket,
+        core,
+        started_at,
+        snapshots,
+        events: events.clone(),
+        changed: true,
+    };
+    tokio::spawn(driver.run(inbox, settings.timing.tick));
+    Ok(handle::GossipHandle::new(
+        identity, members, events, commands,
+    ))
+}
+
+struct GossipDriver {
+    socket: net::UdpSocket,
+    codec: datagram::DatagramCodec,
+    core: core::MemberCore<rand::rngs::StdRng>,
+    started_at: time::Instant,
+    snapshots: channels::watch::Sender<sync::Arc<view::MemberSnapshot>>,
+    events: channels::broadcast::Sender<event::GossipEvent>,
+    /// Whether anything happened that the last snapshot does not show.
+    changed: bool,
+}
+
+impl GossipDriver {
+    async fn run(
+        mut self,
+        mut inbox: channels::mpsc::Receiver<handle::GossipCommand>,
+        tick: std::time::Duration,
+    ) {
+        let mut ticker = time::interval(tick);
+        ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        // One byte more than allowed, so that a longer datagram is seen to be longer.
+        let mut buffer = [0; datagram::MAX_DATAGRAM_BYTES + 1];
+        loop {
+            tokio::select! {
+                _ = ticker.tick() => {
+                    let actions = self.core.on_tick(self.now());
+                    self.perform(actions).await;
+                }
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((bytes, from)) => self.receive(from, &buffer[..bytes]).await,
+                    // The system reports here that an earlier datagram met a closed port.
+                    Err(_) => metrics::counter!("pollenchute_gossip_socket_errors_total").increment(1),
+                },
+                command = inbox.recv() => match command {
+                    Some(handle::GossipCommand::Depart(done)) => {
+                        self.depart(&mut ticker).await;
+                        let _ = done.send(());
+                        return;
+                    }
+                    Some(command) => self.obey(command).await,
+                    None => return,
+                },
+            }
+            self.show();
+        }
+    }
+
+    fn now(&self) -> std::time::Duration {
+        self.started_at.elapsed()
+    }
+
+    async fn receive(&mut self, from: std::net::SocketAddr, datagram: &[u8]) {
+        metrics::counter!("pollenchute_gossip_received_bytes_total")
+            .increment(datagram.len() as u64);
+        let Ok(opened) = self.codec.open(datagram) else {
+            return;
+        };
+        let now = self.now();
+        let actions =
+            self.core
+                .on_datagram(now, from, &opened.sender, opened.bound, &opened.payload);
+        self.perform(actions).await;
+    }
+
+    async fn obey(&mut self, command: handle::GossipCommand) {
+        let now = self.now();
+        let actions = match command {
+            handle::GossipCommand::Publish(news) => self.core.publish(now, &news),
+            handle::GossipCommand::Leave => self.core.leave(now),
+            handle::GossipCommand::Seeds(seeds) => {
+                self.core.set_seeds(seeds);
+                Vec::new()
+            }
+            handle::GossipCommand::Depart(_) => Vec::new(),
+        };
+        self.perform(actions).await;
+    }
+
+    async fn depart(&mut self, ticker: &mut time::Interval) {
+        let actions = self.core.depart(self.now());
+        self.perform(actions).await;
+        for _ in 0..GOODBYE_TICKS {
+            ticker.tick().await;
+            let actions = self.core.on_tick(self.now());
+            self.perform(actions).await;
+        }
+    }
+
+    async fn perform(&mut self, actions: Vec<event::CoreAction>) {
+        for action in actions {
+            match action {
+                event::CoreAction::Send(outgoing) => self.send(outgoing).await,
+                event::CoreAction::Notify(event) => self.tell(event),
+            }
+        }
+    }
+
+    async fn send(&mut self, outgoing: event::OutgoingDatagram) {
+        let receiver: Option<&identity::ProcessIdentity> = outgoing.receiver.as_ref();
+        let Ok(datagram) = self.codec.seal(receiver, outgoing.payload) else {
+            metrics::counter!("pollenchute_gossip_too_long_total").increment(1);
+            return;
+        };
+        metrics::counter!("pollenchute_gossip_sent_bytes_total").increment(datagram.len() as u64);
+        if self
+            .socket
+            .send_to(&datagram, outgoing.address)
+            .await
+            .is_err()
+        {
+            metrics::counter!("pollenchute_gossip_socket_errors_total").increment(1);
+        }
+    }
+
+    fn tell(&mut self, event: event::GossipEvent) {
+        self.changed = true;
+        if let event::GossipEvent::Member(claim) = &event {
+            log_state(claim);
+        }
+        // Nobody listening is no fault.
+        let _ = self.events.send(event);
+    }
+
+    fn show(&mut self) {
+        if std::mem::take(&mut self.changed) {
+            self.snapshots
+                .send_replace(sync::Arc::new(self.core.snapshot(self.now())));
+        }
+    }
+}
+
+fn log_state(claim: &claim::MemberClaim) {
+    log::info!(
+        vm = claim.name.as_str(),
+        incarnation:% = claim.version.life.incarnation,
+        state:? = claim.version.state;
+        "member changed"
+    );
+}
--- /dev/null
+++ b/crates/gossip/src/handle.rs
@@ -0,0 +1,95 @@
+//! The face of gossip towards the rest of the process.
+
+use std::sync;
+
+use tokio::sync as channels;
+use wire::identity;
+
+use crate::{event, news, settings, view};
+
+/// What the driver is asked to do.
+#[derive(Debug)]
+pub(crate) enum GossipCommand {
+    Publish(news::NewsItem),
+    Leave,
+    Seeds(Vec<settings::SeedEntry>),
+    Depart(channels::oneshot::Sender<()>),
+}
+
+/// Gossip as the rest of the process sees it; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct GossipHandle {
+    identity: identity::ProcessIdentity,
+    members: channels::watch::Receiver<sync::Arc<view::MemberSnapshot>>,
+    events: channels::broadcast::Sender<event::GossipEvent>,
+    commands: channels::mpsc::Sender<GossipCommand>,
+}
+
+impl GossipHandle {
+    pub(crate) const fn new(
+        identity: identity::ProcessIdentity,
+        members: channels::watch::Receiver<sync::Arc<view::MemberSnapshot>>,
+        events: channels::broadcast::Sender<event::GossipEvent>,
+        commands: channels::mpsc::Sender<GossipCommand>,
+    ) -> Self {
+        Self {
+            identity,
+            members,
+            events,
+            commands,
+        }
+    }
+
+    /// The own VM and this life of it.
+    #[must_use]
+    pub const fn identity(&self) -> &identity::ProcessIdentity {
+        &self.identity
+    }
+
+    /// All members as seen now.
+    #[must_use]
+    pub fn snapshot(&self) -> sync::Arc<view::MemberSnapshot> {
+        sync::Arc::clone(&self.members.borrow())
+    }
+
+    /// All members, with notice of each change.
+    #[must_use]
+    pub fn members(&self) -> channels::watch::Receiver<sync::Arc<view::MemberSnapshot>> {
+        self.members.clone()
+    }
+
+    /// Everything that changes from now on; a listener that lags far behind is told how much it
+    /// lost and takes [`Self::snapshot`].
+    #[must_use]
+    pub fn subscribe(&self) -> channels::broadcast::Receiver<event::GossipEvent> {
+        self.events.subscribe()
+    }
+
+    /// Passes an item on to every VM.
+    pub async fn publish(&self, news: news::NewsItem) {
+        self.command(GossipCommand::Publish(news)).await;
+    }
+
+    /// Marks this life of this VM as leaving: it takes no new work, but stays a member.
+    pub async fn leave(&self) {
+        self.command(GossipCommand::Leave).await;
+    }
+
+    /// Replaces the entry VMs of the inventory.
+    pub async fn set_seeds(&self, seeds: Vec<settings::SeedEntry>) {
+        self.command(GossipCommand::Seeds(seeds)).await;
+    }
+
+    /// Says goodbye and stops; returns when that was sent.
+    pub async fn depart(&self) {
+        let (done, wait) = channels::oneshot::channel();
+        self.command(GossipCommand::Depart(done)).await;
+        // An error means that it had stopped before.
+        let _ = wait.await;
+    }
+
+    async fn command(&self, command: GossipCommand) {
+        // An error means that it departed: nothing is left to be told.
+        let _ = self.commands.send(command).await;
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/item.rs
@@ -0,0 +1,192 @@
+//! Versioned items that spread with membership; of one kind and subject the highest version wins.
+
+use std::{collections, time};
+
+use wire::proto::gossip as proto;
+
+/// Longest subject of an item.
+pub const MAX_SUBJECT_BYTES: usize = 160;
+
+/// Longest body of an item.
+pub const MAX_BODY_BYTES: usize = 256;
+
+/// Items that are about to expire do not travel: with delays in between, two VMs could otherwise
+/// keep one alive for ever by handing it to and fro.
+const LAST_TRAVEL: time::Duration = time::Duration::from_secs(5);
+
+/// What an item is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ItemKind {
+    /// The configuration in force on one VM.
+    Configuration,
+    /// A VM or a backend server is leaving, by incarnation.
+    Leaving,
+    /// Content that crashes backend servers.
+    Quarantine,
+}
+
+impl ItemKind {
+    /// Its number on the wire.
+    #[must_use]
+    pub const fn number(self) -> u32 {
+        match self {
+            Self::Configuration => 1,
+            Self::Leaving => 2,
+            Self::Quarantine => 3,
+        }
+    }
+
+    /// The kind with that number.
+    #[must_use]
+    pub const fn from_number(number: u32) -> Option<Self> {
+        Some(match number {
+            1 => Self::Configuration,
+            2 => Self::Leaving,
+            3 => Self::Quarantine,
+            _ => return None,
+        })
+    }
+
+    /// Items of this kind that are kept at the most.
+    const fn capacity(self) -> usize {
+        match self {
+            Self::Configuration | Self::Quarantine => 1024,
+            Self::Leaving => 4096,
+        }
+    }
+
+    /// Whether it must be everywhere within a second.
+    #[must_use]
+    pub const fn is_urgent(self) -> bool {
+        matches!(self, Self::Leaving | Self::Quarantine)
+    }
+}
+
+/// What an item is about: its kind and its subject.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ItemKey {
+    /// The kind.
+    pub kind: ItemKind,
+    /// The subject, 1 to [`MAX_SUBJECT_BYTES`] bytes.
+    pub subject: String,
+}
+
+/// The version of an item; the publisher raises it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ItemVersion {
+    /// For items that belong to one life of a VM, that life's birth; else 0.
+    pub epoch: u64,
+    /// Raised with each change.
+    pub sequence: u64,
+}
+
+/// One item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// What it is about.
+    pub key: ItemKey,
+    /// Its version.
+    pub version: ItemVersion,
+    /// Its body, at most [`MAX_BODY_BYTES`]; between equal versions the greater body wins.
+    pub body: Vec<u8>,
+    /// When it is forgotten, by this VM's clock.
+    pub expires_at: Option<time::Duration>,
+}
+
+impl Item {
+    /// Reads an item that arrived at `now`; `None` when any part of it makes no sense.
+    #[must_use]
+    pub fn from_wire(item: proto::Item, now: time::Duration) -> Option<Self> {
+        let kind = ItemKind::from_number(item.kind)?;
+        let fits = (1..=MAX_SUBJECT_BYTES).contains(&item.subject.len())
+            && item.body.len() <= MAX_BODY_BYTES;
+        let lasts = time::Duration::from_millis(item.expires_in_ms.into());
+        fits.then_some(Self {
+            key: ItemKey {
+                kind,
+                subject: item.subject,
+            },
+            version: ItemVersion {
+                epoch: item.epoch,
+                sequence: item.sequence,
+            },
+            body: item.body,
+            expires_at: (!lasts.is_zero()).then_some(now + lasts),
+        })
+    }
+
+    /// The item as it travels at `now`; `None` when it is about to expire.
+    #[must_use]
+    pub fn to_wire(&self, now: time::Duration) -> Option<proto::Item> {
+        let expires_in_ms = match self.expires_at {
+            None => 0,
+            Some(expires_at) => {
+                let lasts = expires_at
+                    .checked_sub(now)
+                    .filter(|left| *left > LAST_TRAVEL)?;
+                u32::try_from(lasts.as_millis()).unwrap_or(u32::MAX)
+            }
+        };
+        Some(proto::Item {
+            kind: self.key.kind.number(),
+            subject: self.key.subject.clone(),
+            epoch: self.version.epoch,
+            sequence: self.version.sequence,
+            body: self.body.clone(),
+            expires_in_ms,
+        })
+    }
+
+    /// Whether it beats `other`, which is about the same.
+    fn beats(&self, other: &Self) -> bool {
+        (self.version, &self.body) > (other.version, &other.body)
+    }
+}
+
+/// All items that are known.
+#[derive(Clone, Debug, Default)]
+pub struct ItemStore {
+    items: collections::BTreeMap<ItemKey, Item>,
+}
+
+impl ItemStore {
+    /// Takes `item` when it beats what is known and there is room; tells whether it was taken.
+    pub fn merge(&mut self, item: Item) -> bool {
+        if let Some(known) = self.items.get_mut(&item.key) {
+            let newer = item.beats(known);
+            if newer {
+                *known = item;
+            }
+            return newer;
+        }
+        if self.count(item.key.kind) >= item.key.kind.capacity() {
+            metrics::counter!("pollenchute_gossip_items_refused_total").increment(1);
+            return false;
+        }
+        self.items.insert(item.key.clone(), item);
+        true
+    }
+
+    /// The item with that key.
+    #[must_use]
+    pub fn get(&self, key: &ItemKey) -> Option<&Item> {
+        self.items.get(key)
+    }
+
+    /// All items in the order of their keys.
+    pub fn iter(&self) -> impl Iterator<Item = &Item> {
+        self.items.values()
+    }
+
+    /// Removes and returns what `is_over` says of.
+    pub fn remove_if(&mut self, mut is_over: impl FnMut(&Item) -> bool) -> Vec<Item> {
+        self.items
+            .extract_if(.., |_, item| is_over(item))
+            .map(|(_, item)| item)
+            .collect()
+    }
+
+    fn count(&self, kind: ItemKind) -> usize {
+        self.items.keys().filter(|key| key.kind == kind).count()
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/news.rs
@@ -0,0 +1,179 @@
+//! The items that spread, typed.
+
+use std::time;
+
+use base::{fingerprint, id};
+use prost::Message as _;
+use wire::proto::gossip as proto;
+
+use crate::item;
+
+/// Between the parts of a subject; neither names nor incarnations contain it.
+const SEPARATOR: char = '\n';
+
+/// A mark of leaving spreads for this long after it was made or renewed.
+pub const LEAVING_LASTS: time::Duration = time::Duration::from_secs(24 * 3600);
+
+/// Longest reason of a quarantine.
+const MAX_REASON_BYTES: usize = 200;
+
+/// One life of a VM or a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LeavingSubject {
+    /// An entry VM.
+    Vm {
+        /// Its name.
+        name: String,
+        /// The life that leaves.
+        incarnation: id::Incarnation,
+    },
+    /// A backend server.
+    Server {
+        /// Its name.
+        name: String,
+        /// The life that leaves, as the server itself gives it.
+        incarnation: String,
+    },
+}
+
+/// What spreads to every VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NewsItem {
+    /// Configuration in force on a VM.
+    Configuration(ConfigurationNews),
+    /// This life takes no new work; never unlearnt.
+    Leaving(LeavingSubject),
+    /// Content was put into quarantine, or let out of it.
+    Quarantine(QuarantineNews),
+}
+
+/// Configuration in force on a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigurationNews {
+    /// The VM.
+    pub vm: String,
+    /// Revision in force.
+    pub revision: u64,
+    /// Offset after the last record applied.
+    pub offset: u64,
+}
+
+/// Content that crashes backend servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantineNews {
+    /// Hash of the content.
+    pub fingerprint: fingerprint::ContentHash,
+    /// Whether it is let out.
+    pub lifted: bool,
+    /// How much longer this holds, at the most.
+    pub lasts: time::Duration,
+    /// Why, for operators; cut to 200 bytes.
+    pub reason: String,
+}
+
+impl LeavingSubject {
+    fn to_subject(&self) -> String {
+        let (kind, name, incarnation) = match self {
+            Self::Vm { name, incarnation } => ("vm", name, incarnation.to_string()),
+            Self::Server { name, incarnation } => ("server", name, incarnation.clone()),
+        };
+        format!("{kind}{SEPARATOR}{name}{SEPARATOR}{incarnation}")
+    }
+
+    fn from_subject(subject: &str) -> Option<Self> {
+        let mut parts = subject.splitn(3, SEPARATOR);
+        let (kind, name, incarnation) = (parts.next()?, parts.next()?, parts.next()?);
+        let name = name.to_owned();
+        match kind {
+            "vm" => incarnation
+                .parse()
+                .ok()
+                .map(|incarnation| Self::Vm { name, incarnation }),
+            "server" => Some(Self::Server {
+                name,
+                incarnation: incarnation.to_owned(),
+            }),
+            _ => None,
+        }
+    }
+}
+
+impl NewsItem {
+    /// What an item says; `None` when its subject or its body makes no sense.
+    #[must_use]
+    pub fn from_item(item: &item::Item, now: time::Duration) -> Option<Self> {
+        let subject = item.key.subject.as_str();
+        Some(match item.key.kind {
+            item::ItemKind::Configuration => {
+                let body = proto::ConfigurationBody::decode(item.body.as_slice()).ok()?;
+                Self::Configuration(ConfigurationNews {
+                    vm: subject.to_owned(),
+                    revision: body.revision,
+                    offset: body.offset,
+                })
+            }
+            item::ItemKind::Leaving => Self::Leaving(LeavingSubject::from_subject(subject)?),
+            item::ItemKind::Quarantine => {
+                let body = proto::QuarantineBody::decode(item.body.as_slice()).ok()?;
+                let mut hash = [0; 32];
+                hex::decode_to_slice(subject, &mut hash).ok()?;
+                let lasts = item
+                    .expires_at
+                    .map(|expires_at| expires_at.saturating_sub(now));
+                Self::Quarantine(QuarantineNews {
+                    fingerprint: fingerprint::ContentHash(hash),
+                    lifted: body.lifted,
+                    lasts: lasts.unwrap_or(time::Duration::MAX),
+                    reason: body.reason,
+                })
+            }
+        })
+    }
+
+    /// The key under which it spreads.
+    #[must_use]
+    pub fn key(&self) -> item::ItemKey {
+        let (kind, subject) = match self {
+            Self::Configuration(news) => (item::ItemKind::Configuration, news.vm.clone()),
+            Self::Leaving(subject) => (item::ItemKind::Leaving, subject.to_subject()),
+            Self::Quarantine(news) => (item::ItemKind::Quarantine, news.fingerprint.to_string()),
+        };
+        item::ItemKey { kind, subject }
+    }
+
+    /// The body with which it spreads.
+    #[must_use]
+    pub fn body(&self) -> Vec<u8> {
+        match self {
+            Self::Configuration(news) => proto::ConfigurationBody {
+                revision: news.revision,
+                offset: news.offset,
+            }
+            .encode_to_vec(),
+            Self::Leaving(_) => Vec::new(),
+            Self::Quarantine(news) => proto::QuarantineBody {
+                lifted: news.lifted,
+                reason: cut(&news.reason, MAX_REASON_BYTES),
+            }
+            .encode_to_vec(),
+        }
+    }
+
+    /// How long it spreads; `None`: as long as its VM is known.
+    #[must_use]
+    pub fn lasts(&self) -> Option<time::Duration> {
+        match self {
+            Self::Configuration(_) => None,
+            Self::Leaving(_) => Some(LEAVING_LASTS),
+            Self::Quarantine(news) => Some(news.lasts),
+        }
+    }
+}
+
+/// The longest beginning of `text` that has at most `bytes` bytes.
+fn cut(text: &str, bytes: usize) -> String {
+    let end = (0..=bytes.min(text.len()))
+        .rev()
+        .find(|end| text.is_char_boundary(*end));
+    text[..end.unwrap_or(0)].to_owned()
+}
--- /dev/null
+++ b/crates/gossip/src/packet.rs
@@ -0,0 +1,81 @@
+//! Messages that fill a datagram and never exceed it.
+
+use prost::Message as _;
+use wire::{datagram, proto::gossip as proto};
+
+/// A message under construction.
+#[derive(Debug)]
+pub struct PacketBuilder {
+    message: proto::Message,
+    /// Bytes that may still be added.
+    room: usize,
+}
+
+impl PacketBuilder {
+    /// A message of that kind with nothing attached.
+    #[must_use]
+    pub fn new(kind: proto::message::Kind) -> Self {
+        let message = proto::Message {
+            kind: Some(kind),
+            ..proto::Message::default()
+        };
+        let room = datagram::MAX_PAYLOAD_BYTES.saturating_sub(message.encoded_len());
+        Self { message, room }
+    }
+
+    /// Attaches a claim if it fits.
+    pub fn add_claim(&mut self, claim: proto::MemberClaim) -> bool {
+        let fits = self.take_room(claim.encoded_len());
+        if fits {
+            self.message.claims.push(claim);
+        }
+        fits
+    }
+
+    /// Attaches an item if it fits.
+    pub fn add_item(&mut self, item: proto::Item) -> bool {
+        let fits = self.take_room(item.encoded_len());
+        if fits {
+            self.message.items.push(item);
+        }
+        fits
+    }
+
+    /// Attaches a digest if it fits.
+    pub fn add_digest(&mut self, digest: proto::Digest) -> bool {
+        let fits = self.take_room(digest.encoded_len());
+        if fits {
+            self.message.digests.push(digest);
+        }
+        fits
+    }
+
+    /// Says of an answer to a comparison that nothing was left out.
+    pub fn mark_complete(&mut self) {
+        if let Some(proto::message::Kind::Push(push)) = &mut self.message.kind {
+            push.more = false;
+        }
+    }
+
+    /// Whether anything is attached.
+    #[must_use]
+    pub fn carries(&self) -> bool {
+        let message = &self.message;
+        !(message.claims.is_empty() && message.items.is_empty() && message.digests.is_empty())
+    }
+
+    /// The payload of the datagram.
+    #[must_use]
+    pub fn finish(self) -> Vec<u8> {
+        self.message.encode_to_vec()
+    }
+
+    fn take_room(&mut self, bytes: usize) -> bool {
+        let framed = 1 + prost::length_delimiter_len(bytes) + bytes;
+        let fits = framed <= self.room;
+        if fits {
+            self.room -= framed;
+        }
+        fits
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/probing.rs
@@ -0,0 +1,118 @@
+//! How the core probes its neighbours.
+
+use std::{net, time};
+
+use base::id;
+use rand::seq::IndexedRandom as _;
+use wire::{identity, proto::gossip as proto};
+
+use crate::{claim, core, probe};
+use proto::message::Kind;
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// Goes on with the probe under way, or begins the next.
+    pub(crate) fn probe_round(&mut self, now: time::Duration) {
+        self.schedule.forget_over(now);
+        if let Some(round) = self.schedule.current
+            && !round.indirect
+            && now >= round.started_at + self.timing.ack_timeout
+        {
+            self.ask_others(now, round);
+        }
+        if now < self.dues.probe {
+            return;
+        }
+        self.dues.probe = now + self.timing.probe_interval;
+        if let Some(round) = self.schedule.current.take() {
+            self.suspect(now, round);
+        }
+        let neighbours = self.neighbours();
+        let Some(target) = self.schedule.next_target(&neighbours, &mut self.rng) else {
+            return;
+        };
+        self.begin_probe(now, target);
+    }
+
+    fn begin_probe(&mut self, now: time::Duration, target: id::VmKey) {
+        let Some(record) = self.table.get(target) else {
+            return;
+        };
+        let incarnation = record.claim.version.life.incarnation;
+        let number = self.schedule.next_number();
+        self.schedule.current = Some(probe::ProbeRound {
+            target,
+            incarnation,
+            number,
+            started_at: now,
+            indirect: false,
+        });
+        self.send_to(now, target, Kind::Ping(proto::Ping { number }));
+    }
+
+    fn ask_others(&mut self, now: time::Duration, round: probe::ProbeRound) {
+        self.schedule.current = Some(probe::ProbeRound {
+            indirect: true,
+            ..round
+        });
+        let Some(record) = self.table.get(round.target) else {
+            return;
+        };
+        let name = record.claim.name.clone();
+        let mut neighbours = self.neighbours();
+        neighbours.retain(|key| *key != round.target);
+        let count = self.timing.indirect_probes;
+        let helpers: Vec<id::VmKey> = neighbours.sample(&mut self.rng, count).copied().collect();
+        for helper in helpers {
+            let request = proto::PingRequest {
+                number: round.number,
+                target: name.clone(),
+            };
+            self.send_to(now, helper, Kind::PingRequest(request));
+        }
+    }
+
+    /// Holds against a member that it did not answer, unless it has begun another life since.
+    fn suspect(&mut self, now: time::Duration, round: probe::ProbeRound) {
+        let Some(record) = self.table.get(round.target) else {
+            return;
+        };
+        let mut claim = record.claim.clone();
+        let same_life = claim.version.life.incarnation == round.incarnation;
+        if same_life && claim.version.state == claim::MemberState::Alive {
+            claim.version.state = claim::MemberState::Suspect;
+            self.take_claim(now, &claim);
+        }
+    }
+
+    /// Probes a member for another one.
+    pub(crate) fn relay_probe(
+        &mut self,
+        now: time::Duration,
+        from: net::SocketAddr,
+        sender: &identity::ProcessIdentity,
+        request: &proto::PingRequest,
+    ) {
+        let Some(target) = self.table.key(&request.target) else {
+            return;
+        };
+        let relayed = probe::RelayedProbe {
+            requester: sender.clone(),
+            address: from,
+            number: request.number,
+            over_at: now + self.timing.probe_interval,
+        };
+        if let Some(number) = self.schedule.relay(relayed) {
+            self.send_to(now, target, Kind::Ping(proto::Ping { number }));
+        }
+    }
+
+    /// Takes an answer, and passes it on when the question was another member's.
+    pub(crate) fn take_ack(&mut self, now: time::Duration, number: u32) {
+        if let Some(relayed) = self.schedule.answered(number) {
+            let ack = Kind::Ack(proto::Ack {
+                number: relayed.number,
+            });
+            self.send(now, relayed.address, &relayed.requester, ack);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/sync.rs
@@ -0,0 +1,195 @@
+//! Anti-entropy: two members compare notes, so that nothing stays missing that spreading missed.
+
+use std::{collections, net, time};
+
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
+use wire::{identity, proto::gossip as proto};
+use xxhash_rust::xxh3;
+
+use crate::{core, item, member, packet};
+use proto::message::Kind;
+
+/// Buckets of a summary: few enough for one datagram, enough that one difference among the
+/// entries of 410 VMs makes few others travel.
+const BUCKETS: usize = 64;
+
+/// The next comparison comes this soon when the answer to the last did not fit.
+const MORE_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// One thing that may travel.
+#[derive(Clone, Copy, Debug)]
+enum SyncEntry<'a> {
+    Member(&'a member::MemberRecord),
+    Item(&'a item::Item),
+}
+
+impl SyncEntry<'_> {
+    fn bucket(self) -> usize {
+        let hash = match self {
+            Self::Member(record) => xxh3::xxh3_64_with_seed(record.claim.name.as_bytes(), 0),
+            Self::Item(item) => {
+                let seed = item.key.kind.number().into();
+                xxh3::xxh3_64_with_seed(item.key.subject.as_bytes(), seed)
+            }
+        };
+        usize::try_from(hash % BUCKETS as u64).unwrap_or(0)
+    }
+
+    /// Hash of what it is about and its version.
+    fn hash(self) -> u32 {
+        let mut hasher = xxh3::Xxh3::new();
+        match self {
+            Self::Member(record) => {
+                let version = record.claim.version;
+                hasher.update(record.claim.name.as_bytes());
+                hasher.update(&version.life.birth_ms.to_le_bytes());
+                hasher.update(&version.life.incarnation.0.to_le_bytes());
+                hasher.update(&version.refutation.to_le_bytes());
+                hasher.update(&[version.state as u8]);
+            }
+            Self::Item(item) => {
+                hasher.update(&item.key.kind.number().to_le_bytes());
+                hasher.update(item.key.subject.as_bytes());
+                hasher.update(&item.version.epoch.to_le_bytes());
+                hasher.update(&item.version.sequence.to_le_bytes());
+                hasher.update(&item.body);
+            }
+        }
+        (hasher.digest() & u64::from(u32::MAX)) as u32
+    }
+
+    fn attach(self, now: time::Duration, packet: &mut packet::PacketBuilder) -> bool {
+        match self {
+            Self::Member(record) => packet.add_claim(record.claim.to_wire()),
+            // What is about to expire need not travel any more.
+            Self::Item(item) => item.to_wire(now).is_none_or(|item| packet.add_item(item)),
+        }
+    }
+}
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// Compares notes with one neighbour.
+    pub(crate) fn sync_round(&mut self, now: time::Duration) {
+        if now < self.dues.sync {
+            return;
+        }
+        self.dues.sync = now + self.timing.sync_interval;
+        let neighbours = self.neighbours();
+        if let Some(&target) = neighbours.choose(&mut self.rng) {
+            let summary = Kind::SyncSummary(self.sync_summary(now, true));
+            self.send_to(now, target, summary);
+        }
+    }
+
+    pub(crate) fn sync_summary(
+        &self,
+        now: time::Duration,
+        answer_wanted: bool,
+    ) -> proto::SyncSummary {
+        let mut buckets = vec![0; BUCKETS];
+        for entry in self.sync_entries() {
+            let counts = match entry {
+                // Members that are gone are forgotten at different times on different VMs.
+                SyncEntry::Member(record) => record.state().is_present(),
+                SyncEntry::Item(item) => item.to_wire(now).is_some(),
+            };
+            if counts {
+                buckets[entry.bucket()] ^= entry.hash();
+            }
+        }
+        proto::SyncSummary {
+            buckets,
+            answer_wanted,
+        }
+    }
+
+    /// Answers a summary with everything in the buckets that differ, as far as it fits.
+    pub(crate) fn take_summary(
+        &mut self,
+        now: time::Duration,
+        from: net::SocketAddr,
+        sender: &identity::ProcessIdentity,
+        summary: &proto::SyncSummary,
+    ) {
+        let own = self.sync_summary(now, false);
+        let pairs = own.buckets.iter().zip(&summary.buckets).enumerate();
+        let differing: collections::BTreeSet<usize> = pairs
+            .filter(|(_, (own, other))| own != other)
+            .map(|(bucket, _)| bucket)
+            .collect();
+        if summary.buckets.len() != BUCKETS || differing.is_empty() {
+            return;
+        }
+        if summary.answer_wanted {
+            self.send(now, from, sender, Kind::SyncSummary(own));
+        }
+        for packet in self.sync_packets(now, &differing) {
+            self.send_packet(from, sender.clone(), packet);
+        }
+    }
+
+    fn sync_packets(
+        &mut self,
+        now: time::Duration,
+        differing: &collections::BTreeSet<usize>,
+    ) -> Vec<packet::PacketBuilder> {
+        // In random order, so that what did not fit this time comes another time.
+        let mut order: Vec<usize> = differing.iter().copied().collect();
+        order.shuffle(&mut self.rng);
+        let mut by_bucket: collections::BTreeMap<usize, Vec<SyncEntry<'_>>> =
+            collections::BTreeMap::new();
+        for entry in self.sync_entries() {
+            by_bucket.entry(entry.bucket()).or_default().push(entry);
+        }
+        let entries = order
+            .iter()
+            .filter_map(|bucket| by_bucket.get(bucket))
+            .flatten();
+        let push = |more| packet::PacketBuilder::new(Kind::Push(proto::Push { sync: true, more }));
+        let mut packets = vec![push(true)];
+        for entry in entries {
+            let last = packets.len() - 1;
+            if entry.attach(now, &mut packets[last]) {
+                continue;
+            }
+            if packets.len() == self.timing.sync_datagrams {
+                return packets;
+            }
+            let mut packet = push(true);
+            entry.attach(now, &mut packet);
+            packets.push(packet);
+        }
+        packets
+            .iter_mut()
+            .for_each(packet::PacketBuilder::mark_complete);
+        packets
+    }
+
+    /// Asks soon again when the answer to a comparison did not fit.
+    pub(crate) fn take_push(&mut self, now: time::Duration, push: proto::Push) {
+        if push.sync && push.more {
+            self.dues.sync = self.dues.sync.min(now + MORE_INTERVAL);
+        }
+    }
+
+    /// Begins to compare notes with a member that has just answered a greeting.
+    pub(crate) fn introduce(
+        &mut self,
+        now: time::Duration,
+        from: net::SocketAddr,
+        sender: &identity::ProcessIdentity,
+    ) {
+        let summary = self.sync_summary(now, true);
+        let mut packet = packet::PacketBuilder::new(Kind::SyncSummary(summary));
+        packet.add_claim(self.own.to_wire());
+        self.send_packet(from, sender.clone(), packet);
+    }
+
+    fn sync_entries(&self) -> impl Iterator<Item = SyncEntry<'_>> {
+        let members = self
+            .table
+            .iter()
+            .map(|(_, record)| SyncEntry::Member(record));
+        members.chain(self.items.iter().map(SyncEntry::Item))
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/view.rs
@@ -0,0 +1,108 @@
+//! What other parts of the process see of the members.
+
+use std::{collections, net};
+
+use base::id;
+
+use crate::{claim, core, item, news};
+
+/// One member as this VM sees it now. A hint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// Name of the VM.
+    pub name: String,
+    /// The life that is spoken of.
+    pub incarnation: id::Incarnation,
+    /// What is said of it.
+    pub state: claim::MemberState,
+    /// Whether this life takes no new work; never taken back.
+    pub leaving: bool,
+    /// Where it takes datagrams and frames.
+    pub address: net::SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Its region.
+    pub region: String,
+    /// Configuration in force there, as last heard.
+    pub configuration: Option<news::ConfigurationNews>,
+}
+
+/// All members as this VM sees them now, the own VM among them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberSnapshot {
+    /// By name.
+    pub members: collections::BTreeMap<String, MemberView>,
+    /// Lives of VMs and backend servers that take no new work.
+    pub leaving: collections::BTreeSet<news::LeavingSubject>,
+}
+
+impl MemberSnapshot {
+    /// Members of that region that answer and take new work, by name.
+    pub fn serving<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a MemberView> {
+        self.members.values().filter(move |member| {
+            member.region == region && member.state.is_present() && !member.leaving
+        })
+    }
+
+    /// Whether that life of that backend server is known to be leaving.
+    #[must_use]
+    pub fn is_server_leaving(&self, name: &str, incarnation: &str) -> bool {
+        self.leaving.contains(&news::LeavingSubject::Server {
+            name: name.to_owned(),
+            incarnation: incarnation.to_owned(),
+        })
+    }
+}
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// All members as seen now.
+    #[must_use]
+    pub fn snapshot(&self, now: std::time::Duration) -> MemberSnapshot {
+        let mut snapshot = MemberSnapshot::default();
+        let mut configurations = collections::BTreeMap::new();
+        for item in self.items().iter() {
+            match news::NewsItem::from_item(item, now) {
+                Some(news::NewsItem::Leaving(subject)) => {
+                    snapshot.leaving.insert(subject);
+                }
+                Some(news::NewsItem::Configuration(news)) => {
+                    configurations.insert(news.vm.clone(), (item.version, news));
+                }
+                Some(news::NewsItem::Quarantine(_)) | None => {}
+            }
+        }
+        for (_, record) in self.members().iter() {
+            let name = record.claim.name.clone();
+            let configuration = configurations.remove(&name);
+            let view = member_view(record, &snapshot.leaving, configuration);
+            snapshot.members.insert(name, view);
+        }
+        snapshot
+    }
+}
+
+fn member_view(
+    record: &crate::member::MemberRecord,
+    leaving: &collections::BTreeSet<news::LeavingSubject>,
+    configuration: Option<(item::ItemVersion, news::ConfigurationNews)>,
+) -> MemberView {
+    let claim = &record.claim;
+    let life = claim.version.life;
+    let subject = news::LeavingSubject::Vm {
+        name: claim.name.clone(),
+        incarnation: life.incarnation,
+    };
+    MemberView {
+        name: claim.name.clone(),
+        incarnation: life.incarnation,
+        state: claim.version.state,
+        leaving: leaving.contains(&subject),
+        address: claim.place.address,
+        failure_domain: claim.place.failure_domain.clone(),
+        region: claim.place.region.clone(),
+        // What an earlier life had in force says nothing about this one.
+        configuration: configuration
+            .filter(|(version, _)| version.epoch == life.birth_ms)
+            .map(|(_, news)| news),
+    }
+}
