--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod id;
 pub mod ops;
 pub mod outcome;
+pub mod prefix;
 pub mod refusal;
 pub mod rendezvous;
--- a/crates/sched/src/ask.rs
+++ b/crates/sched/src/ask.rs
@@ -154,3 +154,15 @@
     /// The engine ended it with an error of its own.
     Errored,
 }
+
+impl FailureKind {
+    /// What it says against the server: 1 keeps new work away for some seconds.
+    #[must_use]
+    pub const fn weight(self) -> f32 {
+        match self {
+            Self::Broken | Self::Silent => 1.0,
+            Self::Rejected => 0.3,
+            Self::Errored => 0.2,
+        }
+    }
+}
--- a/crates/sched/src/core.rs
+++ b/crates/sched/src/core.rs
@@ -1,49 +1,53 @@
 //! The decision core: events in, decisions out, no I/O.
+//!
+//! This file takes events; `dispatch` decides, `upkeep` keeps derived state up to date.
 
-use std::{collections, time::Duration};
+use std::{cmp, collections};
 
-use base::id;
-use rand::{Rng as _, rngs};
+use base::{class, id};
+use rand::rngs;
 use tokio::time;
 
 use crate::{
+    affinity,
     ask::{self, TicketKey},
-    explain::{self, Decision},
-    settings, view,
+    explain::{Decision, RefusalReason, WaitCause},
+    fleet, headroom, length, limit, organisation, queue, risk, settings, share, ticket, view,
 };
 
-/// What the core knows of one ticket.
-#[derive(Clone, Debug)]
-struct TicketState {
-    ask: ask::Ask,
-    submitted_at: time::Instant,
-    /// Absent while it waits.
-    server: Option<id::ServerKey>,
-    produced: u32,
-}
+/// Tokens after which a running generation's memory is worked out anew.
+const RELOAD_TOKENS: u32 = 16;
 
-/// What the core knows of one server.
-#[derive(Clone, Debug)]
-struct ServerState {
-    spec: view::EngineSpec,
-    leaving: bool,
-    suspected: bool,
-    own_running: u32,
-    report: Option<view::LoadReport>,
-}
+/// What one first token moves the learnt rate of prefill by.
+const PREFILL_WEIGHT: f32 = 0.05;
 
 /// Decides where and when each generation runs.
 ///
 /// Every call takes the current time; nothing happens between calls. The caller owns the arenas
-/// that organisation, server and model keys come from.
+/// that organisation, server, model and VM keys come from.
 #[derive(Debug)]
 pub struct DispatchCore {
-    settings: settings::PolicySettings,
-    rng: rngs::StdRng,
-    servers: slotmap::SecondaryMap<id::ServerKey, ServerState>,
-    organisations: slotmap::SecondaryMap<id::OrganisationKey, settings::OrganisationPlan>,
-    tickets: slotmap::SlotMap<TicketKey, TicketState>,
-    queues: [collections::VecDeque<TicketKey>; 3],
+    pub(crate) settings: settings::PolicySettings,
+    pub(crate) rng: rngs::StdRng,
+    pub(crate) servers: slotmap::SecondaryMap<id::ServerKey, view::ServerView>,
+    pub(crate) models: slotmap::SecondaryMap<id::ModelKey, fleet::ModelFleet>,
+    pub(crate) organisations: organisation::OrganisationTable,
+    pub(crate) tickets: slotmap::SlotMap<TicketKey, ticket::TicketState>,
+    pub(crate) lengths: length::LengthTable,
+    pub(crate) affinity: affinity::AffinityTable,
+    pub(crate) shares: share::ShareTable,
+    pub(crate) headroom: headroom::HeadroomMeter,
+    pub(crate) prefill_rate: f32,
+    /// Deadlines of waiting tickets, earliest first; tickets that no longer wait are skipped.
+    pub(crate) deadlines: collections::BinaryHeap<cmp::Reverse<(time::Instant, TicketKey)>>,
+    /// Decided at submission, told by the next poll.
+    pub(crate) refusals: Vec<Decision>,
+    /// Servers with a report since victims were last looked for.
+    pub(crate) reported: Vec<id::ServerKey>,
+    pub(crate) upkept_at: Option<time::Instant>,
+    pub(crate) swept_at: Option<time::Instant>,
+    /// Whether deadlines, rooms or queues may have changed since the last poll.
+    pub(crate) waiting: usize,
 }
 
 impl DispatchCore {
@@ -51,65 +55,125 @@
     #[must_use]
     pub fn new(settings: settings::PolicySettings, rng: rngs::StdRng) -> Self {
         Self {
-            settings,
             rng,
             servers: slotmap::SecondaryMap::new(),
-            organisations: slotmap::SecondaryMap::new(),
+            models: slotmap::SecondaryMap::new(),
+            organisations: organisation::OrganisationTable::new(settings.organisation_entries),
             tickets: slotmap::SlotMap::with_key(),
-            queues: Default::default(),
+            lengths: length::LengthTable::new(settings.histograms),
+            affinity: affinity::AffinityTable::new(settings.prefix_half_life),
+            shares: share::ShareTable::new(settings.entries),
+            headroom: headroom::HeadroomMeter::default(),
+            prefill_rate: settings.prefill_rate,
+            deadlines: collections::BinaryHeap::new(),
+            refusals: Vec::new(),
+            reported: Vec::new(),
+            upkept_at: None,
+            swept_at: None,
+            waiting: 0,
+            settings,
         }
     }
 
     /// Replaces the settings; what runs keeps running.
     pub fn settings_changed(&mut self, settings: settings::PolicySettings) {
+        self.shares.set_entries(settings.entries);
+        self.organisations
+            .set_entries(settings.organisation_entries);
+        self.affinity.set_half_life(settings.prefix_half_life);
         self.settings = settings;
+        self.rank_all();
     }
 
     /// A server came into being, or its inventory entry or models changed.
-    pub fn server_added(&mut self, server: id::ServerKey, spec: view::EngineSpec) {
-        if let Some(state) = self.servers.get_mut(server) {
-            state.spec = spec;
-            return;
+    pub fn server_added(
+        &mut self,
+        server: id::ServerKey,
+        spec: view::EngineSpec,
+        now: time::Instant,
+    ) {
+        for &model in &spec.models {
+            self.fleet(model, now);
         }
-        let state = ServerState {
-            spec,
-            leaving: false,
-            suspected: false,
-            own_running: 0,
-            report: None,
-        };
-        self.servers.insert(server, state);
+        if let Some(view) = self.servers.get_mut(server) {
+            view.spec = spec;
+        } else {
+            self.servers
+                .insert(server, view::ServerView::new(spec, now));
+        }
+        self.rank_all();
     }
 
     /// A server is gone. What ran there is still to be ended by its holders.
     pub fn server_removed(&mut self, server: id::ServerKey) {
         self.servers.remove(server);
+        self.affinity.clear(server);
+        self.rank_all();
     }
 
     /// A server is leaving: it gets no new work; what runs there goes on.
     pub fn server_leaving(&mut self, server: id::ServerKey) {
-        if let Some(state) = self.servers.get_mut(server) {
-            state.leaving = true;
+        if let Some(view) = self.servers.get_mut(server) {
+            view.leaving = true;
         }
     }
 
     /// Membership suspects a server of having failed, or no longer does.
     pub fn server_suspected(&mut self, server: id::ServerKey, suspected: bool) {
-        if let Some(state) = self.servers.get_mut(server) {
-            state.suspected = suspected;
+        if let Some(view) = self.servers.get_mut(server) {
+            view.suspected = suspected;
         }
     }
 
-    /// A load report arrived; one older than the newest is ignored.
-    pub fn server_reported(&mut self, server: id::ServerKey, report: view::LoadReport) {
-        if let Some(state) = self.servers.get_mut(server) {
-            let newer = state
-                .report
-                .is_none_or(|held| held.taken_at < report.taken_at);
-            if newer {
-                state.leaving |= report.leaving;
-                state.report = Some(report);
-            }
+    /// A server restarted: nothing that was known of its memory, cache or leaving holds.
+    pub fn server_restarted(&mut self, server: id::ServerKey, now: time::Instant) {
+        self.affinity.clear(server);
+        if let Some(view) = self.servers.get_mut(server) {
+            view.restart(now);
+        }
+    }
+
+    /// Another entry VM told of its work.
+    pub fn entry_reported(
+        &mut self,
+        vm: id::VmKey,
+        digest: share::EntryDigest,
+        taken_at: time::Instant,
+    ) {
+        self.shares.take(vm, digest, taken_at);
+    }
+
+    /// Another entry VM is gone.
+    pub fn entry_removed(&mut self, vm: id::VmKey) {
+        self.shares.remove(vm);
+    }
+
+    /// What to tell the other entry VMs of this one's work, about once a second.
+    #[must_use]
+    pub fn entry_digest(&mut self, now: time::Instant) -> share::EntryDigest {
+        self.headroom.advance(now);
+        share::EntryDigest {
+            weight: self.organisations.busy_weight() as f32,
+            backlogged: self.waiting > 0,
+            urgent: self.headroom.demand(),
+        }
+    }
+
+    /// An engine stored (`cached`) or evicted a prefix, as of `at`.
+    pub fn prefix_reported(
+        &mut self,
+        server: id::ServerKey,
+        hash: u64,
+        cached: bool,
+        at: time::Instant,
+    ) {
+        if self.settings.prefix_half_life.is_zero() {
+            return;
+        }
+        if cached {
+            self.affinity.note(hash, server, at);
+        } else {
+            self.affinity.forget(hash, server, at);
         }
     }
 
@@ -119,7 +183,7 @@
         organisation: id::OrganisationKey,
         plan: settings::OrganisationPlan,
     ) {
-        self.organisations.insert(organisation, plan);
+        self.organisations.set(organisation, plan);
     }
 
     /// An organisation is gone.
@@ -127,16 +191,76 @@
         self.organisations.remove(organisation);
     }
 
+    /// Another of an organisation's entry VMs told what it is asked for.
+    pub fn demand_reported(
+        &mut self,
+        organisation: id::OrganisationKey,
+        vm: id::VmKey,
+        demand: limit::LimitDemand,
+        taken_at: time::Instant,
+        now: time::Instant,
+    ) {
+        if self.organisations.limited(organisation) {
+            self.organisations.change(organisation, now, |account, _| {
+                account.take(vm, demand, taken_at);
+            });
+        }
+    }
+
+    /// What to tell an organisation's other entry VMs, about once a second.
+    pub fn demands(&self) -> impl Iterator<Item = (id::OrganisationKey, limit::LimitDemand)> + '_ {
+        self.organisations.demands()
+    }
+
+    /// The organisation's limit that would hold back one more request, with the time to wait.
+    ///
+    /// To be asked before deferrable work is accepted: [`Self::submit`] lets that wait for its
+    /// limit, since it may no longer be refused.
+    pub fn over_limit(
+        &mut self,
+        organisation: id::OrganisationKey,
+        now: time::Instant,
+    ) -> Option<(limit::LimitKind, time::Duration)> {
+        if !self.organisations.limited(organisation) {
+            return None;
+        }
+        self.organisations
+            .change(organisation, now, |account, plan| account.refusal(plan))
+    }
+
     /// A generation wants a place. The answer comes from [`Self::poll`].
     pub fn submit(&mut self, ask: ask::Ask, now: time::Instant) -> TicketKey {
-        let state = TicketState {
+        let source = length::LengthSource {
+            organisation: ask.organisation,
+            model: ask.model,
+            class: ask.class,
+        };
+        let histogram = self.lengths.find(source);
+        let expected = self
+            .lengths
+            .curve(source, histogram, ask.max_tokens)
+            .rest(0.0);
+        let state = ticket::TicketState {
             ask,
+            histogram,
             submitted_at: now,
-            server: None,
-            produced: 0,
+            blocked_at: None,
+            wait: WaitCause::None,
+            expected,
+            run: None,
         };
         let ticket = self.tickets.insert(state);
-        self.queues[ask.class.index()].push_back(ticket);
+        match self.refusal(ticket, now) {
+            Some((reason, retry_after)) => {
+                self.tickets.remove(ticket);
+                self.refusals.push(Decision::Refuse {
+                    ticket,
+                    reason,
+                    retry_after,
+                });
+            }
+            None => self.enqueue(ticket, ask.retry, now),
+        }
         ticket
     }
 
@@ -145,120 +269,272 @@
         self.tokens(ticket, 1, now);
     }
 
-    /// `count` further tokens arrived.
-    pub fn tokens(&mut self, ticket: TicketKey, count: u32, _now: time::Instant) {
-        if let Some(state) = self.tickets.get_mut(ticket) {
-            state.produced += count;
+    /// `count` further tokens arrived, the first included.
+    pub fn tokens(&mut self, ticket: TicketKey, count: u32, now: time::Instant) {
+        let Some(state) = self.tickets.get_mut(ticket) else {
+            return;
+        };
+        let Some(run) = &mut state.run else { return };
+        let first = run.produced == 0;
+        run.produced += count;
+        let gap = now.saturating_duration_since(run.heard_at).as_secs_f32();
+        run.heard_at = now;
+        let (run, place) = (*run, run.server);
+        if let Some(server) = self.servers.get_mut(place) {
+            if first {
+                server.first_token(run.prefill, now);
+            } else {
+                server.stepped(gap / count.max(1) as f32, now);
+            }
+        }
+        if first {
+            self.learn_prefill(&run, gap);
+        }
+        if run.produced - run.loaded_at >= RELOAD_TOKENS {
+            self.reload(ticket);
+        }
+    }
+
+    /// The engine showed that the generation lives, without a token.
+    pub fn alive(&mut self, ticket: TicketKey, now: time::Instant) {
+        let run = self.tickets.get(ticket).and_then(|state| state.run);
+        if let Some(server) = run.and_then(|run| self.servers.get_mut(run.server)) {
+            server.heard_at = now;
+        }
+    }
+
+    /// An engine told at a generation's end how many of its prompt's tokens were cached.
+    pub fn cached(&mut self, ticket: TicketKey, tokens: u32) {
+        if let Some(run) = self.tickets.get(ticket).and_then(|state| state.run) {
+            self.affinity.learn(run.believed, tokens);
         }
     }
 
     /// It ended by itself, with `produced` tokens in all.
-    pub fn finished(&mut self, ticket: TicketKey, _produced: u32, _now: time::Instant) {
-        self.release(ticket);
+    pub fn finished(&mut self, ticket: TicketKey, produced: u32, now: time::Instant) {
+        if let Some(state) = self.tickets.get(ticket) {
+            let source = state.source();
+            if state.ask.class == class::TrafficClass::Urgent {
+                self.headroom
+                    .learn((state.ask.prompt_tokens + produced) as f32);
+            }
+            self.lengths.learn(source, produced);
+        }
+        self.release(ticket, produced, now);
     }
 
     /// It failed where it ran; the ticket is gone.
-    pub fn failed(&mut self, ticket: TicketKey, _failure: ask::FailureKind, _now: time::Instant) {
-        self.release(ticket);
+    pub fn failed(&mut self, ticket: TicketKey, failure: ask::FailureKind, now: time::Instant) {
+        let Some(state) = self.tickets.get(ticket) else {
+            return;
+        };
+        let Some(run) = state.run else {
+            return self.withdrawn(ticket, now);
+        };
+        if let Some(server) = self.servers.get_mut(run.server) {
+            server.fail(failure.weight(), now);
+        }
+        self.release(ticket, run.produced, now);
     }
 
     /// Its caller gave it up; the ticket is gone.
-    pub fn withdrawn(&mut self, ticket: TicketKey, _now: time::Instant) {
-        self.release(ticket);
+    pub fn withdrawn(&mut self, ticket: TicketKey, now: time::Instant) {
+        let Some(state) = self.tickets.get(ticket) else {
+            return;
+        };
+        if let Some(run) = state.run {
+            return self.release(ticket, run.produced, now);
+        }
+        let ask = state.ask;
+        if let Some(fleet) = self.models.get_mut(ask.model)
+            && fleet.queue(ask.class).remove(ask.organisation, ticket)
+        {
+            self.waiting -= 1;
+        }
+        self.tickets.remove(ticket);
+        self.organisations
+            .change(ask.organisation, now, |account, _| {
+                account.waiting = account.waiting.saturating_sub(1);
+            });
     }
 
     /// A stopped generation waits again, ahead of its organisation's others.
-    pub fn requeued(&mut self, ticket: TicketKey, _now: time::Instant) {
-        self.leave_server(ticket);
-        if let Some(state) = self.tickets.get_mut(ticket) {
-            state.produced = 0;
-            self.queues[state.ask.class.index()].push_front(ticket);
+    pub fn requeued(&mut self, ticket: TicketKey, now: time::Instant) {
+        let produced = self
+            .tickets
+            .get(ticket)
+            .and_then(|state| state.run)
+            .map(|run| run.produced);
+        if let Some(produced) = produced {
+            self.vacate(ticket, produced, now);
+            self.enqueue(ticket, true, now);
         }
     }
 
     /// When [`Self::poll`] is due if nothing else happens; absent when nothing waits.
     #[must_use]
     pub fn next_wake(&self, now: time::Instant) -> Option<time::Instant> {
-        let waits = self.queues.iter().any(|queue| !queue.is_empty());
-        waits.then(|| now + self.settings.poll_interval)
-    }
-
-    /// Appends what is to be done now.
-    pub fn poll(&mut self, now: time::Instant, decisions: &mut Vec<Decision>) {
-        for class in base::class::TrafficClass::ALL {
-            while let Some(ticket) = self.queues[class.index()].front().copied() {
-                let Some(decision) = self.decide(ticket, now) else {
-                    break;
-                };
-                self.queues[class.index()].pop_front();
-                decisions.extend(decision);
+        let told = !self.refusals.is_empty();
+        let interval = if told {
+            time::Duration::ZERO
+        } else {
+            self.settings.poll_interval
+        };
+        let due = told || self.waiting > 0 || !self.reported.is_empty();
+        due.then(|| now + interval)
+    }
+
+    /// Requests that wait for a place.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Requests that wait, with those that run.
+    #[must_use]
+    pub fn tickets(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// What is known of a server.
+    #[must_use]
+    pub fn server(&self, server: id::ServerKey) -> Option<&view::ServerView> {
+        self.servers.get(server)
+    }
+
+    /// What a waiting request last waited for.
+    #[must_use]
+    pub fn wait_cause(&self, ticket: TicketKey) -> Option<WaitCause> {
+        let state = self.tickets.get(ticket)?;
+        state.run.is_none().then_some(state.wait)
+    }
+
+    fn learn_prefill(&mut self, run: &ticket::RunState, delay: f32) {
+        let Some(server) = self.servers.get(run.server) else {
+            return;
+        };
+        let time = delay - server.step;
+        // Where others' work was in the way, or the prompt is small, the delay tells little.
+        if run.prefill >= 128.0 && time > 1e-3 {
+            let rate = (run.prefill / time).clamp(200.0, 200_000.0);
+            self.prefill_rate += PREFILL_WEIGHT * (rate - self.prefill_rate);
+        }
+    }
+
+    /// Works out anew what a running generation holds and will hold.
+    fn reload(&mut self, ticket: TicketKey) {
+        let state = &self.tickets[ticket];
+        let Some(run) = state.run else { return };
+        let curve = self
+            .lengths
+            .curve(state.source(), state.histogram, state.ask.max_tokens);
+        let context = (state.ask.prompt_tokens + run.produced) as f32;
+        let urgent = state.ask.class == class::TrafficClass::Urgent;
+        if let Some(server) = self.servers.get_mut(run.server) {
+            let load =
+                risk::MemoryLoad::of(&curve, context + server.rounding(), run.produced as f32);
+            server.reload(&run.load, &load, run.started_at, urgent);
+            if let Some(run) = &mut self.tickets[ticket].run {
+                run.load = load;
+                run.loaded_at = run.produced;
             }
         }
     }
 
-    /// Nothing: it waits on. Some of nothing: it is gone.
-    fn decide(&mut self, ticket: TicketKey, now: time::Instant) -> Option<Option<Decision>> {
-        let Some(state) = self.tickets.get(ticket) else {
-            return Some(None);
-        };
-        if state.ask.deadline.is_some_and(|deadline| deadline <= now) {
-            self.tickets.remove(ticket);
-            return Some(Some(Decision::Refuse {
-                ticket,
-                reason: explain::RefusalReason::Deadline,
-                retry_after: Some(Duration::from_secs(1)),
-            }));
+    /// Puts a ticket that does not run into its queue.
+    fn enqueue(&mut self, ticket: TicketKey, in_front: bool, now: time::Instant) {
+        let state = &self.tickets[ticket];
+        let (ask, cost) = (state.ask, state.cost());
+        let weight = self.organisations.weight(ask.organisation);
+        let queued = queue::QueuedTicket { ticket, cost };
+        self.fleet(ask.model, now).queue(ask.class).push(
+            ask.organisation,
+            weight,
+            queued,
+            in_front,
+        );
+        self.waiting += 1;
+        if let Some(deadline) = ask.deadline {
+            self.deadlines.push(cmp::Reverse((deadline, ticket)));
         }
-        let (ask, submitted_at) = (state.ask, state.submitted_at);
-        let server = self.roomiest(&ask)?;
-        let why = explain::DispatchReason {
-            cause: explain::ChoiceCause::Soonest,
-            wait: explain::WaitCause::None,
-            waited: now.duration_since(submitted_at),
-            candidates: 1,
-            overflow_permille: 0,
-            first_token: Duration::ZERO,
-            cached_tokens: 0,
-            report_age: Duration::ZERO,
+        self.organisations
+            .change(ask.organisation, now, |account, _| {
+                if in_front {
+                    account.waiting += 1;
+                } else {
+                    account.accept();
+                }
+            });
+    }
+
+    fn release(&mut self, ticket: TicketKey, produced: u32, now: time::Instant) {
+        self.vacate(ticket, produced, now);
+        self.tickets.remove(ticket);
+    }
+
+    /// Takes a running ticket off its server, after `produced` tokens.
+    fn vacate(&mut self, ticket: TicketKey, produced: u32, now: time::Instant) {
+        let Some(state) = self.tickets.get_mut(ticket) else {
+            return;
         };
-        let priority = ask.class.index() as u8;
-        self.tickets[ticket].server = Some(server);
-        self.servers[server].own_running += 1;
-        Some(Some(Decision::Dispatch {
-            ticket,
-            server,
-            priority,
-            why,
-        }))
-    }
-
-    fn roomiest(&mut self, ask: &ask::Ask) -> Option<id::ServerKey> {
-        let rng = &mut self.rng;
-        self.servers
-            .iter()
-            .filter(|(key, state)| {
-                !state.leaving
-                    && !state.suspected
-                    && !ask.avoid.contains(*key)
-                    && state.spec.models.contains(&ask.model)
-                    && state.own_running < state.spec.max_batch
-            })
-            .min_by_key(|(_, state)| (state.own_running, rng.next_u32()))
-            .map(|(key, _)| key)
-    }
-
-    fn leave_server(&mut self, ticket: TicketKey) {
-        let server = self
-            .tickets
-            .get_mut(ticket)
-            .and_then(|state| state.server.take());
-        if let Some(state) = server.and_then(|server| self.servers.get_mut(server)) {
-            state.own_running -= 1;
+        let Some(run) = state.run.take() else { return };
+        let (ask, excess) = (state.ask, f64::from(produced) - f64::from(state.expected));
+        let urgent = ask.class == class::TrafficClass::Urgent;
+        if urgent {
+            self.headroom.change(-1.0, now);
+        }
+        if let Some(server) = self.servers.get_mut(run.server) {
+            server.end(&run, urgent, now);
+            if let Some(&moved) = server.tickets.get(run.place)
+                && let Some(moved) = self
+                    .tickets
+                    .get_mut(moved)
+                    .and_then(|state| state.run.as_mut())
+            {
+                moved.place = run.place;
+            }
         }
+        if let Some(fleet) = self.models.get_mut(ask.model) {
+            fleet.queue(ask.class).correct(ask.organisation, excess);
+        }
+        self.organisations
+            .change(ask.organisation, now, |account, _| account.end(excess));
     }
 
-    fn release(&mut self, ticket: TicketKey) {
-        self.leave_server(ticket);
-        self.tickets.remove(ticket);
+    pub(crate) fn fleet(
+        &mut self,
+        model: id::ModelKey,
+        now: time::Instant,
+    ) -> &mut fleet::ModelFleet {
+        if !self.models.contains_key(model) {
+            let rest = self.lengths.rest(model);
+            self.models.insert(model, fleet::ModelFleet::new(rest, now));
+        }
+        &mut self.models[model]
+    }
+
+    /// Why `ticket` is refused at its submission, with when to come back.
+    fn refusal(
+        &mut self,
+        ticket: TicketKey,
+        now: time::Instant,
+    ) -> Option<(RefusalReason, Option<time::Duration>)> {
+        let state = &self.tickets[ticket];
+        let (ask, expected) = (state.ask, f64::from(state.expected));
+        let limited = !ask.retry && self.organisations.limited(ask.organisation);
+        if limited {
+            let refusal = self
+                .organisations
+                .change(ask.organisation, now, |account, plan| {
+                    account.asked(expected);
+                    account.refusal(plan)
+                });
+            if let Some((kind, delay)) = refusal
+                && ask.class != class::TrafficClass::Deferrable
+            {
+                return Some((kind.reason(), Some(delay)));
+            }
+        }
+        self.hopeless(&ask, now)
     }
 }
--- /dev/null
+++ b/crates/sched/src/dispatch.rs
@@ -0,0 +1,404 @@
+//! Serving the queues: who is next, whether there is room, and where.
+
+use std::cmp;
+
+use base::{class, id};
+use tokio::time;
+
+use crate::{
+    ask::TicketKey,
+    core::DispatchCore,
+    explain::{self, Decision, WaitCause},
+    fleet::HeldServer,
+    queue, risk, room, route, ticket, victim, view,
+};
+
+/// Horizons at which a victim is looked for: memory that runs out later may yet come free.
+const VICTIM_HORIZONS: usize = 2;
+
+/// What became of the front of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServeOutcome {
+    /// One was dispatched, with this cost in whole tokens.
+    Served(u64),
+    /// One was set aside or dropped; look again.
+    Skipped,
+    /// None of the first few finds room.
+    Blocked,
+    /// Nothing waits.
+    Empty,
+}
+
+impl DispatchCore {
+    /// Appends what is to be done now.
+    pub fn poll(&mut self, now: time::Instant, decisions: &mut Vec<Decision>) {
+        self.upkeep(now);
+        decisions.append(&mut self.refusals);
+        self.expire(now, decisions);
+        self.find_victims(now, decisions);
+        if self.waiting == 0 {
+            return;
+        }
+        // Indexed by raw key list would allocate; a model that nothing waits for costs one test.
+        let mut next = self.models.keys().next();
+        while let Some(model) = next {
+            self.serve_model(model, now, decisions);
+            next = self.models.keys().skip_while(|key| *key != model).nth(1);
+        }
+    }
+
+    /// Refuses what waited beyond its deadline.
+    fn expire(&mut self, now: time::Instant, decisions: &mut Vec<Decision>) {
+        while let Some(&cmp::Reverse((deadline, ticket))) = self.deadlines.peek() {
+            let waits = self
+                .tickets
+                .get(ticket)
+                .is_some_and(|state| state.run.is_none());
+            if waits && deadline > now {
+                return;
+            }
+            self.deadlines.pop();
+            if !waits {
+                continue;
+            }
+            let state = &self.tickets[ticket];
+            let (ask, wait) = (state.ask, state.wait);
+            let predicted = self.predicted_wait(&ask, now);
+            self.withdrawn(ticket, now);
+            let reason = match wait {
+                WaitCause::Limit => explain::RefusalReason::Concurrency,
+                WaitCause::Server => explain::RefusalReason::NoServer,
+                _ => explain::RefusalReason::Deadline,
+            };
+            let retry_after = Some(Self::come_back(predicted, 0.0));
+            decisions.push(Decision::Refuse {
+                ticket,
+                reason,
+                retry_after,
+            });
+        }
+    }
+
+    fn serve_model(
+        &mut self,
+        model: id::ModelKey,
+        now: time::Instant,
+        decisions: &mut Vec<Decision>,
+    ) {
+        use class::TrafficClass::{Deferrable, Normal, Urgent};
+        if self.models[model]
+            .queues
+            .iter()
+            .all(queue::FairQueue::is_empty)
+        {
+            return;
+        }
+        self.unpark(model, now);
+        while let ServeOutcome::Served(_) | ServeOutcome::Skipped =
+            self.serve(model, Urgent, now, decisions)
+        {}
+        loop {
+            let due = self.deferrable_due(model);
+            let first = if due { Deferrable } else { Normal };
+            let second = if due { Normal } else { Deferrable };
+            let mut outcome = self.serve(model, first, now, decisions);
+            let mut class = first;
+            if matches!(outcome, ServeOutcome::Blocked | ServeOutcome::Empty) {
+                outcome = self.serve(model, second, now, decisions);
+                class = second;
+            }
+            match outcome {
+                ServeOutcome::Served(cost) => self.settle_credit(model, class, cost as f64),
+                ServeOutcome::Skipped => {}
+                ServeOutcome::Blocked | ServeOutcome::Empty => return,
+            }
+        }
+    }
+
+    /// Whether deferrable work is owed its part before more normal work is served.
+    fn deferrable_due(&self, model: id::ModelKey) -> bool {
+        let fleet = &self.models[model];
+        let front = fleet.queues[class::TrafficClass::Deferrable.index()].front();
+        front.is_some_and(|front| fleet.credit >= front.cost)
+    }
+
+    fn settle_credit(&mut self, model: id::ModelKey, class: class::TrafficClass, cost: f64) {
+        let floor = self.settings.deferrable_floor;
+        let fleet = &mut self.models[model];
+        let queue = &fleet.queues[class::TrafficClass::Deferrable.index()];
+        let Some(front) = queue.front() else {
+            fleet.credit = 0.0;
+            return;
+        };
+        match class {
+            class::TrafficClass::Deferrable => fleet.credit = (fleet.credit - cost).max(0.0),
+            _ => {
+                let earned = cost * floor / (1.0 - floor).max(1e-3);
+                fleet.credit = (fleet.credit + earned).min(2.0 * front.cost);
+            }
+        }
+    }
+
+    fn unpark(&mut self, model: id::ModelKey, now: time::Instant) {
+        let organisations = &mut self.organisations;
+        for queue in &mut self.models[model].queues {
+            queue.unpark(|organisation| organisations.may_start(organisation, now));
+        }
+    }
+
+    /// Serves one of the first few of a queue.
+    fn serve(
+        &mut self,
+        model: id::ModelKey,
+        class: class::TrafficClass,
+        now: time::Instant,
+        decisions: &mut Vec<Decision>,
+    ) -> ServeOutcome {
+        let mut fronts = [queue::QueuedTicket::default(); queue::MOST_FRONTS];
+        let count = self.models[model].queue(class).fronts(&mut fronts);
+        for (place, front) in fronts[..count].iter().enumerate() {
+            let organisation = self.tickets[front.ticket].ask.organisation;
+            if !self.organisations.may_start(organisation, now) {
+                self.tickets[front.ticket].wait = WaitCause::Limit;
+                self.models[model].queue(class).park(organisation);
+                return ServeOutcome::Skipped;
+            }
+            match self.place(front.ticket, now) {
+                Ok((choice, load, chance)) => {
+                    self.models[model].queue(class).take(organisation);
+                    self.models[model].drains[class.index()].served(front.cost, now);
+                    decisions.push(self.start(front.ticket, &choice, &load, chance, now));
+                    return ServeOutcome::Served(front.cost as u64);
+                }
+                Err(wait) => {
+                    let state = &mut self.tickets[front.ticket];
+                    state.wait = wait;
+                    if place == 0 {
+                        self.hold(front.ticket, now);
+                    }
+                }
+            }
+        }
+        if count == 0 {
+            ServeOutcome::Empty
+        } else {
+            ServeOutcome::Blocked
+        }
+    }
+
+    /// Keeps an engine for a front that found no room for long: else smaller requests behind it
+    /// would take each bit of room that comes free, and it would never be served.
+    fn hold(&mut self, ticket: TicketKey, now: time::Instant) {
+        let state = &mut self.tickets[ticket];
+        let since = *state.blocked_at.get_or_insert(now);
+        let ask = state.ask;
+        let waited = now.saturating_duration_since(since) >= self.settings.hold_after;
+        let fleet = &mut self.models[ask.model];
+        let taken = fleet
+            .held
+            .is_some_and(|held| self.tickets.contains_key(held.ticket));
+        if !waited || taken || ask.class == class::TrafficClass::Urgent {
+            return;
+        }
+        let servers = &self.servers;
+        let fullness = |key: &id::ServerKey| {
+            let server = servers
+                .get(*key)
+                .filter(|server| route::healthy(server, now))?;
+            Some(server.whole(now).mean[2] / server.capacity())
+        };
+        let emptiest = fleet
+            .near
+            .iter()
+            .filter_map(|key| fullness(key).map(|full| (full, *key)))
+            .min_by(|left, right| left.0.total_cmp(&right.0));
+        fleet.held = emptiest.map(|(_, server)| HeldServer { ticket, server });
+    }
+
+    /// Where a waiting ticket may go now, what it adds there, and the chance of running out.
+    fn place(
+        &mut self,
+        ticket: TicketKey,
+        now: time::Instant,
+    ) -> Result<(route::RouteChoice, risk::MemoryLoad, f32), WaitCause> {
+        let state = &self.tickets[ticket];
+        let (ask, submitted_at) = (state.ask, state.submitted_at);
+        let fleet = &self.models[ask.model];
+        let first = fleet.near.first().or(fleet.far.first());
+        let rounding = first
+            .and_then(|key| self.servers.get(*key))
+            .map_or(0.0, |server| server.rounding());
+        let histogram = self.lengths.find(state.source());
+        let curve = self
+            .lengths
+            .curve(state.source(), histogram, ask.max_tokens);
+        let load = risk::MemoryLoad::of(&curve, ask.prompt_tokens as f32 + rounding, 0.0);
+        let terms = self.terms(&ask, fleet);
+        let held = fleet
+            .held
+            .filter(|held| held.ticket != ticket)
+            .map(|held| held.server);
+        let urgent = ask.class == class::TrafficClass::Urgent;
+        let query = route::RouteQuery {
+            ask: &ask,
+            load: &load,
+            terms: &terms,
+            held: held.filter(|_| !urgent),
+            prefill_rate: self.prefill_rate,
+            beyond: false,
+        };
+        let context = route::RouteContext {
+            servers: &self.servers,
+            affinity: &self.affinity,
+            settings: &self.settings,
+            now,
+        };
+        let mut found = context.choose(&fleet.near, &query, &mut self.rng);
+        let waited = now.saturating_duration_since(submitted_at);
+        let spills = urgent || waited >= self.settings.spill_after;
+        if found.is_err() && spills && !fleet.far.is_empty() {
+            let spilt = context.choose(&fleet.far, &query, &mut self.rng);
+            found = spilt
+                .map(|choice| route::RouteChoice {
+                    cause: explain::ChoiceCause::RegionSpill,
+                    ..choice
+                })
+                .or(found);
+        }
+        if urgent && found.is_err() {
+            let query = route::RouteQuery {
+                beyond: true,
+                ..query
+            };
+            found = context.choose(&fleet.near, &query, &mut self.rng);
+        }
+        let choice = found?;
+        let server = &self.servers[choice.server];
+        let mut whole = server.whole(now);
+        whole.add(&load);
+        let chance = risk::overflow_chance(&whole, server.capacity());
+        self.tickets[ticket].histogram = histogram;
+        Ok((choice, load, chance))
+    }
+
+    /// Bounds on the admission of `ask`.
+    fn terms(&self, ask: &crate::ask::Ask, fleet: &crate::fleet::ModelFleet) -> room::RoomTerms {
+        let deviations = risk::deviations(self.settings.overflow_chance(ask.class));
+        let weight = self.organisations.busy_weight() as f32;
+        let urgent = ask.class == class::TrafficClass::Urgent;
+        let (mut slots, mut tokens) = (0.0, 0.0);
+        if !urgent {
+            let demand = self.headroom.demand() + self.shares.others_urgent();
+            let spread = self.settings.headroom_deviations * demand.sqrt();
+            // What urgent work uses now is in the loads already; own demand that is idle is not.
+            let engines = fleet.engines.max(1) as f32;
+            slots = (self.headroom.idle() + spread) / engines;
+            tokens = slots * self.headroom.tokens();
+        }
+        room::RoomTerms {
+            deviations,
+            reserved_tokens: tokens,
+            reserved_slots: slots,
+            share: self.shares.share(weight, fleet.used_part()),
+            reuse: self.settings.reuse,
+            shared: self.settings.share_room && !urgent,
+        }
+    }
+
+    fn start(
+        &mut self,
+        ticket: TicketKey,
+        choice: &route::RouteChoice,
+        load: &risk::MemoryLoad,
+        chance: f32,
+        now: time::Instant,
+    ) -> Decision {
+        self.waiting -= 1;
+        let state = &mut self.tickets[ticket];
+        let (ask, expected) = (state.ask, f64::from(state.expected));
+        let urgent = ask.class == class::TrafficClass::Urgent;
+        let server = &mut self.servers[choice.server];
+        let place = server.start(ticket, load, choice.prefill, urgent, now);
+        state.run = Some(ticket::RunState {
+            server: choice.server,
+            place,
+            started_at: now,
+            load: *load,
+            produced: 0,
+            loaded_at: 0,
+            heard_at: now,
+            believed: choice.cached,
+            prefill: choice.prefill,
+            stopping: false,
+        });
+        let why = explain::DispatchReason {
+            cause: choice.cause,
+            wait: state.wait,
+            waited: now.saturating_duration_since(state.submitted_at),
+            candidates: choice.candidates,
+            overflow_permille: (chance * 1_000.0) as u16,
+            first_token: time::Duration::from_secs_f32(choice.first_token.max(0.0)),
+            cached_tokens: choice.cached,
+            report_age: server.report_age(now).unwrap_or_default(),
+        };
+        let fleet = &mut self.models[ask.model];
+        if fleet.held.is_some_and(|held| held.ticket == ticket) {
+            fleet.held = None;
+        }
+        if urgent {
+            self.headroom.change(1.0, now);
+        }
+        if !self.settings.prefix_half_life.is_zero() {
+            for prefix in ask.prefix.hashes() {
+                self.affinity.note(prefix.hash, choice.server, now);
+            }
+        }
+        self.organisations
+            .change(ask.organisation, now, |account, _| account.start(expected));
+        let (server, priority) = (choice.server, view::ServerView::priority(ask.class));
+        Decision::Dispatch {
+            ticket,
+            server,
+            priority,
+            why,
+        }
+    }
+
+    /// Stops something on servers that were reported to run out of memory.
+    fn find_victims(&mut self, now: time::Instant, decisions: &mut Vec<Decision>) {
+        while let Some(key) = self.reported.pop() {
+            let Some(server) = self.servers.get(key) else {
+                continue;
+            };
+            let whole = server.whole(now);
+            let capacity = server.capacity();
+            let mut chance = 0.0f32;
+            for place in 0..VICTIM_HORIZONS {
+                let deviation = whole.variance[place].sqrt().max(1.0);
+                let room = capacity - whole.mean[place];
+                chance = chance.max(risk::tail_chance(room / deviation));
+            }
+            if chance < self.settings.victim_chance {
+                continue;
+            }
+            let own = server.tickets.iter();
+            let running = own.filter_map(|ticket| Some((*ticket, self.tickets.get(*ticket)?)));
+            let Some((ticket, lost_tokens)) = victim::choose(running) else {
+                continue;
+            };
+            if let Some(run) = &mut self.tickets[ticket].run {
+                run.stopping = true;
+            }
+            let overflow_permille = (chance * 1_000.0) as u16;
+            let why = explain::PreemptReason {
+                overflow_permille,
+                lost_tokens,
+            };
+            decisions.push(Decision::Preempt {
+                ticket,
+                server: key,
+                why,
+            });
+        }
+    }
+}
--- a/crates/sched/src/driver.rs
+++ b/crates/sched/src/driver.rs
@@ -287,6 +287,21 @@
             .tokens(self.guard.ticket, count, now);
     }
 
+    /// Tells the core that the engine showed a sign of life without a token, such as a ping.
+    pub fn alive(&self) {
+        let now = time::Instant::now();
+        self.guard.shared.lock().core.alive(self.guard.ticket, now);
+    }
+
+    /// Tells the core how many of the prompt's tokens the engine found in its cache.
+    pub fn cached(&self, tokens: u32) {
+        self.guard
+            .shared
+            .lock()
+            .core
+            .cached(self.guard.ticket, tokens);
+    }
+
     /// Completes when the generation is to be stopped and started again later: cancel it on its
     /// server, then call [`Self::requeue`].
     pub async fn preempted(&mut self) -> explain::PreemptReason {
--- a/crates/sched/src/explain.rs
+++ b/crates/sched/src/explain.rs
@@ -24,23 +24,24 @@
     RegionSpill,
 }
 
-/// What a waiting request waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What a waiting request waits for. When servers lack different things, the greatest is told:
+/// the one that comes nearest to having room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WaitCause {
     /// It did not wait.
     None,
-    /// Engine memory: admitting it would pass its class's bound on running out.
-    Memory,
+    /// No server that serves the model is in health, or an earlier try went to each.
+    Server,
     /// The engines' batches are full.
     Batch,
-    /// Its organisation was over its fair share.
+    /// Engine memory: admitting it would pass its class's bound on running out.
+    Memory,
+    /// Room was kept for urgent work.
+    Headroom,
+    /// There is room, but this entry VM has taken its share of it until the next report.
     Share,
     /// Its organisation had reached a limit.
     Limit,
-    /// Room was kept for urgent work.
-    Headroom,
-    /// No server serves the model.
-    Server,
 }
 
 /// Why a request went to its server.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -3,9 +3,24 @@
 //! [`core::DispatchCore`] decides without I/O, clock or random source of its own;
 //! [`driver::Driver`] runs it on the runtime's clock for the request plane.
 
+pub mod affinity;
 pub mod ask;
 pub mod core;
+mod dispatch;
 pub mod driver;
 pub mod explain;
+pub mod fleet;
+pub mod headroom;
+pub mod length;
+pub mod limit;
+pub mod organisation;
+pub mod queue;
+pub mod risk;
+pub mod room;
+pub mod route;
 pub mod settings;
+pub mod share;
+pub mod ticket;
+mod upkeep;
+pub mod victim;
 pub mod view;
--- /dev/null
+++ b/crates/sched/src/risk.rs
@@ -0,0 +1,115 @@
+//! Memory at risk: how full an engine will be, as mean and variance at a few distances ahead.
+//!
+//! A generation that holds `c` tokens now and still runs after `d` further steps holds `c + d`
+//! then; one that has ended holds nothing. The chance that it still runs comes from its length
+//! curve, given how far it has come. Summing the final sizes instead would count as if all
+//! reached their end at once, and would leave a third of the memory unused.
+
+use crate::length;
+
+/// Distances ahead at which memory is looked at, in tokens of each generation.
+pub const HORIZONS: [f32; 5] = [0.0, 64.0, 256.0, 1_024.0, 3_072.0];
+
+/// One value at each of [`HORIZONS`].
+pub type HorizonRow = [f32; HORIZONS.len()];
+
+/// Expected memory in tokens and its variance, at each horizon.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MemoryLoad {
+    /// Expected tokens held.
+    pub mean: HorizonRow,
+    /// Variance of that.
+    pub variance: HorizonRow,
+}
+
+impl MemoryLoad {
+    /// What one generation adds that holds `context` tokens and has come to `produced`.
+    #[must_use]
+    pub fn of(curve: &length::LengthCurve<'_>, context: f32, produced: f32) -> Self {
+        let mut load = Self::default();
+        let alive = curve.beyond(produced).max(1e-6);
+        for (place, distance) in HORIZONS.into_iter().enumerate() {
+            let chance = if distance == 0.0 {
+                1.0
+            } else {
+                (curve.beyond(produced + distance) / alive).min(1.0)
+            };
+            let size = context + distance;
+            load.mean[place] = chance * size;
+            load.variance[place] = chance * (1.0 - chance) * size * size;
+        }
+        load
+    }
+
+    /// Adds another load.
+    pub fn add(&mut self, other: &Self) {
+        for place in 0..HORIZONS.len() {
+            self.mean[place] += other.mean[place];
+            self.variance[place] += other.variance[place];
+        }
+    }
+
+    /// Takes away a load that was added; rounding never leaves a negative rest.
+    pub fn subtract(&mut self, other: &Self) {
+        for place in 0..HORIZONS.len() {
+            self.mean[place] = (self.mean[place] - other.mean[place]).max(0.0);
+            self.variance[place] = (self.variance[place] - other.variance[place]).max(0.0);
+        }
+    }
+}
+
+/// Deviations from the mean that are exceeded with `chance`, for a normal distribution.
+///
+/// Rational approximation of the inverse normal tail, exact to 0.0005 (Abramowitz and Stegun,
+/// 26.2.23).
+#[must_use]
+pub fn deviations(chance: f64) -> f32 {
+    let chance = chance.clamp(1e-9, 1.0 - 1e-9);
+    let tail = chance.min(1.0 - chance);
+    let root = (-2.0 * tail.ln()).sqrt();
+    let numerator = 0.010_328f64
+        .mul_add(root, 0.802_853)
+        .mul_add(root, 2.515_517);
+    let denominator = 0.001_308f64
+        .mul_add(root, 0.189_269)
+        .mul_add(root, 1.432_788)
+        .mul_add(root, 1.0);
+    let value = (root - numerator / denominator) as f32;
+    if chance <= 0.5 { value } else { -value }
+}
+
+/// Chance that a normal distribution exceeds its mean by `deviations`.
+#[must_use]
+pub fn tail_chance(deviations: f32) -> f32 {
+    let distance = deviations.abs();
+    let step = 1.0 / 0.231_641_9f32.mul_add(distance, 1.0);
+    let density = 0.398_942_3 * (-distance * distance / 2.0).exp();
+    let sum = 1.330_274f32
+        .mul_add(step, -1.821_256)
+        .mul_add(step, 1.781_478)
+        .mul_add(step, -0.356_563_8)
+        .mul_add(step, 0.319_381_5);
+    let tail = density * step * sum;
+    if deviations >= 0.0 { tail } else { 1.0 - tail }
+}
+
+/// Chance that `load` exceeds `capacity` tokens at some horizon.
+#[must_use]
+pub fn overflow_chance(load: &MemoryLoad, capacity: f32) -> f32 {
+    let mut worst = 0.0f32;
+    for place in 0..HORIZONS.len() {
+        let room = capacity - load.mean[place];
+        let deviation = load.variance[place].sqrt().max(1.0);
+        worst = worst.max(tail_chance(room / deviation));
+    }
+    worst
+}
+
+/// Whether `load` stays within `capacity` at every horizon, by `deviations` of its spread.
+#[must_use]
+pub fn fits(load: &MemoryLoad, capacity: f32, deviations: f32) -> bool {
+    (0..HORIZONS.len()).all(|place| {
+        let needed = deviations.mul_add(load.variance[place].sqrt(), load.mean[place]);
+        needed <= capacity
+    })
+}
--- /dev/null
+++ b/crates/sched/src/route.rs
@@ -0,0 +1,245 @@
+//! Choice of a server among candidates: predicted time to first token, memory and batch, cached
+//! prefixes, recent failures; at random among the near-best, so that many entry VMs that read
+//! the same lagged report do not all choose the same server.
+
+use base::id;
+use rand::Rng;
+use tokio::time;
+
+use crate::{affinity, ask, explain, risk, room, settings, view};
+
+/// Most candidates compared in one decision.
+pub const MOST_CANDIDATES: usize = 64;
+
+/// A server that shows nothing for this many steps is taken to be in trouble.
+const SILENT_STEPS: f32 = 25.0;
+
+/// The same in seconds, at least.
+const SILENT_SECONDS: f32 = 0.75;
+
+/// Faded failures above this keep a server out; below it and above [`PROBED`] it gets one
+/// generation at a time.
+const SHUNNED: f32 = 0.5;
+
+/// Faded failures below this count for nothing.
+const PROBED: f32 = 0.05;
+
+/// What a choice is made for.
+#[derive(Debug)]
+pub struct RouteQuery<'a> {
+    /// What is to be placed.
+    pub ask: &'a ask::Ask,
+    /// What it would add to a server's memory.
+    pub load: &'a risk::MemoryLoad,
+    /// Bounds on each server.
+    pub terms: &'a room::RoomTerms,
+    /// Kept for another request; not to be chosen.
+    pub held: Option<id::ServerKey>,
+    /// Learnt rate at which engines take in prompts, in tokens a second.
+    pub prefill_rate: f32,
+    /// Whether it may go beyond a server's room, as urgent work may.
+    pub beyond: bool,
+}
+
+/// A chosen server.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteChoice {
+    /// Where to.
+    pub server: id::ServerKey,
+    /// What decided.
+    pub cause: explain::ChoiceCause,
+    /// Servers that had room.
+    pub candidates: u16,
+    /// Predicted time to first token, in seconds.
+    pub first_token: f32,
+    /// Tokens believed to be cached there.
+    pub cached: u32,
+    /// Prompt tokens that it has to take in.
+    pub prefill: f32,
+}
+
+#[derive(Clone, Copy)]
+struct ScoredServer {
+    server: id::ServerKey,
+    score: f32,
+    first_token: f32,
+    prefix: affinity::PrefixBelief,
+}
+
+/// What choices are made by.
+#[derive(Debug)]
+pub struct RouteContext<'a> {
+    /// All servers.
+    pub servers: &'a slotmap::SecondaryMap<id::ServerKey, view::ServerView>,
+    /// Cached prefixes.
+    pub affinity: &'a affinity::AffinityTable,
+    /// Weights.
+    pub settings: &'a settings::PolicySettings,
+    /// The time of the decision.
+    pub now: time::Instant,
+}
+
+/// Whether a server may get new work at all, as far as its health goes.
+#[must_use]
+pub fn healthy(server: &view::ServerView, now: time::Instant) -> bool {
+    if server.leaving || server.suspected {
+        return false;
+    }
+    let failure = server.failure(now);
+    if failure > SHUNNED || (failure > PROBED && server.unstarted > 0) {
+        return false;
+    }
+    let silence = now.saturating_duration_since(server.heard_at).as_secs_f32();
+    let silent = silence > SILENT_SECONDS.max(SILENT_STEPS * server.step);
+    !(silent && server.own.running >= 1.0)
+}
+
+impl RouteContext<'_> {
+    /// The choice among `candidates`.
+    ///
+    /// # Errors
+    ///
+    /// What the request has to wait for.
+    pub fn choose<R: Rng + ?Sized>(
+        &self,
+        candidates: &[id::ServerKey],
+        query: &RouteQuery<'_>,
+        rng: &mut R,
+    ) -> Result<RouteChoice, explain::WaitCause> {
+        let none = ScoredServer {
+            server: id::ServerKey::default(),
+            score: f32::INFINITY,
+            first_token: 0.0,
+            prefix: affinity::PrefixBelief::default(),
+        };
+        let mut scored = [none; MOST_CANDIDATES];
+        let mut found = self.score_all(candidates, query, true, &mut scored);
+        if matches!(found, Err(explain::WaitCause::Server)) {
+            // Every server in health was tried before: better again than not at all.
+            found = self.score_all(candidates, query, false, &mut scored);
+        }
+        let count = found?;
+        Ok(self.draw(&scored[..count], query, rng))
+    }
+
+    fn score_all(
+        &self,
+        candidates: &[id::ServerKey],
+        query: &RouteQuery<'_>,
+        avoiding: bool,
+        scored: &mut [ScoredServer; MOST_CANDIDATES],
+    ) -> Result<usize, explain::WaitCause> {
+        let mut count = 0;
+        let mut cause = explain::WaitCause::Server;
+        for &key in candidates.iter().take(MOST_CANDIDATES) {
+            if avoiding && query.ask.avoid.contains(key) {
+                continue;
+            }
+            match self.score(key, query) {
+                Ok(server) => {
+                    scored[count] = server;
+                    count += 1;
+                }
+                Err(wait) => cause = cause.max(wait),
+            }
+        }
+        if count == 0 { Err(cause) } else { Ok(count) }
+    }
+
+    fn score(
+        &self,
+        key: id::ServerKey,
+        query: &RouteQuery<'_>,
+    ) -> Result<ScoredServer, explain::WaitCause> {
+        let usable = query.held != Some(key);
+        let server = self.servers.get(key).filter(|_| usable);
+        let server = server.ok_or(explain::WaitCause::Server)?;
+        if !healthy(server, self.now) {
+            return Err(explain::WaitCause::Server);
+        }
+        let left = match room::check(server, query.load, query.terms, self.now) {
+            Ok(left) => left,
+            Err(wait) if query.beyond => {
+                if server.unstarted >= self.settings.urgent_beyond {
+                    return Err(wait);
+                }
+                // Served after all that have room, the least full first.
+                room::RoomLeft {
+                    pressure: 2.0,
+                    crowding: 2.0,
+                }
+            }
+            Err(wait) => return Err(wait),
+        };
+        let prefix = self.affinity.belief(&query.ask.prefix, key, self.now);
+        let first_token = self.first_token(server, query, prefix.expected);
+        let settings = self.settings;
+        let full = left.pressure * left.pressure;
+        let score = first_token
+            + settings.pressure_weight.as_secs_f32() * full * full
+            + settings.crowding_weight.as_secs_f32() * left.crowding
+            + settings.failure_weight.as_secs_f32() * server.failure(self.now)
+            + self.distance(server);
+        Ok(ScoredServer {
+            server: key,
+            score,
+            first_token,
+            prefix,
+        })
+    }
+
+    fn distance(&self, server: &view::ServerView) -> f32 {
+        let (own, its) = (self.settings.place, server.spec.place);
+        if own.region != its.region {
+            self.settings.region_penalty.as_secs_f32()
+        } else if own.failure_domain != its.failure_domain {
+            self.settings.domain_penalty.as_secs_f32()
+        } else {
+            0.0
+        }
+    }
+
+    fn first_token(&self, server: &view::ServerView, query: &RouteQuery<'_>, cached: f32) -> f32 {
+        let rest = (query.ask.prompt_tokens as f32 - cached).max(1.0);
+        let queued = server.report.map_or(0, |report| report.waiting) as f32;
+        let steps = 1.0 + queued;
+        server
+            .step
+            .mul_add(steps, (server.prefill + rest) / query.prefill_rate)
+    }
+
+    fn draw<R: Rng + ?Sized>(
+        &self,
+        scored: &[ScoredServer],
+        query: &RouteQuery<'_>,
+        rng: &mut R,
+    ) -> RouteChoice {
+        let best = scored
+            .iter()
+            .map(|server| server.score)
+            .fold(f32::INFINITY, f32::min);
+        let bound = best + self.settings.near_best.as_secs_f32();
+        let near = || scored.iter().filter(|server| server.score <= bound);
+        let count = near().count() as u32;
+        let index = (u64::from(rng.next_u32()) * u64::from(count)) >> 32;
+        let chosen = near().nth(index as usize).unwrap_or(&scored[0]);
+        let cause = if scored.len() == 1 {
+            explain::ChoiceCause::Only
+        } else if chosen.prefix.tokens > 0 {
+            explain::ChoiceCause::Prefix
+        } else if count > 1 {
+            explain::ChoiceCause::Drawn
+        } else {
+            explain::ChoiceCause::Soonest
+        };
+        let rest = query.ask.prompt_tokens as f32 - chosen.prefix.expected;
+        RouteChoice {
+            server: chosen.server,
+            cause,
+            candidates: scored.len() as u16,
+            first_token: chosen.first_token,
+            cached: chosen.prefix.tokens,
+            prefill: rest.max(1.0),
+        }
+    }
+}
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -10,24 +10,89 @@
 pub struct PolicySettings {
     /// Where this entry VM stands.
     pub place: view::ServerPlace,
+    /// Any number that differs between entry VMs: it spreads their candidate subsets.
+    pub seed: u64,
     /// Entry VMs that send work to the same engines, this one included; at least 1.
     pub entries: u32,
+    /// Entry VMs that one organisation's callers are told; its limits are divided among them.
+    pub organisation_entries: u32,
     /// Chance of running out of engine memory that admission accepts, by class.
     pub overflow_chance: [f64; 3],
     /// Requests that may wait by class; more are refused.
     pub queue_limit: [usize; 3],
     /// Longest time between two polls while something waits.
     pub poll_interval: time::Duration,
+    /// Engines of one model in the own region that are compared, and as many elsewhere.
+    pub candidates: usize,
+    /// Engines whose score lies within this of the best are drawn from at random.
+    pub near_best: time::Duration,
+    /// What a full memory counts in a score, as time to first token.
+    pub pressure_weight: time::Duration,
+    /// What a full batch counts in a score, as time to first token.
+    pub crowding_weight: time::Duration,
+    /// What one recent failure counts in a score, as time to first token.
+    pub failure_weight: time::Duration,
+    /// What another failure domain counts in a score.
+    pub domain_penalty: time::Duration,
+    /// What another region counts in a score: at least the way there and back.
+    pub region_penalty: time::Duration,
+    /// Time that normal and deferrable work waits for its own region before it spills.
+    pub spill_after: time::Duration,
+    /// Belief in a cached prefix halves with this age; zero: prefixes count for nothing.
+    pub prefix_half_life: time::Duration,
+    /// Prompt tokens that an engine takes in a second, before anything is learnt.
+    pub prefill_rate: f32,
+    /// Part of the tokens that deferrable work gets while normal work waits too.
+    pub deferrable_floor: f64,
+    /// A request that was next for this long and found no room has an engine kept for it.
+    pub hold_after: time::Duration,
+    /// Part that a VM above its share may use again of what its ended generations gave back.
+    pub reuse: f32,
+    /// Whether this VM takes only its share of the room that a report shows.
+    pub share_room: bool,
+    /// Urgent generations without a first token that may be sent to one engine beyond its room.
+    pub urgent_beyond: u32,
+    /// Deviations of urgent demand that are kept free beside its mean.
+    pub headroom_deviations: f32,
+    /// A waiting request is refused at once when its predicted wait is this many times the time
+    /// that it has.
+    pub early_refusal: f64,
+    /// A generation is stopped here when its engine's memory runs out with this chance, see
+    /// [`crate::victim`]; above 1: never.
+    pub victim_chance: f32,
+    /// Organisations' length histograms that are kept.
+    pub histograms: usize,
 }
 
 impl Default for PolicySettings {
     fn default() -> Self {
         Self {
             place: view::ServerPlace::default(),
+            seed: 0,
             entries: 1,
+            organisation_entries: 1,
             overflow_chance: [0.05, 0.02, 0.01],
             queue_limit: [10_000, 10_000, 1_000_000],
             poll_interval: time::Duration::from_millis(10),
+            candidates: 16,
+            near_best: time::Duration::from_millis(10),
+            pressure_weight: time::Duration::from_millis(200),
+            crowding_weight: time::Duration::from_millis(100),
+            failure_weight: time::Duration::from_secs(2),
+            domain_penalty: time::Duration::from_millis(2),
+            region_penalty: time::Duration::from_millis(150),
+            spill_after: time::Duration::from_millis(500),
+            prefix_half_life: time::Duration::from_secs(60),
+            prefill_rate: 4_000.0,
+            deferrable_floor: 0.1,
+            hold_after: time::Duration::from_secs(1),
+            reuse: 0.75,
+            share_room: true,
+            urgent_beyond: 2,
+            headroom_deviations: 2.0,
+            early_refusal: 1.5,
+            victim_chance: 0.5,
+            histograms: 4_096,
         }
     }
 }
--- /dev/null
+++ b/crates/sched/src/upkeep.rs
@@ -0,0 +1,183 @@
+//! Derived state of the core: candidate subsets, shares, reports, refusals by predicted wait.
+
+use base::{class, id};
+use rand::RngExt as _;
+use tokio::time;
+
+use crate::{
+    ask,
+    core::DispatchCore,
+    explain::RefusalReason,
+    fleet,
+    view::{self, LoadSum},
+};
+
+/// Shares, rest curves and headroom are worked out anew this often.
+const UPKEEP: time::Duration = time::Duration::from_millis(200);
+
+/// Accounts of idle organisations are dropped this often.
+const SWEEP: time::Duration = time::Duration::from_secs(10);
+
+/// Bounds of what a refused caller is told to wait.
+const RETRY_AFTER: std::ops::RangeInclusive<f64> = 0.05..=60.0;
+
+impl DispatchCore {
+    /// A load report arrived; one older than the newest is ignored.
+    pub fn server_reported(&mut self, server: id::ServerKey, report: view::LoadReport) {
+        let Some(held) = self.servers.get(server) else {
+            return;
+        };
+        if held
+            .report
+            .is_some_and(|held| held.taken_at >= report.taken_at)
+        {
+            return;
+        }
+        let (then, started) = self.own_loads(held, report.taken_at);
+        let model = held.spec.models.first().copied().unwrap_or_default();
+        let rest = match self.models.get(model) {
+            Some(fleet) => fleet.rest,
+            None => self.lengths.rest(model),
+        };
+        let draw = self.rng.random();
+        if let Some(held) = self.servers.get_mut(server) {
+            held.take_report(report, then, started, &rest);
+            held.draw = draw;
+        }
+        if !self.reported.contains(&server) {
+            self.reported.push(server);
+        }
+    }
+
+    /// Own generations on a server at `taken_at` as they were then, and those started since.
+    fn own_loads(&self, server: &view::ServerView, taken_at: time::Instant) -> (LoadSum, LoadSum) {
+        let (mut then, mut since) = (LoadSum::default(), LoadSum::default());
+        for ticket in &server.tickets {
+            let Some(state) = self.tickets.get(*ticket) else {
+                continue;
+            };
+            let Some(run) = state.run else { continue };
+            if run.started_at > taken_at {
+                since.join(&run.load);
+                continue;
+            }
+            then.join(&run.load);
+            // Take out the tokens that came after the report was taken.
+            let after = run
+                .heard_at
+                .saturating_duration_since(taken_at)
+                .as_secs_f32();
+            let tokens = (after / server.step.max(1e-3)).min(run.produced as f32);
+            then.memory.mean[0] -= tokens;
+        }
+        (then, since)
+    }
+
+    /// Ranks the candidates of every model anew; for changes of the fleet only.
+    pub(crate) fn rank_all(&mut self) {
+        let (own, seed, count) = (
+            self.settings.place,
+            self.settings.seed,
+            self.settings.candidates,
+        );
+        for (model, fleet) in &mut self.models {
+            let engines = |near: bool| {
+                self.servers
+                    .iter()
+                    .filter(move |(_, view)| {
+                        view.spec.models.contains(&model)
+                            && fleet::near(own, view.spec.place) == near
+                    })
+                    .map(|(key, _)| key)
+            };
+            fleet.engines = engines(true).count();
+            fleet.near = fleet::candidates(engines(true), seed, count);
+            fleet.far = fleet::candidates(engines(false), seed, count);
+        }
+    }
+
+    /// Brings up to date what need not be exact at each decision.
+    pub(crate) fn upkeep(&mut self, now: time::Instant) {
+        let due = |then: Option<time::Instant>, span| {
+            then.is_none_or(|then| now.saturating_duration_since(then) >= span)
+        };
+        if due(self.upkept_at, UPKEEP) {
+            self.upkept_at = Some(now);
+            self.shares.refresh(now);
+            self.headroom.advance(now);
+            for (model, fleet) in &mut self.models {
+                fleet.rest = self.lengths.rest(model);
+            }
+        }
+        if due(self.swept_at, SWEEP) {
+            self.swept_at = Some(now);
+            self.organisations.sweep(now);
+        }
+    }
+
+    /// Why there is no use in letting `ask` wait, with when to come back.
+    pub(crate) fn hopeless(
+        &mut self,
+        ask: &ask::Ask,
+        now: time::Instant,
+    ) -> Option<(RefusalReason, Option<time::Duration>)> {
+        let largest = self.largest_engine(ask.model);
+        if largest.is_some_and(|tokens| ask.prompt_tokens as f32 >= tokens) {
+            return Some((RefusalReason::TooLarge, None));
+        }
+        if ask.class == class::TrafficClass::Deferrable {
+            return None;
+        }
+        if largest.is_none() {
+            return Some((RefusalReason::NoServer, Some(time::Duration::from_secs(1))));
+        }
+        let wait = self.predicted_wait(ask, now);
+        let queued = self
+            .models
+            .get(ask.model)
+            .map_or(0, |fleet| fleet.queues[ask.class.index()].len());
+        if queued >= self.settings.queue_limit[ask.class.index()] {
+            return Some((RefusalReason::QueueFull, Some(Self::come_back(wait, 0.0))));
+        }
+        let left = ask.deadline?.saturating_duration_since(now).as_secs_f64();
+        let wait = wait?;
+        let late = wait > left * self.settings.early_refusal;
+        late.then(|| {
+            (
+                RefusalReason::Deadline,
+                Some(Self::come_back(Some(wait), left)),
+            )
+        })
+    }
+
+    /// Predicted wait of one more request like `ask`, in seconds, from its place in the fair
+    /// order and the rate at which the queue is served.
+    pub(crate) fn predicted_wait(&self, ask: &ask::Ask, now: time::Instant) -> Option<f64> {
+        let fleet = self.models.get(ask.model)?;
+        let class = ask.class.index();
+        let weight = self.organisations.weight(ask.organisation);
+        let ahead = fleet.queues[class].ahead(ask.organisation, weight);
+        if ahead <= 0.0 {
+            return None;
+        }
+        fleet.drains[class].wait(ahead, now)
+    }
+
+    /// When a refused caller may come back: when what is ahead of it has shrunk to what can be
+    /// served in half of the time that it has.
+    pub(crate) fn come_back(wait: Option<f64>, left: f64) -> time::Duration {
+        let seconds = wait.unwrap_or(1.0) - left / 2.0;
+        let seconds = seconds.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end());
+        time::Duration::from_secs_f64(seconds)
+    }
+
+    /// Tokens of memory of the largest engine that serves `model`.
+    fn largest_engine(&self, model: id::ModelKey) -> Option<f32> {
+        let fleet = self.models.get(model)?;
+        let engines = fleet.near.iter().chain(&fleet.far);
+        let sizes = engines
+            .filter_map(|key| self.servers.get(*key))
+            .map(view::ServerView::capacity);
+        sizes.max_by(f32::total_cmp)
+    }
+}
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/view.rs
@@ -1,8 +1,16 @@
-//! What this entry VM knows of each model engine.
+//! What this entry VM knows of each model engine: lagged reports, corrected by its own streams.
+//!
+//! A report tells how full the engine was when its watcher looked, half a second to some seconds
+//! ago. What this VM had there at that moment is taken out of it; the rest is what others have,
+//! and their part is unknown until the next report. Were each of nine entry VMs to fill the room
+//! that the same report shows, they would fill it nine times over. So each takes only its share
+//! of the room, and again what its own ended generations gave back since.
 
-use base::id;
+use base::{class, id};
 use tokio::time;
 
+use crate::{ask::TicketKey, length, risk, ticket};
+
 /// Where a server or an entry VM stands. The numbers are the caller's; equal means same.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerPlace {
@@ -45,3 +53,341 @@
     /// Whether it is leaving.
     pub leaving: bool,
 }
+
+/// Generations and the memory that they hold and will hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadSum {
+    /// Generations.
+    pub running: f32,
+    /// Their memory, in tokens.
+    pub memory: risk::MemoryLoad,
+}
+
+impl LoadSum {
+    /// Adds one generation.
+    pub fn join(&mut self, load: &risk::MemoryLoad) {
+        self.running += 1.0;
+        self.memory.add(load);
+    }
+
+    /// Takes one generation away.
+    pub fn leave(&mut self, load: &risk::MemoryLoad) {
+        self.running = (self.running - 1.0).max(0.0);
+        self.memory.subtract(load);
+        if self.running < 0.5 {
+            *self = Self::default();
+        }
+    }
+}
+
+/// One own generation that ended, kept until a report tells of a later moment.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedLoad {
+    /// When it ended.
+    pub at: time::Instant,
+    /// What it held.
+    pub load: risk::MemoryLoad,
+}
+
+/// Ended generations remembered of one server; more are summed as if still running.
+const ENDED_KEPT: usize = 128;
+
+/// Failures fade to half with this time.
+const FAILURE_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
+
+/// What one token's arrival moves the estimate of the step by.
+const STEP_WEIGHT: f32 = 0.03;
+
+/// One model engine as this entry VM sees it.
+#[derive(Clone, Debug)]
+pub struct ServerView {
+    /// What the inventory says of it.
+    pub spec: EngineSpec,
+    /// Once true, stays true for this life of the server.
+    pub leaving: bool,
+    /// Whether membership suspects it.
+    pub suspected: bool,
+    /// Own generations, running or just started.
+    pub own: LoadSum,
+    /// Own urgent ones among them.
+    pub own_urgent: LoadSum,
+    /// Others' generations as of the newest report.
+    pub others: LoadSum,
+    /// Own ones that were started since the newest report was taken.
+    pub started: LoadSum,
+    /// Own ones that ended since then.
+    pub ended: LoadSum,
+    /// Own tickets, in no order.
+    pub tickets: Vec<TicketKey>,
+    /// The newest report.
+    pub report: Option<LoadReport>,
+    /// A number in 0..1, drawn with each report, by which shares of room are rounded: over all
+    /// entry VMs the mean is exact, though each takes whole generations.
+    pub draw: f32,
+    /// Seconds between two tokens of one generation; 0 while unknown.
+    pub step: f32,
+    /// Prompt tokens sent there that have not brought a first token yet.
+    pub prefill: f32,
+    /// Own generations without a first token.
+    pub unstarted: u32,
+    /// When the engine last showed a sign of life to an own generation.
+    pub heard_at: time::Instant,
+    /// Variance that one second adds to others' memory, in tokens squared.
+    churn: f32,
+    ended_log: std::collections::VecDeque<EndedLoad>,
+    failure: f32,
+    failure_at: time::Instant,
+}
+
+impl ServerView {
+    /// A server of which nothing but its inventory entry is known.
+    #[must_use]
+    pub fn new(spec: EngineSpec, now: time::Instant) -> Self {
+        Self {
+            spec,
+            leaving: false,
+            suspected: false,
+            own: LoadSum::default(),
+            own_urgent: LoadSum::default(),
+            others: LoadSum::default(),
+            started: LoadSum::default(),
+            ended: LoadSum::default(),
+            tickets: Vec::new(),
+            report: None,
+            draw: 0.0,
+            step: 0.0,
+            prefill: 0.0,
+            unstarted: 0,
+            heard_at: now,
+            churn: 0.0,
+            ended_log: std::collections::VecDeque::new(),
+            failure: 0.0,
+            failure_at: now,
+        }
+    }
+
+    /// Tokens that its memory holds.
+    #[must_use]
+    pub fn capacity(&self) -> f32 {
+        let blocks = self
+            .report
+            .map_or(self.spec.total_blocks, |report| report.total_blocks);
+        (blocks * self.spec.block_tokens) as f32
+    }
+
+    /// Age of the newest report.
+    #[must_use]
+    pub fn report_age(&self, now: time::Instant) -> Option<time::Duration> {
+        let report = self.report?;
+        Some(now.saturating_duration_since(report.taken_at))
+    }
+
+    /// What rounding a generation's memory up to whole blocks adds, in tokens, in the mean.
+    #[must_use]
+    pub fn rounding(&self) -> f32 {
+        self.spec.block_tokens as f32 / 2.0
+    }
+
+    fn started_since_report(&self, started_at: time::Instant) -> bool {
+        self.report
+            .is_none_or(|report| started_at > report.taken_at)
+    }
+
+    /// An own generation starts there. Returns its place in `tickets`.
+    pub fn start(
+        &mut self,
+        ticket: TicketKey,
+        load: &risk::MemoryLoad,
+        prefill: f32,
+        urgent: bool,
+        now: time::Instant,
+    ) -> usize {
+        if self.own.running < 0.5 {
+            self.heard_at = now;
+        }
+        self.own.join(load);
+        self.started.join(load);
+        if urgent {
+            self.own_urgent.join(load);
+        }
+        self.prefill += prefill;
+        self.unstarted += 1;
+        self.tickets.push(ticket);
+        self.tickets.len() - 1
+    }
+
+    /// An own generation's first token came.
+    pub fn first_token(&mut self, prefill: f32, now: time::Instant) {
+        self.heard_at = now;
+        self.failure = 0.0;
+        self.settle(prefill);
+    }
+
+    /// A generation no longer waits for its first token.
+    fn settle(&mut self, prefill: f32) {
+        self.unstarted = self.unstarted.saturating_sub(1);
+        self.prefill = (self.prefill - prefill).max(0.0);
+        if self.unstarted == 0 {
+            self.prefill = 0.0;
+        }
+    }
+
+    /// An own generation's memory was worked out anew.
+    pub fn reload(
+        &mut self,
+        old: &risk::MemoryLoad,
+        new: &risk::MemoryLoad,
+        started_at: time::Instant,
+        urgent: bool,
+    ) {
+        let since_report = self.started_since_report(started_at);
+        let sums = [
+            (true, &mut self.own),
+            (since_report, &mut self.started),
+            (urgent, &mut self.own_urgent),
+        ];
+        for (_, sum) in sums.into_iter().filter(|(counted, _)| *counted) {
+            sum.memory.subtract(old);
+            sum.memory.add(new);
+        }
+    }
+
+    /// An own generation ended there. The ticket that takes its place in `tickets` has moved.
+    pub fn end(&mut self, run: &ticket::RunState, urgent: bool, now: time::Instant) {
+        self.tickets.swap_remove(run.place);
+        self.own.leave(&run.load);
+        if urgent {
+            self.own_urgent.leave(&run.load);
+        }
+        if run.produced == 0 {
+            self.settle(run.prefill);
+        }
+        if self.started_since_report(run.started_at) {
+            self.started.leave(&run.load);
+            return;
+        }
+        self.ended.join(&run.load);
+        if self.ended_log.len() == ENDED_KEPT {
+            self.ended_log.pop_front();
+        }
+        let load = run.load;
+        self.ended_log.push_back(EndedLoad { at: now, load });
+    }
+
+    /// The engine restarted: others' generations, its leaving and its failures are gone.
+    pub fn restart(&mut self, now: time::Instant) {
+        self.leaving = false;
+        self.suspected = false;
+        self.others = LoadSum::default();
+        self.report = None;
+        self.step = 0.0;
+        self.heard_at = now;
+        self.failure = 0.0;
+        self.ended_log.clear();
+        self.ended = LoadSum::default();
+        self.started = self.own;
+    }
+
+    /// Takes in a newer report. `own_then` is what this VM had there when it was taken, as far
+    /// as it still runs; `started` what it has started there since.
+    pub fn take_report(
+        &mut self,
+        report: LoadReport,
+        own_then: LoadSum,
+        started: LoadSum,
+        rest: &length::RestCurve,
+    ) {
+        self.leaving |= report.leaving;
+        while self
+            .ended_log
+            .front()
+            .is_some_and(|ended| ended.at <= report.taken_at)
+        {
+            self.ended_log.pop_front();
+        }
+        self.ended = LoadSum::default();
+        for ended in &self.ended_log {
+            self.ended.join(&ended.load);
+        }
+        let block_tokens = self.spec.block_tokens as f32;
+        let used = report.total_blocks.saturating_sub(report.free_blocks) as f32 * block_tokens;
+        let running = (report.running + report.waiting) as f32;
+        let own_running = own_then.running + self.ended.running;
+        let own_used = own_then.memory.mean[0] + self.ended.memory.mean[0];
+        let waiting = report.waiting as f32 * own_used / own_running.max(1.0);
+        self.set_others(running - own_running, used + waiting - own_used, rest);
+        self.started = started;
+        self.report = Some(report);
+    }
+
+    fn set_others(&mut self, running: f32, used: f32, rest: &length::RestCurve) {
+        let running = running.max(0.0);
+        let used = used.max(0.0);
+        let each = used / running.max(1.0);
+        self.others.running = running;
+        for (place, distance) in risk::HORIZONS.into_iter().enumerate() {
+            let (alive, size) = (rest.alive[place], each + distance);
+            // Sizes differ about as much as they are large, hence the factor of 2.
+            let spread = if distance == 0.0 {
+                0.0
+            } else {
+                alive * (2.0 - alive)
+            };
+            self.others.memory.mean[place] = if distance == 0.0 {
+                used
+            } else {
+                running * alive * size
+            };
+            self.others.memory.variance[place] = running * spread * size * size;
+        }
+        // Each ends once in its mean length, and about as many begin.
+        let step = if self.step > 0.0 { self.step } else { 0.03 };
+        let turnover = running / (rest.mean_length * step).max(step);
+        self.churn = 2.0 * turnover * each * each;
+    }
+
+    /// Memory of all generations there, own and others', with the doubt that age brings.
+    #[must_use]
+    pub fn whole(&self, now: time::Instant) -> risk::MemoryLoad {
+        let mut load = self.own.memory;
+        load.add(&self.others.memory);
+        let age = self.report_age(now).unwrap_or_default().as_secs_f32();
+        for variance in &mut load.variance {
+            *variance += self.churn * age;
+        }
+        load
+    }
+
+    /// A token came `gap` after the one before it.
+    pub fn stepped(&mut self, gap: f32, now: time::Instant) {
+        self.heard_at = now;
+        self.step = if self.step == 0.0 {
+            gap
+        } else {
+            // A preempted stream's gap is not a step: bound what one can do.
+            STEP_WEIGHT.mul_add(gap.min(4.0 * self.step) - self.step, self.step)
+        };
+    }
+
+    /// A generation or call failed there.
+    pub fn fail(&mut self, weight: f32, now: time::Instant) {
+        self.failure = self.failure(now) + weight;
+        self.failure_at = now;
+    }
+
+    /// Recent failures, faded by age.
+    #[must_use]
+    pub fn failure(&self, now: time::Instant) -> f32 {
+        if self.failure == 0.0 {
+            return 0.0;
+        }
+        let age = now.saturating_duration_since(self.failure_at).as_secs_f32();
+        self.failure * (-age / FAILURE_HALF_LIFE.as_secs_f32()).exp2()
+    }
+
+    /// Engine priority of a class.
+    #[must_use]
+    pub const fn priority(class: class::TrafficClass) -> u8 {
+        class.index() as u8
+    }
+}
--- a/crates/sched/tests/driver.rs
+++ b/crates/sched/tests/driver.rs
@@ -26,7 +26,7 @@
         };
         let rng = rngs::StdRng::seed_from_u64(1);
         let mut core = core::DispatchCore::new(settings::PolicySettings::default(), rng);
-        core.server_added(servers.insert(()), spec);
+        core.server_added(servers.insert(()), spec, time::Instant::now());
         core.organisation_set(organisation, settings::OrganisationPlan::default());
         let driver = driver::Driver::new(core);
         tokio::spawn(driver.clone().run());
@@ -79,7 +79,13 @@
 #[tokio::test(start_paused = true)]
 async fn a_passed_deadline_is_refused_and_not_run() {
     let fixture = Fixture::new(1);
-    let _grant = fixture.driver.admit(fixture.ask()).await.unwrap();
+    let grant = fixture.driver.admit(fixture.ask()).await.unwrap();
+    tokio::spawn(async move {
+        loop {
+            time::sleep(time::Duration::from_millis(100)).await;
+            grant.progress(1);
+        }
+    });
     let mut ask = fixture.ask();
     let started = time::Instant::now();
     ask.deadline = Some(started + time::Duration::from_secs(2));
--- /dev/null
+++ b/crates/stand/src/engine.rs
@@ -0,0 +1,381 @@
+//! The model engine: continuous batching against a limited budget of KV cache blocks.
+
+use std::{collections, mem, time};
+
+use base::id;
+
+pub mod batch;
+pub mod call;
+pub mod feeds;
+pub mod front;
+pub mod handle;
+pub mod orders;
+pub mod pool;
+pub mod profile;
+pub mod refuse;
+pub mod sequence;
+pub mod text;
+
+pub use self::{
+    call::{EngineEvent, StartCall},
+    front::serve,
+    handle::{EngineFault, EngineHandle, EngineStream, StreamEvent},
+    profile::EngineProfile,
+    refuse::EngineError,
+};
+
+/// One engine without I/O and clock: `now` is the time since any fixed moment and never goes back.
+#[derive(Clone, Debug)]
+pub struct EngineCore {
+    profile: EngineProfile,
+    incarnation: id::Incarnation,
+    sequences: slotmap::SlotMap<sequence::SequenceKey, sequence::Sequence>,
+    by_id: collections::HashMap<id::GenerationId, sequence::SequenceKey>,
+    /// Exactly the sequences in phase `Waiting`.
+    waiting: collections::BTreeMap<sequence::QueueRank, sequence::SequenceKey>,
+    /// Exactly the sequences in phase `Running`; at most `max_batch`.
+    running: collections::BTreeMap<sequence::QueueRank, sequence::SequenceKey>,
+    /// The step under way; `None` when there is nothing to do.
+    plan: Option<batch::StepPlan>,
+    pool: pool::BlockPool,
+    /// Ended generations by the time when they are forgotten, earliest first.
+    ended: collections::VecDeque<(time::Duration, sequence::SequenceKey)>,
+    /// Cancelled unknown ids, and until when they are remembered, earliest first.
+    tombstones: collections::HashSet<id::GenerationId>,
+    tombstone_ends: collections::VecDeque<(time::Duration, id::GenerationId)>,
+    models: Vec<call::LoadedModel>,
+    role: String,
+    loading: Option<orders::LoadingState>,
+    fencing: Option<u64>,
+    leaving: bool,
+    history: feeds::LoadHistory,
+    feed: feeds::CacheFeed,
+    events: Vec<EngineEvent>,
+    arrivals: u64,
+    preemptions: u64,
+    down: bool,
+    stalled: bool,
+    slow_factor: f64,
+}
+
+impl EngineCore {
+    /// An idle engine with the profile's model loaded.
+    #[must_use]
+    pub fn new(profile: EngineProfile, incarnation: id::Incarnation, now: time::Duration) -> Self {
+        let models = vec![call::LoadedModel {
+            model: profile.model.clone(),
+            version: profile.version.clone(),
+            adapters: profile.adapters.clone(),
+        }];
+        let first = call::LoadReport {
+            incarnation,
+            taken_ms_ago: 0,
+            total_blocks: profile.total_blocks,
+            free_blocks: profile.total_blocks,
+            block_tokens: profile.block_tokens,
+            running: 0,
+            waiting: 0,
+            preemptions: 0,
+            models: models.clone(),
+            role: profile.role.clone(),
+            leaving: false,
+        };
+        Self {
+            incarnation,
+            sequences: slotmap::SlotMap::with_key(),
+            by_id: collections::HashMap::new(),
+            waiting: collections::BTreeMap::new(),
+            running: collections::BTreeMap::new(),
+            plan: None,
+            pool: pool::BlockPool::new(profile.total_blocks),
+            ended: collections::VecDeque::new(),
+            tombstones: collections::HashSet::new(),
+            tombstone_ends: collections::VecDeque::new(),
+            models,
+            role: profile.role.clone(),
+            loading: None,
+            fencing: None,
+            leaving: false,
+            history: feeds::LoadHistory::new(&profile, now, first),
+            feed: feeds::CacheFeed::new(&profile),
+            events: Vec::new(),
+            arrivals: 0,
+            preemptions: 0,
+            down: false,
+            stalled: false,
+            slow_factor: 1.0,
+            profile,
+        }
+    }
+
+    /// Works up to `now` and gives out all that happened since the last call.
+    pub fn step(&mut self, now: time::Duration) -> Vec<EngineEvent> {
+        self.advance(now);
+        mem::take(&mut self.events)
+    }
+
+    /// When `step` has something to do next, if nobody calls anything else before.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<time::Duration> {
+        if self.down {
+            return None;
+        }
+        let plan = self.plan.as_ref().filter(|_| !self.stalled);
+        let times = [
+            plan.map(|plan| plan.ends_at),
+            self.loading.as_ref().map(|loading| loading.ready_at),
+            self.ended.front().map(|entry| entry.0),
+            self.tombstone_ends.front().map(|entry| entry.0),
+        ];
+        times.into_iter().flatten().min()
+    }
+
+    /// Queues a generation.
+    ///
+    /// # Errors
+    ///
+    /// When nothing was started, and why.
+    pub fn start(&mut self, now: time::Duration, call: &StartCall) -> Result<(), EngineError> {
+        self.advance(now);
+        self.check_start(call)?;
+        self.observe(now);
+        self.arrivals += 1;
+        let sequence = sequence::Sequence::new(call, self.arrivals, &self.profile);
+        let rank = sequence.rank;
+        let key = self.sequences.insert(sequence);
+        self.by_id.insert(call.id, key);
+        self.waiting.insert(rank, key);
+        if self.plan.is_none() && !self.stalled {
+            self.begin_step(now);
+        }
+        Ok(())
+    }
+
+    fn check_start(&self, call: &StartCall) -> Result<(), EngineError> {
+        if self.down {
+            return refuse::DownSnafu.fail();
+        }
+        if self.by_id.contains_key(&call.id) || self.tombstones.contains(&call.id) {
+            return refuse::KnownSnafu { id: call.id }.fail();
+        }
+        let Some(loaded) = self.models.iter().find(|loaded| loaded.model == call.model) else {
+            return refuse::NotLoadedSnafu { name: &call.model }.fail();
+        };
+        if let Some(adapter) = call
+            .adapter
+            .as_ref()
+            .filter(|name| !loaded.adapters.contains(name))
+        {
+            return refuse::NotLoadedSnafu { name: adapter }.fail();
+        }
+        let limit = self.context_limit();
+        let tokens = call.prompt.split_whitespace().count() as u32;
+        if tokens >= limit {
+            return refuse::TooLongSnafu { tokens, limit }.fail();
+        }
+        Ok(())
+    }
+
+    /// Tokens that one generation can have at the most, prompt and output together.
+    fn context_limit(&self) -> u32 {
+        let memory = self
+            .profile
+            .total_blocks
+            .saturating_mul(self.profile.block_tokens);
+        memory.min(self.profile.context_tokens)
+    }
+
+    /// Ends a generation, or remembers that its start must be refused.
+    ///
+    /// # Errors
+    ///
+    /// When the engine is down.
+    pub fn cancel(
+        &mut self,
+        now: time::Duration,
+        generation: id::GenerationId,
+    ) -> Result<call::CancelAnswer, EngineError> {
+        self.advance(now);
+        if self.down {
+            return refuse::DownSnafu.fail();
+        }
+        self.observe(now);
+        let Some(&key) = self.by_id.get(&generation) else {
+            let until = now + time::Duration::from_millis(self.profile.tombstone_ms);
+            if self.tombstones.insert(generation) {
+                self.tombstone_ends.push_back((until, generation));
+            }
+            return Ok(call::CancelAnswer::Remembered);
+        };
+        self.end(now, key, call::FinishReason::Cancelled);
+        let sequence = &self.sequences[key];
+        Ok(call::CancelAnswer::Known {
+            ran: sequence.ran,
+            produced: sequence.produced,
+        })
+    }
+
+    /// How far a generation is.
+    ///
+    /// # Errors
+    ///
+    /// When it isn't held.
+    pub fn progress(
+        &self,
+        generation: id::GenerationId,
+    ) -> Result<call::GenerationProgress, EngineError> {
+        if self.down {
+            return refuse::DownSnafu.fail();
+        }
+        let key = self.by_id.get(&generation);
+        let progress = key.map(|key| self.sequences[*key].progress());
+        progress.ok_or(EngineError::NotHeld { id: generation })
+    }
+
+    /// The newest load report that is given out at `now`.
+    ///
+    /// # Errors
+    ///
+    /// When the engine is down.
+    pub fn load(&mut self, now: time::Duration) -> Result<call::LoadReport, EngineError> {
+        self.advance(now);
+        if self.down {
+            return refuse::DownSnafu.fail();
+        }
+        self.observe(now);
+        Ok(self.history.newest(now))
+    }
+
+    /// The cache events above number `after` that are given out at `now`.
+    ///
+    /// # Errors
+    ///
+    /// When the engine is down.
+    pub fn cache_events(
+        &mut self,
+        now: time::Duration,
+        after: u64,
+    ) -> Result<feeds::CachePage, EngineError> {
+        const PAGE_EVENTS: usize = 1_000;
+        self.advance(now);
+        if self.down {
+            return refuse::DownSnafu.fail();
+        }
+        Ok(self.feed.page(now, after, PAGE_EVENTS))
+    }
+
+    /// The state at this moment, as the engine itself knows it.
+    #[must_use]
+    pub fn report(&self) -> call::LoadReport {
+        call::LoadReport {
+            incarnation: self.incarnation,
+            taken_ms_ago: 0,
+            total_blocks: self.profile.total_blocks,
+            free_blocks: self.pool.free(),
+            block_tokens: self.profile.block_tokens,
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            preemptions: self.preemptions,
+            models: self.models.clone(),
+            role: self.role.clone(),
+            leaving: self.leaving,
+        }
+    }
+
+    /// Its blocks.
+    #[must_use]
+    pub const fn pool(&self) -> &pool::BlockPool {
+        &self.pool
+    }
+
+    /// Its profile.
+    #[must_use]
+    pub const fn profile(&self) -> &EngineProfile {
+        &self.profile
+    }
+
+    /// Whether it is dead.
+    #[must_use]
+    pub const fn is_down(&self) -> bool {
+        self.down
+    }
+
+    /// Dies: all that it held is lost.
+    pub fn crash(&mut self, now: time::Duration) {
+        if self.down {
+            return;
+        }
+        self.down = true;
+        self.plan = None;
+        self.events.push(EngineEvent::Crashed { at: now });
+    }
+
+    /// Comes up again as another incarnation that knows nothing of the earlier one.
+    pub fn restart(&mut self, now: time::Duration, incarnation: id::Incarnation) {
+        let events = mem::take(&mut self.events);
+        *self = Self::new(self.profile.clone(), incarnation, now);
+        self.events = events;
+    }
+
+    /// Stops or resumes all progress, while calls are still answered.
+    pub fn set_stalled(&mut self, now: time::Duration, stalled: bool) {
+        self.advance(now);
+        let resumes = self.stalled && !stalled;
+        self.stalled = stalled;
+        if !resumes || self.down {
+            return;
+        }
+        match &mut self.plan {
+            Some(plan) => plan.ends_at = plan.ends_at.max(now),
+            None => self.begin_step(now),
+        }
+    }
+
+    /// Makes every step take `factor` times as long, from the next one on.
+    pub fn set_slow_factor(&mut self, factor: f64) {
+        self.slow_factor = factor.max(0.0);
+    }
+
+    /// Announces that it will go.
+    pub fn set_leaving(&mut self, now: time::Duration, leaving: bool) {
+        self.advance(now);
+        self.observe(now);
+        self.leaving = leaving;
+    }
+
+    fn advance(&mut self, now: time::Duration) {
+        while !self.stalled && !self.down {
+            let Some(plan) = self.plan.take_if(|plan| plan.ends_at <= now) else {
+                break;
+            };
+            self.observe(plan.ends_at);
+            self.finish_step(&plan);
+            self.begin_step(plan.ends_at);
+        }
+        if !self.down {
+            self.finish_loading(now);
+            self.forget(now);
+        }
+    }
+
+    /// Takes the load reports that are due; to be called before any change at `now`.
+    fn observe(&mut self, now: time::Duration) {
+        if self.history.is_due(now) {
+            let report = self.report();
+            self.history.observe(now, report);
+        }
+    }
+
+    fn forget(&mut self, now: time::Duration) {
+        while let Some((_, key)) = self.ended.pop_front_if(|entry| entry.0 <= now) {
+            if let Some(sequence) = self.sequences.remove(key) {
+                self.by_id.remove(&sequence.id);
+                let event = EngineEvent::Forgotten { id: sequence.id };
+                self.events.push(event);
+            }
+        }
+        while let Some((_, id)) = self.tombstone_ends.pop_front_if(|entry| entry.0 <= now) {
+            self.tombstones.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand/src/engine/feeds.rs
@@ -0,0 +1,165 @@
+//! What an engine tells about itself: late, and not all of it.
+
+use std::{collections, time};
+
+use super::{call, pool, profile};
+use crate::draw;
+
+/// Cache events kept for readers; older ones are a gap to them.
+const KEPT_CACHE_EVENTS: usize = 20_000;
+
+/// Load reports taken at fixed times and given out later.
+#[derive(Clone, Debug)]
+pub struct LoadHistory {
+    every: time::Duration,
+    lag: time::Duration,
+    next_at: time::Duration,
+    /// Oldest first; the first one is the newest that may be given out, or nothing may be yet.
+    reports: collections::VecDeque<(time::Duration, call::LoadReport)>,
+}
+
+impl LoadHistory {
+    /// A history that begins with `first` at `now`.
+    #[must_use]
+    pub fn new(
+        profile: &profile::EngineProfile,
+        now: time::Duration,
+        first: call::LoadReport,
+    ) -> Self {
+        let every = time::Duration::from_millis(profile.load_every_ms.max(1));
+        Self {
+            every,
+            lag: time::Duration::from_millis(profile.load_lag_ms),
+            next_at: now + every,
+            reports: collections::VecDeque::from([(now, first)]),
+        }
+    }
+
+    /// Whether a report is to be taken.
+    #[must_use]
+    pub fn is_due(&self, now: time::Duration) -> bool {
+        now >= self.next_at
+    }
+
+    /// Takes the reports that were due up to `now`; `report` is the state since the last one.
+    pub fn observe(&mut self, now: time::Duration, report: call::LoadReport) {
+        let periods = now.saturating_sub(self.next_at).as_nanos() / self.every.as_nanos();
+        let last_at = self.next_at + self.every * periods as u32;
+        self.reports.push_back((self.next_at, report.clone()));
+        if last_at > self.next_at {
+            self.reports.push_back((last_at, report));
+        }
+        self.next_at = last_at + self.every;
+        while self.reports.len() > 1 && self.reports[1].0 + self.lag <= now {
+            self.reports.pop_front();
+        }
+    }
+
+    /// The newest report that is at least the lag old, with its age.
+    #[must_use]
+    pub fn newest(&self, now: time::Duration) -> call::LoadReport {
+        let old_enough = |entry: &&(time::Duration, call::LoadReport)| entry.0 + self.lag <= now;
+        let found = self.reports.iter().rev().find(old_enough);
+        let (at, report) = found.unwrap_or(&self.reports[0]);
+        call::LoadReport {
+            taken_ms_ago: now.saturating_sub(*at).as_millis() as u64,
+            ..report.clone()
+        }
+    }
+}
+
+/// What a cache event tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheEventKind {
+    /// The prefix can be found from now on.
+    Stored,
+    /// It was dropped.
+    Evicted,
+}
+
+/// One event of `GET /v1/cache-events`.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+pub struct CacheEvent {
+    /// Number, from 1; a missing one was lost.
+    pub seq: u64,
+    /// When it happened, on the engine's clock.
+    pub at_ms: u64,
+    /// What happened.
+    pub kind: CacheEventKind,
+    /// Which prefix, see `base::prefix`.
+    pub prefix_hash: u64,
+    /// Tokens of the block that ends the prefix.
+    pub tokens: u32,
+}
+
+/// Answer of `GET /v1/cache-events`.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+pub struct CachePage {
+    /// Events with numbers above the one asked for.
+    pub events: Vec<CacheEvent>,
+    /// The number to ask with next.
+    pub next: u64,
+}
+
+/// Cache events on their way out.
+#[derive(Clone, Debug)]
+pub struct CacheFeed {
+    lag: time::Duration,
+    gap_chance: f64,
+    seed: u64,
+    block_tokens: u32,
+    last_seq: u64,
+    events: collections::VecDeque<CacheEvent>,
+}
+
+impl CacheFeed {
+    /// An empty feed.
+    #[must_use]
+    pub fn new(profile: &profile::EngineProfile) -> Self {
+        Self {
+            lag: time::Duration::from_millis(profile.cache_lag_ms),
+            gap_chance: profile.cache_gap_chance,
+            seed: draw::bits(profile.seed, 1),
+            block_tokens: profile.block_tokens,
+            last_seq: 0,
+            events: collections::VecDeque::new(),
+        }
+    }
+
+    /// Takes in what happened at `now`; some of it is lost here.
+    pub fn push(&mut self, now: time::Duration, changes: Vec<pool::PoolChange>) {
+        for change in changes {
+            self.last_seq += 1;
+            if draw::unit(self.seed, self.last_seq) < self.gap_chance {
+                continue;
+            }
+            let (kind, prefix_hash) = match change {
+                pool::PoolChange::Stored(hash) => (CacheEventKind::Stored, hash),
+                pool::PoolChange::Evicted(hash) => (CacheEventKind::Evicted, hash),
+            };
+            self.events.push_back(CacheEvent {
+                seq: self.last_seq,
+                at_ms: now.as_millis() as u64,
+                kind,
+                prefix_hash,
+                tokens: self.block_tokens,
+            });
+            if self.events.len() > KEPT_CACHE_EVENTS {
+                self.events.pop_front();
+            }
+        }
+    }
+
+    /// At most `max` events above `after` that are old enough to be given out.
+    #[must_use]
+    pub fn page(&self, now: time::Duration, after: u64, max: usize) -> CachePage {
+        let visible_ms = now.saturating_sub(self.lag).as_millis() as u64;
+        let old_enough = |event: &&CacheEvent| event.at_ms <= visible_ms;
+        let start = self.events.partition_point(|event| event.seq <= after);
+        let newer = self.events.range(start..);
+        let events: Vec<CacheEvent> = newer.take_while(old_enough).take(max).cloned().collect();
+        let next = events.last().map_or(after, |event| event.seq);
+        CachePage { events, next }
+    }
+}
--- /dev/null
+++ b/crates/stand/src/engine/front.rs
@@ -0,0 +1,174 @@
+//! The HTTP face of an engine.
+
+use std::net;
+
+use base::id;
+use futures_util::StreamExt as _;
+use rocket::{
+    State, data, delete, get, http::ContentType, post, response::stream::TextStream, routes,
+};
+
+use super::{call, handle, refuse};
+use crate::http;
+
+/// Events that are written at once when they are ready at once.
+const EVENTS_AT_ONCE: usize = 64;
+
+/// Serves the engine on `address` (port 0: any).
+///
+/// # Errors
+///
+/// When the address can't be had.
+pub async fn serve(
+    handle: handle::EngineHandle,
+    address: net::SocketAddr,
+) -> Result<http::RunningServer, http::ServeError> {
+    let routes = routes![
+        start,
+        resume,
+        cancel,
+        load,
+        cache_events,
+        order,
+        state,
+        faults
+    ];
+    http::serve(address, handle.gate().clone(), handle, routes).await
+}
+
+type TextAnswer<S> = Result<(ContentType, TextStream<S>), http::JsonReply>;
+
+#[post("/v1/generations", data = "<body>")]
+async fn start(
+    body: data::Data<'_>,
+    handle: &State<handle::EngineHandle>,
+) -> TextAnswer<impl futures_util::Stream<Item = String> + use<>> {
+    let call: call::StartCall = http::read_json(body).await?;
+    let stream = handle.start(call).await.map_err(refuse)?;
+    Ok((ContentType::EventStream, TextStream::from(texts(stream))))
+}
+
+#[get("/v1/generations/<generation>?<from>")]
+async fn resume(
+    generation: &str,
+    from: Option<u32>,
+    handle: &State<handle::EngineHandle>,
+) -> TextAnswer<impl futures_util::Stream<Item = String> + use<>> {
+    let generation = parse_id(generation)?;
+    let stream = handle.resume(generation, from.unwrap_or(0)).await;
+    let stream = stream.map_err(refuse)?;
+    Ok((ContentType::EventStream, TextStream::from(texts(stream))))
+}
+
+#[delete("/v1/generations/<generation>")]
+async fn cancel(generation: &str, handle: &State<handle::EngineHandle>) -> http::JsonReply {
+    let generation = match parse_id(generation) {
+        Ok(generation) => generation,
+        Err(reply) => return reply,
+    };
+    match handle.cancel(generation).await {
+        Ok(call::CancelAnswer::Known { ran, produced }) => {
+            http::json(200, &serde_json::json!({"ran": ran, "produced": produced}))
+        }
+        Ok(call::CancelAnswer::Remembered) => {
+            let message = "this id is not held here; a start of it that comes late is refused";
+            http::error(404, "not_held", message)
+        }
+        Err(error) => refuse(error),
+    }
+}
+
+#[get("/v1/load")]
+async fn load(handle: &State<handle::EngineHandle>) -> http::JsonReply {
+    answer(handle.load().await)
+}
+
+#[get("/v1/cache-events?<after>")]
+async fn cache_events(after: Option<u64>, handle: &State<handle::EngineHandle>) -> http::JsonReply {
+    answer(handle.cache_events(after.unwrap_or(0)).await)
+}
+
+#[post("/v1/orders", data = "<body>")]
+async fn order(
+    body: data::Data<'_>,
+    seen: http::SeenAt,
+    handle: &State<handle::EngineHandle>,
+) -> http::JsonReply {
+    match http::read_json(body).await {
+        Ok(call) => answer(handle.order(call, seen.0).await),
+        Err(reply) => reply,
+    }
+}
+
+#[get("/v1/state")]
+async fn state(handle: &State<handle::EngineHandle>) -> http::JsonReply {
+    answer(handle.state().await)
+}
+
+#[post("/admin/faults", data = "<body>")]
+async fn faults(body: data::Data<'_>, handle: &State<handle::EngineHandle>) -> http::JsonReply {
+    match http::read_json(body).await {
+        Ok(fault) => {
+            handle.apply(&fault);
+            http::json(200, &fault)
+        }
+        Err(reply) => reply,
+    }
+}
+
+fn parse_id(text: &str) -> Result<id::GenerationId, http::JsonReply> {
+    let parsed = text.parse();
+    parsed.map_err(|cause: id::IdError| http::error(400, "bad_request", &cause.to_string()))
+}
+
+fn answer<T: serde::Serialize>(outcome: Result<T, refuse::EngineError>) -> http::JsonReply {
+    match outcome {
+        Ok(body) => http::json(200, &body),
+        Err(error) => refuse(error),
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "used as a function of `map_err`"
+)]
+fn refuse(error: refuse::EngineError) -> http::JsonReply {
+    let (status, code) = match &error {
+        refuse::EngineError::Down => (503, "down"),
+        refuse::EngineError::Known { .. } => (409, "known"),
+        refuse::EngineError::NotHeld { .. } => (404, "not_held"),
+        refuse::EngineError::NotLoaded { .. } => (404, "not_loaded"),
+        refuse::EngineError::TooLong { .. } => (400, "too_long"),
+        refuse::EngineError::OldFencing { .. } => (409, "old_fencing"),
+        refuse::EngineError::LateOrder { .. } => (410, "late_order"),
+    };
+    http::error(status, code, &error.to_string())
+}
+
+/// The stream as text; events that are ready together make one piece.
+fn texts(stream: handle::EngineStream) -> impl futures_util::Stream<Item = String> + use<> {
+    let events = futures_util::stream::unfold(stream, |mut stream| async move {
+        let event = stream.next().await?;
+        Some((event_text(&event), stream))
+    });
+    events
+        .ready_chunks(EVENTS_AT_ONCE)
+        .map(|texts| texts.concat())
+}
+
+fn event_text(event: &handle::StreamEvent) -> String {
+    match event {
+        handle::StreamEvent::Token { seq, text } => {
+            format!(
+                "data: {}\n\n",
+                serde_json::json!({"seq": seq, "text": text})
+            )
+        }
+        handle::StreamEvent::Ping => String::from(": ping\n\n"),
+        handle::StreamEvent::Finish(report) => {
+            let text = serde_json::to_string(report).unwrap_or_default();
+            format!("data: {text}\n\n")
+        }
+        handle::StreamEvent::Nonsense => String::from("data: {\"seq\": \u{fffd}nonsense\n\n"),
+    }
+}
--- /dev/null
+++ b/crates/stand/src/engine/handle.rs
@@ -0,0 +1,482 @@
+//! A running engine in this process, on the runtime's clock.
+
+use std::{collections, sync};
+
+use base::id;
+use tokio::{sync as signal, time};
+
+use super::{EngineCore, call, feeds, profile, refuse, text};
+use crate::{draw, gate};
+
+/// A live generation shows at least this often that it lives.
+const PING_EVERY: time::Duration = time::Duration::from_millis(500);
+
+/// A fault that is switched on from outside.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
+pub enum EngineFault {
+    /// Dies with all it holds, and comes up again after `down_ms` if that is given.
+    Crash {
+        /// Time until another incarnation comes up.
+        #[serde(default)]
+        down_ms: Option<u64>,
+    },
+    /// Comes up again.
+    Restart,
+    /// Makes no progress while streams stay open and ping.
+    Stall {
+        /// Whether from now on or no more.
+        on: bool,
+    },
+    /// Makes all connections of now silent for good; new ones work.
+    Silence,
+    /// Lets nothing through in either direction.
+    Hang {
+        /// Whether from now on or no more.
+        on: bool,
+    },
+    /// Makes each step take `factor` times as long.
+    Slow {
+        /// 1 is usual.
+        factor: f64,
+    },
+    /// Announces that it is reclaimed, and dies after `notice_ms` for good.
+    Reclaim {
+        /// Time from the notice to the end.
+        notice_ms: u64,
+    },
+    /// Cuts every stream once it has carried this many tokens; absent: no more.
+    Truncate {
+        /// Tokens that a stream carries.
+        #[serde(default)]
+        after_tokens: Option<u32>,
+    },
+    /// Sends nonsense in place of tokens.
+    Nonsense {
+        /// Whether from now on or no more.
+        on: bool,
+    },
+}
+
+/// What a stream delivers. A stream that ends without `Finish` was cut.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamEvent {
+    /// One token.
+    Token {
+        /// Its number, from 0.
+        seq: u32,
+        /// Its text.
+        text: String,
+    },
+    /// The generation lives.
+    Ping,
+    /// It ended; nothing follows.
+    Finish(call::FinishReport),
+    /// Bytes that are no event (fault `Nonsense`).
+    Nonsense,
+}
+
+/// How streams are spoilt.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamSpoil {
+    truncate_after: Option<u32>,
+    nonsense: bool,
+}
+
+/// What the lock guards.
+#[derive(Debug)]
+struct EngineShared {
+    core: EngineCore,
+    /// One sender for each generation that the core holds.
+    progress:
+        collections::HashMap<id::GenerationId, signal::watch::Sender<call::GenerationProgress>>,
+    spoil: StreamSpoil,
+    incarnations: u64,
+    starts_while_leaving: u64,
+}
+
+/// A running engine; clones share it. Its task ends with the last clone.
+#[derive(Clone, Debug)]
+pub struct EngineHandle {
+    shared: sync::Arc<sync::Mutex<EngineShared>>,
+    wake: sync::Arc<signal::Notify>,
+    gate: gate::LinkGate,
+    origin: time::Instant,
+}
+
+impl EngineHandle {
+    /// Starts an engine on the current runtime.
+    #[must_use]
+    pub fn spawn(profile: profile::EngineProfile) -> Self {
+        let incarnation = nth_incarnation(profile.seed, 0);
+        let core = EngineCore::new(profile, incarnation, time::Duration::ZERO);
+        let shared = EngineShared {
+            core,
+            progress: collections::HashMap::new(),
+            spoil: StreamSpoil::default(),
+            incarnations: 1,
+            starts_while_leaving: 0,
+        };
+        let handle = Self {
+            shared: sync::Arc::new(sync::Mutex::new(shared)),
+            wake: sync::Arc::new(signal::Notify::new()),
+            gate: gate::LinkGate::default(),
+            origin: time::Instant::now(),
+        };
+        let shared = sync::Arc::downgrade(&handle.shared);
+        let (wake, gate) = (handle.wake.clone(), handle.gate.clone());
+        tokio::spawn(drive(shared, wake, gate, handle.origin));
+        handle
+    }
+
+    /// Starts a generation and streams it.
+    ///
+    /// # Errors
+    ///
+    /// When nothing was started, and why.
+    pub async fn start(&self, call: call::StartCall) -> Result<EngineStream, refuse::EngineError> {
+        let silence_epoch = self.connect().await?;
+        let mut shared = self.lock();
+        let now = self.now();
+        shared.core.start(now, &call)?;
+        if shared.core.state().leaving {
+            shared.starts_while_leaving += 1;
+        }
+        let progress = signal::watch::Sender::new(call::GenerationProgress::default());
+        let watcher = progress.subscribe();
+        shared.progress.insert(call.id, progress);
+        shared.publish(now, &self.gate);
+        drop(shared);
+        self.wake.notify_one();
+        Ok(self.stream(call.id, 0, watcher, silence_epoch))
+    }
+
+    /// Streams a generation again from token `from`.
+    ///
+    /// # Errors
+    ///
+    /// When the engine doesn't hold it.
+    pub async fn resume(
+        &self,
+        generation: id::GenerationId,
+        from: u32,
+    ) -> Result<EngineStream, refuse::EngineError> {
+        let silence_epoch = self.connect().await?;
+        let mut shared = self.lock();
+        shared.publish(self.now(), &self.gate);
+        shared.core.progress(generation)?;
+        let progress = shared.progress.get(&generation);
+        let watcher = progress
+            .map(signal::watch::Sender::subscribe)
+            .ok_or(refuse::EngineError::NotHeld { id: generation })?;
+        drop(shared);
+        Ok(self.stream(generation, from, watcher, silence_epoch))
+    }
+
+    /// Cancels a generation, or remembers that its start must be refused.
+    ///
+    /// # Errors
+    ///
+    /// When the engine is down.
+    pub async fn cancel(
+        &self,
+        generation: id::GenerationId,
+    ) -> Result<call::CancelAnswer, refuse::EngineError> {
+        let silence_epoch = self.connect().await?;
+        let answer = self.change(|core, now| core.cancel(now, generation));
+        self.gate.pass(silence_epoch).await;
+        answer
+    }
+
+    /// The newest load report that is given out.
+    ///
+    /// # Errors
+    ///
+    /// When the engine is down.
+    pub async fn load(&self) -> Result<call::LoadReport, refuse::EngineError> {
+        self.connect().await?;
+        self.change(EngineCore::load)
+    }
+
+    /// Cache events above number `after`.
+    ///
+    /// # Errors
+    ///
+    /// When the engine is down.
+    pub async fn cache_events(&self, after: u64) -> Result<feeds::CachePage, refuse::EngineError> {
+        self.connect().await?;
+        self.change(|core, now| core.cache_events(now, after))
+    }
+
+    /// Takes an order whose connection was first seen at `opened_at`.
+    ///
+    /// # Errors
+    ///
+    /// When it took no effect, and why.
+    pub async fn order(
+        &self,
+        call: call::OrderCall,
+        opened_at: time::Instant,
+    ) -> Result<call::EngineState, refuse::EngineError> {
+        let silence_epoch = self.connect().await?;
+        let opened_at = opened_at.saturating_duration_since(self.origin);
+        let answer = self.change(|core, now| core.order(now, opened_at, &call));
+        self.gate.pass(silence_epoch).await;
+        answer
+    }
+
+    /// What the engine has and is asked to be.
+    ///
+    /// # Errors
+    ///
+    /// When the engine is down.
+    pub async fn state(&self) -> Result<call::EngineState, refuse::EngineError> {
+        self.connect().await?;
+        Ok(self.change(|core, _| core.state()))
+    }
+
+    /// The present load without lag, for checkers.
+    #[must_use]
+    pub fn report(&self) -> call::LoadReport {
+        self.change(|core, _| core.report())
+    }
+
+    /// Generations that were started after the engine announced that it is leaving.
+    #[must_use]
+    pub fn starts_while_leaving(&self) -> u64 {
+        self.lock().starts_while_leaving
+    }
+
+    /// Whether the process lives.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.gate.state().up
+    }
+
+    /// The way to this engine.
+    #[must_use]
+    pub const fn gate(&self) -> &gate::LinkGate {
+        &self.gate
+    }
+
+    /// Switches a fault.
+    pub fn apply(&self, fault: &EngineFault) {
+        match *fault {
+            EngineFault::Crash { down_ms } => {
+                self.crash();
+                if let Some(down_ms) = down_ms {
+                    self.later(down_ms, Self::restart);
+                }
+            }
+            EngineFault::Restart => self.restart(),
+            EngineFault::Stall { on } => self.change(|core, now| core.set_stalled(now, on)),
+            EngineFault::Silence => self.gate.silence(),
+            EngineFault::Hang { on } => self.gate.set_hanging(on),
+            EngineFault::Slow { factor } => self.change(|core, _| core.set_slow_factor(factor)),
+            EngineFault::Reclaim { notice_ms } => {
+                self.change(|core, now| core.set_leaving(now, true));
+                self.later(notice_ms, Self::crash);
+            }
+            EngineFault::Truncate { after_tokens } => {
+                self.lock().spoil.truncate_after = after_tokens;
+            }
+            EngineFault::Nonsense { on } => self.lock().spoil.nonsense = on,
+        }
+    }
+
+    /// Dies: all streams are cut, all state is lost, new connections are refused.
+    pub fn crash(&self) {
+        self.change(EngineCore::crash);
+    }
+
+    /// Comes up again as another incarnation.
+    pub fn restart(&self) {
+        let mut shared = self.lock();
+        if !shared.core.is_down() {
+            return;
+        }
+        let incarnation = nth_incarnation(shared.core.profile().seed, shared.incarnations);
+        shared.incarnations += 1;
+        shared.core.restart(self.now(), incarnation);
+        drop(shared);
+        self.gate.set_up(true);
+        self.wake.notify_one();
+    }
+
+    fn later(&self, delay_ms: u64, action: fn(&Self)) {
+        let handle = self.clone();
+        tokio::spawn(async move {
+            time::sleep(time::Duration::from_millis(delay_ms)).await;
+            action(&handle);
+        });
+    }
+
+    /// Opens a connection: the silence epoch that it belongs to.
+    async fn connect(&self) -> Result<u64, refuse::EngineError> {
+        let silence_epoch = self.gate.state().silence_epoch;
+        self.gate.pass(silence_epoch).await;
+        if self.gate.state().up {
+            Ok(silence_epoch)
+        } else {
+            refuse::DownSnafu.fail()
+        }
+    }
+
+    fn change<T>(&self, action: impl FnOnce(&mut EngineCore, time::Duration) -> T) -> T {
+        let mut shared = self.lock();
+        let now = self.now();
+        let answer = action(&mut shared.core, now);
+        shared.publish(now, &self.gate);
+        drop(shared);
+        self.wake.notify_one();
+        answer
+    }
+
+    fn stream(
+        &self,
+        generation: id::GenerationId,
+        from: u32,
+        watcher: signal::watch::Receiver<call::GenerationProgress>,
+        silence_epoch: u64,
+    ) -> EngineStream {
+        EngineStream {
+            generation,
+            next_seq: from,
+            carried: 0,
+            watcher,
+            gate: self.gate.clone(),
+            silence_epoch,
+            spoil: self.lock().spoil,
+            ended: false,
+        }
+    }
+
+    fn now(&self) -> time::Duration {
+        self.origin.elapsed()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, EngineShared> {
+        self.shared
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl EngineShared {
+    /// Works up to `now` and tells the streams.
+    fn publish(&mut self, now: time::Duration, gate: &gate::LinkGate) {
+        for event in self.core.step(now) {
+            match event {
+                call::EngineEvent::Token { id, .. } | call::EngineEvent::Finished { id, .. } => {
+                    if let (Some(sender), Ok(progress)) =
+                        (self.progress.get(&id), self.core.progress(id))
+                    {
+                        sender.send_replace(progress);
+                    }
+                }
+                call::EngineEvent::Forgotten { id } => {
+                    self.progress.remove(&id);
+                }
+                call::EngineEvent::Crashed { .. } => {
+                    self.progress.clear();
+                    gate.set_up(false);
+                }
+                call::EngineEvent::Admitted { .. } | call::EngineEvent::Preempted { .. } => {}
+            }
+        }
+    }
+}
+
+fn nth_incarnation(seed: u64, number: u64) -> id::Incarnation {
+    let high = u128::from(draw::bits(seed, number));
+    id::Incarnation((high << 64) | u128::from(draw::bits(!seed, number)))
+}
+
+/// Steps the core whenever it has something to do, as long as a handle exists.
+async fn drive(
+    shared: sync::Weak<sync::Mutex<EngineShared>>,
+    wake: sync::Arc<signal::Notify>,
+    gate: gate::LinkGate,
+    origin: time::Instant,
+) {
+    /// Upper bound on the time that the task outlives the last handle.
+    const LOOK_AGAIN: time::Duration = time::Duration::from_secs(3_600);
+    loop {
+        let next = {
+            let Some(shared) = shared.upgrade() else {
+                return;
+            };
+            let mut shared = shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            shared.publish(origin.elapsed(), &gate);
+            shared.core.next_wake()
+        };
+        let deadline = next.map_or_else(|| time::Instant::now() + LOOK_AGAIN, |at| origin + at);
+        tokio::select! {
+            () = time::sleep_until(deadline) => {}
+            () = wake.notified() => {}
+        }
+    }
+}
+
+/// One connection's view of a generation.
+#[derive(Debug)]
+pub struct EngineStream {
+    generation: id::GenerationId,
+    next_seq: u32,
+    carried: u32,
+    watcher: signal::watch::Receiver<call::GenerationProgress>,
+    gate: gate::LinkGate,
+    silence_epoch: u64,
+    spoil: StreamSpoil,
+    ended: bool,
+}
+
+impl EngineStream {
+    /// The next event; `None` when the stream has ended or was cut. Safe to cancel.
+    pub async fn next(&mut self) -> Option<StreamEvent> {
+        loop {
+            self.gate.pass(self.silence_epoch).await;
+            if let Some(event) = self.ready() {
+                return event;
+            }
+            match time::timeout(PING_EVERY, self.watcher.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => {
+                    // The engine died or forgot the generation. A silent connection shows neither.
+                    self.gate.pass(self.silence_epoch).await;
+                    self.ended = true;
+                    return None;
+                }
+                Err(_) => {
+                    self.gate.pass(self.silence_epoch).await;
+                    return Some(StreamEvent::Ping);
+                }
+            }
+        }
+    }
+
+    /// What can be said without waiting: `Some(None)` is the end.
+    fn ready(&mut self) -> Option<Option<StreamEvent>> {
+        let cut = self
+            .spoil
+            .truncate_after
+            .is_some_and(|limit| self.carried >= limit);
+        if self.ended || cut {
+            return Some(None);
+        }
+        let progress = *self.watcher.borrow_and_update();
+        if self.next_seq < progress.produced {
+            let seq = self.next_seq;
+            self.next_seq += 1;
+            self.carried += 1;
+            if self.spoil.nonsense {
+                return Some(Some(StreamEvent::Nonsense));
+            }
+            let text = text::token(self.generation, seq);
+            return Some(Some(StreamEvent::Token { seq, text }));
+        }
+        let report = progress.finish?;
+        self.ended = true;
+        Some(Some(StreamEvent::Finish(report)))
+    }
+}
--- /dev/null
+++ b/crates/stand/src/engine/profile.rs
@@ -0,0 +1,88 @@
+//! What one model engine can do and what it costs.
+
+/// Capacity, costs and manners of one model engine.
+///
+/// The default takes about 20 ms for a decode step of 32 generations.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EngineProfile {
+    /// Model that is loaded at the start.
+    pub model: String,
+    /// Its version.
+    pub version: String,
+    /// Adapters that are loaded at the start.
+    pub adapters: Vec<String>,
+    /// Role at the start.
+    pub role: String,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+    /// KV cache blocks; what runs and what is cached together never take more.
+    pub total_blocks: u32,
+    /// Tokens in one block.
+    pub block_tokens: u32,
+    /// Generations that run at once at the most.
+    pub max_batch: u32,
+    /// Longest prompt and output together, in tokens.
+    pub context_tokens: u32,
+    /// Cost of a step before any generation is counted, in microseconds.
+    pub step_base_us: u64,
+    /// Cost of a step for each generation that decodes in it, in microseconds.
+    pub step_sequence_us: u64,
+    /// Cost of one uncached prompt token, in microseconds.
+    pub prefill_token_us: u64,
+    /// Prompt tokens that one step prefills at the most, so that decoding goes on beside it.
+    pub prefill_chunk_tokens: u32,
+    /// Median of the drawn output lengths, in tokens.
+    pub output_median_tokens: f64,
+    /// Spread of the logarithm of the drawn output lengths.
+    pub output_sigma: f64,
+    /// An ended generation can be resumed for this long.
+    pub kept_ms: u64,
+    /// The cancellation of an unknown id is remembered for this long.
+    pub tombstone_ms: u64,
+    /// Age of the newest load report that is given out.
+    pub load_lag_ms: u64,
+    /// Time between two load reports.
+    pub load_every_ms: u64,
+    /// Time from a change of the prefix cache until its event is given out.
+    pub cache_lag_ms: u64,
+    /// Chance that a cache event is lost, from 0 to 1.
+    pub cache_gap_chance: f64,
+    /// Time to load a model or another version of it.
+    pub model_load_ms: u64,
+    /// Time to load one adapter.
+    pub adapter_load_ms: u64,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+}
+
+impl Default for EngineProfile {
+    fn default() -> Self {
+        Self {
+            model: String::from("review-llm"),
+            version: String::from("1"),
+            adapters: Vec::new(),
+            role: String::from("serve"),
+            checks_fencing: true,
+            total_blocks: 2_048,
+            block_tokens: 16,
+            max_batch: 32,
+            context_tokens: 32_768,
+            step_base_us: 12_000,
+            step_sequence_us: 250,
+            prefill_token_us: 50,
+            prefill_chunk_tokens: 512,
+            output_median_tokens: 150.0,
+            output_sigma: 1.1,
+            kept_ms: 60_000,
+            tombstone_ms: 600_000,
+            load_lag_ms: 300,
+            load_every_ms: 100,
+            cache_lag_ms: 500,
+            cache_gap_chance: 0.02,
+            model_load_ms: 2_000,
+            adapter_load_ms: 200,
+            seed: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand/src/engine/sequence.rs
@@ -0,0 +1,164 @@
+//! One generation inside an engine.
+
+use std::time;
+
+use base::{id, prefix};
+
+use super::{call, profile, text};
+use crate::draw;
+
+slotmap::new_key_type! {
+    /// Key of one generation in one engine's arena.
+    pub struct SequenceKey;
+}
+
+/// Order of service: urgent first, then first come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueRank {
+    /// 0 is served first.
+    pub priority: u8,
+    /// Number of its arrival.
+    pub arrival: u64,
+}
+
+/// Where a generation is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SequencePhase {
+    /// Queued; holds no blocks.
+    Waiting,
+    /// In the batch, with this many tokens still to prefill; 0 means that it decodes.
+    Running {
+        /// Tokens to prefill.
+        prefill_left: u32,
+    },
+    /// Ended; holds no blocks.
+    Ended,
+}
+
+/// One generation.
+#[derive(Clone, Debug)]
+pub struct Sequence {
+    /// Its name.
+    pub id: id::GenerationId,
+    /// Its place in every order.
+    pub rank: QueueRank,
+    /// The model that makes it.
+    pub model: String,
+    /// The adapter that makes it.
+    pub adapter: Option<String>,
+    /// Where it is.
+    pub phase: SequencePhase,
+    /// Hashes of the prompt's full blocks.
+    pub chain: Vec<u64>,
+    /// Tokens of the prompt; at least 1.
+    pub prompt_tokens: u32,
+    /// Tokens that it will have produced when it ends by itself; at least 1.
+    pub target: u32,
+    /// Why it will end then.
+    pub reason: call::FinishReason,
+    /// Tokens produced; never shrinks.
+    pub produced: u32,
+    /// Prompt tokens found in the cache at the first prefill.
+    pub cached_tokens: u32,
+    /// Whether any part of it ran.
+    pub ran: bool,
+    /// Times it was preempted.
+    pub preempted: u32,
+    /// Blocks that it alone holds.
+    pub private: u32,
+    /// Cached blocks that it holds, in order of the prompt.
+    pub held: Vec<u64>,
+    /// Whether the engine dies of it.
+    pub crashes: bool,
+    /// Set when it has ended.
+    pub finish: Option<call::FinishReport>,
+    /// When it ended.
+    pub ended_at: time::Duration,
+}
+
+impl Sequence {
+    /// The generation that `call` asks for, waiting.
+    #[must_use]
+    pub fn new(call: &call::StartCall, arrival: u64, profile: &profile::EngineProfile) -> Self {
+        let prompt_tokens = (call.prompt.split_whitespace().count() as u32).max(1);
+        let room = profile.context_tokens.saturating_sub(prompt_tokens);
+        let limit = call.max_tokens.min(room).max(1);
+        let drawn = output_tokens(call, profile);
+        let reason = if drawn <= limit {
+            call::FinishReason::Stop
+        } else {
+            call::FinishReason::Length
+        };
+        Self {
+            id: call.id,
+            rank: QueueRank {
+                priority: call.priority,
+                arrival,
+            },
+            model: call.model.clone(),
+            adapter: call.adapter.clone(),
+            phase: SequencePhase::Waiting,
+            chain: prefix::chain(
+                &call.model,
+                call.adapter.as_deref(),
+                &call.prompt,
+                profile.block_tokens,
+            ),
+            prompt_tokens,
+            target: drawn.min(limit),
+            reason,
+            produced: 0,
+            cached_tokens: 0,
+            ran: false,
+            preempted: 0,
+            private: 0,
+            held: Vec::new(),
+            crashes: text::directive(&call.prompt, "crash").is_some(),
+            finish: None,
+            ended_at: time::Duration::ZERO,
+        }
+    }
+
+    /// Tokens whose keys and values it needs in memory.
+    #[must_use]
+    pub const fn context(&self) -> u32 {
+        self.prompt_tokens + self.produced
+    }
+
+    /// Blocks that it holds.
+    #[must_use]
+    pub fn blocks(&self) -> u32 {
+        self.private + self.held.len() as u32
+    }
+
+    /// How far it is.
+    #[must_use]
+    pub const fn progress(&self) -> call::GenerationProgress {
+        call::GenerationProgress {
+            produced: self.produced,
+            finish: self.finish,
+        }
+    }
+
+    /// The report that ends it now.
+    #[must_use]
+    pub const fn report(&self, finish: call::FinishReason) -> call::FinishReport {
+        call::FinishReport {
+            finish,
+            produced: self.produced,
+            prompt_tokens: self.prompt_tokens,
+            cached_tokens: self.cached_tokens,
+            preempted: self.preempted,
+        }
+    }
+}
+
+/// The output length that nobody knows before: by directive, or drawn from the seed.
+fn output_tokens(call: &call::StartCall, profile: &profile::EngineProfile) -> u32 {
+    if let Some(Ok(tokens)) = text::directive(&call.prompt, "len").map(str::parse::<u32>) {
+        return tokens.max(1);
+    }
+    let seed = call.seed.unwrap_or_else(|| draw::bits(0, call.id.0 as u64));
+    let tokens = draw::lognormal(seed, profile.output_median_tokens, profile.output_sigma);
+    (tokens.round() as u32).max(1)
+}
--- /dev/null
+++ b/crates/stand/src/log.rs
@@ -0,0 +1,310 @@
+//! The platform's append-only log with offsets.
+
+use std::{collections, time};
+
+pub mod front;
+pub mod handle;
+
+pub use self::{
+    front::serve,
+    handle::{LogFault, LogHandle},
+};
+
+/// Capacity and manners of the log.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogProfile {
+    /// Appends a second over all streams.
+    pub appends_per_second: f64,
+    /// Appends that may come at once after a pause.
+    pub burst: f64,
+    /// Records older than this are dropped.
+    pub retention_ms: u64,
+    /// Largest record, in bytes.
+    pub max_record_bytes: usize,
+    /// Records in one answer at the most.
+    pub max_page: usize,
+    /// Time that an append takes.
+    pub append_ms: u64,
+    /// Time that a read takes, waiting for records apart.
+    pub read_ms: u64,
+    /// The log's own clock at its start, in Unix milliseconds; absent: this machine's clock.
+    pub clock_ms: Option<u64>,
+}
+
+impl Default for LogProfile {
+    fn default() -> Self {
+        Self {
+            appends_per_second: 400.0,
+            burst: 40.0,
+            retention_ms: 3_600_000,
+            max_record_bytes: 1 << 20,
+            max_page: 1_000,
+            append_ms: 3,
+            read_ms: 1,
+            clock_ms: None,
+        }
+    }
+}
+
+/// What the log refuses or loses.
+#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+pub enum LogError {
+    /// Over the cap; took no effect.
+    #[snafu(display("the cap on appends is reached; append again in {retry_after_ms} ms"))]
+    OverCap {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+    /// The record is too large; took no effect.
+    #[snafu(display("the record has {bytes} bytes and {limit} are taken; split it"))]
+    TooLarge {
+        /// Size of the record.
+        bytes: usize,
+        /// Largest size.
+        limit: usize,
+    },
+    /// Retention has dropped the offset asked for.
+    #[snafu(display("records below offset {first} are dropped; start there, from a checkpoint"))]
+    Dropped {
+        /// The first offset that is kept.
+        first: u64,
+    },
+    /// The log is down; took no effect, but a caller can't know that.
+    #[snafu(display("the log is down; try again later, and read before appending again"))]
+    Outage,
+    /// The answer was lost. Whether the call took effect isn't known to its caller.
+    #[snafu(display("the answer was lost; read back whether the append took effect"))]
+    AnswerLost,
+}
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogRecord {
+    /// Its place in its stream: 0, 1, 2 and so on.
+    pub offset: u64,
+    /// When it was appended, on the log's own clock.
+    pub at_ms: u64,
+    /// What was appended.
+    pub body: bytes::Bytes,
+}
+
+/// Answer to a read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadPage {
+    /// The first offset that is kept.
+    pub first: u64,
+    /// The offset to read from next.
+    pub next: u64,
+    /// Records from the offset asked for, without gaps.
+    pub records: Vec<LogRecord>,
+}
+
+/// What an append did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AppendOutcome {
+    /// Offset of the record, which is kept.
+    pub offset: u64,
+    /// Whether its writer is not told.
+    pub answer_lost: bool,
+}
+
+/// One stream. Offsets `first..first + records.len()` are kept, without gaps.
+#[derive(Clone, Debug, Default)]
+struct LogStream {
+    first: u64,
+    records: collections::VecDeque<LogRecord>,
+}
+
+impl LogStream {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn drop_before(&mut self, at_ms: u64) {
+        while self
+            .records
+            .pop_front_if(|record| record.at_ms < at_ms)
+            .is_some()
+        {
+            self.first += 1;
+        }
+    }
+}
+
+/// The log without I/O and clock: `now` is the time since any fixed moment and never goes back.
+#[derive(Clone, Debug)]
+pub struct LogCore {
+    profile: LogProfile,
+    /// The log's clock at `now` zero.
+    clock_ms: u64,
+    streams: collections::BTreeMap<String, LogStream>,
+    /// Appends that may come at once, at `filled_at`; never above the burst.
+    tokens: f64,
+    filled_at: time::Duration,
+    outage: bool,
+    lose_answers: u32,
+    clock_shift_ms: i64,
+}
+
+impl LogCore {
+    /// An empty log whose clock shows `clock_ms` at `now` zero.
+    #[must_use]
+    pub fn new(profile: LogProfile, clock_ms: u64) -> Self {
+        Self {
+            clock_ms,
+            streams: collections::BTreeMap::new(),
+            tokens: profile.burst,
+            filled_at: time::Duration::ZERO,
+            outage: false,
+            lose_answers: 0,
+            clock_shift_ms: 0,
+            profile,
+        }
+    }
+
+    /// Appends one record.
+    ///
+    /// # Errors
+    ///
+    /// When the append took no effect, and why.
+    pub fn append(
+        &mut self,
+        now: time::Duration,
+        stream: &str,
+        body: bytes::Bytes,
+    ) -> Result<AppendOutcome, LogError> {
+        if self.outage {
+            return Err(LogError::Outage);
+        }
+        if body.len() > self.profile.max_record_bytes {
+            return Err(LogError::TooLarge {
+                bytes: body.len(),
+                limit: self.profile.max_record_bytes,
+            });
+        }
+        self.take_token(now)?;
+        self.expire(now);
+        let at_ms = self.at_ms(now);
+        let stream = self.streams.entry(String::from(stream)).or_default();
+        let offset = stream.end();
+        stream.records.push_back(LogRecord {
+            offset,
+            at_ms,
+            body,
+        });
+        let answer_lost = self.lose_answers > 0;
+        self.lose_answers = self.lose_answers.saturating_sub(1);
+        Ok(AppendOutcome {
+            offset,
+            answer_lost,
+        })
+    }
+
+    /// At most `max` records of a stream from offset `from`; none when there are none yet.
+    ///
+    /// # Errors
+    ///
+    /// When the log is down or has dropped what was asked for.
+    pub fn read(
+        &mut self,
+        now: time::Duration,
+        stream: &str,
+        from: u64,
+        max: usize,
+    ) -> Result<ReadPage, LogError> {
+        if self.outage {
+            return Err(LogError::Outage);
+        }
+        self.expire(now);
+        let Some(stream) = self.streams.get(stream) else {
+            return Ok(ReadPage {
+                next: from,
+                ..ReadPage::default()
+            });
+        };
+        let first = stream.first;
+        if from < first {
+            return Err(LogError::Dropped { first });
+        }
+        let skip = (from - first).min(stream.records.len() as u64) as usize;
+        let records = stream.records.range(skip..);
+        let records: Vec<LogRecord> = records
+            .take(max.min(self.profile.max_page))
+            .cloned()
+            .collect();
+        let next = from + records.len() as u64;
+        Ok(ReadPage {
+            first,
+            next,
+            records,
+        })
+    }
+
+    /// Begins or ends an outage.
+    pub fn set_outage(&mut self, outage: bool) {
+        self.outage = outage;
+    }
+
+    /// Loses the answers of the next `count` appends, which take effect.
+    pub fn lose_answers(&mut self, count: u32) {
+        self.lose_answers = count;
+    }
+
+    /// Shifts the log's own clock, which need not be right.
+    pub fn shift_clock(&mut self, shift_ms: i64) {
+        self.clock_shift_ms = shift_ms;
+    }
+
+    /// Drops all records of `stream` below offset `first`, as retention would.
+    pub fn drop_below(&mut self, stream: &str, first: u64) {
+        if let Some(stream) = self.streams.get_mut(stream) {
+            while stream.first < first && stream.records.pop_front().is_some() {
+                stream.first += 1;
+            }
+        }
+    }
+
+    /// Every record of a stream that is kept, for checkers.
+    pub fn records(&self, stream: &str) -> impl Iterator<Item = &LogRecord> {
+        self.streams
+            .get(stream)
+            .into_iter()
+            .flat_map(|stream| &stream.records)
+    }
+
+    /// The log's own clock.
+    #[must_use]
+    pub fn at_ms(&self, now: time::Duration) -> u64 {
+        let clock_ms = self.clock_ms + now.as_millis() as u64;
+        clock_ms.saturating_add_signed(self.clock_shift_ms)
+    }
+
+    /// Its profile.
+    #[must_use]
+    pub const fn profile(&self) -> &LogProfile {
+        &self.profile
+    }
+
+    fn expire(&mut self, now: time::Duration) {
+        let before_ms = self.at_ms(now).saturating_sub(self.profile.retention_ms);
+        for stream in self.streams.values_mut() {
+            stream.drop_before(before_ms);
+        }
+    }
+
+    fn take_token(&mut self, now: time::Duration) -> Result<(), LogError> {
+        let rate = self.profile.appends_per_second;
+        let gained = now.saturating_sub(self.filled_at).as_secs_f64() * rate;
+        self.tokens = (self.tokens + gained).min(self.profile.burst.max(1.0));
+        self.filled_at = self.filled_at.max(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait_ms = (1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE) * 1_000.0;
+        Err(LogError::OverCap {
+            retry_after_ms: wait_ms.ceil() as u64,
+        })
+    }
+}
--- /dev/null
+++ b/crates/stand/src/weights.rs
@@ -0,0 +1,177 @@
+//! The weight store: bytes at a limited rate.
+
+use std::{net, sync};
+
+use rocket::{State, data, get, post, routes};
+use tokio::time;
+
+use crate::{gate, http};
+
+/// Capacity of the weight store.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WeightsProfile {
+    /// Bytes a second.
+    pub bytes_per_second: f64,
+    /// Bytes that may be taken at once after a pause; more than that are never given at once.
+    pub burst_bytes: f64,
+}
+
+impl Default for WeightsProfile {
+    fn default() -> Self {
+        Self {
+            bytes_per_second: 1e9,
+            burst_bytes: 1e9,
+        }
+    }
+}
+
+/// The store without I/O and clock: `now` is the time since any fixed moment and never goes back.
+#[derive(Clone, Debug)]
+pub struct WeightsCore {
+    profile: WeightsProfile,
+    /// Bytes that may be taken at `filled_at`; never above the burst.
+    available: f64,
+    filled_at: time::Duration,
+}
+
+impl WeightsCore {
+    /// A store that nobody has taken from.
+    #[must_use]
+    pub const fn new(profile: WeightsProfile) -> Self {
+        Self {
+            available: profile.burst_bytes,
+            profile,
+            filled_at: time::Duration::ZERO,
+        }
+    }
+
+    /// Takes `bytes` of the rate.
+    ///
+    /// # Errors
+    ///
+    /// When there are not as many now: the time to wait.
+    pub fn take(&mut self, now: time::Duration, bytes: u64) -> Result<(), time::Duration> {
+        let gained =
+            now.saturating_sub(self.filled_at).as_secs_f64() * self.profile.bytes_per_second;
+        self.available = (self.available + gained).min(self.profile.burst_bytes);
+        self.filled_at = self.filled_at.max(now);
+        let missing = bytes as f64 - self.available;
+        if missing <= 0.0 {
+            self.available -= bytes as f64;
+            return Ok(());
+        }
+        let wait = missing / self.profile.bytes_per_second.max(1.0);
+        Err(time::Duration::from_secs_f64(wait.min(86_400.0)))
+    }
+}
+
+/// A fault that is switched on from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
+pub enum WeightsFault {
+    /// Refuses connections.
+    Refuse {
+        /// Whether from now on or no more.
+        on: bool,
+    },
+    /// Lets nothing through in either direction.
+    Hang {
+        /// Whether from now on or no more.
+        on: bool,
+    },
+    /// Makes all connections of now silent for good; new ones work.
+    Silence,
+}
+
+/// A running weight store; clones share it.
+#[derive(Clone, Debug)]
+pub struct WeightsHandle {
+    core: sync::Arc<sync::Mutex<WeightsCore>>,
+    gate: gate::LinkGate,
+    origin: time::Instant,
+}
+
+impl WeightsHandle {
+    /// Starts a store.
+    #[must_use]
+    pub fn new(profile: WeightsProfile) -> Self {
+        Self {
+            core: sync::Arc::new(sync::Mutex::new(WeightsCore::new(profile))),
+            gate: gate::LinkGate::default(),
+            origin: time::Instant::now(),
+        }
+    }
+
+    /// Takes `bytes` of the rate.
+    ///
+    /// # Errors
+    ///
+    /// When there are not as many now: the time to wait.
+    pub fn take(&self, bytes: u64) -> Result<(), time::Duration> {
+        let mut core = self
+            .core
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        core.take(self.origin.elapsed(), bytes)
+    }
+
+    /// The way to this store.
+    #[must_use]
+    pub const fn gate(&self) -> &gate::LinkGate {
+        &self.gate
+    }
+
+    /// Switches a fault.
+    pub fn apply(&self, fault: WeightsFault) {
+        match fault {
+            WeightsFault::Refuse { on } => self.gate.set_up(!on),
+            WeightsFault::Hang { on } => self.gate.set_hanging(on),
+            WeightsFault::Silence => self.gate.silence(),
+        }
+    }
+}
+
+/// Serves the store on `address` (port 0: any).
+///
+/// # Errors
+///
+/// When the address can't be had.
+pub async fn serve(
+    handle: WeightsHandle,
+    address: net::SocketAddr,
+) -> Result<http::RunningServer, http::ServeError> {
+    http::serve(
+        address,
+        handle.gate().clone(),
+        handle,
+        routes![take, faults],
+    )
+    .await
+}
+
+#[get("/v1/weights/<model>/<version>?<bytes>")]
+fn take(model: &str, version: &str, bytes: u64, handle: &State<WeightsHandle>) -> http::JsonReply {
+    match handle.take(bytes) {
+        Ok(()) => {
+            let body = serde_json::json!({"model": model, "version": version, "bytes": bytes});
+            http::json(200, &body)
+        }
+        Err(wait) => {
+            let wait_ms = wait.as_millis() as u64 + 1;
+            let message = format!("the rate is used up; ask again in {wait_ms} ms");
+            http::error_after(429, "over_rate", &message, wait_ms)
+        }
+    }
+}
+
+#[post("/admin/faults", data = "<body>")]
+async fn faults(body: data::Data<'_>, handle: &State<WeightsHandle>) -> http::JsonReply {
+    match http::read_json(body).await {
+        Ok(fault) => {
+            handle.apply(fault);
+            http::json(200, &fault)
+        }
+        Err(reply) => reply,
+    }
+}
