Engine stand-in: answers lost after their effect, work done in order of time

Cause: a start, cancellation or order whose answer breaks leaves its caller in doubt, and tests want that; and how often an engine was stepped could change what it did when a load ended between two steps. Change: fault lose_answers; cache events carry the tokens of the prefix.

--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -6,6 +6,7 @@
 
 pub mod batch;
 pub mod call;
+pub mod fault;
 pub mod feeds;
 pub mod front;
 pub mod handle;
@@ -14,14 +15,17 @@
 pub mod profile;
 pub mod refuse;
 pub mod sequence;
+pub mod stream;
 pub mod text;
 
 pub use self::{
     call::{EngineEvent, StartCall},
+    fault::EngineFault,
     front::serve,
-    handle::{EngineFault, EngineHandle, EngineStream, StreamEvent},
+    handle::EngineHandle,
     profile::EngineProfile,
     refuse::EngineError,
+    stream::{EngineStream, StreamEvent},
 };
 
 /// One engine without I/O and clock: `now` is the time since any fixed moment and never goes back.
@@ -343,21 +347,34 @@
         self.leaving = leaving;
     }
 
+    /// Does all that is due up to `now`, in the order of time: how often it is called changes
+    /// nothing.
     fn advance(&mut self, now: time::Duration) {
-        while !self.stalled && !self.down {
-            let Some(plan) = self.plan.take_if(|plan| plan.ends_at <= now) else {
-                break;
-            };
-            self.observe(plan.ends_at);
-            self.finish_step(&plan);
-            self.begin_step(plan.ends_at);
+        while !self.down {
+            let ready_at = self.loading.as_ref().map(|loading| loading.ready_at);
+            let ends_at = self.plan.as_ref().map(|plan| plan.ends_at);
+            let ends_at = ends_at.filter(|_| !self.stalled);
+            match (ready_at, ends_at) {
+                (Some(at), _) if at <= now && ends_at.is_none_or(|ends_at| at <= ends_at) => {
+                    self.finish_loading(at);
+                }
+                (_, Some(at)) if at <= now => self.next_step(at),
+                _ => break,
+            }
         }
         if !self.down {
-            self.finish_loading(now);
             self.forget(now);
         }
     }
 
+    fn next_step(&mut self, now: time::Duration) {
+        self.observe(now);
+        if let Some(plan) = self.plan.take() {
+            self.finish_step(&plan);
+        }
+        self.begin_step(now);
+    }
+
     /// Takes the load reports that are due; to be called before any change at `now`.
     fn observe(&mut self, now: time::Duration) {
         if self.history.is_due(now) {
--- a/crates/stand/src/engine/batch.rs
+++ b/crates/stand/src/engine/batch.rs
@@ -1,6 +1,6 @@
 //! Steps of continuous batching: who decodes, who prefills, who must give its memory back.
 
-use std::time;
+use std::{mem, time};
 
 use super::{EngineCore, call, sequence};
 
@@ -92,7 +92,7 @@
     fn store_prompt(&mut self, key: sequence::SequenceKey) {
         let sequence = &mut self.sequences[key];
         for &hash in &sequence.chain[sequence.held.len()..] {
-            if !self.pool.store(hash) {
+            if !self.pool.store(hash, sequence.held.len() as u32 + 1) {
                 break;
             }
             sequence.private -= 1;
@@ -145,8 +145,8 @@
         let sequence = &mut self.sequences[key];
         sequence.phase = sequence::SequencePhase::Waiting;
         sequence.preempted += 1;
-        let private = std::mem::take(&mut sequence.private);
-        let held = std::mem::take(&mut sequence.held);
+        let private = mem::take(&mut sequence.private);
+        let held = mem::take(&mut sequence.held);
         let id = sequence.id;
         self.pool.release(private, &held);
         self.waiting.insert(rank, key);
@@ -231,8 +231,8 @@
         let report = sequence.report(reason);
         sequence.finish = Some(report);
         sequence.phase = sequence::SequencePhase::Ended;
-        let private = std::mem::take(&mut sequence.private);
-        let held = std::mem::take(&mut sequence.held);
+        let private = mem::take(&mut sequence.private);
+        let held = mem::take(&mut sequence.held);
         let (id, rank) = (sequence.id, sequence.rank);
         self.pool.release(private, &held);
         self.waiting.remove(&rank);
--- a/crates/stand/src/engine/call.rs
+++ b/crates/stand/src/engine/call.rs
@@ -26,7 +26,16 @@
 }
 
 /// Why a generation ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Deserialize, serde::Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    serde::Deserialize,
+    serde::Serialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum FinishReason {
     /// It was complete.
@@ -40,7 +49,15 @@
 }
 
 /// Last event of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    serde::Deserialize,
+    serde::Serialize
+)]
 pub struct FinishReport {
     /// Why it ended.
     pub finish: FinishReason,
--- a/crates/stand/src/engine/feeds.rs
+++ b/crates/stand/src/engine/feeds.rs
@@ -69,7 +69,15 @@
 }
 
 /// What a cache event tells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    serde::Deserialize,
+    serde::Serialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheEventKind {
     /// The prefix can be found from now on.
@@ -89,7 +97,7 @@
     pub kind: CacheEventKind,
     /// Which prefix, see `base::prefix`.
     pub prefix_hash: u64,
-    /// Tokens of the block that ends the prefix.
+    /// Tokens that the prefix covers.
     pub tokens: u32,
 }
 
@@ -134,16 +142,17 @@
             if draw::unit(self.seed, self.last_seq) < self.gap_chance {
                 continue;
             }
-            let (kind, prefix_hash) = match change {
-                pool::PoolChange::Stored(hash) => (CacheEventKind::Stored, hash),
-                pool::PoolChange::Evicted(hash) => (CacheEventKind::Evicted, hash),
+            let kind = if change.stored {
+                CacheEventKind::Stored
+            } else {
+                CacheEventKind::Evicted
             };
             self.events.push_back(CacheEvent {
                 seq: self.last_seq,
                 at_ms: now.as_millis() as u64,
                 kind,
-                prefix_hash,
-                tokens: self.block_tokens,
+                prefix_hash: change.hash,
+                tokens: change.depth * self.block_tokens,
             });
             if self.events.len() > KEPT_CACHE_EVENTS {
                 self.events.pop_front();
--- a/crates/stand/src/engine/front.rs
+++ b/crates/stand/src/engine/front.rs
@@ -8,7 +8,7 @@
     State, data, delete, get, http::ContentType, post, response::stream::TextStream, routes,
 };
 
-use super::{call, handle, refuse};
+use super::{call, handle, refuse, stream};
 use crate::http;
 
 /// Events that are written at once when they are ready at once.
@@ -128,10 +128,6 @@
     }
 }
 
-#[expect(
-    clippy::needless_pass_by_value,
-    reason = "used as a function of `map_err`"
-)]
 fn refuse(error: refuse::EngineError) -> http::JsonReply {
     let (status, code) = match &error {
         refuse::EngineError::Down => (503, "down"),
@@ -141,12 +137,13 @@
         refuse::EngineError::TooLong { .. } => (400, "too_long"),
         refuse::EngineError::OldFencing { .. } => (409, "old_fencing"),
         refuse::EngineError::LateOrder { .. } => (410, "late_order"),
+        refuse::EngineError::AnswerLost => return http::JsonReply::Lost(http::LostAnswer),
     };
     http::error(status, code, &error.to_string())
 }
 
 /// The stream as text; events that are ready together make one piece.
-fn texts(stream: handle::EngineStream) -> impl futures_util::Stream<Item = String> + use<> {
+fn texts(stream: stream::EngineStream) -> impl futures_util::Stream<Item = String> + use<> {
     let events = futures_util::stream::unfold(stream, |mut stream| async move {
         let event = stream.next().await?;
         Some((event_text(&event), stream))
@@ -156,19 +153,19 @@
         .map(|texts| texts.concat())
 }
 
-fn event_text(event: &handle::StreamEvent) -> String {
+fn event_text(event: &stream::StreamEvent) -> String {
     match event {
-        handle::StreamEvent::Token { seq, text } => {
+        stream::StreamEvent::Token { seq, text } => {
             format!(
                 "data: {}\n\n",
                 serde_json::json!({"seq": seq, "text": text})
             )
         }
-        handle::StreamEvent::Ping => String::from(": ping\n\n"),
-        handle::StreamEvent::Finish(report) => {
+        stream::StreamEvent::Ping => String::from(": ping\n\n"),
+        stream::StreamEvent::Finish(report) => {
             let text = serde_json::to_string(report).unwrap_or_default();
             format!("data: {text}\n\n")
         }
-        handle::StreamEvent::Nonsense => String::from("data: {\"seq\": \u{fffd}nonsense\n\n"),
+        stream::StreamEvent::Nonsense => String::from("data: {\"seq\": \u{fffd}nonsense\n\n"),
     }
 }
--- a/crates/stand/src/engine/handle.rs
+++ b/crates/stand/src/engine/handle.rs
@@ -5,84 +5,9 @@
 use base::id;
 use tokio::{sync as signal, time};
 
-use super::{EngineCore, call, feeds, profile, refuse, text};
+use super::{EngineCore, call, fault, feeds, profile, refuse, stream};
 use crate::{draw, gate};
 
-/// A live generation shows at least this often that it lives.
-const PING_EVERY: time::Duration = time::Duration::from_millis(500);
-
-/// A fault that is switched on from outside.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
-#[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
-pub enum EngineFault {
-    /// Dies with all it holds, and comes up again after `down_ms` if that is given.
-    Crash {
-        /// Time until another incarnation comes up.
-        #[serde(default)]
-        down_ms: Option<u64>,
-    },
-    /// Comes up again.
-    Restart,
-    /// Makes no progress while streams stay open and ping.
-    Stall {
-        /// Whether from now on or no more.
-        on: bool,
-    },
-    /// Makes all connections of now silent for good; new ones work.
-    Silence,
-    /// Lets nothing through in either direction.
-    Hang {
-        /// Whether from now on or no more.
-        on: bool,
-    },
-    /// Makes each step take `factor` times as long.
-    Slow {
-        /// 1 is usual.
-        factor: f64,
-    },
-    /// Announces that it is reclaimed, and dies after `notice_ms` for good.
-    Reclaim {
-        /// Time from the notice to the end.
-        notice_ms: u64,
-    },
-    /// Cuts every stream once it has carried this many tokens; absent: no more.
-    Truncate {
-        /// Tokens that a stream carries.
-        #[serde(default)]
-        after_tokens: Option<u32>,
-    },
-    /// Sends nonsense in place of tokens.
-    Nonsense {
-        /// Whether from now on or no more.
-        on: bool,
-    },
-}
-
-/// What a stream delivers. A stream that ends without `Finish` was cut.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StreamEvent {
-    /// One token.
-    Token {
-        /// Its number, from 0.
-        seq: u32,
-        /// Its text.
-        text: String,
-    },
-    /// The generation lives.
-    Ping,
-    /// It ended; nothing follows.
-    Finish(call::FinishReport),
-    /// Bytes that are no event (fault `Nonsense`).
-    Nonsense,
-}
-
-/// How streams are spoilt.
-#[derive(Clone, Copy, Debug, Default)]
-struct StreamSpoil {
-    truncate_after: Option<u32>,
-    nonsense: bool,
-}
-
 /// What the lock guards.
 #[derive(Debug)]
 struct EngineShared {
@@ -90,7 +15,8 @@
     /// One sender for each generation that the core holds.
     progress:
         collections::HashMap<id::GenerationId, signal::watch::Sender<call::GenerationProgress>>,
-    spoil: StreamSpoil,
+    spoil: stream::StreamSpoil,
+    lose_answers: u32,
     incarnations: u64,
     starts_while_leaving: u64,
 }
@@ -113,7 +39,8 @@
         let shared = EngineShared {
             core,
             progress: collections::HashMap::new(),
-            spoil: StreamSpoil::default(),
+            spoil: stream::StreamSpoil::default(),
+            lose_answers: 0,
             incarnations: 1,
             starts_while_leaving: 0,
         };
@@ -134,7 +61,10 @@
     /// # Errors
     ///
     /// When nothing was started, and why.
-    pub async fn start(&self, call: call::StartCall) -> Result<EngineStream, refuse::EngineError> {
+    pub async fn start(
+        &self,
+        call: call::StartCall,
+    ) -> Result<stream::EngineStream, refuse::EngineError> {
         let silence_epoch = self.connect().await?;
         let mut shared = self.lock();
         let now = self.now();
@@ -146,9 +76,13 @@
         let watcher = progress.subscribe();
         shared.progress.insert(call.id, progress);
         shared.publish(now, &self.gate);
+        let lost = shared.loses_answer();
         drop(shared);
         self.wake.notify_one();
-        Ok(self.stream(call.id, 0, watcher, silence_epoch))
+        if lost {
+            return refuse::AnswerLostSnafu.fail();
+        }
+        Ok(self.open_stream(call.id, 0, watcher, silence_epoch))
     }
 
     /// Streams a generation again from token `from`.
@@ -160,7 +94,7 @@
         &self,
         generation: id::GenerationId,
         from: u32,
-    ) -> Result<EngineStream, refuse::EngineError> {
+    ) -> Result<stream::EngineStream, refuse::EngineError> {
         let silence_epoch = self.connect().await?;
         let mut shared = self.lock();
         shared.publish(self.now(), &self.gate);
@@ -170,7 +104,7 @@
             .map(signal::watch::Sender::subscribe)
             .ok_or(refuse::EngineError::NotHeld { id: generation })?;
         drop(shared);
-        Ok(self.stream(generation, from, watcher, silence_epoch))
+        Ok(self.open_stream(generation, from, watcher, silence_epoch))
     }
 
     /// Cancels a generation, or remembers that its start must be refused.
@@ -184,8 +118,7 @@
     ) -> Result<call::CancelAnswer, refuse::EngineError> {
         let silence_epoch = self.connect().await?;
         let answer = self.change(|core, now| core.cancel(now, generation));
-        self.gate.pass(silence_epoch).await;
-        answer
+        self.deliver(silence_epoch, answer).await
     }
 
     /// The newest load report that is given out.
@@ -221,8 +154,7 @@
         let silence_epoch = self.connect().await?;
         let opened_at = opened_at.saturating_duration_since(self.origin);
         let answer = self.change(|core, now| core.order(now, opened_at, &call));
-        self.gate.pass(silence_epoch).await;
-        answer
+        self.deliver(silence_epoch, answer).await
     }
 
     /// What the engine has and is asked to be.
@@ -260,27 +192,30 @@
     }
 
     /// Switches a fault.
-    pub fn apply(&self, fault: &EngineFault) {
+    pub fn apply(&self, fault: &fault::EngineFault) {
         match *fault {
-            EngineFault::Crash { down_ms } => {
+            fault::EngineFault::Crash { down_ms } => {
                 self.crash();
                 if let Some(down_ms) = down_ms {
                     self.later(down_ms, Self::restart);
                 }
             }
-            EngineFault::Restart => self.restart(),
-            EngineFault::Stall { on } => self.change(|core, now| core.set_stalled(now, on)),
-            EngineFault::Silence => self.gate.silence(),
-            EngineFault::Hang { on } => self.gate.set_hanging(on),
-            EngineFault::Slow { factor } => self.change(|core, _| core.set_slow_factor(factor)),
-            EngineFault::Reclaim { notice_ms } => {
+            fault::EngineFault::Restart => self.restart(),
+            fault::EngineFault::Stall { on } => self.change(|core, now| core.set_stalled(now, on)),
+            fault::EngineFault::Silence => self.gate.silence(),
+            fault::EngineFault::Hang { on } => self.gate.set_hanging(on),
+            fault::EngineFault::Slow { factor } => {
+                self.change(|core, _| core.set_slow_factor(factor))
+            }
+            fault::EngineFault::Reclaim { notice_ms } => {
                 self.change(|core, now| core.set_leaving(now, true));
                 self.later(notice_ms, Self::crash);
             }
-            EngineFault::Truncate { after_tokens } => {
+            fault::EngineFault::Truncate { after_tokens } => {
                 self.lock().spoil.truncate_after = after_tokens;
             }
-            EngineFault::Nonsense { on } => self.lock().spoil.nonsense = on,
+            fault::EngineFault::LoseAnswers { count } => self.lock().lose_answers = count,
+            fault::EngineFault::Nonsense { on } => self.lock().spoil.nonsense = on,
         }
     }
 
@@ -322,6 +257,19 @@
         }
     }
 
+    /// Carries the answer of a call that had its effect back to its caller, or loses it.
+    async fn deliver<T>(
+        &self,
+        silence_epoch: u64,
+        answer: Result<T, refuse::EngineError>,
+    ) -> Result<T, refuse::EngineError> {
+        self.gate.pass(silence_epoch).await;
+        if answer.is_ok() && self.lock().loses_answer() {
+            return refuse::AnswerLostSnafu.fail();
+        }
+        answer
+    }
+
     fn change<T>(&self, action: impl FnOnce(&mut EngineCore, time::Duration) -> T) -> T {
         let mut shared = self.lock();
         let now = self.now();
@@ -332,14 +280,14 @@
         answer
     }
 
-    fn stream(
+    fn open_stream(
         &self,
         generation: id::GenerationId,
         from: u32,
         watcher: signal::watch::Receiver<call::GenerationProgress>,
         silence_epoch: u64,
-    ) -> EngineStream {
-        EngineStream {
+    ) -> stream::EngineStream {
+        stream::EngineStream {
             generation,
             next_seq: from,
             carried: 0,
@@ -363,6 +311,12 @@
 }
 
 impl EngineShared {
+    fn loses_answer(&mut self) -> bool {
+        let lost = self.lose_answers > 0;
+        self.lose_answers = self.lose_answers.saturating_sub(1);
+        lost
+    }
+
     /// Works up to `now` and tells the streams.
     fn publish(&mut self, now: time::Duration, gate: &gate::LinkGate) {
         for event in self.core.step(now) {
@@ -417,66 +371,3 @@
         }
     }
 }
-
-/// One connection's view of a generation.
-#[derive(Debug)]
-pub struct EngineStream {
-    generation: id::GenerationId,
-    next_seq: u32,
-    carried: u32,
-    watcher: signal::watch::Receiver<call::GenerationProgress>,
-    gate: gate::LinkGate,
-    silence_epoch: u64,
-    spoil: StreamSpoil,
-    ended: bool,
-}
-
-impl EngineStream {
-    /// The next event; `None` when the stream has ended or was cut. Safe to cancel.
-    pub async fn next(&mut self) -> Option<StreamEvent> {
-        loop {
-            self.gate.pass(self.silence_epoch).await;
-            if let Some(event) = self.ready() {
-                return event;
-            }
-            match time::timeout(PING_EVERY, self.watcher.changed()).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => {
-                    // The engine died or forgot the generation. A silent connection shows neither.
-                    self.gate.pass(self.silence_epoch).await;
-                    self.ended = true;
-                    return None;
-                }
-                Err(_) => {
-                    self.gate.pass(self.silence_epoch).await;
-                    return Some(StreamEvent::Ping);
-                }
-            }
-        }
-    }
-
-    /// What can be said without waiting: `Some(None)` is the end.
-    fn ready(&mut self) -> Option<Option<StreamEvent>> {
-        let cut = self
-            .spoil
-            .truncate_after
-            .is_some_and(|limit| self.carried >= limit);
-        if self.ended || cut {
-            return Some(None);
-        }
-        let progress = *self.watcher.borrow_and_update();
-        if self.next_seq < progress.produced {
-            let seq = self.next_seq;
-            self.next_seq += 1;
-            self.carried += 1;
-            if self.spoil.nonsense {
-                return Some(Some(StreamEvent::Nonsense));
-            }
-            let text = text::token(self.generation, seq);
-            return Some(Some(StreamEvent::Token { seq, text }));
-        }
-        let report = progress.finish?;
-        self.ended = true;
-        Some(Some(StreamEvent::Finish(report)))
-    }
-}
--- a/crates/stand/src/engine/pool.rs
+++ b/crates/stand/src/engine/pool.rs
@@ -1,14 +1,16 @@
 //! The KV cache blocks of one engine: those of running generations and those of cached prefixes.
 
-use std::collections;
+use std::{collections, mem};
 
 /// What happened to a cached block.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PoolChange {
-    /// The prefix that ends with this block can be found from now on.
-    Stored(u64),
-    /// It was dropped to make room.
-    Evicted(u64),
+pub struct PoolChange {
+    /// Hash of the prefix that ends with this block.
+    pub hash: u64,
+    /// Blocks of that prefix.
+    pub depth: u32,
+    /// `true`: it can be found from now on; `false`: it was dropped to make room.
+    pub stored: bool,
 }
 
 /// A block whose content is known by its prefix hash.
@@ -16,6 +18,8 @@
 struct CachedBlock {
     /// Running generations that hold it.
     holders: u32,
+    /// Blocks of the prefix that ends with it.
+    depth: u32,
     /// Order of its last release; while it is held it stands for nothing.
     released: u64,
 }
@@ -90,8 +94,7 @@
         }
         while self.occupied() + count > self.total {
             if let Some((_, hash)) = self.idle.pop_first() {
-                self.cached.remove(&hash);
-                self.changes.push(PoolChange::Evicted(hash));
+                self.evict(hash);
             }
         }
         self.private += count;
@@ -100,17 +103,23 @@
 
     /// Turns one private block into a cached one that its owner holds; `false` when the prefix is
     /// cached already and the block stays private.
-    pub fn store(&mut self, hash: u64) -> bool {
+    pub fn store(&mut self, hash: u64, depth: u32) -> bool {
         if self.cached.contains_key(&hash) || self.private == 0 {
             return false;
         }
         self.private -= 1;
         let block = CachedBlock {
             holders: 1,
+            depth,
             released: 0,
         };
         self.cached.insert(hash, block);
-        self.changes.push(PoolChange::Stored(hash));
+        let change = PoolChange {
+            hash,
+            depth,
+            stored: true,
+        };
+        self.changes.push(change);
         true
     }
 
@@ -133,14 +142,24 @@
 
     /// Drops all idle cached blocks.
     pub fn clear_idle(&mut self) {
-        for hash in std::mem::take(&mut self.idle).into_values() {
-            self.cached.remove(&hash);
-            self.changes.push(PoolChange::Evicted(hash));
+        for hash in mem::take(&mut self.idle).into_values() {
+            self.evict(hash);
         }
     }
 
     /// The changes of the cache since the last call.
     pub fn drain_changes(&mut self) -> Vec<PoolChange> {
-        std::mem::take(&mut self.changes)
+        mem::take(&mut self.changes)
+    }
+
+    fn evict(&mut self, hash: u64) {
+        let Some(block) = self.cached.remove(&hash) else {
+            return;
+        };
+        self.changes.push(PoolChange {
+            hash,
+            depth: block.depth,
+            stored: false,
+        });
     }
 }
--- a/crates/stand/src/engine/refuse.rs
+++ b/crates/stand/src/engine/refuse.rs
@@ -2,7 +2,7 @@
 
 use base::id;
 
-/// What an engine refuses. Each one proves that the call took no effect.
+/// What an engine refuses. Each but `AnswerLost` proves that the call took no effect.
 #[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum EngineError {
@@ -53,4 +53,7 @@
         /// Time past its limit.
         late_ms: u64,
     },
+    /// The call took effect and its answer was lost: its caller can't know.
+    #[snafu(display("the answer was lost; cancel the generation, or read the state back"))]
+    AnswerLost,
 }
--- a/crates/stand/src/http.rs
+++ b/crates/stand/src/http.rs
@@ -7,8 +7,15 @@
 
 use crate::gate;
 
-/// A JSON answer with its status.
-pub type JsonReply = (Status, response::content::RawJson<String>);
+/// Answer of a stand-in.
+#[derive(Debug)]
+#[derive(rocket::Responder)]
+pub enum JsonReply {
+    /// A JSON body with its status.
+    Told((Status, response::content::RawJson<String>)),
+    /// Nothing that its caller could use.
+    Lost(LostAnswer),
+}
 
 /// Largest body that a stand-in takes, in bytes.
 pub const BODY_LIMIT: data::ByteUnit = data::ByteUnit::Mebibyte(4);
@@ -50,7 +57,7 @@
 pub fn json<T: serde::Serialize>(status: u16, body: &T) -> JsonReply {
     let status = Status::from_code(status).unwrap_or(Status::InternalServerError);
     let text = serde_json::to_string(body).unwrap_or_else(|_| String::from("null"));
-    (status, response::content::RawJson(text))
+    JsonReply::Told((status, response::content::RawJson(text)))
 }
 
 /// A JSON error `{"error": {"code", "message", …}}`.
--- a/crates/stand/src/log/front.rs
+++ b/crates/stand/src/log/front.rs
@@ -46,13 +46,13 @@
     stream: &str,
     body: data::Data<'_>,
     handle: &State<handle::LogHandle>,
-) -> Result<http::JsonReply, http::LostAnswer> {
+) -> http::JsonReply {
     let body = match http::read_bytes(body).await {
         Ok(body) => bytes::Bytes::from(body),
-        Err(reply) => return Ok(reply),
+        Err(reply) => return reply,
     };
     match handle.append(stream, body).await {
-        Ok(offset) => Ok(http::json(200, &AppendAnswer { offset })),
+        Ok(offset) => http::json(200, &AppendAnswer { offset }),
         Err(error) => refuse(&error),
     }
 }
@@ -64,7 +64,7 @@
     max: Option<usize>,
     wait_ms: Option<u64>,
     handle: &State<handle::LogHandle>,
-) -> Result<http::JsonReply, http::LostAnswer> {
+) -> http::JsonReply {
     const USUAL_PAGE: usize = 100;
     let wait = time::Duration::from_millis(wait_ms.unwrap_or(0));
     let max = max.unwrap_or(USUAL_PAGE);
@@ -82,7 +82,7 @@
         next: page.next,
         records: records.collect(),
     };
-    Ok(http::json(200, &answer))
+    http::json(200, &answer)
 }
 
 #[post("/admin/faults", data = "<body>")]
@@ -96,16 +96,15 @@
     }
 }
 
-fn refuse(error: &LogError) -> Result<http::JsonReply, http::LostAnswer> {
+fn refuse(error: &LogError) -> http::JsonReply {
     let message = error.to_string();
-    let reply = match error {
+    match error {
         LogError::OverCap { retry_after_ms } => {
             http::error_after(429, "over_cap", &message, *retry_after_ms)
         }
         LogError::TooLarge { .. } => http::error(413, "too_large", &message),
         LogError::Dropped { first } => http::json(410, &serde_json::json!({"first": first})),
         LogError::Outage => http::error(503, "outage", &message),
-        LogError::AnswerLost => return Err(http::LostAnswer),
-    };
-    Ok(reply)
+        LogError::AnswerLost => http::JsonReply::Lost(http::LostAnswer),
+    }
 }
--- a/crates/stand/src/service.rs
+++ b/crates/stand/src/service.rs
@@ -64,7 +64,15 @@
 }
 
 /// What ran on one server.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Deserialize,
+    serde::Serialize
+)]
 pub struct RunCounts {
     /// All runs.
     pub total: u64,
--- a/crates/stand/src/service/front.rs
+++ b/crates/stand/src/service/front.rs
@@ -72,16 +72,14 @@
     }
 }
 
-async fn run(
-    request: &rocket::Request<'_>,
-    body: data::Data<'_>,
-) -> Result<http::JsonReply, http::LostAnswer> {
+async fn run(request: &rocket::Request<'_>, body: data::Data<'_>) -> http::JsonReply {
+    const LOST: http::JsonReply = http::JsonReply::Lost(http::LostAnswer);
     let Some(handle) = request.rocket().state::<handle::ServiceHandle>() else {
-        return Err(http::LostAnswer);
+        return LOST;
     };
     let body = match http::read_bytes(body).await {
         Ok(body) => bytes::Bytes::from(body),
-        Err(reply) => return Ok(reply),
+        Err(reply) => return reply,
     };
     let header = |name| request.headers().get_one(name).map(String::from);
     let call = ServiceCall {
@@ -92,7 +90,7 @@
         body,
     };
     match handle.call(call).await {
-        Ok(answer) => Ok(http::json(200, &answer)),
-        Err(_) => Err(http::LostAnswer),
+        Ok(answer) => http::json(200, &answer),
+        Err(_) => LOST,
     }
 }
--- a/crates/stand/src/vms.rs
+++ b/crates/stand/src/vms.rs
@@ -27,7 +27,15 @@
 }
 
 /// State of one VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    serde::Deserialize,
+    serde::Serialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum VmState {
     /// It runs.
--- a/crates/stand/src/weights.rs
+++ b/crates/stand/src/weights.rs
@@ -67,7 +67,15 @@
 }
 
 /// A fault that is switched on from outside.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    serde::Deserialize,
+    serde::Serialize
+)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum WeightsFault {
     /// Refuses connections.
