ledger: group commit, idempotency claims, deferrable work, router between entry VMs

Cause: non-idempotent calls may run at most once and accepted work may never be dropped, with one log as the only authority. Change: GroupAppender (an append whose answer was lost is settled by reading for its ids, then repeated with the same ids), FoldDriver, ClaimFold and ClaimStore, JobFold and JobStore, LedgerHost (what other VMs ask) and LedgerRouter (claim, settle, accept, take_next, renew, finish, fetch).

--- /dev/null
+++ b/crates/ledger/src/driver.rs
@@ -0,0 +1,334 @@
+//! Runs a pure fold over one stream: reads, appends and hands each entry's verdict to its asker.
+
+use std::{collections, sync};
+
+use base::id;
+use tokio::{sync as tokio_sync, task, time};
+
+use crate::client::LogClient;
+use crate::{appender, client, record, tail};
+
+/// A pure function of the records of one stream.
+///
+/// It reads no clock and draws nothing at random: two folds that start at the same offset and are
+/// given the same records are equal.
+pub trait LogFold: Send + 'static {
+    /// What the entries say.
+    type Entry: serde::Serialize + serde::de::DeserializeOwned + Send;
+    /// What the fold decides about one entry.
+    type Verdict: Send + 'static;
+
+    /// Takes one record. Returns a verdict for each entry that somebody may wait for. An entry
+    /// that was met before changes nothing; its verdict says how things stand now.
+    fn apply(
+        &mut self,
+        place: record::RecordPlace,
+        batch: record::BatchRecord<Self::Entry>,
+    ) -> Vec<EntryVerdict<Self::Verdict>>;
+
+    /// Starts again without memory: records below `first` can no longer be read.
+    fn restart(&mut self, first: u64);
+}
+
+/// What a fold decided about one entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryVerdict<V> {
+    /// The entry.
+    pub id: id::RecordId,
+    /// The decision.
+    pub verdict: V,
+}
+
+/// Why an entry has no verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitFault {
+    /// It is not on the log and never will be.
+    NotAppended(appender::NotAppended),
+    /// It may be on the log, or may yet come to be.
+    Unsettled,
+}
+
+/// The log's clock as records showed it to this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogClock {
+    at_ms: u64,
+    seen: time::Instant,
+}
+
+impl LogClock {
+    /// An estimate of the log's clock at `now`; late by the time that records take to arrive.
+    #[must_use]
+    pub fn now_ms(&self, now: time::Instant) -> u64 {
+        let passed = now.saturating_duration_since(self.seen).as_millis();
+        self.at_ms
+            .saturating_add(u64::try_from(passed).unwrap_or(u64::MAX))
+    }
+}
+
+/// The state of a stream as this process has read it.
+#[derive(Debug)]
+pub struct StreamState<F: LogFold> {
+    /// The fold of all records read so far.
+    pub fold: F,
+    /// Offset of the next record that the fold takes.
+    pub position: u64,
+    /// The log's clock; absent until a record arrived after the stream had been read to its end.
+    pub clock: Option<LogClock>,
+    /// Whether the last read failed.
+    pub outage: bool,
+    waiters: collections::HashMap<id::RecordId, tokio_sync::oneshot::Sender<F::Verdict>>,
+}
+
+impl<F: LogFold> StreamState<F> {
+    /// Records read late, after an outage, show an old time; the estimate does not go back to it.
+    fn note_time(&mut self, at_ms: u64, seen: time::Instant) {
+        let known_ms = self.clock.map_or(0, |clock| clock.now_ms(seen));
+        let at_ms = at_ms.max(known_ms);
+        self.clock = Some(LogClock { at_ms, seen });
+    }
+}
+
+struct SharedState<F: LogFold> {
+    state: sync::Mutex<StreamState<F>>,
+    loaded: tokio_sync::watch::Sender<bool>,
+}
+
+impl<F: LogFold> SharedState<F> {
+    fn lock(&self) -> sync::MutexGuard<'_, StreamState<F>> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Reader, fold and group commit of one stream. Its tasks end with it.
+pub struct FoldDriver<C, F: LogFold> {
+    client: C,
+    stream: String,
+    shared: sync::Arc<SharedState<F>>,
+    mark: appender::PositionMark,
+    appender: appender::GroupAppender,
+    tasks: [task::AbortHandle; 2],
+}
+
+impl<C, F: LogFold> Drop for FoldDriver<C, F> {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl<C: LogClient, F: LogFold> FoldDriver<C, F> {
+    /// Starts to read `stream` from offset 0, or from the first record that the log still keeps.
+    pub fn start(
+        client: C,
+        stream: &str,
+        writer: &str,
+        fold: F,
+        limits: appender::AppendLimits,
+    ) -> Self {
+        let mark = appender::PositionMark::default();
+        let state = StreamState {
+            fold,
+            position: 0,
+            clock: None,
+            outage: false,
+            waiters: collections::HashMap::new(),
+        };
+        let shared = sync::Arc::new(SharedState {
+            state: sync::Mutex::new(state),
+            loaded: tokio_sync::watch::Sender::new(false),
+        });
+        let reader = tail::TailReader::new(client.clone(), stream, 0).wait_ms(0);
+        let reading = tokio::spawn(follow(reader, sync::Arc::clone(&shared), mark.clone()));
+        let (appender, appending) =
+            appender::GroupAppender::start(client.clone(), stream, writer, mark.clone(), limits);
+        Self {
+            client,
+            stream: stream.to_owned(),
+            shared,
+            mark,
+            appender,
+            tasks: [reading.abort_handle(), appending.abort_handle()],
+        }
+    }
+
+    /// Looks at the state of the stream.
+    pub fn view<T>(&self, look: impl FnOnce(&StreamState<F>) -> T) -> T {
+        look(&self.shared.lock())
+    }
+
+    /// Whether the stream was read up to its end at least once.
+    #[must_use]
+    pub fn is_loaded(&self) -> bool {
+        *self.shared.loaded.borrow()
+    }
+
+    /// Offset of the next record that the fold takes.
+    #[must_use]
+    pub fn position(&self) -> u64 {
+        self.shared.lock().position
+    }
+
+    /// Waits until the stream was read up to its end; false when `deadline` came first.
+    pub async fn wait_loaded(&self, deadline: time::Instant) -> bool {
+        let mut receiver = self.shared.loaded.subscribe();
+        let waiting = receiver.wait_for(|loaded| *loaded);
+        matches!(time::timeout_at(deadline, waiting).await, Ok(Ok(_)))
+    }
+
+    /// Waits until the fold holds everything that was on the log when this was called; false when
+    /// the log cannot be read or `deadline` came first.
+    pub async fn catch_up(&self, deadline: time::Instant) -> bool {
+        loop {
+            if !self.wait_loaded(deadline).await {
+                return false;
+            }
+            let query = client::ReadQuery {
+                stream: self.stream.clone(),
+                from: self.mark.get(),
+                max: 1,
+                wait_ms: 0,
+            };
+            let reading = time::timeout_at(deadline, self.client.read(&query));
+            match reading.await {
+                Ok(Ok(page)) if page.records.is_empty() => return true,
+                Ok(Ok(_)) => time::sleep(CATCH_UP_PAUSE).await,
+                _ => return false,
+            }
+        }
+    }
+
+    /// Appends an entry and waits for the fold's verdict about it. `seen` is the position of the
+    /// state on which the entry was decided.
+    ///
+    /// The verdict comes from the reader, never from the append's answer, so a lost answer costs
+    /// nothing but time.
+    ///
+    /// # Errors
+    /// When there is no verdict by `deadline`, with what is known about the entry.
+    pub async fn submit(
+        &self,
+        id: id::RecordId,
+        entry: &F::Entry,
+        seen: u64,
+        deadline: time::Instant,
+    ) -> Result<F::Verdict, SubmitFault> {
+        if !self.wait_loaded(deadline).await {
+            let cause = appender::NotAppended::NotLoaded;
+            return Err(SubmitFault::NotAppended(cause));
+        }
+        let encoded = record::EncodedEntry::new(id, entry)
+            .map_err(|_| SubmitFault::NotAppended(appender::NotAppended::Refused))?;
+        let (sender, verdict) = tokio_sync::oneshot::channel();
+        self.shared.lock().waiters.insert(id, sender);
+        let _guard = WaiterGuard {
+            shared: &self.shared,
+            id,
+        };
+        self.await_verdict(encoded, seen, verdict, deadline).await
+    }
+
+    async fn await_verdict(
+        &self,
+        encoded: record::EncodedEntry,
+        seen: u64,
+        mut verdict: tokio_sync::oneshot::Receiver<F::Verdict>,
+        deadline: time::Instant,
+    ) -> Result<F::Verdict, SubmitFault> {
+        let appended = self
+            .appender
+            .push(encoded, seen, deadline)
+            .map_err(SubmitFault::NotAppended)?;
+        tokio::select! {
+            biased;
+            found = &mut verdict => return found.map_err(|_| SubmitFault::Unsettled),
+            answer = appended => {
+                if let Ok(appender::AppendAnswer::NotAppended(cause)) = answer {
+                    return Err(SubmitFault::NotAppended(cause));
+                }
+            }
+        }
+        match time::timeout_at(deadline, verdict).await {
+            Ok(Ok(found)) => Ok(found),
+            _ => Err(SubmitFault::Unsettled),
+        }
+    }
+}
+
+/// Takes the waiter out again when its asker is done, or was cancelled.
+struct WaiterGuard<'a, F: LogFold> {
+    shared: &'a SharedState<F>,
+    id: id::RecordId,
+}
+
+impl<F: LogFold> Drop for WaiterGuard<'_, F> {
+    fn drop(&mut self) {
+        self.shared.lock().waiters.remove(&self.id);
+    }
+}
+
+async fn follow<C: LogClient, F: LogFold>(
+    mut reader: tail::TailReader<C>,
+    shared: sync::Arc<SharedState<F>>,
+    mark: appender::PositionMark,
+) {
+    loop {
+        match reader.next_event().await {
+            tail::TailEvent::Records(records) => {
+                for found in records {
+                    shared.take(&found);
+                }
+            }
+            tail::TailEvent::Quiet { .. } => {
+                shared.lock().outage = false;
+                if !shared.loaded.send_replace(true) {
+                    reader = reader.wait_ms(LONG_POLL_MS);
+                }
+            }
+            tail::TailEvent::Gap { first } => {
+                let mut state = shared.lock();
+                state.fold.restart(first);
+                state.position = first;
+            }
+            tail::TailEvent::Outage { .. } => shared.lock().outage = true,
+        }
+        mark.advance(reader.position());
+    }
+}
+
+/// Pause between two looks whether the reader has caught up.
+const CATCH_UP_PAUSE: time::Duration = time::Duration::from_millis(5);
+
+/// How long one read waits at the log for the next record.
+const LONG_POLL_MS: u64 = 10_000;
+
+impl<F: LogFold> SharedState<F> {
+    fn take(&self, found: &client::LogRecord) {
+        let loaded = *self.loaded.borrow();
+        let place = record::RecordPlace {
+            offset: found.offset,
+            at_ms: found.at_ms,
+        };
+        let mut state = self.lock();
+        state.outage = false;
+        state.position = found.offset + 1;
+        if loaded {
+            state.note_time(found.at_ms, time::Instant::now());
+        }
+        let batch = match record::decode(&found.body) {
+            Ok(batch) => batch,
+            Err(error) => {
+                metrics::counter!("pollenchute_ledger_malformed_records_total").increment(1);
+                log::warn!(offset = found.offset, error:% = error; "malformed record skipped");
+                return;
+            }
+        };
+        for decided in state.fold.apply(place, batch) {
+            if let Some(waiter) = state.waiters.remove(&decided.id) {
+                let _ = waiter.send(decided.verdict);
+            }
+        }
+    }
+}
--- a/crates/ledger/src/partition.rs
+++ b/crates/ledger/src/partition.rs
@@ -8,7 +8,16 @@
 /// The number of partitions is part of the log's layout: two processes with different numbers
 /// would look for the same key in different streams and both run it.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Deserialize, serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Deserialize,
+    serde::Serialize
 )]
 pub struct PartitionIndex(pub u16);
 
--- /dev/null
+++ b/crates/ledger/src/parts.rs
@@ -0,0 +1,141 @@
+//! Bytes that are too large for one record, in parts.
+
+use std::collections;
+
+use base::{fingerprint, id};
+use sha2::Digest as _;
+
+use crate::record;
+
+/// One part of some bytes that a later entry refers to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct PartItem {
+    /// Id of the entry that the bytes belong to.
+    pub owner: id::RecordId,
+    /// Position among the parts, from 0.
+    pub index: u32,
+    /// The bytes.
+    #[serde(with = "record::base64_bytes")]
+    pub data: bytes::Bytes,
+}
+
+/// Some bytes, either whole or as a reference to parts appended before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct PartedBytes {
+    /// Number of parts; 0 when `whole` has the bytes.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub parts: u32,
+    /// Hash of the bytes.
+    pub hash: fingerprint::ContentHash,
+    /// The bytes when there are no parts.
+    #[serde(with = "record::base64_bytes")]
+    pub whole: bytes::Bytes,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+/// Cuts `bytes` for the entry `owner` into parts of at most `part_bytes`. The parts are to be on
+/// the log before the entry is.
+#[must_use]
+pub fn split(
+    owner: id::RecordId,
+    bytes: bytes::Bytes,
+    part_bytes: usize,
+) -> (Vec<PartItem>, PartedBytes) {
+    let hash = fingerprint::ContentHash::of(&bytes);
+    if bytes.len() <= part_bytes {
+        let whole = PartedBytes {
+            parts: 0,
+            hash,
+            whole: bytes,
+        };
+        return (Vec::new(), whole);
+    }
+    let mut items = Vec::new();
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let data = rest.split_to(rest.len().min(part_bytes));
+        let index = u32::try_from(items.len()).unwrap_or(u32::MAX);
+        items.push(PartItem { owner, index, data });
+    }
+    let parted = PartedBytes {
+        parts: u32::try_from(items.len()).unwrap_or(u32::MAX),
+        hash,
+        whole: bytes::Bytes::new(),
+    };
+    (items, parted)
+}
+
+/// The id of a part's entry. It follows from the owner's, so that a part that is appended again,
+/// also by another process, is known again.
+#[must_use]
+pub fn part_id(item: &PartItem) -> id::RecordId {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update(item.owner.0.to_le_bytes());
+    hasher.update(item.index.to_le_bytes());
+    let digest: [u8; 32] = hasher.finalize().into();
+    let mut half = [0; 16];
+    half.copy_from_slice(&digest[..16]);
+    id::RecordId(u128::from_le_bytes(half))
+}
+
+/// Parts whose owner has not come yet.
+#[derive(Clone, Debug, Default)]
+pub struct PartBuffer {
+    owners: collections::HashMap<id::RecordId, collections::BTreeMap<u32, bytes::Bytes>>,
+    /// Owners by the time of their first part, oldest first.
+    arrivals: collections::VecDeque<(u64, id::RecordId)>,
+}
+
+impl PartBuffer {
+    /// Keeps a part.
+    pub fn put(&mut self, at_ms: u64, item: PartItem) {
+        let parts = self.owners.entry(item.owner).or_default();
+        if parts.is_empty() {
+            self.arrivals.push_back((at_ms, item.owner));
+        }
+        parts.insert(item.index, item.data);
+    }
+
+    /// The bytes of `owner`; `None` when a part is missing or the bytes are not those meant.
+    pub fn join(&mut self, owner: id::RecordId, parted: &PartedBytes) -> Option<bytes::Bytes> {
+        let bytes = if parted.parts == 0 {
+            parted.whole.clone()
+        } else {
+            self.joined(owner, parted.parts)?
+        };
+        if fingerprint::ContentHash::of(&bytes) != parted.hash {
+            return None;
+        }
+        self.owners.remove(&owner);
+        Some(bytes)
+    }
+
+    /// Forgets parts from before `oldest_ms` whose owner never came.
+    pub fn forget(&mut self, oldest_ms: u64) {
+        while let Some(&(at_ms, owner)) = self.arrivals.front() {
+            if at_ms >= oldest_ms {
+                return;
+            }
+            self.arrivals.pop_front();
+            self.owners.remove(&owner);
+        }
+    }
+
+    fn joined(&self, owner: id::RecordId, count: u32) -> Option<bytes::Bytes> {
+        let parts = self.owners.get(&owner)?;
+        let mut bytes = bytes::BytesMut::new();
+        for index in 0..count {
+            bytes.extend_from_slice(parts.get(&index)?);
+        }
+        Some(bytes.freeze())
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/world/mod.rs
@@ -0,0 +1,289 @@
+//! Entry VMs in one process over one log in memory, with everything between them failing.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{collections, sync};
+
+use arbitrary::Unstructured;
+use ledger::client::LogClient;
+use ledger::route::LedgerPeers;
+use ledger::{client, host, memory, route};
+use tokio::{sync as tokio_sync, time};
+
+pub type TestRouter = route::LedgerRouter<GateClient, TestPeers>;
+type HostMap = collections::BTreeMap<String, sync::Arc<host::LedgerHost<GateClient>>>;
+
+/// The log as one VM reaches it: while the VM is paused nothing passes, in neither direction.
+#[derive(Clone)]
+pub struct GateClient {
+    log: memory::MemoryLog,
+    paused: tokio_sync::watch::Receiver<bool>,
+}
+
+impl GateClient {
+    async fn pass(&self) {
+        let mut paused = self.paused.clone();
+        let _ = paused.wait_for(|paused| !*paused).await;
+    }
+}
+
+impl LogClient for GateClient {
+    async fn append(&self, stream: &str, body: bytes::Bytes) -> Result<u64, client::AppendError> {
+        self.pass().await;
+        let result = self.log.append(stream, body).await;
+        self.pass().await;
+        result
+    }
+
+    async fn read(&self, query: &client::ReadQuery) -> Result<client::ReadPage, client::ReadError> {
+        self.pass().await;
+        let result = self.log.read(query).await;
+        self.pass().await;
+        result
+    }
+}
+
+/// What the entry VMs share: nothing but the network.
+#[derive(Clone)]
+pub struct Network {
+    shared: sync::Arc<sync::Mutex<NetworkState>>,
+}
+
+struct NetworkState {
+    hosts: HostMap,
+    /// Whom each VM believes to be live.
+    views: collections::BTreeMap<String, Vec<String>>,
+    /// Fates of the next calls, drawn ahead: lost before, lost after, or milliseconds of delay.
+    fates: collections::VecDeque<u8>,
+}
+
+#[derive(Clone)]
+pub struct TestPeers {
+    me: String,
+    network: Network,
+}
+
+impl LedgerPeers for TestPeers {
+    fn live_vms(&self) -> Vec<String> {
+        let state = self.network.lock();
+        state.views.get(&self.me).cloned().unwrap_or_default()
+    }
+
+    async fn call(
+        &self,
+        vm: &str,
+        request: &host::LedgerRequest,
+        limit: time::Duration,
+    ) -> Result<host::LedgerReply, route::PeerFault> {
+        let (host, fate) = {
+            let mut state = self.network.lock();
+            let fate = state.fates.pop_front().unwrap_or(0);
+            (state.hosts.get(vm).cloned(), fate)
+        };
+        let host = host.ok_or(route::PeerFault::NotDelivered)?;
+        match fate {
+            200.. => {
+                time::sleep(limit).await;
+                Err(route::PeerFault::Lost)
+            }
+            // The answer is lost, while the other VM goes on for as long as it takes.
+            150..200 => {
+                let request = request.clone();
+                tokio::spawn(async move { host.handle(request).await });
+                time::sleep(limit).await;
+                Err(route::PeerFault::Lost)
+            }
+            _ => {
+                time::sleep(time::Duration::from_millis(u64::from(fate) / 8)).await;
+                time::timeout(limit, host.handle(request.clone()))
+                    .await
+                    .map_err(|_| route::PeerFault::Lost)
+            }
+        }
+    }
+}
+
+impl Network {
+    fn lock(&self) -> sync::MutexGuard<'_, NetworkState> {
+        self.shared
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// One entry VM in one life.
+pub struct TestVm {
+    pub router: TestRouter,
+    pub host: sync::Arc<host::LedgerHost<GateClient>>,
+    pause: tokio_sync::watch::Sender<bool>,
+}
+
+/// All of it.
+pub struct World {
+    pub log: memory::MemoryLog,
+    pub network: Network,
+    pub vms: Vec<TestVm>,
+    names: Vec<String>,
+    settings: host::HostSettings,
+    route: route::RouteSettings,
+    lives: u64,
+}
+
+impl World {
+    pub fn new(
+        seed: u64,
+        count: usize,
+        settings: host::HostSettings,
+        route: route::RouteSettings,
+    ) -> Self {
+        let state = NetworkState {
+            hosts: HostMap::new(),
+            views: collections::BTreeMap::new(),
+            fates: collections::VecDeque::new(),
+        };
+        let names: Vec<String> = (0..count).map(|index| format!("vm-{index}")).collect();
+        let mut world = Self {
+            log: memory::MemoryLog::new(seed, 1_000_000),
+            network: Network {
+                shared: sync::Arc::new(sync::Mutex::new(state)),
+            },
+            vms: Vec::new(),
+            names,
+            settings,
+            route,
+            lives: seed << 16,
+        };
+        for index in 0..count {
+            let vm = world.birth(index);
+            world.vms.push(vm);
+        }
+        world
+    }
+
+    fn birth(&mut self, index: usize) -> TestVm {
+        self.lives += 1;
+        let name = self.names[index].clone();
+        let (pause, paused) = tokio_sync::watch::channel(false);
+        let log = self.log.clone();
+        let client = GateClient { log, paused };
+        let host = host::LedgerHost::new(client, name.clone(), self.settings.clone());
+        let host = sync::Arc::new(host);
+        let mut state = self.network.lock();
+        state.hosts.insert(name.clone(), sync::Arc::clone(&host));
+        state.views.insert(name.clone(), self.names.clone());
+        drop(state);
+        let peers = TestPeers {
+            me: name,
+            network: self.network.clone(),
+        };
+        let mut seed = [0; 32];
+        seed[..8].copy_from_slice(&self.lives.to_le_bytes());
+        let route = self.route.clone();
+        let router = route::LedgerRouter::new(sync::Arc::clone(&host), peers, route, seed);
+        TestVm {
+            router,
+            host,
+            pause,
+        }
+    }
+
+    /// The VM dies at once and a new one with an empty memory takes its name.
+    pub fn replace(&mut self, index: usize) {
+        let vm = self.birth(index);
+        self.vms[index] = vm;
+    }
+
+    pub fn pause(&self, index: usize, paused: bool) {
+        self.vms[index].pause.send_replace(paused);
+    }
+
+    /// Draws new faults of the log, the network and the views of who is live.
+    pub fn draw_faults(&self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let down = u.ratio(1, 5)?;
+        let lose_answer = f64::from(u.int_in_range(0..=6_u8)?) / 10.0;
+        let late = f64::from(u.int_in_range(0..=3_u8)?) / 10.0;
+        let late_ms = u64::from(u.int_in_range(1..=60_u8)?) * 100;
+        let lose_request = f64::from(u.int_in_range(0..=3_u8)?) / 10.0;
+        let fail_read = f64::from(u.int_in_range(0..=5_u8)?) / 10.0;
+        let capped = u.ratio(1, 4)?;
+        self.log.change_faults(|faults| {
+            faults.down = down;
+            faults.lose_answer = lose_answer;
+            faults.late = late;
+            faults.late_ms = late_ms;
+            faults.lose_request = lose_request;
+            faults.fail_read = fail_read;
+            faults.appends_per_second = capped.then_some(5);
+        });
+        let mut state = self.network.lock();
+        state.fates = (0..8)
+            .map(|_| u.arbitrary())
+            .collect::<arbitrary::Result<_>>()?;
+        for name in &self.names {
+            let view = self.names.iter().filter(|_| u.ratio(3, 4).unwrap_or(true));
+            let view: Vec<String> = view.cloned().collect();
+            state.views.insert(name.clone(), view);
+        }
+        Ok(())
+    }
+
+    /// Everything works again.
+    pub fn heal(&self) {
+        let retention_ms = self.settings.claims.limits.retention_ms;
+        self.log.change_faults(|faults| {
+            *faults = memory::LogFaults {
+                retention_ms: Some(retention_ms),
+                one_way: time::Duration::from_millis(1),
+                ..memory::LogFaults::default()
+            };
+        });
+        let mut state = self.network.lock();
+        state.fates.clear();
+        for name in &self.names {
+            state.views.insert(name.clone(), self.names.clone());
+        }
+        drop(state);
+        for index in 0..self.vms.len() {
+            self.pause(index, false);
+        }
+    }
+}
+
+/// Runs one history on a clock of its own; it is the same on every run.
+pub fn run_paused<T>(history: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime")
+        .block_on(history)
+}
+
+/// Number of histories: a fixed one, or more on demand.
+pub fn history_count(usual: u64) -> u64 {
+    std::env::var("POLLENCHUTE_HISTORIES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(usual)
+}
+
+/// Runs `property` on histories number 0, 1, … and names the one that failed.
+pub fn check_histories(
+    usual: u64,
+    entropy_bytes: u64,
+    property: impl Fn(&mut Unstructured<'_>, u64) -> arbitrary::Result<()>,
+) {
+    let only = std::env::var("POLLENCHUTE_HISTORY").ok();
+    let only: Option<u64> = only.and_then(|text| text.parse().ok());
+    let numbers = only.map_or(0..history_count(usual), |number| number..number + 1);
+    for number in numbers {
+        let seed = (number.wrapping_mul(0x9E37_79B9) << 32) | entropy_bytes;
+        let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            arbtest::arbtest(|u| property(u, number)).seed(seed).run();
+        }));
+        if let Err(cause) = ran {
+            eprintln!("history {number} failed; run it alone with POLLENCHUTE_HISTORY={number}");
+            std::panic::resume_unwind(cause);
+        }
+    }
+}
