pollenctl: all commands but capacity

check, diff, publish, rollback, history, status (80 columns, JSON, --in-force), drain, placement, quarantine, timeline, explain, completions. Tries the next entry VM when one does not answer; publish sends one record id until it is decided.

--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,373 @@
+//! The command line.
+
+use std::net;
+
+use argh::FromArgs as _;
+
+use crate::error;
+
+/// Operates pollenchute: checks and publishes configuration, shows what runs and why.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    example = "Check, review and publish:\n  {command_name} check inventory.jsonc rules.jsonc\n  {command_name} --entry 192.0.2.7:8000 diff inventory.jsonc rules.jsonc\n  {command_name} publish inventory.jsonc rules.jsonc --base 41 --comment 'two more engines'\n  {command_name} status --in-force --timeout 10",
+    example = "See what runs, and why one request waited:\n  {command_name} status\n  {command_name} explain 3f2a90c1",
+    note = "The operator key comes from POLLENCHUTE_OPERATOR_KEY or from the file that\n\"operator_key_file\" of the settings names. POLLENCTL_CONFIG names the settings\nwhen --config does not.",
+    error_code(
+        1,
+        "refused: a faulty file, a conflict, an unknown name; nothing took effect"
+    ),
+    error_code(2, "the command line or the settings make no sense"),
+    error_code(3, "no entry VM answered; nothing took effect"),
+    error_code(
+        4,
+        "a change may have taken effect or not; the message says how to find out"
+    ),
+    error_code(5, "what was waited for had not come when the time was up")
+)]
+pub struct CtlArgs {
+    /// settings file, JSON with comments
+    #[argh(option, arg_name = "file")]
+    pub config: Option<String>,
+    /// entry VM, IP:PORT; may be given several times, the first that answers is used
+    #[argh(option, arg_name = "address")]
+    pub entry: Vec<net::SocketAddr>,
+    /// check the settings and exit
+    #[argh(switch)]
+    pub check: bool,
+    /// print the version and exit
+    #[argh(switch)]
+    pub version: bool,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Option<CtlCommand>,
+}
+
+/// All commands.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(subcommand)]
+pub enum CtlCommand {
+    /// Check files.
+    Check(CheckArgs),
+    /// Compare files with what is in force.
+    Diff(DiffArgs),
+    /// Publish files.
+    Publish(PublishArgs),
+    /// Bring an older revision back as a new one.
+    Rollback(RollbackArgs),
+    /// Show changes.
+    History(HistoryArgs),
+    /// Show what runs.
+    Status(StatusArgs),
+    /// Stop new work.
+    Drain(DrainArgs),
+    /// Show models on engines.
+    Placement(PlacementArgs),
+    /// Show or lift quarantine.
+    Quarantine(QuarantineArgs),
+    /// Show events.
+    Timeline(TimelineArgs),
+    /// Explain one request.
+    Explain(ExplainArgs),
+    /// Print shell completions.
+    Completions(CompletionsArgs),
+}
+
+/// Check inventory and rules files; needs no entry VM. All faults are told at once.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "{command_name} inventory.jsonc rules.jsonc"
+)]
+pub struct CheckArgs {
+    /// inventory file, JSON with comments
+    #[argh(positional)]
+    pub inventory: String,
+    /// rules file, JSON with comments
+    #[argh(positional)]
+    pub rules: String,
+}
+
+/// Show what publishing the files would change, and the revision to publish against.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "diff",
+    example = "{command_name} inventory.jsonc rules.jsonc"
+)]
+pub struct DiffArgs {
+    /// inventory file
+    #[argh(positional)]
+    pub inventory: String,
+    /// rules file
+    #[argh(positional)]
+    pub rules: String,
+    /// print the difference as a JSON merge patch
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Publish inventory and rules as one change.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "publish",
+    example = "{command_name} inventory.jsonc rules.jsonc --base 41 --comment 'two more engines' --wait"
+)]
+pub struct PublishArgs {
+    /// inventory file
+    #[argh(positional)]
+    pub inventory: String,
+    /// rules file
+    #[argh(positional)]
+    pub rules: String,
+    /// revision that the files were made from, as `diff` names it, or `latest`
+    #[argh(option, arg_name = "revision")]
+    pub base: Option<String>,
+    /// why, for the history
+    #[argh(option, arg_name = "text", default = "String::new()")]
+    pub comment: String,
+    /// when another change was first and touched nothing of this one, publish on top of it
+    #[argh(switch)]
+    pub rebase: bool,
+    /// wait until every entry VM has it in force
+    #[argh(switch)]
+    pub wait: bool,
+    /// seconds to wait for the decision, and with --wait as many again for all VMs
+    #[argh(option, arg_name = "seconds", default = "20")]
+    pub timeout: u64,
+    /// id of a change whose decision did not come in time, to ask again
+    #[argh(option, arg_name = "id")]
+    pub record: Option<String>,
+}
+
+/// Publish the state of an older revision as a new one.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "rollback",
+    example = "{command_name} 40 --comment 'limits too tight'"
+)]
+pub struct RollbackArgs {
+    /// the revision whose state is wanted back
+    #[argh(positional)]
+    pub revision: u64,
+    /// why, for the history
+    #[argh(option, arg_name = "text", default = "String::new()")]
+    pub comment: String,
+    /// wait until every entry VM has it in force
+    #[argh(switch)]
+    pub wait: bool,
+    /// seconds to wait for the decision, and with --wait as many again for all VMs
+    #[argh(option, arg_name = "seconds", default = "20")]
+    pub timeout: u64,
+}
+
+/// Show accepted and refused changes, newest last.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(subcommand, name = "history", example = "{command_name} --limit 5")]
+pub struct HistoryArgs {
+    /// how many, the newest
+    #[argh(option, arg_name = "count", default = "20")]
+    pub limit: usize,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show sites, entry VMs, backend servers, models, queues, revision, leases and quarantine.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "status",
+    example = "{command_name}\n{command_name} --json\n{command_name} --in-force --timeout 10"
+)]
+pub struct StatusArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// wait until every entry VM has the newest revision in force, or say which have not
+    #[argh(switch)]
+    pub in_force: bool,
+    /// with --in-force: this revision or a later one
+    #[argh(option, arg_name = "number")]
+    pub revision: Option<u64>,
+    /// with --in-force: do not wait for VMs that are taken to be dead
+    #[argh(switch)]
+    pub live_only: bool,
+    /// with --in-force: seconds to wait
+    #[argh(option, arg_name = "seconds", default = "10")]
+    pub timeout: u64,
+}
+
+/// Let an entry VM or backend server finish what runs and give it nothing new.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "drain",
+    example = "{command_name} --server engine-4 --wait\n{command_name} --vm entry-2"
+)]
+pub struct DrainArgs {
+    /// the backend server
+    #[argh(option, arg_name = "name")]
+    pub server: Option<String>,
+    /// the entry VM
+    #[argh(option, arg_name = "name")]
+    pub vm: Option<String>,
+    /// wait until nothing runs there any more
+    #[argh(switch)]
+    pub wait: bool,
+    /// seconds to wait
+    #[argh(option, arg_name = "seconds", default = "300")]
+    pub timeout: u64,
+}
+
+/// Show which engines have which model and version, and what holds a rollout up.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "placement",
+    example = "{command_name} --model review-llm"
+)]
+pub struct PlacementArgs {
+    /// only this model
+    #[argh(option, arg_name = "name")]
+    pub model: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show or lift the quarantine of content that crashes backend servers.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "quarantine",
+    example = "{command_name} list\n{command_name} lift 9c4a77"
+)]
+pub struct QuarantineArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: QuarantineCommand,
+}
+
+/// Commands on quarantine.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(subcommand)]
+pub enum QuarantineCommand {
+    /// Show it.
+    List(QuarantineListArgs),
+    /// End it.
+    Lift(QuarantineLiftArgs),
+}
+
+/// Show suspected and refused content.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct QuarantineListArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Take content out of quarantine before it expires.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(subcommand, name = "lift")]
+pub struct QuarantineLiftArgs {
+    /// its fingerprint, or the beginning of it
+    #[argh(positional)]
+    pub fingerprint: String,
+}
+
+/// Show the events of all entry VMs in causal order.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "timeline",
+    example = "{command_name} --since 10m --kind lease,server_dead\n{command_name} --request 3f2a90c1 --format svg --output request.svg"
+)]
+pub struct TimelineArgs {
+    /// only this request: its id (response header x-request-id) or the beginning of it
+    #[argh(option, arg_name = "id")]
+    pub request: Option<String>,
+    /// only from then on: 30s, 10m, 2h, 2026-03-04T12:00:00Z or unix milliseconds
+    #[argh(option, arg_name = "time")]
+    pub since: Option<String>,
+    /// only these kinds or areas, with commas: lease,server_dead
+    #[argh(option, arg_name = "kinds")]
+    pub kind: Option<String>,
+    /// events of one VM at the most, the newest
+    #[argh(option, arg_name = "count", default = "5000")]
+    pub limit: usize,
+    /// text, jsonl or svg
+    #[argh(option, arg_name = "format", default = "OutputFormat::Text")]
+    pub format: OutputFormat,
+    /// write there and not to the standard output
+    #[argh(option, arg_name = "file")]
+    pub output: Option<String>,
+}
+
+/// How a time line is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(argh::FromArgValue)]
+pub enum OutputFormat {
+    /// Lines for people.
+    Text,
+    /// JSON lines.
+    Jsonl,
+    /// A picture.
+    Svg,
+}
+
+/// Explain why one request went where it went, waited, or was refused.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(subcommand, name = "explain", example = "{command_name} 3f2a90c1")]
+pub struct ExplainArgs {
+    /// its id (response header x-request-id) or the beginning of it
+    #[argh(positional)]
+    pub request: String,
+}
+
+/// Print completions for bash.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "completions",
+    example = "{command_name} > /etc/bash_completion.d/pollenctl"
+)]
+pub struct CompletionsArgs {}
+
+/// Reads the command line.
+///
+/// # Errors
+/// The help that was asked for, or what is wrong with the line.
+pub fn parse(words: &[&str]) -> Result<CtlArgs, error::CommandOutput> {
+    CtlArgs::from_args(&["pollenctl"], words).map_err(|exit| match exit.status {
+        Ok(()) => error::CommandOutput::success(format!("{}\n", exit.output.trim_end())),
+        Err(()) => error::CommandOutput {
+            text: String::new(),
+            complaint: format!(
+                "pollenctl: {}\nRun `pollenctl --help` or `pollenctl <command> --help` for examples.\n",
+                exit.output.trim_end()
+            ),
+            status: error::ExitStatus::Usage,
+        },
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/completions.rs
@@ -0,0 +1,75 @@
+//! Completions for bash, made from the command line's own description.
+
+use std::fmt::Write as _;
+
+use argh::ArgsInfo as _;
+
+use crate::args;
+
+/// The script.
+#[must_use]
+pub fn bash_script() -> String {
+    let info = args::CtlArgs::get_args_info();
+    let mut cases = String::new();
+    add_cases(&info, "", &mut cases);
+    format!(
+        r#"# Completions of pollenctl for bash; made by `pollenctl completions`.
+_pollenctl() {{
+    local current="${{COMP_WORDS[COMP_CWORD]}}" path="" word
+    for word in "${{COMP_WORDS[@]:1:COMP_CWORD-1}}"; do
+        case "$path $word" in
+{cases}        esac
+    done
+    local words
+    case "$path" in
+{}        *) words="" ;;
+    esac
+    if [[ "$current" == -* || -n "$words" ]]; then
+        COMPREPLY=($(compgen -W "$words" -- "$current"))
+    fi
+    if [[ ${{#COMPREPLY[@]}} -eq 0 ]]; then
+        COMPREPLY=($(compgen -f -- "$current"))
+    fi
+}}
+complete -o filenames -F _pollenctl pollenctl
+"#,
+        words(&info, "")
+    )
+}
+
+/// One case for each command: which word leads there from which path.
+fn add_cases(info: &argh::CommandInfoWithArgs, path: &str, out: &mut String) {
+    for command in &info.commands {
+        let inner = joined(path, command.name);
+        let _ = writeln!(
+            out,
+            r#"            "{path} {}") path="{inner}" ;;"#,
+            command.name
+        );
+        add_cases(&command.command, &inner, out);
+    }
+}
+
+/// One case for each path: the words that may follow.
+fn words(info: &argh::CommandInfoWithArgs, path: &str) -> String {
+    let flags = info
+        .flags
+        .iter()
+        .filter(|flag| !flag.hidden)
+        .map(|flag| flag.long);
+    let commands = info.commands.iter().map(|command| command.name);
+    let all: Vec<&str> = commands.chain(flags).collect();
+    let mut out = format!("        \"{path}\") words=\"{}\" ;;\n", all.join(" "));
+    for command in &info.commands {
+        out.push_str(&words(&command.command, &joined(path, command.name)));
+    }
+    out
+}
+
+fn joined(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path} {name}")
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/configuration.rs
@@ -0,0 +1,122 @@
+//! Files of inventory and rules: checking them, comparing them with what is in force.
+
+use std::{fmt::Write as _, fs};
+
+use base::ops;
+use conf::{change, document, place};
+use snafu::ResultExt as _;
+
+use crate::{args, client, error, table};
+
+/// Reads both files.
+///
+/// # Errors
+/// When one cannot be read, or with all faults of both.
+pub fn read(inventory: &str, rules: &str) -> Result<document::Configuration, error::CtlError> {
+    let inventory_text =
+        fs::read_to_string(inventory).context(error::ReadFileSnafu { file: inventory })?;
+    let rules_text = fs::read_to_string(rules).context(error::ReadFileSnafu { file: rules })?;
+    let inventory = place::SourceText {
+        file: inventory,
+        text: &inventory_text,
+    };
+    let rules = place::SourceText {
+        file: rules,
+        text: &rules_text,
+    };
+    document::parse(inventory, rules).map_err(|faults| error::CtlError::Faulty { faults })
+}
+
+/// The configuration as the JSON that changes are made of.
+///
+/// # Errors
+/// When it cannot be written so.
+pub fn to_state(
+    configuration: &document::Configuration,
+) -> Result<serde_json::Value, error::CtlError> {
+    serde_json::to_value(configuration).context(error::JsonSnafu {
+        what: "the configuration",
+    })
+}
+
+/// The configuration that is in force, or an older one.
+///
+/// # Errors
+/// When no entry VM answers, or it does not know the revision.
+pub async fn fetch(
+    client: &client::OpsClient,
+    revision: Option<u64>,
+) -> Result<ops::ConfigurationBody, error::CtlError> {
+    let path = revision.map_or_else(
+        || "/ops/configuration".to_owned(),
+        |revision| format!("/ops/configuration?revision={revision}"),
+    );
+    client.get(&path).await
+}
+
+/// `pollenctl check`.
+///
+/// # Errors
+/// With all faults of the files.
+pub fn check(args: &args::CheckArgs) -> Result<error::CommandOutput, error::CtlError> {
+    let configuration = read(&args.inventory, &args.rules)?;
+    let inventory = &configuration.inventory;
+    let text = format!(
+        "valid: {}, {}, {}, {}, {}\n",
+        error::count_text(inventory.regions.len(), "region"),
+        error::count_text(inventory.entry_vms.len(), "entry VM"),
+        error::count_text(inventory.backend_servers.len(), "backend server"),
+        error::count_text(inventory.models.len(), "model"),
+        error::count_text(inventory.organisations.len(), "organisation"),
+    );
+    Ok(error::CommandOutput::success(text))
+}
+
+/// `pollenctl diff`.
+///
+/// # Errors
+/// When the files are faulty or no entry VM answers.
+pub async fn diff(
+    args: &args::DiffArgs,
+    client: &client::OpsClient,
+) -> Result<error::CommandOutput, error::CtlError> {
+    let wanted = to_state(&read(&args.inventory, &args.rules)?)?;
+    let current = fetch(client, None).await?;
+    let patch = change::merge_patch(&current.state, &wanted);
+    if args.json {
+        return Ok(error::CommandOutput::success(format!("{patch:#}\n")));
+    }
+    let mut text = describe(&current.state, &patch);
+    let revision = current.revision;
+    if text.is_empty() {
+        let _ = writeln!(text, "no difference to revision {revision}");
+    } else {
+        let _ = writeln!(
+            text,
+            "against revision {revision}; publish with --base {revision}"
+        );
+    }
+    Ok(error::CommandOutput::success(text))
+}
+
+/// One line for each path that `patch` touches in `state`; empty when it touches none.
+#[must_use]
+pub fn describe(state: &serde_json::Value, patch: &serde_json::Value) -> String {
+    let mut out = String::new();
+    if patch.as_object().is_some_and(serde_json::Map::is_empty) {
+        return out;
+    }
+    for path in change::touched_paths(patch) {
+        let before = path.iter().try_fold(state, |value, name| value.get(name));
+        let after = path.iter().try_fold(patch, |value, name| value.get(name));
+        let after = after.filter(|value| !value.is_null());
+        let line = match (before, after) {
+            (Some(before), Some(after)) => format!("~ {}: {before} -> {after}", path.join(".")),
+            (None, Some(after)) => format!("+ {}: {after}", path.join(".")),
+            (Some(before), None) => format!("- {}: {before}", path.join(".")),
+            (None, None) => continue,
+        };
+        let _ = writeln!(out, "{}", table::fit(&line, table::TERMINAL_COLUMNS));
+    }
+    out
+}
--- /dev/null
+++ b/crates/ctl/src/timeline.rs
@@ -0,0 +1,227 @@
+//! Time lines: fetching from every entry VM, merging, writing.
+
+use std::{collections, fs};
+
+use base::{id, ops};
+use futures_util::StreamExt as _;
+use snafu::{OptionExt as _, ResultExt as _};
+use trace::{event, explain, lines, merge, moment, picture, query, text};
+
+use crate::{args, client, error};
+
+/// Entry VMs that are asked at once.
+const CALLS_AT_ONCE: usize = 32;
+
+/// `pollenctl timeline`.
+///
+/// # Errors
+/// When the filter makes no sense, nobody answers, or the output cannot be written.
+pub async fn timeline(
+    args: &args::TimelineArgs,
+    client: &client::OpsClient,
+    now_ms: u64,
+) -> Result<error::CommandOutput, error::CtlError> {
+    let since_ms = args
+        .since
+        .as_deref()
+        .map(|text| parse_since(text, now_ms))
+        .transpose()?;
+    let filter = TimelineFilter {
+        request: args.request.clone(),
+        since_ms,
+        kind: args.kind.clone(),
+        limit: Some(args.limit),
+    };
+    let timeline = fetch(&filter, client).await?;
+    let shown = match args.format {
+        args::OutputFormat::Text => text::render(&timeline),
+        args::OutputFormat::Jsonl => {
+            lines::render(&timeline).context(error::JsonSnafu { what: "the events" })?
+        }
+        args::OutputFormat::Svg => picture::render(&timeline),
+    };
+    let Some(file) = &args.output else {
+        return Ok(error::CommandOutput::success(shown));
+    };
+    fs::write(file, shown).context(error::WriteFileSnafu { file })?;
+    let count = error::count_text(timeline.events.len(), "event");
+    Ok(error::CommandOutput::success(format!("{file}: {count}\n")))
+}
+
+/// `pollenctl explain`.
+///
+/// # Errors
+/// When nobody answers, or no event of the request is kept.
+pub async fn explain(
+    args: &args::ExplainArgs,
+    client: &client::OpsClient,
+) -> Result<error::CommandOutput, error::CtlError> {
+    let own = TimelineFilter {
+        request: Some(args.request.clone()),
+        ..TimelineFilter::default()
+    };
+    let own = fetch(&own, client).await?;
+    let request = only_request(&own, &args.request)?;
+    let servers = TimelineFilter {
+        since_ms: own.events.first().map(|event| event.stamp.wall_ms()),
+        kind: Some("server,clock".to_owned()),
+        ..TimelineFilter::default()
+    };
+    let context = fetch(&servers, client).await?;
+    let told = explain::explain(&joined(own, context), request);
+    let text = told.with_context(|| not_found(&args.request))?;
+    Ok(error::CommandOutput::success(text))
+}
+
+/// Which events are fetched.
+#[derive(Clone, Debug, Default)]
+pub struct TimelineFilter {
+    /// The beginning of a request's id.
+    pub request: Option<String>,
+    /// Milliseconds since 1970.
+    pub since_ms: Option<u64>,
+    /// Kinds or areas, with commas.
+    pub kind: Option<String>,
+    /// Events of one VM at the most.
+    pub limit: Option<usize>,
+}
+
+impl TimelineFilter {
+    /// The path to ask for; every part is checked first, so that nothing needs escaping.
+    fn path(&self) -> Result<String, error::CtlError> {
+        let (request, kind) = (self.request.as_deref(), self.kind.as_deref());
+        let checked = query::EventQuery::from_parts(request, self.since_ms, kind, self.limit);
+        let checked = checked.map_err(|fault| error::CtlError::Usage {
+            message: fault.to_string(),
+        })?;
+        let mut parts = Vec::new();
+        parts.extend(self.since_ms.map(|since_ms| format!("since_ms={since_ms}")));
+        parts.extend(request.map(|request| format!("request={request}")));
+        if !checked.kinds.is_empty() {
+            let kinds: Vec<&str> = checked.kinds.iter().map(query::KindFilter::name).collect();
+            parts.push(format!("kind={}", kinds.join(",")));
+        }
+        parts.extend(self.limit.map(|limit| format!("limit={limit}")));
+        Ok(format!("/ops/timeline?{}", parts.join("&")))
+    }
+}
+
+/// What all entry VMs kept, merged; those that do not answer are told as gaps.
+///
+/// # Errors
+/// When the filter makes no sense, or not one VM answers.
+pub async fn fetch(
+    filter: &TimelineFilter,
+    client: &client::OpsClient,
+) -> Result<merge::MergedTimeline, error::CtlError> {
+    let path = filter.path()?;
+    let status: ops::StatusBody = client.get("/ops/status").await?;
+    let members = status
+        .members
+        .iter()
+        .map(|it| (it.vm.clone(), it.address.clone()));
+    let mut targets: collections::BTreeMap<String, String> = members.collect();
+    if targets.is_empty() {
+        let entries = client
+            .entries()
+            .iter()
+            .map(|it| (it.to_string(), it.to_string()));
+        targets.extend(entries);
+    }
+    let calls = targets.into_iter().map(|(vm, address)| {
+        let path = &path;
+        async move { (vm, fetch_one(&address, path, client).await) }
+    });
+    let answers: Vec<_> = futures_util::stream::iter(calls)
+        .buffer_unordered(CALLS_AT_ONCE)
+        .collect()
+        .await;
+    let (mut bodies, mut silent) = (Vec::new(), Vec::new());
+    for (vm, answer) in answers {
+        match answer {
+            Ok(body) => bodies.push(body),
+            Err(reason) => silent.push(merge::TimelineGap::Silent { vm, reason }),
+        }
+    }
+    silent.sort_by_key(text::gap_text);
+    let mut timeline = merge::merge(bodies, filter.since_ms);
+    timeline.gaps.extend(silent);
+    Ok(timeline)
+}
+
+async fn fetch_one(
+    address: &str,
+    path: &str,
+    client: &client::OpsClient,
+) -> Result<ops::TimelineBody<event::Event>, String> {
+    let answer = client
+        .call(address, path, None)
+        .await
+        .map_err(|fault| fault.to_string())?;
+    if answer.status != 200 {
+        return Err(format!("{} {}", answer.status, answer.message()));
+    }
+    answer.parse().map_err(|fault| fault.to_string())
+}
+
+/// The moment that `30s`, `10m`, `2h`, `1d`, a UTC moment or unix milliseconds name.
+fn parse_since(text: &str, now_ms: u64) -> Result<u64, error::CtlError> {
+    let span = |letter, unit_ms: u64| {
+        let number: u64 = text.strip_suffix(letter)?.parse().ok()?;
+        Some(now_ms.saturating_sub(number.checked_mul(unit_ms)?))
+    };
+    let moment = span('s', 1_000)
+        .or_else(|| span('m', 60_000))
+        .or_else(|| span('h', 3_600_000))
+        .or_else(|| span('d', 86_400_000))
+        .or_else(|| moment::parse_full(text))
+        .or_else(|| text.parse().ok());
+    moment.with_context(|| error::UsageSnafu {
+        message: format!(
+            "--since {text:?} is no time; write 30s, 10m, 2h, 2026-03-04T12:00:00Z or unix \
+             milliseconds"
+        ),
+    })
+}
+
+/// The one request that the time line tells of.
+fn only_request(
+    timeline: &merge::MergedTimeline,
+    digits: &str,
+) -> Result<id::RequestId, error::CtlError> {
+    let requests = timeline.events.iter().filter_map(|event| event.request);
+    let requests: collections::BTreeSet<id::RequestId> = requests.collect();
+    match requests.len() {
+        0 => not_found(digits).fail(),
+        1 => requests
+            .into_iter()
+            .next()
+            .with_context(|| not_found(digits)),
+        count => {
+            let message = format!("{count} requests begin with {digits:?}; give more digits");
+            error::NotFoundSnafu { message }.fail()
+        }
+    }
+}
+
+fn not_found(digits: &str) -> error::NotFoundSnafu<String> {
+    let message = format!(
+        "no entry VM keeps an event of request {digits:?}; rings are bounded and end with their \
+         process, so ask soon, and check the id (response header x-request-id)"
+    );
+    error::NotFoundSnafu { message }
+}
+
+/// One time line of two, in order; what both have stands once.
+fn joined(own: merge::MergedTimeline, context: merge::MergedTimeline) -> merge::MergedTimeline {
+    let mut events = own.events;
+    events.extend(context.events);
+    events.sort_by(|left, right| {
+        (left.stamp, &left.vm, left.seq).cmp(&(right.stamp, &right.vm, right.seq))
+    });
+    events.dedup();
+    let mut gaps = own.gaps;
+    gaps.extend(context.gaps);
+    gaps.dedup();
+    merge::MergedTimeline { events, gaps }
+}
