flow: request plane from caller bytes to caller events, ports and proofs

Cause: entry needs a plane to call, and its ports fixed early. Change: ports (engine, service, scheduler, claims, jobs, time line), affine proofs of what is known of a try, filter chain, restart before the first token, resume after it, continuation tokens, suspects, retry budget, gate, jobs, and in-memory ports.

--- /dev/null
+++ b/crates/flow/src/calling.rs
@@ -0,0 +1,213 @@
+//! Filter, the last one for plain service calls: call, and call again only where that is proved
+//! or allowed.
+
+use std::{sync, time::Duration};
+
+use base::{outcome, refusal};
+use tokio::time;
+use trace::kind;
+
+use crate::{
+    admit, claim, fault,
+    filter::{self, Filter as _},
+    opening,
+    port::{self, Grant as _, ServiceLink as _},
+    proof, quota, request, route, shared,
+};
+
+/// When to come back after a call did not run.
+const NOT_RUN_RETRY: Duration = Duration::from_secs(1);
+
+/// What a call's request holds before it has a place.
+type CallClaimed<P> = request::Claimed<quota::QuotaPermit<P>, Option<claim::HeldClaim<P>>>;
+
+/// A call's request with a place.
+pub type CallRouted<P> = route::RoutedRequest<
+    request::CallWork,
+    quota::QuotaPermit<P>,
+    Option<claim::HeldClaim<P>>,
+    admit::PlaceGrant<P>,
+>;
+
+/// Calls plain services.
+#[derive(Clone, Debug)]
+pub struct CallFilter<P: port::PortSet> {
+    shared: sync::Arc<shared::SharedPlane<P>>,
+    placing: opening::PlacingChain<P>,
+}
+
+impl<P: port::PortSet> CallFilter<P> {
+    pub(crate) const fn new(
+        shared: sync::Arc<shared::SharedPlane<P>>,
+        placing: opening::PlacingChain<P>,
+    ) -> Self {
+        Self { shared, placing }
+    }
+
+    /// Sends one try and says which of the three it was.
+    async fn send(
+        &self,
+        facts: &request::RequestFacts<request::CallWork>,
+        due_at: time::Instant,
+        target: &port::ServerTarget,
+        permit: proof::StartPermit,
+    ) -> proof::TryOutcome<port::ServiceAnswer> {
+        let raw = &facts.work.raw;
+        let call = port::ServiceCall {
+            request: facts.id,
+            method: raw.method.clone(),
+            path: raw.path.clone(),
+            key: facts.headers.idempotency_key.clone(),
+            content_type: raw.content_type.clone(),
+            body: raw.body.clone(),
+        };
+        let time_left = due_at.saturating_duration_since(time::Instant::now());
+        let (send, ticket) = permit.send();
+        let answer = {
+            let called = self
+                .shared
+                .ports
+                .services()
+                .call(target, &call, time_left, send);
+            time::timeout_at(due_at, called).await
+        };
+        match answer {
+            Ok(Ok(answer)) => proof::TryOutcome::Ran(answer),
+            Ok(Err(fault::CallFault::NeverSent {
+                evidence, cause, ..
+            })) => proof::TryOutcome::NotRun {
+                permit: ticket.never_sent(evidence),
+                cause,
+            },
+            Ok(Err(lost @ fault::CallFault::Lost { .. })) => proof::TryOutcome::Unknown {
+                ticket,
+                cause: lost.to_string(),
+            },
+            Err(_) => proof::TryOutcome::Unknown {
+                ticket,
+                cause: format!("{} did not answer in time", target.name),
+            },
+        }
+    }
+
+    /// Another place for a call that may be tried again.
+    async fn place_again(
+        &self,
+        mut facts: request::RequestFacts<request::CallWork>,
+        claimed: CallClaimed<P>,
+        permit: proof::StartPermit,
+        server: &port::ServerTarget,
+        cause: &str,
+    ) -> Result<CallRouted<P>, filter::EarlyEnd> {
+        let rules = &facts.view.config.rules().retries;
+        if facts.tries >= rules.max_tries {
+            return Err(permit.refused(used_up(cause)).into());
+        }
+        self.shared.record(
+            facts.id,
+            kind::EventKind::RequestRetried {
+                server: server.name.clone(),
+                attempt: facts.tries,
+                ran: permit.ran(),
+                reason: cause.to_owned(),
+            },
+        );
+        facts.avoid.push(server.key);
+        let again = request::Request {
+            facts,
+            permit,
+            stage: claimed,
+        };
+        self.placing.apply(again).await
+    }
+}
+
+impl<P: port::PortSet> filter::Filter<CallRouted<P>> for CallFilter<P> {
+    type Out = port::ServiceAnswer;
+
+    async fn apply(&self, input: CallRouted<P>) -> Result<port::ServiceAnswer, filter::EarlyEnd> {
+        let mut routed = input;
+        loop {
+            let request::Request {
+                mut facts,
+                permit,
+                stage,
+            } = routed;
+            let request::Routed { admitted, target } = stage;
+            let request::Cleared { mut claimed, probe } = admitted.cleared;
+            if let Some(body) = cannot_leave(claimed.claim.as_ref()) {
+                return Err(permit.refused(body).into());
+            }
+            let fraction = facts.view.config.rules().retries.budget_fraction;
+            if let Err(delay) = self.shared.take_try(facts.tries, fraction) {
+                return Err(permit.refused(opening::over_budget(delay)).into());
+            }
+            facts.tries += 1;
+            let mark = self
+                .shared
+                .book
+                .begin(target.key, facts.work.content, probe.is_some());
+            if let Some(claim) = claimed.claim.as_mut() {
+                claim.leaving();
+            }
+            let due_at = claimed.terms.due_at;
+            let outcome = self.send(&facts, due_at, &target, permit).await;
+            drop((mark, probe));
+            let (permit, cause) = match outcome {
+                proof::TryOutcome::Ran(answer) => {
+                    admitted.grant.finished(0);
+                    if let Some(claim) = claimed.claim.take() {
+                        claim.settle(port::ClaimEnd::Answered(answer.clone()));
+                    }
+                    return Ok(answer);
+                }
+                proof::TryOutcome::NotRun { permit, cause } => {
+                    admitted.grant.failed(port::FailureKind::Broken);
+                    if let Some(claim) = claimed.claim.as_mut() {
+                        claim.came_back();
+                    }
+                    (permit, cause)
+                }
+                proof::TryOutcome::Unknown { ticket, cause } => {
+                    admitted.grant.failed(port::FailureKind::Silent);
+                    match facts.work.repeat {
+                        Some(repeat) if time::Instant::now() < due_at => {
+                            (ticket.repeated(repeat), cause)
+                        }
+                        _ => return Err(ticket.refused(may_have_run(&cause)).into()),
+                    }
+                }
+            };
+            routed = self
+                .place_again(facts, claimed, permit, &target, &cause)
+                .await?;
+        }
+    }
+}
+
+/// Why a claimed call may no longer leave.
+fn cannot_leave<P: port::PortSet>(
+    claim: Option<&claim::HeldClaim<P>>,
+) -> Option<refusal::RefusalBody> {
+    let lapsed = claim.is_some_and(|claim| !claim.may_leave(time::Instant::now()));
+    lapsed.then(|| {
+        let message = "the claim on the idempotency key lapsed before the call could leave; \
+                       repeat it after the time given";
+        shared::come_back(
+            refusal::RefusalCode::DeadlineExceeded,
+            message,
+            NOT_RUN_RETRY,
+        )
+    })
+}
+
+fn used_up(cause: &str) -> refusal::RefusalBody {
+    let message = format!("{cause}; no try succeeded; ask again after the time given");
+    shared::come_back(refusal::RefusalCode::Unavailable, message, NOT_RUN_RETRY)
+}
+
+fn may_have_run(cause: &str) -> refusal::RefusalBody {
+    let message = format!("{cause}; look up whether it did before calling again with another key");
+    refusal::RefusalBody::not_run(refusal::RefusalCode::BackendFault, message)
+        .ran(outcome::RanState::Unknown)
+}
--- /dev/null
+++ b/crates/flow/src/chunk.rs
@@ -0,0 +1,183 @@
+//! Answers in the shape that client libraries of the field speak, whole and streamed.
+
+use std::io::Write as _;
+
+use base::{id, refusal};
+use bytes::{BufMut as _, BytesMut};
+
+use crate::{body, port};
+
+/// Text that begins every chunk of one stream, written once.
+#[derive(Clone, Debug)]
+pub struct ChunkWriter {
+    face: body::CallerFace,
+    /// Up to and with the opening of the one choice's variable part.
+    head: String,
+    include_usage: bool,
+}
+
+/// Usage as the field's clients read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct UsageBody {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+    prompt_tokens_details: UsageDetails,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct UsageDetails {
+    cached_tokens: u32,
+}
+
+impl UsageBody {
+    fn of(report: &port::FinishReport) -> Self {
+        Self {
+            prompt_tokens: report.prompt_tokens,
+            completion_tokens: report.produced,
+            total_tokens: report.prompt_tokens.saturating_add(report.produced),
+            prompt_tokens_details: UsageDetails {
+                cached_tokens: report.cached_tokens,
+            },
+        }
+    }
+}
+
+/// The name of a finish on the wire; only a whole answer has one.
+#[must_use]
+pub const fn finish_name(finish: port::FinishReason) -> &'static str {
+    match finish {
+        port::FinishReason::Stop => "stop",
+        port::FinishReason::Length => "length",
+        port::FinishReason::Cancelled => "cancelled",
+        port::FinishReason::Error => "error",
+    }
+}
+
+impl ChunkWriter {
+    /// A writer for the answer to `request`.
+    #[must_use]
+    pub fn new(
+        face: body::CallerFace,
+        request: id::RequestId,
+        model: &str,
+        created_s: u64,
+        include_usage: bool,
+    ) -> Self {
+        let (prefix, object) = match face {
+            body::CallerFace::Chat => ("chatcmpl", "chat.completion.chunk"),
+            body::CallerFace::Completion => ("cmpl", "text_completion"),
+        };
+        let model = json_text(model);
+        let head = format!(
+            r#"data: {{"id":"{prefix}-{request}","object":"{object}","created":{created_s},"model":{model},"choices":["#
+        );
+        Self {
+            face,
+            head,
+            include_usage,
+        }
+    }
+
+    /// Writes the chunk of one token.
+    pub fn token(&self, out: &mut BytesMut, index: u32, text: &str) {
+        out.put_slice(self.head.as_bytes());
+        out.put_slice(match (self.face, index) {
+            (body::CallerFace::Chat, 0) => {
+                br#"{"index":0,"delta":{"role":"assistant","content":"#.as_slice()
+            }
+            (body::CallerFace::Chat, _) => br#"{"index":0,"delta":{"content":"#.as_slice(),
+            (body::CallerFace::Completion, _) => br#"{"index":0,"text":"#.as_slice(),
+        });
+        let mut writer = out.writer();
+        // Writing into memory does not fail.
+        let _ = serde_json::to_writer(&mut writer, text);
+        let close = match self.face {
+            body::CallerFace::Chat => "}",
+            body::CallerFace::Completion => "",
+        };
+        let _ = write!(
+            writer,
+            "{close},\"finish_reason\":null}}],\"pollenchute\":{{\"index\":{index}}}}}\n\n"
+        );
+    }
+
+    /// Writes the end of a whole answer.
+    pub fn finish(&self, out: &mut BytesMut, report: &port::FinishReport) {
+        let usage = serde_json::to_string(&UsageBody::of(report)).unwrap_or_default();
+        let name = finish_name(report.finish);
+        let variable = match self.face {
+            body::CallerFace::Chat => r#""delta":{}"#,
+            body::CallerFace::Completion => r#""text":"""#,
+        };
+        let head = &self.head;
+        let mut writer = out.writer();
+        let _ = write!(
+            writer,
+            "{head}{{\"index\":0,{variable},\"finish_reason\":\"{name}\"}}]"
+        );
+        let _ = if self.include_usage {
+            write!(writer, "}}\n\n{head}],\"usage\":{usage}}}\n\n")
+        } else {
+            write!(writer, ",\"usage\":{usage}}}\n\n")
+        };
+        out.put_slice(b"data: [DONE]\n\n");
+    }
+}
+
+/// Writes an honest end in the middle of a stream; no `[DONE]` follows.
+pub fn write_refusal(out: &mut BytesMut, body: &refusal::RefusalBody) {
+    let envelope = refusal::RefusalEnvelope {
+        error: body.clone(),
+    };
+    out.put_slice(b"data: ");
+    let _ = serde_json::to_writer(out.writer(), &envelope);
+    out.put_slice(b"\n\n");
+}
+
+/// Writes that the rest of the answer is to be fetched from another entry VM; no `[DONE]`
+/// follows.
+pub fn write_handover(out: &mut BytesMut, token: &str, from: u32) {
+    let _ = write!(
+        out.writer(),
+        "data: {{\"pollenchute\":{{\"continue\":\"/v1/generations/{token}?from={from}\"}}}}\n\n"
+    );
+}
+
+/// A comment that keeps the caller's connection known to what lies between.
+pub const HEARTBEAT: &[u8] = b": ping\n\n";
+
+/// A whole answer.
+#[must_use]
+pub fn whole_answer(
+    face: body::CallerFace,
+    request: id::RequestId,
+    model: &str,
+    created_s: u64,
+    text: &str,
+    report: &port::FinishReport,
+) -> String {
+    let (prefix, object) = match face {
+        body::CallerFace::Chat => ("chatcmpl", "chat.completion"),
+        body::CallerFace::Completion => ("cmpl", "text_completion"),
+    };
+    let model = json_text(model);
+    let text = json_text(text);
+    let usage = serde_json::to_string(&UsageBody::of(report)).unwrap_or_default();
+    let finish = finish_name(report.finish);
+    let variable = match face {
+        body::CallerFace::Chat => {
+            format!(r#""message":{{"role":"assistant","content":{text}}}"#)
+        }
+        body::CallerFace::Completion => format!(r#""text":{text}"#),
+    };
+    format!(
+        r#"{{"id":"{prefix}-{request}","object":"{object}","created":{created_s},"model":{model},"choices":[{{"index":0,{variable},"finish_reason":"{finish}"}}],"usage":{usage}}}"#
+    )
+}
+
+fn json_text(text: &str) -> String {
+    serde_json::to_string(text).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/flow/src/classify.rs
@@ -0,0 +1,81 @@
+//! Filter: what is asked for, how long may it wait, and until when?
+
+use std::{sync, time::Duration};
+
+use trace::kind;
+
+use crate::{
+    filter, port,
+    request::{self, RawWork, Work as _},
+    shared,
+};
+
+/// Understands the work and applies the rules to it.
+#[derive(Clone, Debug)]
+pub struct ClassifyFilter<P> {
+    shared: sync::Arc<shared::SharedPlane<P>>,
+}
+
+impl<P: port::PortSet> ClassifyFilter<P> {
+    /// The filter of one plane.
+    #[must_use]
+    pub const fn new(shared: sync::Arc<shared::SharedPlane<P>>) -> Self {
+        Self { shared }
+    }
+}
+
+impl<P: port::PortSet, W: RawWork> filter::Filter<request::Request<W, request::Known>>
+    for ClassifyFilter<P>
+{
+    type Out = request::Request<W::Parsed, request::Terms>;
+
+    async fn apply(
+        &self,
+        input: request::Request<W, request::Known>,
+    ) -> Result<Self::Out, filter::EarlyEnd> {
+        let request::Request {
+            facts,
+            permit,
+            stage,
+        } = input;
+        let work = match facts.work.parse(&facts.view) {
+            Ok(work) => work,
+            Err(body) => return Err(permit.refused(body).into()),
+        };
+        let config = &facts.view.config;
+        let requested = facts.headers.requested_class;
+        let class = config.class_of(stage.organisation, work.target(), requested);
+        let by_rules = work.time_limit(&facts.view, class);
+        let by_caller = facts.headers.time_limit_ms.map(Duration::from_millis);
+        let time_limit = by_caller.map_or(by_rules, |limit| limit.min(by_rules));
+        self.shared.record(
+            facts.id,
+            kind::EventKind::RequestClassified {
+                class,
+                reason: requested
+                    .map_or("rules", |_| "rules, class asked for")
+                    .to_owned(),
+            },
+        );
+        let terms = request::Terms {
+            organisation: stage.organisation,
+            class,
+            due_at: facts.arrived_at + time_limit,
+            time_limit,
+        };
+        let facts = request::RequestFacts {
+            work,
+            id: facts.id,
+            arrived_at: facts.arrived_at,
+            view: facts.view,
+            headers: facts.headers,
+            tries: facts.tries,
+            avoid: facts.avoid,
+        };
+        Ok(request::Request {
+            facts,
+            permit,
+            stage: terms,
+        })
+    }
+}
--- /dev/null
+++ b/crates/flow/src/continuation.rs
@@ -0,0 +1,180 @@
+//! Going on with a stream that broke, by its token, on any entry VM.
+
+use std::time::Duration;
+
+use base::refusal;
+
+use crate::{
+    attempt, authenticate, chunk,
+    filter::{self, Filter as _},
+    flowing, opening, pipe, plane,
+    port::{self, PeerLink as _},
+    proof, refused, request, shared, token,
+};
+
+/// When to come back to an entry VM that does not know the generation's server yet.
+const UNKNOWN_SERVER_RETRY: Duration = Duration::from_secs(1);
+
+/// When to come back after a generation was lost: a new one can start at once.
+const LOST_RETRY: Duration = Duration::from_millis(100);
+
+impl<P: port::PortSet> plane::RequestPlane<P> {
+    /// A call of `GET /v1/generations/<token>?from=N`: streams the same generation from token
+    /// number `from` on.
+    ///
+    /// # Errors
+    ///
+    /// An honest refusal; `generation_lost` when there is nothing to go on with.
+    pub async fn continue_generation(
+        &self,
+        headers: request::CallerHeaders,
+        token: &str,
+        from: u32,
+    ) -> Result<plane::StreamReply, plane::RefusedRequest> {
+        let arrived = self.arrive(headers, ());
+        let request = arrived.facts.id;
+        let reply = self.continue_arrived(arrived, token, from).await;
+        reply.map_err(|end| self.refused(request, end))
+    }
+
+    async fn continue_arrived(
+        &self,
+        arrived: request::Request<(), request::Arrived>,
+        token: &str,
+        from: u32,
+    ) -> Result<plane::StreamReply, filter::EarlyEnd> {
+        let (arrived, pass) = self.enter(arrived)?;
+        let known = authenticate::AuthenticateFilter.apply(arrived).await?;
+        let (facts, target) = match self.resolve(&known, token) {
+            Ok(resolved) => resolved,
+            Err(body) => return Err(known.refused(body).into()),
+        };
+        let shared = self.shared();
+        let reader = shared.readers.enter(facts.generation);
+        if facts.vm != shared.settings.vm {
+            shared.ports.peers().adopted(&facts.vm, facts.generation);
+        }
+        let silent_limit = opening::silent_limit(&known.facts.view);
+        let live = self.connect(&facts, target, from, silent_limit).await?;
+        let (writer_end, stream) = pipe::pipe();
+        let mark = shared.book.begin(live.target().key, facts.content, false);
+        let relay = flowing::FlowingStream {
+            shared: shared.clone(),
+            request: facts.request,
+            content: facts.content,
+            arrived_at: known.facts.arrived_at,
+            live,
+            flowing: proof::FlowingTry::continued(),
+            charge: flowing::StreamCharge {
+                grant: None,
+                quota: None,
+                mark: Some(mark),
+                probe: None,
+            },
+            writer: chunk_writer(&facts),
+            pipe: writer_end,
+            reader,
+            token: token.to_owned(),
+        };
+        tokio::spawn(async move {
+            let _pass = pass;
+            relay.run(None).await;
+        });
+        Ok(plane::StreamReply {
+            request: facts.request,
+            token: token.to_owned(),
+            stream,
+        })
+    }
+
+    /// A connection to a generation that runs already.
+    async fn connect(
+        &self,
+        facts: &token::ContinuationFacts,
+        target: port::ServerTarget,
+        from: u32,
+        silent_limit: Duration,
+    ) -> Result<attempt::LiveTry<P>, refused::Refused> {
+        let shared = self.shared();
+        let limits = (silent_limit, shared.settings.opening_patience);
+        let mut live = attempt::LiveTry::continued(
+            shared.clone(),
+            facts.request,
+            target,
+            facts.generation,
+            from,
+            limits,
+        );
+        match live.connect().await {
+            Ok(()) => {
+                live.set_patience(plane::RESUME_PATIENCE);
+                Ok(live)
+            }
+            Err(loss) => {
+                // Another may still read it, and this caller may come back for it.
+                live.release();
+                Err(proof::FlowingTry::continued().refused(not_continued(&loss)))
+            }
+        }
+    }
+
+    /// The facts of a token that this caller may use, and the generation's server.
+    fn resolve(
+        &self,
+        known: &request::Request<(), request::Known>,
+        token: &str,
+    ) -> Result<(token::ContinuationFacts, port::ServerTarget), refusal::RefusalBody> {
+        let shared = self.shared();
+        let facts = shared.settings.token_keys.verify(token, shared.now_ms())?;
+        let view = &known.facts.view;
+        let organisation = view.config.organisation(known.stage.organisation);
+        if organisation.is_none_or(|organisation| organisation.name != facts.organisation) {
+            return Err(refusal::RefusalBody::not_run(
+                refusal::RefusalCode::Forbidden,
+                "the continuation token is another organisation's; use the key that the request \
+                 was sent with",
+            ));
+        }
+        let key = view.config.server_key(&facts.server);
+        match key.and_then(|key| view.target(key, None)) {
+            Some(target) => Ok((facts, target)),
+            // A token of a newer configuration than this entry VM has: it will have it soon.
+            None if facts.revision > view.config.revision() => {
+                let message = "this entry VM does not know the generation's server yet; ask \
+                               again after the time given";
+                let code = refusal::RefusalCode::NotReady;
+                Err(shared::come_back(code, message, UNKNOWN_SERVER_RETRY))
+            }
+            None => Err(lost("its backend server is no longer in the inventory")),
+        }
+    }
+}
+
+fn chunk_writer(facts: &token::ContinuationFacts) -> chunk::ChunkWriter {
+    chunk::ChunkWriter::new(
+        facts.face(),
+        facts.request,
+        &facts.model,
+        facts.created_s,
+        facts.include_usage,
+    )
+}
+
+fn not_continued(loss: &attempt::TryLoss) -> refusal::RefusalBody {
+    match loss.kind {
+        attempt::LossKind::Unreachable => {
+            let message = format!("{}; ask again, or another entry VM", loss.cause);
+            let code = refusal::RefusalCode::Unavailable;
+            shared::come_back(code, message, UNKNOWN_SERVER_RETRY)
+        }
+        attempt::LossKind::ServerGone
+        | attempt::LossKind::NotHeld
+        | attempt::LossKind::Declined
+        | attempt::LossKind::Ended => lost(&loss.cause),
+    }
+}
+
+fn lost(cause: &str) -> refusal::RefusalBody {
+    let message = format!("the generation is lost: {cause}; send the request anew");
+    shared::come_back(refusal::RefusalCode::GenerationLost, message, LOST_RETRY)
+}
--- /dev/null
+++ b/crates/flow/src/flowing.rs
@@ -0,0 +1,254 @@
+//! Relaying a generation to a caller, token by token.
+
+use std::{pin, sync, time::Duration};
+
+use base::{id, refusal};
+use tokio::time;
+use trace::kind;
+
+use crate::{
+    attempt, chunk, crashes, pipe,
+    port::{self, Grant as _, QuotaPermit as _},
+    proof, quarantine, readers, shared,
+};
+
+/// Tokens are reported to the scheduler in lots of this many.
+const PROGRESS_LOT: u32 = 16;
+
+/// When to come back after a generation was lost: a new one can start at once.
+const LOST_RETRY: Duration = Duration::from_millis(100);
+
+/// What a stream holds besides its generation.
+pub struct StreamCharge<P: port::PortSet> {
+    /// Its place; absent when another entry VM holds it.
+    pub grant: Option<crate::admit::PlaceGrant<P>>,
+    /// Its share of its organisation's limits.
+    pub quota: Option<crate::quota::QuotaPermit<P>>,
+    /// Marks its content as running.
+    pub mark: Option<crashes::RunMark>,
+    /// Held by a suspect.
+    pub probe: Option<quarantine::ProbePass>,
+}
+
+/// A generation on its way to a caller.
+pub struct FlowingStream<P: port::PortSet> {
+    pub(crate) shared: sync::Arc<shared::SharedPlane<P>>,
+    pub(crate) request: id::RequestId,
+    pub(crate) content: base::fingerprint::ContentHash,
+    pub(crate) arrived_at: time::Instant,
+    pub(crate) live: attempt::LiveTry<P>,
+    /// Nothing but the same generation may follow.
+    pub(crate) flowing: proof::FlowingTry,
+    pub(crate) charge: StreamCharge<P>,
+    pub(crate) writer: chunk::ChunkWriter,
+    pub(crate) pipe: pipe::PipeWriter,
+    pub(crate) reader: readers::ReaderPass,
+    pub(crate) token: String,
+}
+
+/// How a stream ended.
+enum StreamEnd {
+    /// Whole.
+    Finished(port::FinishReport),
+    /// The rest is not coming.
+    Lost(attempt::TryLoss),
+    /// The caller is gone, or reads nothing.
+    CallerGone,
+    /// Another entry VM goes on.
+    HandedOver,
+}
+
+impl<P: port::PortSet> FlowingStream<P> {
+    /// Relays to the end, beginning with `first` when it is there already.
+    pub async fn run(mut self, first: Option<attempt::TryStep>) {
+        let end = self.relay(first).await;
+        self.finish(end);
+    }
+
+    async fn relay(&mut self, first: Option<attempt::TryStep>) -> StreamEnd {
+        let mut unreported = 0;
+        let mut beat = Box::pin(time::sleep(self.shared.settings.heartbeat));
+        let mut step = match first {
+            Some(step) => step,
+            None => match self.wait(beat.as_mut()).await {
+                Ok(step) => step,
+                Err(end) => return end,
+            },
+        };
+        loop {
+            let has_space = match step {
+                attempt::TryStep::Token { index, text } => {
+                    unreported += 1;
+                    if unreported == PROGRESS_LOT || index == 0 {
+                        self.report(std::mem::take(&mut unreported));
+                    }
+                    let writer = &self.writer;
+                    self.pipe.append(|out| writer.token(out, index, &text))
+                }
+                attempt::TryStep::Finished(report) => {
+                    self.report(unreported);
+                    return StreamEnd::Finished(report);
+                }
+                attempt::TryStep::Lost(loss) => return StreamEnd::Lost(loss),
+            };
+            let reads = match has_space {
+                Ok(true) => true,
+                Ok(false) => caller_reads(&self.pipe, self.shared.settings.caller_stall).await,
+                Err(pipe::CallerGone) => false,
+            };
+            if !reads {
+                return StreamEnd::CallerGone;
+            }
+            step = match self.wait(beat.as_mut()).await {
+                Ok(step) => step,
+                Err(end) => return end,
+            };
+        }
+    }
+
+    /// The next step; shows the caller a sign of life while there is none.
+    async fn wait(
+        &mut self,
+        mut beat: pin::Pin<&mut time::Sleep>,
+    ) -> Result<attempt::TryStep, StreamEnd> {
+        if self.shared.gate.hands_over() {
+            return Err(StreamEnd::HandedOver);
+        }
+        let heartbeat = self.shared.settings.heartbeat;
+        let mut shown_at = time::Instant::now();
+        let next = self.live.next();
+        tokio::pin!(next);
+        loop {
+            tokio::select! {
+                biased;
+                step = &mut next => return Ok(step),
+                () = self.pipe.gone() => return Err(StreamEnd::CallerGone),
+                () = beat.as_mut() => {}
+            }
+            if self.shared.gate.hands_over() {
+                return Err(StreamEnd::HandedOver);
+            }
+            // The beat is set anew only when it rings, so that a token costs no timer.
+            let now = time::Instant::now();
+            if shown_at + heartbeat <= now {
+                shown_at = now;
+                let shown = self
+                    .pipe
+                    .append(|out| out.extend_from_slice(chunk::HEARTBEAT));
+                if shown.is_err() {
+                    return Err(StreamEnd::CallerGone);
+                }
+            }
+            beat.as_mut().reset(shown_at + heartbeat);
+        }
+    }
+
+    fn report(&mut self, tokens: u32) {
+        if let Some(grant) = &self.charge.grant {
+            grant.progress(tokens);
+        }
+        if let Some(quota) = &mut self.charge.quota {
+            quota.charge(tokens);
+        }
+    }
+
+    fn finish(mut self, end: StreamEnd) {
+        match end {
+            StreamEnd::Finished(report) => {
+                let writer = &self.writer;
+                let _ = self.pipe.append(|out| writer.finish(out, &report));
+                self.shared
+                    .book
+                    .ended_well(self.content, self.shared.now_ms());
+                if let Some(grant) = self.charge.grant.take() {
+                    grant.finished(report.produced);
+                }
+                self.shared.record(
+                    self.request,
+                    kind::EventKind::RequestFinished {
+                        tokens: report.produced,
+                        after_ms: shared::millis_since(self.arrived_at),
+                        finish: chunk::finish_name(report.finish).to_owned(),
+                    },
+                );
+            }
+            StreamEnd::Lost(loss) => self.end_lost(loss),
+            StreamEnd::HandedOver => {
+                let (token, from) = (&self.token, self.live.next_index());
+                let _ = self
+                    .pipe
+                    .append(|out| chunk::write_handover(out, token, from));
+                self.live.release();
+            }
+            StreamEnd::CallerGone => self.linger(),
+        }
+    }
+
+    fn end_lost(mut self, loss: attempt::TryLoss) {
+        let message = format!(
+            "the generation was lost after token {}: {}; send the request anew",
+            self.live.next_index(),
+            loss.cause
+        );
+        let code = refusal::RefusalCode::GenerationLost;
+        let refused = self
+            .flowing
+            .refused(shared::come_back(code, message, LOST_RETRY));
+        metrics::counter!("pollenchute_flow_generations_lost_total").increment(1);
+        self.shared.record(
+            self.request,
+            kind::EventKind::RequestRefused {
+                code,
+                ran: refused.body().ran,
+                retry_after_ms: refused.body().retry_after_ms.unwrap_or(0),
+                reason: loss.cause,
+            },
+        );
+        let _ = self
+            .pipe
+            .append(|out| chunk::write_refusal(out, refused.body()));
+        if let Some(grant) = self.charge.grant.take() {
+            grant.failed(loss.kind.failure());
+        }
+        if !self.reader.is_last() {
+            self.live.release();
+        }
+    }
+
+    /// Keeps the generation of a gone caller for a while, to be continued here or elsewhere.
+    fn linger(self) {
+        let linger = self.shared.settings.linger;
+        let (request, shared) = (self.request, self.shared.clone());
+        // Neither the pipe nor the connection is needed any longer.
+        let pass = shared.gate.extend();
+        let Self {
+            live,
+            charge,
+            reader,
+            ..
+        } = self;
+        tokio::spawn(async move {
+            let _held = (charge, pass);
+            let mut live = live;
+            live.disconnect();
+            time::sleep(linger).await;
+            if !reader.is_last() {
+                live.release();
+                return;
+            }
+            shared.record(
+                request,
+                kind::EventKind::RequestCancelled {
+                    ran: base::outcome::RanState::Yes,
+                    reason: "its caller is gone".to_owned(),
+                },
+            );
+            // Dropping the try cancels its generation.
+        });
+    }
+}
+
+/// Waits for space in the pipe, as long as a caller may take to read.
+async fn caller_reads(pipe: &pipe::PipeWriter, limit: Duration) -> bool {
+    matches!(time::timeout(limit, pipe.space()).await, Ok(Ok(())))
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,1 +1,44 @@
 //! The request plane: filter chain, tries and their outcomes, stream relay and continuation.
+//!
+//! [`plane::RequestPlane`] takes a caller's bytes and gives back an answer, a stream of bytes or
+//! an honest refusal. What it needs of the rest of the system it asks through [`port`]; what it
+//! knows of its own tries it keeps in types of [`proof`] that are moved, never copied.
+
+pub mod admit;
+pub mod attempt;
+pub mod authenticate;
+pub mod body;
+pub mod budget;
+pub mod calling;
+pub mod chunk;
+pub mod claim;
+pub mod classify;
+pub mod collect;
+mod continuation;
+pub mod crashes;
+pub mod cursor;
+pub mod deduplicate;
+pub mod fault;
+pub mod filter;
+pub mod flowing;
+pub mod gate;
+pub mod jobs;
+pub mod memory;
+pub mod opening;
+pub mod pipe;
+pub mod plane;
+pub mod port;
+pub mod proof;
+pub mod quarantine;
+pub mod quota;
+pub mod readers;
+pub mod refused;
+pub mod request;
+pub mod route;
+pub mod settings;
+pub mod settle;
+pub mod shared;
+pub mod silence;
+pub mod suspect;
+pub mod token;
+pub mod view;
--- /dev/null
+++ b/crates/flow/src/memory.rs
@@ -0,0 +1,450 @@
+//! Ports that keep everything in this process: for tests, and for a plane without a log.
+
+use std::{collections, sync, time::Duration};
+
+use base::{id, refusal};
+use conf::rules;
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
+use trace::kind;
+
+use crate::{port, view};
+
+/// A server that failed is left alone for this long when there is another.
+const SHUN_FOR: Duration = Duration::from_secs(1);
+
+fn locked<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ServerLoad {
+    running: usize,
+    /// A suspect has it to itself.
+    alone: bool,
+    shunned_until: Option<time::Instant>,
+}
+
+#[derive(Debug)]
+struct ScheduleState {
+    views: watch::Receiver<sync::Arc<view::PlaneView>>,
+    at_once: usize,
+    loads: sync::Mutex<collections::BTreeMap<id::ServerKey, ServerLoad>>,
+    freed: Notify,
+}
+
+/// Places each request on the least loaded server that may take it.
+#[derive(Clone, Debug)]
+pub struct MemorySchedule {
+    state: sync::Arc<ScheduleState>,
+}
+
+/// A place of a [`MemorySchedule`].
+#[derive(Debug)]
+pub struct MemoryGrant {
+    state: sync::Arc<ScheduleState>,
+    server: id::ServerKey,
+    ask: port::AdmissionAsk,
+}
+
+impl MemorySchedule {
+    /// At most `at_once` requests on each server.
+    #[must_use]
+    pub fn new(views: watch::Receiver<sync::Arc<view::PlaneView>>, at_once: usize) -> Self {
+        let state = ScheduleState {
+            views,
+            at_once,
+            loads: sync::Mutex::default(),
+            freed: Notify::new(),
+        };
+        Self {
+            state: sync::Arc::new(state),
+        }
+    }
+}
+
+impl ScheduleState {
+    fn place(&self, ask: &port::AdmissionAsk) -> Option<id::ServerKey> {
+        let view = self.views.borrow().clone();
+        let candidates = match &ask.work {
+            port::AskedWork::Generation { model, .. } => view.config.servers_of_model(model),
+            port::AskedWork::Service { service } => view.config.servers_of_service(service),
+        };
+        let now = time::Instant::now();
+        let mut loads = locked(&self.loads);
+        let at_once = if ask.alone { 1 } else { self.at_once };
+        let server = candidates
+            .iter()
+            .filter(|server| view.takes_work(**server) && !ask.avoid.contains(server))
+            .map(|server| (loads.get(server).copied().unwrap_or_default(), *server))
+            .filter(|(load, _)| load.running < at_once && !load.alone)
+            .min_by_key(|(load, server)| {
+                let shunned = load.shunned_until.is_some_and(|until| now < until);
+                (shunned, load.running, *server)
+            })
+            .map(|(_, server)| server)?;
+        let load = loads.entry(server).or_default();
+        load.running += 1;
+        load.alone = ask.alone;
+        Some(server)
+    }
+
+    async fn wait(&self, ask: &port::AdmissionAsk) -> id::ServerKey {
+        loop {
+            let freed = self.freed.notified();
+            tokio::pin!(freed);
+            freed.as_mut().enable();
+            if let Some(server) = self.place(ask) {
+                return server;
+            }
+            // The view may change without a place becoming free.
+            let _ = time::timeout(SHUN_FOR, freed).await;
+        }
+    }
+
+    fn free(&self, server: id::ServerKey, failed: bool) {
+        let mut loads = locked(&self.loads);
+        let load = loads.entry(server).or_default();
+        load.running = load.running.saturating_sub(1);
+        load.alone = false;
+        if failed {
+            load.shunned_until = Some(time::Instant::now() + SHUN_FOR);
+        }
+        drop(loads);
+        self.freed.notify_waiters();
+    }
+}
+
+impl port::Scheduler for MemorySchedule {
+    type Grant = MemoryGrant;
+
+    fn early_refusal(&self, _ask: &port::AdmissionAsk) -> Option<refusal::RefusalBody> {
+        None
+    }
+
+    async fn admit(&self, ask: &port::AdmissionAsk) -> Result<MemoryGrant, refusal::RefusalBody> {
+        let server = self.state.wait(ask).await;
+        Ok(MemoryGrant {
+            state: self.state.clone(),
+            server,
+            ask: ask.clone(),
+        })
+    }
+}
+
+impl port::Grant for MemoryGrant {
+    fn server(&self) -> id::ServerKey {
+        self.server
+    }
+
+    fn priority(&self) -> u8 {
+        u8::try_from(self.ask.class.index()).unwrap_or(0)
+    }
+
+    fn progress(&self, _count: u32) {}
+
+    fn finished(self, _produced: u32) {}
+
+    fn failed(self, _failure: port::FailureKind) {
+        locked(&self.state.loads)
+            .entry(self.server)
+            .or_default()
+            .shunned_until = Some(time::Instant::now() + SHUN_FOR);
+    }
+
+    async fn requeue(mut self) -> Result<Self, refusal::RefusalBody> {
+        self.state.free(self.server, false);
+        self.server = self.state.wait(&self.ask).await;
+        Ok(self)
+    }
+}
+
+impl Drop for MemoryGrant {
+    fn drop(&mut self) {
+        self.state.free(self.server, false);
+    }
+}
+
+/// No limits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoQuotas;
+
+/// A share of no limits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoPermit;
+
+impl port::QuotaPermit for NoPermit {
+    fn charge(&mut self, _tokens: u32) {}
+}
+
+impl port::QuotaBook for NoQuotas {
+    type Permit = NoPermit;
+
+    fn take(
+        &self,
+        _organisation: id::OrganisationKey,
+        _rule: &rules::OrganisationRule,
+        _work: &port::AskedWork,
+        _now: time::Instant,
+    ) -> Result<NoPermit, refusal::RefusalBody> {
+        Ok(NoPermit)
+    }
+}
+
+/// Where one key stands.
+#[derive(Clone, Debug)]
+struct ClaimEntry {
+    hold: port::ClaimHold,
+    end: Option<port::ClaimEnd>,
+}
+
+/// Claims of one process.
+#[derive(Debug, Default)]
+pub struct MemoryClaims {
+    entries: sync::Mutex<collections::BTreeMap<(String, String), ClaimEntry>>,
+}
+
+/// When to ask again while a call is under way.
+const IN_PROGRESS_RETRY_MS: u64 = 500;
+
+impl port::ClaimBook for MemoryClaims {
+    async fn claim(&self, ask: port::ClaimAsk) -> port::ClaimAnswer {
+        let now = time::Instant::now();
+        let mut entries = locked(&self.entries);
+        let place = (ask.organisation.clone(), ask.key.clone());
+        if let Some(entry) = entries.get(&place) {
+            if entry.hold.ask.content != ask.content {
+                return port::ClaimAnswer::Mismatch;
+            }
+            match &entry.end {
+                Some(port::ClaimEnd::Answered(answer)) => {
+                    return port::ClaimAnswer::Stored(answer.clone());
+                }
+                Some(port::ClaimEnd::Unknown) => return port::ClaimAnswer::Unknown,
+                None if now < entry.hold.deadline => {
+                    return port::ClaimAnswer::InProgress {
+                        retry_after_ms: IN_PROGRESS_RETRY_MS,
+                    };
+                }
+                None => return port::ClaimAnswer::Unknown,
+                Some(port::ClaimEnd::NotRun) => {}
+            }
+        }
+        let hold = port::ClaimHold {
+            record: id::RecordId(ask.request.0),
+            deadline: now + ask.holds_for,
+            ask,
+        };
+        let entry = ClaimEntry {
+            hold: hold.clone(),
+            end: None,
+        };
+        entries.insert(place, entry);
+        port::ClaimAnswer::Fresh(hold)
+    }
+
+    async fn store(
+        &self,
+        hold: port::ClaimHold,
+        end: port::ClaimEnd,
+    ) -> Result<(), refusal::RefusalBody> {
+        let place = (hold.ask.organisation.clone(), hold.ask.key.clone());
+        if let Some(entry) = locked(&self.entries).get_mut(&place)
+            && entry.hold.record == hold.record
+            && entry.end.is_none()
+        {
+            entry.end = Some(end);
+        }
+        Ok(())
+    }
+
+    fn seen(&self, organisation: &str, key: &str) -> bool {
+        let place = (organisation.to_owned(), key.to_owned());
+        locked(&self.entries).contains_key(&place)
+    }
+}
+
+/// A lease of a job lasts this long.
+const LEASE_FOR: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Debug)]
+struct JobEntry {
+    job: port::JobRecord,
+    leased_until: Option<time::Instant>,
+    /// Counts leases, so that an old one is known.
+    lease: u128,
+    result: Option<port::JobResult>,
+}
+
+/// Jobs of one process.
+#[derive(Debug, Default)]
+pub struct MemoryJobs {
+    entries: sync::Mutex<collections::BTreeMap<id::RequestId, JobEntry>>,
+    accepted: Notify,
+}
+
+impl MemoryJobs {
+    fn lease_one(&self) -> Option<port::JobLease> {
+        let now = time::Instant::now();
+        let mut entries = locked(&self.entries);
+        let entry = entries.values_mut().find(|entry| {
+            entry.result.is_none() && entry.leased_until.is_none_or(|until| until <= now)
+        })?;
+        entry.lease += 1;
+        entry.leased_until = Some(now + LEASE_FOR);
+        Some(port::JobLease {
+            record: id::RecordId(entry.lease),
+            job: entry.job.clone(),
+            deadline: now + LEASE_FOR,
+        })
+    }
+
+    fn with_entry<R>(
+        &self,
+        lease: &port::JobLease,
+        change: impl FnOnce(&mut JobEntry) -> R,
+    ) -> Option<R> {
+        let mut entries = locked(&self.entries);
+        let entry = entries.get_mut(&lease.job.request)?;
+        Some(change(entry))
+    }
+}
+
+impl port::JobBook for MemoryJobs {
+    async fn accept(&self, job: port::JobRecord) -> port::AcceptAnswer {
+        let entry = JobEntry {
+            job,
+            leased_until: None,
+            lease: 0,
+            result: None,
+        };
+        locked(&self.entries).insert(entry.job.request, entry);
+        self.accepted.notify_one();
+        port::AcceptAnswer::Accepted
+    }
+
+    async fn fetch(&self, request: id::RequestId) -> port::JobState {
+        match locked(&self.entries).get(&request) {
+            None => port::JobState::Absent,
+            Some(entry) => match &entry.result {
+                None => port::JobState::Waiting(entry.job.clone()),
+                Some(result) => port::JobState::Done(entry.job.clone(), result.clone()),
+            },
+        }
+    }
+
+    async fn take(&self) -> port::JobLease {
+        loop {
+            if let Some(lease) = self.lease_one() {
+                return lease;
+            }
+            // A lease may lapse without anything being accepted.
+            let _ = time::timeout(LEASE_FOR / 10, self.accepted.notified()).await;
+        }
+    }
+
+    async fn renew(&self, lease: &port::JobLease) -> Option<port::JobLease> {
+        let now = time::Instant::now();
+        self.with_entry(lease, |entry| {
+            let held = id::RecordId(entry.lease) == lease.record && entry.result.is_none();
+            held.then(|| {
+                entry.leased_until = Some(now + LEASE_FOR);
+                port::JobLease {
+                    deadline: now + LEASE_FOR,
+                    ..lease.clone()
+                }
+            })
+        })
+        .flatten()
+    }
+
+    async fn give_back(&self, lease: &port::JobLease) {
+        self.with_entry(lease, |entry| {
+            if id::RecordId(entry.lease) == lease.record {
+                entry.leased_until = None;
+            }
+        });
+        self.accepted.notify_one();
+    }
+
+    async fn store(
+        &self,
+        lease: &port::JobLease,
+        result: port::JobResult,
+    ) -> Result<port::StoredResult, refusal::RefusalBody> {
+        let stored = self.with_entry(lease, |entry| {
+            if entry.result.is_some() {
+                return port::StoredResult::Superseded;
+            }
+            entry.result = Some(result);
+            port::StoredResult::Stored
+        });
+        Ok(stored.unwrap_or(port::StoredResult::Superseded))
+    }
+}
+
+/// No time line.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoEvents;
+
+impl port::EventSink for NoEvents {
+    fn record(&self, _request: Option<id::RequestId>, _kind: kind::EventKind) {}
+}
+
+/// No other entry VMs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoPeers;
+
+impl port::PeerLink for NoPeers {
+    fn adopted(&self, _vm: &str, _generation: id::GenerationId) {}
+}
+
+/// The machine's wall clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl port::WallClock for SystemClock {
+    fn unix_ms(&self) -> u64 {
+        let passed = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .unwrap_or_default();
+        u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// A wall clock that goes with the runtime's, which tests pause.
+#[derive(Clone, Copy, Debug)]
+pub struct RuntimeClock {
+    origin: time::Instant,
+    origin_ms: u64,
+}
+
+impl RuntimeClock {
+    /// A clock that shows `origin_ms` now.
+    #[must_use]
+    pub fn new(origin_ms: u64) -> Self {
+        Self {
+            origin: time::Instant::now(),
+            origin_ms,
+        }
+    }
+}
+
+impl port::WallClock for RuntimeClock {
+    fn unix_ms(&self) -> u64 {
+        let passed = time::Instant::now().saturating_duration_since(self.origin);
+        self.origin_ms + u64::try_from(passed.as_millis()).unwrap_or(0)
+    }
+}
+
+/// Identifiers from the operating system's random source.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RandomIds;
+
+impl port::IdSource for RandomIds {
+    fn draw(&self) -> u128 {
+        id::GenerationId::draw(&mut rand::rng()).0
+    }
+}
--- /dev/null
+++ b/crates/flow/src/route.rs
@@ -0,0 +1,112 @@
+//! Filter: where is the server that was granted, and does it still take work?
+
+use std::{sync, time::Duration};
+
+use base::refusal;
+use tokio::{sync::watch, time};
+
+use crate::{filter, port, quarantine, request, shared, view};
+
+/// When to come back when no granted server takes work.
+const LEFT_RETRY: Duration = Duration::from_secs(1);
+
+/// Pause before asking for another place, which lets the scheduler learn who is leaving.
+const LEFT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Places that are asked for before a request is refused.
+const PLACES_TRIED: u32 = 5;
+
+/// Resolves the granted server.
+///
+/// What goes wrong without a second look: a place that was granted before a server was known to
+/// be leaving sends it new work after. One would notice a start on a leaving server more than
+/// two seconds after the first source said so.
+#[derive(Clone, Debug)]
+pub struct RouteFilter {
+    views: watch::Receiver<sync::Arc<view::PlaneView>>,
+}
+
+impl RouteFilter {
+    /// The filter of one plane; it looks at the newest view, not the request's own.
+    #[must_use]
+    pub const fn new(views: watch::Receiver<sync::Arc<view::PlaneView>>) -> Self {
+        Self { views }
+    }
+
+    fn target<G: port::Grant>(&self, grant: &G) -> Option<port::ServerTarget> {
+        let view = self.views.borrow().clone();
+        let key = grant.server();
+        let target = view.target(key, grant.incarnation());
+        target.filter(|_| view.takes_work(key))
+    }
+
+    /// The grant's server, or that of another grant when it takes no work.
+    async fn place<G: port::Grant>(
+        &self,
+        mut grant: G,
+        due_at: time::Instant,
+    ) -> Result<(G, port::ServerTarget), refusal::RefusalBody> {
+        for _ in 0..PLACES_TRIED {
+            if let Some(target) = self.target(&grant) {
+                return Ok((grant, target));
+            }
+            time::sleep(LEFT_PAUSE).await;
+            grant = match time::timeout_at(due_at, grant.requeue()).await {
+                Ok(Ok(other)) => other,
+                Ok(Err(body)) => return Err(body),
+                Err(_) => break,
+            };
+        }
+        let message = "every backend server that was chosen is leaving; ask again after the time \
+                       given";
+        Err(shared::come_back(
+            refusal::RefusalCode::Unavailable,
+            message,
+            LEFT_RETRY,
+        ))
+    }
+}
+
+/// What a request holds once it has a place.
+type AdmittedStage<Q, C, G> = request::Admitted<Q, C, Option<quarantine::ProbePass>, G>;
+
+/// A request with its server's address.
+pub type RoutedRequest<W, Q, C, G> =
+    request::Request<W, request::Routed<Q, C, Option<quarantine::ProbePass>, G>>;
+
+impl<W, Q, C, G> filter::Filter<request::Request<W, AdmittedStage<Q, C, G>>> for RouteFilter
+where
+    W: request::Work,
+    Q: Send + Sync,
+    C: Send + Sync,
+    G: port::Grant,
+{
+    type Out = RoutedRequest<W, Q, C, G>;
+
+    async fn apply(
+        &self,
+        input: request::Request<W, AdmittedStage<Q, C, G>>,
+    ) -> Result<Self::Out, filter::EarlyEnd> {
+        let request::Request {
+            facts,
+            permit,
+            stage,
+        } = input;
+        let due_at = stage.cleared.claimed.terms.due_at;
+        match self.place(stage.grant, due_at).await {
+            Ok((grant, target)) => {
+                let admitted = request::Admitted {
+                    cleared: stage.cleared,
+                    grant,
+                };
+                let stage = request::Routed { admitted, target };
+                Ok(request::Request {
+                    facts,
+                    permit,
+                    stage,
+                })
+            }
+            Err(body) => Err(permit.refused(body).into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/shared.rs
@@ -0,0 +1,153 @@
+//! What all requests of one plane share.
+
+use std::{sync, time::Duration};
+
+use base::{id, refusal};
+use tokio::time;
+use trace::kind;
+
+use crate::{
+    budget, crashes, gate,
+    port::{self, EngineLink as _, EventSink as _, IdSource as _, WallClock as _},
+    readers, settings,
+};
+
+/// First pause between two orders to cancel.
+const CANCEL_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between two orders to cancel.
+const LONGEST_CANCEL_PAUSE: Duration = Duration::from_secs(5);
+
+/// State that requests share.
+#[derive(Debug)]
+pub struct SharedPlane<P> {
+    pub(crate) ports: P,
+    pub(crate) settings: settings::PlaneSettings,
+    pub(crate) gate: gate::FlowGate,
+    pub(crate) book: sync::Arc<crashes::SuspectBook>,
+    pub(crate) readers: sync::Arc<readers::ReaderTable>,
+    pub(crate) budget: sync::Mutex<budget::RetryBudget>,
+    /// One permit for each server that suspects may have to themselves.
+    pub(crate) probes: sync::Arc<tokio::sync::Semaphore>,
+}
+
+impl<P: port::PortSet> SharedPlane<P> {
+    pub(crate) fn new(ports: P, settings: settings::PlaneSettings) -> Self {
+        Self {
+            ports,
+            gate: gate::FlowGate::default(),
+            book: sync::Arc::new(crashes::SuspectBook::new(settings.suspects)),
+            readers: sync::Arc::default(),
+            budget: sync::Mutex::new(budget::RetryBudget::new(time::Instant::now())),
+            probes: sync::Arc::new(tokio::sync::Semaphore::new(settings.probe_servers)),
+            settings,
+        }
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.ports.clock().unix_ms()
+    }
+
+    pub(crate) fn draw_generation(&self) -> id::GenerationId {
+        id::GenerationId(self.ports.ids().draw())
+    }
+
+    pub(crate) fn record(&self, request: id::RequestId, kind: kind::EventKind) {
+        self.ports.events().record(Some(request), kind);
+    }
+
+    /// Counts a first try, or takes a further one from the budget.
+    pub(crate) fn take_try(&self, tries: u32, fraction: f64) -> Result<(), Duration> {
+        let now = time::Instant::now();
+        let mut budget = self
+            .budget
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if tries == 0 {
+            budget.first_try(now);
+            return Ok(());
+        }
+        metrics::counter!("pollenchute_flow_retries_total").increment(1);
+        budget.take_retry(fraction, now)
+    }
+
+    /// A server's process is gone: what ran there becomes suspect.
+    pub(crate) fn note_death(&self, target: &port::ServerTarget, reason: &str) {
+        let contents = self.book.died(target.key, &target.name, self.now_ms());
+        if contents.is_empty() {
+            return;
+        }
+        metrics::counter!("pollenchute_flow_server_deaths_total").increment(1);
+        log::warn!(server = target.name.as_str(), suspects = contents.len(); "backend server died");
+        self.ports.events().record(
+            None,
+            kind::EventKind::ServerDead {
+                server: target.name.clone(),
+                reason: reason.to_owned(),
+            },
+        );
+    }
+
+    /// A standing order to cancel: repeated until it is answered, or its time is up.
+    pub(crate) fn cancel_in_background(
+        self: &sync::Arc<Self>,
+        target: port::ServerTarget,
+        generation: id::GenerationId,
+    ) {
+        // Without a runtime the process is ending, and the connections end with it.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        let shared = self.clone();
+        runtime.spawn(async move { shared.cancel_until_answered(&target, generation).await });
+    }
+
+    async fn cancel_until_answered(
+        &self,
+        target: &port::ServerTarget,
+        generation: id::GenerationId,
+    ) {
+        let give_up_at = time::Instant::now() + self.settings.cancel_for;
+        let mut pause = CANCEL_PAUSE;
+        while time::Instant::now() < give_up_at {
+            if self.cancel_once(target, generation).await.is_ok() {
+                metrics::counter!("pollenchute_flow_cancels_total").increment(1);
+                return;
+            }
+            time::sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_CANCEL_PAUSE);
+        }
+        metrics::counter!("pollenchute_flow_cancels_unanswered_total").increment(1);
+    }
+
+    /// One order to cancel. `Ok(None)`: the server's process is gone.
+    pub(crate) async fn cancel_once(
+        &self,
+        target: &port::ServerTarget,
+        generation: id::GenerationId,
+    ) -> Result<Option<port::CancelAnswer>, String> {
+        let cancel = self.ports.engines().cancel(target, generation);
+        match time::timeout(self.settings.call_limit, cancel).await {
+            Ok(Ok(answer)) => Ok(Some(answer)),
+            Ok(Err(crate::fault::CancelFault::Refused { .. })) => Ok(None),
+            Ok(Err(fault)) => Err(fault.to_string()),
+            Err(_) => Err(format!("{} did not answer a cancel in time", target.name)),
+        }
+    }
+}
+
+/// A refusal body with the time to come back.
+pub(crate) fn come_back(
+    code: refusal::RefusalCode,
+    message: impl Into<String>,
+    delay: Duration,
+) -> refusal::RefusalBody {
+    let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+    refusal::RefusalBody::not_run(code, message).retry_after_ms(delay_ms)
+}
+
+/// Milliseconds that have passed, for the time line.
+pub(crate) fn millis_since(earlier: time::Instant) -> u64 {
+    let passed = time::Instant::now().saturating_duration_since(earlier);
+    u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+}
