stand: tokens carry the prompt's mark, preemptions by priority

Cause: a caller can't know the generation's id, so the text alone could not show whether an answer is its own; the load report's one counter doesn't say which class was preempted. Change: additive: directive [[mark=HEX]], text::read_token, EngineHandle::preemptions_by_priority. Conclusion: callers choose the mark and know their own answer.

--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -57,6 +57,8 @@
     events: Vec<EngineEvent>,
     arrivals: u64,
     preemptions: u64,
+    /// Preemptions in all lives of the process.
+    preemptions_by_priority: [u64; 3],
     down: bool,
     stalled: bool,
     slow_factor: f64,
@@ -105,6 +107,7 @@
             events: Vec::new(),
             arrivals: 0,
             preemptions: 0,
+            preemptions_by_priority: [0; 3],
             down: false,
             stalled: false,
             slow_factor: 1.0,
@@ -118,6 +121,12 @@
         mem::take(&mut self.events)
     }
 
+    /// Preemptions in all lives of the process, by priority.
+    #[must_use]
+    pub const fn preemptions_by_priority(&self) -> [u64; 3] {
+        self.preemptions_by_priority
+    }
+
     /// When `step` has something to do next, if nobody calls anything else before.
     #[must_use]
     pub fn next_wake(&self) -> Option<time::Duration> {
--- a/crates/stand/src/engine/batch.rs
+++ b/crates/stand/src/engine/batch.rs
@@ -151,6 +151,8 @@
         self.pool.release(private, &held);
         self.waiting.insert(rank, key);
         self.preemptions += 1;
+        let class = usize::from(rank.priority).min(self.preemptions_by_priority.len() - 1);
+        self.preemptions_by_priority[class] += 1;
         self.events
             .push(call::EngineEvent::Preempted { id, at: now });
     }
--- a/crates/stand/src/engine/call.rs
+++ b/crates/stand/src/engine/call.rs
@@ -14,7 +14,8 @@
     /// Adapter that must be loaded.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub adapter: Option<String>,
-    /// Words; each is one token. `[[len=N]]` sets the output length, `[[crash]]` kills the engine.
+    /// Words; each is one token. `[[len=N]]` sets the output length, `[[mark=<hexadecimal>]]` is
+    /// repeated in every token, `[[crash]]` kills the engine.
     pub prompt: String,
     /// Output tokens at the most.
     pub max_tokens: u32,
@@ -78,6 +79,8 @@
     pub produced: u32,
     /// Set when it has ended.
     pub finish: Option<FinishReport>,
+    /// The mark of its prompt, which each token carries.
+    pub mark: Option<u32>,
 }
 
 /// What happened in an engine, in the order of time.
--- a/crates/stand/src/engine/handle.rs
+++ b/crates/stand/src/engine/handle.rs
@@ -173,6 +173,13 @@
         self.change(|core, _| core.report())
     }
 
+    /// Preemptions since the start, by the priority of what was preempted, for checkers. Unlike
+    /// the load report's counter it outlives a crash.
+    #[must_use]
+    pub fn preemptions_by_priority(&self) -> [u64; 3] {
+        self.lock().core.preemptions_by_priority()
+    }
+
     /// Generations that were started after the engine announced that it is leaving.
     #[must_use]
     pub fn starts_while_leaving(&self) -> u64 {
--- a/crates/stand/src/engine/sequence.rs
+++ b/crates/stand/src/engine/sequence.rs
@@ -70,6 +70,8 @@
     pub held: Vec<u64>,
     /// Whether the engine dies of it.
     pub crashes: bool,
+    /// The mark of its prompt.
+    pub mark: Option<u32>,
     /// Set when it has ended.
     pub finish: Option<call::FinishReport>,
     /// When it ended.
@@ -114,6 +116,8 @@
             private: 0,
             held: Vec::new(),
             crashes: text::directive(&call.prompt, "crash").is_some(),
+            mark: text::directive(&call.prompt, "mark")
+                .and_then(|mark| u32::from_str_radix(mark, 16).ok()),
             finish: None,
             ended_at: time::Duration::ZERO,
         }
@@ -137,6 +141,7 @@
         call::GenerationProgress {
             produced: self.produced,
             finish: self.finish,
+            mark: self.mark,
         }
     }
 
--- a/crates/stand/src/engine/stream.rs
+++ b/crates/stand/src/engine/stream.rs
@@ -93,7 +93,10 @@
             if self.spoil.nonsense {
                 return Some(Some(StreamEvent::Nonsense));
             }
-            let text = text::token(self.generation, seq);
+            let text = progress.mark.map_or_else(
+                || text::token(self.generation, seq),
+                |mark| text::marked_token(self.generation, seq, mark),
+            );
             return Some(Some(StreamEvent::Token { seq, text }));
         }
         let report = progress.finish?;
--- a/crates/stand/src/engine/text.rs
+++ b/crates/stand/src/engine/text.rs
@@ -15,15 +15,45 @@
     format!("{:08x}.{seq} ", tag(generation))
 }
 
-/// Tag and number of every token in `text`; `None` when anything else is in it.
+/// The text of token `seq` when the prompt carries `[[mark=<hexadecimal>]]`:
+/// `"<tag>.<seq>.<mark> "`. The caller chose the mark, so it knows its own answer by it.
 #[must_use]
-pub fn parse(text: &str) -> Option<Vec<(u32, u32)>> {
-    text.split_whitespace().map(parse_token).collect()
+pub fn marked_token(generation: id::GenerationId, seq: u32, mark: u32) -> String {
+    format!("{:08x}.{seq}.{mark:x} ", tag(generation))
+}
+
+/// What a token says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenText {
+    /// Stands for its generation.
+    pub tag: u32,
+    /// Its number.
+    pub seq: u32,
+    /// The mark of the prompt, if it has one.
+    pub mark: Option<u32>,
+}
+
+/// What the token `word` says of itself; `None` when it is no token of a stand-in.
+#[must_use]
+pub fn read_token(word: &str) -> Option<TokenText> {
+    let mut parts = word.trim_end().split('.');
+    let tag = u32::from_str_radix(parts.next()?, 16).ok()?;
+    let seq = parts.next()?.parse().ok()?;
+    let mark = match parts.next() {
+        Some(mark) => Some(u32::from_str_radix(mark, 16).ok()?),
+        None => None,
+    };
+    let is_whole = parts.next().is_none();
+    is_whole.then_some(TokenText { tag, seq, mark })
 }
 
-fn parse_token(word: &str) -> Option<(u32, u32)> {
-    let (tag, seq) = word.split_once('.')?;
-    Some((u32::from_str_radix(tag, 16).ok()?, seq.parse().ok()?))
+/// Tag and number of every token in `text`; `None` when anything else is in it.
+#[must_use]
+pub fn parse(text: &str) -> Option<Vec<(u32, u32)>> {
+    let tokens = text.split_whitespace().map(read_token);
+    tokens
+        .map(|token| token.map(|token| (token.tag, token.seq)))
+        .collect()
 }
 
 /// The value of the directive `[[name=value]]` in `prompt`; empty for a bare `[[name]]`.
