Calls between entry VMs over authenticated frames

Cause: fetching configuration and forwarding appends need a reliable exchange that an outsider cannot forge, replay or change. Change: handshake with nonces of both sides, a key for each direction, frames with an implicit counter; PeerClient (connection kept and shared, heartbeat while calls wait, silent connection replaced, ran state in every error) and PeerServer (bounded connections, strangers and calls; a full server refuses at once).

--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,377 @@
+//! The side that calls other entry VMs.
+
+use std::{collections, net, sync, time};
+
+use base::outcome;
+use snafu::ResultExt as _;
+use tokio::{io, sync as channels, time::Instant};
+
+use crate::{connection, frame, handshake, identity, key, proto::peer};
+use connection::{CallEnd, ConnectionCommand};
+use peer::{reply, request, response};
+
+/// Calls that wait to be written on one connection.
+const CALL_BACKLOG: usize = 64;
+
+/// Connections that one call tries at the most.
+const MAX_TRIES: u32 = 3;
+
+/// Why a call has no answer.
+#[derive(Debug, snafu::Snafu)]
+pub enum CallError {
+    /// No connection.
+    #[snafu(display("no connection to {address}: {source}; it may be down, ask another VM"))]
+    Connect {
+        /// Whom.
+        address: net::SocketAddr,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The handshake failed.
+    #[snafu(display("no connection to {address}: {source}"))]
+    Handshake {
+        /// Whom.
+        address: net::SocketAddr,
+        /// Why.
+        source: handshake::HandshakeError,
+    },
+    /// The other side refused before anything was started.
+    #[snafu(display("{address} refused the call: {message}"))]
+    Refused {
+        /// Whom.
+        address: net::SocketAddr,
+        /// Why, for programs.
+        kind: peer::FailureKind,
+        /// Why, for people.
+        message: String,
+    },
+    /// The other side failed and may have had an effect.
+    #[snafu(display("{address} failed and the call may have had an effect: {message}"))]
+    Failed {
+        /// Whom.
+        address: net::SocketAddr,
+        /// Why.
+        message: String,
+    },
+    /// The connection broke or went silent with the call under way.
+    #[snafu(display("the connection to {address} was lost; the call may have had an effect"))]
+    Lost {
+        /// Whom.
+        address: net::SocketAddr,
+    },
+    /// The connection broke before the call was written.
+    #[snafu(display("the connection to {address} was lost before the call left; call again"))]
+    NotSent {
+        /// Whom.
+        address: net::SocketAddr,
+    },
+    /// The deadline passed.
+    #[snafu(display("{address} did not answer in time; ask another VM or allow more time"))]
+    Deadline {
+        /// Whom.
+        address: net::SocketAddr,
+        /// Whether it may have had an effect.
+        ran: outcome::RanState,
+    },
+    /// The answer is not one to this kind of request.
+    #[snafu(display("{address} gave an answer that is none to this call; compare releases"))]
+    Nonsense {
+        /// Whom.
+        address: net::SocketAddr,
+    },
+}
+
+impl CallError {
+    /// Whether the call had an effect, as far as this side can prove.
+    #[must_use]
+    pub const fn ran(&self) -> outcome::RanState {
+        match self {
+            Self::Connect { .. }
+            | Self::Handshake { .. }
+            | Self::Refused { .. }
+            | Self::NotSent { .. } => outcome::RanState::No,
+            Self::Deadline { ran, .. } => *ran,
+            Self::Failed { .. } | Self::Lost { .. } | Self::Nonsense { .. } => {
+                outcome::RanState::Unknown
+            }
+        }
+    }
+}
+
+/// How long a call may take, and whether it may be made twice.
+#[derive(Clone, Copy, Debug)]
+pub struct CallOptions {
+    /// The whole call, connecting and repeating included.
+    pub within: time::Duration,
+    /// Whether it does no harm when it runs twice; then a lost connection is replaced and the
+    /// call made again while there is time.
+    pub repeatable: bool,
+}
+
+/// Bounds of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Connecting may take this long.
+    pub connect: time::Duration,
+    /// A connection with a call under way that shows nothing for this long is replaced.
+    pub silence: time::Duration,
+    /// A connection without a call for this long is closed.
+    pub idle: time::Duration,
+    /// Largest frame.
+    pub frame_bytes: usize,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            connect: time::Duration::from_millis(1000),
+            silence: time::Duration::from_millis(1000),
+            idle: time::Duration::from_secs(30),
+            frame_bytes: frame::DEFAULT_FRAME_BYTES,
+        }
+    }
+}
+
+/// Opens streams to other entry VMs.
+pub trait StreamConnector: Send + Sync + 'static {
+    /// What it opens.
+    type Stream: io::AsyncRead + io::AsyncWrite + Unpin + Send + 'static;
+
+    /// Opens one stream.
+    fn connect(
+        &self,
+        address: net::SocketAddr,
+    ) -> impl Future<Output = std::io::Result<Self::Stream>> + Send;
+}
+
+/// Opens TCP connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpConnector;
+
+impl StreamConnector for TcpConnector {
+    type Stream = tokio::net::TcpStream;
+
+    async fn connect(&self, address: net::SocketAddr) -> std::io::Result<Self::Stream> {
+        let stream = tokio::net::TcpStream::connect(address).await?;
+        // Calls are short; waiting to fill a segment would only delay them.
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+}
+
+/// Calls other entry VMs; cheap to clone. Connections are kept and shared.
+#[derive(Debug)]
+pub struct PeerClient<C = TcpConnector> {
+    shared: sync::Arc<SharedClient<C>>,
+}
+
+impl<C> Clone for PeerClient<C> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: sync::Arc::clone(&self.shared),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct SharedClient<C> {
+    connector: C,
+    own: identity::ProcessIdentity,
+    keys: key::KeyHandle,
+    limits: ClientLimits,
+    /// One slot for each address that was called; its lock is held while connecting, so that
+    /// many calls at once open one connection.
+    slots: sync::Mutex<collections::HashMap<net::SocketAddr, SharedSlot>>,
+    calls: sync::atomic::AtomicU64,
+}
+
+type SharedSlot = sync::Arc<channels::Mutex<Option<ConnectionSender>>>;
+type ConnectionSender = channels::mpsc::Sender<ConnectionCommand>;
+
+impl PeerClient {
+    /// A client of the process `own` over TCP.
+    #[must_use]
+    pub fn new(own: identity::ProcessIdentity, keys: key::KeyHandle, limits: ClientLimits) -> Self {
+        Self::with_connector(own, keys, limits, TcpConnector)
+    }
+}
+
+impl<C: StreamConnector> PeerClient<C> {
+    /// A client of the process `own` over streams of another kind.
+    #[must_use]
+    pub fn with_connector(
+        own: identity::ProcessIdentity,
+        keys: key::KeyHandle,
+        limits: ClientLimits,
+        connector: C,
+    ) -> Self {
+        Self {
+            shared: sync::Arc::new(SharedClient {
+                connector,
+                own,
+                keys,
+                limits,
+                slots: sync::Mutex::default(),
+                calls: sync::atomic::AtomicU64::new(0),
+            }),
+        }
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    /// Why there is no answer; [`CallError::ran`] tells whether it may have had an effect.
+    pub async fn call(
+        &self,
+        address: net::SocketAddr,
+        request: request::Kind,
+        options: CallOptions,
+    ) -> Result<response::Kind, CallError> {
+        let deadline = Instant::now() + options.within;
+        for _ in 1..MAX_TRIES {
+            let error = match self.try_call(address, request.clone(), deadline).await {
+                Ok(response) => return Ok(response),
+                Err(error) => error,
+            };
+            let again = match &error {
+                CallError::NotSent { .. } => true,
+                CallError::Lost { .. } => options.repeatable,
+                _ => false,
+            };
+            if !again {
+                return Err(error);
+            }
+            metrics::counter!("pollenchute_wire_calls_repeated_total").increment(1);
+        }
+        self.try_call(address, request, deadline).await
+    }
+
+    async fn try_call(
+        &self,
+        address: net::SocketAddr,
+        request: request::Kind,
+        deadline: Instant,
+    ) -> Result<response::Kind, CallError> {
+        let connecting = tokio::time::timeout_at(deadline, self.connection(address)).await;
+        let ran = outcome::RanState::No;
+        let connection = connecting.unwrap_or_else(|_| DeadlineSnafu { address, ran }.fail())?;
+        let id = self
+            .shared
+            .calls
+            .fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let (done, end) = channels::oneshot::channel();
+        let call = Box::new(connection::OutgoingCall {
+            id,
+            within: deadline.saturating_duration_since(Instant::now()),
+            request: peer::Request {
+                kind: Some(request),
+            },
+            done,
+        });
+        if connection
+            .send(ConnectionCommand::Call(call))
+            .await
+            .is_err()
+        {
+            return NotSentSnafu { address }.fail();
+        }
+        // Also when the caller itself is dropped, the other side need not go on.
+        let guard = CancelGuard { connection, id };
+        let waited = tokio::time::timeout_at(deadline, end).await;
+        drop(guard);
+        let ran = outcome::RanState::Unknown;
+        let Ok(end) = waited else {
+            return DeadlineSnafu { address, ran }.fail();
+        };
+        match end.unwrap_or(CallEnd::Closed) {
+            CallEnd::Replied(kind) => read_reply(address, kind),
+            CallEnd::NotSent => NotSentSnafu { address }.fail(),
+            CallEnd::Closed | CallEnd::Silent => LostSnafu { address }.fail(),
+        }
+    }
+
+    /// The connection to `address`; a new one when there is none or it has ended.
+    async fn connection(&self, address: net::SocketAddr) -> Result<ConnectionSender, CallError> {
+        let slot = {
+            let slots = self.shared.slots.lock();
+            let mut slots = slots.unwrap_or_else(sync::PoisonError::into_inner);
+            // A slot that nobody else holds and whose connection has ended is of no more use.
+            slots.retain(|_, slot| sync::Arc::strong_count(slot) > 1 || is_open(slot));
+            sync::Arc::clone(slots.entry(address).or_default())
+        };
+        let mut guard = slot.lock().await;
+        if let Some(connection) = guard.as_ref().filter(|connection| !connection.is_closed()) {
+            return Ok(connection.clone());
+        }
+        let connection = self.open(address).await?;
+        *guard = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn open(&self, address: net::SocketAddr) -> Result<ConnectionSender, CallError> {
+        let shared = &self.shared;
+        let limits = shared.limits;
+        let dialing = shared.connector.connect(address);
+        let stream = tokio::time::timeout(limits.connect, dialing)
+            .await
+            .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+            .context(ConnectSnafu { address })?;
+        let greeting = handshake::connect(stream, &shared.own, &shared.keys, limits.frame_bytes);
+        let session = tokio::time::timeout(limits.connect, greeting)
+            .await
+            .unwrap_or(Err(handshake::HandshakeError::Late))
+            .context(HandshakeSnafu { address })?;
+        let (connection, inbox) = channels::mpsc::channel(CALL_BACKLOG);
+        let limits = connection::ConnectionLimits {
+            silence: limits.silence,
+            heartbeat: limits.silence / 2,
+            idle: limits.idle,
+        };
+        tokio::spawn(connection::ConnectionActor::new(session, limits).run(inbox));
+        Ok(connection)
+    }
+}
+
+fn is_open(slot: &SharedSlot) -> bool {
+    slot.try_lock()
+        .is_ok_and(|slot| slot.as_ref().is_some_and(|sender| !sender.is_closed()))
+}
+
+/// Tells the other side that nobody waits any more.
+struct CancelGuard {
+    connection: ConnectionSender,
+    id: u64,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        // When the backlog is full the call runs to its deadline there; no harm.
+        let _ = self.connection.try_send(ConnectionCommand::Cancel(self.id));
+    }
+}
+
+fn read_reply(address: net::SocketAddr, kind: reply::Kind) -> Result<response::Kind, CallError> {
+    match kind {
+        reply::Kind::Response(response) => response.kind.ok_or(CallError::Nonsense { address }),
+        reply::Kind::Failure(failure) => {
+            let (kind, message) = (failure.kind(), failure.message);
+            let not_started = matches!(
+                kind,
+                peer::FailureKind::Busy
+                    | peer::FailureKind::Unsupported
+                    | peer::FailureKind::Refused
+                    | peer::FailureKind::Late
+            );
+            if not_started {
+                RefusedSnafu {
+                    address,
+                    kind,
+                    message,
+                }
+                .fail()
+            } else {
+                FailedSnafu { address, message }.fail()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/connection.rs
@@ -0,0 +1,204 @@
+//! One connection that this process opened, with the calls under way on it.
+
+use std::{collections, time};
+
+use futures_util::{SinkExt as _, StreamExt as _};
+use tokio::{io, sync as channels, time::Instant};
+
+use crate::{handshake, proto::peer};
+use peer::{client_frame, server_frame};
+
+/// How one call ended, as the connection sees it.
+#[derive(Debug)]
+pub(crate) enum CallEnd {
+    /// The other side answered.
+    Replied(peer::reply::Kind),
+    /// The connection was over before the call was written: it did not run.
+    NotSent,
+    /// The connection ended with the call under way.
+    Closed,
+    /// The connection went silent with the call under way.
+    Silent,
+}
+
+/// A call to be made.
+#[derive(Debug)]
+pub(crate) struct OutgoingCall {
+    /// Unique on the connection.
+    pub id: u64,
+    pub within: time::Duration,
+    pub request: peer::Request,
+    pub done: channels::oneshot::Sender<CallEnd>,
+}
+
+/// What the connection is asked to do.
+#[derive(Debug)]
+pub(crate) enum ConnectionCommand {
+    Call(Box<OutgoingCall>),
+    /// Nobody waits for this call any more.
+    Cancel(u64),
+}
+
+/// Time limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// An unanswered ping this old means that the connection is silent.
+    pub silence: time::Duration,
+    /// Pings this often while calls are under way.
+    pub heartbeat: time::Duration,
+    /// Closed after this long without a call.
+    pub idle: time::Duration,
+}
+
+/// Why a connection ended.
+enum Ending {
+    Closed,
+    Silent,
+}
+
+/// Runs one connection; ends when it breaks, goes silent or has been idle.
+pub(crate) struct ConnectionActor<S> {
+    session: handshake::Session<S>,
+    limits: ConnectionLimits,
+    /// Calls that were written and not yet answered.
+    pending: collections::BTreeMap<u64, channels::oneshot::Sender<CallEnd>>,
+    /// When the ping that still has no answer was sent. Whatever arrives answers it.
+    pinged_at: Option<Instant>,
+    last_call: Instant,
+    pings: u64,
+}
+
+impl<S: io::AsyncRead + io::AsyncWrite + Unpin> ConnectionActor<S> {
+    pub(crate) fn new(session: handshake::Session<S>, limits: ConnectionLimits) -> Self {
+        Self {
+            session,
+            limits,
+            pending: collections::BTreeMap::new(),
+            pinged_at: None,
+            last_call: Instant::now(),
+            pings: 0,
+        }
+    }
+
+    pub(crate) async fn run(mut self, mut inbox: channels::mpsc::Receiver<ConnectionCommand>) {
+        let ending = self.go_on(&mut inbox).await.unwrap_or_else(|ending| ending);
+        if matches!(ending, Ending::Silent) {
+            metrics::counter!("pollenchute_wire_connections_silent_total").increment(1);
+        }
+        inbox.close();
+        while let Ok(command) = inbox.try_recv() {
+            if let ConnectionCommand::Call(call) = command {
+                let _ = call.done.send(CallEnd::NotSent);
+            }
+        }
+        for done in std::mem::take(&mut self.pending).into_values() {
+            let _ = done.send(match ending {
+                Ending::Closed => CallEnd::Closed,
+                Ending::Silent => CallEnd::Silent,
+            });
+        }
+    }
+
+    async fn go_on(
+        &mut self,
+        inbox: &mut channels::mpsc::Receiver<ConnectionCommand>,
+    ) -> Result<Ending, Ending> {
+        let mut heartbeat = tokio::time::interval(self.limits.heartbeat);
+        heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        // The first frame shows the server that this side has the key.
+        self.ping().await?;
+        loop {
+            tokio::select! {
+                frame = self.session.stream.next() => match frame {
+                    Some(Ok(mut frame)) => self.take(&mut frame)?,
+                    Some(Err(_)) | None => return Ok(Ending::Closed),
+                },
+                command = inbox.recv() => match command {
+                    Some(command) => self.obey(command).await?,
+                    None => return Ok(Ending::Closed),
+                },
+                _ = heartbeat.tick() => {
+                    self.pending.retain(|_, done| !done.is_closed());
+                    if self.pending.is_empty() && self.last_call.elapsed() >= self.limits.idle {
+                        return Ok(Ending::Closed);
+                    }
+                    self.watch().await?;
+                }
+            }
+        }
+    }
+
+    /// Notices silence: something between the two ends may have lost track of the connection, and
+    /// then nothing ever arrives, not even an error. So while a call waits there is always a ping
+    /// on its way, and a ping that stays unanswered ends the connection.
+    async fn watch(&mut self) -> Result<(), Ending> {
+        match self.pinged_at {
+            Some(pinged_at) if pinged_at.elapsed() >= self.limits.silence => Err(Ending::Silent),
+            None if !self.pending.is_empty() => self.ping().await,
+            Some(_) | None => Ok(()),
+        }
+    }
+
+    fn take(&mut self, frame: &mut bytes::BytesMut) -> Result<(), Ending> {
+        let frame: Option<peer::ServerFrame> = self.session.opener.open(frame);
+        let Some(kind) = frame.and_then(|frame| frame.kind) else {
+            metrics::counter!("pollenchute_wire_frames_dropped_total").increment(1);
+            return Err(Ending::Closed);
+        };
+        self.pinged_at = None;
+        // A reply that nobody waits for is late; there is no other call it could be taken for.
+        if let server_frame::Kind::Reply(reply) = kind
+            && let Some(done) = self.pending.remove(&reply.id)
+            && let Some(kind) = reply.kind
+        {
+            let _ = done.send(CallEnd::Replied(kind));
+        }
+        Ok(())
+    }
+
+    async fn obey(&mut self, command: ConnectionCommand) -> Result<(), Ending> {
+        match command {
+            ConnectionCommand::Cancel(id) => {
+                if self.pending.remove(&id).is_some() {
+                    self.write(client_frame::Kind::Cancel(id)).await?;
+                }
+                Ok(())
+            }
+            ConnectionCommand::Call(call) => {
+                self.last_call = Instant::now();
+                self.pending.insert(call.id, call.done);
+                let within_ms = u32::try_from(call.within.as_millis()).unwrap_or(u32::MAX);
+                self.write(client_frame::Kind::Call(peer::Call {
+                    id: call.id,
+                    within_ms,
+                    request: Some(call.request),
+                }))
+                .await?;
+                if self.pinged_at.is_none() {
+                    self.ping().await
+                } else {
+                    Ok(())
+                }
+            }
+        }
+    }
+
+    async fn ping(&mut self) -> Result<(), Ending> {
+        self.pings += 1;
+        self.pinged_at = Some(Instant::now());
+        self.write(client_frame::Kind::Ping(self.pings)).await
+    }
+
+    async fn write(&mut self, kind: client_frame::Kind) -> Result<(), Ending> {
+        let frame = self
+            .session
+            .sealer
+            .seal(&peer::ClientFrame { kind: Some(kind) });
+        let sent = self.session.stream.send(frame);
+        match tokio::time::timeout(self.limits.silence, sent).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Ending::Closed),
+            Err(_) => Err(Ending::Silent),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,96 @@
+//! Frames: bounded, authenticated, in order, each of them taken once.
+//!
+//! Every frame of a connection is sealed under a key of that connection and direction, together
+//! with its number in the stream. TCP keeps order, so the number need not travel: a frame that is
+//! changed, repeated, left out or moved has a wrong MAC and ends the connection.
+
+use bytes::{Buf as _, BufMut as _};
+use tokio::io;
+use tokio_util::codec;
+
+use crate::key;
+
+/// Largest frame, by default.
+pub const DEFAULT_FRAME_BYTES: usize = 8 * 1024 * 1024;
+
+/// Largest frame before the other side has shown that it has a key.
+pub(crate) const HELLO_BYTES: usize = 512;
+
+const LABEL: &[u8] = b"pollenchute frame";
+
+/// A connection cut into frames.
+pub(crate) type FramedStream<S> = codec::Framed<S, codec::LengthDelimitedCodec>;
+
+/// Cuts `stream` into frames, short ones until the handshake is over.
+pub(crate) fn cut<S: io::AsyncRead + io::AsyncWrite>(stream: S) -> FramedStream<S> {
+    let codec = codec::LengthDelimitedCodec::builder()
+        .max_frame_length(HELLO_BYTES)
+        .new_codec();
+    codec::Framed::new(stream, codec)
+}
+
+/// Seals the frames of one direction.
+#[derive(Debug)]
+pub struct FrameSealer {
+    key: key::WireKey,
+    /// Frames sealed so far.
+    counter: u64,
+}
+
+impl FrameSealer {
+    /// Seals under `key`, which serves this direction of this connection only.
+    #[must_use]
+    pub const fn new(key: key::WireKey) -> Self {
+        Self { key, counter: 0 }
+    }
+
+    /// The frame that carries `message`.
+    pub fn seal(&mut self, message: &impl prost::Message) -> bytes::Bytes {
+        let mut frame = bytes::BytesMut::with_capacity(key::TAG_BYTES + message.encoded_len());
+        frame.put_bytes(0, key::TAG_BYTES);
+        message
+            .encode(&mut frame)
+            .expect("a buffer of bytes grows as needed");
+        let tag = self.key.tag(&covered(
+            &self.counter.to_le_bytes(),
+            &frame[key::TAG_BYTES..],
+        ));
+        frame[..key::TAG_BYTES].copy_from_slice(&tag);
+        self.counter += 1;
+        frame.freeze()
+    }
+}
+
+/// Opens the frames of one direction.
+#[derive(Debug)]
+pub struct FrameOpener {
+    key: key::WireKey,
+    /// Frames opened so far.
+    counter: u64,
+}
+
+impl FrameOpener {
+    /// Opens what was sealed under `key`.
+    #[must_use]
+    pub const fn new(key: key::WireKey) -> Self {
+        Self { key, counter: 0 }
+    }
+
+    /// The message in the next frame; `None` when the frame is not the one that was sent next.
+    pub fn open<M: prost::Message + Default>(&mut self, frame: &mut bytes::BytesMut) -> Option<M> {
+        let tag: key::MacTag = *frame.first_chunk()?;
+        frame.advance(key::TAG_BYTES);
+        if !self
+            .key
+            .verifies(&covered(&self.counter.to_le_bytes(), frame), &tag)
+        {
+            return None;
+        }
+        self.counter += 1;
+        M::decode(frame).ok()
+    }
+}
+
+const fn covered<'a>(counter: &'a [u8; 8], message: &'a [u8]) -> [&'a [u8]; 3] {
+    [LABEL, counter, message]
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,345 @@
+//! The side that takes calls from other entry VMs.
+
+use std::{collections, sync, time};
+
+use futures_util::{SinkExt as _, StreamExt as _};
+use tokio::{io, net, sync as channels, task};
+
+use crate::{frame, handshake, identity, key, proto::peer};
+use peer::{client_frame, reply, request, response, server_frame};
+
+/// Answers that wait to be written on one connection.
+const REPLY_BACKLOG: usize = 64;
+
+/// Why a call was not done, as the service tells its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallFailure {
+    /// The reason.
+    pub kind: peer::FailureKind,
+    /// What happened and what to do, for people.
+    pub message: String,
+}
+
+/// What answers calls.
+pub trait PeerService: Send + Sync + 'static {
+    /// Answers one call of `caller`. Dropped when the caller no longer waits.
+    fn handle(
+        &self,
+        caller: &identity::ProcessIdentity,
+        request: request::Kind,
+    ) -> impl Future<Output = Result<response::Kind, CallFailure>> + Send;
+}
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Connections at once; one more is closed at once.
+    pub connections: usize,
+    /// Connections at once that have not yet shown that they have a key.
+    pub strangers: usize,
+    /// Calls at once over all connections; one more is refused at once as busy.
+    pub calls: usize,
+    /// Calls at once on one connection.
+    pub calls_per_connection: usize,
+    /// Largest frame.
+    pub frame_bytes: usize,
+    /// A connection on which nothing arrives for this long is closed.
+    pub idle: time::Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 1024,
+            strangers: 256,
+            calls: 256,
+            calls_per_connection: 64,
+            frame_bytes: frame::DEFAULT_FRAME_BYTES,
+            idle: time::Duration::from_secs(60),
+        }
+    }
+}
+
+/// Takes calls from other entry VMs.
+#[derive(Debug)]
+pub struct PeerServer<P> {
+    shared: sync::Arc<SharedServer<P>>,
+}
+
+#[derive(Debug)]
+struct SharedServer<P> {
+    own: identity::ProcessIdentity,
+    keys: key::KeyHandle,
+    service: P,
+    limits: ServerLimits,
+    connections: sync::Arc<channels::Semaphore>,
+    strangers: channels::Semaphore,
+    calls: sync::Arc<channels::Semaphore>,
+}
+
+impl<P: PeerService> PeerServer<P> {
+    /// A server that answers with `service`.
+    #[must_use]
+    pub fn new(
+        own: identity::ProcessIdentity,
+        keys: key::KeyHandle,
+        service: P,
+        limits: ServerLimits,
+    ) -> Self {
+        Self {
+            shared: sync::Arc::new(SharedServer {
+                own,
+                keys,
+                service,
+                limits,
+                connections: sync::Arc::new(channels::Semaphore::new(limits.connections)),
+                strangers: channels::Semaphore::new(limits.strangers),
+                calls: sync::Arc::new(channels::Semaphore::new(limits.calls)),
+            }),
+        }
+    }
+
+    /// Serves one connection of whatever kind until it ends.
+    pub async fn serve_stream<S>(&self, stream: S)
+    where
+        S: io::AsyncRead + io::AsyncWrite + Unpin + Send + 'static,
+    {
+        sync::Arc::clone(&self.shared).serve_stream(stream).await;
+    }
+
+    /// Takes connections until dropped; dropping it ends them all.
+    pub async fn serve(self, listener: net::TcpListener) {
+        let mut tasks = task::JoinSet::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                Some(_) = tasks.join_next() => continue,
+            };
+            let Ok((stream, _)) = accepted else {
+                // For instance no file descriptor is left: trying again at once would spin.
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+                continue;
+            };
+            let slots = sync::Arc::clone(&self.shared.connections);
+            let Ok(slot) = slots.try_acquire_owned() else {
+                count_refused("too_many");
+                continue;
+            };
+            // Calls are short; waiting to fill a segment would only delay them.
+            let _ = stream.set_nodelay(true);
+            let shared = sync::Arc::clone(&self.shared);
+            tasks.spawn(async move {
+                shared.serve_stream(stream).await;
+                drop(slot);
+            });
+        }
+    }
+}
+
+fn count_refused(reason: &'static str) {
+    metrics::counter!("pollenchute_wire_connections_refused_total", "reason" => reason)
+        .increment(1);
+}
+
+/// A call that arrived, or the end of the connection.
+enum Arrival {
+    Frame(client_frame::Kind),
+    End,
+}
+
+/// What one connection needs to answer.
+struct ConnectionState<P> {
+    shared: sync::Arc<SharedServer<P>>,
+    caller: sync::Arc<identity::ProcessIdentity>,
+    replies: channels::mpsc::Sender<peer::ServerFrame>,
+    /// Calls under way; dropped with the connection, since nobody waits for them any more.
+    tasks: task::JoinSet<()>,
+    /// Handles of the same calls by id.
+    handles: collections::HashMap<u64, task::AbortHandle>,
+}
+
+impl<P: PeerService> SharedServer<P> {
+    async fn serve_stream<S: io::AsyncRead + io::AsyncWrite + Unpin + Send + 'static>(
+        self: sync::Arc<Self>,
+        stream: S,
+    ) {
+        let Ok(stranger) = self.strangers.try_acquire() else {
+            count_refused("too_many_strangers");
+            return;
+        };
+        let meeting = tokio::time::timeout(handshake::HANDSHAKE_LIMIT, self.meet(stream));
+        let (mut session, first) = match meeting
+            .await
+            .unwrap_or(Err(handshake::HandshakeError::Late))
+        {
+            Ok(met) => met,
+            Err(error) => return count_refused(error.label()),
+        };
+        drop(stranger);
+        session
+            .stream
+            .codec_mut()
+            .set_max_frame_length(self.limits.frame_bytes);
+        self.serve_session(session, first).await;
+    }
+
+    /// Shakes hands and waits for the first frame, which proves that the client has the key.
+    async fn meet<S: io::AsyncRead + io::AsyncWrite + Unpin>(
+        &self,
+        stream: S,
+    ) -> Result<(handshake::Session<S>, client_frame::Kind), handshake::HandshakeError> {
+        let mut session = handshake::accept(stream, &self.own, &self.keys).await?;
+        match session.stream.next().await {
+            None => Err(handshake::HandshakeError::Closed),
+            Some(Err(source)) => Err(handshake::HandshakeError::Broken { source }),
+            Some(Ok(mut frame)) => {
+                let first: Option<peer::ClientFrame> = session.opener.open(&mut frame);
+                let first = first.and_then(|first| first.kind);
+                first
+                    .map(|first| (session, first))
+                    .ok_or(handshake::HandshakeError::Malformed)
+            }
+        }
+    }
+
+    async fn serve_session<S: io::AsyncRead + io::AsyncWrite + Unpin + Send + 'static>(
+        self: sync::Arc<Self>,
+        session: handshake::Session<S>,
+        first: client_frame::Kind,
+    ) {
+        let idle = self.limits.idle;
+        let (mut sink, mut source) = session.stream.split();
+        let (replies, mut outbox) = channels::mpsc::channel::<peer::ServerFrame>(REPLY_BACKLOG);
+        let (mut sealer, mut opener) = (session.sealer, session.opener);
+        let writer = task::spawn(async move {
+            while let Some(reply) = outbox.recv().await {
+                let sent = tokio::time::timeout(idle, sink.send(sealer.seal(&reply))).await;
+                if !matches!(sent, Ok(Ok(()))) {
+                    return;
+                }
+            }
+        });
+        let mut state = ConnectionState {
+            shared: self,
+            caller: sync::Arc::new(session.peer),
+            replies,
+            tasks: task::JoinSet::new(),
+            handles: collections::HashMap::new(),
+        };
+        let mut arrival = Arrival::Frame(first);
+        while let Arrival::Frame(kind) = arrival {
+            if !state.take(kind).await {
+                break;
+            }
+            arrival = next_arrival(&mut source, &mut opener, idle).await;
+        }
+        drop(state);
+        writer.abort();
+    }
+}
+
+async fn next_arrival<T>(
+    source: &mut T,
+    opener: &mut frame::FrameOpener,
+    idle: time::Duration,
+) -> Arrival
+where
+    T: futures_util::Stream<Item = Result<bytes::BytesMut, std::io::Error>> + Unpin,
+{
+    let Ok(Some(Ok(mut frame))) = tokio::time::timeout(idle, source.next()).await else {
+        return Arrival::End;
+    };
+    let frame: Option<peer::ClientFrame> = opener.open(&mut frame);
+    let Some(kind) = frame.and_then(|frame| frame.kind) else {
+        metrics::counter!("pollenchute_wire_frames_dropped_total").increment(1);
+        return Arrival::End;
+    };
+    Arrival::Frame(kind)
+}
+
+impl<P: PeerService> ConnectionState<P> {
+    /// Takes one frame; `false` when the connection is over.
+    async fn take(&mut self, kind: client_frame::Kind) -> bool {
+        while self.tasks.try_join_next().is_some() {}
+        match kind {
+            client_frame::Kind::Ping(number) => {
+                let pong = server_frame::Kind::Pong(number);
+                self.replies
+                    .send(peer::ServerFrame { kind: Some(pong) })
+                    .await
+                    .is_ok()
+            }
+            client_frame::Kind::Cancel(id) => {
+                if let Some(handle) = self.handles.remove(&id) {
+                    handle.abort();
+                }
+                true
+            }
+            client_frame::Kind::Call(call) => self.begin(call).await,
+        }
+    }
+
+    async fn begin(&mut self, call: peer::Call) -> bool {
+        self.handles.retain(|_, handle| !handle.is_finished());
+        let slot = sync::Arc::clone(&self.shared.calls).try_acquire_owned();
+        let full = self.handles.len() >= self.shared.limits.calls_per_connection;
+        let (Ok(slot), false) = (slot, full) else {
+            metrics::counter!("pollenchute_wire_calls_refused_total").increment(1);
+            let failure = peer::Failure {
+                kind: peer::FailureKind::Busy.into(),
+                message: "this VM runs as many calls as it may; ask another or later".to_owned(),
+            };
+            return send_reply(&self.replies, call.id, reply::Kind::Failure(failure)).await;
+        };
+        let (shared, caller) = (
+            sync::Arc::clone(&self.shared),
+            sync::Arc::clone(&self.caller),
+        );
+        let (replies, id) = (self.replies.clone(), call.id);
+        let handle = self.tasks.spawn(async move {
+            let outcome = shared.answer(&caller, call).await;
+            send_reply(&replies, id, outcome).await;
+            drop(slot);
+        });
+        self.handles.insert(id, handle);
+        true
+    }
+}
+
+impl<P: PeerService> SharedServer<P> {
+    async fn answer(&self, caller: &identity::ProcessIdentity, call: peer::Call) -> reply::Kind {
+        let Some(request) = call.request.and_then(|request| request.kind) else {
+            return reply::Kind::Failure(peer::Failure {
+                kind: peer::FailureKind::Unsupported.into(),
+                message: "this VM does not know this kind of call; update it".to_owned(),
+            });
+        };
+        let within = time::Duration::from_millis(call.within_ms.into());
+        match tokio::time::timeout(within, self.service.handle(caller, request)).await {
+            Ok(Ok(response)) => reply::Kind::Response(peer::Response {
+                kind: Some(response),
+            }),
+            Ok(Err(failure)) => reply::Kind::Failure(peer::Failure {
+                kind: failure.kind.into(),
+                message: failure.message,
+            }),
+            Err(_) => reply::Kind::Failure(peer::Failure {
+                kind: peer::FailureKind::Unknown.into(),
+                message: "the caller's time was over before the answer".to_owned(),
+            }),
+        }
+    }
+}
+
+async fn send_reply(
+    replies: &channels::mpsc::Sender<peer::ServerFrame>,
+    id: u64,
+    kind: reply::Kind,
+) -> bool {
+    let reply = peer::Reply {
+        id,
+        kind: Some(kind),
+    };
+    let kind = Some(server_frame::Kind::Reply(reply));
+    replies.send(peer::ServerFrame { kind }).await.is_ok()
+}
