--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -2,6 +2,8 @@
 
 use base::id;
 
+use crate::{document, part};
+
 /// One change, made against one revision.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -76,3 +78,27 @@
 pub fn paths_overlap(left: &[String], right: &[String]) -> bool {
     left.iter().zip(right).all(|(left, right)| left == right)
 }
+
+impl ConfigChange {
+    /// The records of the log that carry this change: one, or the parts of a large one.
+    ///
+    /// All parts must be appended; the change is decided where the last of them lies.
+    #[must_use]
+    pub fn records(&self) -> Vec<Vec<u8>> {
+        let text = serde_json::to_string(self).unwrap_or_default();
+        if text.len() <= part::RECORD_BYTES {
+            return vec![text.into_bytes()];
+        }
+        part::split(part::PartKind::Change, self.id, &text)
+    }
+}
+
+/// The patch that leads from one configuration to another.
+#[must_use]
+pub fn difference(
+    old: &document::Configuration,
+    new: &document::Configuration,
+) -> serde_json::Value {
+    let value = |configuration| serde_json::to_value(configuration).unwrap_or_default();
+    merge_patch(&value(old), &value(new))
+}
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -7,6 +7,10 @@
 
 use crate::{document, fault, inventory};
 
+/// Changed organisations whose keys are compared with all others one by one; with more, building
+/// a table of all keys is cheaper.
+const SCANNED_ORGANISATIONS: usize = 8;
+
 /// Part of the document that a fault's finding rests on.
 ///
 /// While that part itself has faults of structure, the finding may be a mere consequence of them
@@ -66,24 +70,62 @@
 /// Names of organisations.
 pub(crate) const ORGANISATIONS: FaultBasis = FaultBasis::names("organisations");
 
-/// All faults of `configuration`.
+/// Checks the whole of `configuration`.
 ///
 /// # Errors
 /// The list of faults, when there is any.
 pub fn check(configuration: &document::Configuration) -> Result<(), fault::FaultList> {
-    let faults: Vec<fault::ConfigFault> = find(configuration)
-        .into_iter()
-        .map(|based| based.fault)
-        .collect();
-    if faults.is_empty() {
+    listed(find(configuration))
+}
+
+/// Checks `configuration`, which `patch` made from a valid one.
+///
+/// Where the patch allows it, only the organisations that it names are checked again; the verdict
+/// is that of the whole check.
+///
+/// # Errors
+/// The list of faults, when there is any.
+pub fn check_after(
+    configuration: &document::Configuration,
+    patch: &serde_json::Value,
+) -> Result<(), fault::FaultList> {
+    listed(find_in(configuration, touched_organisations(patch)))
+}
+
+/// Names of the organisations that a patch may make wrong; nothing when it may be all.
+fn touched_organisations(patch: &serde_json::Value) -> Option<Vec<&str>> {
+    let Some(inventory) = patch.get("inventory") else {
+        return Some(Vec::new());
+    };
+    let inventory = inventory.as_object()?;
+    if inventory.contains_key("regions") || inventory.contains_key("operators") {
+        return None;
+    }
+    let Some(organisations) = inventory.get("organisations") else {
+        return Some(Vec::new());
+    };
+    let names = organisations.as_object()?.keys().map(String::as_str);
+    Some(names.collect()).filter(|names: &Vec<&str>| names.len() <= SCANNED_ORGANISATIONS)
+}
+
+fn listed(found: Vec<BasedFault>) -> Result<(), fault::FaultList> {
+    if found.is_empty() {
         return Ok(());
     }
+    let faults = found.into_iter().map(|based| based.fault).collect();
     Err(fault::FaultList { faults })
 }
 
 pub(crate) fn find(configuration: &document::Configuration) -> Vec<BasedFault> {
+    find_in(configuration, None)
+}
+
+fn find_in(
+    configuration: &document::Configuration,
+    organisations: Option<Vec<&str>>,
+) -> Vec<BasedFault> {
     let mut checker = MeaningCheck::new(&configuration.inventory);
-    checker.check_inventory();
+    checker.check_inventory(organisations.as_deref());
     checker.check_rules(&configuration.rules);
     checker.faults
 }
--- a/crates/conf/src/inventory_check.rs
+++ b/crates/conf/src/inventory_check.rs
@@ -11,15 +11,18 @@
 const VALID_KEYS: usize = 2;
 
 impl MeaningCheck<'_> {
-    pub(crate) fn check_inventory(&mut self) {
+    /// Checks the inventory; of the organisations only the named ones, unless all are meant.
+    pub(crate) fn check_inventory(&mut self, organisations: Option<&[&str]>) {
         self.check_regions();
         self.check_addresses();
         self.check_vms();
         self.check_servers();
         self.check_models();
         self.check_services();
-        self.check_organisations();
-        self.check_keys();
+        match organisations {
+            None => self.check_organisations(),
+            Some(names) => self.check_some_organisations(names),
+        }
     }
 
     fn check_regions(&mut self) {
@@ -215,44 +218,83 @@
 
     fn check_organisations(&mut self) {
         let inventory = self.inventory;
-        for (name, entry) in &inventory.organisations {
-            if !inventory.regions.contains_key(&entry.region) {
-                let path = ["inventory", "organisations", name, "region"];
-                let message = format!("no region \"{}\" in the inventory", entry.region);
-                let remedy = "add it to regions, or name one that is there";
-                self.fault_on(check::REGIONS, &path, message, remedy);
+        let mut owners: collections::HashMap<&str, &str> =
+            collections::HashMap::with_capacity(inventory.organisations.len());
+        for (section, name, hashes) in key_owners(inventory) {
+            self.check_key_hashes(section, name, hashes);
+            for (index, hash) in hashes.iter().enumerate() {
+                if let Some(owner) = owners.insert(hash, name) {
+                    self.shared_key(section, name, index, owner);
+                }
             }
         }
+        for (name, entry) in &inventory.organisations {
+            self.check_region(name, entry);
+        }
     }
 
-    /// One key of two owners: a caller would be taken for somebody else.
-    fn check_keys(&mut self) {
+    fn check_some_organisations(&mut self, names: &[&str]) {
         let inventory = self.inventory;
-        let organisations = inventory.organisations.iter();
-        let organisations =
-            organisations.map(|(name, entry)| ("organisations", name, &entry.key_hashes));
-        let operators = inventory.operators.iter();
-        let operators = operators.map(|(name, entry)| ("operators", name, &entry.key_hashes));
-        let mut owners: collections::HashMap<&str, &str> =
-            collections::HashMap::with_capacity(inventory.organisations.len());
-        for (section, name, hashes) in organisations.chain(operators) {
-            let path = ["inventory", section, name, "key_hashes"];
-            if hashes.len() > VALID_KEYS {
-                let message = format!("{} keys are valid at once", hashes.len());
-                self.fault(&path, message, "keep two, the old and the new");
+        for name in names {
+            let Some(entry) = inventory.organisations.get(*name) else {
+                continue;
+            };
+            self.check_region(name, entry);
+            self.check_key_hashes("organisations", name, &entry.key_hashes);
+            for (index, hash) in entry.key_hashes.iter().enumerate() {
+                let twice = entry.key_hashes[..index].contains(hash).then_some(*name);
+                let owner = key_owners(inventory)
+                    .find(|(section, owner, hashes)| {
+                        (*section, *owner) != ("organisations", *name) && hashes.contains(hash)
+                    })
+                    .map(|(_, owner, _)| owner);
+                if let Some(owner) = twice.or(owner) {
+                    self.shared_key("organisations", name, index, owner);
+                }
             }
-            for (index, hash) in hashes.iter().enumerate() {
+        }
+    }
+
+    fn check_region(&mut self, name: &str, entry: &inventory::OrganisationEntry) {
+        if !self.inventory.regions.contains_key(&entry.region) {
+            let path = ["inventory", "organisations", name, "region"];
+            let message = format!("no region \"{}\" in the inventory", entry.region);
+            let remedy = "add it to regions, or name one that is there";
+            self.fault_on(check::REGIONS, &path, message, remedy);
+        }
+    }
+
+    fn check_key_hashes(&mut self, section: &str, name: &str, hashes: &[String]) {
+        let path = ["inventory", section, name, "key_hashes"];
+        if hashes.len() > VALID_KEYS {
+            let message = format!("{} keys are valid at once", hashes.len());
+            self.fault(&path, message, "keep two, the old and the new");
+        }
+        for (index, hash) in hashes.iter().enumerate() {
+            if !structure::is_hash_text(hash) {
                 let number = index.to_string();
                 let path = [&path[..], &[number.as_str()]].concat();
-                if !structure::is_hash_text(hash) {
-                    let remedy = "write the key's SHA-256 in 64 lower-case hexadecimal digits";
-                    self.fault(&path, "this is not a key hash", remedy);
-                }
-                if let Some(owner) = owners.insert(hash, name) {
-                    let message = format!("\"{owner}\" has the same key");
-                    self.fault(&path, message, "draw a new key for one of them");
-                }
+                let remedy = "write the key's SHA-256 in 64 lower-case hexadecimal digits";
+                self.fault(&path, "this is not a key hash", remedy);
             }
         }
     }
+
+    /// One key of two owners: a caller would be taken for somebody else.
+    fn shared_key(&mut self, section: &str, name: &str, index: usize, owner: &str) {
+        let path = ["inventory", section, name, "key_hashes", &index.to_string()];
+        let message = format!("\"{owner}\" has the same key");
+        self.fault(&path, message, "draw a new key for one of them");
+    }
+}
+
+/// Section, name and key hashes of whoever has keys.
+fn key_owners(
+    inventory: &inventory::Inventory,
+) -> impl Iterator<Item = (&'static str, &str, &Vec<String>)> {
+    let organisations = inventory.organisations.iter();
+    let operators = inventory.operators.iter();
+    organisations
+        .map(|(name, entry)| ("organisations", name.as_str(), &entry.key_hashes))
+        .chain(operators.map(|(name, entry)| ("operators", name.as_str(), &entry.key_hashes)))
 }
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -6,13 +6,19 @@
 
 pub mod change;
 pub mod check;
+pub mod checkpoint;
 pub mod document;
 pub mod fault;
+pub mod history;
 pub mod inventory;
 mod inventory_check;
+pub mod offer;
+pub mod part;
 pub mod place;
+pub mod reference;
 pub mod rules;
 mod rules_check;
+pub mod sample;
 mod schema;
 pub mod settings;
 pub mod snapshot;
--- a/crates/conf/src/rules_check.rs
+++ b/crates/conf/src/rules_check.rs
@@ -69,7 +69,8 @@
     /// A rule behind one that matches all that it matches never applies.
     fn check_order(&mut self, classes: &[rules::ClassRule]) {
         let sets: Vec<MatchSet<'_>> = classes.iter().map(MatchSet::new).collect();
-        for (later, set) in sets.iter().enumerate() {
+        let telling = sets.iter().enumerate().filter(|(_, set)| !set.is_empty());
+        for (later, set) in telling {
             let Some(earlier) = sets[..later].iter().position(|other| other.covers(set)) else {
                 continue;
             };
@@ -206,6 +207,18 @@
         }
     }
 
+    /// Whether it can match no request at all; that is told as a fault of its own.
+    fn is_empty(&self) -> bool {
+        let is_empty = |set: &Option<collections::HashSet<&str>>| {
+            set.as_ref().is_some_and(collections::HashSet::is_empty)
+        };
+        let is_both = self.models.is_some() && self.services.is_some();
+        is_both
+            || [&self.organisations, &self.models, &self.services]
+                .into_iter()
+                .any(is_empty)
+    }
+
     /// Whether this rule matches every request that `other` matches.
     fn covers(&self, other: &Self) -> bool {
         let requested = self.rule.requested;
--- a/crates/conf/src/schema.rs
+++ b/crates/conf/src/schema.rs
@@ -5,6 +5,8 @@
 
 /// Names offered in the remedy of an unknown field, at the most.
 const NAMED_FIELDS: usize = 12;
+/// Characters of a wrong text that a message shows.
+const SHOWN_TEXT: usize = 40;
 
 pub(crate) fn resolve<'s>(root: &'s Value, schema: &'s Value) -> &'s Value {
     let mut schema = schema;
@@ -169,14 +171,17 @@
     names.join(", ")
 }
 
-pub(crate) fn described(node: &ast::Value<'_>) -> &'static str {
+pub(crate) fn described(node: &ast::Value<'_>) -> String {
     match node {
-        ast::Value::StringLit(_) => "a text",
-        ast::Value::NumberLit(_) => "a number",
-        ast::Value::BooleanLit(_) => "true or false",
-        ast::Value::Object(_) => "an object",
-        ast::Value::Array(_) => "a list",
-        ast::Value::NullKeyword(_) => "null",
+        ast::Value::StringLit(text) => {
+            let shown: String = text.value.chars().take(SHOWN_TEXT).collect();
+            format!("the text \"{shown}\"")
+        }
+        ast::Value::NumberLit(number) => format!("the number {}", number.value),
+        ast::Value::BooleanLit(literal) => literal.value.to_string(),
+        ast::Value::Object(_) => "an object".to_owned(),
+        ast::Value::Array(_) => "a list".to_owned(),
+        ast::Value::NullKeyword(_) => "null".to_owned(),
     }
 }
 
