--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use argh::FromArgs as _;
+use argh::{ArgsInfo as _, FromArgs as _};
 
 use crate::error;
 
@@ -364,10 +364,25 @@
         Err(()) => error::CommandOutput {
             text: String::new(),
             complaint: format!(
-                "pollenctl: {}\nRun `pollenctl --help` or `pollenctl <command> --help` for examples.\n",
-                exit.output.trim_end()
+                "pollenctl: {}{}\nRun `pollenctl --help` or `pollenctl <command> --help` for examples.\n",
+                exit.output.trim_end(),
+                suggestion(&exit.output)
             ),
             status: error::ExitStatus::Usage,
         },
     })
 }
+
+/// The command that a mistyped one may mean; the library suggests options only.
+fn suggestion(complaint: &str) -> String {
+    let Some(given) = complaint.trim().strip_prefix("Unrecognized argument: ") else {
+        return String::new();
+    };
+    let commands = CtlArgs::get_subcommands();
+    let names: Vec<&str> = commands.iter().map(|command| command.name).collect();
+    let is_option = given.contains(['-', '"', ' ']);
+    match rust_fuzzy_search::fuzzy_search_best_n(given, &names, 1).first() {
+        Some((name, score)) if !is_option && *score > 0.0 => format!(". Did you mean \"{name}\"?"),
+        _ => String::new(),
+    }
+}
--- a/crates/ctl/src/configuration.rs
+++ b/crates/ctl/src/configuration.rs
@@ -54,6 +54,19 @@
     client.get(&path).await
 }
 
+/// Revision 0: the empty configuration before the first change, which every VM starts from.
+///
+/// # Errors
+/// When it cannot be written as JSON.
+pub fn first() -> Result<ops::ConfigurationBody, error::CtlError> {
+    Ok(ops::ConfigurationBody {
+        revision: 0,
+        offset: 0,
+        state_hash: None,
+        state: to_state(&document::Configuration::default())?,
+    })
+}
+
 /// `pollenctl check`.
 ///
 /// # Errors
@@ -106,10 +119,14 @@
     if patch.as_object().is_some_and(serde_json::Map::is_empty) {
         return out;
     }
-    for path in change::touched_paths(patch) {
-        let before = path.iter().try_fold(state, |value, name| value.get(name));
-        let after = path.iter().try_fold(patch, |value, name| value.get(name));
-        let after = after.filter(|value| !value.is_null());
+    let mut paths: Vec<Vec<String>> = change::touched_paths(patch)
+        .into_iter()
+        .map(|path| up_to_new(state, path))
+        .collect();
+    paths.dedup();
+    for path in paths {
+        let before = find(state, &path);
+        let after = find(patch, &path).filter(|value| !value.is_null());
         let line = match (before, after) {
             (Some(before), Some(after)) => format!("~ {}: {before} -> {after}", path.join(".")),
             (None, Some(after)) => format!("+ {}: {after}", path.join(".")),
@@ -120,3 +137,15 @@
     }
     out
 }
+
+fn find<'a>(value: &'a serde_json::Value, path: &[String]) -> Option<&'a serde_json::Value> {
+    path.iter().try_fold(value, |value, name| value.get(name))
+}
+
+/// `path` up to the first name that `state` does not have: what is new is shown as one thing.
+fn up_to_new(state: &serde_json::Value, mut path: Vec<String>) -> Vec<String> {
+    let is_new = |length: &usize| find(state, &path[..*length]).is_none();
+    let length = (1..=path.len()).find(is_new).unwrap_or(path.len());
+    path.truncate(length);
+    path
+}
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -156,6 +156,9 @@
     revision: u64,
     client: &client::OpsClient,
 ) -> Result<ops::ConfigurationBody, error::CtlError> {
+    if revision == 0 {
+        return configuration::first();
+    }
     let found = configuration::fetch(client, Some(revision)).await;
     found.map_err(|error| match error {
         error::CtlError::Refused { status: 404, .. } => error::CtlError::NotFound {
--- /dev/null
+++ b/crates/ctl/tests/operate.rs
@@ -0,0 +1,309 @@
+//! Everyday commands against a tiny operators' face.
+
+mod fake;
+
+use base::{fingerprint, id, ops};
+use ctl::error;
+use fake::{FakeFace, SharedSystem};
+use trace::kind;
+
+#[tokio::test]
+async fn next_vm_is_asked_when_one_does_not_answer() {
+    let system = SharedSystem::default();
+    let face = FakeFace::start("hall-a-1", &system).await;
+    let dead = fake::dead_address().await;
+    let output = fake::run(&[dead, face.address], "status").await;
+    assert_eq!(output.status, error::ExitStatus::Success, "{output:?}");
+    assert!(
+        output.text.starts_with("hall-a-1 (hall-a, hcmc), ready"),
+        "{}",
+        output.text
+    );
+    let output = fake::run(&[dead], "status").await;
+    assert_eq!(output.status, error::ExitStatus::Unreachable);
+    assert!(output.complaint.contains(&dead.to_string()), "{output:?}");
+}
+
+#[tokio::test]
+async fn refusal_is_told_with_its_remedy() {
+    let system = SharedSystem::default();
+    let face = FakeFace::start("hall-a-1", &system).await;
+    let directory = fake::directory("key");
+    std::fs::write(directory.join("wrong.key"), "other-key\n").unwrap();
+    let settings = directory.join("settings.jsonc");
+    let text = format!(
+        "{{ // comment\n \"entries\": [\"{}\"], \"operator_key_file\": \"wrong.key\" }}",
+        face.address
+    );
+    std::fs::write(&settings, text).unwrap();
+    let settings = settings.display().to_string();
+    let run = async |words: &[&str]| {
+        let environment = ctl::settings::CallEnvironment::default();
+        ctl::command::run(ctl::args::parse(words).unwrap(), &environment).await
+    };
+    let output = run(&["--config", &settings, "status"]).await;
+    assert_eq!(output.status, error::ExitStatus::Refused);
+    assert!(
+        output.complaint.contains("(401): use a known key"),
+        "{output:?}"
+    );
+    let output = run(&["--config", &settings, "--check"]).await;
+    assert_eq!(
+        output.text,
+        "settings are valid: 1 entry address, operator key found\n"
+    );
+
+    std::fs::write(&settings, "{\n  \"entrys\": [],\n  \"timeout_ms\": 0\n}").unwrap();
+    let output = run(&["--config", &settings, "--check"]).await;
+    assert_eq!(output.status, error::ExitStatus::Usage);
+    for part in [
+        "settings.jsonc:2:3: entrys",
+        "\"entries\"",
+        "settings.jsonc:3:3: timeout_ms",
+    ] {
+        assert!(
+            output.complaint.contains(part),
+            "no {part} in {}",
+            output.complaint
+        );
+    }
+}
+
+#[tokio::test]
+async fn in_force_names_the_vms_that_lag() {
+    // Symptom: an operator believes that a change is in force where it is not.
+    // Sequence: a change is accepted; one VM is cut off from gossip, another is dead.
+    // Cause: silence was taken for consent.
+    let system = SharedSystem::default();
+    let face = FakeFace::start("hall-a-1", &system).await;
+    let cut_off = FakeFace::start("hall-a-2", &system).await;
+    let files = fake::files(&fake::directory("in-force"), "{}");
+    fake::run(&[face.address], &format!("publish {files}")).await;
+    let output = fake::run(&[face.address], "status --in-force --timeout 0").await;
+    assert_eq!(output.status, error::ExitStatus::Success, "{output:?}");
+    assert!(
+        output
+            .text
+            .starts_with("revision 1 is in force on 2 entry VMs"),
+        "{}",
+        output.text
+    );
+
+    let dead = fake::dead_address().await;
+    let mut member = fake::member("hall-b-1", dead);
+    member.state = ops::HealthState::Dead;
+    system.lock().unwrap().members.push(member);
+    let output = fake::run(&[cut_off.address], "status --in-force --timeout 0").await;
+    assert_eq!(output.status, error::ExitStatus::TimedOut, "{output:?}");
+    assert!(
+        output.text.contains("in force on 2 of 3 entry VMs"),
+        "{}",
+        output.text
+    );
+    assert!(
+        output.text.contains("hall-b-1   dead    nothing"),
+        "{}",
+        output.text
+    );
+    let live = "status --in-force --timeout 0 --live-only";
+    let output = fake::run(&[face.address], live).await;
+    assert_eq!(output.status, error::ExitStatus::Success, "{output:?}");
+    let later = "status --in-force --timeout 0 --live-only --revision 2";
+    let output = fake::run(&[face.address], later).await;
+    assert_eq!(output.status, error::ExitStatus::TimedOut, "{output:?}");
+}
+
+/// Two VMs that answer, with an event each, and one that does not.
+async fn two_of_three(system: &SharedSystem) -> (FakeFace, FakeFace) {
+    let first = FakeFace::start("hall-a-1", system).await;
+    let second = FakeFace::start("hall-a-2", system).await;
+    let dead = fake::dead_address().await;
+    system
+        .lock()
+        .unwrap()
+        .members
+        .push(fake::member("hall-b-1", dead));
+    let taken = kind::EventKind::RequestTaken {
+        organisation: "troupe-7".to_owned(),
+        target: "m".to_owned(),
+    };
+    let server_dead = kind::EventKind::ServerDead {
+        server: "engine-9".to_owned(),
+        reason: "gone".to_owned(),
+    };
+    let request = id::RequestId(0x3f2a << 112);
+    first.journal.record_for(1_772_000_000_000, request, taken);
+    second.journal.record(1_772_000_000_001, server_dead);
+    (first, second)
+}
+
+#[tokio::test]
+async fn timeline_merges_vms_and_names_the_silent_one() {
+    let system = SharedSystem::default();
+    let (first, _second) = two_of_three(&system).await;
+    let output = fake::run(&[first.address], "timeline --since 10m").await;
+    let lines: Vec<&str> = output.text.lines().collect();
+    assert!(
+        lines[0].starts_with("!! hall-b-1 did not answer (Connection refused"),
+        "{lines:?}"
+    );
+    assert!(
+        lines[2].contains("hall-a-1 3f2a0000 request_taken"),
+        "{lines:?}"
+    );
+    assert!(
+        lines[3].contains("hall-a-2          server_dead server=engine-9"),
+        "{lines:?}"
+    );
+    let output = fake::run(&[first.address], "timeline --kind server --format jsonl").await;
+    assert!(
+        output.text.contains(r#""kind":"server_dead""#),
+        "{}",
+        output.text
+    );
+    assert!(!output.text.contains("request_taken"), "{}", output.text);
+    for wrong in ["--kind sever", "--since yesterday", "--request xyz"] {
+        let output = fake::run(&[first.address], &format!("timeline {wrong}")).await;
+        assert_eq!(output.status, error::ExitStatus::Usage, "{output:?}");
+    }
+}
+
+#[tokio::test]
+async fn picture_is_written_and_request_is_explained_from_any_vm() {
+    let system = SharedSystem::default();
+    let (_first, second) = two_of_three(&system).await;
+    let file = fake::directory("timeline").join("out.svg");
+    let line = format!(
+        "timeline --request 3f2a --format svg --output {}",
+        file.display()
+    );
+    let output = fake::run(&[second.address], &line).await;
+    assert!(output.text.ends_with("out.svg: 1 event\n"), "{output:?}");
+    assert!(
+        std::fs::read_to_string(file)
+            .unwrap()
+            .contains("taken troupe-7")
+    );
+    let output = fake::run(&[second.address], "explain 3f2a").await;
+    assert!(
+        output.text.contains("taken from troupe-7 for m"),
+        "{output:?}"
+    );
+    assert!(
+        output.text.contains("caution: hall-b-1 did not answer"),
+        "{output:?}"
+    );
+    let output = fake::run(&[second.address], "explain 99").await;
+    assert_eq!(output.status, error::ExitStatus::Refused, "{output:?}");
+}
+
+#[tokio::test]
+async fn quarantine_is_lifted_by_the_beginning_of_a_fingerprint() {
+    let system = SharedSystem::default();
+    let face = FakeFace::start("hall-a-1", &system).await;
+    for number in 0..40_u8 {
+        system
+            .lock()
+            .unwrap()
+            .quarantine
+            .push(ops::QuarantineStatus {
+                fingerprint: fingerprint::ContentHash::of(&[number]),
+                state: ops::QuarantineState::Quarantined,
+                deaths: 2,
+                servers: vec!["engine-1".to_owned()],
+                organisation: "troupe-7".to_owned(),
+                left_ms: 90_000,
+            });
+    }
+    let wanted = fingerprint::ContentHash::of(&[7]).to_string();
+    let output = fake::run(&[face.address], "quarantine list").await;
+    assert!(output.text.contains(&wanted[..12]), "{}", output.text);
+    let output = fake::run(
+        &[face.address],
+        &format!("quarantine lift {}", &wanted[..12]),
+    )
+    .await;
+    assert_eq!(output.text, format!("{wanted} lifted\n"), "{output:?}");
+    assert_eq!(system.lock().unwrap().quarantine.len(), 39);
+    let output = fake::run(&[face.address], &format!("quarantine lift {wanted}")).await;
+    assert_eq!(output.status, error::ExitStatus::Refused, "{output:?}");
+    let shared: Vec<String> = (0..40)
+        .map(|number| fingerprint::ContentHash::of(&[number]).to_string())
+        .collect();
+    let digit = |digit: &&char| {
+        shared
+            .iter()
+            .filter(|text| text.starts_with(**digit))
+            .count()
+            > 2
+    };
+    let digit = ['0', '1', '2', '3', '4', '5', '6', '7']
+        .iter()
+        .find(digit)
+        .copied()
+        .unwrap();
+    let output = fake::run(&[face.address], &format!("quarantine lift {digit}")).await;
+    assert!(output.complaint.contains("give more digits"), "{output:?}");
+}
+
+#[tokio::test]
+async fn drain_waits_until_nothing_runs() {
+    let system = SharedSystem::default();
+    let face = FakeFace::start("hall-a-1", &system).await;
+    let output = fake::run(&[face.address], "drain").await;
+    assert_eq!(output.status, error::ExitStatus::Usage);
+    let mut server = ops::ServerStatus {
+        server: "engine-4".to_owned(),
+        failure_domain: "hall-a".to_owned(),
+        role: ops::ServerRole::ModelEngine,
+        state: ops::HealthState::Leaving,
+        serves: Vec::new(),
+        running: 2,
+        waiting: 0,
+        free_blocks: 0,
+        total_blocks: 0,
+        preemptions: 0,
+        report_age_ms: None,
+    };
+    system.lock().unwrap().servers = vec![server.clone()];
+    let line = "drain --server engine-4 --wait --timeout 0";
+    let output = fake::run(&[face.address], line).await;
+    assert_eq!(output.status, error::ExitStatus::TimedOut, "{output:?}");
+    assert!(
+        output.text.contains("2 requests still run there"),
+        "{output:?}"
+    );
+    server.running = 0;
+    system.lock().unwrap().servers = vec![server];
+    let output = fake::run(&[face.address], line).await;
+    assert_eq!(output.status, error::ExitStatus::Success, "{output:?}");
+}
+
+#[test]
+fn completions_know_every_command_and_mistakes_are_answered() {
+    let script = ctl::completions::bash_script();
+    let commands = <ctl::args::CtlArgs as argh::ArgsInfo>::get_subcommands();
+    assert_eq!(commands.len(), 12);
+    for command in commands {
+        assert!(
+            script.contains(&format!("\"{}\") words=", command.name)),
+            "{}",
+            command.name
+        );
+        for flag in command.command.flags {
+            assert!(script.contains(flag.long), "{}", flag.long);
+        }
+    }
+    let output = ctl::args::parse(&["statsu"]).unwrap_err();
+    assert!(
+        output.complaint.contains("Did you mean \"status\"?"),
+        "{}",
+        output.complaint
+    );
+    let output = ctl::args::parse(&["status", "--in-forse"]).unwrap_err();
+    assert!(
+        output.complaint.contains("--in-force"),
+        "{}",
+        output.complaint
+    );
+}
--- a/crates/trace/src/text.rs
+++ b/crates/trace/src/text.rs
@@ -95,17 +95,25 @@
     digits
 }
 
-/// `text` without control characters.
+/// `text` without control characters and without marks that turn the direction of writing.
 ///
 /// Names and reasons may hold what a caller sent; printed as it is, an escape sequence in it
-/// would rewrite the operator's terminal.
+/// would rewrite the operator's terminal, and a turned direction would show a line that says
+/// something else than it holds.
 #[must_use]
 pub fn clean(text: &str) -> String {
+    let is_harmful = |letter: char| letter.is_control() || DIRECTION_MARKS.contains(&letter);
     text.chars()
-        .map(|letter| if letter.is_control() { '?' } else { letter })
+        .map(|letter| if is_harmful(letter) { '?' } else { letter })
         .collect()
 }
 
+/// Marks of bidirectional text that act on what follows them.
+const DIRECTION_MARKS: [char; 9] = [
+    '\u{202a}', '\u{202b}', '\u{202c}', '\u{202d}', '\u{202e}', '\u{2066}', '\u{2067}', '\u{2068}',
+    '\u{2069}',
+];
+
 fn quoted(value: &str) -> String {
     let plain = |letter: char| letter.is_alphanumeric() || "-_.:/@+".contains(letter);
     if !value.is_empty() && value.chars().all(plain) {
--- a/crates/trace/tests/render.rs
+++ b/crates/trace/tests/render.rs
@@ -52,12 +52,12 @@
     });
     timeline.events[1].kind = kind::EventKind::RequestCancelled {
         ran: base::outcome::RanState::No,
-        reason: "\u{1b}[2Jgone\n".to_owned(),
+        reason: "\u{1b}[2J\u{202e}gone\n".to_owned(),
     };
     let shown = text::render(&timeline);
     assert!(shown.starts_with("!! hall-b-1 did not answer"), "{shown}");
     assert_eq!(shown.lines().count(), timeline.events.len() + 2, "{shown}");
-    assert!(!shown.contains('\u{1b}'));
+    assert!(!shown.contains(['\u{1b}', '\u{202e}']));
     assert!(shown.contains("06:13:20.000 hall-a-1 abcd0000 request_taken organisation=troupe-7"));
 }
 
