Gossip: digests, divided watching, links between regions, the VM list

Cause: engines' load, organisations' demand and other regions were missing. Change: digests go straight from the first watcher to the users of an engine under a bound on bytes a second; WatchPlan divides watching by rendezvous hash; one VM of each failure domain links its region to the others, and beacons tell when a region is lost; the VM list marks as leaving and says whom to greet. GossipHandle grows set_servers, set_vm_list, publish_load, publish_demand, watchers and watch_duty.

--- a/crates/gossip/src/core.rs
+++ b/crates/gossip/src/core.rs
@@ -4,19 +4,15 @@
 
 use base::id;
 use prost::Message as _;
-use rand::seq::IndexedRandom as _;
 use wire::{identity, proto::gossip as proto};
 
-use crate::{claim, event, item, member, news, packet, probe, settings, spread};
+use crate::{claim, event, item, linking, list, loads, member, news, probe, settings, spread};
 use event::CoreAction;
 use proto::message::Kind;
 
 /// Greetings in answer to strangers in one tick at the most.
 const MAX_GREETINGS: u32 = 8;
 
-/// Greetings in one round while nobody is known.
-const JOIN_GREETINGS: usize = 5;
-
 /// A tick that comes this many ticks late means that this process was paused.
 const PAUSE_TICKS: u32 = 10;
 
@@ -36,10 +32,20 @@
     pub(crate) queue: spread::SpreadQueue,
     pub(crate) schedule: probe::ProbeSchedule,
     pub(crate) seeds: collections::BTreeMap<String, claim::MemberPlace>,
+    pub(crate) list: list::VmListReport,
+    pub(crate) links: linking::LinkState,
+    pub(crate) digests: loads::DigestState,
+    /// What is to be done; handed out at the end of each call.
     pub(crate) actions: Vec<CoreAction>,
     pub(crate) dues: DueTimes,
+    /// Whether this life takes no new work; never unset.
+    pub(crate) leaving: bool,
+    /// Configuration in force here, as last published.
+    configuration: Option<news::ConfigurationNews>,
     /// Greetings that strangers may still cause before the next tick.
-    greetings_left: u32,
+    pub(crate) greetings_left: u32,
+    /// Rounds of greetings since somebody of the region was known.
+    pub(crate) lonely_rounds: u32,
     last_tick: time::Duration,
 }
 
@@ -50,6 +56,7 @@
     pub slow_round: time::Duration,
     pub sync: time::Duration,
     pub greeting: time::Duration,
+    pub keeping: time::Duration,
 }
 
 impl<R: rand::Rng> MemberCore<R> {
@@ -81,7 +88,9 @@
                 slow_round: now,
                 sync: now + timing.sync_interval,
                 greeting: now,
+                keeping: now,
             },
+            digests: loads::DigestState::new(timing.digest_bytes_per_second, timing.watching, now),
             timing,
             identity: own.identity,
             own: claim,
@@ -91,8 +100,13 @@
             queue: spread::SpreadQueue::default(),
             schedule: probe::ProbeSchedule::default(),
             seeds: collections::BTreeMap::new(),
+            list: list::VmListReport::default(),
+            links: linking::LinkState::default(),
             actions: Vec::new(),
+            leaving: false,
+            configuration: None,
             greetings_left: MAX_GREETINGS,
+            lonely_rounds: 0,
             last_tick: now,
         };
         core.set_seeds(seeds);
@@ -139,6 +153,8 @@
             Some(kind) => {
                 self.take_claims(now, message.claims);
                 self.take_items(now, message.items);
+                self.take_digests(now, sender, message.digests);
+                self.note_heard(now, &sender.name);
                 self.take_kind(now, from, sender, kind);
             }
         }
@@ -158,46 +174,30 @@
             self.probe_round(now);
             self.greet_round(now);
             self.sync_round(now);
+            self.link_round(now);
+            self.plan_round();
+            self.digest_round(now);
+            self.keeping_round(now);
         }
         self.spread_round(now);
         std::mem::take(&mut self.actions)
     }
 
-    /// Publishes an item; an equal one that holds already is left alone.
+    /// Publishes an item; one that says the same and still lasts is left alone.
     pub fn publish(&mut self, now: time::Duration, news: &news::NewsItem) -> Vec<CoreAction> {
-        let key = news.key();
-        let known = self.items.get(&key);
-        let own_life = matches!(news, news::NewsItem::Configuration(_));
-        let epoch = if own_life {
-            self.own.version.life.birth_ms
-        } else {
-            0
-        };
-        let known_version = known.map(|item| item.version).unwrap_or_default();
-        let sequence = if known_version.epoch >= epoch {
-            known_version.sequence + 1
-        } else {
-            1
-        };
-        let item = item::Item {
-            key,
-            version: item::ItemVersion {
-                epoch: epoch.max(known_version.epoch),
-                sequence,
-            },
-            body: news.body(),
-            expires_at: news.lasts().map(|lasts| now + lasts),
-        };
-        self.take_item(now, item);
+        if let news::NewsItem::Configuration(news) = news
+            && news.vm == self.identity.name
+        {
+            self.configuration = Some(news.clone());
+        }
+        self.add_news(now, news);
         std::mem::take(&mut self.actions)
     }
 
     /// Marks this life of this VM as leaving: it takes no new work, but stays a member.
     pub fn leave(&mut self, now: time::Duration) -> Vec<CoreAction> {
-        let subject = news::LeavingSubject::Vm {
-            name: self.identity.name.clone(),
-            incarnation: self.identity.incarnation,
-        };
+        self.leaving = true;
+        let subject = news::LeavingSubject::of_vm(&self.own);
         self.publish(now, &news::NewsItem::Leaving(subject))
     }
 
@@ -209,6 +209,59 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Whether somebody of that name is there.
+    pub(crate) fn is_present(&self, name: &str) -> bool {
+        self.table
+            .named(name)
+            .is_some_and(|record| record.state().is_present())
+    }
+
+    /// Whether the life that the claim speaks of is marked as leaving.
+    pub(crate) fn is_leaving(&self, claim: &claim::MemberClaim) -> bool {
+        let subject = news::LeavingSubject::of_vm(claim);
+        self.items
+            .get(&news::NewsItem::Leaving(subject).key())
+            .is_some()
+    }
+
+    /// Takes an item that this VM makes itself, with a version above all that is known.
+    pub(crate) fn add_news(&mut self, now: time::Duration, news: &news::NewsItem) {
+        let (key, body, lasts) = (news.key(), news.body(), news.lasts());
+        let of_life = matches!(news, news::NewsItem::Configuration(_));
+        let epoch = if of_life {
+            self.own.version.life.birth_ms
+        } else {
+            0
+        };
+        let known = self.items.get(&key);
+        let same = known.is_some_and(|item| {
+            let half = lasts.map_or(now, |lasts| now.saturating_add(lasts / 2));
+            item.body == body
+                && item.version.epoch >= epoch
+                && item.expires_at.is_none_or(|expires_at| expires_at >= half)
+        });
+        if same {
+            return;
+        }
+        let above = known.map(|item| item.version).unwrap_or_default();
+        let sequence = if above.epoch >= epoch {
+            above.sequence + 1
+        } else {
+            1
+        };
+        let item = item::Item {
+            key,
+            version: item::ItemVersion {
+                epoch: epoch.max(above.epoch),
+                sequence,
+            },
+            body,
+            expires_at: lasts.map(|lasts| now.saturating_add(lasts)),
+            taken_at: now,
+        };
+        self.take_item(now, item);
+    }
+
     fn take_kind(
         &mut self,
         now: time::Duration,
@@ -236,25 +289,6 @@
         self.meet(from, sender);
     }
 
-    /// Greets a sender of whose life nothing is known.
-    fn meet(&mut self, from: net::SocketAddr, sender: &identity::ProcessIdentity) {
-        let record = self.table.named(&sender.name);
-        let known = record
-            .is_some_and(|record| record.claim.version.life.incarnation == sender.incarnation);
-        if !known && self.greetings_left > 0 {
-            self.greetings_left -= 1;
-            let packet = packet::PacketBuilder::new(Kind::Hello(proto::Hello {}));
-            self.send_packet(from, sender.clone(), packet);
-        }
-    }
-
-    fn answer_greeting(&mut self, from: net::SocketAddr, sender: &identity::ProcessIdentity) {
-        let mut packet = packet::PacketBuilder::new(Kind::HelloAnswer(proto::HelloAnswer {}));
-        packet.add_claim(self.own.to_wire());
-        self.add_word_about(sender, &mut packet);
-        self.send_packet(from, sender.clone(), packet);
-    }
-
     fn take_claims(&mut self, now: time::Duration, claims: Vec<proto::MemberClaim>) {
         for claim in claims.into_iter().filter_map(claim::MemberClaim::from_wire) {
             if claim.name == self.identity.name {
@@ -311,6 +345,10 @@
     fn tell_own(&mut self, now: time::Duration) {
         let own = self.own.clone();
         self.take_claim(now, &own);
+        // Its version begins with the birth, which may just have been moved.
+        if let Some(news) = self.configuration.clone() {
+            self.add_news(now, &news::NewsItem::Configuration(news));
+        }
     }
 
     fn take_items(&mut self, now: time::Duration, items: Vec<proto::Item>) {
@@ -322,41 +360,31 @@
         }
     }
 
-    fn take_item(&mut self, now: time::Duration, item: item::Item) {
-        let Some(news) = news::NewsItem::from_item(&item, now) else {
+    pub(crate) fn take_item(&mut self, now: time::Duration, item: item::Item) {
+        let (key, news) = (item.key.clone(), news::NewsItem::from_item(&item, now));
+        if news.is_none() && key.kind != item::ItemKind::Link {
             metrics::counter!("pollenchute_gossip_malformed_total").increment(1);
             return;
-        };
-        let (key, urgent) = (item.key.clone(), item.key.kind.is_urgent());
-        if self.items.merge(item) {
-            let timing = &self.timing;
-            let copies = if urgent {
-                timing.urgent_copies
-            } else {
-                timing.slow_copies
-            };
-            self.queue.add(spread::SpreadKey::Item(key), urgent, copies);
-            self.actions
-                .push(CoreAction::Notify(event::GossipEvent::News(news)));
         }
-    }
-
-    fn expire_suspicions(&mut self, now: time::Duration) {
-        let is_over = |record: &member::MemberRecord| record.dead_at.is_some_and(|at| at <= now);
-        let over = self.table.iter().filter(|(_, record)| is_over(record));
-        let claims: Vec<claim::MemberClaim> =
-            over.map(|(_, record)| record.claim.clone()).collect();
-        for mut claim in claims {
-            claim.version.state = claim::MemberState::Dead;
-            self.take_claim(now, &claim);
+        if !self.items.merge(item) {
+            return;
+        }
+        let (urgent, timing) = (key.kind.is_urgent(), &self.timing);
+        let copies = if urgent {
+            timing.urgent_copies
+        } else {
+            timing.slow_copies
+        };
+        self.queue
+            .add(spread::SpreadKey::Item(key.clone()), urgent, copies);
+        match news {
+            None => self.take_beacon(now, &key.subject),
+            Some(news) => {
+                self.digests.stale |= key.kind == item::ItemKind::Leaving;
+                self.actions
+                    .push(CoreAction::Notify(event::GossipEvent::News(news)));
+            }
         }
-    }
-
-    /// Makes nothing of the silence while this process itself was paused.
-    fn resume(&mut self, now: time::Duration, gap: time::Duration) {
-        self.schedule.current = None;
-        self.table.postpone_deaths(gap);
-        self.dues.probe = now + self.timing.probe_interval;
     }
 
     /// Keys of the present members of the own region, without this VM.
@@ -368,130 +396,4 @@
         });
         others.map(|(key, _)| key).collect()
     }
-
-    /// Sends to members picked at random what still has to be passed on.
-    fn spread_round(&mut self, now: time::Duration) {
-        let slow = now >= self.dues.slow_round;
-        if slow {
-            self.dues.slow_round = now + self.timing.slow_interval;
-        }
-        if !(self.queue.has_urgent() || slow && !self.queue.is_empty()) {
-            return;
-        }
-        let neighbours = self.neighbours();
-        let targets: Vec<id::VmKey> = neighbours
-            .sample(&mut self.rng, self.timing.fanout)
-            .copied()
-            .collect();
-        for target in targets {
-            self.send_to(now, target, Kind::Push(proto::Push::default()));
-        }
-    }
-
-    /// Sends to a member that is known, filled up with what has to be passed on.
-    pub(crate) fn send_to(&mut self, now: time::Duration, target: id::VmKey, kind: Kind) {
-        if let Some(record) = self.table.get(target) {
-            let (address, receiver) = (record.claim.place.address, record.identity());
-            self.send(now, address, &receiver, kind);
-        }
-    }
-
-    /// Sends to one life, filled up with what has to be passed on.
-    pub(crate) fn send(
-        &mut self,
-        now: time::Duration,
-        address: net::SocketAddr,
-        receiver: &identity::ProcessIdentity,
-        kind: Kind,
-    ) {
-        let mut packet = packet::PacketBuilder::new(kind);
-        self.add_word_about(receiver, &mut packet);
-        let (table, items) = (&self.table, &self.items);
-        self.queue.offer(|key| match key {
-            spread::SpreadKey::Member(key) => table
-                .get(*key)
-                .is_some_and(|record| packet.add_claim(record.claim.to_wire())),
-            spread::SpreadKey::Item(key) => items
-                .get(key)
-                .and_then(|item| item.to_wire(now))
-                .is_some_and(|item| packet.add_item(item)),
-        });
-        self.send_packet(address, receiver.clone(), packet);
-    }
-
-    /// Attaches what is held against the receiver, so that it can refute it.
-    fn add_word_about(
-        &self,
-        receiver: &identity::ProcessIdentity,
-        packet: &mut packet::PacketBuilder,
-    ) {
-        let Some(record) = self.table.named(&receiver.name) else {
-            return;
-        };
-        let same_life = record.claim.version.life.incarnation == receiver.incarnation;
-        if !same_life || record.state() != claim::MemberState::Alive {
-            packet.add_claim(record.claim.to_wire());
-        }
-    }
-
-    pub(crate) fn send_packet(
-        &mut self,
-        address: net::SocketAddr,
-        receiver: identity::ProcessIdentity,
-        packet: packet::PacketBuilder,
-    ) {
-        self.actions.push(CoreAction::Send(event::OutgoingDatagram {
-            address,
-            receiver: Some(receiver),
-            payload: packet.finish(),
-        }));
-    }
-
-    /// Greets somebody of whose life nothing is known.
-    pub(crate) fn greet(&mut self, address: net::SocketAddr) {
-        let packet = packet::PacketBuilder::new(Kind::Hello(proto::Hello {}));
-        self.actions.push(CoreAction::Send(event::OutgoingDatagram {
-            address,
-            receiver: None,
-            payload: packet.finish(),
-        }));
-    }
-
-    /// Greets seeds: many while alone, else now and then one that is absent.
-    fn greet_round(&mut self, now: time::Duration) {
-        if now < self.dues.greeting {
-            return;
-        }
-        let alone = self.neighbours().is_empty();
-        let timing = &self.timing;
-        let (interval, count) = if alone {
-            (timing.join_interval, JOIN_GREETINGS)
-        } else {
-            (timing.reach_interval, 1)
-        };
-        self.dues.greeting = now + interval;
-        let absent = self.absent_addresses();
-        let picked: Vec<net::SocketAddr> = absent.sample(&mut self.rng, count).copied().collect();
-        for address in picked {
-            self.greet(address);
-        }
-    }
-
-    /// Where somebody might be of whom nothing is heard: seeds and members that are gone.
-    fn absent_addresses(&self) -> Vec<net::SocketAddr> {
-        let is_present = |name: &str| {
-            self.table
-                .named(name)
-                .is_some_and(|record| record.state().is_present())
-        };
-        let seeds = self.seeds.iter().filter(|(name, _)| !is_present(name));
-        let gone = self.table.iter().filter(|(_, record)| {
-            record.state() == claim::MemberState::Dead
-                && !self.seeds.contains_key(&record.claim.name)
-        });
-        seeds
-            .map(|(_, place)| place.address)
-            .chain(gone.map(|(_, record)| record.claim.place.address))
-            .collect()
-    }
 }
--- a/crates/gossip/src/driver.rs
+++ b/crates/gossip/src/driver.rs
@@ -146,6 +146,23 @@
                 self.core.set_seeds(seeds);
                 Vec::new()
             }
+            handle::GossipCommand::Servers(servers) => {
+                self.core.set_servers(servers);
+                Vec::new()
+            }
+            handle::GossipCommand::VmList(list) => {
+                self.changed = true;
+                self.core.set_vm_list(now, list)
+            }
+            handle::GossipCommand::Load(server, load) => {
+                self.core.publish_load(now, &server, load);
+                Vec::new()
+            }
+            handle::GossipCommand::Demand(organisation, demand, receivers) => {
+                self.core
+                    .publish_demand(now, &organisation, demand, &receivers);
+                Vec::new()
+            }
             handle::GossipCommand::Depart(_) => Vec::new(),
         };
         self.perform(actions).await;
@@ -188,7 +205,10 @@
     }
 
     fn tell(&mut self, event: event::GossipEvent) {
-        self.changed = true;
+        self.changed |= !matches!(
+            event,
+            event::GossipEvent::Load(_) | event::GossipEvent::Demand(_)
+        );
         if let event::GossipEvent::Member(claim) = &event {
             log_state(claim);
         }
--- a/crates/gossip/src/event.rs
+++ b/crates/gossip/src/event.rs
@@ -1,10 +1,10 @@
 //! What the core asks for and tells.
 
-use std::net;
+use std::{net, time};
 
 use wire::identity;
 
-use crate::{claim, news};
+use crate::{claim, digest, news};
 
 /// What the core wants done.
 #[derive(Clone, Debug)]
@@ -33,6 +33,47 @@
     Member(claim::MemberClaim),
     /// An item was taken.
     News(news::NewsItem),
+    /// A watcher's word about a model engine of the own region.
+    Load(LoadNews),
+    /// Another VM's word about an organisation's demand there.
+    Demand(DemandNews),
+    /// A region was lost or found again.
+    Region(RegionNews),
+    /// Watching is divided anew; see [`crate::view::MemberSnapshot::plan`].
+    Plan,
     /// Another process claims this VM's name and is still heard of.
     NameConflict(claim::MemberClaim),
 }
+
+/// A watcher's word about a model engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadNews {
+    /// The engine.
+    pub server: String,
+    /// Its load.
+    pub load: digest::EngineLoad,
+    /// How old that was on arrival, the way here not counted.
+    pub age: time::Duration,
+}
+
+/// Another VM's word about an organisation's demand there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DemandNews {
+    /// The VM that was asked.
+    pub vm: String,
+    /// [`digest::subject_hash`] of the organisation's name.
+    pub organisation_hash: u64,
+    /// What was asked of it.
+    pub demand: digest::OrganisationDemand,
+    /// How old that was on arrival, the way here not counted.
+    pub age: time::Duration,
+}
+
+/// A region was lost or found again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegionNews {
+    /// The region.
+    pub region: String,
+    /// Whether anybody of the own region hears from it.
+    pub reachable: bool,
+}
--- /dev/null
+++ b/crates/gossip/src/greeting.rs
@@ -0,0 +1,91 @@
+//! How VMs find each other: at the start, after a restart, and after a partition.
+
+use std::{collections, net, time};
+
+use rand::seq::IndexedRandom as _;
+use wire::{identity, proto::gossip as proto};
+
+use crate::{claim, core, packet};
+use proto::message::Kind;
+
+/// Greetings in one round while nobody of the region is known.
+const JOIN_GREETINGS: usize = 5;
+
+/// While nobody answers, rounds become rarer up to this many join intervals.
+const MAX_BACKOFF: u32 = 8;
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// Greets a sender of whose life nothing is known.
+    pub(crate) fn meet(&mut self, from: net::SocketAddr, sender: &identity::ProcessIdentity) {
+        let record = self.table.named(&sender.name);
+        let known = record
+            .is_some_and(|record| record.claim.version.life.incarnation == sender.incarnation);
+        if !known && self.greetings_left > 0 {
+            self.greetings_left -= 1;
+            let packet = packet::PacketBuilder::new(Kind::Hello(proto::Hello {}));
+            self.send_packet(from, sender.clone(), packet);
+        }
+    }
+
+    /// Answers a greeting with the own claim, and with what is held against the greeter.
+    pub(crate) fn answer_greeting(
+        &mut self,
+        from: net::SocketAddr,
+        sender: &identity::ProcessIdentity,
+    ) {
+        let mut packet = packet::PacketBuilder::new(Kind::HelloAnswer(proto::HelloAnswer {}));
+        packet.add_claim(self.own.to_wire());
+        self.add_word_about(sender, &mut packet);
+        self.send_packet(from, sender.clone(), packet);
+    }
+
+    /// Greets seeds: many while alone, else now and then somebody absent. Without this two halves
+    /// that took each other for dead would never speak again.
+    pub(crate) fn greet_round(&mut self, now: time::Duration) {
+        if now < self.dues.greeting {
+            return;
+        }
+        let alone = self.neighbours().is_empty();
+        let (interval, count) = if alone {
+            self.lonely_rounds = self.lonely_rounds.saturating_add(1);
+            let backoff = (self.lonely_rounds / 4).clamp(1, MAX_BACKOFF);
+            (self.timing.join_interval * backoff, JOIN_GREETINGS)
+        } else {
+            self.lonely_rounds = 0;
+            (self.timing.reach_interval, 1)
+        };
+        self.dues.greeting = now + interval;
+        let absent = self.absent_addresses();
+        let picked: Vec<net::SocketAddr> = absent.sample(&mut self.rng, count).copied().collect();
+        for address in picked {
+            self.greet(address);
+        }
+    }
+
+    /// Where somebody of the region might be of whom nothing is heard; only those that the
+    /// platform's list calls live, if there are any.
+    fn absent_addresses(&self) -> Vec<net::SocketAddr> {
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|(name, place)| (name.as_str(), place));
+        let dead = self
+            .table
+            .iter()
+            .filter(|(_, record)| record.state() == claim::MemberState::Dead);
+        let dead = dead.map(|(_, record)| (record.claim.name.as_str(), &record.claim.place));
+        let absent: collections::BTreeMap<&str, &claim::MemberPlace> = seeds
+            .chain(dead)
+            .filter(|(name, place)| place.region == self.own.place.region && !self.is_present(name))
+            .collect();
+        let listed = absent
+            .iter()
+            .filter(|(name, _)| self.list.live.contains(**name));
+        let listed: Vec<net::SocketAddr> = listed.map(|(_, place)| place.address).collect();
+        if listed.is_empty() {
+            absent.values().map(|place| place.address).collect()
+        } else {
+            listed
+        }
+    }
+}
--- a/crates/gossip/src/handle.rs
+++ b/crates/gossip/src/handle.rs
@@ -5,7 +5,7 @@
 use tokio::sync as channels;
 use wire::identity;
 
-use crate::{event, news, settings, view};
+use crate::{digest, event, list, news, settings, view, watching};
 
 /// What the driver is asked to do.
 #[derive(Debug)]
@@ -13,6 +13,10 @@
     Publish(news::NewsItem),
     Leave,
     Seeds(Vec<settings::SeedEntry>),
+    Servers(Vec<String>),
+    VmList(list::VmListReport),
+    Load(String, digest::EngineLoad),
+    Demand(String, digest::OrganisationDemand, Vec<String>),
     Depart(channels::oneshot::Sender<()>),
 }
 
@@ -80,6 +84,44 @@
         self.command(GossipCommand::Seeds(seeds)).await;
     }
 
+    /// Replaces the backend servers of the own region, whose watching is to be divided.
+    pub async fn set_servers(&self, servers: Vec<String>) {
+        self.command(GossipCommand::Servers(servers)).await;
+    }
+
+    /// Takes the platform's list of VMs: whom it calls leaving leaves; all else is a hint.
+    pub async fn set_vm_list(&self, list: list::VmListReport) {
+        self.command(GossipCommand::VmList(list)).await;
+    }
+
+    /// Passes on a load that this VM has read; a standby's word is sent only when it is needed.
+    pub async fn publish_load(&self, server: String, load: digest::EngineLoad) {
+        self.command(GossipCommand::Load(server, load)).await;
+    }
+
+    /// Tells `receivers` how much an organisation asked of this VM.
+    pub async fn publish_demand(
+        &self,
+        organisation: String,
+        demand: digest::OrganisationDemand,
+        receivers: Vec<String>,
+    ) {
+        self.command(GossipCommand::Demand(organisation, demand, receivers))
+            .await;
+    }
+
+    /// VMs that watch the server, the first watcher first.
+    #[must_use]
+    pub fn watchers(&self, server: &str) -> Vec<String> {
+        self.snapshot().plan.watchers(server).to_vec()
+    }
+
+    /// What this VM has to do about the server.
+    #[must_use]
+    pub fn watch_duty(&self, server: &str) -> watching::WatchDuty {
+        self.snapshot().plan.duty(&self.identity.name, server)
+    }
+
     /// Says goodbye and stops; returns when that was sent.
     pub async fn depart(&self) {
         let (done, wait) = channels::oneshot::channel();
--- a/crates/gossip/src/item.rs
+++ b/crates/gossip/src/item.rs
@@ -23,6 +23,8 @@
     Leaving,
     /// Content that crashes backend servers.
     Quarantine,
+    /// Another region was heard from; spreads within the region only, and is not compared.
+    Link,
 }
 
 impl ItemKind {
@@ -33,6 +35,7 @@
             Self::Configuration => 1,
             Self::Leaving => 2,
             Self::Quarantine => 3,
+            Self::Link => 4,
         }
     }
 
@@ -43,6 +46,7 @@
             1 => Self::Configuration,
             2 => Self::Leaving,
             3 => Self::Quarantine,
+            4 => Self::Link,
             _ => return None,
         })
     }
@@ -50,8 +54,9 @@
     /// Items of this kind that are kept at the most.
     const fn capacity(self) -> usize {
         match self {
-            Self::Configuration | Self::Quarantine => 1024,
-            Self::Leaving => 4096,
+            Self::Configuration | Self::Quarantine => 4096,
+            Self::Leaving => 16 * 1024,
+            Self::Link => 64,
         }
     }
 
@@ -91,6 +96,8 @@
     pub body: Vec<u8>,
     /// When it is forgotten, by this VM's clock.
     pub expires_at: Option<time::Duration>,
+    /// When this VM learnt it.
+    pub taken_at: time::Duration,
 }
 
 impl Item {
@@ -112,21 +119,19 @@
             },
             body: item.body,
             expires_at: (!lasts.is_zero()).then_some(now + lasts),
+            taken_at: now,
         })
     }
 
     /// The item as it travels at `now`; `None` when it is about to expire.
     #[must_use]
     pub fn to_wire(&self, now: time::Duration) -> Option<proto::Item> {
-        let expires_in_ms = match self.expires_at {
-            None => 0,
-            Some(expires_at) => {
-                let lasts = expires_at
-                    .checked_sub(now)
-                    .filter(|left| *left > LAST_TRAVEL)?;
-                u32::try_from(lasts.as_millis()).unwrap_or(u32::MAX)
-            }
-        };
+        if !self.travels(now) {
+            return None;
+        }
+        let expires_in_ms = self.expires_at.map_or(0, |expires_at| {
+            u32::try_from((expires_at - now).as_millis()).unwrap_or(u32::MAX)
+        });
         Some(proto::Item {
             kind: self.key.kind.number(),
             subject: self.key.subject.clone(),
@@ -137,6 +142,19 @@
         })
     }
 
+    /// Whether it still travels.
+    #[must_use]
+    pub fn travels(&self, now: time::Duration) -> bool {
+        self.expires_at
+            .is_none_or(|expires_at| expires_at > now + LAST_TRAVEL)
+    }
+
+    /// Whether its time is over.
+    #[must_use]
+    pub fn is_expired(&self, now: time::Duration) -> bool {
+        self.expires_at.is_some_and(|expires_at| expires_at <= now)
+    }
+
     /// Whether it beats `other`, which is about the same.
     fn beats(&self, other: &Self) -> bool {
         (self.version, &self.body) > (other.version, &other.body)
@@ -178,12 +196,9 @@
         self.items.values()
     }
 
-    /// Removes and returns what `is_over` says of.
-    pub fn remove_if(&mut self, mut is_over: impl FnMut(&Item) -> bool) -> Vec<Item> {
-        self.items
-            .extract_if(.., |_, item| is_over(item))
-            .map(|(_, item)| item)
-            .collect()
+    /// Keeps only what `is_kept` says of.
+    pub fn retain(&mut self, mut is_kept: impl FnMut(&Item) -> bool) {
+        self.items.retain(|_, item| is_kept(item));
     }
 
     fn count(&self, kind: ItemKind) -> usize {
--- /dev/null
+++ b/crates/gossip/src/keeping.rs
@@ -0,0 +1,77 @@
+//! What the core forgets, renews and finds over with time.
+
+use std::time;
+
+use crate::{claim, core, item, member, news};
+
+/// How often it is looked for what is over.
+const KEEPING_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Word of a VM that is not known is kept for this long: its claim may be on the way.
+const UNKNOWN_MEMORY: time::Duration = time::Duration::from_secs(60);
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// Finds members of the own region dead that did not refute a suspicion in time. Those of
+    /// other regions are found dead by their own: a link that fails just after a suspicion has
+    /// crossed it must not kill them here.
+    pub(crate) fn expire_suspicions(&mut self, now: time::Duration) {
+        let is_over = |record: &member::MemberRecord| {
+            record.dead_at.is_some_and(|at| at <= now)
+                && record.claim.place.region == self.own.place.region
+        };
+        let over = self.table.iter().filter(|(_, record)| is_over(record));
+        let claims: Vec<claim::MemberClaim> =
+            over.map(|(_, record)| record.claim.clone()).collect();
+        for mut claim in claims {
+            claim.version.state = claim::MemberState::Dead;
+            self.take_claim(now, &claim);
+        }
+    }
+
+    /// Makes nothing of the silence while this process itself was paused.
+    pub(crate) fn resume(&mut self, now: time::Duration, gap: time::Duration) {
+        metrics::counter!("pollenchute_gossip_pauses_total").increment(1);
+        self.schedule.current = None;
+        self.table.postpone_deaths(gap);
+        self.dues.probe = now + self.timing.probe_interval;
+    }
+
+    /// Forgets what is over, and renews the own mark of leaving.
+    pub(crate) fn keeping_round(&mut self, now: time::Duration) {
+        if now < self.dues.keeping {
+            return;
+        }
+        self.dues.keeping = now + KEEPING_INTERVAL;
+        self.table
+            .forget_gone(now.saturating_sub(self.timing.gone_memory));
+        self.digests.outbox.forget_old(now);
+        self.digests.table.forget_old(now);
+        self.forget_items(now);
+        if self.leaving {
+            self.add_news(
+                now,
+                &news::NewsItem::Leaving(news::LeavingSubject::of_vm(&self.own)),
+            );
+        }
+    }
+
+    fn forget_items(&mut self, now: time::Duration) {
+        // A mark of leaving outlasts its time as long as that very life is there.
+        let present = self
+            .table
+            .iter()
+            .filter(|(_, record)| record.state().is_present());
+        let lives: std::collections::BTreeSet<item::ItemKey> = present
+            .map(|(_, record)| news::LeavingSubject::of_vm(&record.claim))
+            .map(|subject| news::NewsItem::Leaving(subject).key())
+            .filter(|key| self.items.get(key).is_some_and(|item| item.is_expired(now)))
+            .collect();
+        let table = &self.table;
+        self.items.retain(|item| {
+            let orphan = item.key.kind == item::ItemKind::Configuration
+                && table.key(&item.key.subject).is_none()
+                && now.saturating_sub(item.taken_at) >= UNKNOWN_MEMORY;
+            !orphan && (!item.is_expired(now) || lives.contains(&item.key))
+        });
+    }
+}
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -4,18 +4,26 @@
 
 pub mod claim;
 pub mod core;
+pub mod digest;
 pub mod driver;
 pub mod event;
+mod greeting;
 pub mod handle;
 pub mod item;
+mod keeping;
+mod linking;
+pub mod list;
+pub mod loads;
 pub mod member;
 pub mod news;
 pub mod packet;
 pub mod probe;
 mod probing;
+mod sending;
 pub mod settings;
 pub mod spread;
 mod sync;
 pub mod view;
+pub mod watching;
 
 pub use driver::start;
--- /dev/null
+++ b/crates/gossip/src/loads.rs
@@ -0,0 +1,216 @@
+//! How the core sends and takes digests.
+
+use std::{collections, time};
+
+use base::id;
+use wire::{identity, proto::gossip as proto};
+
+use crate::{core, digest, event, packet, watching};
+use event::CoreAction;
+use proto::message::Kind;
+
+/// Bytes of a datagram around its payload: IP and UDP, header, and an envelope of usual size.
+pub const DATAGRAM_OVERHEAD: usize = 85;
+
+/// A standby watcher passes a load on when the newest that it heard is this old.
+const STANDBY_AFTER: time::Duration = time::Duration::from_millis(3500);
+
+/// Everything about digests that the core keeps.
+#[derive(Debug)]
+pub(crate) struct DigestState {
+    pub outbox: digest::DigestOutbox,
+    pub table: digest::DigestTable,
+    /// Who watches which server of the own region, as of the last change of members.
+    pub plan: std::sync::Arc<watching::WatchPlan>,
+    /// Servers of the own region by the hash of their names.
+    servers: collections::BTreeMap<u64, String>,
+    rules: watching::WatchRules,
+    /// Whether members or servers changed since the plan was made.
+    pub stale: bool,
+}
+
+impl DigestState {
+    pub fn new(bytes_per_second: u32, rules: watching::WatchRules, now: time::Duration) -> Self {
+        Self {
+            outbox: digest::DigestOutbox::new(bytes_per_second, now),
+            table: digest::DigestTable::default(),
+            plan: std::sync::Arc::default(),
+            servers: collections::BTreeMap::new(),
+            rules,
+            stale: true,
+        }
+    }
+}
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// Replaces the backend servers of the own region.
+    pub fn set_servers(&mut self, servers: impl IntoIterator<Item = String>) {
+        self.digests.servers = servers
+            .into_iter()
+            .map(|name| (digest::subject_hash(&name), name))
+            .collect();
+        self.digests.stale = true;
+    }
+
+    /// Who watches which server of the own region.
+    #[must_use]
+    pub fn watch_plan(&self) -> std::sync::Arc<watching::WatchPlan> {
+        std::sync::Arc::clone(&self.digests.plan)
+    }
+
+    /// Makes the plan anew after members or servers changed.
+    pub(crate) fn plan_round(&mut self) {
+        if !std::mem::take(&mut self.digests.stale) {
+            return;
+        }
+        let region = &self.own.place.region;
+        let serving = self
+            .table
+            .iter()
+            .map(|(_, record)| record)
+            .filter(|record| {
+                record.claim.place.region == *region
+                    && record.state().is_present()
+                    && !self.is_leaving(&record.claim)
+            });
+        let vms: Vec<&str> = serving.map(|record| record.claim.name.as_str()).collect();
+        let mut servers: Vec<&str> = self.digests.servers.values().map(String::as_str).collect();
+        servers.sort_unstable();
+        let plan = watching::WatchPlan::new(&vms, &servers, self.digests.rules);
+        if plan != *self.digests.plan {
+            self.digests.plan = std::sync::Arc::new(plan);
+            self.actions
+                .push(CoreAction::Notify(event::GossipEvent::Plan));
+        }
+    }
+
+    /// Passes a load that this VM has read on to the users of the engine.
+    ///
+    /// Every watcher calls it with all that it reads; a standby's word is sent only while the
+    /// first watcher is not heard of.
+    pub fn publish_load(&mut self, now: time::Duration, server: &str, load: digest::EngineLoad) {
+        let subject = digest::subject_hash(server);
+        let kind = digest::DigestKind::EngineLoad;
+        let plan = self.watch_plan();
+        let heard = self.digests.table.load_taken_at(subject);
+        let silent = heard.is_none_or(|taken_at| now.saturating_sub(taken_at) >= STANDBY_AFTER);
+        let sends = match plan.duty(&self.identity.name, server) {
+            watching::WatchDuty::First => true,
+            watching::WatchDuty::Standby => silent,
+            watching::WatchDuty::None => false,
+        };
+        if sends {
+            let key = digest::DigestKey { kind, subject };
+            self.add_digest(now, key, load.to_body(), plan.users(server));
+        }
+    }
+
+    /// Tells other VMs how much an organisation asked of this one.
+    pub fn publish_demand(
+        &mut self,
+        now: time::Duration,
+        organisation: &str,
+        demand: digest::OrganisationDemand,
+        receivers: &[String],
+    ) {
+        let key = digest::DigestKey {
+            kind: digest::DigestKind::OrganisationDemand,
+            subject: digest::subject_hash(organisation),
+        };
+        self.add_digest(now, key, demand.to_body(), receivers);
+    }
+
+    fn add_digest(
+        &mut self,
+        now: time::Duration,
+        key: digest::DigestKey,
+        body: Vec<u8>,
+        receivers: &[String],
+    ) {
+        let others = receivers.iter().filter(|name| **name != self.identity.name);
+        let keys: Vec<id::VmKey> = others.filter_map(|name| self.table.key(name)).collect();
+        self.digests.outbox.add(key, body, now, &keys);
+    }
+
+    /// Sends the digests that the bound allows.
+    pub(crate) fn digest_round(&mut self, now: time::Duration) {
+        while let Some((receiver, digests)) = self.digests.outbox.next(now) {
+            let Some(record) = self.table.get(receiver) else {
+                continue;
+            };
+            if digests.is_empty() || !record.state().is_present() {
+                continue;
+            }
+            let (address, receiver) = (record.claim.place.address, record.identity());
+            let mut packet = packet::PacketBuilder::new(Kind::Push(proto::Push::default()));
+            for digest in digests {
+                if !packet.add_digest(digest) {
+                    metrics::counter!("pollenchute_gossip_digests_left_out_total").increment(1);
+                }
+            }
+            self.digests
+                .outbox
+                .charge(packet.bytes() + DATAGRAM_OVERHEAD);
+            self.send_packet(address, receiver, packet);
+        }
+    }
+
+    pub(crate) fn take_digests(
+        &mut self,
+        now: time::Duration,
+        sender: &identity::ProcessIdentity,
+        digests: Vec<proto::Digest>,
+    ) {
+        for digest in digests {
+            self.take_digest(now, sender, &digest);
+        }
+    }
+
+    fn take_digest(
+        &mut self,
+        now: time::Duration,
+        sender: &identity::ProcessIdentity,
+        digest: &proto::Digest,
+    ) {
+        let age = time::Duration::from_millis(digest.age_ms.into());
+        let Some(kind) = digest::DigestKind::from_number(digest.kind) else {
+            return;
+        };
+        let key = digest::DigestKey {
+            kind,
+            subject: digest.subject,
+        };
+        let Some(event) = self.read_digest(sender, digest, kind, age) else {
+            return;
+        };
+        // A digest from before this process began counts as taken at the beginning.
+        let taken_at = now.saturating_sub(age);
+        if age <= digest::MAX_AGE && self.digests.table.take(key, sender.incarnation, taken_at) {
+            self.actions.push(CoreAction::Notify(event));
+        }
+    }
+
+    fn read_digest(
+        &self,
+        sender: &identity::ProcessIdentity,
+        digest: &proto::Digest,
+        kind: digest::DigestKind,
+        age: time::Duration,
+    ) -> Option<event::GossipEvent> {
+        Some(match kind {
+            digest::DigestKind::EngineLoad => event::GossipEvent::Load(event::LoadNews {
+                server: self.digests.servers.get(&digest.subject)?.clone(),
+                load: digest::EngineLoad::from_body(&digest.body)?,
+                age,
+            }),
+            digest::DigestKind::OrganisationDemand => {
+                event::GossipEvent::Demand(event::DemandNews {
+                    vm: sender.name.clone(),
+                    organisation_hash: digest.subject,
+                    demand: digest::OrganisationDemand::from_body(&digest.body)?,
+                    age,
+                })
+            }
+        })
+    }
+}
--- a/crates/gossip/src/news.rs
+++ b/crates/gossip/src/news.rs
@@ -6,7 +6,7 @@
 use prost::Message as _;
 use wire::proto::gossip as proto;
 
-use crate::item;
+use crate::{claim, item};
 
 /// Between the parts of a subject; neither names nor incarnations contain it.
 const SEPARATOR: char = '\n';
@@ -72,6 +72,15 @@
 }
 
 impl LeavingSubject {
+    /// The life that a claim speaks of.
+    #[must_use]
+    pub fn of_vm(claim: &claim::MemberClaim) -> Self {
+        Self::Vm {
+            name: claim.name.clone(),
+            incarnation: claim.version.life.incarnation,
+        }
+    }
+
     fn to_subject(&self) -> String {
         let (kind, name, incarnation) = match self {
             Self::Vm { name, incarnation } => ("vm", name, incarnation.to_string()),
@@ -99,11 +108,12 @@
 }
 
 impl NewsItem {
-    /// What an item says; `None` when its subject or its body makes no sense.
+    /// What an item says; `None` when its subject or its body makes no sense, or it is a beacon.
     #[must_use]
     pub fn from_item(item: &item::Item, now: time::Duration) -> Option<Self> {
         let subject = item.key.subject.as_str();
         Some(match item.key.kind {
+            item::ItemKind::Link => return None,
             item::ItemKind::Configuration => {
                 let body = proto::ConfigurationBody::decode(item.body.as_slice()).ok()?;
                 Self::Configuration(ConfigurationNews {
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -57,11 +57,10 @@
         }
     }
 
-    /// Whether anything is attached.
+    /// Bytes of the payload.
     #[must_use]
-    pub fn carries(&self) -> bool {
-        let message = &self.message;
-        !(message.claims.is_empty() && message.items.is_empty() && message.digests.is_empty())
+    pub fn bytes(&self) -> usize {
+        self.message.encoded_len()
     }
 
     /// The payload of the datagram.
--- /dev/null
+++ b/crates/gossip/src/sending.rs
@@ -0,0 +1,111 @@
+//! How the core builds datagrams and fills them with what has to be passed on.
+
+use std::{net, time};
+
+use base::id;
+use rand::seq::IndexedRandom as _;
+use wire::{identity, proto::gossip as proto};
+
+use crate::{claim, core, event, item, packet, spread};
+use proto::message::Kind;
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// Sends to members picked at random what still has to be passed on.
+    pub(crate) fn spread_round(&mut self, now: time::Duration) {
+        let slow = now >= self.dues.slow_round;
+        if slow {
+            self.dues.slow_round = now + self.timing.slow_interval;
+        }
+        if !(self.queue.has_urgent() || slow && !self.queue.is_empty()) {
+            return;
+        }
+        let neighbours = self.neighbours();
+        let mut targets: Vec<id::VmKey> = neighbours
+            .sample(&mut self.rng, self.timing.fanout)
+            .copied()
+            .collect();
+        targets.extend(self.link_targets());
+        for target in targets {
+            if !self.queue.is_empty() {
+                self.send_to(now, target, Kind::Push(proto::Push::default()));
+            }
+        }
+    }
+
+    /// Sends to a member that is known, filled up with what has to be passed on.
+    pub(crate) fn send_to(&mut self, now: time::Duration, target: id::VmKey, kind: Kind) {
+        if let Some(record) = self.table.get(target) {
+            let (address, receiver) = (record.claim.place.address, record.identity());
+            self.send(now, address, &receiver, kind);
+        }
+    }
+
+    /// Sends to one life, filled up with what has to be passed on.
+    pub(crate) fn send(
+        &mut self,
+        now: time::Duration,
+        address: net::SocketAddr,
+        receiver: &identity::ProcessIdentity,
+        kind: Kind,
+    ) {
+        let mut packet = packet::PacketBuilder::new(kind);
+        self.add_word_about(receiver, &mut packet);
+        let (table, items) = (&self.table, &self.items);
+        let region = table
+            .named(&receiver.name)
+            .map(|record| &record.claim.place.region);
+        let abroad = region.is_some_and(|region| *region != self.own.place.region);
+        self.queue.offer(|key| match key {
+            spread::SpreadKey::Member(key) => table
+                .get(*key)
+                .is_some_and(|record| packet.add_claim(record.claim.to_wire())),
+            spread::SpreadKey::Item(key) if abroad && key.kind == item::ItemKind::Link => false,
+            spread::SpreadKey::Item(key) => items
+                .get(key)
+                .and_then(|item| item.to_wire(now))
+                .is_some_and(|item| packet.add_item(item)),
+        });
+        self.send_packet(address, receiver.clone(), packet);
+    }
+
+    /// Attaches what is held against the receiver, so that it can refute it.
+    pub(crate) fn add_word_about(
+        &self,
+        receiver: &identity::ProcessIdentity,
+        packet: &mut packet::PacketBuilder,
+    ) {
+        let Some(record) = self.table.named(&receiver.name) else {
+            return;
+        };
+        let same_life = record.claim.version.life.incarnation == receiver.incarnation;
+        if !same_life || record.state() != claim::MemberState::Alive {
+            packet.add_claim(record.claim.to_wire());
+        }
+    }
+
+    /// Sends a message to one life.
+    pub(crate) fn send_packet(
+        &mut self,
+        address: net::SocketAddr,
+        receiver: identity::ProcessIdentity,
+        packet: packet::PacketBuilder,
+    ) {
+        self.actions
+            .push(event::CoreAction::Send(event::OutgoingDatagram {
+                address,
+                receiver: Some(receiver),
+                payload: packet.finish(),
+            }));
+    }
+
+    /// Greets somebody of whose life nothing is known.
+    pub(crate) fn greet(&mut self, address: net::SocketAddr) {
+        let packet = packet::PacketBuilder::new(Kind::Hello(proto::Hello {}));
+        self.actions
+            .push(event::CoreAction::Send(event::OutgoingDatagram {
+                address,
+                receiver: None,
+                payload: packet.finish(),
+            }));
+    }
+}
--- a/crates/gossip/src/settings.rs
+++ b/crates/gossip/src/settings.rs
@@ -4,7 +4,7 @@
 
 use wire::identity;
 
-use crate::claim;
+use crate::{claim, watching};
 
 /// Who this VM is.
 #[derive(Clone, Debug)]
@@ -58,6 +58,10 @@
     pub reach_interval: time::Duration,
     /// Gone members are remembered for this long.
     pub gone_memory: time::Duration,
+    /// Bytes a second for load and demand digests, headers counted.
+    pub digest_bytes_per_second: u32,
+    /// How watching is divided.
+    pub watching: watching::WatchRules,
 }
 
 impl Default for TimingSettings {
@@ -77,6 +81,8 @@
             join_interval: time::Duration::from_millis(500),
             reach_interval: time::Duration::from_secs(5),
             gone_memory: time::Duration::from_secs(3600),
+            digest_bytes_per_second: 2000,
+            watching: watching::WatchRules::default(),
         }
     }
 }
--- a/crates/gossip/src/sync.rs
+++ b/crates/gossip/src/sync.rs
@@ -91,7 +91,7 @@
             let counts = match entry {
                 // Members that are gone are forgotten at different times on different VMs.
                 SyncEntry::Member(record) => record.state().is_present(),
-                SyncEntry::Item(item) => item.to_wire(now).is_some(),
+                SyncEntry::Item(item) => self.is_compared(now, item),
             };
             if counts {
                 buckets[entry.bucket()] ^= entry.hash();
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Whether an item counts in a summary: not when VMs forget it at different times.
+    fn is_compared(&self, now: time::Duration, item: &item::Item) -> bool {
+        match item.key.kind {
+            item::ItemKind::Configuration => self.is_present(&item.key.subject),
+            item::ItemKind::Leaving | item::ItemKind::Quarantine => item.travels(now),
+            item::ItemKind::Link => false,
+        }
+    }
+
     /// Answers a summary with everything in the buckets that differ, as far as it fits.
     pub(crate) fn take_summary(
         &mut self,
@@ -190,6 +199,10 @@
             .table
             .iter()
             .map(|(_, record)| SyncEntry::Member(record));
-        members.chain(self.items.iter().map(SyncEntry::Item))
+        let items = self
+            .items
+            .iter()
+            .filter(|item| item.key.kind != item::ItemKind::Link);
+        members.chain(items.map(SyncEntry::Item))
     }
 }
--- a/crates/gossip/src/view.rs
+++ b/crates/gossip/src/view.rs
@@ -1,10 +1,10 @@
 //! What other parts of the process see of the members.
 
-use std::{collections, net};
+use std::{collections, net, sync};
 
 use base::id;
 
-use crate::{claim, core, item, news};
+use crate::{claim, core, item, list, member, news, watching};
 
 /// One member as this VM sees it now. A hint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +34,13 @@
     pub members: collections::BTreeMap<String, MemberView>,
     /// Lives of VMs and backend servers that take no new work.
     pub leaving: collections::BTreeSet<news::LeavingSubject>,
+    /// Regions that nobody of the own region has heard from lately; what is said of their members
+    /// is old.
+    pub lost_regions: collections::BTreeSet<String>,
+    /// Who watches and who uses which backend server of the own region.
+    pub plan: sync::Arc<watching::WatchPlan>,
+    /// Where the platform's list of VMs and gossip disagree.
+    pub disagreement: list::ListDisagreement,
 }
 
 impl MemberSnapshot {
@@ -58,7 +65,12 @@
     /// All members as seen now.
     #[must_use]
     pub fn snapshot(&self, now: std::time::Duration) -> MemberSnapshot {
-        let mut snapshot = MemberSnapshot::default();
+        let mut snapshot = MemberSnapshot {
+            lost_regions: self.links.lost(),
+            plan: self.watch_plan(),
+            disagreement: self.list_disagreement(),
+            ..MemberSnapshot::default()
+        };
         let mut configurations = collections::BTreeMap::new();
         for item in self.items().iter() {
             match news::NewsItem::from_item(item, now) {
@@ -82,7 +94,7 @@
 }
 
 fn member_view(
-    record: &crate::member::MemberRecord,
+    record: &member::MemberRecord,
     leaving: &collections::BTreeSet<news::LeavingSubject>,
     configuration: Option<(item::ItemVersion, news::ConfigurationNews)>,
 ) -> MemberView {
--- a/crates/wire/src/proto/gossip.rs
+++ b/crates/wire/src/proto/gossip.rs
@@ -143,7 +143,7 @@
     #[prost(uint32, tag = "6")]
     pub expires_in_ms: u32,
 }
-/// A short-lived digest; the receiver keeps the newest for each kind and subject and lets it age.
+/// A short-lived digest; the receiver keeps the newest of each kind and subject and lets it age.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Digest {
     /// The kind, as number of gossip's DigestKind.
@@ -152,14 +152,11 @@
     /// Hash of the subject's name.
     #[prost(fixed64, tag = "2")]
     pub subject: u64,
-    /// Grows with every digest of this sender.
-    #[prost(uint32, tag = "3")]
-    pub sequence: u32,
     /// How old it was when it was sent, in milliseconds.
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "3")]
     pub age_ms: u32,
     /// Its body, encoded by kind.
-    #[prost(bytes = "vec", tag = "5")]
+    #[prost(bytes = "vec", tag = "4")]
     pub body: ::prost::alloc::vec::Vec<u8>,
 }
 /// Body of an item of kind configuration in force.
