ConfigFollower: what to read, fetch and append next, and whether a VM is ready

A controller without I/O: log tail, log faults, offers of other VMs and time go in; reads, fetches, appends, decisions and reports come out.

--- a/crates/conf/src/checkpoint.rs
+++ b/crates/conf/src/checkpoint.rs
@@ -75,15 +75,27 @@
     part::split(part::PartKind::Checkpoint(state.offer()), id, &text)
 }
 
-/// What a record did to the search for a checkpoint.
-#[derive(Debug)]
-pub enum SearchOutcome {
-    /// Nothing is complete yet.
-    Searching,
-    /// A whole checkpoint.
-    Found(Box<state::ConfigState>),
-    /// A checkpoint that cannot be used.
-    Refused(CheckpointError),
+/// A whole checkpoint in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WholeCheckpoint {
+    /// The state that it holds.
+    pub offer: offer::StateOffer,
+    /// Hash of `text`, compared already.
+    pub hash: fingerprint::ContentHash,
+    /// The state as text.
+    pub text: String,
+    /// Offset of its part that came first.
+    pub first_offset: u64,
+}
+
+impl WholeCheckpoint {
+    /// The state that it holds.
+    ///
+    /// # Errors
+    /// It is not a valid state, or not the one that its parts tell.
+    pub fn state(&self) -> Result<state::ConfigState, CheckpointError> {
+        decode(&self.text, self.hash, &self.offer)
+    }
 }
 
 /// Collects the parts of checkpoints from the log.
@@ -93,21 +105,30 @@
 }
 
 impl CheckpointSearch {
-    /// Looks at the record at `offset`.
-    pub fn add(&mut self, offset: u64, record: &[u8]) -> SearchOutcome {
+    /// Looks at the record at `offset`; gives the checkpoint that it completes.
+    ///
+    /// # Errors
+    /// The record ends a checkpoint that does not match its hash.
+    pub fn add(
+        &mut self,
+        offset: u64,
+        record: &[u8],
+    ) -> Result<Option<WholeCheckpoint>, CheckpointError> {
         let Some((header, text)) = part::parse(record) else {
-            return SearchOutcome::Searching;
+            return Ok(None);
         };
         let part::PartKind::Checkpoint(offer) = header.of else {
-            return SearchOutcome::Searching;
+            return Ok(None);
         };
         match self.parts.add(offset, &header, text) {
-            part::PartOutcome::Waiting => SearchOutcome::Searching,
-            part::PartOutcome::Refused(_) => SearchOutcome::Refused(CheckpointError::WrongHash),
-            part::PartOutcome::Whole(text) => match decode(&text, header.hash, &offer) {
-                Ok(state) => SearchOutcome::Found(Box::new(state)),
-                Err(error) => SearchOutcome::Refused(error),
-            },
+            part::PartOutcome::Waiting => Ok(None),
+            part::PartOutcome::Refused(_) => Err(CheckpointError::WrongHash),
+            part::PartOutcome::Whole { text, first_offset } => Ok(Some(WholeCheckpoint {
+                offer,
+                hash: header.hash,
+                text,
+                first_offset,
+            })),
         }
     }
 }
--- /dev/null
+++ b/crates/conf/src/follow.rs
@@ -0,0 +1,397 @@
+//! Keeps one entry VM's configuration up to date: from the log, from its checkpoints, from other
+//! entry VMs.
+//!
+//! A controller without I/O: the daemon hands in what happened and performs what comes out.
+
+use std::collections;
+
+use tokio::time;
+
+use crate::{
+    checkpoint,
+    event::{FollowAction, FollowEvent, FollowReport, ReadyState, TailRecord},
+    keeper::{CheckpointKeeper, ClockReading},
+    offer,
+    pace::FollowSettings,
+    search, state, transfer,
+};
+
+/// The follower of one entry VM.
+#[derive(Clone, Debug)]
+pub struct ConfigFollower {
+    vm: String,
+    settings: FollowSettings,
+    state: Option<state::ConfigState>,
+    /// Whether the state once was the newest that the log or another VM could give; before that
+    /// it may be any old prefix, and serving by it would bring back what was changed since.
+    is_proved: bool,
+    search: search::LogSearch,
+    keeper: CheckpointKeeper,
+    peers: collections::BTreeMap<String, offer::StateOffer>,
+    /// The peer that was asked for its state.
+    fetching: Option<String>,
+    is_reading: bool,
+    read_after: Option<time::Instant>,
+    /// Whether the newest read was answered.
+    is_log_live: bool,
+    /// Since when an offer is better than the own state of this offset.
+    behind_since: Option<(time::Instant, u64)>,
+    is_log_lost: bool,
+}
+
+impl ConfigFollower {
+    /// The follower of a fresh VM, which has nothing.
+    #[must_use]
+    pub fn new(vm: impl Into<String>, settings: FollowSettings) -> Self {
+        Self {
+            vm: vm.into(),
+            settings,
+            state: None,
+            is_proved: false,
+            search: search::LogSearch::new(settings.look_back),
+            keeper: CheckpointKeeper::new(settings.keeper),
+            peers: collections::BTreeMap::new(),
+            fetching: None,
+            is_reading: false,
+            read_after: None,
+            is_log_live: false,
+            behind_since: None,
+            is_log_lost: false,
+        }
+    }
+
+    /// Takes in what happened and says what to do.
+    pub fn handle(&mut self, event: FollowEvent, clock: ClockReading) -> Vec<FollowAction> {
+        let mut actions = Vec::new();
+        let before = self.in_force();
+        match event {
+            FollowEvent::Tick => {}
+            FollowEvent::Page {
+                first,
+                next,
+                records,
+            } => {
+                self.on_page(first, next, &records, &mut actions);
+            }
+            FollowEvent::Dropped { first } => self.on_dropped(first),
+            FollowEvent::ReadFault => self.on_read_fault(clock),
+            FollowEvent::Offer { peer, offer } => self.on_offer(peer, offer, &mut actions),
+            FollowEvent::PeerGone { peer } => self.forget(&peer),
+            FollowEvent::State { peer, transfer } => self.on_state(&peer, &transfer, &mut actions),
+            FollowEvent::FetchFault { peer } => self.forget(&peer),
+            FollowEvent::Appended => self.keeper.appended(clock),
+            FollowEvent::AppendFault => self.keeper.append_failed(clock),
+        }
+        let after = self.in_force();
+        if let Some(offer) = after.filter(|_| after.map(revision) != before.map(revision)) {
+            actions.push(FollowAction::InForce(offer));
+        }
+        self.next_actions(clock, &mut actions);
+        actions
+    }
+
+    fn on_page(
+        &mut self,
+        first: u64,
+        next: u64,
+        records: &[TailRecord],
+        actions: &mut Vec<FollowAction>,
+    ) {
+        self.is_reading = false;
+        self.is_log_live = true;
+        self.keeper.see_first(first);
+        self.search.see_bounds(first, next);
+        if self.state.is_none() && first == 0 && !self.search.is_searching() {
+            self.state = Some(state::ConfigState::new());
+        }
+        for record in records {
+            self.on_record(record, actions);
+        }
+        let Some(state) = &self.state else {
+            self.search.turn_page();
+            return;
+        };
+        let is_lost = next < state.offset();
+        if is_lost && !self.is_log_lost {
+            actions.push(FollowAction::Report(FollowReport::LogLost { next }));
+        }
+        self.is_log_lost = is_lost;
+        if self.search.is_searching() {
+            self.search.turn_page();
+        } else {
+            self.is_proved |= state.offset() >= next;
+        }
+    }
+
+    fn on_record(&mut self, record: &TailRecord, actions: &mut Vec<FollowAction>) {
+        let seen = self.keeper.see(record.offset, record.at_ms, &record.body);
+        if self.search.is_searching() {
+            if self.search.pass(record.offset) {
+                self.on_found(seen, actions);
+            }
+            return;
+        }
+        if let Err(error) = seen {
+            actions.push(refused(&error));
+        }
+        let Some(state) = &mut self.state else {
+            return;
+        };
+        let (id, verdict) = state.apply_named(record.offset, &record.body);
+        match (id, verdict) {
+            (
+                _,
+                state::ApplyVerdict::Checkpoint {
+                    is_contradictory: true,
+                },
+            ) => {
+                let source = format!("checkpoint at offset {}", record.offset);
+                actions.push(FollowAction::Report(FollowReport::Contradiction { source }));
+            }
+            (_, state::ApplyVerdict::Part | state::ApplyVerdict::Duplicate) | (None, _) => {}
+            (Some(id), verdict) => {
+                actions.push(FollowAction::Decided {
+                    id,
+                    offset: record.offset,
+                    verdict,
+                });
+            }
+        }
+    }
+
+    /// A search looked at a record; takes the checkpoint over that it completed.
+    fn on_found(
+        &mut self,
+        seen: Result<Option<checkpoint::WholeCheckpoint>, checkpoint::CheckpointError>,
+        actions: &mut Vec<FollowAction>,
+    ) {
+        let found = match seen {
+            Ok(None) => return,
+            Ok(Some(whole)) if !self.search.is_usable(whole.offer.offset) => return,
+            Ok(Some(whole)) => whole.state(),
+            Err(error) => Err(error),
+        };
+        match found {
+            Ok(state) => {
+                self.adopt(state, "a checkpoint", actions);
+            }
+            Err(error) => actions.push(refused(&error)),
+        }
+    }
+
+    /// Takes over a state that is newer than the own one.
+    fn adopt(
+        &mut self,
+        other: state::ConfigState,
+        source: &str,
+        actions: &mut Vec<FollowAction>,
+    ) -> bool {
+        let outcome = match &mut self.state {
+            None => {
+                self.state = Some(other);
+                Ok(())
+            }
+            Some(state) => state.adopt(other),
+        };
+        match outcome {
+            Ok(()) => self.search.settle(self.offset()),
+            Err(state::AdoptRefusal::Older) => {}
+            Err(state::AdoptRefusal::Contradictory) => {
+                let source = source.to_owned();
+                actions.push(FollowAction::Report(FollowReport::Contradiction { source }));
+            }
+        }
+        outcome.is_ok()
+    }
+
+    fn on_dropped(&mut self, first: u64) {
+        self.is_reading = false;
+        self.is_log_live = true;
+        self.keeper.see_first(first);
+        self.search.start(first);
+    }
+
+    fn on_read_fault(&mut self, clock: ClockReading) {
+        self.is_reading = false;
+        self.is_log_live = false;
+        self.read_after = Some(clock.now + self.settings.retry_after);
+    }
+
+    fn on_offer(
+        &mut self,
+        peer: String,
+        offer: offer::StateOffer,
+        actions: &mut Vec<FollowAction>,
+    ) {
+        let is_contradictory = self
+            .state
+            .as_ref()
+            .is_some_and(|state| state.is_contradicted_by(&offer));
+        let is_news = self.peers.insert(peer.clone(), offer) != Some(offer);
+        if is_contradictory && is_news {
+            actions.push(FollowAction::Report(FollowReport::Contradiction {
+                source: peer,
+            }));
+        }
+    }
+
+    fn on_state(
+        &mut self,
+        peer: &str,
+        transfer: &transfer::StateTransfer,
+        actions: &mut Vec<FollowAction>,
+    ) {
+        self.fetching = None;
+        match transfer.state() {
+            Ok(state) => {
+                if self.adopt(state, peer, actions) {
+                    self.is_proved = true;
+                    self.keeper.take_cover(transfer.cover);
+                }
+            }
+            Err(error) => {
+                self.forget(peer);
+                actions.push(refused(&error));
+            }
+        }
+    }
+
+    fn forget(&mut self, peer: &str) {
+        self.peers.remove(peer);
+        if self.fetching.as_deref() == Some(peer) {
+            self.fetching = None;
+        }
+    }
+
+    fn next_actions(&mut self, clock: ClockReading, actions: &mut Vec<FollowAction>) {
+        self.next_fetch(clock, actions);
+        self.next_read(clock, actions);
+        let Some(state) = self
+            .state
+            .as_ref()
+            .filter(|_| self.is_proved && self.is_log_live)
+        else {
+            return;
+        };
+        // A state from which the log cannot be read on is of no use to a fresh VM either.
+        if self.search.is_searching() {
+            return;
+        }
+        if let Some(record) = self.keeper.next_record(&self.vm, state, clock) {
+            actions.push(FollowAction::Append { record });
+        }
+    }
+
+    fn next_read(&mut self, clock: ClockReading, actions: &mut Vec<FollowAction>) {
+        let is_early = self.read_after.is_some_and(|after| clock.now < after);
+        if self.is_reading || is_early {
+            return;
+        }
+        self.is_reading = true;
+        actions.push(FollowAction::Read {
+            from: self.search.position().unwrap_or_else(|| self.offset()),
+            max: self.settings.page_records,
+            wait: self.settings.read_wait,
+        });
+    }
+
+    /// Fetches the best state that others offer, when the log does not give it soon.
+    fn next_fetch(&mut self, clock: ClockReading, actions: &mut Vec<FollowAction>) {
+        let Some(peer) = self.better_peer() else {
+            self.behind_since = None;
+            return;
+        };
+        let offset = self.offset();
+        let is_stuck = self
+            .behind_since
+            .is_some_and(|(_, before)| before == offset);
+        let (since, _) = match self.behind_since {
+            Some(behind) if is_stuck => behind,
+            _ => *self.behind_since.insert((clock.now, offset)),
+        };
+        let wait = if self.state.is_none() {
+            self.settings.settle
+        } else {
+            self.settings.patience
+        };
+        if self.fetching.is_some() || clock.now < since + wait {
+            return;
+        }
+        self.fetching = Some(peer.clone());
+        actions.push(FollowAction::Fetch { peer });
+    }
+
+    /// The VM with the best state that this one can use.
+    ///
+    /// The same revision at a higher offset is of use only to a VM that cannot read on where it
+    /// is, because the log has dropped what follows.
+    fn better_peer(&self) -> Option<String> {
+        let is_stranded = self.search.is_searching();
+        let offers = self
+            .peers
+            .iter()
+            .map(|(peer, offer)| (peer.as_str(), *offer));
+        let better = offers.filter(|(_, offer)| match &self.state {
+            None => offer.revision > 0,
+            Some(state) => {
+                offer.replaces(&state.offer())
+                    && (is_stranded || offer.revision > state.revision())
+                    && !state.is_contradicted_by(offer)
+            }
+        });
+        offer::best(better).map(|(peer, _)| peer.to_owned())
+    }
+
+    fn offset(&self) -> u64 {
+        self.state.as_ref().map_or(0, state::ConfigState::offset)
+    }
+
+    /// What this VM tells the others; nothing while its state may be any old prefix of the log.
+    #[must_use]
+    pub fn in_force(&self) -> Option<offer::StateOffer> {
+        let state = self.state.as_ref().filter(|_| self.is_proved)?;
+        (state.revision() > 0).then(|| state.offer())
+    }
+
+    /// Whether this VM may serve.
+    #[must_use]
+    pub fn ready(&self) -> ReadyState {
+        match &self.state {
+            None => ReadyState::NoState,
+            Some(_) if !self.is_proved => ReadyState::CatchingUp,
+            Some(state) if state.revision() == 0 => ReadyState::NothingPublished,
+            Some(_) => ReadyState::Ready,
+        }
+    }
+
+    /// The state, also before it may serve.
+    #[must_use]
+    pub const fn state(&self) -> Option<&state::ConfigState> {
+        self.state.as_ref()
+    }
+
+    /// The state as it is handed to another VM.
+    #[must_use]
+    pub fn transfer(&self) -> Option<transfer::StateTransfer> {
+        let state = self.state.as_ref().filter(|_| self.in_force().is_some())?;
+        Some(transfer::StateTransfer::new(state, self.keeper.cover()))
+    }
+
+    /// Which VM has which state in force, as far as this one knows; itself included.
+    #[must_use]
+    pub fn in_force_by_vm(&self) -> collections::BTreeMap<String, offer::StateOffer> {
+        let mut known = self.peers.clone();
+        known.extend(self.in_force().map(|offer| (self.vm.clone(), offer)));
+        known
+    }
+}
+
+const fn revision(offer: offer::StateOffer) -> u64 {
+    offer.revision
+}
+
+fn refused(error: &checkpoint::CheckpointError) -> FollowAction {
+    FollowAction::Report(FollowReport::Refused {
+        reason: error.to_string(),
+    })
+}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,23 +4,32 @@
 //! applies records in order, and every reader of the same records comes to the same state.
 //! Nothing here does I/O or reads a clock.
 
+mod arena;
 pub mod change;
 pub mod check;
 pub mod checkpoint;
 pub mod document;
+pub mod event;
 pub mod fault;
+pub mod follow;
 pub mod history;
 pub mod inventory;
 mod inventory_check;
+pub mod keeper;
+mod matcher;
 pub mod offer;
+pub mod pace;
 pub mod part;
+mod path;
 pub mod place;
 pub mod reference;
 pub mod rules;
 mod rules_check;
 pub mod sample;
 mod schema;
+mod search;
 pub mod settings;
 pub mod snapshot;
 pub mod state;
 mod structure;
+pub mod transfer;
--- a/crates/conf/src/part.rs
+++ b/crates/conf/src/part.rs
@@ -108,8 +108,13 @@
 pub enum PartOutcome {
     /// Others are missing still.
     Waiting,
-    /// It was the last one; this is the whole.
-    Whole(String),
+    /// It was the last one.
+    Whole {
+        /// All parts together.
+        text: String,
+        /// Offset of the part that came first.
+        first_offset: u64,
+    },
     /// It cannot belong to any whole, or the whole is not what its hash says.
     Refused(String),
 }
@@ -162,15 +167,15 @@
     }
 
     fn finish(&mut self, header: &PartHeader) -> PartOutcome {
-        let whole = self.wholes.remove(&header.id);
-        let parts = whole
-            .into_iter()
-            .flat_map(|whole| whole.parts.into_values());
-        let text: String = parts.collect();
+        let Some(whole) = self.wholes.remove(&header.id) else {
+            return PartOutcome::Waiting;
+        };
+        let first_offset = whole.first_offset;
+        let text: String = whole.parts.into_values().collect();
         if fingerprint::ContentHash::of(text.as_bytes()) != header.hash {
             return PartOutcome::Refused("the parts do not make the text of their hash".to_owned());
         }
-        PartOutcome::Whole(text)
+        PartOutcome::Whole { text, first_offset }
     }
 
     /// Parts whose writer died stay for good otherwise, and memory fills with them.
--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -4,7 +4,12 @@
 
 use base::{class, fingerprint, id, rendezvous};
 
-use crate::{document, inventory, rules};
+use crate::{
+    arena::NamedArena,
+    document, inventory,
+    matcher::{self, ClassMatcher},
+    path, rules,
+};
 
 /// One organisation of a snapshot.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,80 +53,6 @@
     Service(&'a str),
 }
 
-/// Arena of one kind of thing, with the key of each name.
-#[derive(Clone, Debug)]
-struct NamedArena<K: slotmap::Key, V> {
-    entries: slotmap::SlotMap<K, V>,
-    /// One name for each entry of the arena.
-    keys: collections::HashMap<String, K>,
-}
-
-impl<K: slotmap::Key, V> Default for NamedArena<K, V> {
-    fn default() -> Self {
-        Self {
-            entries: slotmap::SlotMap::with_key(),
-            keys: collections::HashMap::new(),
-        }
-    }
-}
-
-impl<K: slotmap::Key, V: Clone> NamedArena<K, V> {
-    /// The arena of the next revision: a name that stays keeps its key, and the key of a name
-    /// that went is never given to another.
-    fn next<I: Iterator<Item = (String, V)>>(&self, named: I) -> Self {
-        let mut arena = self.clone();
-        let mut gone = std::mem::take(&mut arena.keys);
-        for (name, value) in named {
-            let key = match gone.remove(&name) {
-                Some(key) => {
-                    arena.entries[key] = value;
-                    key
-                }
-                None => arena.entries.insert(value),
-            };
-            arena.keys.insert(name, key);
-        }
-        for key in gone.into_values() {
-            arena.entries.remove(key);
-        }
-        arena
-    }
-}
-
-/// A class rule with its names resolved.
-#[derive(Clone, Debug)]
-struct ClassMatcher {
-    organisations: Option<collections::HashSet<id::OrganisationKey>>,
-    models: Option<collections::HashSet<String>>,
-    services: Option<collections::HashSet<String>>,
-    requested: Option<class::TrafficClass>,
-    class: class::TrafficClass,
-}
-
-impl ClassMatcher {
-    fn matches(
-        &self,
-        organisation: id::OrganisationKey,
-        target: RequestTarget<'_>,
-        requested: Option<class::TrafficClass>,
-    ) -> bool {
-        let target_matches = match target {
-            RequestTarget::Model(name) => {
-                self.services.is_none() && self.models.as_ref().is_none_or(|set| set.contains(name))
-            }
-            RequestTarget::Service(name) => {
-                self.models.is_none() && self.services.as_ref().is_none_or(|set| set.contains(name))
-            }
-        };
-        target_matches
-            && self
-                .organisations
-                .as_ref()
-                .is_none_or(|set| set.contains(&organisation))
-            && (self.requested.is_none() || self.requested == requested)
-    }
-}
-
 /// One revision, indexed for requests.
 ///
 /// Keys stay valid from one snapshot to the next of the same process for as long as the name is
@@ -187,7 +118,7 @@
             model_servers,
             service_servers,
             region_vms: vms_by_region(&vms),
-            matchers: matchers(&configuration.rules, &organisations),
+            matchers: matcher::matchers(&configuration.rules, &organisations.keys),
             organisations,
             servers,
             vms,
@@ -317,11 +248,11 @@
         let Some(entry) = self.inventory().services.get(service) else {
             return false;
         };
-        let path = plain_path(path);
+        let path = path::plain_path(path);
         entry
             .non_idempotent_paths
             .iter()
-            .any(|prefix| path.starts_with(&plain_path(prefix)))
+            .any(|prefix| path.starts_with(&path::plain_path(prefix)))
     }
 
     /// The entry VMs that callers of an organisation are told, best first.
@@ -376,43 +307,6 @@
     }
 }
 
-/// A path without its query, percent escapes, empty and dot segments.
-///
-/// A caller could otherwise write a path that is not idempotent in a way that its rule does not
-/// match and its server still understands, and the call would run without its key.
-fn plain_path(path: &str) -> Vec<u8> {
-    let path = path.split(['?', '#']).next().unwrap_or_default();
-    let decoded = percent_decoded(path.as_bytes());
-    let mut segments: Vec<&[u8]> = Vec::new();
-    for segment in decoded.split(|byte| *byte == b'/') {
-        match segment {
-            b"" | b"." => {}
-            b".." => {
-                segments.pop();
-            }
-            _ => segments.push(segment),
-        }
-    }
-    segments.join(&b'/')
-}
-
-fn percent_decoded(text: &[u8]) -> Vec<u8> {
-    let mut decoded = Vec::with_capacity(text.len());
-    let mut rest = text;
-    while let [first, tail @ ..] = rest {
-        let mut byte = [0_u8];
-        if *first == b'%' && tail.len() >= 2 && hex::decode_to_slice(&tail[..2], &mut byte).is_ok()
-        {
-            decoded.push(byte[0]);
-            rest = &tail[2..];
-        } else {
-            decoded.push(*first);
-            rest = tail;
-        }
-    }
-    decoded
-}
-
 fn region_of_domain(inventory: &inventory::Inventory) -> collections::HashMap<String, String> {
     let mut regions = collections::HashMap::new();
     for (region, entry) in &inventory.regions {
@@ -510,28 +404,3 @@
     }
     regions
 }
-
-fn matchers(
-    rules: &rules::RuleSet,
-    organisations: &NamedArena<id::OrganisationKey, OrganisationView>,
-) -> Vec<ClassMatcher> {
-    let names = |list: &Option<Vec<String>>| {
-        list.as_ref()
-            .map(|names| names.iter().cloned().collect::<collections::HashSet<_>>())
-    };
-    rules
-        .classes
-        .iter()
-        .map(|rule| ClassMatcher {
-            organisations: rule.organisations.as_ref().map(|list| {
-                list.iter()
-                    .filter_map(|name| organisations.keys.get(name).copied())
-                    .collect()
-            }),
-            models: names(&rule.models),
-            services: names(&rule.services),
-            requested: rule.requested,
-            class: rule.class,
-        })
-        .collect()
-}
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -159,7 +159,7 @@
         }
         match self.pending.add(offset, header, text) {
             part::PartOutcome::Waiting => (Some(header.id), ApplyVerdict::Part),
-            part::PartOutcome::Whole(whole) => self.decide(offset, whole.as_bytes()),
+            part::PartOutcome::Whole { text, .. } => self.decide(offset, text.as_bytes()),
             part::PartOutcome::Refused(reason) => {
                 (Some(header.id), ApplyVerdict::Malformed { reason })
             }
