--- a/crates/load/src/arrival.rs
+++ b/crates/load/src/arrival.rs
@@ -38,8 +38,10 @@
         service: String,
         /// Path below it.
         path: String,
-        /// Text part of its idempotency key, unique in this run; absent: the call may be repeated.
-        key_text: Option<String>,
+        /// Text unique in this run, sent as the body and as the text part of the idempotency key.
+        text: String,
+        /// Whether it carries an idempotency key and must run at most once.
+        at_most_once: bool,
     },
 }
 
@@ -170,7 +172,8 @@
         scenario::CallAsk::Service(ask) => PlannedAsk::Service {
             service: ask.service.clone(),
             path: ask.path.clone(),
-            key_text: ask.at_most_once.then(|| format!("call-{number}")),
+            text: format!("call-{number}"),
+            at_most_once: ask.at_most_once,
         },
         scenario::CallAsk::Generation(ask) => {
             let [streamed, whole, respond_async] = ask.delivery.weights();
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -3,8 +3,9 @@
 use std::path;
 
 use argh::FromArgs as _;
+use snafu::ResultExt as _;
 
-use crate::{cli, compare, exit, plot, report};
+use crate::{cli, compare, exit, play, plot, report};
 
 /// Parses `arguments` and does what they say; prints to standard output and standard error.
 #[must_use]
@@ -25,10 +26,19 @@
     match command.action {
         cli::LoadAction::Compare(action) => told(compare_runs(&action)),
         cli::LoadAction::Plot(action) => told(plot_run(&action)),
-        cli::LoadAction::Demo(_) | cli::LoadAction::Run(_) => exit::ExitKind::Failed,
+        cli::LoadAction::Run(action) => told(with_runtime(play::run_scenario(&action))),
+        cli::LoadAction::Demo(_) => exit::ExitKind::Failed,
     }
 }
 
+/// Runs `work` to its end on a runtime of its own.
+fn with_runtime<T>(
+    work: impl Future<Output = Result<T, play::PlayError>>,
+) -> Result<T, play::PlayError> {
+    let runtime = tokio::runtime::Runtime::new();
+    runtime.context(play::RuntimeSnafu)?.block_on(work)
+}
+
 /// The kind of a success, or of a failure after it is told.
 fn told<E: std::error::Error>(outcome: Result<exit::ExitKind, E>) -> exit::ExitKind {
     outcome.unwrap_or_else(|error| {
--- a/crates/load/src/measure.rs
+++ b/crates/load/src/measure.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use base::{class, refusal};
+use base::{class, outcome, refusal};
 
 use crate::{check, record};
 
@@ -95,6 +95,19 @@
     pub first: TimeHistogram,
     /// Between two tokens.
     pub gap: TimeHistogram,
+    /// Preemptions by the engines' own counters; absent when they do not say it by class.
+    pub preemptions: Option<u64>,
+}
+
+/// A call that must run at most once, and what its caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedCall {
+    /// Its idempotency key.
+    pub key: String,
+    /// Its class.
+    pub class: class::TrafficClass,
+    /// What its caller was told; `Yes` for an answer.
+    pub told: outcome::RanState,
 }
 
 /// Everything measured in one run.
@@ -102,6 +115,8 @@
 pub struct RunMeasure {
     /// One for each class that made a call.
     pub classes: collections::BTreeMap<class::TrafficClass, ClassMeasure>,
+    /// Calls that must run at most once.
+    pub keyed: Vec<KeyedCall>,
     /// The first few broken answers, in words.
     pub samples: Vec<String>,
 }
@@ -112,6 +127,13 @@
 impl RunMeasure {
     /// Adds the record of one call.
     pub fn add(&mut self, record: &record::CallRecord) {
+        if let Some(key) = &record.key {
+            self.keyed.push(KeyedCall {
+                key: key.clone(),
+                class: record.class,
+                told: told_by(record),
+            });
+        }
         let measure = self.classes.entry(record.class).or_default();
         measure.requests += 1;
         measure.continuations += u64::from(record.continuations);
@@ -137,6 +159,30 @@
         }
     }
 
+    /// Compares what callers were told with what ran, by idempotency key.
+    pub fn check_runs(&mut self, runs: &collections::BTreeMap<String, u64>) {
+        for call in std::mem::take(&mut self.keyed) {
+            let count = runs.get(&call.key).copied().unwrap_or_default();
+            let fault = match (count, call.told) {
+                (2.., _) => Some("ran more than once"),
+                (1, outcome::RanState::No) => Some("was told not to have run, but ran"),
+                (0, outcome::RanState::Yes) => Some("was answered, but never ran"),
+                _ => None,
+            };
+            if let Some(fault) = fault {
+                let seen = format!("{} {fault} (runs: {count})", call.key);
+                self.add_fault(call.class, &check::AnswerFault::Doubled { seen });
+            }
+        }
+    }
+
+    /// Takes the preemptions by priority that engines counted.
+    pub fn take_preemptions(&mut self, by_priority: [u64; 3]) {
+        for (class, measure) in &mut self.classes {
+            measure.preemptions = Some(by_priority[class.index()]);
+        }
+    }
+
     /// Adds a broken promise.
     pub fn add_fault(&mut self, class: class::TrafficClass, fault: &check::AnswerFault) {
         let measure = self.classes.entry(class).or_default();
@@ -152,6 +198,19 @@
     }
 }
 
+/// What the caller was told of whether the call ran. A refusal speaks for its own try only, so
+/// that after a try whose answer was lost it proves nothing.
+const fn told_by(record: &record::CallRecord) -> outcome::RanState {
+    match &record.outcome {
+        record::CallOutcome::Whole => outcome::RanState::Yes,
+        record::CallOutcome::Refused(_) | record::CallOutcome::Ended(_) if record.resends > 0 => {
+            outcome::RanState::Unknown
+        }
+        record::CallOutcome::Refused(refusal) | record::CallOutcome::Ended(refusal) => refusal.ran,
+        record::CallOutcome::Faulty(_) => outcome::RanState::Unknown,
+    }
+}
+
 /// The code as it stands on the wire.
 fn code_name(code: refusal::RefusalCode) -> String {
     let value = serde_json::to_value(code).unwrap_or_default();
--- a/crates/load/src/perform.rs
+++ b/crates/load/src/perform.rs
@@ -2,8 +2,9 @@
 
 use std::{net, time::Duration};
 
-use base::refusal;
+use base::{fingerprint, refusal};
 use futures_util::StreamExt as _;
+use stand::service;
 use tokio::time;
 
 use crate::{arrival, body, caller, check, record, sse};
@@ -45,10 +46,20 @@
         arrival::PlannedAsk::Service {
             service,
             path,
-            key_text,
+            text,
+            at_most_once,
         } => {
-            let path = format!("/v1/services/{service}/{path}");
-            call_service(caller, call, start, &path, key_text.as_deref()).await
+            let request = ServiceParts {
+                path: format!("/v1/services/{service}/{path}"),
+                class: call.class.name(),
+                text,
+                key: at_most_once.then(|| format!("{}-{text}", unix_ms())),
+            };
+            let mut record = record::CallRecord::begin(call.workload, call.class);
+            let outcome = call_service(caller, start, &request, &mut record).await;
+            record.key = request.key;
+            record.outcome = outcome.unwrap_or_else(|outcome| outcome);
+            record
         }
         arrival::PlannedAsk::Generation(generation) => {
             let mut run = CallRun {
@@ -92,6 +103,14 @@
     }
 }
 
+/// What every try of one service call sends.
+struct ServiceParts<'a> {
+    path: String,
+    class: &'static str,
+    text: &'a str,
+    key: Option<String>,
+}
+
 type CallResult = Result<record::CallOutcome, record::CallOutcome>;
 
 impl CallRun<'_> {
@@ -265,30 +284,40 @@
 
 async fn call_service(
     caller: &caller::EntryCaller,
-    call: &arrival::PlannedCall,
     start: time::Instant,
-    path: &str,
-    key_text: Option<&str>,
-) -> record::CallRecord {
-    let mut record = record::CallRecord::begin(call.workload, call.class);
-    let key = key_text.map(|text| format!("{}-{text}", unix_ms()));
+    request: &ServiceParts<'_>,
+    record: &mut record::CallRecord,
+) -> CallResult {
     let exchanged = caller
-        .exchange(&mut record, |address| {
-            let request = caller
-                .request(reqwest::Method::POST, address, path)
-                .header("x-traffic-class", call.class.name())
-                .body(path.to_owned());
-            match &key {
-                Some(key) => request.header("idempotency-key", key),
-                None => request,
+        .exchange(record, |address| {
+            let builder = caller
+                .request(reqwest::Method::POST, address, &request.path)
+                .header("x-traffic-class", request.class)
+                .body(request.text.to_owned());
+            match &request.key {
+                Some(key) => builder.header("idempotency-key", key),
+                None => builder,
             }
         })
-        .await;
-    match exchanged {
-        Ok(_) => record.take_answer(start.elapsed(), Duration::ZERO),
-        Err(outcome) => record.outcome = outcome,
+        .await?;
+    record.take_answer(start.elapsed(), Duration::ZERO);
+    let Ok(answer) = serde_json::from_str::<service::ServiceAnswer>(&exchanged.text) else {
+        let seen = format!("an answer that is none: {:.100}", exchanged.text);
+        return Ok(record::CallOutcome::Faulty(check::AnswerFault::Mixed {
+            seen,
+        }));
+    };
+    let own = fingerprint::ContentHash::of(request.text.as_bytes()).to_string();
+    if answer.body_sha256 != own || answer.idempotency_key != request.key {
+        let seen = format!(
+            "{} got the answer to another call: {answer:?}",
+            request.text
+        );
+        return Ok(record::CallOutcome::Faulty(check::AnswerFault::Mixed {
+            seen,
+        }));
     }
-    record
+    Ok(record::CallOutcome::Whole)
 }
 
 fn verdict_of(verdict: Result<(), check::AnswerFault>) -> record::CallOutcome {
--- /dev/null
+++ b/crates/load/src/play.rs
@@ -0,0 +1,112 @@
+//! The action `run`: a scenario against daemons that somebody else started.
+
+use std::{net, path, sync};
+
+use snafu::ResultExt as _;
+use tokio::time;
+
+use crate::{arrival, caller, cli, exit, progress, report, runner, scenario};
+
+/// A run cannot be made.
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum PlayError {
+    /// The runtime does not start.
+    #[snafu(display("runtime: {source}; check the limit of threads"))]
+    Runtime {
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The scenario cannot be used.
+    #[snafu(transparent)]
+    Scenario {
+        /// All its faults.
+        source: scenario::ScenarioError,
+    },
+    /// No call can be made.
+    #[snafu(transparent)]
+    Client {
+        /// Why not.
+        source: caller::ClientError,
+    },
+    /// The report cannot be saved.
+    #[snafu(transparent)]
+    Report {
+        /// Why not.
+        source: report::ReportError,
+    },
+    /// No engine can be asked for its preemptions.
+    #[snafu(display("engine {address}: {source}; check --engines, or leave it out"))]
+    Engine {
+        /// The engine.
+        address: net::SocketAddr,
+        /// What the client says.
+        source: reqwest::Error,
+    },
+}
+
+/// Plays the scenario and prints the report.
+///
+/// # Errors
+///
+/// When the run cannot be made, or the report not be saved.
+pub async fn run_scenario(action: &cli::RunAction) -> Result<exit::ExitKind, PlayError> {
+    let mut scenario = scenario::LoadScenario::read(&action.scenario)?;
+    scenario.seed = action.seed.unwrap_or(scenario.seed);
+    if !std::mem::take(&mut scenario.faults).is_empty() {
+        eprintln!("the scenario's faults are for `demo`; nothing is made to fail here");
+    }
+    let total = arrival::plan_calls(&scenario).len() as u64;
+    let run = runner::ScenarioRun::new(scenario, &action.entries.0)?;
+    let before = count_preemptions(&action.engines.0).await?;
+    let start = time::Instant::now();
+    let bar = progress::BarProgress::new(total);
+    let measure = run.play(sync::Arc::new(runner::NoFaults), &bar).await;
+    drop(bar);
+    let mut report = run.report(&measure, start);
+    let after = count_preemptions(&action.engines.0).await?;
+    report.preemptions = after
+        .zip(before)
+        .map(|(after, before)| after.saturating_sub(before));
+    finish(&report, action.save.as_deref())
+}
+
+/// Prints and saves a report; the kind says whether a promise was broken.
+pub(crate) fn finish(
+    report: &report::RunReport,
+    save: Option<&path::Path>,
+) -> Result<exit::ExitKind, PlayError> {
+    print!("{report}");
+    if let Some(path) = save {
+        report.save(path)?;
+    }
+    Ok(if report.broken() == 0 {
+        exit::ExitKind::Success
+    } else {
+        exit::ExitKind::BrokenAnswers
+    })
+}
+
+/// What an engine reports, as far as it is read here.
+#[derive(serde::Deserialize)]
+struct EngineLoad {
+    preemptions: u64,
+}
+
+/// Preemptions of all engines so far; absent when none is named.
+async fn count_preemptions(engines: &[net::SocketAddr]) -> Result<Option<u64>, PlayError> {
+    let client = reqwest::Client::new();
+    let mut sum = None;
+    for address in engines {
+        let asked = client.get(format!("http://{address}/v1/load")).send().await;
+        let answer = asked.and_then(reqwest::Response::error_for_status);
+        let answer = answer.context(EngineSnafu { address: *address })?;
+        let load: EngineLoad = answer
+            .json()
+            .await
+            .context(EngineSnafu { address: *address })?;
+        *sum.get_or_insert(0) += load.preemptions;
+    }
+    Ok(sum)
+}
--- a/crates/load/src/record.rs
+++ b/crates/load/src/record.rs
@@ -15,6 +15,8 @@
     pub class: class::TrafficClass,
     /// How it ended.
     pub outcome: CallOutcome,
+    /// The idempotency key of a call that must run at most once.
+    pub key: Option<String>,
     /// From the intended start to the first token, or to the answer when it came in one piece.
     pub first: Option<time::Duration>,
     /// Between two tokens that follow each other.
@@ -53,6 +55,7 @@
             workload,
             class,
             outcome: CallOutcome::Whole,
+            key: None,
             first: None,
             gaps: Vec::new(),
             stall: time::Duration::ZERO,
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -55,6 +55,9 @@
     pub continuations: u64,
     /// Calls sent again after their answer was lost before its first byte.
     pub resends: u64,
+    /// Preemptions by the engines' own counters; absent when they do not say it by class.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub preemptions: Option<u64>,
     /// Tokens that arrived.
     pub tokens: u64,
     /// Stall time of each whole answer.
@@ -148,6 +151,7 @@
             refused_tries: measure.refused_tries.clone(),
             continuations: measure.continuations,
             resends: measure.resends,
+            preemptions: measure.preemptions,
             tokens: measure.tokens,
             stall: SavedTimes::of(&measure.stall),
             first: SavedTimes::of(&measure.first),
@@ -209,12 +213,19 @@
         )?;
         writeln!(
             formatter,
-            "{:<10} {:>8} {:>7} {:>6} {:>5} {:>6}  {:>15}  {:>13}",
-            "class", "requests", "refused", "whole", "ended", "broken", "stall ms", "token gap ms"
+            "{:<10} {:>8} {:>7} {:>6} {:>6} {:>9}  {:>13}  {:>13}",
+            "class",
+            "requests",
+            "refused",
+            "whole",
+            "broken",
+            "preempted",
+            "stall ms",
+            "token gap ms"
         )?;
         writeln!(
             formatter,
-            "{:>46}  {:>7} {:>7}  {:>6} {:>6}",
+            "{:>51}  {:>6} {:>6}  {:>6} {:>6}",
             "", "p50", "p99", "p50", "p99"
         )?;
         for (class, report) in &self.classes {
@@ -229,14 +240,15 @@
     class: class::TrafficClass,
     report: &ClassReport,
 ) -> fmt::Result {
+    let preempted = report.preemptions;
+    let preempted = preempted.map_or_else(|| "-".to_owned(), |count| count.to_string());
     writeln!(
         formatter,
-        "{:<10} {:>8} {:>7} {:>6} {:>5} {:>6}  {:>7.1} {:>7.1}  {:>6.1} {:>6.1}",
+        "{:<10} {:>8} {:>7} {:>6} {:>6} {preempted:>9}  {:>6.0} {:>6.0}  {:>6.1} {:>6.1}",
         class.name(),
         report.requests,
-        report.refused,
+        report.refused + report.ended,
         report.whole,
-        report.ended,
         report.broken(),
         report.stall.p50_ms,
         report.stall.p99_ms,
@@ -260,6 +272,13 @@
             if !codes.is_empty() {
                 writeln!(formatter, "{class}: refused tries: {}", codes.join(", "))?;
             }
+            if report.ended > 0 {
+                let count = report.ended;
+                writeln!(
+                    formatter,
+                    "{class}: refused after part of the answer: {count}"
+                )?;
+            }
             if report.continuations + report.resends > 0 {
                 writeln!(
                     formatter,
