--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -317,6 +317,9 @@
     /// text, jsonl or svg
     #[argh(option, arg_name = "format", default = "OutputFormat::Text")]
     pub format: OutputFormat,
+    /// read a time line saved with --format jsonl, and ask no entry VM
+    #[argh(option, arg_name = "file")]
+    pub from: Option<String>,
     /// write there and not to the standard output
     #[argh(option, arg_name = "file")]
     pub output: Option<String>,
@@ -342,6 +345,9 @@
     /// its id (response header x-request-id) or the beginning of it
     #[argh(positional)]
     pub request: String,
+    /// read a time line saved with --format jsonl, and ask no entry VM
+    #[argh(option, arg_name = "file")]
+    pub from: Option<String>,
 }
 
 /// Print completions for bash.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -36,6 +36,12 @@
         args::CtlCommand::Completions(_) => {
             Ok(error::CommandOutput::success(completions::bash_script()))
         }
+        args::CtlCommand::Timeline(timeline) if timeline.from.is_some() => {
+            timeline::saved_timeline(&timeline, environment.now_ms)
+        }
+        args::CtlCommand::Explain(explain) if explain.from.is_some() => {
+            timeline::saved_explain(&explain)
+        }
         command => {
             let call = settings::resolve(&args, environment)?;
             let client = client::OpsClient::new(call)?;
--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -21,31 +21,24 @@
     client: &client::OpsClient,
     now_ms: u64,
 ) -> Result<error::CommandOutput, error::CtlError> {
-    let since_ms = args
-        .since
-        .as_deref()
-        .map(|text| parse_since(text, now_ms))
-        .transpose()?;
-    let filter = TimelineFilter {
-        request: args.request.clone(),
-        since_ms,
-        kind: args.kind.clone(),
-        limit: Some(args.limit),
-    };
-    let timeline = fetch(&filter, client).await?;
-    let shown = match args.format {
-        args::OutputFormat::Text => text::render(&timeline),
-        args::OutputFormat::Jsonl => {
-            lines::render(&timeline).context(error::JsonSnafu { what: "the events" })?
-        }
-        args::OutputFormat::Svg => picture::render(&timeline),
-    };
-    let Some(file) = &args.output else {
-        return Ok(error::CommandOutput::success(shown));
-    };
-    fs::write(file, shown).context(error::WriteFileSnafu { file })?;
-    let count = error::count_text(timeline.events.len(), "event");
-    Ok(error::CommandOutput::success(format!("{file}: {count}\n")))
+    let filter = TimelineFilter::of(args, now_ms)?;
+    write(&fetch(&filter, client).await?, args)
+}
+
+/// `pollenctl timeline --from`: the same from a saved time line.
+///
+/// # Errors
+/// When the filter makes no sense, or a file cannot be read or written.
+pub fn saved_timeline(
+    args: &args::TimelineArgs,
+    now_ms: u64,
+) -> Result<error::CommandOutput, error::CtlError> {
+    let query = TimelineFilter::of(args, now_ms)?.query()?;
+    let mut timeline = read_saved(args.from.as_deref().unwrap_or_default())?;
+    timeline
+        .events
+        .retain(|event| query.matches(event.stamp, event.request, &event.kind));
+    write(&timeline, args)
 }
 
 /// `pollenctl explain`.
@@ -68,11 +61,62 @@
         ..TimelineFilter::default()
     };
     let context = fetch(&servers, client).await?;
-    let told = explain::explain(&joined(own, context), request);
-    let text = told.with_context(|| not_found(&args.request))?;
+    told(&joined(own, context), request)
+}
+
+/// `pollenctl explain --from`: the same from a saved time line.
+///
+/// # Errors
+/// When the file cannot be read, or has no event of the request.
+pub fn saved_explain(args: &args::ExplainArgs) -> Result<error::CommandOutput, error::CtlError> {
+    let filter = TimelineFilter {
+        request: Some(args.request.clone()),
+        ..TimelineFilter::default()
+    };
+    let query = filter.query()?;
+    let timeline = read_saved(args.from.as_deref().unwrap_or_default())?;
+    let mut own = timeline.clone();
+    own.events
+        .retain(|event| query.matches(event.stamp, event.request, &event.kind));
+    let request = only_request(&own, &args.request)?;
+    told(&timeline, request)
+}
+
+fn told(
+    timeline: &merge::MergedTimeline,
+    request: id::RequestId,
+) -> Result<error::CommandOutput, error::CtlError> {
+    let text = explain::explain(timeline, request);
+    let text = text.with_context(|| not_found(&request.to_string()))?;
     Ok(error::CommandOutput::success(text))
 }
 
+fn write(
+    timeline: &merge::MergedTimeline,
+    args: &args::TimelineArgs,
+) -> Result<error::CommandOutput, error::CtlError> {
+    let shown = match args.format {
+        args::OutputFormat::Text => text::render(timeline),
+        args::OutputFormat::Jsonl => {
+            lines::render(timeline).context(error::JsonSnafu { what: "the events" })?
+        }
+        args::OutputFormat::Svg => picture::render(timeline),
+    };
+    let Some(file) = &args.output else {
+        return Ok(error::CommandOutput::success(shown));
+    };
+    fs::write(file, shown).context(error::WriteFileSnafu { file })?;
+    let count = error::count_text(timeline.events.len(), "event");
+    Ok(error::CommandOutput::success(format!("{file}: {count}\n")))
+}
+
+fn read_saved(file: &str) -> Result<merge::MergedTimeline, error::CtlError> {
+    let saved = fs::read_to_string(file).context(error::ReadFileSnafu { file })?;
+    lines::parse(&saved).with_context(|_| error::JsonSnafu {
+        what: format!("the saved time line {file}"),
+    })
+}
+
 /// Which events are fetched.
 #[derive(Clone, Debug, Default)]
 pub struct TimelineFilter {
@@ -87,16 +131,34 @@
 }
 
 impl TimelineFilter {
-    /// The path to ask for; every part is checked first, so that nothing needs escaping.
-    fn path(&self) -> Result<String, error::CtlError> {
+    fn of(args: &args::TimelineArgs, now_ms: u64) -> Result<Self, error::CtlError> {
+        let since = args.since.as_deref();
+        Ok(Self {
+            request: args.request.clone(),
+            since_ms: since.map(|text| parse_since(text, now_ms)).transpose()?,
+            kind: args.kind.clone(),
+            limit: Some(args.limit),
+        })
+    }
+
+    fn query(&self) -> Result<query::EventQuery, error::CtlError> {
         let (request, kind) = (self.request.as_deref(), self.kind.as_deref());
-        let checked = query::EventQuery::from_parts(request, self.since_ms, kind, self.limit);
-        let checked = checked.map_err(|fault| error::CtlError::Usage {
+        let query = query::EventQuery::from_parts(request, self.since_ms, kind, self.limit);
+        query.map_err(|fault| error::CtlError::Usage {
             message: fault.to_string(),
-        })?;
+        })
+    }
+
+    /// The path to ask for; every part is checked first, so that nothing needs escaping.
+    fn path(&self) -> Result<String, error::CtlError> {
+        let checked = self.query()?;
         let mut parts = Vec::new();
         parts.extend(self.since_ms.map(|since_ms| format!("since_ms={since_ms}")));
-        parts.extend(request.map(|request| format!("request={request}")));
+        parts.extend(
+            self.request
+                .as_ref()
+                .map(|request| format!("request={request}")),
+        );
         if !checked.kinds.is_empty() {
             let kinds: Vec<&str> = checked.kinds.iter().map(query::KindFilter::name).collect();
             parts.push(format!("kind={}", kinds.join(",")));
--- a/crates/ctl/tests/operate.rs
+++ b/crates/ctl/tests/operate.rs
@@ -193,6 +193,20 @@
         output.text.contains("caution: hall-b-1 did not answer"),
         "{output:?}"
     );
+    let saved = fake::directory("timeline").join("saved.jsonl");
+    let line = format!("timeline --format jsonl --output {}", saved.display());
+    fake::run(&[second.address], &line).await;
+    let output = fake::run(&[], &format!("explain 3f2a --from {}", saved.display())).await;
+    assert!(
+        output.text.contains("taken from troupe-7 for m"),
+        "{output:?}"
+    );
+    let output = fake::run(
+        &[],
+        &format!("timeline --kind server --from {}", saved.display()),
+    )
+    .await;
+    assert_eq!(output.text.lines().count(), 3, "{output:?}");
     let output = fake::run(&[second.address], "explain 99").await;
     assert_eq!(output.status, error::ExitStatus::Refused, "{output:?}");
 }
