--- a/crates/gossip/src/core.rs
+++ b/crates/gossip/src/core.rs
@@ -327,16 +327,19 @@
         }
         if claim.version.life.incarnation == self.identity.incarnation {
             self.own.version.life = own.life.max(claim.version.life);
-            self.own.version.refutation = claim.version.refutation + 1;
-        } else if claim.version.state.is_present() {
-            // Two processes with one name, or an earlier life whose clock was ahead. The earlier
-            // life does not answer and will be found dead; then this one may go beyond it.
+            self.own.version.refutation = claim.version.refutation.saturating_add(1);
+        } else if claim.version.state.is_present() && claim.place.address != self.own.place.address
+        {
+            // Two processes with one name, or an earlier life elsewhere whose clock was ahead. The
+            // earlier life does not answer and will be found dead; then this one goes beyond it.
             metrics::counter!("pollenchute_gossip_name_conflicts_total").increment(1);
             let conflict = event::GossipEvent::NameConflict(claim.clone());
             self.actions.push(CoreAction::Notify(conflict));
             return;
         } else {
-            self.own.version.life.birth_ms = claim.version.life.birth_ms + 1;
+            // An earlier life whose clock was ahead: it is gone, or it listened at this address,
+            // where this life does now. In a region of one VM nobody else would ever find out.
+            self.own.version.life.birth_ms = claim.version.life.birth_ms.saturating_add(1);
         }
         self.tell_own(now);
     }
--- a/crates/gossip/src/linking.rs
+++ b/crates/gossip/src/linking.rs
@@ -190,7 +190,7 @@
                 .map(|item| item.version)
                 .unwrap_or_default();
             let version = item::ItemVersion {
-                sequence: known.sequence + 1,
+                sequence: known.sequence.saturating_add(1),
                 ..known
             };
             let item = item::Item {
--- a/crates/gossip/src/list.rs
+++ b/crates/gossip/src/list.rs
@@ -36,7 +36,8 @@
         list: VmListReport,
     ) -> Vec<event::CoreAction> {
         let is_leaving = |claim: &claim::MemberClaim| {
-            let began_before = claim.version.life.birth_ms + CLOCK_MARGIN_MS <= list.as_of_ms;
+            let began_before =
+                claim.version.life.birth_ms.saturating_add(CLOCK_MARGIN_MS) <= list.as_of_ms;
             // The list lags: what it says may be meant for an earlier life of the same name.
             list.leaving.contains(&claim.name) && began_before
         };
--- /dev/null
+++ b/crates/gossip/tests/virtual_time/directed.rs
@@ -0,0 +1,432 @@
+//! Failures one by one, on virtual time.
+
+use std::time;
+
+use base::{fingerprint, id};
+use gossip::{claim, digest, event, list, news, settings, watching};
+use prost::Message as _;
+use rand_chacha::rand_core::{Rng as _, SeedableRng as _};
+use wire::{identity, proto::gossip as proto};
+
+use crate::fabric::{EPOCH_MS, Fabric, TestCore};
+
+fn seconds(seconds: u64) -> time::Duration {
+    time::Duration::from_secs(seconds)
+}
+
+/// `count` VMs in regions of two failure domains each, all started and known to each other.
+fn joined(seed: u64, count: usize, regions: usize) -> Fabric {
+    let places: Vec<(String, String)> = (0..count)
+        .map(|index| {
+            let region = format!("region-{}", index % regions);
+            (region.clone(), format!("{region}-{}", index / regions % 2))
+        })
+        .collect();
+    let mut fabric = Fabric::new(seed, &places, settings::TimingSettings::default());
+    (0..count).for_each(|index| fabric.start(index));
+    fabric.advance(seconds(20));
+    for index in 0..count {
+        assert_eq!(
+            present(&fabric, index).len(),
+            count,
+            "seed {seed}: all have met"
+        );
+    }
+    fabric.told.clear();
+    fabric
+}
+
+fn core(fabric: &Fabric, index: usize) -> &TestCore {
+    fabric.vms[index].core.as_ref().expect("it runs")
+}
+
+fn present(fabric: &Fabric, index: usize) -> Vec<String> {
+    let members = core(fabric, index).members().iter();
+    let present = members.filter(|(_, record)| record.state().is_present());
+    present
+        .map(|(_, record)| record.claim.name.clone())
+        .collect()
+}
+
+fn quarantine(lasts: time::Duration) -> news::NewsItem {
+    news::NewsItem::Quarantine(news::QuarantineNews {
+        fingerprint: fingerprint::ContentHash::of(b"crashes engines"),
+        lifted: false,
+        lasts,
+        reason: "two deaths".to_owned(),
+    })
+}
+
+#[test]
+fn news_outlives_everyone_who_first_had_it() {
+    // Symptom: a quarantined request crashes engines again after a release.
+    // Sequence: it is quarantined; all VMs are replaced one after another.
+    // Cause: VMs keep nothing; only their neighbours remember.
+    let mut fabric = joined(1, 5, 1);
+    fabric.act(0, |core, now| core.publish(now, &quarantine(seconds(3600))));
+    fabric.act(1, TestCore::leave);
+    let leaving = news::LeavingSubject::Server {
+        name: "engine-1".to_owned(),
+        incarnation: "a".to_owned(),
+    };
+    fabric.act(1, |core, now| {
+        core.publish(now, &news::NewsItem::Leaving(leaving.clone()))
+    });
+    fabric.advance(seconds(1));
+    for index in 0..5 {
+        fabric.start(index);
+        fabric.advance(seconds(3));
+    }
+    for index in 0..5 {
+        let snapshot = core(&fabric, index).snapshot(fabric.now);
+        assert!(snapshot.leaving.contains(&leaving));
+        assert_eq!(
+            snapshot.serving("region-0").count(),
+            5,
+            "a successor is not leaving"
+        );
+        assert_eq!(core(&fabric, index).items().iter().count(), 3);
+    }
+}
+
+#[test]
+fn what_expires_is_forgotten_everywhere() {
+    // Symptom: a quarantine never ends.
+    // Sequence: it expires at slightly different times on different VMs, which compare notes.
+    // Cause: those that still have it hand it back to those that have dropped it.
+    let mut fabric = joined(2, 6, 1);
+    fabric.faults.loss = 60;
+    fabric.act(0, |core, now| core.publish(now, &quarantine(seconds(30))));
+    fabric.advance(seconds(45));
+    (0..6).for_each(|index| assert_eq!(core(&fabric, index).items().iter().count(), 0));
+}
+
+#[test]
+fn a_pause_kills_nobody_else() {
+    // Symptom: after one VM was paused, it and its neighbours take each other for dead.
+    // Sequence: it is paused in the middle of a probe for a minute and goes on.
+    // Cause: it heard nobody for a minute, but that was its own doing.
+    let mut fabric = joined(3, 6, 1);
+    fabric.vms[2].paused = true;
+    fabric.advance(seconds(60));
+    assert_eq!(present(&fabric, 0).len(), 5);
+    fabric.told.clear();
+    fabric.resume(2);
+    fabric.advance(seconds(10));
+    let bad = fabric.told.iter().find(|(_, _, event)| {
+        matches!(event, event::GossipEvent::Member(claim)
+            if claim.name != fabric.vms[2].name && claim.version.state != claim::MemberState::Alive)
+    });
+    assert!(bad.is_none(), "{bad:?}");
+    (0..6).for_each(|index| assert_eq!(present(&fabric, index).len(), 6));
+}
+
+#[test]
+fn a_clock_set_back_only_delays() {
+    // Symptom: a restarted VM stays invisible for good.
+    // Sequence: it restarts, and its clock is an hour behind; its earlier life counts as newer.
+    // Cause: lives are ordered by their beginning.
+    let mut fabric = joined(4, 4, 1);
+    fabric.vms[1].skew_ms = -3_600_000;
+    fabric.start(1);
+    fabric.advance(seconds(15));
+    let life = fabric.vms[1].identity.incarnation;
+    for index in 0..4 {
+        let record = core(&fabric, index)
+            .members()
+            .named(&fabric.vms[1].name)
+            .expect("known");
+        assert_eq!(record.claim.version.life.incarnation, life);
+        assert_eq!(record.state(), claim::MemberState::Alive);
+    }
+}
+
+#[test]
+fn a_lost_region_is_told_and_found_again() {
+    // Symptom: members of a region that cannot be reached look healthy.
+    // Sequence: two regions lose each other for two minutes.
+    // Cause: nobody here probes them; their last word stands.
+    let mut fabric = joined(5, 8, 2);
+    for index in (1..8).step_by(2) {
+        fabric.vms[index].side = 1;
+    }
+    fabric.advance(seconds(20));
+    for index in 0..8 {
+        let snapshot = core(&fabric, index).snapshot(fabric.now);
+        assert_eq!(snapshot.lost_regions.len(), 1);
+        assert_eq!(
+            present(&fabric, index).len(),
+            8,
+            "nobody is killed by a lost link"
+        );
+    }
+    fabric.act(0, |core, now| core.publish(now, &quarantine(seconds(3600))));
+    fabric.advance(seconds(100));
+    (0..8).for_each(|index| fabric.vms[index].side = 0);
+    fabric.advance(seconds(10));
+    for index in 0..8 {
+        let snapshot = core(&fabric, index).snapshot(fabric.now);
+        assert!(snapshot.lost_regions.is_empty());
+        assert_eq!(
+            core(&fabric, index)
+                .items()
+                .iter()
+                .filter(|item| { item.key.kind == gossip::item::ItemKind::Quarantine })
+                .count(),
+            1
+        );
+    }
+}
+
+#[test]
+fn few_cross_between_regions() {
+    let mut fabric = joined(6, 24, 2);
+    fabric.crossing.clear();
+    fabric.advance(seconds(60));
+    assert!(
+        fabric.crossing.len() <= 4,
+        "two failure domains, two regions: {:?}",
+        fabric.crossing
+    );
+}
+
+#[test]
+fn the_list_marks_only_lives_that_it_can_mean() {
+    // Symptom: a VM that was just replaced gets no work.
+    // Sequence: a VM leaves and is replaced under its name; the platform's list still calls it
+    // leaving.
+    // Cause: the list lags.
+    let mut fabric = joined(7, 3, 1);
+    let name = fabric.vms[1].name.clone();
+    let wall_ms = |fabric: &Fabric| EPOCH_MS + fabric.now.as_millis() as u64;
+    let report = |as_of_ms| list::VmListReport {
+        as_of_ms,
+        leaving: [name.clone()].into(),
+        ..list::VmListReport::default()
+    };
+    let old = wall_ms(&fabric);
+    fabric.start(1);
+    fabric.advance(seconds(20));
+    fabric.act(0, |core, now| core.set_vm_list(now, report(old)));
+    fabric.advance(seconds(2));
+    assert!(!core(&fabric, 2).snapshot(fabric.now).members[&name].leaving);
+    let new = wall_ms(&fabric);
+    fabric.act(0, |core, now| core.set_vm_list(now, report(new)));
+    fabric.advance(seconds(2));
+    assert!(core(&fabric, 2).snapshot(fabric.now).members[&name].leaving);
+}
+
+#[test]
+fn watching_is_divided_alike_and_moves_little() {
+    let vms: Vec<String> = (0..137).map(|number| format!("vm-{number}")).collect();
+    let servers: Vec<String> = (0..200).map(|number| format!("engine-{number}")).collect();
+    let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
+    let servers: Vec<&str> = servers.iter().map(String::as_str).collect();
+    let plan = watching::WatchPlan::new(&vms, &servers, watching::WatchRules::default());
+    let fewer = watching::WatchPlan::new(&vms[1..], &servers, watching::WatchRules::default());
+    for server in &servers {
+        assert_eq!(plan.users(server).len(), 22);
+        assert_eq!(plan.watchers(server).len(), 2);
+        let watched = plan.watchers(server).iter().any(|vm| vm == vms[0]);
+        assert!(
+            watched || plan.watchers(server) == fewer.watchers(server),
+            "{server}"
+        );
+    }
+    let used = vms.iter().map(|vm| plan.candidates(vm).len());
+    assert!(used.clone().min() >= Some(12), "{:?}", used.min());
+}
+
+#[test]
+fn a_standby_watcher_takes_over() {
+    // Symptom: an engine's load stands still on all VMs but its own watcher's.
+    // Sequence: the first watcher is paused; the standby goes on reading the engine.
+    // Cause: only the first watcher's word is sent.
+    let mut fabric = joined(8, 5, 1);
+    let servers = || ["engine-1".to_owned()];
+    (0..5).for_each(|index| {
+        fabric.act(index, |core, _| {
+            core.set_servers(servers());
+            Vec::new()
+        });
+    });
+    fabric.advance(seconds(1));
+    let plan = core(&fabric, 0).watch_plan();
+    let index_of = |fabric: &Fabric, name: &String| {
+        fabric
+            .vms
+            .iter()
+            .position(|vm| vm.name == *name)
+            .expect("a member")
+    };
+    let watchers: Vec<usize> = plan
+        .watchers("engine-1")
+        .iter()
+        .map(|name| index_of(&fabric, name))
+        .collect();
+    let rounds = |fabric: &mut Fabric, range: std::ops::Range<u32>| {
+        fabric.told.clear();
+        for free_blocks in range {
+            for watcher in &watchers {
+                let load = digest::EngineLoad {
+                    free_blocks,
+                    ..digest::EngineLoad::default()
+                };
+                if !fabric.vms[*watcher].paused {
+                    fabric.act(*watcher, |core, now| {
+                        core.publish_load(now, "engine-1", load);
+                        Vec::new()
+                    });
+                }
+            }
+            fabric.advance(seconds(1));
+        }
+        let loads = fabric
+            .told
+            .iter()
+            .filter(|(_, _, event)| matches!(event, event::GossipEvent::Load(_)));
+        loads.count()
+    };
+    // At first both speak, since neither has heard the other.
+    rounds(&mut fabric, 0..2);
+    assert_eq!(
+        rounds(&mut fabric, 2..12),
+        40,
+        "one word for each other VM, from the first only"
+    );
+    fabric.vms[watchers[0]].paused = true;
+    let heard = rounds(&mut fabric, 12..22);
+    assert!((18..=30).contains(&heard), "{heard}");
+}
+
+#[test]
+fn digests_keep_to_their_bound() {
+    let mut fabric = joined(9, 40, 1);
+    let receivers: Vec<String> = fabric.vms.iter().map(|vm| vm.name.clone()).collect();
+    let before = fabric.sent[0].1;
+    for round in 0..20 {
+        for number in 0..10 {
+            let demand = digest::OrganisationDemand {
+                requests: round,
+                ..Default::default()
+            };
+            let organisation = format!("organisation-{number}");
+            fabric.act(0, |core, now| {
+                core.publish_demand(now, &organisation, demand, &receivers);
+                Vec::new()
+            });
+        }
+        fabric.advance(seconds(1));
+    }
+    let bytes_per_second = (fabric.sent[0].1 - before) / 20;
+    assert!(
+        (1800..3500).contains(&bytes_per_second),
+        "{bytes_per_second}"
+    );
+    let demands = fabric
+        .told
+        .iter()
+        .filter_map(|(_, index, event)| match event {
+            event::GossipEvent::Demand(news) => Some((*index, news.demand.requests)),
+            _ => None,
+        });
+    let newest = demands.fold(vec![0; 40], |mut newest, (index, requests)| {
+        newest[index] = requests.max(newest[index]);
+        newest
+    });
+    // 39 receivers of about 340 bytes each take turns of 6.6 s; nobody waits for two.
+    assert!(
+        newest[1..].iter().all(|requests| *requests >= 12),
+        "{newest:?}"
+    );
+}
+
+#[test]
+fn no_message_makes_a_core_panic_or_grow_without_bound() {
+    // Symptom: one process takes all others down with it.
+    // Sequence: a process with a key, of another release or broken, sends what makes no sense.
+    // Cause: a key proves membership, not sanity.
+    let mut fabric = joined(10, 3, 1);
+    let sender = identity::ProcessIdentity {
+        name: "stranger".to_owned(),
+        incarnation: id::Incarnation(9),
+    };
+    let address = fabric.vms[1].place.address;
+    for seed in 0..20_000 {
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut payload = odd_message(&mut rng, &fabric.vms[0].name).encode_to_vec();
+        if seed % 2 == 0 && !payload.is_empty() {
+            let position = rng.next_u32() as usize % payload.len();
+            payload[position] = rng.next_u32().to_le_bytes()[0];
+        }
+        let bound = seed % 5 != 0;
+        let core = fabric.vms[0].core.as_mut().expect("it runs");
+        let actions = core.on_datagram(fabric.now, address, &sender, bound, &payload);
+        assert!(actions.len() <= 30, "seed {seed}: {}", actions.len());
+        if seed % 100 == 0 {
+            core.on_tick(fabric.now);
+        }
+    }
+    assert!(core(&fabric, 0).members().iter().count() <= 4096);
+    fabric.advance(seconds(10));
+}
+
+fn odd_message(rng: &mut rand_chacha::ChaCha8Rng, own: &str) -> proto::Message {
+    use proto::message::Kind;
+    let odd = |rng: &mut rand_chacha::ChaCha8Rng| match rng.next_u32() % 4 {
+        0 => 0,
+        1 => u64::MAX,
+        2 => 1,
+        _ => rng.next_u64(),
+    };
+    let names = [own, "", "stranger", "x\ny", &"n".repeat(90)];
+    let name = names[rng.next_u32() as usize % 5].to_owned();
+    let kinds = [
+        Kind::Ping(proto::Ping { number: 1 }),
+        Kind::Ack(proto::Ack {
+            number: rng.next_u32() % 20,
+        }),
+        Kind::PingRequest(proto::PingRequest {
+            number: 1,
+            target: name.clone(),
+        }),
+        Kind::Hello(proto::Hello {}),
+        Kind::HelloAnswer(proto::HelloAnswer {}),
+        Kind::SyncSummary(proto::SyncSummary {
+            buckets: vec![rng.next_u32(); 60 + rng.next_u32() as usize % 6],
+            answer_wanted: true,
+        }),
+        Kind::Push(proto::Push {
+            sync: true,
+            more: true,
+        }),
+    ];
+    proto::Message {
+        kind: kinds.get(rng.next_u32() as usize % 8).cloned(),
+        claims: vec![proto::MemberClaim {
+            name: name.clone(),
+            birth_ms: odd(rng),
+            incarnation: vec![7; 15 + rng.next_u32() as usize % 3],
+            refutation: odd(rng) as u32,
+            state: (odd(rng) % 6) as i32,
+            address: ["10.0.0.1:7000", "nowhere", "10.0.9.9:1"][rng.next_u32() as usize % 3]
+                .to_owned(),
+            failure_domain: "region-0-0".to_owned(),
+            region: ["region-0", "", "region-9"][rng.next_u32() as usize % 3].to_owned(),
+        }],
+        items: vec![proto::Item {
+            kind: rng.next_u32() % 6,
+            subject: name,
+            epoch: odd(rng),
+            sequence: odd(rng),
+            body: vec![8; rng.next_u32() as usize % 300],
+            expires_in_ms: odd(rng) as u32,
+        }],
+        digests: vec![proto::Digest {
+            kind: rng.next_u32() % 4,
+            subject: odd(rng),
+            age_ms: odd(rng) as u32,
+            body: vec![8; rng.next_u32() as usize % 9],
+        }],
+    }
+}
