explain: waiting is worked out from the events

waited_ms of a dispatch is the time since the request was taken, so summing it over tries counted an earlier try twice (269 ms told for a story that waited 230 and 40). The time is now taken between the events themselves; the test expects 270 ms. A dispatch that does not say how many servers were weighed is told without a number.

--- a/crates/trace/src/explain.rs
+++ b/crates/trace/src/explain.rs
@@ -71,13 +71,6 @@
 }
 
 fn outcome_text(own: &[&event::Event]) -> String {
-    let waited_ms: u64 = own
-        .iter()
-        .filter_map(|event| match &event.kind {
-            kind::EventKind::RequestDispatched { waited_ms, .. } => Some(*waited_ms),
-            _ => None,
-        })
-        .sum();
     let tries = own
         .iter()
         .filter(|event| matches!(event.kind, kind::EventKind::RequestDispatched { .. }))
@@ -91,10 +84,33 @@
     };
     format!(
         "{how}; {tries_text}, {} waiting here",
-        moment::span_text(waited_ms)
+        moment::span_text(waited_ms(own))
     )
 }
 
+/// Time that the request spent waiting on entry VMs, before its first try and between tries.
+fn waited_ms(own: &[&event::Event]) -> u64 {
+    let mut since_ms = own.first().map(|event| event.stamp.wall_ms());
+    let mut waited_ms = 0;
+    for event in own {
+        let now_ms = event.stamp.wall_ms();
+        match &event.kind {
+            kind::EventKind::RequestRetried { .. }
+            | kind::EventKind::RequestPreempted { .. }
+            | kind::EventKind::RequestTakenOver { .. } => since_ms = Some(now_ms),
+            kind::EventKind::RequestDispatched { .. }
+            | kind::EventKind::RequestRefused { .. }
+            | kind::EventKind::RequestCancelled { .. } => {
+                waited_ms += since_ms
+                    .take()
+                    .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+            }
+            _ => {}
+        }
+    }
+    waited_ms
+}
+
 fn open_text(own: &[&event::Event]) -> String {
     let last = own.last().map_or("", |event| event.kind.name());
     format!("not ended as far as is known (last: {last})")
@@ -146,8 +162,9 @@
             waited_ms,
             reason,
         } => format!(
-            "sent to {server} after {} (try {attempt}, best of {candidates}): {reason}",
-            moment::span_text(*waited_ms)
+            "sent to {server} after {} (try {attempt}{}): {reason}",
+            moment::span_text(*waited_ms),
+            choice_text(*candidates)
         ),
         Kind::RequestFirstToken { server, after_ms } => {
             let after = moment::span_text(*after_ms);
@@ -222,6 +239,14 @@
     Some(sentence)
 }
 
+/// Empty when it is not recorded how many were weighed.
+fn choice_text(candidates: u32) -> String {
+    match candidates {
+        0 => String::new(),
+        count => format!(", best of {count}"),
+    }
+}
+
 fn retry_text(retry_after_ms: u64) -> String {
     if retry_after_ms == 0 {
         return String::new();
--- a/crates/trace/src/kind.rs
+++ b/crates/trace/src/kind.rs
@@ -98,9 +98,9 @@
         server: String,
         /// Number of the try, from 1.
         attempt: u32,
-        /// Backend servers that were weighed.
+        /// Backend servers that were weighed; 0 when that is not recorded.
         candidates: u32,
-        /// Time that it waited here.
+        /// Time since the request was taken.
         waited_ms: u64,
         /// Why this one.
         reason: String,
--- a/crates/trace/tests/render.rs
+++ b/crates/trace/tests/render.rs
@@ -11,11 +11,11 @@
     for part in [
         "taken from troupe-7 for review-llm",
         "waits behind 3: memory at risk on every engine",
-        "sent to engine-4 after 229 ms (try 1, best of 4): soonest first token",
+        "sent to engine-4 after 230 ms (try 1, best of 4): soonest first token",
         "(engine-4 taken to be dead: connection refused)",
         "try 1 on engine-4 failed, whether it ran is unknown",
         "on hall-a-2:",
-        "outcome: whole answer, 512 tokens in 9.0 s (stop); 2 tries, 269 ms waiting here",
+        "outcome: whole answer, 512 tokens in 9.0 s (stop); 2 tries, 270 ms waiting here",
     ] {
         assert!(told.contains(part), "no {part:?} in:\n{told}");
     }
--- a/crates/trace/tests/sample/mod.rs
+++ b/crates/trace/tests/sample/mod.rs
@@ -59,14 +59,14 @@
     first.record_for(at(1), request, queued());
     first.record_for(at(5), other, taken("vendor-2"));
     first.record_for(at(6), other, refused());
-    first.record_for(at(230), request, dispatched("engine-4", 1, 229));
+    first.record_for(at(230), request, dispatched("engine-4", 1, 230));
     second.observe(at(530), "hall-a-1", first.stamp(at(530)));
     second.record(at(1_900), dead("engine-4"));
     second.record(at(1_901), dead("engine-9"));
     first.observe(at(1_905), "hall-a-2", second.stamp(at(1_904)));
     first.record_for(at(1_910), request, retried("engine-4"));
     second.observe(at(1_912), "hall-a-1", first.stamp(at(1_911)));
-    second.record_for(at(1_950), request, dispatched("engine-5", 2, 40));
+    second.record_for(at(1_950), request, dispatched("engine-5", 2, 1_950));
     second.record_for(at(2_300), request, first_token("engine-5", 2_300));
     second.record_for(at(9_000), request, finished());
     let query = trace::query::EventQuery::default();
