ledger: found work tells its organisation

Cause: a caller may fetch only its own organisation's work, and the fold's answer did not say whose it is. Change: FetchReply::Found carries organisation and view.

--- a/crates/ledger/src/job_store.rs
+++ b/crates/ledger/src/job_store.rs
@@ -165,13 +165,23 @@
 #[serde(rename_all = "snake_case")]
 pub enum FetchReply {
     /// It is accepted.
-    Found(jobs::JobView),
+    Found(FoundJob),
     /// It was never accepted, or its time is up.
     NotFound,
     /// The log cannot be read now; the work may be accepted all the same.
     Unavailable,
 }
 
+/// Some accepted work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct FoundJob {
+    /// The organisation that it belongs to; nobody else may learn more.
+    pub organisation: String,
+    /// How far it is.
+    pub view: jobs::JobView,
+}
+
 /// Settings of a [`JobStore`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct JobSettings {
@@ -444,16 +454,18 @@
         })
     }
 
-    fn find(&self, job: id::RequestId) -> Option<jobs::JobView> {
+    fn find(&self, job: id::RequestId) -> Option<FoundJob> {
         self.driver.view(|state| {
             let work = state.fold.get(job)?;
-            Some(match &work.stage {
+            let view = match &work.stage {
                 jobs::JobStage::Waiting => jobs::JobView::Waiting,
                 jobs::JobStage::Held(_) => jobs::JobView::Running,
                 jobs::JobStage::Finished(_) => jobs::JobView::Finished(jobs::JobResult {
                     bytes: work.bytes.clone(),
                 }),
-            })
+            };
+            let organisation = work.organisation.clone();
+            Some(FoundJob { organisation, view })
         })
     }
 
