--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -182,6 +182,11 @@
         self.organisations.entries.get(key)
     }
 
+    /// All organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = (id::OrganisationKey, &OrganisationView)> {
+        self.organisations.entries.iter()
+    }
+
     /// The key of the backend server with this name.
     #[must_use]
     pub fn server_key(&self, name: &str) -> Option<id::ServerKey> {
--- a/crates/sched/src/driver.rs
+++ b/crates/sched/src/driver.rs
@@ -305,9 +305,11 @@
     /// Completes when the generation is to be stopped and started again later: cancel it on its
     /// server, then call [`Self::requeue`].
     pub async fn preempted(&mut self) -> explain::PreemptReason {
-        match self.preempted.wait_for(Option::is_some).await {
-            Ok(reason) => reason.expect("waited until it is there"),
-            Err(_) => future::pending().await,
+        let waited = self.preempted.wait_for(Option::is_some).await;
+        let reason = waited.ok().and_then(|reason| *reason);
+        match reason {
+            Some(reason) => reason,
+            None => future::pending().await,
         }
     }
 
