--- a/crates/flow/src/continuation.rs
+++ b/crates/flow/src/continuation.rs
@@ -136,7 +136,7 @@
             ));
         }
         let key = view.config.server_key(&facts.server);
-        match key.and_then(|key| view.target(key, None)) {
+        match key.and_then(|key| view.target(key)) {
             Some(target) => Ok((facts, target)),
             // A token of a newer configuration than this entry VM has: it will have it soon.
             None if facts.revision > view.config.revision() => {
--- a/crates/flow/src/jobs.rs
+++ b/crates/flow/src/jobs.rs
@@ -138,12 +138,10 @@
         let known = authenticate::AuthenticateFilter.apply(arrived).await?;
         let config = &known.facts.view.config;
         let organisation = config.organisation(known.stage.organisation);
-        let is_own = |record: &port::JobRecord| {
-            organisation.is_some_and(|view| view.name == record.organisation)
-        };
+        let is_own = |owner: &String| organisation.is_some_and(|view| view.name == *owner);
         match self.shared().ports.jobs().fetch(job).await {
-            port::JobState::Waiting(record) if is_own(&record) => Ok(JobReply::Waiting),
-            port::JobState::Done(record, result) if is_own(&record) => Ok(match result {
+            port::JobState::Waiting(owner) if is_own(&owner) => Ok(JobReply::Waiting),
+            port::JobState::Done(owner, result) if is_own(&owner) => Ok(match result {
                 port::JobResult::Answer(text) => JobReply::Answer(text),
                 port::JobResult::Refused(body) => JobReply::Refused(body),
             }),
--- a/crates/flow/src/memory.rs
+++ b/crates/flow/src/memory.rs
@@ -329,8 +329,10 @@
         match locked(&self.entries).get(&request) {
             None => port::JobState::Absent,
             Some(entry) => match &entry.result {
-                None => port::JobState::Waiting(entry.job.clone()),
-                Some(result) => port::JobState::Done(entry.job.clone(), result.clone()),
+                None => port::JobState::Waiting(entry.job.organisation.clone()),
+                Some(result) => {
+                    port::JobState::Done(entry.job.organisation.clone(), result.clone())
+                }
             },
         }
     }
--- a/crates/flow/src/port.rs
+++ b/crates/flow/src/port.rs
@@ -21,8 +21,6 @@
     pub name: String,
     /// Where it listens.
     pub address: net::SocketAddr,
-    /// The life of its process, when the scheduler knows it.
-    pub incarnation: Option<id::Incarnation>,
 }
 
 /// A generation to start.
@@ -108,17 +106,17 @@
 
 /// An engine's answer to a cancel: from then on the generation does not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct CancelAnswer {
-    /// Whether it ran, when the engine knows.
-    #[serde(default)]
-    pub ran: Option<bool>,
-    /// Tokens that it produced.
-    #[serde(default)]
-    pub produced: u32,
-    /// The life of the process that answers.
-    #[serde(default)]
-    pub incarnation: Option<id::Incarnation>,
+pub enum CancelAnswer {
+    /// The engine holds the generation.
+    Known {
+        /// Whether any part of it ran.
+        ran: bool,
+        /// Tokens that it produced.
+        produced: u32,
+    },
+    /// The engine does not hold it, and will refuse a start of it that comes late. Whether it ran
+    /// in an earlier life of the process is not known.
+    Remembered,
 }
 
 /// Events of one generation over one connection.
@@ -260,11 +258,6 @@
     /// Where.
     fn server(&self) -> id::ServerKey;
 
-    /// The life of that server's process, when it is known.
-    fn incarnation(&self) -> Option<id::Incarnation> {
-        None
-    }
-
     /// Engine priority to start with.
     fn priority(&self) -> u8;
 
@@ -432,10 +425,10 @@
 pub enum JobState {
     /// No such job, or its time is up.
     Absent,
-    /// Accepted, not finished.
-    Waiting(JobRecord),
-    /// Finished.
-    Done(JobRecord, JobResult),
+    /// Accepted for this organisation, not finished.
+    Waiting(String),
+    /// Accepted for this organisation and finished.
+    Done(String, JobResult),
     /// The book cannot say now.
     Unreadable(refusal::RefusalBody),
 }
--- a/crates/flow/src/proof.rs
+++ b/crates/flow/src/proof.rs
@@ -5,7 +5,7 @@
 //! books. Here, "not run" can be said only by whoever holds a [`NotRunProof`], and sending
 //! consumes it; it comes back only through evidence that names its ground.
 
-use base::{id, outcome, refusal};
+use base::{outcome, refusal};
 
 use crate::{port, refused};
 
@@ -117,20 +117,15 @@
 
     /// The try's cancellation was answered: it will not run from here on.
     ///
-    /// `ran: false` is believed only of the process that the try was sent to. A process that
-    /// was started since knows nothing of the try and says `false` although the one before it
-    /// may have run it; one would notice a caller told "not run" for work that had been done.
-    pub fn cancelled(
-        self,
-        answer: &port::CancelAnswer,
-        sent_to: Option<id::Incarnation>,
-    ) -> StartPermit {
-        let same_process = sent_to.is_some() && sent_to == answer.incarnation;
-        let this_try = match answer.ran {
+    /// What goes wrong when "not held" is taken for "did not run": a process that was started
+    /// since knows nothing of a try that the one before it ran. One would notice a caller told
+    /// "not run" for work that had been done.
+    pub fn cancelled(self, answer: &port::CancelAnswer) -> StartPermit {
+        let this_try = match answer {
             _ if self.seen_running => outcome::RanState::Yes,
-            Some(true) => outcome::RanState::Yes,
-            Some(false) if same_process => outcome::RanState::No,
-            Some(false) | None => outcome::RanState::Unknown,
+            port::CancelAnswer::Known { ran: true, .. } => outcome::RanState::Yes,
+            port::CancelAnswer::Known { ran: false, .. } => outcome::RanState::No,
+            port::CancelAnswer::Remembered => outcome::RanState::Unknown,
         };
         StartPermit {
             ran: self.earlier.and(this_try),
--- a/crates/flow/src/request.rs
+++ b/crates/flow/src/request.rs
@@ -9,7 +9,7 @@
 use conf::snapshot;
 use tokio::time;
 
-use crate::{body, port, proof, refused, view};
+use crate::{body, path, port, proof, refused, view};
 
 /// What a caller sends beside the body.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -355,7 +355,8 @@
                 ),
             ));
         }
-        let once = view.config.is_non_idempotent(&self.service, &self.path);
+        let path = path::plain_path(&self.path)?;
+        let once = view.config.is_non_idempotent(&self.service, &path);
         let content = fingerprint::ContentHash::of_parts(&[
             self.service.as_bytes(),
             self.method.as_bytes(),
--- a/crates/flow/src/route.rs
+++ b/crates/flow/src/route.rs
@@ -36,7 +36,7 @@
     fn target<G: port::Grant>(&self, grant: &G) -> Option<port::ServerTarget> {
         let view = self.views.borrow().clone();
         let key = grant.server();
-        let target = view.target(key, grant.incarnation());
+        let target = view.target(key);
         target.filter(|_| view.takes_work(key))
     }
 
--- a/crates/flow/src/settle.rs
+++ b/crates/flow/src/settle.rs
@@ -48,7 +48,7 @@
         loop {
             match shared.cancel_once(&self.target, self.generation).await {
                 Ok(Some(answer)) => {
-                    return Ok(self.ticket.cancelled(&answer, self.target.incarnation));
+                    return Ok(self.ticket.cancelled(&answer));
                 }
                 Ok(None) => return Ok(self.ticket.server_gone()),
                 Err(_) => {}
--- a/crates/flow/src/view.rs
+++ b/crates/flow/src/view.rs
@@ -25,16 +25,11 @@
 
     /// How links address a server; absent once it was removed.
     #[must_use]
-    pub fn target(
-        &self,
-        key: id::ServerKey,
-        incarnation: Option<id::Incarnation>,
-    ) -> Option<port::ServerTarget> {
+    pub fn target(&self, key: id::ServerKey) -> Option<port::ServerTarget> {
         self.config.server(key).map(|server| port::ServerTarget {
             key,
             name: server.name.clone(),
             address: server.entry.address,
-            incarnation,
         })
     }
 
