--- /dev/null
+++ b/crates/entry/src/adapt.rs
@@ -0,0 +1,9 @@
+//! Binds the request plane's ports to the scheduler, the log and this VM's clocks.
+
+pub mod claims;
+pub mod identity;
+pub mod jobs;
+pub mod peers;
+pub mod quota;
+pub mod schedule;
+pub mod service_pool;
--- /dev/null
+++ b/crates/entry/src/adapt/claims.rs
@@ -0,0 +1,162 @@
+//! Claims on idempotency keys for the request plane, on the log.
+
+use std::{collections, sync};
+
+use base::{id, outcome, refusal};
+use flow::port;
+use ledger::{claim_store, claims, route};
+
+use crate::adapt::peers;
+
+/// How soon a repeated call whose first is under way should be asked for again.
+const IN_PROGRESS_RETRY_MS: u64 = 500;
+/// How soon a call that the log could not take should be sent again.
+const LOG_DOWN_RETRY_MS: u64 = 2_000;
+
+/// Claims on the log, and the permits of those that this process holds.
+pub struct LogClaims {
+    router: peers::EntryRouter,
+    /// One for each claim that is held and not yet settled.
+    permits: sync::Mutex<collections::HashMap<id::RecordId, route::SendPermit>>,
+}
+
+impl std::fmt::Debug for LogClaims {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("LogClaims").finish_non_exhaustive()
+    }
+}
+
+impl LogClaims {
+    /// Claims through `router`.
+    #[must_use]
+    pub fn new(router: peers::EntryRouter) -> Self {
+        Self {
+            router,
+            permits: sync::Mutex::default(),
+        }
+    }
+
+    fn permits(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::HashMap<id::RecordId, route::SendPermit>> {
+        self.permits
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl port::ClaimBook for LogClaims {
+    async fn claim(&self, ask: port::ClaimAsk) -> port::ClaimAnswer {
+        let call = route::ClaimCall {
+            organisation: ask.organisation.clone(),
+            key: ask.key.clone(),
+            content: ask.content,
+        };
+        match self.router.claim(call).await {
+            route::ClaimAnswer::Fresh(permit) => {
+                let hold = port::ClaimHold {
+                    record: permit.claim(),
+                    deadline: permit.deadline(),
+                    ask,
+                };
+                self.permits().insert(hold.record, permit);
+                port::ClaimAnswer::Fresh(hold)
+            }
+            route::ClaimAnswer::Stored(outcome) => match service_answer(outcome) {
+                Some(answer) => port::ClaimAnswer::Stored(answer),
+                None => port::ClaimAnswer::Refused(answer_not_kept()),
+            },
+            route::ClaimAnswer::InProgress => port::ClaimAnswer::InProgress {
+                retry_after_ms: IN_PROGRESS_RETRY_MS,
+            },
+            route::ClaimAnswer::Unknown => port::ClaimAnswer::Unknown,
+            route::ClaimAnswer::OtherContent => port::ClaimAnswer::Mismatch,
+            route::ClaimAnswer::Refused(refused) => port::ClaimAnswer::Refused(refusal(&refused)),
+        }
+    }
+
+    async fn store(
+        &self,
+        hold: port::ClaimHold,
+        end: port::ClaimEnd,
+    ) -> Result<(), refusal::RefusalBody> {
+        let Some(permit) = self.permits().remove(&hold.record) else {
+            return Ok(());
+        };
+        let outcome = match end {
+            port::ClaimEnd::Answered(answer) => claims::SettledOutcome::Ran(stored(answer)),
+            port::ClaimEnd::NotRun => claims::SettledOutcome::NotRun,
+            // Without an end the key stays unknown, which is what it is.
+            port::ClaimEnd::Unknown => return Ok(()),
+        };
+        if self.router.settle(permit, outcome).await == claim_store::RecordReply::NotRecorded {
+            // The permit is used up: the key stays unknown to others, which is honest.
+            metrics::counter!("pollenchute_entry_claim_ends_lost_total").increment(1);
+        }
+        Ok(())
+    }
+
+    fn seen(&self, _organisation: &str, _key: &str) -> bool {
+        false
+    }
+}
+
+fn stored(answer: port::ServiceAnswer) -> claims::StoredOutcome {
+    claims::StoredOutcome {
+        status: answer.status,
+        content_type: answer.content_type,
+        body: Some(claims::StoredBody(answer.body)),
+    }
+}
+
+fn service_answer(outcome: claims::StoredOutcome) -> Option<port::ServiceAnswer> {
+    Some(port::ServiceAnswer {
+        status: outcome.status,
+        content_type: outcome.content_type,
+        body: outcome.body?.0,
+    })
+}
+
+fn answer_not_kept() -> refusal::RefusalBody {
+    let message = "the call with this key ran, but its answer was too large to keep; look the \
+                   outcome up, and do not send it under another key";
+    refusal::RefusalBody::not_run(refusal::RefusalCode::BackendFault, message)
+        .ran(outcome::RanState::Yes)
+}
+
+fn refusal(refused: &route::ClaimRefused) -> refusal::RefusalBody {
+    let (code, message, retry_after_ms) = match refused.cause {
+        Some(claim_store::RefusalCause::KeyMalformed) => (
+            refusal::RefusalCode::BadRequest,
+            "an idempotency key is `<unix milliseconds>-<any text>`; draw one with its time",
+            None,
+        ),
+        Some(claim_store::RefusalCause::OutsideWindow) => (
+            refusal::RefusalCode::IdempotencyKeyExpired,
+            "the idempotency key is too old to tell whether it ran; look the outcome up, then \
+             draw a new key",
+            None,
+        ),
+        Some(claim_store::RefusalCause::Withdrawn) => (
+            refusal::RefusalCode::Unavailable,
+            "the claim was given up before the call left; send the call again",
+            Some(IN_PROGRESS_RETRY_MS),
+        ),
+        Some(claim_store::RefusalCause::Full) => (
+            refusal::RefusalCode::Overloaded,
+            "too many idempotency keys are remembered; send the call again later",
+            Some(LOG_DOWN_RETRY_MS),
+        ),
+        Some(claim_store::RefusalCause::NotAppended(_) | claim_store::RefusalCause::Unsettled)
+        | None => (
+            refusal::RefusalCode::Unavailable,
+            "the log cannot record the claim, without which this call is not sent; send it again",
+            Some(LOG_DOWN_RETRY_MS),
+        ),
+    };
+    let body = refusal::RefusalBody::not_run(code, message).ran(refused.ran);
+    match retry_after_ms {
+        Some(delay_ms) => body.retry_after_ms(delay_ms),
+        None => body,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/adapt/identity.rs
@@ -0,0 +1,25 @@
+//! Identifiers and the wall clock for the request plane.
+
+use base::id;
+
+use crate::wall;
+
+/// Draws identifiers from the operating system's randomness.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RandomIds;
+
+impl flow::port::IdSource for RandomIds {
+    fn draw(&self) -> u128 {
+        id::RequestId::draw(&mut rand::rng()).0
+    }
+}
+
+/// This VM's wall clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl flow::port::WallClock for SystemClock {
+    fn unix_ms(&self) -> u64 {
+        wall::unix_ms()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/adapt/peers.rs
@@ -0,0 +1,126 @@
+//! Calls to other entry VMs: the log's partitions through whoever appends them, and notes about
+//! streams that go on elsewhere.
+
+use std::{net, sync};
+
+use base::{id, outcome};
+use ledger::{host, route};
+use tokio::time;
+use wire::proto::peer;
+
+use crate::members;
+
+/// Name of the extension that carries a [`host::LedgerRequest`].
+pub const LEDGER: &str = "ledger";
+/// Name of the extension that tells of a stream that goes on elsewhere.
+pub const ADOPTED: &str = "adopted";
+/// Name of the extension that spreads what is suspected of crashing backend servers.
+pub const SUSPECTS: &str = "suspects";
+
+/// Longest wait for a note to be taken.
+const NOTE_LIMIT: time::Duration = time::Duration::from_millis(800);
+
+/// The router through which this daemon uses the log.
+pub type EntryRouter = route::LedgerRouter<ledger::http::HttpLog, PeerLedger>;
+
+/// Calls other entry VMs by name.
+#[derive(Clone, Debug)]
+pub struct PeerCaller {
+    client: wire::client::PeerClient,
+    members: sync::Arc<members::MemberTable>,
+}
+
+impl PeerCaller {
+    /// A caller that finds addresses in `members`.
+    #[must_use]
+    pub const fn new(
+        client: wire::client::PeerClient,
+        members: sync::Arc<members::MemberTable>,
+    ) -> Self {
+        Self { client, members }
+    }
+
+    /// Makes one call of an extension.
+    ///
+    /// # Errors
+    ///
+    /// Whether the call may have had an effect.
+    pub async fn extension(
+        &self,
+        address: net::SocketAddr,
+        name: &str,
+        body: Vec<u8>,
+        within: time::Duration,
+    ) -> Result<Vec<u8>, outcome::RanState> {
+        let request = peer::request::Kind::Extension(peer::Extension {
+            name: name.to_owned(),
+            body,
+        });
+        let options = wire::client::CallOptions {
+            within,
+            repeatable: true,
+        };
+        match self.client.call(address, request, options).await {
+            Ok(peer::response::Kind::Extension(body)) => Ok(body),
+            Ok(_) => Err(outcome::RanState::Unknown),
+            Err(error) => Err(error.ran()),
+        }
+    }
+
+    /// Sends a note to a member by name; nobody waits for it.
+    pub fn note(&self, vm: &str, name: &'static str, body: Vec<u8>) {
+        let Some(address) = self.members.peer_address(vm) else {
+            return;
+        };
+        let caller = self.clone();
+        tokio::spawn(async move {
+            if caller
+                .extension(address, name, body, NOTE_LIMIT)
+                .await
+                .is_err()
+            {
+                metrics::counter!("pollenchute_entry_notes_lost_total").increment(1);
+            }
+        });
+    }
+}
+
+/// Notes to other entry VMs for the request plane.
+#[derive(Clone, Debug)]
+pub struct PeerNotes(pub PeerCaller);
+
+impl flow::port::PeerLink for PeerNotes {
+    fn adopted(&self, vm: &str, generation: id::GenerationId) {
+        self.0
+            .note(vm, ADOPTED, generation.to_string().into_bytes());
+    }
+}
+
+/// The way of the log's partitions to the entry VMs that append them.
+#[derive(Clone, Debug)]
+pub struct PeerLedger(pub PeerCaller);
+
+impl route::LedgerPeers for PeerLedger {
+    fn live_vms(&self) -> Vec<String> {
+        self.0.members.live_names()
+    }
+
+    async fn call(
+        &self,
+        vm: &str,
+        request: &host::LedgerRequest,
+        limit: time::Duration,
+    ) -> Result<host::LedgerReply, route::PeerFault> {
+        let address = self
+            .0
+            .members
+            .peer_address(vm)
+            .ok_or(route::PeerFault::NotDelivered)?;
+        let body = serde_json::to_vec(request).map_err(|_| route::PeerFault::NotDelivered)?;
+        match self.0.extension(address, LEDGER, body, limit).await {
+            Ok(body) => serde_json::from_slice(&body).map_err(|_| route::PeerFault::Lost),
+            Err(outcome::RanState::No) => Err(route::PeerFault::NotDelivered),
+            Err(_) => Err(route::PeerFault::Lost),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/adapt/quota.rs
@@ -0,0 +1,34 @@
+//! Limits of organisations for the request plane.
+//!
+//! Generations are limited inside the decision core, where their tokens are counted; plain
+//! service calls are not held back here.
+
+use base::{id, refusal};
+use conf::rules;
+use tokio::time;
+
+/// Hands every request on to the decision core's limits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CoreQuota;
+
+/// Nothing is held here.
+#[derive(Clone, Copy, Debug)]
+pub struct CorePermit;
+
+impl flow::port::QuotaPermit for CorePermit {
+    fn charge(&mut self, _tokens: u32) {}
+}
+
+impl flow::port::QuotaBook for CoreQuota {
+    type Permit = CorePermit;
+
+    fn take(
+        &self,
+        _organisation: id::OrganisationKey,
+        _rule: &rules::OrganisationRule,
+        _work: &flow::port::AskedWork,
+        _now: time::Instant,
+    ) -> Result<CorePermit, refusal::RefusalBody> {
+        Ok(CorePermit)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/chronicle.rs
@@ -0,0 +1,49 @@
+//! This process's journal of events, stamped with the wall clock.
+
+use std::sync;
+
+use base::id;
+use trace::{journal, kind};
+
+use crate::wall;
+
+/// Handle to the journal of this process; clones share it.
+#[derive(Clone, Debug)]
+pub struct Chronicle {
+    journal: sync::Arc<journal::EventJournal>,
+}
+
+impl Chronicle {
+    /// A handle to `journal`.
+    #[must_use]
+    pub fn new(journal: journal::EventJournal) -> Self {
+        Self {
+            journal: sync::Arc::new(journal),
+        }
+    }
+
+    /// The journal itself.
+    #[must_use]
+    pub fn journal(&self) -> &journal::EventJournal {
+        &self.journal
+    }
+
+    /// Records an event about no request in particular.
+    pub fn record(&self, kind: kind::EventKind) {
+        self.journal.record(wall::unix_ms(), kind);
+    }
+
+    /// Records an event about one request, when there is one.
+    pub fn record_for(&self, request: Option<id::RequestId>, kind: kind::EventKind) {
+        match request {
+            Some(request) => self.journal.record_for(wall::unix_ms(), request, kind),
+            None => self.record(kind),
+        }
+    }
+}
+
+impl flow::port::EventSink for Chronicle {
+    fn record(&self, request: Option<id::RequestId>, kind: kind::EventKind) {
+        self.record_for(request, kind);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/drain.rs
@@ -0,0 +1,71 @@
+//! Marks backend servers and this VM as leaving.
+
+use base::{ops, refusal};
+use trace::kind;
+
+use crate::state;
+
+/// Marks what `ask` names as leaving.
+///
+/// # Errors
+///
+/// A refusal when there is no such thing, or it is another VM's to do.
+pub fn mark(
+    entry: &state::EntryState,
+    ask: &ops::DrainAsk,
+    operator: &str,
+) -> Result<ops::DrainAnswer, refusal::RefusalBody> {
+    let answer = match ask {
+        ops::DrainAsk::Server(name) => mark_server(entry, name)?,
+        ops::DrainAsk::Vm(name) => mark_vm(entry, name)?,
+    };
+    if !answer.already {
+        let subject = answer.subject.clone();
+        log::info!(subject = subject.as_str(), operator = operator; "drain started");
+        let source = format!("operator {operator}");
+        entry
+            .chronicle
+            .record(kind::EventKind::DrainStarted { subject, source });
+    }
+    Ok(answer)
+}
+
+fn mark_server(
+    entry: &state::EntryState,
+    name: &str,
+) -> Result<ops::DrainAnswer, refusal::RefusalBody> {
+    let snapshot = entry.book.snapshot();
+    let Some(key) = snapshot.server_key(name) else {
+        return Err(absent(&format!(
+            "there is no backend server \"{name}\" in the inventory"
+        )));
+    };
+    let fresh = entry.roster.leave(key);
+    Ok(ops::DrainAnswer {
+        subject: name.to_owned(),
+        already: !fresh,
+        running: 0,
+    })
+}
+
+fn mark_vm(
+    entry: &state::EntryState,
+    name: &str,
+) -> Result<ops::DrainAnswer, refusal::RefusalBody> {
+    if name != entry.settings.vm {
+        let message = format!("this is \"{}\"; ask \"{name}\" itself", entry.settings.vm);
+        return Err(absent(&message));
+    }
+    let already = entry.plane.gate().is_closed();
+    entry.plane.gate().close();
+    let running = u32::try_from(entry.plane.gate().running()).unwrap_or(u32::MAX);
+    Ok(ops::DrainAnswer {
+        subject: name.to_owned(),
+        already,
+        running,
+    })
+}
+
+fn absent(message: &str) -> refusal::RefusalBody {
+    refusal::RefusalBody::not_run(refusal::RefusalCode::NotFound, message)
+}
--- /dev/null
+++ b/crates/entry/src/http/caller.rs
@@ -0,0 +1,396 @@
+//! The face towards callers.
+
+use std::sync;
+
+use base::refusal;
+use bytes::Bytes;
+use flow::{body, plane, request};
+use rocket::{State, data, data::ToByteUnit as _, http::Status};
+
+use crate::{
+    http::{answer, head},
+    state,
+};
+
+type WholeAnswer = answer::HttpAnswer<answer::WholeBody>;
+type StreamAnswer = answer::HttpAnswer<answer::StreamBody<flow::pipe::CallerStream>>;
+
+/// Either kind of answer to a call for a generation.
+#[derive(Debug, rocket::Responder)]
+pub enum GenerationAnswer {
+    /// Known whole.
+    Whole(WholeAnswer),
+    /// Sent as it comes.
+    Stream(StreamAnswer),
+}
+
+const REQUEST_ID: &str = "x-request-id";
+const GENERATION_TOKEN: &str = "x-generation-token";
+const EVENT_STREAM: &str = "text/event-stream";
+const JSON: &str = "application/json";
+
+/// Routes of the face towards callers.
+#[must_use]
+pub fn routes() -> Vec<rocket::Route> {
+    rocket::routes![
+        chat,
+        completion,
+        models,
+        entries,
+        fetch,
+        continuation,
+        service
+    ]
+}
+
+#[rocket::post("/v1/chat/completions", data = "<data>")]
+async fn chat(
+    head: head::CallHead,
+    data: data::Data<'_>,
+    entry: &State<sync::Arc<state::EntryState>>,
+) -> GenerationAnswer {
+    generate(head, data, entry, body::CallerFace::Chat).await
+}
+
+#[rocket::post("/v1/completions", data = "<data>")]
+async fn completion(
+    head: head::CallHead,
+    data: data::Data<'_>,
+    entry: &State<sync::Arc<state::EntryState>>,
+) -> GenerationAnswer {
+    generate(head, data, entry, body::CallerFace::Completion).await
+}
+
+async fn generate(
+    head: head::CallHead,
+    data: data::Data<'_>,
+    entry: &state::EntryState,
+    face: body::CallerFace,
+) -> GenerationAnswer {
+    let bytes = match read_json(&head, data, entry).await {
+        Ok(bytes) => bytes,
+        Err(refused) => return GenerationAnswer::Whole(refused),
+    };
+    if head.respond_async {
+        return GenerationAnswer::Whole(accept(head, face, bytes, entry).await);
+    }
+    match entry
+        .plane
+        .generate(caller_headers(head), face, bytes)
+        .await
+    {
+        Ok(plane::GenerationReply::Whole { request, body }) => {
+            let headers = vec![answer::HeaderLine {
+                name: REQUEST_ID,
+                value: request.to_string(),
+            }];
+            GenerationAnswer::Whole(answer::HttpAnswer {
+                status: Status::Ok.code,
+                content_type: JSON.to_owned(),
+                headers,
+                body: answer::WholeBody(body),
+            })
+        }
+        Ok(plane::GenerationReply::Stream(reply)) => GenerationAnswer::Stream(streamed(reply)),
+        Err(refused) => GenerationAnswer::Whole(refused_answer(refused)),
+    }
+}
+
+/// Accepts work to be fetched later.
+async fn accept(
+    head: head::CallHead,
+    face: body::CallerFace,
+    bytes: Bytes,
+    entry: &state::EntryState,
+) -> WholeAnswer {
+    match entry
+        .plane
+        .accept_job(caller_headers(head), face, bytes)
+        .await
+    {
+        Ok(request) => {
+            let state = RequestState {
+                id: request.to_string(),
+                state: "waiting",
+            };
+            let mut answer = answer::HttpAnswer::json(Status::Accepted.code, &state);
+            let value = format!("/v1/requests/{request}");
+            answer.headers.push(answer::HeaderLine {
+                name: "location",
+                value,
+            });
+            let value = request.to_string();
+            answer.headers.push(answer::HeaderLine {
+                name: REQUEST_ID,
+                value,
+            });
+            answer
+        }
+        Err(refused) => refused_answer(refused),
+    }
+}
+
+/// State of work that is not finished.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct RequestState {
+    id: String,
+    state: &'static str,
+}
+
+#[rocket::get("/v1/requests/<id>")]
+async fn fetch(
+    head: head::CallHead,
+    id: &str,
+    entry: &State<sync::Arc<state::EntryState>>,
+) -> WholeAnswer {
+    let Ok(job) = id.parse() else {
+        return not_run(
+            refusal::RefusalCode::NotFound,
+            base::id::IdError.to_string(),
+        );
+    };
+    match entry.plane.fetch_job(caller_headers(head), job).await {
+        Ok(flow::jobs::JobReply::Waiting) => {
+            let state = RequestState {
+                id: id.to_owned(),
+                state: "waiting",
+            };
+            answer::HttpAnswer::json(Status::Accepted.code, &state)
+        }
+        Ok(flow::jobs::JobReply::Answer(text)) => answer::HttpAnswer {
+            status: Status::Ok.code,
+            content_type: JSON.to_owned(),
+            headers: Vec::new(),
+            body: answer::WholeBody(text.into()),
+        },
+        Ok(flow::jobs::JobReply::Refused(body)) => answer::HttpAnswer::refusal(body),
+        Err(refused) => refused_answer(refused),
+    }
+}
+
+#[rocket::get("/v1/generations/<token>?<from>")]
+async fn continuation(
+    head: head::CallHead,
+    token: &str,
+    from: Option<u32>,
+    entry: &State<sync::Arc<state::EntryState>>,
+) -> GenerationAnswer {
+    let from = from.unwrap_or(0);
+    match entry
+        .plane
+        .continue_generation(caller_headers(head), token, from)
+        .await
+    {
+        Ok(reply) => GenerationAnswer::Stream(streamed(reply)),
+        Err(refused) => GenerationAnswer::Whole(refused_answer(refused)),
+    }
+}
+
+#[rocket::post("/v1/services/<name>/<path..>", data = "<data>")]
+async fn service(
+    head: head::CallHead,
+    name: &str,
+    path: std::path::PathBuf,
+    data: data::Data<'_>,
+    entry: &State<sync::Arc<state::EntryState>>,
+) -> WholeAnswer {
+    let body = match read_body(data, entry).await {
+        Ok(body) => body,
+        Err(refused) => return refused,
+    };
+    let raw = request::RawCall {
+        service: name.to_owned(),
+        method: "POST".to_owned(),
+        path: format!("/{}", path.display()),
+        content_type: head.content_type.clone(),
+        body,
+    };
+    match entry.plane.call_service(caller_headers(head), raw).await {
+        Ok(reply) => answer::HttpAnswer {
+            status: reply.answer.status,
+            content_type: reply.answer.content_type.unwrap_or_else(|| JSON.to_owned()),
+            headers: vec![answer::HeaderLine {
+                name: REQUEST_ID,
+                value: reply.request.to_string(),
+            }],
+            body: answer::WholeBody(reply.answer.body),
+        },
+        Err(refused) => refused_answer(refused),
+    }
+}
+
+fn streamed(reply: plane::StreamReply) -> StreamAnswer {
+    let headers = vec![
+        answer::HeaderLine {
+            name: REQUEST_ID,
+            value: reply.request.to_string(),
+        },
+        answer::HeaderLine {
+            name: GENERATION_TOKEN,
+            value: reply.token,
+        },
+    ];
+    answer::HttpAnswer {
+        status: Status::Ok.code,
+        content_type: EVENT_STREAM.to_owned(),
+        headers,
+        body: answer::StreamBody(reply.stream),
+    }
+}
+
+fn refused_answer(refused: plane::RefusedRequest) -> WholeAnswer {
+    let mut whole = answer::HttpAnswer::refusal(refused.body);
+    let value = refused.request.to_string();
+    whole.headers.push(answer::HeaderLine {
+        name: REQUEST_ID,
+        value,
+    });
+    whole
+}
+
+fn caller_headers(head: head::CallHead) -> request::CallerHeaders {
+    request::CallerHeaders {
+        api_key: head.api_key,
+        requested_class: head.requested_class,
+        idempotency_key: head.idempotency_key,
+        time_limit_ms: head.time_limit_ms,
+    }
+}
+
+/// Reads a JSON body within the bound.
+async fn read_json(
+    head: &head::CallHead,
+    data: data::Data<'_>,
+    entry: &state::EntryState,
+) -> Result<Bytes, WholeAnswer> {
+    if head
+        .content_type
+        .as_deref()
+        .is_some_and(|media| media != JSON)
+    {
+        let message = "the body must be JSON; send `Content-Type: application/json`";
+        return Err(not_run(refusal::RefusalCode::BadRequest, message));
+    }
+    read_body(data, entry).await
+}
+
+/// Reads a body within the bound.
+pub(crate) async fn read_body(
+    data: data::Data<'_>,
+    entry: &state::EntryState,
+) -> Result<Bytes, WholeAnswer> {
+    let limit = entry.settings.bounds.body_bytes;
+    let read = data.open(limit.bytes()).into_bytes().await;
+    match read {
+        Ok(bytes) if bytes.is_complete() => Ok(bytes.into_inner().into()),
+        Ok(_) => {
+            let message = format!("the body is larger than {limit} bytes; send less");
+            Err(not_run(refusal::RefusalCode::TooLarge, message))
+        }
+        Err(error) => {
+            let message = format!("the body could not be read ({error}); send it again");
+            Err(not_run(refusal::RefusalCode::BadRequest, message))
+        }
+    }
+}
+
+fn not_run(code: refusal::RefusalCode, message: impl Into<String>) -> WholeAnswer {
+    answer::HttpAnswer::refusal(refusal::RefusalBody::not_run(code, message))
+}
+
+/// One model in the list that client libraries read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct ModelLine {
+    id: String,
+    object: &'static str,
+    created: u64,
+    owned_by: &'static str,
+}
+
+/// The list of models that client libraries read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelLine>,
+}
+
+#[rocket::get("/v1/models")]
+fn models(
+    head: head::CallHead,
+    entry: &State<sync::Arc<state::EntryState>>,
+) -> Result<WholeAnswer, WholeAnswer> {
+    let snapshot = entry.book.snapshot();
+    entry
+        .organisation(&head, &snapshot)
+        .map_err(answer::HttpAnswer::refusal)?;
+    let line = |id: String| ModelLine {
+        id,
+        object: "model",
+        created: 0,
+        owned_by: "pollenchute",
+    };
+    let data = snapshot
+        .inventory()
+        .models
+        .iter()
+        .flat_map(|(name, model)| {
+            let adapted = model
+                .adapters
+                .iter()
+                .map(move |adapter| format!("{name}:{adapter}"));
+            std::iter::once(name.clone()).chain(adapted)
+        })
+        .map(line)
+        .collect();
+    Ok(answer::HttpAnswer::json(
+        Status::Ok.code,
+        &ModelList {
+            object: "list",
+            data,
+        },
+    ))
+}
+
+/// One entry VM as callers are told it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct EntryLine {
+    vm: String,
+    address: String,
+}
+
+/// The entry VMs of one organisation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
+struct EntryList {
+    entries: Vec<EntryLine>,
+    keep_ms: u64,
+}
+
+#[rocket::get("/v1/entries")]
+fn entries(
+    head: head::CallHead,
+    entry: &State<sync::Arc<state::EntryState>>,
+) -> Result<WholeAnswer, WholeAnswer> {
+    let snapshot = entry.book.snapshot();
+    let organisation = entry
+        .organisation(&head, &snapshot)
+        .map_err(answer::HttpAnswer::refusal)?;
+    let named = snapshot
+        .entries_of(organisation, |vm| entry.members.is_named(&snapshot, vm))
+        .into_iter()
+        .filter_map(|key| snapshot.vm(key))
+        .map(|vm| EntryLine {
+            vm: vm.name.clone(),
+            address: vm.entry.callers.to_string(),
+        })
+        .collect();
+    let list = EntryList {
+        entries: named,
+        keep_ms: snapshot.rules().entries.keep_ms,
+    };
+    Ok(answer::HttpAnswer::json(Status::Ok.code, &list))
+}
--- /dev/null
+++ b/crates/entry/src/http/catch.rs
@@ -0,0 +1,44 @@
+//! Typed answers for what rocket refuses on its own.
+
+use base::refusal;
+
+use crate::http::answer;
+
+type WholeAnswer = answer::HttpAnswer<answer::WholeBody>;
+
+/// The catchers for every status that rocket raises itself.
+#[must_use]
+pub fn catchers() -> Vec<rocket::Catcher> {
+    rocket::catchers![not_found, any]
+}
+
+#[rocket::catch(404)]
+fn not_found(request: &rocket::Request<'_>) -> WholeAnswer {
+    let message = format!(
+        "{} {} is not served here; see docs/INTERFACES.md",
+        request.method(),
+        request.uri().path()
+    );
+    answer::HttpAnswer::refusal(refusal::RefusalBody::not_run(
+        refusal::RefusalCode::NotFound,
+        message,
+    ))
+}
+
+#[rocket::catch(default)]
+fn any(status: rocket::http::Status, _request: &rocket::Request<'_>) -> WholeAnswer {
+    let code = match status.code {
+        500.. => refusal::RefusalCode::Internal,
+        413 => refusal::RefusalCode::TooLarge,
+        _ => refusal::RefusalCode::BadRequest,
+    };
+    let message = format!("the request was refused with status {status}; check its form");
+    let mut body = refusal::RefusalBody::not_run(code, message);
+    if code == refusal::RefusalCode::Internal {
+        // A handler that failed may have started something.
+        body = body.ran(base::outcome::RanState::Unknown);
+    }
+    let mut whole = answer::HttpAnswer::refusal(body);
+    whole.status = status.code;
+    whole
+}
--- /dev/null
+++ b/crates/entry/src/http/ops.rs
@@ -0,0 +1,136 @@
+//! The face towards operators.
+
+use std::sync;
+
+use base::{ops, refusal};
+use rocket::{State, data, http::Status};
+
+use crate::{
+    http::{answer, caller, head},
+    publish, state, status,
+};
+
+type WholeAnswer = answer::HttpAnswer<answer::WholeBody>;
+type OpsAnswer = Result<WholeAnswer, WholeAnswer>;
+type Entry = State<sync::Arc<state::EntryState>>;
+
+/// Routes of the face towards operators.
+#[must_use]
+pub fn routes() -> Vec<rocket::Route> {
+    rocket::routes![
+        show_status,
+        configuration,
+        history,
+        publish_change,
+        timeline,
+        drain,
+        quarantine,
+        lift
+    ]
+}
+
+fn allow(entry: &state::EntryState, head: &head::CallHead) -> Result<String, WholeAnswer> {
+    entry.operator(head).map_err(answer::HttpAnswer::refusal)
+}
+
+fn ok<T: serde::Serialize>(value: &T) -> OpsAnswer {
+    Ok(answer::HttpAnswer::json(Status::Ok.code, value))
+}
+
+fn bad(code: refusal::RefusalCode, message: impl Into<String>) -> WholeAnswer {
+    answer::HttpAnswer::refusal(refusal::RefusalBody::not_run(code, message))
+}
+
+async fn read<T: serde::de::DeserializeOwned>(
+    data: data::Data<'_>,
+    entry: &state::EntryState,
+) -> Result<T, WholeAnswer> {
+    let bytes = caller::read_body(data, entry).await?;
+    serde_json::from_slice(&bytes).map_err(|error| {
+        let message = format!("the body is not understood ({error}); see docs/INTERFACES.md");
+        bad(refusal::RefusalCode::BadRequest, message)
+    })
+}
+
+#[rocket::get("/ops/status")]
+fn show_status(head: head::CallHead, entry: &Entry) -> OpsAnswer {
+    allow(entry, &head)?;
+    ok(&status::status(entry))
+}
+
+#[rocket::get("/ops/configuration?<revision>")]
+fn configuration(head: head::CallHead, revision: Option<u64>, entry: &Entry) -> OpsAnswer {
+    allow(entry, &head)?;
+    let wanted = revision.unwrap_or_else(|| entry.book.snapshot().revision());
+    let Some(body) = entry.book.configuration(wanted) else {
+        let message = format!("revision {wanted} is not remembered here; see GET /ops/history");
+        return Err(bad(refusal::RefusalCode::NotFound, message));
+    };
+    ok(&body)
+}
+
+#[rocket::get("/ops/history")]
+fn history(head: head::CallHead, entry: &Entry) -> OpsAnswer {
+    allow(entry, &head)?;
+    ok(&entry.book.history())
+}
+
+#[rocket::post("/ops/publish", data = "<data>")]
+async fn publish_change(head: head::CallHead, data: data::Data<'_>, entry: &Entry) -> OpsAnswer {
+    let author = allow(entry, &head)?;
+    let mut ask: ops::PublishAsk = read(data, entry).await?;
+    ask.author = author;
+    let answer = publish::publish(entry, ask).await;
+    Ok(answer::HttpAnswer::json(answer.status(), &answer))
+}
+
+#[rocket::get("/ops/timeline?<since_ms>&<kind>&<request>&<limit>")]
+fn timeline(
+    head: head::CallHead,
+    since_ms: Option<u64>,
+    kind: Option<&str>,
+    request: Option<&str>,
+    limit: Option<usize>,
+    entry: &Entry,
+) -> OpsAnswer {
+    allow(entry, &head)?;
+    let query = trace::query::EventQuery::from_parts(request, since_ms, kind, limit)
+        .map_err(|error| bad(refusal::RefusalCode::BadRequest, error.to_string()))?;
+    ok(&entry.chronicle.journal().timeline(&query))
+}
+
+#[rocket::post("/ops/drain", data = "<data>")]
+async fn drain(head: head::CallHead, data: data::Data<'_>, entry: &Entry) -> OpsAnswer {
+    let operator = allow(entry, &head)?;
+    let ask: ops::DrainAsk = read(data, entry).await?;
+    match crate::drain::mark(entry, &ask, &operator) {
+        Ok(answer) => ok(&answer),
+        Err(body) => Err(answer::HttpAnswer::refusal(body)),
+    }
+}
+
+#[rocket::get("/ops/quarantine")]
+fn quarantine(head: head::CallHead, entry: &Entry) -> OpsAnswer {
+    allow(entry, &head)?;
+    let entries = entry.plane.suspects().list(crate::wall::unix_ms());
+    ok(&ops::QuarantineBody { entries })
+}
+
+#[rocket::post("/ops/quarantine/lift", data = "<data>")]
+async fn lift(head: head::CallHead, data: data::Data<'_>, entry: &Entry) -> OpsAnswer {
+    let operator = allow(entry, &head)?;
+    let ask: ops::LiftAsk = read(data, entry).await?;
+    let lifted = entry
+        .plane
+        .suspects()
+        .lift(ask.fingerprint, crate::wall::unix_ms());
+    if lifted {
+        entry
+            .chronicle
+            .record(trace::kind::EventKind::QuarantineLifted {
+                fingerprint: ask.fingerprint,
+                reason: operator,
+            });
+    }
+    ok(&ops::LiftAnswer { lifted })
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,24 @@
 //! The entry daemon: HTTP faces, controllers and the wiring of the other crates.
+//!
+//! Every entry VM runs the same daemon. `daemon` starts everything and stops it in order,
+//! `http` holds the faces towards callers and operators, `adapt` binds the request plane's ports
+//! to the scheduler and to the log.
+
+pub mod adapt;
+pub mod chronicle;
+pub mod configure;
+pub mod daemon;
+pub mod drain;
+pub mod http;
+pub mod members;
+pub mod membership;
+pub mod peer_service;
+pub mod ports;
+pub mod publish;
+pub mod roster;
+pub mod settings;
+pub mod state;
+pub mod status;
+pub mod vm_list;
+pub mod wall;
+pub mod watch;
--- /dev/null
+++ b/crates/entry/src/membership.rs
@@ -0,0 +1,234 @@
+//! Membership in this daemon: starts gossip, keeps the member table in step with it, and spreads
+//! what every entry VM should know within a second.
+
+use std::{collections, net, sync, time::Duration};
+
+use base::{id, ops};
+use conf::snapshot;
+use gossip::{claim, handle, news, settings as gossip_settings, view};
+use tokio::time;
+use trace::kind;
+use wire::identity;
+
+use crate::{adapt::peers, chronicle, configure, members, roster, settings, wall};
+
+/// How often suspects of crashes are looked at for news.
+const SUSPECTS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Settings of gossip for this daemon, bound to `address`.
+#[must_use]
+pub fn gossip_settings(
+    settings: &settings::DaemonSettings,
+    identity: identity::ProcessIdentity,
+    address: net::SocketAddr,
+) -> gossip_settings::GossipSettings {
+    let place = claim::MemberPlace {
+        address,
+        failure_domain: settings.failure_domain.clone(),
+        region: settings.region.clone(),
+    };
+    gossip_settings::GossipSettings {
+        own: gossip_settings::OwnSettings {
+            identity,
+            birth_ms: wall::unix_ms(),
+            place,
+        },
+        bind: address,
+        seeds: Vec::new(),
+        timing: gossip_settings::TimingSettings::default(),
+    }
+}
+
+/// Keeps gossip, the member table and the roster in step.
+#[derive(Clone, Debug)]
+pub struct MemberController {
+    /// Gossip of this daemon.
+    pub gossip: handle::GossipHandle,
+    /// The configuration in force.
+    pub book: sync::Arc<configure::ConfigBook>,
+    /// Kept in step with gossip.
+    pub members: sync::Arc<members::MemberTable>,
+    /// Told of backend servers that are leaving.
+    pub roster: sync::Arc<roster::ServerRoster>,
+    /// Told of changes of state.
+    pub chronicle: chronicle::Chronicle,
+}
+
+impl MemberController {
+    /// Runs for ever.
+    pub async fn run(self) {
+        let mut seen = self.gossip.members();
+        let mut snapshots = self.book.subscribe();
+        let mut leaving = self.roster.subscribe_leaving();
+        loop {
+            let config = snapshots.borrow_and_update().clone();
+            let now_seen = seen.borrow_and_update().clone();
+            leaving.borrow_and_update();
+            self.reconcile(&config, &now_seen);
+            tokio::select! {
+                changed = seen.changed() => if changed.is_err() { return },
+                changed = snapshots.changed() => {
+                    if changed.is_err() { return }
+                    self.announce().await;
+                }
+                changed = leaving.changed() => {
+                    if changed.is_err() { return }
+                    self.spread_leaving().await;
+                }
+            }
+        }
+    }
+
+    /// Tells the others which revision is in force here, and gossip whom to look for.
+    async fn announce(&self) {
+        let config = self.book.snapshot();
+        let seeds = config
+            .vms()
+            .map(|(_, vm)| gossip_settings::SeedEntry {
+                name: vm.name.clone(),
+                place: claim::MemberPlace {
+                    address: vm.entry.peers,
+                    failure_domain: vm.entry.failure_domain.clone(),
+                    region: vm.region.clone(),
+                },
+            })
+            .collect();
+        self.gossip.set_seeds(seeds).await;
+        let news = news::ConfigurationNews {
+            vm: self.gossip.identity().name.clone(),
+            revision: config.revision(),
+            offset: config.offset(),
+        };
+        self.gossip
+            .publish(news::NewsItem::Configuration(news))
+            .await;
+    }
+
+    /// Tells the others which lives of backend servers are leaving.
+    async fn spread_leaving(&self) {
+        let config = self.book.snapshot();
+        let known = self.gossip.snapshot();
+        for key in self.roster.leaving().iter() {
+            let Some(server) = config.server(*key) else {
+                continue;
+            };
+            let incarnation = life(self.roster.incarnation(*key));
+            if known.is_server_leaving(&server.name, &incarnation) {
+                continue;
+            }
+            let subject = news::LeavingSubject::Server {
+                name: server.name.clone(),
+                incarnation,
+            };
+            self.gossip.publish(news::NewsItem::Leaving(subject)).await;
+        }
+    }
+
+    fn reconcile(&self, config: &snapshot::ConfigSnapshot, seen: &view::MemberSnapshot) {
+        for subject in &seen.leaving {
+            let news::LeavingSubject::Server { name, incarnation } = subject else {
+                continue;
+            };
+            let Some(key) = config.server_key(name) else {
+                continue;
+            };
+            // A mark of an earlier life says nothing about the one that runs now.
+            if life(self.roster.incarnation(key)) == *incarnation && self.roster.leave(key) {
+                let source = "another entry VM".to_owned();
+                self.chronicle.record(kind::EventKind::ServerLeaving {
+                    server: name.clone(),
+                    source,
+                });
+            }
+        }
+        let statuses = member_statuses(config, seen);
+        for change in self.members.replace(statuses) {
+            self.note(&change);
+        }
+    }
+
+    fn note(&self, change: &members::MemberChange) {
+        let member = change.vm.clone();
+        let reason = "gossip".to_owned();
+        let event = match change.state {
+            ops::HealthState::Up => kind::EventKind::MemberUp { member },
+            ops::HealthState::Suspect => kind::EventKind::MemberSuspect { member, reason },
+            ops::HealthState::Dead => kind::EventKind::MemberDead { member, reason },
+            ops::HealthState::Leaving => kind::EventKind::MemberLeaving {
+                member,
+                source: reason,
+            },
+            ops::HealthState::Unknown => return,
+        };
+        log::info!(member = change.vm.as_str(), state = change.state.name(); "member changed");
+        self.chronicle.record(event);
+    }
+}
+
+/// A server's life as it is written in marks; a plain service server has only one.
+fn life(incarnation: Option<id::Incarnation>) -> String {
+    incarnation.map_or_else(|| "-".to_owned(), |incarnation| incarnation.to_string())
+}
+
+fn member_statuses(
+    config: &snapshot::ConfigSnapshot,
+    seen: &view::MemberSnapshot,
+) -> Vec<members::KnownMember> {
+    let mut known: collections::BTreeMap<&str, members::KnownMember> = config
+        .vms()
+        .map(|(_, vm)| (vm.name.as_str(), members::KnownMember::absent(vm)))
+        .collect();
+    for member in seen.members.values() {
+        let entry = known
+            .entry(member.name.as_str())
+            .or_insert_with(|| members::KnownMember::stranger(&member.name, member.address));
+        entry.peers = member.address;
+        entry.status.state = state_of(member);
+        entry.status.region.clone_from(&member.region);
+        entry
+            .status
+            .failure_domain
+            .clone_from(&member.failure_domain);
+        entry.status.incarnation = Some(member.incarnation);
+        entry.status.revision = member.configuration.as_ref().map(|news| news.revision);
+    }
+    known.into_values().collect()
+}
+
+const fn state_of(member: &view::MemberView) -> ops::HealthState {
+    match member.state {
+        claim::MemberState::Left => ops::HealthState::Leaving,
+        claim::MemberState::Dead => ops::HealthState::Dead,
+        _ if member.leaving => ops::HealthState::Leaving,
+        claim::MemberState::Suspect => ops::HealthState::Suspect,
+        claim::MemberState::Alive => ops::HealthState::Up,
+    }
+}
+
+/// Sends what is suspected of crashing backend servers to the members whenever it changes.
+///
+/// A request that crashes a server comes back through another entry VM as soon as its caller
+/// tries again; only what the others learn before that keeps the next server alive.
+pub async fn spread_suspects(
+    plane: sync::Arc<flow::plane::RequestPlane<crate::ports::EntryPorts>>,
+    caller: peers::PeerCaller,
+    members: sync::Arc<members::MemberTable>,
+) {
+    let mut tick = time::interval(SUSPECTS_INTERVAL);
+    tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut told = flow::suspect::SuspectDigest::default();
+    loop {
+        tick.tick().await;
+        let digest = plane.suspects().digest(wall::unix_ms());
+        if digest == told {
+            continue;
+        }
+        let Ok(body) = serde_json::to_vec(&digest) else {
+            continue;
+        };
+        for vm in members.live_peers() {
+            caller.note(&vm, peers::SUSPECTS, body.clone());
+        }
+        told = digest;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer_service.rs
@@ -0,0 +1,83 @@
+//! What this daemon does for other entry VMs.
+
+use std::sync;
+
+use ledger::host;
+use wire::{identity, proto::peer, server};
+
+use crate::{adapt::peers, ports};
+
+/// Answers calls of other entry VMs.
+pub struct EntryPeerService {
+    /// The log's partitions.
+    pub host: sync::Arc<host::LedgerHost<ledger::http::HttpLog>>,
+    /// The request plane.
+    pub plane: sync::Arc<flow::plane::RequestPlane<ports::EntryPorts>>,
+}
+
+impl std::fmt::Debug for EntryPeerService {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("EntryPeerService")
+            .finish_non_exhaustive()
+    }
+}
+
+fn failure(kind: peer::FailureKind, message: impl Into<String>) -> server::CallFailure {
+    server::CallFailure {
+        kind,
+        message: message.into(),
+    }
+}
+
+fn malformed(error: impl std::fmt::Display) -> server::CallFailure {
+    let message = format!("the body is not understood ({error}); compare releases");
+    failure(peer::FailureKind::Refused, message)
+}
+
+impl EntryPeerService {
+    async fn ledger(&self, body: &[u8]) -> Result<Vec<u8>, server::CallFailure> {
+        let request: host::LedgerRequest = serde_json::from_slice(body).map_err(malformed)?;
+        let reply = self.host.handle(request).await;
+        serde_json::to_vec(&reply)
+            .map_err(|error| failure(peer::FailureKind::Unknown, error.to_string()))
+    }
+
+    fn adopted(&self, body: &[u8]) -> Result<Vec<u8>, server::CallFailure> {
+        let text = std::str::from_utf8(body).map_err(malformed)?;
+        self.plane
+            .adopted_elsewhere(text.parse().map_err(malformed)?);
+        Ok(Vec::new())
+    }
+
+    fn suspects(&self, body: &[u8]) -> Result<Vec<u8>, server::CallFailure> {
+        let digest = serde_json::from_slice(body).map_err(malformed)?;
+        self.plane.suspects().merge(digest);
+        Ok(Vec::new())
+    }
+}
+
+impl server::PeerService for EntryPeerService {
+    async fn handle(
+        &self,
+        _caller: &identity::ProcessIdentity,
+        request: peer::request::Kind,
+    ) -> Result<peer::response::Kind, server::CallFailure> {
+        let peer::request::Kind::Extension(extension) = request else {
+            return Err(failure(
+                peer::FailureKind::Unsupported,
+                "this release does not serve it",
+            ));
+        };
+        let body = match extension.name.as_str() {
+            peers::LEDGER => self.ledger(&extension.body).await?,
+            peers::ADOPTED => self.adopted(&extension.body)?,
+            peers::SUSPECTS => self.suspects(&extension.body)?,
+            name => {
+                let message = format!("there is no extension \"{name}\"; compare releases");
+                return Err(failure(peer::FailureKind::Unsupported, message));
+            }
+        };
+        Ok(peer::response::Kind::Extension(body))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/publish.rs
@@ -0,0 +1,100 @@
+//! Appends an operator's change to the log and waits for what the log decides.
+
+use std::time::Duration;
+
+use base::ops;
+use conf::{change, state as config_state};
+use ledger::client::LogClient as _;
+use tokio::time;
+
+use crate::{configure, state};
+
+/// Longest wait for the decision.
+const DECISION_WAIT: Duration = Duration::from_secs(5);
+
+/// Publishes one change. Sending the same ask again is harmless: a record's id counts once.
+pub async fn publish(entry: &state::EntryState, ask: ops::PublishAsk) -> ops::PublishAnswer {
+    // An ask that was sent before and decided needs no second record.
+    if let Some(decided) = entry.book.decided(ask.record) {
+        return answer(&ask, decided);
+    }
+    let change = change::ConfigChange {
+        id: ask.record,
+        base_revision: ask.base_revision,
+        author: ask.author.clone(),
+        comment: ask.comment.clone(),
+        patch: ask.change.clone(),
+    };
+    let body = match serde_json::to_vec(&change) {
+        Ok(body) => body,
+        Err(error) => {
+            return ops::PublishAnswer::Invalid {
+                faults: vec![error.to_string()],
+            };
+        }
+    };
+    let mut applied = entry.book.applied();
+    match entry.log.append(configure::STREAM, body.into()).await {
+        Ok(_) => {}
+        // The record may be on the log all the same; reading on tells.
+        Err(error) if error.may_have_taken_effect() => {}
+        Err(error) => {
+            return ops::PublishAnswer::Undecided {
+                reason: error.to_string(),
+            };
+        }
+    }
+    let give_up_at = time::Instant::now() + DECISION_WAIT;
+    loop {
+        applied.mark_unchanged();
+        if let Some(decided) = entry.book.decided(ask.record) {
+            return answer(&ask, decided);
+        }
+        if time::timeout_at(give_up_at, applied.changed())
+            .await
+            .is_err()
+        {
+            let reason = "the log did not show the change in time; send the same ask again";
+            return ops::PublishAnswer::Undecided {
+                reason: reason.to_owned(),
+            };
+        }
+    }
+}
+
+fn answer(ask: &ops::PublishAsk, decided: configure::DecidedChange) -> ops::PublishAnswer {
+    match decided.verdict {
+        config_state::ApplyVerdict::Accepted { revision } => ops::PublishAnswer::Accepted {
+            revision,
+            offset: decided.entry.offset,
+        },
+        config_state::ApplyVerdict::Conflict(report) => conflict(ask.base_revision, report),
+        config_state::ApplyVerdict::Invalid(faults) => {
+            let faults = faults.faults.iter().map(ToString::to_string).collect();
+            ops::PublishAnswer::Invalid { faults }
+        }
+        other => ops::PublishAnswer::Undecided {
+            reason: format!("{other:?}"),
+        },
+    }
+}
+
+fn conflict(base_revision: u64, report: config_state::ConflictReport) -> ops::PublishAnswer {
+    let dotted = |paths: &[Vec<String>]| paths.iter().map(|path| path.join(".")).collect();
+    let since = report
+        .since
+        .iter()
+        .map(|entry| ops::ConflictEntry {
+            revision: entry.revision,
+            author: entry.author.clone(),
+            comment: entry.comment.clone(),
+            paths: dotted(&entry.paths),
+        })
+        .collect();
+    ops::PublishAnswer::Conflict {
+        base_revision,
+        current_revision: report.revision,
+        since,
+        overlapping: dotted(&report.overlapping),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/roster.rs
@@ -0,0 +1,461 @@
+//! The backend servers as this process sees them: keeps the decision core in step with the
+//! configuration, with load reports and with what is leaving.
+
+use std::{collections, sync};
+
+use base::{class, id, ops};
+use conf::{inventory, snapshot};
+use sched::{driver, settings, view};
+use tokio::{sync::watch as channel, time};
+
+use crate::watch;
+
+/// Places of names in small numbers: equal names have equal numbers.
+#[derive(Debug, Default)]
+struct NumberTable {
+    numbers: collections::HashMap<String, u16>,
+}
+
+impl NumberTable {
+    fn number(&mut self, name: &str) -> u16 {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        let number = u16::try_from(self.numbers.len()).unwrap_or(u16::MAX);
+        self.numbers.insert(name.to_owned(), number);
+        number
+    }
+}
+
+#[derive(Debug, Default)]
+struct RosterState {
+    sights: collections::HashMap<id::ServerKey, watch::ServerSight>,
+    models: slotmap::SlotMap<id::ModelKey, String>,
+    model_keys: collections::HashMap<String, id::ModelKey>,
+    organisations: collections::HashSet<id::OrganisationKey>,
+    regions: NumberTable,
+    domains: NumberTable,
+}
+
+/// The servers known to be leaving; replaced whole, so that requests keep theirs.
+pub type LeavingSet = sync::Arc<collections::BTreeSet<id::ServerKey>>;
+
+/// What this process knows of the backend servers.
+#[derive(Debug)]
+pub struct ServerRoster {
+    state: sync::Mutex<RosterState>,
+    leaving: channel::Sender<LeavingSet>,
+    driver: driver::Driver,
+}
+
+impl RosterState {
+    fn place(&mut self, region: &str, failure_domain: &str) -> view::ServerPlace {
+        view::ServerPlace {
+            region: self.regions.number(region),
+            failure_domain: self.domains.number(failure_domain),
+        }
+    }
+
+    fn model_key(&mut self, name: &str) -> id::ModelKey {
+        if let Some(key) = self.model_keys.get(name) {
+            return *key;
+        }
+        let key = self.models.insert(name.to_owned());
+        self.model_keys.insert(name.to_owned(), key);
+        key
+    }
+
+    fn engine_spec(
+        &mut self,
+        server: &snapshot::ServerView,
+        engine: &inventory::EngineEntry,
+        loaded: Option<&[watch::LoadedBody]>,
+    ) -> view::EngineSpec {
+        let place = self.place(&server.region, &server.entry.failure_domain);
+        // Until an engine has said what it has ready, it is taken to have its first model.
+        let names: Vec<String> = match loaded {
+            Some(loaded) => loaded.iter().map(|model| model.model.clone()).collect(),
+            None => engine.models.iter().take(1).cloned().collect(),
+        };
+        let models = names.iter().map(|name| self.model_key(name)).collect();
+        view::EngineSpec {
+            place,
+            models,
+            total_blocks: engine.kv_blocks,
+            block_tokens: engine.block_tokens,
+            max_batch: engine.max_batch,
+        }
+    }
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportEffect {
+    /// The server was not known to be up before.
+    pub came_up: bool,
+    /// It was not known to be leaving before.
+    pub began_leaving: bool,
+}
+
+/// What a missed report changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MissEffect {
+    /// Nothing.
+    None,
+    /// It is suspected from now on.
+    Suspected,
+    /// It is taken to be dead from now on.
+    Dead,
+}
+
+impl ServerRoster {
+    /// An empty roster that feeds `driver`.
+    #[must_use]
+    pub fn new(driver: driver::Driver) -> Self {
+        Self {
+            state: sync::Mutex::default(),
+            leaving: channel::Sender::default(),
+            driver,
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, RosterState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Follows the set of servers that are leaving.
+    #[must_use]
+    pub fn subscribe_leaving(&self) -> channel::Receiver<LeavingSet> {
+        self.leaving.subscribe()
+    }
+
+    fn mark_leaving(&self, server: id::ServerKey) -> bool {
+        self.leaving.send_if_modified(|leaving| {
+            if leaving.contains(&server) {
+                return false;
+            }
+            let mut larger = (**leaving).clone();
+            larger.insert(server);
+            *leaving = sync::Arc::new(larger);
+            true
+        })
+    }
+
+    fn unmark_leaving(&self, server: id::ServerKey) {
+        self.leaving.send_if_modified(|leaving| {
+            if !leaving.contains(&server) {
+                return false;
+            }
+            let mut smaller = (**leaving).clone();
+            smaller.remove(&server);
+            *leaving = sync::Arc::new(smaller);
+            true
+        });
+    }
+
+    /// Takes in a new snapshot: servers, models, organisations and the policy's settings.
+    pub fn configure(&self, snapshot: &snapshot::ConfigSnapshot, own: &OwnPlace) {
+        let mut state = self.lock();
+        let place = state.place(&own.region, &own.failure_domain);
+        let engines: Vec<(id::ServerKey, view::EngineSpec)> = snapshot
+            .servers()
+            .filter_map(|(key, server)| match &server.entry.kind {
+                inventory::ServerKind::ModelEngine(engine) => {
+                    let report = state
+                        .sights
+                        .get(&key)
+                        .and_then(|sight| sight.report.clone());
+                    let loaded = report.as_ref().map(|report| report.models.as_slice());
+                    Some((key, state.engine_spec(server, engine, loaded)))
+                }
+                inventory::ServerKind::PlainService { .. } => None,
+            })
+            .collect();
+        let gone: Vec<id::ServerKey> = state
+            .sights
+            .keys()
+            .copied()
+            .filter(|key| snapshot.server(*key).is_none())
+            .collect();
+        for key in &gone {
+            state.sights.remove(key);
+        }
+        for (key, _) in snapshot.servers() {
+            state.sights.entry(key).or_default();
+        }
+        let organisations = snapshot.organisations().map(|(key, _)| key).collect();
+        let former = std::mem::replace(&mut state.organisations, organisations);
+        drop(state);
+        let policy = policy_settings(snapshot, place, own);
+        self.driver.change(|core, now| {
+            core.settings_changed(policy);
+            for key in gone {
+                core.server_removed(key);
+            }
+            for (key, spec) in engines {
+                core.server_added(key, spec, now);
+            }
+            for (key, organisation) in snapshot.organisations() {
+                core.organisation_set(key, plan(&organisation.rule));
+            }
+            for key in former {
+                if snapshot.organisation(key).is_none() {
+                    core.organisation_removed(key);
+                }
+            }
+        });
+    }
+
+    /// Takes in a load report of an engine.
+    pub fn reported(
+        &self,
+        key: id::ServerKey,
+        server: &snapshot::ServerView,
+        report: watch::LoadBody,
+        now: time::Instant,
+    ) -> ReportEffect {
+        let inventory::ServerKind::ModelEngine(engine) = &server.entry.kind else {
+            return ReportEffect::default();
+        };
+        let mut state = self.lock();
+        let sight = state.sights.entry(key).or_default();
+        let came_up = sight.report.is_none() || sight.misses >= watch::SUSPECT_MISSES;
+        let former = sight.report.replace(report.clone());
+        sight.reported_at = Some(now);
+        sight.misses = 0;
+        let restarted = former
+            .as_ref()
+            .is_some_and(|it| it.incarnation != report.incarnation);
+        if restarted {
+            // Leaving is never unlearnt for one life of a server; this is another life.
+            self.unmark_leaving(key);
+        }
+        let began_leaving = report.leaving && self.mark_leaving(key);
+        let changed = former.is_none_or(|it| it.models != report.models) || restarted;
+        let spec = changed.then(|| state.engine_spec(server, engine, Some(&report.models)));
+        let is_leaving = self.leaving.borrow().contains(&key);
+        drop(state);
+        self.driver.change(|core, _| {
+            if let Some(spec) = spec {
+                core.server_added(key, spec, now);
+            }
+            core.server_reported(key, load_report(&report, now));
+            core.server_suspected(key, false);
+            if is_leaving {
+                core.server_leaving(key);
+            }
+        });
+        ReportEffect {
+            came_up,
+            began_leaving,
+        }
+    }
+
+    /// Takes in the answer of a plain service server to a health check.
+    pub fn healthy(&self, key: id::ServerKey, leaving: bool, now: time::Instant) -> ReportEffect {
+        let mut state = self.lock();
+        let sight = state.sights.entry(key).or_default();
+        let came_up = sight.reported_at.is_none() || sight.misses >= watch::SUSPECT_MISSES;
+        sight.reported_at = Some(now);
+        sight.misses = 0;
+        let began_leaving = leaving && self.mark_leaving(key);
+        ReportEffect {
+            came_up,
+            began_leaving,
+        }
+    }
+
+    /// Takes in that a server did not answer.
+    pub fn missed(&self, key: id::ServerKey) -> MissEffect {
+        let mut state = self.lock();
+        let sight = state.sights.entry(key).or_default();
+        sight.misses = sight.misses.saturating_add(1);
+        let misses = sight.misses;
+        drop(state);
+        match misses {
+            watch::SUSPECT_MISSES => {
+                self.driver
+                    .change(|core, _| core.server_suspected(key, true));
+                MissEffect::Suspected
+            }
+            watch::DEAD_MISSES => MissEffect::Dead,
+            _ => MissEffect::None,
+        }
+    }
+
+    /// Marks a server as leaving; false when it was known.
+    pub fn leave(&self, key: id::ServerKey) -> bool {
+        let fresh = self.mark_leaving(key);
+        self.driver.change(|core, _| core.server_leaving(key));
+        fresh
+    }
+
+    /// The servers known to be leaving.
+    #[must_use]
+    pub fn leaving(&self) -> LeavingSet {
+        sync::Arc::clone(&self.leaving.borrow())
+    }
+
+    /// Whether a server is known to be leaving.
+    #[must_use]
+    pub fn is_leaving(&self, key: id::ServerKey) -> bool {
+        self.leaving.borrow().contains(&key)
+    }
+
+    /// Whether a server missed its last polls.
+    #[must_use]
+    pub fn is_suspected(&self, key: id::ServerKey) -> bool {
+        self.lock()
+            .sights
+            .get(&key)
+            .is_some_and(|sight| sight.misses >= watch::SUSPECT_MISSES)
+    }
+
+    /// The life of a server's process by its last report.
+    #[must_use]
+    pub fn incarnation(&self, key: id::ServerKey) -> Option<id::Incarnation> {
+        let state = self.lock();
+        let report = state.sights.get(&key)?.report.as_ref()?;
+        Some(report.incarnation)
+    }
+
+    /// The key of a model that some engine serves or may serve.
+    #[must_use]
+    pub fn model_key(&self, name: &str) -> Option<id::ModelKey> {
+        self.lock().model_keys.get(name).copied()
+    }
+
+    /// The backend servers for the operators' face.
+    #[must_use]
+    pub fn status(
+        &self,
+        snapshot: &snapshot::ConfigSnapshot,
+        now: time::Instant,
+    ) -> Vec<ops::ServerStatus> {
+        let state = self.lock();
+        let mut servers: Vec<ops::ServerStatus> = snapshot
+            .servers()
+            .map(|(key, server)| {
+                let sight = state.sights.get(&key).cloned().unwrap_or_default();
+                server_status(server, &sight, self.leaving.borrow().contains(&key), now)
+            })
+            .collect();
+        servers.sort_by(|left, right| left.server.cmp(&right.server));
+        servers
+    }
+}
+
+/// Where this process stands.
+#[derive(Clone, Debug)]
+pub struct OwnPlace {
+    /// Region.
+    pub region: String,
+    /// Failure domain.
+    pub failure_domain: String,
+}
+
+fn policy_settings(
+    snapshot: &snapshot::ConfigSnapshot,
+    place: view::ServerPlace,
+    own: &OwnPlace,
+) -> settings::PolicySettings {
+    let admission = &snapshot.rules().admission;
+    let mut overflow_chance = [0.0; class::TrafficClass::ALL.len()];
+    overflow_chance[class::TrafficClass::Urgent.index()] = admission.urgent_overflow_chance;
+    overflow_chance[class::TrafficClass::Normal.index()] = admission.normal_overflow_chance;
+    overflow_chance[class::TrafficClass::Deferrable.index()] = admission.deferrable_overflow_chance;
+    let peers = snapshot
+        .vms()
+        .filter(|(_, vm)| vm.region == own.region)
+        .count();
+    settings::PolicySettings {
+        place,
+        entries: u32::try_from(peers.max(1)).unwrap_or(u32::MAX),
+        overflow_chance,
+        ..settings::PolicySettings::default()
+    }
+}
+
+fn plan(rule: &conf::rules::OrganisationRule) -> settings::OrganisationPlan {
+    settings::OrganisationPlan {
+        weight: rule.weight,
+        requests_per_second: rule.requests_per_second,
+        tokens_per_second: rule.tokens_per_second,
+        concurrent_generations: rule.concurrent_generations,
+    }
+}
+
+fn load_report(report: &watch::LoadBody, now: time::Instant) -> view::LoadReport {
+    let age = std::time::Duration::from_millis(report.taken_ms_ago);
+    view::LoadReport {
+        taken_at: now.checked_sub(age).unwrap_or(now),
+        total_blocks: report.total_blocks,
+        free_blocks: report.free_blocks,
+        running: report.running,
+        waiting: report.waiting,
+        preemptions: report.preemptions,
+        leaving: report.leaving,
+    }
+}
+
+fn server_status(
+    server: &snapshot::ServerView,
+    sight: &watch::ServerSight,
+    leaving: bool,
+    now: time::Instant,
+) -> ops::ServerStatus {
+    let report = sight.report.as_ref();
+    let (role, service) = match &server.entry.kind {
+        inventory::ServerKind::ModelEngine(_) => (ops::ServerRole::ModelEngine, None),
+        inventory::ServerKind::PlainService { service } => {
+            (ops::ServerRole::PlainService, Some(service.clone()))
+        }
+    };
+    let loaded = report
+        .map(|report| report.models.as_slice())
+        .unwrap_or_default();
+    let serves = loaded
+        .iter()
+        .map(|model| ops::LoadedModel {
+            name: model.model.clone(),
+            version: model.version.clone(),
+            adapters: model.adapters.clone(),
+        })
+        .chain(service.map(|name| ops::LoadedModel {
+            name,
+            version: String::new(),
+            adapters: Vec::new(),
+        }))
+        .collect();
+    let report_age_ms = sight.reported_at.map(|at| {
+        let since = u64::try_from(now.duration_since(at).as_millis()).unwrap_or(u64::MAX);
+        since + report.map_or(0, |report| report.taken_ms_ago)
+    });
+    ops::ServerStatus {
+        server: server.name.clone(),
+        failure_domain: server.entry.failure_domain.clone(),
+        role,
+        state: health(sight, leaving),
+        serves,
+        running: report.map_or(0, |report| report.running),
+        waiting: report.map_or(0, |report| report.waiting),
+        free_blocks: report.map_or(0, |report| report.free_blocks),
+        total_blocks: report.map_or(0, |report| report.total_blocks),
+        preemptions: report.map_or(0, |report| report.preemptions),
+        report_age_ms,
+    }
+}
+
+fn health(sight: &watch::ServerSight, leaving: bool) -> ops::HealthState {
+    if leaving {
+        return ops::HealthState::Leaving;
+    }
+    match (sight.misses, sight.reported_at) {
+        (watch::DEAD_MISSES.., _) => ops::HealthState::Dead,
+        (watch::SUSPECT_MISSES.., _) => ops::HealthState::Suspect,
+        (_, None) => ops::HealthState::Unknown,
+        (_, Some(_)) => ops::HealthState::Up,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,101 @@
+//! What the HTTP faces and the controllers of one daemon share.
+
+use std::sync;
+
+use base::{id, ops, refusal};
+use conf::snapshot;
+use flow::plane;
+
+use crate::{chronicle, configure, http::head, members, ports, roster, settings};
+
+/// Everything that runs in one daemon.
+#[derive(Debug)]
+pub struct EntryState {
+    /// The daemon's own settings; the same for its whole life.
+    pub settings: settings::DaemonSettings,
+    /// This life of this process.
+    pub incarnation: id::Incarnation,
+    /// The configuration in force.
+    pub book: sync::Arc<configure::ConfigBook>,
+    /// The backend servers as this process sees them.
+    pub roster: sync::Arc<roster::ServerRoster>,
+    /// The other entry VMs as this process sees them.
+    pub members: sync::Arc<members::MemberTable>,
+    /// The time line of this process.
+    pub chronicle: chronicle::Chronicle,
+    /// The request plane.
+    pub plane: sync::Arc<plane::RequestPlane<ports::EntryPorts>>,
+    /// The log, for operators' changes.
+    pub log: ledger::http::HttpLog,
+    /// Membership of this daemon.
+    pub gossip: gossip::handle::GossipHandle,
+    /// Where other entry VMs connect.
+    pub peers: std::net::SocketAddr,
+    /// Renders the metrics of this process.
+    pub metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
+}
+
+impl EntryState {
+    /// Whether this daemon takes requests.
+    #[must_use]
+    pub fn readiness(&self) -> ops::ReadyState {
+        if self.plane.gate().is_closed() {
+            return ops::ReadyState::Leaving;
+        }
+        if self.book.snapshot().revision() == 0 {
+            return ops::ReadyState::Starting;
+        }
+        ops::ReadyState::Ready
+    }
+
+    /// The organisation whose key the caller sent.
+    ///
+    /// # Errors
+    ///
+    /// A refusal without a configuration, without a key or with one that is not known.
+    pub fn organisation(
+        &self,
+        head: &head::CallHead,
+        snapshot: &snapshot::ConfigSnapshot,
+    ) -> Result<id::OrganisationKey, refusal::RefusalBody> {
+        if snapshot.revision() == 0 {
+            let message = "this entry VM has no configuration yet; ask another, or again shortly";
+            let body = refusal::RefusalBody::not_run(refusal::RefusalCode::NotReady, message);
+            return Err(body.retry_after_ms(1_000));
+        }
+        let key = head
+            .api_key
+            .as_deref()
+            .ok_or_else(|| unauthenticated("there is no API key"))?;
+        snapshot
+            .organisation_by_api_key(key)
+            .ok_or_else(|| unauthenticated("the API key is not known"))
+    }
+
+    /// The operator whose key was sent.
+    ///
+    /// # Errors
+    ///
+    /// A refusal without a key or with one that is not known.
+    pub fn operator(&self, head: &head::CallHead) -> Result<String, refusal::RefusalBody> {
+        let key = head
+            .api_key
+            .as_deref()
+            .ok_or_else(|| unauthenticated("there is no operator key"))?;
+        let snapshot = self.book.snapshot();
+        if snapshot.revision() == 0 {
+            // The first configuration brings the operators' keys; whoever can reach the log can
+            // write it, so refusing here would protect nothing and make the start impossible.
+            return Ok("bootstrap".to_owned());
+        }
+        snapshot
+            .operator_by_key(key)
+            .map(str::to_owned)
+            .ok_or_else(|| unauthenticated("the operator key is not known"))
+    }
+}
+
+fn unauthenticated(what: &str) -> refusal::RefusalBody {
+    let message = format!("{what}; send `Authorization: Bearer <key>`");
+    refusal::RefusalBody::not_run(refusal::RefusalCode::Unauthenticated, message)
+}
--- /dev/null
+++ b/crates/entry/src/watch.rs
@@ -0,0 +1,184 @@
+//! Watching model engines: asks each for its load and hands the report on.
+
+use std::{sync, time::Duration};
+
+use base::id;
+use conf::{inventory, snapshot};
+use tokio::time;
+
+use crate::{chronicle, configure, roster};
+
+/// Load of one engine as it reports it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct LoadBody {
+    /// The life of the engine's process.
+    pub incarnation: id::Incarnation,
+    /// How old the report is, in milliseconds.
+    pub taken_ms_ago: u64,
+    /// KV cache blocks that it has.
+    pub total_blocks: u32,
+    /// Blocks that no generation holds.
+    pub free_blocks: u32,
+    /// Tokens in one block.
+    pub block_tokens: u32,
+    /// Generations in its batch.
+    pub running: u32,
+    /// Generations in its own queue.
+    pub waiting: u32,
+    /// Preemptions since its start.
+    pub preemptions: u64,
+    /// Models that it has ready.
+    pub models: Vec<LoadedBody>,
+    /// Its role.
+    #[serde(default)]
+    pub role: String,
+    /// Whether it is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// One model that an engine has ready.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct LoadedBody {
+    /// The model.
+    pub model: String,
+    /// Its version.
+    #[serde(default)]
+    pub version: String,
+    /// Adapters beside it.
+    #[serde(default)]
+    pub adapters: Vec<String>,
+}
+
+/// What this VM last saw of one backend server.
+#[derive(Clone, Debug, Default)]
+pub struct ServerSight {
+    /// Its last report, when it has answered in this life.
+    pub report: Option<LoadBody>,
+    /// When the last answer arrived, on this VM's clock.
+    pub reported_at: Option<time::Instant>,
+    /// Polls in a row that were not answered.
+    pub misses: u32,
+}
+
+/// Polls in a row without an answer after which a server is suspected.
+pub const SUSPECT_MISSES: u32 = 2;
+/// Polls in a row without an answer after which a server is taken to be dead.
+pub const DEAD_MISSES: u32 = 4;
+/// Time between two polls of one server.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to one poll.
+const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Answer of a plain service server to a health check.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+struct HealthBody {
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Polls backend servers and feeds the roster.
+#[derive(Clone, Debug)]
+pub struct LoadWatcher {
+    /// Connections for polls alone, so that no poll waits behind a stream.
+    pub http: reqwest::Client,
+    /// The configuration in force.
+    pub book: sync::Arc<configure::ConfigBook>,
+    /// Fed with what was seen.
+    pub roster: sync::Arc<roster::ServerRoster>,
+    /// Told of changes of state.
+    pub chronicle: chronicle::Chronicle,
+}
+
+impl LoadWatcher {
+    /// Polls for ever.
+    pub async fn run(self) {
+        let mut tick = time::interval(POLL_INTERVAL);
+        tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            tick.tick().await;
+            let snapshot = self.book.snapshot();
+            let polls = snapshot
+                .servers()
+                .map(|(key, server)| self.poll(key, server));
+            futures_util::future::join_all(polls).await;
+        }
+    }
+
+    async fn poll(&self, key: id::ServerKey, server: &snapshot::ServerView) {
+        let effect = match &server.entry.kind {
+            inventory::ServerKind::ModelEngine(_) => {
+                self.get::<LoadBody>(server, "/v1/load").await.map(|body| {
+                    self.roster
+                        .reported(key, server, body, time::Instant::now())
+                })
+            }
+            inventory::ServerKind::PlainService { .. } => self
+                .get::<HealthBody>(server, "/healthz")
+                .await
+                .map(|body| self.roster.healthy(key, body.leaving, time::Instant::now())),
+        };
+        match effect {
+            Ok(effect) => self.note_report(server, effect),
+            Err(error) => self.note_miss(key, server, &error),
+        }
+    }
+
+    async fn get<T: serde::de::DeserializeOwned>(
+        &self,
+        server: &snapshot::ServerView,
+        path: &str,
+    ) -> Result<T, reqwest::Error> {
+        let url = format!("http://{}{path}", server.entry.address);
+        let answer = self.http.get(url).timeout(POLL_TIMEOUT).send().await?;
+        answer.error_for_status()?.json().await
+    }
+
+    fn note_report(&self, server: &snapshot::ServerView, effect: roster::ReportEffect) {
+        let name = &server.name;
+        if effect.came_up {
+            log::info!(server = name.as_str(); "backend server is up");
+            let reason = "answers polls".to_owned();
+            self.chronicle.record(trace::kind::EventKind::ServerUp {
+                server: name.clone(),
+                reason,
+            });
+        }
+        if effect.began_leaving {
+            log::info!(server = name.as_str(); "backend server is leaving");
+            let source = "itself".to_owned();
+            self.chronicle
+                .record(trace::kind::EventKind::ServerLeaving {
+                    server: name.clone(),
+                    source,
+                });
+        }
+    }
+
+    fn note_miss(&self, key: id::ServerKey, server: &snapshot::ServerView, error: &reqwest::Error) {
+        metrics::counter!("pollenchute_watch_missed_polls_total").increment(1);
+        let name = &server.name;
+        let reason = error.to_string();
+        match self.roster.missed(key) {
+            roster::MissEffect::None => {}
+            roster::MissEffect::Suspected => {
+                log::warn!(server = name.as_str(), reason = reason.as_str(); "backend server is suspected");
+                self.chronicle
+                    .record(trace::kind::EventKind::ServerSuspected {
+                        server: name.clone(),
+                        reason,
+                    });
+            }
+            roster::MissEffect::Dead => {
+                log::warn!(server = name.as_str(), reason = reason.as_str(); "backend server is dead");
+                self.chronicle.record(trace::kind::EventKind::ServerDead {
+                    server: name.clone(),
+                    reason,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/tests/env/mod.rs
@@ -0,0 +1,136 @@
+//! One small environment for end-to-end tests: stand-ins and entry daemons in this process.
+
+#![allow(dead_code, reason = "each test file uses another part of it")]
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base::id;
+use conf::change;
+use entry::{daemon, settings};
+use load::site;
+use rand::SeedableRng as _;
+
+/// An API key of the example deployment.
+pub const API_KEY: &str = "pw-key-gate-scanners";
+
+/// Stand-ins and running entry daemons.
+pub struct TestEnv {
+    /// The stand-ins.
+    pub site: site::StandSite,
+    /// The daemons.
+    pub daemons: Vec<daemon::RunningDaemon>,
+    /// For requests.
+    pub client: reqwest::Client,
+}
+
+impl TestEnv {
+    /// The Pass Works deployment with `entries` entry VMs, its configuration in force.
+    pub async fn start(entries: usize) -> Self {
+        let configuration = site::PASS_WORKS.configuration().unwrap();
+        let mut site = site::StandSite::start(configuration).await.unwrap();
+        let vms = site.configuration.inventory.entry_vms.clone();
+        let mut daemons = Vec::new();
+        site.configuration.inventory.entry_vms.clear();
+        for (name, mut vm) in vms.into_iter().take(entries) {
+            let running = daemon::start(settings_of(&name, &vm.failure_domain, &site))
+                .await
+                .unwrap();
+            vm.callers = running.callers();
+            vm.peers = running.peers();
+            site.configuration.inventory.entry_vms.insert(name, vm);
+            daemons.push(running);
+        }
+        let env = Self {
+            site,
+            daemons,
+            client: reqwest::Client::new(),
+        };
+        env.publish().await;
+        env.wait_ready().await;
+        env
+    }
+
+    /// Appends the whole configuration as the first change.
+    async fn publish(&self) {
+        let state = serde_json::to_value(&self.site.configuration).unwrap();
+        let empty = serde_json::to_value(conf::document::Configuration::default()).unwrap();
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+        let change = change::ConfigChange {
+            id: id::RecordId::draw(&mut rng),
+            base_revision: 0,
+            author: "test".to_owned(),
+            comment: String::new(),
+            patch: change::merge_patch(&empty, &state),
+        };
+        let body = serde_json::to_vec(&change).unwrap();
+        self.site
+            .log
+            .append("configuration", body.into())
+            .await
+            .unwrap();
+    }
+
+    async fn wait_ready(&self) {
+        for entry in 0..self.daemons.len() {
+            for _ in 0..200 {
+                if self.get(entry, "/readyz").await.status().is_success() {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(25)).await;
+            }
+        }
+    }
+
+    /// A POST to one entry VM with the example's key.
+    pub fn request(&self, entry: usize, path: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", self.daemons[entry].callers());
+        self.client.post(url).bearer_auth(API_KEY)
+    }
+
+    /// Posts JSON to one entry VM.
+    pub async fn post(
+        &self,
+        entry: usize,
+        path: &str,
+        body: &serde_json::Value,
+    ) -> reqwest::Response {
+        self.request(entry, path).json(body).send().await.unwrap()
+    }
+
+    /// Gets from one entry VM.
+    pub async fn get(&self, entry: usize, path: &str) -> reqwest::Response {
+        let url = format!("http://{}{path}", self.daemons[entry].callers());
+        self.client
+            .get(url)
+            .bearer_auth(API_KEY)
+            .send()
+            .await
+            .unwrap()
+    }
+}
+
+fn settings_of(vm: &str, failure_domain: &str, site: &site::StandSite) -> settings::DaemonSettings {
+    settings::DaemonSettings {
+        vm: vm.to_owned(),
+        region: "hcmc".to_owned(),
+        failure_domain: failure_domain.to_owned(),
+        callers: site::ANY_PORT,
+        peers: site::ANY_PORT,
+        platform: settings::PlatformSettings {
+            log: site.addresses.log,
+            weight_store: site.addresses.weights,
+            vm_list: site.addresses.vms,
+        },
+        cluster_keys: vec![settings::ClusterKey {
+            id: 1,
+            secret: "11".repeat(32),
+        }],
+        bounds: settings::BoundSettings::default(),
+    }
+}
+
+/// An idempotency key of now.
+pub fn fresh_key(text: &str) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    format!("{}-{text}", now.as_millis())
+}
