--- a/crates/flow/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -3,7 +3,10 @@
 use std::{sync::atomic, time::Duration};
 
 use base::refusal;
-use tokio::{sync::watch, time};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
 
 /// When a caller that comes to a leaving entry VM may try again; another one may be asked at
 /// once.
@@ -28,6 +31,7 @@
     /// [`OPEN`], [`CLOSED`] or [`HANDING_OVER`]; only ever grows: a second signal does not open
     /// the gate again.
     phase: atomic::AtomicU8,
+    phase_changed: Notify,
     running: watch::Sender<u64>,
 }
 
@@ -47,6 +51,7 @@
     fn default() -> Self {
         Self {
             phase: atomic::AtomicU8::new(OPEN),
+            phase_changed: Notify::new(),
             running: watch::Sender::default(),
         }
     }
@@ -80,7 +85,23 @@
 
     /// Refuses new work from here on.
     pub fn close(&self) {
-        self.phase.fetch_max(CLOSED, atomic::Ordering::SeqCst);
+        self.enter_phase(CLOSED);
+    }
+
+    fn enter_phase(&self, phase: u8) {
+        self.phase.fetch_max(phase, atomic::Ordering::SeqCst);
+        self.phase_changed.notify_waiters();
+    }
+
+    /// Completes when new work is refused.
+    pub async fn closed(&self) {
+        let changed = self.phase_changed.notified();
+        tokio::pin!(changed);
+        // Listening begins before the look, so that a change between the two is not missed.
+        changed.as_mut().enable();
+        if !self.is_closed() {
+            changed.await;
+        }
     }
 
     /// Whether new work is refused.
@@ -97,7 +118,7 @@
 
     /// Ends every stream with its continuation token; the generations go on.
     pub fn hand_over(&self) {
-        self.phase.fetch_max(HANDING_OVER, atomic::Ordering::SeqCst);
+        self.enter_phase(HANDING_OVER);
     }
 
     /// Whether streams are to end with their continuation token; looked at with each token and
--- a/crates/flow/src/jobs.rs
+++ b/crates/flow/src/jobs.rs
@@ -21,8 +21,8 @@
 /// Longest pause before a job that found no place is tried again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(10);
 
-/// How often a runner that is full or leaving looks again.
-const IDLE_PAUSE: Duration = Duration::from_millis(100);
+/// Quarantines of one job after which it is tried again.
+const QUARANTINES_OUTLASTED: u32 = 2;
 
 /// What a caller is told of its job.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -165,7 +165,7 @@
             };
             let taken = tokio::select! {
                 lease = self.shared().ports.jobs().take() => Some(lease),
-                () = self.leaving() => None,
+                () = self.gate().closed() => None,
             };
             let (Some(lease), Ok(pass)) = (taken, self.gate().enter()) else {
                 return;
@@ -178,12 +178,6 @@
         }
     }
 
-    async fn leaving(&self) {
-        while !self.gate().is_closed() {
-            time::sleep(IDLE_PAUSE).await;
-        }
-    }
-
     /// Runs one job for as long as its lease is held.
     async fn run_lease(&self, lease: port::JobLease, _pass: gate::GatePass) {
         let mut lease = lease;
@@ -235,19 +229,28 @@
 
     /// `None`: this entry VM leaves before the job was begun.
     async fn run_until_done(&self, job: &port::JobRecord) -> Option<port::JobResult> {
+        let mut quarantines = 0;
         loop {
             let body = match self.run_once(job).await {
                 Ok(text) => return Some(port::JobResult::Answer(text)),
                 Err(body) => body,
             };
-            if is_final(body.code) {
+            // Servers that died by chance can convict innocent content. Nobody waits for a job,
+            // so it outlasts its quarantine and is tried again before it is given up.
+            quarantines += u32::from(body.code == refusal::RefusalCode::Quarantined);
+            if is_final(body.code) || quarantines > QUARANTINES_OUTLASTED {
                 return Some(port::JobResult::Refused(body));
             }
             if self.gate().is_closed() {
                 return None;
             }
+            let longest = if body.code == refusal::RefusalCode::Quarantined {
+                self.shared().settings.suspects.quarantined_for
+            } else {
+                LONGEST_PAUSE
+            };
             let pause = Duration::from_millis(body.retry_after_ms.unwrap_or(0));
-            time::sleep(pause.clamp(SHORTEST_PAUSE, LONGEST_PAUSE)).await;
+            time::sleep(pause.clamp(SHORTEST_PAUSE, longest)).await;
         }
     }
 
@@ -289,7 +292,6 @@
             | refusal::RefusalCode::Unauthenticated
             | refusal::RefusalCode::Forbidden
             | refusal::RefusalCode::NotFound
-            | refusal::RefusalCode::Quarantined
     )
 }
 
--- /dev/null
+++ b/crates/flow/tests/plane/links.rs
@@ -0,0 +1,460 @@
+//! Links over in-process stand-ins, with the mishaps that lie between two processes.
+
+use std::{collections, future, sync, time::Duration};
+
+use base::{fingerprint, id, refusal};
+use flow::{fault, memory, port, proof};
+use stand::{engine, service};
+use tokio::{sync::watch, time};
+
+/// What may go wrong on the way, drawn from a seed; equal seeds draw the same.
+#[derive(Clone, Debug)]
+pub struct Chaos {
+    state: sync::Arc<sync::Mutex<ChaosState>>,
+}
+
+#[derive(Debug)]
+struct ChaosState {
+    word: u64,
+    /// Events in a thousand that are repeated, swapped, lost or joined by a foreign one.
+    mishaps_permille: u64,
+    /// Generations that were started, to draw foreign ones from.
+    started: Vec<(id::GenerationId, u32)>,
+    /// Starts that a live engine took, by mark; false: cancelled before any of it ran.
+    pub may_have_run: collections::BTreeMap<u32, collections::BTreeMap<u128, bool>>,
+}
+
+impl Chaos {
+    pub fn new(seed: u64, mishaps_permille: u64) -> Self {
+        let state = ChaosState {
+            word: seed | 1,
+            mishaps_permille,
+            started: Vec::new(),
+            may_have_run: collections::BTreeMap::new(),
+        };
+        Self {
+            state: sync::Arc::new(sync::Mutex::new(state)),
+        }
+    }
+
+    /// Whether any try with this mark may have run, as the world outside knows.
+    pub fn may_have_run(&self, mark: u32) -> bool {
+        let state = self.state.lock().unwrap();
+        let tries = state.may_have_run.get(&mark);
+        tries.is_some_and(|tries| tries.values().any(|ran| *ran))
+    }
+
+    fn started(&self, generation: id::GenerationId, mark: u32) {
+        let mut state = self.state.lock().unwrap();
+        state.started.push((generation, mark));
+        let tries = state.may_have_run.entry(mark).or_default();
+        tries.insert(generation.0, true);
+    }
+
+    fn never_ran(&self, generation: id::GenerationId) {
+        let mut state = self.state.lock().unwrap();
+        for tries in state.may_have_run.values_mut() {
+            tries.entry(generation.0).and_modify(|ran| *ran = false);
+        }
+    }
+}
+
+impl ChaosState {
+    fn draw(&mut self) -> u64 {
+        self.word ^= self.word << 13;
+        self.word ^= self.word >> 7;
+        self.word ^= self.word << 17;
+        self.word
+    }
+
+    /// Puts `event` into `line`, perhaps with a mishap.
+    fn deliver(
+        &mut self,
+        line: &mut collections::VecDeque<port::TaggedEvent>,
+        event: port::TaggedEvent,
+    ) {
+        if self.draw() % 1000 >= self.mishaps_permille {
+            line.push_back(event);
+            return;
+        }
+        match self.draw() % 4 {
+            0 => line.extend([event.clone(), event]),
+            1 => line.push_front(event),
+            2 => {}
+            _ => {
+                let pick = self.draw() as usize % self.started.len().max(1);
+                if let (Some((generation, mark)), port::EngineEvent::Token { seq, .. }) =
+                    (self.started.get(pick), &event.event)
+                {
+                    let text = engine::text::marked_token(*generation, *seq, *mark);
+                    line.push_back(port::TaggedEvent {
+                        generation: *generation,
+                        event: port::EngineEvent::Token { seq: *seq, text },
+                    });
+                }
+                line.push_back(event);
+            }
+        }
+    }
+}
+
+/// Lets nothing out of one entry VM's process while it is down or paused.
+#[derive(Clone, Debug)]
+pub struct ProcessSwitch {
+    runs: watch::Sender<bool>,
+}
+
+impl ProcessSwitch {
+    pub fn new() -> Self {
+        Self {
+            runs: watch::Sender::new(true),
+        }
+    }
+
+    pub fn set(&self, runs: bool) {
+        self.runs.send_replace(runs);
+    }
+
+    async fn pass(&self) {
+        let mut watcher = self.runs.subscribe();
+        if watcher.wait_for(|runs| *runs).await.is_err() {
+            future::pending::<()>().await;
+        }
+    }
+}
+
+/// Model engines in this process.
+#[derive(Clone, Debug)]
+pub struct StandEngines {
+    pub handles: collections::BTreeMap<id::ServerKey, engine::EngineHandle>,
+    pub chaos: Chaos,
+    pub switch: ProcessSwitch,
+}
+
+pub struct StandEvents {
+    stream: engine::EngineStream,
+    generation: id::GenerationId,
+    line: collections::VecDeque<port::TaggedEvent>,
+    chaos: Chaos,
+    switch: ProcessSwitch,
+}
+
+fn mark_of(prompt: &str) -> u32 {
+    let mark = engine::text::directive(prompt, "mark");
+    mark.and_then(|mark| u32::from_str_radix(mark, 16).ok())
+        .unwrap_or(0)
+}
+
+impl StandEngines {
+    fn events(&self, stream: engine::EngineStream, generation: id::GenerationId) -> StandEvents {
+        StandEvents {
+            stream,
+            generation,
+            line: collections::VecDeque::new(),
+            chaos: self.chaos.clone(),
+            switch: self.switch.clone(),
+        }
+    }
+}
+
+impl port::EngineLink for StandEngines {
+    type Events = StandEvents;
+
+    async fn start(
+        &self,
+        target: &port::ServerTarget,
+        order: &port::StartOrder,
+        permit: proof::SendPermit,
+    ) -> Result<StandEvents, fault::StartFault> {
+        self.switch.pass().await;
+        let call = engine::StartCall {
+            id: order.id,
+            model: order.model.clone(),
+            adapter: order.adapter.clone(),
+            prompt: order.prompt.clone(),
+            max_tokens: order.max_tokens,
+            priority: order.priority,
+            seed: order.seed,
+        };
+        let server = target.name.clone();
+        let started = self.handles[&target.key].start(call).await;
+        if matches!(started, Ok(_) | Err(engine::EngineError::AnswerLost)) {
+            self.chaos.started(order.id, mark_of(&order.prompt));
+        }
+        self.switch.pass().await;
+        match started {
+            Ok(stream) => Ok(self.events(stream, order.id)),
+            Err(engine::EngineError::Down) => Err(fault::StartFault::NeverSent {
+                evidence: permit.never_sent(),
+                server,
+                cause: "refused".to_owned(),
+            }),
+            Err(engine::EngineError::AnswerLost) => Err(fault::StartFault::Lost {
+                server,
+                cause: "cut".to_owned(),
+            }),
+            Err(_) => Err(fault::StartFault::Declined {
+                server,
+                status: 409,
+            }),
+        }
+    }
+
+    async fn resume(
+        &self,
+        target: &port::ServerTarget,
+        generation: id::GenerationId,
+        from: u32,
+    ) -> Result<StandEvents, fault::ResumeFault> {
+        self.switch.pass().await;
+        let server = target.name.clone();
+        match self.handles[&target.key].resume(generation, from).await {
+            Ok(stream) => Ok(self.events(stream, generation)),
+            Err(engine::EngineError::Down) => Err(fault::ResumeFault::Refused { server }),
+            Err(engine::EngineError::NotHeld { .. }) => Err(fault::ResumeFault::NotHeld { server }),
+            Err(_) => Err(fault::ResumeFault::Lost {
+                server,
+                cause: "cut".to_owned(),
+            }),
+        }
+    }
+
+    async fn cancel(
+        &self,
+        target: &port::ServerTarget,
+        generation: id::GenerationId,
+    ) -> Result<port::CancelAnswer, fault::CancelFault> {
+        self.switch.pass().await;
+        let server = target.name.clone();
+        match self.handles[&target.key].cancel(generation).await {
+            Ok(engine::call::CancelAnswer::Known { ran, produced }) => {
+                if !ran {
+                    self.chaos.never_ran(generation);
+                }
+                Ok(port::CancelAnswer::Known { ran, produced })
+            }
+            Ok(engine::call::CancelAnswer::Remembered) => Ok(port::CancelAnswer::Remembered),
+            Err(engine::EngineError::Down) => Err(fault::CancelFault::Refused { server }),
+            Err(_) => Err(fault::CancelFault::Lost {
+                server,
+                cause: "cut".to_owned(),
+            }),
+        }
+    }
+}
+
+impl port::EngineEvents for StandEvents {
+    async fn next(&mut self) -> Result<port::TaggedEvent, fault::StreamFault> {
+        let server = String::from("stand");
+        loop {
+            self.switch.pass().await;
+            if let Some(event) = self.line.pop_front() {
+                return Ok(event);
+            }
+            let event = match self.stream.next().await {
+                Some(engine::StreamEvent::Token { seq, text }) => {
+                    port::EngineEvent::Token { seq, text }
+                }
+                Some(engine::StreamEvent::Ping) => port::EngineEvent::Ping,
+                Some(engine::StreamEvent::Finish(report)) => {
+                    port::EngineEvent::Finish(finish_of(report))
+                }
+                Some(engine::StreamEvent::Nonsense) => {
+                    let cause = "nonsense".to_owned();
+                    return Err(fault::StreamFault::Nonsense { server, cause });
+                }
+                None => {
+                    let cause = "ended".to_owned();
+                    return Err(fault::StreamFault::Cut { server, cause });
+                }
+            };
+            let tagged = port::TaggedEvent {
+                generation: self.generation,
+                event,
+            };
+            let mut state = self.chaos.state.lock().unwrap();
+            state.deliver(&mut self.line, tagged);
+        }
+    }
+}
+
+fn finish_of(report: engine::call::FinishReport) -> port::FinishReport {
+    let finish = match report.finish {
+        engine::call::FinishReason::Stop => port::FinishReason::Stop,
+        engine::call::FinishReason::Length => port::FinishReason::Length,
+        engine::call::FinishReason::Cancelled => port::FinishReason::Cancelled,
+        engine::call::FinishReason::Error => port::FinishReason::Error,
+    };
+    port::FinishReport {
+        finish,
+        produced: report.produced,
+        prompt_tokens: report.prompt_tokens,
+        cached_tokens: report.cached_tokens,
+        preempted: report.preempted,
+    }
+}
+
+/// Plain service servers in this process.
+#[derive(Clone, Debug)]
+pub struct StandServices {
+    pub handles: collections::BTreeMap<id::ServerKey, service::ServiceHandle>,
+    pub switch: ProcessSwitch,
+}
+
+impl port::ServiceLink for StandServices {
+    async fn call(
+        &self,
+        target: &port::ServerTarget,
+        call: &port::ServiceCall,
+        _time_left: Duration,
+        permit: proof::SendPermit,
+    ) -> Result<port::ServiceAnswer, fault::CallFault> {
+        self.switch.pass().await;
+        let sent = service::ServiceCall {
+            method: call.method.clone(),
+            path: call.path.clone(),
+            request_id: Some(call.request.to_string()),
+            idempotency_key: call.key.clone(),
+            body: call.body.clone(),
+        };
+        let server = target.name.clone();
+        let answer = self.handles[&target.key].call(sent).await;
+        self.switch.pass().await;
+        match answer {
+            Ok(answer) => Ok(port::ServiceAnswer {
+                status: 200,
+                content_type: None,
+                body: serde_json::to_vec(&answer).unwrap().into(),
+            }),
+            Err(service::handle::ServiceError::Refused) => Err(fault::CallFault::NeverSent {
+                evidence: permit.never_sent(),
+                server,
+                cause: "refused".to_owned(),
+            }),
+            Err(service::handle::ServiceError::Broken) => Err(fault::CallFault::Lost {
+                server,
+                cause: "cut".to_owned(),
+            }),
+        }
+    }
+}
+
+/// Claims that all entry VMs share, with outages and late answers.
+#[derive(Clone, Debug)]
+pub struct SharedClaims {
+    pub book: sync::Arc<memory::MemoryClaims>,
+    pub down: watch::Sender<bool>,
+    /// The next claims are made and their answers come this late.
+    pub late: sync::Arc<sync::Mutex<Duration>>,
+    pub switch: ProcessSwitch,
+}
+
+fn log_down() -> refusal::RefusalBody {
+    refusal::RefusalBody::not_run(
+        refusal::RefusalCode::Unavailable,
+        "the log is down; come back",
+    )
+    .retry_after_ms(500)
+}
+
+impl port::ClaimBook for SharedClaims {
+    async fn claim(&self, ask: port::ClaimAsk) -> port::ClaimAnswer {
+        self.switch.pass().await;
+        if *self.down.borrow() {
+            return port::ClaimAnswer::Refused(log_down());
+        }
+        let answer = self.book.claim(ask).await;
+        let late = *self.late.lock().unwrap();
+        time::sleep(late).await;
+        self.switch.pass().await;
+        if *self.down.borrow() {
+            // The claim is on the log, and nobody here knows.
+            return port::ClaimAnswer::Refused(log_down());
+        }
+        answer
+    }
+
+    async fn store(
+        &self,
+        hold: port::ClaimHold,
+        end: port::ClaimEnd,
+    ) -> Result<(), refusal::RefusalBody> {
+        self.switch.pass().await;
+        if *self.down.borrow() {
+            return Err(log_down());
+        }
+        self.book.store(hold, end).await
+    }
+
+    fn seen(&self, organisation: &str, key: &str) -> bool {
+        self.book.seen(organisation, key)
+    }
+}
+
+/// Jobs that all entry VMs share, with outages.
+#[derive(Clone, Debug)]
+pub struct SharedJobs {
+    pub book: sync::Arc<memory::MemoryJobs>,
+    pub down: watch::Sender<bool>,
+    pub switch: ProcessSwitch,
+}
+
+impl port::JobBook for SharedJobs {
+    async fn accept(&self, job: port::JobRecord) -> port::AcceptAnswer {
+        self.switch.pass().await;
+        if *self.down.borrow() {
+            return port::AcceptAnswer::Refused(log_down());
+        }
+        self.book.accept(job).await
+    }
+
+    async fn fetch(&self, request: id::RequestId) -> port::JobState {
+        self.switch.pass().await;
+        self.book.fetch(request).await
+    }
+
+    async fn take(&self) -> port::JobLease {
+        self.switch.pass().await;
+        let lease = self.book.take().await;
+        self.switch.pass().await;
+        lease
+    }
+
+    async fn renew(&self, lease: &port::JobLease) -> Option<port::JobLease> {
+        self.switch.pass().await;
+        self.book.renew(lease).await
+    }
+
+    async fn give_back(&self, lease: &port::JobLease) {
+        self.switch.pass().await;
+        self.book.give_back(lease).await;
+    }
+
+    async fn store(
+        &self,
+        lease: &port::JobLease,
+        result: port::JobResult,
+    ) -> Result<port::StoredResult, refusal::RefusalBody> {
+        self.switch.pass().await;
+        if *self.down.borrow() {
+            return Err(log_down());
+        }
+        self.book.store(lease, result).await
+    }
+}
+
+/// Identifiers in a row.
+#[derive(Debug)]
+pub struct CountedIds {
+    pub entry: u128,
+    pub next: sync::atomic::AtomicU64,
+}
+
+impl port::IdSource for CountedIds {
+    fn draw(&self) -> u128 {
+        let number = self.next.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let text = format!("{}-{number}", self.entry);
+        let hash = fingerprint::ContentHash::of(text.as_bytes());
+        u128::from_le_bytes(hash.0[..16].try_into().unwrap())
+    }
+}
--- /dev/null
+++ b/crates/flow/tests/plane/main.rs
@@ -0,0 +1,8 @@
+//! The real request plane against in-process stand-ins, on a paused clock.
+
+mod callers;
+mod faults;
+mod fuzz;
+mod links;
+mod thin;
+mod world;
--- /dev/null
+++ b/crates/flow/tests/plane/thin.rs
@@ -0,0 +1,54 @@
+//! The path from a caller's bytes to a whole answer, without faults.
+
+use flow::plane;
+
+use crate::{callers, world};
+
+#[test]
+fn a_stream_arrives_whole() {
+    world::history(async {
+        let world = world::World::new(&world::WorldPlan::default());
+        let reply = callers::generate(&world.planes[0], callers::chat(7, 20, true, "")).await;
+        let Ok(plane::GenerationReply::Stream(mut reply)) = reply else {
+            panic!("no stream: {reply:?}");
+        };
+        let mut transcript = callers::Transcript::default();
+        transcript.read(&mut reply.stream, usize::MAX).await;
+        transcript.check(7, 20);
+        assert!(transcript.done, "{transcript:?}");
+    });
+}
+
+#[test]
+fn a_whole_answer_arrives_whole() {
+    world::history(async {
+        let world = world::World::new(&world::WorldPlan::default());
+        let reply = callers::generate(&world.planes[0], callers::chat(8, 20, false, "")).await;
+        let Ok(plane::GenerationReply::Whole { body, .. }) = reply else {
+            panic!("no answer: {reply:?}");
+        };
+        let mut transcript = callers::Transcript::default();
+        transcript.whole(&body);
+        transcript.check(8, 20);
+    });
+}
+
+#[test]
+fn an_unknown_key_is_refused_as_not_run() {
+    world::history(async {
+        let world = world::World::new(&world::WorldPlan::default());
+        let mut headers = callers::headers();
+        headers.api_key = Some("nobody's".to_owned());
+        let body = callers::chat(9, 5, true, "");
+        let face = flow::body::CallerFace::Chat;
+        let refused = world.planes[0]
+            .generate(headers, face, body)
+            .await
+            .unwrap_err();
+        assert_eq!(
+            refused.body.code,
+            base::refusal::RefusalCode::Unauthenticated
+        );
+        assert_eq!(refused.body.ran, base::outcome::RanState::No);
+    });
+}
--- /dev/null
+++ b/crates/flow/tests/plane/world.rs
@@ -0,0 +1,346 @@
+//! Two entry VMs, a few model engines and plain service servers, all in this process.
+
+use std::{collections, net, sync, time::Duration};
+
+use base::{fingerprint, id};
+use conf::{document, inventory, rules, snapshot};
+use flow::{memory, plane, port, settings, token, view};
+use stand::{engine, service};
+use tokio::sync::watch;
+
+use crate::links;
+
+/// API key of the one organisation.
+pub const API_KEY: &str = "key-of-troupes";
+
+/// Wall clock at the start of every history.
+pub const ORIGIN_MS: u64 = 1_800_000_000_000;
+
+/// Ports of one entry VM.
+pub struct WorldPorts {
+    pub engines: links::StandEngines,
+    pub services: links::StandServices,
+    pub schedule: memory::MemorySchedule,
+    pub claims: links::SharedClaims,
+    pub jobs: links::SharedJobs,
+    pub clock: memory::RuntimeClock,
+    pub ids: links::CountedIds,
+    pub peers: PeerBoard,
+}
+
+impl port::PortSet for WorldPorts {
+    type Engines = links::StandEngines;
+    type Services = links::StandServices;
+    type Schedule = memory::MemorySchedule;
+    type Quotas = memory::NoQuotas;
+    type Claims = links::SharedClaims;
+    type Jobs = links::SharedJobs;
+    type Events = memory::NoEvents;
+    type Clock = memory::RuntimeClock;
+    type Ids = links::CountedIds;
+    type Peers = PeerBoard;
+
+    fn engines(&self) -> &links::StandEngines {
+        &self.engines
+    }
+    fn services(&self) -> &links::StandServices {
+        &self.services
+    }
+    fn schedule(&self) -> &memory::MemorySchedule {
+        &self.schedule
+    }
+    fn quotas(&self) -> &memory::NoQuotas {
+        &memory::NoQuotas
+    }
+    fn claims(&self) -> &links::SharedClaims {
+        &self.claims
+    }
+    fn jobs(&self) -> &links::SharedJobs {
+        &self.jobs
+    }
+    fn events(&self) -> &memory::NoEvents {
+        &memory::NoEvents
+    }
+    fn clock(&self) -> &memory::RuntimeClock {
+        &self.clock
+    }
+    fn ids(&self) -> &links::CountedIds {
+        &self.ids
+    }
+    fn peers(&self) -> &PeerBoard {
+        &self.peers
+    }
+}
+
+/// Carries word of adopted generations between the entry VMs.
+#[derive(Clone, Default)]
+pub struct PeerBoard {
+    planes: sync::Arc<sync::Mutex<collections::BTreeMap<String, sync::Weak<WorldPlane>>>>,
+}
+
+impl port::PeerLink for PeerBoard {
+    fn adopted(&self, vm: &str, generation: id::GenerationId) {
+        let plane = self
+            .planes
+            .lock()
+            .unwrap()
+            .get(vm)
+            .and_then(sync::Weak::upgrade);
+        if let Some(plane) = plane {
+            plane.adopted_elsewhere(generation);
+        }
+    }
+}
+
+pub type WorldPlane = plane::RequestPlane<WorldPorts>;
+
+/// Everything there is.
+pub struct World {
+    pub planes: Vec<sync::Arc<WorldPlane>>,
+    pub switches: Vec<links::ProcessSwitch>,
+    pub engines: Vec<engine::EngineHandle>,
+    pub services: Vec<service::ServiceHandle>,
+    pub chaos: links::Chaos,
+    pub log_down: watch::Sender<bool>,
+    pub late_claims: sync::Arc<sync::Mutex<Duration>>,
+    pub views: watch::Sender<sync::Arc<view::PlaneView>>,
+    first_entry_dead: watch::Sender<bool>,
+}
+
+/// How large, and how it is set.
+#[derive(Clone, Debug)]
+pub struct WorldPlan {
+    pub engines: usize,
+    pub services: usize,
+    /// Requests on one server at once.
+    pub at_once: usize,
+    pub seed: u64,
+    pub mishaps_permille: u64,
+    pub rules: rules::RuleSet,
+    pub abandon_after: Option<Duration>,
+    pub probe_servers: usize,
+}
+
+impl Default for WorldPlan {
+    fn default() -> Self {
+        Self {
+            engines: 3,
+            services: 2,
+            at_once: 8,
+            seed: 1,
+            mishaps_permille: 0,
+            rules: rules::RuleSet::default(),
+            abandon_after: None,
+            probe_servers: 1,
+        }
+    }
+}
+
+fn inventory_of(plan: &WorldPlan) -> inventory::Inventory {
+    let mut inventory = inventory::Inventory::default();
+    let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
+    for number in 0..plan.engines {
+        let kind = inventory::ServerKind::ModelEngine(inventory::EngineEntry {
+            models: vec!["review-llm".to_owned()],
+            checks_fencing: true,
+            kv_blocks: 2048,
+            block_tokens: 16,
+            max_batch: 32,
+        });
+        let entry = inventory::ServerEntry {
+            failure_domain: "hall-a".to_owned(),
+            address,
+            kind,
+        };
+        inventory
+            .backend_servers
+            .insert(format!("engine-{number}"), entry);
+    }
+    for number in 0..plan.services {
+        let kind = inventory::ServerKind::PlainService {
+            service: "pass-app".to_owned(),
+        };
+        let entry = inventory::ServerEntry {
+            failure_domain: "hall-a".to_owned(),
+            address,
+            kind,
+        };
+        inventory
+            .backend_servers
+            .insert(format!("plain-{number}"), entry);
+    }
+    let model = inventory::ModelEntry {
+        version: "1".to_owned(),
+        context_tokens: 4096,
+        ..inventory::ModelEntry::default()
+    };
+    inventory.models.insert("review-llm".to_owned(), model);
+    let service = inventory::ServiceEntry {
+        non_idempotent_paths: vec!["charge".to_owned()],
+        max_concurrency: 16,
+    };
+    inventory.services.insert("pass-app".to_owned(), service);
+    let organisation = inventory::OrganisationEntry {
+        key_hashes: vec![fingerprint::ContentHash::of(API_KEY.as_bytes()).to_string()],
+        region: "hcmc".to_owned(),
+    };
+    inventory
+        .organisations
+        .insert("troupes".to_owned(), organisation);
+    inventory
+}
+
+impl World {
+    pub fn new(plan: &WorldPlan) -> Self {
+        let configuration = document::Configuration {
+            inventory: inventory_of(plan),
+            rules: plan.rules.clone(),
+        };
+        let config = snapshot::ConfigSnapshot::default().next(1, 1, sync::Arc::new(configuration));
+        let profile = |number: usize| engine::EngineProfile {
+            seed: plan.seed ^ number as u64,
+            ..engine::EngineProfile::default()
+        };
+        let mut engines = collections::BTreeMap::new();
+        for (number, key) in config.servers_of_model("review-llm").iter().enumerate() {
+            engines.insert(*key, engine::EngineHandle::spawn(profile(number)));
+        }
+        let mut services = collections::BTreeMap::new();
+        for key in config.servers_of_service("pass-app") {
+            let profile = service::ServiceProfile::default();
+            services.insert(*key, service::ServiceHandle::new(profile));
+        }
+        let view = view::PlaneView {
+            config: sync::Arc::new(config),
+            leaving: sync::Arc::default(),
+        };
+        let mut world = Self {
+            planes: Vec::new(),
+            switches: Vec::new(),
+            engines: engines.values().cloned().collect(),
+            services: services.values().cloned().collect(),
+            chaos: links::Chaos::new(plan.seed, plan.mishaps_permille),
+            log_down: watch::Sender::new(false),
+            late_claims: sync::Arc::default(),
+            views: watch::Sender::new(sync::Arc::new(view)),
+            first_entry_dead: watch::Sender::new(false),
+        };
+        world.add_planes(plan, &engines, &services);
+        world
+    }
+
+    fn add_planes(
+        &mut self,
+        plan: &WorldPlan,
+        engines: &collections::BTreeMap<id::ServerKey, engine::EngineHandle>,
+        services: &collections::BTreeMap<id::ServerKey, service::ServiceHandle>,
+    ) {
+        let claims = sync::Arc::new(memory::MemoryClaims::default());
+        let jobs = sync::Arc::new(memory::MemoryJobs::default());
+        let peers = PeerBoard::default();
+        for entry in 0..2 {
+            let switch = links::ProcessSwitch::new();
+            let vm = format!("entry-{entry}");
+            let ports = WorldPorts {
+                engines: links::StandEngines {
+                    handles: engines.clone(),
+                    chaos: self.chaos.clone(),
+                    switch: switch.clone(),
+                },
+                services: links::StandServices {
+                    handles: services.clone(),
+                    switch: switch.clone(),
+                },
+                schedule: memory::MemorySchedule::new(self.views.subscribe(), plan.at_once),
+                claims: links::SharedClaims {
+                    book: claims.clone(),
+                    down: self.log_down.clone(),
+                    late: self.late_claims.clone(),
+                    switch: switch.clone(),
+                },
+                jobs: links::SharedJobs {
+                    book: jobs.clone(),
+                    down: self.log_down.clone(),
+                    switch: switch.clone(),
+                },
+                clock: memory::RuntimeClock::new(ORIGIN_MS),
+                ids: links::CountedIds {
+                    entry,
+                    next: sync::atomic::AtomicU64::new(0),
+                },
+                peers: peers.clone(),
+            };
+            let secret = token::TokenKey {
+                id: 1,
+                secret: b"shared by all entry VMs".to_vec(),
+            };
+            let keys = token::TokenKeys::new(secret, None);
+            let mut settings = settings::PlaneSettings::new(vm.clone(), keys);
+            settings.abandon_after = plan.abandon_after;
+            settings.probe_servers = plan.probe_servers;
+            let plane = plane::RequestPlane::new(ports, settings, self.views.subscribe());
+            let plane = sync::Arc::new(plane);
+            let weak = sync::Arc::downgrade(&plane);
+            peers.planes.lock().unwrap().insert(vm, weak);
+            self.planes.push(plane);
+            self.switches.push(switch);
+        }
+    }
+
+    /// The first entry VM dies: nothing of it gets out any more, and its connections are cut.
+    pub fn kill_first_entry(&self) {
+        self.switches[0].set(false);
+        self.first_entry_dead.send_replace(true);
+    }
+
+    pub fn is_first_entry_dead(&self) -> bool {
+        *self.first_entry_dead.borrow()
+    }
+
+    /// Completes when callers' connections to an entry VM are cut.
+    pub async fn cut(&self, entry: usize) {
+        let mut watcher = self.first_entry_dead.subscribe();
+        if entry > 0 || watcher.wait_for(|dead| *dead).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// An engine is known to be leaving.
+    pub fn leave(&self, engine: usize) {
+        self.views.send_modify(|view| {
+            let mut leaving = collections::BTreeSet::clone(&view.leaving);
+            leaving.insert(view.config.servers_of_model("review-llm")[engine]);
+            *view = sync::Arc::new(view::PlaneView {
+                config: view.config.clone(),
+                leaving: sync::Arc::new(leaving),
+            });
+        });
+    }
+
+    /// Times that calls with this key ran, on all servers together.
+    pub fn runs_of_key(&self, key: &str) -> u64 {
+        let counts = self.services.iter().map(service::ServiceHandle::counts);
+        counts
+            .map(|counts| counts.by_key.get(key).copied().unwrap_or(0))
+            .sum()
+    }
+
+    /// Times that this request ran, on all servers together.
+    pub fn runs_of_request(&self, request: id::RequestId) -> u64 {
+        let request = request.to_string();
+        let counts = self.services.iter().map(service::ServiceHandle::counts);
+        counts
+            .map(|counts| counts.by_request.get(&request).copied().unwrap_or(0))
+            .sum()
+    }
+}
+
+/// Runs a history on a paused clock.
+pub fn history<F: Future<Output = ()>>(history: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(history);
+}
