--- a/crates/base/src/ops.rs
+++ b/crates/base/src/ops.rs
@@ -51,6 +51,30 @@
     pub journal: JournalStatus,
 }
 
+impl StatusBody {
+    /// The same with only the lists that `parts` names, as in `GET /ops/status?only=members,log`.
+    ///
+    /// The whole body of a large deployment is hundreds of kilobytes; a client that asks again
+    /// and again for one part of it would cost the VM more than its share of control.
+    #[must_use]
+    pub fn only(mut self, parts: &str) -> Self {
+        keep(parts, "log", &mut self.log);
+        keep(parts, "members", &mut self.members);
+        keep(parts, "servers", &mut self.servers);
+        keep(parts, "placement", &mut self.placement);
+        keep(parts, "queues", &mut self.queues);
+        keep(parts, "leases", &mut self.leases);
+        keep(parts, "quarantine", &mut self.quarantine);
+        self
+    }
+}
+
+fn keep<T>(parts: &str, part: &str, list: &mut Vec<T>) {
+    if !parts.split(',').any(|kept| kept == part) {
+        list.clear();
+    }
+}
+
 /// Whether an entry VM takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(serde::Deserialize, serde::Serialize)]
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -311,9 +311,9 @@
     /// only these kinds or areas, with commas: lease,server_dead
     #[argh(option, arg_name = "kinds")]
     pub kind: Option<String>,
-    /// events of one VM at the most, the newest
-    #[argh(option, arg_name = "count", default = "5000")]
-    pub limit: usize,
+    /// events of one VM at the most, the newest; by default 100,000 over all VMs together
+    #[argh(option, arg_name = "count")]
+    pub limit: Option<usize>,
     /// text, jsonl or svg
     #[argh(option, arg_name = "format", default = "OutputFormat::Text")]
     pub format: OutputFormat,
--- a/crates/ctl/src/in_force.rs
+++ b/crates/ctl/src/in_force.rs
@@ -9,7 +9,9 @@
 
 use crate::{client, error, table};
 
-const POLL_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// First pause between two looks; it doubles up to [`LONGEST_PAUSE`].
+const POLL_PAUSE: time::Duration = time::Duration::from_millis(125);
+const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// Entry VMs that are asked at once.
 const CALLS_AT_ONCE: usize = 32;
 
@@ -87,8 +89,9 @@
     let begin = time::Instant::now();
     let mut direct = collections::BTreeMap::new();
     let mut wanted = goal.revision;
+    let mut pause = POLL_PAUSE;
     loop {
-        let status: ops::StatusBody = client.get("/ops/status").await?;
+        let status: ops::StatusBody = client.get("/ops/status?only=members").await?;
         let revision = *wanted.get_or_insert_with(|| newest(&status));
         let mut laggards = lagging(&status, revision, goal.is_live_only, &direct);
         if !laggards.is_empty() {
@@ -104,10 +107,11 @@
                 format!("revision {revision} is in force on {count}, seen within {waited}\n");
             return Ok(error::CommandOutput::success(text));
         }
-        if begin.elapsed() + POLL_PAUSE >= goal.limit {
+        if begin.elapsed() >= goal.limit {
             return Ok(timed_out(revision, &laggards, status.members.len()));
         }
-        time::sleep(POLL_PAUSE).await;
+        time::sleep(pause.min(goal.limit.saturating_sub(begin.elapsed()))).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
@@ -118,7 +122,7 @@
 ) {
     let calls = laggards.iter().map(|laggard| async move {
         let answer = client
-            .call(&laggard.address, "/ops/status?brief=true", None)
+            .call(&laggard.address, "/ops/status?only=configuration", None)
             .await
             .ok()?;
         let status: ops::StatusBody = answer.parse().ok()?;
--- a/crates/ctl/src/operate.rs
+++ b/crates/ctl/src/operate.rs
@@ -39,7 +39,7 @@
     }
     let deadline = time::Instant::now() + time::Duration::from_secs(args.timeout);
     loop {
-        let status: ops::StatusBody = client.get("/ops/status").await?;
+        let status: ops::StatusBody = client.get("/ops/status?only=members,servers").await?;
         if is_drained(&status, &ask) {
             let _ = writeln!(text, "nothing runs there any more");
             return Ok(error::CommandOutput::success(text));
@@ -89,7 +89,7 @@
     args: &args::PlacementArgs,
     client: &client::OpsClient,
 ) -> Result<error::CommandOutput, error::CtlError> {
-    let status: ops::StatusBody = client.get("/ops/status").await?;
+    let status: ops::StatusBody = client.get("/ops/status?only=placement").await?;
     let is_wanted = |placement: &&ops::PlacementStatus| {
         args.model.as_ref().is_none_or(|it| *it == placement.model)
     };
--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -11,6 +11,9 @@
 
 /// Entry VMs that are asked at once.
 const CALLS_AT_ONCE: usize = 32;
+/// Events of all VMs together that are asked for when no limit is given: what an operator's
+/// machine holds with ease, and more than anybody reads.
+const DEFAULT_EVENTS: usize = 100_000;
 
 /// `pollenctl timeline`.
 ///
@@ -137,7 +140,7 @@
             request: args.request.clone(),
             since_ms: since.map(|text| parse_since(text, now_ms)).transpose()?,
             kind: args.kind.clone(),
-            limit: Some(args.limit),
+            limit: args.limit,
         })
     }
 
@@ -150,7 +153,7 @@
     }
 
     /// The path to ask for; every part is checked first, so that nothing needs escaping.
-    fn path(&self) -> Result<String, error::CtlError> {
+    fn path(&self, limit: usize) -> Result<String, error::CtlError> {
         let checked = self.query()?;
         let mut parts = Vec::new();
         parts.extend(self.since_ms.map(|since_ms| format!("since_ms={since_ms}")));
@@ -163,7 +166,7 @@
             let kinds: Vec<&str> = checked.kinds.iter().map(query::KindFilter::name).collect();
             parts.push(format!("kind={}", kinds.join(",")));
         }
-        parts.extend(self.limit.map(|limit| format!("limit={limit}")));
+        parts.push(format!("limit={}", limit.min(query::MAX_LIMIT)));
         Ok(format!("/ops/timeline?{}", parts.join("&")))
     }
 }
@@ -176,8 +179,7 @@
     filter: &TimelineFilter,
     client: &client::OpsClient,
 ) -> Result<merge::MergedTimeline, error::CtlError> {
-    let path = filter.path()?;
-    let status: ops::StatusBody = client.get("/ops/status").await?;
+    let status: ops::StatusBody = client.get("/ops/status?only=members").await?;
     let members = status
         .members
         .iter()
@@ -190,6 +192,8 @@
             .map(|it| (it.to_string(), it.to_string()));
         targets.extend(entries);
     }
+    let share = DEFAULT_EVENTS / targets.len().max(1);
+    let path = filter.path(filter.limit.unwrap_or(share))?;
     let calls = targets.into_iter().map(|(vm, address)| {
         let path = &path;
         async move { (vm, fetch_one(&address, path, client).await) }
--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -270,7 +270,11 @@
         return Some((answer.status(), serde_json::to_value(answer).unwrap()));
     }
     let body = match path {
-        "GET /ops/status" => serde_json::to_value(system.status(vm)).unwrap(),
+        "GET /ops/status" => {
+            let status = system.status(vm);
+            let parts = parameter("only").unwrap_or("members,servers,quarantine");
+            serde_json::to_value(status.only(parts)).unwrap()
+        }
         "GET /ops/configuration" => {
             let asked = parameter("revision").map(|text| text.parse().unwrap());
             let Some(body) = system.configuration(asked) else {
--- a/crates/ctl/tests/overview.rs
+++ b/crates/ctl/tests/overview.rs
@@ -4,6 +4,7 @@
 use base::{class, id, ops};
 use ctl::{attention, overview, table};
 use rand_chacha::rand_core::{Rng as _, SeedableRng as _};
+use unicode_width::UnicodeWidthStr as _;
 
 type Source<'a> = arbitrary::Unstructured<'a>;
 
@@ -147,7 +148,7 @@
         let status = status(&mut Source::new(&bytes)).expect("enough bytes");
         let shown = overview::render(&status);
         for line in shown.split_terminator('\n') {
-            let width = table::columns(line);
+            let width = line.width();
             assert!(
                 width <= table::TERMINAL_COLUMNS,
                 "seed {seed}: {width} columns: {line:?}"
@@ -164,6 +165,6 @@
     table.row(vec!["x".repeat(200), "up".to_owned(), "17".to_owned()]);
     let shown = table.render();
     let row = shown.lines().nth(1).unwrap();
-    assert_eq!(table::columns(row), table::TERMINAL_COLUMNS);
+    assert_eq!(row.width(), table::TERMINAL_COLUMNS);
     assert!(row.contains('…') && row.ends_with("   up     17"), "{row}");
 }
