--- a/crates/stand/src/engine/call.rs
+++ b/crates/stand/src/engine/call.rs
@@ -5,7 +5,8 @@
 use base::id;
 
 /// Body of `POST /v1/generations`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct StartCall {
     /// Name of the generation, drawn by the caller.
     pub id: id::GenerationId,
@@ -27,16 +28,8 @@
 }
 
 /// Why a generation ended.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    serde::Deserialize,
-    serde::Serialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FinishReason {
     /// It was complete.
@@ -50,15 +43,8 @@
 }
 
 /// Last event of a stream.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Deserialize,
-    serde::Serialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct FinishReport {
     /// Why it ended.
     pub finish: FinishReason,
@@ -146,7 +132,8 @@
 }
 
 /// A model as the engine has it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LoadedModel {
     /// Its name.
     pub model: String,
@@ -157,7 +144,8 @@
 }
 
 /// What an order wants the engine to be.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct WantedState {
     /// Model.
     pub model: String,
@@ -171,7 +159,8 @@
 }
 
 /// Body of `POST /v1/orders`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct OrderCall {
     /// The giver's fencing number.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -183,7 +172,8 @@
 }
 
 /// Answer of `GET /v1/state` and of an order.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct EngineState {
     /// This life of the process.
     pub incarnation: id::Incarnation,
@@ -200,7 +190,8 @@
 }
 
 /// Answer of `GET /v1/load`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct LoadReport {
     /// This life of the process.
     pub incarnation: id::Incarnation,
--- a/crates/stand/src/engine/fault.rs
+++ b/crates/stand/src/engine/fault.rs
@@ -1,7 +1,8 @@
 //! Faults of an engine that are switched on from outside.
 
 /// A fault that is switched on from outside.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum EngineFault {
     /// Dies with all it holds, and comes up again after `down_ms` if that is given.
--- a/crates/stand/src/engine/feeds.rs
+++ b/crates/stand/src/engine/feeds.rs
@@ -69,15 +69,8 @@
 }
 
 /// What a cache event tells.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Deserialize,
-    serde::Serialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheEventKind {
     /// The prefix can be found from now on.
@@ -87,7 +80,8 @@
 }
 
 /// One event of `GET /v1/cache-events`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct CacheEvent {
     /// Number, from 1; a missing one was lost.
     pub seq: u64,
@@ -102,7 +96,8 @@
 }
 
 /// Answer of `GET /v1/cache-events`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct CachePage {
     /// Events with numbers above the one asked for.
     pub events: Vec<CacheEvent>,
--- a/crates/stand/src/engine/handle.rs
+++ b/crates/stand/src/engine/handle.rs
@@ -17,6 +17,8 @@
         collections::HashMap<id::GenerationId, signal::watch::Sender<call::GenerationProgress>>,
     spoil: stream::StreamSpoil,
     lose_answers: u32,
+    incarnation_seed: u64,
+    /// Incarnations so far.
     incarnations: u64,
     starts_while_leaving: u64,
 }
@@ -31,16 +33,24 @@
 }
 
 impl EngineHandle {
-    /// Starts an engine on the current runtime.
+    /// Starts an engine on the current runtime. The same profile gives the same incarnations.
     #[must_use]
     pub fn spawn(profile: profile::EngineProfile) -> Self {
-        let incarnation = nth_incarnation(profile.seed, 0);
+        Self::spawn_salted(profile, 0)
+    }
+
+    /// The same, with `salt` for the incarnations alone: two processes must not share them.
+    #[must_use]
+    pub fn spawn_salted(profile: profile::EngineProfile, salt: u64) -> Self {
+        let incarnation_seed = draw::bits(profile.seed, salt);
+        let incarnation = nth_incarnation(incarnation_seed, 0);
         let core = EngineCore::new(profile, incarnation, time::Duration::ZERO);
         let shared = EngineShared {
             core,
             progress: collections::HashMap::new(),
             spoil: stream::StreamSpoil::default(),
             lose_answers: 0,
+            incarnation_seed,
             incarnations: 1,
             starts_while_leaving: 0,
         };
@@ -237,7 +247,7 @@
         if !shared.core.is_down() {
             return;
         }
-        let incarnation = nth_incarnation(shared.core.profile().seed, shared.incarnations);
+        let incarnation = nth_incarnation(shared.incarnation_seed, shared.incarnations);
         shared.incarnations += 1;
         shared.core.restart(self.now(), incarnation);
         drop(shared);
--- a/crates/stand/src/engine/profile.rs
+++ b/crates/stand/src/engine/profile.rs
@@ -3,7 +3,8 @@
 /// Capacity, costs and manners of one model engine.
 ///
 /// The default takes about 20 ms for a decode step of 32 generations.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EngineProfile {
     /// Model that is loaded at the start.
--- a/crates/stand/src/engine/refuse.rs
+++ b/crates/stand/src/engine/refuse.rs
@@ -3,7 +3,8 @@
 use base::id;
 
 /// What an engine refuses. Each but `AnswerLost` proves that the call took no effect.
-#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum EngineError {
     /// The process is dead: the connection was refused.
--- a/crates/stand/src/http.rs
+++ b/crates/stand/src/http.rs
@@ -21,7 +21,8 @@
 pub const BODY_LIMIT: data::ByteUnit = data::ByteUnit::Mebibyte(4);
 
 /// Why a stand-in could not listen.
-#[derive(Debug, snafu::Snafu)]
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
 #[snafu(display("a stand-in could not listen on {address}: {reason}; choose a free address"))]
 pub struct ServeError {
     /// The address that was asked for.
@@ -258,10 +259,17 @@
         rocket::custom(config)
             .attach(pass)
             .manage(self.state.clone())
+            .register("/", rocket::catchers![plain_error])
             .mount("/", self.routes.clone())
     }
 }
 
+#[rocket::catch(default)]
+fn plain_error(status: Status, request: &rocket::Request<'_>) -> JsonReply {
+    let message = format!("{} {} is not served here", request.method(), request.uri());
+    error(status.code, "not_served", &message)
+}
+
 fn is_admin(request: &rocket::Request<'_>) -> bool {
     request.uri().path().starts_with("/admin/")
 }
--- a/crates/stand/src/log.rs
+++ b/crates/stand/src/log.rs
@@ -11,7 +11,8 @@
 };
 
 /// Capacity and manners of the log.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogProfile {
     /// Appends a second over all streams.
@@ -48,7 +49,8 @@
 }
 
 /// What the log refuses or loses.
-#[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 pub enum LogError {
     /// Over the cap; took no effect.
     #[snafu(display("the cap on appends is reached; append again in {retry_after_ms} ms"))]
--- a/crates/stand/src/log/handle.rs
+++ b/crates/stand/src/log/handle.rs
@@ -11,7 +11,8 @@
 const MAX_WAIT: time::Duration = time::Duration::from_secs(30);
 
 /// A fault that is switched on from outside.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum LogFault {
     /// Answers every call with an error.
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -1,3 +1,12 @@
-//! Thin front; the work is in the library.
+//! Thin front of `pollenstand`; the work is in the library.
 
-fn main() {}
+use std::process;
+
+use stand::command;
+
+fn main() -> process::ExitCode {
+    let mut arguments = std::env::args();
+    let program = arguments.next().unwrap_or_else(|| "pollenstand".into());
+    let arguments: Vec<String> = arguments.collect();
+    command::execute(&program, &arguments).into()
+}
--- a/crates/stand/src/service.rs
+++ b/crates/stand/src/service.rs
@@ -11,7 +11,8 @@
 };
 
 /// Manners of one plain service server.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ServiceProfile {
     /// Its name, which each of its answers carries.
@@ -45,7 +46,8 @@
 }
 
 /// What a server answers; it repeats enough of the call to tell crossed answers apart.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct ServiceAnswer {
     /// The server.
     pub server: String,
@@ -64,15 +66,8 @@
 }
 
 /// What ran on one server.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Deserialize,
-    serde::Serialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct RunCounts {
     /// All runs.
     pub total: u64,
--- a/crates/stand/src/service/handle.rs
+++ b/crates/stand/src/service/handle.rs
@@ -8,7 +8,8 @@
 use crate::gate;
 
 /// A fault that is switched on from outside.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum ServiceFault {
     /// Dies: connections break and are refused; it comes up again after `down_ms` if given.
@@ -44,7 +45,8 @@
 }
 
 /// What a caller of a server sees in place of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 pub enum ServiceError {
     /// The connection was refused: the call did not run.
     #[snafu(display(
--- a/crates/stand/src/vms.rs
+++ b/crates/stand/src/vms.rs
@@ -8,7 +8,8 @@
 use crate::{gate, http};
 
 /// Manners of the list.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct VmsProfile {
     /// Time until a change shows.
@@ -27,15 +28,8 @@
 }
 
 /// State of one VM.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Deserialize,
-    serde::Serialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VmState {
     /// It runs.
@@ -45,7 +39,8 @@
 }
 
 /// One VM of the list.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct VmEntry {
     /// Its name.
     pub name: String,
@@ -54,7 +49,8 @@
 }
 
 /// Answer of `GET /v1/vms`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct VmList {
     /// All that were there.
     pub vms: Vec<VmEntry>,
@@ -109,7 +105,8 @@
 }
 
 /// A fault that is switched on from outside.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum VmsFault {
     /// Changes one VM; no `state` takes it off the list.
--- a/crates/stand/src/weights.rs
+++ b/crates/stand/src/weights.rs
@@ -8,7 +8,8 @@
 use crate::{gate, http};
 
 /// Capacity of the weight store.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct WeightsProfile {
     /// Bytes a second.
@@ -67,15 +68,8 @@
 }
 
 /// A fault that is switched on from outside.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Deserialize,
-    serde::Serialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum WeightsFault {
     /// Refuses connections.
