Configuration handed on among entry VMs and kept past the log's retention

Cause: the first version read the whole log from offset 0; a VM replaced during an outage of the log, or after retention, would have served nothing. Change: the daemon drives conf's follower: reads, fetches the state of a peer in parts over frames, appends checkpoints; gossip tells the hash of the chain with each revision.

--- a/crates/entry/src/adapt/peers.rs
+++ b/crates/entry/src/adapt/peers.rs
@@ -67,6 +67,30 @@
         }
     }
 
+    /// Asks a member for its configuration, from a byte of the encoded state on.
+    pub async fn configuration(
+        &self,
+        vm: &str,
+        from_byte: u64,
+        within: time::Duration,
+    ) -> Option<peer::ConfigurationAnswer> {
+        let address = self.members.peer_address(vm)?;
+        let ask = peer::FetchConfiguration {
+            have_revision: 0,
+            have_offset: 0,
+            from_byte,
+        };
+        let request = peer::request::Kind::FetchConfiguration(ask);
+        let options = wire::client::CallOptions {
+            within,
+            repeatable: true,
+        };
+        match self.client.call(address, request, options).await {
+            Ok(peer::response::Kind::Configuration(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
     /// Sends a note to a member by name; nobody waits for it.
     pub fn note(&self, vm: &str, name: &'static str, body: Vec<u8>) {
         let Some(address) = self.members.peer_address(vm) else {
--- a/crates/entry/src/configure.rs
+++ b/crates/entry/src/configure.rs
@@ -1,69 +1,54 @@
-//! The configuration controller: follows the stream `configuration` and puts each accepted
-//! revision in force.
+//! The configuration in force in this process, for whoever reads it.
 
-use std::{collections, sync};
+use std::sync;
 
 use base::{id, ops};
-use conf::{change, document, snapshot, state};
-use ledger::{client, client::LogClient, tail};
+use conf::{event, history, offer, snapshot, state, transfer};
 use tokio::sync::watch;
 
-use crate::{chronicle, wall};
+use crate::wall;
 
 /// Stream of the log that carries the configuration.
 pub const STREAM: &str = "configuration";
-/// Decided changes that are remembered for `GET /ops/history` and for publishers that wait.
-const REMEMBERED_CHANGES: usize = 512;
-/// Revisions that are remembered whole, for comparison and rollback.
-const REMEMBERED_REVISIONS: usize = 16;
 
-/// One decided change.
+/// What the log decided of one change.
 #[derive(Clone, Debug)]
 pub struct DecidedChange {
-    /// What the operators' face shows of it.
-    pub entry: ops::HistoryEntry,
-    /// What the log decided.
+    /// Offset of the record that decided it.
+    pub offset: u64,
+    /// What became of it.
     pub verdict: state::ApplyVerdict,
 }
 
-/// One accepted revision.
-#[derive(Clone, Debug)]
-struct KnownRevision {
-    revision: u64,
-    offset: u64,
-    configuration: sync::Arc<document::Configuration>,
+/// The stream as it was last found.
+#[derive(Clone, Copy, Debug, Default)]
+struct LogView {
+    reachable: bool,
+    answered_ms: Option<u64>,
+    down_since_ms: Option<u64>,
 }
 
-/// What the controller knows.
 #[derive(Debug, Default)]
 struct BookState {
-    state: state::ConfigState,
-    /// Oldest first; at most [`REMEMBERED_CHANGES`].
-    decided: collections::VecDeque<DecidedChange>,
-    /// Accepted revisions, oldest first; at most [`REMEMBERED_REVISIONS`].
-    revisions: collections::VecDeque<KnownRevision>,
+    /// The state in force; absent until there is one that was proved to be the newest.
+    state: Option<state::ConfigState>,
+    /// What other entry VMs are handed of it.
+    transfer: Option<sync::Arc<transfer::StateTransfer>>,
+    ready: Option<event::ReadyState>,
     in_force_since_ms: u64,
     /// Where the revision in force came from.
     source: String,
     log: LogView,
 }
 
-/// The stream as it was last found.
-#[derive(Clone, Copy, Debug, Default)]
-struct LogView {
-    reachable: bool,
-    answered_ms: Option<u64>,
-    down_since_ms: Option<u64>,
-}
-
 /// The configuration in force in this process, and how it came to be.
 #[derive(Debug)]
 pub struct ConfigBook {
     state: sync::Mutex<BookState>,
-    /// Revision 0 until the first accepted change was read.
+    /// Revision 0 until a state is in force.
     snapshot: watch::Sender<sync::Arc<snapshot::ConfigSnapshot>>,
-    /// Grows with each record, so that publishers notice decisions that change no revision.
-    applied: watch::Sender<u64>,
+    /// Grows with each decision, so that publishers notice also those that change no revision.
+    decisions: watch::Sender<u64>,
 }
 
 impl Default for ConfigBook {
@@ -71,7 +56,7 @@
         Self {
             state: sync::Mutex::default(),
             snapshot: watch::Sender::new(sync::Arc::default()),
-            applied: watch::Sender::new(0),
+            decisions: watch::Sender::new(0),
         }
     }
 }
@@ -89,31 +74,44 @@
         self.snapshot.subscribe()
     }
 
-    /// Follows the number of records applied.
+    /// Follows the number of decisions.
     #[must_use]
-    pub fn applied(&self) -> watch::Receiver<u64> {
-        self.applied.subscribe()
+    pub fn decisions(&self) -> watch::Receiver<u64> {
+        self.decisions.subscribe()
     }
 
-    /// What the log decided of the change with this record id, as far as it is remembered.
+    /// What the log decided of the change with this id, as far as it is remembered.
     #[must_use]
-    pub fn decided(&self, record: id::RecordId) -> Option<DecidedChange> {
-        self.lock()
-            .decided
-            .iter()
-            .find(|change| change.entry.record == record)
-            .cloned()
+    pub fn decided(&self, change: id::RecordId) -> Option<DecidedChange> {
+        let book = self.lock();
+        let history = book.state.as_ref()?.history();
+        let verdict = history.verdict_of(change)?;
+        let accepted = history.accepted().map(|entry| &entry.summary);
+        let refused = history.refused().map(|entry| &entry.summary);
+        let offset = accepted
+            .chain(refused)
+            .find(|summary| summary.id == change)?
+            .offset;
+        Some(DecidedChange { offset, verdict })
     }
 
-    /// All decided changes that are remembered, oldest first.
+    /// All decided changes that are remembered, in the order of the log.
     #[must_use]
     pub fn history(&self) -> ops::HistoryBody {
-        let entries = self
-            .lock()
-            .decided
-            .iter()
-            .map(|change| change.entry.clone())
-            .collect();
+        let book = self.lock();
+        let Some(state) = &book.state else {
+            return ops::HistoryBody::default();
+        };
+        let accepted = state
+            .history()
+            .accepted()
+            .map(|entry| history_entry(&entry.summary, Some(entry.revision), None));
+        let refused = state
+            .history()
+            .refused()
+            .map(|entry| history_entry(&entry.summary, None, Some(describe(&entry.verdict))));
+        let mut entries: Vec<ops::HistoryEntry> = accepted.chain(refused).collect();
+        entries.sort_by_key(|entry| entry.offset);
         ops::HistoryBody { entries }
     }
 
@@ -121,17 +119,16 @@
     #[must_use]
     pub fn configuration(&self, revision: u64) -> Option<ops::ConfigurationBody> {
         let book = self.lock();
-        let known = book
-            .revisions
-            .iter()
-            .find(|known| known.revision == revision)?;
-        let (offset, configuration) = (known.offset, sync::Arc::clone(&known.configuration));
+        let state = book.state.as_ref()?;
+        let configuration = state.configuration_at(revision)?;
+        let state_hash = state.history().chain_at(revision).map(|chain| chain.0);
+        let offset = state.offset();
         drop(book);
-        let state = serde_json::to_value(&*configuration).ok()?;
+        let state = serde_json::to_value(configuration).ok()?;
         Some(ops::ConfigurationBody {
             revision,
             offset,
-            state_hash: None,
+            state_hash,
             state,
         })
     }
@@ -140,10 +137,11 @@
     #[must_use]
     pub fn status(&self, now_ms: u64) -> ops::ConfigurationStatus {
         let book = self.lock();
+        let offer = book.state.as_ref().map(state::ConfigState::offer);
         ops::ConfigurationStatus {
-            revision: book.state.revision(),
-            offset: book.state.offset(),
-            state_hash: None,
+            revision: offer.map_or(0, |offer| offer.revision),
+            offset: offer.map_or(0, |offer| offer.offset),
+            state_hash: offer.map(|offer| offer.hash.0),
             in_force_ms: now_ms.saturating_sub(book.in_force_since_ms),
             source: book.source.clone(),
         }
@@ -160,152 +158,124 @@
                 .log
                 .answered_ms
                 .map(|at_ms| now_ms.saturating_sub(at_ms)),
-            next_offset: book.state.offset(),
+            next_offset: book.state.as_ref().map_or(0, state::ConfigState::offset),
         }
     }
 
+    /// What other entry VMs are handed.
+    #[must_use]
+    pub fn transfer(&self) -> Option<sync::Arc<transfer::StateTransfer>> {
+        self.lock().transfer.clone()
+    }
+
+    /// What other entry VMs are told is in force here.
+    #[must_use]
+    pub fn offer(&self) -> Option<offer::StateOffer> {
+        self.lock().state.as_ref().map(state::ConfigState::offer)
+    }
+
+    /// Whether a state is in force, and if not, what is missing.
+    #[must_use]
+    pub fn ready(&self) -> event::ReadyState {
+        self.lock().ready.unwrap_or(event::ReadyState::NoState)
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, BookState> {
         self.state
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Applies one record of the stream.
-    fn apply(&self, record: &client::LogRecord, chronicle: &chronicle::Chronicle) {
+    /// Puts a state in force.
+    pub(crate) fn put_in_force(
+        &self,
+        state: &state::ConfigState,
+        transfer: Option<transfer::StateTransfer>,
+        source: &str,
+    ) {
         let mut book = self.lock();
-        let verdict = book.state.apply(record.offset, &record.body);
-        let change = serde_json::from_slice::<change::ConfigChange>(&record.body).ok();
-        if let Some(change) = change {
-            let decided = decided_change(record, change, verdict);
-            chronicle.record(change_event(&decided));
-            if let state::ApplyVerdict::Accepted { revision } = decided.verdict {
-                log::info!(revision = revision, offset = record.offset; "configuration in force");
-                book.in_force_since_ms = wall::unix_ms();
-                "log".clone_into(&mut book.source);
-                let configuration = sync::Arc::clone(book.state.configuration());
-                let offset = record.offset;
-                book.revisions.push_back(KnownRevision {
-                    revision,
-                    offset,
-                    configuration,
-                });
-                if book.revisions.len() > REMEMBERED_REVISIONS {
-                    book.revisions.pop_front();
-                }
-                let next = book.state.snapshot(&self.snapshot.borrow());
-                self.snapshot.send_replace(sync::Arc::new(next));
-                metrics::gauge!("pollenchute_configuration_revision_number").set(revision as f64);
-            }
-            if !matches!(decided.verdict, state::ApplyVerdict::Duplicate) {
-                book.decided.push_back(decided);
-            }
-            if book.decided.len() > REMEMBERED_CHANGES {
-                book.decided.pop_front();
-            }
-        }
+        book.in_force_since_ms = wall::unix_ms();
+        source.clone_into(&mut book.source);
+        book.transfer = transfer.map(sync::Arc::new);
+        let next = state.snapshot(&self.snapshot.borrow());
+        book.state = Some(state.clone());
         drop(book);
-        self.applied.send_modify(|count| *count += 1);
+        metrics::gauge!("pollenchute_entry_configuration_revision_number")
+            .set(next.revision() as f64);
+        self.snapshot.send_replace(sync::Arc::new(next));
+    }
+
+    /// Takes in what came after the state was put in force: refused changes and checkpoints.
+    pub(crate) fn advance(&self, state: &state::ConfigState, ready: event::ReadyState) {
+        let mut book = self.lock();
+        book.ready = Some(ready);
+        if book
+            .state
+            .as_ref()
+            .is_some_and(|known| known.offset() != state.offset())
+        {
+            book.state = Some(state.clone());
+        }
     }
 
-    fn note_answer(&self, chronicle: &chronicle::Chronicle) {
+    /// Wakes publishers.
+    pub(crate) fn note_decision(&self) {
+        self.decisions.send_modify(|count| *count += 1);
+    }
+
+    /// Notes an answer of the log; returns for how long it had not answered, in milliseconds.
+    pub(crate) fn note_answer(&self) -> Option<u64> {
         let now_ms = wall::unix_ms();
         let mut book = self.lock();
         book.log.reachable = true;
         book.log.answered_ms = Some(now_ms);
-        let Some(since_ms) = book.log.down_since_ms.take() else {
-            return;
-        };
-        drop(book);
-        let down_ms = now_ms.saturating_sub(since_ms);
-        chronicle.record(trace::kind::EventKind::LogUp {
-            stream: STREAM.to_owned(),
-            down_ms,
-        });
+        book.log
+            .down_since_ms
+            .take()
+            .map(|since_ms| now_ms.saturating_sub(since_ms))
     }
 
-    fn note_outage(&self, cause: String, chronicle: &chronicle::Chronicle) {
+    /// Notes that the log does not answer; returns whether that is news.
+    pub(crate) fn note_outage(&self) -> bool {
         let mut book = self.lock();
         book.log.reachable = false;
-        if book.log.down_since_ms.is_some() {
-            return;
-        }
-        book.log.down_since_ms = Some(wall::unix_ms());
-        drop(book);
-        chronicle.record(trace::kind::EventKind::LogDown {
-            stream: STREAM.to_owned(),
-            reason: cause,
-        });
+        let is_news = book.log.down_since_ms.is_none();
+        book.log.down_since_ms.get_or_insert_with(wall::unix_ms);
+        is_news
     }
 }
 
-fn decided_change(
-    record: &client::LogRecord,
-    change: change::ConfigChange,
-    verdict: state::ApplyVerdict,
-) -> DecidedChange {
-    let (revision, refused) = match &verdict {
-        state::ApplyVerdict::Accepted { revision } => (Some(*revision), None),
-        state::ApplyVerdict::Conflict(report) => (
-            None,
-            Some(format!("revision {} was first", report.revision)),
-        ),
-        state::ApplyVerdict::Invalid(faults) => (None, Some(faults.to_string())),
-        other => (None, Some(format!("{other:?}"))),
-    };
-    let paths = change::touched_paths(&change.patch)
-        .iter()
-        .map(|path| path.join("."))
-        .collect();
-    let entry = ops::HistoryEntry {
-        offset: record.offset,
-        at_ms: record.at_ms,
-        record: change.id,
-        base_revision: change.base_revision,
+fn history_entry(
+    summary: &history::ChangeSummary,
+    revision: Option<u64>,
+    refused: Option<String>,
+) -> ops::HistoryEntry {
+    ops::HistoryEntry {
+        offset: summary.offset,
+        at_ms: 0,
+        record: summary.id,
+        base_revision: summary.base_revision,
         revision,
         refused,
-        author: change.author,
-        comment: change.comment,
-        paths,
-    };
-    DecidedChange { entry, verdict }
-}
-
-fn change_event(decided: &DecidedChange) -> trace::kind::EventKind {
-    let entry = &decided.entry;
-    match entry.revision {
-        Some(revision) => trace::kind::EventKind::ConfigurationAccepted {
-            revision,
-            offset: entry.offset,
-            author: entry.author.clone(),
-        },
-        None => trace::kind::EventKind::ConfigurationRefused {
-            base_revision: entry.base_revision,
-            offset: entry.offset,
-            author: entry.author.clone(),
-            reason: entry.refused.clone().unwrap_or_default(),
-        },
+        author: summary.author.clone(),
+        comment: summary.comment.clone(),
+        paths: summary.paths.iter().map(|path| path.join(".")).collect(),
     }
 }
 
-/// Follows the stream for ever.
-pub async fn follow<C: LogClient>(
-    log: C,
-    book: sync::Arc<ConfigBook>,
-    chronicle: chronicle::Chronicle,
-) {
-    let mut reader = tail::TailReader::new(log, STREAM, 0).wait_ms(1_000);
-    loop {
-        match reader.next_event().await {
-            tail::TailEvent::Records(records) => {
-                book.note_answer(&chronicle);
-                for record in &records {
-                    book.apply(record, &chronicle);
-                }
-            }
-            tail::TailEvent::Quiet { .. } | tail::TailEvent::Gap { .. } => {
-                book.note_answer(&chronicle);
-            }
-            tail::TailEvent::Outage { cause } => book.note_outage(cause, &chronicle),
+/// A verdict in words, for operators.
+#[must_use]
+pub fn describe(verdict: &state::ApplyVerdict) -> String {
+    match verdict {
+        state::ApplyVerdict::Accepted { revision } => format!("accepted as revision {revision}"),
+        state::ApplyVerdict::Duplicate => "decided at an earlier record".to_owned(),
+        state::ApplyVerdict::Conflict(report) => {
+            format!(
+                "revision {} was first; make the change against it",
+                report.revision
+            )
         }
+        state::ApplyVerdict::Invalid(faults) => faults.to_string(),
+        other => format!("{other:?}"),
     }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     adapt::{claims, identity as identity_port, jobs, peers, quota, schedule},
-    chronicle, configure, http, members, membership, peer_service, ports, roster, settings, state,
-    vm_list, watch,
+    chronicle, configure, follow, http, members, membership, peer_service, ports, roster, settings,
+    state, vm_list, watch,
 };
 
 /// Largest part of the time line's ring, in bytes.
@@ -353,6 +353,7 @@
     let (plane, host) = base.plane(view, caller.clone())?;
     let service = peer_service::EntryPeerService {
         host: sync::Arc::clone(&host),
+        book: sync::Arc::clone(&base.book),
         plane: sync::Arc::clone(&plane),
     };
     let server = wire::server::PeerServer::new(
@@ -362,7 +363,7 @@
         wire::server::ServerLimits::default(),
     );
     controllers.spawn(server.serve(listener));
-    spawn_watchers(&base, &gossip, controllers)?;
+    spawn_watchers(&base, &gossip, &caller, controllers)?;
     spawn_plane(&base, &plane, host, caller, controllers);
     controllers.spawn(follow_views(
         sync::Arc::clone(&base.book),
@@ -394,11 +395,6 @@
     controllers: &mut task::JoinSet<()>,
 ) {
     controllers.spawn(base.driver.clone().run());
-    controllers.spawn(configure::follow(
-        base.log.clone(),
-        sync::Arc::clone(&base.book),
-        base.chronicle.clone(),
-    ));
     controllers.spawn(membership::spread_suspects(
         sync::Arc::clone(plane),
         caller,
@@ -411,6 +407,7 @@
 fn spawn_watchers(
     base: &Foundation,
     gossip: &gossip::handle::GossipHandle,
+    caller: &peers::PeerCaller,
     controllers: &mut task::JoinSet<()>,
 ) -> Result<(), StartError> {
     let watcher = watch::LoadWatcher {
@@ -428,6 +425,14 @@
         chronicle: base.chronicle.clone(),
     };
     controllers.spawn(member_controller.run());
+    let follower = follow::FollowController {
+        log: base.log.clone(),
+        book: sync::Arc::clone(&base.book),
+        caller: caller.clone(),
+        gossip: gossip.clone(),
+        chronicle: base.chronicle.clone(),
+    };
+    controllers.spawn(follower.run());
     let list = vm_list::ListController {
         http: client()?,
         url: format!("http://{}/v1/vms", base.settings.platform.vm_list),
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,316 @@
+//! Drives the follower of the configuration: reads the log, asks other entry VMs, appends
+//! checkpoints, and puts what comes out in force.
+
+use std::{sync, time::Duration};
+
+use conf::{event, follow, keeper, offer, transfer};
+use gossip::handle;
+use ledger::{client, client::LogClient};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
+use trace::kind;
+use wire::proto::peer;
+
+use crate::{adapt::peers, chronicle, configure, wall};
+
+/// Time between two ticks of the follower.
+const TICK: Duration = Duration::from_millis(250);
+/// Events that wait for the follower at the most; each comes from one action.
+const EVENT_BACKLOG: usize = 64;
+/// Longest wait for one part of a state that is fetched.
+const FETCH_LIMIT: Duration = Duration::from_secs(3);
+/// Bytes of one part of a state that is handed over.
+pub const PART_BYTES: usize = 1 << 20;
+/// Parts that one fetch asks for at the most; a state that changes meanwhile starts anew.
+const MAX_PARTS: usize = 128;
+
+/// Performs what the follower wants, and tells it what happened.
+#[derive(Clone, Debug)]
+pub struct FollowController<C> {
+    /// The platform's log.
+    pub log: C,
+    /// Where the outcome goes.
+    pub book: sync::Arc<configure::ConfigBook>,
+    /// Calls to other entry VMs.
+    pub caller: peers::PeerCaller,
+    /// What other entry VMs have in force.
+    pub gossip: handle::GossipHandle,
+    /// Told of changes of state.
+    pub chronicle: chronicle::Chronicle,
+}
+
+impl<C: LogClient> FollowController<C> {
+    /// Runs for ever.
+    pub async fn run(self) {
+        let vm = self.gossip.identity().name.clone();
+        let mut follower = follow::ConfigFollower::new(vm, conf::pace::FollowSettings::default());
+        let (sender, mut events) = mpsc::channel(EVENT_BACKLOG);
+        let mut members = self.gossip.members();
+        let mut tick = time::interval(TICK);
+        tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            let happened = tokio::select! {
+                event = events.recv() => event.into_iter().collect(),
+                _ = tick.tick() => vec![event::FollowEvent::Tick],
+                changed = members.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.offers(&mut members)
+                }
+            };
+            for event in happened {
+                self.handle(&mut follower, event, &sender);
+            }
+        }
+    }
+
+    /// What the others tell of themselves.
+    fn offers(
+        &self,
+        members: &mut watch::Receiver<sync::Arc<gossip::view::MemberSnapshot>>,
+    ) -> Vec<event::FollowEvent> {
+        let seen = members.borrow_and_update().clone();
+        let own = &self.gossip.identity().name;
+        let others = seen.members.values().filter(|member| member.name != *own);
+        others
+            .map(|member| {
+                let peer = member.name.clone();
+                match &member.configuration {
+                    Some(news) if member.state.is_present() => {
+                        let hash = offer::ChainHash(news.chain_hash);
+                        let (revision, offset) = (news.revision, news.offset);
+                        let offer = offer::StateOffer {
+                            revision,
+                            offset,
+                            hash,
+                        };
+                        event::FollowEvent::Offer { peer, offer }
+                    }
+                    _ => event::FollowEvent::PeerGone { peer },
+                }
+            })
+            .collect()
+    }
+
+    fn handle(
+        &self,
+        follower: &mut follow::ConfigFollower,
+        event: event::FollowEvent,
+        events: &mpsc::Sender<event::FollowEvent>,
+    ) {
+        let source = self.note(&event);
+        let clock = keeper::ClockReading {
+            now: time::Instant::now(),
+            unix_ms: wall::unix_ms(),
+        };
+        let actions = follower.handle(event, clock);
+        let mut decided = false;
+        for action in actions {
+            match action {
+                event::FollowAction::InForce(offer) => self.put_in_force(follower, offer, &source),
+                event::FollowAction::Decided {
+                    id,
+                    offset,
+                    verdict,
+                } => {
+                    decided = true;
+                    self.note_decision(id, offset, &verdict, follower);
+                }
+                event::FollowAction::Report(report) => note_report(&report),
+                action => self.perform(action, events.clone()),
+            }
+        }
+        if let Some(state) = follower.state() {
+            self.book.advance(state, follower.ready());
+        }
+        if decided {
+            self.book.note_decision();
+        }
+    }
+
+    /// Notes what an event says of the log; returns where a state that follows came from.
+    fn note(&self, event: &event::FollowEvent) -> String {
+        match event {
+            event::FollowEvent::Page { .. } | event::FollowEvent::Dropped { .. } => {
+                if let Some(down_ms) = self.book.note_answer() {
+                    let stream = configure::STREAM.to_owned();
+                    self.chronicle
+                        .record(kind::EventKind::LogUp { stream, down_ms });
+                }
+                "log".to_owned()
+            }
+            event::FollowEvent::State { peer, .. } => format!("peer {peer}"),
+            event::FollowEvent::ReadFault => {
+                if self.book.note_outage() {
+                    log::warn!(stream = configure::STREAM; "log does not answer");
+                    let stream = configure::STREAM.to_owned();
+                    let reason = "a read failed".to_owned();
+                    self.chronicle
+                        .record(kind::EventKind::LogDown { stream, reason });
+                }
+                String::new()
+            }
+            _ => String::new(),
+        }
+    }
+
+    fn put_in_force(
+        &self,
+        follower: &follow::ConfigFollower,
+        offer: offer::StateOffer,
+        source: &str,
+    ) {
+        let Some(state) = follower.state() else {
+            return;
+        };
+        self.book.put_in_force(state, follower.transfer(), source);
+        log::info!(revision = offer.revision, offset = offer.offset, source = source; "configuration in force");
+        let (revision, source) = (offer.revision, source.to_owned());
+        self.chronicle
+            .record(kind::EventKind::ConfigurationInForce { revision, source });
+    }
+
+    fn note_decision(
+        &self,
+        id: base::id::RecordId,
+        offset: u64,
+        verdict: &conf::state::ApplyVerdict,
+        follower: &follow::ConfigFollower,
+    ) {
+        let history = follower.state().map(conf::state::ConfigState::history);
+        let summary = history.and_then(|history| {
+            let accepted = history.accepted().map(|entry| &entry.summary);
+            let refused = history.refused().map(|entry| &entry.summary);
+            accepted.chain(refused).find(|summary| summary.id == id)
+        });
+        let author = summary
+            .map(|summary| summary.author.clone())
+            .unwrap_or_default();
+        let base_revision = summary.map_or(0, |summary| summary.base_revision);
+        self.chronicle.record(match verdict {
+            conf::state::ApplyVerdict::Accepted { revision } => {
+                kind::EventKind::ConfigurationAccepted {
+                    revision: *revision,
+                    offset,
+                    author,
+                }
+            }
+            verdict => kind::EventKind::ConfigurationRefused {
+                base_revision,
+                offset,
+                author,
+                reason: configure::describe(verdict),
+            },
+        });
+    }
+
+    fn perform(&self, action: event::FollowAction, events: mpsc::Sender<event::FollowEvent>) {
+        let controller = self.clone();
+        tokio::spawn(async move {
+            let event = match action {
+                event::FollowAction::Read { from, max, wait } => {
+                    controller.read(from, max, wait).await
+                }
+                event::FollowAction::Fetch { peer } => controller.fetch(peer).await,
+                event::FollowAction::Append { record } => controller.append(record).await,
+                _ => return,
+            };
+            // The controller ended with its daemon when nobody listens.
+            let _ = events.send(event).await;
+        });
+    }
+
+    async fn read(&self, from: u64, max: u32, wait: Duration) -> event::FollowEvent {
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let stream = configure::STREAM.to_owned();
+        match self
+            .log
+            .read(&client::ReadQuery {
+                stream,
+                from,
+                max,
+                wait_ms,
+            })
+            .await
+        {
+            Ok(page) => {
+                let record = |record: client::LogRecord| event::TailRecord {
+                    offset: record.offset,
+                    at_ms: record.at_ms,
+                    body: record.body.to_vec(),
+                };
+                let records = page.records.into_iter().map(record).collect();
+                event::FollowEvent::Page {
+                    first: page.first,
+                    next: page.next,
+                    records,
+                }
+            }
+            Err(client::ReadError::Dropped { first, .. }) => event::FollowEvent::Dropped { first },
+            Err(client::ReadError::Fault { .. }) => event::FollowEvent::ReadFault,
+        }
+    }
+
+    async fn append(&self, record: Vec<u8>) -> event::FollowEvent {
+        match self.log.append(configure::STREAM, record.into()).await {
+            Ok(_) => event::FollowEvent::Appended,
+            Err(_) => event::FollowEvent::AppendFault,
+        }
+    }
+
+    async fn fetch(&self, peer: String) -> event::FollowEvent {
+        match self.fetch_parts(&peer).await {
+            Some(transfer) => event::FollowEvent::State {
+                peer,
+                transfer: Box::new(transfer),
+            },
+            None => {
+                metrics::counter!("pollenchute_entry_state_fetches_failed_total").increment(1);
+                event::FollowEvent::FetchFault { peer }
+            }
+        }
+    }
+
+    /// Fetches the parts of one state; `None` when it changed meanwhile or a part did not come.
+    async fn fetch_parts(&self, peer: &str) -> Option<transfer::StateTransfer> {
+        let mut bytes = Vec::new();
+        let mut offset = None;
+        for _ in 0..MAX_PARTS {
+            let answer = self
+                .caller
+                .configuration(peer, bytes.len() as u64, FETCH_LIMIT)
+                .await?;
+            let peer::configuration_answer::Kind::State(part) = answer.kind? else {
+                return None;
+            };
+            let is_same = offset.is_none_or(|offset| offset == answer.offset);
+            if !is_same || part.from_byte != bytes.len() as u64 || part.part.is_empty() {
+                return None;
+            }
+            offset = Some(answer.offset);
+            bytes.extend_from_slice(&part.part);
+            if bytes.len() as u64 >= part.total_bytes {
+                return serde_json::from_slice(&bytes).ok();
+            }
+        }
+        None
+    }
+}
+
+fn note_report(report: &event::FollowReport) {
+    metrics::counter!("pollenchute_entry_configuration_reports_total").increment(1);
+    match report {
+        event::FollowReport::Refused { reason } => {
+            log::warn!(reason = reason.as_str(); "a state was refused");
+        }
+        event::FollowReport::Contradiction { source } => {
+            log::error!(source = source.as_str(); "another history of the configuration is told");
+        }
+        event::FollowReport::LogLost { next } => {
+            log::error!(next = next; "the log ends before the configuration in force");
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configure;
 pub mod daemon;
 pub mod drain;
+pub mod follow;
 pub mod http;
 pub mod members;
 pub mod membership;
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -94,10 +94,14 @@
             })
             .collect();
         self.gossip.set_seeds(seeds).await;
+        let Some(offer) = self.book.offer() else {
+            return;
+        };
         let news = news::ConfigurationNews {
             vm: self.gossip.identity().name.clone(),
-            revision: config.revision(),
-            offset: config.offset(),
+            revision: offer.revision,
+            offset: offer.offset,
+            chain_hash: offer.hash.0,
         };
         self.gossip
             .publish(news::NewsItem::Configuration(news))
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -5,12 +5,14 @@
 use ledger::host;
 use wire::{identity, proto::peer, server};
 
-use crate::{adapt::peers, ports};
+use crate::{adapt::peers, configure, follow, ports};
 
 /// Answers calls of other entry VMs.
 pub struct EntryPeerService {
     /// The log's partitions.
     pub host: sync::Arc<host::LedgerHost<ledger::http::HttpLog>>,
+    /// The configuration in force.
+    pub book: sync::Arc<configure::ConfigBook>,
     /// The request plane.
     pub plane: sync::Arc<flow::plane::RequestPlane<ports::EntryPorts>>,
 }
@@ -43,6 +45,33 @@
             .map_err(|error| failure(peer::FailureKind::Unknown, error.to_string()))
     }
 
+    /// A part of the state in force.
+    fn configuration(
+        &self,
+        from_byte: u64,
+    ) -> Result<peer::ConfigurationAnswer, server::CallFailure> {
+        let Some(transfer) = self.book.transfer() else {
+            let message = "no configuration is in force here; ask another entry VM";
+            return Err(failure(peer::FailureKind::Refused, message));
+        };
+        let bytes = serde_json::to_vec(&*transfer)
+            .map_err(|error| failure(peer::FailureKind::Refused, error.to_string()))?;
+        let start = usize::try_from(from_byte)
+            .unwrap_or(usize::MAX)
+            .min(bytes.len());
+        let end = bytes.len().min(start + follow::PART_BYTES);
+        let part = peer::StatePart {
+            total_bytes: bytes.len() as u64,
+            from_byte,
+            part: bytes[start..end].to_vec(),
+        };
+        Ok(peer::ConfigurationAnswer {
+            revision: transfer.offer.revision,
+            offset: transfer.offer.offset,
+            kind: Some(peer::configuration_answer::Kind::State(part)),
+        })
+    }
+
     fn adopted(&self, body: &[u8]) -> Result<Vec<u8>, server::CallFailure> {
         let text = std::str::from_utf8(body).map_err(malformed)?;
         self.plane
@@ -63,11 +92,17 @@
         _caller: &identity::ProcessIdentity,
         request: peer::request::Kind,
     ) -> Result<peer::response::Kind, server::CallFailure> {
-        let peer::request::Kind::Extension(extension) = request else {
-            return Err(failure(
-                peer::FailureKind::Unsupported,
-                "this release does not serve it",
-            ));
+        let extension = match request {
+            peer::request::Kind::Extension(extension) => extension,
+            peer::request::Kind::FetchConfiguration(ask) => {
+                return self
+                    .configuration(ask.from_byte)
+                    .map(peer::response::Kind::Configuration);
+            }
+            peer::request::Kind::ForwardAppend(_) => {
+                let message = "entries are forwarded by the extension \"ledger\"";
+                return Err(failure(peer::FailureKind::Unsupported, message));
+            }
         };
         let body = match extension.name.as_str() {
             peers::LEDGER => self.ledger(&extension.body).await?,
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -25,32 +25,26 @@
         comment: ask.comment.clone(),
         patch: ask.change.clone(),
     };
-    let body = match serde_json::to_vec(&change) {
-        Ok(body) => body,
-        Err(error) => {
-            return ops::PublishAnswer::Invalid {
-                faults: vec![error.to_string()],
-            };
-        }
-    };
-    let mut applied = entry.book.applied();
-    match entry.log.append(configure::STREAM, body.into()).await {
-        Ok(_) => {}
-        // The record may be on the log all the same; reading on tells.
-        Err(error) if error.may_have_taken_effect() => {}
-        Err(error) => {
-            return ops::PublishAnswer::Undecided {
-                reason: error.to_string(),
-            };
+    let mut decisions = entry.book.decisions();
+    for record in change.records() {
+        match entry.log.append(configure::STREAM, record.into()).await {
+            Ok(_) => {}
+            // The record may be on the log all the same; reading on tells.
+            Err(error) if error.may_have_taken_effect() => {}
+            Err(error) => {
+                return ops::PublishAnswer::Undecided {
+                    reason: error.to_string(),
+                };
+            }
         }
     }
     let give_up_at = time::Instant::now() + DECISION_WAIT;
     loop {
-        applied.mark_unchanged();
+        decisions.mark_unchanged();
         if let Some(decided) = entry.book.decided(ask.record) {
             return answer(&ask, decided);
         }
-        if time::timeout_at(give_up_at, applied.changed())
+        if time::timeout_at(give_up_at, decisions.changed())
             .await
             .is_err()
         {
@@ -66,7 +60,7 @@
     match decided.verdict {
         config_state::ApplyVerdict::Accepted { revision } => ops::PublishAnswer::Accepted {
             revision,
-            offset: decided.entry.offset,
+            offset: decided.offset,
         },
         config_state::ApplyVerdict::Conflict(report) => conflict(ask.base_revision, report),
         config_state::ApplyVerdict::Invalid(faults) => {
--- a/crates/gossip/src/news.rs
+++ b/crates/gossip/src/news.rs
@@ -56,6 +56,8 @@
     pub revision: u64,
     /// Offset after the last record applied.
     pub offset: u64,
+    /// Hash of the chain of changes that led to the revision.
+    pub chain_hash: fingerprint::ContentHash,
 }
 
 /// Content that crashes backend servers.
@@ -120,6 +122,7 @@
                     vm: subject.to_owned(),
                     revision: body.revision,
                     offset: body.offset,
+                    chain_hash: fingerprint::ContentHash(body.chain_hash.try_into().ok()?),
                 })
             }
             item::ItemKind::Leaving => Self::Leaving(LeavingSubject::from_subject(subject)?),
@@ -158,6 +161,7 @@
             Self::Configuration(news) => proto::ConfigurationBody {
                 revision: news.revision,
                 offset: news.offset,
+                chain_hash: news.chain_hash.0.to_vec(),
             }
             .encode_to_vec(),
             Self::Leaving(_) => Vec::new(),
--- a/crates/gossip/tests/udp.rs
+++ b/crates/gossip/tests/udp.rs
@@ -97,6 +97,7 @@
             vm: "vm-0".to_owned(),
             revision: 3,
             offset: 9,
+            chain_hash: base::fingerprint::ContentHash([7; 32]),
         }))
         .await;
     wait_until(&handles[1], |snapshot| {
--- a/crates/gossip/tests/virtual_time/histories.rs
+++ b/crates/gossip/tests/virtual_time/histories.rs
@@ -134,6 +134,7 @@
                 vm: self.fabric.vms[index].name.clone(),
                 revision: self.published,
                 offset: self.published,
+                chain_hash: fingerprint::ContentHash([7; 32]),
             }),
         };
         self.fabric.act(index, |core, now| core.publish(now, &news));
--- a/crates/load/tests/env/mod.rs
+++ b/crates/load/tests/env/mod.rs
@@ -13,6 +13,9 @@
 /// An API key of the example deployment.
 pub const API_KEY: &str = "pw-key-gate-scanners";
 
+/// An operator key of the example deployment.
+pub const OPERATOR_KEY: &str = "pw-key-operator-linh";
+
 /// Stand-ins and running entry daemons.
 pub struct TestEnv {
     /// The stand-ins.
@@ -28,9 +31,8 @@
     pub async fn start(entries: usize) -> Self {
         let configuration = site::PASS_WORKS.configuration().unwrap();
         let mut site = site::StandSite::start(configuration).await.unwrap();
-        let vms = site.configuration.inventory.entry_vms.clone();
+        let vms = std::mem::take(&mut site.configuration.inventory.entry_vms);
         let mut daemons = Vec::new();
-        site.configuration.inventory.entry_vms.clear();
         for (name, mut vm) in vms.into_iter().take(entries) {
             let running = daemon::start(settings_of(&name, &vm.failure_domain, &site))
                 .await
@@ -72,13 +74,65 @@
 
     async fn wait_ready(&self) {
         for entry in 0..self.daemons.len() {
-            for _ in 0..200 {
-                if self.get(entry, "/readyz").await.status().is_success() {
-                    break;
-                }
-                tokio::time::sleep(Duration::from_millis(25)).await;
+            self.wait_revision(entry, 1).await;
+        }
+    }
+
+    /// Starts a fresh daemon for a VM that has the name and place of `entry`, which was stopped.
+    pub async fn restart(&mut self, entry: usize) {
+        let settings = self.daemons[entry].state().settings.clone();
+        let callers = self.daemons[entry].callers();
+        let peers = self.daemons[entry].peers();
+        let bound = settings::DaemonSettings {
+            callers,
+            peers,
+            ..settings
+        };
+        self.daemons.remove(entry).stop().await;
+        let mut fresh = daemon::start(bound.clone()).await;
+        while fresh.is_err() {
+            // The port of the process that ended may not be free at once.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            fresh = daemon::start(bound.clone()).await;
+        }
+        self.daemons.insert(entry, fresh.unwrap());
+    }
+
+    /// Publishes a change through one entry VM, as an operator.
+    pub async fn change(
+        &self,
+        entry: usize,
+        base_revision: u64,
+        patch: serde_json::Value,
+    ) -> reqwest::Response {
+        let record = id::RecordId::draw(&mut rand::rng());
+        let url = format!("http://{}/ops/publish", self.daemons[entry].callers());
+        let ask = serde_json::json!({
+            "record": record, "base_revision": base_revision, "change": patch,
+        });
+        self.client
+            .post(url)
+            .bearer_auth(OPERATOR_KEY)
+            .json(&ask)
+            .send()
+            .await
+            .unwrap()
+    }
+
+    /// The revision in force on one entry VM.
+    pub fn revision(&self, entry: usize) -> u64 {
+        self.daemons[entry].state().book.snapshot().revision()
+    }
+
+    /// Waits until `revision` is in force on one entry VM.
+    pub async fn wait_revision(&self, entry: usize, revision: u64) {
+        for _ in 0..400 {
+            if self.revision(entry) >= revision {
+                return;
             }
+            tokio::time::sleep(Duration::from_millis(25)).await;
         }
+        panic!("revision {revision} never came into force on entry {entry}");
     }
 
     /// A POST to one entry VM with the example's key.
--- a/crates/wire/src/proto/gossip.rs
+++ b/crates/wire/src/proto/gossip.rs
@@ -160,7 +160,7 @@
     pub body: ::prost::alloc::vec::Vec<u8>,
 }
 /// Body of an item of kind configuration in force.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigurationBody {
     /// Revision in force.
     #[prost(uint64, tag = "1")]
@@ -168,6 +168,9 @@
     /// Offset after the last record applied.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
+    /// 32 bytes: hash of the chain of changes that led to the revision.
+    #[prost(bytes = "vec", tag = "3")]
+    pub chain_hash: ::prost::alloc::vec::Vec<u8>,
 }
 /// Body of an item of kind quarantine.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
