gossip: entry VMs tell one another of their work

Cause: the decision core divides engines' room by the work of each entry VM, and nothing carried that word. Change: a third kind of digest, aged and bounded like the others; numbers that are not finite are dropped.

--- a/crates/gossip/src/digest.rs
+++ b/crates/gossip/src/digest.rs
@@ -28,6 +28,8 @@
     EngineLoad,
     /// Recent demand of an organisation on one VM.
     OrganisationDemand,
+    /// Work of one VM, which others share the engines with.
+    EntryWork,
 }
 
 impl DigestKind {
@@ -37,6 +39,7 @@
         match self {
             Self::EngineLoad => 1,
             Self::OrganisationDemand => 2,
+            Self::EntryWork => 3,
         }
     }
 
@@ -46,6 +49,7 @@
         Some(match number {
             1 => Self::EngineLoad,
             2 => Self::OrganisationDemand,
+            3 => Self::EntryWork,
             _ => return None,
         })
     }
@@ -77,6 +81,39 @@
     pub running: u32,
 }
 
+/// Work of one VM, which others share the engines with.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EntryWork {
+    /// Sum of the weights of organisations with work there.
+    pub weight: f32,
+    /// Whether some of that work waits for room.
+    pub backlogged: bool,
+    /// Urgent generations at once.
+    pub urgent: f32,
+}
+
+impl EntryWork {
+    pub(crate) fn to_body(self) -> Vec<u8> {
+        proto::EntryWorkBody {
+            weight: self.weight,
+            backlogged: self.backlogged,
+            urgent: self.urgent,
+        }
+        .encode_to_vec()
+    }
+
+    /// Nothing for numbers that would make every sum of shares meaningless.
+    pub(crate) fn from_body(body: &[u8]) -> Option<Self> {
+        let body = proto::EntryWorkBody::decode(body).ok()?;
+        let is_usable = |value: f32| value.is_finite() && value >= 0.0;
+        (is_usable(body.weight) && is_usable(body.urgent)).then_some(Self {
+            weight: body.weight,
+            backlogged: body.backlogged,
+            urgent: body.urgent,
+        })
+    }
+}
+
 /// The 32 bits by which a digest names an engine's life.
 #[must_use]
 pub fn incarnation_hash(incarnation: &str) -> u32 {
@@ -267,7 +304,7 @@
     ) -> bool {
         let owner = match key.kind {
             DigestKind::EngineLoad => id::Incarnation(0),
-            DigestKind::OrganisationDemand => sender,
+            DigestKind::OrganisationDemand | DigestKind::EntryWork => sender,
         };
         let full = self.taken.len() >= MAX_DIGESTS;
         match self.taken.entry((key, owner)) {
--- a/crates/gossip/src/driver.rs
+++ b/crates/gossip/src/driver.rs
@@ -163,6 +163,10 @@
                     .publish_demand(now, &organisation, demand, &receivers);
                 Vec::new()
             }
+            handle::GossipCommand::Work(work, receivers) => {
+                self.core.publish_work(now, work, &receivers);
+                Vec::new()
+            }
             handle::GossipCommand::Depart(_) => Vec::new(),
         };
         self.perform(actions).await;
@@ -207,7 +211,9 @@
     fn tell(&mut self, event: event::GossipEvent) {
         self.changed |= !matches!(
             event,
-            event::GossipEvent::Load(_) | event::GossipEvent::Demand(_)
+            event::GossipEvent::Load(_)
+                | event::GossipEvent::Demand(_)
+                | event::GossipEvent::Work(_)
         );
         if let event::GossipEvent::Member(claim) = &event {
             log_state(claim);
--- a/crates/gossip/src/event.rs
+++ b/crates/gossip/src/event.rs
@@ -37,6 +37,8 @@
     Load(LoadNews),
     /// Another VM's word about an organisation's demand there.
     Demand(DemandNews),
+    /// Another VM's word about its work.
+    Work(WorkNews),
     /// A region was lost or found again.
     Region(RegionNews),
     /// Watching is divided anew; see [`crate::view::MemberSnapshot::plan`].
@@ -69,6 +71,17 @@
     pub age: time::Duration,
 }
 
+/// Another VM's word about its work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkNews {
+    /// That VM.
+    pub vm: String,
+    /// Its work.
+    pub work: digest::EntryWork,
+    /// How old that was on arrival, the way here not counted.
+    pub age: time::Duration,
+}
+
 /// A region was lost or found again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RegionNews {
--- a/crates/gossip/src/handle.rs
+++ b/crates/gossip/src/handle.rs
@@ -17,6 +17,7 @@
     VmList(list::VmListReport),
     Load(String, digest::EngineLoad),
     Demand(String, digest::OrganisationDemand, Vec<String>),
+    Work(digest::EntryWork, Vec<String>),
     Depart(channels::oneshot::Sender<()>),
 }
 
@@ -110,6 +111,11 @@
             .await;
     }
 
+    /// Tells `receivers` of this VM's work.
+    pub async fn publish_work(&self, work: digest::EntryWork, receivers: Vec<String>) {
+        self.command(GossipCommand::Work(work, receivers)).await;
+    }
+
     /// VMs that watch the server, the first watcher first.
     #[must_use]
     pub fn watchers(&self, server: &str) -> Vec<String> {
--- a/crates/gossip/src/loads.rs
+++ b/crates/gossip/src/loads.rs
@@ -120,6 +120,20 @@
         self.add_digest(now, key, demand.to_body(), receivers);
     }
 
+    /// Tells other VMs of this one's work.
+    pub fn publish_work(
+        &mut self,
+        now: time::Duration,
+        work: digest::EntryWork,
+        receivers: &[String],
+    ) {
+        let key = digest::DigestKey {
+            kind: digest::DigestKind::EntryWork,
+            subject: digest::subject_hash(&self.identity.name),
+        };
+        self.add_digest(now, key, work.to_body(), receivers);
+    }
+
     fn add_digest(
         &mut self,
         now: time::Duration,
@@ -203,6 +217,11 @@
                 load: digest::EngineLoad::from_body(&digest.body)?,
                 age,
             }),
+            digest::DigestKind::EntryWork => event::GossipEvent::Work(event::WorkNews {
+                vm: sender.name.clone(),
+                work: digest::EntryWork::from_body(&digest.body)?,
+                age,
+            }),
             digest::DigestKind::OrganisationDemand => {
                 event::GossipEvent::Demand(event::DemandNews {
                     vm: sender.name.clone(),
--- a/crates/wire/src/proto/gossip.rs
+++ b/crates/wire/src/proto/gossip.rs
@@ -214,6 +214,19 @@
     #[prost(uint32, tag = "3")]
     pub running: u32,
 }
+/// Body of a digest of kind entry work.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct EntryWorkBody {
+    /// Sum of the weights of organisations with work at the sender.
+    #[prost(float, tag = "1")]
+    pub weight: f32,
+    /// Whether some of that work waits for room.
+    #[prost(bool, tag = "2")]
+    pub backlogged: bool,
+    /// Urgent generations at once.
+    #[prost(float, tag = "3")]
+    pub urgent: f32,
+}
 /// What is said of a member, in order of precedence at equal refutation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
