--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -315,6 +315,11 @@
 
     /// Dies: all that it held is lost.
     pub fn crash(&mut self, now: time::Duration) {
+        self.advance(now);
+        self.die(now);
+    }
+
+    fn die(&mut self, now: time::Duration) {
         if self.down {
             return;
         }
@@ -345,7 +350,8 @@
     }
 
     /// Makes every step take `factor` times as long, from the next one on.
-    pub fn set_slow_factor(&mut self, factor: f64) {
+    pub fn set_slow_factor(&mut self, now: time::Duration, factor: f64) {
+        self.advance(now);
         self.slow_factor = factor.max(0.0);
     }
 
--- a/crates/stand/src/engine/batch.rs
+++ b/crates/stand/src/engine/batch.rs
@@ -163,7 +163,7 @@
             let full = self.running.len() >= self.profile.max_batch.max(1) as usize;
             if !full && self.admit(now, rank, key) {
                 if self.sequences[key].crashes {
-                    self.crash(now);
+                    self.die(now);
                     return;
                 }
                 continue;
--- a/crates/stand/src/engine/feeds.rs
+++ b/crates/stand/src/engine/feeds.rs
@@ -58,11 +58,18 @@
     /// The newest report that is at least the lag old, with its age.
     #[must_use]
     pub fn newest(&self, now: time::Duration) -> call::LoadReport {
-        let old_enough = |entry: &&(time::Duration, call::LoadReport)| entry.0 + self.lag <= now;
-        let found = self.reports.iter().rev().find(old_enough);
-        let (at, report) = found.unwrap_or(&self.reports[0]);
+        let old_enough = now.saturating_sub(self.lag);
+        let later = self.reports.partition_point(|entry| entry.0 <= old_enough);
+        let found = later.saturating_sub(1);
+        let &(mut at, ref report) = &self.reports[found];
+        if let Some((next_at, _)) = self.reports.get(found + 1) {
+            // Reports left out between two kept ones were all like the earlier one.
+            let newest = old_enough.min(*next_at - self.every).saturating_sub(at);
+            let periods = newest.as_nanos() / self.every.as_nanos();
+            at += self.every * periods as u32;
+        }
         call::LoadReport {
-            taken_ms_ago: now.saturating_sub(*at).as_millis() as u64,
+            taken_ms_ago: now.saturating_sub(at).as_millis() as u64,
             ..report.clone()
         }
     }
--- a/crates/stand/src/engine/front.rs
+++ b/crates/stand/src/engine/front.rs
@@ -5,7 +5,11 @@
 use base::id;
 use futures_util::StreamExt as _;
 use rocket::{
-    State, data, delete, get, http::ContentType, post, response::stream::TextStream, routes,
+    State, data, delete, get,
+    http::ContentType,
+    post,
+    response::{Responder, stream::TextStream},
+    routes,
 };
 
 use super::{call, handle, refuse, stream};
@@ -36,16 +40,33 @@
     http::serve(address, handle.gate().clone(), handle, routes).await
 }
 
-type TextAnswer<S> = Result<(ContentType, TextStream<S>), http::JsonReply>;
+/// A stream of events whose header names its generation, so that a crossed answer can be told.
+struct EventReply<S> {
+    generation: id::GenerationId,
+    texts: TextStream<S>,
+}
+
+impl<'r, S: futures_util::Stream<Item = String> + Send + 'r> Responder<'r, 'r> for EventReply<S> {
+    fn respond_to(self, request: &'r rocket::Request<'_>) -> rocket::response::Result<'r> {
+        let mut response = self.texts.respond_to(request)?;
+        response.set_header(ContentType::EventStream);
+        response.set_raw_header("X-Generation-Id", self.generation.to_string());
+        Ok(response)
+    }
+}
+
+type EventAnswer<S> = Result<EventReply<S>, http::JsonReply>;
 
 #[post("/v1/generations", data = "<body>")]
 async fn start(
     body: data::Data<'_>,
     handle: &State<handle::EngineHandle>,
-) -> TextAnswer<impl futures_util::Stream<Item = String> + use<>> {
+) -> EventAnswer<impl futures_util::Stream<Item = String> + use<>> {
     let call: call::StartCall = http::read_json(body).await?;
+    let generation = call.id;
     let stream = handle.start(call).await.map_err(refuse)?;
-    Ok((ContentType::EventStream, TextStream::from(texts(stream))))
+    let texts = TextStream::from(texts(stream));
+    Ok(EventReply { generation, texts })
 }
 
 #[get("/v1/generations/<generation>?<from>")]
@@ -53,11 +74,11 @@
     generation: &str,
     from: Option<u32>,
     handle: &State<handle::EngineHandle>,
-) -> TextAnswer<impl futures_util::Stream<Item = String> + use<>> {
+) -> EventAnswer<impl futures_util::Stream<Item = String> + use<>> {
     let generation = parse_id(generation)?;
     let stream = handle.resume(generation, from.unwrap_or(0)).await;
-    let stream = stream.map_err(refuse)?;
-    Ok((ContentType::EventStream, TextStream::from(texts(stream))))
+    let texts = TextStream::from(texts(stream.map_err(refuse)?));
+    Ok(EventReply { generation, texts })
 }
 
 #[delete("/v1/generations/<generation>")]
--- a/crates/stand/src/engine/handle.rs
+++ b/crates/stand/src/engine/handle.rs
@@ -222,7 +222,7 @@
             fault::EngineFault::Silence => self.gate.silence(),
             fault::EngineFault::Hang { on } => self.gate.set_hanging(on),
             fault::EngineFault::Slow { factor } => {
-                self.change(|core, _| core.set_slow_factor(factor))
+                self.change(|core, now| core.set_slow_factor(now, factor))
             }
             fault::EngineFault::Reclaim { notice_ms } => {
                 self.change(|core, now| core.set_leaving(now, true));
