--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -144,6 +144,27 @@
         self.first_answer(path, Some(&body)).await?.parse()
     }
 
+    /// Sends a body to this entry VM and no other.
+    ///
+    /// # Errors
+    /// When it does not answer, or refuses.
+    pub async fn post_to<A: serde::Serialize, T: serde::de::DeserializeOwned>(
+        &self,
+        entry: &str,
+        path: &str,
+        ask: &A,
+    ) -> Result<T, error::CtlError> {
+        let body = to_json(ask)?;
+        match self.call(entry, path, Some(&body)).await {
+            Ok(answer) if answer.is_success() => answer.parse(),
+            Ok(answer) => Err(answer.into_refusal()),
+            Err(fault) => {
+                let attempts = vec![format!("{entry}: {fault}")];
+                error::UnreachableSnafu { attempts }.fail()
+            }
+        }
+    }
+
     /// Calls one entry VM, with a body or without one.
     ///
     /// # Errors
--- a/crates/ctl/src/configuration.rs
+++ b/crates/ctl/src/configuration.rs
@@ -51,7 +51,11 @@
         || "/ops/configuration".to_owned(),
         |revision| format!("/ops/configuration?revision={revision}"),
     );
-    client.get(&path).await
+    match client.get(&path).await {
+        // Before the first change there is nothing that a VM could show.
+        Err(error::CtlError::Refused { status: 404, .. }) if revision.is_none() => first(),
+        answer => answer,
+    }
 }
 
 /// Revision 0: the empty configuration before the first change, which every VM starts from.
--- a/crates/ctl/src/operate.rs
+++ b/crates/ctl/src/operate.rs
@@ -29,7 +29,7 @@
             return error::UsageSnafu { message }.fail();
         }
     };
-    let answer: ops::DrainAnswer = client.post("/ops/drain", &ask).await?;
+    let answer = mark(&ask, client).await?;
     let subject = text::clean(&answer.subject);
     let already = if answer.already { " already" } else { "" };
     let running = error::count_text(answer.running as usize, "request");
@@ -57,6 +57,26 @@
     }
 }
 
+/// Marks as leaving. Any entry VM can do so for a backend server; an entry VM must hear it
+/// itself, since only it can close its own door.
+async fn mark(
+    ask: &ops::DrainAsk,
+    client: &client::OpsClient,
+) -> Result<ops::DrainAnswer, error::CtlError> {
+    let ops::DrainAsk::Vm(name) = ask else {
+        return client.post("/ops/drain", ask).await;
+    };
+    let status: ops::StatusBody = client.get("/ops/status?only=members").await?;
+    let member = status.members.iter().find(|member| member.vm == *name);
+    let member = member.with_context(|| {
+        let known: Vec<&str> = status.members.iter().map(|it| it.vm.as_str()).collect();
+        let known = known.join(", ");
+        let message = format!("no entry VM is called {name:?}; there are: {known}");
+        error::NotFoundSnafu { message }
+    })?;
+    client.post_to(&member.address, "/ops/drain", ask).await
+}
+
 /// Whether nothing runs any more on what was drained, as far as one VM sees.
 ///
 /// A backend server is empty when its own report says so; an entry VM ends its process when its
--- a/crates/ctl/src/overview.rs
+++ b/crates/ctl/src/overview.rs
@@ -43,13 +43,12 @@
     out.push('\n');
 }
 
-fn head(status: &ops::StatusBody) -> [String; 2] {
-    let configuration = &status.configuration;
+fn head(status: &ops::StatusBody) -> [String; 3] {
     let newest = in_force::newest(status);
     let is_there = |member: &&ops::MemberStatus| member.revision.is_some_and(|it| it >= newest);
     let there = status.members.iter().filter(is_there).count();
     let readiness = match status.readiness {
-        ops::ReadyState::Starting => "starting: no accepted configuration yet",
+        ops::ReadyState::Starting => "starting",
         ops::ReadyState::Ready => "ready",
         ops::ReadyState::Leaving => "leaving",
     };
@@ -63,15 +62,24 @@
             moment::full_text(status.now_ms)
         ),
         format!(
-            "revision {newest} in force on {there} of {}; here {} for {}, from {}",
+            "revision {newest} in force on {there} of {}",
             error::count_text(status.members.len(), "entry VM"),
-            configuration.revision,
-            moment::span_text(configuration.in_force_ms),
-            configuration.source
         ),
+        here(&status.configuration),
     ]
 }
 
+fn here(configuration: &ops::ConfigurationStatus) -> String {
+    if configuration.revision == 0 {
+        return "here: no configuration yet".to_owned();
+    }
+    let span = moment::span_text(configuration.in_force_ms);
+    let ops::ConfigurationStatus {
+        revision, source, ..
+    } = configuration;
+    format!("here: revision {revision} for {span}, from {source}")
+}
+
 /// How many of a group are in each state.
 #[derive(Clone, Copy, Debug, Default)]
 struct StateCounts {
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -12,6 +12,8 @@
 
 /// A change whose base moved under it this often is left to its operator.
 const MAX_REBASES: u32 = 5;
+/// Paths of one change that the history shows; the first change of all has thousands.
+const PATHS_SHOWN: usize = 8;
 /// Pause before all entry VMs are tried again.
 const ROUND_PAUSE: time::Duration = time::Duration::from_millis(500);
 
@@ -365,20 +367,23 @@
         || format!("refused (made against {})", entry.base_revision),
         |revision| format!("revision {revision}"),
     );
-    let head = format!(
-        "{}  {what}  by {}  {}",
-        moment::full_text(entry.at_ms),
-        entry.author,
-        entry.comment
-    );
+    let at = match entry.at_ms {
+        0 => "(time not known)".to_owned(),
+        at_ms => moment::full_text(at_ms),
+    };
+    let head = format!("{at}  {what}  by {}  {}", entry.author, entry.comment);
     let mut lines = format!("{}\n", table::fit(&head, table::TERMINAL_COLUMNS));
     if let Some(reason) = &entry.refused {
         let line = format!("    because {reason}");
         let _ = writeln!(lines, "{}", table::fit(&line, table::TERMINAL_COLUMNS));
     }
-    for path in &entry.paths {
+    for path in entry.paths.iter().take(PATHS_SHOWN) {
         let line = format!("    {path}");
         let _ = writeln!(lines, "{}", table::fit(&line, table::TERMINAL_COLUMNS));
     }
+    let more = entry.paths.len().saturating_sub(PATHS_SHOWN);
+    if more > 0 {
+        let _ = writeln!(lines, "    and {more} more; see --json");
+    }
     lines
 }
--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -73,7 +73,8 @@
 
     fn configuration(&self, asked: Option<u64>) -> Option<serde_json::Value> {
         let revision = asked.unwrap_or_else(|| self.state.revision());
-        let current = (revision == self.state.revision()).then(|| self.current());
+        let is_current = revision > 0 && revision == self.state.revision();
+        let current = is_current.then(|| self.current());
         let state = current.or_else(|| self.states.get(&revision).cloned())?;
         Some(json!({"revision": revision, "offset": self.state.offset(), "state": state}))
     }
--- a/crates/ctl/tests/operate.rs
+++ b/crates/ctl/tests/operate.rs
@@ -287,6 +287,21 @@
         output.text.contains("2 requests still run there"),
         "{output:?}"
     );
+    let other = FakeFace::start("hall-a-2", &system).await;
+    let output = fake::run(&[face.address], "drain --vm hall-a-2").await;
+    assert_eq!(output.status, error::ExitStatus::Success, "{output:?}");
+    let asked = system.lock().unwrap().calls.last().cloned();
+    assert_eq!(
+        asked.as_deref(),
+        Some("hall-a-2 POST /ops/drain"),
+        "{}",
+        other.vm
+    );
+    let output = fake::run(&[face.address], "drain --vm hall-z-9").await;
+    assert!(
+        output.complaint.contains("there are: hall-a-1, hall-a-2"),
+        "{output:?}"
+    );
     server.running = 0;
     system.lock().unwrap().servers = vec![server];
     let output = fake::run(&[face.address], line).await;
