--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     adapt::{claims, identity as identity_port, jobs, peers, quota, schedule},
-    chronicle, configure, follow, http, members, membership, peer_service, ports, roster, settings,
-    state, vm_list, watch,
+    chronicle, configure, digests, follow, http, members, membership, peer_service, ports, roster,
+    settings, state, vm_list, watch,
 };
 
 /// Largest part of the time line's ring, in bytes.
@@ -414,9 +414,18 @@
         http: client()?,
         book: sync::Arc::clone(&base.book),
         roster: sync::Arc::clone(&base.roster),
+        gossip: gossip.clone(),
         chronicle: base.chronicle.clone(),
     };
     controllers.spawn(watcher.run());
+    let digests = digests::DigestController {
+        gossip: gossip.clone(),
+        book: sync::Arc::clone(&base.book),
+        roster: sync::Arc::clone(&base.roster),
+        members: sync::Arc::clone(&base.members),
+        driver: base.driver.clone(),
+    };
+    controllers.spawn(digests.run());
     let member_controller = membership::MemberController {
         gossip: gossip.clone(),
         book: sync::Arc::clone(&base.book),
--- /dev/null
+++ b/crates/entry/src/digests.rs
@@ -0,0 +1,192 @@
+//! Exchanges short-lived digests with the other entry VMs: loads of engines, this VM's work, and
+//! what organisations ask of it.
+
+use std::{collections, sync, time::Duration};
+
+use base::id;
+use conf::snapshot;
+use gossip::{digest, event, handle};
+use sched::{driver, limit, share};
+use tokio::{sync::broadcast, time};
+
+use crate::{configure, members, roster};
+
+/// Time between two digests of this VM's work and demands while the region is small.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
+/// Members of a region for which [`TELL_INTERVAL`] holds; it grows with their number beyond, so
+/// that the bytes a second stay the same.
+const SMALL_REGION: u32 = 32;
+/// Span of the counts in a demand's digest, in seconds.
+const DEMAND_SPAN_S: f32 = 10.0;
+
+/// Exchanges digests with the other entry VMs.
+#[derive(Clone, Debug)]
+pub struct DigestController {
+    /// Carries the digests.
+    pub gossip: handle::GossipHandle,
+    /// The configuration in force.
+    pub book: sync::Arc<configure::ConfigBook>,
+    /// Told of loads.
+    pub roster: sync::Arc<roster::ServerRoster>,
+    /// The members of the region.
+    pub members: sync::Arc<members::MemberTable>,
+    /// Told of work and demands, and asked for this VM's.
+    pub driver: driver::Driver,
+}
+
+impl DigestController {
+    /// Runs for ever.
+    pub async fn run(self) {
+        let mut events = self.gossip.subscribe();
+        let mut subjects = SubjectIndex::default();
+        let mut tell_at = time::Instant::now();
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Ok(event) => self.take(&event, &mut subjects),
+                    // Digests that were lost age out and come again.
+                    Err(broadcast::error::RecvError::Lagged(lost)) => {
+                        metrics::counter!("pollenchute_entry_gossip_events_lost_total").increment(lost);
+                    }
+                    Err(broadcast::error::RecvError::Closed) => return,
+                },
+                () = time::sleep_until(tell_at) => {
+                    let peers = self.region_peers();
+                    tell_at = time::Instant::now() + interval(peers.len());
+                    self.tell(peers).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, event: &event::GossipEvent, subjects: &mut SubjectIndex) {
+        let config = self.book.snapshot();
+        let now = time::Instant::now();
+        let taken_at = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        match event {
+            event::GossipEvent::Load(news) => {
+                if let Some(server) = config.server_key(&news.server) {
+                    self.roster.heard(server, &news.load, taken_at(news.age));
+                }
+            }
+            event::GossipEvent::Work(news) => {
+                if let Some(vm) = config.vm_key(&news.vm) {
+                    let work = share::EntryDigest {
+                        weight: news.work.weight,
+                        backlogged: news.work.backlogged,
+                        urgent: news.work.urgent,
+                    };
+                    let at = taken_at(news.age);
+                    self.driver
+                        .change(|core, _| core.entry_reported(vm, work, at));
+                }
+            }
+            event::GossipEvent::Demand(news) => {
+                let organisation = subjects.organisation(&config, news.organisation_hash);
+                if let (Some(organisation), Some(vm)) = (organisation, config.vm_key(&news.vm)) {
+                    let demand = rates(&news.demand);
+                    let at = taken_at(news.age);
+                    self.driver.change(|core, now| {
+                        core.demand_reported(organisation, vm, demand, at, now)
+                    });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn region_peers(&self) -> Vec<String> {
+        let seen = self.gossip.snapshot();
+        let own = &self.gossip.identity().name;
+        let Some(region) = seen.members.get(own).map(|member| member.region.clone()) else {
+            return Vec::new();
+        };
+        let serving = seen.serving(&region).filter(|member| member.name != *own);
+        serving.map(|member| member.name.clone()).collect()
+    }
+
+    /// Tells of this VM's work, and each organisation's other entry VMs what it asks of this one.
+    async fn tell(&self, peers: Vec<String>) {
+        let (work, demands) = self
+            .driver
+            .change(|core, now| (core.entry_digest(now), core.demands().collect::<Vec<_>>()));
+        let config = self.book.snapshot();
+        let digest = digest::EntryWork {
+            weight: work.weight,
+            backlogged: work.backlogged,
+            urgent: work.urgent,
+        };
+        self.gossip.publish_work(digest, peers).await;
+        for (organisation, demand) in demands {
+            let Some(view) = config.organisation(organisation) else {
+                continue;
+            };
+            let receivers = self.other_entries(&config, organisation);
+            if !receivers.is_empty() {
+                self.gossip
+                    .publish_demand(view.name.clone(), counts(&demand), receivers)
+                    .await;
+            }
+        }
+    }
+
+    fn other_entries(
+        &self,
+        config: &snapshot::ConfigSnapshot,
+        organisation: id::OrganisationKey,
+    ) -> Vec<String> {
+        let own = &self.gossip.identity().name;
+        config
+            .entries_of(organisation, |vm| self.members.is_named(config, vm))
+            .into_iter()
+            .filter_map(|key| config.vm(key))
+            .map(|vm| vm.name.clone())
+            .filter(|name| name != own)
+            .collect()
+    }
+}
+
+fn interval(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    TELL_INTERVAL * peers.div_ceil(SMALL_REGION).max(1)
+}
+
+fn rates(demand: &digest::OrganisationDemand) -> limit::LimitDemand {
+    limit::LimitDemand {
+        requests_per_second: demand.requests as f32 / DEMAND_SPAN_S,
+        tokens_per_second: demand.tokens as f32 / DEMAND_SPAN_S,
+        generations: demand.running as f32,
+    }
+}
+
+fn counts(demand: &limit::LimitDemand) -> digest::OrganisationDemand {
+    digest::OrganisationDemand {
+        requests: (demand.requests_per_second * DEMAND_SPAN_S).round() as u32,
+        tokens: (demand.tokens_per_second * DEMAND_SPAN_S).round() as u32,
+        running: demand.generations.round() as u32,
+    }
+}
+
+/// Organisations by the hash under which digests name them, for one revision.
+#[derive(Debug, Default)]
+struct SubjectIndex {
+    revision: u64,
+    organisations: collections::HashMap<u64, id::OrganisationKey>,
+}
+
+impl SubjectIndex {
+    fn organisation(
+        &mut self,
+        config: &snapshot::ConfigSnapshot,
+        subject: u64,
+    ) -> Option<id::OrganisationKey> {
+        if self.revision != config.revision() {
+            self.revision = config.revision();
+            self.organisations = config
+                .organisations()
+                .map(|(key, view)| (digest::subject_hash(&view.name), key))
+                .collect();
+        }
+        self.organisations.get(&subject).copied()
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod chronicle;
 pub mod configure;
 pub mod daemon;
+pub mod digests;
 pub mod drain;
 pub mod follow;
 pub mod http;
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -94,6 +94,16 @@
             })
             .collect();
         self.gossip.set_seeds(seeds).await;
+        let own = config
+            .vms()
+            .find(|(_, vm)| vm.name == self.gossip.identity().name);
+        if let Some((_, own)) = own {
+            let servers = config
+                .servers()
+                .filter(|(_, server)| server.region == own.region);
+            let names = servers.map(|(_, server)| server.name.clone()).collect();
+            self.gossip.set_servers(names).await;
+        }
         let Some(offer) = self.book.offer() else {
             return;
         };
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -5,6 +5,7 @@
 
 use base::{class, id, ops};
 use conf::{inventory, snapshot};
+use gossip::digest;
 use sched::{driver, settings, view};
 use tokio::{sync::watch as channel, time};
 
@@ -225,6 +226,7 @@
         let former = sight.report.replace(report.clone());
         sight.reported_at = Some(now);
         sight.misses = 0;
+        sight.in_doubt = false;
         let restarted = former
             .as_ref()
             .is_some_and(|it| it.incarnation != report.incarnation);
@@ -241,6 +243,9 @@
             if let Some(spec) = spec {
                 core.server_added(key, spec, now);
             }
+            if restarted {
+                core.server_restarted(key, now);
+            }
             core.server_reported(key, load_report(&report, now));
             core.server_suspected(key, false);
             if is_leaving {
@@ -253,6 +258,40 @@
         }
     }
 
+    /// Takes in an engine's load as its watcher passed it on.
+    pub fn heard(&self, key: id::ServerKey, load: &digest::EngineLoad, taken_at: time::Instant) {
+        let mut state = self.lock();
+        let sight = state.sights.entry(key).or_default();
+        let Some(report) = sight.report.as_mut() else {
+            return;
+        };
+        if digest::incarnation_hash(&report.incarnation.to_string()) != load.incarnation_hash {
+            // Another life, of which this process knows nothing: it looks for itself.
+            sight.in_doubt = true;
+            return;
+        }
+        report.free_blocks = load.free_blocks;
+        report.running = load.running;
+        report.waiting = load.waiting;
+        report.preemptions = u64::from(load.preemptions);
+        report.taken_ms_ago = 0;
+        let report = load_report(report, taken_at);
+        sight.reported_at = Some(taken_at);
+        drop(state);
+        self.driver
+            .change(|core, _| core.server_reported(key, report));
+    }
+
+    /// Whether a server's last answer is missing or tells less than is known from others.
+    #[must_use]
+    pub fn is_in_doubt(&self, key: id::ServerKey) -> bool {
+        let state = self.lock();
+        state
+            .sights
+            .get(&key)
+            .is_none_or(|sight| sight.in_doubt || sight.misses > 0 || sight.reported_at.is_none())
+    }
+
     /// Takes in the answer of a plain service server to a health check.
     pub fn healthy(&self, key: id::ServerKey, leaving: bool, now: time::Instant) -> ReportEffect {
         let mut state = self.lock();
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -1,9 +1,10 @@
 //! Watching model engines: asks each for its load and hands the report on.
 
-use std::{sync, time::Duration};
+use std::{collections, sync, time::Duration};
 
 use base::id;
 use conf::{inventory, snapshot};
+use gossip::{digest, handle, watching};
 use tokio::time;
 
 use crate::{chronicle, configure, roster};
@@ -61,14 +62,22 @@
     pub reported_at: Option<time::Instant>,
     /// Polls in a row that were not answered.
     pub misses: u32,
+    /// Others told of another life of it than this process knows.
+    pub in_doubt: bool,
 }
 
 /// Polls in a row without an answer after which a server is suspected.
 pub const SUSPECT_MISSES: u32 = 2;
 /// Polls in a row without an answer after which a server is taken to be dead.
 pub const DEAD_MISSES: u32 = 4;
-/// Time between two polls of one server.
+/// Time between two polls of a server by its first watcher, or while it is in doubt.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two polls of a server by its other watchers.
+pub const STANDBY_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two polls of a server by an entry VM that only uses it.
+pub const USER_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two looks at which polls are due.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for the answer to one poll.
 const POLL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -80,7 +89,11 @@
     leaving: bool,
 }
 
-/// Polls backend servers and feeds the roster.
+/// Polls backend servers, feeds the roster, and passes loads on.
+///
+/// Were every entry VM to poll every server often, 410 of them before 600 engines would spend
+/// most of their budget on polls. So few watchers of each server poll it often and pass the load
+/// on; those that only use it look for themselves now and then, which also shows them its models.
 #[derive(Clone, Debug)]
 pub struct LoadWatcher {
     /// Connections for polls alone, so that no poll waits behind a stream.
@@ -89,6 +102,8 @@
     pub book: sync::Arc<configure::ConfigBook>,
     /// Fed with what was seen.
     pub roster: sync::Arc<roster::ServerRoster>,
+    /// Says who watches what, and carries loads.
+    pub gossip: handle::GossipHandle,
     /// Told of changes of state.
     pub chronicle: chronicle::Chronicle,
 }
@@ -96,25 +111,50 @@
 impl LoadWatcher {
     /// Polls for ever.
     pub async fn run(self) {
-        let mut tick = time::interval(POLL_INTERVAL);
+        let mut due: collections::HashMap<id::ServerKey, time::Instant> =
+            collections::HashMap::new();
+        let mut tick = time::interval(LOOK_INTERVAL);
         tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             tick.tick().await;
+            let now = time::Instant::now();
             let snapshot = self.book.snapshot();
-            let polls = snapshot
-                .servers()
-                .map(|(key, server)| self.poll(key, server));
-            futures_util::future::join_all(polls).await;
+            due.retain(|key, _| snapshot.server(*key).is_some());
+            for (key, server) in snapshot.servers() {
+                if due.get(&key).is_some_and(|at| *at > now) {
+                    continue;
+                }
+                due.insert(key, now + self.interval(key, server));
+                // In a task of its own: a server that does not answer must not delay the others.
+                let (watcher, server) = (self.clone(), server.clone());
+                tokio::spawn(async move { watcher.poll(key, &server).await });
+            }
+        }
+    }
+
+    fn interval(&self, key: id::ServerKey, server: &snapshot::ServerView) -> Duration {
+        if self.roster.is_in_doubt(key) {
+            return POLL_INTERVAL;
+        }
+        match self.gossip.watch_duty(&server.name) {
+            watching::WatchDuty::First => POLL_INTERVAL,
+            watching::WatchDuty::Standby => STANDBY_INTERVAL,
+            watching::WatchDuty::None => USER_INTERVAL,
         }
     }
 
     async fn poll(&self, key: id::ServerKey, server: &snapshot::ServerView) {
         let effect = match &server.entry.kind {
             inventory::ServerKind::ModelEngine(_) => {
-                self.get::<LoadBody>(server, "/v1/load").await.map(|body| {
-                    self.roster
-                        .reported(key, server, body, time::Instant::now())
-                })
+                match self.get::<LoadBody>(server, "/v1/load").await {
+                    Ok(body) => {
+                        self.pass_on(server, &body).await;
+                        Ok(self
+                            .roster
+                            .reported(key, server, body, time::Instant::now()))
+                    }
+                    Err(error) => Err(error),
+                }
             }
             inventory::ServerKind::PlainService { .. } => self
                 .get::<HealthBody>(server, "/healthz")
@@ -127,6 +167,17 @@
         }
     }
 
+    async fn pass_on(&self, server: &snapshot::ServerView, body: &LoadBody) {
+        let load = digest::EngineLoad {
+            incarnation_hash: digest::incarnation_hash(&body.incarnation.to_string()),
+            free_blocks: body.free_blocks,
+            running: body.running,
+            waiting: body.waiting,
+            preemptions: u32::try_from(body.preemptions).unwrap_or(u32::MAX),
+        };
+        self.gossip.publish_load(server.name.clone(), load).await;
+    }
+
     async fn get<T: serde::de::DeserializeOwned>(
         &self,
         server: &snapshot::ServerView,
