--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -121,12 +121,6 @@
         let _ = (&mut self.server).await;
         self.controllers.shutdown().await;
     }
-
-    /// Ends at once, as a killed process does: what runs is cut off.
-    pub fn kill(mut self) {
-        self.controllers.abort_all();
-        self.server.abort();
-    }
 }
 
 /// Checks what no type can.
--- a/crates/load/tests/env/mod.rs
+++ b/crates/load/tests/env/mod.rs
@@ -9,6 +9,7 @@
 use entry::{daemon, settings};
 use load::site;
 use rand::SeedableRng as _;
+use tokio::runtime;
 
 /// An API key of the example deployment.
 pub const API_KEY: &str = "pw-key-gate-scanners";
@@ -22,6 +23,9 @@
     pub site: site::StandSite,
     /// The daemons.
     pub daemons: Vec<daemon::RunningDaemon>,
+    /// The runtime of each daemon: when it is dropped, nothing of the daemon runs on, as when a
+    /// process is killed.
+    runtimes: Vec<runtime::Runtime>,
     /// For requests.
     pub client: reqwest::Client,
 }
@@ -33,10 +37,13 @@
         let mut site = site::StandSite::start(configuration).await.unwrap();
         let vms = std::mem::take(&mut site.configuration.inventory.entry_vms);
         let mut daemons = Vec::new();
+        let mut runtimes = Vec::new();
         for (name, mut vm) in vms.into_iter().take(entries) {
-            let running = daemon::start(settings_of(&name, &vm.failure_domain, &site))
-                .await
-                .unwrap();
+            let runtime = daemon_runtime();
+            let settings = settings_of(&name, &vm.failure_domain, &site);
+            let starting = runtime.spawn(daemon::start(settings));
+            let running = starting.await.unwrap().unwrap();
+            runtimes.push(runtime);
             vm.callers = running.callers();
             vm.peers = running.peers();
             site.configuration.inventory.entry_vms.insert(name, vm);
@@ -45,6 +52,7 @@
         let env = Self {
             site,
             daemons,
+            runtimes,
             client: reqwest::Client::new(),
         };
         env.publish().await;
@@ -88,14 +96,28 @@
             peers,
             ..settings
         };
-        self.daemons.remove(entry).stop().await;
-        let mut fresh = daemon::start(bound.clone()).await;
+        self.stop(entry).await;
+        let runtime = daemon_runtime();
+        let mut fresh = runtime.spawn(daemon::start(bound.clone())).await.unwrap();
         while fresh.is_err() {
             // The port of the process that ended may not be free at once.
             tokio::time::sleep(Duration::from_millis(50)).await;
-            fresh = daemon::start(bound.clone()).await;
+            fresh = runtime.spawn(daemon::start(bound.clone())).await.unwrap();
         }
         self.daemons.insert(entry, fresh.unwrap());
+        self.runtimes.insert(entry, runtime);
+    }
+
+    /// Stops a daemon gracefully; those after it move up.
+    pub async fn stop(&mut self, entry: usize) {
+        self.daemons.remove(entry).stop().await;
+        self.runtimes.remove(entry).shutdown_background();
+    }
+
+    /// Kills a daemon; those after it move up.
+    pub fn kill(&mut self, entry: usize) {
+        drop(self.daemons.remove(entry));
+        self.runtimes.remove(entry).shutdown_background();
     }
 
     /// Publishes a change through one entry VM, as an operator.
@@ -163,6 +185,23 @@
     }
 }
 
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        // A runtime may not be dropped where it would block, which a test's own runtime forbids.
+        for runtime in self.runtimes.drain(..) {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn daemon_runtime() -> runtime::Runtime {
+    runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
 fn settings_of(vm: &str, failure_domain: &str, site: &site::StandSite) -> settings::DaemonSettings {
     settings::DaemonSettings {
         vm: vm.to_owned(),
