ledger: stateful fuzz of claims and deferrable work, and what it found

(1) A claim batched with a carried state was refused for its neighbour's older view: each entry now tells how far its writer had read.

--- a/crates/ledger/src/appender.rs
+++ b/crates/ledger/src/appender.rs
@@ -109,8 +109,6 @@
 #[derive(Debug)]
 struct QueuedEntry {
     entry: record::EncodedEntry,
-    /// How far the stream had been read when the entry was decided.
-    seen: u64,
     arrived: time::Instant,
     deadline: time::Instant,
     reply: tokio_sync::oneshot::Sender<AppendAnswer>,
@@ -162,14 +160,13 @@
     }
 
     /// Puts an entry in the queue; the receiver gets its answer, at the latest soon after
-    /// `deadline`. `seen` is the offset up to which the stream was read when the entry was decided.
+    /// `deadline`.
     ///
     /// # Errors
     /// When the entry is refused at once.
     pub fn push(
         &self,
         entry: record::EncodedEntry,
-        seen: u64,
         deadline: time::Instant,
     ) -> Result<tokio_sync::oneshot::Receiver<AppendAnswer>, NotAppended> {
         if entry.size() > self.max_entry_bytes {
@@ -178,7 +175,6 @@
         let (reply, receiver) = tokio_sync::oneshot::channel();
         let queued = QueuedEntry {
             entry,
-            seen,
             arrived: time::Instant::now(),
             deadline,
             reply,
@@ -197,10 +193,9 @@
     pub async fn append(
         &self,
         entry: record::EncodedEntry,
-        seen: u64,
         deadline: time::Instant,
     ) -> AppendAnswer {
-        match self.push(entry, seen, deadline) {
+        match self.push(entry, deadline) {
             Err(cause) => AppendAnswer::NotAppended(cause),
             // The loop drops a reply only when its task was aborted, possibly in an append.
             Ok(receiver) => receiver.await.unwrap_or(AppendAnswer::Unsettled),
@@ -282,11 +277,9 @@
         }
     }
 
-    /// The batch speaks for the oldest view among its entries, also when it is appended again.
     fn encode(&self) -> bytes::Bytes {
-        let seen = self.batch.iter().map(|queued| queued.seen).min();
         let entries = self.batch.iter().map(|queued| &queued.entry);
-        record::encode(&self.writer, seen.unwrap_or_default(), entries)
+        record::encode(&self.writer, entries)
     }
 
     async fn commit(&mut self) {
--- a/crates/ledger/src/claim_store.rs
+++ b/crates/ledger/src/claim_store.rs
@@ -219,9 +219,12 @@
             if let Some(verdict) = fold.find(&item.organisation, &item.key, item.content) {
                 return Some(EarlyView::Verdict(verdict));
             }
+            // The reading is never ahead of the log's clock, but may be far behind it after a
+            // pause; so it shows that a key is too old, never that it lies in the future.
+            let oldest_ms = key_ms.saturating_add(fold.limits().window_ms);
             let outside = state
                 .clock
-                .is_some_and(|clock| !fold.limits().admits(key_ms, clock.now_ms(now)));
+                .is_some_and(|clock| clock.now_ms(now) > oldest_ms);
             if outside {
                 return Some(EarlyView::Verdict(claims::ClaimVerdict::OutsideWindow));
             }
@@ -255,7 +258,7 @@
     /// log's clock "in progress" is said, which promises less.
     fn reply_open(&self, until_ms: u64) -> ClaimReply {
         let now = time::Instant::now();
-        let late_ms = until_ms + CLOCK_ALLOWANCE_MS;
+        let late_ms = until_ms + self.settings.limits.drift_ms;
         let passed = self.driver.view(|state| {
             state
                 .clock
@@ -269,9 +272,6 @@
     }
 }
 
-/// Most by which the log's clock runs ahead of a holder's over the life of one claim.
-const CLOCK_ALLOWANCE_MS: u64 = 2_000;
-
 enum EarlyView {
     Verdict(claims::ClaimVerdict),
     Full,
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -27,6 +27,8 @@
     pub hold_ms: u64,
     /// Once sent, a call has its outcome within this time, or none.
     pub run_ms: u64,
+    /// Most by which the log's clock runs ahead of a holder's over the life of one claim.
+    pub drift_ms: u64,
     /// Bytes of an answer's body that are kept for a repeated call.
     pub max_kept_bytes: usize,
 }
@@ -39,6 +41,7 @@
             retention_ms: 3_600_000,
             hold_ms: 5_000,
             run_ms: 10_000,
+            drift_ms: 2_000,
             max_kept_bytes: 16 * 1024,
         }
     }
--- a/crates/ledger/src/driver.rs
+++ b/crates/ledger/src/driver.rs
@@ -171,6 +171,17 @@
         self.shared.lock().position
     }
 
+    /// The position once the stream was read up to its end; `None` while the log cannot be read.
+    ///
+    /// An entry that is decided on an older position may be refused by processes that start to
+    /// read later, so that what one process accepted would be lost with it.
+    pub async fn fresh_position(&self, deadline: time::Instant) -> Option<u64> {
+        if !self.wait_loaded(deadline).await {
+            return None;
+        }
+        self.view(|state| (!state.outage).then_some(state.position))
+    }
+
     /// Waits until the stream was read up to its end; false when `deadline` came first.
     pub async fn wait_loaded(&self, deadline: time::Instant) -> bool {
         let mut receiver = self.shared.loaded.subscribe();
@@ -219,7 +230,7 @@
             let cause = appender::NotAppended::NotLoaded;
             return Err(SubmitFault::NotAppended(cause));
         }
-        let encoded = record::EncodedEntry::new(id, entry)
+        let encoded = record::EncodedEntry::new(id, seen, entry)
             .map_err(|_| SubmitFault::NotAppended(appender::NotAppended::Refused))?;
         let (sender, verdict) = tokio_sync::oneshot::channel();
         self.shared.lock().waiters.insert(id, sender);
@@ -227,19 +238,18 @@
             shared: &self.shared,
             id,
         };
-        self.await_verdict(encoded, seen, verdict, deadline).await
+        self.await_verdict(encoded, verdict, deadline).await
     }
 
     async fn await_verdict(
         &self,
         encoded: record::EncodedEntry,
-        seen: u64,
         mut verdict: tokio_sync::oneshot::Receiver<F::Verdict>,
         deadline: time::Instant,
     ) -> Result<F::Verdict, SubmitFault> {
         let appended = self
             .appender
-            .push(encoded, seen, deadline)
+            .push(encoded, deadline)
             .map_err(SubmitFault::NotAppended)?;
         tokio::select! {
             biased;
--- a/crates/ledger/src/job_fold.rs
+++ b/crates/ledger/src/job_fold.rs
@@ -369,13 +369,12 @@
         batch: record::BatchRecord<jobs::JobEntry>,
     ) -> Vec<driver::EntryVerdict<jobs::JobVerdict>> {
         self.forget(place.at_ms);
-        let seen = batch.seen;
         let mut verdicts = Vec::with_capacity(batch.entries.len());
         for entry in batch.entries {
             let place = EntryPlace {
                 offset: place.offset,
                 at_ms: place.at_ms,
-                seen,
+                seen: entry.seen,
                 id: entry.id,
             };
             let verdict = match entry.item {
--- a/crates/ledger/src/job_store.rs
+++ b/crates/ledger/src/job_store.rs
@@ -35,7 +35,7 @@
 pub enum AcceptReply {
     /// It is on the log and will be done.
     Accepted,
-    /// It is not accepted and never will be under this id.
+    /// It is not accepted, and will not be unless it is asked for again.
     NotAccepted(AcceptRefusal),
     /// It may be accepted; its id tells later.
     Unknown,
@@ -48,8 +48,6 @@
 pub enum AcceptRefusal {
     /// The partition holds as many bytes as it may.
     Full,
-    /// The entry was under way for so long that nobody remembers what followed.
-    Stale,
     /// The work is not on the log.
     NotAppended(appender::NotAppended),
 }
@@ -58,7 +56,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct TakeRequest {
-    /// Id of the claim, drawn by the asker; every request has another one.
+    /// Drawn by the asker; every request has another one. The claim's id follows from it and the
+    /// work: two processes that are both asked may find different work, and a verdict about the
+    /// one must not pass for a verdict about the other.
     pub claim: id::RecordId,
     /// Name of the entry VM that wants to do the work.
     pub holder: String,
@@ -71,7 +71,7 @@
 #[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TakeReply {
-    /// This work, under the claim of the request.
+    /// This work.
     Taken(JobGrant),
     /// Nothing now.
     Nothing,
@@ -247,7 +247,10 @@
         if full {
             return AcceptReply::NotAccepted(AcceptRefusal::Full);
         }
-        let seen = self.driver.position();
+        let Some(seen) = self.driver.fresh_position(deadline).await else {
+            let cause = appender::NotAppended::NotLoaded;
+            return AcceptReply::NotAccepted(AcceptRefusal::NotAppended(cause));
+        };
         let body = match self.put_parts(request.entry, request.body, deadline).await {
             Ok(body) => body,
             Err(cause) => return not_accepted(cause),
@@ -264,7 +267,7 @@
             .await
         {
             Ok(jobs::JobVerdict::Accepted) => AcceptReply::Accepted,
-            Ok(jobs::JobVerdict::Stale) => AcceptReply::NotAccepted(AcceptRefusal::Stale),
+            // "Stale" is this fold's word: one that has read for longer may have accepted it.
             Ok(_) | Err(driver::SubmitFault::Unsettled) => AcceptReply::Unknown,
             Err(fault) => not_accepted(fault),
         }
@@ -273,7 +276,7 @@
     /// Claims the oldest work that nobody does.
     pub async fn take_next(&self, request: TakeRequest) -> TakeReply {
         let deadline = deadline_of(request.wait_ms);
-        if !self.driver.wait_loaded(deadline).await {
+        if self.driver.fresh_position(deadline).await.is_none() {
             return TakeReply::Unavailable;
         }
         let Some(picked) = self.pick(&request) else {
@@ -287,7 +290,7 @@
         });
         let submitted = self
             .driver
-            .submit(request.claim, &entry, picked.seen, deadline)
+            .submit(picked.grant.claim, &entry, picked.seen, deadline)
             .await;
         match submitted {
             Ok(jobs::JobVerdict::Taken) => TakeReply::Taken(picked.grant.clone()),
@@ -413,6 +416,9 @@
     fn carries_due(&self, max: usize) -> Vec<(u64, jobs::CarryItem, bytes::Bytes)> {
         let now = time::Instant::now();
         self.driver.view(|state| {
+            if state.outage {
+                return Vec::new();
+            }
             let fold = &state.fold;
             let due = match state.clock {
                 Some(clock) => fold.carry_due(clock.now_ms(now), max),
@@ -439,7 +445,7 @@
                 .find(|(job, work)| state.fold.is_free(work, at_ms) && !reserved.contains(job))?;
             let grant = JobGrant {
                 job,
-                claim: request.claim,
+                claim: record::derived_id(request.claim, job.0),
                 organisation: work.organisation.clone(),
                 body: work.bytes.clone(),
                 hold_ms,
--- a/crates/ledger/src/parts.rs
+++ b/crates/ledger/src/parts.rs
@@ -3,7 +3,6 @@
 use std::collections;
 
 use base::{fingerprint, id};
-use sha2::Digest as _;
 
 use crate::record;
 
@@ -78,13 +77,7 @@
 /// also by another process, is known again.
 #[must_use]
 pub fn part_id(item: &PartItem) -> id::RecordId {
-    let mut hasher = sha2::Sha256::new();
-    hasher.update(item.owner.0.to_le_bytes());
-    hasher.update(item.index.to_le_bytes());
-    let digest: [u8; 32] = hasher.finalize().into();
-    let mut half = [0; 16];
-    half.copy_from_slice(&digest[..16]);
-    id::RecordId(u128::from_le_bytes(half))
+    record::derived_id(item.owner, u128::from(item.index))
 }
 
 /// Parts whose owner has not come yet.
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,6 +1,7 @@
 //! The form of this project's records: a batch of entries, each with an id of its own.
 
 use base::id;
+use sha2::Digest as _;
 use snafu::{ResultExt as _, Snafu};
 
 /// Several entries that were appended as one record.
@@ -9,11 +10,6 @@
 pub struct BatchRecord<E> {
     /// Name of the entry VM that appended the batch; for people who read the log.
     pub writer: String,
-    /// Offset up to which the writer had read the stream when it formed the batch.
-    ///
-    /// A fold may refuse what was decided on a prefix so old that the fold no longer remembers
-    /// what followed it.
-    pub seen: u64,
     /// The entries, in order.
     pub entries: Vec<BatchEntry<E>>,
 }
@@ -25,6 +21,12 @@
     /// Drawn by the writer. An entry that is appended again keeps it, so that folds ignore the
     /// repetition.
     pub id: id::RecordId,
+    /// Offset up to which the writer had read the stream when it decided on the entry; the same
+    /// when the entry is appended again.
+    ///
+    /// A fold may refuse what was decided on a prefix so old that the fold no longer remembers
+    /// what followed it.
+    pub seen: u64,
     /// What the entry says.
     pub item: E,
 }
@@ -66,12 +68,17 @@
 }
 
 impl EncodedEntry {
-    /// Encodes `item` under `id`.
+    /// Encodes `item` under `id`, decided by a writer that had read up to `seen`.
     ///
     /// # Errors
     /// When `item` has no JSON form.
-    pub fn new<E: serde::Serialize>(id: id::RecordId, item: &E) -> Result<Self, RecordError> {
-        let json = serde_json::to_string(&BatchEntry { id, item }).context(UnwritableSnafu)?;
+    pub fn new<E: serde::Serialize>(
+        id: id::RecordId,
+        seen: u64,
+        item: &E,
+    ) -> Result<Self, RecordError> {
+        let json =
+            serde_json::to_string(&BatchEntry { id, seen, item }).context(UnwritableSnafu)?;
         Ok(Self { id, json })
     }
 
@@ -84,14 +91,12 @@
 
 /// Joins entries to the bytes of one record.
 #[must_use]
-pub fn encode<'a, I>(writer: &str, seen: u64, entries: I) -> bytes::Bytes
+pub fn encode<'a, I>(writer: &str, entries: I) -> bytes::Bytes
 where
     I: IntoIterator<Item = &'a EncodedEntry>,
 {
     let mut text = String::from("{\"writer\":");
     text.push_str(&serde_json::Value::from(writer).to_string());
-    text.push_str(",\"seen\":");
-    text.push_str(&seen.to_string());
     text.push_str(",\"entries\":[");
     for (index, entry) in entries.into_iter().enumerate() {
         if index > 0 {
@@ -111,6 +116,18 @@
     serde_json::from_slice(body).context(MalformedSnafu)
 }
 
+/// An id that follows from another one and `salt`, the same in every process.
+#[must_use]
+pub fn derived_id(origin: id::RecordId, salt: u128) -> id::RecordId {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update(origin.0.to_le_bytes());
+    hasher.update(salt.to_le_bytes());
+    let digest: [u8; 32] = hasher.finalize().into();
+    let mut half = [0; 16];
+    half.copy_from_slice(&digest[..16]);
+    id::RecordId(u128::from_le_bytes(half))
+}
+
 /// The ids of a record's entries, whatever the entries say; none when it is not a batch.
 #[must_use]
 pub fn entry_ids(body: &[u8]) -> Vec<id::RecordId> {
--- a/crates/ledger/src/tail.rs
+++ b/crates/ledger/src/tail.rs
@@ -77,11 +77,14 @@
         if self.failures > 0 {
             time::sleep(self.pause()).await;
         }
+        // The first read after a failure does not wait for a record: its answer tells at once that
+        // the log is back, which others wait for.
+        let wait_ms = if self.failures == 0 { self.wait_ms } else { 0 };
         let query = client::ReadQuery {
             stream: self.stream.clone(),
             from: self.position,
             max: PAGE_RECORDS,
-            wait_ms: self.wait_ms,
+            wait_ms,
         };
         match self.client.read(&query).await {
             Ok(page) => {
--- a/crates/ledger/tests/claims_fuzz.rs
+++ b/crates/ledger/tests/claims_fuzz.rs
@@ -98,7 +98,8 @@
         margin_ms: 1_000,
         retention_ms: 24_000,
         hold_ms: 1_000,
-        run_ms: 500,
+        run_ms: 100,
+        drift_ms: 100,
         max_kept_bytes: 64,
     };
     limits.check().expect("limits agree");
@@ -270,7 +271,7 @@
 fn draw_fate(u: &mut Unstructured<'_>) -> arbitrary::Result<TryFate> {
     let pauses = u.ratio(1, 3)?;
     let pause_ms = if pauses {
-        u64::from(u.arbitrary::<u8>()?) * 12
+        u64::from(u.arbitrary::<u8>()?) * 16
     } else {
         0
     };
--- a/crates/ledger/tests/world/mod.rs
+++ b/crates/ledger/tests/world/mod.rs
@@ -65,8 +65,7 @@
 
 impl LedgerPeers for TestPeers {
     fn live_vms(&self) -> Vec<String> {
-        let state = self.network.lock();
-        state.views.get(&self.me).cloned().unwrap_or_default()
+        self.network.view_of(&self.me)
     }
 
     async fn call(
@@ -104,6 +103,10 @@
 }
 
 impl Network {
+    pub fn view_of(&self, vm: &str) -> Vec<String> {
+        self.lock().views.get(vm).cloned().unwrap_or_default()
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, NetworkState> {
         self.shared
             .lock()
