--- a/crates/ledger/tests/jobs_fuzz.rs
+++ b/crates/ledger/tests/jobs_fuzz.rs
@@ -202,8 +202,13 @@
 
 async fn fetch(router: world::TestRouter, witness: Witness, job: id::RequestId) {
     let accepted = witness.jobs().get(&job).is_some_and(|seen| seen.accepted);
-    match router.fetch(job).await {
-        job_store::FetchReply::Found(jobs::JobView::Finished(result)) => {
+    let reply = router.fetch(job).await;
+    match reply {
+        job_store::FetchReply::Found(job_store::FoundJob {
+            view: jobs::JobView::Finished(result),
+            organisation,
+        }) => {
+            assert_eq!(organisation, ORGANISATION);
             let text = String::from_utf8(result.bytes.to_vec()).expect("text");
             witness.note(job, |seen| {
                 seen.fetched.insert(text);
