flow: places avoided for two seconds only, honest end for stalled callers

Cause: the fuzz found deferrable work that waited beside an engine that had come back, since servers to avoid were avoided for the whole wait; and a stream that was given up because its caller read nothing ended without a word. Change: avoid lists lapse; every early end is an error event that names, where the generation lives on, the request to go on with.

--- a/crates/flow/src/admit.rs
+++ b/crates/flow/src/admit.rs
@@ -1,6 +1,6 @@
 //! Filter: wait for a place.
 
-use std::sync;
+use std::{sync, time::Duration};
 
 use base::{id, refusal};
 use tokio::time;
@@ -26,8 +26,45 @@
     pub const fn new(shared: sync::Arc<shared::SharedPlane<P>>) -> Self {
         Self { shared }
     }
+
+    /// Waits for a place, for a while elsewhere than at the servers to avoid.
+    ///
+    /// What goes wrong when they are avoided for as long as it waits: every other server dies or
+    /// leaves meanwhile, and the request waits beside one that came back. One would notice work
+    /// that waits while an engine is idle.
+    async fn place<W: request::Work>(
+        &self,
+        facts: &request::RequestFacts<W>,
+        terms: &request::Terms,
+        alone: bool,
+    ) -> Result<PlaceGrant<P>, refusal::RefusalBody> {
+        let schedule = self.shared.ports.schedule();
+        let mut tried = facts.avoid.as_slice();
+        loop {
+            let avoid = avoid_list(facts, tried, self.shared.book.probed(), alone);
+            let picky = !avoid.is_empty();
+            let ask = ask_of(facts, terms, avoid, alone);
+            let admission = schedule.admit(&ask);
+            if !picky {
+                return admission.await;
+            }
+            match time::timeout(AVOIDED_FOR, admission).await {
+                Ok(Ok(grant)) => return Ok(grant),
+                Ok(Err(body)) if alone => return Err(body),
+                Ok(Err(_)) | Err(_) => tried = &[],
+            }
+            if !alone {
+                return schedule
+                    .admit(&ask_of(facts, terms, Vec::new(), alone))
+                    .await;
+            }
+        }
+    }
 }
 
+/// Servers are avoided for this long; then any will do.
+const AVOIDED_FOR: Duration = Duration::from_secs(2);
+
 /// The scheduler's question for a request.
 pub(crate) fn ask_of<W: request::Work>(
     facts: &request::RequestFacts<W>,
@@ -55,6 +92,7 @@
 /// dies with it. A suspect never joins another suspect, so that a death names one of them.
 fn avoid_list<W: request::Work>(
     facts: &request::RequestFacts<W>,
+    tried: &[id::ServerKey],
     probed: Vec<id::ServerKey>,
     alone: bool,
 ) -> Vec<id::ServerKey> {
@@ -65,11 +103,11 @@
             .any(|server| !avoid.contains(server))
     };
     let mut avoid = probed;
-    avoid.extend_from_slice(&facts.avoid);
+    avoid.extend_from_slice(tried);
     if leaves_one(&avoid) {
         return avoid;
     }
-    avoid.truncate(avoid.len() - facts.avoid.len());
+    avoid.truncate(avoid.len() - tried.len());
     if !alone && !leaves_one(&avoid) {
         avoid.clear();
     }
@@ -92,12 +130,10 @@
         &self,
         input: request::Request<W, request::Cleared<Q, C, Option<quarantine::ProbePass>>>,
     ) -> Result<Self::Out, filter::EarlyEnd> {
-        let terms = &input.stage.claimed.terms;
+        let terms = input.stage.claimed.terms;
         let alone = input.stage.probe.is_some();
-        let avoid = avoid_list(&input.facts, self.shared.book.probed(), alone);
-        let ask = ask_of(&input.facts, terms, avoid, alone);
-        let admission = self.shared.ports.schedule().admit(&ask);
-        match time::timeout_at(terms.due_at, admission).await {
+        let placed = self.place(&input.facts, &terms, alone);
+        match time::timeout_at(terms.due_at, placed).await {
             Ok(Ok(grant)) => Ok(input.advance(|cleared| request::Admitted { cleared, grant })),
             Ok(Err(body)) => Err(input.refused(body).into()),
             Err(_) => Err(input.refused(late()).into()),
--- a/crates/flow/src/chunk.rs
+++ b/crates/flow/src/chunk.rs
@@ -127,23 +127,33 @@
     }
 }
 
-/// Writes an honest end in the middle of a stream; no `[DONE]` follows.
-pub fn write_refusal(out: &mut BytesMut, body: &refusal::RefusalBody) {
-    let envelope = refusal::RefusalEnvelope {
-        error: body.clone(),
-    };
-    out.put_slice(b"data: ");
-    let _ = serde_json::to_writer(out.writer(), &envelope);
-    out.put_slice(b"\n\n");
+/// Where the rest of an answer is to be had.
+#[derive(Clone, Copy, Debug)]
+pub struct ContinuePlace<'a> {
+    /// The continuation token.
+    pub token: &'a str,
+    /// Number of the first token that was not sent.
+    pub from: u32,
 }
 
-/// Writes that the rest of the answer is to be fetched from another entry VM; no `[DONE]`
-/// follows.
-pub fn write_handover(out: &mut BytesMut, token: &str, from: u32) {
-    let _ = write!(
-        out.writer(),
-        "data: {{\"pollenchute\":{{\"continue\":\"/v1/generations/{token}?from={from}\"}}}}\n\n"
-    );
+/// Writes an honest end in the middle of a stream, perhaps with where the rest is to be had; no
+/// `[DONE]` follows.
+pub fn write_refusal(
+    out: &mut BytesMut,
+    body: &refusal::RefusalBody,
+    rest: Option<ContinuePlace<'_>>,
+) {
+    out.put_slice(b"data: {\"error\":");
+    let mut writer = out.writer();
+    // Writing into memory does not fail.
+    let _ = serde_json::to_writer(&mut writer, body);
+    if let Some(ContinuePlace { token, from }) = rest {
+        let _ = write!(
+            writer,
+            ",\"pollenchute\":{{\"continue\":\"/v1/generations/{token}?from={from}\"}}"
+        );
+    }
+    out.put_slice(b"}\n\n");
 }
 
 /// A comment that keeps the caller's connection known to what lies between.
--- a/crates/flow/src/flowing.rs
+++ b/crates/flow/src/flowing.rs
@@ -52,8 +52,10 @@
     Finished(port::FinishReport),
     /// The rest is not coming.
     Lost(attempt::TryLoss),
-    /// The caller is gone, or reads nothing.
+    /// The caller is gone.
     CallerGone,
+    /// The caller reads nothing.
+    CallerStalled,
     /// Another entry VM goes on.
     HandedOver,
 }
@@ -91,13 +93,15 @@
                 }
                 attempt::TryStep::Lost(loss) => return StreamEnd::Lost(loss),
             };
-            let reads = match has_space {
-                Ok(true) => true,
-                Ok(false) => caller_reads(&self.pipe, self.shared.settings.caller_stall).await,
-                Err(pipe::CallerGone) => false,
-            };
-            if !reads {
-                return StreamEnd::CallerGone;
+            match has_space {
+                Ok(true) => {}
+                Ok(false) => {
+                    let limit = self.shared.settings.caller_stall;
+                    if let Err(end) = caller_reads(&self.pipe, limit).await {
+                        return end;
+                    }
+                }
+                Err(pipe::CallerGone) => return StreamEnd::CallerGone,
             }
             step = match self.wait(beat.as_mut()).await {
                 Ok(step) => step,
@@ -174,45 +178,67 @@
             }
             StreamEnd::Lost(loss) => self.end_lost(loss),
             StreamEnd::HandedOver => {
-                let (token, from) = (&self.token, self.live.next_index());
-                let _ = self
-                    .pipe
-                    .append(|out| chunk::write_handover(out, token, from));
+                let message = "this entry VM is leaving; go on at another with the request in \
+                               `pollenchute.continue`";
+                self.end_early(refusal::RefusalCode::NotReady, message.to_owned(), true);
                 self.live.release();
             }
+            StreamEnd::CallerStalled => {
+                let message = "nothing was read for too long; go on with the request in \
+                               `pollenchute.continue`";
+                self.end_early(
+                    refusal::RefusalCode::DeadlineExceeded,
+                    message.to_owned(),
+                    true,
+                );
+                self.linger();
+            }
             StreamEnd::CallerGone => self.linger(),
         }
     }
 
     fn end_lost(mut self, loss: attempt::TryLoss) {
+        metrics::counter!("pollenchute_flow_generations_lost_total").increment(1);
         let message = format!(
             "the generation was lost after token {}: {}; send the request anew",
             self.live.next_index(),
             loss.cause
         );
-        let code = refusal::RefusalCode::GenerationLost;
-        let refused = self
-            .flowing
-            .refused(shared::come_back(code, message, LOST_RETRY));
-        metrics::counter!("pollenchute_flow_generations_lost_total").increment(1);
+        // One that could not be reached from here may be reached from another entry VM.
+        let lives = loss.kind == attempt::LossKind::Unreachable;
+        self.end_early(refusal::RefusalCode::GenerationLost, message, lives);
+        if let Some(grant) = self.charge.grant.take() {
+            grant.failed(loss.kind.failure());
+        }
+        if lives {
+            self.linger();
+        } else if !self.reader.is_last() {
+            self.live.release();
+        }
+    }
+
+    /// Tells the caller that no more comes by this stream, and whether the rest may be had.
+    fn end_early(&self, code: refusal::RefusalCode, message: String, lives: bool) {
+        let body = shared::come_back(code, message, LOST_RETRY);
+        let refused = self.flowing.refused(body);
+        let body = refused.body();
         self.shared.record(
             self.request,
             kind::EventKind::RequestRefused {
                 code,
-                ran: refused.body().ran,
-                retry_after_ms: refused.body().retry_after_ms.unwrap_or(0),
-                reason: loss.cause,
+                ran: body.ran,
+                retry_after_ms: body.retry_after_ms.unwrap_or(0),
+                reason: body.message.clone(),
             },
         );
+        let rest = lives.then(|| chunk::ContinuePlace {
+            token: &self.token,
+            from: self.live.next_index(),
+        });
+        // A caller that is gone meanwhile is told nothing.
         let _ = self
             .pipe
-            .append(|out| chunk::write_refusal(out, refused.body()));
-        if let Some(grant) = self.charge.grant.take() {
-            grant.failed(loss.kind.failure());
-        }
-        if !self.reader.is_last() {
-            self.live.release();
-        }
+            .append(|out| chunk::write_refusal(out, body, rest));
     }
 
     /// Keeps the generation of a gone caller for a while, to be continued here or elsewhere.
@@ -249,6 +275,10 @@
 }
 
 /// Waits for space in the pipe, as long as a caller may take to read.
-async fn caller_reads(pipe: &pipe::PipeWriter, limit: Duration) -> bool {
-    matches!(time::timeout(limit, pipe.space()).await, Ok(Ok(())))
+async fn caller_reads(pipe: &pipe::PipeWriter, limit: Duration) -> Result<(), StreamEnd> {
+    match time::timeout(limit, pipe.space()).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(pipe::CallerGone)) => Err(StreamEnd::CallerGone),
+        Err(_) => Err(StreamEnd::CallerStalled),
+    }
 }
--- a/crates/flow/src/proof.rs
+++ b/crates/flow/src/proof.rs
@@ -185,8 +185,8 @@
         Self { _made_here: () }
     }
 
-    /// The rest of the answer is not coming.
-    pub fn refused(self, body: refusal::RefusalBody) -> refused::Refused {
+    /// The rest of the answer is not coming by this stream.
+    pub fn refused(&self, body: refusal::RefusalBody) -> refused::Refused {
         refused::Refused::known(body, outcome::RanState::Yes)
     }
 }
--- a/crates/flow/tests/plane/callers.rs
+++ b/crates/flow/tests/plane/callers.rs
@@ -20,7 +20,7 @@
     pub done: bool,
     /// Refusals in the order of arrival; a stream's last one ends it.
     pub refusal: Option<refusal::RefusalBody>,
-    /// The rest is to be fetched elsewhere.
+    /// The refusal names where the rest is to be had.
     pub moved: bool,
 }
 
@@ -81,10 +81,7 @@
         let json: serde_json::Value = serde_json::from_str(data).unwrap();
         if let Some(error) = json.get("error") {
             self.refusal = Some(serde_json::from_value(error.clone()).unwrap());
-            return;
-        }
-        if json["pollenchute"].get("continue").is_some() {
-            self.moved = true;
+            self.moved = json["pollenchute"].get("continue").is_some();
             return;
         }
         if let Some(count) = json["usage"]["completion_tokens"].as_u64() {
--- a/crates/flow/tests/plane/fuzz.rs
+++ b/crates/flow/tests/plane/fuzz.rs
@@ -259,16 +259,25 @@
     };
     let mut transcript = callers::Transcript::default();
     let mut entry = caller.entry;
-    for cut in cuts.into_iter().chain([usize::MAX]) {
+    // The entry VM may die under the first read to the end, but not under the second.
+    for cut in cuts.into_iter().chain([usize::MAX, usize::MAX]) {
         let limit = transcript.tokens.len().saturating_add(cut);
         tokio::select! {
             () = transcript.read(&mut reply.stream, limit) => {}
             () = world.cut(entry) => {}
         }
         transcript.check(caller.mark, tokens);
-        if transcript.done || transcript.refusal.is_some() {
+        let moved = std::mem::take(&mut transcript.moved);
+        if moved {
+            transcript.refusal = None;
+        } else if transcript.done || transcript.refusal.is_some() {
             return;
         }
+        let cut = entry == 0 && world.is_first_entry_dead();
+        assert!(
+            cut || limit < usize::MAX,
+            "neither whole nor refused: {transcript:?}"
+        );
         let token = reply.token.clone();
         drop(reply);
         time::sleep(Duration::from_millis(away_ms)).await;
@@ -290,8 +299,7 @@
             () = world.cut(entry) => return,
         };
     }
-    let cut = entry == 0 && world.is_first_entry_dead();
-    assert!(cut, "neither whole nor refused: {transcript:?}");
+    panic!("neither whole nor refused: {transcript:?}");
 }
 
 async fn leave(world: &world::World, ledger: &Ledger, caller: Caller, tokens: u32, after: usize) {
@@ -467,6 +475,9 @@
     for _ in 0..u.int_in_range(0..=5_u8)? {
         timed_faults.push(faults::TimedFault::draw(u, &plan)?);
     }
+    if std::env::var_os("FLOW_SEED").is_some() {
+        eprintln!("{plan:#?}\n{callers:#?}\n{timed_faults:#?}");
+    }
     world::history(async move {
         let world = sync::Arc::new(world::World::new(&plan));
         let ledger = sync::Arc::new(Ledger::default());
