flow: record when a request is taken

Nobody recorded request_taken, so pollenctl explain said of every request that its beginning was not kept. The event (organisation, model or service) now stands before request_classified.

--- a/crates/flow/src/classify.rs
+++ b/crates/flow/src/classify.rs
@@ -2,6 +2,8 @@
 
 use std::{sync, time::Duration};
 
+use base::id;
+use conf::snapshot;
 use trace::kind;
 
 use crate::{
@@ -48,6 +50,8 @@
         let by_rules = work.time_limit(&facts.view, class);
         let by_caller = facts.headers.time_limit_ms.map(Duration::from_millis);
         let time_limit = by_caller.map_or(by_rules, |limit| limit.min(by_rules));
+        let taken = taken(config, stage.organisation, work.target());
+        self.shared.record(facts.id, taken);
         self.shared.record(
             facts.id,
             kind::EventKind::RequestClassified {
@@ -79,3 +83,19 @@
         })
     }
 }
+
+/// The first event of a request: who asks for what.
+fn taken(
+    config: &snapshot::ConfigSnapshot,
+    organisation: id::OrganisationKey,
+    target: snapshot::RequestTarget<'_>,
+) -> kind::EventKind {
+    let organisation = config.organisation(organisation);
+    let target = match target {
+        snapshot::RequestTarget::Model(name) | snapshot::RequestTarget::Service(name) => name,
+    };
+    kind::EventKind::RequestTaken {
+        organisation: organisation.map_or_else(String::new, |view| view.name.clone()),
+        target: target.to_owned(),
+    }
+}
