--- a/crates/entry/src/adapt/schedule.rs
+++ b/crates/entry/src/adapt/schedule.rs
@@ -3,7 +3,8 @@
 
 use std::{sync, time::Duration};
 
-use base::{id, refusal};
+use base::{id, prefix, refusal};
+use conf::inventory;
 use flow::port;
 use sched::{ask, driver};
 use tokio::time;
@@ -54,15 +55,15 @@
 
     fn generation_ask(&self, asked: &port::AdmissionAsk) -> Result<ask::Ask, refusal::RefusalBody> {
         let port::AskedWork::Generation {
-            model,
+            model: name,
+            adapter,
             prompt_tokens,
             max_tokens,
-            ..
         } = &asked.work
         else {
             return Err(no_server("a plain service call has no model"));
         };
-        let Some(model) = self.roster.model_key(model) else {
+        let Some(model) = self.roster.model_key(name) else {
             return Err(no_server("no engine is known for this model; ask again"));
         };
         let mut ask = ask::Ask::new(
@@ -72,6 +73,9 @@
             *prompt_tokens,
             *max_tokens,
         );
+        if let Some(block_tokens) = self.block_tokens(name) {
+            ask.prefix = prefix_chain(name, adapter.as_deref(), &asked.prompt, block_tokens);
+        }
         ask.deadline = Some(asked.deadline);
         ask.buffered = asked.buffered;
         ask.retry = asked.retry;
@@ -81,6 +85,16 @@
         Ok(ask)
     }
 
+    /// Tokens in one KV block of the engines that may serve a model.
+    fn block_tokens(&self, model: &str) -> Option<u32> {
+        let snapshot = self.book.snapshot();
+        let server = snapshot.server(*snapshot.servers_of_model(model).first()?)?;
+        match &server.entry.kind {
+            inventory::ServerKind::ModelEngine(engine) => Some(engine.block_tokens),
+            inventory::ServerKind::PlainService { .. } => None,
+        }
+    }
+
     async fn admit_call(
         &self,
         service: &str,
@@ -129,6 +143,33 @@
     }
 }
 
+/// Blocks at which prompts are compared. Doubling catches shared beginnings of any length, such
+/// as an organisation's instructions, with few hashes.
+const PREFIX_BLOCKS: [usize; ask::PREFIX_DEPTH] = [2, 4, 8, 16];
+/// Bytes of a prompt that are looked at; the longest prefix that is compared ends before.
+const PREFIX_BYTES: usize = 4096;
+
+fn prefix_chain(
+    model: &str,
+    adapter: Option<&str>,
+    prompt: &str,
+    block_tokens: u32,
+) -> ask::PrefixChain {
+    let start = &prompt[..prompt.floor_char_boundary(PREFIX_BYTES)];
+    let hashes = prefix::chain(model, adapter, start, block_tokens);
+    let mut prefixes = Vec::with_capacity(ask::PREFIX_DEPTH);
+    for blocks in PREFIX_BLOCKS {
+        if let Some(hash) = hashes.get(blocks - 1) {
+            let tokens = u32::try_from(blocks).unwrap_or(u32::MAX) * block_tokens;
+            prefixes.push(ask::PrefixHash {
+                hash: *hash,
+                tokens,
+            });
+        }
+    }
+    ask::PrefixChain::of(&prefixes)
+}
+
 fn no_server(message: &str) -> refusal::RefusalBody {
     refusal::RefusalBody::not_run(refusal::RefusalCode::Unavailable, message).retry_after_ms(1_000)
 }
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -10,14 +10,14 @@
 /// # Errors
 ///
 /// A refusal when there is no such thing, or it is another VM's to do.
-pub fn mark(
+pub async fn mark(
     entry: &state::EntryState,
     ask: &ops::DrainAsk,
     operator: &str,
 ) -> Result<ops::DrainAnswer, refusal::RefusalBody> {
     let answer = match ask {
         ops::DrainAsk::Server(name) => mark_server(entry, name)?,
-        ops::DrainAsk::Vm(name) => mark_vm(entry, name)?,
+        ops::DrainAsk::Vm(name) => mark_vm(entry, name).await?,
     };
     if !answer.already {
         let subject = answer.subject.clone();
@@ -48,7 +48,8 @@
     })
 }
 
-fn mark_vm(
+/// This VM stops being named to callers; it goes on serving until its process is told to stop.
+async fn mark_vm(
     entry: &state::EntryState,
     name: &str,
 ) -> Result<ops::DrainAnswer, refusal::RefusalBody> {
@@ -56,8 +57,8 @@
         let message = format!("this is \"{}\"; ask \"{name}\" itself", entry.settings.vm);
         return Err(absent(&message));
     }
-    let already = entry.plane.gate().is_closed();
-    entry.plane.gate().close();
+    let already = entry.is_leaving();
+    entry.gossip.leave().await;
     let running = u32::try_from(entry.plane.gate().running()).unwrap_or(u32::MAX);
     Ok(ops::DrainAnswer {
         subject: name.to_owned(),
--- a/crates/entry/src/http/ops.rs
+++ b/crates/entry/src/http/ops.rs
@@ -103,7 +103,7 @@
 async fn drain(head: head::CallHead, data: data::Data<'_>, entry: &Entry) -> OpsAnswer {
     let operator = allow(entry, &head)?;
     let ask: ops::DrainAsk = read(data, entry).await?;
-    match crate::drain::mark(entry, &ask, &operator) {
+    match crate::drain::mark(entry, &ask, &operator).await {
         Ok(answer) => ok(&answer),
         Err(body) => Err(answer::HttpAnswer::refusal(body)),
     }
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -34,11 +34,22 @@
             place,
         },
         bind: address,
-        seeds: Vec::new(),
+        seeds: settings.seeds.iter().map(seed_entry).collect(),
         timing: gossip_settings::TimingSettings::default(),
     }
 }
 
+fn seed_entry(seed: &settings::SeedSettings) -> gossip_settings::SeedEntry {
+    gossip_settings::SeedEntry {
+        name: seed.vm.clone(),
+        place: claim::MemberPlace {
+            address: seed.peers,
+            failure_domain: seed.failure_domain.clone(),
+            region: seed.region.clone(),
+        },
+    }
+}
+
 /// Keeps gossip, the member table and the roster in step.
 #[derive(Clone, Debug)]
 pub struct MemberController {
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -231,6 +231,7 @@
             .as_ref()
             .is_some_and(|it| it.incarnation != report.incarnation);
         if restarted {
+            sight.cache_position = 0;
             // Leaving is never unlearnt for one life of a server; this is another life.
             self.unmark_leaving(key);
         }
@@ -282,6 +283,30 @@
             .change(|core, _| core.server_reported(key, report));
     }
 
+    /// Number of the last cache event that was read of a server.
+    #[must_use]
+    pub fn cache_position(&self, key: id::ServerKey) -> u64 {
+        self.lock()
+            .sights
+            .get(&key)
+            .map_or(0, |sight| sight.cache_position)
+    }
+
+    /// Takes in what a server's cache stored (true) and evicted, up to event number `position`.
+    pub fn cache_changed<I>(&self, key: id::ServerKey, changes: I, position: u64)
+    where
+        I: Iterator<Item = (u64, bool)>,
+    {
+        if let Some(sight) = self.lock().sights.get_mut(&key) {
+            sight.cache_position = position;
+        }
+        self.driver.change(|core, now| {
+            for (hash, is_stored) in changes {
+                core.prefix_reported(key, hash, is_stored, now);
+            }
+        });
+    }
+
     /// Whether a server's last answer is missing or tells less than is known from others.
     #[must_use]
     pub fn is_in_doubt(&self, key: id::ServerKey) -> bool {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -26,11 +26,30 @@
     pub platform: PlatformSettings,
     /// Keys shared by all entry VMs, the current one first; two while a key is rotated.
     pub cluster_keys: Vec<ClusterKey>,
+    /// Other entry VMs to ask while no configuration is known, so that a fresh VM finds the rest
+    /// also while the log is down; a few suffice.
+    #[serde(default)]
+    pub seeds: Vec<SeedSettings>,
     /// Bounds on what this daemon takes.
     #[serde(default)]
     pub bounds: BoundSettings,
 }
 
+/// One entry VM to ask while no configuration is known.
+#[derive(Clone, Debug)]
+#[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SeedSettings {
+    /// Its name.
+    pub vm: String,
+    /// Its region.
+    pub region: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Where other entry VMs connect.
+    pub peers: net::SocketAddr,
+}
+
 /// Where the platform's services listen.
 #[derive(Clone, Debug)]
 #[derive(schemars::JsonSchema, serde::Deserialize, serde::Serialize)]
@@ -73,12 +92,21 @@
     pub body_bytes: u64,
     /// Events kept for the time line.
     pub timeline_events: usize,
-    /// How long a stopping daemon waits for what runs, in milliseconds.
+    /// How long a stopping daemon goes on taking requests after it stopped being named to
+    /// callers, in milliseconds; callers that keep its address longer are refused and told so.
+    pub notice_ms: u64,
+    /// How long a stopping daemon then waits for what runs, in milliseconds.
     pub drain_ms: u64,
 }
 
 impl BoundSettings {
-    /// How long a stopping daemon waits for what runs.
+    /// How long a stopping daemon goes on taking requests.
+    #[must_use]
+    pub const fn notice(&self) -> time::Duration {
+        time::Duration::from_millis(self.notice_ms)
+    }
+
+    /// How long a stopping daemon then waits for what runs.
     #[must_use]
     pub const fn drain(&self) -> time::Duration {
         time::Duration::from_millis(self.drain_ms)
@@ -90,6 +118,7 @@
         Self {
             body_bytes: 1 << 20,
             timeline_events: 8192,
+            notice_ms: 5_000,
             drain_ms: 30_000,
         }
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -39,7 +39,7 @@
     /// Whether this daemon takes requests.
     #[must_use]
     pub fn readiness(&self) -> ops::ReadyState {
-        if self.plane.gate().is_closed() {
+        if self.plane.gate().is_closed() || self.is_leaving() {
             return ops::ReadyState::Leaving;
         }
         if self.book.snapshot().revision() == 0 {
@@ -48,6 +48,15 @@
         ops::ReadyState::Ready
     }
 
+    /// Whether this life of this VM is known to be leaving, from any source.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        let seen = self.gossip.snapshot();
+        seen.members
+            .get(&self.settings.vm)
+            .is_some_and(|member| member.leaving)
+    }
+
     /// The organisation whose key the caller sent.
     ///
     /// # Errors
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -62,6 +62,8 @@
     pub reported_at: Option<time::Instant>,
     /// Polls in a row that were not answered.
     pub misses: u32,
+    /// Number of the last cache event that was read in this life.
+    pub cache_position: u64,
     /// Others told of another life of it than this process knows.
     pub in_doubt: bool,
 }
@@ -89,6 +91,22 @@
     leaving: bool,
 }
 
+/// One cache event of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
+struct CacheEventBody {
+    kind: String,
+    prefix_hash: u64,
+}
+
+/// Cache events of an engine since the last look.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
+struct CachePageBody {
+    events: Vec<CacheEventBody>,
+    next: u64,
+}
+
 /// Polls backend servers, feeds the roster, and passes loads on.
 ///
 /// Were every entry VM to poll every server often, 410 of them before 600 engines would spend
@@ -149,6 +167,7 @@
                 match self.get::<LoadBody>(server, "/v1/load").await {
                     Ok(body) => {
                         self.pass_on(server, &body).await;
+                        self.read_cache_events(key, server).await;
                         Ok(self
                             .roster
                             .reported(key, server, body, time::Instant::now()))
@@ -167,6 +186,23 @@
         }
     }
 
+    /// Reads what an engine's cache stored and evicted, as its first watcher.
+    async fn read_cache_events(&self, key: id::ServerKey, server: &snapshot::ServerView) {
+        if self.gossip.watch_duty(&server.name) != watching::WatchDuty::First {
+            return;
+        }
+        let after = self.roster.cache_position(key);
+        let path = format!("/v1/cache-events?after={after}");
+        let Ok(page) = self.get::<CachePageBody>(server, &path).await else {
+            return;
+        };
+        let events = page
+            .events
+            .iter()
+            .map(|event| (event.prefix_hash, event.kind == "stored"));
+        self.roster.cache_changed(key, events, page.next);
+    }
+
     async fn pass_on(&self, server: &snapshot::ServerView, body: &LoadBody) {
         let load = digest::EngineLoad {
             incarnation_hash: digest::incarnation_hash(&body.incarnation.to_string()),
--- a/crates/load/tests/env/mod.rs
+++ b/crates/load/tests/env/mod.rs
@@ -91,9 +91,16 @@
         let settings = self.daemons[entry].state().settings.clone();
         let callers = self.daemons[entry].callers();
         let peers = self.daemons[entry].peers();
+        let others = self
+            .daemons
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != entry);
+        let seeds = others.map(|(_, daemon)| seed_of(daemon)).collect();
         let bound = settings::DaemonSettings {
             callers,
             peers,
+            seeds,
             ..settings
         };
         self.stop(entry).await;
@@ -202,6 +209,16 @@
         .unwrap()
 }
 
+fn seed_of(daemon: &daemon::RunningDaemon) -> settings::SeedSettings {
+    let settings = &daemon.state().settings;
+    settings::SeedSettings {
+        vm: settings.vm.clone(),
+        region: settings.region.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        peers: daemon.peers(),
+    }
+}
+
 fn settings_of(vm: &str, failure_domain: &str, site: &site::StandSite) -> settings::DaemonSettings {
     settings::DaemonSettings {
         vm: vm.to_owned(),
@@ -218,7 +235,11 @@
             id: 1,
             secret: "11".repeat(32),
         }],
-        bounds: settings::BoundSettings::default(),
+        seeds: Vec::new(),
+        bounds: settings::BoundSettings {
+            notice_ms: 0,
+            ..settings::BoundSettings::default()
+        },
     }
 }
 
