--- a/crates/gossip/src/claim.rs
+++ b/crates/gossip/src/claim.rs
@@ -73,17 +73,32 @@
     pub place: MemberPlace,
 }
 
-impl MemberClaim {
+/// A claim as it arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeardClaim {
+    /// Name of the VM.
+    pub name: String,
+    /// What is said, and of which life.
+    pub version: ClaimVersion,
+    /// Where it is; left out when those who know the member know that, too.
+    pub place: Option<MemberPlace>,
+}
+
+impl HeardClaim {
     /// Reads a claim; `None` when any part of it makes no sense.
     #[must_use]
     pub fn from_wire(claim: proto::MemberClaim) -> Option<Self> {
         let state = state_from_wire(proto::MemberState::try_from(claim.state).ok()?);
         let member = identity::ProcessIdentity::from_wire(claim.name, &claim.incarnation)?;
-        let address = claim.address.parse().ok()?;
-        let named = |text: &String| (1..=MAX_PLACE_BYTES).contains(&text.len());
-        if !named(&claim.failure_domain) || !named(&claim.region) {
-            return None;
-        }
+        let place = if claim.address.is_empty() {
+            None
+        } else {
+            Some(MemberPlace::from_wire(
+                &claim.address,
+                claim.failure_domain,
+                claim.region,
+            )?)
+        };
         Some(Self {
             name: member.name,
             version: ClaimVersion {
@@ -94,17 +109,48 @@
                 refutation: claim.refutation,
                 state,
             },
-            place: MemberPlace {
-                address,
-                failure_domain: claim.failure_domain,
-                region: claim.region,
-            },
+            place,
+        })
+    }
+}
+
+impl MemberPlace {
+    fn from_wire(address: &str, failure_domain: String, region: String) -> Option<Self> {
+        let named = |text: &String| (1..=MAX_PLACE_BYTES).contains(&text.len());
+        let named = named(&failure_domain) && named(&region);
+        let address = address.parse().ok()?;
+        named.then_some(Self {
+            address,
+            failure_domain,
+            region,
         })
     }
+}
 
-    /// The claim as it travels.
+impl MemberClaim {
+    /// The whole claim as it travels.
     #[must_use]
     pub fn to_wire(&self) -> proto::MemberClaim {
+        proto::MemberClaim {
+            address: self.place.address.to_string(),
+            failure_domain: self.place.failure_domain.clone(),
+            region: self.place.region.clone(),
+            ..self.without_place()
+        }
+    }
+
+    /// The claim as it is passed on as news: a member is introduced with its place, and all
+    /// further word of that life does without, which halves it.
+    #[must_use]
+    pub fn to_news(&self) -> proto::MemberClaim {
+        if self.version.state == MemberState::Alive {
+            self.to_wire()
+        } else {
+            self.without_place()
+        }
+    }
+
+    fn without_place(&self) -> proto::MemberClaim {
         let life = self.version.life;
         proto::MemberClaim {
             name: self.name.clone(),
@@ -112,9 +158,7 @@
             incarnation: identity::incarnation_to_wire(life.incarnation).to_vec(),
             refutation: self.version.refutation,
             state: state_to_wire(self.version.state).into(),
-            address: self.place.address.to_string(),
-            failure_domain: self.place.failure_domain.clone(),
-            region: self.place.region.clone(),
+            ..proto::MemberClaim::default()
         }
     }
 }
--- a/crates/gossip/src/core.rs
+++ b/crates/gossip/src/core.rs
@@ -2,11 +2,12 @@
 
 use std::{collections, net, time};
 
-use base::id;
 use prost::Message as _;
 use wire::{identity, proto::gossip as proto};
 
-use crate::{claim, event, item, linking, list, loads, member, news, probe, settings, spread};
+use crate::{
+    claim, event, item, linking, list, loads, member, news, probe, roster, settings, spread,
+};
 use event::CoreAction;
 use proto::message::Kind;
 
@@ -32,6 +33,7 @@
     pub(crate) queue: spread::SpreadQueue,
     pub(crate) schedule: probe::ProbeSchedule,
     pub(crate) seeds: collections::BTreeMap<String, claim::MemberPlace>,
+    pub(crate) roster: roster::RosterCache,
     pub(crate) list: list::VmListReport,
     pub(crate) links: linking::LinkState,
     pub(crate) digests: loads::DigestState,
@@ -100,6 +102,7 @@
             queue: spread::SpreadQueue::default(),
             schedule: probe::ProbeSchedule::default(),
             seeds: collections::BTreeMap::new(),
+            roster: roster::RosterCache::default(),
             list: list::VmListReport::default(),
             links: linking::LinkState::default(),
             actions: Vec::new(),
@@ -118,6 +121,7 @@
         let own = &self.identity.name;
         let others = seeds.into_iter().filter(|seed| seed.name != *own);
         self.seeds = others.map(|seed| (seed.name, seed.place)).collect();
+        self.roster.stale = true;
     }
 
     /// All members that are known, the own VM among them.
@@ -290,28 +294,46 @@
     }
 
     fn take_claims(&mut self, now: time::Duration, claims: Vec<proto::MemberClaim>) {
-        for claim in claims.into_iter().filter_map(claim::MemberClaim::from_wire) {
-            if claim.name == self.identity.name {
-                self.take_own_claim(now, &claim);
-            } else {
+        for heard in claims.into_iter().filter_map(claim::HeardClaim::from_wire) {
+            if heard.name == self.identity.name {
+                self.take_own_claim(now, &heard);
+            } else if let Some(claim) = self.complete(heard) {
                 self.take_claim(now, &claim);
             }
         }
     }
 
+    /// Adds the place that was left out; `None` when that life is not known here.
+    fn complete(&self, heard: claim::HeardClaim) -> Option<claim::MemberClaim> {
+        let claim::HeardClaim {
+            name,
+            version,
+            place,
+        } = heard;
+        let known = || {
+            let record = self.table.named(&name)?;
+            let same_life = record.claim.version.life.incarnation == version.life.incarnation;
+            same_life.then(|| record.claim.place.clone())
+        };
+        let place = place.or_else(known)?;
+        Some(claim::MemberClaim {
+            name,
+            version,
+            place,
+        })
+    }
+
     /// Takes a claim about another member, passes it on and tells it when it is news.
     pub(crate) fn take_claim(&mut self, now: time::Duration, claim: &claim::MemberClaim) {
         let dead_at = now + self.timing.suspicion;
         if let member::MergeOutcome::Taken(key) = self.table.merge(claim, now, dead_at) {
-            // Everybody who heard of a suspicion finds the death without being told.
-            let dead = claim.version.state == claim::MemberState::Dead;
-            let copies = if dead {
-                self.timing.slow_copies
-            } else {
-                self.timing.urgent_copies
-            };
-            self.queue
-                .add(spread::SpreadKey::Member(key), !dead, copies);
+            self.queue.add(
+                spread::SpreadKey::Member(key),
+                true,
+                self.timing.urgent_copies,
+            );
+            self.roster.stale = true;
+            self.digests.stale = true;
             self.actions
                 .push(CoreAction::Notify(event::GossipEvent::Member(
                     claim.clone(),
@@ -320,16 +342,17 @@
     }
 
     /// Answers what others say of this VM.
-    fn take_own_claim(&mut self, now: time::Duration, claim: &claim::MemberClaim) {
+    fn take_own_claim(&mut self, now: time::Duration, claim: &claim::HeardClaim) {
         let own = self.own.version;
         if claim.version <= own || own.state == claim::MemberState::Left {
             return;
         }
+        let address = claim.place.as_ref().map(|place| place.address);
+        let here = address == Some(self.own.place.address);
         if claim.version.life.incarnation == self.identity.incarnation {
             self.own.version.life = own.life.max(claim.version.life);
             self.own.version.refutation = claim.version.refutation.saturating_add(1);
-        } else if claim.version.state.is_present() && claim.place.address != self.own.place.address
-        {
+        } else if claim.version.state.is_present() && !here {
             // Two processes with one name, or an earlier life elsewhere whose clock was ahead. The
             // earlier life does not answer and will be found dead; then this one goes beyond it.
             metrics::counter!("pollenchute_gossip_name_conflicts_total").increment(1);
@@ -389,14 +412,4 @@
             }
         }
     }
-
-    /// Keys of the present members of the own region, without this VM.
-    pub(crate) fn neighbours(&self) -> Vec<id::VmKey> {
-        let others = self.table.iter().filter(|(_, record)| {
-            record.state().is_present()
-                && record.claim.place.region == self.own.place.region
-                && record.claim.name != self.identity.name
-        });
-        others.map(|(key, _)| key).collect()
-    }
 }
--- a/crates/gossip/src/event.rs
+++ b/crates/gossip/src/event.rs
@@ -44,7 +44,7 @@
     /// Watching is divided anew; see [`crate::view::MemberSnapshot::plan`].
     Plan,
     /// Another process claims this VM's name and is still heard of.
-    NameConflict(claim::MemberClaim),
+    NameConflict(claim::HeardClaim),
 }
 
 /// A watcher's word about a model engine.
--- a/crates/gossip/src/item.rs
+++ b/crates/gossip/src/item.rs
@@ -165,6 +165,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ItemStore {
     items: collections::BTreeMap<ItemKey, Item>,
+    /// Exactly how many of each kind there are in `items`.
+    counts: collections::BTreeMap<ItemKind, usize>,
 }
 
 impl ItemStore {
@@ -177,10 +179,12 @@
             }
             return newer;
         }
-        if self.count(item.key.kind) >= item.key.kind.capacity() {
+        let count = self.counts.entry(item.key.kind).or_default();
+        if *count >= item.key.kind.capacity() {
             metrics::counter!("pollenchute_gossip_items_refused_total").increment(1);
             return false;
         }
+        *count += 1;
         self.items.insert(item.key.clone(), item);
         true
     }
@@ -198,10 +202,13 @@
 
     /// Keeps only what `is_kept` says of.
     pub fn retain(&mut self, mut is_kept: impl FnMut(&Item) -> bool) {
-        self.items.retain(|_, item| is_kept(item));
-    }
-
-    fn count(&self, kind: ItemKind) -> usize {
-        self.items.keys().filter(|key| key.kind == kind).count()
+        let counts = &mut self.counts;
+        self.items.retain(|key, item| {
+            let kept = is_kept(item);
+            if !kept {
+                *counts.entry(key.kind).or_default() -= 1;
+            }
+            kept
+        });
     }
 }
--- a/crates/gossip/src/keeping.rs
+++ b/crates/gossip/src/keeping.rs
@@ -56,22 +56,23 @@
     }
 
     fn forget_items(&mut self, now: time::Duration) {
-        // A mark of leaving outlasts its time as long as that very life is there.
-        let present = self
-            .table
-            .iter()
-            .filter(|(_, record)| record.state().is_present());
-        let lives: std::collections::BTreeSet<item::ItemKey> = present
-            .map(|(_, record)| news::LeavingSubject::of_vm(&record.claim))
-            .map(|subject| news::NewsItem::Leaving(subject).key())
-            .filter(|key| self.items.get(key).is_some_and(|item| item.is_expired(now)))
-            .collect();
         let table = &self.table;
         self.items.retain(|item| {
             let orphan = item.key.kind == item::ItemKind::Configuration
                 && table.key(&item.key.subject).is_none()
                 && now.saturating_sub(item.taken_at) >= UNKNOWN_MEMORY;
-            !orphan && (!item.is_expired(now) || lives.contains(&item.key))
+            // A mark of leaving outlasts its time as long as that very life is there.
+            !orphan && (!item.is_expired(now) || speaks_of_present(table, item, now))
         });
     }
 }
+
+fn speaks_of_present(table: &member::MemberTable, item: &item::Item, now: time::Duration) -> bool {
+    let news = news::NewsItem::from_item(item, now);
+    let Some(news::NewsItem::Leaving(news::LeavingSubject::Vm { name, incarnation })) = news else {
+        return false;
+    };
+    table.named(&name).is_some_and(|record| {
+        record.state().is_present() && record.claim.version.life.incarnation == incarnation
+    })
+}
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod packet;
 pub mod probe;
 mod probing;
+mod roster;
 mod sending;
 pub mod settings;
 pub mod spread;
--- a/crates/gossip/src/linking.rs
+++ b/crates/gossip/src/linking.rs
@@ -5,7 +5,7 @@
 
 use std::{collections, net, time};
 
-use base::{id, rendezvous};
+use base::id;
 use rand::seq::IndexedRandom as _;
 use wire::proto::gossip as proto;
 
@@ -67,51 +67,6 @@
 }
 
 impl<R: rand::Rng> core::MemberCore<R> {
-    /// The VMs that speak for `region` towards `other`: the best of each failure domain, so that
-    /// the loss of one domain leaves a link.
-    fn representatives(&self, region: &str, other: &str) -> Vec<id::VmKey> {
-        let subject = format!("link {region} {other}");
-        let mut best: collections::BTreeMap<&str, (u64, id::VmKey)> = collections::BTreeMap::new();
-        for (key, record) in self.table.iter() {
-            let place = &record.claim.place;
-            if place.region != region || !record.state().is_present() {
-                continue;
-            }
-            let rank = (rendezvous::score(&subject, &record.claim.name), key);
-            let entry = best.entry(&place.failure_domain).or_insert(rank);
-            *entry = rank.max(*entry);
-        }
-        best.into_values().map(|(_, key)| key).collect()
-    }
-
-    /// Representatives of the other regions to which this VM speaks, by region.
-    fn linked_regions(&self) -> collections::BTreeMap<String, Vec<id::VmKey>> {
-        let own = &self.own.place.region;
-        let own_key = self.table.key(&self.identity.name);
-        let speaks = |other: &String| {
-            self.representatives(own, other)
-                .iter()
-                .any(|key| Some(*key) == own_key)
-        };
-        let regions = self.other_regions().into_iter().filter(speaks);
-        regions
-            .map(|other| (other.clone(), self.representatives(&other, own)))
-            .collect()
-    }
-
-    fn other_regions(&self) -> collections::BTreeSet<String> {
-        let members = self
-            .table
-            .iter()
-            .map(|(_, record)| &record.claim.place.region);
-        let seeds = self.seeds.values().map(|place| &place.region);
-        members
-            .chain(seeds)
-            .filter(|region| **region != self.own.place.region)
-            .cloned()
-            .collect()
-    }
-
     /// Members of other regions to which a round of spreading sends, too.
     pub(crate) fn link_targets(&mut self) -> Vec<id::VmKey> {
         let regions = self.linked_regions();
@@ -128,8 +83,8 @@
         }
         self.links.due = now + LINK_INTERVAL;
         self.links.turn = self.links.turn.wrapping_add(1);
-        for (region, keys) in self.linked_regions() {
-            self.write_to(now, &region, &keys);
+        for (region, keys) in self.linked_regions().iter() {
+            self.write_to(now, region, keys);
         }
         self.notice_losses(now);
     }
--- a/crates/gossip/src/probing.rs
+++ b/crates/gossip/src/probing.rs
@@ -58,7 +58,7 @@
             return;
         };
         let name = record.claim.name.clone();
-        let mut neighbours = self.neighbours();
+        let mut neighbours = self.neighbours().to_vec();
         neighbours.retain(|key| *key != round.target);
         let count = self.timing.indirect_probes;
         let helpers: Vec<id::VmKey> = neighbours.sample(&mut self.rng, count).copied().collect();
--- /dev/null
+++ b/crates/gossip/src/roster.rs
@@ -0,0 +1,94 @@
+//! Whom this VM speaks to: its neighbours, and across the links between regions.
+
+use std::{collections, sync};
+
+use base::{id, rendezvous};
+
+use crate::core;
+
+/// Lists made from the member table, kept until it changes.
+#[derive(Clone, Debug)]
+pub(crate) struct RosterCache {
+    neighbours: sync::Arc<[id::VmKey]>,
+    links: sync::Arc<collections::BTreeMap<String, Vec<id::VmKey>>>,
+    /// Whether members or seeds changed since the lists were made.
+    pub stale: bool,
+}
+
+impl Default for RosterCache {
+    fn default() -> Self {
+        Self {
+            neighbours: sync::Arc::new([]),
+            links: sync::Arc::default(),
+            stale: true,
+        }
+    }
+}
+
+impl<R: rand::Rng> core::MemberCore<R> {
+    /// The present members of the own region, without this VM.
+    pub(crate) fn neighbours(&mut self) -> sync::Arc<[id::VmKey]> {
+        self.renew_roster();
+        sync::Arc::clone(&self.roster.neighbours)
+    }
+
+    /// The other regions to which this VM speaks for its own, and whom it speaks to there.
+    pub(crate) fn linked_regions(
+        &mut self,
+    ) -> sync::Arc<collections::BTreeMap<String, Vec<id::VmKey>>> {
+        self.renew_roster();
+        sync::Arc::clone(&self.roster.links)
+    }
+
+    fn renew_roster(&mut self) {
+        if !std::mem::take(&mut self.roster.stale) {
+            return;
+        }
+        let own = &self.own.place.region;
+        let others = self.table.iter().filter(|(_, record)| {
+            record.state().is_present()
+                && record.claim.place.region == *own
+                && record.claim.name != self.identity.name
+        });
+        self.roster.neighbours = others.map(|(key, _)| key).collect();
+        let own_key = self.table.key(&self.identity.name);
+        let speaks = |other: &String| {
+            self.representatives(own, other)
+                .iter()
+                .any(|key| Some(*key) == own_key)
+        };
+        let regions = self.other_regions().into_iter().filter(speaks);
+        let links = regions.map(|other| (other.clone(), self.representatives(&other, own)));
+        self.roster.links = sync::Arc::new(links.collect());
+    }
+
+    /// The VMs that speak for `region` towards `other`: the best of each failure domain, so that
+    /// the loss of one domain leaves a link.
+    fn representatives(&self, region: &str, other: &str) -> Vec<id::VmKey> {
+        let subject = format!("link {region} {other}");
+        let mut best: collections::BTreeMap<&str, (u64, id::VmKey)> = collections::BTreeMap::new();
+        for (key, record) in self.table.iter() {
+            let place = &record.claim.place;
+            if place.region != region || !record.state().is_present() {
+                continue;
+            }
+            let rank = (rendezvous::score(&subject, &record.claim.name), key);
+            let entry = best.entry(&place.failure_domain).or_insert(rank);
+            *entry = rank.max(*entry);
+        }
+        best.into_values().map(|(_, key)| key).collect()
+    }
+
+    fn other_regions(&self) -> collections::BTreeSet<String> {
+        let members = self
+            .table
+            .iter()
+            .map(|(_, record)| &record.claim.place.region);
+        let seeds = self.seeds.values().map(|place| &place.region);
+        members
+            .chain(seeds)
+            .filter(|region| **region != self.own.place.region)
+            .cloned()
+            .collect()
+    }
+}
--- a/crates/gossip/src/sending.rs
+++ b/crates/gossip/src/sending.rs
@@ -58,7 +58,7 @@
         self.queue.offer(|key| match key {
             spread::SpreadKey::Member(key) => table
                 .get(*key)
-                .is_some_and(|record| packet.add_claim(record.claim.to_wire())),
+                .is_some_and(|record| packet.add_claim(record.claim.to_news())),
             spread::SpreadKey::Item(key) if abroad && key.kind == item::ItemKind::Link => false,
             spread::SpreadKey::Item(key) => items
                 .get(key)
@@ -79,7 +79,7 @@
         };
         let same_life = record.claim.version.life.incarnation == receiver.incarnation;
         if !same_life || record.state() != claim::MemberState::Alive {
-            packet.add_claim(record.claim.to_wire());
+            packet.add_claim(record.claim.to_news());
         }
     }
 
--- a/crates/gossip/src/sync.rs
+++ b/crates/gossip/src/sync.rs
@@ -60,7 +60,10 @@
 
     fn attach(self, now: time::Duration, packet: &mut packet::PacketBuilder) -> bool {
         match self {
-            Self::Member(record) => packet.add_claim(record.claim.to_wire()),
+            Self::Member(record) if record.state().is_present() => {
+                packet.add_claim(record.claim.to_wire())
+            }
+            Self::Member(record) => packet.add_claim(record.claim.to_news()),
             // What is about to expire need not travel any more.
             Self::Item(item) => item.to_wire(now).is_none_or(|item| packet.add_item(item)),
         }
--- a/crates/wire/src/proto/gossip.rs
+++ b/crates/wire/src/proto/gossip.rs
@@ -111,7 +111,7 @@
     /// What is said.
     #[prost(enumeration = "MemberState", tag = "5")]
     pub state: i32,
-    /// Where it listens, as text; empty: as known before.
+    /// Where it listens, as text; empty, as are the next two: as known before.
     #[prost(string, tag = "6")]
     pub address: ::prost::alloc::string::String,
     /// Its failure domain.
