--- /dev/null
+++ b/crates/load/benches/relay/engine.rs
@@ -0,0 +1,131 @@
+//! A model engine that does nothing but send: each stream gets a token every step, and each token
+//! carries the time at which it was sent.
+
+use std::{net, sync::atomic, time::Duration};
+
+use rocket::{data, delete, get, post, response::stream::TextStream, routes};
+use tokio::time;
+
+use crate::moment;
+
+/// What the engine says of itself.
+const LOAD: &str = r#"{"incarnation":"0000000000000000000000000000002a","taken_ms_ago":0,
+"total_blocks":100000000,"free_blocks":100000000,"block_tokens":16,"running":0,"waiting":0,
+"preemptions":0,"models":[{"model":"bench","version":"1","adapters":[]}],"role":"serve",
+"leaving":false}"#;
+
+const STATE: &str = r#"{"incarnation":"0000000000000000000000000000002a",
+"models":[{"model":"bench","version":"1","adapters":[]}],"role":"serve","loading":null,
+"fencing":null,"leaving":false}"#;
+
+/// Streams that are open now, over all engines of this process.
+pub static OPEN: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+
+struct OpenStream;
+
+impl OpenStream {
+    fn begin() -> Self {
+        OPEN.fetch_add(1, atomic::Ordering::Relaxed);
+        Self
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        OPEN.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct StartBody {
+    prompt: String,
+    max_tokens: u32,
+}
+
+/// The number after `[[name=` in `prompt`.
+fn number(prompt: &str, name: &str) -> Option<u64> {
+    stand::engine::text::directive(prompt, name)?.parse().ok()
+}
+
+/// `[[step_us=N]]` in the prompt sets the time between tokens.
+#[post("/v1/generations", data = "<body>")]
+async fn start(
+    body: data::Data<'_>,
+) -> (
+    rocket::http::ContentType,
+    TextStream<impl futures_util::Stream<Item = String> + use<>>,
+) {
+    let text = body.open(data::ByteUnit::Mebibyte(1)).into_string().await;
+    let text = text.map(|text| text.into_inner()).unwrap_or_default();
+    let call: StartBody = serde_json::from_str(&text).expect("a start of a generation");
+    let step = Duration::from_micros(number(&call.prompt, "step_us").unwrap_or(20_000));
+    let count = number(&call.prompt, "len").unwrap_or(u64::from(call.max_tokens)) as u32;
+    let opened = OpenStream::begin();
+    let tokens = async_stream::stream! {
+        let _opened = opened;
+        let mut ticks = time::interval(step);
+        for seq in 0..count {
+            ticks.tick().await;
+            yield format!("data: {{\"seq\":{seq},\"text\":\"{} \"}}\n\n", moment::now_us());
+        }
+        yield format!("data: {{\"finish\":\"stop\",\"produced\":{count},\"prompt_tokens\":1,\"cached_tokens\":0,\"preempted\":0}}\n\n");
+    };
+    (
+        rocket::http::ContentType::EventStream,
+        TextStream::from(tokens),
+    )
+}
+
+#[delete("/v1/generations/<_generation>")]
+fn cancel(_generation: &str) -> (rocket::http::ContentType, &'static str) {
+    (
+        rocket::http::ContentType::JSON,
+        r#"{"ran":true,"produced":1}"#,
+    )
+}
+
+#[get("/v1/load")]
+fn load() -> (rocket::http::ContentType, &'static str) {
+    (rocket::http::ContentType::JSON, LOAD)
+}
+
+#[get("/v1/cache-events")]
+fn cache_events() -> (rocket::http::ContentType, &'static str) {
+    (rocket::http::ContentType::JSON, r#"{"events":[],"next":0}"#)
+}
+
+#[get("/v1/state")]
+fn state() -> (rocket::http::ContentType, &'static str) {
+    (rocket::http::ContentType::JSON, STATE)
+}
+
+#[post("/v1/orders")]
+fn order() -> (rocket::http::ContentType, &'static str) {
+    (rocket::http::ContentType::JSON, STATE)
+}
+
+/// Serves one engine on a free port of the current runtime.
+pub async fn serve() -> net::SocketAddr {
+    let config = rocket::Config {
+        address: net::Ipv4Addr::LOCALHOST.into(),
+        port: 0,
+        log_level: rocket::config::LogLevel::Off,
+        ..rocket::Config::release_default()
+    };
+    let (told, mut heard) = tokio::sync::mpsc::channel(1);
+    let liftoff = rocket::fairing::AdHoc::on_liftoff("told", move |rocket| {
+        let address = net::SocketAddr::new(rocket.config().address, rocket.config().port);
+        let told = told.clone();
+        Box::pin(async move {
+            let _ = told.send(address).await;
+        })
+    });
+    let engine = rocket::custom(config)
+        .mount(
+            "/",
+            routes![start, cancel, load, cache_events, state, order],
+        )
+        .attach(liftoff);
+    tokio::spawn(engine.launch());
+    heard.recv().await.expect("the engine listens")
+}
--- /dev/null
+++ b/crates/load/src/env.rs
@@ -0,0 +1,222 @@
+//! The whole system in this process: stand-ins and entry VMs on loopback.
+
+use std::{collections, io, net, time::Duration};
+
+use base::id;
+use conf::{change, document};
+use entry::{daemon, settings};
+use snafu::ResultExt as _;
+use tokio::time;
+
+use crate::{scenario, site};
+
+/// Stream of the log that holds the configuration.
+const CONFIGURATION: &str = "configuration";
+
+/// An entry VM that is not ready after this does not get ready.
+const READY_TIME: Duration = Duration::from_secs(10);
+
+/// Pause between two questions whether an entry VM is ready.
+const READY_POLL: Duration = Duration::from_millis(20);
+
+/// Times that two free ports of one number are looked for.
+const PORT_TRIES: usize = 50;
+
+/// The environment cannot be started.
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
+pub enum EnvError {
+    /// A stand-in does not start.
+    #[snafu(transparent)]
+    Stand {
+        /// Why not.
+        source: stand::http::ServeError,
+    },
+    /// An entry VM does not start.
+    #[snafu(transparent)]
+    Daemon {
+        /// Why not.
+        source: daemon::StartError,
+    },
+    /// No ports are free.
+    #[snafu(display("no free port of loopback: {source}; close what listens there"))]
+    Ports {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The log refuses the configuration.
+    #[snafu(display("the log does not take the configuration: {reason}; start again"))]
+    Publish {
+        /// What it says.
+        reason: String,
+    },
+    /// An entry VM does not get ready.
+    #[snafu(display("entry VM {vm} is not ready after {READY_TIME:?}: {last}; see its log"))]
+    NotReady {
+        /// Its name.
+        vm: String,
+        /// Its last answer.
+        last: String,
+    },
+}
+
+/// Stand-ins and entry VMs of one configuration.
+#[derive(Debug)]
+pub struct TestEnv {
+    /// The platform and the backend servers.
+    pub site: site::StandSite,
+    /// Running entry VMs by name.
+    pub entries: collections::BTreeMap<String, daemon::RunningDaemon>,
+}
+
+impl TestEnv {
+    /// Starts everything in `configuration`, publishes it and waits until every entry VM is ready.
+    ///
+    /// # Errors
+    ///
+    /// When a part does not start.
+    pub async fn start(configuration: document::Configuration) -> Result<Self, EnvError> {
+        Self::start_bounded(configuration, settings::BoundSettings::default()).await
+    }
+
+    /// Like [`Self::start`], with bounds on what each entry VM takes.
+    ///
+    /// # Errors
+    ///
+    /// When a part does not start.
+    pub async fn start_bounded(
+        mut configuration: document::Configuration,
+        bounds: settings::BoundSettings,
+    ) -> Result<Self, EnvError> {
+        for entry in configuration.inventory.entry_vms.values_mut() {
+            entry.callers = free_address().context(PortsSnafu)?;
+            entry.peers = free_address().context(PortsSnafu)?;
+        }
+        let site = site::StandSite::start(configuration).await?;
+        publish(&site).await?;
+        let mut entries = collections::BTreeMap::new();
+        for vm in site.configuration.inventory.entry_vms.keys() {
+            let settings = daemon_settings(&site, vm, &bounds);
+            entries.insert(vm.clone(), daemon::start(settings).await?);
+        }
+        let env = Self { site, entries };
+        for (vm, running) in &env.entries {
+            wait_ready(vm, running.callers()).await?;
+        }
+        Ok(env)
+    }
+
+    /// Where callers connect, one address for each running entry VM.
+    #[must_use]
+    pub fn callers(&self) -> Vec<net::SocketAddr> {
+        let running = self.entries.values();
+        running.map(daemon::RunningDaemon::callers).collect()
+    }
+}
+
+/// Makes `fault` happen to a part of `site`; entry VMs are not its business.
+pub fn inflict(site: &site::StandSite, fault: &scenario::FaultKind) {
+    match fault {
+        scenario::FaultKind::ServerCrash { server } => {
+            if let Some(engine) = site.engines.get(server) {
+                engine.crash();
+            }
+            if let Some(service) = site.services.get(server) {
+                service.crash();
+            }
+        }
+        scenario::FaultKind::ServerSilent { server } => {
+            if let Some(engine) = site.engines.get(server) {
+                engine.gate().silence();
+            }
+            if let Some(service) = site.services.get(server) {
+                service.gate().silence();
+            }
+        }
+        scenario::FaultKind::LogOutage { for_ms } => {
+            site.log.apply(&stand::log::LogFault::Outage { on: true });
+            let (log, time) = (site.log.clone(), Duration::from_millis(*for_ms));
+            tokio::spawn(async move {
+                time::sleep(time).await;
+                log.apply(&stand::log::LogFault::Outage { on: false });
+            });
+        }
+        scenario::FaultKind::EntryStop { .. } => {}
+    }
+}
+
+/// An address whose number is free for TCP and for UDP; nothing holds it, so that it can be taken.
+fn free_address() -> io::Result<net::SocketAddr> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..PORT_TRIES {
+        let listener = net::TcpListener::bind(site::ANY_PORT)?;
+        let address = listener.local_addr()?;
+        match net::UdpSocket::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
+
+fn daemon_settings(
+    site: &site::StandSite,
+    vm: &str,
+    bounds: &settings::BoundSettings,
+) -> settings::DaemonSettings {
+    let inventory = &site.configuration.inventory;
+    let entry = &inventory.entry_vms[vm];
+    let mut regions = inventory.regions.iter();
+    let region = regions.find(|(_, region)| region.failure_domains.contains(&entry.failure_domain));
+    settings::DaemonSettings {
+        vm: vm.to_owned(),
+        region: region.map(|(name, _)| name.clone()).unwrap_or_default(),
+        failure_domain: entry.failure_domain.clone(),
+        callers: entry.callers,
+        peers: entry.peers,
+        platform: settings::PlatformSettings {
+            log: site.addresses.log,
+            weight_store: site.addresses.weights,
+            vm_list: site.addresses.vms,
+        },
+        cluster_keys: vec![settings::ClusterKey {
+            id: 1,
+            secret: "5e".repeat(settings::CLUSTER_KEY_BYTES),
+        }],
+        bounds: bounds.clone(),
+    }
+}
+
+/// Appends the whole configuration as the first change.
+async fn publish(site: &site::StandSite) -> Result<(), EnvError> {
+    let refused = |reason: String| EnvError::Publish { reason };
+    let value = |configuration: &document::Configuration| {
+        serde_json::to_value(configuration).map_err(|error| refused(error.to_string()))
+    };
+    let empty = value(&document::Configuration::default())?;
+    let change = change::ConfigChange {
+        id: id::RecordId::draw(&mut rand::rng()),
+        base_revision: 0,
+        author: "environment".into(),
+        comment: "first configuration".into(),
+        patch: change::merge_patch(&empty, &value(&site.configuration)?),
+    };
+    let body = serde_json::to_vec(&change).map_err(|error| refused(error.to_string()))?;
+    let appended = site.log.append(CONFIGURATION, body.into()).await;
+    appended.map_err(|error| refused(error.to_string()))?;
+    Ok(())
+}
+
+async fn wait_ready(vm: &str, address: net::SocketAddr) -> Result<(), EnvError> {
+    let deadline = time::Instant::now() + READY_TIME;
+    let mut last = String::from("nothing");
+    while time::Instant::now() < deadline {
+        match reqwest::get(format!("http://{address}/readyz")).await {
+            Ok(response) if response.status().is_success() => return Ok(()),
+            Ok(response) => last = response.text().await.unwrap_or_default(),
+            Err(error) => last = error.to_string(),
+        }
+        time::sleep(READY_POLL).await;
+    }
+    NotReadySnafu { vm, last }.fail()
+}
