--- a/crates/load/benches/relay/client.rs
+++ b/crates/load/benches/relay/client.rs
@@ -112,9 +112,11 @@
         for line in rest[..end].split(|byte| *byte == b'\n') {
             if let Some(sent) = sent_us(line) {
                 outcome.tokens += 1;
-                outcome
-                    .delay_us
-                    .saturating_record(now.saturating_sub(sent).max(1));
+                ARRIVED.fetch_add(1, atomic::Ordering::Relaxed);
+                if MEASURING.load(atomic::Ordering::Relaxed) {
+                    let delay_us = now.saturating_sub(sent).max(1);
+                    outcome.delay_us.saturating_record(delay_us);
+                }
             }
         }
         rest.drain(..=end);
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -3,9 +3,8 @@
 use std::path;
 
 use argh::FromArgs as _;
-use snafu::ResultExt as _;
 
-use crate::{cli, compare, exit, play, plot, report};
+use crate::{cli, compare, demo, exit, play, plot, report};
 
 /// Parses `arguments` and does what they say; prints to standard output and standard error.
 #[must_use]
@@ -27,16 +26,17 @@
         cli::LoadAction::Compare(action) => told(compare_runs(&action)),
         cli::LoadAction::Plot(action) => told(plot_run(&action)),
         cli::LoadAction::Run(action) => told(with_runtime(play::run_scenario(&action))),
-        cli::LoadAction::Demo(_) => exit::ExitKind::Failed,
+        cli::LoadAction::Demo(action) => told(with_runtime(demo::run(&action))),
     }
 }
 
 /// Runs `work` to its end on a runtime of its own.
-fn with_runtime<T>(
-    work: impl Future<Output = Result<T, play::PlayError>>,
-) -> Result<T, play::PlayError> {
+fn with_runtime<T, E: From<play::PlayError>>(
+    work: impl Future<Output = Result<T, E>>,
+) -> Result<T, E> {
     let runtime = tokio::runtime::Runtime::new();
-    runtime.context(play::RuntimeSnafu)?.block_on(work)
+    let runtime = runtime.map_err(|source| play::PlayError::Runtime { source })?;
+    runtime.block_on(work)
 }
 
 /// The kind of a success, or of a failure after it is told.
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -54,8 +54,7 @@
 /// When a part does not start, or the report cannot be saved.
 pub async fn run(action: &cli::DemoAction) -> Result<exit::ExitKind, DemoError> {
     let example = site::PASS_WORKS;
-    let mut scenario: scenario::LoadScenario =
-        checked::parse("scenario.jsonc", example.scenario)?;
+    let mut scenario: scenario::LoadScenario = checked::parse("scenario.jsonc", example.scenario)?;
     if !action.faults {
         scenario.faults.clear();
     }
@@ -65,7 +64,9 @@
     announce(&env, &scenario);
     let total = arrival::plan_calls(&scenario).len() as u64;
     let run = runner::ScenarioRun::new(scenario, &env.callers())?;
-    let sink = sync::Arc::new(EnvFaults { env: Mutex::new(env) });
+    let sink = sync::Arc::new(EnvFaults {
+        env: Mutex::new(env),
+    });
     let start = time::Instant::now();
     let bar = progress::BarProgress::new(total);
     let mut measure = run.play(sink.clone(), &bar).await;
@@ -82,7 +83,12 @@
 
 /// Keeps fewer entry VMs, and engines with less memory.
 fn shrink(inventory: &mut inventory::Inventory) {
-    let surplus: Vec<String> = inventory.entry_vms.keys().skip(ENTRY_VMS).cloned().collect();
+    let surplus: Vec<String> = inventory
+        .entry_vms
+        .keys()
+        .skip(ENTRY_VMS)
+        .cloned()
+        .collect();
     for vm in surplus {
         inventory.entry_vms.remove(&vm);
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod cli;
 pub mod command;
 pub mod compare;
+pub mod demo;
+pub mod env;
 pub mod exit;
 pub mod length;
 pub mod measure;
