ledger: refuse at once while the log cannot be read; entry follows AcceptRefusal

Cause: during an outage every claim waited its whole time for a verdict that cannot come, and the removed AcceptRefusal::Stale broke entry. Change: submit refuses as not appended while the last read failed; long polls wait 2 s, so an outage shows within that. Conclusion: refusals in an outage come at once.

--- a/crates/entry/src/adapt/jobs.rs
+++ b/crates/entry/src/adapt/jobs.rs
@@ -180,6 +180,6 @@
             "too much accepted work waits; send this again after the time given",
         )
         .retry_after_ms(LOG_DOWN_RETRY_MS),
-        job_store::AcceptRefusal::Stale | job_store::AcceptRefusal::NotAppended(_) => log_down(),
+        job_store::AcceptRefusal::NotAppended(_) => log_down(),
     }
 }
--- a/crates/ledger/src/driver.rs
+++ b/crates/ledger/src/driver.rs
@@ -230,6 +230,11 @@
             let cause = appender::NotAppended::NotLoaded;
             return Err(SubmitFault::NotAppended(cause));
         }
+        // Without reads there is no verdict: refused now instead of when the time is up.
+        if self.view(|state| state.outage) {
+            let cause = appender::NotAppended::Down;
+            return Err(SubmitFault::NotAppended(cause));
+        }
         let encoded = record::EncodedEntry::new(id, seen, entry)
             .map_err(|_| SubmitFault::NotAppended(appender::NotAppended::Refused))?;
         let (sender, verdict) = tokio_sync::oneshot::channel();
@@ -312,7 +317,7 @@
 const CATCH_UP_PAUSE: time::Duration = time::Duration::from_millis(5);
 
 /// How long one read waits at the log for the next record.
-const LONG_POLL_MS: u64 = 10_000;
+const LONG_POLL_MS: u64 = 2_000;
 
 impl<F: LogFold> SharedState<F> {
     fn take(&self, found: &client::LogRecord) {
