Gossip: the bench compiles with the chain's hash; a sequence cannot overflow

Change: the bench fills the new field; the sequence saturates, and the fuzz of odd messages publishes afterwards.

--- a/crates/gossip/benches/membership.rs
+++ b/crates/gossip/benches/membership.rs
@@ -3,7 +3,7 @@
 
 use std::{collections, env, fs, hint, time};
 
-use base::id;
+use base::{fingerprint, id};
 use fabric::{Fabric, NetworkFaults, TestCore};
 use gossip::{claim, digest, event, news, settings, watching};
 use rand_chacha::rand_core::Rng as _;
@@ -185,11 +185,12 @@
     fn change_configuration(&mut self) {
         for index in self.fabric.running() {
             let vm = self.fabric.vms[index].name.clone();
-            let revision = self.round.into();
+            let revision: u64 = self.round.into();
             let news = news::ConfigurationNews {
                 vm,
                 revision,
                 offset: revision,
+                chain_hash: fingerprint::ContentHash::of(&revision.to_le_bytes()),
             };
             self.fabric.act(index, |core, now| {
                 core.publish(now, &news::NewsItem::Configuration(news))
--- a/crates/gossip/src/core.rs
+++ b/crates/gossip/src/core.rs
@@ -249,7 +249,7 @@
         }
         let above = known.map(|item| item.version).unwrap_or_default();
         let sequence = if above.epoch >= epoch {
-            above.sequence + 1
+            above.sequence.saturating_add(1)
         } else {
             1
         };
--- a/crates/gossip/tests/virtual_time/directed.rs
+++ b/crates/gossip/tests/virtual_time/directed.rs
@@ -365,6 +365,8 @@
         assert!(actions.len() <= 30, "seed {seed}: {}", actions.len());
         if seed % 100 == 0 {
             core.on_tick(fabric.now);
+            core.leave(fabric.now);
+            core.publish(fabric.now, &quarantine(seconds(60 + seed)));
         }
     }
     assert!(core(&fabric, 0).members().iter().count() <= 4096);
