flow: failures of streams one by one, starts that are given up are cancelled

Cause: a request that was given up while its start was on its way, or while a lost try was settled, left its generation running. Change: the try exists before anything is sent and is released only when it is settled; two suspects never share a server; idempotent calls keep half of their time for another server.

--- a/crates/flow/src/calling.rs
+++ b/crates/flow/src/calling.rs
@@ -3,7 +3,7 @@
 
 use std::{sync, time::Duration};
 
-use base::{outcome, refusal};
+use base::refusal;
 use tokio::time;
 use trace::kind;
 
@@ -48,7 +48,7 @@
     async fn send(
         &self,
         facts: &request::RequestFacts<request::CallWork>,
-        due_at: time::Instant,
+        until: time::Instant,
         target: &port::ServerTarget,
         permit: proof::StartPermit,
     ) -> proof::TryOutcome<port::ServiceAnswer> {
@@ -61,7 +61,7 @@
             content_type: raw.content_type.clone(),
             body: raw.body.clone(),
         };
-        let time_left = due_at.saturating_duration_since(time::Instant::now());
+        let time_left = until.saturating_duration_since(time::Instant::now());
         let (send, ticket) = permit.send();
         let answer = {
             let called = self
@@ -69,7 +69,7 @@
                 .ports
                 .services()
                 .call(target, &call, time_left, send);
-            time::timeout_at(due_at, called).await
+            time::timeout_at(until, called).await
         };
         match answer {
             Ok(Ok(answer)) => proof::TryOutcome::Ran(answer),
@@ -134,25 +134,20 @@
                 stage,
             } = routed;
             let request::Routed { admitted, target } = stage;
-            let request::Cleared { mut claimed, probe } = admitted.cleared;
-            if let Some(body) = cannot_leave(claimed.claim.as_ref()) {
-                return Err(permit.refused(body).into());
-            }
+            let mut claimed = admitted.cleared.claimed;
             let fraction = facts.view.config.rules().retries.budget_fraction;
             if let Err(delay) = self.shared.take_try(facts.tries, fraction) {
                 return Err(permit.refused(opening::over_budget(delay)).into());
             }
             facts.tries += 1;
-            let mark = self
-                .shared
-                .book
-                .begin(target.key, facts.work.content, probe.is_some());
-            if let Some(claim) = claimed.claim.as_mut() {
-                claim.leaving();
-            }
             let due_at = claimed.terms.due_at;
-            let outcome = self.send(&facts, due_at, &target, permit).await;
-            drop((mark, probe));
+            let until = try_until(&facts, due_at);
+            if let Some(claim) = claimed.claim.as_mut()
+                && !claim.leave(time::Instant::now())
+            {
+                return Err(permit.refused(lapsed()).into());
+            }
+            let outcome = self.send(&facts, until, &target, permit).await;
             let (permit, cause) = match outcome {
                 proof::TryOutcome::Ran(answer) => {
                     admitted.grant.finished(0);
@@ -174,7 +169,7 @@
                         Some(repeat) if time::Instant::now() < due_at => {
                             (ticket.repeated(repeat), cause)
                         }
-                        _ => return Err(ticket.refused(may_have_run(&cause)).into()),
+                        repeat => return Err(ticket.refused(may_have_run(&cause, repeat)).into()),
                     }
                 }
             };
@@ -185,20 +180,30 @@
     }
 }
 
-/// Why a claimed call may no longer leave.
-fn cannot_leave<P: port::PortSet>(
-    claim: Option<&claim::HeldClaim<P>>,
-) -> Option<refusal::RefusalBody> {
-    let lapsed = claim.is_some_and(|claim| !claim.may_leave(time::Instant::now()));
-    lapsed.then(|| {
-        let message = "the claim on the idempotency key lapsed before the call could leave; \
-                       repeat it after the time given";
-        shared::come_back(
-            refusal::RefusalCode::DeadlineExceeded,
-            message,
-            NOT_RUN_RETRY,
-        )
-    })
+/// Until when one try may take.
+///
+/// A call that may be repeated leaves half of its time for another server: one that hangs would
+/// take it all otherwise.
+fn try_until(
+    facts: &request::RequestFacts<request::CallWork>,
+    due_at: time::Instant,
+) -> time::Instant {
+    let now = time::Instant::now();
+    let is_last = facts.tries >= facts.view.config.rules().retries.max_tries;
+    if is_last || facts.work.repeat.is_none() {
+        return due_at;
+    }
+    now + due_at.saturating_duration_since(now) / 2
+}
+
+fn lapsed() -> refusal::RefusalBody {
+    let message = "the claim on the idempotency key lapsed before the call could leave; repeat it \
+                   after the time given";
+    shared::come_back(
+        refusal::RefusalCode::DeadlineExceeded,
+        message,
+        NOT_RUN_RETRY,
+    )
 }
 
 fn used_up(cause: &str) -> refusal::RefusalBody {
@@ -206,8 +211,12 @@
     shared::come_back(refusal::RefusalCode::Unavailable, message, NOT_RUN_RETRY)
 }
 
-fn may_have_run(cause: &str) -> refusal::RefusalBody {
+fn may_have_run(cause: &str, repeat: Option<proof::RepeatPermit>) -> refusal::RefusalBody {
+    let code = refusal::RefusalCode::BackendFault;
+    if repeat.is_some() {
+        let message = format!("{cause}; ask again after the time given");
+        return shared::come_back(code, message, NOT_RUN_RETRY);
+    }
     let message = format!("{cause}; look up whether it did before calling again with another key");
-    refusal::RefusalBody::not_run(refusal::RefusalCode::BackendFault, message)
-        .ran(outcome::RanState::Unknown)
+    refusal::RefusalBody::not_run(code, message)
 }
--- a/crates/flow/src/claim.rs
+++ b/crates/flow/src/claim.rs
@@ -38,18 +38,17 @@
         }
     }
 
-    /// Whether the call may leave now.
+    /// Whether a try may leave now; if so, a drop means from here on that it may have run.
     ///
-    /// What goes wrong without the check: a process that was paused between its claim and its
-    /// call sends after others have taken the claim for lapsed. One would notice a call that
-    /// arrives after a repeat was told "unknown".
-    pub(crate) fn may_leave(&self, now: time::Instant) -> bool {
-        self.hold.as_ref().is_some_and(|hold| now < hold.deadline)
-    }
-
-    /// A try leaves: from here on a drop means that it may have run.
-    pub(crate) fn leaving(&mut self) {
-        self.end_on_drop = port::ClaimEnd::Unknown;
+    /// What goes wrong without the look at the clock: a process that was paused between its
+    /// claim and its call sends after others have taken the claim for lapsed. One would notice a
+    /// call that arrives after a repeat was told "unknown".
+    pub(crate) fn leave(&mut self, now: time::Instant) -> bool {
+        let leaves = self.hold.as_ref().is_some_and(|hold| now < hold.deadline);
+        if leaves {
+            self.end_on_drop = port::ClaimEnd::Unknown;
+        }
+        leaves
     }
 
     /// The try that left was proved not to have run.
--- a/crates/flow/src/continuation.rs
+++ b/crates/flow/src/continuation.rs
@@ -68,7 +68,7 @@
             charge: flowing::StreamCharge {
                 grant: None,
                 quota: None,
-                mark: Some(mark),
+                mark,
                 probe: None,
             },
             writer: chunk_writer(&facts),
--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -66,25 +66,26 @@
         }
     }
 
-    /// Content begins to run on a server; as a suspect when `probe`.
+    /// Content begins to run on a server, as a suspect when `probe`. `None`: another suspect
+    /// runs there, and of two a death would name neither.
     pub fn begin(
         self: &sync::Arc<Self>,
         server: id::ServerKey,
         content: ContentHash,
         probe: bool,
-    ) -> RunMark {
+    ) -> Option<RunMark> {
         let mut state = self.lock();
-        *state.running.entry((server, content)).or_default() += 1;
-        if probe {
-            state.probed.insert(server);
+        if probe && !state.probed.insert(server) {
+            return None;
         }
+        *state.running.entry((server, content)).or_default() += 1;
         drop(state);
-        RunMark {
+        Some(RunMark {
             book: self.clone(),
             server,
             content,
             probe,
-        }
+        })
     }
 
     /// Servers where a suspect runs: nobody else should go there.
--- a/crates/flow/src/opening.rs
+++ b/crates/flow/src/opening.rs
@@ -16,6 +16,9 @@
 /// When to come back when the tries of a request are used up.
 const USED_UP_RETRY: Duration = Duration::from_secs(1);
 
+/// Pause before a suspect that met another on its server asks for another place.
+pub(crate) const PROBE_PAUSE: Duration = Duration::from_millis(50);
+
 /// What a generation's request holds before it has a place.
 pub type GenerationClaimed<P> =
     request::Claimed<quota::QuotaPermit<P>, Option<claim::HeldClaim<P>>>;
@@ -60,6 +63,14 @@
     pub step: attempt::TryStep,
 }
 
+/// Where a try is to run.
+struct TryPlace<P: port::PortSet> {
+    target: port::ServerTarget,
+    grant: admit::PlaceGrant<P>,
+    mark: crashes::RunMark,
+    probe: Option<quarantine::ProbePass>,
+}
+
 /// Why a try has to be followed by another.
 enum TryEnd<P: port::PortSet> {
     /// Another may be started.
@@ -116,21 +127,31 @@
             } = routed;
             let request::Routed { admitted, target } = stage;
             let request::Cleared { claimed, probe } = admitted.cleared;
+            let content = facts.work.content;
+            let begun = self.shared.book.begin(target.key, content, probe.is_some());
+            let Some(mark) = begun else {
+                drop((admitted.grant, probe));
+                time::sleep(PROBE_PAUSE).await;
+                let again = request::Request {
+                    facts,
+                    permit,
+                    stage: claimed,
+                };
+                routed = self.placing.apply(again).await?;
+                continue;
+            };
             let fraction = facts.view.config.rules().retries.budget_fraction;
             if let Err(delay) = self.shared.take_try(facts.tries, fraction) {
                 return Err(permit.refused(over_budget(delay)).into());
             }
             facts.tries += 1;
-            let started = self
-                .start(
-                    &facts,
-                    &claimed.terms,
-                    permit,
-                    target,
-                    admitted.grant,
-                    probe,
-                )
-                .await;
+            let place = TryPlace {
+                target,
+                grant: admitted.grant,
+                mark,
+                probe,
+            };
+            let started = self.start(&facts, &claimed.terms, permit, place).await;
             let end = match started {
                 Ok(running) => match self.first_step(running, &facts, &claimed.terms).await? {
                     Ok((running, step)) => {
@@ -155,11 +176,15 @@
         facts: &request::RequestFacts<request::GenerationWork>,
         terms: &request::Terms,
         permit: proof::StartPermit,
-        target: port::ServerTarget,
-        grant: admit::PlaceGrant<P>,
-        probe: Option<quarantine::ProbePass>,
+        place: TryPlace<P>,
     ) -> Result<RunningTry<P>, Result<TryEnd<P>, refused::Refused>> {
         let shared = &self.shared;
+        let TryPlace {
+            target,
+            grant,
+            mark,
+            probe,
+        } = place;
         let work = &facts.work;
         let order = port::StartOrder {
             id: shared.draw_generation(),
@@ -170,7 +195,6 @@
             priority: grant.priority(),
             seed: work.body.seed,
         };
-        let mark = shared.book.begin(target.key, work.content, probe.is_some());
         shared.record(facts.id, dispatched(facts, &target));
         let silent_limit = silent_limit(&facts.view);
         let outcome = attempt::LiveTry::start(
@@ -272,7 +296,6 @@
             mark,
             probe,
         } = running;
-        live.release();
         let server = live.target().key;
         let lost = settle::LostTry {
             target: live.target().clone(),
@@ -280,6 +303,8 @@
             ticket,
         };
         let settled = lost.settle(&self.shared, loss.kind, until).await;
+        // Not before: a request that is given up here must still cancel its generation.
+        live.release();
         grant.failed(loss.kind.failure());
         drop((mark, probe));
         again(settled, server, loss.cause)
@@ -299,7 +324,6 @@
             mark,
             probe,
         } = running;
-        live.release();
         self.shared.record(
             facts.id,
             kind::EventKind::RequestPreempted {
@@ -316,6 +340,7 @@
         let settled = lost
             .settle(&self.shared, attempt::LossKind::Unreachable, until)
             .await;
+        live.release();
         drop(mark);
         let permit = match settled {
             Ok(permit) => permit,
--- a/crates/flow/tests/plane/links.rs
+++ b/crates/flow/tests/plane/links.rs
@@ -44,6 +44,13 @@
         tries.is_some_and(|tries| tries.values().any(|ran| *ran))
     }
 
+    /// Generations that were started with this mark.
+    pub fn starts(&self, mark: u32) -> usize {
+        let state = self.state.lock().unwrap();
+        let tries = state.may_have_run.get(&mark);
+        tries.map_or(0, collections::BTreeMap::len)
+    }
+
     fn started(&self, generation: id::GenerationId, mark: u32) {
         let mut state = self.state.lock().unwrap();
         state.started.push((generation, mark));
--- a/crates/flow/tests/plane/main.rs
+++ b/crates/flow/tests/plane/main.rs
@@ -4,5 +4,6 @@
 mod faults;
 mod fuzz;
 mod links;
+mod streams;
 mod thin;
 mod world;
