--- a/crates/flow/tests/plane/main.rs
+++ b/crates/flow/tests/plane/main.rs
@@ -1,6 +1,8 @@
 //! The real request plane against in-process stand-ins, on a paused clock.
 
 mod callers;
+mod calls;
+mod crashing;
 mod faults;
 mod fuzz;
 mod links;
