--- a/crates/stand/tests/engine_handle.rs
+++ b/crates/stand/tests/engine_handle.rs
@@ -117,6 +117,28 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn silence_also_takes_the_ping_that_is_due() {
+    // Symptom: a silent connection pings once more.
+    // Sequence: a reader waits for the next ping, then the connection goes silent.
+    // Cause: whether it may deliver was asked before the wait and not after it.
+    let handle = engine::EngineHandle::spawn(engine::EngineProfile::default());
+    handle.apply(&engine::EngineFault::Stall { on: true });
+    let mut stream = handle.start(start_call(1, "a")).await.expect("starts");
+    let reader =
+        tokio::spawn(async move { collect_for(&mut stream, time::Duration::from_secs(60)).await });
+    time::sleep(time::Duration::from_millis(1_300)).await;
+    handle.apply(&engine::EngineFault::Silence);
+    let pings = reader.await.expect("reads");
+    assert_eq!(
+        pings,
+        [
+            Some(engine::StreamEvent::Ping),
+            Some(engine::StreamEvent::Ping)
+        ]
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_stalled_engine_pings_without_tokens() {
     // Symptom: a stream pings and carries no token.
