--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -327,7 +327,9 @@
             heartbeat: limits.silence / 2,
             idle: limits.idle,
         };
-        tokio::spawn(connection::ConnectionActor::new(session, limits).run(inbox));
+        tokio::spawn(
+            connection::ConnectionActor::new(session, shared.keys.clone(), limits).run(inbox),
+        );
         Ok(connection)
     }
 }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -5,7 +5,7 @@
 use futures_util::{SinkExt as _, StreamExt as _};
 use tokio::{io, sync as channels, time::Instant};
 
-use crate::{handshake, proto::peer};
+use crate::{handshake, key, proto::peer};
 use peer::{client_frame, server_frame};
 
 /// How one call ended, as the connection sees it.
@@ -59,6 +59,7 @@
 /// Runs one connection; ends when it breaks, goes silent or has been idle.
 pub(crate) struct ConnectionActor<S> {
     session: handshake::Session<S>,
+    keys: key::KeyHandle,
     limits: ConnectionLimits,
     /// Calls that were written and not yet answered.
     pending: collections::BTreeMap<u64, channels::oneshot::Sender<CallEnd>>,
@@ -69,9 +70,14 @@
 }
 
 impl<S: io::AsyncRead + io::AsyncWrite + Unpin> ConnectionActor<S> {
-    pub(crate) fn new(session: handshake::Session<S>, limits: ConnectionLimits) -> Self {
+    pub(crate) fn new(
+        session: handshake::Session<S>,
+        keys: key::KeyHandle,
+        limits: ConnectionLimits,
+    ) -> Self {
         Self {
             session,
+            keys,
             limits,
             pending: collections::BTreeMap::new(),
             pinged_at: None,
@@ -132,6 +138,9 @@
     /// then nothing ever arrives, not even an error. So while a call waits there is always a ping
     /// on its way, and a ping that stays unanswered ends the connection.
     async fn watch(&mut self) -> Result<(), Ending> {
+        if self.keys.current().accepted(self.session.key_id).is_none() {
+            return Err(Ending::Closed);
+        }
         match self.pinged_at {
             Some(pinged_at) if pinged_at.elapsed() >= self.limits.silence => Err(Ending::Silent),
             None if !self.pending.is_empty() => self.ping().await,
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -73,6 +73,8 @@
 pub(crate) struct Session<S> {
     pub stream: frame::FramedStream<S>,
     pub peer: identity::ProcessIdentity,
+    /// Number of the key that both sides proved; the connection ends when it is out of force.
+    pub key_id: u8,
     pub sealer: frame::FrameSealer,
     pub opener: frame::FrameOpener,
 }
@@ -115,6 +117,7 @@
     Ok(Session {
         stream,
         peer,
+        key_id: key.id(),
         sealer: frame::FrameSealer::new(key.derive(&hellos.parts(TO_SERVER))),
         opener: frame::FrameOpener::new(key.derive(&hellos.parts(TO_CLIENT))),
     })
@@ -158,6 +161,7 @@
     Ok(Session {
         stream,
         peer,
+        key_id: key.id(),
         sealer: frame::FrameSealer::new(key.derive(&hellos.parts(TO_CLIENT))),
         opener: frame::FrameOpener::new(key.derive(&hellos.parts(TO_SERVER))),
     })
--- a/crates/wire/src/key.rs
+++ b/crates/wire/src/key.rs
@@ -176,7 +176,7 @@
         sync::Arc::clone(&guard)
     }
 
-    /// Puts `ring` in force; open connections keep the keys that they were opened with.
+    /// Puts `ring` in force; connections whose key is no longer in it end.
     pub fn replace(&self, ring: KeyRing) {
         let mut guard = self
             .current
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -207,7 +207,7 @@
         session: handshake::Session<S>,
         first: client_frame::Kind,
     ) {
-        let idle = self.limits.idle;
+        let (idle, key_id) = (self.limits.idle, session.key_id);
         let (mut sink, mut source) = session.stream.split();
         let (replies, mut outbox) = channels::mpsc::channel::<peer::ServerFrame>(REPLY_BACKLOG);
         let (mut sealer, mut opener) = (session.sealer, session.opener);
@@ -228,7 +228,10 @@
         };
         let mut arrival = Arrival::Frame(first);
         while let Arrival::Frame(kind) = arrival {
-            if !state.take(kind).await {
+            // A key is taken out of force because somebody else may have it; what was opened
+            // with it must not outlive it.
+            let in_force = state.shared.keys.current().accepted(key_id).is_some();
+            if !in_force || !state.take(kind).await {
                 break;
             }
             arrival = next_arrival(&mut source, &mut opener, idle).await;
--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -75,6 +75,8 @@
 /// Connects to a server through a copier that may lose track of a connection, or record it.
 #[derive(Clone)]
 struct FakeNetwork {
+    /// Keys of the server.
+    keys: key::KeyHandle,
     server: sync::Arc<server::PeerServer<EchoService>>,
     /// Connections opened so far.
     opened: sync::Arc<sync::atomic::AtomicUsize>,
@@ -108,8 +110,10 @@
     fn new(limits: server::ServerLimits) -> (Self, EchoService) {
         let service = EchoService::default();
         let own = process("hall-b", 2);
-        let server = server::PeerServer::new(own, keys(1, 1), service.clone(), limits);
+        let keys = keys(1, 1);
+        let server = server::PeerServer::new(own, keys.clone(), service.clone(), limits);
         let network = Self {
+            keys,
             server: sync::Arc::new(server),
             opened: sync::Arc::default(),
             silent: 0,
@@ -285,6 +289,33 @@
     assert!(service.bodies.lock().expect("no panic").is_empty());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_connection_does_not_outlive_its_key() {
+    // Symptom: somebody who got hold of a key goes on calling after it was replaced.
+    // Sequence: a connection is opened with it; the key is taken out of force on the server.
+    // Cause: a connection has keys of its own, derived from it.
+    let (network, _) = FakeNetwork::new(server::ServerLimits::default());
+    let client = network.client(keys(1, 1));
+    client
+        .call(ADDRESS, echo(0, b"x"), within_ms(1_000, false))
+        .await
+        .expect("answered");
+    network
+        .keys
+        .replace(key::KeyRing::new(vec![key::WireKey::new(2, &[2; 32])]).expect("one"));
+    let refused = client
+        .call(ADDRESS, echo(0, b"y"), within_ms(3_000, false))
+        .await;
+    assert!(refused.is_err());
+    let refused = client
+        .call(ADDRESS, echo(0, b"z"), within_ms(3_000, false))
+        .await;
+    assert!(
+        matches!(refused, Err(CallError::Handshake { .. })),
+        "{refused:?}"
+    );
+}
+
 /// Sends `bytes` to the server over a connection of its own, and waits until it is done.
 async fn send_raw(network: &FakeNetwork, bytes: &[u8]) {
     let (mut near, far) = io::duplex(1 << 16);
