load: the environment takes free ports by the daemons themselves

Cause: a port that was looked up and let go could be taken by an outgoing connection before the daemon bound it. Change: daemons start on port 0, then the configuration with their addresses is published.

--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -9,6 +9,8 @@
 /// Parses `arguments` and does what they say; prints to standard output and standard error.
 #[must_use]
 pub fn execute(program: &str, arguments: &[String]) -> exit::ExitKind {
+    // A line for each change of state is for daemons; here it would only stand between the tables.
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let name = path::Path::new(program).file_name().unwrap_or_default();
     let command = match cli::LoadCommand::from_args(&[&name.to_string_lossy()], &words) {
--- a/crates/load/src/env.rs
+++ b/crates/load/src/env.rs
@@ -1,11 +1,10 @@
 //! The whole system in this process: stand-ins and entry VMs on loopback.
 
-use std::{collections, io, net, time::Duration};
+use std::{collections, net, time::Duration};
 
 use base::id;
 use conf::{change, document};
 use entry::{daemon, settings};
-use snafu::ResultExt as _;
 use tokio::time;
 
 use crate::{scenario, site};
@@ -19,9 +18,6 @@
 /// Pause between two questions whether an entry VM is ready.
 const READY_POLL: Duration = Duration::from_millis(20);
 
-/// Times that two free ports of one number are looked for.
-const PORT_TRIES: usize = 50;
-
 /// The environment cannot be started.
 #[derive(Debug)]
 #[derive(snafu::Snafu)]
@@ -38,12 +34,6 @@
         /// Why not.
         source: daemon::StartError,
     },
-    /// No ports are free.
-    #[snafu(display("no free port of loopback: {source}; close what listens there"))]
-    Ports {
-        /// What the system says.
-        source: io::Error,
-    },
     /// The log refuses the configuration.
     #[snafu(display("the log does not take the configuration: {reason}; start again"))]
     Publish {
@@ -85,20 +75,29 @@
     ///
     /// When a part does not start.
     pub async fn start_bounded(
-        mut configuration: document::Configuration,
+        configuration: document::Configuration,
         bounds: settings::BoundSettings,
     ) -> Result<Self, EnvError> {
-        for entry in configuration.inventory.entry_vms.values_mut() {
-            entry.callers = free_address().context(PortsSnafu)?;
-            entry.peers = free_address().context(PortsSnafu)?;
-        }
-        let site = site::StandSite::start(configuration).await?;
-        publish(&site).await?;
+        let mut site = site::StandSite::start(configuration).await?;
         let mut entries = collections::BTreeMap::new();
-        for vm in site.configuration.inventory.entry_vms.keys() {
-            let settings = daemon_settings(&site, vm, &bounds);
-            entries.insert(vm.clone(), daemon::start(settings).await?);
+        let names: Vec<String> = site
+            .configuration
+            .inventory
+            .entry_vms
+            .keys()
+            .cloned()
+            .collect();
+        for vm in names {
+            let running = daemon::start(daemon_settings(&site, &vm, &bounds)).await?;
+            // The ports are known only now: the configuration is published after that.
+            let inventory = &mut site.configuration.inventory;
+            if let Some(entry) = inventory.entry_vms.get_mut(&vm) {
+                entry.callers = running.callers();
+                entry.peers = running.peers();
+            }
+            entries.insert(vm, running);
         }
+        publish(&site).await?;
         let env = Self { site, entries };
         for (vm, running) in &env.entries {
             wait_ready(vm, running.callers()).await?;
@@ -145,20 +144,6 @@
     }
 }
 
-/// An address whose number is free for TCP and for UDP; nothing holds it, so that it can be taken.
-fn free_address() -> io::Result<net::SocketAddr> {
-    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
-    for _ in 0..PORT_TRIES {
-        let listener = net::TcpListener::bind(site::ANY_PORT)?;
-        let address = listener.local_addr()?;
-        match net::UdpSocket::bind(address) {
-            Ok(_) => return Ok(address),
-            Err(error) => last = error,
-        }
-    }
-    Err(last)
-}
-
 fn daemon_settings(
     site: &site::StandSite,
     vm: &str,
@@ -172,8 +157,9 @@
         vm: vm.to_owned(),
         region: region.map(|(name, _)| name.clone()).unwrap_or_default(),
         failure_domain: entry.failure_domain.clone(),
-        callers: entry.callers,
-        peers: entry.peers,
+        callers: site::ANY_PORT,
+        peers: site::ANY_PORT,
+        seeds: Vec::new(),
         platform: settings::PlatformSettings {
             log: site.addresses.log,
             weight_store: site.addresses.weights,
