Stamps on messages between entry VMs

Cause: the time line's order rested on hybrid logical clocks that nobody carried, so between VMs it was the order of wall clocks. Now each datagram (envelope.Datagram.stamp) and each call and answer (peer.Call.stamp, peer.Reply.stamp) carries the sender's clock, nine bytes under the MAC; what arrives is taken in after the replay check. trace::stamper::MessageStamper is handed to gossip (start_stamped), PeerClient (with_stamper) and PeerServer (stamped); without one 0 is sent and passed over, as older VMs do.

--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -103,7 +103,7 @@
         let text = fs::read_to_string(&page).unwrap();
         for (start, _) in text.match_indices("`pollenchute_") {
             let rest = &text[start + 1..];
-            let name = &rest[..rest.find('`').unwrap()];
+            let name = &rest[..rest.find(['`', '{']).unwrap()];
             let is_pattern = name.contains(['<', '*']);
             let known = is_pattern || counted.contains_key(name);
             assert!(known, "{}: {name}", page.display());
--- a/crates/entry/src/chronicle.rs
+++ b/crates/entry/src/chronicle.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use base::id;
-use trace::{journal, kind};
+use trace::{journal, kind, stamper};
 
 use crate::wall;
 
@@ -28,6 +28,12 @@
         &self.journal
     }
 
+    /// What stamps messages to other entry VMs by the clock of this journal.
+    #[must_use]
+    pub fn stamper(&self) -> stamper::MessageStamper {
+        stamper::MessageStamper::new(sync::Arc::clone(&self.journal), wall::unix_ms)
+    }
+
     /// Records an event about no request in particular.
     pub fn record(&self, kind: kind::EventKind) {
         self.journal.record(wall::unix_ms(), kind);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -328,10 +328,12 @@
 ) -> Result<state::EntryState, StartError> {
     let base = Foundation::new(settings, token_keys)?;
     let (listener, peers_address) = listen_for_peers(base.settings.peers).await?;
-    let gossip = gossip::start(
+    let stamper = base.chronicle.stamper();
+    let gossip = gossip::start_stamped(
         membership::gossip_settings(&base.settings, base.identity.clone(), peers_address),
         base.keys.clone(),
         rand::random(),
+        stamper.clone(),
     )
     .await
     .context(GossipSnafu)?;
@@ -340,7 +342,8 @@
             base.identity.clone(),
             base.keys.clone(),
             wire::client::ClientLimits::default(),
-        ),
+        )
+        .with_stamper(stamper.clone()),
         sync::Arc::clone(&base.members),
     );
     let (views, view) = channel::channel(sync::Arc::new(view::PlaneView::default()));
@@ -350,11 +353,12 @@
         book: sync::Arc::clone(&base.book),
         plane: sync::Arc::clone(&plane),
     };
-    let server = wire::server::PeerServer::new(
+    let server = wire::server::PeerServer::stamped(
         base.identity.clone(),
         base.keys.clone(),
         service,
         wire::server::ServerLimits::default(),
+        stamper,
     );
     controllers.spawn(server.serve(listener));
     spawn_watchers(&base, &gossip, &caller, controllers)?;
--- a/crates/gossip/src/driver.rs
+++ b/crates/gossip/src/driver.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng as _;
 use snafu::ResultExt as _;
 use tokio::{net, sync as channels, time};
+use trace::stamper;
 use wire::{datagram, identity, key};
 
 use crate::{claim, core, event, handle, settings, view};
@@ -42,6 +43,19 @@
     settings: settings::GossipSettings,
     keys: key::KeyHandle,
     rng_seed: [u8; 32],
+) -> Result<handle::GossipHandle, StartError> {
+    start_stamped(settings, keys, rng_seed, stamper::MessageStamper::default()).await
+}
+
+/// Starts gossip with stamps on its datagrams, so that the time line knows what they caused.
+///
+/// # Errors
+/// When the socket cannot be bound.
+pub async fn start_stamped(
+    settings: settings::GossipSettings,
+    keys: key::KeyHandle,
+    rng_seed: [u8; 32],
+    stamper: stamper::MessageStamper,
 ) -> Result<handle::GossipHandle, StartError> {
     let address = settings.bind;
     let socket = net::UdpSocket::bind(address)
@@ -60,7 +74,7 @@
     let (events, _) = channels::broadcast::channel(EVENT_BACKLOG);
     let (commands, inbox) = channels::mpsc::channel(COMMAND_BACKLOG);
     let driver = GossipDriver {
-        codec: datagram::DatagramCodec::new(identity.clone(), keys),
+        codec: datagram::DatagramCodec::new(identity.clone(), keys).with_stamper(stamper),
         socket,
         core,
         started_at,
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -27,4 +27,4 @@
 pub mod view;
 pub mod watching;
 
-pub use driver::start;
+pub use driver::{start, start_stamped};
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod picture;
 pub mod query;
 pub mod ring;
+pub mod stamper;
 pub mod svg;
 pub mod text;
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -5,6 +5,7 @@
 use base::outcome;
 use snafu::ResultExt as _;
 use tokio::{io, sync as channels, time::Instant};
+use trace::stamper;
 
 use crate::{connection, frame, handshake, identity, key, proto::peer};
 use connection::{CallEnd, ConnectionCommand};
@@ -183,6 +184,7 @@
     /// many calls at once open one connection.
     slots: sync::Mutex<collections::HashMap<net::SocketAddr, SharedSlot>>,
     calls: sync::atomic::AtomicU64,
+    stamper: stamper::MessageStamper,
 }
 
 type SharedSlot = sync::Arc<channels::Mutex<Option<ConnectionSender>>>;
@@ -213,6 +215,27 @@
                 limits,
                 slots: sync::Mutex::default(),
                 calls: sync::atomic::AtomicU64::new(0),
+                stamper: stamper::MessageStamper::default(),
+            }),
+        }
+    }
+
+    /// The same client with stamps on its calls; it makes connections of its own.
+    #[must_use]
+    pub fn with_stamper(&self, stamper: stamper::MessageStamper) -> Self
+    where
+        C: Clone,
+    {
+        let shared = &self.shared;
+        Self {
+            shared: sync::Arc::new(SharedClient {
+                connector: shared.connector.clone(),
+                own: shared.own.clone(),
+                keys: shared.keys.clone(),
+                limits: shared.limits,
+                slots: sync::Mutex::default(),
+                calls: sync::atomic::AtomicU64::new(0),
+                stamper,
             }),
         }
     }
@@ -328,7 +351,13 @@
             idle: limits.idle,
         };
         tokio::spawn(
-            connection::ConnectionActor::new(session, shared.keys.clone(), limits).run(inbox),
+            connection::ConnectionActor::new(
+                session,
+                shared.keys.clone(),
+                limits,
+                shared.stamper.clone(),
+            )
+            .run(inbox),
         );
         Ok(connection)
     }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -4,6 +4,7 @@
 
 use futures_util::{SinkExt as _, StreamExt as _};
 use tokio::{io, sync as channels, time::Instant};
+use trace::stamper;
 
 use crate::{handshake, key, proto::peer};
 use peer::{client_frame, server_frame};
@@ -61,6 +62,7 @@
     session: handshake::Session<S>,
     keys: key::KeyHandle,
     limits: ConnectionLimits,
+    stamper: stamper::MessageStamper,
     /// Calls that were written and not yet answered.
     pending: collections::BTreeMap<u64, channels::oneshot::Sender<CallEnd>>,
     /// When the ping that still has no answer was sent. Whatever arrives answers it.
@@ -74,11 +76,13 @@
         session: handshake::Session<S>,
         keys: key::KeyHandle,
         limits: ConnectionLimits,
+        stamper: stamper::MessageStamper,
     ) -> Self {
         Self {
             session,
             keys,
             limits,
+            stamper,
             pending: collections::BTreeMap::new(),
             pinged_at: None,
             last_call: Instant::now(),
@@ -156,6 +160,9 @@
         };
         self.pinged_at = None;
         // A reply that nobody waits for is late; there is no other call it could be taken for.
+        if let server_frame::Kind::Reply(reply) = &kind {
+            self.stamper.observe(&self.session.peer.name, reply.stamp);
+        }
         if let server_frame::Kind::Reply(reply) = kind
             && let Some(done) = self.pending.remove(&reply.id)
             && let Some(kind) = reply.kind
@@ -181,6 +188,7 @@
                     id: call.id,
                     within_ms,
                     request: Some(call.request),
+                    stamp: self.stamper.stamp(),
                 }))
                 .await?;
                 if self.pinged_at.is_none() {
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -9,6 +9,7 @@
 //! receiver must do no more than answer it.
 
 use prost::Message as _;
+use trace::stamper;
 
 use crate::{identity, key, proto::envelope, replay};
 
@@ -21,8 +22,10 @@
 /// Version and binding, key number, MAC.
 const HEADER_BYTES: usize = 2 + key::TAG_BYTES;
 
-/// All of an envelope but its payload: name, incarnation, counter, and the payload's own length.
-const MAX_ENVELOPE_BYTES: usize = (2 + identity::MAX_NAME_BYTES) + (2 + 16) + (1 + 10) + (1 + 2);
+/// All of an envelope but its payload: name, incarnation, counter, the payload's own length, and
+/// the stamp.
+const MAX_ENVELOPE_BYTES: usize =
+    (2 + identity::MAX_NAME_BYTES) + (2 + 16) + (1 + 10) + (1 + 2) + (1 + 8);
 
 /// Lives whose replay windows are kept: 410 entry VMs with 190 restarts a day for some weeks.
 const REPLAY_LIVES: usize = 8192;
@@ -91,6 +94,7 @@
     /// Counter of the last datagram sealed; never repeated within one life.
     counter: u64,
     table: replay::ReplayTable,
+    stamper: stamper::MessageStamper,
 }
 
 impl DatagramCodec {
@@ -102,9 +106,17 @@
             keys,
             counter: 0,
             table: replay::ReplayTable::new(REPLAY_LIVES),
+            stamper: stamper::MessageStamper::default(),
         }
     }
 
+    /// The same codec with stamps on its datagrams.
+    #[must_use]
+    pub fn with_stamper(mut self, stamper: stamper::MessageStamper) -> Self {
+        self.stamper = stamper;
+        self
+    }
+
     /// Seals `payload` for one life of the receiver, or for whoever gets it.
     ///
     /// # Errors
@@ -122,6 +134,7 @@
             incarnation: identity::incarnation_to_wire(self.own.incarnation).to_vec(),
             counter: self.counter,
             payload,
+            stamp: self.stamper.stamp(),
         };
         let ring = self.keys.current();
         let key = ring.signing();
@@ -182,6 +195,9 @@
         if !self.table.take(sender.incarnation, envelope.counter) {
             return Err(DropReason::Replayed);
         }
+        // A greeting is not bound: whoever recorded it may send it again, with an old stamp, which
+        // does no harm to a clock that only grows.
+        self.stamper.observe(&sender.name, envelope.stamp);
         Ok(OpenedDatagram {
             sender,
             bound,
--- a/crates/wire/src/proto/envelope.rs
+++ b/crates/wire/src/proto/envelope.rs
@@ -14,6 +14,9 @@
     /// The message of the protocol above.
     #[prost(bytes = "vec", tag = "4")]
     pub payload: ::prost::alloc::vec::Vec<u8>,
+    /// Hybrid logical clock of the sender; 0: none.
+    #[prost(fixed64, tag = "5")]
+    pub stamp: u64,
 }
 /// First frame of a connection, from the side that opened it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/proto/peer.rs
+++ b/crates/wire/src/proto/peer.rs
@@ -50,6 +50,9 @@
     /// What is asked.
     #[prost(message, optional, tag = "3")]
     pub request: ::core::option::Option<Request>,
+    /// Hybrid logical clock of the caller; 0: none.
+    #[prost(fixed64, tag = "4")]
+    pub stamp: u64,
 }
 /// What is asked.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -111,6 +114,9 @@
     /// The call's id.
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    /// Hybrid logical clock of the answering VM; 0: none.
+    #[prost(fixed64, tag = "4")]
+    pub stamp: u64,
     #[prost(oneof = "reply::Kind", tags = "2, 3")]
     pub kind: ::core::option::Option<reply::Kind>,
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -4,6 +4,7 @@
 
 use futures_util::{SinkExt as _, StreamExt as _};
 use tokio::{io, net, sync as channels, task};
+use trace::stamper;
 
 use crate::{frame, handshake, identity, key, proto::peer};
 use peer::{client_frame, reply, request, response, server_frame};
@@ -75,6 +76,7 @@
     connections: sync::Arc<channels::Semaphore>,
     strangers: channels::Semaphore,
     calls: sync::Arc<channels::Semaphore>,
+    stamper: stamper::MessageStamper,
 }
 
 impl<P: PeerService> PeerServer<P> {
@@ -85,6 +87,24 @@
         keys: key::KeyHandle,
         service: P,
         limits: ServerLimits,
+    ) -> Self {
+        Self::stamped(
+            own,
+            keys,
+            service,
+            limits,
+            stamper::MessageStamper::default(),
+        )
+    }
+
+    /// The same with stamps on its answers.
+    #[must_use]
+    pub fn stamped(
+        own: identity::ProcessIdentity,
+        keys: key::KeyHandle,
+        service: P,
+        limits: ServerLimits,
+        stamper: stamper::MessageStamper,
     ) -> Self {
         Self {
             shared: sync::Arc::new(SharedServer {
@@ -95,6 +115,7 @@
                 connections: sync::Arc::new(channels::Semaphore::new(limits.connections)),
                 strangers: channels::Semaphore::new(limits.strangers),
                 calls: sync::Arc::new(channels::Semaphore::new(limits.calls)),
+                stamper,
             }),
         }
     }
@@ -278,7 +299,10 @@
                 }
                 true
             }
-            client_frame::Kind::Call(call) => self.begin(call).await,
+            client_frame::Kind::Call(call) => {
+                self.shared.stamper.observe(&self.caller.name, call.stamp);
+                self.begin(call).await
+            }
         }
     }
 
@@ -292,7 +316,8 @@
                 kind: peer::FailureKind::Busy.into(),
                 message: "this VM runs as many calls as it may; ask another or later".to_owned(),
             };
-            return send_reply(&self.replies, call.id, reply::Kind::Failure(failure)).await;
+            let reply = self.shared.reply(call.id, reply::Kind::Failure(failure));
+            return send_reply(&self.replies, reply).await;
         };
         let (shared, caller) = (
             sync::Arc::clone(&self.shared),
@@ -301,7 +326,7 @@
         let (replies, id) = (self.replies.clone(), call.id);
         let handle = self.tasks.spawn(async move {
             let outcome = shared.answer(&caller, call).await;
-            send_reply(&replies, id, outcome).await;
+            send_reply(&replies, shared.reply(id, outcome)).await;
             drop(slot);
         });
         self.handles.insert(id, handle);
@@ -310,6 +335,14 @@
 }
 
 impl<P: PeerService> SharedServer<P> {
+    fn reply(&self, id: u64, kind: reply::Kind) -> peer::Reply {
+        peer::Reply {
+            id,
+            stamp: self.stamper.stamp(),
+            kind: Some(kind),
+        }
+    }
+
     async fn answer(&self, caller: &identity::ProcessIdentity, call: peer::Call) -> reply::Kind {
         let Some(request) = call.request.and_then(|request| request.kind) else {
             return reply::Kind::Failure(peer::Failure {
@@ -336,13 +369,8 @@
 
 async fn send_reply(
     replies: &channels::mpsc::Sender<peer::ServerFrame>,
-    id: u64,
-    kind: reply::Kind,
+    reply: peer::Reply,
 ) -> bool {
-    let reply = peer::Reply {
-        id,
-        kind: Some(kind),
-    };
     let kind = Some(server_frame::Kind::Reply(reply));
     replies.send(peer::ServerFrame { kind }).await.is_ok()
 }
