--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -5,7 +5,7 @@
 use base::id;
 
 use crate::{
-    change, document, fault,
+    change, check, document, fault,
     history::{self, ChangeHistory, ChangeSummary},
     offer, part, snapshot,
 };
@@ -115,6 +115,30 @@
         Self::default()
     }
 
+    /// A state made from files, for when the log dropped all that made the configuration and no
+    /// VM has it any more. It goes into the log as a checkpoint; every history begins anew with it.
+    ///
+    /// `revision` must be higher than any before, and `offset` the one that the next append gets:
+    /// else a VM that comes back with the lost state would take it for an older one.
+    ///
+    /// # Errors
+    /// All faults of the configuration.
+    pub fn restored(
+        configuration: document::Configuration,
+        revision: u64,
+        offset: u64,
+    ) -> Result<Self, fault::FaultList> {
+        check::check(&configuration)?;
+        let text = serde_json::to_vec(&configuration).unwrap_or_default();
+        Ok(Self {
+            revision,
+            offset,
+            chain: offer::ChainHash::default().then(&text),
+            configuration: sync::Arc::new(configuration),
+            ..Self::default()
+        })
+    }
+
     /// Applies the record at `offset`; the state changes only as the verdict says.
     pub fn apply(&mut self, offset: u64, record: &[u8]) -> ApplyVerdict {
         self.apply_named(offset, record).1
--- a/crates/conf/tests/fuzz.rs
+++ b/crates/conf/tests/follow/fuzz.rs
@@ -1,9 +1,7 @@
 //! Random histories of followers against the plain oracle, with fixed seeds.
 
-mod world;
-
+use crate::world::{self, World};
 use conf::{checkpoint, part};
-use world::World;
 
 const HISTORIES: u64 = 2_000;
 /// The histories are shared out to as many tests, which run side by side.
