--- a/crates/ledger/src/driver.rs
+++ b/crates/ledger/src/driver.rs
@@ -74,8 +74,6 @@
     pub position: u64,
     /// The log's clock; absent until a record arrived after the stream had been read to its end.
     pub clock: Option<LogClock>,
-    /// Whether the last read failed.
-    pub outage: bool,
     waiters: collections::HashMap<id::RecordId, tokio_sync::oneshot::Sender<F::Verdict>>,
 }
 
@@ -88,9 +86,18 @@
     }
 }
 
+/// How well the stream can be read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ReadState {
+    /// It was read up to its end at least once.
+    loaded: bool,
+    /// The last reads failed.
+    outage: bool,
+}
+
 struct SharedState<F: LogFold> {
     state: sync::Mutex<StreamState<F>>,
-    loaded: tokio_sync::watch::Sender<bool>,
+    reading: tokio_sync::watch::Sender<ReadState>,
 }
 
 impl<F: LogFold> SharedState<F> {
@@ -133,12 +140,11 @@
             fold,
             position: 0,
             clock: None,
-            outage: false,
             waiters: collections::HashMap::new(),
         };
         let shared = sync::Arc::new(SharedState {
             state: sync::Mutex::new(state),
-            loaded: tokio_sync::watch::Sender::new(false),
+            reading: tokio_sync::watch::Sender::new(ReadState::default()),
         });
         let reader = tail::TailReader::new(client.clone(), stream, 0).wait_ms(0);
         let reading = tokio::spawn(follow(reader, sync::Arc::clone(&shared), mark.clone()));
@@ -162,7 +168,7 @@
     /// Whether the stream was read up to its end at least once.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
-        *self.shared.loaded.borrow()
+        self.shared.reading.borrow().loaded
     }
 
     /// Offset of the next record that the fold takes.
@@ -176,17 +182,23 @@
     /// An entry that is decided on an older position may be refused by processes that start to
     /// read later, so that what one process accepted would be lost with it.
     pub async fn fresh_position(&self, deadline: time::Instant) -> Option<u64> {
-        if !self.wait_loaded(deadline).await {
-            return None;
-        }
-        self.view(|state| (!state.outage).then_some(state.position))
+        let loaded = self.wait_loaded(deadline).await;
+        loaded.then(|| self.position())
     }
 
-    /// Waits until the stream was read up to its end; false when `deadline` came first.
+    /// Whether the last reads failed.
+    #[must_use]
+    pub fn is_unreadable(&self) -> bool {
+        self.shared.reading.borrow().outage
+    }
+
+    /// Waits until the stream was read up to its end; false when the log cannot be read, or
+    /// `deadline` came first.
     pub async fn wait_loaded(&self, deadline: time::Instant) -> bool {
-        let mut receiver = self.shared.loaded.subscribe();
-        let waiting = receiver.wait_for(|loaded| *loaded);
-        matches!(time::timeout_at(deadline, waiting).await, Ok(Ok(_)))
+        let mut receiver = self.shared.reading.subscribe();
+        let waiting = receiver.wait_for(|state| state.loaded || state.outage);
+        let waited = time::timeout_at(deadline, waiting).await;
+        matches!(waited, Ok(Ok(state)) if state.loaded && !state.outage)
     }
 
     /// Waits until the fold holds everything that was on the log when this was called; false when
@@ -226,13 +238,13 @@
         seen: u64,
         deadline: time::Instant,
     ) -> Result<F::Verdict, SubmitFault> {
-        if !self.wait_loaded(deadline).await {
-            let cause = appender::NotAppended::NotLoaded;
-            return Err(SubmitFault::NotAppended(cause));
-        }
         // Without reads there is no verdict: refused now instead of when the time is up.
-        if self.view(|state| state.outage) {
-            let cause = appender::NotAppended::Down;
+        if !self.wait_loaded(deadline).await {
+            let cause = if self.is_unreadable() {
+                appender::NotAppended::Down
+            } else {
+                appender::NotAppended::NotLoaded
+            };
             return Err(SubmitFault::NotAppended(cause));
         }
         let encoded = record::EncodedEntry::new(id, seen, entry)
@@ -292,13 +304,17 @@
     loop {
         match reader.next_event().await {
             tail::TailEvent::Records(records) => {
+                shared.note_outage(false);
                 for found in records {
                     shared.take(&found);
                 }
             }
             tail::TailEvent::Quiet { .. } => {
-                shared.lock().outage = false;
-                if !shared.loaded.send_replace(true) {
+                let current = ReadState {
+                    loaded: true,
+                    outage: false,
+                };
+                if !shared.reading.send_replace(current).loaded {
                     reader = reader.wait_ms(LONG_POLL_MS);
                 }
             }
@@ -307,7 +323,10 @@
                 state.fold.restart(first);
                 state.position = first;
             }
-            tail::TailEvent::Outage { .. } => shared.lock().outage = true,
+            tail::TailEvent::Outage { .. } if reader.failures() >= OUTAGE_FAILURES => {
+                shared.note_outage(true);
+            }
+            tail::TailEvent::Outage { .. } => {}
         }
         mark.advance(reader.position());
     }
@@ -319,15 +338,25 @@
 /// How long one read waits at the log for the next record.
 const LONG_POLL_MS: u64 = 2_000;
 
+/// Failed reads in a row after which the log counts as not readable.
+const OUTAGE_FAILURES: u32 = 2;
+
 impl<F: LogFold> SharedState<F> {
+    fn note_outage(&self, outage: bool) {
+        self.reading.send_if_modified(|state| {
+            let changed = state.outage != outage;
+            state.outage = outage;
+            changed
+        });
+    }
+
     fn take(&self, found: &client::LogRecord) {
-        let loaded = *self.loaded.borrow();
+        let loaded = self.reading.borrow().loaded;
         let place = record::RecordPlace {
             offset: found.offset,
             at_ms: found.at_ms,
         };
         let mut state = self.lock();
-        state.outage = false;
         state.position = found.offset + 1;
         if loaded {
             state.note_time(found.at_ms, time::Instant::now());
--- a/crates/ledger/src/job_store.rs
+++ b/crates/ledger/src/job_store.rs
@@ -415,10 +415,10 @@
     /// Without a reading of the log's clock the oldest work is carried, which gives one.
     fn carries_due(&self, max: usize) -> Vec<(u64, jobs::CarryItem, bytes::Bytes)> {
         let now = time::Instant::now();
+        if self.driver.is_unreadable() {
+            return Vec::new();
+        }
         self.driver.view(|state| {
-            if state.outage {
-                return Vec::new();
-            }
             let fold = &state.fold;
             let due = match state.clock {
                 Some(clock) => fold.carry_due(clock.now_ms(now), max),
--- a/crates/ledger/src/tail.rs
+++ b/crates/ledger/src/tail.rs
@@ -72,6 +72,12 @@
         self.position
     }
 
+    /// Failed reads since the last good one.
+    #[must_use]
+    pub const fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Waits for the next event. Dropping the future loses nothing.
     pub async fn next_event(&mut self) -> TailEvent {
         if self.failures > 0 {
