--- /dev/null
+++ b/crates/sched/benches/policy/entry.rs
@@ -0,0 +1,270 @@
+//! What stands at an entry VM in the bench: one trait, the core and the baselines behind it.
+
+use std::time::Duration;
+
+use base::{class::TrafficClass, id};
+use rand::{SeedableRng as _, rngs};
+use sched::{ask, core, explain::Decision, settings, share, view};
+use tokio::time::Instant;
+
+use crate::{engine, mix};
+
+/// What an entry VM wants done.
+#[derive(Clone, Copy, Debug)]
+pub enum Action {
+    Start {
+        request: usize,
+        engine: usize,
+        priority: u8,
+    },
+    Refuse {
+        request: usize,
+    },
+    Stop {
+        request: usize,
+        engine: usize,
+    },
+}
+
+/// What an entry VM is told of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    pub taken_at: f64,
+    pub free_blocks: u32,
+    pub running: u32,
+    pub waiting: u32,
+    pub preemptions: u64,
+}
+
+/// The true state of everything, for the oracle alone.
+pub struct Truth<'a> {
+    pub engines: &'a [engine::Engine],
+    pub requests: &'a [mix::Arrival],
+}
+
+/// A policy at one entry VM.
+pub trait Entry {
+    fn submit(&mut self, request: usize, arrival: &mix::Arrival, retry: Retry, now: f64);
+    fn poll(&mut self, now: f64, truth: &Truth<'_>, actions: &mut Vec<Action>);
+    fn wake(&self, now: f64) -> Option<f64>;
+    fn token(&mut self, request: usize, now: f64);
+    fn finished(&mut self, request: usize, produced: u32, cached: u32, now: f64);
+    fn failed(&mut self, request: usize, now: f64);
+    fn requeued(&mut self, request: usize, now: f64);
+    fn report(&mut self, engine: usize, report: Report);
+    fn digest(&mut self, _now: f64) -> Option<share::EntryDigest> {
+        None
+    }
+    fn take_digest(&mut self, _entry: usize, _digest: share::EntryDigest, _taken_at: f64) {}
+}
+
+/// What is known of earlier tries.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Retry {
+    pub tries: u32,
+    /// Engine of the last try.
+    pub avoid: Option<usize>,
+}
+
+/// Keys of one arena in the order of their numbers.
+fn keys<K: slotmap::Key>(count: usize) -> Vec<K> {
+    let mut arena = slotmap::SlotMap::<K, ()>::with_key();
+    (0..count).map(|_| arena.insert(())).collect()
+}
+
+/// Seconds after which an urgent request without a place is refused, as in the default rules.
+pub const URGENT_DEADLINE: f64 = 5.0;
+
+/// The same for a normal one.
+pub const NORMAL_DEADLINE: f64 = 30.0;
+
+/// The core as it is used by the daemon.
+pub struct CoreEntry {
+    core: core::DispatchCore,
+    epoch: Instant,
+    servers: Vec<id::ServerKey>,
+    organisations: Vec<id::OrganisationKey>,
+    vms: Vec<id::VmKey>,
+    model: id::ModelKey,
+    tickets: slotmap::SecondaryMap<ask::TicketKey, usize>,
+    requests: std::collections::HashMap<usize, ask::TicketKey>,
+    decisions: Vec<Decision>,
+    size: engine::EngineSize,
+}
+
+impl CoreEntry {
+    pub fn new(
+        settings: settings::PolicySettings,
+        engines: usize,
+        size: engine::EngineSize,
+        seed: u64,
+        epoch: Instant,
+    ) -> Self {
+        let servers = keys::<id::ServerKey>(engines);
+        let organisations = keys::<id::OrganisationKey>(mix::ORGANISATIONS);
+        let model = keys::<id::ModelKey>(1)[0];
+        let vms = keys::<id::VmKey>(settings.entries as usize);
+        let mut core = core::DispatchCore::new(settings, rngs::StdRng::seed_from_u64(seed));
+        for &server in &servers {
+            let spec = view::EngineSpec {
+                place: view::ServerPlace::default(),
+                models: vec![model],
+                total_blocks: size.total_blocks,
+                block_tokens: size.block_tokens,
+                max_batch: size.max_batch as u32,
+            };
+            core.server_added(server, spec, epoch);
+        }
+        for &organisation in &organisations {
+            core.organisation_set(organisation, settings::OrganisationPlan::default());
+        }
+        Self {
+            core,
+            epoch,
+            servers,
+            organisations,
+            vms,
+            model,
+            tickets: slotmap::SecondaryMap::new(),
+            requests: std::collections::HashMap::new(),
+            decisions: Vec::new(),
+            size,
+        }
+    }
+
+    fn at(&self, now: f64) -> Instant {
+        self.epoch + Duration::from_secs_f64(now)
+    }
+}
+
+impl Entry for CoreEntry {
+    fn submit(&mut self, request: usize, arrival: &mix::Arrival, retry: Retry, now: f64) {
+        let organisation = self.organisations[arrival.organisation];
+        let mut ask = ask::Ask::new(
+            organisation,
+            arrival.class,
+            self.model,
+            arrival.prompt,
+            arrival.max_tokens,
+        );
+        let patience = match arrival.class {
+            TrafficClass::Urgent => Some(URGENT_DEADLINE),
+            TrafficClass::Normal => Some(NORMAL_DEADLINE),
+            TrafficClass::Deferrable => None,
+        };
+        ask.deadline = patience.map(|patience| self.at(arrival.at + patience));
+        ask.buffered = arrival.buffered;
+        ask.retry = retry.tries > 0;
+        if let Some(engine) = retry.avoid {
+            ask.avoid.push(self.servers[engine]);
+        }
+        if arrival.prefix.1 > 0 {
+            let prefix = ask::PrefixHash {
+                hash: arrival.prefix.0,
+                tokens: arrival.prefix.1,
+            };
+            ask.prefix = ask::PrefixChain::of(&[prefix]);
+        }
+        let ticket = self.core.submit(ask, self.at(now));
+        self.tickets.insert(ticket, request);
+        self.requests.insert(request, ticket);
+    }
+
+    fn poll(&mut self, now: f64, _truth: &Truth<'_>, actions: &mut Vec<Action>) {
+        let at = self.at(now);
+        let mut decisions = std::mem::take(&mut self.decisions);
+        self.core.poll(at, &mut decisions);
+        let number = |servers: &[id::ServerKey], key: id::ServerKey| {
+            servers
+                .iter()
+                .position(|held| *held == key)
+                .expect("a known server")
+        };
+        for decision in decisions.drain(..) {
+            actions.push(match decision {
+                Decision::Dispatch {
+                    ticket,
+                    server,
+                    priority,
+                    ..
+                } => {
+                    let engine = number(&self.servers, server);
+                    Action::Start {
+                        request: self.tickets[ticket],
+                        engine,
+                        priority,
+                    }
+                }
+                Decision::Refuse { ticket, .. } => {
+                    let request = self.tickets[ticket];
+                    self.requests.remove(&request);
+                    Action::Refuse { request }
+                }
+                Decision::Preempt { ticket, server, .. } => {
+                    let engine = number(&self.servers, server);
+                    Action::Stop {
+                        request: self.tickets[ticket],
+                        engine,
+                    }
+                }
+            });
+        }
+        self.decisions = decisions;
+    }
+
+    fn wake(&self, now: f64) -> Option<f64> {
+        let wake = self.core.next_wake(self.at(now))?;
+        Some(wake.duration_since(self.epoch).as_secs_f64())
+    }
+
+    fn token(&mut self, request: usize, now: f64) {
+        let at = self.at(now);
+        if let Some(&ticket) = self.requests.get(&request) {
+            self.core.tokens(ticket, 1, at);
+        }
+    }
+
+    fn finished(&mut self, request: usize, produced: u32, cached: u32, now: f64) {
+        let at = self.at(now);
+        if let Some(ticket) = self.requests.remove(&request) {
+            self.core.cached(ticket, cached);
+            self.core.finished(ticket, produced, at);
+        }
+    }
+
+    fn failed(&mut self, request: usize, now: f64) {
+        let at = self.at(now);
+        if let Some(ticket) = self.requests.remove(&request) {
+            self.core.failed(ticket, ask::FailureKind::Broken, at);
+        }
+    }
+
+    fn requeued(&mut self, request: usize, now: f64) {
+        let at = self.at(now);
+        if let Some(&ticket) = self.requests.get(&request) {
+            self.core.requeued(ticket, at);
+        }
+    }
+
+    fn report(&mut self, engine: usize, report: Report) {
+        let report = view::LoadReport {
+            taken_at: self.at(report.taken_at),
+            total_blocks: self.size.total_blocks,
+            free_blocks: report.free_blocks,
+            running: report.running,
+            waiting: report.waiting,
+            preemptions: report.preemptions,
+            leaving: false,
+        };
+        self.core.server_reported(self.servers[engine], report);
+    }
+
+    fn digest(&mut self, now: f64) -> Option<share::EntryDigest> {
+        Some(self.core.entry_digest(self.at(now)))
+    }
+
+    fn take_digest(&mut self, entry: usize, digest: share::EntryDigest, taken_at: f64) {
+        let at = self.at(taken_at);
+        self.core.entry_reported(self.vms[entry], digest, at);
+    }
+}
--- a/crates/sched/src/core.rs
+++ b/crates/sched/src/core.rs
@@ -311,16 +311,25 @@
     }
 
     /// It ended by itself, with `produced` tokens in all.
+    ///
+    /// The end of a generation may cross the order to stop it: then the ticket waits again by the
+    /// time its end is told, and leaves its queue. Were it only forgotten, its queue would still
+    /// name it.
     pub fn finished(&mut self, ticket: TicketKey, produced: u32, now: time::Instant) {
-        if let Some(state) = self.tickets.get(ticket) {
-            let source = state.source();
-            if state.ask.class == class::TrafficClass::Urgent {
-                self.headroom
-                    .learn((state.ask.prompt_tokens + produced) as f32);
-            }
-            self.lengths.learn(source, produced);
+        let Some(state) = self.tickets.get(ticket) else {
+            return;
+        };
+        let (source, runs) = (state.source(), state.run.is_some());
+        if source.class == class::TrafficClass::Urgent {
+            let tokens = state.ask.prompt_tokens + produced;
+            self.headroom.learn(tokens as f32);
+        }
+        self.lengths.learn(source, produced);
+        if runs {
+            self.release(ticket, produced, now);
+        } else {
+            self.withdrawn(ticket, now);
         }
-        self.release(ticket, produced, now);
     }
 
     /// It failed where it ran; the ticket is gone.
