--- a/crates/entry/src/adapt/schedule.rs
+++ b/crates/entry/src/adapt/schedule.rs
@@ -143,9 +143,6 @@
     }
 }
 
-/// Blocks at which prompts are compared. Doubling catches shared beginnings of any length, such
-/// as an organisation's instructions, with few hashes.
-const PREFIX_BLOCKS: [usize; ask::PREFIX_DEPTH] = [2, 4, 8, 16];
 /// Bytes of a prompt that are looked at; the longest prefix that is compared ends before.
 const PREFIX_BYTES: usize = 4096;
 
@@ -157,17 +154,7 @@
 ) -> ask::PrefixChain {
     let start = &prompt[..prompt.floor_char_boundary(PREFIX_BYTES)];
     let hashes = prefix::chain(model, adapter, start, block_tokens);
-    let mut prefixes = Vec::with_capacity(ask::PREFIX_DEPTH);
-    for blocks in PREFIX_BLOCKS {
-        if let Some(hash) = hashes.get(blocks - 1) {
-            let tokens = u32::try_from(blocks).unwrap_or(u32::MAX) * block_tokens;
-            prefixes.push(ask::PrefixHash {
-                hash: *hash,
-                tokens,
-            });
-        }
-    }
-    ask::PrefixChain::of(&prefixes)
+    ask::PrefixChain::sample(&hashes, block_tokens)
 }
 
 fn no_server(message: &str) -> refusal::RefusalBody {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -297,6 +297,7 @@
 
     fn own_place(&self) -> roster::OwnPlace {
         roster::OwnPlace {
+            vm: self.settings.vm.clone(),
             region: self.settings.region.clone(),
             failure_domain: self.settings.failure_domain.clone(),
         }
--- a/crates/entry/src/digests.rs
+++ b/crates/entry/src/digests.rs
@@ -6,7 +6,7 @@
 use base::id;
 use conf::snapshot;
 use gossip::{digest, event, handle};
-use sched::{driver, limit, share};
+use sched::{core, driver, limit, share};
 use tokio::{sync::broadcast, time};
 
 use crate::{configure, members, roster};
@@ -71,14 +71,8 @@
             }
             event::GossipEvent::Work(news) => {
                 if let Some(vm) = config.vm_key(&news.vm) {
-                    let work = share::EntryDigest {
-                        weight: news.work.weight,
-                        backlogged: news.work.backlogged,
-                        urgent: news.work.urgent,
-                    };
                     let at = taken_at(news.age);
-                    self.driver
-                        .change(|core, _| core.entry_reported(vm, work, at));
+                    self.take_work(vm, news, at);
                 }
             }
             event::GossipEvent::Demand(news) => {
@@ -95,6 +89,25 @@
         }
     }
 
+    fn take_work(&self, vm: id::VmKey, news: &event::WorkNews, taken_at: time::Instant) {
+        let models = self.roster.models();
+        let identity = roster::vm_identity(&news.vm);
+        self.driver.change(|core, _| {
+            for work in &news.work.models {
+                let known = models.iter().find(|(hash, _)| *hash == work.model_hash);
+                let Some(&(_, model)) = known else { continue };
+                let digest = share::EntryDigest {
+                    identity,
+                    weight: news.work.weight,
+                    demand: work.demand,
+                    waiting: work.waiting,
+                    urgent: work.urgent,
+                };
+                core.entry_reported(vm, model, digest, taken_at);
+            }
+        });
+    }
+
     fn region_peers(&self) -> Vec<String> {
         let seen = self.gossip.snapshot();
         let own = &self.gossip.identity().name;
@@ -109,14 +122,9 @@
     async fn tell(&self, peers: Vec<String>) {
         let (work, demands) = self
             .driver
-            .change(|core, now| (core.entry_digest(now), core.demands().collect::<Vec<_>>()));
+            .change(|core, _| (self.work(core), core.demands().collect::<Vec<_>>()));
         let config = self.book.snapshot();
-        let digest = digest::EntryWork {
-            weight: work.weight,
-            backlogged: work.backlogged,
-            urgent: work.urgent,
-        };
-        self.gossip.publish_work(digest, peers).await;
+        self.gossip.publish_work(work, peers).await;
         for (organisation, demand) in demands {
             let Some(view) = config.organisation(organisation) else {
                 continue;
@@ -130,6 +138,25 @@
         }
     }
 
+    fn work(&self, core: &core::DispatchCore) -> digest::EntryWork {
+        let models = self.roster.models();
+        let mut work = digest::EntryWork::default();
+        for (key, digest) in core.entry_digests() {
+            let known = models.iter().find(|(_, model)| *model == key);
+            let Some(&(model_hash, _)) = known else {
+                continue;
+            };
+            work.weight = digest.weight;
+            work.models.push(digest::ModelWork {
+                model_hash,
+                demand: digest.demand,
+                waiting: digest.waiting,
+                urgent: digest.urgent,
+            });
+        }
+        work
+    }
+
     fn other_entries(
         &self,
         config: &snapshot::ConfigSnapshot,
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -3,10 +3,10 @@
 
 use std::{collections, sync};
 
-use base::{class, id, ops};
+use base::{class, id, ops, rendezvous};
 use conf::{inventory, snapshot};
 use gossip::digest;
-use sched::{driver, settings, view};
+use sched::{ask, driver, settings, view};
 use tokio::{sync::watch as channel, time};
 
 use crate::watch;
@@ -80,6 +80,7 @@
         };
         let models = names.iter().map(|name| self.model_key(name)).collect();
         view::EngineSpec {
+            identity: rendezvous::score("engine", &server.name),
             place,
             models,
             total_blocks: engine.kv_blocks,
@@ -295,14 +296,14 @@
     /// Takes in what a server's cache stored (true) and evicted, up to event number `position`.
     pub fn cache_changed<I>(&self, key: id::ServerKey, changes: I, position: u64)
     where
-        I: Iterator<Item = (u64, bool)>,
+        I: Iterator<Item = (ask::PrefixHash, bool)>,
     {
         if let Some(sight) = self.lock().sights.get_mut(&key) {
             sight.cache_position = position;
         }
         self.driver.change(|core, now| {
-            for (hash, is_stored) in changes {
-                core.prefix_reported(key, hash, is_stored, now);
+            for (prefix, is_stored) in changes {
+                core.prefix_reported(key, prefix, is_stored, now);
             }
         });
     }
@@ -385,6 +386,16 @@
         Some(report.incarnation)
     }
 
+    /// Hash and key of every model.
+    #[must_use]
+    pub fn models(&self) -> Vec<(u64, id::ModelKey)> {
+        let state = self.lock();
+        let models = state.model_keys.iter();
+        models
+            .map(|(name, key)| (digest::subject_hash(name), *key))
+            .collect()
+    }
+
     /// The key of a model that some engine serves or may serve.
     #[must_use]
     pub fn model_key(&self, name: &str) -> Option<id::ModelKey> {
@@ -411,9 +422,17 @@
     }
 }
 
+/// The number by which the entry VMs order themselves when they divide the engines.
+#[must_use]
+pub fn vm_identity(name: &str) -> u64 {
+    rendezvous::score("vm", name)
+}
+
 /// Where this process stands.
 #[derive(Clone, Debug)]
 pub struct OwnPlace {
+    /// Name of this VM.
+    pub vm: String,
     /// Region.
     pub region: String,
     /// Failure domain.
@@ -436,6 +455,7 @@
         .count();
     settings::PolicySettings {
         place,
+        identity: vm_identity(&own.vm),
         entries: u32::try_from(peers.max(1)).unwrap_or(u32::MAX),
         overflow_chance,
         ..settings::PolicySettings::default()
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -5,6 +5,7 @@
 use base::id;
 use conf::{inventory, snapshot};
 use gossip::{digest, handle, watching};
+use sched::ask;
 use tokio::time;
 
 use crate::{chronicle, configure, roster};
@@ -97,6 +98,16 @@
 struct CacheEventBody {
     kind: String,
     prefix_hash: u64,
+    tokens: u32,
+}
+
+impl CacheEventBody {
+    fn prefix(&self) -> ask::PrefixHash {
+        ask::PrefixHash {
+            hash: self.prefix_hash,
+            tokens: self.tokens,
+        }
+    }
 }
 
 /// Cache events of an engine since the last look.
@@ -199,7 +210,7 @@
         let events = page
             .events
             .iter()
-            .map(|event| (event.prefix_hash, event.kind == "stored"));
+            .map(|event| (event.prefix(), event.kind == "stored"));
         self.roster.cache_changed(key, events, page.next);
     }
 
--- a/crates/gossip/src/digest.rs
+++ b/crates/gossip/src/digest.rs
@@ -82,22 +82,43 @@
 }
 
 /// Work of one VM, which others share the engines with.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EntryWork {
     /// Sum of the weights of organisations with work there.
     pub weight: f32,
-    /// Whether some of that work waits for room.
-    pub backlogged: bool,
+    /// By model, at most [`MOST_MODELS`].
+    pub models: Vec<ModelWork>,
+}
+
+/// Work of one VM for one model.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ModelWork {
+    /// Which model, by [`subject_hash`] of its name.
+    pub model_hash: u64,
+    /// Engine memory that it asks for, in tokens.
+    pub demand: f32,
+    /// The part of it that waits.
+    pub waiting: f32,
     /// Urgent generations at once.
     pub urgent: f32,
 }
 
+/// Models in one digest of work; the body must fit a datagram.
+pub const MOST_MODELS: usize = 16;
+
 impl EntryWork {
-    pub(crate) fn to_body(self) -> Vec<u8> {
+    pub(crate) fn to_body(&self) -> Vec<u8> {
+        let models = self.models.iter().take(MOST_MODELS);
         proto::EntryWorkBody {
             weight: self.weight,
-            backlogged: self.backlogged,
-            urgent: self.urgent,
+            models: models
+                .map(|work| proto::ModelWorkBody {
+                    model_hash: work.model_hash,
+                    demand: work.demand,
+                    waiting: work.waiting,
+                    urgent: work.urgent,
+                })
+                .collect(),
         }
         .encode_to_vec()
     }
@@ -106,10 +127,24 @@
     pub(crate) fn from_body(body: &[u8]) -> Option<Self> {
         let body = proto::EntryWorkBody::decode(body).ok()?;
         let is_usable = |value: f32| value.is_finite() && value >= 0.0;
-        (is_usable(body.weight) && is_usable(body.urgent)).then_some(Self {
+        let models: Vec<ModelWork> = body
+            .models
+            .iter()
+            .take(MOST_MODELS)
+            .map(|work| ModelWork {
+                model_hash: work.model_hash,
+                demand: work.demand,
+                waiting: work.waiting,
+                urgent: work.urgent,
+            })
+            .collect();
+        let sums = models
+            .iter()
+            .flat_map(|work| [work.demand, work.waiting, work.urgent]);
+        let all_usable = sums.chain([body.weight]).all(is_usable);
+        all_usable.then_some(Self {
             weight: body.weight,
-            backlogged: body.backlogged,
-            urgent: body.urgent,
+            models,
         })
     }
 }
--- a/crates/sched/benches/policy/entry.rs
+++ b/crates/sched/benches/policy/entry.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use base::{class::TrafficClass, id};
+use base::{class::TrafficClass, id, prefix};
 use rand::{SeedableRng as _, rngs};
 use sched::{ask, core, explain::Decision, settings, share, view};
+use stand::engine::{
+    EngineProfile,
+    feeds::{CacheEvent, CacheEventKind},
+};
 use tokio::time::Instant;
 
-use crate::{engine, mix};
+use crate::{engine, mix, world};
 
 /// What an entry VM wants done.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +44,7 @@
 pub struct Truth<'a> {
     pub engines: &'a [engine::Engine],
     pub requests: &'a [mix::Arrival],
+    pub fates: &'a [world::Fate],
 }
 
 /// A policy at one entry VM.
@@ -52,6 +57,7 @@
     fn failed(&mut self, request: usize, now: f64);
     fn requeued(&mut self, request: usize, now: f64);
     fn report(&mut self, engine: usize, report: Report);
+    fn prefix(&mut self, _engine: usize, _event: &CacheEvent, _at: f64) {}
     fn digest(&mut self, _now: f64) -> Option<share::EntryDigest> {
         None
     }
@@ -89,14 +95,14 @@
     tickets: slotmap::SecondaryMap<ask::TicketKey, usize>,
     requests: std::collections::HashMap<usize, ask::TicketKey>,
     decisions: Vec<Decision>,
-    size: engine::EngineSize,
+    profile: EngineProfile,
 }
 
 impl CoreEntry {
     pub fn new(
         settings: settings::PolicySettings,
         engines: usize,
-        size: engine::EngineSize,
+        profile: EngineProfile,
         seed: u64,
         epoch: Instant,
     ) -> Self {
@@ -107,11 +113,12 @@
         let mut core = core::DispatchCore::new(settings, rngs::StdRng::seed_from_u64(seed));
         for &server in &servers {
             let spec = view::EngineSpec {
+                identity: mixed(slotmap::Key::data(&server).as_ffi()),
                 place: view::ServerPlace::default(),
                 models: vec![model],
-                total_blocks: size.total_blocks,
-                block_tokens: size.block_tokens,
-                max_batch: size.max_batch as u32,
+                total_blocks: profile.total_blocks,
+                block_tokens: profile.block_tokens,
+                max_batch: profile.max_batch,
             };
             core.server_added(server, spec, epoch);
         }
@@ -128,7 +135,7 @@
             tickets: slotmap::SecondaryMap::new(),
             requests: std::collections::HashMap::new(),
             decisions: Vec::new(),
-            size,
+            profile,
         }
     }
 
@@ -158,13 +165,14 @@
         if let Some(engine) = retry.avoid {
             ask.avoid.push(self.servers[engine]);
         }
-        if arrival.prefix.1 > 0 {
-            let prefix = ask::PrefixHash {
-                hash: arrival.prefix.0,
-                tokens: arrival.prefix.1,
-            };
-            ask.prefix = ask::PrefixChain::of(&[prefix]);
-        }
+        let prompt = engine::prompt(request, arrival);
+        let chain = prefix::chain(
+            &self.profile.model,
+            None,
+            &prompt,
+            self.profile.block_tokens,
+        );
+        ask.prefix = ask::PrefixChain::sample(&chain, self.profile.block_tokens);
         let ticket = self.core.submit(ask, self.at(now));
         self.tickets.insert(ticket, request);
         self.requests.insert(request, ticket);
@@ -249,7 +257,7 @@
     fn report(&mut self, engine: usize, report: Report) {
         let report = view::LoadReport {
             taken_at: self.at(report.taken_at),
-            total_blocks: self.size.total_blocks,
+            total_blocks: self.profile.total_blocks,
             free_blocks: report.free_blocks,
             running: report.running,
             waiting: report.waiting,
@@ -259,12 +267,30 @@
         self.core.server_reported(self.servers[engine], report);
     }
 
+    fn prefix(&mut self, engine: usize, event: &CacheEvent, at: f64) {
+        let prefix = ask::PrefixHash {
+            hash: event.prefix_hash,
+            tokens: event.tokens,
+        };
+        let cached = event.kind == CacheEventKind::Stored;
+        let at = self.at(at);
+        self.core
+            .prefix_reported(self.servers[engine], prefix, cached, at);
+    }
+
     fn digest(&mut self, now: f64) -> Option<share::EntryDigest> {
-        Some(self.core.entry_digest(self.at(now)))
+        let _ = now;
+        self.core.entry_digests().next().map(|(_, digest)| digest)
     }
 
     fn take_digest(&mut self, entry: usize, digest: share::EntryDigest, taken_at: f64) {
         let at = self.at(taken_at);
-        self.core.entry_reported(self.vms[entry], digest, at);
+        self.core
+            .entry_reported(self.vms[entry], self.model, digest, at);
     }
 }
+
+/// A number of any look, different for different values.
+pub fn mixed(value: u64) -> u64 {
+    value.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- a/crates/sched/benches/policy/main.rs
+++ b/crates/sched/benches/policy/main.rs
@@ -50,7 +50,7 @@
 
 fn entries(policy: &Policy, setup: &Setup, seed: u64) -> Vec<Box<dyn entry::Entry>> {
     let epoch = time::Instant::now();
-    let batch = setup.size.max_batch;
+    let batch = setup.profile.max_batch as usize;
     if matches!(policy, Policy::Oracle) {
         return vec![Box::new(oracle::OracleEntry::new(ENGINES))];
     }
@@ -74,11 +74,13 @@
                 Policy::Core(settings) => {
                     let settings = settings::PolicySettings {
                         entries: setup.entries as u32,
-                        seed,
+                        identity: entry::mixed(number as u64 + 100),
                         ..settings.clone()
                     };
-                    let size = setup.size;
-                    Box::new(entry::CoreEntry::new(settings, ENGINES, size, seed, epoch))
+                    let profile = setup.profile.clone();
+                    Box::new(entry::CoreEntry::new(
+                        settings, ENGINES, profile, seed, epoch,
+                    ))
                 }
                 Policy::Oracle => unreachable!("it has one queue for all"),
             }
@@ -90,7 +92,7 @@
     let setup = Setup {
         engines: ENGINES,
         entries: scenario.entries,
-        size: engine::EngineSize::default(),
+        profile: engine::profile(scenario_chunk(), 0),
         lag: scenario.lag,
         fault: scenario.fault,
         until: UNTIL,
@@ -114,7 +116,7 @@
         let setup = Setup {
             engines: ENGINES,
             entries: 1,
-            size: engine::EngineSize::default(),
+            profile: engine::profile(scenario_chunk(), 0),
             lag: 0.1,
             fault: Fault::None,
             until: 120.0,
@@ -216,6 +218,14 @@
             entries: 3,
             ..named("entries-3")
         });
+        for load in [1.0, 1.2] {
+            all.push(Scenario {
+                entries: 1,
+                lag: 0.02,
+                load,
+                ..named(&format!("lone-{load}"))
+            });
+        }
     }
     all
 }
@@ -234,23 +244,62 @@
 fn variants() -> Vec<(&'static str, Policy)> {
     let base = settings::PolicySettings::default;
     let core = Policy::Core;
-    let ms = time::Duration::from_millis;
-    let _ = ms;
+    let with = |change: fn(&mut settings::PolicySettings)| {
+        let mut settings = base();
+        change(&mut settings);
+        core(settings)
+    };
     vec![
-        ("policy", core(base())),
-        ("no-share", core(settings::PolicySettings { share_room: false, ..base() })),
-        ("no-headroom", core(settings::PolicySettings { headroom_deviations: 0.0, ..base() })),
-        ("risk-0.5", core(settings::PolicySettings { overflow_chance: [0.5; 3], ..base() })),
-        ("risk-0.2", core(settings::PolicySettings { overflow_chance: [0.2; 3], ..base() })),
-        ("reuse-1", core(settings::PolicySettings { reuse: 1.0, ..base() })),
+        ("0.1", with(|s| s.overflow_chance = [0.1; 3])),
+        ("0.15", with(|s| s.overflow_chance = [0.15; 3])),
+        (
+            "0.15-nodoubt",
+            with(|s| (s.overflow_chance, s.slot_doubt) = ([0.15; 3], 0.0)),
+        ),
         (
-            "all-loose",
-            core(settings::PolicySettings {
-                reuse: 1.0,
-                share_room: false,
-                headroom_deviations: 0.0,
-                overflow_chance: [0.3; 3],
-                ..base()
+            "0.15-head3",
+            with(|s| (s.overflow_chance, s.headroom_deviations) = ([0.15; 3], 3.0)),
+        ),
+        (
+            "0.15-crowd4",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.crowding_weight = time::Duration::from_millis(400);
+            }),
+        ),
+        (
+            "0.15-near3",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.near_best = time::Duration::from_millis(3);
+            }),
+        ),
+        (
+            "0.15-near30",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.near_best = time::Duration::from_millis(30);
+            }),
+        ),
+        (
+            "0.15-press.05",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(50);
+            }),
+        ),
+        (
+            "0.15-press0",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(0);
+            }),
+        ),
+        (
+            "0.15-noprefix",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.prefix_half_life = time::Duration::ZERO;
             }),
         ),
     ]
@@ -261,6 +310,13 @@
     std::env::args().find_map(|text| text.strip_prefix(&prefix).map(str::to_owned))
 }
 
+/// Prompt tokens that a step prefills at the most.
+fn scenario_chunk() -> u32 {
+    argument("chunk")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(128)
+}
+
 /// Runs all jobs on a few threads; results in the order of the jobs.
 fn run_all<J: Sync, R: Send>(jobs: &[J], run: impl Fn(&J) -> R + Sync) -> Vec<R> {
     let next = atomic::AtomicUsize::new(0);
@@ -340,7 +396,7 @@
             let median =
                 |value: &dyn Fn(&Outcome) -> f64| measure::spread(runs.iter().map(value)).median;
             println!(
-                "  {name:12} {:9.3} {:9.3} {:9.3} {:9.2} {:9.2} {:7.0} {:7.4} {:7.4} {:8.0} {:6.3} {:6.3} {:5.0}  other u {:.3} n {:.3}",
+                "  {name:12} {:9.3} {:9.3} {:9.3} {:9.2} {:9.2} {:7.0} {:7.4} {:7.4} {:8.0} {:6.3} {:6.3} {:5.0}  other u {:.3} n {:.3} roomy {}",
                 median(&|run| run.urgent_stall_p50),
                 median(&|run| run.urgent_stall_p99),
                 median(&|run| run.normal_stall_p99),
@@ -355,6 +411,7 @@
                 median(&|run| run.lost as f64),
                 median(&|run| run.other_urgent_p99),
                 median(&|run| run.other_normal_p99),
+                median(&|run| run.preempted_roomy as f64),
             );
         }
     }
--- a/crates/sched/benches/policy/measure.rs
+++ b/crates/sched/benches/policy/measure.rs
@@ -52,6 +52,7 @@
     pub deferrable_wait_p99: f64,
     pub deferrable_wait_max: f64,
     pub preemptions: u64,
+    pub preempted_roomy: u64,
     pub gap_p99: f64,
     pub urgent_gap_p99: f64,
     pub tokens_per_second: f64,
@@ -91,6 +92,13 @@
         }
     }
 
+    pub fn preempted(&mut self, now: f64, free: u32) {
+        if now >= world::WARM {
+            self.preemptions += 1;
+            self.preempted_roomy += u64::from(free > 150);
+        }
+    }
+
     pub fn gap(&mut self, class: TrafficClass, gap: f64, now: f64) {
         if now >= world::WARM {
             self.gaps[class.index()].add(gap);
--- a/crates/sched/benches/policy/mix.rs
+++ b/crates/sched/benches/policy/mix.rs
@@ -106,7 +106,10 @@
     pub prompt: u32,
     pub length: u32,
     pub max_tokens: u32,
-    pub prefix: (u64, u32),
+    /// Words at the beginning of its prompt that others of its kind and organisation share.
+    pub preamble: u32,
+    /// Which preamble.
+    pub preamble_number: usize,
     pub buffered: bool,
 }
 
@@ -224,10 +227,8 @@
         prompt,
         length: (output as u32).clamp(1, kind.max_tokens),
         max_tokens: kind.max_tokens,
-        prefix: (
-            (organisation * 3 + number) as u64 + 1,
-            preamble.min(prompt / 2),
-        ),
+        preamble: preamble.min(prompt / 2),
+        preamble_number: organisation * 3 + number,
         buffered: kind.buffered,
     }
 }
--- a/crates/sched/benches/policy/oracle.rs
+++ b/crates/sched/benches/policy/oracle.rs
@@ -59,35 +59,34 @@
         arrival: &mix::Arrival,
         truth: &Truth<'_>,
     ) -> Option<f64> {
-        let slots = engine.size.max_batch;
+        let profile = engine.profile();
+        let slots = profile.max_batch as usize;
         let kept = if arrival.class == TrafficClass::Urgent {
             0
         } else {
             URGENT_SLOTS
         };
         let placed = &self.placed[number];
-        if !engine.alive || placed.len() + kept >= slots {
+        if engine.is_down() || placed.len() + kept >= slots {
             return None;
         }
-        let produced: collections::HashMap<usize, u32> = engine.progress().collect();
-        let size = engine.size;
-        let rounding = f64::from(size.block_tokens);
-        let held = |request: usize, done: u32| {
-            let request = &truth.requests[request];
-            Held {
-                context: f64::from(request.prompt + done) + rounding,
-                rest: f64::from(request.length - done),
-            }
-        };
+        let rounding = f64::from(profile.block_tokens);
         let mut all: Vec<Held> = placed
             .iter()
-            .map(|&request| held(request, produced.get(&request).copied().unwrap_or(0)))
+            .map(|&request| {
+                let (held, done) = (&truth.requests[request], truth.fates[request].produced);
+                Held {
+                    context: f64::from(held.prompt + done) + rounding,
+                    rest: f64::from(held.length.saturating_sub(done)),
+                }
+            })
             .collect();
         all.push(Held {
             context: f64::from(arrival.prompt) + rounding,
             rest: f64::from(arrival.length),
         });
-        let capacity = f64::from(size.total_blocks * size.block_tokens);
+        // The engine itself keeps a hundredth free before it admits.
+        let capacity = 0.99 * f64::from(profile.total_blocks * profile.block_tokens);
         let urgent = if kept > 0 { 0.02 * capacity } else { 0.0 };
         let peak = peak(&mut all);
         (peak <= capacity - urgent).then_some(peak / capacity + all.len() as f64 / slots as f64)
@@ -113,10 +112,7 @@
         let engines = truth.engines.iter().enumerate();
         let fit = engines
             .filter_map(|(number, engine)| {
-                Some((
-                    self.fits(number, engine, arrival, truth)? / engine.speed,
-                    number,
-                ))
+                Some((self.fits(number, engine, arrival, truth)?, number))
             })
             .min_by(|left, right| left.0.total_cmp(&right.0));
         let Some((_, engine)) = fit else { return false };
--- a/crates/sched/benches/policy/world.rs
+++ b/crates/sched/benches/policy/world.rs
@@ -1,13 +1,14 @@
 //! Entry VMs before engines on virtual time, with lagged reports and faults.
 
-use std::{cmp, collections};
+use std::{cmp, collections, sync};
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use sched::share;
+use stand::engine::{EngineProfile, feeds::CacheEvent};
 
 use crate::{
-    engine::{Engine, EngineSize, Output, Work},
+    engine::{self, Engine, EngineNews},
     entry::{Action, Entry, Report, Retry, Truth},
     measure::Outcome,
     mix,
@@ -42,21 +43,21 @@
 }
 
 /// Everything about a run but the policy.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Setup {
     pub engines: usize,
     pub entries: usize,
-    pub size: EngineSize,
+    pub profile: EngineProfile,
     /// Age of a report when it arrives, in seconds: uniform between half of this and this.
     pub lag: f64,
     pub fault: Fault,
     pub until: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum Event {
     Arrive(usize),
-    Step(usize),
+    Step(usize, u64),
     Start {
         engine: usize,
         request: usize,
@@ -69,7 +70,7 @@
     Stopped(usize),
     Deliver {
         engine: usize,
-        output: Output,
+        news: EngineNews,
     },
     Failed {
         request: usize,
@@ -81,6 +82,11 @@
         engine: usize,
         report: Report,
     },
+    Prefixes {
+        entry: usize,
+        engine: usize,
+        events: sync::Arc<Vec<CacheEvent>>,
+    },
     TakeDigest(usize),
     Digest {
         entry: usize,
@@ -125,6 +131,8 @@
     pub entry: usize,
     pub tries: u32,
     pub engine: usize,
+    /// Whether an engine has it.
+    pub started: bool,
     pub first_at: Option<f64>,
     pub last_at: f64,
     pub produced: u32,
@@ -140,14 +148,16 @@
     requests: &'a [mix::Arrival],
     entries: Vec<Box<dyn Entry>>,
     engines: Vec<Engine>,
-    stepping: Vec<bool>,
+    /// Number of the step event that counts, by engine: an engine's next wake may move.
+    steps: Vec<u64>,
     fates: Vec<Fate>,
     heap: collections::BinaryHeap<Timed>,
     number: u64,
     now: f64,
     wakes: Vec<f64>,
     actions: Vec<Action>,
-    outputs: Vec<Output>,
+    news: Vec<EngineNews>,
+    unloaded_step: f64,
     rng: ChaCha8Rng,
     outcome: Outcome,
 }
@@ -161,24 +171,27 @@
     ) -> Self {
         let count = entries.len();
         let mut world = Self {
-            setup,
             requests,
-            engines: vec![Engine::new(setup.size); setup.engines],
-            stepping: vec![false; setup.engines],
+            engines: (0..setup.engines)
+                .map(|_| Engine::new(setup.profile.clone()))
+                .collect(),
+            steps: vec![0; setup.engines],
+            unloaded_step: engine::unloaded_step(&setup.profile),
             fates: vec![Fate::default(); requests.len()],
             heap: collections::BinaryHeap::new(),
             number: 0,
             now: 0.0,
             wakes: vec![f64::INFINITY; count],
             actions: Vec::new(),
-            outputs: Vec::new(),
+            news: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             outcome: Outcome::default(),
             entries,
+            setup,
         };
-        for engine in 0..setup.engines {
+        for engine in 0..world.engines.len() {
             world.at(
-                REPORT_INTERVAL * engine as f64 / setup.engines as f64,
+                REPORT_INTERVAL * engine as f64 / world.engines.len() as f64,
                 Event::Take(engine),
             );
         }
@@ -186,7 +199,7 @@
             let offset = DIGEST_INTERVAL * entry as f64 / count as f64;
             world.at(offset, Event::TakeDigest(entry));
         }
-        match setup.fault {
+        match world.setup.fault {
             Fault::None => {}
             Fault::Dies { at, back } => {
                 world.at(at, Event::Fault(0));
@@ -221,12 +234,6 @@
             self.now = timed.at;
             self.handle(timed.event);
         }
-        let preemptions = self
-            .engines
-            .iter()
-            .map(|engine| engine.preemptions)
-            .sum::<u64>();
-        self.outcome.preemptions += preemptions;
         let outcome = self
             .outcome
             .finish(self.requests, &self.fates, self.setup.until);
@@ -236,15 +243,20 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(request) => self.arrive(request),
-            Event::Step(engine) => self.step(engine),
+            Event::Step(engine, number) => {
+                if self.steps[engine] == number {
+                    self.step(engine);
+                }
+            }
             Event::Start {
                 engine,
                 request,
                 priority,
             } => self.start(engine, request, priority),
             Event::Stop { engine, request } => {
-                self.engines[engine].cancel(request);
-                self.outcome.preemptions += 1;
+                self.engines[engine].cancel(request, self.fates[request].tries, self.now);
+                self.step(engine);
+                self.outcome.preempted(self.now, 0);
                 self.fates[request].preempted += 1;
                 self.at(self.now + LATENCY, Event::Stopped(request));
             }
@@ -255,11 +267,13 @@
                 }
                 self.outcome.discard(fate.produced, self.now);
                 fate.produced = 0;
+                fate.tries += 1;
+                fate.started = false;
                 let entry = fate.entry;
                 self.entries[entry].requeued(request, self.now);
                 self.poll(entry);
             }
-            Event::Deliver { engine, output } => self.deliver(engine, output),
+            Event::Deliver { engine, news } => self.deliver(engine, news),
             Event::Failed { request, engine } => self.fail(request, engine),
             Event::Take(engine) => self.take_report(engine),
             Event::Report {
@@ -270,6 +284,16 @@
                 self.entries[entry].report(engine, report);
                 self.poll(entry);
             }
+            Event::Prefixes {
+                entry,
+                engine,
+                events,
+            } => {
+                for event in events.iter() {
+                    let at = event.at_ms as f64 * 1e-3;
+                    self.entries[entry].prefix(engine, event, at);
+                }
+            }
             Event::TakeDigest(entry) => self.take_digest(entry),
             Event::Digest {
                 entry,
@@ -307,6 +331,7 @@
         let truth = Truth {
             engines: &self.engines,
             requests: self.requests,
+            fates: &self.fates,
         };
         self.entries[entry].poll(self.now, &truth, &mut actions);
         for action in actions.drain(..) {
@@ -341,42 +366,38 @@
     }
 
     fn start(&mut self, engine: usize, request: usize, priority: u8) {
-        if !self.engines[engine].alive {
-            self.at(self.now + LATENCY, Event::Failed { request, engine });
-            return;
-        }
         let arrival = &self.requests[request];
-        self.engines[engine].submit(Work {
-            request,
-            priority,
-            prompt: arrival.prompt,
-            length: arrival.length,
-            prefix: arrival.prefix,
-        });
-        if !self.stepping[engine] {
+        let tries = self.fates[request].tries;
+        let taken = self.engines[engine].start(request, tries, arrival, priority, self.now);
+        if taken {
+            self.fates[request].started = true;
             self.step(engine);
+        } else {
+            self.at(self.now + LATENCY, Event::Failed { request, engine });
         }
     }
 
+    /// Hands on what the engine did until now and notes when it does more.
     fn step(&mut self, engine: usize) {
-        self.stepping[engine] = false;
-        if !self.engines[engine].alive || self.engines[engine].idle() {
-            return;
+        let mut news = std::mem::take(&mut self.news);
+        self.engines[engine].step(self.now, &mut news);
+        for news in news.drain(..) {
+            self.at(self.now + LATENCY, Event::Deliver { engine, news });
         }
-        let mut outputs = std::mem::take(&mut self.outputs);
-        let time = self.engines[engine].step(&mut outputs);
-        let end = self.now + time;
-        for output in outputs.drain(..) {
-            self.at(end + LATENCY, Event::Deliver { engine, output });
+        self.news = news;
+        self.steps[engine] += 1;
+        if let Some(wake) = self.engines[engine].next_wake() {
+            // Rounding to whole nanoseconds must not wake it just before its time.
+            self.at(
+                wake.max(self.now) + 1e-9,
+                Event::Step(engine, self.steps[engine]),
+            );
         }
-        self.outputs = outputs;
-        self.stepping[engine] = true;
-        self.at(end, Event::Step(engine));
     }
 
-    fn deliver(&mut self, engine: usize, output: Output) {
-        match output {
-            Output::Token { request } => {
+    fn deliver(&mut self, engine: usize, news: EngineNews) {
+        match news {
+            EngineNews::Token { request } => {
                 let fate = &mut self.fates[request];
                 if fate.engine != engine || fate.done_at.is_some() {
                     return;
@@ -386,7 +407,7 @@
                     fate.first_at = Some(self.now);
                 } else if fate.produced > 0 {
                     let gap = self.now - fate.last_at;
-                    fate.pauses += (gap - 4.0 * self.setup.size.step_base).max(0.0);
+                    fate.pauses += (gap - 4.0 * self.unloaded_step).max(0.0);
                     self.outcome.gap(class, gap, self.now);
                 }
                 fate.last_at = self.now;
@@ -394,7 +415,7 @@
                 self.outcome.token(self.now);
                 self.entries[fate.entry].token(request, self.now);
             }
-            Output::Finished { request, cached } => {
+            EngineNews::Finished { request, cached } => {
                 let fate = &mut self.fates[request];
                 if fate.engine != engine || fate.done_at.is_some() {
                     return;
@@ -404,7 +425,11 @@
                 self.entries[entry].finished(request, produced, cached, self.now);
                 self.poll(entry);
             }
-            Output::Preempted { request } => self.fates[request].preempted += 1,
+            EngineNews::Preempted { request } => {
+                self.fates[request].preempted += 1;
+                let held = &self.engines[engine];
+                self.outcome.preempted(self.now, held.free_blocks());
+            }
         }
     }
 
@@ -423,6 +448,7 @@
             self.outcome.discard(fate.produced, self.now);
             fate.produced = 0;
             fate.tries += 1;
+            fate.started = false;
             let retry = Retry {
                 tries: fate.tries,
                 avoid: Some(engine),
@@ -433,15 +459,16 @@
     }
 
     fn take_report(&mut self, engine: usize) {
-        let held = &self.engines[engine];
-        let report = Report {
-            taken_at: self.now,
-            free_blocks: held.free_blocks(),
-            running: held.running() as u32,
-            waiting: held.waiting() as u32,
-            preemptions: held.preemptions,
-        };
-        if held.alive {
+        let load = self.engines[engine].load(self.now);
+        let events = sync::Arc::new(self.engines[engine].cache_events(self.now));
+        if let Some(load) = load {
+            let report = Report {
+                taken_at: self.now - load.taken_ms_ago as f64 * 1e-3,
+                free_blocks: load.free_blocks,
+                running: load.running,
+                waiting: load.waiting,
+                preemptions: load.preemptions,
+            };
             for entry in 0..self.entries.len() {
                 let age = self.setup.lag * self.rng.random_range(0.5..1.0);
                 self.at(
@@ -452,6 +479,15 @@
                         report,
                     },
                 );
+                let events = events.clone();
+                self.at(
+                    self.now + age,
+                    Event::Prefixes {
+                        entry,
+                        engine,
+                        events,
+                    },
+                );
             }
         }
         self.at(self.now + REPORT_INTERVAL, Event::Take(engine));
@@ -477,13 +513,18 @@
     fn fault(&mut self, number: usize) {
         match number {
             0 => {
-                for request in self.engines[0].die() {
-                    self.at(self.now + LATENCY, Event::Failed { request, engine: 0 });
+                self.engines[0].crash(self.now);
+                for request in 0..self.fates.len() {
+                    let fate = &self.fates[request];
+                    let runs = fate.started && fate.engine == 0 && fate.done_at.is_none();
+                    if runs {
+                        self.at(self.now + LATENCY, Event::Failed { request, engine: 0 });
+                    }
                 }
             }
-            1 => self.engines[0].alive = true,
-            2 => self.engines[0].speed = 0.5,
-            _ => self.engines[0].speed = 1.0,
+            1 => self.engines[0].restart(self.now),
+            2 => self.engines[0].set_slow_factor(2.0),
+            _ => self.engines[0].set_slow_factor(1.0),
         }
     }
 }
--- a/crates/sched/src/affinity.rs
+++ b/crates/sched/src/affinity.rs
@@ -47,6 +47,48 @@
     pub expected: f32,
 }
 
+/// Servers believed to hold some prefix of one prompt, at most [`MOST_BELIEFS`] of them.
+#[derive(Clone, Copy, Debug)]
+pub struct BeliefList {
+    beliefs: [(id::ServerKey, PrefixBelief); MOST_BELIEFS],
+    len: usize,
+}
+
+/// Servers that one [`BeliefList`] holds.
+const MOST_BELIEFS: usize = 16;
+
+impl Default for BeliefList {
+    fn default() -> Self {
+        let none = (id::ServerKey::default(), PrefixBelief::default());
+        Self {
+            beliefs: [none; MOST_BELIEFS],
+            len: 0,
+        }
+    }
+}
+
+impl BeliefList {
+    /// What is believed of `server`.
+    #[must_use]
+    pub fn of(&self, server: id::ServerKey) -> PrefixBelief {
+        let mut held = self.beliefs[..self.len].iter();
+        let found = held.find(|(key, _)| *key == server);
+        found.map_or_else(PrefixBelief::default, |(_, belief)| *belief)
+    }
+
+    fn raise(&mut self, server: id::ServerKey, belief: PrefixBelief) {
+        let mut held = self.beliefs[..self.len].iter_mut();
+        if let Some((_, old)) = held.find(|(key, _)| *key == server) {
+            if belief.expected > old.expected {
+                *old = belief;
+            }
+        } else if self.len < MOST_BELIEFS {
+            self.beliefs[self.len] = (server, belief);
+            self.len += 1;
+        }
+    }
+}
+
 impl AffinityTable {
     /// An empty table.
     #[must_use]
@@ -138,37 +180,28 @@
         }
     }
 
-    /// What of `prefix` is believed to be on `server`.
+    /// Which servers are believed to hold a prefix of the prompt.
     #[must_use]
-    pub fn belief(
-        &self,
-        prefix: &ask::PrefixChain,
-        server: id::ServerKey,
-        now: time::Instant,
-    ) -> PrefixBelief {
+    pub fn beliefs(&self, prefix: &ask::PrefixChain, now: time::Instant) -> BeliefList {
+        let mut list = BeliefList::default();
         if self.slots.is_empty() {
-            return PrefixBelief::default();
+            return list;
         }
-        let mut belief = PrefixBelief::default();
-        for held in prefix.hashes() {
-            let set = Self::set(held.hash);
-            let slots = &self.slots[set..set + SLOTS];
-            let slot = slots
-                .iter()
-                .flatten()
-                .find(|slot| slot.hash == held.hash && slot.server == server);
-            if let Some(slot) = slot {
+        for wanted in prefix.hashes() {
+            let set = Self::set(wanted.hash);
+            for slot in self.slots[set..set + SLOTS].iter().flatten() {
+                if slot.hash != wanted.hash {
+                    continue;
+                }
                 let age = now.saturating_duration_since(slot.seen_at).as_secs_f32();
                 let chance = self.trust * (-age / self.half_life.as_secs_f32()).exp2();
-                let expected = chance * held.tokens as f32;
-                if expected > belief.expected {
-                    belief = PrefixBelief {
-                        tokens: held.tokens,
-                        expected,
-                    };
-                }
+                let belief = PrefixBelief {
+                    tokens: wanted.tokens,
+                    expected: chance * wanted.tokens as f32,
+                };
+                list.raise(slot.server, belief);
             }
         }
-        belief
+        list
     }
 }
--- a/crates/sched/src/ask.rs
+++ b/crates/sched/src/ask.rs
@@ -17,27 +17,39 @@
     pub tokens: u32,
 }
 
-/// Prefixes kept of one prompt.
-pub const PREFIX_DEPTH: usize = 4;
+/// Lengths at which prompts are compared, in blocks. All prompts are sampled at the same lengths,
+/// else two that share a preamble would not be seen to.
+const PREFIX_BLOCKS: [u32; 8] = [4, 8, 16, 24, 32, 48, 64, 128];
+
+/// Whether a prefix of `tokens` is of a length at which prompts are compared.
+#[must_use]
+pub fn is_sampled(tokens: u32, block_tokens: u32) -> bool {
+    let block_tokens = block_tokens.max(1);
+    tokens.is_multiple_of(block_tokens) && PREFIX_BLOCKS.contains(&(tokens / block_tokens))
+}
 
-/// Prefixes of one prompt at which an engine may hold its cache, at most [`PREFIX_DEPTH`].
+/// Prefixes of one prompt at a few fixed lengths.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PrefixChain {
     /// In ascending order of tokens; only the first `len` count.
-    hashes: [PrefixHash; PREFIX_DEPTH],
-    /// Never more than [`PREFIX_DEPTH`].
+    hashes: [PrefixHash; PREFIX_BLOCKS.len()],
+    /// Never more than the array holds.
     len: u8,
 }
 
 impl PrefixChain {
-    /// A chain of the longest [`PREFIX_DEPTH`] of `prefixes`, in whatever order they come.
+    /// Samples `chain`, the hash of each full block as `base::prefix::chain` gives it.
     #[must_use]
-    pub fn of(prefixes: &[PrefixHash]) -> Self {
-        let mut chain = Self::default();
-        for prefix in prefixes {
-            chain.insert(*prefix);
+    pub fn sample(chain: &[u64], block_tokens: u32) -> Self {
+        let mut sample = Self::default();
+        for blocks in PREFIX_BLOCKS {
+            if let Some(&hash) = chain.get(blocks as usize - 1) {
+                let tokens = blocks * block_tokens;
+                sample.hashes[usize::from(sample.len)] = PrefixHash { hash, tokens };
+                sample.len += 1;
+            }
         }
-        chain
+        sample
     }
 
     /// The prefixes, in ascending order of tokens.
@@ -45,21 +57,6 @@
     pub fn hashes(&self) -> &[PrefixHash] {
         &self.hashes[..usize::from(self.len)]
     }
-
-    fn insert(&mut self, prefix: PrefixHash) {
-        let len = usize::from(self.len);
-        let place = self
-            .hashes()
-            .partition_point(|held| held.tokens < prefix.tokens);
-        if len < PREFIX_DEPTH {
-            self.hashes.copy_within(place..len, place + 1);
-            self.hashes[place] = prefix;
-            self.len += 1;
-        } else if place > 0 {
-            self.hashes.copy_within(1..place, 0);
-            self.hashes[place - 1] = prefix;
-        }
-    }
 }
 
 /// Servers kept in one [`AvoidList`].
--- a/crates/sched/src/core.rs
+++ b/crates/sched/src/core.rs
@@ -12,7 +12,7 @@
     affinity,
     ask::{self, TicketKey},
     explain::{Decision, RefusalReason, WaitCause},
-    fleet, headroom, length, limit, organisation, queue, risk, settings, share, ticket, view,
+    fleet, length, limit, organisation, queue, risk, settings, share, ticket, view,
 };
 
 /// Tokens after which a running generation's memory is worked out anew.
@@ -35,8 +35,6 @@
     pub(crate) tickets: slotmap::SlotMap<TicketKey, ticket::TicketState>,
     pub(crate) lengths: length::LengthTable,
     pub(crate) affinity: affinity::AffinityTable,
-    pub(crate) shares: share::ShareTable,
-    pub(crate) headroom: headroom::HeadroomMeter,
     pub(crate) prefill_rate: f32,
     /// Deadlines of waiting tickets, earliest first; tickets that no longer wait are skipped.
     pub(crate) deadlines: collections::BinaryHeap<cmp::Reverse<(time::Instant, TicketKey)>>,
@@ -62,8 +60,6 @@
             tickets: slotmap::SlotMap::with_key(),
             lengths: length::LengthTable::new(settings.histograms),
             affinity: affinity::AffinityTable::new(settings.prefix_half_life),
-            shares: share::ShareTable::new(settings.entries),
-            headroom: headroom::HeadroomMeter::default(),
             prefill_rate: settings.prefill_rate,
             deadlines: collections::BinaryHeap::new(),
             refusals: Vec::new(),
@@ -77,7 +73,6 @@
 
     /// Replaces the settings; what runs keeps running.
     pub fn settings_changed(&mut self, settings: settings::PolicySettings) {
-        self.shares.set_entries(settings.entries);
         self.organisations
             .set_entries(settings.organisation_entries);
         self.affinity.set_half_life(settings.prefix_half_life);
@@ -93,7 +88,7 @@
         now: time::Instant,
     ) {
         for &model in &spec.models {
-            self.fleet(model, now);
+            self.fleet(model);
         }
         if let Some(view) = self.servers.get_mut(server) {
             view.spec = spec;
@@ -133,47 +128,54 @@
         }
     }
 
-    /// Another entry VM told of its work.
+    /// Another entry VM told of its work for a model.
     pub fn entry_reported(
         &mut self,
         vm: id::VmKey,
+        model: id::ModelKey,
         digest: share::EntryDigest,
         taken_at: time::Instant,
     ) {
-        self.shares.take(vm, digest, taken_at);
+        self.fleet(model).shares.take(vm, digest, taken_at);
     }
 
     /// Another entry VM is gone.
     pub fn entry_removed(&mut self, vm: id::VmKey) {
-        self.shares.remove(vm);
+        for (_, fleet) in &mut self.models {
+            fleet.shares.remove(vm);
+        }
     }
 
-    /// What to tell the other entry VMs of this one's work, about once a second.
-    #[must_use]
-    pub fn entry_digest(&mut self, now: time::Instant) -> share::EntryDigest {
-        self.headroom.advance(now);
-        share::EntryDigest {
-            weight: self.organisations.busy_weight() as f32,
-            backlogged: self.waiting > 0,
-            urgent: self.headroom.demand(),
-        }
+    /// What to tell the other entry VMs of this one's work, about once a second: one digest for
+    /// each model, also while there is no work for it.
+    pub fn entry_digests(&self) -> impl Iterator<Item = (id::ModelKey, share::EntryDigest)> + '_ {
+        let weight = self.organisations.busy_weight() as f32;
+        let identity = self.settings.identity;
+        self.models
+            .iter()
+            .map(move |(model, fleet)| (model, fleet.digest(identity, weight)))
     }
 
-    /// An engine stored (`cached`) or evicted a prefix, as of `at`.
+    /// An engine stored (`cached`) or evicted a prefix, as of `at`. Only the lengths at which
+    /// prompts are compared are kept.
     pub fn prefix_reported(
         &mut self,
         server: id::ServerKey,
-        hash: u64,
+        prefix: ask::PrefixHash,
         cached: bool,
         at: time::Instant,
     ) {
-        if self.settings.prefix_half_life.is_zero() {
+        let Some(view) = self.servers.get(server) else {
+            return;
+        };
+        let counts = ask::is_sampled(prefix.tokens, view.spec.block_tokens);
+        if self.settings.prefix_half_life.is_zero() || !counts {
             return;
         }
         if cached {
-            self.affinity.note(hash, server, at);
+            self.affinity.note(prefix.hash, server, at);
         } else {
-            self.affinity.forget(hash, server, at);
+            self.affinity.forget(prefix.hash, server, at);
         }
     }
 
@@ -322,7 +324,9 @@
         let (source, runs) = (state.source(), state.run.is_some());
         if source.class == class::TrafficClass::Urgent {
             let tokens = state.ask.prompt_tokens + produced;
-            self.headroom.learn(tokens as f32);
+            if let Some(fleet) = self.models.get_mut(source.model) {
+                fleet.headroom.learn(tokens as f32);
+            }
         }
         self.lengths.learn(source, produced);
         if runs {
@@ -456,12 +460,9 @@
         let (ask, cost) = (state.ask, state.cost());
         let weight = self.organisations.weight(ask.organisation);
         let queued = queue::QueuedTicket { ticket, cost };
-        self.fleet(ask.model, now).queue(ask.class).push(
-            ask.organisation,
-            weight,
-            queued,
-            in_front,
-        );
+        self.fleet(ask.model)
+            .queue(ask.class)
+            .push(ask.organisation, weight, queued, in_front);
         self.waiting += 1;
         if let Some(deadline) = ask.deadline {
             self.deadlines.push(cmp::Reverse((deadline, ticket)));
@@ -489,9 +490,6 @@
         let Some(run) = state.run.take() else { return };
         let (ask, excess) = (state.ask, f64::from(produced) - f64::from(state.expected));
         let urgent = ask.class == class::TrafficClass::Urgent;
-        if urgent {
-            self.headroom.change(-1.0, now);
-        }
         if let Some(server) = self.servers.get_mut(run.server) {
             server.end(&run, urgent, now);
             if let Some(&moved) = server.tickets.get(run.place)
@@ -505,19 +503,18 @@
         }
         if let Some(fleet) = self.models.get_mut(ask.model) {
             fleet.queue(ask.class).correct(ask.organisation, excess);
+            if urgent {
+                fleet.headroom.change(-1.0, now);
+            }
         }
         self.organisations
             .change(ask.organisation, now, |account, _| account.end(excess));
     }
 
-    pub(crate) fn fleet(
-        &mut self,
-        model: id::ModelKey,
-        now: time::Instant,
-    ) -> &mut fleet::ModelFleet {
+    pub(crate) fn fleet(&mut self, model: id::ModelKey) -> &mut fleet::ModelFleet {
         if !self.models.contains_key(model) {
             let rest = self.lengths.rest(model);
-            self.models.insert(model, fleet::ModelFleet::new(rest, now));
+            self.models.insert(model, fleet::ModelFleet::new(rest));
         }
         &mut self.models[model]
     }
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -63,7 +63,7 @@
             }
             let state = &self.tickets[ticket];
             let (ask, wait) = (state.ask, state.wait);
-            let predicted = self.predicted_wait(&ask, now);
+            let predicted = self.predicted_wait(&ask);
             self.withdrawn(ticket, now);
             let reason = match wait {
                 WaitCause::Limit => explain::RefusalReason::Concurrency,
@@ -156,6 +156,7 @@
     ) -> ServeOutcome {
         let mut fronts = [queue::QueuedTicket::default(); queue::MOST_FRONTS];
         let count = self.models[model].queue(class).fronts(&mut fronts);
+        let due = self.deferrable_due(model);
         for (place, front) in fronts[..count].iter().enumerate() {
             let organisation = self.tickets[front.ticket].ask.organisation;
             if !self.organisations.may_start(organisation, now) {
@@ -166,14 +167,14 @@
             match self.place(front.ticket, now) {
                 Ok((choice, load, chance)) => {
                     self.models[model].queue(class).take(organisation);
-                    self.models[model].drains[class.index()].served(front.cost, now);
+                    self.models[model].drains[class.index()].serve(front.cost);
                     decisions.push(self.start(front.ticket, &choice, &load, chance, now));
                     return ServeOutcome::Served(front.cost as u64);
                 }
                 Err(wait) => {
                     let state = &mut self.tickets[front.ticket];
                     state.wait = wait;
-                    if place == 0 {
+                    if place == 0 && (class != class::TrafficClass::Deferrable || due) {
                         self.hold(front.ticket, now);
                     }
                 }
@@ -247,9 +248,11 @@
             prefill_rate: self.prefill_rate,
             beyond: false,
         };
+        let beliefs = self.affinity.beliefs(&ask.prefix, now);
         let context = route::RouteContext {
             servers: &self.servers,
-            affinity: &self.affinity,
+            beliefs: &beliefs,
+            shares: &fleet.shares,
             settings: &self.settings,
             now,
         };
@@ -284,23 +287,21 @@
     /// Bounds on the admission of `ask`.
     fn terms(&self, ask: &crate::ask::Ask, fleet: &crate::fleet::ModelFleet) -> room::RoomTerms {
         let deviations = risk::deviations(self.settings.overflow_chance(ask.class));
-        let weight = self.organisations.busy_weight() as f32;
         let urgent = ask.class == class::TrafficClass::Urgent;
         let (mut slots, mut tokens) = (0.0, 0.0);
         if !urgent {
-            let demand = self.headroom.demand() + self.shares.others_urgent();
+            let demand = fleet.headroom.demand() + fleet.shares.others_urgent();
             let spread = self.settings.headroom_deviations * demand.sqrt();
             // What urgent work uses now is in the loads already; own demand that is idle is not.
-            let engines = fleet.engines.max(1) as f32;
-            slots = (self.headroom.idle() + spread) / engines;
-            tokens = slots * self.headroom.tokens();
+            let engines = fleet.ring.len().max(1) as f32;
+            slots = (fleet.headroom.idle() + spread) / engines;
+            tokens = slots * fleet.headroom.tokens();
         }
         room::RoomTerms {
             deviations,
+            slot_doubt: self.settings.slot_doubt,
             reserved_tokens: tokens,
             reserved_slots: slots,
-            share: self.shares.share(weight, fleet.used_part()),
-            reuse: self.settings.reuse,
             shared: self.settings.share_room && !urgent,
         }
     }
@@ -346,7 +347,7 @@
             fleet.held = None;
         }
         if urgent {
-            self.headroom.change(1.0, now);
+            fleet.headroom.change(1.0, now);
         }
         if !self.settings.prefix_half_life.is_zero() {
             for prefix in ask.prefix.hashes() {
@@ -386,6 +387,9 @@
             let Some((ticket, lost_tokens)) = victim::choose(running) else {
                 continue;
             };
+            if lost_tokens > self.settings.victim_tokens {
+                continue;
+            }
             if let Some(run) = &mut self.tickets[ticket].run {
                 run.stopping = true;
             }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -3,51 +3,63 @@
 use base::{class, id};
 use tokio::time;
 
-use crate::{ask::TicketKey, length, queue, view};
+use crate::{ask::TicketKey, headroom, length, queue, share, view};
 
-/// Time over which the rate of service is averaged.
-const DRAIN_SPAN: time::Duration = time::Duration::from_secs(5);
+/// Time over which demand is averaged.
+const DEMAND_SPAN: time::Duration = time::Duration::from_secs(8);
 
-/// Rate at which a queue is served.
+/// Time with a backlog over which the rate of service is averaged.
+const DRAIN_SPAN: time::Duration = time::Duration::from_secs(10);
+
+/// Time with a backlog before the rate is taken to be known.
+const DRAIN_KNOWN: f64 = 2.0;
+
+/// Rate at which a queue is served while something waits in it.
+///
+/// Only that time counts: of a queue that is mostly empty, what was served a second tells what
+/// was asked for, and a wait predicted from that would refuse what could be served at once.
 #[derive(Clone, Copy, Debug)]
 pub struct DrainMeter {
-    /// Cost a second, in generated tokens.
-    rate: f64,
-    measured_at: time::Instant,
-    started_at: time::Instant,
+    /// Cost served, in generated tokens, faded over [`DRAIN_SPAN`] of busy time.
+    served: f64,
+    /// Busy time in seconds, faded likewise.
+    busy: f64,
+    /// Since when the queue has not been empty; absent while it is.
+    busy_from: Option<time::Instant>,
 }
 
 impl DrainMeter {
-    fn new(now: time::Instant) -> Self {
+    fn new() -> Self {
         Self {
-            rate: 0.0,
-            measured_at: now,
-            started_at: now,
+            served: 0.0,
+            busy: 0.0,
+            busy_from: None,
         }
     }
 
-    /// Something of `cost` was served.
-    pub fn served(&mut self, cost: f64, now: time::Instant) {
-        self.rate = self.faded(now) + cost / DRAIN_SPAN.as_secs_f64();
-        self.measured_at = now;
+    /// Carries the meter forward to `now`; `waits` tells whether the queue is not empty.
+    pub fn advance(&mut self, waits: bool, now: time::Instant) {
+        if let Some(then) = self.busy_from {
+            let age = now.saturating_duration_since(then).as_secs_f64();
+            let keep = (-age / DRAIN_SPAN.as_secs_f64()).exp();
+            self.served *= keep;
+            self.busy = self.busy.mul_add(keep, age);
+        }
+        self.busy_from = waits.then_some(now);
     }
 
-    fn faded(&self, now: time::Instant) -> f64 {
-        let age = now
-            .saturating_duration_since(self.measured_at)
-            .as_secs_f64();
-        self.rate * (-age / DRAIN_SPAN.as_secs_f64()).exp()
+    /// Something of `cost` was served after it had waited.
+    pub fn serve(&mut self, cost: f64) {
+        if self.busy_from.is_some() {
+            self.served += cost;
+        }
     }
 
     /// Seconds until `ahead` is served; absent while too little was seen to tell.
     #[must_use]
-    pub fn wait(&self, ahead: f64, now: time::Instant) -> Option<f64> {
-        let seen = now.saturating_duration_since(self.started_at).as_secs_f64();
-        let span = DRAIN_SPAN.as_secs_f64();
-        if seen < span {
-            return None;
-        }
-        Some(ahead / self.faded(now).max(1.0))
+    pub fn wait(&self, ahead: f64) -> Option<f64> {
+        let rate = self.served / self.busy.max(f64::EPSILON);
+        (self.busy >= DRAIN_KNOWN).then(|| ahead / rate.max(1.0))
     }
 }
 
@@ -67,8 +79,17 @@
     pub near: Vec<id::ServerKey>,
     /// Candidate engines in other regions.
     pub far: Vec<id::ServerKey>,
-    /// Engines in the own region, candidates or not.
-    pub engines: usize,
+    /// Engines in the own region that take new work, candidates or not, in ascending order of
+    /// identity.
+    pub ring: Vec<share::RingEngine>,
+    /// This VM's share of each of them.
+    pub shares: share::ShareTable,
+    /// How many urgent generations there are at once.
+    pub headroom: headroom::HeadroomMeter,
+    /// Engine memory that own work asks for, in tokens, averaged over some seconds.
+    pub demand: f32,
+    /// The part of it that waits, as of now.
+    pub waiting: f32,
     /// Waiting requests by class.
     pub queues: [queue::FairQueue; 3],
     /// How fast each queue is served.
@@ -84,13 +105,17 @@
 impl ModelFleet {
     /// A model without engines.
     #[must_use]
-    pub fn new(rest: length::RestCurve, now: time::Instant) -> Self {
+    pub fn new(rest: length::RestCurve) -> Self {
         Self {
             near: Vec::new(),
             far: Vec::new(),
-            engines: 0,
+            ring: Vec::new(),
+            shares: share::ShareTable::default(),
+            headroom: headroom::HeadroomMeter::default(),
+            demand: 0.0,
+            waiting: 0.0,
             queues: Default::default(),
-            drains: [DrainMeter::new(now); 3],
+            drains: [DrainMeter::new(); 3],
             credit: 0.0,
             held: None,
             rest,
@@ -102,10 +127,45 @@
         &mut self.queues[class.index()]
     }
 
-    /// Part of the region's engines that this VM uses.
+    /// Carries the meters of service forward.
+    pub fn advance_drains(&mut self, now: time::Instant) {
+        for (drain, queue) in self.drains.iter_mut().zip(&self.queues) {
+            drain.advance(!queue.is_empty(), now);
+        }
+    }
+
+    /// Moves the averaged demand by `age` towards what runs and waits now.
+    pub fn measure_demand(&mut self, running: f32, age: time::Duration) {
+        let backlogs = self.queues.iter().map(queue::FairQueue::backlog);
+        self.waiting = backlogs.sum::<f64>() as f32;
+        let keep = (-age.as_secs_f32() / DEMAND_SPAN.as_secs_f32()).exp();
+        let demand = running + self.waiting;
+        self.demand = keep.mul_add(self.demand - demand, demand);
+    }
+
+    /// Where there are more engines than candidates, takes those that this VM covers on the ring
+    /// and the next after them.
+    pub fn follow_shares(&mut self, candidates: usize) {
+        if self.ring.len() <= candidates {
+            return;
+        }
+        if let Some(first) = self.shares.first_covered(&self.ring) {
+            let order = self.ring.iter().cycle().skip(first).take(candidates);
+            self.near.clear();
+            self.near.extend(order.map(|engine| engine.server));
+        }
+    }
+
+    /// What the other entry VMs are told.
     #[must_use]
-    pub fn used_part(&self) -> f32 {
-        self.near.len() as f32 / self.engines.max(1) as f32
+    pub fn digest(&self, identity: u64, weight: f32) -> share::EntryDigest {
+        share::EntryDigest {
+            identity,
+            weight,
+            demand: self.demand,
+            waiting: self.waiting,
+            urgent: self.headroom.demand(),
+        }
     }
 }
 
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/room.rs
@@ -10,98 +10,120 @@
 pub struct RoomTerms {
     /// Deviations of the memory's spread that must fit; from the class's bound.
     pub deviations: f32,
+    /// Part of the doubt on others' places in the batch that is kept free.
+    pub slot_doubt: f32,
     /// Tokens of memory kept for urgent work.
     pub reserved_tokens: f32,
     /// Places in the batch kept for urgent work.
     pub reserved_slots: f32,
-    /// This VM's share of the room that a report shows, from 0 to 1.
-    pub share: f32,
-    /// Part that it may use again of what its own ended generations gave back, from 0 to 1.
-    pub reuse: f32,
     /// Whether the share binds; it does not for urgent work, which is short and cannot wait for
     /// the next report.
     pub shared: bool,
 }
 
-/// How much of an engine an admission would leave.
+/// What this VM may take of one engine between two reports.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoomShare {
+    /// Its share of the room that a report shows, from 0 to 1.
+    pub share: f32,
+    /// Part that it may use again of what its own ended generations gave back, from 0 to 1.
+    pub reuse: f32,
+}
+
+impl RoomShare {
+    /// The terms of a VM with `share`: what it holds beyond that it gives back bit by bit, since
+    /// it may use again only the part of what comes free there that it is due, at least `least`.
+    #[must_use]
+    pub fn of(share: f32, server: &view::ServerView, least: f32) -> Self {
+        let own = server.own.memory.mean[0].max(1.0);
+        let reuse = (share * server.capacity() / own).clamp(least, 1.0);
+        Self { share, reuse }
+    }
+}
+
+/// How full an engine would be with one more generation.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RoomLeft {
+pub struct RoomState {
     /// Largest part of the memory needed at any horizon, the class's deviations included.
     pub pressure: f32,
-    /// Part of the batch that is taken.
+    /// Chance that the batch or the memory is full when the generation arrives.
     pub crowding: f32,
+    /// What is short; absent when there is room.
+    pub lack: Option<explain::WaitCause>,
 }
 
-/// Whether `extra` fits on the server, and how tightly.
-///
-/// # Errors
-///
-/// What is short.
-pub fn check(
+/// Least doubt on the number of generations in a batch: starts and ends are under way.
+const LEAST_SPREAD: f32 = 0.5;
+
+/// How full the server would be with `extra`, and whether that is within bounds.
+#[must_use]
+pub fn assess(
     server: &view::ServerView,
     extra: &risk::MemoryLoad,
     terms: &RoomTerms,
+    part: RoomShare,
     now: time::Instant,
-) -> Result<RoomLeft, explain::WaitCause> {
+) -> RoomState {
     let slots = server.spec.max_batch as f32;
     let taken = server.own.running + server.others.running + 1.0;
-    if taken > slots {
-        return Err(explain::WaitCause::Batch);
-    }
-    if taken > slots - terms.reserved_slots {
-        return Err(explain::WaitCause::Headroom);
-    }
-    let capacity = server.capacity();
+    let doubt = server.running_spread(now);
     let whole = server.whole(now);
-    let mut pressure = 0.0f32;
+    let mut needed = 0.0f32;
     for place in 0..risk::HORIZONS.len() {
         let mean = whole.mean[place] + extra.mean[place];
         let spread = (whole.variance[place] + extra.variance[place]).sqrt();
-        pressure = pressure.max(terms.deviations.mul_add(spread, mean));
-    }
-    if pressure > capacity {
-        return Err(explain::WaitCause::Memory);
-    }
-    if pressure > capacity - terms.reserved_tokens {
-        return Err(explain::WaitCause::Headroom);
+        needed = needed.max(terms.deviations.mul_add(spread, mean));
     }
-    if terms.shared && terms.share < 1.0 {
-        check_share(server, extra, terms, &whole, slots)?;
+    let capacity = server.capacity();
+    let kept = terms.deviations * doubt * terms.slot_doubt + terms.reserved_slots;
+    let lack = if taken > slots {
+        Some(explain::WaitCause::Batch)
+    } else if taken + kept > slots {
+        Some(explain::WaitCause::Headroom)
+    } else if needed > capacity && taken > 1.5 {
+        Some(explain::WaitCause::Memory)
+    } else if needed > capacity - terms.reserved_tokens && taken > 1.5 {
+        Some(explain::WaitCause::Headroom)
+    } else if terms.shared && lacks_share(server, extra, terms, part, &whole) {
+        Some(explain::WaitCause::Share)
+    } else {
+        None
+    };
+    let free = slots + 0.5 - taken;
+    let full = risk::tail_chance(free / doubt.max(LEAST_SPREAD));
+    let room = capacity - whole.mean[0] - extra.mean[0];
+    let filled = risk::tail_chance(room / whole.variance[0].sqrt().max(LEAST_SPREAD));
+    RoomState {
+        pressure: needed / capacity.max(1.0),
+        crowding: full.max(filled),
+        lack,
     }
-    let crowding = taken / slots;
-    Ok(RoomLeft {
-        pressure: pressure / capacity.max(1.0),
-        crowding,
-    })
 }
 
-/// Between two reports this VM takes of each engine only its share of the room, beside what its
-/// own ended generations gave back.
-fn check_share(
+/// Whether `extra` is beyond this VM's part: between two reports it takes of each engine only its
+/// share of the room, beside what its own ended generations gave back.
+fn lacks_share(
     server: &view::ServerView,
     extra: &risk::MemoryLoad,
     terms: &RoomTerms,
+    part: RoomShare,
     whole: &risk::MemoryLoad,
-    slots: f32,
-) -> Result<(), explain::WaitCause> {
+) -> bool {
+    let slots = server.spec.max_batch as f32;
     let (started, ended) = (&server.started, &server.ended);
     let held = server.own.running - started.running + server.others.running + ended.running;
     let room = (slots - terms.reserved_slots - held).max(0.0);
-    let allowed = terms.share * room + terms.reuse * ended.running + server.draw;
+    let allowed = part.share * room + part.reuse * ended.running + server.draw;
     if started.running + 1.0 > allowed {
-        return Err(explain::WaitCause::Share);
+        return true;
     }
     let capacity = server.capacity() - terms.reserved_tokens;
-    for place in 0..risk::HORIZONS.len() {
+    (0..risk::HORIZONS.len()).any(|place| {
         let (begun, gone) = (started.memory.mean[place], ended.memory.mean[place]);
         let held = whole.mean[place] - begun + gone;
         let spread = terms.deviations * whole.variance[place].sqrt();
         let room = (capacity - held - spread).max(0.0);
         let added = extra.mean[place];
-        let allowed = terms.share * room + terms.reuse * gone + server.draw * added;
-        if begun + added > allowed {
-            return Err(explain::WaitCause::Share);
-        }
-    }
-    Ok(())
+        begun + added > part.share * room + part.reuse * gone + server.draw * added
+    })
 }
--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use tokio::time;
 
-use crate::{affinity, ask, explain, risk, room, settings, view};
+use crate::{affinity, ask, explain, risk, room, settings, share, view};
 
 /// Most candidates compared in one decision.
 pub const MOST_CANDIDATES: usize = 64;
@@ -71,8 +71,10 @@
 pub struct RouteContext<'a> {
     /// All servers.
     pub servers: &'a slotmap::SecondaryMap<id::ServerKey, view::ServerView>,
-    /// Cached prefixes.
-    pub affinity: &'a affinity::AffinityTable,
+    /// Where the prompt's prefixes are believed to be.
+    pub beliefs: &'a affinity::BeliefList,
+    /// This VM's share of each server.
+    pub shares: &'a share::ShareTable,
     /// Weights.
     pub settings: &'a settings::PolicySettings,
     /// The time of the decision.
@@ -157,27 +159,28 @@
         if !healthy(server, self.now) {
             return Err(explain::WaitCause::Server);
         }
-        let left = match room::check(server, query.load, query.terms, self.now) {
-            Ok(left) => left,
-            Err(wait) if query.beyond => {
-                if server.unstarted >= self.settings.urgent_beyond {
-                    return Err(wait);
-                }
-                // Served after all that have room, the least full first.
-                room::RoomLeft {
-                    pressure: 2.0,
-                    crowding: 2.0,
-                }
-            }
-            Err(wait) => return Err(wait),
-        };
-        let prefix = self.affinity.belief(&query.ask.prefix, key, self.now);
+        let default = 1.0 / self.settings.entries.max(1) as f32;
+        let share = self.shares.share(key).unwrap_or(default);
+        let part = room::RoomShare::of(share, server, self.settings.reuse);
+        let state = room::assess(server, query.load, query.terms, part, self.now);
+        if let Some(lack) = state.lack
+            && (!query.beyond || server.unstarted >= self.settings.urgent_beyond)
+        {
+            return Err(lack);
+        }
+        let prefix = self.beliefs.of(key);
         let first_token = self.first_token(server, query, prefix.expected);
         let settings = self.settings;
-        let full = left.pressure * left.pressure;
+        // An urgent generation is short: fullness ahead means nothing to it, and were it counted,
+        // all entry VMs would send theirs to the engine that the last report showed emptiest.
+        let full = if query.terms.shared {
+            state.pressure * state.pressure
+        } else {
+            0.0
+        };
         let score = first_token
             + settings.pressure_weight.as_secs_f32() * full * full
-            + settings.crowding_weight.as_secs_f32() * left.crowding
+            + settings.crowding_weight.as_secs_f32() * state.crowding
             + settings.failure_weight.as_secs_f32() * server.failure(self.now)
             + self.distance(server);
         Ok(ScoredServer {
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -10,9 +10,10 @@
 pub struct PolicySettings {
     /// Where this entry VM stands.
     pub place: view::ServerPlace,
-    /// Any number that differs between entry VMs: it spreads their candidate subsets.
-    pub seed: u64,
-    /// Entry VMs that send work to the same engines, this one included; at least 1.
+    /// Hash of this VM's name: different for each VM, and the same number that others are told.
+    pub identity: u64,
+    /// Entry VMs that send work to the same engines, this one included; at least 1. Counts only
+    /// until digests of the others arrive.
     pub entries: u32,
     /// Entry VMs that one organisation's callers are told; its limits are divided among them.
     pub organisation_entries: u32,
@@ -28,7 +29,7 @@
     pub near_best: time::Duration,
     /// What a full memory counts in a score, as time to first token.
     pub pressure_weight: time::Duration,
-    /// What a full batch counts in a score, as time to first token.
+    /// What a certainly full batch counts in a score, as time to first token.
     pub crowding_weight: time::Duration,
     /// What one recent failure counts in a score, as time to first token.
     pub failure_weight: time::Duration,
@@ -46,7 +47,7 @@
     pub deferrable_floor: f64,
     /// A request that was next for this long and found no room has an engine kept for it.
     pub hold_after: time::Duration,
-    /// Part that a VM above its share may use again of what its ended generations gave back.
+    /// Least part that a VM above its share may use again of what its ended generations gave back.
     pub reuse: f32,
     /// Whether this VM takes only its share of the room that a report shows.
     pub share_room: bool,
@@ -54,12 +55,16 @@
     pub urgent_beyond: u32,
     /// Deviations of urgent demand that are kept free beside its mean.
     pub headroom_deviations: f32,
+    /// Part of the doubt on how many generations others have that is kept free in the batch.
+    pub slot_doubt: f32,
     /// A waiting request is refused at once when its predicted wait is this many times the time
     /// that it has.
     pub early_refusal: f64,
     /// A generation is stopped here when its engine's memory runs out with this chance, see
     /// [`crate::victim`]; above 1: never.
     pub victim_chance: f32,
+    /// Most tokens that stopping one may lose.
+    pub victim_tokens: u32,
     /// Organisations' length histograms that are kept.
     pub histograms: usize,
 }
@@ -68,7 +73,7 @@
     fn default() -> Self {
         Self {
             place: view::ServerPlace::default(),
-            seed: 0,
+            identity: 0,
             entries: 1,
             organisation_entries: 1,
             overflow_chance: [0.05, 0.02, 0.01],
@@ -86,12 +91,14 @@
             prefill_rate: 4_000.0,
             deferrable_floor: 0.1,
             hold_after: time::Duration::from_secs(1),
-            reuse: 0.75,
+            reuse: 0.25,
             share_room: true,
             urgent_beyond: 2,
             headroom_deviations: 2.0,
+            slot_doubt: 1.0,
             early_refusal: 1.5,
             victim_chance: 0.5,
+            victim_tokens: 32,
             histograms: 4_096,
         }
     }
--- a/crates/sched/src/share.rs
+++ b/crates/sched/src/share.rs
@@ -1,18 +1,31 @@
 //! This VM's share of the engines that it sends work to beside other entry VMs.
 //!
-//! A VM's weight is the sum of the weights of the organisations that have work at it, not the
-//! amount of that work: an organisation that sends ten times its share makes its VM no heavier.
+//! Reports of engines are old, so several VMs that fill the same engine overfill it or leave it
+//! idle. Each engine is therefore mostly filled by one VM, or by two: all engines of a model lie
+//! on a ring in an order that every process knows, each as long as its memory, and the VMs that
+//! have work for the model lie on the same ring, each as long as what it is due. Where a VM's
+//! length covers an engine, that is its share of it. What a VM is due is the smaller of what it
+//! asks for and a fair part by the weights of its organisations, so an organisation that sends
+//! ten times its share takes no other VM's engines.
+//!
+//! Every VM works this out from the digests that it has, without agreement. Digests differ in
+//! age, so neighbours on the ring may both claim the engine between them, or neither: a small part
+//! of the room, and the next digests mend it.
 
 use base::id;
 use tokio::time;
 
-/// What one entry VM tells the others of its work, in gossip.
+/// What one entry VM tells the others of its work for one model, in gossip, about once a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EntryDigest {
-    /// Sum of the weights of organisations with work there.
+    /// Tells the VM's place on the ring; equal in every process, different for each VM.
+    pub identity: u64,
+    /// Sum of the weights of the organisations with work there.
     pub weight: f32,
-    /// Whether some of that work waits for room.
-    pub backlogged: bool,
+    /// Engine memory that its running and waiting work asks for, in tokens.
+    pub demand: f32,
+    /// The part of it that waits.
+    pub waiting: f32,
     /// Urgent generations at once, see [`crate::headroom`].
     pub urgent: f32,
 }
@@ -20,43 +33,49 @@
 /// A digest older than this says nothing any more.
 const STALE: time::Duration = time::Duration::from_secs(20);
 
-/// What a VM counts whose work does not wait, as a part of its weight.
-const UNPRESSED: f32 = 0.25;
+/// Part of each engine's room that goes to whoever has work waiting, wherever it lies on the ring.
+const COMMON: f32 = 0.2;
+
+/// What a VM is due beyond its demand, as a part of that: else growth would wait for a digest.
+const SPARE: f32 = 1.25;
+
+/// An engine on the ring.
+#[derive(Clone, Copy, Debug)]
+pub struct RingEngine {
+    /// The engine.
+    pub server: id::ServerKey,
+    /// Tells its place; equal in every process.
+    pub identity: u64,
+    /// Its length: its memory, in tokens.
+    pub capacity: f32,
+}
 
-/// Digests of the other entry VMs and what follows from them.
-#[derive(Clone, Debug)]
+/// A VM on the ring.
+#[derive(Clone, Copy, Debug)]
+struct RingEntry {
+    identity: u64,
+    weight: f32,
+    /// Most that it may be due.
+    wanted: f32,
+    due: f32,
+}
+
+/// Digests of the other entry VMs for one model, and what follows from them.
+#[derive(Clone, Debug, Default)]
 pub struct ShareTable {
     digests: slotmap::SecondaryMap<id::VmKey, (EntryDigest, time::Instant)>,
-    /// Share when no digest is known.
-    default_share: f32,
-    others_weight: f32,
+    /// Ranked by identity; kept for its memory.
+    entries: Vec<RingEntry>,
+    /// Share of each engine; empty while no digest is known.
+    shares: slotmap::SecondaryMap<id::ServerKey, f32>,
     others_urgent: f32,
 }
 
 impl ShareTable {
-    /// A table for `entries` VMs, this one included, of which nothing is known yet.
-    #[must_use]
-    pub fn new(entries: u32) -> Self {
-        Self {
-            digests: slotmap::SecondaryMap::new(),
-            default_share: 1.0 / entries.max(1) as f32,
-            others_weight: 0.0,
-            others_urgent: 0.0,
-        }
-    }
-
-    /// Changes the number of VMs.
-    pub fn set_entries(&mut self, entries: u32) {
-        self.default_share = 1.0 / entries.max(1) as f32;
-    }
-
     /// Another VM's digest arrived; one older than the newest of it is ignored.
     pub fn take(&mut self, vm: id::VmKey, digest: EntryDigest, taken_at: time::Instant) {
-        let newer = self
-            .digests
-            .get(vm)
-            .is_none_or(|(_, held_at)| *held_at < taken_at);
-        if newer {
+        let held = self.digests.get(vm);
+        if held.is_none_or(|(_, held_at)| *held_at < taken_at) {
             self.digests.insert(vm, (digest, taken_at));
         }
     }
@@ -66,26 +85,70 @@
         self.digests.remove(vm);
     }
 
-    /// Sums up what is known; called now and then, not for each decision.
-    pub fn refresh(&mut self, now: time::Instant) {
+    /// Works out the shares anew; called now and then, not for each decision. `engines` are in
+    /// ascending order of identity.
+    pub fn refresh(&mut self, own: &EntryDigest, engines: &[RingEngine], now: time::Instant) {
         self.digests
             .retain(|_, (_, taken_at)| now.saturating_duration_since(*taken_at) < STALE);
-        (self.others_weight, self.others_urgent) = (0.0, 0.0);
-        for (_, (digest, _)) in &self.digests {
-            let pressed = if digest.backlogged { 1.0 } else { UNPRESSED };
-            self.others_weight += digest.weight * pressed;
-            self.others_urgent += digest.urgent;
+        self.shares.clear();
+        self.entries.clear();
+        self.others_urgent = self.digests.values().map(|(digest, _)| digest.urgent).sum();
+        if self.digests.is_empty() {
+            return;
         }
+        let capacity: f32 = engines.iter().map(|engine| engine.capacity).sum();
+        let waiting: f32 = self
+            .digests
+            .values()
+            .map(|(digest, _)| digest.waiting)
+            .sum();
+        let others = self.digests.values().map(|(digest, _)| digest);
+        for digest in others.chain([own]) {
+            self.entries.push(RingEntry {
+                identity: digest.identity,
+                weight: digest.weight.max(0.1),
+                wanted: SPARE * digest.demand + 0.01 * capacity,
+                due: 0.0,
+            });
+        }
+        divide(&mut self.entries, capacity);
+        let common = own.waiting / (waiting + own.waiting).max(1.0);
+        self.lay(own.identity, engines, common);
     }
 
-    /// Share of a VM of `weight` in engines of which each VM uses the part `used`.
-    #[must_use]
-    pub fn share(&self, weight: f32, used: f32) -> f32 {
-        if self.digests.is_empty() {
-            return (self.default_share / used.max(1e-3)).min(1.0);
+    /// Lays the VMs and the engines on the ring and notes what this VM covers.
+    fn lay(&mut self, own: u64, engines: &[RingEngine], common: f32) {
+        self.entries.sort_unstable_by_key(|entry| entry.identity);
+        let before = self
+            .entries
+            .iter()
+            .take_while(|entry| entry.identity != own);
+        let from: f32 = before.map(|entry| entry.due).sum();
+        let own = self.entries.iter().find(|entry| entry.identity == own);
+        let to = from + own.map_or(0.0, |entry| entry.due);
+        let mut start = 0.0;
+        for engine in engines {
+            let end = start + engine.capacity;
+            let covered = (to.min(end) - from.max(start)).max(0.0);
+            let share = (1.0 - COMMON) * covered / engine.capacity.max(1.0) + COMMON * common;
+            self.shares.insert(engine.server, share);
+            start = end;
         }
-        let weight = weight.max(0.5);
-        weight / self.others_weight.mul_add(used, weight)
+    }
+
+    /// Place in `engines` of the first engine that this VM covers.
+    #[must_use]
+    pub fn first_covered(&self, engines: &[RingEngine]) -> Option<usize> {
+        let own = COMMON + f32::EPSILON;
+        engines
+            .iter()
+            .position(|engine| self.share(engine.server).is_some_and(|share| share > own))
+    }
+
+    /// This VM's share of the room on `server`; absent while nothing is known of other VMs.
+    #[must_use]
+    pub fn share(&self, server: id::ServerKey) -> Option<f32> {
+        self.shares.get(server).copied()
     }
 
     /// Urgent generations at once at the other VMs.
@@ -94,3 +157,23 @@
         self.others_urgent
     }
 }
+
+/// Divides `capacity` by weight, nobody more than it wants while others want more; what is left
+/// over goes to all by weight.
+fn divide(entries: &mut [RingEntry], capacity: f32) {
+    entries.sort_unstable_by(|left, right| {
+        let levels = (left.wanted / left.weight, right.wanted / right.weight);
+        levels.0.total_cmp(&levels.1)
+    });
+    let whole: f32 = entries.iter().map(|entry| entry.weight).sum();
+    let (mut left, mut weight) = (capacity, whole);
+    for entry in entries.iter_mut() {
+        let fair = left * entry.weight / weight.max(f32::EPSILON);
+        entry.due = entry.wanted.min(fair).max(0.0);
+        left -= entry.due;
+        weight -= entry.weight;
+    }
+    for entry in entries.iter_mut() {
+        entry.due += left.max(0.0) * entry.weight / whole.max(f32::EPSILON);
+    }
+}
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -8,7 +8,7 @@
     ask,
     core::DispatchCore,
     explain::RefusalReason,
-    fleet,
+    fleet, route, share,
     view::{self, LoadSum},
 };
 
@@ -73,48 +73,67 @@
         (then, since)
     }
 
-    /// Ranks the candidates of every model anew; for changes of the fleet only.
+    /// Ranks the engines of every model anew; for changes of the fleet only.
     pub(crate) fn rank_all(&mut self) {
-        let (own, seed, count) = (
-            self.settings.place,
-            self.settings.seed,
-            self.settings.candidates,
-        );
+        let (own, settings) = (self.settings.place, &self.settings);
         for (model, fleet) in &mut self.models {
             let engines = |near: bool| {
-                self.servers
-                    .iter()
-                    .filter(move |(_, view)| {
-                        view.spec.models.contains(&model)
-                            && fleet::near(own, view.spec.place) == near
-                    })
-                    .map(|(key, _)| key)
+                let serves = self.servers.iter().filter(move |(_, view)| {
+                    view.spec.models.contains(&model) && fleet::near(own, view.spec.place) == near
+                });
+                serves.map(|(key, _)| key)
             };
-            fleet.engines = engines(true).count();
-            fleet.near = fleet::candidates(engines(true), seed, count);
-            fleet.far = fleet::candidates(engines(false), seed, count);
+            fleet.near = fleet::candidates(engines(true), settings.identity, settings.candidates);
+            fleet.far = fleet::candidates(engines(false), settings.identity, settings.candidates);
         }
+        self.upkept_at = None;
     }
 
     /// Brings up to date what need not be exact at each decision.
     pub(crate) fn upkeep(&mut self, now: time::Instant) {
-        let due = |then: Option<time::Instant>, span| {
-            then.is_none_or(|then| now.saturating_duration_since(then) >= span)
-        };
-        if due(self.upkept_at, UPKEEP) {
+        let age =
+            |then: Option<time::Instant>| then.map(|then| now.saturating_duration_since(then));
+        let upkept = age(self.upkept_at);
+        if upkept.is_none_or(|age| age >= UPKEEP) {
             self.upkept_at = Some(now);
-            self.shares.refresh(now);
-            self.headroom.advance(now);
-            for (model, fleet) in &mut self.models {
-                fleet.rest = self.lengths.rest(model);
-            }
+            self.refresh_shares(upkept.unwrap_or_default(), now);
         }
-        if due(self.swept_at, SWEEP) {
+        if age(self.swept_at).is_none_or(|age| age >= SWEEP) {
             self.swept_at = Some(now);
             self.organisations.sweep(now);
         }
     }
 
+    fn refresh_shares(&mut self, age: time::Duration, now: time::Instant) {
+        let weight = self.organisations.busy_weight() as f32;
+        for (model, fleet) in &mut self.models {
+            fleet.rest = self.lengths.rest(model);
+            fleet.advance_drains(now);
+            fleet.headroom.advance(now);
+            fleet.ring.clear();
+            let mut running = 0.0;
+            for (server, view) in &self.servers {
+                let near = fleet::near(self.settings.place, view.spec.place);
+                if near && view.spec.models.contains(&model) {
+                    running += view.own.memory.mean[0];
+                    if route::healthy(view, now) {
+                        let (identity, capacity) = (view.spec.identity, view.capacity());
+                        fleet.ring.push(share::RingEngine {
+                            server,
+                            identity,
+                            capacity,
+                        });
+                    }
+                }
+            }
+            fleet.ring.sort_unstable_by_key(|engine| engine.identity);
+            fleet.measure_demand(running, age);
+            let own = fleet.digest(self.settings.identity, weight);
+            fleet.shares.refresh(&own, &fleet.ring, now);
+            fleet.follow_shares(self.settings.candidates);
+        }
+    }
+
     /// Why there is no use in letting `ask` wait, with when to come back.
     pub(crate) fn hopeless(
         &mut self,
@@ -131,7 +150,7 @@
         if largest.is_none() {
             return Some((RefusalReason::NoServer, Some(time::Duration::from_secs(1))));
         }
-        let wait = self.predicted_wait(ask, now);
+        let wait = self.predicted_wait(ask);
         let queued = self
             .models
             .get(ask.model)
@@ -152,7 +171,7 @@
 
     /// Predicted wait of one more request like `ask`, in seconds, from its place in the fair
     /// order and the rate at which the queue is served.
-    pub(crate) fn predicted_wait(&self, ask: &ask::Ask, now: time::Instant) -> Option<f64> {
+    pub(crate) fn predicted_wait(&self, ask: &ask::Ask) -> Option<f64> {
         let fleet = self.models.get(ask.model)?;
         let class = ask.class.index();
         let weight = self.organisations.weight(ask.organisation);
@@ -160,7 +179,7 @@
         if ahead <= 0.0 {
             return None;
         }
-        fleet.drains[class].wait(ahead, now)
+        fleet.drains[class].wait(ahead)
     }
 
     /// When a refused caller may come back: when what is ahead of it has shrunk to what can be
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/view.rs
@@ -23,6 +23,8 @@
 /// What the inventory says of a model engine.
 #[derive(Clone, Debug)]
 pub struct EngineSpec {
+    /// Hash of its name: equal in every process, different for each engine.
+    pub identity: u64,
     /// Where it stands.
     pub place: ServerPlace,
     /// Models that it serves now.
@@ -134,6 +136,8 @@
     pub heard_at: time::Instant,
     /// Variance that one second adds to others' memory, in tokens squared.
     churn: f32,
+    /// Generations of others that end, and as many that begin, in one second.
+    turnover: f32,
     ended_log: std::collections::VecDeque<EndedLoad>,
     failure: f32,
     failure_at: time::Instant,
@@ -160,6 +164,7 @@
             unstarted: 0,
             heard_at: now,
             churn: 0.0,
+            turnover: 0.0,
             ended_log: std::collections::VecDeque::new(),
             failure: 0.0,
             failure_at: now,
@@ -344,6 +349,14 @@
         let step = if self.step > 0.0 { self.step } else { 0.03 };
         let turnover = running / (rest.mean_length * step).max(step);
         self.churn = 2.0 * turnover * each * each;
+        self.turnover = turnover;
+    }
+
+    /// Deviation of the number of generations there, from the age of what is known of others'.
+    #[must_use]
+    pub fn running_spread(&self, now: time::Instant) -> f32 {
+        let age = self.report_age(now).unwrap_or_default().as_secs_f32();
+        (2.0 * self.turnover * age).sqrt()
     }
 
     /// Memory of all generations there, own and others', with the doubt that age brings.
--- a/crates/sched/tests/driver.rs
+++ b/crates/sched/tests/driver.rs
@@ -18,6 +18,7 @@
         let mut organisations = slotmap::SlotMap::<id::OrganisationKey, ()>::with_key();
         let (model, organisation) = (models.insert(()), organisations.insert(()));
         let spec = view::EngineSpec {
+            identity: 1,
             place: view::ServerPlace::default(),
             models: vec![model],
             total_blocks: 1_000,
--- a/crates/wire/src/proto/gossip.rs
+++ b/crates/wire/src/proto/gossip.rs
@@ -215,16 +215,29 @@
     pub running: u32,
 }
 /// Body of a digest of kind entry work.
-#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EntryWorkBody {
     /// Sum of the weights of organisations with work at the sender.
     #[prost(float, tag = "1")]
     pub weight: f32,
-    /// Whether some of that work waits for room.
-    #[prost(bool, tag = "2")]
-    pub backlogged: bool,
-    /// Urgent generations at once.
+    /// Of each model that there is work for.
+    #[prost(message, repeated, tag = "2")]
+    pub models: ::prost::alloc::vec::Vec<ModelWorkBody>,
+}
+/// Work for one model.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct ModelWorkBody {
+    /// Hash of the model's name.
+    #[prost(fixed64, tag = "1")]
+    pub model_hash: u64,
+    /// Engine memory that it asks for, in tokens.
+    #[prost(float, tag = "2")]
+    pub demand: f32,
+    /// The part of it that waits.
     #[prost(float, tag = "3")]
+    pub waiting: f32,
+    /// Urgent generations at once.
+    #[prost(float, tag = "4")]
     pub urgent: f32,
 }
 /// What is said of a member, in order of precedence at equal refutation.
