pollenctl publish: a refusal after a lost answer is not the outcome

Cause: when the first VM's answer was lost after its append and the next VM refused (a key it does not know), publish ended with exit code 1, which promises that nothing took effect. Now any earlier try that may have taken effect makes the end undecided (4), with the id to ask again; a test loses the answer, then refuses.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -31,7 +31,7 @@
 pub struct CallFault {
     /// What happened.
     pub reason: String,
-    /// Whether it is certain that the VM never saw the call.
+    /// Whether it is certain that the call had no effect.
     pub is_unsent: bool,
 }
 
--- a/crates/ctl/src/completions.rs
+++ b/crates/ctl/src/completions.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 
 use argh::ArgsInfo as _;
+use trace::query;
 
 use crate::args;
 
@@ -12,6 +13,7 @@
     let info = args::CtlArgs::get_args_info();
     let mut cases = String::new();
     add_cases(&info, "", &mut cases);
+    let areas = query::areas().join(" ");
     format!(
         r#"# Completions of pollenctl for bash; made by `pollenctl completions`.
 _pollenctl() {{
@@ -24,6 +26,11 @@
     case "$path" in
 {}        *) words="" ;;
     esac
+    case "${{COMP_WORDS[COMP_CWORD-1]}}" in
+        --format) words="text jsonl svg" ;;
+        --kind) words="{areas}" ;;
+    esac
+    COMPREPLY=()
     if [[ "$current" == -* || -n "$words" ]]; then
         COMPREPLY=($(compgen -W "$words" -- "$current"))
     fi
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -246,65 +246,72 @@
 ) -> Result<ops::PublishAnswer, error::CtlError> {
     let body = client::to_json(ask)?;
     let deadline = time::Instant::now() + limit;
-    let mut attempts = Vec::new();
     let mut undecided = None;
     loop {
+        let mut attempts = Vec::new();
         for entry in client.entries() {
-            let reason = match client
-                .call(&entry.to_string(), "/ops/publish", Some(&body))
-                .await
-            {
-                Ok(answer) => match read_answer(&answer)? {
-                    Ok(decided) => return Ok(decided),
-                    Err(fault) => fault,
-                },
-                Err(fault) => fault,
+            let entry = entry.to_string();
+            let called = client.call(&entry, "/ops/publish", Some(&body)).await;
+            let fault = match called.map(|answer| read_answer(&answer)) {
+                Ok(PublishStep::Decided(answer)) => return Ok(answer),
+                Ok(PublishStep::Refused(error)) => return Err(after(undecided, ask, error)),
+                Ok(PublishStep::Open(fault)) | Err(fault) => fault,
             };
-            let line = format!("{entry}: {}", reason.reason);
-            if !reason.is_unsent {
-                undecided = Some(line.clone());
+            attempts.push(format!("{entry}: {fault}"));
+            if !fault.is_unsent {
+                undecided = attempts.last().cloned();
             }
-            attempts.push(line);
         }
         if time::Instant::now() + ROUND_PAUSE >= deadline {
-            break;
+            return Err(after(
+                undecided,
+                ask,
+                error::CtlError::Unreachable { attempts },
+            ));
         }
         time::sleep(ROUND_PAUSE).await;
     }
-    attempts.dedup();
-    let shown = attempts.len().min(client.entries().len());
+}
+
+/// How a publish ends without a decision: once some try may have taken effect, no refusal of a
+/// later try proves that nothing did.
+fn after(
+    undecided: Option<String>,
+    ask: &ops::PublishAsk,
+    error: error::CtlError,
+) -> error::CtlError {
+    let record = ask.record;
     match undecided {
-        Some(reason) => Err(error::CtlError::Undecided {
-            reason,
-            record: ask.record,
-        }),
-        None => error::UnreachableSnafu {
-            attempts: attempts.split_off(attempts.len() - shown),
-        }
-        .fail(),
+        Some(reason) => error::CtlError::Undecided { reason, record },
+        None => error,
     }
 }
 
-/// What an answer decides, or why it decides nothing.
-fn read_answer(
-    answer: &client::RawAnswer,
-) -> Result<Result<ops::PublishAnswer, client::CallFault>, error::CtlError> {
+/// What one answer to a publish means.
+enum PublishStep {
+    Decided(ops::PublishAnswer),
+    /// This VM will not do it, and asking others is no use.
+    Refused(error::CtlError),
+    /// Nothing is decided; another try may.
+    Open(client::CallFault),
+}
+
+fn read_answer(answer: &client::RawAnswer) -> PublishStep {
     match serde_json::from_slice(&answer.body) {
-        Ok(ops::PublishAnswer::Undecided { reason }) => Ok(Err(client::CallFault {
+        Ok(ops::PublishAnswer::Undecided { reason }) => PublishStep::Open(client::CallFault {
             reason,
             is_unsent: false,
-        })),
-        Ok(decided) => Ok(Ok(decided)),
-        Err(_) if answer.status < 500 => error::RefusedSnafu {
+        }),
+        Ok(decided) => PublishStep::Decided(decided),
+        Err(_) if answer.status < 500 => PublishStep::Refused(error::CtlError::Refused {
             entry: answer.entry.clone(),
             status: answer.status,
             message: answer.message(),
-        }
-        .fail(),
-        Err(_) => Ok(Err(client::CallFault {
+        }),
+        Err(_) => PublishStep::Open(client::CallFault {
             reason: format!("{} {}", answer.status, answer.message()),
             is_unsent: answer.is_not_run(),
-        })),
+        }),
     }
 }
 
--- a/crates/ctl/tests/fake/mod.rs
+++ b/crates/ctl/tests/fake/mod.rs
@@ -20,6 +20,8 @@
     AnswerLost,
     /// The log does not answer; the change does not take effect.
     LogDown,
+    /// The VM does not know the operator's key.
+    KeyUnknown,
 }
 
 /// What stands behind all addresses.
@@ -60,15 +62,20 @@
     }
 
     /// What the caller sees of it; `None` when the answer is lost.
-    fn published(&mut self, ask: ops::PublishAsk) -> Option<ops::PublishAnswer> {
+    fn published(&mut self, ask: ops::PublishAsk) -> Option<(u16, serde_json::Value)> {
         self.publish_calls += 1;
-        let fault = self.faults.pop_front();
-        if fault == Some(PublishFault::LogDown) {
-            let reason = "the log does not answer".to_owned();
-            return Some(ops::PublishAnswer::Undecided { reason });
-        }
-        let answer = self.publish(ask);
-        (fault != Some(PublishFault::AnswerLost)).then_some(answer)
+        let answer = match self.faults.pop_front() {
+            Some(PublishFault::KeyUnknown) => return Some(unauthenticated()),
+            Some(PublishFault::LogDown) => ops::PublishAnswer::Undecided {
+                reason: "the log does not answer".to_owned(),
+            },
+            Some(PublishFault::AnswerLost) => {
+                self.publish(ask);
+                return None;
+            }
+            None => self.publish(ask),
+        };
+        Some((answer.status(), serde_json::to_value(answer).unwrap()))
     }
 
     fn configuration(&self, asked: Option<u64>) -> Option<serde_json::Value> {
@@ -253,11 +260,7 @@
     let mut system = system.lock().unwrap();
     system.calls.push(format!("{vm} {}", call.target));
     if !call.is_authorised {
-        return Some(refused(
-            401,
-            refusal::RefusalCode::Unauthenticated,
-            "use a known key",
-        ));
+        return Some(unauthenticated());
     }
     let (path, parameters) = call.target.split_once('?').unwrap_or((&call.target, ""));
     let parameter = |name: &str| {
@@ -266,9 +269,13 @@
             .filter_map(|pair| pair.split_once('='));
         pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
     };
+    let is_key_unknown = system.faults.front() == Some(&PublishFault::KeyUnknown);
+    if path == "POST /ops/publish" && is_key_unknown {
+        system.faults.pop_front();
+        return Some(unauthenticated());
+    }
     if path == "POST /ops/publish" {
-        let answer = system.published(serde_json::from_str(&call.body).unwrap())?;
-        return Some((answer.status(), serde_json::to_value(answer).unwrap()));
+        return system.published(serde_json::from_str(&call.body).unwrap());
     }
     let body = match path {
         "GET /ops/status" => {
@@ -310,6 +317,14 @@
     Some((200, body))
 }
 
+fn unauthenticated() -> (u16, serde_json::Value) {
+    refused(
+        401,
+        refusal::RefusalCode::Unauthenticated,
+        "use a known key",
+    )
+}
+
 fn refused(status: u16, code: refusal::RefusalCode, message: &str) -> (u16, serde_json::Value) {
     let error = refusal::RefusalBody::not_run(code, message);
     (
--- a/crates/ctl/tests/publish.rs
+++ b/crates/ctl/tests/publish.rs
@@ -77,6 +77,34 @@
     assert_eq!(system.lock().unwrap().state.offset(), 1);
 }
 
+#[tokio::test]
+async fn refusal_after_a_lost_answer_is_not_taken_for_the_outcome() {
+    // Symptom: an operator is told that nothing was published, and the change is in force.
+    // Sequence: the change takes effect and its answer is lost; the next VM does not know the key.
+    // Cause: the last try's refusal was told as the outcome of all.
+    let system = SharedSystem::default();
+    let first = FakeFace::start("hall-a-1", &system).await;
+    let second = FakeFace::start("hall-a-2", &system).await;
+    let files = fake::files(&fake::directory("refused-later"), FIRST_RULES);
+    let faults = [PublishFault::AnswerLost, PublishFault::KeyUnknown];
+    system.lock().unwrap().faults.extend(faults);
+    let output = fake::run(
+        &[first.address, second.address],
+        &format!("publish {files}"),
+    )
+    .await;
+    assert_eq!(output.status, error::ExitStatus::Undecided, "{output:?}");
+    assert_eq!(system.lock().unwrap().state.revision(), 1);
+    system
+        .lock()
+        .unwrap()
+        .faults
+        .push_back(PublishFault::KeyUnknown);
+    let line = format!("publish {files} --base 0");
+    let output = fake::run(&[first.address], &line).await;
+    assert_eq!(output.status, error::ExitStatus::Refused, "{output:?}");
+}
+
 #[tokio::test]
 async fn base_must_be_named_once_there_is_one() {
     // Symptom: another operator's change is undone without a word.
--- a/crates/trace/src/explain.rs
+++ b/crates/trace/src/explain.rs
@@ -17,42 +17,21 @@
         .iter()
         .filter(|event| event.request == Some(request))
         .collect();
-    let (first, last) = (own.first()?, own.last()?);
+    let first = own.first()?;
     let start_ms = first.stamp.wall_ms();
-    let servers: collections::BTreeSet<&str> =
-        own.iter().filter_map(|event| event.kind.server()).collect();
     let mut out = format!("request {request}\n");
     if !matches!(first.kind, kind::EventKind::RequestTaken { .. }) {
         out.push_str("  its beginning is not kept: what led up to the first line is unknown\n");
     }
-    let window = first.stamp..=last.stamp;
     let mut vm = "";
-    for event in timeline
-        .events
-        .iter()
-        .filter(|event| window.contains(&event.stamp))
-    {
-        let is_own = event.request == Some(request);
-        let is_cause = event.request.is_none()
-            && server_sentence(&event.kind).is_some()
-            && event
-                .kind
-                .server()
-                .is_some_and(|server| servers.contains(server));
-        if !is_own && !is_cause {
-            continue;
-        }
+    for event in story(timeline, &own) {
         if event.vm != vm {
             let _ = writeln!(out, "  on {}:", text::clean(&event.vm));
             vm = &event.vm;
         }
         let after_ms = event.stamp.wall_ms().saturating_sub(start_ms);
-        let _ = writeln!(
-            out,
-            "  {:>10}  {}",
-            format!("+{after_ms} ms"),
-            sentence(&event.kind)
-        );
+        let after = format!("+{after_ms} ms");
+        let _ = writeln!(out, "  {after:>10}  {}", sentence(&event.kind));
     }
     let _ = writeln!(out, "  began {}", moment::full_text(start_ms));
     let _ = writeln!(out, "outcome: {}", outcome_text(&own));
@@ -62,6 +41,30 @@
     Some(out)
 }
 
+/// The request's own events, and between them what became of the servers that it used.
+fn story<'a>(
+    timeline: &'a merge::MergedTimeline,
+    own: &[&event::Event],
+) -> impl Iterator<Item = &'a event::Event> {
+    let servers: collections::BTreeSet<String> = own
+        .iter()
+        .filter_map(|event| event.kind.server())
+        .map(str::to_owned)
+        .collect();
+    let request = own.first().and_then(|event| event.request);
+    let window = own.first().map(|event| event.stamp)..=own.last().map(|event| event.stamp);
+    timeline.events.iter().filter(move |event| {
+        let is_cause = event.request.is_none()
+            && server_sentence(&event.kind).is_some()
+            && event
+                .kind
+                .server()
+                .is_some_and(|server| servers.contains(server));
+        let is_own = event.request.is_some() && event.request == request;
+        (is_own || is_cause) && window.contains(&Some(event.stamp))
+    })
+}
+
 /// Whether a gap may hide something about a request that began at `start_ms`.
 fn may_hide(gap: &merge::TimelineGap, start_ms: u64) -> bool {
     match gap {
