--- a/crates/stand/src/http.rs
+++ b/crates/stand/src/http.rs
@@ -270,6 +270,27 @@
     error(status.code, "not_served", &message)
 }
 
+impl<S: Clone + Send + Sync + 'static> FrontSpec<S> {
+    /// Begins another life at the address of an earlier one, as soon as that has let it go.
+    async fn begin_again(&self, address: net::SocketAddr) -> ServerLife {
+        const TRY_AGAIN: time::Duration = time::Duration::from_millis(20);
+        /// Tries that may fail before it is worth a line.
+        const QUIET_TRIES: u32 = 50;
+        let mut tries = 0;
+        loop {
+            match ServerLife::begin(self.rocket(address)).await {
+                Ok(life) => return life,
+                Err(reason) if tries == QUIET_TRIES => {
+                    log::warn!(address:%, reason; "stand-in can't listen again yet");
+                }
+                Err(_) => {}
+            }
+            tries += 1;
+            time::sleep(TRY_AGAIN).await;
+        }
+    }
+}
+
 fn is_admin(request: &rocket::Request<'_>) -> bool {
     request.uri().path().starts_with("/admin/")
 }
@@ -307,13 +328,13 @@
         }
     }
 
-    async fn end(self) {
+    /// Stops listening at once and cuts what is open.
+    ///
+    /// The library waits for every connection, and for those that went silent in vain: so whoever
+    /// comes up again at this address doesn't wait for it, only a stop does, and not for long.
+    fn end(self) -> tokio::task::JoinHandle<Result<(), String>> {
         self.shutdown.notify();
-        match self.task.await {
-            Ok(Ok(())) => {}
-            Ok(Err(reason)) => log::warn!(address:% = self.address, reason; "stand-in ended badly"),
-            Err(cause) => log::warn!(address:% = self.address, cause:%; "stand-in ended badly"),
-        }
+        self.task
     }
 }
 
@@ -322,21 +343,20 @@
     mut life: ServerLife,
     mut stopped: signal::watch::Receiver<bool>,
 ) {
-    const TRY_AGAIN: time::Duration = time::Duration::from_millis(50);
+    const STOP_LIMIT: time::Duration = time::Duration::from_secs(1);
     let address = life.address;
     loop {
-        let gone = stopped_or(&mut stopped, front.gate.wait_up(false)).await;
-        life.end().await;
-        if gone || stopped_or(&mut stopped, front.gate.wait_up(true)).await {
+        let stops = stopped_or(&mut stopped, front.gate.wait_up(false)).await;
+        let task = life.end();
+        if stops {
+            // What is still open then is silent, and ends with the process.
+            let _ = time::timeout(STOP_LIMIT, task).await;
             return;
         }
-        life = loop {
-            match ServerLife::begin(front.rocket(address)).await {
-                Ok(life) => break life,
-                Err(reason) => log::warn!(address:%, reason; "stand-in can't listen yet"),
-            }
-            time::sleep(TRY_AGAIN).await;
-        };
+        if stopped_or(&mut stopped, front.gate.wait_up(true)).await {
+            return;
+        }
+        life = front.begin_again(address).await;
     }
 }
 
--- a/crates/stand/tests/fleet.rs
+++ b/crates/stand/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! All stand-ins of a process: settings, names, faults from outside.
 
-use conf::settings::parse;
+use conf::{inventory, settings::parse};
 use stand::{fleet, settings};
 
 const EXAMPLE: &str = include_str!("../../../examples/stand.jsonc");
@@ -11,6 +11,46 @@
     assert_eq!(settings.engines[0].count, 3);
 }
 
+#[test]
+fn the_deployments_of_the_examples_have_a_stand_in_at_each_address() {
+    for (inventory, stand) in [
+        (
+            include_str!("../../../examples/pass-works/inventory.jsonc"),
+            include_str!("../../../examples/pass-works/stand.jsonc"),
+        ),
+        (
+            include_str!("../../../examples/ridebook/inventory.jsonc"),
+            include_str!("../../../examples/ridebook/stand.jsonc"),
+        ),
+    ] {
+        let inventory: inventory::Inventory = parse("inventory.jsonc", inventory).expect("right");
+        let stand: settings::StandSettings = parse("stand.jsonc", stand).expect("right");
+        let engines = stand
+            .engines
+            .iter()
+            .map(|group| (group.address, group.count));
+        let services = stand
+            .services
+            .iter()
+            .map(|group| (group.address, group.count));
+        let mut served = engines.chain(services).flat_map(|(first, count)| {
+            (0..count).filter_map(move |index| settings::nth_address(first, index))
+        });
+        let mut wanted: Vec<_> = inventory
+            .backend_servers
+            .values()
+            .map(|it| it.address)
+            .collect();
+        wanted.sort_unstable();
+        assert!(wanted.into_iter().eq(served.by_ref()));
+        for group in &stand.engines {
+            let model = &inventory.models[&group.profile.model];
+            assert_eq!(group.profile.version, model.version);
+            assert_eq!(group.profile.adapters, model.adapters);
+        }
+    }
+}
+
 #[test]
 fn wrong_settings_get_every_fault_with_its_line() {
     let text = r#"{
