--- a/crates/stand/tests/fleet.rs
+++ b/crates/stand/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! All stand-ins of a process: settings, names, faults from outside.
 
-use conf::{inventory, settings::parse};
+use conf::{document, place, settings::parse};
 use stand::{fleet, settings};
 
 const EXAMPLE: &str = include_str!("../../../examples/stand.jsonc");
@@ -23,7 +23,9 @@
             include_str!("../../../examples/ridebook/stand.jsonc"),
         ),
     ] {
-        let inventory: inventory::Inventory = parse("inventory.jsonc", inventory).expect("right");
+        let source = |text| place::SourceText { file: "", text };
+        let configuration = document::parse(source(inventory), source("{}")).expect("right");
+        let inventory = configuration.inventory;
         let stand: settings::StandSettings = parse("stand.jsonc", stand).expect("right");
         let engines = stand
             .engines
