--- a/crates/flow/src/attempt.rs
+++ b/crates/flow/src/attempt.rs
@@ -174,7 +174,7 @@
         patience: Duration,
     ) -> Self {
         let now = time::Instant::now();
-        let gauge = silence::SilenceGauge::new(silent_limit, now);
+        let gauge = silence::SilenceGauge::new(shared.settings.silence_floor, silent_limit, now);
         Self {
             shared,
             request,
--- a/crates/flow/src/settings.rs
+++ b/crates/flow/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{suspect, token};
+use crate::{silence, suspect, token};
 
 /// Settings of one request plane; the same for its whole life.
 #[derive(Clone, Debug)]
@@ -21,6 +21,8 @@
     pub heartbeat: Duration,
     /// One call to a backend server that should be answered at once is given up after this.
     pub call_limit: Duration,
+    /// A connection to a model engine is given up no sooner than after this silence.
+    pub silence_floor: Duration,
     /// A generation of which no token came is sought on its server for this long before it is
     /// cancelled and started elsewhere.
     pub opening_patience: Duration,
@@ -52,6 +54,7 @@
             caller_stall: Duration::from_secs(10),
             heartbeat: Duration::from_secs(1),
             call_limit: Duration::from_millis(800),
+            silence_floor: silence::PING_INTERVAL + silence::PING_LATENESS,
             opening_patience: Duration::from_millis(1_600),
             abandon_after: None,
             cancel_for: Duration::from_mins(1),
--- a/crates/flow/src/silence.rs
+++ b/crates/flow/src/silence.rs
@@ -8,14 +8,11 @@
 use tokio::time;
 
 /// Engines ping at least this often.
-const PING_INTERVAL: Duration = Duration::from_millis(500);
+pub const PING_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A ping may be late by this much. A false alarm costs one connection and no token: the same
 /// generation goes on over the new one.
-const PING_LATENESS: Duration = Duration::from_millis(300);
-
-/// No connection is given up sooner.
-const SHORTEST_LIMIT: Duration = PING_INTERVAL.saturating_add(PING_LATENESS);
+pub const PING_LATENESS: Duration = Duration::from_millis(300);
 
 /// Silence of this many expected gaps between tokens is out of the ordinary.
 const GAPS_TOLERATED: u32 = 8;
@@ -23,6 +20,8 @@
 /// Expects the next sign of life of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct SilenceGauge {
+    /// No expectation makes the limit shorter.
+    shortest: Duration,
     /// The rules' limit; no expectation makes the limit longer.
     longest: Duration,
     /// Mean gap between tokens, decayed; absent before the second token.
@@ -34,8 +33,9 @@
 impl SilenceGauge {
     /// A gauge of a connection opened at `now`.
     #[must_use]
-    pub const fn new(longest: Duration, now: time::Instant) -> Self {
+    pub const fn new(shortest: Duration, longest: Duration, now: time::Instant) -> Self {
         Self {
+            shortest,
             longest,
             mean_gap: None,
             last_token_at: None,
@@ -65,6 +65,6 @@
     #[must_use]
     pub fn give_up_at(&self) -> time::Instant {
         let expected = self.mean_gap.unwrap_or_default() * GAPS_TOLERATED;
-        self.last_sign_at + expected.max(SHORTEST_LIMIT).min(self.longest)
+        self.last_sign_at + expected.max(self.shortest).min(self.longest)
     }
 }
--- a/crates/flow/tests/plane/faults.rs
+++ b/crates/flow/tests/plane/faults.rs
@@ -17,6 +17,7 @@
     StreamsCut { after_tokens: u32 },
     AnswersLost { count: u32 },
     Nonsense,
+    Slow { times: u32 },
 }
 
 impl EngineTrouble {
@@ -34,6 +35,9 @@
             },
             Self::AnswersLost { count } => engine::EngineFault::LoseAnswers { count },
             Self::Nonsense => engine::EngineFault::Nonsense { on },
+            Self::Slow { times } => engine::EngineFault::Slow {
+                factor: if on { f64::from(times) } else { 1.0 },
+            },
         }
     }
 }
@@ -109,7 +113,7 @@
         let count = u.int_in_range(1..=3)?;
         let trouble = |fault| Fault::Engine { engine, fault };
         let call_trouble = |fault| Fault::Service { service, fault };
-        let fault = match u.int_in_range(0..=17_u8)? {
+        let fault = match u.int_in_range(0..=18_u8)? {
             0 | 1 => Fault::EngineDies {
                 engine,
                 back: u.arbitrary()?,
@@ -135,6 +139,9 @@
                 entry: u.choose_index(2)?,
             },
             16 => Fault::EntryDies,
+            17 => trouble(EngineTrouble::Slow {
+                times: u.int_in_range(5..=100)?,
+            }),
             _ => Fault::FirstEngineLeaves,
         };
         Ok(Self {
--- a/crates/flow/tests/plane/fuzz.rs
+++ b/crates/flow/tests/plane/fuzz.rs
@@ -50,6 +50,8 @@
     Status,
     /// Work that may wait.
     Review { tokens: u32 },
+    /// A request that crashes each engine that runs it, sent again and again.
+    Crash,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -64,7 +66,7 @@
     fn draw(u: &mut arbitrary::Unstructured<'_>, mark: u32) -> arbitrary::Result<Self> {
         let tokens = u.int_in_range(1..=40)?;
         let short = |u: &mut arbitrary::Unstructured<'_>| u.int_in_range(0..=20_usize);
-        let deed = match u.int_in_range(0..=9_u8)? {
+        let deed = match u.int_in_range(0..=10_u8)? {
             0 | 1 => Deed::Stream {
                 tokens,
                 pause_at: short(u)?,
@@ -84,8 +86,9 @@
                 twice: u.arbitrary()?,
                 repeat_ms: u.int_in_range(0..=3_000)?,
             },
+            9 => Deed::Review { tokens },
             _ if u.arbitrary()? => Deed::Status,
-            _ => Deed::Review { tokens },
+            _ => Deed::Crash,
         };
         Ok(Self {
             mark,
@@ -192,6 +195,7 @@
             }
             Deed::Status => status(&world, &ledger, caller).await,
             Deed::Review { tokens } => review(&world, &ledger, caller, tokens).await,
+            Deed::Crash => crash(&world, &ledger, caller).await,
         }
     };
     let ended = time::timeout(HORIZON, acts).await;
@@ -455,6 +459,24 @@
     }
 }
 
+async fn crash(world: &world::World, ledger: &Ledger, caller: Caller) {
+    for ask in 0..4 {
+        let body = callers::chat(caller.mark, 10, false, "[[crash]]");
+        let reply = tokio::select! {
+            reply = callers::generate(&world.planes[caller.entry], body) => reply,
+            () = world.cut(caller.entry) => return,
+        };
+        let refused = reply.expect_err("no engine answers this");
+        // What is told of a later ask is not of the earlier ones, which have the same mark.
+        if ask == 0 {
+            ledger.refused_generation(caller.mark, &refused.body);
+        }
+        if refused.body.code == refusal::RefusalCode::Quarantined {
+            return;
+        }
+    }
+}
+
 /// One history from its bytes.
 fn run(u: &mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()> {
     let plan = world::WorldPlan {
--- a/crates/flow/tests/plane/streams.rs
+++ b/crates/flow/tests/plane/streams.rs
@@ -239,3 +239,59 @@
         assert!(transcript.moved && !transcript.done, "{transcript:?}");
     });
 }
+
+// Symptom: two generations of one request run at once.
+// Sequence: an engine freezes before the first token and takes no cancel; later it goes on.
+// Cause: another try was started before the first one was settled.
+#[test]
+fn a_frozen_engines_try_is_settled_before_another_starts() {
+    world::history(async {
+        let world = world::World::new(&world::WorldPlan::default());
+        let begins = stream(&world.planes[0], 40, 20);
+        let freezes = async {
+            time::sleep(Duration::from_millis(5)).await;
+            let engine = busy(&world).clone();
+            engine.apply(&engine::EngineFault::Hang { on: true });
+            time::sleep(Duration::from_secs(6)).await;
+            assert_eq!(world.chaos.starts(40), 1);
+            engine.apply(&engine::EngineFault::Hang { on: false });
+        };
+        let (mut reply, ()) = tokio::join!(begins, freezes);
+        assert_eq!(world.chaos.starts(40), 2);
+        let mut transcript = callers::Transcript::default();
+        transcript.read(&mut reply.stream, usize::MAX).await;
+        transcript.check(40, 20);
+        assert!(transcript.done);
+    });
+}
+
+// Symptom: a caller is told "not run" for work that ran.
+// Sequence: each engine that takes the request dies before its first token and comes back as a
+// new process, which says that it holds no such generation.
+// Cause: "not held" was taken for "did not run".
+#[test]
+fn a_restarted_engine_proves_nothing() {
+    world::history(async {
+        let world = world::World::new(&world::WorldPlan::default());
+        for engine in world.engines.clone() {
+            engine.apply(&engine::EngineFault::Slow { factor: 1e5 });
+            tokio::spawn(async move {
+                loop {
+                    time::sleep(Duration::from_millis(20)).await;
+                    if engine.report().running > 0 {
+                        engine.apply(&engine::EngineFault::Crash { down_ms: Some(0) });
+                        time::sleep(Duration::from_millis(1)).await;
+                        engine.apply(&engine::EngineFault::Slow { factor: 1e5 });
+                    }
+                }
+            });
+        }
+        let body = callers::chat(41, 5, true, "");
+        let refused = callers::generate(&world.planes[0], body)
+            .await
+            .unwrap_err()
+            .body;
+        assert!(world.chaos.may_have_run(41));
+        assert_ne!(refused.ran, outcome::RanState::No, "{refused:?}");
+    });
+}
--- a/crates/flow/tests/plane/world.rs
+++ b/crates/flow/tests/plane/world.rs
@@ -1,10 +1,10 @@
-//! Two entry VMs, a few model engines and plain service servers, all in this process.
+//! Some entry VMs, a few model engines and plain service servers, all in this process.
 
 use std::{collections, net, sync, time::Duration};
 
 use base::{fingerprint, id};
 use conf::{document, inventory, rules, snapshot};
-use flow::{memory, plane, port, settings, token, view};
+use flow::{memory, plane, port, settings, suspect, token, view};
 use stand::{engine, service};
 use tokio::sync::watch;
 
@@ -119,6 +119,9 @@
     pub rules: rules::RuleSet,
     pub abandon_after: Option<Duration>,
     pub probe_servers: usize,
+    pub entries: u128,
+    pub suspects: suspect::SuspectLimits,
+    pub silence_floor: Option<Duration>,
 }
 
 impl Default for WorldPlan {
@@ -132,6 +135,9 @@
             rules: rules::RuleSet::default(),
             abandon_after: None,
             probe_servers: 1,
+            entries: 2,
+            suspects: suspect::SuspectLimits::default(),
+            silence_floor: None,
         }
     }
 }
@@ -238,7 +244,7 @@
         let claims = sync::Arc::new(memory::MemoryClaims::default());
         let jobs = sync::Arc::new(memory::MemoryJobs::default());
         let peers = PeerBoard::default();
-        for entry in 0..2 {
+        for entry in 0..plan.entries {
             let switch = links::ProcessSwitch::new();
             let vm = format!("entry-{entry}");
             let ports = WorldPorts {
@@ -278,6 +284,8 @@
             let mut settings = settings::PlaneSettings::new(vm.clone(), keys);
             settings.abandon_after = plan.abandon_after;
             settings.probe_servers = plan.probe_servers;
+            settings.suspects = plan.suspects;
+            settings.silence_floor = plan.silence_floor.unwrap_or(settings.silence_floor);
             let plane = plane::RequestPlane::new(ports, settings, self.views.subscribe());
             let plane = sync::Arc::new(plane);
             let weak = sync::Arc::downgrade(&plane);
