--- a/crates/sched/benches/policy/engine.rs
+++ b/crates/sched/benches/policy/engine.rs
@@ -175,7 +175,7 @@
         self.core.restart(since_start(now), incarnation);
     }
 
-    pub fn set_slow_factor(&mut self, factor: f64) {
-        self.core.set_slow_factor(factor);
+    pub fn set_slow_factor(&mut self, factor: f64, now: f64) {
+        self.core.set_slow_factor(since_start(now), factor);
     }
 }
--- a/crates/sched/benches/policy/world.rs
+++ b/crates/sched/benches/policy/world.rs
@@ -523,8 +523,8 @@
                 }
             }
             1 => self.engines[0].restart(self.now),
-            2 => self.engines[0].set_slow_factor(2.0),
-            _ => self.engines[0].set_slow_factor(1.0),
+            2 => self.engines[0].set_slow_factor(2.0, self.now),
+            _ => self.engines[0].set_slow_factor(1.0, self.now),
         }
     }
 }
