--- a/crates/ctl/src/attention.rs
+++ b/crates/ctl/src/attention.rs
@@ -41,12 +41,18 @@
 
 fn log(status: &ops::StatusBody) -> impl Iterator<Item = String> + '_ {
     let down = status.log.iter().filter(|stream| !stream.reachable);
-    down.map(|stream| {
-        let heard = in_force::heard_text(stream.answered_ms_ago);
-        format!(
-            "log stream {} does not answer; last answer {heard}",
+    down.map(|stream| match stream.answered_ms_ago {
+        None => format!(
+            "log stream {} has not answered this process yet",
             stream.stream
-        )
+        ),
+        heard => {
+            let heard = in_force::heard_text(heard);
+            format!(
+                "log stream {} does not answer; last answer {heard}",
+                stream.stream
+            )
+        }
     })
 }
 
--- a/crates/ctl/src/overview.rs
+++ b/crates/ctl/src/overview.rs
@@ -257,7 +257,7 @@
     for stream in &status.log {
         table.row(vec![
             stream.stream.clone(),
-            if stream.reachable { "answers" } else { "DOWN" }.to_owned(),
+            log_state(stream).to_owned(),
             in_force::heard_text(stream.answered_ms_ago),
             stream.next_offset.to_string(),
         ]);
@@ -265,6 +265,15 @@
     table
 }
 
+/// A process that just began has not been answered yet, which is no outage.
+const fn log_state(stream: &ops::LogStatus) -> &'static str {
+    match (stream.reachable, stream.answered_ms_ago) {
+        (true, _) => "answers",
+        (false, Some(_)) => "DOWN",
+        (false, None) => "no answer yet",
+    }
+}
+
 fn lease_line(leases: &[ops::LeaseStatus]) -> String {
     let holders: collections::BTreeSet<&str> = leases
         .iter()
--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -231,3 +231,37 @@
     kept.map(|letter| if letter == ' ' { '-' } else { letter })
         .collect()
 }
+
+#[tokio::test]
+async fn example_settings_and_files_are_valid() {
+    let environment = ctl::settings::CallEnvironment {
+        operator_key: Some("key".to_owned()),
+        ..ctl::settings::CallEnvironment::default()
+    };
+    for example in ["pass-works", "ridebook"] {
+        let file = |name: &str| {
+            root()
+                .join("examples")
+                .join(example)
+                .join(name)
+                .display()
+                .to_string()
+        };
+        let (settings, inventory, rules) = (
+            file("pollenctl.jsonc"),
+            file("inventory.jsonc"),
+            file("rules.jsonc"),
+        );
+        for words in [
+            vec!["--config", &settings, "--check"],
+            vec!["check", &inventory, &rules],
+        ] {
+            let output = ctl::command::run(ctl::args::parse(&words).unwrap(), &environment).await;
+            assert_eq!(
+                output.status,
+                ctl::error::ExitStatus::Success,
+                "{words:?}: {output:?}"
+            );
+        }
+    }
+}
