load: seeds in the settings of its daemons

Cause: the daemon's settings gained seeds while the environment was written. Change: one field; in the environment the log is up when daemons start. Figures: the workspace compiles with all targets. Conclusion: none.

--- a/crates/load/src/env.rs
+++ b/crates/load/src/env.rs
@@ -169,6 +169,7 @@
             id: 1,
             secret: "5e".repeat(settings::CLUSTER_KEY_BYTES),
         }],
+        seeds: Vec::new(),
         bounds: bounds.clone(),
     }
 }
