--- /dev/null
+++ b/crates/stand/src/bucket.rs
@@ -0,0 +1,47 @@
+//! A token bucket: so much a second, with a burst after a pause.
+
+use std::time;
+
+/// Longest time that a refusal names.
+const LONGEST_WAIT: time::Duration = time::Duration::from_secs(86_400);
+
+/// A rate with a burst; `now` is the time since any fixed moment and never goes back.
+#[derive(Clone, Debug)]
+pub struct TokenBucket {
+    per_second: f64,
+    burst: f64,
+    /// What may be taken at `filled_at`; never above the burst.
+    available: f64,
+    filled_at: time::Duration,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    #[must_use]
+    pub const fn new(per_second: f64, burst: f64) -> Self {
+        Self {
+            per_second,
+            burst,
+            available: burst,
+            filled_at: time::Duration::ZERO,
+        }
+    }
+
+    /// Takes `amount`, all or nothing.
+    ///
+    /// # Errors
+    ///
+    /// When there is not as much now: the time until there is, or would be without the burst.
+    pub fn take(&mut self, now: time::Duration, amount: f64) -> Result<(), time::Duration> {
+        let gained = now.saturating_sub(self.filled_at).as_secs_f64() * self.per_second;
+        self.available = (self.available + gained).min(self.burst);
+        self.filled_at = self.filled_at.max(now);
+        let missing = amount - self.available;
+        if missing <= 0.0 {
+            self.available -= amount;
+            return Ok(());
+        }
+        let wait = time::Duration::try_from_secs_f64(missing / self.per_second);
+        Err(wait.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT))
+    }
+}
--- a/crates/stand/src/engine.rs
+++ b/crates/stand/src/engine.rs
@@ -73,20 +73,7 @@
             version: profile.version.clone(),
             adapters: profile.adapters.clone(),
         }];
-        let first = call::LoadReport {
-            incarnation,
-            taken_ms_ago: 0,
-            total_blocks: profile.total_blocks,
-            free_blocks: profile.total_blocks,
-            block_tokens: profile.block_tokens,
-            running: 0,
-            waiting: 0,
-            preemptions: 0,
-            models: models.clone(),
-            role: profile.role.clone(),
-            leaving: false,
-        };
-        Self {
+        let mut core = Self {
             incarnation,
             sequences: slotmap::SlotMap::with_key(),
             by_id: collections::HashMap::new(),
@@ -102,7 +89,7 @@
             loading: None,
             fencing: None,
             leaving: false,
-            history: feeds::LoadHistory::new(&profile, now, first),
+            history: feeds::LoadHistory::new(&profile, now),
             feed: feeds::CacheFeed::new(&profile),
             events: Vec::new(),
             arrivals: 0,
@@ -112,7 +99,9 @@
             stalled: false,
             slow_factor: 1.0,
             profile,
-        }
+        };
+        core.observe(now);
+        core
     }
 
     /// Works up to `now` and gives out all that happened since the last call.
@@ -313,55 +302,6 @@
         self.down
     }
 
-    /// Dies: all that it held is lost.
-    pub fn crash(&mut self, now: time::Duration) {
-        self.advance(now);
-        self.die(now);
-    }
-
-    fn die(&mut self, now: time::Duration) {
-        if self.down {
-            return;
-        }
-        self.down = true;
-        self.plan = None;
-        self.events.push(EngineEvent::Crashed { at: now });
-    }
-
-    /// Comes up again as another incarnation that knows nothing of the earlier one.
-    pub fn restart(&mut self, now: time::Duration, incarnation: id::Incarnation) {
-        let events = mem::take(&mut self.events);
-        *self = Self::new(self.profile.clone(), incarnation, now);
-        self.events = events;
-    }
-
-    /// Stops or resumes all progress, while calls are still answered.
-    pub fn set_stalled(&mut self, now: time::Duration, stalled: bool) {
-        self.advance(now);
-        let resumes = self.stalled && !stalled;
-        self.stalled = stalled;
-        if !resumes || self.down {
-            return;
-        }
-        match &mut self.plan {
-            Some(plan) => plan.ends_at = plan.ends_at.max(now),
-            None => self.begin_step(now),
-        }
-    }
-
-    /// Makes every step take `factor` times as long, from the next one on.
-    pub fn set_slow_factor(&mut self, now: time::Duration, factor: f64) {
-        self.advance(now);
-        self.slow_factor = factor.max(0.0);
-    }
-
-    /// Announces that it will go.
-    pub fn set_leaving(&mut self, now: time::Duration, leaving: bool) {
-        self.advance(now);
-        self.observe(now);
-        self.leaving = leaving;
-    }
-
     /// Does all that is due up to `now`, in the order of time: how often it is called changes
     /// nothing.
     fn advance(&mut self, now: time::Duration) {
--- a/crates/stand/src/engine/fault.rs
+++ b/crates/stand/src/engine/fault.rs
@@ -1,5 +1,11 @@
 //! Faults of an engine that are switched on from outside.
 
+use std::{mem, time};
+
+use base::id;
+
+use super::{EngineCore, call};
+
 /// A fault that is switched on from outside.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -52,3 +58,55 @@
         on: bool,
     },
 }
+
+impl EngineCore {
+    /// Dies: all that it held is lost.
+    pub fn crash(&mut self, now: time::Duration) {
+        self.advance(now);
+        self.die(now);
+    }
+
+    /// Dies at `now`, up to which it has worked already.
+    pub(super) fn die(&mut self, now: time::Duration) {
+        if self.down {
+            return;
+        }
+        self.down = true;
+        self.plan = None;
+        self.events.push(call::EngineEvent::Crashed { at: now });
+    }
+
+    /// Comes up again as another incarnation that knows nothing of the earlier one.
+    pub fn restart(&mut self, now: time::Duration, incarnation: id::Incarnation) {
+        let events = mem::take(&mut self.events);
+        *self = Self::new(self.profile.clone(), incarnation, now);
+        self.events = events;
+    }
+
+    /// Stops or resumes all progress, while calls are still answered.
+    pub fn set_stalled(&mut self, now: time::Duration, stalled: bool) {
+        self.advance(now);
+        let resumes = self.stalled && !stalled;
+        self.stalled = stalled;
+        if !resumes || self.down {
+            return;
+        }
+        match &mut self.plan {
+            Some(plan) => plan.ends_at = plan.ends_at.max(now),
+            None => self.begin_step(now),
+        }
+    }
+
+    /// Makes every step take `factor` times as long, from the next one on.
+    pub fn set_slow_factor(&mut self, now: time::Duration, factor: f64) {
+        self.advance(now);
+        self.slow_factor = factor.max(0.0);
+    }
+
+    /// Announces that it will go.
+    pub fn set_leaving(&mut self, now: time::Duration, leaving: bool) {
+        self.advance(now);
+        self.observe(now);
+        self.leaving = leaving;
+    }
+}
--- a/crates/stand/src/engine/feeds.rs
+++ b/crates/stand/src/engine/feeds.rs
@@ -14,24 +14,21 @@
     every: time::Duration,
     lag: time::Duration,
     next_at: time::Duration,
-    /// Oldest first; the first one is the newest that may be given out, or nothing may be yet.
+    /// Oldest first; never empty after the first `observe`. The first one is the newest that may
+    /// be given out, or nothing may be yet.
     reports: collections::VecDeque<(time::Duration, call::LoadReport)>,
 }
 
 impl LoadHistory {
-    /// A history that begins with `first` at `now`.
+    /// A history whose first report is due at `now`.
     #[must_use]
-    pub fn new(
-        profile: &profile::EngineProfile,
-        now: time::Duration,
-        first: call::LoadReport,
-    ) -> Self {
+    pub fn new(profile: &profile::EngineProfile, now: time::Duration) -> Self {
         let every = time::Duration::from_millis(profile.load_every_ms.max(1));
         Self {
             every,
             lag: time::Duration::from_millis(profile.load_lag_ms),
-            next_at: now + every,
-            reports: collections::VecDeque::from([(now, first)]),
+            next_at: now,
+            reports: collections::VecDeque::new(),
         }
     }
 
--- a/crates/stand/src/gate.rs
+++ b/crates/stand/src/gate.rs
@@ -59,7 +59,7 @@
     /// Returns when the process is up (or down, for `up = false`).
     pub async fn wait_up(&self, up: bool) {
         let mut watcher = self.state.subscribe();
-        // The sender lives as long as `self`, so this only fails never.
+        // An error would mean that the sender is gone, and `self` holds it.
         let _ = watcher.wait_for(|state| state.up == up).await;
     }
 
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -5,6 +5,7 @@
 //! methods of the handles, or from outside by `POST /admin/faults`.
 
 pub mod admin;
+pub mod bucket;
 pub mod cli;
 pub mod command;
 pub mod draw;
--- a/crates/stand/src/log.rs
+++ b/crates/stand/src/log.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, time};
 
+use crate::bucket;
+
 pub mod front;
 pub mod handle;
 
@@ -141,9 +143,8 @@
     /// The log's clock at `now` zero.
     clock_ms: u64,
     streams: collections::BTreeMap<String, LogStream>,
-    /// Appends that may come at once, at `filled_at`; never above the burst.
-    tokens: f64,
-    filled_at: time::Duration,
+    /// Appends that may come now.
+    bucket: bucket::TokenBucket,
     outage: bool,
     lose_answers: u32,
     clock_shift_ms: i64,
@@ -156,8 +157,7 @@
         Self {
             clock_ms,
             streams: collections::BTreeMap::new(),
-            tokens: profile.burst,
-            filled_at: time::Duration::ZERO,
+            bucket: bucket::TokenBucket::new(profile.appends_per_second, profile.burst.max(1.0)),
             outage: false,
             lose_answers: 0,
             clock_shift_ms: 0,
@@ -185,7 +185,10 @@
                 limit: self.profile.max_record_bytes,
             });
         }
-        self.take_token(now)?;
+        let taken = self.bucket.take(now, 1.0);
+        taken.map_err(|wait| LogError::OverCap {
+            retry_after_ms: wait.as_millis() as u64 + 1,
+        })?;
         self.expire(now);
         let at_ms = self.at_ms(now);
         let stream = self.streams.entry(String::from(stream)).or_default();
@@ -294,19 +297,4 @@
             stream.drop_before(before_ms);
         }
     }
-
-    fn take_token(&mut self, now: time::Duration) -> Result<(), LogError> {
-        let rate = self.profile.appends_per_second;
-        let gained = now.saturating_sub(self.filled_at).as_secs_f64() * rate;
-        self.tokens = (self.tokens + gained).min(self.profile.burst.max(1.0));
-        self.filled_at = self.filled_at.max(now);
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return Ok(());
-        }
-        let wait_ms = (1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE) * 1_000.0;
-        Err(LogError::OverCap {
-            retry_after_ms: wait_ms.ceil() as u64,
-        })
-    }
 }
--- a/crates/stand/src/weights.rs
+++ b/crates/stand/src/weights.rs
@@ -5,7 +5,7 @@
 use rocket::{State, data, get, post, routes};
 use tokio::time;
 
-use crate::{gate, http};
+use crate::{bucket, gate, http};
 
 /// Capacity of the weight store.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,21 +30,15 @@
 /// The store without I/O and clock: `now` is the time since any fixed moment and never goes back.
 #[derive(Clone, Debug)]
 pub struct WeightsCore {
-    profile: WeightsProfile,
-    /// Bytes that may be taken at `filled_at`; never above the burst.
-    available: f64,
-    filled_at: time::Duration,
+    bucket: bucket::TokenBucket,
 }
 
 impl WeightsCore {
     /// A store that nobody has taken from.
     #[must_use]
     pub const fn new(profile: WeightsProfile) -> Self {
-        Self {
-            available: profile.burst_bytes,
-            profile,
-            filled_at: time::Duration::ZERO,
-        }
+        let bucket = bucket::TokenBucket::new(profile.bytes_per_second, profile.burst_bytes);
+        Self { bucket }
     }
 
     /// Takes `bytes` of the rate.
@@ -53,17 +47,7 @@
     ///
     /// When there are not as many now: the time to wait.
     pub fn take(&mut self, now: time::Duration, bytes: u64) -> Result<(), time::Duration> {
-        let gained =
-            now.saturating_sub(self.filled_at).as_secs_f64() * self.profile.bytes_per_second;
-        self.available = (self.available + gained).min(self.profile.burst_bytes);
-        self.filled_at = self.filled_at.max(now);
-        let missing = bytes as f64 - self.available;
-        if missing <= 0.0 {
-            self.available -= bytes as f64;
-            return Ok(());
-        }
-        let wait = missing / self.profile.bytes_per_second.max(1.0);
-        Err(time::Duration::from_secs_f64(wait.min(86_400.0)))
+        self.bucket.take(now, bytes as f64)
     }
 }
 
