--- a/crates/load/src/env.rs
+++ b/crates/load/src/env.rs
@@ -169,7 +169,6 @@
             id: 1,
             secret: "5e".repeat(settings::CLUSTER_KEY_BYTES),
         }],
-        seeds: Vec::new(),
         bounds: bounds.clone(),
     }
 }
