--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -126,6 +126,10 @@
             }
             let refusal = read_refusal(response).await?;
             record.refused_tries.push(refusal.code);
+            if refusal.code == refusal::RefusalCode::NotReady {
+                // It speaks for this entry VM only: the next one may take the call at once.
+                self.suspect(address);
+            }
             let Some(delay) = delay_of_retry(&refusal) else {
                 return Err(record::CallOutcome::Refused(refusal));
             };
