entry: a plain service server that failed a call is taken last for two seconds

Cause: PlaneGrant::failed was dropped for services and ties went to the first server, so a dead one, always the least busy, drew every call until its health check (10 s) and used up the budget of retries. Ruled out: the budget itself; raising it would only hide the choice. Change: the pool remembers failures for 2 s and turns the order of equals.

--- a/crates/entry/src/adapt/schedule.rs
+++ b/crates/entry/src/adapt/schedule.rs
@@ -102,7 +102,7 @@
     ) -> Result<PlaneGrant, refusal::RefusalBody> {
         loop {
             let candidates = self.candidates(service, &asked.avoid);
-            if let Some(slot) = self.pool.try_take(&candidates) {
+            if let Some(slot) = self.pool.try_take(&candidates, time::Instant::now()) {
                 return Ok(PlaneGrant::Service(slot));
             }
             if candidates.is_empty() {
@@ -240,8 +240,9 @@
     }
 
     fn failed(self, failure: port::FailureKind) {
-        if let Self::Engine(grant) = self {
-            grant.failed(core_failure(failure));
+        match self {
+            Self::Engine(grant) => grant.failed(core_failure(failure)),
+            Self::Service(slot) => slot.failed(time::Instant::now()),
         }
     }
 
