flow: a refusal promises no more than its writer knows; claims outlive gone callers

Cause: a refusal that a port wrote as "ran" or "unknown" (a stored answer too large to keep, a key older than the window) was told as "not run", since only the request's own proof was looked at. A caller that left while its claim was appended blocked its key. Change: the two are joined, the weaker promise stands; claims are made in a task of their own and given back when nobody holds them; what an engine says of the request itself is told, not retried; try and opening in files of their own.

--- a/crates/flow/src/attempt.rs
+++ b/crates/flow/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{pin, sync, time::Duration};
 
-use base::id;
+use base::{id, refusal};
 use tokio::time;
 use trace::kind;
 
@@ -129,12 +129,13 @@
                     cause,
                 };
             }
-            Ok(Err(declined @ fault::StartFault::Declined { .. })) => {
+            Ok(Err(declined @ fault::StartFault::Declined { status, .. })) => {
                 // Settled by whoever reads this outcome; a second cancel would be too many.
                 live.over = true;
                 return proof::TryOutcome::Unknown {
                     ticket,
                     cause: declined.to_string(),
+                    hopeless: hopeless(status),
                 };
             }
             // It may have started: it is sought there before anything else is done.
@@ -393,6 +394,15 @@
     }
 }
 
+/// What an engine says of the request itself, so that every other engine will say the same.
+const fn hopeless(status: u16) -> Option<refusal::RefusalCode> {
+    match status {
+        400 | 422 => Some(refusal::RefusalCode::BadRequest),
+        413 => Some(refusal::RefusalCode::TooLarge),
+        _ => None,
+    }
+}
+
 const fn loss_of(kind: LossKind, cause: String) -> TryLoss {
     TryLoss { kind, cause }
 }
--- a/crates/flow/src/calling.rs
+++ b/crates/flow/src/calling.rs
@@ -82,10 +82,12 @@
             Ok(Err(lost @ fault::CallFault::Lost { .. })) => proof::TryOutcome::Unknown {
                 ticket,
                 cause: lost.to_string(),
+                hopeless: None,
             },
             Err(_) => proof::TryOutcome::Unknown {
                 ticket,
                 cause: format!("{} did not answer in time", target.name),
+                hopeless: None,
             },
         }
     }
@@ -101,7 +103,7 @@
     ) -> Result<CallRouted<P>, filter::EarlyEnd> {
         let rules = &facts.view.config.rules().retries;
         if facts.tries >= rules.max_tries {
-            return Err(permit.refused(used_up(cause)).into());
+            return Err(permit.refused(opening::used_up(cause)).into());
         }
         self.shared.record(
             facts.id,
@@ -163,7 +165,7 @@
                     }
                     (permit, cause)
                 }
-                proof::TryOutcome::Unknown { ticket, cause } => {
+                proof::TryOutcome::Unknown { ticket, cause, .. } => {
                     admitted.grant.failed(port::FailureKind::Silent);
                     match facts.work.repeat {
                         Some(repeat) if time::Instant::now() < due_at => {
@@ -206,11 +208,6 @@
     )
 }
 
-fn used_up(cause: &str) -> refusal::RefusalBody {
-    let message = format!("{cause}; no try succeeded; ask again after the time given");
-    shared::come_back(refusal::RefusalCode::Unavailable, message, NOT_RUN_RETRY)
-}
-
 fn may_have_run(cause: &str, repeat: Option<proof::RepeatPermit>) -> refusal::RefusalBody {
     let code = refusal::RefusalCode::BackendFault;
     if repeat.is_some() {
--- a/crates/flow/src/collect.rs
+++ b/crates/flow/src/collect.rs
@@ -1,7 +1,7 @@
 //! Collecting a whole answer, of one generation, over as many generations as that takes.
 
 use crate::{
-    attempt, filter, opening,
+    attempt, filter, flowing, opening,
     port::{self, Grant as _, QuotaPermit as _},
 };
 
@@ -44,14 +44,18 @@
     opened: &mut opening::OpenedRequest<P>,
 ) -> Result<WholeText, Option<attempt::TryLoss>> {
     let mut text = String::new();
+    let mut unreported = 0;
     let mut step = opened.step.clone();
     let running = &mut opened.running;
     loop {
         match step {
             attempt::TryStep::Token { text: token, .. } => {
                 text.push_str(&token);
-                running.grant.progress(1);
                 opened.claimed.quota.charge(1);
+                unreported += 1;
+                if unreported == flowing::PROGRESS_LOT {
+                    running.grant.progress(std::mem::take(&mut unreported));
+                }
             }
             attempt::TryStep::Finished(report) => return Ok(WholeText { text, report }),
             attempt::TryStep::Lost(loss) => return Err(Some(loss)),
--- a/crates/flow/src/continuation.rs
+++ b/crates/flow/src/continuation.rs
@@ -7,9 +7,9 @@
 use crate::{
     attempt, authenticate, chunk,
     filter::{self, Filter as _},
-    flowing, opening, pipe, plane,
+    flowing, pipe, plane,
     port::{self, PeerLink as _},
-    proof, refused, request, shared, token,
+    proof, refused, request, running, shared, token,
 };
 
 /// When to come back to an entry VM that does not know the generation's server yet.
@@ -54,7 +54,7 @@
         if facts.vm != shared.settings.vm {
             shared.ports.peers().adopted(&facts.vm, facts.generation);
         }
-        let silent_limit = opening::silent_limit(&known.facts.view);
+        let silent_limit = running::silent_limit(&known.facts.view);
         let live = self.connect(&facts, target, from, silent_limit).await?;
         let (writer_end, stream) = pipe::pipe();
         let mark = shared.book.begin(live.target().key, facts.content, false);
--- a/crates/flow/src/deduplicate.rs
+++ b/crates/flow/src/deduplicate.rs
@@ -3,6 +3,7 @@
 use std::{sync, time::Duration};
 
 use base::{outcome, refusal};
+use tokio::time;
 
 use crate::{
     claim, filter,
@@ -66,6 +67,33 @@
     }
 }
 
+impl<P: port::PortSet> DeduplicateFilter<P> {
+    /// Claims a key, in a task of its own.
+    ///
+    /// What goes wrong otherwise: a caller goes away while the claim is appended, and the claim
+    /// stands for a call that is never sent. One would notice keys that are told as unknown
+    /// although nothing ran. In its own task the claim comes to its holder, or is given back.
+    async fn claim(
+        &self,
+        ask: port::ClaimAsk,
+        due_at: time::Instant,
+    ) -> Result<claim::HeldClaim<P>, port::ClaimAnswer> {
+        let shared = self.shared.clone();
+        let pass = shared.gate.extend();
+        let claiming = tokio::spawn(async move {
+            let _pass = pass;
+            match shared.ports.claims().claim(ask).await {
+                port::ClaimAnswer::Fresh(hold) => Ok(claim::HeldClaim::new(shared, hold)),
+                other => Err(other),
+            }
+        });
+        match time::timeout_at(due_at, claiming).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Err(port::ClaimAnswer::Refused(unanswered())),
+        }
+    }
+}
+
 impl<P: port::PortSet, W: request::Work, Q: Send + Sync>
     filter::Filter<request::Request<W, request::Metered<Q>>> for DeduplicateFilter<P>
 {
@@ -87,13 +115,16 @@
             Ok(None) => return Ok(claimed(input, None)),
             Err(body) => return Err(input.refused(body).into()),
         };
-        match self.shared.ports.claims().claim(ask).await {
-            port::ClaimAnswer::Fresh(hold) => {
-                let claim = claim::HeldClaim::new(self.shared.clone(), hold);
-                Ok(claimed(input, Some(claim)))
-            }
+        let due_at = input.stage.terms.due_at;
+        let answer = match self.claim(ask, due_at).await {
+            Ok(claim) => return Ok(claimed(input, Some(claim))),
+            Err(answer) => answer,
+        };
+        match answer {
             port::ClaimAnswer::Stored(answer) => Err(filter::EarlyEnd::Stored(answer)),
             port::ClaimAnswer::Refused(body) => Err(input.refused(body).into()),
+            // Taken out above.
+            port::ClaimAnswer::Fresh(_) => Err(input.refused(unanswered()).into()),
             port::ClaimAnswer::InProgress { retry_after_ms } => {
                 let message = "a call with this idempotency key is in progress; repeat it later \
                                for its answer";
@@ -123,6 +154,20 @@
     }
 }
 
+/// When to ask again after a claim was not answered in time.
+const UNANSWERED_RETRY: Duration = Duration::from_secs(1);
+
+/// The claim may be on the log; it is given back, as the call is not sent.
+fn unanswered() -> refusal::RefusalBody {
+    let message = "the claim on the idempotency key was not answered in time, so the call was not \
+                   sent; repeat it after the time given";
+    shared::come_back(
+        refusal::RefusalCode::DeadlineExceeded,
+        message,
+        UNANSWERED_RETRY,
+    )
+}
+
 /// What a repeat is told: its fate is that of the first call, which is not known.
 fn earlier_call(
     code: refusal::RefusalCode,
@@ -153,7 +198,8 @@
                  so look that up, then draw a new key",
                 window.as_secs()
             ),
-        ));
+        )
+        .ran(outcome::RanState::Unknown));
     }
     if made_ms > now_ms.saturating_add(CLOCK_SKEW_MS) {
         return Err(refusal::RefusalBody::not_run(
--- a/crates/flow/src/flowing.rs
+++ b/crates/flow/src/flowing.rs
@@ -13,7 +13,7 @@
 };
 
 /// Tokens are reported to the scheduler in lots of this many.
-const PROGRESS_LOT: u32 = 16;
+pub(crate) const PROGRESS_LOT: u32 = 16;
 
 /// When to come back after a generation was lost: a new one can start at once.
 const LOST_RETRY: Duration = Duration::from_millis(100);
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod refused;
 pub mod request;
 pub mod route;
+pub mod running;
 pub mod settings;
 pub mod settle;
 pub mod shared;
--- a/crates/flow/src/proof.rs
+++ b/crates/flow/src/proof.rs
@@ -209,6 +209,8 @@
         ticket: TryTicket,
         /// What happened.
         cause: String,
+        /// What the server said that makes another try no use.
+        hopeless: Option<refusal::RefusalCode>,
     },
 }
 
--- a/crates/flow/src/refused.rs
+++ b/crates/flow/src/refused.rs
@@ -11,8 +11,9 @@
 }
 
 impl Refused {
-    /// `ran` replaces whatever `body` says.
+    /// A refusal that promises no more than both the evidence and whoever wrote `body` know.
     pub(crate) fn known(body: refusal::RefusalBody, ran: outcome::RanState) -> Self {
+        let ran = ran.and(body.ran);
         Self {
             body: body.ran(ran),
         }
--- a/crates/flow/src/shared.rs
+++ b/crates/flow/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time::Duration};
 
-use base::{id, refusal};
+use base::{fingerprint::ContentHash, id, refusal};
 use tokio::time;
 use trace::kind;
 
@@ -10,6 +10,7 @@
     budget, crashes, gate,
     port::{self, EngineLink as _, EventSink as _, IdSource as _, WallClock as _},
     readers, settings,
+    suspect::ContentStanding,
 };
 
 /// First pause between two orders to cancel.
@@ -79,13 +80,32 @@
         }
         metrics::counter!("pollenchute_flow_server_deaths_total").increment(1);
         log::warn!(server = target.name.as_str(), suspects = contents.len(); "backend server died");
-        self.ports.events().record(
-            None,
-            kind::EventKind::ServerDead {
-                server: target.name.clone(),
-                reason: reason.to_owned(),
-            },
-        );
+        let events = self.ports.events();
+        let dead = kind::EventKind::ServerDead {
+            server: target.name.clone(),
+            reason: reason.to_owned(),
+        };
+        events.record(None, dead);
+        for content in contents {
+            if let Some(found) = self.finding(content, &target.name) {
+                events.record(None, found);
+            }
+        }
+    }
+
+    /// What a death made of content.
+    fn finding(&self, content: ContentHash, server: &str) -> Option<kind::EventKind> {
+        match self.book.standing(content, self.now_ms()) {
+            ContentStanding::Clear => None,
+            ContentStanding::Suspect { deaths } => Some(kind::EventKind::QuarantineSuspected {
+                fingerprint: content,
+                deaths,
+            }),
+            ContentStanding::Quarantined { .. } => Some(kind::EventKind::QuarantineAdded {
+                fingerprint: content,
+                reason: format!("{server} died of it, and another before"),
+            }),
+        }
     }
 
     /// A standing order to cancel: repeated until it is answered, or its time is up.
--- a/crates/flow/tests/plane/calls.rs
+++ b/crates/flow/tests/plane/calls.rs
@@ -151,6 +151,8 @@
             refused.body.code,
             refusal::RefusalCode::IdempotencyKeyExpired
         );
+        // Whether a call with it ran within its window is no longer known.
+        assert_eq!(refused.body.ran, outcome::RanState::Unknown);
         let runs: u64 = world
             .services
             .iter()
