--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -481,6 +481,11 @@
     fn restart(&mut self, _first: u64) {
         *self = Self::new(self.limits.clone());
     }
+
+    /// What is older matters as little as what retention has dropped.
+    fn lookback_ms(&self) -> Option<u64> {
+        Some(self.limits.needed_retention_ms() + self.limits.margin_ms)
+    }
 }
 
 /// The outcome without a body that is larger than what is kept.
--- a/crates/ledger/src/driver.rs
+++ b/crates/ledger/src/driver.rs
@@ -6,7 +6,7 @@
 use tokio::{sync as tokio_sync, task, time};
 
 use crate::client::LogClient;
-use crate::{appender, client, record, tail};
+use crate::{appender, client, record, seek, tail};
 
 /// A pure function of the records of one stream.
 ///
@@ -28,6 +28,12 @@
 
     /// Starts again without memory: records below `first` can no longer be read.
     fn restart(&mut self, first: u64);
+
+    /// How far before the end of the stream the fold begins to read; `None`: at the first record
+    /// kept.
+    fn lookback_ms(&self) -> Option<u64> {
+        None
+    }
 }
 
 /// What a fold decided about one entry.
@@ -146,8 +152,13 @@
             state: sync::Mutex::new(state),
             reading: tokio_sync::watch::Sender::new(ReadState::default()),
         });
-        let reader = tail::TailReader::new(client.clone(), stream, 0).wait_ms(0);
-        let reading = tokio::spawn(follow(reader, sync::Arc::clone(&shared), mark.clone()));
+        let reading = FollowTask {
+            client: client.clone(),
+            stream: stream.to_owned(),
+            shared: sync::Arc::clone(&shared),
+            mark: mark.clone(),
+        };
+        let reading = tokio::spawn(reading.run());
         let (appender, appending) =
             appender::GroupAppender::start(client.clone(), stream, writer, mark.clone(), limits);
         Self {
@@ -296,42 +307,51 @@
     }
 }
 
-async fn follow<C: LogClient, F: LogFold>(
-    mut reader: tail::TailReader<C>,
+/// Reads the stream and feeds the fold.
+struct FollowTask<C, F: LogFold> {
+    client: C,
+    stream: String,
     shared: sync::Arc<SharedState<F>>,
     mark: appender::PositionMark,
-) {
-    loop {
-        match reader.next_event().await {
-            tail::TailEvent::Records(records) => {
-                shared.note_outage(false);
-                for found in records {
-                    shared.take(&found);
-                }
+}
+
+impl<C: LogClient, F: LogFold> FollowTask<C, F> {
+    async fn run(self) {
+        let start = self.find_start().await;
+        if start > 0 {
+            self.shared.restart(start);
+            self.mark.advance(start);
+        }
+        let reader = tail::TailReader::new(self.client.clone(), self.stream.clone(), start);
+        let mut reader = reader.wait_ms(0);
+        loop {
+            let event = reader.next_event().await;
+            if self.shared.take_event(event, reader.failures()) {
+                reader = reader.wait_ms(LONG_POLL_MS);
             }
-            tail::TailEvent::Quiet { .. } => {
-                let current = ReadState {
-                    loaded: true,
-                    outage: false,
-                };
-                if !shared.reading.send_replace(current).loaded {
-                    reader = reader.wait_ms(LONG_POLL_MS);
+            self.mark.advance(reader.position());
+        }
+    }
+
+    async fn find_start(&self) -> u64 {
+        let Some(lookback_ms) = self.shared.lock().fold.lookback_ms() else {
+            return 0;
+        };
+        loop {
+            match seek::find_start(&self.client, &self.stream, lookback_ms).await {
+                Ok(start) => return start,
+                Err(_) => {
+                    self.shared.note_outage(true);
+                    time::sleep(SEEK_PAUSE).await;
                 }
             }
-            tail::TailEvent::Gap { first } => {
-                let mut state = shared.lock();
-                state.fold.restart(first);
-                state.position = first;
-            }
-            tail::TailEvent::Outage { .. } if reader.failures() >= OUTAGE_FAILURES => {
-                shared.note_outage(true);
-            }
-            tail::TailEvent::Outage { .. } => {}
         }
-        mark.advance(reader.position());
     }
 }
 
+/// Pause between two tries to find where to begin.
+const SEEK_PAUSE: time::Duration = time::Duration::from_millis(200);
+
 /// Pause between two looks whether the reader has caught up.
 const CATCH_UP_PAUSE: time::Duration = time::Duration::from_millis(5);
 
@@ -350,6 +370,35 @@
         });
     }
 
+    /// Takes what reading brought; true when the stream has just been read up to its end for the
+    /// first time.
+    fn take_event(&self, event: tail::TailEvent, failures: u32) -> bool {
+        match event {
+            tail::TailEvent::Records(records) => {
+                self.note_outage(false);
+                for found in records {
+                    self.take(&found);
+                }
+            }
+            tail::TailEvent::Quiet { .. } => {
+                let current = ReadState {
+                    loaded: true,
+                    outage: false,
+                };
+                return !self.reading.send_replace(current).loaded;
+            }
+            tail::TailEvent::Gap { first } => self.restart(first),
+            tail::TailEvent::Outage { .. } => self.note_outage(failures >= OUTAGE_FAILURES),
+        }
+        false
+    }
+
+    fn restart(&self, first: u64) {
+        let mut state = self.lock();
+        state.fold.restart(first);
+        state.position = first;
+    }
+
     fn take(&self, found: &client::LogRecord) {
         let loaded = self.reading.borrow().loaded;
         let place = record::RecordPlace {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod parts;
 pub mod record;
 pub mod route;
+pub mod seek;
 pub mod tail;
