One environment's parts for demonstration and end-to-end tests

Cause: the demonstration and the tests each published the configuration and made settings of daemons. Change: the tests use the library's. Conclusion: a new setting is added in one place.

--- a/crates/load/src/env.rs
+++ b/crates/load/src/env.rs
@@ -144,7 +144,9 @@
     }
 }
 
-fn daemon_settings(
+/// Settings of the daemon on `vm`, on free ports of loopback.
+#[must_use]
+pub fn daemon_settings(
     site: &site::StandSite,
     vm: &str,
     bounds: &settings::BoundSettings,
@@ -174,7 +176,11 @@
 }
 
 /// Appends the whole configuration as the first change.
-async fn publish(site: &site::StandSite) -> Result<(), EnvError> {
+///
+/// # Errors
+///
+/// [`EnvError::Publish`] when the log does not take it.
+pub async fn publish(site: &site::StandSite) -> Result<(), EnvError> {
     let refused = |reason: String| EnvError::Publish { reason };
     let value = |configuration: &document::Configuration| {
         serde_json::to_value(configuration).map_err(|error| refused(error.to_string()))
--- a/crates/load/tests/env/mod.rs
+++ b/crates/load/tests/env/mod.rs
@@ -5,10 +5,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use base::id;
-use conf::change;
 use entry::{daemon, settings};
-use load::site;
-use rand::SeedableRng as _;
+use load::{env as load_env, site};
 use tokio::runtime;
 
 /// An API key of the example deployment.
@@ -35,18 +33,25 @@
     pub async fn start(entries: usize) -> Self {
         let configuration = site::PASS_WORKS.configuration().unwrap();
         let mut site = site::StandSite::start(configuration).await.unwrap();
-        let vms = std::mem::take(&mut site.configuration.inventory.entry_vms);
+        let vms = &mut site.configuration.inventory.entry_vms;
+        let names: Vec<String> = vms.keys().take(entries).cloned().collect();
+        vms.retain(|name, _| names.contains(name));
+        let bounds = settings::BoundSettings {
+            notice_ms: 0,
+            ..settings::BoundSettings::default()
+        };
         let mut daemons = Vec::new();
         let mut runtimes = Vec::new();
-        for (name, mut vm) in vms.into_iter().take(entries) {
+        for name in names {
             let runtime = daemon_runtime();
-            let settings = settings_of(&name, &vm.failure_domain, &site);
+            let settings = load_env::daemon_settings(&site, &name, &bounds);
             let starting = runtime.spawn(daemon::start(settings));
             let running = starting.await.unwrap().unwrap();
             runtimes.push(runtime);
-            vm.callers = running.callers();
-            vm.peers = running.peers();
-            site.configuration.inventory.entry_vms.insert(name, vm);
+            if let Some(vm) = site.configuration.inventory.entry_vms.get_mut(&name) {
+                vm.callers = running.callers();
+                vm.peers = running.peers();
+            }
             daemons.push(running);
         }
         let env = Self {
@@ -55,31 +60,11 @@
             runtimes,
             client: reqwest::Client::new(),
         };
-        env.publish().await;
+        load_env::publish(&env.site).await.unwrap();
         env.wait_ready().await;
         env
     }
 
-    /// Appends the whole configuration as the first change.
-    async fn publish(&self) {
-        let state = serde_json::to_value(&self.site.configuration).unwrap();
-        let empty = serde_json::to_value(conf::document::Configuration::default()).unwrap();
-        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
-        let change = change::ConfigChange {
-            id: id::RecordId::draw(&mut rng),
-            base_revision: 0,
-            author: "test".to_owned(),
-            comment: String::new(),
-            patch: change::merge_patch(&empty, &state),
-        };
-        let body = serde_json::to_vec(&change).unwrap();
-        self.site
-            .log
-            .append("configuration", body.into())
-            .await
-            .unwrap();
-    }
-
     async fn wait_ready(&self) {
         for entry in 0..self.daemons.len() {
             self.wait_revision(entry, 1).await;
@@ -219,30 +204,6 @@
     }
 }
 
-fn settings_of(vm: &str, failure_domain: &str, site: &site::StandSite) -> settings::DaemonSettings {
-    settings::DaemonSettings {
-        vm: vm.to_owned(),
-        region: "hcmc".to_owned(),
-        failure_domain: failure_domain.to_owned(),
-        callers: site::ANY_PORT,
-        peers: site::ANY_PORT,
-        platform: settings::PlatformSettings {
-            log: site.addresses.log,
-            weight_store: site.addresses.weights,
-            vm_list: site.addresses.vms,
-        },
-        cluster_keys: vec![settings::ClusterKey {
-            id: 1,
-            secret: "11".repeat(32),
-        }],
-        seeds: Vec::new(),
-        bounds: settings::BoundSettings {
-            notice_ms: 0,
-            ..settings::BoundSettings::default()
-        },
-    }
-}
-
 /// An idempotency key of now.
 pub fn fresh_key(text: &str) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
