Why a request went where it went, queues by class, an honest refusal of a change that the log did not take

Cause: explain knew 'granted' only; status listed no queues and always everything; a publish that surely appended nothing was told as undecided. Change: the decision core's reason in words on the time line, loads by class, ?only=, a typed refusal with ran: no.

--- a/crates/entry/src/adapt/schedule.rs
+++ b/crates/entry/src/adapt/schedule.rs
@@ -218,6 +218,19 @@
         }
     }
 
+    fn reason(&self) -> port::PlaceReason {
+        match self {
+            Self::Engine(grant) => port::PlaceReason {
+                candidates: u32::from(grant.why().candidates),
+                text: grant.why().to_string(),
+            },
+            Self::Service(_) => port::PlaceReason {
+                candidates: 0,
+                text: "least busy of its service".to_owned(),
+            },
+        }
+    }
+
     fn progress(&self, count: u32) {
         if let Self::Engine(grant) = self {
             grant.progress(count);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -377,6 +377,7 @@
         roster: base.roster,
         members: base.members,
         chronicle: base.chronicle,
+        driver: base.driver,
         plane,
         log: base.log,
         gossip,
--- a/crates/entry/src/http/ops.rs
+++ b/crates/entry/src/http/ops.rs
@@ -52,10 +52,14 @@
     })
 }
 
-#[rocket::get("/ops/status")]
-fn show_status(head: head::CallHead, entry: &Entry) -> OpsAnswer {
+#[rocket::get("/ops/status?<only>")]
+fn show_status(head: head::CallHead, only: Option<&str>, entry: &Entry) -> OpsAnswer {
     allow(entry, &head)?;
-    ok(&status::status(entry))
+    let body = status::status(entry);
+    ok(&match only {
+        Some(parts) => body.only(parts),
+        None => body,
+    })
 }
 
 #[rocket::get("/ops/configuration?<revision>")]
@@ -80,8 +84,10 @@
     let author = allow(entry, &head)?;
     let mut ask: ops::PublishAsk = read(data, entry).await?;
     ask.author = author;
-    let answer = publish::publish(entry, ask).await;
-    Ok(answer::HttpAnswer::json(answer.status(), &answer))
+    match publish::publish(entry, ask).await {
+        Ok(answer) => Ok(answer::HttpAnswer::json(answer.status(), &answer)),
+        Err(body) => Err(answer::HttpAnswer::refusal(body)),
+    }
 }
 
 #[rocket::get("/ops/timeline?<since_ms>&<kind>&<request>&<limit>")]
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use base::ops;
+use base::{ops, refusal};
 use conf::{change, state as config_state};
-use ledger::client::LogClient as _;
+use ledger::{client, client::LogClient as _};
 use tokio::time;
 
 use crate::{configure, state};
@@ -13,10 +13,17 @@
 const DECISION_WAIT: Duration = Duration::from_secs(5);
 
 /// Publishes one change. Sending the same ask again is harmless: a record's id counts once.
-pub async fn publish(entry: &state::EntryState, ask: ops::PublishAsk) -> ops::PublishAnswer {
+///
+/// # Errors
+///
+/// A refusal when it is certain that nothing was appended.
+pub async fn publish(
+    entry: &state::EntryState,
+    ask: ops::PublishAsk,
+) -> Result<ops::PublishAnswer, refusal::RefusalBody> {
     // An ask that was sent before and decided needs no second record.
     if let Some(decided) = entry.book.decided(ask.record) {
-        return answer(&ask, decided);
+        return Ok(answer(&ask, decided));
     }
     let change = change::ConfigChange {
         id: ask.record,
@@ -26,36 +33,46 @@
         patch: ask.change.clone(),
     };
     let mut decisions = entry.book.decisions();
+    let mut appended = false;
     for record in change.records() {
         match entry.log.append(configure::STREAM, record.into()).await {
-            Ok(_) => {}
+            Ok(_) => appended = true,
             // The record may be on the log all the same; reading on tells.
-            Err(error) if error.may_have_taken_effect() => {}
-            Err(error) => {
-                return ops::PublishAnswer::Undecided {
+            Err(error) if error.may_have_taken_effect() => appended = true,
+            Err(error) if appended => {
+                return Ok(ops::PublishAnswer::Undecided {
                     reason: error.to_string(),
-                };
+                });
             }
+            Err(error) => return Err(not_appended(&error)),
         }
     }
     let give_up_at = time::Instant::now() + DECISION_WAIT;
     loop {
         decisions.mark_unchanged();
         if let Some(decided) = entry.book.decided(ask.record) {
-            return answer(&ask, decided);
+            return Ok(answer(&ask, decided));
         }
         if time::timeout_at(give_up_at, decisions.changed())
             .await
             .is_err()
         {
             let reason = "the log did not show the change in time; send the same ask again";
-            return ops::PublishAnswer::Undecided {
+            return Ok(ops::PublishAnswer::Undecided {
                 reason: reason.to_owned(),
-            };
+            });
         }
     }
 }
 
+/// How soon a change that the log did not take should be published again.
+const LOG_DOWN_RETRY_MS: u64 = 2_000;
+
+fn not_appended(error: &client::AppendError) -> refusal::RefusalBody {
+    refusal::RefusalBody::not_run(refusal::RefusalCode::Unavailable, error.to_string())
+        .retry_after_ms(LOG_DOWN_RETRY_MS)
+}
+
 fn answer(ask: &ops::PublishAsk, decided: configure::DecidedChange) -> ops::PublishAnswer {
     match decided.verdict {
         config_state::ApplyVerdict::Accepted { revision } => ops::PublishAnswer::Accepted {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,6 +23,8 @@
     pub members: sync::Arc<members::MemberTable>,
     /// The time line of this process.
     pub chronicle: chronicle::Chronicle,
+    /// The decision core.
+    pub driver: sched::driver::Driver,
     /// The request plane.
     pub plane: sync::Arc<plane::RequestPlane<ports::EntryPorts>>,
     /// The log, for operators' changes.
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -1,6 +1,6 @@
 //! One VM's whole view for the operators' face.
 
-use base::ops;
+use base::{class, ops};
 use tokio::time;
 
 use crate::{state, wall};
@@ -24,7 +24,7 @@
         members: entry.members.list(),
         servers: entry.roster.status(&snapshot, time::Instant::now()),
         placement: Vec::new(),
-        queues: Vec::new(),
+        queues: queues(entry),
         leases: Vec::new(),
         quarantine: entry.plane.suspects().list(now_ms),
         journal: ops::JournalStatus {
@@ -34,3 +34,19 @@
         },
     }
 }
+
+fn queues(entry: &state::EntryState) -> Vec<ops::QueueStatus> {
+    let loads = entry.driver.change(|core, now| core.class_loads(now));
+    let classes = class::TrafficClass::ALL.into_iter();
+    classes
+        .zip(loads)
+        .map(|(class, load)| ops::QueueStatus {
+            class,
+            waiting: load.waiting,
+            running: load.running,
+            oldest_ms: u64::try_from(load.oldest.as_millis()).unwrap_or(u64::MAX),
+            taken: 0,
+            refused: 0,
+        })
+        .collect()
+}
--- a/crates/flow/src/port.rs
+++ b/crates/flow/src/port.rs
@@ -253,6 +253,15 @@
     Errored,
 }
 
+/// Why a request got its place, for the time line.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlaceReason {
+    /// Backend servers that were weighed.
+    pub candidates: u32,
+    /// What decided, and what it waited for.
+    pub text: String,
+}
+
 /// A place on a backend server; dropping it gives the place back as withdrawn.
 pub trait Grant: Send + Sync + Sized + 'static {
     /// Where.
@@ -261,6 +270,11 @@
     /// Engine priority to start with.
     fn priority(&self) -> u8;
 
+    /// Why there, for the time line.
+    fn reason(&self) -> PlaceReason {
+        PlaceReason::default()
+    }
+
     /// `count` further tokens arrived, the first included.
     fn progress(&self, count: u32);
 
--- a/crates/flow/src/running.rs
+++ b/crates/flow/src/running.rs
@@ -85,7 +85,10 @@
         terms: &request::Terms,
         permit: proof::StartPermit,
     ) -> Result<RunningTry<P>, TryEnd<P>> {
-        shared.record(facts.id, dispatched(facts, &self.target));
+        shared.record(
+            facts.id,
+            dispatched(facts, &self.target, self.grant.reason()),
+        );
         let order = start_order(shared, &facts.work, self.grant.priority());
         let outcome = attempt::LiveTry::start(
             shared.clone(),
@@ -264,13 +267,17 @@
     }
 }
 
-fn dispatched(facts: &Facts, target: &port::ServerTarget) -> kind::EventKind {
+fn dispatched(
+    facts: &Facts,
+    target: &port::ServerTarget,
+    reason: port::PlaceReason,
+) -> kind::EventKind {
     kind::EventKind::RequestDispatched {
         server: target.name.clone(),
         attempt: facts.tries,
-        candidates: 0,
+        candidates: reason.candidates,
         waited_ms: shared::millis_since(facts.arrived_at),
-        reason: "granted".to_owned(),
+        reason: reason.text,
     }
 }
 
--- a/crates/sched/src/core.rs
+++ b/crates/sched/src/core.rs
@@ -48,6 +48,17 @@
     pub(crate) waiting: usize,
 }
 
+/// What waits and runs of one class.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassLoad {
+    /// Requests that wait for a place.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Longest that one of the waiting has waited.
+    pub oldest: time::Duration,
+}
+
 impl DispatchCore {
     /// A core that knows no server and no organisation.
     #[must_use]
@@ -403,6 +414,23 @@
         self.waiting
     }
 
+    /// What waits and runs of each class; looks at every ticket, so not for each decision.
+    #[must_use]
+    pub fn class_loads(&self, now: time::Instant) -> [ClassLoad; class::TrafficClass::ALL.len()] {
+        let mut loads = [ClassLoad::default(); class::TrafficClass::ALL.len()];
+        for ticket in self.tickets.values() {
+            let load = &mut loads[ticket.ask.class.index()];
+            if ticket.run.is_some() {
+                load.running += 1;
+            } else {
+                load.waiting += 1;
+                let waited = now.saturating_duration_since(ticket.submitted_at);
+                load.oldest = load.oldest.max(waited);
+            }
+        }
+        loads
+    }
+
     /// Requests that wait, with those that run.
     #[must_use]
     pub fn tickets(&self) -> usize {
--- a/crates/sched/src/explain.rs
+++ b/crates/sched/src/explain.rs
@@ -65,6 +65,48 @@
     pub report_age: time::Duration,
 }
 
+impl fmt::Display for ChoiceCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Only => "the only candidate",
+            Self::Soonest => "soonest first token",
+            Self::Prefix => "holds the prompt's prefix",
+            Self::Drawn => "drawn among the near-best",
+            Self::DomainSpill => "no room in the own failure domain",
+            Self::RegionSpill => "no room in the own region",
+        })
+    }
+}
+
+impl fmt::Display for WaitCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::None => "did not wait",
+            Self::Memory => "waited for engine memory",
+            Self::Batch => "waited for a place in a batch",
+            Self::Share => "waited for its fair share",
+            Self::Limit => "waited for its limit",
+            Self::Headroom => "waited beside room kept for urgent work",
+            Self::Server => "waited for a server of the model",
+        })
+    }
+}
+
+impl fmt::Display for DispatchReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}; {} ({} ms); overflow chance {} permille, {} tokens cached, report {} ms old",
+            self.cause,
+            self.wait,
+            self.waited.as_millis(),
+            self.overflow_permille,
+            self.cached_tokens,
+            self.report_age.as_millis(),
+        )
+    }
+}
+
 /// Why a request was refused. Nothing of it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
