--- a/crates/conf/src/reference.rs
+++ b/crates/conf/src/reference.rs
@@ -17,20 +17,30 @@
     schema_text(schemars::schema_for!(rules::RuleSet).as_value())
 }
 
+/// The JSON schema of any other file of settings.
+#[must_use]
+pub fn settings_schema<T: schemars::JsonSchema>() -> String {
+    schema_text(schemars::schema_for!(T).as_value())
+}
+
 /// Tables of every field of both files, in Markdown.
 #[must_use]
 pub fn field_tables() -> String {
-    let inventory = schemars::schema_for!(inventory::Inventory);
-    let rules = schemars::schema_for!(rules::RuleSet);
-    let mut text = String::new();
-    for (file, schema) in [("Inventory", &inventory), ("Rules", &rules)] {
-        text.push_str(&format!("### {file}\n\n"));
-        add_table(&mut text, schema.as_value(), schema.as_value());
-        let definitions = schema.get("$defs").and_then(Value::as_object);
-        for (name, definition) in definitions.into_iter().flatten() {
-            text.push_str(&format!("### {name}\n\n{}\n\n", described(definition)));
-            add_table(&mut text, schema.as_value(), definition);
-        }
+    let mut text = settings_tables::<inventory::Inventory>("Inventory");
+    text.push_str(&settings_tables::<rules::RuleSet>("Rules"));
+    text
+}
+
+/// Tables of every field of one file of settings, in Markdown.
+#[must_use]
+pub fn settings_tables<T: schemars::JsonSchema>(file: &str) -> String {
+    let schema = schemars::schema_for!(T);
+    let mut text = format!("### {file}\n\n");
+    add_table(&mut text, schema.as_value(), schema.as_value());
+    let definitions = schema.get("$defs").and_then(Value::as_object);
+    for (name, definition) in definitions.into_iter().flatten() {
+        text.push_str(&format!("### {name}\n\n{}\n\n", described(definition)));
+        add_table(&mut text, schema.as_value(), definition);
     }
     text
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -19,8 +19,10 @@
     /// Failure domain of this VM.
     pub failure_domain: String,
     /// Where callers and operators connect; port 0 takes a free one.
+    #[schemars(extend("format" = "socket-address"))]
     pub callers: net::SocketAddr,
     /// Where the other entry VMs connect, TCP and UDP; port 0 takes a free one.
+    #[schemars(extend("format" = "socket-address"))]
     pub peers: net::SocketAddr,
     /// Where the platform's services listen.
     pub platform: PlatformSettings,
@@ -47,6 +49,7 @@
     /// Its failure domain.
     pub failure_domain: String,
     /// Where other entry VMs connect.
+    #[schemars(extend("format" = "socket-address"))]
     pub peers: net::SocketAddr,
 }
 
@@ -56,10 +59,13 @@
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// The append-only log.
+    #[schemars(extend("format" = "socket-address"))]
     pub log: net::SocketAddr,
     /// The weight store.
+    #[schemars(extend("format" = "socket-address"))]
     pub weight_store: net::SocketAddr,
     /// The list of live and leaving VMs.
+    #[schemars(extend("format" = "socket-address"))]
     pub vm_list: net::SocketAddr,
 }
 
