--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -70,10 +70,26 @@
     Timeline(TimelineArgs),
     /// Explain one request.
     Explain(ExplainArgs),
+    /// Work out what a large size costs.
+    Capacity(CapacityArgs),
     /// Print shell completions.
     Completions(CompletionsArgs),
 }
 
+/// Work out the cost at the size that decides the design from measured slopes; needs no entry VM.
+#[derive(Debug)]
+#[derive(argh::ArgsInfo, argh::FromArgs)]
+#[argh(
+    subcommand,
+    name = "capacity",
+    example = "{command_name} docs/capacity.jsonc"
+)]
+pub struct CapacityArgs {
+    /// file of measured slopes, JSON with comments
+    #[argh(positional)]
+    pub slopes: String,
+}
+
 /// Check inventory and rules files; needs no entry VM. All faults are told at once.
 #[derive(Debug)]
 #[derive(argh::ArgsInfo, argh::FromArgs)]
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,7 +1,8 @@
 //! Runs one command.
 
 use crate::{
-    args, client, completions, configuration, error, operate, publish, settings, status, timeline,
+    args, capacity, client, completions, configuration, error, operate, publish, settings, status,
+    timeline,
 };
 
 /// Runs what the command line asks for.
@@ -33,6 +34,7 @@
     };
     match command {
         args::CtlCommand::Check(check) => configuration::check(&check),
+        args::CtlCommand::Capacity(args) => capacity::capacity(&args),
         args::CtlCommand::Completions(_) => {
             Ok(error::CommandOutput::success(completions::bash_script()))
         }
@@ -59,6 +61,7 @@
     use args::CtlCommand as Command;
     match command {
         Command::Check(args) => configuration::check(&args),
+        Command::Capacity(args) => capacity::capacity(&args),
         Command::Completions(_) => Ok(error::CommandOutput::success(completions::bash_script())),
         Command::Diff(args) => configuration::diff(&args, client).await,
         Command::Publish(args) => publish::publish(&args, client).await,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod args;
 pub mod attention;
+pub mod capacity;
 pub mod client;
 pub mod command;
 pub mod completions;
