Deferrable work is appended at most ten times a second a partition

Cause: eight partitions that commit every 25 ms make 320 appends a second, over a cap of 300, though nobody waits at a gate for deferrable work. Change: a gap of 100 ms for the four partitions of deferrable work; capacity counts appends by partitions and gap.

--- a/crates/ctl/src/capacity.rs
+++ b/crates/ctl/src/capacity.rs
@@ -42,10 +42,6 @@
     pub changes_per_day: f64,
     /// VMs replaced a day.
     pub replaced_per_day: f64,
-    /// Part of the requests that are calls which may not be repeated.
-    pub claimed_part: f64,
-    /// Part of the requests that are accepted to be done later.
-    pub deferred_part: f64,
     /// Appends a second that the log takes.
     pub log_appends: f64,
     /// Part of a core that control may cost a VM.
@@ -89,8 +85,12 @@
     pub stream_bytes: f64,
     /// The ring of events, full, in bytes.
     pub ring_bytes: f64,
-    /// Entries that one append of the group commit carries at 300 claims a second.
-    pub claims_per_append: f64,
+    /// Appends of claims a second at 300 calls a second, where every appender is always busy.
+    pub claim_appends_per_second: f64,
+    /// Appends of deferred work a second when every appender is always busy.
+    pub job_appends_per_second: f64,
+    /// Appends of leases a second.
+    pub lease_appends_per_second: f64,
 }
 
 /// One row of the table.
@@ -112,10 +112,6 @@
 /// Servers that one VM uses without watching them, and its polls of each a second.
 const USED_SERVERS: f64 = 32.0;
 const USER_POLLS: f64 = 0.1;
-/// Entries on the log for one claimed call: the claim and its end.
-const ENTRIES_PER_CLAIM: f64 = 2.0;
-/// Entries on the log for deferred work: accepted, claimed, renewed once, finished.
-const ENTRIES_PER_JOB: f64 = 4.0;
 
 fn polls_per_second(size: &TargetSize) -> f64 {
     size.engines / size.entry_vms * WATCHED_POLLS + USED_SERVERS * USER_POLLS
@@ -180,18 +176,19 @@
 }
 
 fn traffic_rows(size: &TargetSize, slopes: &SlopeTable) -> Vec<CapacityRow> {
-    let entries = size.requests_per_second
-        * (size.claimed_part * ENTRIES_PER_CLAIM + size.deferred_part * ENTRIES_PER_JOB);
     let requests = size.requests_per_second / size.entry_vms;
     vec![
         CapacityRow {
-            what: "appends to the log, calls and deferred work",
+            what: "appends to the log, all VMs together",
             budget: size.log_appends,
-            computed: entries / slopes.claims_per_append,
+            computed: slopes.claim_appends_per_second
+                + slopes.job_appends_per_second
+                + slopes.lease_appends_per_second
+                + size.changes_per_day / SECONDS_PER_DAY,
             unit: "appends/s",
-            from: "entries / entries that one append carries",
+            from: "partitions / gap of an appender, whatever the demand + leases + changes",
             mechanism: "group commit through one appender a partition",
-            breaks: "more partitions than needed: each commits on its own",
+            breaks: "more partitions: each commits on its own",
         },
         CapacityRow {
             what: "decisions of one VM",
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -263,7 +263,7 @@
         let host = sync::Arc::new(host::LedgerHost::new(
             self.log.clone(),
             self.settings.vm.clone(),
-            host::HostSettings::default(),
+            ledger_settings(),
         ));
         let router = route::LedgerRouter::new(
             sync::Arc::clone(&host),
@@ -304,6 +304,16 @@
     }
 }
 
+/// Time between two appends of a partition of deferrable work. Nobody waits for it at a gate, and
+/// the log's appends are few.
+const JOB_APPEND_GAP: Duration = Duration::from_millis(100);
+
+fn ledger_settings() -> host::HostSettings {
+    let mut settings = host::HostSettings::default();
+    settings.jobs.append.min_gap = JOB_APPEND_GAP;
+    settings
+}
+
 type Plane = sync::Arc<plane::RequestPlane<ports::EntryPorts>>;
 type LedgerHost = host::LedgerHost<ledger::http::HttpLog>;
 
