--- a/crates/conf/src/follow.rs
+++ b/crates/conf/src/follow.rs
@@ -13,6 +13,7 @@
     keeper::{CheckpointKeeper, ClockReading},
     offer,
     pace::FollowSettings,
+    peers::PeerTable,
     search, state, transfer,
 };
 
@@ -27,15 +28,11 @@
     is_proved: bool,
     search: search::LogSearch,
     keeper: CheckpointKeeper,
-    peers: collections::BTreeMap<String, offer::StateOffer>,
-    /// The peer that was asked for its state.
-    fetching: Option<String>,
+    peers: PeerTable,
     is_reading: bool,
     read_after: Option<time::Instant>,
     /// Whether the newest read was answered.
     is_log_live: bool,
-    /// Since when an offer is better than the own state of this offset.
-    behind_since: Option<(time::Instant, u64)>,
     is_log_lost: bool,
 }
 
@@ -50,12 +47,10 @@
             is_proved: false,
             search: search::LogSearch::new(settings.look_back),
             keeper: CheckpointKeeper::new(settings.keeper),
-            peers: collections::BTreeMap::new(),
-            fetching: None,
+            peers: PeerTable::default(),
             is_reading: false,
             read_after: None,
             is_log_live: false,
-            behind_since: None,
             is_log_lost: false,
         }
     }
@@ -77,9 +72,9 @@
             FollowEvent::Dropped { first } => self.on_dropped(first),
             FollowEvent::ReadFault => self.on_read_fault(clock),
             FollowEvent::Offer { peer, offer } => self.on_offer(peer, offer, &mut actions),
-            FollowEvent::PeerGone { peer } => self.forget(&peer),
+            FollowEvent::PeerGone { peer } => self.peers.forget(&peer),
             FollowEvent::State { peer, transfer } => self.on_state(&peer, &transfer, &mut actions),
-            FollowEvent::FetchFault { peer } => self.forget(&peer),
+            FollowEvent::FetchFault { peer } => self.peers.forget(&peer),
             FollowEvent::Appended => self.keeper.appended(clock),
             FollowEvent::AppendFault => self.keeper.append_failed(clock),
         }
@@ -201,7 +196,10 @@
             Some(state) => state.adopt(other),
         };
         match outcome {
-            Ok(()) => self.search.settle(self.offset()),
+            Ok(()) => {
+                self.search.settle(self.offset());
+                self.read_after = None;
+            }
             Err(state::AdoptRefusal::Older) => {}
             Err(state::AdoptRefusal::Contradictory) => {
                 let source = source.to_owned();
@@ -235,7 +233,7 @@
             .state
             .as_ref()
             .is_some_and(|state| state.is_contradicted_by(&offer));
-        let is_news = self.peers.insert(peer.clone(), offer) != Some(offer);
+        let is_news = self.peers.note(&peer, offer);
         if is_contradictory && is_news {
             actions.push(FollowAction::Report(FollowReport::Contradiction {
                 source: peer,
@@ -249,7 +247,7 @@
         transfer: &transfer::StateTransfer,
         actions: &mut Vec<FollowAction>,
     ) {
-        self.fetching = None;
+        self.peers.fetched();
         match transfer.state() {
             Ok(state) => {
                 if self.adopt(state, peer, actions) {
@@ -258,21 +256,21 @@
                 }
             }
             Err(error) => {
-                self.forget(peer);
+                self.peers.forget(peer);
                 actions.push(refused(&error));
             }
         }
     }
 
-    fn forget(&mut self, peer: &str) {
-        self.peers.remove(peer);
-        if self.fetching.as_deref() == Some(peer) {
-            self.fetching = None;
-        }
-    }
-
     fn next_actions(&mut self, clock: ClockReading, actions: &mut Vec<FollowAction>) {
-        self.next_fetch(clock, actions);
+        let own = self.state.as_ref();
+        let is_stranded = self.search.is_searching();
+        if let Some(peer) = self
+            .peers
+            .next_fetch(own, is_stranded, &self.settings, clock)
+        {
+            actions.push(FollowAction::Fetch { peer });
+        }
         self.next_read(clock, actions);
         let Some(state) = self
             .state
@@ -303,53 +301,6 @@
         });
     }
 
-    /// Fetches the best state that others offer, when the log does not give it soon.
-    fn next_fetch(&mut self, clock: ClockReading, actions: &mut Vec<FollowAction>) {
-        let Some(peer) = self.better_peer() else {
-            self.behind_since = None;
-            return;
-        };
-        let offset = self.offset();
-        let is_stuck = self
-            .behind_since
-            .is_some_and(|(_, before)| before == offset);
-        let (since, _) = match self.behind_since {
-            Some(behind) if is_stuck => behind,
-            _ => *self.behind_since.insert((clock.now, offset)),
-        };
-        let wait = if self.state.is_none() {
-            self.settings.settle
-        } else {
-            self.settings.patience
-        };
-        if self.fetching.is_some() || clock.now < since + wait {
-            return;
-        }
-        self.fetching = Some(peer.clone());
-        actions.push(FollowAction::Fetch { peer });
-    }
-
-    /// The VM with the best state that this one can use.
-    ///
-    /// The same revision at a higher offset is of use only to a VM that cannot read on where it
-    /// is, because the log has dropped what follows.
-    fn better_peer(&self) -> Option<String> {
-        let is_stranded = self.search.is_searching();
-        let offers = self
-            .peers
-            .iter()
-            .map(|(peer, offer)| (peer.as_str(), *offer));
-        let better = offers.filter(|(_, offer)| match &self.state {
-            None => offer.revision > 0,
-            Some(state) => {
-                offer.replaces(&state.offer())
-                    && (is_stranded || offer.revision > state.revision())
-                    && !state.is_contradicted_by(offer)
-            }
-        });
-        offer::best(better).map(|(peer, _)| peer.to_owned())
-    }
-
     fn offset(&self) -> u64 {
         self.state.as_ref().map_or(0, state::ConfigState::offset)
     }
@@ -388,7 +339,7 @@
     /// Which VM has which state in force, as far as this one knows; itself included.
     #[must_use]
     pub fn in_force_by_vm(&self) -> collections::BTreeMap<String, offer::StateOffer> {
-        let mut known = self.peers.clone();
+        let mut known = self.peers.offers().clone();
         known.extend(self.in_force().map(|offer| (self.vm.clone(), offer)));
         known
     }
--- a/crates/conf/src/sample.rs
+++ b/crates/conf/src/sample.rs
@@ -65,54 +65,58 @@
 #[must_use]
 pub fn configuration(size: SampleSize) -> document::Configuration {
     document::Configuration {
-        inventory: inventory::Inventory {
-            regions: named(size.regions, region_name, |region| inventory::RegionEntry {
-                failure_domains: (0..size.domains)
-                    .map(|it| domain_name(region, it))
-                    .collect(),
-            }),
-            entry_vms: named(
-                size.entry_vms,
-                |it| format!("entry-{it:03}"),
-                |vm| inventory::VmEntry {
-                    failure_domain: domain_of(size, vm),
-                    callers: address(1, vm),
-                    peers: address(2, vm),
-                },
-            ),
-            backend_servers: servers(size),
-            models: named(size.models, model_name, |_| inventory::ModelEntry {
-                version: "1".to_owned(),
-                adapters: vec!["general".to_owned()],
-                min_engines: 1,
-                context_tokens: 16_384,
-            }),
-            services: named(
-                1,
-                |_| "bookings".to_owned(),
-                |_| inventory::ServiceEntry {
-                    non_idempotent_paths: vec!["confirm".to_owned()],
-                    max_concurrency: 32,
-                },
-            ),
-            organisations: named(size.organisations, organisation_name, |organisation| {
-                inventory::OrganisationEntry {
-                    key_hashes: vec![hash(&api_key(organisation))],
-                    region: region_name(organisation % size.regions),
-                }
-            }),
-            operators: named(
-                4,
-                |it| format!("operator-{it}"),
-                |operator| inventory::OperatorEntry {
-                    key_hashes: vec![hash(&format!("sample-operator-{operator}"))],
-                },
-            ),
-        },
+        inventory: inventory(size),
         rules: rules(size),
     }
 }
 
+fn inventory(size: SampleSize) -> inventory::Inventory {
+    inventory::Inventory {
+        regions: named(size.regions, region_name, |region| inventory::RegionEntry {
+            failure_domains: (0..size.domains)
+                .map(|it| domain_name(region, it))
+                .collect(),
+        }),
+        entry_vms: named(
+            size.entry_vms,
+            |it| format!("entry-{it:03}"),
+            |vm| inventory::VmEntry {
+                failure_domain: domain_of(size, vm),
+                callers: address(1, vm),
+                peers: address(2, vm),
+            },
+        ),
+        backend_servers: servers(size),
+        models: named(size.models, model_name, |_| inventory::ModelEntry {
+            version: "1".to_owned(),
+            adapters: vec!["general".to_owned()],
+            min_engines: 1,
+            context_tokens: 16_384,
+        }),
+        services: named(
+            1,
+            |_| "bookings".to_owned(),
+            |_| inventory::ServiceEntry {
+                non_idempotent_paths: vec!["confirm".to_owned()],
+                max_concurrency: 32,
+            },
+        ),
+        organisations: named(size.organisations, organisation_name, |organisation| {
+            inventory::OrganisationEntry {
+                key_hashes: vec![hash(&api_key(organisation))],
+                region: region_name(organisation % size.regions),
+            }
+        }),
+        operators: named(
+            4,
+            |it| format!("operator-{it}"),
+            |operator| inventory::OperatorEntry {
+                key_hashes: vec![hash(&format!("sample-operator-{operator}"))],
+            },
+        ),
+    }
+}
+
 /// One organisation in ten has limits of its own.
 fn rules(size: SampleSize) -> rules::RuleSet {
     let own = (0..size.organisations).step_by(10).map(|organisation| {
--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     arena::NamedArena,
-    document, inventory,
+    document, index, inventory,
     matcher::{self, ClassMatcher},
     path, rules,
 };
@@ -86,38 +86,21 @@
         configuration: sync::Arc<document::Configuration>,
     ) -> Self {
         let inventory = &configuration.inventory;
-        let regions = region_of_domain(inventory);
-        let region = |domain: &str| regions.get(domain).cloned().unwrap_or_default();
-        let servers = self
-            .servers
-            .next(inventory.backend_servers.iter().map(|(name, entry)| {
-                let view = ServerView {
-                    name: name.clone(),
-                    region: region(&entry.failure_domain),
-                    entry: entry.clone(),
-                };
-                (name.clone(), view)
-            }));
-        let vms = self
-            .vms
-            .next(inventory.entry_vms.iter().map(|(name, entry)| {
-                let view = VmView {
-                    name: name.clone(),
-                    region: region(&entry.failure_domain),
-                    entry: entry.clone(),
-                };
-                (name.clone(), view)
-            }));
-        let organisations = self.organisations.next(organisation_views(&configuration));
-        let (model_servers, service_servers) = servers_by_use(inventory, &servers);
+        let regions = index::region_of_domain(inventory);
+        let servers = self.servers.next(index::server_views(inventory, &regions));
+        let vms = self.vms.next(index::vm_views(inventory, &regions));
+        let organisations = self
+            .organisations
+            .next(index::organisation_views(&configuration));
+        let (model_servers, service_servers) = index::servers_by_use(inventory, &servers);
         Self {
             revision,
             offset,
-            api_keys: api_keys(inventory, &organisations),
-            operator_keys: operator_keys(inventory),
+            api_keys: index::api_keys(inventory, &organisations),
+            operator_keys: index::operator_keys(inventory),
             model_servers,
             service_servers,
-            region_vms: vms_by_region(&vms),
+            region_vms: index::vms_by_region(&vms),
             matchers: matcher::matchers(&configuration.rules, &organisations.keys),
             organisations,
             servers,
@@ -311,101 +294,3 @@
         order.into_iter().map(|(_, _, key)| key).collect()
     }
 }
-
-fn region_of_domain(inventory: &inventory::Inventory) -> collections::HashMap<String, String> {
-    let mut regions = collections::HashMap::new();
-    for (region, entry) in &inventory.regions {
-        for domain in &entry.failure_domains {
-            regions.insert(domain.clone(), region.clone());
-        }
-    }
-    regions
-}
-
-fn organisation_views(
-    configuration: &document::Configuration,
-) -> impl Iterator<Item = (String, OrganisationView)> {
-    let rules = &configuration.rules;
-    configuration
-        .inventory
-        .organisations
-        .iter()
-        .map(|(name, entry)| {
-            let rule = rules
-                .organisations
-                .get(name)
-                .unwrap_or(&rules.default_organisation);
-            let view = OrganisationView {
-                name: name.clone(),
-                region: entry.region.clone(),
-                rule: rule.clone(),
-            };
-            (name.clone(), view)
-        })
-}
-
-fn api_keys(
-    inventory: &inventory::Inventory,
-    organisations: &NamedArena<id::OrganisationKey, OrganisationView>,
-) -> collections::HashMap<fingerprint::ContentHash, id::OrganisationKey> {
-    let mut keys = collections::HashMap::with_capacity(inventory.organisations.len());
-    for (name, entry) in &inventory.organisations {
-        for hash in entry.key_hashes.iter().filter_map(|text| parse_hash(text)) {
-            keys.insert(hash, organisations.keys[name]);
-        }
-    }
-    keys
-}
-
-fn operator_keys(
-    inventory: &inventory::Inventory,
-) -> collections::HashMap<fingerprint::ContentHash, String> {
-    let mut keys = collections::HashMap::new();
-    for (name, entry) in &inventory.operators {
-        for hash in entry.key_hashes.iter().filter_map(|text| parse_hash(text)) {
-            keys.insert(hash, name.clone());
-        }
-    }
-    keys
-}
-
-/// A SHA-256 in 64 hexadecimal digits.
-pub(crate) fn parse_hash(text: &str) -> Option<fingerprint::ContentHash> {
-    let mut bytes = [0_u8; 32];
-    hex::decode_to_slice(text, &mut bytes).ok()?;
-    Some(fingerprint::ContentHash(bytes))
-}
-
-type ServersByName = collections::HashMap<String, Vec<id::ServerKey>>;
-
-fn servers_by_use(
-    inventory: &inventory::Inventory,
-    servers: &NamedArena<id::ServerKey, ServerView>,
-) -> (ServersByName, ServersByName) {
-    let mut by_model = ServersByName::new();
-    let mut by_service = ServersByName::new();
-    for (name, entry) in &inventory.backend_servers {
-        let key = servers.keys[name];
-        match &entry.kind {
-            inventory::ServerKind::ModelEngine(engine) => {
-                for model in &engine.models {
-                    by_model.entry(model.clone()).or_default().push(key);
-                }
-            }
-            inventory::ServerKind::PlainService { service } => {
-                by_service.entry(service.clone()).or_default().push(key);
-            }
-        }
-    }
-    (by_model, by_service)
-}
-
-fn vms_by_region(
-    vms: &NamedArena<id::VmKey, VmView>,
-) -> collections::HashMap<String, Vec<id::VmKey>> {
-    let mut regions: collections::HashMap<String, Vec<id::VmKey>> = collections::HashMap::new();
-    for (key, view) in &vms.entries {
-        regions.entry(view.region.clone()).or_default().push(key);
-    }
-    regions
-}
