A damaged part is refused by its own hash

The hash of a part travelled with it and nobody compared it: an edit that should have added the comparison had not taken, and the random histories did not notice, for a search that begins again finds the parts in order later on.

--- a/crates/conf/src/part.rs
+++ b/crates/conf/src/part.rs
@@ -152,6 +152,9 @@
         if header.index >= header.count || header.count > PART_COUNT || text.len() > PART_BYTES {
             return PartOutcome::Refused("a part with impossible numbers".to_owned());
         }
+        if fingerprint::ContentHash::of(text.as_bytes()) != header.piece {
+            return PartOutcome::Refused("a part that does not match its hash".to_owned());
+        }
         self.wholes
             .retain(|_, whole| offset.saturating_sub(whole.first_offset) <= PART_SPAN);
         let whole = self
--- a/crates/conf/tests/state.rs
+++ b/crates/conf/tests/state.rs
@@ -142,6 +142,29 @@
     );
 }
 
+/// Symptom: a change that was appended whole never takes effect.
+/// Sequence: one of its parts is damaged on its way; the part is appended again.
+/// Cause: had the damaged one counted, the whole would not match its hash and all would be lost.
+#[test]
+fn a_damaged_part_spoils_no_others() {
+    let mut state = started();
+    let large = change(2, 1, "ann", tries(2));
+    let text = serde_json::to_string(&large).expect("serializable");
+    let parts = part::split(part::PartKind::Change, large.id, &text, 40);
+    let mut damaged = parts[1].clone();
+    damaged.pop();
+    let sequence = [&parts[..1], &[damaged], &parts[1..]].concat();
+    let verdicts: Vec<_> = sequence
+        .iter()
+        .map(|it| state.apply(state.offset(), it))
+        .collect();
+    assert!(matches!(verdicts[1], state::ApplyVerdict::Malformed { .. }));
+    assert_eq!(
+        verdicts.last(),
+        Some(&state::ApplyVerdict::Accepted { revision: 2 })
+    );
+}
+
 #[test]
 fn a_rollback_is_a_new_revision_with_the_old_content() {
     let mut state = started();
