A stop is announced before it refuses; daemon and roster split by job

Change: leave, wait for the notice, then close the gate; parts are made in assemble.rs, views in sight.rs. Conclusion: a rolling replacement refuses nobody who keeps an address for less than the notice.

--- /dev/null
+++ b/crates/entry/src/assemble.rs
@@ -0,0 +1,346 @@
+//! Makes the parts of one daemon and ties them together.
+
+use std::{net, sync, time::Duration};
+
+use base::id;
+use flow::{plane, settings as plane_settings, token, view};
+use ledger::{host, route};
+use rand::SeedableRng as _;
+use sched::{core, driver};
+use snafu::ResultExt as _;
+use tokio::{sync::watch as channel, task, time};
+use trace::{journal, ring};
+use wire::{identity, key};
+
+use crate::{
+    adapt::{claims, identity as identity_port, jobs, peers, quota, schedule},
+    chronicle, configure, daemon, digests, follow, members, membership, peer_service, ports,
+    roster, settings, sight, state, vm_list, watch,
+};
+
+/// Largest part of the time line's ring, in bytes.
+const TIMELINE_BYTES: usize = 8 << 20;
+/// Time between two looks at the log's partitions.
+const LEDGER_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What the pieces of a daemon are made of.
+struct Foundation {
+    settings: settings::DaemonSettings,
+    identity: identity::ProcessIdentity,
+    keys: key::KeyHandle,
+    token_keys: token::TokenKeys,
+    chronicle: chronicle::Chronicle,
+    log: ledger::http::HttpLog,
+    book: sync::Arc<configure::ConfigBook>,
+    driver: driver::Driver,
+    roster: sync::Arc<roster::ServerRoster>,
+    members: sync::Arc<members::MemberTable>,
+}
+
+impl Foundation {
+    fn new(
+        settings: settings::DaemonSettings,
+        token_keys: token::TokenKeys,
+    ) -> Result<Self, daemon::StartError> {
+        let incarnation = id::Incarnation::draw(&mut rand::rng());
+        let limits = ring::RingLimits {
+            max_events: settings.bounds.timeline_events,
+            max_bytes: TIMELINE_BYTES,
+        };
+        let journal = journal::EventJournal::new(settings.vm.clone(), incarnation, limits);
+        let log_url = format!("http://{}", settings.platform.log);
+        let core = core::DispatchCore::new(
+            sched::settings::PolicySettings::default(),
+            rand::rngs::StdRng::from_rng(&mut rand::rng()),
+        );
+        let driver = driver::Driver::new(core);
+        Ok(Self {
+            identity: identity::ProcessIdentity {
+                name: settings.vm.clone(),
+                incarnation,
+            },
+            keys: wire_keys(&settings)?,
+            token_keys,
+            chronicle: chronicle::Chronicle::new(journal),
+            log: ledger::http::HttpLog::new(ledger::http::HttpSettings::at(log_url)),
+            book: sync::Arc::default(),
+            roster: sync::Arc::new(roster::ServerRoster::new(driver.clone())),
+            driver,
+            members: sync::Arc::new(members::MemberTable::new(settings.vm.clone())),
+            settings,
+        })
+    }
+
+    /// The request plane, with what other entry VMs may ask of it.
+    fn plane(
+        &self,
+        view: channel::Receiver<sync::Arc<view::PlaneView>>,
+        caller: peers::PeerCaller,
+    ) -> Result<(Plane, sync::Arc<LedgerHost>), daemon::StartError> {
+        let host = sync::Arc::new(host::LedgerHost::new(
+            self.log.clone(),
+            self.settings.vm.clone(),
+            ledger_settings(),
+        ));
+        let router = route::LedgerRouter::new(
+            sync::Arc::clone(&host),
+            peers::PeerLedger(caller.clone()),
+            route::RouteSettings::default(),
+            rand::random(),
+        );
+        let ports = ports::EntryPorts {
+            engines: flow::http::HttpEngines::new().context(daemon::ClientSnafu)?,
+            services: flow::http::HttpServices::new().context(daemon::ClientSnafu)?,
+            schedule: schedule::PlaneScheduler::new(
+                self.driver.clone(),
+                sync::Arc::clone(&self.roster),
+                sync::Arc::clone(&self.book),
+            ),
+            quotas: quota::CoreQuota,
+            claims: claims::LogClaims::new(router.clone()),
+            jobs: jobs::LogJobs::new(router, sync::Arc::clone(&self.book)),
+            events: self.chronicle.clone(),
+            clock: identity_port::SystemClock,
+            ids: identity_port::RandomIds,
+            peers: peers::PeerNotes(caller),
+        };
+        let settings =
+            plane_settings::PlaneSettings::new(self.settings.vm.clone(), self.token_keys.clone());
+        Ok((
+            sync::Arc::new(plane::RequestPlane::new(ports, settings, view)),
+            host,
+        ))
+    }
+
+    fn own_place(&self) -> sight::OwnPlace {
+        sight::OwnPlace {
+            vm: self.settings.vm.clone(),
+            region: self.settings.region.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+        }
+    }
+}
+
+/// Time between two appends of a partition of deferrable work. Nobody waits for it at a gate, and
+/// the log's appends are few.
+const JOB_APPEND_GAP: Duration = Duration::from_millis(100);
+
+fn ledger_settings() -> host::HostSettings {
+    let mut settings = host::HostSettings::default();
+    settings.jobs.append.min_gap = JOB_APPEND_GAP;
+    settings
+}
+
+type Plane = sync::Arc<plane::RequestPlane<ports::EntryPorts>>;
+type LedgerHost = host::LedgerHost<ledger::http::HttpLog>;
+
+fn wire_keys(settings: &settings::DaemonSettings) -> Result<key::KeyHandle, daemon::StartError> {
+    let bad = |error: key::KeyError| daemon::StartError::Settings {
+        what: "the cluster keys cannot be used".to_owned(),
+        remedy: error.to_string(),
+    };
+    let keys: Result<Vec<key::WireKey>, key::KeyError> = settings
+        .cluster_keys
+        .iter()
+        .map(|key| key::WireKey::from_hex(key.id, &key.secret))
+        .collect();
+    let ring = key::KeyRing::new(keys.map_err(bad)?).map_err(bad)?;
+    Ok(key::KeyHandle::new(ring))
+}
+
+/// Makes a daemon's parts and starts its controllers.
+pub(crate) async fn build(
+    settings: settings::DaemonSettings,
+    token_keys: token::TokenKeys,
+    metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
+    controllers: &mut task::JoinSet<()>,
+) -> Result<state::EntryState, daemon::StartError> {
+    let base = Foundation::new(settings, token_keys)?;
+    let (listener, peers_address) = listen_for_peers(base.settings.peers).await?;
+    let stamper = base.chronicle.stamper();
+    let gossip = gossip::start_stamped(
+        membership::gossip_settings(&base.settings, base.identity.clone(), peers_address),
+        base.keys.clone(),
+        rand::random(),
+        stamper.clone(),
+    )
+    .await
+    .context(daemon::GossipSnafu)?;
+    let caller = peers::PeerCaller::new(
+        wire::client::PeerClient::new(
+            base.identity.clone(),
+            base.keys.clone(),
+            wire::client::ClientLimits::default(),
+        )
+        .with_stamper(stamper.clone()),
+        sync::Arc::clone(&base.members),
+    );
+    let (views, view) = channel::channel(sync::Arc::new(view::PlaneView::default()));
+    let (plane, host) = base.plane(view, caller.clone())?;
+    let service = peer_service::EntryPeerService {
+        host: sync::Arc::clone(&host),
+        book: sync::Arc::clone(&base.book),
+        plane: sync::Arc::clone(&plane),
+    };
+    let server = wire::server::PeerServer::stamped(
+        base.identity.clone(),
+        base.keys.clone(),
+        service,
+        wire::server::ServerLimits::default(),
+        stamper,
+    );
+    controllers.spawn(server.serve(listener));
+    spawn_watchers(&base, &gossip, &caller, controllers)?;
+    spawn_plane(&base, &plane, host, caller, controllers);
+    controllers.spawn(follow_views(
+        sync::Arc::clone(&base.book),
+        sync::Arc::clone(&base.roster),
+        base.own_place(),
+        views,
+    ));
+    Ok(state::EntryState {
+        settings: base.settings,
+        incarnation: base.identity.incarnation,
+        book: base.book,
+        roster: base.roster,
+        members: base.members,
+        chronicle: base.chronicle,
+        driver: base.driver,
+        plane,
+        log: base.log,
+        gossip,
+        peers: peers_address,
+        metrics,
+    })
+}
+
+/// Starts what works for the request plane.
+fn spawn_plane(
+    base: &Foundation,
+    plane: &Plane,
+    host: sync::Arc<LedgerHost>,
+    caller: peers::PeerCaller,
+    controllers: &mut task::JoinSet<()>,
+) {
+    controllers.spawn(base.driver.clone().run());
+    controllers.spawn(membership::spread_suspects(
+        sync::Arc::clone(plane),
+        caller,
+        sync::Arc::clone(&base.members),
+    ));
+    controllers.spawn(maintain_ledger(host, sync::Arc::clone(&base.members)));
+    controllers.spawn(sync::Arc::clone(plane).run_jobs());
+}
+
+fn spawn_watchers(
+    base: &Foundation,
+    gossip: &gossip::handle::GossipHandle,
+    caller: &peers::PeerCaller,
+    controllers: &mut task::JoinSet<()>,
+) -> Result<(), daemon::StartError> {
+    let watcher = watch::LoadWatcher {
+        http: client()?,
+        book: sync::Arc::clone(&base.book),
+        roster: sync::Arc::clone(&base.roster),
+        gossip: gossip.clone(),
+        chronicle: base.chronicle.clone(),
+    };
+    controllers.spawn(watcher.run());
+    let digests = digests::DigestController {
+        gossip: gossip.clone(),
+        book: sync::Arc::clone(&base.book),
+        roster: sync::Arc::clone(&base.roster),
+        members: sync::Arc::clone(&base.members),
+        driver: base.driver.clone(),
+    };
+    controllers.spawn(digests.run());
+    let member_controller = membership::MemberController {
+        gossip: gossip.clone(),
+        book: sync::Arc::clone(&base.book),
+        members: sync::Arc::clone(&base.members),
+        roster: sync::Arc::clone(&base.roster),
+        chronicle: base.chronicle.clone(),
+    };
+    controllers.spawn(member_controller.run());
+    let follower = follow::FollowController {
+        log: base.log.clone(),
+        book: sync::Arc::clone(&base.book),
+        caller: caller.clone(),
+        gossip: gossip.clone(),
+        chronicle: base.chronicle.clone(),
+    };
+    controllers.spawn(follower.run());
+    let list = vm_list::ListController {
+        http: client()?,
+        url: format!("http://{}/v1/vms", base.settings.platform.vm_list),
+        book: sync::Arc::clone(&base.book),
+        roster: sync::Arc::clone(&base.roster),
+        gossip: gossip.clone(),
+        incarnation: base.identity.incarnation,
+        chronicle: base.chronicle.clone(),
+    };
+    controllers.spawn(list.run());
+    Ok(())
+}
+
+/// Listens for frames; datagrams then arrive at the same number.
+async fn listen_for_peers(
+    address: net::SocketAddr,
+) -> Result<(tokio::net::TcpListener, net::SocketAddr), daemon::StartError> {
+    let listener = tokio::net::TcpListener::bind(address)
+        .await
+        .context(daemon::PeersSnafu { address })?;
+    let bound = listener
+        .local_addr()
+        .context(daemon::PeersSnafu { address })?;
+    Ok((listener, bound))
+}
+
+/// Keeps the partitions that this VM ranks for read, and carries work past the log's retention.
+async fn maintain_ledger(host: sync::Arc<LedgerHost>, members: sync::Arc<members::MemberTable>) {
+    let mut tick = time::interval(LEDGER_INTERVAL);
+    tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut rng = rand::rngs::StdRng::from_rng(&mut rand::rng());
+    loop {
+        tick.tick().await;
+        host.maintain(&members.live_names(), &mut rng).await;
+    }
+}
+
+fn client() -> Result<reqwest::Client, daemon::StartError> {
+    reqwest::Client::builder()
+        .tcp_nodelay(true)
+        .connect_timeout(Duration::from_millis(500))
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .build()
+        .context(daemon::ClientSnafu)
+}
+
+/// Keeps the roster and the request plane's view in step with the configuration and with what
+/// is leaving.
+async fn follow_views(
+    book: sync::Arc<configure::ConfigBook>,
+    roster: sync::Arc<roster::ServerRoster>,
+    own: sight::OwnPlace,
+    views: channel::Sender<sync::Arc<view::PlaneView>>,
+) {
+    let mut snapshots = book.subscribe();
+    let mut leaving = roster.subscribe_leaving();
+    loop {
+        let snapshot = snapshots.borrow_and_update().clone();
+        let left = leaving.borrow_and_update().clone();
+        let known = views.borrow().config.revision();
+        if known != snapshot.revision() {
+            roster.configure(&snapshot, &own);
+        }
+        views.send_replace(sync::Arc::new(view::PlaneView {
+            config: snapshot,
+            leaving: left,
+        }));
+        tokio::select! {
+            changed = snapshots.changed() => if changed.is_err() { return },
+            changed = leaving.changed() => if changed.is_err() { return },
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! to the scheduler and to the log.
 
 pub mod adapt;
+pub mod assemble;
 pub mod chronicle;
 pub mod configure;
 pub mod daemon;
@@ -19,6 +20,7 @@
 pub mod publish;
 pub mod roster;
 pub mod settings;
+pub mod sight;
 pub mod state;
 pub mod status;
 pub mod vm_list;
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -3,13 +3,13 @@
 
 use std::{collections, sync};
 
-use base::{class, id, ops, rendezvous};
+use base::{id, ops, rendezvous};
 use conf::{inventory, snapshot};
 use gossip::digest;
-use sched::{ask, driver, settings, view};
+use sched::{ask, driver, view};
 use tokio::{sync::watch as channel, time};
 
-use crate::watch;
+use crate::{sight, watch};
 
 /// Places of names in small numbers: equal names have equal numbers.
 #[derive(Debug, Default)]
@@ -158,7 +158,7 @@
     }
 
     /// Takes in a new snapshot: servers, models, organisations and the policy's settings.
-    pub fn configure(&self, snapshot: &snapshot::ConfigSnapshot, own: &OwnPlace) {
+    pub fn configure(&self, snapshot: &snapshot::ConfigSnapshot, own: &sight::OwnPlace) {
         let mut state = self.lock();
         let place = state.place(&own.region, &own.failure_domain);
         let engines: Vec<(id::ServerKey, view::EngineSpec)> = snapshot
@@ -190,7 +190,7 @@
         let organisations = snapshot.organisations().map(|(key, _)| key).collect();
         let former = std::mem::replace(&mut state.organisations, organisations);
         drop(state);
-        let policy = policy_settings(snapshot, place, own);
+        let policy = sight::policy_settings(snapshot, place, own);
         self.driver.change(|core, now| {
             core.settings_changed(policy);
             for key in gone {
@@ -200,7 +200,7 @@
                 core.server_added(key, spec, now);
             }
             for (key, organisation) in snapshot.organisations() {
-                core.organisation_set(key, plan(&organisation.rule));
+                core.organisation_set(key, sight::plan(&organisation.rule));
             }
             for key in former {
                 if snapshot.organisation(key).is_none() {
@@ -248,7 +248,7 @@
             if restarted {
                 core.server_restarted(key, now);
             }
-            core.server_reported(key, load_report(&report, now));
+            core.server_reported(key, sight::load_report(&report, now));
             core.server_suspected(key, false);
             if is_leaving {
                 core.server_leaving(key);
@@ -277,7 +277,7 @@
         report.waiting = load.waiting;
         report.preemptions = u64::from(load.preemptions);
         report.taken_ms_ago = 0;
-        let report = load_report(report, taken_at);
+        let report = sight::load_report(report, taken_at);
         sight.reported_at = Some(taken_at);
         drop(state);
         self.driver
@@ -414,7 +414,7 @@
             .servers()
             .map(|(key, server)| {
                 let sight = state.sights.get(&key).cloned().unwrap_or_default();
-                server_status(server, &sight, self.leaving.borrow().contains(&key), now)
+                sight::server_status(server, &sight, self.leaving.borrow().contains(&key), now)
             })
             .collect();
         servers.sort_by(|left, right| left.server.cmp(&right.server));
@@ -427,119 +427,3 @@
 pub fn vm_identity(name: &str) -> u64 {
     rendezvous::score("vm", name)
 }
-
-/// Where this process stands.
-#[derive(Clone, Debug)]
-pub struct OwnPlace {
-    /// Name of this VM.
-    pub vm: String,
-    /// Region.
-    pub region: String,
-    /// Failure domain.
-    pub failure_domain: String,
-}
-
-fn policy_settings(
-    snapshot: &snapshot::ConfigSnapshot,
-    place: view::ServerPlace,
-    own: &OwnPlace,
-) -> settings::PolicySettings {
-    let admission = &snapshot.rules().admission;
-    let mut overflow_chance = [0.0; class::TrafficClass::ALL.len()];
-    overflow_chance[class::TrafficClass::Urgent.index()] = admission.urgent_overflow_chance;
-    overflow_chance[class::TrafficClass::Normal.index()] = admission.normal_overflow_chance;
-    overflow_chance[class::TrafficClass::Deferrable.index()] = admission.deferrable_overflow_chance;
-    let peers = snapshot
-        .vms()
-        .filter(|(_, vm)| vm.region == own.region)
-        .count();
-    settings::PolicySettings {
-        place,
-        identity: vm_identity(&own.vm),
-        entries: u32::try_from(peers.max(1)).unwrap_or(u32::MAX),
-        overflow_chance,
-        ..settings::PolicySettings::default()
-    }
-}
-
-fn plan(rule: &conf::rules::OrganisationRule) -> settings::OrganisationPlan {
-    settings::OrganisationPlan {
-        weight: rule.weight,
-        requests_per_second: rule.requests_per_second,
-        tokens_per_second: rule.tokens_per_second,
-        concurrent_generations: rule.concurrent_generations,
-    }
-}
-
-fn load_report(report: &watch::LoadBody, now: time::Instant) -> view::LoadReport {
-    let age = std::time::Duration::from_millis(report.taken_ms_ago);
-    view::LoadReport {
-        taken_at: now.checked_sub(age).unwrap_or(now),
-        total_blocks: report.total_blocks,
-        free_blocks: report.free_blocks,
-        running: report.running,
-        waiting: report.waiting,
-        preemptions: report.preemptions,
-        leaving: report.leaving,
-    }
-}
-
-fn server_status(
-    server: &snapshot::ServerView,
-    sight: &watch::ServerSight,
-    leaving: bool,
-    now: time::Instant,
-) -> ops::ServerStatus {
-    let report = sight.report.as_ref();
-    let (role, service) = match &server.entry.kind {
-        inventory::ServerKind::ModelEngine(_) => (ops::ServerRole::ModelEngine, None),
-        inventory::ServerKind::PlainService { service } => {
-            (ops::ServerRole::PlainService, Some(service.clone()))
-        }
-    };
-    let loaded = report
-        .map(|report| report.models.as_slice())
-        .unwrap_or_default();
-    let serves = loaded
-        .iter()
-        .map(|model| ops::LoadedModel {
-            name: model.model.clone(),
-            version: model.version.clone(),
-            adapters: model.adapters.clone(),
-        })
-        .chain(service.map(|name| ops::LoadedModel {
-            name,
-            version: String::new(),
-            adapters: Vec::new(),
-        }))
-        .collect();
-    let report_age_ms = sight.reported_at.map(|at| {
-        let since = u64::try_from(now.duration_since(at).as_millis()).unwrap_or(u64::MAX);
-        since + report.map_or(0, |report| report.taken_ms_ago)
-    });
-    ops::ServerStatus {
-        server: server.name.clone(),
-        failure_domain: server.entry.failure_domain.clone(),
-        role,
-        state: health(sight, leaving),
-        serves,
-        running: report.map_or(0, |report| report.running),
-        waiting: report.map_or(0, |report| report.waiting),
-        free_blocks: report.map_or(0, |report| report.free_blocks),
-        total_blocks: report.map_or(0, |report| report.total_blocks),
-        preemptions: report.map_or(0, |report| report.preemptions),
-        report_age_ms,
-    }
-}
-
-fn health(sight: &watch::ServerSight, leaving: bool) -> ops::HealthState {
-    if leaving {
-        return ops::HealthState::Leaving;
-    }
-    match (sight.misses, sight.reported_at) {
-        (watch::DEAD_MISSES.., _) => ops::HealthState::Dead,
-        (watch::SUSPECT_MISSES.., _) => ops::HealthState::Suspect,
-        (_, None) => ops::HealthState::Unknown,
-        (_, Some(_)) => ops::HealthState::Up,
-    }
-}
--- /dev/null
+++ b/crates/entry/src/sight.rs
@@ -0,0 +1,129 @@
+//! What was seen of backend servers and of the rules, in the words of the decision core and of the
+//! operators' face.
+
+use base::{class, ops};
+use conf::{inventory, snapshot};
+use sched::{settings, view};
+use tokio::time;
+
+use crate::{roster, watch};
+
+/// Where this process stands.
+#[derive(Clone, Debug)]
+pub struct OwnPlace {
+    /// Name of this VM.
+    pub vm: String,
+    /// Region.
+    pub region: String,
+    /// Failure domain.
+    pub failure_domain: String,
+}
+
+/// The decision core's settings by the rules in force.
+pub(crate) fn policy_settings(
+    snapshot: &snapshot::ConfigSnapshot,
+    place: view::ServerPlace,
+    own: &OwnPlace,
+) -> settings::PolicySettings {
+    let admission = &snapshot.rules().admission;
+    let mut overflow_chance = [0.0; class::TrafficClass::ALL.len()];
+    overflow_chance[class::TrafficClass::Urgent.index()] = admission.urgent_overflow_chance;
+    overflow_chance[class::TrafficClass::Normal.index()] = admission.normal_overflow_chance;
+    overflow_chance[class::TrafficClass::Deferrable.index()] = admission.deferrable_overflow_chance;
+    let peers = snapshot
+        .vms()
+        .filter(|(_, vm)| vm.region == own.region)
+        .count();
+    settings::PolicySettings {
+        place,
+        identity: roster::vm_identity(&own.vm),
+        entries: u32::try_from(peers.max(1)).unwrap_or(u32::MAX),
+        overflow_chance,
+        ..settings::PolicySettings::default()
+    }
+}
+
+/// An organisation's limits and weight as the decision core takes them.
+pub(crate) fn plan(rule: &conf::rules::OrganisationRule) -> settings::OrganisationPlan {
+    settings::OrganisationPlan {
+        weight: rule.weight,
+        requests_per_second: rule.requests_per_second,
+        tokens_per_second: rule.tokens_per_second,
+        concurrent_generations: rule.concurrent_generations,
+    }
+}
+
+/// An engine's report as the decision core takes it.
+pub(crate) fn load_report(report: &watch::LoadBody, now: time::Instant) -> view::LoadReport {
+    let age = std::time::Duration::from_millis(report.taken_ms_ago);
+    view::LoadReport {
+        taken_at: now.checked_sub(age).unwrap_or(now),
+        total_blocks: report.total_blocks,
+        free_blocks: report.free_blocks,
+        running: report.running,
+        waiting: report.waiting,
+        preemptions: report.preemptions,
+        leaving: report.leaving,
+    }
+}
+
+/// A backend server as operators are shown it.
+pub(crate) fn server_status(
+    server: &snapshot::ServerView,
+    sight: &watch::ServerSight,
+    leaving: bool,
+    now: time::Instant,
+) -> ops::ServerStatus {
+    let report = sight.report.as_ref();
+    let (role, service) = match &server.entry.kind {
+        inventory::ServerKind::ModelEngine(_) => (ops::ServerRole::ModelEngine, None),
+        inventory::ServerKind::PlainService { service } => {
+            (ops::ServerRole::PlainService, Some(service.clone()))
+        }
+    };
+    let loaded = report
+        .map(|report| report.models.as_slice())
+        .unwrap_or_default();
+    let serves = loaded
+        .iter()
+        .map(|model| ops::LoadedModel {
+            name: model.model.clone(),
+            version: model.version.clone(),
+            adapters: model.adapters.clone(),
+        })
+        .chain(service.map(|name| ops::LoadedModel {
+            name,
+            version: String::new(),
+            adapters: Vec::new(),
+        }))
+        .collect();
+    let report_age_ms = sight.reported_at.map(|at| {
+        let since = u64::try_from(now.duration_since(at).as_millis()).unwrap_or(u64::MAX);
+        since + report.map_or(0, |report| report.taken_ms_ago)
+    });
+    ops::ServerStatus {
+        server: server.name.clone(),
+        failure_domain: server.entry.failure_domain.clone(),
+        role,
+        state: health(sight, leaving),
+        serves,
+        running: report.map_or(0, |report| report.running),
+        waiting: report.map_or(0, |report| report.waiting),
+        free_blocks: report.map_or(0, |report| report.free_blocks),
+        total_blocks: report.map_or(0, |report| report.total_blocks),
+        preemptions: report.map_or(0, |report| report.preemptions),
+        report_age_ms,
+    }
+}
+
+fn health(sight: &watch::ServerSight, leaving: bool) -> ops::HealthState {
+    if leaving {
+        return ops::HealthState::Leaving;
+    }
+    match (sight.misses, sight.reported_at) {
+        (watch::DEAD_MISSES.., _) => ops::HealthState::Dead,
+        (watch::SUSPECT_MISSES.., _) => ops::HealthState::Suspect,
+        (_, None) => ops::HealthState::Unknown,
+        (_, Some(_)) => ops::HealthState::Up,
+    }
+}
--- a/crates/load/tests/env/mod.rs
+++ b/crates/load/tests/env/mod.rs
@@ -7,7 +7,7 @@
 use base::id;
 use entry::{daemon, settings};
 use load::{env as load_env, site};
-use tokio::runtime;
+use tokio::{runtime, task};
 
 /// An API key of the example deployment.
 pub const API_KEY: &str = "pw-key-gate-scanners";
@@ -31,13 +31,18 @@
 impl TestEnv {
     /// The Pass Works deployment with `entries` entry VMs, its configuration in force.
     pub async fn start(entries: usize) -> Self {
+        Self::start_with_notice(entries, Duration::ZERO).await
+    }
+
+    /// Like [`Self::start`]; a daemon that stops takes requests for `notice` more.
+    pub async fn start_with_notice(entries: usize, notice: Duration) -> Self {
         let configuration = site::PASS_WORKS.configuration().unwrap();
         let mut site = site::StandSite::start(configuration).await.unwrap();
         let vms = &mut site.configuration.inventory.entry_vms;
         let names: Vec<String> = vms.keys().take(entries).cloned().collect();
         vms.retain(|name, _| names.contains(name));
         let bounds = settings::BoundSettings {
-            notice_ms: 0,
+            notice_ms: notice.as_millis() as u64,
             ..settings::BoundSettings::default()
         };
         let mut daemons = Vec::new();
@@ -106,6 +111,16 @@
         self.runtimes.remove(entry).shutdown_background();
     }
 
+    /// Begins to stop a daemon gracefully; those after it move up.
+    pub fn begin_stop(&mut self, entry: usize) -> task::JoinHandle<()> {
+        let daemon = self.daemons.remove(entry);
+        let runtime = self.runtimes.remove(entry);
+        tokio::spawn(async move {
+            daemon.stop().await;
+            runtime.shutdown_background();
+        })
+    }
+
     /// Kills a daemon; those after it move up.
     pub fn kill(&mut self, entry: usize) {
         drop(self.daemons.remove(entry));
--- a/crates/load/tests/leaving.rs
+++ b/crates/load/tests/leaving.rs
@@ -114,3 +114,27 @@
     );
     assert!(text.trim_end().ends_with("data: [DONE]"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_is_not_named_and_still_serves_its_notice() {
+    // Symptom: callers that were told an entry VM a moment ago are refused by it.
+    // Sequence: an entry VM is told to stop; a caller that keeps its address sends a request;
+    // another asks whom to use.
+    // Cause: a stop that refuses before the others stopped naming it.
+    let mut env = env::TestEnv::start_with_notice(2, Duration::from_secs(3)).await;
+    let address = env.daemons[0].callers();
+    let named = env.get(1, "/v1/entries").await.text().await.unwrap();
+    assert!(named.contains(&address.to_string()), "{named}");
+    let stopping = env.begin_stop(0);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let url = format!("http://{address}/v1/chat/completions");
+    let request = env
+        .client
+        .post(url)
+        .bearer_auth(env::API_KEY)
+        .json(&chat(3));
+    assert_eq!(request.send().await.unwrap().status().as_u16(), 200);
+    let named = env.get(0, "/v1/entries").await.text().await.unwrap();
+    assert!(!named.contains(&address.to_string()), "{named}");
+    stopping.await.unwrap();
+}
