--- a/crates/flow/benches/relay.rs
+++ b/crates/flow/benches/relay.rs
@@ -7,7 +7,9 @@
 use base::{fingerprint, id};
 use bytes::BytesMut;
 use conf::{document, inventory, snapshot};
-use flow::{body, chunk, fault, memory, plane, port, proof, request, settings, sse, token, view};
+use flow::{
+    body, books, chunk, fault, memory, plane, port, proof, request, settings, sse, token, view,
+};
 use futures_util::StreamExt as _;
 use tokio::sync::watch;
 
@@ -161,8 +163,8 @@
 struct BenchPorts {
     engines: ReadyEngines,
     schedule: memory::MemorySchedule,
-    claims: memory::MemoryClaims,
-    jobs: memory::MemoryJobs,
+    claims: books::MemoryClaims,
+    jobs: books::MemoryJobs,
 }
 
 impl port::PortSet for BenchPorts {
@@ -170,8 +172,8 @@
     type Services = NoServices;
     type Schedule = memory::MemorySchedule;
     type Quotas = memory::NoQuotas;
-    type Claims = memory::MemoryClaims;
-    type Jobs = memory::MemoryJobs;
+    type Claims = books::MemoryClaims;
+    type Jobs = books::MemoryJobs;
     type Events = memory::NoEvents;
     type Clock = memory::SystemClock;
     type Ids = memory::RandomIds;
@@ -189,10 +191,10 @@
     fn quotas(&self) -> &memory::NoQuotas {
         &memory::NoQuotas
     }
-    fn claims(&self) -> &memory::MemoryClaims {
+    fn claims(&self) -> &books::MemoryClaims {
         &self.claims
     }
-    fn jobs(&self) -> &memory::MemoryJobs {
+    fn jobs(&self) -> &books::MemoryJobs {
         &self.jobs
     }
     fn events(&self) -> &memory::NoEvents {
@@ -250,8 +252,8 @@
     let ports = BenchPorts {
         engines,
         schedule: memory::MemorySchedule::new(views.subscribe(), usize::MAX),
-        claims: memory::MemoryClaims::default(),
-        jobs: memory::MemoryJobs::default(),
+        claims: books::MemoryClaims::default(),
+        jobs: books::MemoryJobs::default(),
     };
     let key = token::TokenKey {
         id: 1,
--- /dev/null
+++ b/crates/flow/src/books.rs
@@ -0,0 +1,202 @@
+//! Claims and jobs of one process, kept in its memory: for tests, and for a plane without a log.
+
+use std::{collections, sync, time::Duration};
+
+use base::{id, refusal};
+use tokio::{sync::Notify, time};
+
+use crate::{memory::locked, port};
+
+/// Where one key stands.
+#[derive(Clone, Debug)]
+struct ClaimEntry {
+    hold: port::ClaimHold,
+    end: Option<port::ClaimEnd>,
+}
+
+/// Claims of one process.
+#[derive(Debug, Default)]
+pub struct MemoryClaims {
+    entries: sync::Mutex<collections::BTreeMap<(String, String), ClaimEntry>>,
+}
+
+/// When to ask again while a call is under way.
+const IN_PROGRESS_RETRY_MS: u64 = 500;
+
+impl port::ClaimBook for MemoryClaims {
+    async fn claim(&self, ask: port::ClaimAsk) -> port::ClaimAnswer {
+        let now = time::Instant::now();
+        let mut entries = locked(&self.entries);
+        let place = (ask.organisation.clone(), ask.key.clone());
+        if let Some(entry) = entries.get(&place) {
+            if entry.hold.ask.content != ask.content {
+                return port::ClaimAnswer::Mismatch;
+            }
+            match &entry.end {
+                Some(port::ClaimEnd::Answered(answer)) => {
+                    return port::ClaimAnswer::Stored(answer.clone());
+                }
+                Some(port::ClaimEnd::Unknown) => return port::ClaimAnswer::Unknown,
+                None if now < entry.hold.deadline => {
+                    return port::ClaimAnswer::InProgress {
+                        retry_after_ms: IN_PROGRESS_RETRY_MS,
+                    };
+                }
+                None => return port::ClaimAnswer::Unknown,
+                Some(port::ClaimEnd::NotRun) => {}
+            }
+        }
+        let hold = port::ClaimHold {
+            record: id::RecordId(ask.request.0),
+            deadline: now + ask.holds_for,
+            ask,
+        };
+        let entry = ClaimEntry {
+            hold: hold.clone(),
+            end: None,
+        };
+        entries.insert(place, entry);
+        port::ClaimAnswer::Fresh(hold)
+    }
+
+    async fn store(
+        &self,
+        hold: port::ClaimHold,
+        end: port::ClaimEnd,
+    ) -> Result<(), refusal::RefusalBody> {
+        let place = (hold.ask.organisation.clone(), hold.ask.key.clone());
+        if let Some(entry) = locked(&self.entries).get_mut(&place)
+            && entry.hold.record == hold.record
+            && entry.end.is_none()
+        {
+            entry.end = Some(end);
+        }
+        Ok(())
+    }
+
+    fn seen(&self, organisation: &str, key: &str) -> bool {
+        let place = (organisation.to_owned(), key.to_owned());
+        locked(&self.entries).contains_key(&place)
+    }
+}
+
+/// A lease of a job lasts this long.
+const LEASE_FOR: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Debug)]
+struct JobEntry {
+    job: port::JobRecord,
+    leased_until: Option<time::Instant>,
+    /// Counts leases, so that an old one is known.
+    lease: u128,
+    result: Option<port::JobResult>,
+}
+
+/// Jobs of one process.
+#[derive(Debug, Default)]
+pub struct MemoryJobs {
+    entries: sync::Mutex<collections::BTreeMap<id::RequestId, JobEntry>>,
+    accepted: Notify,
+}
+
+impl MemoryJobs {
+    fn lease_one(&self) -> Option<port::JobLease> {
+        let now = time::Instant::now();
+        let mut entries = locked(&self.entries);
+        let entry = entries.values_mut().find(|entry| {
+            entry.result.is_none() && entry.leased_until.is_none_or(|until| until <= now)
+        })?;
+        entry.lease += 1;
+        entry.leased_until = Some(now + LEASE_FOR);
+        Some(port::JobLease {
+            record: id::RecordId(entry.lease),
+            job: entry.job.clone(),
+            deadline: now + LEASE_FOR,
+        })
+    }
+
+    fn with_entry<R>(
+        &self,
+        lease: &port::JobLease,
+        change: impl FnOnce(&mut JobEntry) -> R,
+    ) -> Option<R> {
+        let mut entries = locked(&self.entries);
+        let entry = entries.get_mut(&lease.job.request)?;
+        Some(change(entry))
+    }
+}
+
+impl port::JobBook for MemoryJobs {
+    async fn accept(&self, job: port::JobRecord) -> port::AcceptAnswer {
+        let entry = JobEntry {
+            job,
+            leased_until: None,
+            lease: 0,
+            result: None,
+        };
+        locked(&self.entries).insert(entry.job.request, entry);
+        self.accepted.notify_one();
+        port::AcceptAnswer::Accepted
+    }
+
+    async fn fetch(&self, request: id::RequestId) -> port::JobState {
+        match locked(&self.entries).get(&request) {
+            None => port::JobState::Absent,
+            Some(entry) => match &entry.result {
+                None => port::JobState::Waiting(entry.job.organisation.clone()),
+                Some(result) => {
+                    port::JobState::Done(entry.job.organisation.clone(), result.clone())
+                }
+            },
+        }
+    }
+
+    async fn take(&self) -> port::JobLease {
+        loop {
+            if let Some(lease) = self.lease_one() {
+                return lease;
+            }
+            // A lease may lapse without anything being accepted.
+            let _ = time::timeout(LEASE_FOR / 10, self.accepted.notified()).await;
+        }
+    }
+
+    async fn renew(&self, lease: &port::JobLease) -> Option<port::JobLease> {
+        let now = time::Instant::now();
+        self.with_entry(lease, |entry| {
+            let held = id::RecordId(entry.lease) == lease.record && entry.result.is_none();
+            held.then(|| {
+                entry.leased_until = Some(now + LEASE_FOR);
+                port::JobLease {
+                    deadline: now + LEASE_FOR,
+                    ..lease.clone()
+                }
+            })
+        })
+        .flatten()
+    }
+
+    async fn give_back(&self, lease: &port::JobLease) {
+        self.with_entry(lease, |entry| {
+            if id::RecordId(entry.lease) == lease.record {
+                entry.leased_until = None;
+            }
+        });
+        self.accepted.notify_one();
+    }
+
+    async fn store(
+        &self,
+        lease: &port::JobLease,
+        result: port::JobResult,
+    ) -> Result<port::StoredResult, refusal::RefusalBody> {
+        let stored = self.with_entry(lease, |entry| {
+            if entry.result.is_some() {
+                return port::StoredResult::Superseded;
+            }
+            entry.result = Some(result);
+            port::StoredResult::Stored
+        });
+        Ok(stored.unwrap_or(port::StoredResult::Superseded))
+    }
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod authenticate;
 pub mod body;
+pub mod books;
 pub mod budget;
 pub mod calling;
 pub mod chunk;
--- a/crates/flow/src/proof.rs
+++ b/crates/flow/src/proof.rs
@@ -71,6 +71,14 @@
 }
 
 impl StartPermit {
+    /// A permit for tests and benches of links, where nothing stands behind it.
+    #[doc(hidden)]
+    pub const fn for_tests() -> Self {
+        Self {
+            ran: outcome::RanState::Unknown,
+        }
+    }
+
     /// Splits into what the link consumes and what stays here while the try is out.
     pub const fn send(self) -> (SendPermit, TryTicket) {
         let ticket = TryTicket {
--- a/crates/flow/src/settings.rs
+++ b/crates/flow/src/settings.rs
@@ -55,7 +55,7 @@
             heartbeat: Duration::from_secs(1),
             call_limit: Duration::from_millis(800),
             silence_floor: silence::PING_INTERVAL + silence::PING_LATENESS,
-            opening_patience: Duration::from_millis(1_600),
+            opening_patience: Duration::from_millis(800),
             abandon_after: None,
             cancel_for: Duration::from_mins(1),
             probe_servers: 2,
--- /dev/null
+++ b/crates/flow/tests/http.rs
@@ -0,0 +1,143 @@
+//! The HTTP links against stand-ins over loopback sockets.
+
+use std::net;
+
+use base::id;
+use bytes::Bytes;
+use flow::{
+    fault, http,
+    port::{self, EngineEvents as _, EngineLink as _, ServiceLink as _},
+    proof,
+};
+use stand::{engine, service};
+use tokio::time;
+
+fn target(address: net::SocketAddr) -> port::ServerTarget {
+    port::ServerTarget {
+        key: id::ServerKey::default(),
+        name: "stand".to_owned(),
+        address,
+    }
+}
+
+fn order(number: u128, prompt: &str) -> port::StartOrder {
+    port::StartOrder {
+        id: id::GenerationId(number),
+        model: "review-llm".to_owned(),
+        adapter: None,
+        prompt: prompt.to_owned(),
+        max_tokens: 50,
+        priority: 1,
+        seed: None,
+    }
+}
+
+fn permit() -> proof::SendPermit {
+    proof::StartPermit::for_tests().send().0
+}
+
+/// An address where nothing listens.
+async fn nowhere() -> net::SocketAddr {
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = tokio::net::TcpListener::bind(any).await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Numbers of the tokens up to the finish.
+async fn read(mut events: http::HttpEvents) -> (Vec<u32>, port::FinishReport) {
+    let mut numbers = Vec::new();
+    loop {
+        match events.next().await.unwrap().event {
+            port::EngineEvent::Token { seq, .. } => numbers.push(seq),
+            port::EngineEvent::Ping => {}
+            port::EngineEvent::Finish(report) => return (numbers, report),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_generation_is_started_resumed_and_cancelled() {
+    let handle = engine::EngineHandle::spawn(engine::EngineProfile::default());
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = engine::serve(handle, any).await.unwrap();
+    let target = target(server.address());
+    let engines = http::HttpEngines::new().unwrap();
+    let events = engines
+        .start(&target, &order(1, "[[len=6]]"), permit())
+        .await
+        .unwrap();
+    let (numbers, report) = read(events).await;
+    assert_eq!(numbers, [0, 1, 2, 3, 4, 5]);
+    assert_eq!(
+        (report.finish, report.produced),
+        (port::FinishReason::Stop, 6)
+    );
+    let events = engines
+        .resume(&target, id::GenerationId(1), 4)
+        .await
+        .unwrap();
+    assert_eq!(read(events).await.0, [4, 5]);
+    let unknown = engines.resume(&target, id::GenerationId(2), 0).await;
+    assert!(matches!(unknown, Err(fault::ResumeFault::NotHeld { .. })));
+    let answer = engines.cancel(&target, id::GenerationId(1)).await.unwrap();
+    assert!(matches!(
+        answer,
+        port::CancelAnswer::Known {
+            ran: true,
+            produced: 6
+        }
+    ));
+    let answer = engines.cancel(&target, id::GenerationId(2)).await.unwrap();
+    assert_eq!(answer, port::CancelAnswer::Remembered);
+    let late = engines
+        .start(&target, &order(2, "[[len=6]]"), permit())
+        .await;
+    assert!(matches!(
+        late,
+        Err(fault::StartFault::Declined { status: 409, .. })
+    ));
+}
+
+// Symptom: a call that ran is told as not run, or one that did not is told as unknown.
+// Sequence: nothing listens there; or the answer is lost after the call took effect.
+// Cause: the two were not told apart by what the connection proves.
+#[tokio::test]
+async fn only_a_connection_that_never_opened_proves_anything() {
+    let gone = target(nowhere().await);
+    let engines = http::HttpEngines::new().unwrap();
+    let started = engines.start(&gone, &order(3, "x"), permit()).await;
+    assert!(matches!(started, Err(fault::StartFault::NeverSent { .. })));
+    let resumed = engines.resume(&gone, id::GenerationId(3), 0).await;
+    assert!(matches!(resumed, Err(fault::ResumeFault::Refused { .. })));
+    let cancelled = engines.cancel(&gone, id::GenerationId(3)).await;
+    assert!(matches!(cancelled, Err(fault::CancelFault::Refused { .. })));
+
+    let handle = service::ServiceHandle::new(service::ServiceProfile::default());
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = service::serve(handle.clone(), any).await.unwrap();
+    let services = http::HttpServices::new().unwrap();
+    let call = port::ServiceCall {
+        request: id::RequestId(9),
+        method: "POST".to_owned(),
+        path: "/charge?day=1".to_owned(),
+        key: Some("1-x".to_owned()),
+        content_type: None,
+        body: Bytes::from_static(b"one pass"),
+    };
+    let limit = time::Duration::from_secs(20);
+    let refused = services.call(&gone, &call, limit, permit()).await;
+    assert!(matches!(refused, Err(fault::CallFault::NeverSent { .. })));
+    let answer = services
+        .call(&target(server.address()), &call, limit, permit())
+        .await
+        .unwrap();
+    let told: service::ServiceAnswer = serde_json::from_slice(&answer.body).unwrap();
+    assert_eq!(told.path, "/charge?day=1");
+    assert_eq!(told.idempotency_key.as_deref(), Some("1-x"));
+    handle.apply(&service::ServiceFault::LoseAnswers { count: 1 });
+    let lost = services
+        .call(&target(server.address()), &call, limit, permit())
+        .await;
+    assert!(matches!(lost, Err(fault::CallFault::Lost { .. })));
+    assert_eq!(handle.counts().total, 2);
+}
--- a/crates/flow/tests/plane/links.rs
+++ b/crates/flow/tests/plane/links.rs
@@ -3,7 +3,7 @@
 use std::{collections, future, sync, time::Duration};
 
 use base::{fingerprint, id, refusal};
-use flow::{fault, memory, port, proof};
+use flow::{books, fault, port, proof};
 use stand::{engine, service};
 use tokio::{sync::watch, time};
 
@@ -349,7 +349,7 @@
 /// Claims that all entry VMs share, with outages and late answers.
 #[derive(Clone, Debug)]
 pub struct SharedClaims {
-    pub book: sync::Arc<memory::MemoryClaims>,
+    pub book: sync::Arc<books::MemoryClaims>,
     pub down: watch::Sender<bool>,
     /// The next claims are made and their answers come this late.
     pub late: sync::Arc<sync::Mutex<Duration>>,
@@ -401,7 +401,7 @@
 /// Jobs that all entry VMs share, with outages.
 #[derive(Clone, Debug)]
 pub struct SharedJobs {
-    pub book: sync::Arc<memory::MemoryJobs>,
+    pub book: sync::Arc<books::MemoryJobs>,
     pub down: watch::Sender<bool>,
     pub switch: ProcessSwitch,
 }
