flow: the fuzz holds a crashing request's refusal against its own ask only

Cause: in a mutation run a true "not run" of a first ask was held against later asks with the same mark. Change: the caller stops after such an ask; the check itself is as strict.

--- a/crates/flow/tests/plane/fuzz.rs
+++ b/crates/flow/tests/plane/fuzz.rs
@@ -467,9 +467,11 @@
             () = world.cut(caller.entry) => return,
         };
         let refused = reply.expect_err("no engine answers this");
-        // What is told of a later ask is not of the earlier ones, which have the same mark.
-        if ask == 0 {
+        // All asks have one mark: what is told of one can be held against it only as long as no
+        // other follows.
+        if ask == 0 && refused.body.ran == outcome::RanState::No {
             ledger.refused_generation(caller.mark, &refused.body);
+            return;
         }
         if refused.body.code == refusal::RefusalCode::Quarantined {
             return;
