Gossip: the test of a pause has answers on their way

Cause: a mutation that does not notice a pause passed, since with 2 ms of delay no probe was ever open when the pause began.

--- a/crates/gossip/tests/virtual_time/directed.rs
+++ b/crates/gossip/tests/virtual_time/directed.rs
@@ -230,6 +230,8 @@
     // Cause: it heard nobody for a minute, but that was its own doing.
     for phase_ms in (0..2000).step_by(100) {
         let mut fabric = joined(3, 6, 1);
+        // So slow that an answer is often on its way.
+        fabric.faults.delay_ms = 150;
         fabric.advance(time::Duration::from_millis(phase_ms));
         fabric.vms[2].paused = true;
         fabric.advance(seconds(60));
