--- a/crates/lease/src/fold.rs
+++ b/crates/lease/src/fold.rs
@@ -26,7 +26,7 @@
 }
 
 /// An entry of the stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum LeaseEntry {
@@ -38,7 +38,7 @@
 }
 
 /// Takes, renews and releases leases of one holder.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct HoldItem {
     /// Who asks.
@@ -59,14 +59,14 @@
 }
 
 /// What the asker of a record holds once the record is applied, out of what it asked for.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct LeaseVerdict {
     /// Leases by subject.
     pub held: collections::BTreeMap<String, HeldLease>,
 }
 
 /// One lease in the hands of the asker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct HeldLease {
     /// The fencing number.
     pub fencing: u64,
@@ -75,7 +75,7 @@
 }
 
 /// One lease as the records tell it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseState {
     /// Who holds it; absent: it was released.
     pub holder: Option<HolderId>,
@@ -93,7 +93,7 @@
 }
 
 /// The leases as the records of the stream tell them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct LeaseFold {
     leases: collections::BTreeMap<String, LeaseState>,
     /// Set while the fold does not know every lease that is in force.
@@ -104,7 +104,7 @@
 }
 
 /// A fold that starts amid the stream knows every holder once the longest lease has passed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 struct WarmingState {
     until_ms: Option<u64>,
 }
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -13,7 +13,7 @@
 use crate::{fold, limits};
 
 /// One lease in this process's hands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct OwnLease {
     fencing: u64,
     /// Nothing is sent after this.
@@ -24,7 +24,7 @@
 
 /// Leave to give orders to one server. Only a [`LeaseHolder`] makes it; it is checked again right
 /// before an order leaves.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct OrderPermit {
     subject: String,
     lease: OwnLease,
@@ -97,7 +97,7 @@
 }
 
 /// The leases of one process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseHolder {
     id: fold::HolderId,
     limits: limits::LeaseLimits,
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -5,9 +5,11 @@
 //! never by the log's: see [`holder`] and [`order`].
 
 pub mod choice;
+pub mod driver;
 pub mod engine;
 pub mod fold;
 pub mod holder;
 pub mod http;
 pub mod limits;
 pub mod order;
+pub mod placement;
--- a/crates/lease/src/limits.rs
+++ b/crates/lease/src/limits.rs
@@ -4,7 +4,7 @@
 use tokio::time;
 
 /// Time limits of leases and orders. Processes may differ in them: each record carries its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseLimits {
@@ -16,7 +16,8 @@
     pub order_ms: u64,
     /// Most by which the rate of any process's monotonic clock is off, in parts per million.
     pub drift_ppm: u64,
-    /// VMs of one region that hold leases.
+    /// VMs of one region that hold leases. With one, the same VM holds a region's models and
+    /// engines, and can place the models.
     pub holders_per_region: usize,
 }
 
@@ -27,7 +28,7 @@
             renew_ms: 3_000,
             order_ms: 1_000,
             drift_ppm: 1_000,
-            holders_per_region: 2,
+            holders_per_region: 1,
         }
     }
 }
--- a/crates/lease/src/order.rs
+++ b/crates/lease/src/order.rs
@@ -39,6 +39,8 @@
 pub struct FencedOrder {
     /// Leave to give it.
     pub permit: holder::OrderPermit,
+    /// Leave to place the model: whoever has it alone counts the model's engines.
+    pub rollout: Option<holder::OrderPermit>,
     /// What is wanted.
     pub want: engine::WantedState,
 }
@@ -48,6 +50,8 @@
 pub struct UnfencedOrder {
     /// Leave to give it.
     pub permit: holder::OrderPermit,
+    /// Leave to place the model: whoever has it alone counts the model's engines.
+    pub rollout: Option<holder::OrderPermit>,
     /// What is wanted.
     pub want: engine::WantedState,
 }
@@ -60,6 +64,7 @@
         address: std::net::SocketAddr,
     ) -> OrderOutcome {
         give(client, address, &self.permit, &self.want, |now| {
+            check_rollout(self.rollout.as_ref(), now)?;
             self.permit.check_fenced(now)
         })
         .await
@@ -74,12 +79,21 @@
         address: std::net::SocketAddr,
     ) -> OrderOutcome {
         give(client, address, &self.permit, &self.want, |now| {
+            check_rollout(self.rollout.as_ref(), now)?;
             self.permit.check_unfenced(now)
         })
         .await
     }
 }
 
+/// No server checks the number of the lease on a model, so its rule is the one for such servers.
+fn check_rollout(
+    rollout: Option<&holder::OrderPermit>,
+    now: time::Instant,
+) -> Result<(), holder::PermitFault> {
+    rollout.map_or(Ok(()), |permit| permit.check_unfenced(now))
+}
+
 async fn give<C: EngineClient>(
     client: &C,
     address: std::net::SocketAddr,
--- /dev/null
+++ b/crates/lease/tests/orders.rs
@@ -0,0 +1,228 @@
+//! Orders, driver and placement over small fakes.
+
+use std::{net, sync};
+
+use base::id;
+use lease::engine::{EngineClient, EngineConnection};
+use lease::{choice, driver, engine, holder, limits, order, placement};
+use ledger::memory;
+use tokio::time;
+
+fn state(version: &str, loading: bool) -> engine::EngineState {
+    let ready = engine::ReadyModel {
+        model: "verse".to_owned(),
+        version: version.to_owned(),
+        adapters: Vec::new(),
+    };
+    engine::EngineState {
+        incarnation: id::Incarnation(1),
+        models: vec![ready],
+        role: placement::SERVING_ROLE.to_owned(),
+        loading: loading.then(|| want("2")),
+        fencing: None,
+        leaving: false,
+    }
+}
+
+fn want(version: &str) -> engine::WantedState {
+    engine::WantedState {
+        model: "verse".to_owned(),
+        version: version.to_owned(),
+        adapters: Vec::new(),
+        role: placement::SERVING_ROLE.to_owned(),
+    }
+}
+
+/// An engine whose readings take a while; it notes the numbers of the orders that reach it.
+#[derive(Clone)]
+struct SlowEngine {
+    reading: time::Duration,
+    seen: sync::Arc<sync::Mutex<Vec<Option<u64>>>>,
+}
+
+impl EngineClient for SlowEngine {
+    type Connection = Self;
+
+    async fn open(&self, _address: net::SocketAddr) -> Result<Self, engine::EngineFault> {
+        Ok(self.clone())
+    }
+}
+
+impl EngineConnection for SlowEngine {
+    async fn state(&mut self) -> Result<engine::EngineState, engine::EngineFault> {
+        time::sleep(self.reading).await;
+        Ok(state("1", false))
+    }
+
+    async fn order(
+        &mut self,
+        body: &engine::OrderBody,
+    ) -> Result<engine::EngineState, engine::EngineFault> {
+        self.seen.lock().expect("seen").push(body.fencing);
+        Ok(state("1", true))
+    }
+}
+
+fn member(name: &str) -> choice::RegionMember {
+    choice::RegionMember {
+        name: name.to_owned(),
+        region: "north".to_owned(),
+    }
+}
+
+fn start(
+    log: &memory::MemoryLog,
+    vm: &str,
+    live: &[&str],
+) -> driver::LeaseDriver<memory::MemoryLog> {
+    let limits = limits::LeaseLimits::default();
+    let driver = driver::LeaseDriver::start(log.clone(), vm, limits).expect("limits");
+    driver.tell(driver::LeaseHints {
+        live: live.iter().map(|name| member(name)).collect(),
+        servers: vec![member("engine-1")],
+    });
+    driver
+}
+
+async fn give(permit: &holder::OrderPermit, reading_ms: u64) -> (order::OrderOutcome, usize) {
+    let client = SlowEngine {
+        reading: time::Duration::from_millis(reading_ms),
+        seen: sync::Arc::default(),
+    };
+    let address = net::SocketAddr::from(([127, 0, 0, 1], 9));
+    let order = order::UnfencedOrder {
+        permit: permit.clone(),
+        rollout: None,
+        want: want("2"),
+    };
+    let outcome = order.give(&client, address).await;
+    let sent = client.seen.lock().expect("seen").len();
+    (outcome, sent)
+}
+
+/// Symptom: an order leaves after the lease's end, or before earlier orders are over.
+/// Sequence: take the lease, give an order at once, later, and over a slow reading.
+/// Cause: the permit was checked before the reading, or not at all.
+#[tokio::test(start_paused = true)]
+async fn orders_leave_only_within_their_time() {
+    let log = memory::MemoryLog::new(1, 1_000_000);
+    let driver = start(&log, "vm-1", &["vm-1"]);
+    time::sleep(time::Duration::from_secs(1)).await;
+    let permit = driver.permit("engine-1").expect("held");
+    let (early, sent) = give(&permit, 0).await;
+    assert!(matches!(
+        early,
+        order::OrderOutcome::NotSent(holder::PermitFault::Quiet { .. })
+    ));
+    assert_eq!(sent, 0);
+    time::sleep(time::Duration::from_secs(12)).await;
+    let permit = driver.permit("engine-1").expect("held");
+    let (given, sent) = give(&permit, 10).await;
+    assert!(matches!(given, order::OrderOutcome::Given(_)));
+    assert_eq!(sent, 1);
+    let (late, sent) = give(&permit, 10_000).await;
+    assert_eq!(
+        late,
+        order::OrderOutcome::NotSent(holder::PermitFault::Lapsed)
+    );
+    assert_eq!(sent, 0);
+}
+
+/// Symptom: nobody gives orders to an engine after its holder's death.
+/// Sequence: one VM holds the lease and ends; another is told that it is alone.
+/// Cause: the lease does not change hands, or keeps its number.
+#[tokio::test(start_paused = true)]
+async fn a_dead_holder_is_followed_with_a_higher_number() {
+    let log = memory::MemoryLog::new(2, 1_000_000);
+    let first = start(&log, "vm-1", &["vm-1"]);
+    time::sleep(time::Duration::from_secs(20)).await;
+    let old = first.permit("engine-1").expect("held");
+    let second = start(&log, "vm-2", &["vm-2"]);
+    time::sleep(time::Duration::from_secs(5)).await;
+    assert_eq!(second.permit("engine-1"), Err(holder::PermitFault::NotHeld));
+    assert_eq!(second.status()[0].holder.as_deref(), Some("vm-1"));
+    drop(first);
+    time::sleep(time::Duration::from_secs(20)).await;
+    let new = second.permit("engine-1").expect("taken over");
+    assert!(new.fencing() > old.fencing());
+}
+
+fn engines(versions: &[&str]) -> Vec<placement::EngineView> {
+    let view = |(index, version): (usize, &&str)| placement::EngineView {
+        server: format!("engine-{index}"),
+        models: vec!["verse".to_owned()],
+        state: Some(state(version, *version == "loading")),
+        held: true,
+    };
+    versions.iter().enumerate().map(view).collect()
+}
+
+fn model(min_engines: u32) -> placement::WantedModel {
+    placement::WantedModel {
+        model: "verse".to_owned(),
+        version: "2".to_owned(),
+        adapters: Vec::new(),
+        min_engines,
+        weights: placement::WeightsState::Available,
+        held: true,
+    }
+}
+
+/// Symptom: a rollout takes a model below its least number of engines.
+/// Sequence: three engines with an old version, two needed, orders and loads in turn.
+/// Cause: an engine that loads is counted as serving.
+#[test]
+fn a_rollout_keeps_the_least_number_of_engines() {
+    let mut versions = ["1", "1", "1"];
+    for _ in 0..3 {
+        let plan = placement::reconcile(&[model(2)], &engines(&versions));
+        assert_eq!(plan.orders.len(), 1);
+        let chosen = versions
+            .iter()
+            .position(|version| *version == "1")
+            .expect("old");
+        assert_eq!(plan.orders[0].server, format!("engine-{chosen}"));
+        versions[chosen] = "loading";
+        let plan = placement::reconcile(&[model(2)], &engines(&versions));
+        assert!(plan.orders.is_empty(), "two engines at once: {plan:?}");
+        versions[chosen] = "2";
+    }
+    let plan = placement::reconcile(&[model(2)], &engines(&versions));
+    assert!(plan.orders.is_empty() && plan.status[0].blocked.is_none());
+    assert_eq!(plan.status[0].ready.len(), 3);
+}
+
+#[test]
+fn a_rollout_that_cannot_go_on_names_what_blocks_it() {
+    let plan = placement::reconcile(&[model(2)], &engines(&["1", "1"]));
+    assert!(plan.orders.is_empty());
+    let blocked = plan.status[0].blocked.as_deref().expect("blocked");
+    assert!(
+        blocked.contains("engine-0") && blocked.contains("too few"),
+        "{blocked}"
+    );
+    let mut limited = model(1);
+    limited.weights = placement::WeightsState::Limited { retry_after_ms: 70 };
+    let plan = placement::reconcile(&[limited], &engines(&["1", "1"]));
+    assert!(
+        plan.status[0]
+            .blocked
+            .as_deref()
+            .expect("blocked")
+            .contains("70 ms")
+    );
+    let mut elsewhere = model(1);
+    elsewhere.held = false;
+    let plan = placement::reconcile(&[elsewhere], &engines(&["1", "1"]));
+    assert!(
+        plan.orders.is_empty(),
+        "two VMs would count the same engines"
+    );
+    assert!(
+        plan.status[0]
+            .blocked
+            .as_deref()
+            .expect("blocked")
+            .contains("another VM")
+    );
+}
