What is suspected of crashing engines reaches members that were not there yet

Cause: the digest of suspects was sent once when it changed. Change: a member counts as told only once it has answered; a life that went is told anew; calls go by name.

--- a/crates/entry/src/adapt/peers.rs
+++ b/crates/entry/src/adapt/peers.rs
@@ -1,7 +1,7 @@
 //! Calls to other entry VMs: the log's partitions through whoever appends them, and notes about
 //! streams that go on elsewhere.
 
-use std::{net, sync};
+use std::sync;
 
 use base::{id, outcome};
 use ledger::{host, route};
@@ -40,18 +40,19 @@
         Self { client, members }
     }
 
-    /// Makes one call of an extension.
+    /// Makes one call of an extension of a member.
     ///
     /// # Errors
     ///
     /// Whether the call may have had an effect.
-    pub async fn extension(
+    pub async fn ask(
         &self,
-        address: net::SocketAddr,
+        vm: &str,
         name: &str,
         body: Vec<u8>,
         within: time::Duration,
     ) -> Result<Vec<u8>, outcome::RanState> {
+        let address = self.members.peer_address(vm).ok_or(outcome::RanState::No)?;
         let request = peer::request::Kind::Extension(peer::Extension {
             name: name.to_owned(),
             body,
@@ -93,16 +94,9 @@
 
     /// Sends a note to a member by name; nobody waits for it.
     pub fn note(&self, vm: &str, name: &'static str, body: Vec<u8>) {
-        let Some(address) = self.members.peer_address(vm) else {
-            return;
-        };
-        let caller = self.clone();
+        let (caller, vm) = (self.clone(), vm.to_owned());
         tokio::spawn(async move {
-            if caller
-                .extension(address, name, body, NOTE_LIMIT)
-                .await
-                .is_err()
-            {
+            if caller.ask(&vm, name, body, NOTE_LIMIT).await.is_err() {
                 metrics::counter!("pollenchute_entry_notes_lost_total").increment(1);
             }
         });
@@ -135,13 +129,8 @@
         request: &host::LedgerRequest,
         limit: time::Duration,
     ) -> Result<host::LedgerReply, route::PeerFault> {
-        let address = self
-            .0
-            .members
-            .peer_address(vm)
-            .ok_or(route::PeerFault::NotDelivered)?;
         let body = serde_json::to_vec(request).map_err(|_| route::PeerFault::NotDelivered)?;
-        match self.0.extension(address, LEDGER, body, limit).await {
+        match self.0.ask(vm, LEDGER, body, limit).await {
             Ok(body) => serde_json::from_slice(&body).map_err(|_| route::PeerFault::Lost),
             Err(outcome::RanState::No) => Err(route::PeerFault::NotDelivered),
             Err(_) => Err(route::PeerFault::Lost),
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -3,8 +3,9 @@
 
 use std::{collections, net, sync, time::Duration};
 
-use base::{id, ops};
+use base::{fingerprint, id, ops};
 use conf::snapshot;
+use futures_util::future;
 use gossip::{claim, handle, news, settings as gossip_settings, view};
 use tokio::time;
 use trace::kind;
@@ -230,10 +231,15 @@
     }
 }
 
-/// Sends what is suspected of crashing backend servers to the members whenever it changes.
+/// Longest wait for a member to take what is suspected.
+const SUSPECTS_LIMIT: Duration = Duration::from_millis(800);
+
+/// Sends what is suspected of crashing backend servers to each member that has not taken it yet.
 ///
 /// A request that crashes a server comes back through another entry VM as soon as its caller
-/// tries again; only what the others learn before that keeps the next server alive.
+/// tries again; only what the others learn before that keeps the next server alive. A member
+/// counts as told only once it has answered: one that joined a moment later, or whose message was
+/// lost, would otherwise never learn of the deaths before, and lose two servers of its own.
 pub async fn spread_suspects(
     plane: sync::Arc<flow::plane::RequestPlane<crate::ports::EntryPorts>>,
     caller: peers::PeerCaller,
@@ -241,19 +247,31 @@
 ) {
     let mut tick = time::interval(SUSPECTS_INTERVAL);
     tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    let mut told = flow::suspect::SuspectDigest::default();
+    let mut told: collections::BTreeMap<String, fingerprint::ContentHash> =
+        collections::BTreeMap::new();
     loop {
         tick.tick().await;
         let digest = plane.suspects().digest(wall::unix_ms());
-        if digest == told {
-            continue;
-        }
         let Ok(body) = serde_json::to_vec(&digest) else {
             continue;
         };
-        for vm in members.live_peers() {
-            caller.note(&vm, peers::SUSPECTS, body.clone());
+        let hash = fingerprint::ContentHash::of(&body);
+        let peers = members.live_peers();
+        // A member that went and came back is another life that knows nothing.
+        told.retain(|vm, _| peers.contains(vm));
+        if digest == flow::suspect::SuspectDigest::default() {
+            continue;
+        }
+        let untold = peers.into_iter().filter(|vm| told.get(vm) != Some(&hash));
+        let calls = untold.map(|vm| tell_suspects(&caller, vm, body.clone()));
+        for vm in future::join_all(calls).await.into_iter().flatten() {
+            told.insert(vm, hash);
         }
-        told = digest;
     }
 }
+
+/// Sends what is suspected to one member; its name when it has taken it.
+async fn tell_suspects(caller: &peers::PeerCaller, vm: String, body: Vec<u8>) -> Option<String> {
+    let answer = caller.ask(&vm, peers::SUSPECTS, body, SUSPECTS_LIMIT).await;
+    answer.ok().map(|_| vm)
+}
--- a/crates/load/tests/env/mod.rs
+++ b/crates/load/tests/env/mod.rs
@@ -148,6 +148,19 @@
             .unwrap()
     }
 
+    /// Gets from the operators' face of one entry VM.
+    pub async fn operate(&self, entry: usize, path: &str) -> serde_json::Value {
+        let url = format!("http://{}{path}", self.daemons[entry].callers());
+        let answer = self
+            .client
+            .get(url)
+            .bearer_auth(OPERATOR_KEY)
+            .send()
+            .await
+            .unwrap();
+        answer.json().await.unwrap()
+    }
+
     /// The revision in force on one entry VM.
     pub fn revision(&self, entry: usize) -> u64 {
         self.daemons[entry].state().book.snapshot().revision()
