--- a/crates/flow/src/silence.rs
+++ b/crates/flow/src/silence.rs
@@ -14,13 +14,10 @@
 /// generation goes on over the new one.
 pub const PING_LATENESS: Duration = Duration::from_millis(300);
 
-/// Silence of this many expected gaps between tokens is out of the ordinary.
-const GAPS_TOLERATED: u32 = 8;
-
 /// Expects the next sign of life of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct SilenceGauge {
-    /// No expectation makes the limit shorter.
+    /// Limit of an engine whose steps take no time.
     shortest: Duration,
     /// The rules' limit; no expectation makes the limit longer.
     longest: Duration,
@@ -64,7 +61,8 @@
     /// When the connection is given up if it shows nothing more.
     #[must_use]
     pub fn give_up_at(&self) -> time::Instant {
-        let expected = self.mean_gap.unwrap_or_default() * GAPS_TOLERATED;
-        self.last_sign_at + expected.max(self.shortest).min(self.longest)
+        // An engine that is busy with a step shows its ping after it.
+        let expected = self.shortest + self.mean_gap.unwrap_or_default();
+        self.last_sign_at + expected.min(self.longest)
     }
 }
