--- a/crates/flow/tests/plane/calls.rs
+++ b/crates/flow/tests/plane/calls.rs
@@ -75,7 +75,7 @@
 fn a_lapsed_claim_is_not_used() {
     world::history(async {
         let world = world::World::new(&world::WorldPlan::default());
-        *world.late_claims.lock().unwrap() = Duration::from_secs(30);
+        *world.late_claims.lock().unwrap() = Duration::from_secs(5);
         let key = key("late");
         let refused = charge(&world.planes[0], &key, "charge").await.unwrap_err();
         assert_eq!(refused.body.ran, outcome::RanState::No);
--- a/crates/flow/tests/plane/links.rs
+++ b/crates/flow/tests/plane/links.rs
@@ -356,6 +356,9 @@
     pub switch: ProcessSwitch,
 }
 
+/// A claim holds for this long, whatever is asked for: less than a call may take.
+const CLAIM_HOLDS_FOR: Duration = Duration::from_secs(4);
+
 fn log_down() -> refusal::RefusalBody {
     refusal::RefusalBody::not_run(
         refusal::RefusalCode::Unavailable,
@@ -365,8 +368,9 @@
 }
 
 impl port::ClaimBook for SharedClaims {
-    async fn claim(&self, ask: port::ClaimAsk) -> port::ClaimAnswer {
+    async fn claim(&self, mut ask: port::ClaimAsk) -> port::ClaimAnswer {
         self.switch.pass().await;
+        ask.holds_for = ask.holds_for.min(CLAIM_HOLDS_FOR);
         if *self.down.borrow() {
             return port::ClaimAnswer::Refused(log_down());
         }
