lease: a verdict that a restarted fold gave settles nothing

Cause: a fold that missed records may adopt a lease that changed hands in them, and its verdict reached the holder up to one renewal before the holder went on as another one. Change: the verdict is dropped when the fold restarted since the plan. Conclusion: found by reading.

--- a/crates/lease/src/driver.rs
+++ b/crates/lease/src/driver.rs
@@ -135,15 +135,15 @@
     mut hints: tokio_sync::watch::Receiver<LeaseHints>,
 ) {
     let period = time::Duration::from_millis(shared.limits.renew_ms);
-    let mut restarts = 0;
+    let mut known_restarts = 0;
     loop {
         let known = hints.borrow_and_update().clone();
-        let found = shared.stream.view(|state| state.fold.restarts());
-        if found != restarts {
+        let found = restarts(&shared);
+        if found != known_restarts {
             // Records were dropped unread: what this life held may have changed hands in them.
-            restarts = found;
+            known_restarts = found;
             *shared.lock() = holder::LeaseHolder::new(new_life(&vm), shared.limits);
-            log::warn!(restarts = restarts; "leases are held anew: records were dropped unread");
+            log::warn!(restarts = found; "leases are held anew: records were dropped unread");
         }
         ask(&shared, &vm, &known).await;
         tokio::select! {
@@ -159,6 +159,10 @@
     }
 }
 
+fn restarts<C: LogClient>(shared: &SharedDriver<C>) -> u64 {
+    shared.stream.view(|state| state.fold.restarts())
+}
+
 /// Time in which further hints join one record.
 const SETTLE_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -171,6 +175,7 @@
     }
     let count = shared.limits.holders_per_region;
     let assigned = choice::assigned(vm, &hints.live, &hints.servers, count);
+    let before = restarts(shared);
     let (planned, seen) = plan(shared, &assigned);
     let Some(item) = planned else { return };
     let entry = fold::LeaseEntry::Hold(item.clone());
@@ -178,6 +183,8 @@
     // `asked` is before the append. An answer that is lost costs this round only: the fold shows
     // the next round what became of it.
     match shared.stream.submit(record, &entry, seen, deadline).await {
+        // The fold that gave this verdict has missed what may have become of the leases.
+        Ok(_) if restarts(shared) != before => {}
         Ok(verdict) => {
             let read = time::Instant::now();
             shared.lock().settled(&item, &verdict, asked, read);
