flow: suspects are indexed, a token is of no use to another organisation

Cause: what to do with content was worked out from all deaths for each look; at 128 deaths of 512 requests the operators' list would have held the lock for seconds (by count of steps: 65,536 contents by 128 deaths by 512 others; not run at that size). Change: deaths by content and the culprit of each are worked out when a record is learnt. digest_since gives what is new.

--- a/crates/flow/src/crashes.rs
+++ b/crates/flow/src/crashes.rs
@@ -153,6 +153,13 @@
         state.table.digest()
     }
 
+    /// What other entry VMs should know of what happened at `since_ms` or later: those that heard
+    /// of the rest already.
+    #[must_use]
+    pub fn digest_since(&self, since_ms: u64) -> suspect::SuspectDigest {
+        self.lock().table.digest_since(since_ms)
+    }
+
     /// Takes in what another entry VM knows. Whether anything new was learnt.
     pub fn merge(&self, digest: suspect::SuspectDigest) -> bool {
         self.lock().table.merge(digest)
--- a/crates/flow/src/suspect.rs
+++ b/crates/flow/src/suspect.rs
@@ -91,6 +91,11 @@
     /// At most [`DEATHS_KEPT`], in order of learning.
     deaths: collections::VecDeque<DeathRecord>,
     cleared: collections::BTreeMap<ContentHash, u64>,
+    /// Places in `deaths` that speak against content: it was there, and was not cleared since.
+    /// Follows from the two above, like `culprits`.
+    against: collections::BTreeMap<ContentHash, Vec<usize>>,
+    /// What explains each of `deaths`.
+    culprits: Vec<Option<ContentHash>>,
 }
 
 impl SuspectTable {
@@ -103,8 +108,16 @@
         }
     }
 
-    /// A server died while `contents` ran there. Whether anything new was learnt.
-    pub fn died(&mut self, mut record: DeathRecord) -> bool {
+    /// A server died. Whether anything new was learnt.
+    pub fn died(&mut self, record: DeathRecord) -> bool {
+        let learnt = self.take_in(record);
+        if learnt {
+            self.index();
+        }
+        learnt
+    }
+
+    fn take_in(&mut self, mut record: DeathRecord) -> bool {
         while record.contents.len() > SUSPECTS_KEPT {
             record.contents.pop_last();
         }
@@ -123,6 +136,14 @@
 
     /// Content ran alone to its end, or an operator lifted it. Whether that is news.
     pub fn clear(&mut self, content: ContentHash, at_ms: u64) -> bool {
+        let newer = self.take_in_cleared(content, at_ms);
+        if newer {
+            self.index();
+        }
+        newer
+    }
+
+    fn take_in_cleared(&mut self, content: ContentHash, at_ms: u64) -> bool {
         let held = self.cleared.entry(content).or_default();
         let newer = *held < at_ms;
         *held = at_ms.max(*held);
@@ -133,10 +154,13 @@
     pub fn merge(&mut self, digest: SuspectDigest) -> bool {
         let mut learnt = false;
         for record in digest.deaths {
-            learnt |= self.died(record);
+            learnt |= self.take_in(record);
         }
         for record in digest.cleared {
-            learnt |= self.clear(record.content, record.at_ms);
+            learnt |= self.take_in_cleared(record.content, record.at_ms);
+        }
+        if learnt {
+            self.index();
         }
         learnt
     }
@@ -144,9 +168,16 @@
     /// Everything that others should know.
     #[must_use]
     pub fn digest(&self) -> SuspectDigest {
-        let cleared = self.cleared.iter();
+        self.digest_since(0)
+    }
+
+    /// What others should know of what happened at `since_ms` or later.
+    #[must_use]
+    pub fn digest_since(&self, since_ms: u64) -> SuspectDigest {
+        let deaths = self.deaths.iter().filter(|death| death.at_ms >= since_ms);
+        let cleared = self.cleared.iter().filter(|(_, at_ms)| **at_ms >= since_ms);
         SuspectDigest {
-            deaths: self.deaths.iter().cloned().collect(),
+            deaths: deaths.cloned().collect(),
             cleared: cleared
                 .map(|(content, at_ms)| ClearedRecord {
                     content: *content,
@@ -159,10 +190,14 @@
     /// Drops what is too old to matter.
     pub fn expire(&mut self, now_ms: u64) {
         let kept_ms = millis(self.limits.quarantined_for.max(self.limits.suspected_for));
+        let before = self.deaths.len();
         self.deaths
             .retain(|death| death.at_ms.saturating_add(kept_ms) > now_ms);
         self.cleared
             .retain(|_, at_ms| at_ms.saturating_add(kept_ms) > now_ms);
+        if self.deaths.len() < before {
+            self.index();
+        }
     }
 
     /// What to do with `content`.
@@ -172,10 +207,9 @@
         let mut open_deaths = 0;
         let mut newest_ms = 0;
         let mut convicted = false;
-        for death in self.against(content) {
+        for (death, culprit) in self.against(content) {
             deaths += 1;
             newest_ms = newest_ms.max(death.at_ms);
-            let culprit = self.culprit(death);
             convicted |= culprit == Some(content);
             open_deaths += u32::from(culprit.is_none());
         }
@@ -199,17 +233,14 @@
     /// Everything that is suspected or quarantined, for operators.
     #[must_use]
     pub fn list(&self, now_ms: u64) -> Vec<ops::QuarantineStatus> {
-        let contents: collections::BTreeSet<ContentHash> = self
-            .deaths
-            .iter()
-            .flat_map(|death| death.contents.iter().copied())
-            .collect();
-        let status = |content| self.status(content, now_ms);
-        contents.into_iter().filter_map(status).collect()
+        let contents = self.against.keys();
+        contents
+            .filter_map(|content| self.status(*content, now_ms))
+            .collect()
     }
 
     fn status(&self, content: ContentHash, now_ms: u64) -> Option<ops::QuarantineStatus> {
-        let newest_ms = self.against(content).map(|death| death.at_ms).max()?;
+        let newest_ms = self.against(content).map(|(death, _)| death.at_ms).max()?;
         let (state, left_ms) = match self.standing(content, now_ms) {
             ContentStanding::Clear => return None,
             ContentStanding::Suspect { .. } => {
@@ -222,7 +253,7 @@
         };
         let servers: Vec<String> = self
             .against(content)
-            .map(|death| death.server.clone())
+            .map(|(death, _)| death.server.clone())
             .collect();
         Some(ops::QuarantineStatus {
             fingerprint: content,
@@ -234,23 +265,40 @@
         })
     }
 
-    /// Deaths that speak against `content`: it was there, and was not cleared since.
-    fn against(&self, content: ContentHash) -> impl Iterator<Item = &DeathRecord> {
-        let cleared_ms = self.cleared.get(&content).copied();
-        self.deaths.iter().filter(move |death| {
-            death.contents.contains(&content)
-                && cleared_ms.is_none_or(|cleared_ms| cleared_ms < death.at_ms)
-        })
+    /// Deaths that speak against `content`, each with what explains it.
+    fn against(
+        &self,
+        content: ContentHash,
+    ) -> impl Iterator<Item = (&DeathRecord, Option<ContentHash>)> {
+        let places = self.against.get(&content).into_iter().flatten();
+        places.map(|place| (&self.deaths[*place], self.culprits[*place]))
+    }
+
+    /// Works out what follows from the records.
+    fn index(&mut self) {
+        self.against.clear();
+        for (place, death) in self.deaths.iter().enumerate() {
+            for content in &death.contents {
+                let cleared_ms = self.cleared.get(content);
+                if cleared_ms.is_none_or(|cleared_ms| *cleared_ms < death.at_ms) {
+                    self.against.entry(*content).or_default().push(place);
+                }
+            }
+        }
+        let places = self.deaths.iter().enumerate();
+        self.culprits = places
+            .map(|(place, death)| self.culprit(place, death))
+            .collect();
     }
 
     /// The one content that explains a death: the only one there that was at another death too.
     ///
     /// Two such contents explain nothing yet: convicting both would refuse an innocent one.
-    fn culprit(&self, death: &DeathRecord) -> Option<ContentHash> {
-        let mut repeated = death
-            .contents
-            .iter()
-            .filter(|content| self.against(**content).take(2).count() > 1);
+    fn culprit(&self, place: usize, death: &DeathRecord) -> Option<ContentHash> {
+        let mut repeated = death.contents.iter().filter(|content| {
+            let places = self.against.get(*content);
+            places.is_some_and(|places| places.len() > 1 && places.contains(&place))
+        });
         match (repeated.next(), repeated.next()) {
             (Some(content), None) => Some(*content),
             _ => None,
--- a/crates/flow/tests/plane/streams.rs
+++ b/crates/flow/tests/plane/streams.rs
@@ -295,3 +295,28 @@
         assert_ne!(refused.ran, outcome::RanState::No, "{refused:?}");
     });
 }
+
+// Symptom: an organisation reads another's review.
+// Sequence: a continuation token gets into other hands.
+// Cause: the token was taken for the right to use it.
+#[test]
+fn a_token_is_of_no_use_to_another_organisation() {
+    world::history(async {
+        let world = world::World::new(&world::WorldPlan::default());
+        let reply = stream(&world.planes[0], 50, 100).await;
+        let mut headers = callers::headers();
+        headers.api_key = Some(world::OTHER_API_KEY.to_owned());
+        let taken = world.planes[1]
+            .continue_generation(headers, &reply.token, 0)
+            .await;
+        let refused = taken.map(drop).unwrap_err().body;
+        assert_eq!(refused.code, refusal::RefusalCode::Forbidden);
+        let mut headers = callers::headers();
+        headers.api_key = None;
+        let taken = world.planes[1]
+            .continue_generation(headers, &reply.token, 0)
+            .await;
+        let refused = taken.map(drop).unwrap_err().body;
+        assert_eq!(refused.code, refusal::RefusalCode::Unauthenticated);
+    });
+}
--- a/crates/flow/tests/plane/world.rs
+++ b/crates/flow/tests/plane/world.rs
@@ -10,9 +10,12 @@
 
 use crate::links;
 
-/// API key of the one organisation.
+/// API key of the organisation that callers belong to.
 pub const API_KEY: &str = "key-of-troupes";
 
+/// API key of another organisation.
+pub const OTHER_API_KEY: &str = "key-of-vendors";
+
 /// Wall clock at the start of every history.
 pub const ORIGIN_MS: u64 = 1_800_000_000_000;
 
@@ -186,13 +189,15 @@
         max_concurrency: 16,
     };
     inventory.services.insert("pass-app".to_owned(), service);
-    let organisation = inventory::OrganisationEntry {
-        key_hashes: vec![fingerprint::ContentHash::of(API_KEY.as_bytes()).to_string()],
-        region: "hcmc".to_owned(),
-    };
-    inventory
-        .organisations
-        .insert("troupes".to_owned(), organisation);
+    for (name, key) in [("troupes", API_KEY), ("vendors", OTHER_API_KEY)] {
+        let organisation = inventory::OrganisationEntry {
+            key_hashes: vec![fingerprint::ContentHash::of(key.as_bytes()).to_string()],
+            region: "hcmc".to_owned(),
+        };
+        inventory
+            .organisations
+            .insert(name.to_owned(), organisation);
+    }
     inventory
 }
 
