--- a/crates/entry/src/adapt/claims.rs
+++ b/crates/entry/src/adapt/claims.rs
@@ -4,7 +4,7 @@
 
 use base::{id, outcome, refusal};
 use flow::port;
-use ledger::{claim_store, claims, route};
+use ledger::{claim_calls, claims, permit};
 
 use crate::adapt::peers;
 
@@ -17,7 +17,7 @@
 pub struct LogClaims {
     router: peers::EntryRouter,
     /// One for each claim that is held and not yet settled.
-    permits: sync::Mutex<collections::HashMap<id::RecordId, route::SendPermit>>,
+    permits: sync::Mutex<collections::HashMap<id::RecordId, permit::SendPermit>>,
 }
 
 impl std::fmt::Debug for LogClaims {
@@ -38,7 +38,7 @@
 
     fn permits(
         &self,
-    ) -> sync::MutexGuard<'_, collections::HashMap<id::RecordId, route::SendPermit>> {
+    ) -> sync::MutexGuard<'_, collections::HashMap<id::RecordId, permit::SendPermit>> {
         self.permits
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
@@ -47,13 +47,13 @@
 
 impl port::ClaimBook for LogClaims {
     async fn claim(&self, ask: port::ClaimAsk) -> port::ClaimAnswer {
-        let call = route::ClaimCall {
+        let call = permit::ClaimCall {
             organisation: ask.organisation.clone(),
             key: ask.key.clone(),
             content: ask.content,
         };
         match self.router.claim(call).await {
-            route::ClaimAnswer::Fresh(permit) => {
+            permit::ClaimAnswer::Fresh(permit) => {
                 let hold = port::ClaimHold {
                     record: permit.claim(),
                     deadline: permit.deadline(),
@@ -62,16 +62,16 @@
                 self.permits().insert(hold.record, permit);
                 port::ClaimAnswer::Fresh(hold)
             }
-            route::ClaimAnswer::Stored(outcome) => match service_answer(outcome) {
+            permit::ClaimAnswer::Stored(outcome) => match service_answer(outcome) {
                 Some(answer) => port::ClaimAnswer::Stored(answer),
                 None => port::ClaimAnswer::Refused(answer_not_kept()),
             },
-            route::ClaimAnswer::InProgress => port::ClaimAnswer::InProgress {
+            permit::ClaimAnswer::InProgress => port::ClaimAnswer::InProgress {
                 retry_after_ms: IN_PROGRESS_RETRY_MS,
             },
-            route::ClaimAnswer::Unknown => port::ClaimAnswer::Unknown,
-            route::ClaimAnswer::OtherContent => port::ClaimAnswer::Mismatch,
-            route::ClaimAnswer::Refused(refused) => port::ClaimAnswer::Refused(refusal(&refused)),
+            permit::ClaimAnswer::Unknown => port::ClaimAnswer::Unknown,
+            permit::ClaimAnswer::OtherContent => port::ClaimAnswer::Mismatch,
+            permit::ClaimAnswer::Refused(refused) => port::ClaimAnswer::Refused(refusal(&refused)),
         }
     }
 
@@ -89,7 +89,7 @@
             // Without an end the key stays unknown, which is what it is.
             port::ClaimEnd::Unknown => return Ok(()),
         };
-        if self.router.settle(permit, outcome).await == claim_store::RecordReply::NotRecorded {
+        if self.router.settle(permit, outcome).await == claim_calls::RecordReply::NotRecorded {
             // The permit is used up: the key stays unknown to others, which is honest.
             metrics::counter!("pollenchute_entry_claim_ends_lost_total").increment(1);
         }
@@ -124,30 +124,30 @@
         .ran(outcome::RanState::Yes)
 }
 
-fn refusal(refused: &route::ClaimRefused) -> refusal::RefusalBody {
+fn refusal(refused: &permit::ClaimRefused) -> refusal::RefusalBody {
     let (code, message, retry_after_ms) = match refused.cause {
-        Some(claim_store::RefusalCause::KeyMalformed) => (
+        Some(claim_calls::RefusalCause::KeyMalformed) => (
             refusal::RefusalCode::BadRequest,
             "an idempotency key is `<unix milliseconds>-<any text>`; draw one with its time",
             None,
         ),
-        Some(claim_store::RefusalCause::OutsideWindow) => (
+        Some(claim_calls::RefusalCause::OutsideWindow) => (
             refusal::RefusalCode::IdempotencyKeyExpired,
             "the idempotency key is too old to tell whether it ran; look the outcome up, then \
              draw a new key",
             None,
         ),
-        Some(claim_store::RefusalCause::Withdrawn) => (
+        Some(claim_calls::RefusalCause::Withdrawn) => (
             refusal::RefusalCode::Unavailable,
             "the claim was given up before the call left; send the call again",
             Some(IN_PROGRESS_RETRY_MS),
         ),
-        Some(claim_store::RefusalCause::Full) => (
+        Some(claim_calls::RefusalCause::Full) => (
             refusal::RefusalCode::Overloaded,
             "too many idempotency keys are remembered; send the call again later",
             Some(LOG_DOWN_RETRY_MS),
         ),
-        Some(claim_store::RefusalCause::NotAppended(_) | claim_store::RefusalCause::Unsettled)
+        Some(claim_calls::RefusalCause::NotAppended(_) | claim_calls::RefusalCause::Unsettled)
         | None => (
             refusal::RefusalCode::Unavailable,
             "the log cannot record the claim, without which this call is not sent; send it again",
--- a/crates/entry/src/adapt/jobs.rs
+++ b/crates/entry/src/adapt/jobs.rs
@@ -4,7 +4,7 @@
 
 use base::{id, refusal};
 use flow::port;
-use ledger::{job_store, jobs, partition, route};
+use ledger::{job_calls, jobs, partition, permit};
 use tokio::time;
 
 use crate::{adapt::peers, configure};
@@ -19,7 +19,7 @@
     router: peers::EntryRouter,
     book: sync::Arc<configure::ConfigBook>,
     /// One for each lease that is held.
-    tickets: sync::Mutex<collections::HashMap<id::RecordId, route::JobTicket>>,
+    tickets: sync::Mutex<collections::HashMap<id::RecordId, permit::JobTicket>>,
     /// Partition that the next round begins at.
     next: sync::atomic::AtomicU16,
 }
@@ -44,7 +44,7 @@
 
     fn tickets(
         &self,
-    ) -> sync::MutexGuard<'_, collections::HashMap<id::RecordId, route::JobTicket>> {
+    ) -> sync::MutexGuard<'_, collections::HashMap<id::RecordId, permit::JobTicket>> {
         self.tickets
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
@@ -89,19 +89,19 @@
             .accept(job.request, &job.organisation, kept_ms, body.into())
             .await;
         match accepted {
-            job_store::AcceptReply::Accepted => port::AcceptAnswer::Accepted,
-            job_store::AcceptReply::NotAccepted(refused) => {
+            job_calls::AcceptReply::Accepted => port::AcceptAnswer::Accepted,
+            job_calls::AcceptReply::NotAccepted(refused) => {
                 port::AcceptAnswer::Refused(refusal(refused))
             }
-            job_store::AcceptReply::Unknown => port::AcceptAnswer::Unknown,
+            job_calls::AcceptReply::Unknown => port::AcceptAnswer::Unknown,
         }
     }
 
     async fn fetch(&self, request: id::RequestId) -> port::JobState {
         match self.router.fetch(request).await {
-            job_store::FetchReply::Found(found) => job_state(found),
-            job_store::FetchReply::NotFound => port::JobState::Absent,
-            job_store::FetchReply::Unavailable => port::JobState::Unreadable(log_down()),
+            job_calls::FetchReply::Found(found) => job_state(found),
+            job_calls::FetchReply::NotFound => port::JobState::Absent,
+            job_calls::FetchReply::Unavailable => port::JobState::Unreadable(log_down()),
         }
     }
 
@@ -117,7 +117,7 @@
     async fn renew(&self, lease: &port::JobLease) -> Option<port::JobLease> {
         let mut ticket = self.tickets().get(&lease.record).cloned()?;
         let state = self.router.renew(&mut ticket).await;
-        if state == job_store::RenewState::Superseded {
+        if state == job_calls::RenewState::Superseded {
             self.tickets().remove(&lease.record);
             return None;
         }
@@ -146,16 +146,16 @@
             return Ok(port::StoredResult::Superseded);
         };
         let stored = match self.router.finish(&ticket, body.into()).await {
-            job_store::FinishReply::Kept => port::StoredResult::Stored,
-            job_store::FinishReply::Superseded => port::StoredResult::Superseded,
-            job_store::FinishReply::NotRecorded => return Err(log_down()),
+            job_calls::FinishReply::Kept => port::StoredResult::Stored,
+            job_calls::FinishReply::Superseded => port::StoredResult::Superseded,
+            job_calls::FinishReply::NotRecorded => return Err(log_down()),
         };
         self.tickets().remove(&lease.record);
         Ok(stored)
     }
 }
 
-fn job_state(found: job_store::FoundJob) -> port::JobState {
+fn job_state(found: job_calls::FoundJob) -> port::JobState {
     match found.view {
         jobs::JobView::Waiting | jobs::JobView::Running => {
             port::JobState::Waiting(found.organisation)
@@ -173,13 +173,13 @@
         .retry_after_ms(LOG_DOWN_RETRY_MS)
 }
 
-fn refusal(refused: job_store::AcceptRefusal) -> refusal::RefusalBody {
+fn refusal(refused: job_calls::AcceptRefusal) -> refusal::RefusalBody {
     match refused {
-        job_store::AcceptRefusal::Full => refusal::RefusalBody::not_run(
+        job_calls::AcceptRefusal::Full => refusal::RefusalBody::not_run(
             refusal::RefusalCode::Overloaded,
             "too much accepted work waits; send this again after the time given",
         )
         .retry_after_ms(LOG_DOWN_RETRY_MS),
-        job_store::AcceptRefusal::NotAppended(_) => log_down(),
+        job_calls::AcceptRefusal::NotAppended(_) => log_down(),
     }
 }
--- a/crates/ledger/benches/claims.rs
+++ b/crates/ledger/benches/claims.rs
@@ -8,7 +8,7 @@
 use base::{fingerprint, id};
 use ledger::client::LogClient as _;
 use ledger::route::LedgerPeers;
-use ledger::{claims, client, host, memory, partition, record, route};
+use ledger::{claims, client, host, memory, partition, permit, record, route};
 use rand::{RngExt as _, SeedableRng as _};
 use tokio::{runtime, task, time};
 
@@ -216,12 +216,12 @@
     key: String,
 ) -> Option<time::Duration> {
     let begun = time::Instant::now();
-    let call = route::ClaimCall {
+    let call = permit::ClaimCall {
         organisation: String::from("depot-3"),
         content: fingerprint::ContentHash::of(key.as_bytes()),
         key,
     };
-    let route::ClaimAnswer::Fresh(permit) = router.claim(call).await else {
+    let permit::ClaimAnswer::Fresh(permit) = router.claim(call).await else {
         return None;
     };
     let wait = begun.elapsed();
--- a/crates/ledger/src/claim_store.rs
+++ b/crates/ledger/src/claim_store.rs
@@ -1,117 +1,10 @@
 //! Claims of one partition, appended and read by this process.
 
-use base::{fingerprint, id, outcome};
+use base::id;
 use tokio::time;
 
 use crate::client::LogClient;
-use crate::{appender, claims, driver, partition};
-
-/// A claim that is asked for, possibly by another entry VM.
-///
-/// Asking twice, also two processes at once, is harmless as long as `claim` is the same: the fold
-/// knows it again.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct ClaimRequest {
-    /// Id of the claim, drawn by its holder.
-    pub claim: id::RecordId,
-    /// The organisation that the key belongs to.
-    pub organisation: String,
-    /// The idempotency key as the caller sent it.
-    pub key: String,
-    /// Hash of the call's content.
-    pub content: fingerprint::ContentHash,
-    /// Name of the entry VM that would send the call.
-    pub holder: String,
-    /// How long the asker waits for a reply, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// What became of a claim.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ClaimReply {
-    /// The claim holds its key: its holder may send the call before its deadline.
-    Held,
-    /// The key's call ran; this was its answer.
-    Stored(claims::StoredOutcome),
-    /// The key's call is under way.
-    InProgress,
-    /// The key's call may have run; its outcome will not be known unless its holder reports late.
-    Unknown,
-    /// The key was used for a call with another content.
-    OtherContent,
-    /// The claim holds nothing.
-    Refused(ClaimRefusal),
-}
-
-/// A claim that holds nothing, and why.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct ClaimRefusal {
-    /// Why.
-    pub cause: RefusalCause,
-    /// Whether the claim may be on the log all the same: its holder, once it has decided never to
-    /// send, ends it as not run so that the key becomes free.
-    pub may_be_on_log: bool,
-}
-
-/// Why a claim holds nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RefusalCause {
-    /// The key does not carry its own time.
-    KeyMalformed,
-    /// The key's own time is too old, or lies in the future.
-    OutsideWindow,
-    /// The claim was withdrawn before.
-    Withdrawn,
-    /// This process remembers as many keys as it can.
-    Full,
-    /// The claim is not on the log.
-    NotAppended(appender::NotAppended),
-    /// The claim's record was not read back in time.
-    Unsettled,
-}
-
-impl RefusalCause {
-    /// Whether a call with this key may have run *earlier*, as far as the refusal tells.
-    ///
-    /// The refused try itself never runs. But a key that is refused for its age may have run
-    /// within its window, and cannot be asked about any more.
-    #[must_use]
-    pub const fn ran(self) -> outcome::RanState {
-        match self {
-            Self::OutsideWindow => outcome::RanState::Unknown,
-            _ => outcome::RanState::No,
-        }
-    }
-}
-
-/// An end of a claim, possibly reported by another entry VM. Asking twice is harmless.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct SettleRequest {
-    /// Id of the entry, drawn by the holder.
-    pub entry: id::RecordId,
-    /// The end of the claim.
-    pub item: claims::SettleItem,
-    /// How long the asker waits for a reply, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// Whether a report is recorded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RecordReply {
-    /// It is on the log, or too late to matter.
-    Recorded,
-    /// It may not be on the log; report it again.
-    NotRecorded,
-}
+use crate::{appender, claim_calls, claim_fold, claims, driver, partition};
 
 /// Settings of a [`ClaimStore`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -136,7 +29,7 @@
 
 /// The claims of one partition. Its tasks end with it.
 pub struct ClaimStore<C> {
-    driver: driver::FoldDriver<C, claims::ClaimFold>,
+    driver: driver::FoldDriver<C, claim_fold::ClaimFold>,
     settings: ClaimSettings,
 }
 
@@ -148,7 +41,7 @@
         vm: &str,
         settings: ClaimSettings,
     ) -> Self {
-        let fold = claims::ClaimFold::new(settings.limits.clone());
+        let fold = claim_fold::ClaimFold::new(settings.limits.clone());
         let stream = partition::claim_stream(partition);
         let limits = settings.append.clone();
         let driver = driver::FoldDriver::start(client, &stream, vm, fold, limits);
@@ -156,7 +49,7 @@
     }
 
     /// Claims a key.
-    pub async fn claim(&self, request: ClaimRequest) -> ClaimReply {
+    pub async fn claim(&self, request: claim_calls::ClaimRequest) -> claim_calls::ClaimReply {
         let deadline = time::Instant::now() + time::Duration::from_millis(request.wait_ms);
         let item = claims::ClaimItem {
             organisation: request.organisation,
@@ -175,14 +68,16 @@
         match submitted.await {
             Ok(verdict) => self.reply_of(verdict),
             Err(driver::SubmitFault::NotAppended(cause)) => {
-                refused(RefusalCause::NotAppended(cause), false)
+                refused(claim_calls::RefusalCause::NotAppended(cause), false)
+            }
+            Err(driver::SubmitFault::Unsettled) => {
+                refused(claim_calls::RefusalCause::Unsettled, true)
             }
-            Err(driver::SubmitFault::Unsettled) => refused(RefusalCause::Unsettled, true),
         }
     }
 
     /// Records the end of a claim.
-    pub async fn settle(&self, request: SettleRequest) -> RecordReply {
+    pub async fn settle(&self, request: claim_calls::SettleRequest) -> claim_calls::RecordReply {
         let deadline = time::Instant::now() + time::Duration::from_millis(request.wait_ms);
         let mut item = request.item;
         if let claims::SettledOutcome::Ran(outcome) = item.outcome {
@@ -193,8 +88,8 @@
         let seen = self.driver.position();
         let submitted = self.driver.submit(request.entry, &entry, seen, deadline);
         match submitted.await {
-            Ok(_) => RecordReply::Recorded,
-            Err(_) => RecordReply::NotRecorded,
+            Ok(_) => claim_calls::RecordReply::Recorded,
+            Err(_) => claim_calls::RecordReply::NotRecorded,
         }
     }
 
@@ -206,9 +101,13 @@
 
     /// Answers what needs no record: a key that is taken as far as this process has read stays
     /// taken, so this holds also while the log is down.
-    fn reply_early(&self, claim: id::RecordId, item: &claims::ClaimItem) -> Option<ClaimReply> {
+    fn reply_early(
+        &self,
+        claim: id::RecordId,
+        item: &claims::ClaimItem,
+    ) -> Option<claim_calls::ClaimReply> {
         let Some(key_ms) = claims::key_time_ms(&item.key) else {
-            return Some(refused(RefusalCause::KeyMalformed, false));
+            return Some(refused(claim_calls::RefusalCause::KeyMalformed, false));
         };
         let now = time::Instant::now();
         let known = self.driver.view(|state| {
@@ -232,23 +131,25 @@
         });
         known.map(|view| match view {
             EarlyView::Verdict(verdict) => self.reply_of(verdict),
-            EarlyView::Full => refused(RefusalCause::Full, false),
+            EarlyView::Full => refused(claim_calls::RefusalCause::Full, false),
         })
     }
 
-    fn reply_of(&self, verdict: claims::ClaimVerdict) -> ClaimReply {
+    fn reply_of(&self, verdict: claims::ClaimVerdict) -> claim_calls::ClaimReply {
         match verdict {
-            claims::ClaimVerdict::Held => ClaimReply::Held,
+            claims::ClaimVerdict::Held => claim_calls::ClaimReply::Held,
             claims::ClaimVerdict::Taken(claims::KeyView::Stored(outcome)) => {
-                ClaimReply::Stored(outcome)
+                claim_calls::ClaimReply::Stored(outcome)
             }
             claims::ClaimVerdict::Taken(claims::KeyView::Open { until_ms }) => {
                 self.reply_open(until_ms)
             }
-            claims::ClaimVerdict::OtherContent => ClaimReply::OtherContent,
-            claims::ClaimVerdict::OutsideWindow => refused(RefusalCause::OutsideWindow, false),
+            claims::ClaimVerdict::OtherContent => claim_calls::ClaimReply::OtherContent,
+            claims::ClaimVerdict::OutsideWindow => {
+                refused(claim_calls::RefusalCause::OutsideWindow, false)
+            }
             claims::ClaimVerdict::Withdrawn | claims::ClaimVerdict::Settled => {
-                refused(RefusalCause::Withdrawn, false)
+                refused(claim_calls::RefusalCause::Withdrawn, false)
             }
         }
     }
@@ -256,7 +157,7 @@
     /// "Unknown" is said only when the holder can no longer send: its deadline counts from before
     /// its append, so it has passed when the log's clock is `until_ms`. Without a reading of the
     /// log's clock "in progress" is said, which promises less.
-    fn reply_open(&self, until_ms: u64) -> ClaimReply {
+    fn reply_open(&self, until_ms: u64) -> claim_calls::ClaimReply {
         let now = time::Instant::now();
         let late_ms = until_ms + self.settings.limits.drift_ms;
         let passed = self.driver.view(|state| {
@@ -265,9 +166,9 @@
                 .is_some_and(|clock| clock.now_ms(now) >= late_ms)
         });
         if passed {
-            ClaimReply::Unknown
+            claim_calls::ClaimReply::Unknown
         } else {
-            ClaimReply::InProgress
+            claim_calls::ClaimReply::InProgress
         }
     }
 }
@@ -277,8 +178,8 @@
     Full,
 }
 
-const fn refused(cause: RefusalCause, may_be_on_log: bool) -> ClaimReply {
-    ClaimReply::Refused(ClaimRefusal {
+const fn refused(cause: claim_calls::RefusalCause, may_be_on_log: bool) -> claim_calls::ClaimReply {
+    claim_calls::ClaimReply::Refused(claim_calls::ClaimRefusal {
         cause,
         may_be_on_log,
     })
--- a/crates/ledger/src/host.rs
+++ b/crates/ledger/src/host.rs
@@ -6,7 +6,7 @@
 use tokio::time;
 
 use crate::client::LogClient;
-use crate::{claim_store, job_store, partition};
+use crate::{claim_calls, claim_store, job_calls, job_store, partition};
 
 /// What one entry VM asks of another. Every request may be sent again, also to a third: the ids
 /// inside make the repetition harmless.
@@ -15,11 +15,11 @@
 #[serde(tag = "ask", rename_all = "snake_case")]
 pub enum LedgerRequest {
     /// A key is claimed.
-    Claim(claim_store::ClaimRequest),
+    Claim(claim_calls::ClaimRequest),
     /// A claim has ended.
-    Settle(claim_store::SettleRequest),
+    Settle(claim_calls::SettleRequest),
     /// Work is to be accepted.
-    Accept(job_store::AcceptRequest),
+    Accept(job_calls::AcceptRequest),
     /// Work is wanted.
     Take(PartitionTake),
     /// A holder is still at its work.
@@ -27,7 +27,7 @@
     /// Work is given back.
     Release(ReleaseRequest),
     /// Work is done.
-    Finish(job_store::FinishRequest),
+    Finish(job_calls::FinishRequest),
     /// Work is asked about.
     Fetch(FetchRequest),
 }
@@ -39,7 +39,7 @@
     /// The partition.
     pub partition: partition::PartitionIndex,
     /// Who wants it.
-    pub request: job_store::TakeRequest,
+    pub request: job_calls::TakeRequest,
 }
 
 /// Signs of life for work of one partition.
@@ -49,7 +49,7 @@
     /// The partition.
     pub partition: partition::PartitionIndex,
     /// The signs of life.
-    pub request: job_store::RenewRequest,
+    pub request: job_calls::RenewRequest,
 }
 
 /// Work is given back.
@@ -57,7 +57,7 @@
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct ReleaseRequest {
     /// The work and its claim.
-    pub renewal: job_store::RenewEntry,
+    pub renewal: job_calls::RenewEntry,
     /// How long the asker waits for a reply, in milliseconds.
     pub wait_ms: u64,
 }
@@ -78,19 +78,19 @@
 #[serde(tag = "reply", content = "value", rename_all = "snake_case")]
 pub enum LedgerReply {
     /// To a claim.
-    Claim(claim_store::ClaimReply),
+    Claim(claim_calls::ClaimReply),
     /// To an end of a claim, or to work given back.
-    Recorded(claim_store::RecordReply),
+    Recorded(claim_calls::RecordReply),
     /// To work offered.
-    Accept(job_store::AcceptReply),
+    Accept(job_calls::AcceptReply),
     /// To a wish for work.
-    Take(job_store::TakeReply),
+    Take(job_calls::TakeReply),
     /// To signs of life, in their order.
-    Renew(Vec<job_store::RenewState>),
+    Renew(Vec<job_calls::RenewState>),
     /// To a result.
-    Finish(job_store::FinishReply),
+    Finish(job_calls::FinishReply),
     /// To a question about work.
-    Fetch(job_store::FetchReply),
+    Fetch(job_calls::FetchReply),
 }
 
 impl LedgerRequest {
@@ -116,6 +116,38 @@
     }
 }
 
+impl LedgerReply {
+    /// Whether the replying VM could use the log, so that asking another one would not help.
+    pub(crate) fn could_use_log(&self) -> bool {
+        match self {
+            Self::Claim(claim_calls::ClaimReply::Refused(refusal)) => !matches!(
+                refusal.cause,
+                claim_calls::RefusalCause::NotAppended(_) | claim_calls::RefusalCause::Unsettled
+            ),
+            Self::Recorded(state) => *state == claim_calls::RecordReply::Recorded,
+            Self::Accept(state) => !matches!(
+                state,
+                job_calls::AcceptReply::NotAccepted(job_calls::AcceptRefusal::NotAppended(_))
+                    | job_calls::AcceptReply::Unknown
+            ),
+            Self::Take(state) => *state != job_calls::TakeReply::Unavailable,
+            Self::Renew(states) => !states.contains(&job_calls::RenewState::Unsettled),
+            Self::Finish(state) => *state != job_calls::FinishReply::NotRecorded,
+            Self::Fetch(state) => *state != job_calls::FetchReply::Unavailable,
+            Self::Claim(_) => true,
+        }
+    }
+
+    /// Whether the replying VM may have put on the log what was asked.
+    pub(crate) fn may_have_taken_effect(&self) -> bool {
+        match self {
+            Self::Claim(claim_calls::ClaimReply::Refused(refusal)) => refusal.may_be_on_log,
+            Self::Accept(state) => *state == job_calls::AcceptReply::Unknown,
+            _ => false,
+        }
+    }
+}
+
 fn job_stream(job: id::RequestId) -> String {
     partition::job_stream(partition::of_request(job))
 }
--- a/crates/ledger/src/job_store.rs
+++ b/crates/ledger/src/job_store.rs
@@ -7,180 +7,7 @@
 use tokio::time;
 
 use crate::client::LogClient;
-use crate::{appender, claim_store, driver, job_fold, jobs, partition, parts, record};
-
-/// Work that is to be accepted. Asking twice, also through two processes, is harmless.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct AcceptRequest {
-    /// Id of the entry, drawn by the asker.
-    pub entry: id::RecordId,
-    /// The request; its id tells the partition.
-    pub job: id::RequestId,
-    /// The organisation that it belongs to.
-    pub organisation: String,
-    /// How long its result is kept, in milliseconds.
-    pub kept_ms: u64,
-    /// What is to be done.
-    #[serde(with = "record::base64_bytes")]
-    pub body: bytes::Bytes,
-    /// How long the asker waits for a reply, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// Whether work is accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum AcceptReply {
-    /// It is on the log and will be done.
-    Accepted,
-    /// It is not accepted, and will not be unless it is asked for again.
-    NotAccepted(AcceptRefusal),
-    /// It may be accepted; its id tells later.
-    Unknown,
-}
-
-/// Why work is not accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum AcceptRefusal {
-    /// The partition holds as many bytes as it may.
-    Full,
-    /// The work is not on the log.
-    NotAppended(appender::NotAppended),
-}
-
-/// Somebody wants work.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct TakeRequest {
-    /// Drawn by the asker; every request has another one. The claim's id follows from it and the
-    /// work: two processes that are both asked may find different work, and a verdict about the
-    /// one must not pass for a verdict about the other.
-    pub claim: id::RecordId,
-    /// Name of the entry VM that wants to do the work.
-    pub holder: String,
-    /// How long the asker waits for a reply, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// What there is to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum TakeReply {
-    /// This work.
-    Taken(JobGrant),
-    /// Nothing now.
-    Nothing,
-    /// The log cannot be used now.
-    Unavailable,
-}
-
-/// Work that a claim holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct JobGrant {
-    /// The work.
-    pub job: id::RequestId,
-    /// The claim that holds it.
-    pub claim: id::RecordId,
-    /// The organisation that it belongs to.
-    pub organisation: String,
-    /// What is to be done.
-    #[serde(with = "record::base64_bytes")]
-    pub body: bytes::Bytes,
-    /// The holder renews within this time of asking, or stops.
-    pub hold_ms: u64,
-}
-
-/// Signs of life of one holder for all its work in the partition.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct RenewRequest {
-    /// One for each piece of work.
-    pub entries: Vec<RenewEntry>,
-    /// How long the asker waits for a reply, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// A sign of life for one piece of work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct RenewEntry {
-    /// Id of the entry, drawn by the holder.
-    pub entry: id::RecordId,
-    /// The work and the claim that holds it.
-    pub item: jobs::HolderItem,
-}
-
-/// What became of one sign of life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RenewState {
-    /// The work is held on, counted from before the request.
-    Renewed,
-    /// The claim is not the newest one: stop.
-    Superseded,
-    /// Not known; the earlier time limit stands.
-    Unsettled,
-}
-
-/// A result. Asking twice is harmless.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct FinishRequest {
-    /// Id of the entry, drawn by the holder.
-    pub entry: id::RecordId,
-    /// The work.
-    pub job: id::RequestId,
-    /// The claim under which it was done.
-    pub claim: id::RecordId,
-    /// The whole answer.
-    #[serde(with = "record::base64_bytes")]
-    pub result: bytes::Bytes,
-    /// How long the asker waits for a reply, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// What became of a result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum FinishReply {
-    /// It is the one result of the work.
-    Kept,
-    /// The claim is not the newest one: the result does not count.
-    Superseded,
-    /// It may not be on the log; report it again.
-    NotRecorded,
-}
-
-/// What is known of some work.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum FetchReply {
-    /// It is accepted.
-    Found(FoundJob),
-    /// It was never accepted, or its time is up.
-    NotFound,
-    /// The log cannot be read now; the work may be accepted all the same.
-    Unavailable,
-}
-
-/// Some accepted work.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(serde::Deserialize, serde::Serialize)]
-pub struct FoundJob {
-    /// The organisation that it belongs to; nobody else may learn more.
-    pub organisation: String,
-    /// How far it is.
-    pub view: jobs::JobView,
-}
+use crate::{appender, claim_calls, driver, job_calls, job_fold, jobs, partition, parts, record};
 
 /// Settings of a [`JobStore`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -203,7 +30,7 @@
 struct PickedJob<'a, C: LogClient> {
     store: &'a JobStore<C>,
     seen: u64,
-    grant: JobGrant,
+    grant: job_calls::JobGrant,
 }
 
 /// A cancelled request must not keep its work from all later ones.
@@ -238,18 +65,20 @@
     }
 
     /// Accepts work: the reply comes when the log has it.
-    pub async fn accept(&self, request: AcceptRequest) -> AcceptReply {
+    pub async fn accept(&self, request: job_calls::AcceptRequest) -> job_calls::AcceptReply {
         let deadline = deadline_of(request.wait_ms);
         let size = request.body.len();
         let full = self
             .driver
             .view(|state| state.fold.held_bytes() + size > self.settings.limits.max_held_bytes);
         if full {
-            return AcceptReply::NotAccepted(AcceptRefusal::Full);
+            return job_calls::AcceptReply::NotAccepted(job_calls::AcceptRefusal::Full);
         }
         let Some(seen) = self.driver.fresh_position(deadline).await else {
             let cause = appender::NotAppended::NotLoaded;
-            return AcceptReply::NotAccepted(AcceptRefusal::NotAppended(cause));
+            return job_calls::AcceptReply::NotAccepted(job_calls::AcceptRefusal::NotAppended(
+                cause,
+            ));
         };
         let body = match self.put_parts(request.entry, request.body, deadline).await {
             Ok(body) => body,
@@ -266,21 +95,21 @@
             .submit(request.entry, &entry, seen, deadline)
             .await
         {
-            Ok(jobs::JobVerdict::Accepted) => AcceptReply::Accepted,
+            Ok(jobs::JobVerdict::Accepted) => job_calls::AcceptReply::Accepted,
             // "Stale" is this fold's word: one that has read for longer may have accepted it.
-            Ok(_) | Err(driver::SubmitFault::Unsettled) => AcceptReply::Unknown,
+            Ok(_) | Err(driver::SubmitFault::Unsettled) => job_calls::AcceptReply::Unknown,
             Err(fault) => not_accepted(fault),
         }
     }
 
     /// Claims the oldest work that nobody does.
-    pub async fn take_next(&self, request: TakeRequest) -> TakeReply {
+    pub async fn take_next(&self, request: job_calls::TakeRequest) -> job_calls::TakeReply {
         let deadline = deadline_of(request.wait_ms);
         if self.driver.fresh_position(deadline).await.is_none() {
-            return TakeReply::Unavailable;
+            return job_calls::TakeReply::Unavailable;
         }
         let Some(picked) = self.pick(&request) else {
-            return TakeReply::Nothing;
+            return job_calls::TakeReply::Nothing;
         };
         let job = picked.grant.job;
         let entry = jobs::JobEntry::Claim(jobs::JobClaimItem {
@@ -293,14 +122,14 @@
             .submit(picked.grant.claim, &entry, picked.seen, deadline)
             .await;
         match submitted {
-            Ok(jobs::JobVerdict::Taken) => TakeReply::Taken(picked.grant.clone()),
-            Ok(_) => TakeReply::Nothing,
-            Err(_) => TakeReply::Unavailable,
+            Ok(jobs::JobVerdict::Taken) => job_calls::TakeReply::Taken(picked.grant.clone()),
+            Ok(_) => job_calls::TakeReply::Nothing,
+            Err(_) => job_calls::TakeReply::Unavailable,
         }
     }
 
     /// Reports that a holder is still at its work.
-    pub async fn renew(&self, request: RenewRequest) -> Vec<RenewState> {
+    pub async fn renew(&self, request: job_calls::RenewRequest) -> Vec<job_calls::RenewState> {
         let deadline = deadline_of(request.wait_ms);
         let renewals = request.entries.into_iter().map(|renewal| async move {
             let entry = jobs::JobEntry::Renew(renewal.item);
@@ -310,36 +139,40 @@
                 .submit(renewal.entry, &entry, seen, deadline)
                 .await
             {
-                Ok(jobs::JobVerdict::Renewed) => RenewState::Renewed,
-                Ok(_) => RenewState::Superseded,
-                Err(_) => RenewState::Unsettled,
+                Ok(jobs::JobVerdict::Renewed) => job_calls::RenewState::Renewed,
+                Ok(_) => job_calls::RenewState::Superseded,
+                Err(_) => job_calls::RenewState::Unsettled,
             }
         });
         future::join_all(renewals).await
     }
 
     /// Gives work back.
-    pub async fn release(&self, renewal: RenewEntry, wait_ms: u64) -> claim_store::RecordReply {
+    pub async fn release(
+        &self,
+        renewal: job_calls::RenewEntry,
+        wait_ms: u64,
+    ) -> claim_calls::RecordReply {
         let entry = jobs::JobEntry::Release(renewal.item);
         let seen = self.driver.position();
         let submitted = self
             .driver
             .submit(renewal.entry, &entry, seen, deadline_of(wait_ms));
         match submitted.await {
-            Ok(_) => claim_store::RecordReply::Recorded,
-            Err(_) => claim_store::RecordReply::NotRecorded,
+            Ok(_) => claim_calls::RecordReply::Recorded,
+            Err(_) => claim_calls::RecordReply::NotRecorded,
         }
     }
 
     /// Records a result: the reply comes when the log has decided whether it counts.
-    pub async fn finish(&self, request: FinishRequest) -> FinishReply {
+    pub async fn finish(&self, request: job_calls::FinishRequest) -> job_calls::FinishReply {
         let deadline = deadline_of(request.wait_ms);
         let seen = self.driver.position();
         let parted = self
             .put_parts(request.entry, request.result, deadline)
             .await;
         let Ok(result) = parted else {
-            return FinishReply::NotRecorded;
+            return job_calls::FinishReply::NotRecorded;
         };
         let entry = jobs::JobEntry::Finish(jobs::FinishItem {
             job: request.job,
@@ -351,24 +184,26 @@
             .submit(request.entry, &entry, seen, deadline)
             .await
         {
-            Ok(jobs::JobVerdict::Kept) => FinishReply::Kept,
-            Ok(jobs::JobVerdict::Superseded) => FinishReply::Superseded,
-            _ => FinishReply::NotRecorded,
+            Ok(jobs::JobVerdict::Kept) => job_calls::FinishReply::Kept,
+            Ok(jobs::JobVerdict::Superseded) => job_calls::FinishReply::Superseded,
+            _ => job_calls::FinishReply::NotRecorded,
         }
     }
 
     /// What is known of some work. "Not found" is said only after a read that shows the log's end:
     /// work that another process has just accepted would otherwise be denied to its caller.
-    pub async fn fetch(&self, job: id::RequestId, wait_ms: u64) -> FetchReply {
+    pub async fn fetch(&self, job: id::RequestId, wait_ms: u64) -> job_calls::FetchReply {
         let deadline = deadline_of(wait_ms);
         if let Some(view) = self.find(job) {
-            return FetchReply::Found(view);
+            return job_calls::FetchReply::Found(view);
         }
         if !self.driver.catch_up(deadline).await {
-            return FetchReply::Unavailable;
+            return job_calls::FetchReply::Unavailable;
         }
-        self.find(job)
-            .map_or(FetchReply::NotFound, FetchReply::Found)
+        self.find(job).map_or(
+            job_calls::FetchReply::NotFound,
+            job_calls::FetchReply::Found,
+        )
     }
 
     /// Records that a caller has the result, which then need not be kept for its whole time.
@@ -433,7 +268,7 @@
 
     /// Without a reading of the log's clock held work is tried too: the log decides, and the try
     /// gives a reading.
-    fn pick(&self, request: &TakeRequest) -> Option<PickedJob<'_, C>> {
+    fn pick(&self, request: &job_calls::TakeRequest) -> Option<PickedJob<'_, C>> {
         let now = time::Instant::now();
         let hold_ms = self.settings.limits.hold_ms;
         let mut reserved = self.reserved();
@@ -443,7 +278,7 @@
                 .fold
                 .open()
                 .find(|(job, work)| state.fold.is_free(work, at_ms) && !reserved.contains(job))?;
-            let grant = JobGrant {
+            let grant = job_calls::JobGrant {
                 job,
                 claim: record::derived_id(request.claim, job.0),
                 organisation: work.organisation.clone(),
@@ -460,7 +295,7 @@
         })
     }
 
-    fn find(&self, job: id::RequestId) -> Option<FoundJob> {
+    fn find(&self, job: id::RequestId) -> Option<job_calls::FoundJob> {
         self.driver.view(|state| {
             let work = state.fold.get(job)?;
             let view = match &work.stage {
@@ -471,7 +306,7 @@
                 }),
             };
             let organisation = work.organisation.clone();
-            Some(FoundJob { organisation, view })
+            Some(job_calls::FoundJob { organisation, view })
         })
     }
 
@@ -509,12 +344,12 @@
 }
 
 /// A part that may be on the log does no harm: without its owner it is forgotten.
-const fn not_accepted(fault: driver::SubmitFault) -> AcceptReply {
+const fn not_accepted(fault: driver::SubmitFault) -> job_calls::AcceptReply {
     let cause = match fault {
         driver::SubmitFault::NotAppended(cause) => cause,
         driver::SubmitFault::Unsettled => appender::NotAppended::TimedOut,
     };
-    AcceptReply::NotAccepted(AcceptRefusal::NotAppended(cause))
+    job_calls::AcceptReply::NotAccepted(job_calls::AcceptRefusal::NotAppended(cause))
 }
 
 fn carry_item(job: id::RequestId, work: &job_fold::JobState) -> jobs::CarryItem {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,12 +5,15 @@
 //! moment without loss.
 
 pub mod appender;
+pub mod claim_calls;
+pub mod claim_fold;
 pub mod claim_store;
 pub mod claims;
 pub mod client;
 pub mod driver;
 pub mod host;
 pub mod http;
+pub mod job_calls;
 pub mod job_fold;
 pub mod job_memory;
 pub mod job_store;
@@ -18,6 +21,7 @@
 pub mod memory;
 pub mod partition;
 pub mod parts;
+pub mod permit;
 pub mod record;
 pub mod route;
 pub mod seek;
--- a/crates/ledger/src/route.rs
+++ b/crates/ledger/src/route.rs
@@ -2,12 +2,12 @@
 
 use std::sync;
 
-use base::{fingerprint, id, outcome};
+use base::{id, outcome};
 use rand::SeedableRng as _;
 use tokio::{runtime, sync as tokio_sync, time};
 
 use crate::client::LogClient;
-use crate::{claim_store, claims, host, job_store, jobs, partition};
+use crate::{appender, claim_calls, claims, host, job_calls, jobs, partition, permit};
 
 /// The way to the other entry VMs.
 pub trait LedgerPeers: Clone + Send + Sync + 'static {
@@ -56,104 +56,6 @@
     }
 }
 
-/// Leave to send one non-idempotent call, once.
-///
-/// It is not `Clone`: whoever holds it is the only one who may send, and ends it with
-/// [`LedgerRouter::settle`]. When it is dropped instead, the key's outcome stays unknown.
-#[derive(Debug, PartialEq, Eq)]
-#[must_use = "a permit that is dropped leaves its key unknown"]
-pub struct SendPermit {
-    claim: id::RecordId,
-    organisation: String,
-    key: String,
-    /// Counted from before the claim was asked for, so that it passes on this clock no later than
-    /// other processes conclude that it has.
-    deadline: time::Instant,
-}
-
-impl SendPermit {
-    /// Whether the call may still leave. To be asked right before it is written to the server: a
-    /// process that was paused since the claim would otherwise send after its caller, or another
-    /// caller, was told that nothing more will happen.
-    #[must_use]
-    pub fn may_send(&self, now: time::Instant) -> bool {
-        now < self.deadline
-    }
-
-    /// The instant from which the call must not leave any more.
-    #[must_use]
-    pub const fn deadline(&self) -> time::Instant {
-        self.deadline
-    }
-
-    /// The claim.
-    #[must_use]
-    pub const fn claim(&self) -> id::RecordId {
-        self.claim
-    }
-}
-
-/// A call that wants to run at most once.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ClaimCall {
-    /// The organisation that the key belongs to.
-    pub organisation: String,
-    /// The idempotency key as the caller sent it.
-    pub key: String,
-    /// Hash of everything that makes the call this call: service, path, body.
-    pub content: fingerprint::ContentHash,
-}
-
-/// What the caller of a non-idempotent call gets.
-#[derive(Debug, PartialEq, Eq)]
-pub enum ClaimAnswer {
-    /// The call may be sent.
-    Fresh(SendPermit),
-    /// It ran before; this was its answer.
-    Stored(claims::StoredOutcome),
-    /// It is under way elsewhere.
-    InProgress,
-    /// It may have run; nobody will run it again.
-    Unknown,
-    /// The key was used for another content; this call did not run.
-    OtherContent,
-    /// This try did not run and will not.
-    Refused(ClaimRefused),
-}
-
-/// A try that did not run and will not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClaimRefused {
-    /// Why; absent when no entry VM could be asked.
-    pub cause: Option<claim_store::RefusalCause>,
-    /// What may be said of the key: `No` unless an earlier try may have run and can no longer be
-    /// asked about.
-    pub ran: outcome::RanState,
-}
-
-/// Work that this process does.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct JobTicket {
-    /// The work and its claim.
-    pub grant: job_store::JobGrant,
-    /// Counted from before the claim, or the last renewal that counts, was asked for.
-    deadline: time::Instant,
-}
-
-impl JobTicket {
-    /// Whether the holder may go on; others may have taken over when it may not.
-    #[must_use]
-    pub fn may_continue(&self, now: time::Instant) -> bool {
-        now < self.deadline
-    }
-
-    /// The instant by which the holder must have renewed, or stops.
-    #[must_use]
-    pub const fn deadline(&self) -> time::Instant {
-        self.deadline
-    }
-}
-
 /// Claims and deferrable work, wherever their partitions are appended.
 pub struct LedgerRouter<C, P> {
     host: sync::Arc<host::LedgerHost<C>>,
@@ -206,16 +108,16 @@
     }
 
     /// Claims a key for a call that this process would send.
-    pub async fn claim(&self, call: ClaimCall) -> ClaimAnswer {
+    pub async fn claim(&self, call: permit::ClaimCall) -> permit::ClaimAnswer {
         let limits = &self.host.settings().claims.limits;
         let deadline = time::Instant::now() + time::Duration::from_millis(limits.hold_ms);
-        let permit = SendPermit {
+        let permit = permit::SendPermit {
             claim: self.draw(),
             organisation: call.organisation.clone(),
             key: call.key.clone(),
             deadline,
         };
-        let request = host::LedgerRequest::Claim(claim_store::ClaimRequest {
+        let request = host::LedgerRequest::Claim(claim_calls::ClaimRequest {
             claim: permit.claim,
             organisation: call.organisation,
             key: call.key,
@@ -234,11 +136,11 @@
         self.claim_answer(permit, asked)
     }
 
-    fn claim_answer(&self, permit: SendPermit, asked: AskResult) -> ClaimAnswer {
-        let held = host::LedgerReply::Claim(claim_store::ClaimReply::Held);
+    fn claim_answer(&self, permit: permit::SendPermit, asked: AskResult) -> permit::ClaimAnswer {
+        let held = host::LedgerReply::Claim(claim_calls::ClaimReply::Held);
         let is_held = asked.reply.as_ref() == Some(&held);
         if is_held && permit.may_send(time::Instant::now()) {
-            return ClaimAnswer::Fresh(permit);
+            return permit::ClaimAnswer::Fresh(permit);
         }
         if is_held || asked.lost {
             self.withdraw(permit);
@@ -247,12 +149,12 @@
             return refused(None);
         };
         match reply {
-            claim_store::ClaimReply::Held => refused(Some(claim_store::RefusalCause::Unsettled)),
-            claim_store::ClaimReply::Stored(outcome) => ClaimAnswer::Stored(outcome),
-            claim_store::ClaimReply::InProgress => ClaimAnswer::InProgress,
-            claim_store::ClaimReply::Unknown => ClaimAnswer::Unknown,
-            claim_store::ClaimReply::OtherContent => ClaimAnswer::OtherContent,
-            claim_store::ClaimReply::Refused(refusal) => refused(Some(refusal.cause)),
+            claim_calls::ClaimReply::Held => refused(Some(claim_calls::RefusalCause::Unsettled)),
+            claim_calls::ClaimReply::Stored(outcome) => permit::ClaimAnswer::Stored(outcome),
+            claim_calls::ClaimReply::InProgress => permit::ClaimAnswer::InProgress,
+            claim_calls::ClaimReply::Unknown => permit::ClaimAnswer::Unknown,
+            claim_calls::ClaimReply::OtherContent => permit::ClaimAnswer::OtherContent,
+            claim_calls::ClaimReply::Refused(refusal) => refused(Some(refusal.cause)),
         }
     }
 
@@ -262,10 +164,10 @@
     /// `NotRun` is for a call that is *proved* not to have run, or was never sent.
     pub async fn settle(
         &self,
-        permit: SendPermit,
+        permit: permit::SendPermit,
         outcome: claims::SettledOutcome,
-    ) -> claim_store::RecordReply {
-        let request = host::LedgerRequest::Settle(claim_store::SettleRequest {
+    ) -> claim_calls::RecordReply {
+        let request = host::LedgerRequest::Settle(claim_calls::SettleRequest {
             entry: self.draw(),
             item: claims::SettleItem {
                 claim: permit.claim,
@@ -280,7 +182,7 @@
 
     /// Ends a claim that this process has decided never to use, so that its key does not stay
     /// unknown. Taking the permit by value makes sure that the call can no longer be sent.
-    fn withdraw(&self, permit: SendPermit) {
+    fn withdraw(&self, permit: permit::SendPermit) {
         let Ok(slot) = sync::Arc::clone(&self.withdrawals).try_acquire_owned() else {
             metrics::counter!("pollenchute_ledger_withdrawals_dropped_total").increment(1);
             return;
@@ -302,8 +204,8 @@
         organisation: &str,
         kept_ms: u64,
         body: bytes::Bytes,
-    ) -> job_store::AcceptReply {
-        let request = host::LedgerRequest::Accept(job_store::AcceptRequest {
+    ) -> job_calls::AcceptReply {
+        let request = host::LedgerRequest::Accept(job_calls::AcceptRequest {
             entry: self.draw(),
             job,
             organisation: organisation.to_owned(),
@@ -313,52 +215,55 @@
         });
         let asked = self.ask(&request, None).await;
         match asked.reply {
-            Some(host::LedgerReply::Accept(job_store::AcceptReply::NotAccepted(refusal)))
+            Some(host::LedgerReply::Accept(job_calls::AcceptReply::NotAccepted(refusal)))
                 if !asked.lost =>
             {
-                job_store::AcceptReply::NotAccepted(refusal)
+                job_calls::AcceptReply::NotAccepted(refusal)
             }
-            Some(host::LedgerReply::Accept(job_store::AcceptReply::Accepted)) => {
-                job_store::AcceptReply::Accepted
+            Some(host::LedgerReply::Accept(job_calls::AcceptReply::Accepted)) => {
+                job_calls::AcceptReply::Accepted
             }
             None if !asked.lost => {
-                let cause = crate::appender::NotAppended::Down;
-                job_store::AcceptReply::NotAccepted(job_store::AcceptRefusal::NotAppended(cause))
+                let cause = appender::NotAppended::Down;
+                job_calls::AcceptReply::NotAccepted(job_calls::AcceptRefusal::NotAppended(cause))
             }
-            _ => job_store::AcceptReply::Unknown,
+            _ => job_calls::AcceptReply::Unknown,
         }
     }
 
     /// Takes work from a partition; `None` when there is none that can be taken now.
-    pub async fn take_next(&self, partition: partition::PartitionIndex) -> Option<JobTicket> {
+    pub async fn take_next(
+        &self,
+        partition: partition::PartitionIndex,
+    ) -> Option<permit::JobTicket> {
         let asked_at = time::Instant::now();
         let request = host::LedgerRequest::Take(host::PartitionTake {
             partition,
-            request: job_store::TakeRequest {
+            request: job_calls::TakeRequest {
                 claim: self.draw(),
                 holder: self.host.vm().to_owned(),
                 wait_ms: self.try_ms(),
             },
         });
         let asked = self.ask(&request, None).await;
-        let Some(host::LedgerReply::Take(job_store::TakeReply::Taken(grant))) = asked.reply else {
+        let Some(host::LedgerReply::Take(job_calls::TakeReply::Taken(grant))) = asked.reply else {
             return None;
         };
         let deadline = asked_at + time::Duration::from_millis(grant.hold_ms);
-        Some(JobTicket { grant, deadline })
+        Some(permit::JobTicket { grant, deadline })
     }
 
     /// Renews work; a ticket whose renewal is not confirmed keeps its deadline. `Superseded`
     /// means that the work belongs to somebody else now: stop and throw away what was done.
-    pub async fn renew(&self, ticket: &mut JobTicket) -> job_store::RenewState {
+    pub async fn renew(&self, ticket: &mut permit::JobTicket) -> job_calls::RenewState {
         let asked_at = time::Instant::now();
-        let entry = job_store::RenewEntry {
+        let entry = job_calls::RenewEntry {
             entry: self.draw(),
             item: holder_item(ticket),
         };
         let request = host::LedgerRequest::Renew(host::PartitionRenew {
             partition: partition::of_request(ticket.grant.job),
-            request: job_store::RenewRequest {
+            request: job_calls::RenewRequest {
                 entries: vec![entry],
                 wait_ms: self.try_ms(),
             },
@@ -368,8 +273,8 @@
             Some(host::LedgerReply::Renew(states)) => states.first().copied(),
             _ => None,
         };
-        let state = state.unwrap_or(job_store::RenewState::Unsettled);
-        if state == job_store::RenewState::Renewed {
+        let state = state.unwrap_or(job_calls::RenewState::Unsettled);
+        if state == job_calls::RenewState::Renewed {
             let hold = time::Duration::from_millis(ticket.grant.hold_ms);
             ticket.deadline = ticket.deadline.max(asked_at + hold);
         }
@@ -377,9 +282,9 @@
     }
 
     /// Gives work back, for instance when this process leaves.
-    pub async fn release(&self, ticket: JobTicket) -> claim_store::RecordReply {
+    pub async fn release(&self, ticket: permit::JobTicket) -> claim_calls::RecordReply {
         let request = host::LedgerRequest::Release(host::ReleaseRequest {
-            renewal: job_store::RenewEntry {
+            renewal: job_calls::RenewEntry {
                 entry: self.draw(),
                 item: holder_item(&ticket),
             },
@@ -389,8 +294,12 @@
     }
 
     /// Records a result, again and again until the log has decided or the time for it is up.
-    pub async fn finish(&self, ticket: &JobTicket, result: bytes::Bytes) -> job_store::FinishReply {
-        let request = host::LedgerRequest::Finish(job_store::FinishRequest {
+    pub async fn finish(
+        &self,
+        ticket: &permit::JobTicket,
+        result: bytes::Bytes,
+    ) -> job_calls::FinishReply {
+        let request = host::LedgerRequest::Finish(job_calls::FinishRequest {
             entry: self.draw(),
             job: ticket.grant.job,
             claim: ticket.grant.claim,
@@ -400,38 +309,38 @@
         let until = time::Instant::now() + self.settings.report_limit;
         loop {
             match self.ask(&request, Some(until)).await.reply {
-                Some(host::LedgerReply::Finish(job_store::FinishReply::NotRecorded)) | None => {}
+                Some(host::LedgerReply::Finish(job_calls::FinishReply::NotRecorded)) | None => {}
                 Some(host::LedgerReply::Finish(reply)) => return reply,
-                Some(_) => return job_store::FinishReply::NotRecorded,
+                Some(_) => return job_calls::FinishReply::NotRecorded,
             }
             if time::Instant::now() + self.settings.report_pause >= until {
-                return job_store::FinishReply::NotRecorded;
+                return job_calls::FinishReply::NotRecorded;
             }
             time::sleep(self.settings.report_pause).await;
         }
     }
 
     /// Asks about work.
-    pub async fn fetch(&self, job: id::RequestId) -> job_store::FetchReply {
+    pub async fn fetch(&self, job: id::RequestId) -> job_calls::FetchReply {
         let request = host::LedgerRequest::Fetch(host::FetchRequest {
             job,
             wait_ms: self.try_ms(),
         });
         match self.ask(&request, None).await.reply {
             Some(host::LedgerReply::Fetch(reply)) => reply,
-            _ => job_store::FetchReply::Unavailable,
+            _ => job_calls::FetchReply::Unavailable,
         }
     }
 
-    async fn report(&self, request: &host::LedgerRequest) -> claim_store::RecordReply {
+    async fn report(&self, request: &host::LedgerRequest) -> claim_calls::RecordReply {
         let until = time::Instant::now() + self.settings.report_limit;
-        let recorded = host::LedgerReply::Recorded(claim_store::RecordReply::Recorded);
+        let recorded = host::LedgerReply::Recorded(claim_calls::RecordReply::Recorded);
         loop {
             if self.ask(request, Some(until)).await.reply.as_ref() == Some(&recorded) {
-                return claim_store::RecordReply::Recorded;
+                return claim_calls::RecordReply::Recorded;
             }
             if time::Instant::now() + self.settings.report_pause >= until {
-                return claim_store::RecordReply::NotRecorded;
+                return claim_calls::RecordReply::NotRecorded;
             }
             time::sleep(self.settings.report_pause).await;
         }
@@ -461,8 +370,8 @@
             }
             match self.ask_one(&vm, request, left).await {
                 Ok(reply) => {
-                    let usable = could_use_log(&reply);
-                    result.lost |= may_have_taken_effect(&reply);
+                    let usable = reply.could_use_log();
+                    result.lost |= reply.may_have_taken_effect();
                     result.reply = Some(reply);
                     if usable {
                         break;
@@ -516,7 +425,7 @@
 /// Ends the claim of a caller that went away while it was asked for.
 struct WithdrawGuard<'a, C: LogClient, P: LedgerPeers> {
     router: &'a LedgerRouter<C, P>,
-    permit: Option<SendPermit>,
+    permit: Option<permit::SendPermit>,
 }
 
 impl<C: LogClient, P: LedgerPeers> Drop for WithdrawGuard<'_, C, P> {
@@ -527,46 +436,14 @@
     }
 }
 
-fn refused(cause: Option<claim_store::RefusalCause>) -> ClaimAnswer {
-    let ran = cause.map_or(outcome::RanState::No, claim_store::RefusalCause::ran);
-    ClaimAnswer::Refused(ClaimRefused { cause, ran })
+fn refused(cause: Option<claim_calls::RefusalCause>) -> permit::ClaimAnswer {
+    let ran = cause.map_or(outcome::RanState::No, claim_calls::RefusalCause::ran);
+    permit::ClaimAnswer::Refused(permit::ClaimRefused { cause, ran })
 }
 
-const fn holder_item(ticket: &JobTicket) -> jobs::HolderItem {
+const fn holder_item(ticket: &permit::JobTicket) -> jobs::HolderItem {
     jobs::HolderItem {
         job: ticket.grant.job,
         claim: ticket.grant.claim,
     }
 }
-
-/// Whether the replying VM could use the log, so that asking another one would not help.
-fn could_use_log(reply: &host::LedgerReply) -> bool {
-    match reply {
-        host::LedgerReply::Claim(claim_store::ClaimReply::Refused(refusal)) => !matches!(
-            refusal.cause,
-            claim_store::RefusalCause::NotAppended(_) | claim_store::RefusalCause::Unsettled
-        ),
-        host::LedgerReply::Recorded(state) => *state == claim_store::RecordReply::Recorded,
-        host::LedgerReply::Accept(state) => !matches!(
-            state,
-            job_store::AcceptReply::NotAccepted(job_store::AcceptRefusal::NotAppended(_))
-                | job_store::AcceptReply::Unknown
-        ),
-        host::LedgerReply::Take(state) => *state != job_store::TakeReply::Unavailable,
-        host::LedgerReply::Renew(states) => !states.contains(&job_store::RenewState::Unsettled),
-        host::LedgerReply::Finish(state) => *state != job_store::FinishReply::NotRecorded,
-        host::LedgerReply::Fetch(state) => *state != job_store::FetchReply::Unavailable,
-        host::LedgerReply::Claim(_) => true,
-    }
-}
-
-/// Whether the replying VM may have put on the log what was asked.
-fn may_have_taken_effect(reply: &host::LedgerReply) -> bool {
-    match reply {
-        host::LedgerReply::Claim(claim_store::ClaimReply::Refused(refusal)) => {
-            refusal.may_be_on_log
-        }
-        host::LedgerReply::Accept(state) => *state == job_store::AcceptReply::Unknown,
-        _ => false,
-    }
-}
--- a/crates/ledger/tests/claim_driver.rs
+++ b/crates/ledger/tests/claim_driver.rs
@@ -5,7 +5,7 @@
 use std::sync;
 
 use base::{fingerprint, id, outcome};
-use ledger::{appender, claim_store, claims, host, memory, route};
+use ledger::{appender, claim_calls, claims, host, memory, permit, route};
 use tokio::time;
 
 fn router_world() -> world::World {
@@ -15,8 +15,8 @@
     world
 }
 
-fn call(key: &str) -> route::ClaimCall {
-    route::ClaimCall {
+fn call(key: &str) -> permit::ClaimCall {
+    permit::ClaimCall {
         organisation: String::from("depot-3"),
         key: key.to_owned(),
         content: fingerprint::ContentHash::of(b"book"),
@@ -47,27 +47,27 @@
         let world = router_world();
         let router = &world.vms[0].router;
         let first = router.claim(call("1000000-a")).await;
-        let route::ClaimAnswer::Fresh(permit) = first else {
+        let permit::ClaimAnswer::Fresh(permit) = first else {
             panic!("{first:?}");
         };
         router.settle(permit, ran()).await;
         world.log.change_faults(|faults| faults.down = true);
         let begun = time::Instant::now();
         let refused = router.claim(call("1000000-b")).await;
-        let route::ClaimAnswer::Refused(refusal) = refused else {
+        let permit::ClaimAnswer::Refused(refusal) = refused else {
             panic!("{refused:?}");
         };
         assert_eq!(refusal.ran, outcome::RanState::No);
         assert!(begun.elapsed() < time::Duration::from_secs(1));
         let repeated = router.claim(call("1000000-a")).await;
         assert!(
-            matches!(repeated, route::ClaimAnswer::Stored(_)),
+            matches!(repeated, permit::ClaimAnswer::Stored(_)),
             "{repeated:?}"
         );
         world.heal();
         time::sleep(time::Duration::from_secs(2)).await;
         let again = router.claim(call("1000000-b")).await;
-        assert!(matches!(again, route::ClaimAnswer::Fresh(_)), "{again:?}");
+        assert!(matches!(again, permit::ClaimAnswer::Fresh(_)), "{again:?}");
     });
 }
 
@@ -80,7 +80,10 @@
         let world = router_world();
         world.log.change_faults(|faults| faults.lose_answer = 1.0);
         let answer = world.vms[0].router.claim(call("1000000-a")).await;
-        assert!(matches!(answer, route::ClaimAnswer::Fresh(_)), "{answer:?}");
+        assert!(
+            matches!(answer, permit::ClaimAnswer::Fresh(_)),
+            "{answer:?}"
+        );
         time::sleep(time::Duration::from_secs(5)).await;
         assert_eq!(record_count(&world.log), 1);
     });
@@ -99,7 +102,10 @@
         time::sleep(time::Duration::from_millis(100)).await;
         world.heal();
         let answer = asked.await.expect("an answer");
-        assert!(matches!(answer, route::ClaimAnswer::Fresh(_)), "{answer:?}");
+        assert!(
+            matches!(answer, permit::ClaimAnswer::Fresh(_)),
+            "{answer:?}"
+        );
     });
 }
 
@@ -118,7 +124,10 @@
         }
         for answer in asked {
             let answer = answer.await.expect("an answer");
-            assert!(matches!(answer, route::ClaimAnswer::Fresh(_)), "{answer:?}");
+            assert!(
+                matches!(answer, permit::ClaimAnswer::Fresh(_)),
+                "{answer:?}"
+            );
         }
         let appended = world.log.counts().appended;
         assert!(appended <= 12, "{appended} appends for 400 claims");
@@ -142,7 +151,7 @@
         let mut asked = Vec::new();
         for number in 0..10 {
             let host = sync::Arc::clone(&host);
-            let request = host::LedgerRequest::Claim(claim_store::ClaimRequest {
+            let request = host::LedgerRequest::Claim(claim_calls::ClaimRequest {
                 claim: id::RecordId(number),
                 organisation: String::from("depot-3"),
                 key: String::from("1000000-same"),
@@ -154,9 +163,9 @@
         }
         let mut refused = 0;
         for reply in asked {
-            let full = claim_store::RefusalCause::NotAppended(appender::NotAppended::QueueFull);
+            let full = claim_calls::RefusalCause::NotAppended(appender::NotAppended::QueueFull);
             let reply = reply.await.expect("a reply");
-            if let host::LedgerReply::Claim(claim_store::ClaimReply::Refused(refusal)) = reply {
+            if let host::LedgerReply::Claim(claim_calls::ClaimReply::Refused(refusal)) = reply {
                 refused += usize::from(refusal.cause == full);
             }
         }
@@ -177,6 +186,6 @@
         asked.abort();
         time::sleep(time::Duration::from_secs(1)).await;
         let again = world.vms[0].router.claim(call("1000000-a")).await;
-        assert!(matches!(again, route::ClaimAnswer::Fresh(_)), "{again:?}");
+        assert!(matches!(again, permit::ClaimAnswer::Fresh(_)), "{again:?}");
     });
 }
--- a/crates/ledger/tests/claim_fold.rs
+++ b/crates/ledger/tests/claim_fold.rs
@@ -2,12 +2,12 @@
 
 use base::{fingerprint, id};
 use ledger::driver::LogFold as _;
-use ledger::{claims, record};
+use ledger::{claim_fold, claims, record};
 
 const KEY: &str = "1000000-pass";
 
-fn fold() -> claims::ClaimFold {
-    claims::ClaimFold::new(claims::ClaimLimits::default())
+fn fold() -> claim_fold::ClaimFold {
+    claim_fold::ClaimFold::new(claims::ClaimLimits::default())
 }
 
 fn claim(key: &str, content: &str) -> claims::ClaimEntry {
@@ -39,7 +39,7 @@
 }
 
 fn put(
-    fold: &mut claims::ClaimFold,
+    fold: &mut claim_fold::ClaimFold,
     at_ms: u64,
     number: u128,
     item: claims::ClaimEntry,
--- a/crates/ledger/tests/claims_fuzz.rs
+++ b/crates/ledger/tests/claims_fuzz.rs
@@ -6,7 +6,7 @@
 
 use arbitrary::Unstructured;
 use base::fingerprint;
-use ledger::{appender, claim_store, claims, host, route};
+use ledger::{appender, claim_store, claims, host, permit, route};
 use tokio::time;
 
 const ORGANISATION: &str = "troupe-7";
@@ -136,6 +136,8 @@
     service: u8,
     /// The holder forgets to report.
     silent: bool,
+    /// How often the caller asks again while it is told that the call is under way.
+    repeats: u8,
 }
 
 struct TryCall {
@@ -145,29 +147,37 @@
 }
 
 async fn call(router: world::TestRouter, witness: Witness, call: TryCall) {
-    let answer = router
-        .claim(route::ClaimCall {
-            organisation: ORGANISATION.to_owned(),
-            key: call.key.clone(),
-            content: fingerprint::ContentHash::of(call.key.as_bytes()),
-        })
-        .await;
+    let asked = permit::ClaimCall {
+        organisation: ORGANISATION.to_owned(),
+        key: call.key.clone(),
+        content: fingerprint::ContentHash::of(call.key.as_bytes()),
+    };
+    let mut answer = router.claim(asked.clone()).await;
+    for _ in 0..call.fate.repeats {
+        if answer != permit::ClaimAnswer::InProgress {
+            break;
+        }
+        time::sleep(time::Duration::from_millis(150)).await;
+        answer = router.claim(asked.clone()).await;
+    }
     let told = match answer {
-        route::ClaimAnswer::Fresh(permit) => send(&router, &witness, permit, &call).await,
-        route::ClaimAnswer::Stored(outcome) => {
+        permit::ClaimAnswer::Fresh(permit) => send(&router, &witness, permit, &call).await,
+        permit::ClaimAnswer::Stored(outcome) => {
             let body = outcome.body.expect("a small body is kept");
             let text = String::from_utf8(body.0.to_vec()).expect("text");
             ToldAnswer::Whole {
                 of: text.parse().expect("a number"),
             }
         }
-        route::ClaimAnswer::Unknown => ToldAnswer::Unknown,
-        route::ClaimAnswer::Refused(refused) if refused.ran == base::outcome::RanState::Unknown => {
+        permit::ClaimAnswer::Unknown => ToldAnswer::Unknown,
+        permit::ClaimAnswer::Refused(refused)
+            if refused.ran == base::outcome::RanState::Unknown =>
+        {
             ToldAnswer::Expired
         }
-        route::ClaimAnswer::InProgress
-        | route::ClaimAnswer::OtherContent
-        | route::ClaimAnswer::Refused(_) => ToldAnswer::NotRun,
+        permit::ClaimAnswer::InProgress
+        | permit::ClaimAnswer::OtherContent
+        | permit::ClaimAnswer::Refused(_) => ToldAnswer::NotRun,
     };
     witness.note(SeenEvent::Told {
         key: call.key,
@@ -179,7 +189,7 @@
 async fn send(
     router: &world::TestRouter,
     witness: &Witness,
-    permit: route::SendPermit,
+    permit: permit::SendPermit,
     call: &TryCall,
 ) -> ToldAnswer {
     time::sleep(time::Duration::from_millis(call.fate.pause_ms)).await;
@@ -212,7 +222,7 @@
 
 fn settle(
     router: &world::TestRouter,
-    permit: route::SendPermit,
+    permit: permit::SendPermit,
     outcome: claims::SettledOutcome,
     fate: TryFate,
 ) {
@@ -279,6 +289,7 @@
         pause_ms,
         service: u.int_in_range(0..=5)?,
         silent: u.ratio(1, 8)?,
+        repeats: if u.ratio(1, 3)? { 20 } else { 0 },
     })
 }
 
@@ -293,6 +304,7 @@
             pause_ms: 0,
             service: 5,
             silent: false,
+            repeats: 0,
         };
         let last = TryCall { key, attempt, fate };
         call(vm.router.clone(), witness.clone(), last).await;
--- a/crates/ledger/tests/jobs_fuzz.rs
+++ b/crates/ledger/tests/jobs_fuzz.rs
@@ -6,7 +6,7 @@
 
 use arbitrary::Unstructured;
 use base::id;
-use ledger::{appender, host, job_store, jobs, partition, route};
+use ledger::{appender, host, job_calls, job_store, jobs, partition, permit, route};
 use rand::SeedableRng as _;
 use tokio::{task, time};
 
@@ -133,9 +133,9 @@
     witness.note(job, |seen| {
         seen.kept_ms = kept_ms;
         match reply {
-            job_store::AcceptReply::Accepted => seen.accepted = true,
-            job_store::AcceptReply::NotAccepted(_) => seen.refused = true,
-            job_store::AcceptReply::Unknown => {}
+            job_calls::AcceptReply::Accepted => seen.accepted = true,
+            job_calls::AcceptReply::NotAccepted(_) => seen.refused = true,
+            job_calls::AcceptReply::Unknown => {}
         }
     });
 }
@@ -165,7 +165,7 @@
         time::sleep(time::Duration::from_millis(fate.step_ms)).await;
         let late = !ticket.may_continue(time::Instant::now());
         let state = router.renew(&mut ticket).await;
-        if late || state == job_store::RenewState::Superseded {
+        if late || state == job_calls::RenewState::Superseded {
             break;
         }
         witness.note(job, |seen| seen.spans[index].until = ticket.deadline());
@@ -179,7 +179,7 @@
     } else if !fate.dies {
         let result = format!("the whole answer of {claim}");
         let reply = router.finish(&ticket, result.clone().into()).await;
-        if reply == job_store::FinishReply::Kept {
+        if reply == job_calls::FinishReply::Kept {
             witness.note(job, |seen| {
                 seen.kept.insert(result);
             });
@@ -188,7 +188,7 @@
     true
 }
 
-fn note_span(witness: &Witness, ticket: &route::JobTicket, from: time::Instant) -> usize {
+fn note_span(witness: &Witness, ticket: &permit::JobTicket, from: time::Instant) -> usize {
     let mut index = 0;
     witness.note(ticket.grant.job, |seen| {
         index = seen.spans.len();
@@ -204,7 +204,7 @@
     let accepted = witness.jobs().get(&job).is_some_and(|seen| seen.accepted);
     let reply = router.fetch(job).await;
     match reply {
-        job_store::FetchReply::Found(job_store::FoundJob {
+        job_calls::FetchReply::Found(job_calls::FoundJob {
             view: jobs::JobView::Finished(result),
             organisation,
         }) => {
@@ -214,7 +214,7 @@
                 seen.fetched.insert(text);
             });
         }
-        job_store::FetchReply::NotFound if accepted => {
+        job_calls::FetchReply::NotFound if accepted => {
             witness.note(job, |seen| seen.denied = true);
         }
         _ => {}
