Models are placed by whoever holds the leases; a version rolls out under requests

Cause: leases, orders and the comparison stood without a daemon to run them. Change: a controller holds leases with the others, reads engines, compares, probes the weight store and gives fenced or unfenced orders; status shows leases and placement.

--- a/crates/entry/src/assemble.rs
+++ b/crates/entry/src/assemble.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     adapt::{claims, identity as identity_port, jobs, peers, quota, schedule},
-    chronicle, configure, daemon, digests, follow, members, membership, peer_service, ports,
-    roster, settings, sight, state, vm_list, watch,
+    chronicle, configure, daemon, digests, follow, members, membership, peer_service, placement,
+    ports, roster, settings, sight, state, vm_list, watch,
 };
 
 /// Largest part of the time line's ring, in bytes.
@@ -112,6 +112,19 @@
         ))
     }
 
+    /// Calls to other entry VMs.
+    fn caller(&self, stamper: &wire::stamper::MessageStamper) -> peers::PeerCaller {
+        peers::PeerCaller::new(
+            wire::client::PeerClient::new(
+                self.identity.clone(),
+                self.keys.clone(),
+                wire::client::ClientLimits::default(),
+            )
+            .with_stamper(stamper.clone()),
+            sync::Arc::clone(&self.members),
+        )
+    }
+
     fn own_place(&self) -> sight::OwnPlace {
         sight::OwnPlace {
             vm: self.settings.vm.clone(),
@@ -166,15 +179,7 @@
     )
     .await
     .context(daemon::GossipSnafu)?;
-    let caller = peers::PeerCaller::new(
-        wire::client::PeerClient::new(
-            base.identity.clone(),
-            base.keys.clone(),
-            wire::client::ClientLimits::default(),
-        )
-        .with_stamper(stamper.clone()),
-        sync::Arc::clone(&base.members),
-    );
+    let caller = base.caller(&stamper);
     let (views, view) = channel::channel(sync::Arc::new(view::PlaneView::default()));
     let (plane, host) = base.plane(view, caller.clone())?;
     let service = peer_service::EntryPeerService {
@@ -198,6 +203,7 @@
         base.own_place(),
         views,
     ));
+    let (leases, board) = spawn_placing(&base, controllers)?;
     Ok(state::EntryState {
         settings: base.settings,
         incarnation: base.identity.incarnation,
@@ -205,6 +211,8 @@
         roster: base.roster,
         members: base.members,
         chronicle: base.chronicle,
+        leases,
+        placement: board,
         driver: base.driver,
         plane,
         log: base.log,
@@ -283,6 +291,41 @@
     Ok(())
 }
 
+type LeaseDriver = lease::driver::LeaseDriver<ledger::http::HttpLog>;
+type PlacingParts = (sync::Arc<LeaseDriver>, sync::Arc<placement::PlacementBoard>);
+
+/// Starts to hold leases and to place models.
+fn spawn_placing(
+    base: &Foundation,
+    controllers: &mut task::JoinSet<()>,
+) -> Result<PlacingParts, daemon::StartError> {
+    let leases = start_leases(base)?;
+    let board = sync::Arc::new(placement::PlacementBoard::default());
+    let placing = placement::PlacementController {
+        leases: sync::Arc::clone(&leases),
+        book: sync::Arc::clone(&base.book),
+        members: sync::Arc::clone(&base.members),
+        board: sync::Arc::clone(&board),
+        chronicle: base.chronicle.clone(),
+        http: client()?,
+        weight_store: format!("http://{}", base.settings.platform.weight_store),
+        vm: base.settings.vm.clone(),
+        region: base.settings.region.clone(),
+    };
+    controllers.spawn(placing.run());
+    Ok((leases, board))
+}
+
+fn start_leases(base: &Foundation) -> Result<sync::Arc<LeaseDriver>, daemon::StartError> {
+    let limits = lease::limits::LeaseLimits::default();
+    let started = lease::driver::LeaseDriver::start(base.log.clone(), &base.settings.vm, limits);
+    let leases = started.map_err(|error| daemon::StartError::Settings {
+        what: "the limits of leases contradict one another".to_owned(),
+        remedy: error.to_string(),
+    })?;
+    Ok(sync::Arc::new(leases))
+}
+
 /// Listens for frames; datagrams then arrive at the same number.
 async fn listen_for_peers(
     address: net::SocketAddr,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod members;
 pub mod membership;
 pub mod peer_service;
+pub mod placement;
 pub mod ports;
 pub mod publish;
 pub mod roster;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -4,6 +4,7 @@
 
 use base::{id, ops};
 use conf::snapshot;
+use lease::choice;
 
 /// One entry VM as this process sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -158,6 +159,25 @@
             .collect()
     }
 
+    /// The other members that answer, with their regions.
+    #[must_use]
+    pub fn live_regions(&self) -> Vec<choice::RegionMember> {
+        let table = self.read();
+        let others = table.values().filter(|member| member.status.vm != self.own);
+        others
+            .filter(|member| {
+                matches!(
+                    member.status.state,
+                    ops::HealthState::Up | ops::HealthState::Suspect
+                )
+            })
+            .map(|member| choice::RegionMember {
+                name: member.status.vm.clone(),
+                region: member.status.region.clone(),
+            })
+            .collect()
+    }
+
     /// All that is known, by name.
     #[must_use]
     pub fn list(&self) -> Vec<ops::MemberStatus> {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,10 +6,9 @@
 use conf::snapshot;
 use flow::plane;
 
-use crate::{chronicle, configure, http::head, members, ports, roster, settings};
+use crate::{chronicle, configure, http::head, members, placement, ports, roster, settings};
 
 /// Everything that runs in one daemon.
-#[derive(Debug)]
 pub struct EntryState {
     /// The daemon's own settings; the same for its whole life.
     pub settings: settings::DaemonSettings,
@@ -23,6 +22,10 @@
     pub members: sync::Arc<members::MemberTable>,
     /// The time line of this process.
     pub chronicle: chronicle::Chronicle,
+    /// Leases on engines and models.
+    pub leases: sync::Arc<lease::driver::LeaseDriver<ledger::http::HttpLog>>,
+    /// Models on engines, as this VM last found them while it placed them.
+    pub placement: sync::Arc<placement::PlacementBoard>,
     /// The decision core.
     pub driver: sched::driver::Driver,
     /// The request plane.
@@ -37,6 +40,15 @@
     pub metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
 }
 
+impl std::fmt::Debug for EntryState {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("EntryState")
+            .field("vm", &self.settings.vm)
+            .finish_non_exhaustive()
+    }
+}
+
 impl EntryState {
     /// Whether this daemon takes requests.
     #[must_use]
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -23,9 +23,9 @@
         log: vec![entry.book.log_status(now_ms)],
         members: entry.members.list(),
         servers: entry.roster.status(&snapshot, time::Instant::now()),
-        placement: Vec::new(),
+        placement: entry.placement.rows(),
         queues: queues(entry),
-        leases: Vec::new(),
+        leases: entry.leases.status(),
         quarantine: entry.plane.suspects().list(now_ms),
         journal: ops::JournalStatus {
             events: usage.events as u64,
