A state is handed over as of now, not as of the last change

Symptom: a VM that was cut off until the log dropped what it lacks would fetch the whole state every second and never be up to date. Cause: an entry VM offered the offset that it had reached but handed over the text made at its last change, whose offset the log no longer has. Ruled out: the follower, which takes what is newer. Change: the entry's book renews the text when a fetch begins; a follower that was given less than was offered forgets that offer.

--- a/crates/conf/src/follow.rs
+++ b/crates/conf/src/follow.rs
@@ -253,6 +253,9 @@
                 if self.adopt(state, peer, actions) {
                     self.is_proved = true;
                     self.keeper.take_cover(transfer.cover);
+                } else {
+                    // It gave less than it offered; asking again at once would bring the same.
+                    self.peers.forget(peer);
                 }
             }
             Err(error) => {
--- a/crates/entry/src/configure.rs
+++ b/crates/entry/src/configure.rs
@@ -168,6 +168,23 @@
         self.lock().transfer.clone()
     }
 
+    /// What other entry VMs are handed, renewed when the log went on since it was made.
+    ///
+    /// Without it, a VM that was cut off until the log dropped what it lacks is handed a state as
+    /// old as the last change, from which it cannot read on, and fetches it again and again.
+    #[must_use]
+    pub fn renewed_transfer(&self) -> Option<sync::Arc<transfer::StateTransfer>> {
+        let mut book = self.lock();
+        let old = book.transfer.clone()?;
+        let state = book.state.as_ref()?;
+        if state.offset() <= old.offer.offset {
+            return Some(old);
+        }
+        let renewed = sync::Arc::new(transfer::StateTransfer::new(state, old.cover));
+        book.transfer = Some(sync::Arc::clone(&renewed));
+        Some(renewed)
+    }
+
     /// What other entry VMs are told is in force here.
     #[must_use]
     pub fn offer(&self) -> Option<offer::StateOffer> {
@@ -279,3 +296,6 @@
         other => format!("{other:?}"),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/entry/src/configure/tests.rs
@@ -0,0 +1,46 @@
+//! What other entry VMs are handed.
+
+use base::id;
+use conf::{change, document, event, keeper, sample, state, transfer};
+
+use super::ConfigBook;
+
+/// Symptom: a VM that was cut off fetches 5 MB every second and is never up to date.
+/// Sequence: the log goes on without a change of revision (checkpoints, refused changes) until
+/// retention drops all that the VM lacks; it asks another VM for the state.
+/// Cause: the state was handed over as of the last change, from whose offset the log is gone.
+#[test]
+fn a_state_is_handed_over_as_of_now_and_not_as_of_the_last_change() {
+    let mut state = state::ConfigState::new();
+    let patch = change::difference(
+        &document::Configuration::default(),
+        &sample::configuration(sample::SampleSize::TODAY),
+    );
+    let (author, comment) = (String::new(), String::new());
+    let first = change::ConfigChange {
+        id: id::RecordId(1),
+        base_revision: 0,
+        author,
+        comment,
+        patch,
+    };
+    state.apply(0, &first.records()[0]);
+    let book = ConfigBook::default();
+    let given = transfer::StateTransfer::new(&state, keeper::LogCover::default());
+    book.put_in_force(&state, Some(given), "log");
+    for offset in 1..40 {
+        state.apply(offset, b"not a change");
+    }
+    book.advance(&state, event::ReadyState::Ready);
+    let offsets = |transfer: Option<_>| {
+        transfer.map(|transfer: std::sync::Arc<transfer::StateTransfer>| {
+            (
+                transfer.offer.offset,
+                transfer.state().expect("whole").offset(),
+            )
+        })
+    };
+    assert_eq!(offsets(book.renewed_transfer()), Some((40, 40)));
+    // The parts of a fetch that is under way come from the same state.
+    assert_eq!(offsets(book.transfer()), Some((40, 40)));
+}
--- a/crates/entry/src/peer_service.rs
+++ b/crates/entry/src/peer_service.rs
@@ -50,7 +50,12 @@
         &self,
         from_byte: u64,
     ) -> Result<peer::ConfigurationAnswer, server::CallFailure> {
-        let Some(transfer) = self.book.transfer() else {
+        let transfer = if from_byte == 0 {
+            self.book.renewed_transfer()
+        } else {
+            self.book.transfer()
+        };
+        let Some(transfer) = transfer else {
             let message = "no configuration is in force here; ask another entry VM";
             return Err(failure(peer::FailureKind::Refused, message));
         };
