--- a/crates/flow/benches/relay.rs
+++ b/crates/flow/benches/relay/main.rs
@@ -2,16 +2,18 @@
 //!
 //! Compare the lines of one run with one another; the machine's own speed is in all of them.
 
-use std::{collections, fs, future, net, sync, time::Instant};
+mod latency;
+mod ports;
 
-use base::{fingerprint, id};
+use std::{fs, future, net, time::Instant};
+
+use base::id;
 use bytes::BytesMut;
-use conf::{document, inventory, snapshot};
-use flow::{
-    body, books, chunk, fault, memory, plane, port, proof, request, settings, sse, token, view,
-};
+use flow::{body, chunk, fault, port, proof, sse};
 use futures_util::StreamExt as _;
-use tokio::sync::watch;
+
+/// Nothing listens there.
+const NOWHERE: net::SocketAddr = net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 1);
 
 /// Tokens of each measured loop.
 const TOKENS: u32 = 400_000;
@@ -59,6 +61,8 @@
         "memory of an open stream: {} bytes ({OPEN_STREAMS} streams)",
         open_stream_bytes()
     );
+    println!();
+    latency::print_table();
 }
 
 fn per_token<F: FnOnce()>(measured: F) -> f64 {
@@ -146,139 +150,6 @@
     }
 }
 
-struct NoServices;
-
-impl port::ServiceLink for NoServices {
-    async fn call(
-        &self,
-        _target: &port::ServerTarget,
-        _call: &port::ServiceCall,
-        _time_left: std::time::Duration,
-        _permit: proof::SendPermit,
-    ) -> Result<port::ServiceAnswer, fault::CallFault> {
-        future::pending().await
-    }
-}
-
-struct BenchPorts {
-    engines: ReadyEngines,
-    schedule: memory::MemorySchedule,
-    claims: books::MemoryClaims,
-    jobs: books::MemoryJobs,
-}
-
-impl port::PortSet for BenchPorts {
-    type Engines = ReadyEngines;
-    type Services = NoServices;
-    type Schedule = memory::MemorySchedule;
-    type Quotas = memory::NoQuotas;
-    type Claims = books::MemoryClaims;
-    type Jobs = books::MemoryJobs;
-    type Events = memory::NoEvents;
-    type Clock = memory::SystemClock;
-    type Ids = memory::RandomIds;
-    type Peers = memory::NoPeers;
-
-    fn engines(&self) -> &ReadyEngines {
-        &self.engines
-    }
-    fn services(&self) -> &NoServices {
-        &NoServices
-    }
-    fn schedule(&self) -> &memory::MemorySchedule {
-        &self.schedule
-    }
-    fn quotas(&self) -> &memory::NoQuotas {
-        &memory::NoQuotas
-    }
-    fn claims(&self) -> &books::MemoryClaims {
-        &self.claims
-    }
-    fn jobs(&self) -> &books::MemoryJobs {
-        &self.jobs
-    }
-    fn events(&self) -> &memory::NoEvents {
-        &memory::NoEvents
-    }
-    fn clock(&self) -> &memory::SystemClock {
-        &memory::SystemClock
-    }
-    fn ids(&self) -> &memory::RandomIds {
-        &memory::RandomIds
-    }
-    fn peers(&self) -> &memory::NoPeers {
-        &memory::NoPeers
-    }
-}
-
-fn view() -> view::PlaneView {
-    let mut inventory = inventory::Inventory::default();
-    let engine = inventory::EngineEntry {
-        models: vec!["review-llm".to_owned()],
-        checks_fencing: true,
-        kv_blocks: 1,
-        block_tokens: 1,
-        max_batch: 1,
-    };
-    let server = inventory::ServerEntry {
-        failure_domain: "hall-a".to_owned(),
-        address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
-        kind: inventory::ServerKind::ModelEngine(engine),
-    };
-    inventory.backend_servers = collections::BTreeMap::from([("engine-0".to_owned(), server)]);
-    let model = inventory::ModelEntry {
-        context_tokens: 100_000,
-        ..inventory::ModelEntry::default()
-    };
-    inventory.models = collections::BTreeMap::from([("review-llm".to_owned(), model)]);
-    let organisation = inventory::OrganisationEntry {
-        key_hashes: vec![fingerprint::ContentHash::of(b"key").to_string()],
-        region: "hcmc".to_owned(),
-    };
-    inventory.organisations = collections::BTreeMap::from([("troupes".to_owned(), organisation)]);
-    let configuration = document::Configuration {
-        inventory,
-        ..document::Configuration::default()
-    };
-    let config = snapshot::ConfigSnapshot::default().next(1, 1, sync::Arc::new(configuration));
-    view::PlaneView {
-        config: sync::Arc::new(config),
-        leaving: sync::Arc::default(),
-    }
-}
-
-fn new_plane(engines: ReadyEngines) -> sync::Arc<plane::RequestPlane<BenchPorts>> {
-    let views = watch::Sender::new(sync::Arc::new(view()));
-    let ports = BenchPorts {
-        engines,
-        schedule: memory::MemorySchedule::new(views.subscribe(), usize::MAX),
-        claims: books::MemoryClaims::default(),
-        jobs: books::MemoryJobs::default(),
-    };
-    let key = token::TokenKey {
-        id: 1,
-        secret: vec![1; 32],
-    };
-    let settings =
-        settings::PlaneSettings::new("entry-0".to_owned(), token::TokenKeys::new(key, None));
-    sync::Arc::new(plane::RequestPlane::new(ports, settings, views.subscribe()))
-}
-
-async fn begin(plane: &plane::RequestPlane<BenchPorts>, number: u64) -> plane::StreamReply {
-    let headers = request::CallerHeaders {
-        api_key: Some("key".to_owned()),
-        ..request::CallerHeaders::default()
-    };
-    let body = format!(
-        r#"{{"model": "review-llm", "stream": true, "messages": [{{"role": "user", "content": "{number}"}}]}}"#
-    );
-    let reply = plane.generate(headers, body::CallerFace::Chat, body.into());
-    match reply.await {
-        Ok(plane::GenerationReply::Stream(reply)) => reply,
-        other => panic!("no stream: {other:?}"),
-    }
-}
-
 fn runtime() -> tokio::runtime::Runtime {
     tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -288,15 +159,16 @@
 
 fn relay(streams: u32, tokens: u32) {
     runtime().block_on(async {
-        let plane = new_plane(ReadyEngines {
+        let engines = ReadyEngines {
             tokens,
             hangs: false,
-        });
+        };
+        let plane = ports::new_plane(engines, NOWHERE);
         let mut callers = tokio::task::JoinSet::new();
         for number in 0..streams {
             let plane = plane.clone();
             callers.spawn(async move {
-                let mut reply = begin(&plane, u64::from(number)).await;
+                let mut reply = ports::begin(&plane, u64::from(number)).await;
                 let mut read = 0;
                 while let Some(piece) = reply.stream.next().await {
                     read += piece.len();
@@ -323,18 +195,19 @@
 
 fn open_stream_bytes() -> u64 {
     runtime().block_on(async {
-        let plane = new_plane(ReadyEngines {
+        let engines = ReadyEngines {
             tokens: 3,
             hangs: true,
-        });
+        };
+        let plane = ports::new_plane(engines, NOWHERE);
         let mut open = Vec::new();
         // The first streams pay for what all share.
         for number in 0..100 {
-            open.push(begin(&plane, number).await);
+            open.push(ports::begin(&plane, number).await);
         }
         let before = resident_bytes();
         for number in 0..OPEN_STREAMS {
-            open.push(begin(&plane, 1_000 + number).await);
+            open.push(ports::begin(&plane, 1_000 + number).await);
         }
         resident_bytes().saturating_sub(before) / OPEN_STREAMS
     })
