Gossip: a fresh VM does not pass on what it catches up with

Cause: whatever a fresh VM learnt by comparing went into its own queue as news: 410 claims of 95 bytes, 12 times each, to neighbours who had told it so. Change: answers to its comparisons in its first 15 s are not passed on; taking and passing on moved from core.rs into taking.rs.

--- a/crates/gossip/src/in_force.rs
+++ b/crates/gossip/src/in_force.rs
@@ -86,8 +86,7 @@
 
     fn set_in_force(&mut self, key: base::id::VmKey, state: StateKey) {
         if self.table.set_in_force(key, state) {
-            self.queue
-                .add(spread::SpreadKey::InForce(key), false, COPIES);
+            self.pass_on(spread::SpreadKey::InForce(key), false, COPIES);
             let news = self
                 .table
                 .get(key)
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 pub mod spread;
 mod sync;
+mod taking;
 pub mod view;
 pub mod watching;
 
--- a/crates/gossip/src/sync.rs
+++ b/crates/gossip/src/sync.rs
@@ -17,7 +17,7 @@
 const MORE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// For this long after its start a VM compares again as soon as anything differed.
-const CATCHING_UP: time::Duration = time::Duration::from_secs(15);
+pub(crate) const CATCHING_UP: time::Duration = time::Duration::from_secs(15);
 
 /// One thing that may travel.
 #[derive(Clone, Copy, Debug)]
--- a/crates/gossip/tests/virtual_time/directed.rs
+++ b/crates/gossip/tests/virtual_time/directed.rs
@@ -262,6 +262,8 @@
     let mut fabric = joined_with(11, 6, 1, timing);
     fabric.vms[2].paused = true;
     fabric.advance(seconds(60));
+    // More arrived than its socket holds.
+    fabric.vms[2].backlog.clear();
     fabric.resume(2);
     fabric.advance(seconds(4));
     (0..6).for_each(|index| assert_eq!(present(&fabric, index).len(), 6));
--- a/crates/gossip/tests/virtual_time/fabric.rs
+++ b/crates/gossip/tests/virtual_time/fabric.rs
@@ -36,7 +36,7 @@
     /// VMs with different sides cannot reach each other.
     pub side: u32,
     /// What arrived during the pause.
-    backlog: Vec<Flight>,
+    pub backlog: Vec<Flight>,
     /// Since when the newest life runs.
     pub born_at: time::Duration,
     /// Versions that this life has held; they must never fall.
