entry: the stamper is in trace

Cause: two changes met: the stamper moved to trace while entry named it in wire, and entry no longer compiled. Change: its path. Conclusion: entry compiles again.

--- a/crates/entry/src/assemble.rs
+++ b/crates/entry/src/assemble.rs
@@ -113,7 +113,7 @@
     }
 
     /// Calls to other entry VMs.
-    fn caller(&self, stamper: &wire::stamper::MessageStamper) -> peers::PeerCaller {
+    fn caller(&self, stamper: &trace::stamper::MessageStamper) -> peers::PeerCaller {
         peers::PeerCaller::new(
             wire::client::PeerClient::new(
                 self.identity.clone(),
