Parts that do not make their whole: a test; one check less in the search

A fresh VM serves nothing before its search ends, and a VM that serves already gains by it, so the check is gone.

--- a/crates/conf/src/follow.rs
+++ b/crates/conf/src/follow.rs
@@ -173,10 +173,12 @@
         actions: &mut Vec<FollowAction>,
     ) {
         match seen {
-            Ok(Some(found)) if self.search.is_usable(found.state.offset()) => {
+            // Also one from which the log cannot be read on: the search goes on then, and until
+            // it ends nothing of a fresh VM is in force.
+            Ok(Some(found)) => {
                 self.adopt(found.state, "a checkpoint", actions);
             }
-            Ok(_) => {}
+            Ok(None) => {}
             Err(error) => actions.push(refused(&error)),
         }
     }
--- a/crates/conf/src/search.rs
+++ b/crates/conf/src/search.rs
@@ -103,12 +103,6 @@
         }
     }
 
-    /// Whether the log still has every record after a checkpoint of this offset.
-    #[must_use]
-    pub const fn is_usable(&self, offset: u64) -> bool {
-        offset >= self.first
-    }
-
     /// A page was looked at: at the end of the log, goes further back or begins again.
     pub fn turn_page(&mut self) -> TurnOutcome {
         let SearchPhase::Reading { from, position } = self.phase else {
--- a/crates/conf/tests/state.rs
+++ b/crates/conf/tests/state.rs
@@ -165,6 +165,30 @@
     );
 }
 
+/// Symptom: half of one text and half of another are in force together.
+/// Sequence: parts that each match their own hash make a whole that is not the one they tell.
+/// Cause: a faulty writer; the hash of the whole is compared when the last part comes.
+#[test]
+fn parts_that_do_not_make_their_whole_are_refused() {
+    let mut state = started();
+    let large = change(2, 1, "ann", tries(2));
+    let text = serde_json::to_string(&large).expect("serializable");
+    let hash = base::fingerprint::ContentHash::of(text.as_bytes()).to_string();
+    let other = base::fingerprint::ContentHash::of(b"another text").to_string();
+    let mut verdict = state::ApplyVerdict::Stale;
+    for record in part::split(part::PartKind::Change, large.id, &text, 40) {
+        let record = String::from_utf8(record)
+            .expect("text")
+            .replace(&hash, &other);
+        verdict = state.apply(state.offset(), record.as_bytes());
+    }
+    assert!(
+        matches!(verdict, state::ApplyVerdict::Malformed { .. }),
+        "{verdict:?}"
+    );
+    assert_eq!(state.revision(), 1);
+}
+
 #[test]
 fn a_rollback_is_a_new_revision_with_the_old_content() {
     let mut state = started();
