Gossip: a second process of one name is not met over and over

Cause: whoever is not the newest life of its name was greeted at each of its datagrams, and each answer began a whole comparison of notes. Change: only the newest life is introduced; a test with two processes of one name. In wire, what a call needs and how it ends moved into call.rs.

--- a/crates/gossip/src/core.rs
+++ b/crates/gossip/src/core.rs
@@ -230,6 +230,13 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Whether the sender is the life that holds its name here.
+    pub(crate) fn is_newest_life(&self, sender: &identity::ProcessIdentity) -> bool {
+        self.table
+            .named(&sender.name)
+            .is_some_and(|record| record.claim.version.life.incarnation == sender.incarnation)
+    }
+
     /// Whether somebody of that name is there.
     pub(crate) fn is_present(&self, name: &str) -> bool {
         self.table
@@ -263,7 +270,10 @@
             Kind::PingRequest(request) => self.relay_probe(now, from, sender, &request),
             Kind::Hello(_) => self.answer_greeting(from, sender),
             Kind::HelloAnswer(_) => {
-                self.introduce(now, from, sender);
+                // An earlier life, or another process of that name, would be met for ever.
+                if self.is_newest_life(sender) {
+                    self.introduce(now, from, sender);
+                }
                 return;
             }
             Kind::SyncSummary(summary) => self.take_summary(now, from, sender, &summary),
--- a/crates/gossip/src/greeting.rs
+++ b/crates/gossip/src/greeting.rs
@@ -17,10 +17,7 @@
 impl<R: rand::Rng> core::MemberCore<R> {
     /// Greets a sender of whose life nothing is known.
     pub(crate) fn meet(&mut self, from: net::SocketAddr, sender: &identity::ProcessIdentity) {
-        let record = self.table.named(&sender.name);
-        let known = record
-            .is_some_and(|record| record.claim.version.life.incarnation == sender.incarnation);
-        if !known && self.greetings_left > 0 {
+        if !self.is_newest_life(sender) && self.greetings_left > 0 {
             self.greetings_left -= 1;
             let packet = packet::PacketBuilder::new(Kind::Hello(proto::Hello {}));
             self.send_packet(from, sender.clone(), packet);
--- a/crates/gossip/tests/virtual_time/directed.rs
+++ b/crates/gossip/tests/virtual_time/directed.rs
@@ -289,6 +289,28 @@
     }
 }
 
+#[test]
+fn two_processes_of_one_name_cost_little_and_are_told() {
+    // Symptom: the network between entry VMs fills up.
+    // Sequence: two processes run under one name, at two addresses.
+    // Cause: the one that the others do not see is a stranger to them with each datagram.
+    let mut fabric = joined(16, 5, 1);
+    fabric.kill(4);
+    fabric.vms[4].name = fabric.vms[3].name.clone();
+    fabric.vms[4].identity.name = fabric.vms[3].name.clone();
+    fabric.start(4);
+    fabric.advance(seconds(30));
+    let before: u64 = fabric.sent.iter().map(|sent| sent.1).sum();
+    fabric.advance(seconds(60));
+    let after: u64 = fabric.sent.iter().map(|sent| sent.1).sum();
+    let bytes_per_second = (after - before) / 60 / 5;
+    assert!(bytes_per_second < 1000, "{bytes_per_second}");
+    let conflicts = fabric.told.iter().filter(|(_, index, event)| {
+        *index == 3 && matches!(event, event::GossipEvent::NameConflict(_))
+    });
+    assert_eq!(conflicts.count(), 1, "the earlier one is told once");
+}
+
 #[test]
 fn a_lost_region_is_told_and_found_again() {
     // Symptom: members of a region that cannot be reached look healthy.
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -7,9 +7,10 @@
 use tokio::{io, sync as channels, time::Instant};
 use trace::stamper;
 
-use crate::{connection, frame, handshake, identity, key, proto::peer};
+pub use crate::call::{CallError, CallOptions};
+use crate::{call, connection, frame, handshake, identity, key, proto::peer};
 use connection::{CallEnd, ConnectionCommand};
-use peer::{reply, request, response};
+use peer::{request, response};
 
 /// Calls that wait to be written on one connection.
 const CALL_BACKLOG: usize = 64;
@@ -17,98 +18,6 @@
 /// Connections that one call tries at the most.
 const MAX_TRIES: u32 = 3;
 
-/// Why a call has no answer.
-#[derive(Debug, snafu::Snafu)]
-pub enum CallError {
-    /// No connection.
-    #[snafu(display("no connection to {address}: {source}; it may be down, ask another VM"))]
-    Connect {
-        /// Whom.
-        address: net::SocketAddr,
-        /// What the system says.
-        source: std::io::Error,
-    },
-    /// The handshake failed.
-    #[snafu(display("no connection to {address}: {source}"))]
-    Handshake {
-        /// Whom.
-        address: net::SocketAddr,
-        /// Why.
-        source: handshake::HandshakeError,
-    },
-    /// The other side refused before anything was started.
-    #[snafu(display("{address} refused the call: {message}"))]
-    Refused {
-        /// Whom.
-        address: net::SocketAddr,
-        /// Why, for programs.
-        kind: peer::FailureKind,
-        /// Why, for people.
-        message: String,
-    },
-    /// The other side failed and may have had an effect.
-    #[snafu(display("{address} failed and the call may have had an effect: {message}"))]
-    Failed {
-        /// Whom.
-        address: net::SocketAddr,
-        /// Why.
-        message: String,
-    },
-    /// The connection broke or went silent with the call under way.
-    #[snafu(display("the connection to {address} was lost; the call may have had an effect"))]
-    Lost {
-        /// Whom.
-        address: net::SocketAddr,
-    },
-    /// The connection broke before the call was written.
-    #[snafu(display("the connection to {address} was lost before the call left; call again"))]
-    NotSent {
-        /// Whom.
-        address: net::SocketAddr,
-    },
-    /// The deadline passed.
-    #[snafu(display("{address} did not answer in time; ask another VM or allow more time"))]
-    Deadline {
-        /// Whom.
-        address: net::SocketAddr,
-        /// Whether it may have had an effect.
-        ran: outcome::RanState,
-    },
-    /// The answer is not one to this kind of request.
-    #[snafu(display("{address} gave an answer that is none to this call; compare releases"))]
-    Nonsense {
-        /// Whom.
-        address: net::SocketAddr,
-    },
-}
-
-impl CallError {
-    /// Whether the call had an effect, as far as this side can prove.
-    #[must_use]
-    pub const fn ran(&self) -> outcome::RanState {
-        match self {
-            Self::Connect { .. }
-            | Self::Handshake { .. }
-            | Self::Refused { .. }
-            | Self::NotSent { .. } => outcome::RanState::No,
-            Self::Deadline { ran, .. } => *ran,
-            Self::Failed { .. } | Self::Lost { .. } | Self::Nonsense { .. } => {
-                outcome::RanState::Unknown
-            }
-        }
-    }
-}
-
-/// How long a call may take, and whether it may be made twice.
-#[derive(Clone, Copy, Debug)]
-pub struct CallOptions {
-    /// The whole call, connecting and repeating included.
-    pub within: time::Duration,
-    /// Whether it does no harm when it runs twice; then a lost connection is replaced and the
-    /// call made again while there is time.
-    pub repeatable: bool,
-}
-
 /// Bounds of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
@@ -277,7 +186,8 @@
     ) -> Result<response::Kind, CallError> {
         let connecting = tokio::time::timeout_at(deadline, self.connection(address)).await;
         let ran = outcome::RanState::No;
-        let connection = connecting.unwrap_or_else(|_| DeadlineSnafu { address, ran }.fail())?;
+        let connection =
+            connecting.unwrap_or_else(|_| call::DeadlineSnafu { address, ran }.fail())?;
         let id = self
             .shared
             .calls
@@ -296,7 +206,7 @@
             .await
             .is_err()
         {
-            return NotSentSnafu { address }.fail();
+            return call::NotSentSnafu { address }.fail();
         }
         // Also when the caller itself is dropped, the other side need not go on.
         let guard = CancelGuard { connection, id };
@@ -304,12 +214,12 @@
         drop(guard);
         let ran = outcome::RanState::Unknown;
         let Ok(end) = waited else {
-            return DeadlineSnafu { address, ran }.fail();
+            return call::DeadlineSnafu { address, ran }.fail();
         };
         match end.unwrap_or(CallEnd::Closed) {
-            CallEnd::Replied(kind) => read_reply(address, kind),
-            CallEnd::NotSent => NotSentSnafu { address }.fail(),
-            CallEnd::Closed | CallEnd::Silent => LostSnafu { address }.fail(),
+            CallEnd::Replied(kind) => call::read_reply(address, kind),
+            CallEnd::NotSent => call::NotSentSnafu { address }.fail(),
+            CallEnd::Closed | CallEnd::Silent => call::LostSnafu { address }.fail(),
         }
     }
 
@@ -338,12 +248,12 @@
         let stream = tokio::time::timeout(limits.connect, dialing)
             .await
             .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
-            .context(ConnectSnafu { address })?;
+            .context(call::ConnectSnafu { address })?;
         let greeting = handshake::connect(stream, &shared.own, &shared.keys, limits.frame_bytes);
         let session = tokio::time::timeout(limits.connect, greeting)
             .await
             .unwrap_or(Err(handshake::HandshakeError::Late))
-            .context(HandshakeSnafu { address })?;
+            .context(call::HandshakeSnafu { address })?;
         let (connection, inbox) = channels::mpsc::channel(CALL_BACKLOG);
         let limits = connection::ConnectionLimits {
             silence: limits.silence,
@@ -380,29 +290,3 @@
         let _ = self.connection.try_send(ConnectionCommand::Cancel(self.id));
     }
 }
-
-fn read_reply(address: net::SocketAddr, kind: reply::Kind) -> Result<response::Kind, CallError> {
-    match kind {
-        reply::Kind::Response(response) => response.kind.ok_or(CallError::Nonsense { address }),
-        reply::Kind::Failure(failure) => {
-            let (kind, message) = (failure.kind(), failure.message);
-            let not_started = matches!(
-                kind,
-                peer::FailureKind::Busy
-                    | peer::FailureKind::Unsupported
-                    | peer::FailureKind::Refused
-                    | peer::FailureKind::Late
-            );
-            if not_started {
-                RefusedSnafu {
-                    address,
-                    kind,
-                    message,
-                }
-                .fail()
-            } else {
-                FailedSnafu { address, message }.fail()
-            }
-        }
-    }
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Frames and datagrams between pollenchute processes: encoding, authentication, replay protection.
 
+pub mod call;
 pub mod client;
 mod connection;
 pub mod datagram;
