flow: tickets of calls and of generations are two types

Cause: a call's ticket had the ways on that only a generation's may have, so a careless retry of a call that may have run would have compiled. Change: two kinds of tickets; a doc test shows that the wrong one does not compile.

--- a/crates/flow/benches/relay/latency.rs
+++ b/crates/flow/benches/relay/latency.rs
@@ -67,7 +67,7 @@
         priority: 1,
         seed: None,
     };
-    let permit = proof::StartPermit::for_tests().send().0;
+    let permit = proof::StartPermit::for_tests().send::<proof::CallKind>().0;
     let mut events = engines.start(&target, &order, permit).await.unwrap();
     let mut times = Vec::new();
     loop {
--- a/crates/flow/src/attempt.rs
+++ b/crates/flow/src/attempt.rs
@@ -106,7 +106,8 @@
         order: &port::StartOrder,
         permit: proof::StartPermit,
         silent_limit: Duration,
-    ) -> proof::TryOutcome<(Self, proof::TryTicket)> {
+    ) -> proof::TryOutcome<(Self, proof::TryTicket<proof::GenerationKind>), proof::GenerationKind>
+    {
         let (send, ticket) = permit.send();
         let limit = shared.settings.call_limit;
         let answer = {
--- a/crates/flow/src/calling.rs
+++ b/crates/flow/src/calling.rs
@@ -51,7 +51,7 @@
         until: time::Instant,
         target: &port::ServerTarget,
         permit: proof::StartPermit,
-    ) -> proof::TryOutcome<port::ServiceAnswer> {
+    ) -> proof::TryOutcome<port::ServiceAnswer, proof::CallKind> {
         let raw = &facts.work.raw;
         let call = port::ServiceCall {
             request: facts.id,
--- a/crates/flow/src/flowing.rs
+++ b/crates/flow/src/flowing.rs
@@ -2,14 +2,14 @@
 
 use std::{pin, sync, time::Duration};
 
-use base::{id, refusal};
+use base::{fingerprint, id, outcome, refusal};
 use tokio::time;
 use trace::kind;
 
 use crate::{
-    attempt, chunk, crashes, pipe,
+    admit, attempt, chunk, crashes, pipe,
     port::{self, Grant as _, QuotaPermit as _},
-    proof, quarantine, readers, shared,
+    proof, quarantine, quota, readers, shared,
 };
 
 /// Tokens are reported to the scheduler in lots of this many.
@@ -21,9 +21,9 @@
 /// What a stream holds besides its generation.
 pub struct StreamCharge<P: port::PortSet> {
     /// Its place; absent when another entry VM holds it.
-    pub grant: Option<crate::admit::PlaceGrant<P>>,
+    pub grant: Option<admit::PlaceGrant<P>>,
     /// Its share of its organisation's limits.
-    pub quota: Option<crate::quota::QuotaPermit<P>>,
+    pub quota: Option<quota::QuotaPermit<P>>,
     /// Marks its content as running.
     pub mark: Option<crashes::RunMark>,
     /// Held by a suspect.
@@ -34,7 +34,7 @@
 pub struct FlowingStream<P: port::PortSet> {
     pub(crate) shared: sync::Arc<shared::SharedPlane<P>>,
     pub(crate) request: id::RequestId,
-    pub(crate) content: base::fingerprint::ContentHash,
+    pub(crate) content: fingerprint::ContentHash,
     pub(crate) arrived_at: time::Instant,
     pub(crate) live: attempt::LiveTry<P>,
     /// Nothing but the same generation may follow.
@@ -265,7 +265,7 @@
             shared.record(
                 request,
                 kind::EventKind::RequestCancelled {
-                    ran: base::outcome::RanState::Yes,
+                    ran: outcome::RanState::Yes,
                     reason: "its caller is gone".to_owned(),
                 },
             );
--- a/crates/flow/src/jobs.rs
+++ b/crates/flow/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time::Duration};
 
-use base::{class, id, refusal};
+use base::{class, id, outcome, refusal};
 use bytes::Bytes;
 use tokio::time;
 
@@ -11,7 +11,7 @@
     filter::{self, Filter as _},
     gate, plane,
     port::{self, JobBook as _, QuotaBook as _},
-    refused,
+    proof, refused,
     request::{self, RawWork as _, Work as _},
 };
 
@@ -73,7 +73,7 @@
             port::AcceptAnswer::Refused(body) => Err(known.refused(body).into()),
             port::AcceptAnswer::Unknown => {
                 // Its record may be on the log: a runner that finds it there will run it.
-                let (_, ticket) = known.permit.send();
+                let (_, ticket) = known.permit.send::<proof::CallKind>();
                 Err(ticket.refused(maybe_accepted(id)).into())
             }
         }
@@ -297,7 +297,7 @@
 
 /// A refusal to say anything about a job: whether the job ran is not known by it.
 fn of_job(body: refusal::RefusalBody) -> refused::Refused {
-    refused::Refused::of_claim(body, base::outcome::RanState::Unknown)
+    refused::Refused::of_claim(body, outcome::RanState::Unknown)
 }
 
 fn maybe_accepted(job: id::RequestId) -> refusal::RefusalBody {
--- a/crates/flow/src/proof.rs
+++ b/crates/flow/src/proof.rs
@@ -5,6 +5,8 @@
 //! books. Here, "not run" can be said only by whoever holds a [`NotRunProof`], and sending
 //! consumes it; it comes back only through evidence that names its ground.
 
+use std::marker;
+
 use base::{outcome, refusal};
 
 use crate::{port, refused};
@@ -80,10 +82,11 @@
     }
 
     /// Splits into what the link consumes and what stays here while the try is out.
-    pub const fn send(self) -> (SendPermit, TryTicket) {
+    pub const fn send<K>(self) -> (SendPermit, TryTicket<K>) {
         let ticket = TryTicket {
             earlier: self.ran,
             seen_running: false,
+            kind: marker::PhantomData,
         };
         (SendPermit { _made_here: () }, ticket)
     }
@@ -100,29 +103,80 @@
     }
 }
 
+/// Kind of tickets of generations: one that is over may be followed by another.
+#[derive(Debug)]
+pub struct GenerationKind;
+
+/// Kind of tickets of plain service calls: one that is over may have had its effect all the same.
+#[derive(Debug)]
+pub struct CallKind;
+
 /// What stays behind while a try is out.
 ///
-/// It turns into a new [`StartPermit`] only by evidence that the try is over: it was never sent,
-/// its cancellation was answered, or its server's process is gone.
+/// A generation's turns into a new [`StartPermit`] only by evidence that the try is over: it was
+/// never sent, its cancellation was answered, or its server's process is gone. A call's does so
+/// only when it was never sent, or when the rules let the call be repeated:
+///
+/// ```
+/// use flow::proof::{GenerationKind, StartPermit};
+/// let (_, ticket) = StartPermit::for_tests().send::<GenerationKind>();
+/// let _another = ticket.server_gone();
+/// ```
+///
+/// ```compile_fail
+/// use flow::proof::{CallKind, StartPermit};
+/// let (_, ticket) = StartPermit::for_tests().send::<CallKind>();
+/// let _another = ticket.server_gone();
+/// ```
 #[derive(Debug)]
 #[must_use = "a try that is out must be settled or reported"]
-pub struct TryTicket {
+pub struct TryTicket<K> {
     earlier: outcome::RanState,
     /// Whether the server showed that it runs this try.
     seen_running: bool,
+    kind: marker::PhantomData<K>,
 }
 
-impl TryTicket {
-    /// The server showed a token of this try.
-    pub const fn saw_running(&mut self) {
-        self.seen_running = true;
-    }
-
+impl<K> TryTicket<K> {
     /// The try was never sent.
     pub fn never_sent(self, _evidence: NeverSent) -> StartPermit {
         StartPermit { ran: self.earlier }
     }
 
+    /// The try can neither be settled nor continued: ends the request without another.
+    pub fn refused(self, body: refusal::RefusalBody) -> refused::Refused {
+        let ran = self.earlier.and(self.known());
+        refused::Refused::known(body, ran)
+    }
+
+    const fn known(&self) -> outcome::RanState {
+        if self.seen_running {
+            outcome::RanState::Yes
+        } else {
+            outcome::RanState::Unknown
+        }
+    }
+
+    fn over(self) -> StartPermit {
+        StartPermit {
+            ran: self.earlier.and(self.known()),
+        }
+    }
+}
+
+impl TryTicket<CallKind> {
+    /// Another try although this one may have run: only for calls that may be repeated.
+    pub fn repeated(self, _permit: RepeatPermit) -> StartPermit {
+        self.over()
+    }
+}
+
+impl TryTicket<GenerationKind> {
+    /// The server showed a token of this try.
+    pub const fn saw_running(&mut self) {
+        self.seen_running = true;
+    }
+
     /// The try's cancellation was answered: it will not run from here on.
     ///
     /// What goes wrong when "not held" is taken for "did not run": a process that was started
@@ -142,39 +196,18 @@
 
     /// The server's process is gone: it refuses connections, so the try cannot run on.
     pub fn server_gone(self) -> StartPermit {
-        StartPermit {
-            ran: self.earlier.and(self.known()),
-        }
+        self.over()
     }
 
     /// The try was given up without settling it; a standing order to cancel it remains.
     pub(crate) fn abandoned(self) -> StartPermit {
-        self.server_gone()
-    }
-
-    /// The try can neither be settled nor continued: ends the request without another.
-    pub fn refused(self, body: refusal::RefusalBody) -> refused::Refused {
-        let ran = self.earlier.and(self.known());
-        refused::Refused::known(body, ran)
-    }
-
-    /// Another try although this one may have run: only for calls that may be repeated.
-    pub fn repeated(self, _permit: RepeatPermit) -> StartPermit {
-        self.server_gone()
+        self.over()
     }
 
     /// A token is leaving for the caller: no other generation may be started from here on.
     pub const fn flowing(self) -> FlowingTry {
         FlowingTry { _made_here: () }
     }
-
-    const fn known(&self) -> outcome::RanState {
-        if self.seen_running {
-            outcome::RanState::Yes
-        } else {
-            outcome::RanState::Unknown
-        }
-    }
 }
 
 /// A generation of which a token has left for the caller.
@@ -201,7 +234,7 @@
 
 /// Outcome of one try: three values.
 #[derive(Debug)]
-pub enum TryOutcome<T> {
+pub enum TryOutcome<T, K> {
     /// It is proved that the try did not run.
     NotRun {
         /// For another try, or for a refusal.
@@ -214,7 +247,7 @@
     /// It may have run: the ticket allows no other try unless the call may be repeated.
     Unknown {
         /// For a refusal that says so.
-        ticket: TryTicket,
+        ticket: TryTicket<K>,
         /// What happened.
         cause: String,
         /// What the server said that makes another try no use.
--- a/crates/flow/src/running.rs
+++ b/crates/flow/src/running.rs
@@ -28,7 +28,7 @@
     /// The generation.
     pub live: attempt::LiveTry<P>,
     /// What stays here while it runs.
-    pub ticket: proof::TryTicket,
+    pub ticket: proof::TryTicket<proof::GenerationKind>,
     /// Its place.
     pub grant: admit::PlaceGrant<P>,
     /// Marks its content as running there.
@@ -59,7 +59,7 @@
 impl<P: port::PortSet> TryEnd<P> {
     /// Another try, if the lost one could be settled.
     fn settled(
-        settled: Result<proof::StartPermit, proof::TryTicket>,
+        settled: Result<proof::StartPermit, proof::TryTicket<proof::GenerationKind>>,
         server: id::ServerKey,
         cause: String,
     ) -> Self {
@@ -236,10 +236,10 @@
 async fn settle_live<P: port::PortSet>(
     shared: &sync::Arc<shared::SharedPlane<P>>,
     mut live: attempt::LiveTry<P>,
-    ticket: proof::TryTicket,
+    ticket: proof::TryTicket<proof::GenerationKind>,
     loss: attempt::LossKind,
     until: time::Instant,
-) -> Result<proof::StartPermit, proof::TryTicket> {
+) -> Result<proof::StartPermit, proof::TryTicket<proof::GenerationKind>> {
     let lost = settle::LostTry {
         target: live.target().clone(),
         generation: live.generation(),
--- a/crates/flow/src/settle.rs
+++ b/crates/flow/src/settle.rs
@@ -18,7 +18,7 @@
     /// Its generation.
     pub generation: id::GenerationId,
     /// What stayed here.
-    pub ticket: proof::TryTicket,
+    pub ticket: proof::TryTicket<proof::GenerationKind>,
 }
 
 impl LostTry {
@@ -37,7 +37,7 @@
         shared: &sync::Arc<shared::SharedPlane<P>>,
         loss: attempt::LossKind,
         until: time::Instant,
-    ) -> Result<proof::StartPermit, proof::TryTicket> {
+    ) -> Result<proof::StartPermit, proof::TryTicket<proof::GenerationKind>> {
         if loss == attempt::LossKind::ServerGone {
             return Ok(self.ticket.server_gone());
         }
--- a/crates/flow/tests/http.rs
+++ b/crates/flow/tests/http.rs
@@ -33,7 +33,7 @@
 }
 
 fn permit() -> proof::SendPermit {
-    proof::StartPermit::for_tests().send().0
+    proof::StartPermit::for_tests().send::<proof::CallKind>().0
 }
 
 /// An address where nothing listens.
