--- a/crates/load/benches/relay.rs
+++ b/crates/load/benches/relay.rs
@@ -15,6 +15,9 @@
 
 use std::{net, sync::atomic, time::Duration};
 
+use base::fingerprint;
+use conf::{document, inventory};
+use load::{env, site};
 use tokio::{runtime, task, time};
 
 /// Threads of the entry VM's runtime are named so.
@@ -61,7 +64,7 @@
     };
     let targets = targets.to_vec();
     let reading = task::spawn(async move { client::read_streams(&targets, load).await });
-    while engine::OPEN.load(atomic::Ordering::Relaxed) < streams {
+    while open_now() < streams {
         assert!(
             !reading.is_finished(),
             "the streams ended before all were open"
@@ -86,28 +89,193 @@
     }
 }
 
+/// A configuration without limits: one entry VM, one organisation, no backend servers yet.
+const INVENTORY: &str = r#"{
+    "regions": { "here": { "failure_domains": ["a"] } },
+    "entry_vms": { "entry-1": { "failure_domain": "a", "callers": "127.0.0.1:1", "peers": "127.0.0.1:2" } },
+    "backend_servers": {},
+    "models": { "bench": { "version": "1", "context_tokens": 1000000 } },
+    "organisations": { "bench": { "key_hashes": [], "region": "here" } },
+}"#;
+
+fn configuration(engines: &[net::SocketAddr]) -> document::Configuration {
+    let mut inventory: inventory::Inventory =
+        jsonc_parser::parse_to_serde_value(INVENTORY, &jsonc_parser::ParseOptions::default())
+            .expect("the inventory is valid");
+    let hash = fingerprint::ContentHash::of(client::API_KEY.as_bytes()).to_string();
+    let organisations = inventory.organisations.values_mut();
+    organisations.for_each(|organisation| organisation.key_hashes.push(hash.clone()));
+    for (number, address) in engines.iter().enumerate() {
+        let entry = inventory::ServerEntry {
+            failure_domain: "a".into(),
+            address: *address,
+            kind: inventory::ServerKind::ModelEngine(inventory::EngineEntry {
+                models: vec!["bench".into()],
+                checks_fencing: false,
+                kv_blocks: 100_000_000,
+                block_tokens: 16,
+                max_batch: 100_000,
+            }),
+        };
+        inventory
+            .backend_servers
+            .insert(format!("engine-{number}"), entry);
+    }
+    document::Configuration {
+        inventory,
+        rules: conf::rules::RuleSet::default(),
+    }
+}
+
+/// Everything that the phases share.
+struct BenchSetup {
+    clients: runtime::Runtime,
+    direct: Vec<client::Target>,
+    relayed: Vec<client::Target>,
+}
+
+impl BenchSetup {
+    fn run(&self, targets: &[client::Target], streams: usize) -> WindowRates {
+        self.clients.block_on(run_load(targets, streams, STEP))
+    }
+
+    /// Tokens a second through the entry VM until its one thread is full.
+    fn measure_throughput(&self) {
+        println!("streams  direct tokens/s  relayed tokens/s  entry cores  tokens/s per core");
+        for streams in [500, 1_000, 2_000, 3_000, 4_000] {
+            let direct = self.run(&self.direct, streams);
+            let relayed = self.run(&self.relayed, streams);
+            println!(
+                "{streams:>7} {:>16.0} {:>17.0} {:>12.2} {:>18.0}",
+                direct.tokens_per_second,
+                relayed.tokens_per_second,
+                relayed.entry_cores,
+                relayed.tokens_per_core_second()
+            );
+            if relayed.entry_cores > FULL {
+                return;
+            }
+        }
+    }
+
+    /// What the entry VM adds to the way of a token, below saturation.
+    fn measure_latency(&self) {
+        println!("streams  direct ms p50    p99  relayed ms p50    p99  added ms p50    p99");
+        for streams in [100, 400] {
+            let direct = self.run(&self.direct, streams).outcome;
+            let relayed = self.run(&self.relayed, streams).outcome;
+            println!(
+                "{streams:>7} {:>14.3} {:>6.3} {:>15.3} {:>6.3} {:>13.3} {:>6.3}",
+                direct.delay_ms(0.5),
+                direct.delay_ms(0.99),
+                relayed.delay_ms(0.5),
+                relayed.delay_ms(0.99),
+                relayed.delay_ms(0.5) - direct.delay_ms(0.5),
+                relayed.delay_ms(0.99) - direct.delay_ms(0.99),
+            );
+        }
+    }
+
+    /// Memory of an open stream: what relayed ones take beyond direct ones, which have the same
+    /// client and engine. The direct ones stay open meanwhile, so that no freed memory is taken.
+    fn measure_memory(&self) {
+        let (direct, first) = self.open_streams(&self.direct);
+        let (relayed, second) = self.open_streams(&self.relayed);
+        first.abort();
+        second.abort();
+        while open_now() > 0 {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        println!("memory of one open stream: direct {direct:.1} KiB (client and engine)");
+        println!(
+            "  relayed {relayed:.1} KiB, so the entry VM takes {:.1} KiB",
+            relayed - direct
+        );
+    }
+
+    /// Opens slow streams; resident KiB that each one took.
+    fn open_streams(
+        &self,
+        targets: &[client::Target],
+    ) -> (f64, task::JoinHandle<client::StreamOutcome>) {
+        let load = client::StreamLoad {
+            streams: MEMORY_STREAMS,
+            step: MEMORY_STEP,
+            tokens: 10_000,
+        };
+        let (open, before) = (open_now(), machine::resident_bytes());
+        let targets = targets.to_vec();
+        let reading = self
+            .clients
+            .spawn(async move { client::read_streams(&targets, load).await });
+        while open_now() < open + MEMORY_STREAMS {
+            assert!(
+                !reading.is_finished(),
+                "the streams ended before all were open"
+            );
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        std::thread::sleep(Duration::from_secs(3));
+        let taken = machine::resident_bytes().saturating_sub(before);
+        (taken as f64 / MEMORY_STREAMS as f64 / 1_024.0, reading)
+    }
+}
+
+fn open_now() -> usize {
+    engine::OPEN.load(atomic::Ordering::Relaxed)
+}
+
+/// Time between two tokens of a stream.
+const STEP: Duration = Duration::from_millis(20);
+
+/// The same while memory is measured; an engine shows a sign of life every 500 ms at least.
+const MEMORY_STEP: Duration = Duration::from_millis(300);
+
+/// Part of a core from which on the entry VM counts as saturated.
+const FULL: f64 = 0.95;
+
+/// Streams that are open for the measurement of memory, each way.
+const MEMORY_STREAMS: usize = 1_000;
+
 fn main() {
     let engines = runtime_of("bench-engine", ENGINE_THREADS);
-    let clients = runtime_of("bench-client", CLIENT_THREADS);
-    let addresses: Vec<net::SocketAddr> = engines.block_on(async {
+    let entries = runtime_of(ENTRY_THREADS, 1);
+    let (addresses, site) = engines.block_on(async {
         let mut addresses = Vec::new();
         for _ in 0..ENGINES {
             addresses.push(engine::serve().await);
         }
-        addresses
+        let mut site = site::StandSite::start(configuration(&[]))
+            .await
+            .expect("stand-ins start");
+        site.configuration = configuration(&addresses);
+        (addresses, site)
     });
-    let direct: Vec<_> = addresses
-        .iter()
-        .copied()
-        .map(client::Target::Engine)
-        .collect();
-    for streams in [500, 1000, 2000, 3000] {
-        let rates = clients.block_on(run_load(&direct, streams, Duration::from_millis(20)));
-        println!(
-            "direct {streams}: {:.0} tokens/s, delay p50 {:.3} p99 {:.3} ms",
-            rates.tokens_per_second,
-            rates.outcome.delay_ms(0.5),
-            rates.outcome.delay_ms(0.99)
-        );
+    let bounds = entry::settings::BoundSettings::default();
+    let env = entries
+        .block_on(env::TestEnv::at_site(site, bounds))
+        .expect("the entry VM starts");
+    let setup = BenchSetup {
+        clients: runtime_of("bench-client", CLIENT_THREADS),
+        direct: addresses.into_iter().map(client::Target::Engine).collect(),
+        relayed: env
+            .callers()
+            .into_iter()
+            .map(client::Target::Entry)
+            .collect(),
+    };
+    let phase = std::env::args().nth(1).unwrap_or_default();
+    let is_wanted = |name: &str| phase.is_empty() || phase.starts_with("--") || phase == name;
+    // Memory first: later phases leave freed memory behind that would be taken again.
+    if is_wanted("memory") {
+        setup.measure_memory();
+    }
+    if is_wanted("latency") {
+        setup.measure_latency();
+    }
+    if is_wanted("throughput") {
+        setup.measure_throughput();
     }
+    // What still runs is of no use; the process ends without waiting for it.
+    std::process::exit(0);
 }
--- a/crates/load/benches/relay/client.rs
+++ b/crates/load/benches/relay/client.rs
@@ -11,6 +11,9 @@
 
 use crate::moment;
 
+/// The key of the only organisation.
+pub const API_KEY: &str = "bench-key";
+
 /// Tokens that arrived so far, over all streams.
 pub static ARRIVED: AtomicU64 = AtomicU64::new(0);
 
@@ -81,7 +84,7 @@
             let body = serde_json::json!({"model": "bench", "stream": true,
                 "max_tokens": load.tokens, "messages": [{"role": "user", "content": prompt}]});
             let client = client.post(format!("http://{address}/v1/chat/completions"));
-            client.bearer_auth("bench-key").json(&body)
+            client.bearer_auth(API_KEY).json(&body)
         }
     }
 }
@@ -154,10 +157,11 @@
             let place = places.acquire_owned().await.expect("never closed");
             time::sleep(load.step / OPENING_AT_ONCE as u32 * (index % OPENING_AT_ONCE) as u32)
                 .await;
-            let reading = task::spawn(read_stream(client, target, load));
-            time::sleep(OPENING_TIME).await;
-            drop(place);
-            reading.await.expect("the reader does not panic")
+            task::spawn(async move {
+                time::sleep(OPENING_TIME).await;
+                drop(place);
+            });
+            read_stream(client, target, load).await
         });
     }
     let mut sum = StreamOutcome::new();
--- a/crates/load/benches/relay/engine.rs
+++ b/crates/load/benches/relay/engine.rs
@@ -1,9 +1,9 @@
 //! A model engine that does nothing but send: each stream gets a token every step, and each token
 //! carries the time at which it was sent.
 
-use std::{net, sync::atomic, time::Duration};
+use std::{collections, net, sync, sync::atomic, time::Duration};
 
-use rocket::{data, delete, get, post, response::stream::TextStream, routes};
+use rocket::{data, delete, get, http, post, response::stream::TextStream, routes};
 use tokio::time;
 
 use crate::moment;
@@ -21,6 +21,10 @@
 /// Streams that are open now, over all engines of this process.
 pub static OPEN: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
 
+/// Generations that are held, by id, over all engines of this process.
+static HELD: sync::Mutex<collections::BTreeMap<String, PacedGeneration>> =
+    sync::Mutex::new(collections::BTreeMap::new());
+
 struct OpenStream;
 
 impl OpenStream {
@@ -38,70 +42,97 @@
 
 #[derive(serde::Deserialize)]
 struct StartBody {
+    id: String,
     prompt: String,
     max_tokens: u32,
 }
 
-/// The number after `[[name=` in `prompt`.
-fn number(prompt: &str, name: &str) -> Option<u64> {
-    stand::engine::text::directive(prompt, name)?.parse().ok()
+/// A generation whose token `n` is due `n` steps after its start.
+#[derive(Clone, Copy)]
+struct PacedGeneration {
+    start: time::Instant,
+    step: Duration,
+    count: u32,
+}
+
+impl PacedGeneration {
+    /// `[[len=N]]` and `[[step_us=N]]` in the prompt set length and step.
+    fn of(call: &StartBody) -> Self {
+        let number = |name| {
+            stand::engine::text::directive(&call.prompt, name)?
+                .parse()
+                .ok()
+        };
+        Self {
+            start: time::Instant::now(),
+            step: Duration::from_micros(number("step_us").unwrap_or(20_000)),
+            count: number("len").unwrap_or(u64::from(call.max_tokens)) as u32,
+        }
+    }
+
+    fn stream(self, from: u32) -> EventAnswer<impl futures_util::Stream<Item = String> + use<>> {
+        let opened = OpenStream::begin();
+        let count = self.count;
+        let events = async_stream::stream! {
+            let _opened = opened;
+            for seq in from..count {
+                time::sleep_until(self.start + self.step * seq).await;
+                yield format!("data: {{\"seq\":{seq},\"text\":\"{} \"}}\n\n", moment::now_us());
+            }
+            yield format!("data: {{\"finish\":\"stop\",\"produced\":{count},\"prompt_tokens\":1,\"cached_tokens\":0,\"preempted\":0}}\n\n");
+        };
+        (http::ContentType::EventStream, TextStream::from(events))
+    }
 }
 
-/// `[[step_us=N]]` in the prompt sets the time between tokens.
+type EventAnswer<S> = (http::ContentType, TextStream<S>);
+
 #[post("/v1/generations", data = "<body>")]
 async fn start(
     body: data::Data<'_>,
-) -> (
-    rocket::http::ContentType,
-    TextStream<impl futures_util::Stream<Item = String> + use<>>,
-) {
+) -> EventAnswer<impl futures_util::Stream<Item = String> + use<>> {
     let text = body.open(data::ByteUnit::Mebibyte(1)).into_string().await;
     let text = text.map(|text| text.into_inner()).unwrap_or_default();
     let call: StartBody = serde_json::from_str(&text).expect("a start of a generation");
-    let step = Duration::from_micros(number(&call.prompt, "step_us").unwrap_or(20_000));
-    let count = number(&call.prompt, "len").unwrap_or(u64::from(call.max_tokens)) as u32;
-    let opened = OpenStream::begin();
-    let tokens = async_stream::stream! {
-        let _opened = opened;
-        let mut ticks = time::interval(step);
-        for seq in 0..count {
-            ticks.tick().await;
-            yield format!("data: {{\"seq\":{seq},\"text\":\"{} \"}}\n\n", moment::now_us());
-        }
-        yield format!("data: {{\"finish\":\"stop\",\"produced\":{count},\"prompt_tokens\":1,\"cached_tokens\":0,\"preempted\":0}}\n\n");
-    };
-    (
-        rocket::http::ContentType::EventStream,
-        TextStream::from(tokens),
-    )
+    let generation = PacedGeneration::of(&call);
+    HELD.lock()
+        .expect("not poisoned")
+        .insert(call.id, generation);
+    generation.stream(0)
+}
+
+#[get("/v1/generations/<id>?<from>")]
+fn resume(
+    id: &str,
+    from: u32,
+) -> Option<EventAnswer<impl futures_util::Stream<Item = String> + use<>>> {
+    let generation = HELD.lock().expect("not poisoned").get(id).copied()?;
+    Some(generation.stream(from))
 }
 
-#[delete("/v1/generations/<_generation>")]
-fn cancel(_generation: &str) -> (rocket::http::ContentType, &'static str) {
-    (
-        rocket::http::ContentType::JSON,
-        r#"{"ran":true,"produced":1}"#,
-    )
+#[delete("/v1/generations/<_id>")]
+fn cancel(_id: &str) -> (http::ContentType, &'static str) {
+    (http::ContentType::JSON, r#"{"ran":true,"produced":1}"#)
 }
 
 #[get("/v1/load")]
-fn load() -> (rocket::http::ContentType, &'static str) {
-    (rocket::http::ContentType::JSON, LOAD)
+fn load() -> (http::ContentType, &'static str) {
+    (http::ContentType::JSON, LOAD)
 }
 
 #[get("/v1/cache-events")]
-fn cache_events() -> (rocket::http::ContentType, &'static str) {
-    (rocket::http::ContentType::JSON, r#"{"events":[],"next":0}"#)
+fn cache_events() -> (http::ContentType, &'static str) {
+    (http::ContentType::JSON, r#"{"events":[],"next":0}"#)
 }
 
 #[get("/v1/state")]
-fn state() -> (rocket::http::ContentType, &'static str) {
-    (rocket::http::ContentType::JSON, STATE)
+fn state() -> (http::ContentType, &'static str) {
+    (http::ContentType::JSON, STATE)
 }
 
 #[post("/v1/orders")]
-fn order() -> (rocket::http::ContentType, &'static str) {
-    (rocket::http::ContentType::JSON, STATE)
+fn order() -> (http::ContentType, &'static str) {
+    (http::ContentType::JSON, STATE)
 }
 
 /// Serves one engine on a free port of the current runtime.
@@ -123,7 +154,7 @@
     let engine = rocket::custom(config)
         .mount(
             "/",
-            routes![start, cancel, load, cache_events, state, order],
+            routes![start, resume, cancel, load, cache_events, state, order],
         )
         .attach(liftoff);
     tokio::spawn(engine.launch());
--- a/crates/load/src/env.rs
+++ b/crates/load/src/env.rs
@@ -78,7 +78,18 @@
         configuration: document::Configuration,
         bounds: settings::BoundSettings,
     ) -> Result<Self, EnvError> {
-        let mut site = site::StandSite::start(configuration).await?;
+        Self::at_site(site::StandSite::start(configuration).await?, bounds).await
+    }
+
+    /// Starts the entry VMs of a site whose stand-ins listen already.
+    ///
+    /// # Errors
+    ///
+    /// When a part does not start.
+    pub async fn at_site(
+        mut site: site::StandSite,
+        bounds: settings::BoundSettings,
+    ) -> Result<Self, EnvError> {
         let mut entries = collections::BTreeMap::new();
         let names: Vec<String> = site
             .configuration
