--- /dev/null
+++ b/crates/load/tests/bad_streams.rs
@@ -0,0 +1,171 @@
+//! Streams that one side spoils: callers that stop reading or leave, engines that break off or
+//! speak nonsense.
+
+use std::time::Duration;
+
+use load::check;
+use stand::engine;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net, time,
+};
+
+mod env;
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// Longest wait for what must happen at some time.
+const WAIT: Duration = Duration::from_secs(40);
+
+fn chat(tokens: u32, mark: u32) -> serde_json::Value {
+    let text = format!("a review [[len={tokens}]] [[mark={mark:x}]]");
+    let messages = [serde_json::json!({"role": "user", "content": text})];
+    serde_json::json!({"model": "review-llm", "messages": messages, "stream": true})
+}
+
+fn apply_to_all(env: &env::TestEnv, fault: &engine::EngineFault) {
+    env.site
+        .engines
+        .values()
+        .for_each(|engine| engine.apply(fault));
+}
+
+async fn wait_until(what: &str, is_so: impl Fn() -> bool) {
+    let deadline = time::Instant::now() + WAIT;
+    while !is_so() {
+        assert!(
+            time::Instant::now() < deadline,
+            "not so after {WAIT:?}: {what}"
+        );
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn running(env: &env::TestEnv) -> u64 {
+    env.daemons[0].state().plane.gate().running()
+}
+
+/// Tokens and end of a stream that was read to its end.
+fn read_stream(text: &str, mark: u32, tokens: u32) -> Result<(), check::AnswerFault> {
+    let expected = check::ExpectedAnswer {
+        mark,
+        token_count: Some(tokens),
+    };
+    let mut check = check::AnswerCheck::new(expected);
+    for data in text.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            return check.finish();
+        }
+        let chunk: serde_json::Value = serde_json::from_str(data).expect("a chunk");
+        let index = chunk["pollenchute"]["index"].as_u64();
+        if let (Some(index), Some(word)) = (index, chunk["choices"][0]["delta"]["content"].as_str())
+        {
+            check.take_token(index as u32, word)?;
+        }
+    }
+    let seen = "no [DONE]".to_owned();
+    Err(check::AnswerFault::Cut { seen })
+}
+
+/// Symptom: engines work on answers that nobody reads.
+/// Sequence: a caller closes its connection after the first token.
+/// Cause: the relay must notice the close and cancel the generation.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_whose_caller_leaves_is_cancelled() {
+    let env = env::TestEnv::start(1).await;
+    let mut response = env.post(0, CHAT, &chat(5_000, 1)).await;
+    assert!(response.chunk().await.expect("the stream runs").is_some());
+    assert_eq!(env.site.live_generations(), 1);
+    drop(response);
+    // 5,000 tokens would take more than a minute.
+    wait_until("cancelled", || env.site.live_generations() == 0).await;
+    wait_until("ended", || running(&env) == 0).await;
+}
+
+/// Symptom: an entry VM's memory grows with each caller that hangs.
+/// Sequence: a caller asks for a long answer and never reads; its socket's buffers fill.
+/// Cause: what the caller does not take must wait in bounded space, and not for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_stops_reading_is_given_up_and_keeps_no_engine() {
+    let env = env::TestEnv::start(1).await;
+    // 16,000 tokens in a few seconds: many times what the socket's buffers take.
+    apply_to_all(&env, &engine::EngineFault::Slow { factor: 0.005 });
+    let socket = net::TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small buffer");
+    let mut socket = socket
+        .connect(env.daemons[0].callers())
+        .await
+        .expect("a connection");
+    let body = chat(16_000, 2).to_string();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        env::API_KEY,
+        body.len()
+    );
+    socket
+        .write_all((head + &body).as_bytes())
+        .await
+        .expect("the request is sent");
+    wait_until("begun", || running(&env) == 1).await;
+    wait_until("given up", || running(&env) == 0).await;
+    assert_eq!(env.site.live_generations(), 0);
+    // What was sent before is all that comes: far from the whole answer.
+    let mut rest = Vec::new();
+    let _ = time::timeout(WAIT, socket.read_to_end(&mut rest)).await;
+    assert!(
+        !rest.ends_with(b"[DONE]\n\n\r\n0\r\n\r\n"),
+        "{} bytes",
+        rest.len()
+    );
+    let response = env.post(0, CHAT, &chat(5, 3)).await;
+    let text = response.text().await.expect("the entry VM serves on");
+    assert_eq!(read_stream(&text, 3, 5), Ok(()));
+}
+
+/// Symptom: an answer stops in the middle although its engine holds the rest.
+/// Sequence: each connection to an engine breaks after three tokens.
+/// Cause: a body that ends without a finish is no end of a generation.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_engine_answer_is_continued_to_the_end() {
+    let env = env::TestEnv::start(1).await;
+    let after_tokens = Some(3);
+    apply_to_all(&env, &engine::EngineFault::Truncate { after_tokens });
+    let response = env.post(0, CHAT, &chat(20, 4)).await;
+    let text = response.text().await.expect("a whole body");
+    assert_eq!(read_stream(&text, 4, 20), Ok(()), "{text}");
+}
+
+/// Symptom: a caller waits for ever, or reads what the engine never meant.
+/// Sequence: every engine sends bytes that are no events.
+/// Cause: nonsense is a fault of the engine, which the caller must be told of.
+#[tokio::test(flavor = "multi_thread")]
+async fn nonsense_of_all_engines_is_an_honest_refusal() {
+    let env = env::TestEnv::start(1).await;
+    apply_to_all(&env, &engine::EngineFault::Nonsense { on: true });
+    let answer = time::timeout(WAIT, async {
+        let response = env.post(0, CHAT, &chat(20, 5)).await;
+        (
+            response.status().as_u16(),
+            response.text().await.expect("a whole body"),
+        )
+    });
+    let (status, text) = answer.await.expect("an answer in time");
+    assert!(text.contains("\"error\""), "{status}: {text}");
+    assert!(!text.contains("nonsense"), "passed on: {text}");
+    apply_to_all(&env, &engine::EngineFault::Nonsense { on: false });
+    wait_until("all ended", || env.site.live_generations() == 0).await;
+}
+
+/// Symptom: one bad engine spoils answers although eight good ones idle.
+/// Sequence: one engine sends nonsense; many calls come.
+/// Cause: a try of which nothing left for the caller may be made again elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn nonsense_of_one_engine_costs_no_answer() {
+    let env = env::TestEnv::start(1).await;
+    env.site.engines["engine-3"].apply(&engine::EngineFault::Nonsense { on: true });
+    for mark in 0..40 {
+        let response = env.post(0, CHAT, &chat(4, mark)).await;
+        let text = response.text().await.expect("a whole body");
+        assert_eq!(read_stream(&text, mark, 4), Ok(()), "{text}");
+    }
+}
