sched: what a VM is due is divided by class first; common and spare parts are settings

Cause: an entry VM with much normal work got only its weighted part while others filled theirs with deferrable work. Change: the ring is divided to urgent and normal demand first, then to deferrable demand, which keeps its floor. Digests carry both.

--- a/crates/entry/src/digests.rs
+++ b/crates/entry/src/digests.rs
@@ -99,7 +99,8 @@
                 let digest = share::EntryDigest {
                     identity,
                     weight: news.work.weight,
-                    demand: work.demand,
+                    firm: work.firm,
+                    deferrable: work.deferrable,
                     waiting: work.waiting,
                     urgent: work.urgent,
                 };
@@ -149,7 +150,8 @@
             work.weight = digest.weight;
             work.models.push(digest::ModelWork {
                 model_hash,
-                demand: digest.demand,
+                firm: digest.firm,
+                deferrable: digest.deferrable,
                 waiting: digest.waiting,
                 urgent: digest.urgent,
             });
--- a/crates/gossip/src/digest.rs
+++ b/crates/gossip/src/digest.rs
@@ -95,9 +95,11 @@
 pub struct ModelWork {
     /// Which model, by [`subject_hash`] of its name.
     pub model_hash: u64,
-    /// Engine memory that it asks for, in tokens.
-    pub demand: f32,
-    /// The part of it that waits.
+    /// Engine memory that urgent and normal work asks for, in tokens.
+    pub firm: f32,
+    /// The same for deferrable work.
+    pub deferrable: f32,
+    /// The part of both that waits.
     pub waiting: f32,
     /// Urgent generations at once.
     pub urgent: f32,
@@ -114,7 +116,8 @@
             models: models
                 .map(|work| proto::ModelWorkBody {
                     model_hash: work.model_hash,
-                    demand: work.demand,
+                    firm: work.firm,
+                    deferrable: work.deferrable,
                     waiting: work.waiting,
                     urgent: work.urgent,
                 })
@@ -133,14 +136,15 @@
             .take(MOST_MODELS)
             .map(|work| ModelWork {
                 model_hash: work.model_hash,
-                demand: work.demand,
+                firm: work.firm,
+                deferrable: work.deferrable,
                 waiting: work.waiting,
                 urgent: work.urgent,
             })
             .collect();
         let sums = models
             .iter()
-            .flat_map(|work| [work.demand, work.waiting, work.urgent]);
+            .flat_map(|work| [work.firm, work.deferrable, work.waiting, work.urgent]);
         let all_usable = sums.chain([body.weight]).all(is_usable);
         all_usable.then_some(Self {
             weight: body.weight,
--- a/crates/sched/benches/policy/main.rs
+++ b/crates/sched/benches/policy/main.rs
@@ -250,56 +250,123 @@
         core(settings)
     };
     vec![
-        ("0.1", with(|s| s.overflow_chance = [0.1; 3])),
-        ("0.15", with(|s| s.overflow_chance = [0.15; 3])),
         (
-            "0.15-nodoubt",
-            with(|s| (s.overflow_chance, s.slot_doubt) = ([0.15; 3], 0.0)),
+            "0.15",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+            }),
+        ),
+        (
+            "0.1",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.overflow_chance = [0.1; 3];
+            }),
+        ),
+        (
+            "0.2",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.overflow_chance = [0.2; 3];
+            }),
+        ),
+        (
+            "0.25",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.overflow_chance = [0.25; 3];
+            }),
         ),
         (
-            "0.15-head3",
-            with(|s| (s.overflow_chance, s.headroom_deviations) = ([0.15; 3], 3.0)),
+            "common.1",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.common_part = 0.1;
+            }),
         ),
         (
-            "0.15-crowd4",
+            "common.35",
             with(|s| {
                 s.overflow_chance = [0.15; 3];
-                s.crowding_weight = time::Duration::from_millis(400);
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.common_part = 0.35;
             }),
         ),
         (
-            "0.15-near3",
+            "spare1.1",
             with(|s| {
                 s.overflow_chance = [0.15; 3];
-                s.near_best = time::Duration::from_millis(3);
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.spare_demand = 1.1;
             }),
         ),
         (
-            "0.15-near30",
+            "spare1.6",
             with(|s| {
                 s.overflow_chance = [0.15; 3];
-                s.near_best = time::Duration::from_millis(30);
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.spare_demand = 1.6;
             }),
         ),
         (
-            "0.15-press.05",
+            "reuse0",
             with(|s| {
                 s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(50);
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.reuse = 0.0;
             }),
         ),
         (
-            "0.15-press0",
+            "reuse.6",
             with(|s| {
                 s.overflow_chance = [0.15; 3];
                 s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.reuse = 0.6;
             }),
         ),
         (
-            "0.15-noprefix",
+            "floor0",
             with(|s| {
                 s.overflow_chance = [0.15; 3];
-                s.prefix_half_life = time::Duration::ZERO;
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.deferrable_floor = 0.0;
+            }),
+        ),
+        (
+            "doubt0",
+            with(|s| {
+                s.overflow_chance = [0.15; 3];
+                s.pressure_weight = time::Duration::from_millis(0);
+                s.near_best = time::Duration::from_millis(5);
+                s.headroom_deviations = 3.0;
+                s.slot_doubt = 0.0;
             }),
         ),
     ]
@@ -360,7 +427,11 @@
         .filter(|scenario| scenario.name.contains(&wanted))
         .collect();
     let ablation = std::env::args().any(|text| text == "ablation");
-    let policies = if ablation { variants() } else { policies() };
+    let mut policies = if ablation { variants() } else { policies() };
+    if ablation {
+        policies.push(("fewest", Policy::Fewest));
+        policies.push(("oracle", Policy::Oracle));
+    }
     let mut jobs = Vec::new();
     for scenario in &scenarios {
         for (_, policy) in &policies {
--- a/crates/sched/src/core.rs
+++ b/crates/sched/src/core.rs
@@ -470,11 +470,11 @@
             .lengths
             .curve(state.source(), state.histogram, state.ask.max_tokens);
         let context = (state.ask.prompt_tokens + run.produced) as f32;
-        let urgent = state.ask.class == class::TrafficClass::Urgent;
+        let deferrable = state.ask.class == class::TrafficClass::Deferrable;
         if let Some(server) = self.servers.get_mut(run.server) {
             let load =
                 risk::MemoryLoad::of(&curve, context + server.rounding(), run.produced as f32);
-            server.reload(&run.load, &load, run.started_at, urgent);
+            server.reload(&run.load, &load, run.started_at, deferrable);
             if let Some(run) = &mut self.tickets[ticket].run {
                 run.load = load;
                 run.loaded_at = run.produced;
@@ -519,7 +519,8 @@
         let (ask, excess) = (state.ask, f64::from(produced) - f64::from(state.expected));
         let urgent = ask.class == class::TrafficClass::Urgent;
         if let Some(server) = self.servers.get_mut(run.server) {
-            server.end(&run, urgent, now);
+            let deferrable = ask.class == class::TrafficClass::Deferrable;
+            server.end(&run, deferrable, now);
             if let Some(&moved) = server.tickets.get(run.place)
                 && let Some(moved) = self
                     .tickets
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -318,8 +318,9 @@
         let state = &mut self.tickets[ticket];
         let (ask, expected) = (state.ask, f64::from(state.expected));
         let urgent = ask.class == class::TrafficClass::Urgent;
+        let deferrable = ask.class == class::TrafficClass::Deferrable;
         let server = &mut self.servers[choice.server];
-        let place = server.start(ticket, load, choice.prefill, urgent, now);
+        let place = server.start(ticket, load, choice.prefill, deferrable, now);
         state.run = Some(ticket::RunState {
             server: choice.server,
             place,
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -86,9 +86,12 @@
     pub shares: share::ShareTable,
     /// How many urgent generations there are at once.
     pub headroom: headroom::HeadroomMeter,
-    /// Engine memory that own work asks for, in tokens, averaged over some seconds.
-    pub demand: f32,
-    /// The part of it that waits, as of now.
+    /// Engine memory that own urgent and normal work asks for, in tokens, averaged over some
+    /// seconds.
+    pub firm: f32,
+    /// The same for deferrable work.
+    pub deferrable: f32,
+    /// What waits, as of now.
     pub waiting: f32,
     /// Waiting requests by class.
     pub queues: [queue::FairQueue; 3],
@@ -112,7 +115,8 @@
             ring: Vec::new(),
             shares: share::ShareTable::default(),
             headroom: headroom::HeadroomMeter::default(),
-            demand: 0.0,
+            firm: 0.0,
+            deferrable: 0.0,
             waiting: 0.0,
             queues: Default::default(),
             drains: [DrainMeter::new(); 3],
@@ -134,13 +138,17 @@
         }
     }
 
-    /// Moves the averaged demand by `age` towards what runs and waits now.
-    pub fn measure_demand(&mut self, running: f32, age: time::Duration) {
-        let backlogs = self.queues.iter().map(queue::FairQueue::backlog);
-        self.waiting = backlogs.sum::<f64>() as f32;
+    /// Moves the averaged demands by `age` towards what runs, `firm` and deferrable, and waits.
+    pub fn measure_demand(&mut self, firm: f32, deferrable: f32, age: time::Duration) {
+        let [urgent, normal, late] = &self.queues;
+        let firm_waiting = (urgent.backlog() + normal.backlog()) as f32;
+        let late_waiting = late.backlog() as f32;
+        self.waiting = firm_waiting + late_waiting;
         let keep = (-age.as_secs_f32() / DEMAND_SPAN.as_secs_f32()).exp();
-        let demand = running + self.waiting;
-        self.demand = keep.mul_add(self.demand - demand, demand);
+        let firm = firm + firm_waiting;
+        self.firm = keep.mul_add(self.firm - firm, firm);
+        let deferrable = deferrable + late_waiting;
+        self.deferrable = keep.mul_add(self.deferrable - deferrable, deferrable);
     }
 
     /// Where there are more engines than candidates, takes those that this VM covers on the ring
@@ -162,7 +170,8 @@
         share::EntryDigest {
             identity,
             weight,
-            demand: self.demand,
+            firm: self.firm,
+            deferrable: self.deferrable,
             waiting: self.waiting,
             urgent: self.headroom.demand(),
         }
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -51,6 +51,10 @@
     pub reuse: f32,
     /// Whether this VM takes only its share of the room that a report shows.
     pub share_room: bool,
+    /// Part of each engine's room that goes to whoever has work waiting, see [`crate::share`].
+    pub common_part: f32,
+    /// What a VM may be due of the engines, as a multiple of its demand.
+    pub spare_demand: f32,
     /// Urgent generations without a first token that may be sent to one engine beyond its room.
     pub urgent_beyond: u32,
     /// Deviations of urgent demand that are kept free beside its mean.
@@ -93,6 +97,8 @@
             hold_after: time::Duration::from_secs(1),
             reuse: 0.25,
             share_room: true,
+            common_part: 0.2,
+            spare_demand: 1.25,
             urgent_beyond: 2,
             headroom_deviations: 2.0,
             slot_doubt: 1.0,
--- a/crates/sched/src/share.rs
+++ b/crates/sched/src/share.rs
@@ -22,9 +22,11 @@
     pub identity: u64,
     /// Sum of the weights of the organisations with work there.
     pub weight: f32,
-    /// Engine memory that its running and waiting work asks for, in tokens.
-    pub demand: f32,
-    /// The part of it that waits.
+    /// Engine memory that its running and waiting urgent and normal work asks for, in tokens.
+    pub firm: f32,
+    /// The same for deferrable work.
+    pub deferrable: f32,
+    /// The part of both that waits.
     pub waiting: f32,
     /// Urgent generations at once, see [`crate::headroom`].
     pub urgent: f32,
@@ -33,11 +35,17 @@
 /// A digest older than this says nothing any more.
 const STALE: time::Duration = time::Duration::from_secs(20);
 
-/// Part of each engine's room that goes to whoever has work waiting, wherever it lies on the ring.
-const COMMON: f32 = 0.2;
-
-/// What a VM is due beyond its demand, as a part of that: else growth would wait for a digest.
-const SPARE: f32 = 1.25;
+/// What the division of a ring follows.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareRule {
+    /// Part of the whole that deferrable work is owed.
+    pub floor: f32,
+    /// Part of each engine's room that goes to whoever has work waiting, wherever on the ring.
+    pub common: f32,
+    /// What a VM may be due, as a multiple of its demand: above 1, else growth would wait for a
+    /// digest.
+    pub spare: f32,
+}
 
 /// An engine on the ring.
 #[derive(Clone, Copy, Debug)]
@@ -55,7 +63,11 @@
 struct RingEntry {
     identity: u64,
     weight: f32,
-    /// Most that it may be due.
+    /// Most that it is due for its urgent and normal work.
+    firm: f32,
+    /// The same for deferrable work.
+    deferrable: f32,
+    /// What it may be due in the round of division under way.
     wanted: f32,
     due: f32,
 }
@@ -69,6 +81,8 @@
     /// Share of each engine; empty while no digest is known.
     shares: slotmap::SecondaryMap<id::ServerKey, f32>,
     others_urgent: f32,
+    /// Part that is not laid on the ring, see [`ShareRule`].
+    common: f32,
 }
 
 impl ShareTable {
@@ -86,8 +100,14 @@
     }
 
     /// Works out the shares anew; called now and then, not for each decision. `engines` are in
-    /// ascending order of identity.
-    pub fn refresh(&mut self, own: &EntryDigest, engines: &[RingEngine], now: time::Instant) {
+    /// ascending order of identity;
+    pub fn refresh(
+        &mut self,
+        own: &EntryDigest,
+        engines: &[RingEngine],
+        rule: &ShareRule,
+        now: time::Instant,
+    ) {
         self.digests
             .retain(|_, (_, taken_at)| now.saturating_duration_since(*taken_at) < STALE);
         self.shares.clear();
@@ -107,12 +127,15 @@
             self.entries.push(RingEntry {
                 identity: digest.identity,
                 weight: digest.weight.max(0.1),
-                wanted: SPARE * digest.demand + 0.01 * capacity,
+                firm: rule.spare * digest.firm + 0.01 * capacity,
+                deferrable: rule.spare * digest.deferrable,
+                wanted: 0.0,
                 due: 0.0,
             });
         }
-        divide(&mut self.entries, capacity);
+        divide_all(&mut self.entries, capacity, rule.floor);
         let common = own.waiting / (waiting + own.waiting).max(1.0);
+        self.common = rule.common;
         self.lay(own.identity, engines, common);
     }
 
@@ -130,7 +153,8 @@
         for engine in engines {
             let end = start + engine.capacity;
             let covered = (to.min(end) - from.max(start)).max(0.0);
-            let share = (1.0 - COMMON) * covered / engine.capacity.max(1.0) + COMMON * common;
+            let own = covered / engine.capacity.max(1.0);
+            let share = (1.0 - self.common) * own + self.common * common;
             self.shares.insert(engine.server, share);
             start = end;
         }
@@ -139,7 +163,7 @@
     /// Place in `engines` of the first engine that this VM covers.
     #[must_use]
     pub fn first_covered(&self, engines: &[RingEngine]) -> Option<usize> {
-        let own = COMMON + f32::EPSILON;
+        let own = self.common + f32::EPSILON;
         engines
             .iter()
             .position(|engine| self.share(engine.server).is_some_and(|share| share > own))
@@ -158,22 +182,40 @@
     }
 }
 
-/// Divides `capacity` by weight, nobody more than it wants while others want more; what is left
-/// over goes to all by weight.
-fn divide(entries: &mut [RingEntry], capacity: f32) {
+/// Divides `capacity`: first to urgent and normal work, what is left to deferrable work, which is
+/// owed `floor` of the whole; then what nobody asks for to all by weight.
+fn divide_all(entries: &mut [RingEntry], capacity: f32, floor: f32) {
+    let deferrable: f32 = entries.iter().map(|entry| entry.deferrable).sum();
+    let owed = deferrable.min(floor * capacity);
+    for entry in entries.iter_mut() {
+        entry.wanted = entry.firm;
+    }
+    let left = divide(entries, capacity - owed) + owed;
+    for entry in entries.iter_mut() {
+        entry.wanted = entry.deferrable;
+    }
+    let left = divide(entries, left);
+    let whole: f32 = entries.iter().map(|entry| entry.weight).sum();
+    for entry in entries.iter_mut() {
+        entry.due += left * entry.weight / whole.max(f32::EPSILON);
+    }
+}
+
+/// Divides `capacity` by weight, nobody more than it wants while others want more. Returns what
+/// is left over.
+fn divide(entries: &mut [RingEntry], capacity: f32) -> f32 {
     entries.sort_unstable_by(|left, right| {
         let levels = (left.wanted / left.weight, right.wanted / right.weight);
         levels.0.total_cmp(&levels.1)
     });
-    let whole: f32 = entries.iter().map(|entry| entry.weight).sum();
-    let (mut left, mut weight) = (capacity, whole);
+    let mut weight: f32 = entries.iter().map(|entry| entry.weight).sum();
+    let mut left = capacity;
     for entry in entries.iter_mut() {
         let fair = left * entry.weight / weight.max(f32::EPSILON);
-        entry.due = entry.wanted.min(fair).max(0.0);
-        left -= entry.due;
+        let part = entry.wanted.min(fair).max(0.0);
+        entry.due += part;
+        left -= part;
         weight -= entry.weight;
     }
-    for entry in entries.iter_mut() {
-        entry.due += left.max(0.0) * entry.weight / whole.max(f32::EPSILON);
-    }
+    left.max(0.0)
 }
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -106,16 +106,22 @@
 
     fn refresh_shares(&mut self, age: time::Duration, now: time::Instant) {
         let weight = self.organisations.busy_weight() as f32;
+        let rule = share::ShareRule {
+            floor: self.settings.deferrable_floor as f32,
+            common: self.settings.common_part,
+            spare: self.settings.spare_demand,
+        };
         for (model, fleet) in &mut self.models {
             fleet.rest = self.lengths.rest(model);
             fleet.advance_drains(now);
             fleet.headroom.advance(now);
             fleet.ring.clear();
-            let mut running = 0.0;
+            let (mut running, mut deferrable) = (0.0, 0.0);
             for (server, view) in &self.servers {
                 let near = fleet::near(self.settings.place, view.spec.place);
                 if near && view.spec.models.contains(&model) {
                     running += view.own.memory.mean[0];
+                    deferrable += view.own_deferrable.memory.mean[0];
                     if route::healthy(view, now) {
                         let (identity, capacity) = (view.spec.identity, view.capacity());
                         fleet.ring.push(share::RingEngine {
@@ -127,9 +133,9 @@
                 }
             }
             fleet.ring.sort_unstable_by_key(|engine| engine.identity);
-            fleet.measure_demand(running, age);
+            fleet.measure_demand(running - deferrable, deferrable, age);
             let own = fleet.digest(self.settings.identity, weight);
-            fleet.shares.refresh(&own, &fleet.ring, now);
+            fleet.shares.refresh(&own, &fleet.ring, &rule, now);
             fleet.follow_shares(self.settings.candidates);
         }
     }
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/view.rs
@@ -111,8 +111,8 @@
     pub suspected: bool,
     /// Own generations, running or just started.
     pub own: LoadSum,
-    /// Own urgent ones among them.
-    pub own_urgent: LoadSum,
+    /// Own deferrable ones among them.
+    pub own_deferrable: LoadSum,
     /// Others' generations as of the newest report.
     pub others: LoadSum,
     /// Own ones that were started since the newest report was taken.
@@ -152,7 +152,7 @@
             leaving: false,
             suspected: false,
             own: LoadSum::default(),
-            own_urgent: LoadSum::default(),
+            own_deferrable: LoadSum::default(),
             others: LoadSum::default(),
             started: LoadSum::default(),
             ended: LoadSum::default(),
@@ -204,7 +204,7 @@
         ticket: TicketKey,
         load: &risk::MemoryLoad,
         prefill: f32,
-        urgent: bool,
+        deferrable: bool,
         now: time::Instant,
     ) -> usize {
         if self.own.running < 0.5 {
@@ -212,8 +212,8 @@
         }
         self.own.join(load);
         self.started.join(load);
-        if urgent {
-            self.own_urgent.join(load);
+        if deferrable {
+            self.own_deferrable.join(load);
         }
         self.prefill += prefill;
         self.unstarted += 1;
@@ -243,13 +243,13 @@
         old: &risk::MemoryLoad,
         new: &risk::MemoryLoad,
         started_at: time::Instant,
-        urgent: bool,
+        deferrable: bool,
     ) {
         let since_report = self.started_since_report(started_at);
         let sums = [
             (true, &mut self.own),
             (since_report, &mut self.started),
-            (urgent, &mut self.own_urgent),
+            (deferrable, &mut self.own_deferrable),
         ];
         for (_, sum) in sums.into_iter().filter(|(counted, _)| *counted) {
             sum.memory.subtract(old);
@@ -258,11 +258,11 @@
     }
 
     /// An own generation ended there. The ticket that takes its place in `tickets` has moved.
-    pub fn end(&mut self, run: &ticket::RunState, urgent: bool, now: time::Instant) {
+    pub fn end(&mut self, run: &ticket::RunState, deferrable: bool, now: time::Instant) {
         self.tickets.swap_remove(run.place);
         self.own.leave(&run.load);
-        if urgent {
-            self.own_urgent.leave(&run.load);
+        if deferrable {
+            self.own_deferrable.leave(&run.load);
         }
         if run.produced == 0 {
             self.settle(run.prefill);
--- a/crates/wire/src/proto/gossip.rs
+++ b/crates/wire/src/proto/gossip.rs
@@ -243,14 +243,17 @@
     /// Hash of the model's name.
     #[prost(fixed64, tag = "1")]
     pub model_hash: u64,
-    /// Engine memory that it asks for, in tokens.
+    /// Engine memory that urgent and normal work asks for, in tokens.
     #[prost(float, tag = "2")]
-    pub demand: f32,
-    /// The part of it that waits.
+    pub firm: f32,
+    /// The same for deferrable work.
     #[prost(float, tag = "3")]
+    pub deferrable: f32,
+    /// The part of both that waits.
+    #[prost(float, tag = "4")]
     pub waiting: f32,
     /// Urgent generations at once.
-    #[prost(float, tag = "4")]
+    #[prost(float, tag = "5")]
     pub urgent: f32,
 }
 /// What is said of a member, in order of precedence at equal refutation.
