sched: urgent work is drawn in proportion to expected room; pressure and crowding weights go out

Change: among the near-best the draw is weighted by expected room, so that what all VMs send together meets the room that there is.

--- a/crates/sched/benches/policy/main.rs
+++ b/crates/sched/benches/policy/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `cargo bench -p sched --bench policy -- [quick] [scenario=NAME] [seeds=N]`
 
+mod ablation;
 mod baseline;
 mod engine;
 mod entry;
@@ -241,137 +242,6 @@
     ]
 }
 
-fn variants() -> Vec<(&'static str, Policy)> {
-    let base = settings::PolicySettings::default;
-    let core = Policy::Core;
-    let with = |change: fn(&mut settings::PolicySettings)| {
-        let mut settings = base();
-        change(&mut settings);
-        core(settings)
-    };
-    vec![
-        (
-            "0.15",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-            }),
-        ),
-        (
-            "0.1",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.overflow_chance = [0.1; 3];
-            }),
-        ),
-        (
-            "0.2",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.overflow_chance = [0.2; 3];
-            }),
-        ),
-        (
-            "0.25",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.overflow_chance = [0.25; 3];
-            }),
-        ),
-        (
-            "common.1",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.common_part = 0.1;
-            }),
-        ),
-        (
-            "common.35",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.common_part = 0.35;
-            }),
-        ),
-        (
-            "spare1.1",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.spare_demand = 1.1;
-            }),
-        ),
-        (
-            "spare1.6",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.spare_demand = 1.6;
-            }),
-        ),
-        (
-            "reuse0",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.reuse = 0.0;
-            }),
-        ),
-        (
-            "reuse.6",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.reuse = 0.6;
-            }),
-        ),
-        (
-            "floor0",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.deferrable_floor = 0.0;
-            }),
-        ),
-        (
-            "doubt0",
-            with(|s| {
-                s.overflow_chance = [0.15; 3];
-                s.pressure_weight = time::Duration::from_millis(0);
-                s.near_best = time::Duration::from_millis(5);
-                s.headroom_deviations = 3.0;
-                s.slot_doubt = 0.0;
-            }),
-        ),
-    ]
-}
-
 fn argument(name: &str) -> Option<String> {
     let prefix = format!("{name}=");
     std::env::args().find_map(|text| text.strip_prefix(&prefix).map(str::to_owned))
@@ -427,7 +297,11 @@
         .filter(|scenario| scenario.name.contains(&wanted))
         .collect();
     let ablation = std::env::args().any(|text| text == "ablation");
-    let mut policies = if ablation { variants() } else { policies() };
+    let mut policies = if ablation {
+        ablation::variants()
+    } else {
+        policies()
+    };
     if ablation {
         policies.push(("fewest", Policy::Fewest));
         policies.push(("oracle", Policy::Oracle));
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -246,7 +246,6 @@
             terms: &terms,
             held: held.filter(|_| !urgent),
             prefill_rate: self.prefill_rate,
-            beyond: false,
         };
         let beliefs = self.affinity.beliefs(&ask.prefix, now);
         let context = route::RouteContext {
@@ -268,13 +267,6 @@
                 })
                 .or(found);
         }
-        if urgent && found.is_err() {
-            let query = route::RouteQuery {
-                beyond: true,
-                ..query
-            };
-            found = context.choose(&fleet.near, &query, &mut self.rng);
-        }
         let choice = found?;
         let server = &self.servers[choice.server];
         let mut whole = server.whole(now);
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/room.rs
@@ -41,21 +41,16 @@
     }
 }
 
-/// How full an engine would be with one more generation.
+/// What an engine has room for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RoomState {
-    /// Largest part of the memory needed at any horizon, the class's deviations included.
-    pub pressure: f32,
-    /// Chance that the batch or the memory is full when the generation arrives.
-    pub crowding: f32,
-    /// What is short; absent when there is room.
+    /// Further generations of the same size that are expected to fit now, whatever the doubt.
+    pub free: f32,
+    /// What is short for one more, within bounds; absent when there is room.
     pub lack: Option<explain::WaitCause>,
 }
 
-/// Least doubt on the number of generations in a batch: starts and ends are under way.
-const LEAST_SPREAD: f32 = 0.5;
-
-/// How full the server would be with `extra`, and whether that is within bounds.
+/// What the server has room for, generation by generation like `extra`.
 #[must_use]
 pub fn assess(
     server: &view::ServerView,
@@ -65,39 +60,39 @@
     now: time::Instant,
 ) -> RoomState {
     let slots = server.spec.max_batch as f32;
-    let taken = server.own.running + server.others.running + 1.0;
-    let doubt = server.running_spread(now);
+    let running = server.own.running + server.others.running;
     let whole = server.whole(now);
+    let capacity = server.capacity();
+    let fitting = (capacity - whole.mean[0]) / extra.mean[0].max(1.0);
+    let free = fitting.min(slots - running).max(0.0);
+    if !terms.shared {
+        let lack = (free < 1.0).then_some(explain::WaitCause::Batch);
+        return RoomState { free, lack };
+    }
     let mut needed = 0.0f32;
     for place in 0..risk::HORIZONS.len() {
         let mean = whole.mean[place] + extra.mean[place];
         let spread = (whole.variance[place] + extra.variance[place]).sqrt();
         needed = needed.max(terms.deviations.mul_add(spread, mean));
     }
-    let capacity = server.capacity();
-    let kept = terms.deviations * doubt * terms.slot_doubt + terms.reserved_slots;
+    let taken = running + 1.0;
+    let doubt = terms.deviations * server.running_spread(now) * terms.slot_doubt;
+    // Alone on an engine anything may run that fits it at all.
+    let alone = running < 0.5;
     let lack = if taken > slots {
         Some(explain::WaitCause::Batch)
-    } else if taken + kept > slots {
+    } else if taken + doubt + terms.reserved_slots > slots && !alone {
         Some(explain::WaitCause::Headroom)
-    } else if needed > capacity && taken > 1.5 {
+    } else if needed > capacity && !alone {
         Some(explain::WaitCause::Memory)
-    } else if needed > capacity - terms.reserved_tokens && taken > 1.5 {
+    } else if needed > capacity - terms.reserved_tokens && !alone {
         Some(explain::WaitCause::Headroom)
-    } else if terms.shared && lacks_share(server, extra, terms, part, &whole) {
+    } else if lacks_share(server, extra, terms, part, &whole) {
         Some(explain::WaitCause::Share)
     } else {
         None
     };
-    let free = slots + 0.5 - taken;
-    let full = risk::tail_chance(free / doubt.max(LEAST_SPREAD));
-    let room = capacity - whole.mean[0] - extra.mean[0];
-    let filled = risk::tail_chance(room / whole.variance[0].sqrt().max(LEAST_SPREAD));
-    RoomState {
-        pressure: needed / capacity.max(1.0),
-        crowding: full.max(filled),
-        lack,
-    }
+    RoomState { free, lack }
 }
 
 /// Whether `extra` is beyond this VM's part: between two reports it takes of each engine only its
--- a/crates/sched/src/route.rs
+++ b/crates/sched/src/route.rs
@@ -1,9 +1,13 @@
-//! Choice of a server among candidates: predicted time to first token, memory and batch, cached
-//! prefixes, recent failures; at random among the near-best, so that many entry VMs that read
-//! the same lagged report do not all choose the same server.
+//! Choice of a server among candidates: predicted time to first token with cached prefixes, and
+//! recent failures; among the near-best at random, in proportion to the room that each is
+//! expected to have.
+//!
+//! Many entry VMs read the same lagged report. Were each to choose the engine with the most room,
+//! all would send their urgent work there until the next report, and overfill it. Drawn in
+//! proportion to the room, what all of them send together meets the room that there is.
 
 use base::id;
-use rand::Rng;
+use rand::{Rng, RngExt as _};
 use tokio::time;
 
 use crate::{affinity, ask, explain, risk, room, settings, share, view};
@@ -17,6 +21,9 @@
 /// The same in seconds, at least.
 const SILENT_SECONDS: f32 = 0.75;
 
+/// Weight in the draw of an engine that is expected to be full.
+const LEAST_FREE: f32 = 0.1;
+
 /// Faded failures above this keep a server out; below it and above [`PROBED`] it gets one
 /// generation at a time.
 const SHUNNED: f32 = 0.5;
@@ -37,8 +44,6 @@
     pub held: Option<id::ServerKey>,
     /// Learnt rate at which engines take in prompts, in tokens a second.
     pub prefill_rate: f32,
-    /// Whether it may go beyond a server's room, as urgent work may.
-    pub beyond: bool,
 }
 
 /// A chosen server.
@@ -63,6 +68,7 @@
     server: id::ServerKey,
     score: f32,
     first_token: f32,
+    free: f32,
     prefix: affinity::PrefixBelief,
 }
 
@@ -112,6 +118,7 @@
             server: id::ServerKey::default(),
             score: f32::INFINITY,
             first_token: 0.0,
+            free: 0.0,
             prefix: affinity::PrefixBelief::default(),
         };
         let mut scored = [none; MOST_CANDIDATES];
@@ -164,29 +171,20 @@
         let part = room::RoomShare::of(share, server, self.settings.reuse);
         let state = room::assess(server, query.load, query.terms, part, self.now);
         if let Some(lack) = state.lack
-            && (!query.beyond || server.unstarted >= self.settings.urgent_beyond)
+            && (query.terms.shared || server.unstarted >= self.settings.urgent_beyond)
         {
             return Err(lack);
         }
         let prefix = self.beliefs.of(key);
         let first_token = self.first_token(server, query, prefix.expected);
-        let settings = self.settings;
-        // An urgent generation is short: fullness ahead means nothing to it, and were it counted,
-        // all entry VMs would send theirs to the engine that the last report showed emptiest.
-        let full = if query.terms.shared {
-            state.pressure * state.pressure
-        } else {
-            0.0
-        };
         let score = first_token
-            + settings.pressure_weight.as_secs_f32() * full * full
-            + settings.crowding_weight.as_secs_f32() * state.crowding
-            + settings.failure_weight.as_secs_f32() * server.failure(self.now)
+            + self.settings.failure_weight.as_secs_f32() * server.failure(self.now)
             + self.distance(server);
         Ok(ScoredServer {
             server: key,
             score,
             first_token,
+            free: state.free,
             prefix,
         })
     }
@@ -223,9 +221,15 @@
             .fold(f32::INFINITY, f32::min);
         let bound = best + self.settings.near_best.as_secs_f32();
         let near = || scored.iter().filter(|server| server.score <= bound);
-        let count = near().count() as u32;
-        let index = (u64::from(rng.next_u32()) * u64::from(count)) >> 32;
-        let chosen = near().nth(index as usize).unwrap_or(&scored[0]);
+        let count = near().count();
+        let weight = |server: &ScoredServer| server.free.max(LEAST_FREE);
+        let mut drawn = rng.random::<f32>() * near().map(weight).sum::<f32>();
+        let passed = near().take_while(|server| {
+            drawn -= weight(server);
+            drawn >= 0.0
+        });
+        let index = passed.count().min(count.saturating_sub(1));
+        let chosen = near().nth(index).unwrap_or(&scored[0]);
         let cause = if scored.len() == 1 {
             explain::ChoiceCause::Only
         } else if chosen.prefix.tokens > 0 {
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -25,12 +25,9 @@
     pub poll_interval: time::Duration,
     /// Engines of one model in the own region that are compared, and as many elsewhere.
     pub candidates: usize,
-    /// Engines whose score lies within this of the best are drawn from at random.
+    /// Engines whose score lies within this of the best are drawn from in proportion to their
+    /// room.
     pub near_best: time::Duration,
-    /// What a full memory counts in a score, as time to first token.
-    pub pressure_weight: time::Duration,
-    /// What a certainly full batch counts in a score, as time to first token.
-    pub crowding_weight: time::Duration,
     /// What one recent failure counts in a score, as time to first token.
     pub failure_weight: time::Duration,
     /// What another failure domain counts in a score.
@@ -80,13 +77,11 @@
             identity: 0,
             entries: 1,
             organisation_entries: 1,
-            overflow_chance: [0.05, 0.02, 0.01],
+            overflow_chance: [0.15; 3],
             queue_limit: [10_000, 10_000, 1_000_000],
             poll_interval: time::Duration::from_millis(10),
             candidates: 16,
-            near_best: time::Duration::from_millis(10),
-            pressure_weight: time::Duration::from_millis(200),
-            crowding_weight: time::Duration::from_millis(100),
+            near_best: time::Duration::from_millis(20),
             failure_weight: time::Duration::from_secs(2),
             domain_penalty: time::Duration::from_millis(2),
             region_penalty: time::Duration::from_millis(150),
@@ -100,7 +95,7 @@
             common_part: 0.2,
             spare_demand: 1.25,
             urgent_beyond: 2,
-            headroom_deviations: 2.0,
+            headroom_deviations: 3.0,
             slot_doubt: 1.0,
             early_refusal: 1.5,
             victim_chance: 0.5,
