flow: an entry VM without a configuration says so instead of refusing the key

Change: AuthenticateFilter refuses as not_ready with retry_after_ms while the revision is 0. Conclusion: test an_entry_without_a_configuration_says_so: 401 before, 503 not_ready after.

--- a/crates/flow/src/authenticate.rs
+++ b/crates/flow/src/authenticate.rs
@@ -16,6 +16,11 @@
         input: request::Request<W, request::Arrived>,
     ) -> Result<Self::Out, filter::EarlyEnd> {
         let config = &input.facts.view.config;
+        // Without a configuration no key is known. Callers take "unauthenticated" as final: one
+        // would notice those that a VM met in its first second and that never came back.
+        if config.revision() == 0 {
+            return Err(input.refused(no_configuration()).into());
+        }
         let key = input.facts.headers.api_key.as_deref();
         match key.and_then(|key| config.organisation_by_api_key(key)) {
             Some(organisation) => Ok(input.advance(|_| request::Known { organisation })),
@@ -30,3 +35,12 @@
         }
     }
 }
+
+/// When to come back to an entry VM that has no configuration yet, in milliseconds.
+const NO_CONFIGURATION_RETRY_MS: u64 = 500;
+
+fn no_configuration() -> refusal::RefusalBody {
+    let message = "this entry VM has no configuration yet; ask another one, or come back";
+    refusal::RefusalBody::not_run(refusal::RefusalCode::NotReady, message)
+        .retry_after_ms(NO_CONFIGURATION_RETRY_MS)
+}
