--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -265,3 +265,16 @@
         }
     }
 }
+
+#[test]
+fn the_table_of_capacity_is_what_its_command_prints() {
+    let text = fs::read_to_string(root().join("docs/capacity.jsonc")).unwrap();
+    let file: ctl::capacity::CapacityFile =
+        conf::settings::parse("docs/capacity.jsonc", &text).unwrap();
+    let page = fs::read_to_string(root().join("docs/CAPACITY.md")).unwrap();
+    let table = ctl::capacity::table(&file);
+    assert!(
+        page.contains(&table),
+        "copy what pollenctl capacity prints:\n{table}"
+    );
+}
