--- a/crates/lease/src/driver.rs
+++ b/crates/lease/src/driver.rs
@@ -188,7 +188,7 @@
         Ok(verdict) => {
             let read = time::Instant::now();
             shared.lock().settled(&item, &verdict, asked, read);
-            metrics::gauge!("pollenchute_lease_held_total").set(verdict.held.len() as f64);
+            metrics::gauge!("pollenchute_lease_held_leases").set(verdict.held.len() as f64);
         }
         Err(_) => metrics::counter!("pollenchute_lease_unsettled_rounds_total").increment(1),
     }
--- a/crates/ledger/src/job_memory.rs
+++ b/crates/ledger/src/job_memory.rs
@@ -20,7 +20,7 @@
     last: u64,
 }
 
-/// Remembers work that is not held, from [`JobMemory::horizon`] on.
+/// Remembers work that is not held, from `JobMemory::horizon` on.
 ///
 /// An acceptance or a carried state that was held up for long on its way would otherwise bring
 /// work back that was done meanwhile: it would run a second time, and its caller could read
--- a/crates/sched/src/affinity.rs
+++ b/crates/sched/src/affinity.rs
@@ -47,7 +47,7 @@
     pub expected: f32,
 }
 
-/// Servers believed to hold some prefix of one prompt, at most [`MOST_BELIEFS`] of them.
+/// Servers believed to hold some prefix of one prompt, at most `MOST_BELIEFS` of them.
 #[derive(Clone, Copy, Debug)]
 pub struct BeliefList {
     beliefs: [(id::ServerKey, PrefixBelief); MOST_BELIEFS],
