--- /dev/null
+++ b/crates/exchange/src/directory.rs
@@ -0,0 +1,49 @@
+//! Which entry VMs a caller is told to use.
+
+use std::net;
+
+use tokio::time;
+
+use crate::{message, peers};
+
+/// Most addresses in one answer.
+const MOST_ADDRESSES: usize = 64;
+/// VMs of the caller's own failure domain that suffice: with fewer, the loss of one would leave the
+/// caller with none until it asks again.
+const ENOUGH_NEAR: usize = 2;
+
+/// This VM, as callers are told of it.
+#[derive(Clone, Debug)]
+pub struct OwnEntry {
+    /// Failure domain.
+    pub zone: String,
+    /// What it does.
+    pub stage: message::VmStage,
+    /// Where callers reach it.
+    pub address: net::SocketAddr,
+}
+
+/// Addresses for a caller in `zone`: VMs of its own failure domain if there are enough, else all.
+#[must_use]
+pub fn addresses(
+    own: &OwnEntry,
+    peers: &peers::PeerTable,
+    zone: &str,
+    now: time::Instant,
+) -> Vec<net::SocketAddr> {
+    let mut near = Vec::new();
+    let mut far = Vec::new();
+    let others = peers
+        .all()
+        .filter(|(_, peer)| peer.serves(now))
+        .map(|(_, peer)| (peer.zone.as_str(), peer.entry_address));
+    let own = (own.stage == message::VmStage::Serving).then_some((own.zone.as_str(), own.address));
+    for (place, address) in own.into_iter().chain(others) {
+        if place == zone { near.push(address) } else { far.push(address) }
+    }
+    if near.len() < ENOUGH_NEAR {
+        near.append(&mut far);
+    }
+    near.truncate(MOST_ADDRESSES);
+    near
+}
--- /dev/null
+++ b/crates/exchange/src/fleet.rs
@@ -0,0 +1,524 @@
+//! Backend servers as this VM believes them to be, and what runs on them.
+
+use std::{collections, net};
+
+use tokio::time;
+
+use crate::{ask, news};
+
+slotmap::new_key_type! {
+    /// Key of one incarnation of a backend server.
+    pub struct ServerKey;
+    /// Key of one try that this VM has on a server.
+    pub struct RunKey;
+}
+
+/// Age after which a peer's word on its own load counts for nothing: it is down or cut off.
+const PEER_LOAD_AGE: time::Duration = time::Duration::from_secs(3);
+/// Half-life of what failures say against a server: grey and dark servers are tried again after
+/// about three of these.
+const FAILURE_HALF_LIFE_S: f64 = 2.5;
+/// What one outcome moves a server's failure rate by.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// What one answer moves a server's believed latency by.
+const LATENCY_WEIGHT: f64 = 0.15;
+/// Records of servers that went are kept this long, so that late news does not bring them back.
+const GONE_KEPT: time::Duration = time::Duration::from_secs(120);
+/// An entry that lapsed during an outage of the store counts as alive until this long after the
+/// store is back; servers that live write themselves in again within about two seconds.
+pub const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_200);
+/// Part of what a generation may still produce that is expected once its hint is used up.
+const REST_PART: f64 = 0.3;
+/// Share of the most tokens that is expected without a hint.
+const UNHINTED_PART: f64 = 0.4;
+/// Added to a hint: half of all generations go past it.
+const HINT_MARGIN: f64 = 1.2;
+/// Milliseconds that a token takes before anything of a run is known; engines make one in 7 to 9.
+const TOKEN_MS: f64 = 8.0;
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerStanding {
+    /// It does.
+    Ready,
+    /// It finishes what it has, and then goes.
+    Leaving,
+    /// Its entry is gone; it may serve what it has for a while.
+    Gone,
+}
+
+/// What another VM has on a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PeerLoad {
+    /// Tries there.
+    pub runs: u32,
+    /// Memory that they and the copies there are expected to need.
+    pub tokens: u64,
+    /// Prompt tokens of generations without a first event.
+    pub backlog: u64,
+}
+
+/// What a server has to do, over all VMs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerLoad {
+    /// Tries there.
+    pub runs: u32,
+    /// Expected memory.
+    pub tokens: u64,
+    /// Prompt tokens not read yet.
+    pub backlog: u64,
+    /// Tries of this VM alone.
+    pub own_runs: u32,
+}
+
+/// One incarnation of a backend server.
+#[derive(Clone, Debug)]
+pub struct ServerRecord {
+    /// Unique name of the incarnation.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Its failure domain.
+    pub zone: String,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub standing: ServerStanding,
+    /// Since when it has this standing.
+    pub since: time::Instant,
+    /// Slow until then.
+    pub cold_until: time::Instant,
+    /// Position of the newest news that made this record.
+    pub offset: u64,
+    /// Present while its entry's lapse may be the store's doing.
+    pub spared_until: Option<time::Instant>,
+    /// Part of recent tries that failed, at `judged_at`.
+    failure_rate: f64,
+    /// When `failure_rate` was last worked out.
+    judged_at: time::Instant,
+    /// Believed latency of a call in milliseconds; zero: nothing known.
+    latency_ms: f64,
+    /// What other VMs said of their load there, by VM, with the time it came.
+    peers: collections::HashMap<u64, (PeerLoad, time::Instant)>,
+}
+
+impl ServerRecord {
+    /// Whether new work may go there.
+    #[must_use]
+    pub fn takes_work(&self, now: time::Instant) -> bool {
+        match self.standing {
+            ServerStanding::Ready => true,
+            ServerStanding::Leaving => false,
+            ServerStanding::Gone => self.spared_until.is_some_and(|until| now < until),
+        }
+    }
+
+    /// Part of recent tries that failed, fading with time.
+    #[must_use]
+    pub fn failure_rate(&self, now: time::Instant) -> f64 {
+        let age = now.saturating_duration_since(self.judged_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE_S)
+    }
+
+    /// The newest word on it, for other VMs.
+    #[must_use]
+    pub fn news(&self) -> news::ServerNews {
+        let entry = news::ServerEntry {
+            service: self.service.clone(),
+            address: self.address,
+            zone: self.zone.clone(),
+            slots: self.slots,
+            leaving: self.standing == ServerStanding::Leaving,
+            cold: time::Duration::ZERO,
+        };
+        let gone = self.standing == ServerStanding::Gone;
+        news::ServerNews {
+            id: self.id.clone(),
+            offset: self.offset,
+            entry: (!gone).then_some(entry),
+        }
+    }
+
+    /// Believed latency of a call there.
+    #[must_use]
+    pub const fn latency_ms(&self) -> f64 {
+        self.latency_ms
+    }
+}
+
+/// One try that this VM has on a server.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    /// Where it runs.
+    pub server: ServerKey,
+    /// Server that holds a copy.
+    pub backup: Option<ServerKey>,
+    /// Where it is to go.
+    pub moving_to: Option<ServerKey>,
+    /// Present for generations.
+    pub size: Option<ask::GenerationSize>,
+    /// Tokens produced so far.
+    pub produced: u32,
+    /// When it was sent to `server`.
+    pub started: time::Instant,
+    /// When its first event came.
+    pub first_at: Option<time::Instant>,
+    /// Fingerprint of its request.
+    pub fingerprint: u64,
+}
+
+impl RunRecord {
+    /// Tokens that it is expected to produce in all, given how far it has come.
+    #[must_use]
+    pub fn expected_output(&self) -> f64 {
+        let Some(size) = &self.size else { return 0.0 };
+        expected_output(size, self.produced)
+    }
+
+    /// Memory that it is expected to need at its end.
+    #[must_use]
+    pub fn expected_tokens(&self) -> u64 {
+        let prompt = self.size.as_ref().map_or(0, |size| size.prompt_tokens);
+        u64::from(prompt) + self.expected_output() as u64
+    }
+
+    /// Memory that it holds now.
+    #[must_use]
+    pub fn held_tokens(&self) -> u64 {
+        let prompt = self.size.as_ref().map_or(0, |size| size.prompt_tokens);
+        u64::from(prompt) + u64::from(self.produced)
+    }
+
+    /// Time that it is expected to go on for.
+    #[must_use]
+    pub fn expected_rest(&self, now: time::Instant) -> time::Duration {
+        let rest = (self.expected_output() - f64::from(self.produced)).max(0.0);
+        let pace = match self.first_at {
+            Some(first) if self.produced >= 16 => {
+                let ran = now.saturating_duration_since(first).as_secs_f64() * 1_000.0;
+                (ran / f64::from(self.produced)).clamp(1.0, 100.0)
+            }
+            _ => TOKEN_MS,
+        };
+        time::Duration::from_secs_f64(rest * pace / 1_000.0)
+    }
+
+    /// Prompt tokens that its engine has still to read.
+    fn backlog(&self) -> u64 {
+        match (&self.size, self.first_at) {
+            (Some(size), None) => u64::from(size.prompt_tokens),
+            _ => 0,
+        }
+    }
+}
+
+/// Tokens that a generation of `size` is expected to produce once it has produced `produced`.
+#[must_use]
+pub fn expected_output(size: &ask::GenerationSize, produced: u32) -> f64 {
+    let most = f64::from(size.most_tokens);
+    let produced = f64::from(produced);
+    let guess = match size.hint_tokens {
+        Some(hint) => f64::from(hint) * HINT_MARGIN,
+        None => most * UNHINTED_PART,
+    };
+    let at_least = produced + (most - produced).max(0.0) * REST_PART * (produced / most.max(1.0));
+    guess.max(at_least).min(most.max(produced))
+}
+
+/// How a try ended, as far as it speaks of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerVerdict {
+    /// It answered.
+    Good(time::Duration),
+    /// It answered with an error of its own.
+    Erred,
+    /// It turned the try away.
+    Refused,
+    /// It broke off, stayed silent or sent garbage.
+    Failed,
+}
+
+/// What a piece of news changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetChange {
+    /// Older than what is known, or the same.
+    Nothing,
+    /// A server came, or takes work again.
+    Arrived(ServerKey),
+    /// A server leaves or is gone; its runs should move.
+    Leaves(ServerKey),
+}
+
+/// All servers and all tries of this VM.
+#[derive(Debug, Default)]
+pub struct ServerFleet {
+    servers: slotmap::SlotMap<ServerKey, ServerRecord>,
+    by_id: collections::HashMap<String, ServerKey>,
+    runs: slotmap::SlotMap<RunKey, RunRecord>,
+}
+
+impl ServerFleet {
+    /// Takes one piece of news of the store or of a peer. News older than what made the record
+    /// changes nothing, whatever way it came: a server that leaves is never believed to stay
+    /// because an older word of it arrives later.
+    ///
+    /// `spared` says that the store was away when its entry lapsed: see [`LAPSE_GRACE`].
+    pub fn take_news(
+        &mut self,
+        news: &news::ServerNews,
+        spared: Option<time::Instant>,
+        now: time::Instant,
+    ) -> FleetChange {
+        let Some(&key) = self.by_id.get(&news.id) else {
+            return self.first_news(news, now);
+        };
+        let record = &mut self.servers[key];
+        if news.offset <= record.offset {
+            return FleetChange::Nothing;
+        }
+        record.offset = news.offset;
+        let before = record.standing;
+        let after = match &news.entry {
+            None => ServerStanding::Gone,
+            // Leaving is never unlearnt for an incarnation; a lapsed entry may come back.
+            Some(entry) if entry.leaving || before == ServerStanding::Leaving => {
+                ServerStanding::Leaving
+            }
+            Some(_) => ServerStanding::Ready,
+        };
+        if let Some(entry) = &news.entry {
+            record.slots = entry.slots;
+            record.address = entry.address;
+        }
+        if after == before {
+            return FleetChange::Nothing;
+        }
+        record.standing = after;
+        record.since = now;
+        record.spared_until = match (before, after) {
+            (ServerStanding::Ready, ServerStanding::Gone) => spared,
+            _ => None,
+        };
+        match after {
+            ServerStanding::Ready => FleetChange::Arrived(key),
+            ServerStanding::Gone if record.spared_until.is_some() => FleetChange::Nothing,
+            _ => FleetChange::Leaves(key),
+        }
+    }
+
+    fn first_news(&mut self, news: &news::ServerNews, now: time::Instant) -> FleetChange {
+        let Some(entry) = &news.entry else { return FleetChange::Nothing };
+        let standing = if entry.leaving { ServerStanding::Leaving } else { ServerStanding::Ready };
+        let key = self.servers.insert(ServerRecord {
+            id: news.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address,
+            zone: entry.zone.clone(),
+            slots: entry.slots,
+            standing,
+            since: now,
+            cold_until: now + entry.cold,
+            offset: news.offset,
+            spared_until: None,
+            failure_rate: 0.0,
+            judged_at: now,
+            latency_ms: 0.0,
+            peers: collections::HashMap::new(),
+        });
+        self.by_id.insert(news.id.clone(), key);
+        FleetChange::Arrived(key)
+    }
+
+    /// The store was read whole: servers that it does not list are gone. `end` is the position up
+    /// to which the list is known to be complete.
+    pub fn take_absence(
+        &mut self,
+        listed: &collections::HashSet<String>,
+        end: u64,
+        spared: Option<time::Instant>,
+        now: time::Instant,
+    ) -> Vec<ServerKey> {
+        let absent: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(_, record)| record.offset < end && !listed.contains(&record.id))
+            .filter(|(_, record)| record.standing != ServerStanding::Gone)
+            .map(|(_, record)| news::ServerNews {
+                id: record.id.clone(),
+                offset: record.offset + 1,
+                entry: None,
+            })
+            .collect();
+        let changes = absent.iter().map(|news| self.take_news(news, spared, now));
+        changes
+            .filter_map(|change| match change {
+                FleetChange::Leaves(key) => Some(key),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Servers whose spared time has ended since they lapsed: they are gone for good.
+    pub fn end_spared(&mut self, now: time::Instant) -> Vec<ServerKey> {
+        let mut ended = Vec::new();
+        for (key, record) in &mut self.servers {
+            if record.spared_until.is_some_and(|until| until <= now) {
+                record.spared_until = None;
+                ended.push(key);
+            }
+        }
+        ended
+    }
+
+    /// Forgets servers that have been gone for long and run nothing.
+    pub fn sweep(&mut self, now: time::Instant) {
+        let used: collections::HashSet<_> = self.runs.values().map(|run| run.server).collect();
+        let by_id = &mut self.by_id;
+        self.servers.retain(|key, record| {
+            let old = now.saturating_duration_since(record.since) > GONE_KEPT;
+            let keep =
+                record.standing != ServerStanding::Gone || !old || used.contains(&key);
+            if !keep {
+                by_id.remove(&record.id);
+            }
+            keep
+        });
+    }
+
+    /// A server.
+    #[must_use]
+    pub fn server(&self, key: ServerKey) -> Option<&ServerRecord> {
+        self.servers.get(key)
+    }
+
+    /// A server by the name of its incarnation.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = (ServerKey, &ServerRecord)> {
+        self.servers.iter()
+    }
+
+    /// Servers of a service that take new work.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a str,
+        now: time::Instant,
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
+        self.servers
+            .iter()
+            .filter(move |(_, record)| record.service == service && record.takes_work(now))
+    }
+
+    /// A try is sent to a server.
+    pub fn start(&mut self, run: RunRecord) -> RunKey {
+        self.runs.insert(run)
+    }
+
+    /// A try.
+    #[must_use]
+    pub fn run(&self, key: RunKey) -> Option<&RunRecord> {
+        self.runs.get(key)
+    }
+
+    /// A try, to be changed.
+    pub fn run_mut(&mut self, key: RunKey) -> Option<&mut RunRecord> {
+        self.runs.get_mut(key)
+    }
+
+    /// All tries of this VM.
+    pub fn runs(&self) -> impl Iterator<Item = (RunKey, &RunRecord)> {
+        self.runs.iter()
+    }
+
+    /// A try ended.
+    pub fn end(&mut self, key: RunKey) -> Option<RunRecord> {
+        self.runs.remove(key)
+    }
+
+    /// What is learnt of a server from how a try ended there.
+    pub fn judge(&mut self, key: ServerKey, verdict: ServerVerdict, now: time::Instant) {
+        let Some(record) = self.servers.get_mut(key) else { return };
+        let sample = match verdict {
+            ServerVerdict::Good(_) => 0.0,
+            ServerVerdict::Erred => 0.5,
+            ServerVerdict::Refused | ServerVerdict::Failed => 1.0,
+        };
+        let rate = record.failure_rate(now);
+        record.failure_rate = rate + (sample - rate) * FAILURE_WEIGHT;
+        record.judged_at = now;
+        if let ServerVerdict::Good(latency) = verdict {
+            let latency = latency.as_secs_f64() * 1_000.0;
+            record.latency_ms = if record.latency_ms == 0.0 {
+                latency
+            } else {
+                record.latency_ms + (latency - record.latency_ms) * LATENCY_WEIGHT
+            };
+        }
+    }
+
+    /// What this VM has on each server.
+    #[must_use]
+    pub fn own_loads(&self) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
+        let mut loads = slotmap::SecondaryMap::<ServerKey, PeerLoad>::new();
+        for run in self.runs.values() {
+            let tokens = run.expected_tokens();
+            if let Some(entry) = loads.entry(run.server) {
+                let load = entry.or_default();
+                load.runs += 1;
+                load.tokens += tokens;
+                load.backlog += run.backlog();
+            }
+            for copy in run.backup.iter().chain(run.moving_to.iter()) {
+                if let Some(entry) = loads.entry(*copy) {
+                    entry.or_default().tokens += tokens;
+                }
+            }
+        }
+        loads
+    }
+
+    /// Another VM told what it has on a server.
+    pub fn take_peer_load(&mut self, key: ServerKey, vm: u64, load: PeerLoad, now: time::Instant) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.peers.insert(vm, (load, now));
+        }
+    }
+
+    /// Another VM told all that it has: what it does not name, it no longer has.
+    pub fn clear_peer_loads(&mut self, vm: u64) {
+        for record in self.servers.values_mut() {
+            record.peers.remove(&vm);
+        }
+    }
+
+    /// What each server has to do, over all VMs.
+    #[must_use]
+    pub fn loads(&self, now: time::Instant) -> slotmap::SecondaryMap<ServerKey, ServerLoad> {
+        let own = self.own_loads();
+        let mut loads = slotmap::SecondaryMap::new();
+        for (key, record) in &self.servers {
+            let own = own.get(key).copied().unwrap_or_default();
+            let mut load = ServerLoad {
+                runs: own.runs,
+                tokens: own.tokens,
+                backlog: own.backlog,
+                own_runs: own.runs,
+            };
+            for (peer, at) in record.peers.values() {
+                if now.saturating_duration_since(*at) <= PEER_LOAD_AGE {
+                    load.runs += peer.runs;
+                    load.tokens += peer.tokens;
+                    load.backlog += peer.backlog;
+                }
+            }
+            loads.insert(key, load);
+        }
+        loads
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/follow.rs
@@ -0,0 +1,225 @@
+//! Follows the store: configuration by waiting for it, servers by looking at a slow pace that all
+//! VMs share.
+//!
+//! Load pattern: every heartbeat of every server is a record, so a reader that waits for records is
+//! answered ten times a second, on each VM. Instead each VM looks about once a second, at its own
+//! moment, and tells the others at once what has changed: together they look several times a
+//! second, at the price of one reader, and any of them can be cut off.
+
+use std::{net, rc};
+
+use bytes::Bytes;
+use snafu::Snafu;
+use tokio::time;
+
+use crate::{catalog, fleet, news, plane};
+
+/// Time between two looks of any VM: a leaving engine is gone 1.5 to 2 s after its notice, and its
+/// streams need about one of them to move.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(130);
+/// Longest time between two looks of one VM: it alone must learn of leaving within two seconds.
+const LOOK_MOST: time::Duration = time::Duration::from_millis(1_000);
+/// Shortest time between two looks of one VM.
+const LOOK_LEAST: time::Duration = time::Duration::from_millis(200);
+/// How long one call waits for a configuration: short enough that a connection that went silent
+/// costs less than the users' bound for a VM to be in touch again, 3 s.
+const CATALOG_WAIT: time::Duration = time::Duration::from_millis(2_500);
+/// Time between two tries while the store is away: within its first second back each VM is served.
+const AWAY_GAP: time::Duration = time::Duration::from_millis(400);
+
+/// Why the store did not answer a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum StoreFault {
+    /// It can't be reached, is slow or turns this VM away.
+    #[snafu(display("the store did not answer"))]
+    Away,
+    /// The records asked for are gone; read the newest ones instead.
+    #[snafu(display("the store no longer has these records"))]
+    Trimmed,
+}
+
+/// Server entries as of one position.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NewsPage {
+    /// Records, oldest first.
+    pub news: Vec<news::ServerNews>,
+    /// Position from which to read on.
+    pub end: u64,
+}
+
+/// The operator's document as of one position.
+#[derive(Clone, Debug, Default)]
+pub struct DocumentPage {
+    /// The newest, if there is one.
+    pub document: Option<Bytes>,
+    /// Position from which to read on.
+    pub end: u64,
+}
+
+/// The platform's store, as far as this plane needs it.
+pub trait StorePort {
+    /// All entries that stand now.
+    fn read_servers(&self) -> impl Future<Output = Result<NewsPage, StoreFault>>;
+
+    /// What came since `from`.
+    fn read_news(&self, from: u64) -> impl Future<Output = Result<NewsPage, StoreFault>>;
+
+    /// The newest document.
+    fn read_document(&self) -> impl Future<Output = Result<DocumentPage, StoreFault>>;
+
+    /// Waits for a document at or behind `from`.
+    fn wait_document(
+        &self,
+        from: u64,
+        wait: time::Duration,
+    ) -> impl Future<Output = Result<DocumentPage, StoreFault>>;
+
+    /// Writes down where other VMs reach this one.
+    fn register(
+        &self,
+        name: &str,
+        address: net::SocketAddr,
+    ) -> impl Future<Output = Result<(), StoreFault>>;
+
+    /// Where VMs that wrote themselves down can be reached.
+    fn registered(&self) -> impl Future<Output = Result<Vec<net::SocketAddr>, StoreFault>>;
+}
+
+/// Reads the operator's document.
+pub type DocumentDecoder = fn(&[u8]) -> Result<catalog::RouteCatalog, String>;
+
+/// Takes a document, from wherever it came.
+pub fn take_document<P>(
+    plane: &plane::ExchangePlane<P>,
+    decode: DocumentDecoder,
+    document: Bytes,
+    source: &str,
+) {
+    match decode(&document) {
+        Ok(catalog) => {
+            let version = catalog.version;
+            let taken = plane.state().take_catalog(catalog, document);
+            if taken {
+                log::info!(version, source:% = source; "configuration in force");
+                plane.stir();
+                plane.spread();
+            }
+        }
+        Err(fault) => {
+            metrics::counter!("pollenchute_exchange_documents_refused_total").increment(1);
+            log::warn!(source:% = source, fault:% = fault; "document not understood, the one in force stays");
+        }
+    }
+}
+
+/// Keeps the configuration up to date; never ends.
+pub async fn follow_catalog<P, S: StorePort>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    store: rc::Rc<S>,
+    decode: DocumentDecoder,
+) {
+    let mut cursor = None;
+    loop {
+        let page = match cursor {
+            None => store.read_document().await,
+            Some(from) => store.wait_document(from, CATALOG_WAIT).await,
+        };
+        match page {
+            Ok(page) => {
+                cursor = Some(page.end);
+                if let Some(document) = page.document {
+                    take_document(&plane, decode, document, "store");
+                }
+            }
+            Err(StoreFault::Trimmed) => cursor = None,
+            Err(StoreFault::Away) => time::sleep(AWAY_GAP).await,
+        }
+    }
+}
+
+/// Keeps the servers up to date; never ends.
+pub async fn follow_servers<P, S: StorePort>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    store: rc::Rc<S>,
+) {
+    let mut cursor = None;
+    loop {
+        let page = match cursor {
+            None => store.read_servers().await,
+            Some(from) => store.read_news(from).await,
+        };
+        let now = time::Instant::now();
+        let answered = page != Err(StoreFault::Away);
+        if plane.state().note_store(answered, now) {
+            log::warn!(answered; "store changed");
+        }
+        match page {
+            Ok(page) => {
+                take_page(&plane, &page, cursor.is_none(), now);
+                cursor = Some(page.end);
+                let gap = look_gap(&plane, now);
+                time::sleep(gap).await;
+            }
+            Err(StoreFault::Trimmed) => cursor = None,
+            Err(StoreFault::Away) => time::sleep(AWAY_GAP).await,
+        }
+    }
+}
+
+/// Time until this VM looks again.
+fn look_gap<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Duration {
+    let mut state = plane.state();
+    let gap = LOOK_GAP * state.peers.heard(now);
+    let draw = state.draw();
+    gap.clamp(LOOK_LEAST, LOOK_MOST).mul_f64(0.85 + 0.3 * draw)
+}
+
+fn take_page<P>(
+    plane: &plane::ExchangePlane<P>,
+    page: &NewsPage,
+    whole: bool,
+    now: time::Instant,
+) {
+    let mut changed = false;
+    for news in &page.news {
+        let change = plane.state().take_news(news.clone(), true, now);
+        changed |= log_change(plane, news, change, "store");
+    }
+    let mut state = plane.state();
+    if whole {
+        let listed = page.news.iter().map(|news| news.id.clone()).collect();
+        let spared = state.spared();
+        let absent = state.fleet.take_absence(&listed, page.end, spared, now);
+        changed |= !absent.is_empty();
+        for key in absent {
+            log::info!(server:? = state.fleet.server(key).map(|server| &server.id); "server is gone from the list");
+        }
+    }
+    state.news_end = state.news_end.max(page.end);
+    state.fleet.sweep(now);
+    drop(state);
+    if changed {
+        plane.stir();
+        plane.spread();
+    }
+}
+
+/// Logs what a piece of news changed; says whether it changed anything.
+pub fn log_change<P>(
+    plane: &plane::ExchangePlane<P>,
+    news: &news::ServerNews,
+    change: fleet::FleetChange,
+    source: &str,
+) -> bool {
+    let key = match change {
+        fleet::FleetChange::Nothing => return false,
+        fleet::FleetChange::Arrived(key) | fleet::FleetChange::Leaves(key) => key,
+    };
+    let state = plane.state();
+    let standing = state.fleet.server(key).map(|server| server.standing);
+    log::info!(
+        server:% = news.id, standing:? = standing, offset = news.offset, source:% = source;
+        "server changed"
+    );
+    true
+}
--- /dev/null
+++ b/crates/exchange/src/lib.rs
@@ -0,0 +1,28 @@
+//! The plane of opaque exchanges: requests and answers are bytes, what is known of them is their
+//! kind, their deadline and, for generations, the size of their prompt.
+//!
+//! Decisions are pure and take the time as an argument: [`place`], [`budget`], [`wait`],
+//! [`suspect`], [`relocate`], [`directory`]. [`plane`] performs them over the ports of [`port`];
+//! [`link`] carries what entry VMs tell each other.
+
+pub mod ask;
+pub mod budget;
+pub mod catalog;
+pub mod directory;
+pub mod event;
+pub mod fleet;
+pub mod follow;
+pub mod link;
+pub mod message;
+pub mod news;
+pub mod peers;
+pub mod place;
+pub mod plane;
+pub mod port;
+pub mod relocate;
+pub mod reply;
+mod serve_call;
+mod serve_stream;
+pub mod state;
+pub mod suspect;
+pub mod wait;
--- /dev/null
+++ b/crates/exchange/src/link.rs
@@ -0,0 +1,383 @@
+//! Carries what entry VMs tell each other: datagrams for what changes all the time, one TCP
+//! exchange for all that a VM knows.
+//!
+//! Nothing here is needed for a promise: a lost datagram costs a worse choice of server, or the
+//! time until this VM reads the store itself.
+
+use std::{collections, io, net, rc};
+
+use bytes::Bytes;
+use futures_util::{SinkExt as _, StreamExt as _};
+use prost::Message as _;
+use tokio::{net as sockets, time};
+use tokio_util::codec;
+
+use crate::{fleet, follow, message, news, peers, plane, state};
+
+/// Time between two datagrams to each VM while loads change: an event of a stream takes 30 to 60 ms.
+const SPEAK_GAP: time::Duration = time::Duration::from_millis(100);
+/// Added to it for each VM that is heard, so that what one VM receives stays bounded.
+const SPEAK_GAP_EACH: time::Duration = time::Duration::from_millis(6);
+/// Datagrams that say nothing new are left out this many times in a row.
+const QUIET_TURNS: u32 = 3;
+/// Largest datagram that passes everywhere unsplit.
+const MOST_DATAGRAM: usize = 1_300;
+/// Suspicions in one datagram.
+const MOST_ACCUSATIONS: usize = 16;
+/// News of servers in one datagram.
+const MOST_NEWS: usize = 6;
+/// Addresses of other VMs in a greeting.
+const MOST_KNOWN: usize = 24;
+/// Largest state that is taken: a configuration of 38,000 organisations takes about 8 MB.
+const MOST_STATE: usize = 32 * 1_024 * 1_024;
+/// Time that one exchange of state may take.
+const STATE_WAIT: time::Duration = time::Duration::from_millis(700);
+/// Time that the store has to bring a configuration before it is asked of the VM that has it.
+const STORE_FIRST: time::Duration = time::Duration::from_millis(60);
+/// Time between two askings of state.
+const STATE_GAP: time::Duration = time::Duration::from_millis(300);
+
+/// Binds both sockets of the link.
+///
+/// # Errors
+///
+/// When the address is taken or not this VM's.
+pub async fn bind(
+    address: net::SocketAddr,
+) -> io::Result<(sockets::UdpSocket, sockets::TcpListener)> {
+    let datagrams = sockets::UdpSocket::bind(address).await?;
+    let listener = sockets::TcpListener::bind(address).await?;
+    Ok((datagrams, listener))
+}
+
+/// Speaks and listens; never ends.
+pub async fn run<P: 'static>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    sockets: (sockets::UdpSocket, sockets::TcpListener),
+    decode: follow::DocumentDecoder,
+) {
+    let (datagrams, listener) = sockets;
+    let datagrams = rc::Rc::new(datagrams);
+    tokio::join!(
+        speak(plane.clone(), datagrams.clone()),
+        listen(plane.clone(), datagrams),
+        answer_states(plane.clone(), listener),
+        catch_up(plane, decode),
+    );
+}
+
+/// Sends datagrams to all VMs.
+async fn speak<P>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    socket: rc::Rc<sockets::UdpSocket>,
+) {
+    let mut sequence = 0;
+    let mut last = message::PeerDatagram::default();
+    let mut quiet = 0;
+    loop {
+        let gap = SPEAK_GAP + SPEAK_GAP_EACH * plane.state().peers.heard(time::Instant::now());
+        let urgent = time::timeout(gap, plane.spread.notified()).await.is_ok();
+        let now = time::Instant::now();
+        let mut datagram = datagram(&mut plane.state());
+        if !urgent && datagram == last && quiet < QUIET_TURNS {
+            quiet += 1;
+            continue;
+        }
+        quiet = 0;
+        last = datagram.clone();
+        last.news.clear();
+        sequence += 1;
+        datagram.sequence = sequence;
+        let bytes = encode(&mut datagram);
+        for address in hearers(&mut plane.state(), sequence, now) {
+            let _ = socket.try_send_to(&bytes, address);
+        }
+    }
+}
+
+/// Encodes a datagram, leaving out what does not fit.
+fn encode(datagram: &mut message::PeerDatagram) -> Vec<u8> {
+    while datagram.encoded_len() > MOST_DATAGRAM {
+        let shorter = datagram.known.pop().is_some()
+            || datagram.accusations.pop().is_some()
+            || datagram.loads.pop().is_some();
+        if !shorter {
+            break;
+        }
+    }
+    datagram.encode_to_vec()
+}
+
+fn datagram(state: &mut state::PlaneState) -> message::PeerDatagram {
+    let own = state.fleet.own_loads();
+    let loads = own
+        .iter()
+        .filter_map(|(key, load)| {
+            let server = state.fleet.server(key)?;
+            Some(message::LoadItem {
+                server: server.id.clone(),
+                runs: load.runs,
+                tokens: load.tokens,
+                backlog: load.backlog,
+            })
+        })
+        .collect();
+    let told = state.untold.len().min(MOST_NEWS);
+    let news = state.untold.drain(..told).map(|news| message::NewsItem::from(&news)).collect();
+    let accusations = state
+        .suspects
+        .accusations()
+        .take(MOST_ACCUSATIONS)
+        .map(|(fingerprint, server)| message::AccusationItem { fingerprint, server })
+        .collect();
+    message::PeerDatagram {
+        name: state.settings.name.clone(),
+        zone: state.settings.zone.clone(),
+        incarnation: state.settings.incarnation,
+        sequence: 0,
+        stage: state.stage.into(),
+        entry_address: state.settings.entry_address.to_string(),
+        link_address: state.settings.link_address.to_string(),
+        catalog_version: state.version(),
+        news_end: state.news_end,
+        loads,
+        news,
+        accusations,
+        known: known(state),
+    }
+}
+
+fn known(state: &state::PlaneState) -> Vec<String> {
+    let now = time::Instant::now();
+    state
+        .peers
+        .all()
+        .filter(|(_, peer)| peer.is_heard(now))
+        .map(|(_, peer)| peer.link_address.to_string())
+        .take(MOST_KNOWN)
+        .collect()
+}
+
+/// Who gets a datagram: those that are heard always, the others now and then.
+fn hearers(
+    state: &mut state::PlaneState,
+    sequence: u64,
+    now: time::Instant,
+) -> Vec<net::SocketAddr> {
+    let rare = sequence.is_multiple_of(10);
+    let mut addresses: Vec<_> = state
+        .peers
+        .all()
+        .filter(|(_, peer)| rare || peer.is_heard(now))
+        .map(|(_, peer)| peer.link_address)
+        .collect();
+    addresses.extend(state.peers.greetings(now));
+    if rare {
+        state.peers.sweep(now);
+    }
+    addresses
+}
+
+/// Takes datagrams.
+async fn listen<P>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    socket: rc::Rc<sockets::UdpSocket>,
+) {
+    let mut buffer = vec![0; 2 * MOST_DATAGRAM];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            time::sleep(SPEAK_GAP).await;
+            continue;
+        };
+        match message::PeerDatagram::decode(&buffer[..length]) {
+            Ok(datagram) => take_datagram(&plane, &datagram),
+            Err(_) => {
+                metrics::counter!("pollenchute_exchange_datagrams_refused_total").increment(1);
+            }
+        }
+    }
+}
+
+/// Takes what another VM told.
+pub fn take_datagram<P>(plane: &plane::ExchangePlane<P>, datagram: &message::PeerDatagram) {
+    let now = time::Instant::now();
+    let mut state = plane.state();
+    if datagram.name == state.settings.name {
+        return;
+    }
+    match state.peers.take(datagram, now) {
+        peers::PeerChange::Stale => return,
+        peers::PeerChange::Same => {}
+        peers::PeerChange::Changed => {
+            log::info!(vm:% = datagram.name, stage:? = datagram.stage(); "VM changed");
+            plane.spread();
+        }
+    }
+    for known in datagram.known.iter().filter_map(|known| known.parse().ok()) {
+        if known != state.settings.link_address {
+            state.peers.tell(known);
+        }
+    }
+    take_loads(&mut state, datagram, now);
+    for accusation in &datagram.accusations {
+        state.suspects.accuse(accusation.fingerprint, accusation.server, now);
+    }
+    drop(state);
+    let news: Vec<_> = datagram.news.iter().filter_map(message::NewsItem::decode_news).collect();
+    if take_news(plane, &news, now) {
+        plane.stir();
+    }
+    if !plane.state().waiting_services().is_empty() {
+        plane.stir();
+    }
+}
+
+fn take_loads(
+    state: &mut state::PlaneState,
+    datagram: &message::PeerDatagram,
+    now: time::Instant,
+) {
+    let vm = xxhash_rust::xxh3::xxh3_64(datagram.name.as_bytes());
+    state.fleet.clear_peer_loads(vm);
+    for item in &datagram.loads {
+        if let Some(key) = state.fleet.find(&item.server) {
+            let load =
+                fleet::PeerLoad { runs: item.runs, tokens: item.tokens, backlog: item.backlog };
+            state.fleet.take_peer_load(key, vm, load, now);
+        }
+    }
+}
+
+fn take_news<P>(
+    plane: &plane::ExchangePlane<P>,
+    news: &[news::ServerNews],
+    now: time::Instant,
+) -> bool {
+    let mut changed = false;
+    for news in news {
+        let change = plane.state().take_news(news.clone(), false, now);
+        changed |= follow::log_change(plane, news, change, "peer");
+    }
+    changed
+}
+
+/// Asks other VMs for what the store does not bring.
+async fn catch_up<P: 'static>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    decode: follow::DocumentDecoder,
+) {
+    loop {
+        time::sleep(STORE_FIRST).await;
+        let Some((address, version)) = who_knows_more(&plane) else { continue };
+        let reply = time::timeout(STATE_WAIT, ask_state(address, version)).await;
+        if let Ok(Ok(reply)) = reply {
+            take_state(&plane, reply, decode);
+        }
+        time::sleep(STATE_GAP).await;
+    }
+}
+
+/// A VM that has a newer configuration, or newer news while the store is away.
+fn who_knows_more<P>(plane: &plane::ExchangePlane<P>) -> Option<(net::SocketAddr, u64)> {
+    let state = plane.state();
+    let now = time::Instant::now();
+    let version = state.version();
+    let heard = || state.peers.all().map(|(_, peer)| peer).filter(|peer| peer.is_heard(now));
+    let newer = heard()
+        .filter(|peer| peer.catalog_version > version)
+        .max_by_key(|peer| peer.catalog_version);
+    let newer = newer.or_else(|| {
+        let away = state.store_away;
+        heard()
+            .filter(|peer| away && peer.news_end > state.news_end)
+            .max_by_key(|peer| peer.news_end)
+    });
+    newer.map(|peer| (peer.link_address, version))
+}
+
+async fn ask_state(address: net::SocketAddr, version: u64) -> io::Result<message::StateReply> {
+    let stream = sockets::TcpStream::connect(address).await?;
+    let mut framed = codec::Framed::new(stream, state_codec());
+    let ask = message::StateAsk { catalog_version: version };
+    framed.send(Bytes::from(ask.encode_to_vec())).await?;
+    let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    message::StateReply::decode(frame).map_err(io::Error::other)
+}
+
+fn take_state<P>(
+    plane: &plane::ExchangePlane<P>,
+    reply: message::StateReply,
+    decode: follow::DocumentDecoder,
+) {
+    let now = time::Instant::now();
+    if !reply.catalog.is_empty() {
+        follow::take_document(plane, decode, reply.catalog, "peer");
+    }
+    let news: Vec<_> = reply.news.iter().filter_map(message::NewsItem::decode_news).collect();
+    let changed = take_news(plane, &news, now);
+    let mut state = plane.state();
+    state.news_end = state.news_end.max(reply.news_end);
+    for known in reply.known.iter().filter_map(|known| known.parse().ok()) {
+        if known != state.settings.link_address {
+            state.peers.tell(known);
+        }
+    }
+    drop(state);
+    if changed {
+        plane.stir();
+    }
+}
+
+/// Answers VMs that ask for all that this one knows.
+async fn answer_states<P: 'static>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    listener: sockets::TcpListener,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(SPEAK_GAP).await;
+            continue;
+        };
+        let plane = plane.clone();
+        tokio::task::spawn_local(async move {
+            let _ = time::timeout(STATE_WAIT, answer_state(plane, stream)).await;
+        });
+    }
+}
+
+async fn answer_state<P>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    stream: sockets::TcpStream,
+) -> io::Result<()> {
+    let mut framed = codec::Framed::new(stream, state_codec());
+    let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    let ask = message::StateAsk::decode(frame).map_err(io::Error::other)?;
+    let reply = state_reply(&plane.state(), ask);
+    framed.send(Bytes::from(reply.encode_to_vec())).await
+}
+
+fn state_reply(state: &state::PlaneState, ask: message::StateAsk) -> message::StateReply {
+    let newer = state.version() > ask.catalog_version;
+    let news = state.fleet.servers().map(|(_, server)| message::NewsItem::from(&server.news()));
+    message::StateReply {
+        catalog: if newer { state.document.clone() } else { Bytes::new() },
+        news: news.collect(),
+        news_end: state.news_end,
+        known: known(state),
+    }
+}
+
+fn state_codec() -> codec::LengthDelimitedCodec {
+    codec::LengthDelimitedCodec::builder().max_frame_length(MOST_STATE).new_codec()
+}
+
+/// Addresses told of so far, for tests and for the status page.
+#[must_use]
+pub fn heard_addresses<P>(
+    plane: &plane::ExchangePlane<P>,
+) -> collections::BTreeSet<net::SocketAddr> {
+    let now = time::Instant::now();
+    let state = plane.state();
+    let heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
+    heard.map(|(_, peer)| peer.link_address).collect()
+}
--- /dev/null
+++ b/crates/exchange/src/message.rs
@@ -0,0 +1,195 @@
+//! What entry VMs tell each other, as protobuf.
+
+use std::time;
+
+use crate::news;
+
+/// Stage of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(prost::Enumeration)]
+#[repr(i32)]
+pub enum VmStage {
+    /// It knows no configuration yet.
+    Starting = 0,
+    /// It takes requests.
+    Serving = 1,
+    /// It finishes what it has.
+    Stopping = 2,
+}
+
+/// What a VM has on one server.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct LoadItem {
+    /// Name of the server's incarnation.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Tries there.
+    #[prost(uint32, tag = "2")]
+    pub runs: u32,
+    /// Expected memory.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// Prompt tokens not read yet.
+    #[prost(uint64, tag = "4")]
+    pub backlog: u64,
+}
+
+/// One record of the store on a server.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct NewsItem {
+    /// Name of the server's incarnation.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Position in the store.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// Absent: the entry is gone.
+    #[prost(message, optional, tag = "3")]
+    pub entry: Option<EntryItem>,
+}
+
+/// A server's entry.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct EntryItem {
+    /// Service that it belongs to.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Address and port.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Failure domain.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Requests at a time.
+    #[prost(uint32, tag = "4")]
+    pub slots: u32,
+    /// Whether it takes no new work.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Time for which it is still slow.
+    #[prost(uint64, tag = "6")]
+    pub cold_ms: u64,
+}
+
+/// A request that was there when a server crashed.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(prost::Message)]
+pub struct AccusationItem {
+    /// Fingerprint of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Hash of the server's id.
+    #[prost(fixed64, tag = "2")]
+    pub server: u64,
+}
+
+/// One datagram.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct PeerDatagram {
+    /// Name of the VM.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Failure domain of the VM.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Wall clock at its process's start; a greater one is a later process.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Grows with each datagram of the process.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// Stage of the VM.
+    #[prost(enumeration = "VmStage", tag = "5")]
+    pub stage: i32,
+    /// Where callers reach it.
+    #[prost(string, tag = "6")]
+    pub entry_address: String,
+    /// Where other VMs reach it.
+    #[prost(string, tag = "7")]
+    pub link_address: String,
+    /// Version of the configuration in force there.
+    #[prost(uint64, tag = "8")]
+    pub catalog_version: u64,
+    /// Position up to which it knows the news of servers.
+    #[prost(uint64, tag = "9")]
+    pub news_end: u64,
+    /// All that it has on servers.
+    #[prost(message, repeated, tag = "10")]
+    pub loads: Vec<LoadItem>,
+    /// News of servers that it has just learnt.
+    #[prost(message, repeated, tag = "11")]
+    pub news: Vec<NewsItem>,
+    /// Suspicions that it holds.
+    #[prost(message, repeated, tag = "12")]
+    pub accusations: Vec<AccusationItem>,
+    /// Addresses of other VMs that it hears.
+    #[prost(string, repeated, tag = "13")]
+    pub known: Vec<String>,
+}
+
+/// Asks a VM for all that it knows.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(prost::Message)]
+pub struct StateAsk {
+    /// Version of the configuration that the asker has.
+    #[prost(uint64, tag = "1")]
+    pub catalog_version: u64,
+}
+
+/// All that a VM knows.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct StateReply {
+    /// The operator's document, as the store gave it; empty unless newer than the asker's.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub catalog: bytes::Bytes,
+    /// All servers.
+    #[prost(message, repeated, tag = "2")]
+    pub news: Vec<NewsItem>,
+    /// Position up to which they are known.
+    #[prost(uint64, tag = "3")]
+    pub news_end: u64,
+    /// Addresses of other VMs.
+    #[prost(string, repeated, tag = "4")]
+    pub known: Vec<String>,
+}
+
+impl From<&news::ServerNews> for NewsItem {
+    fn from(news: &news::ServerNews) -> Self {
+        Self {
+            id: news.id.clone(),
+            offset: news.offset,
+            entry: news.entry.as_ref().map(|entry| EntryItem {
+                service: entry.service.clone(),
+                address: entry.address.to_string(),
+                zone: entry.zone.clone(),
+                slots: entry.slots,
+                leaving: entry.leaving,
+                cold_ms: u64::try_from(entry.cold.as_millis()).unwrap_or(u64::MAX),
+            }),
+        }
+    }
+}
+
+impl NewsItem {
+    /// The news, unless its address is none.
+    #[must_use]
+    pub fn decode_news(&self) -> Option<news::ServerNews> {
+        let entry = match &self.entry {
+            None => None,
+            Some(entry) => Some(news::ServerEntry {
+                service: entry.service.clone(),
+                address: entry.address.parse().ok()?,
+                zone: entry.zone.clone(),
+                slots: entry.slots,
+                leaving: entry.leaving,
+                cold: time::Duration::from_millis(entry.cold_ms),
+            }),
+        };
+        Some(news::ServerNews { id: self.id.clone(), offset: self.offset, entry })
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/peers.rs
@@ -0,0 +1,160 @@
+//! The other entry VMs, as this one hears them.
+
+use std::{collections, net};
+
+use tokio::time;
+
+use crate::message;
+
+/// A VM that was not heard for this long is not named to callers any more. VMs speak every 0.1 to
+/// 0.5 s, and the users' bound for a stopped or frozen VM is two seconds.
+const HEARD: time::Duration = time::Duration::from_millis(1_200);
+/// A VM that was not heard for this long counts for nothing in limits that VMs share. Longer than
+/// the window of the retry budget: what it spent may still count.
+const COUNTED: time::Duration = time::Duration::from_secs(12);
+/// A VM that was not heard for this long is forgotten.
+const KEPT: time::Duration = time::Duration::from_secs(180);
+
+/// Another VM.
+#[derive(Clone, Debug)]
+pub struct PeerRecord {
+    /// Failure domain.
+    pub zone: String,
+    /// Later processes have greater ones.
+    pub incarnation: u64,
+    /// Newest datagram of that process.
+    pub sequence: u64,
+    /// What it does.
+    pub stage: message::VmStage,
+    /// Where callers reach it.
+    pub entry_address: net::SocketAddr,
+    /// Where other VMs reach it.
+    pub link_address: net::SocketAddr,
+    /// Configuration in force there.
+    pub catalog_version: u64,
+    /// Position up to which it knows the news of servers.
+    pub news_end: u64,
+    /// When it was last heard.
+    pub heard_at: time::Instant,
+}
+
+impl PeerRecord {
+    /// Whether callers may be sent there.
+    #[must_use]
+    pub fn serves(&self, now: time::Instant) -> bool {
+        self.stage == message::VmStage::Serving && self.is_heard(now)
+    }
+
+    /// Whether it is alive, as far as can be heard.
+    #[must_use]
+    pub fn is_heard(&self, now: time::Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) < HEARD
+    }
+}
+
+/// What a datagram says of its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerChange {
+    /// Older than what is known.
+    Stale,
+    /// Nothing new but that it lives.
+    Same,
+    /// It came, or its stage changed.
+    Changed,
+}
+
+/// All other VMs.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: collections::BTreeMap<String, PeerRecord>,
+    /// Addresses that were told but not heard from, with the time of the last greeting.
+    told: collections::BTreeMap<net::SocketAddr, Option<time::Instant>>,
+}
+
+/// Time between two greetings of an address that does not answer.
+const GREETING_GAP: time::Duration = time::Duration::from_secs(1);
+/// Addresses that are greeted without an answer; more are dropped.
+const MOST_TOLD: usize = 512;
+
+impl PeerTable {
+    /// Takes the part of a datagram that speaks of its sender.
+    pub fn take(&mut self, datagram: &message::PeerDatagram, now: time::Instant) -> PeerChange {
+        let (Ok(entry_address), Ok(link_address)) =
+            (datagram.entry_address.parse(), datagram.link_address.parse())
+        else {
+            return PeerChange::Stale;
+        };
+        let known = self.peers.get(&datagram.name);
+        if known.is_some_and(|peer| {
+            (peer.incarnation, peer.sequence) >= (datagram.incarnation, datagram.sequence)
+        }) {
+            return PeerChange::Stale;
+        }
+        let record = PeerRecord {
+            zone: datagram.zone.clone(),
+            incarnation: datagram.incarnation,
+            sequence: datagram.sequence,
+            stage: datagram.stage(),
+            entry_address,
+            link_address,
+            catalog_version: datagram.catalog_version,
+            news_end: datagram.news_end,
+            heard_at: now,
+        };
+        let same = known.is_some_and(|peer| peer.stage == record.stage && peer.is_heard(now));
+        self.told.remove(&link_address);
+        self.peers.insert(datagram.name.clone(), record);
+        if same { PeerChange::Same } else { PeerChange::Changed }
+    }
+
+    /// An address of another VM, from settings, the store or another VM.
+    pub fn tell(&mut self, address: net::SocketAddr) {
+        let known = self.peers.values().any(|peer| peer.link_address == address);
+        if !known && self.told.len() < MOST_TOLD {
+            self.told.entry(address).or_default();
+        }
+    }
+
+    /// Addresses that should be greeted now.
+    pub fn greetings(&mut self, now: time::Instant) -> Vec<net::SocketAddr> {
+        let due = |last: &Option<time::Instant>| {
+            last.is_none_or(|at| now.saturating_duration_since(at) >= GREETING_GAP)
+        };
+        let mut greeted = Vec::new();
+        for (address, last) in &mut self.told {
+            if due(last) {
+                *last = Some(now);
+                greeted.push(*address);
+            }
+        }
+        greeted
+    }
+
+    /// Forgets VMs that are gone for long.
+    pub fn sweep(&mut self, now: time::Instant) {
+        self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < KEPT);
+    }
+
+    /// All known VMs but this one.
+    pub fn all(&self) -> impl Iterator<Item = (&String, &PeerRecord)> {
+        self.peers.iter()
+    }
+
+    /// VMs that share limits, this one included.
+    #[must_use]
+    pub fn counted(&self, now: time::Instant) -> u32 {
+        let others = self
+            .peers
+            .values()
+            .filter(|peer| now.saturating_duration_since(peer.heard_at) < COUNTED)
+            .count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// VMs that are heard, this one included.
+    #[must_use]
+    pub fn heard(&self, now: time::Instant) -> u32 {
+        let others = self.peers.values().filter(|peer| peer.is_heard(now)).count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/place.rs
@@ -0,0 +1,214 @@
+//! Which server gets a try.
+//!
+//! Load pattern: many VMs choose at once among few servers, from beliefs that are a tenth of a
+//! second old. Engines run out of memory long before they run out of slots; a prompt that is read
+//! slows every stream beside it. So memory is admitted by what the runs there are expected to need
+//! at their end, and the rest is a sum of expected milliseconds.
+
+use rand::RngExt;
+use tokio::time;
+
+use crate::{ask, catalog, fleet};
+
+/// Part of an engine's memory that expected needs may fill: past it, expectation errors preempt.
+const MEMORY_FILL: f64 = 0.92;
+/// Part that copies of running generations may fill; the rest is for runs.
+const BACKUP_FILL: f64 = 0.62;
+/// Tokens of a prompt that an engine reads in a millisecond while it makes tokens for others.
+const PREFILL_TOKENS_PER_MS: f64 = 7.0;
+/// What one generation more adds to the time that others take for an event, counted over a prompt.
+const RUN_MS: f64 = 12.0;
+/// What a full engine costs: preemption is likely, and nothing can move there.
+const FULL_MS: f64 = 400.0;
+/// What another failure domain costs: bytes between domains are dear.
+const DOMAIN_MS: f64 = 12.0;
+/// What a copy to another failure domain costs: it takes twice as long there.
+const DOMAIN_COPY_MS: f64 = 250.0;
+/// What a server costs that failed all recent tries.
+const FAILED_MS: f64 = 1_500.0;
+/// What a call costs at a server that failed all recent calls: about a deadline.
+const FAILED_CALL_MS: f64 = 600.0;
+/// What a server costs that has just started.
+const COLD_MS: f64 = 150.0;
+/// What the engine is worth that other VMs also choose for the same first part of a prompt.
+const AFFINITY_MS: f64 = 15.0;
+/// Latency of a call that is believed before any is known.
+const CALL_MS: f64 = 15.0;
+/// Random part: VMs with equal beliefs spread.
+const SPREAD_MS: f64 = 4.0;
+/// Requests that may wait in a server's own queue, as a multiple of its slots. Beyond it they wait
+/// here, where they can still go elsewhere.
+const QUEUE_FACTOR: u32 = 2;
+
+/// What needs a place.
+#[derive(Clone, Debug)]
+pub struct PlaceAsk<'a> {
+    /// Service that it goes to.
+    pub service: &'a str,
+    /// Present for generations.
+    pub size: Option<&'a ask::GenerationSize>,
+    /// Servers that must not get it.
+    pub avoid: &'a [fleet::ServerKey],
+    /// Failure domain of this VM.
+    pub zone: &'a str,
+    /// VMs that share the servers, this one included.
+    pub entries: u32,
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlaceOutcome {
+    /// This server.
+    Server(fleet::ServerKey),
+    /// All that could take it are full.
+    Full,
+    /// No server takes work.
+    NoServer,
+}
+
+/// Chooses the server with the least expected cost in milliseconds.
+pub fn choose(
+    fleet: &fleet::ServerFleet,
+    rule: Option<&catalog::ServiceRule>,
+    ask: &PlaceAsk<'_>,
+    now: time::Instant,
+    rng: &mut impl rand::Rng,
+) -> PlaceOutcome {
+    let loads = fleet.loads(now);
+    let engine = rule.and_then(|rule| rule.engine);
+    let favourite = favourite(fleet, ask, now);
+    let mut best = None;
+    let mut any = false;
+    for (key, record) in fleet.ready(ask.service, now) {
+        if ask.avoid.contains(&key) {
+            continue;
+        }
+        any = true;
+        let load = loads.get(key).copied().unwrap_or_default();
+        let cost = match (engine, ask.size) {
+            (Some(engine), Some(size)) => generation_cost(&engine, size, record, &load),
+            _ => call_cost(record, &load, ask.entries, now),
+        };
+        let Some(mut cost) = cost else { continue };
+        cost += common_cost(record, ask.zone, now);
+        if favourite == Some(key) {
+            cost -= AFFINITY_MS;
+        }
+        cost += rng.random::<f64>() * SPREAD_MS;
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, key));
+        }
+    }
+    match best {
+        Some((_, key)) => PlaceOutcome::Server(key),
+        None if any => PlaceOutcome::Full,
+        None => PlaceOutcome::NoServer,
+    }
+}
+
+/// Expected cost of a generation, absent where it finds no room.
+fn generation_cost(
+    engine: &catalog::EngineRule,
+    size: &ask::GenerationSize,
+    record: &fleet::ServerRecord,
+    load: &fleet::ServerLoad,
+) -> Option<f64> {
+    let need = f64::from(size.prompt_tokens) + fleet::expected_output(size, 0);
+    let memory = engine.memory_tokens as f64;
+    let after = load.tokens as f64 + need;
+    // An empty engine takes whatever fits at all: nothing better will come.
+    let limit = if load.runs == 0 { memory } else { memory * MEMORY_FILL };
+    if after > limit || load.runs >= record.slots {
+        return None;
+    }
+    let prompts = load.backlog as f64 + f64::from(size.prompt_tokens);
+    let fill = after / memory;
+    Some(
+        prompts / PREFILL_TOKENS_PER_MS
+            + f64::from(load.runs) * RUN_MS
+            + fill * fill * fill * FULL_MS,
+    )
+}
+
+/// Expected cost of a call, absent where its server has its fill.
+fn call_cost(
+    record: &fleet::ServerRecord,
+    load: &fleet::ServerLoad,
+    entries: u32,
+    now: time::Instant,
+) -> Option<f64> {
+    let fair = record.slots * (1 + QUEUE_FACTOR) / entries.max(1) + 2;
+    if load.own_runs >= fair {
+        return None;
+    }
+    let latency = if record.latency_ms() == 0.0 { CALL_MS } else { record.latency_ms() };
+    let queue = f64::from(load.own_runs) * f64::from(entries) / f64::from(record.slots.max(1));
+    Some(latency * (1.0 + queue) + record.failure_rate(now) * FAILED_CALL_MS)
+}
+
+fn common_cost(record: &fleet::ServerRecord, zone: &str, now: time::Instant) -> f64 {
+    let domain = if record.zone == zone { 0.0 } else { DOMAIN_MS };
+    let cold = if now < record.cold_until { COLD_MS } else { 0.0 };
+    domain + cold + record.failure_rate(now) * FAILED_MS
+}
+
+/// The server that every VM prefers for the same first part of a prompt, by rendezvous.
+fn favourite(
+    fleet: &fleet::ServerFleet,
+    ask: &PlaceAsk<'_>,
+    now: time::Instant,
+) -> Option<fleet::ServerKey> {
+    let part = ask.size?.parts.first()?;
+    fleet
+        .ready(ask.service, now)
+        .max_by_key(|(_, record)| {
+            xxhash_rust::xxh3::xxh3_64_with_seed(record.id.as_bytes(), part.hash)
+        })
+        .map(|(key, _)| key)
+}
+
+/// What a copy of a run needs.
+#[derive(Clone, Copy, Debug)]
+pub struct CopyAsk<'a> {
+    /// Where the run is.
+    pub source: fleet::ServerKey,
+    /// Memory that the run will need.
+    pub tokens: u64,
+    /// Whether the copy is made beforehand, and may only use what runs leave over.
+    pub beforehand: bool,
+    /// Service of both servers.
+    pub service: &'a str,
+}
+
+/// Chooses where a copy of a run goes: the copy is fastest within a failure domain.
+pub fn choose_copy(
+    fleet: &fleet::ServerFleet,
+    engine: &catalog::EngineRule,
+    ask: &CopyAsk<'_>,
+    now: time::Instant,
+    rng: &mut impl rand::Rng,
+) -> Option<fleet::ServerKey> {
+    let source = fleet.server(ask.source)?;
+    let loads = fleet.loads(now);
+    let memory = engine.memory_tokens as f64;
+    let limit = memory * if ask.beforehand { BACKUP_FILL } else { 1.0 };
+    let mut best = None;
+    for (key, record) in fleet.ready(ask.service, now) {
+        let load = loads.get(key).copied().unwrap_or_default();
+        let after = (load.tokens + ask.tokens) as f64;
+        if key == ask.source || after > limit || load.runs >= record.slots {
+            continue;
+        }
+        let fill = after / memory;
+        let domain = if record.zone == source.zone { 0.0 } else { DOMAIN_COPY_MS };
+        let cost = fill * FULL_MS
+            + domain
+            + load.backlog as f64 / PREFILL_TOKENS_PER_MS
+            + record.failure_rate(now) * FAILED_MS
+            + rng.random::<f64>() * FULL_MS * 0.1;
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, key));
+        }
+    }
+    best.map(|(_, key)| key)
+}
--- /dev/null
+++ b/crates/exchange/src/plane.rs
@@ -0,0 +1,345 @@
+//! Performs the decisions: takes requests in, sends tries, answers.
+
+use std::{cell, collections, rc};
+
+use base::outcome;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{
+    ask, catalog, fleet, message, place, port, relocate, reply, serve_call, serve_stream, state,
+    wait,
+};
+
+/// Time between two looks at what waits and what should move, while there is any: a tenth of the
+/// time that the shortest decision may take.
+const POLL_GAP: time::Duration = time::Duration::from_millis(20);
+
+/// The plane of one VM.
+///
+/// It runs on one thread; nothing is borrowed across an await.
+#[derive(Debug)]
+pub struct ExchangePlane<P> {
+    pub(crate) port: P,
+    state: cell::RefCell<state::PlaneState>,
+    /// Where each waiting request learns of its place.
+    waiters: cell::RefCell<collections::HashMap<(String, wait::WaitKey), Waiter>>,
+    /// Where each stream learns that it should move.
+    movers: cell::RefCell<slotmap::SecondaryMap<fleet::RunKey, MoveSender>>,
+    /// Something changed that may let a waiting request start, or make a stream move.
+    pub(crate) stirred: tokio::sync::Notify,
+    /// Something was learnt that the other VMs should hear at once.
+    pub(crate) spread: tokio::sync::Notify,
+    /// Requests that have no final answer yet.
+    open: cell::Cell<usize>,
+}
+
+type MoveSender = mpsc::UnboundedSender<relocate::RelocationOrder>;
+
+#[derive(Debug)]
+struct Waiter {
+    ask: rc::Rc<ask::ExchangeAsk>,
+    avoid: Vec<fleet::ServerKey>,
+    told: oneshot::Sender<(fleet::RunKey, fleet::ServerKey)>,
+}
+
+/// A try's place on a server; given back when dropped.
+#[derive(Debug)]
+pub(crate) struct PlacedRun<P> {
+    plane: rc::Rc<ExchangePlane<P>>,
+    pub(crate) run: fleet::RunKey,
+    pub(crate) server: fleet::ServerKey,
+}
+
+impl<P> Drop for PlacedRun<P> {
+    fn drop(&mut self) {
+        self.plane.state.borrow_mut().fleet.end(self.run);
+        self.plane.movers.borrow_mut().remove(self.run);
+        self.plane.stirred.notify_one();
+    }
+}
+
+/// Counts a request as open until dropped.
+#[derive(Debug)]
+struct OpenGuard<P>(rc::Rc<ExchangePlane<P>>);
+
+impl<P> Drop for OpenGuard<P> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+impl<P> ExchangePlane<P> {
+    /// A plane over `port`.
+    #[must_use]
+    pub fn new(port: P, state: state::PlaneState) -> Self {
+        Self {
+            port,
+            state: cell::RefCell::new(state),
+            waiters: cell::RefCell::default(),
+            movers: cell::RefCell::default(),
+            stirred: tokio::sync::Notify::new(),
+            spread: tokio::sync::Notify::new(),
+            open: cell::Cell::new(0),
+        }
+    }
+
+    /// What this VM believes; not to be held across an await.
+    pub fn state(&self) -> cell::RefMut<'_, state::PlaneState> {
+        self.state.borrow_mut()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn catalog(&self) -> Option<rc::Rc<catalog::RouteCatalog>> {
+        self.state.borrow().catalog.clone()
+    }
+
+    /// Requests that have no final answer yet.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.open.get()
+    }
+
+    /// From now on this VM is named to nobody and finishes what it has.
+    pub fn stop(&self) {
+        self.state.borrow_mut().stage = message::VmStage::Stopping;
+        self.spread.notify_one();
+    }
+
+    /// Something was learnt that may change what waits or should move.
+    pub fn stir(&self) {
+        self.stirred.notify_one();
+    }
+
+    /// Something was learnt that the other VMs should hear at once.
+    pub fn spread(&self) {
+        self.spread.notify_one();
+    }
+
+    /// Keeps looking at what waits and what should move; never ends.
+    pub async fn run_decisions(&self) {
+        loop {
+            let busy = self.poll(time::Instant::now());
+            if busy {
+                time::sleep(POLL_GAP).await;
+            } else {
+                let _ = time::timeout(time::Duration::from_secs(1), self.stirred.notified()).await;
+            }
+        }
+    }
+
+    /// Starts what can start and moves what should; says whether there is more to look at soon.
+    fn poll(&self, now: time::Instant) -> bool {
+        let services = self.state.borrow().waiting_services();
+        for service in &services {
+            self.start_waiting(service, now);
+        }
+        let ended = self.state.borrow_mut().fleet.end_spared(now);
+        for server in ended {
+            log::info!(server:? = self.server_id(server); "lapsed entry did not come back");
+        }
+        let orders = self.state.borrow_mut().relocations(now);
+        for (run, order) in orders {
+            if let Some(mover) = self.movers.borrow().get(run) {
+                let _ = mover.send(order);
+            }
+        }
+        let state = self.state.borrow();
+        let unmoved = state.fleet.runs().any(|(_, run)| {
+            run.size.is_some()
+                && state.fleet.server(run.server).is_some_and(|server| !server.takes_work(now))
+        });
+        !services.is_empty() || unmoved
+    }
+
+    fn start_waiting(&self, service: &str, now: time::Instant) {
+        let order = self.state.borrow_mut().queue(service).in_order();
+        for key in order {
+            let mut waiters = self.waiters.borrow_mut();
+            let index = (service.to_owned(), key);
+            let Some(waiter) = waiters.get(&index) else { continue };
+            let mut state = self.state.borrow_mut();
+            let Ok(placed) = state.place(&waiter.ask, &waiter.avoid, now) else {
+                // Whoever is first gets the next room: were smaller ones let past, a large one
+                // would wait for ever.
+                return;
+            };
+            state.queue(service).leave(key);
+            if let Some(waiter) = waiters.remove(&index)
+                && waiter.told.send(placed).is_err()
+            {
+                state.fleet.end(placed.0);
+            }
+        }
+    }
+
+    pub(crate) fn server_id(&self, key: fleet::ServerKey) -> String {
+        let state = self.state.borrow();
+        state.fleet.server(key).map_or_else(String::new, |server| server.id.clone())
+    }
+
+    pub(crate) fn target(&self, key: fleet::ServerKey) -> Option<port::ServerTarget> {
+        let state = self.state.borrow();
+        let server = state.fleet.server(key)?;
+        Some(port::ServerTarget { id: server.id.clone(), address: server.address })
+    }
+
+    pub(crate) fn judge(&self, server: fleet::ServerKey, verdict: fleet::ServerVerdict) {
+        self.state.borrow_mut().fleet.judge(server, verdict, time::Instant::now());
+    }
+
+    /// A refusal that promises that the request did not run.
+    pub(crate) fn refuse(
+        &self,
+        ask: &ask::ExchangeAsk,
+        cause: reply::RefusalCause,
+    ) -> reply::Refusal {
+        let now = time::Instant::now();
+        let mut state = self.state.borrow_mut();
+        let wait = state.queue(&ask.service).expected_wait(ask.priority, now);
+        let draw = state.draw();
+        reply::Refusal {
+            cause,
+            ran: outcome::RanState::No,
+            retry_after: Some(wait::retry_after(wait, ask.left(now), draw)),
+        }
+    }
+
+    /// Where a stream learns that it should move.
+    pub(crate) fn moves_of(
+        &self,
+        run: fleet::RunKey,
+    ) -> mpsc::UnboundedReceiver<relocate::RelocationOrder> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.movers.borrow_mut().insert(run, sender);
+        self.stirred.notify_one();
+        receiver
+    }
+}
+
+/// Takes a waiting request out of its queue, whatever ends its wait.
+struct WaitGuard<'a, P> {
+    plane: &'a ExchangePlane<P>,
+    index: (String, wait::WaitKey),
+}
+
+impl<P> Drop for WaitGuard<'_, P> {
+    fn drop(&mut self) {
+        self.plane.waiters.borrow_mut().remove(&self.index);
+        self.plane.state.borrow_mut().queue(&self.index.0).leave(self.index.1);
+        // Had its place been told in the same moment, the receiver's drop gives it back.
+    }
+}
+
+impl<P: port::ServerPort + 'static> ExchangePlane<P> {
+    /// Serves one request. The future may be dropped when its caller leaves: what runs for it is
+    /// then given up at once.
+    ///
+    /// # Errors
+    ///
+    /// When it is turned away or given up here.
+    pub async fn serve(
+        self: &rc::Rc<Self>,
+        ask: ask::ExchangeAsk,
+    ) -> Result<reply::Reply, reply::Refusal> {
+        self.open.set(self.open.get() + 1);
+        let guard = OpenGuard(self.clone());
+        let ask = rc::Rc::new(ask);
+        let now = time::Instant::now();
+        let quarantined = {
+            let mut state = self.state.borrow_mut();
+            state.count_first(&ask.service, now);
+            state.suspects.is_quarantined(ask.fingerprint, now)
+        };
+        if quarantined {
+            return Err(self.refuse(&ask, reply::RefusalCause::Quarantined));
+        }
+        match ask.kind {
+            catalog::ExchangeKind::Stream => serve_stream::serve(self, ask, guard).await,
+            _ => serve_call::serve(self, ask).await,
+        }
+    }
+
+    /// Gets a place for a try, waiting for one if need be.
+    pub(crate) async fn place(
+        self: &rc::Rc<Self>,
+        ask: &rc::Rc<ask::ExchangeAsk>,
+        avoid: &[fleet::ServerKey],
+    ) -> Result<PlacedRun<P>, reply::Refusal> {
+        let now = time::Instant::now();
+        let ahead = self.state.borrow_mut().queue(&ask.service).ahead(ask.priority);
+        if ahead == 0 {
+            let placed = self.state.borrow_mut().place(ask, avoid, now);
+            match placed {
+                Ok((run, server)) => return Ok(self.placed(run, server)),
+                Err(place::PlaceOutcome::NoServer) if !avoid.is_empty() => {
+                    return Err(self.refuse(ask, reply::RefusalCause::NoServer));
+                }
+                Err(_) => {}
+            }
+        }
+        self.wait_for_place(ask, avoid, now).await
+    }
+
+    pub(crate) fn placed(self: &rc::Rc<Self>, run: fleet::RunKey, server: fleet::ServerKey) -> PlacedRun<P> {
+        PlacedRun { plane: self.clone(), run, server }
+    }
+
+    async fn wait_for_place(
+        self: &rc::Rc<Self>,
+        ask: &rc::Rc<ask::ExchangeAsk>,
+        avoid: &[fleet::ServerKey],
+        now: time::Instant,
+    ) -> Result<PlacedRun<P>, reply::Refusal> {
+        let stream = ask.kind == catalog::ExchangeKind::Stream;
+        let patience = wait::patience(ask.left(now), ask.aim, stream);
+        let entered = self.state.borrow_mut().queue(&ask.service).enter(ask.priority, patience, now);
+        let Some(key) = entered else {
+            return Err(self.refuse(ask, reply::RefusalCause::Overload));
+        };
+        let index = (ask.service.clone(), key);
+        let (told, place) = oneshot::channel();
+        let waiter = Waiter { ask: ask.clone(), avoid: avoid.to_vec(), told };
+        self.waiters.borrow_mut().insert(index.clone(), waiter);
+        let place = PlaceReceiver { plane: self.clone(), place };
+        let guard = WaitGuard { plane: self, index };
+        log::info!(request:% = ask.id, service:% = ask.service; "waits for a place");
+        self.stirred.notify_one();
+        let placed = time::timeout(patience, place.receive()).await;
+        drop(guard);
+        match placed {
+            Ok(Some(placed)) => Ok(placed),
+            _ => Err(self.refuse(ask, reply::RefusalCause::Patience)),
+        }
+    }
+
+    /// Time that a try may take when sent now.
+    pub(crate) fn left(ask: &ask::ExchangeAsk) -> time::Duration {
+        ask.limit.min(ask.deadline).saturating_duration_since(time::Instant::now())
+    }
+}
+
+/// A place that may be told in the very moment in which nobody waits for it any more.
+struct PlaceReceiver<P> {
+    plane: rc::Rc<ExchangePlane<P>>,
+    place: oneshot::Receiver<(fleet::RunKey, fleet::ServerKey)>,
+}
+
+impl<P> PlaceReceiver<P> {
+    async fn receive(mut self) -> Option<PlacedRun<P>> {
+        let (run, server) = (&mut self.place).await.ok()?;
+        Some(PlacedRun { plane: self.plane.clone(), run, server })
+    }
+}
+
+impl<P> Drop for PlaceReceiver<P> {
+    fn drop(&mut self) {
+        // Without this the place of a request whose caller left in this moment would stay taken.
+        if let Ok((run, _)) = self.place.try_recv() {
+            self.plane.state.borrow_mut().fleet.end(run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/port.rs
@@ -0,0 +1,160 @@
+//! What the plane needs of the outside: backend servers.
+
+use std::{net, rc, time};
+
+use base::outcome;
+use bytes::Bytes;
+
+use crate::ask;
+
+/// Where to send one try.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerTarget {
+    /// Incarnation that is meant; another one at this address must not run it.
+    pub id: String,
+    /// Its address.
+    pub address: net::SocketAddr,
+}
+
+/// From where a generation goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumePoint {
+    /// Server named in the copy's handle.
+    pub origin: net::SocketAddr,
+    /// Handle of the copy at that server.
+    pub handle: String,
+    /// Last event that the caller has had whole.
+    pub last_event: Option<String>,
+}
+
+/// One try.
+#[derive(Clone, Debug)]
+pub struct ServerCall {
+    /// The request.
+    pub ask: rc::Rc<ask::ExchangeAsk>,
+    /// Where it goes.
+    pub target: ServerTarget,
+    /// Time that the server has.
+    pub left: time::Duration,
+    /// Present when it goes on from a copy.
+    pub resume: Option<ResumePoint>,
+    /// Server that is to hold a copy while it runs.
+    pub backup: Option<net::SocketAddr>,
+    /// Whether a connection that was used before may carry it.
+    pub reuse: ReuseRule,
+}
+
+/// Which kept connections may carry a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReuseRule {
+    /// Any that is not known to be closed.
+    Any,
+    /// Only one that carried an answer this short a time ago: an older one may have gone silent,
+    /// and what is lost on it can't be sent again.
+    Fresh(time::Duration),
+}
+
+/// Why a try certainly did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRunCause {
+    /// No connection came about.
+    Unreachable,
+    /// The server was full or would not take it.
+    Rejected,
+    /// Another incarnation has the address.
+    Misdirected,
+}
+
+/// Why it is unknown whether a try ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LostCause {
+    /// The connection broke.
+    Broken,
+    /// What came is not an answer to this request.
+    Garbled,
+}
+
+/// What came of a try.
+#[derive(Debug)]
+pub enum CallOutcome<B> {
+    /// The server's answer.
+    Answered(ServerAnswer<B>),
+    /// It has not run and never will.
+    NotRun(NotRunCause),
+    /// It may have run.
+    Lost(LostCause),
+}
+
+impl<B> CallOutcome<B> {
+    /// Whether it ran.
+    #[must_use]
+    pub const fn ran(&self) -> outcome::RanState {
+        match self {
+            Self::Answered(_) => outcome::RanState::Yes,
+            Self::NotRun(_) => outcome::RanState::No,
+            Self::Lost(_) => outcome::RanState::Unknown,
+        }
+    }
+}
+
+/// A server's answer.
+#[derive(Debug)]
+pub struct ServerAnswer<B> {
+    /// Status.
+    pub status: http::StatusCode,
+    /// Headers to pass on.
+    pub headers: http::HeaderMap,
+    /// The server says on this connection that it closes it.
+    pub closing: bool,
+    /// Body as it comes.
+    pub body: B,
+}
+
+/// A body as it comes.
+pub trait AnswerBody {
+    /// The next bytes; absent at its proper end.
+    fn next(&mut self) -> impl Future<Output = Option<Result<Bytes, LostCause>>>;
+}
+
+/// A copy that was made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopyDone {
+    /// Names the copy at the source.
+    pub handle: String,
+    /// Events that the run had made.
+    pub events: u64,
+}
+
+/// Why a copy was not made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CopyFault {
+    /// The source knows no such run.
+    NoRun,
+    /// Another copy is being made.
+    Busy,
+    /// No room there, or unreachable; with a handle the run has stopped and waits at the source.
+    NoRoom(Option<String>),
+    /// The source did not answer.
+    Unreachable,
+}
+
+/// Backend servers.
+pub trait ServerPort {
+    /// Body of an answer.
+    type Body: AnswerBody;
+
+    /// Sends one try; the future may be dropped to give it up, which closes its connection.
+    fn open(&self, call: ServerCall) -> impl Future<Output = CallOutcome<Self::Body>>;
+
+    /// Copies a run's memory to another server; with `stop`, the run stops first.
+    fn copy(
+        &self,
+        source: ServerTarget,
+        run: String,
+        to: net::SocketAddr,
+        stop: bool,
+    ) -> impl Future<Output = Result<CopyDone, CopyFault>>;
+
+    /// Frees a copy that will not be used.
+    fn release(&self, source: ServerTarget, handle: String) -> impl Future<Output = ()>;
+}
--- /dev/null
+++ b/crates/exchange/src/serve_stream.rs
@@ -0,0 +1,529 @@
+//! Streams: events are passed on as they come, and a run may go on at another server.
+//!
+//! A run moves in one of three ways. Its server leaves and a copy is kept up to date elsewhere: go
+//! on there at once. Its server leaves and there is none: copy while it runs on, then stop it, copy
+//! the rest, go on there. Its server dies: go on at the copy, if there is one. In each case the
+//! caller gets the events behind the last whole one that it had, of the same run.
+
+use std::rc;
+
+use base::outcome;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{ask, event, fleet, plane, port, port::AnswerBody as _, relocate, reply};
+
+/// Parts under way to a slow caller: bounds what it can make us hold.
+const PARTS: usize = 16;
+/// A kept connection may carry a stream when it was used this recently.
+const FRESH: time::Duration = time::Duration::from_millis(1_500);
+/// How long a stopped run's last events are waited for.
+const STOPPED_REST: time::Duration = time::Duration::from_millis(150);
+/// Events that a run must have made for a break not to speak against its request: what crashes a
+/// server does so as it begins.
+const BEGUN_EVENTS: u64 = 2;
+/// Tries of one request that certainly did not run: each may meet a server that just left.
+const MOST_NOT_RUN: u32 = 3;
+
+type HeadSender = oneshot::Sender<Result<StreamHead, reply::Refusal>>;
+
+/// Head of a streamed answer.
+struct StreamHead {
+    status: http::StatusCode,
+    headers: http::HeaderMap,
+}
+
+/// Serves one stream. What runs for it ends when the returned body is dropped.
+pub(crate) async fn serve<P: port::ServerPort + 'static, G: 'static>(
+    plane: &rc::Rc<plane::ExchangePlane<P>>,
+    ask: rc::Rc<ask::ExchangeAsk>,
+    guard: G,
+) -> Result<reply::Reply, reply::Refusal> {
+    let (head, got_head) = oneshot::channel();
+    let (parts, got_parts) = mpsc::channel(PARTS);
+    let plane = plane.clone();
+    tokio::task::spawn_local(async move {
+        drive(plane, ask, head, parts).await;
+        drop(guard);
+    });
+    let lost = reply::Refusal {
+        cause: reply::RefusalCause::ServerLost,
+        ran: outcome::RanState::Unknown,
+        retry_after: None,
+    };
+    let head = got_head.await.map_err(|_| lost)??;
+    let body = reply::ReplyBody::Parts(got_parts);
+    Ok(reply::Reply { status: head.status, headers: head.headers, body })
+}
+
+/// Runs one stream until it ends, its time is up or its caller leaves.
+async fn drive<P: port::ServerPort + 'static>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    ask: rc::Rc<ask::ExchangeAsk>,
+    head: HeadSender,
+    parts: mpsc::Sender<reply::StreamPart>,
+) {
+    let watched = parts.clone();
+    let mut driver = StreamDriver {
+        plane: plane.clone(),
+        ask: ask.clone(),
+        head: Some(head),
+        parts,
+        splitter: event::EventSplitter::default(),
+        ran: outcome::RanState::No,
+        passed: 0,
+    };
+    let ended = tokio::select! {
+        biased;
+        () = watched.closed() => Err("caller left"),
+        () = time::sleep_until(ask.limit) => Err("out of time"),
+        end = driver.run() => Ok(end),
+    };
+    let events = driver.splitter.events();
+    match ended {
+        Ok(Ok(())) => {
+            log::info!(request:% = ask.id, events, passed = driver.passed; "stream whole");
+        }
+        Ok(Err(refusal)) => driver.give_up(refusal),
+        Err("caller left") => log::info!(request:% = ask.id, events; "caller left"),
+        Err(why) => {
+            log::info!(request:% = ask.id, events, cause:% = why; "stream given up");
+            let refusal = match driver.ran {
+                outcome::RanState::No => plane.refuse(&ask, reply::RefusalCause::Patience),
+                ran => reply::Refusal { cause: reply::RefusalCause::Timeout, ran, retry_after: None },
+            };
+            driver.give_up(refusal);
+        }
+    }
+}
+
+struct StreamDriver<P: port::ServerPort> {
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    ask: rc::Rc<ask::ExchangeAsk>,
+    /// Present until the caller has had the head.
+    head: Option<HeadSender>,
+    parts: mpsc::Sender<reply::StreamPart>,
+    splitter: event::EventSplitter,
+    /// Whether any try may have run.
+    ran: outcome::RanState,
+    /// Times that the run went on at another server.
+    passed: u32,
+}
+
+/// A try whose answer is being passed on.
+struct LiveRun<P: port::ServerPort> {
+    placed: plane::PlacedRun<P>,
+    orders: mpsc::UnboundedReceiver<relocate::RelocationOrder>,
+    /// Absent until the server has answered.
+    body: Option<P::Body>,
+}
+
+/// Why relaying from one server ended.
+enum RelayEnd {
+    /// The last event came.
+    Finished,
+    /// The stream broke off.
+    Broken,
+    /// The run stopped here and goes on from a copy.
+    Stopped(CopyPlace),
+}
+
+/// A copy that a run can go on from.
+struct CopyPlace {
+    /// Server to send the request to.
+    to: fleet::ServerKey,
+    /// Where to try if that one has no room: the source itself.
+    or: Option<fleet::ServerKey>,
+    origin: std::net::SocketAddr,
+    handle: String,
+}
+
+impl<P: port::ServerPort + 'static> StreamDriver<P> {
+    async fn run(&mut self) -> Result<(), reply::Refusal> {
+        let mut live = self.start().await?;
+        loop {
+            let copy = match self.relay(&mut live).await {
+                RelayEnd::Finished => return self.finish().await,
+                RelayEnd::Stopped(copy) => Some(copy),
+                RelayEnd::Broken => self.copy_of_broken(&live),
+            };
+            self.splitter.drop_partial();
+            live.body = None;
+            let resumed = match copy {
+                Some(copy) => self.resume(&mut live, copy).await,
+                None => false,
+            };
+            if !resumed {
+                return Err(self.lost());
+            }
+        }
+    }
+
+    /// Sends the request until a server takes it.
+    async fn start(&mut self) -> Result<LiveRun<P>, reply::Refusal> {
+        let mut avoid = Vec::new();
+        loop {
+            let placed = self.plane.place(&self.ask, &avoid).await?;
+            let server = placed.server;
+            avoid.push(server);
+            let orders = self.plane.moves_of(placed.run);
+            let mut live = LiveRun { placed, orders, body: None };
+            let Some(call) = self.call(&live, None, server) else { continue };
+            log::info!(
+                request:% = self.ask.id, server:% = call.target.id,
+                backup:? = call.backup, waited_ms = millis(self.ask.arrived);
+                "stream sent"
+            );
+            let sent = time::Instant::now();
+            match self.plane.port.open(call).await {
+                port::CallOutcome::Answered(answer) => {
+                    self.ran = outcome::RanState::Yes;
+                    self.answered(&mut live, answer, sent);
+                    return Ok(live);
+                }
+                port::CallOutcome::NotRun(cause) => {
+                    self.plane.judge(server, fleet::ServerVerdict::Refused);
+                    log::info!(
+                        request:% = self.ask.id, server:% = self.plane.server_id(server),
+                        cause:? = cause; "stream not run"
+                    );
+                    self.may_send_again(avoid.len(), cause)?;
+                }
+                port::CallOutcome::Lost(cause) => {
+                    self.ran = outcome::RanState::Unknown;
+                    log::info!(
+                        request:% = self.ask.id, server:% = self.plane.server_id(server),
+                        cause:? = cause; "stream lost before its head"
+                    );
+                    self.plane.judge(server, fleet::ServerVerdict::Failed);
+                    self.accuse(server);
+                    return Err(self.lost());
+                }
+            }
+        }
+    }
+
+    /// A try that certainly did not run may be followed by another, within the budget.
+    fn may_send_again(&self, tries: usize, cause: port::NotRunCause) -> Result<(), reply::Refusal> {
+        let now = time::Instant::now();
+        let tries = u32::try_from(tries).unwrap_or(u32::MAX);
+        let counted = cause == port::NotRunCause::Rejected && tries >= self.ask.attempts;
+        let again = !counted && tries < MOST_NOT_RUN;
+        if again && self.plane.state().take_retry(&self.ask.service, now) {
+            return Ok(());
+        }
+        Err(self.plane.refuse(&self.ask, reply::RefusalCause::Rejected))
+    }
+
+    fn call(
+        &self,
+        live: &LiveRun<P>,
+        resume: Option<port::ResumePoint>,
+        server: fleet::ServerKey,
+    ) -> Option<port::ServerCall> {
+        let target = self.plane.target(server)?;
+        let backup = {
+            let state = self.plane.state();
+            let backup = state.fleet.run(live.placed.run).and_then(|run| run.backup);
+            backup.and_then(|backup| state.fleet.server(backup)).map(|server| server.address)
+        };
+        Some(port::ServerCall {
+            ask: self.ask.clone(),
+            target,
+            left: plane::ExchangePlane::<P>::left(&self.ask),
+            resume,
+            backup,
+            reuse: port::ReuseRule::Fresh(FRESH),
+        })
+    }
+
+    fn answered(
+        &mut self,
+        live: &mut LiveRun<P>,
+        answer: port::ServerAnswer<P::Body>,
+        sent: time::Instant,
+    ) {
+        if let Some(head) = self.head.take() {
+            let told = StreamHead { status: answer.status, headers: answer.headers };
+            let _ = head.send(Ok(told));
+        }
+        if answer.status.is_server_error() {
+            self.plane.judge(live.placed.server, fleet::ServerVerdict::Erred);
+        } else {
+            let verdict = fleet::ServerVerdict::Good(sent.elapsed());
+            self.plane.judge(live.placed.server, verdict);
+        }
+        live.body = Some(answer.body);
+    }
+
+    /// Passes events on until the stream ends or the run stops here.
+    async fn relay(&mut self, live: &mut LiveRun<P>) -> RelayEnd {
+        loop {
+            let Some(body) = live.body.as_mut() else { return RelayEnd::Broken };
+            let order = tokio::select! {
+                part = body.next() => {
+                    match part {
+                        Some(Ok(bytes)) => self.pass(live, &bytes).await,
+                        Some(Err(_)) => return RelayEnd::Broken,
+                        None => return RelayEnd::Finished,
+                    }
+                    continue;
+                }
+                Some(order) = live.orders.recv() => order,
+            };
+            let end = match order {
+                relocate::RelocationOrder::Switch(to) => self.switch(live, to).await,
+                relocate::RelocationOrder::Move(to) => self.move_run(live, to).await,
+            };
+            if let Some(end) = end {
+                return end;
+            }
+            if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
+                run.moving_to = None;
+            }
+        }
+    }
+
+    /// Passes bytes on, and notes how far the run has come.
+    async fn pass(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
+        let whole = self.splitter.take(bytes);
+        {
+            let mut state = self.plane.state();
+            let engine = state.service(&self.ask.service).and_then(|rule| rule.engine);
+            let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
+            let events = u32::try_from(self.splitter.events()).unwrap_or(u32::MAX);
+            if let Some(run) = state.fleet.run_mut(live.placed.run) {
+                run.produced = events.saturating_mul(per_event);
+                if events > 0 && run.first_at.is_none() {
+                    run.first_at = Some(time::Instant::now());
+                }
+            }
+        }
+        if !whole.is_empty() {
+            let _ = self.parts.send(reply::StreamPart::Bytes(whole)).await;
+        }
+    }
+
+    async fn finish(&mut self) -> Result<(), reply::Refusal> {
+        let rest = self.splitter.rest();
+        if !rest.is_empty() {
+            let _ = self.parts.send(reply::StreamPart::Bytes(rest)).await;
+        }
+        let _ = self.parts.send(reply::StreamPart::End).await;
+        self.plane.state().suspects.acquit(self.ask.fingerprint);
+        Ok(())
+    }
+
+    /// Goes on at the server that holds a copy. Relaying pauses meanwhile, so that no event is
+    /// passed on twice; the run here goes on until the one there has begun.
+    async fn switch(&mut self, live: &mut LiveRun<P>, to: fleet::ServerKey) -> Option<RelayEnd> {
+        let origin = self.plane.target(to)?.address;
+        let copy = CopyPlace { to, or: None, origin, handle: self.ask.id.clone() };
+        log::info!(
+            request:% = self.ask.id, from:% = self.plane.server_id(live.placed.server),
+            to:% = self.plane.server_id(to), events = self.splitter.events();
+            "goes on at its backup"
+        );
+        let old = live.body.take();
+        if self.resume(live, copy).await {
+            self.splitter.drop_partial();
+            drop(old);
+            return None;
+        }
+        live.body = old;
+        if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
+            run.backup = None;
+        }
+        None
+    }
+
+    /// Copies the run while it goes on, then stops it and copies the rest.
+    async fn move_run(&mut self, live: &mut LiveRun<P>, to: fleet::ServerKey) -> Option<RelayEnd> {
+        let source = self.plane.target(live.placed.server)?;
+        let target = self.plane.target(to)?;
+        let started = time::Instant::now();
+        for stop in [false, true] {
+            let plane = self.plane.clone();
+            let copying =
+                plane.port.copy(source.clone(), self.ask.id.clone(), target.address, stop);
+            tokio::pin!(copying);
+            let mut ended = None;
+            let copied = loop {
+                let body = live.body.as_mut()?;
+                tokio::select! {
+                    biased;
+                    copied = &mut copying => break copied,
+                    part = body.next(), if ended.is_none() => match part {
+                        Some(Ok(bytes)) => self.pass(live, &bytes).await,
+                        Some(Err(_)) => ended = Some(RelayEnd::Broken),
+                        None => ended = Some(RelayEnd::Finished),
+                    },
+                }
+            };
+            log::info!(
+                request:% = self.ask.id, from:% = source.id, to:% = target.id, stop,
+                outcome:? = copied, ms = millis(started); "copied"
+            );
+            let copy = |handle| CopyPlace {
+                to,
+                or: Some(live.placed.server),
+                origin: source.address,
+                handle,
+            };
+            match (copied, stop) {
+                (Ok(_), false) if ended.is_none() => {}
+                (Ok(done), true) => {
+                    let copy = copy(done.handle);
+                    if ended.is_none() {
+                        self.read_rest(live).await;
+                    }
+                    return Some(RelayEnd::Stopped(copy));
+                }
+                (Err(port::CopyFault::NoRoom(Some(handle))), true) => {
+                    let mut copy = copy(handle);
+                    copy.to = live.placed.server;
+                    copy.or = None;
+                    if ended.is_none() {
+                        self.read_rest(live).await;
+                    }
+                    return Some(RelayEnd::Stopped(copy));
+                }
+                _ => return ended,
+            }
+        }
+        None
+    }
+
+    /// Passes on what a stopped run had still made.
+    async fn read_rest(&mut self, live: &mut LiveRun<P>) {
+        let until = time::Instant::now() + STOPPED_REST;
+        while let Some(body) = live.body.as_mut() {
+            match time::timeout_at(until, body.next()).await {
+                Ok(Some(Ok(bytes))) => self.pass(live, &bytes).await,
+                _ => return,
+            }
+        }
+    }
+
+    /// Sends the request to where it goes on. On success the run is counted there.
+    async fn resume(&mut self, live: &mut LiveRun<P>, copy: CopyPlace) -> bool {
+        let now = time::Instant::now();
+        for server in std::iter::once(copy.to).chain(copy.or) {
+            self.plane.state().force_retry(&self.ask.service, now);
+            let backup = self.next_backup(server);
+            let resume = port::ResumePoint {
+                origin: copy.origin,
+                handle: copy.handle.clone(),
+                last_event: self.splitter.last_id().map(str::to_owned),
+            };
+            let held = self.set_backup(live, backup);
+            let Some(call) = self.call(live, Some(resume), server) else { continue };
+            let opened = self.plane.port.open(call).await;
+            match opened {
+                port::CallOutcome::Answered(answer) if answer.status.is_success() => {
+                    self.moved(live, server);
+                    live.body = Some(answer.body);
+                    self.passed += 1;
+                    metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
+                    log::info!(
+                        request:% = self.ask.id, server:% = self.plane.server_id(server),
+                        ms = millis(now), last_event:? = self.splitter.last_id(); "goes on"
+                    );
+                    return true;
+                }
+                other => {
+                    let ran = other.ran();
+                    self.set_backup(live, held);
+                    log::info!(
+                        request:% = self.ask.id, server:% = self.plane.server_id(server),
+                        ran:? = ran, ms = millis(now); "does not go on there"
+                    );
+                    if ran != outcome::RanState::No {
+                        return false;
+                    }
+                }
+            }
+        }
+        false
+    }
+
+    /// Where the copy of a run that goes on at `server` is kept from now on.
+    fn next_backup(&self, server: fleet::ServerKey) -> Option<fleet::ServerKey> {
+        let mut state = self.plane.state();
+        let engine = state.service(&self.ask.service)?.engine?;
+        state.backup_for(&self.ask, server, &engine, time::Instant::now())
+    }
+
+    fn set_backup(
+        &self,
+        live: &LiveRun<P>,
+        backup: Option<fleet::ServerKey>,
+    ) -> Option<fleet::ServerKey> {
+        let mut state = self.plane.state();
+        let run = state.fleet.run_mut(live.placed.run)?;
+        std::mem::replace(&mut run.backup, backup)
+    }
+
+    fn moved(&self, live: &mut LiveRun<P>, server: fleet::ServerKey) {
+        live.placed.server = server;
+        if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
+            run.server = server;
+            run.moving_to = None;
+        }
+        self.plane.stir();
+    }
+
+    /// The copy that a run whose server broke off can go on from.
+    fn copy_of_broken(&self, live: &LiveRun<P>) -> Option<CopyPlace> {
+        let server = live.placed.server;
+        log::info!(
+            request:% = self.ask.id, server:% = self.plane.server_id(server),
+            events = self.splitter.events(); "stream broke off"
+        );
+        self.plane.judge(server, fleet::ServerVerdict::Failed);
+        self.accuse(server);
+        let to = {
+            let state = self.plane.state();
+            state.fleet.run(live.placed.run)?.backup?
+        };
+        let origin = self.plane.target(to)?.address;
+        Some(CopyPlace { to, or: None, origin, handle: self.ask.id.clone() })
+    }
+
+    /// A server broke off: its request is a suspect if it had just begun.
+    fn accuse(&self, server: fleet::ServerKey) {
+        let now = time::Instant::now();
+        let mut state = self.plane.state();
+        let leaving = state.fleet.server(server).is_some_and(|server| !server.takes_work(now));
+        if leaving || self.splitter.events() >= BEGUN_EVENTS {
+            return;
+        }
+        let Some(id) = state.fleet.server(server).map(|server| server.id.clone()) else { return };
+        let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+        if state.suspects.accuse(self.ask.fingerprint, hash, now) {
+            log::info!(request:% = self.ask.id, server:% = id; "suspect of a crash");
+        }
+    }
+
+    fn lost(&self) -> reply::Refusal {
+        reply::Refusal { cause: reply::RefusalCause::ServerLost, ran: self.ran, retry_after: None }
+    }
+
+    /// Ends it without its last event.
+    fn give_up(&mut self, refusal: reply::Refusal) {
+        let events = self.splitter.events();
+        log::info!(
+            request:% = self.ask.id, cause:% = refusal.cause.name(), ran:? = refusal.ran, events;
+            "stream not whole"
+        );
+        if let Some(head) = self.head.take() {
+            let _ = head.send(Err(refusal));
+        }
+    }
+}
+
+fn millis(since: time::Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/exchange/src/state.rs
@@ -0,0 +1,300 @@
+//! All that one entry VM believes and has under way.
+
+use std::{collections, net, rc};
+
+use bytes::Bytes;
+use rand::rngs;
+use tokio::time;
+
+use crate::{
+    ask, budget, catalog, directory, fleet, message, news, peers, place, relocate, suspect, wait,
+};
+
+/// What the plane is told at its start.
+#[derive(Clone, Debug)]
+pub struct PlaneSettings {
+    /// Name of this VM.
+    pub name: String,
+    /// Failure domain of this VM.
+    pub zone: String,
+    /// Where callers reach it.
+    pub entry_address: net::SocketAddr,
+    /// Where other VMs reach it.
+    pub link_address: net::SocketAddr,
+    /// Where other VMs may be, at the start.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Wall clock at the start, in milliseconds; a later process of this VM has a greater one.
+    pub incarnation: u64,
+    /// Bound on further tries, over all VMs.
+    pub retries: budget::BudgetRule,
+    /// Whether engines are asked to keep copies of running generations.
+    pub backups: bool,
+    /// Whether generations are moved off leaving engines.
+    pub moves: bool,
+}
+
+/// All that one entry VM believes and has under way.
+#[derive(Debug)]
+pub struct PlaneState {
+    /// As told at the start.
+    pub settings: PlaneSettings,
+    /// Configuration in force; its version never falls.
+    pub catalog: Option<rc::Rc<catalog::RouteCatalog>>,
+    /// The document that `catalog` was read from, for other VMs.
+    pub document: Bytes,
+    /// Servers and tries.
+    pub fleet: fleet::ServerFleet,
+    /// Other VMs.
+    pub peers: peers::PeerTable,
+    /// Requests that crash servers.
+    pub suspects: suspect::SuspectTable,
+    /// Position up to which the news of servers are known.
+    pub news_end: u64,
+    /// News that the other VMs have not been told yet.
+    pub untold: Vec<news::ServerNews>,
+    /// What this VM does.
+    pub stage: message::VmStage,
+    /// When the store last answered again after it had not.
+    pub store_back_at: Option<time::Instant>,
+    /// Whether the store's last answer was none.
+    pub store_away: bool,
+    queues: collections::HashMap<String, wait::WaitQueue>,
+    budgets: collections::HashMap<String, budget::RetryBudget>,
+    rng: rngs::StdRng,
+}
+
+impl PlaneState {
+    /// A VM that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: PlaneSettings, rng: rngs::StdRng) -> Self {
+        let mut peers = peers::PeerTable::default();
+        for &seed in &settings.seeds {
+            if seed != settings.link_address {
+                peers.tell(seed);
+            }
+        }
+        Self {
+            settings,
+            catalog: None,
+            document: Bytes::new(),
+            fleet: fleet::ServerFleet::default(),
+            peers,
+            suspects: suspect::SuspectTable::default(),
+            news_end: 0,
+            untold: Vec::new(),
+            stage: message::VmStage::Starting,
+            store_back_at: None,
+            store_away: false,
+            queues: collections::HashMap::new(),
+            budgets: collections::HashMap::new(),
+            rng,
+        }
+    }
+
+    /// Takes a configuration if it is newer than the one in force. Says whether it was.
+    pub fn take_catalog(&mut self, catalog: catalog::RouteCatalog, document: Bytes) -> bool {
+        if self.catalog.as_ref().is_some_and(|known| known.version >= catalog.version) {
+            return false;
+        }
+        self.catalog = Some(rc::Rc::new(catalog));
+        self.document = document;
+        if self.stage == message::VmStage::Starting {
+            self.stage = message::VmStage::Serving;
+        }
+        true
+    }
+
+    /// Version of the configuration in force; 0: none.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// Takes news of a server from the store or from another VM.
+    pub fn take_news(
+        &mut self,
+        news: news::ServerNews,
+        from_store: bool,
+        now: time::Instant,
+    ) -> fleet::FleetChange {
+        let spared = self.spared();
+        let change = self.fleet.take_news(&news, spared, now);
+        if from_store && change != fleet::FleetChange::Nothing {
+            self.untold.push(news);
+        }
+        change
+    }
+
+    /// Until when an entry that lapses now counts as alive; absent unless the store was away.
+    #[must_use]
+    pub fn spared(&self) -> Option<time::Instant> {
+        self.store_back_at.map(|at| at + fleet::LAPSE_GRACE)
+    }
+
+    /// The store answered, or did not. Says whether that changed.
+    pub fn note_store(&mut self, answered: bool, now: time::Instant) -> bool {
+        if answered == !self.store_away {
+            return false;
+        }
+        self.store_away = !answered;
+        if answered {
+            self.store_back_at = Some(now);
+        }
+        true
+    }
+
+    /// The rule of a service, if it is configured.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&catalog::ServiceRule> {
+        self.catalog.as_ref()?.services.get(name)
+    }
+
+    /// The queue of a service.
+    pub fn queue(&mut self, service: &str) -> &mut wait::WaitQueue {
+        if !self.queues.contains_key(service) {
+            self.queues.insert(service.to_owned(), wait::WaitQueue::default());
+        }
+        self.queues.get_mut(service).expect("just inserted")
+    }
+
+    /// Services for which something waits.
+    #[must_use]
+    pub fn waiting_services(&self) -> Vec<String> {
+        self.queues
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
+    /// Chooses a server for a request and counts it there.
+    pub fn place(
+        &mut self,
+        ask: &ask::ExchangeAsk,
+        avoid: &[fleet::ServerKey],
+        now: time::Instant,
+    ) -> Result<(fleet::RunKey, fleet::ServerKey), place::PlaceOutcome> {
+        let entries = self.peers.heard(now);
+        let rule = self.catalog.as_ref().and_then(|catalog| catalog.services.get(&ask.service));
+        let wanted = place::PlaceAsk {
+            service: &ask.service,
+            size: ask.size.as_ref(),
+            avoid,
+            zone: &self.settings.zone,
+            entries,
+        };
+        let outcome = place::choose(&self.fleet, rule, &wanted, now, &mut self.rng);
+        let place::PlaceOutcome::Server(server) = outcome else { return Err(outcome) };
+        let engine = rule.and_then(|rule| rule.engine);
+        let backup = engine.and_then(|engine| self.backup_for(ask, server, &engine, now));
+        let run = self.fleet.start(fleet::RunRecord {
+            server,
+            backup,
+            moving_to: None,
+            size: ask.size.clone(),
+            produced: 0,
+            started: now,
+            first_at: None,
+            fingerprint: ask.fingerprint,
+        });
+        self.queue(&ask.service).started(now);
+        Ok((run, server))
+    }
+
+    /// Where a copy of a generation is kept while it runs; absent where that is not worth its
+    /// memory.
+    pub fn backup_for(
+        &mut self,
+        ask: &ask::ExchangeAsk,
+        server: fleet::ServerKey,
+        engine: &catalog::EngineRule,
+        now: time::Instant,
+    ) -> Option<fleet::ServerKey> {
+        let size = ask.size.as_ref()?;
+        if !self.settings.backups || !engine.backups {
+            return None;
+        }
+        let output = fleet::expected_output(size, 0);
+        if output < BACKUP_OUTPUT {
+            return None;
+        }
+        let wanted = place::CopyAsk {
+            source: server,
+            tokens: u64::from(size.prompt_tokens) + output as u64,
+            beforehand: true,
+            service: &ask.service,
+        };
+        place::choose_copy(&self.fleet, engine, &wanted, now, &mut self.rng)
+    }
+
+    /// Orders for runs on servers that leave.
+    pub fn relocations(
+        &mut self,
+        now: time::Instant,
+    ) -> Vec<(fleet::RunKey, relocate::RelocationOrder)> {
+        let Some(catalog) = self.catalog.clone() else { return Vec::new() };
+        let mut orders = Vec::new();
+        if !self.settings.moves {
+            return orders;
+        }
+        for (service, rule) in &catalog.services {
+            if let Some(engine) = &rule.engine {
+                let fleet = &mut self.fleet;
+                orders.extend(relocate::plan(fleet, service, engine, now, &mut self.rng));
+            }
+        }
+        orders
+    }
+
+    /// A request of a service came.
+    pub fn count_first(&mut self, service: &str, now: time::Instant) {
+        let rule = self.settings.retries;
+        self.budget(service).count_first(&rule, now);
+    }
+
+    /// Takes one further try of a service, if this VM has one left.
+    pub fn take_retry(&mut self, service: &str, now: time::Instant) -> bool {
+        let rule = self.settings.retries;
+        let entries = self.peers.counted(now);
+        self.budget(service).take(&rule, entries, now)
+    }
+
+    /// Counts a further try that is made whatever is left.
+    pub fn force_retry(&mut self, service: &str, now: time::Instant) {
+        let rule = self.settings.retries;
+        self.budget(service).force(&rule, now);
+    }
+
+    /// Further tries of a service that this VM has left.
+    pub fn retries_left(&mut self, service: &str, now: time::Instant) -> f64 {
+        let rule = self.settings.retries;
+        let entries = self.peers.counted(now);
+        self.budget(service).left(&rule, entries, now)
+    }
+
+    fn budget(&mut self, service: &str) -> &mut budget::RetryBudget {
+        if !self.budgets.contains_key(service) {
+            self.budgets.insert(service.to_owned(), budget::RetryBudget::default());
+        }
+        self.budgets.get_mut(service).expect("just inserted")
+    }
+
+    /// A random number from 0 to 1.
+    pub fn draw(&mut self) -> f64 {
+        rand::RngExt::random(&mut self.rng)
+    }
+
+    /// This VM, as callers are told of it.
+    #[must_use]
+    pub fn own_entry(&self) -> directory::OwnEntry {
+        directory::OwnEntry {
+            zone: self.settings.zone.clone(),
+            stage: self.stage,
+            address: self.settings.entry_address,
+        }
+    }
+}
+
+/// Tokens that a generation must be expected to produce for a copy to be kept: what is shorter ends
+/// before its engine does.
+const BACKUP_OUTPUT: f64 = 64.0;
