Streams reserve memory at their engine before they are sent

Cause: at 59 VMs before 44 engines, beliefs on load are half a second old; VMs crowd engines, requests wait in engines' queues for memory until their deadline or their engine is gone (450 of 1929 arrivals rejected, 337 deadlines). What waits there can't go elsewhere. Change: a stream is sent only with memory set aside for it; a full engine is not asked again for 150 ms; what finds no room waits here, those that can still be on time first.

--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 struct KeptConnection {
     connection: LiveConnection,
-    /// When its last answer was read whole.
+    /// When it had rested after its last answer.
     since: time::Instant,
     /// Until when it may be used again.
     until: time::Instant,
@@ -125,12 +125,12 @@
         let connections = kept.get_mut(&address)?;
         connections.retain(|kept| now < kept.until && !kept.connection.sender.is_closed());
         let usable = |kept: &KeptConnection| {
-            let idle = now.saturating_duration_since(kept.since);
+            let Some(idle) = now.checked_duration_since(kept.since) else { return false };
             let fresh = match rule {
                 KeptRule::Any => true,
                 KeptRule::Within(span) => idle <= span,
             };
-            fresh && idle >= REST && kept.connection.sender.is_ready()
+            fresh && kept.connection.sender.is_ready()
         };
         let place = connections.iter().rposition(usable)?;
         let mut connection = connections.remove(place).connection;
@@ -142,11 +142,27 @@
     /// stated.
     pub fn put(&self, connection: LiveConnection, named: Option<time::Duration>) {
         let now = time::Instant::now();
+        self.put_since(connection, named, now + REST, now);
+    }
+
+    /// Keeps a connection that may carry another request at once.
+    pub fn put_rested(&self, connection: LiveConnection, named: Option<time::Duration>) {
+        let now = time::Instant::now();
+        self.put_since(connection, named, now, now);
+    }
+
+    fn put_since(
+        &self,
+        connection: LiveConnection,
+        named: Option<time::Duration>,
+        since: time::Instant,
+        now: time::Instant,
+    ) {
         let keep = named.map_or(KEPT, |named| named.mul_f64(KEPT_PART).min(KEPT));
         let mut kept = self.kept.borrow_mut();
         let connections = kept.entry(connection.address).or_default();
         if connections.len() < MOST_KEPT {
-            connections.push(KeptConnection { connection, since: now, until: now + keep });
+            connections.push(KeptConnection { connection, since, until: now + keep });
         }
     }
 
--- a/crates/exchange/src/catalog.rs
+++ b/crates/exchange/src/catalog.rs
@@ -70,6 +70,8 @@
     pub backups: bool,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// Longest that memory can be set aside for a request; absent where it can't.
+    pub reservation: Option<time::Duration>,
 }
 
 /// One service.
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -96,6 +96,8 @@
     pub spared_until: Option<time::Instant>,
     /// Part of recent tries that failed, at `judged_at`.
     failure_rate: f64,
+    /// It said that it has no room; not asked again until then.
+    full_until: Option<time::Instant>,
     /// When `failure_rate` was last worked out.
     judged_at: time::Instant,
     /// Believed latency of a call in milliseconds; zero: nothing known.
@@ -115,6 +117,12 @@
         }
     }
 
+    /// Whether it said a moment ago that it has no room.
+    #[must_use]
+    pub fn is_full(&self, now: time::Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
     /// Part of recent tries that failed, fading with time.
     #[must_use]
     pub fn failure_rate(&self, now: time::Instant) -> f64 {
@@ -323,6 +331,7 @@
             offset: news.offset,
             spared_until: None,
             failure_rate: 0.0,
+            full_until: None,
             judged_at: now,
             latency_ms: 0.0,
             peers: collections::HashMap::new(),
@@ -462,6 +471,13 @@
         }
     }
 
+    /// A server said that it has no room.
+    pub fn note_full(&mut self, key: ServerKey, until: time::Instant) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.full_until = Some(until);
+        }
+    }
+
     /// What this VM has on each server.
     #[must_use]
     pub fn own_loads(&self) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -84,6 +84,9 @@
             continue;
         }
         any = true;
+        if record.is_full(now) {
+            continue;
+        }
         let load = loads.get(key).copied().unwrap_or_default();
         let cost = match (engine, ask.size) {
             (Some(engine), Some(size)) => generation_cost(&engine, size, record, &load),
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -156,7 +156,7 @@
     }
 
     fn start_waiting(&self, service: &str, now: time::Instant) {
-        let order = self.state.borrow_mut().queue(service).in_order();
+        let order = self.state.borrow_mut().queue(service).in_order(now);
         for key in order {
             let mut waiters = self.waiters.borrow_mut();
             let index = (service.to_owned(), key);
@@ -268,6 +268,16 @@
         self: &rc::Rc<Self>,
         ask: &rc::Rc<ask::ExchangeAsk>,
         avoid: &[fleet::ServerKey],
+    ) -> Result<PlacedRun<P>, reply::Refusal> {
+        self.place_again(ask, avoid, &mut None).await
+    }
+
+    /// Gets a place for a try that may have waited before: it keeps its place in the queue.
+    pub(crate) async fn place_again(
+        self: &rc::Rc<Self>,
+        ask: &rc::Rc<ask::ExchangeAsk>,
+        avoid: &[fleet::ServerKey],
+        waited: &mut Option<wait::WaitRecord>,
     ) -> Result<PlacedRun<P>, reply::Refusal> {
         let now = time::Instant::now();
         let ahead = self.state.borrow_mut().queue(&ask.service).ahead(ask.priority);
@@ -281,7 +291,7 @@
                 Err(_) => {}
             }
         }
-        self.wait_for_place(ask, avoid, now).await
+        self.wait_for_place(ask, avoid, waited, now).await
     }
 
     pub(crate) fn placed(self: &rc::Rc<Self>, run: fleet::RunKey, server: fleet::ServerKey) -> PlacedRun<P> {
@@ -292,14 +302,18 @@
         self: &rc::Rc<Self>,
         ask: &rc::Rc<ask::ExchangeAsk>,
         avoid: &[fleet::ServerKey],
+        waited: &mut Option<wait::WaitRecord>,
         now: time::Instant,
     ) -> Result<PlacedRun<P>, reply::Refusal> {
-        let stream = ask.kind == catalog::ExchangeKind::Stream;
-        let patience = wait::patience(ask.left(now), ask.aim, stream);
-        let entered = self.state.borrow_mut().queue(&ask.service).enter(ask.priority, patience, now);
-        let Some(key) = entered else {
-            return Err(self.refuse(ask, reply::RefusalCause::Overload));
+        let record = match *waited {
+            Some(record) => record,
+            None => {
+                let record = self.wait_record(ask, now);
+                record.ok_or_else(|| self.refuse(ask, reply::RefusalCause::Overload))?
+            }
         };
+        *waited = Some(record);
+        let key = self.state.borrow_mut().queue(&ask.service).enter(record);
         let index = (ask.service.clone(), key);
         let (told, place) = oneshot::channel();
         let waiter = Waiter { ask: ask.clone(), avoid: avoid.to_vec(), told };
@@ -308,7 +322,7 @@
         let guard = WaitGuard { plane: self, index };
         log::info!(request:% = ask.id, service:% = ask.service; "waits for a place");
         self.stirred.notify_one();
-        let placed = time::timeout(patience, place.receive()).await;
+        let placed = time::timeout_at(record.until, place.receive()).await;
         drop(guard);
         match placed {
             Ok(Some(placed)) => Ok(placed),
@@ -316,6 +330,23 @@
         }
     }
 
+    /// How a request that comes now waits; absent when it should be refused at once.
+    fn wait_record(&self, ask: &ask::ExchangeAsk, now: time::Instant) -> Option<wait::WaitRecord> {
+        let stream = ask.kind == catalog::ExchangeKind::Stream;
+        let patience = wait::patience(ask.left(now), ask.aim, stream);
+        let mut state = self.state.borrow_mut();
+        let queue = state.queue(&ask.service);
+        if queue.is_hopeless(ask.priority, patience, now) {
+            return None;
+        }
+        Some(wait::WaitRecord {
+            priority: ask.priority,
+            order: queue.next_order(),
+            until: now + patience,
+            on_time_until: ask.arrived + wait::time_to_start(ask.aim),
+        })
+    }
+
     /// Time that a try may take when sent now.
     pub(crate) fn left(ask: &ask::ExchangeAsk) -> time::Duration {
         ask.limit.min(ask.deadline).saturating_duration_since(time::Instant::now())
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -38,6 +38,8 @@
     pub left: time::Duration,
     /// Present when it goes on from a copy.
     pub resume: Option<ResumePoint>,
+    /// Memory set aside for it at the server.
+    pub reservation: Option<String>,
     /// Server that is to hold a copy while it runs.
     pub backup: Option<net::SocketAddr>,
     /// Whether a connection that was used before may carry it.
@@ -138,6 +140,15 @@
     Unreachable,
 }
 
+/// Why a server set no memory aside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReserveFault {
+    /// It has no room.
+    Full,
+    /// It did not answer.
+    Unreachable,
+}
+
 /// Backend servers.
 pub trait ServerPort {
     /// Body of an answer.
@@ -146,6 +157,14 @@
     /// Sends one try; the future may be dropped to give it up, which closes its connection.
     fn open(&self, call: ServerCall) -> impl Future<Output = CallOutcome<Self::Body>>;
 
+    /// Sets memory and a place aside at a server, for a request that is about to be sent there.
+    fn reserve(
+        &self,
+        target: ServerTarget,
+        tokens: u64,
+        span: time::Duration,
+    ) -> impl Future<Output = Result<String, ReserveFault>>;
+
     /// Copies a run's memory to another server; with `stop`, the run stops first.
     fn copy(
         &self,
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -255,7 +255,7 @@
     };
     log::debug!(request:% = ask.id, server:% = target.id; "try sent");
     let left = plane::ExchangePlane::<P>::left(&ask);
-    let call = port::ServerCall { ask, target, left, resume: None, backup: None, reuse };
+    let call = port::ServerCall { ask, target, left, resume: None, reservation: None, backup: None, reuse };
     let end = match plane.port.open(call).await {
         port::CallOutcome::Answered(answer) => read_answer(answer, placed).await,
         port::CallOutcome::NotRun(cause) => {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -27,6 +27,13 @@
 /// Tries of one request that certainly did not run: each may meet a server that just left.
 const MOST_NOT_RUN: u32 = 3;
 
+/// Time for which memory is set aside: the request follows at once.
+const RESERVED_FOR: time::Duration = time::Duration::from_millis(500);
+/// Part of the expected output for which memory is set aside.
+const RESERVED_PART: f64 = 1.0;
+/// How long a server that has no room is not asked again: generations end there every second or so.
+const FULL_PAUSE: time::Duration = time::Duration::from_millis(150);
+
 type HeadSender = oneshot::Sender<Result<StreamHead, reply::Refusal>>;
 
 /// Head of a streamed answer.
@@ -164,13 +171,16 @@
     /// Sends the request until a server takes it.
     async fn start(&mut self) -> Result<LiveRun<P>, reply::Refusal> {
         let mut avoid = Vec::new();
+        let mut waited = None;
         loop {
-            let placed = self.plane.place(&self.ask, &avoid).await?;
+            let placed = self.plane.place_again(&self.ask, &avoid, &mut waited).await?;
             let server = placed.server;
+            let Ok(reservation) = self.reserve(server).await else { continue };
             avoid.push(server);
             let orders = self.plane.moves_of(placed.run);
             let mut live = LiveRun { placed, orders, body: None };
-            let Some(call) = self.call(&live, None, server) else { continue };
+            let Some(mut call) = self.call(&live, None, server) else { continue };
+            call.reservation = reservation;
             log::info!(
                 request:% = self.ask.id, server:% = call.target.id,
                 backup:? = call.backup, waited_ms = millis(self.ask.arrived);
@@ -205,6 +215,43 @@
         }
     }
 
+    /// Sets memory aside at a server, so that the request neither waits in the server's own queue
+    /// nor is preempted: there it could not go elsewhere, and would be lost with the server.
+    async fn reserve(&self, server: fleet::ServerKey) -> Result<Option<String>, port::ReserveFault> {
+        let Some((span, tokens)) = self.reservation() else { return Ok(None) };
+        let Some(target) = self.plane.target(server) else {
+            return Err(port::ReserveFault::Unreachable);
+        };
+        let reserved = self.plane.port.reserve(target, tokens, span).await;
+        let now = time::Instant::now();
+        match reserved {
+            Ok(handle) => Ok(Some(handle)),
+            Err(fault) => {
+                log::info!(
+                    request:% = self.ask.id, server:% = self.plane.server_id(server), tokens,
+                    fault:? = fault; "no room"
+                );
+                if fault == port::ReserveFault::Unreachable {
+                    self.plane.judge(server, fleet::ServerVerdict::Failed);
+                }
+                let mut state = self.plane.state();
+                let pause = FULL_PAUSE.mul_f64(0.7 + 0.6 * state.draw());
+                state.fleet.note_full(server, now + pause);
+                Err(fault)
+            }
+        }
+    }
+
+    /// How long and how much to set aside; absent where it can't be.
+    fn reservation(&self) -> Option<(time::Duration, u64)> {
+        let state = self.plane.state();
+        let engine = state.service(&self.ask.service)?.engine?;
+        let size = self.ask.size.as_ref()?;
+        let output = fleet::expected_output(size, 0) * RESERVED_PART;
+        let tokens = u64::from(size.prompt_tokens) + output as u64;
+        Some((engine.reservation?.min(RESERVED_FOR), tokens))
+    }
+
     /// A try that certainly did not run may be followed by another, within the budget.
     fn may_send_again(&self, tries: usize, cause: port::NotRunCause) -> Result<(), reply::Refusal> {
         let now = time::Instant::now();
@@ -234,6 +281,7 @@
             target,
             left: plane::ExchangePlane::<P>::left(&self.ask),
             resume,
+            reservation: None,
             backup,
             reuse: port::ReuseRule::Fresh(FRESH),
         })
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -34,6 +34,8 @@
     pub order: u64,
     /// When it is given up.
     pub until: time::Instant,
+    /// Started later, its answer is late.
+    pub on_time_until: time::Instant,
 }
 
 /// Requests of one service that wait on this VM.
@@ -85,20 +87,22 @@
         time::Duration::from_secs_f64((self.ahead(priority) as f64 + 0.5) / pace)
     }
 
-    /// Lets a request wait, or says that it should be refused at once.
-    pub fn enter(
-        &mut self,
-        priority: u8,
-        patience: time::Duration,
-        now: time::Instant,
-    ) -> Option<WaitKey> {
-        let hopeless = self.expected_wait(priority, now) > patience;
-        if self.waiting.len() >= MOST_WAITING || (hopeless && self.ahead(priority) > 0) {
-            return None;
-        }
+    /// Whether a request that comes now should be refused at once.
+    #[must_use]
+    pub fn is_hopeless(&self, priority: u8, patience: time::Duration, now: time::Instant) -> bool {
+        let late = self.expected_wait(priority, now) > patience;
+        self.waiting.len() >= MOST_WAITING || (late && self.ahead(priority) > 0)
+    }
+
+    /// The place in the order of a request that comes now.
+    pub fn next_order(&mut self) -> u64 {
         self.next_order += 1;
-        let record = WaitRecord { priority, order: self.next_order, until: now + patience };
-        Some(self.waiting.insert(record))
+        self.next_order
+    }
+
+    /// Lets a request wait.
+    pub fn enter(&mut self, record: WaitRecord) -> WaitKey {
+        self.waiting.insert(record)
     }
 
     /// It waits no longer, whatever the reason.
@@ -106,13 +110,15 @@
         self.waiting.remove(key);
     }
 
-    /// Those that wait, in the order in which they should start.
+    /// Those that wait, in the order in which they should start: first those that can still be on
+    /// time. In lasting overload a plain queue would make every answer late.
     #[must_use]
-    pub fn in_order(&self) -> Vec<WaitKey> {
+    pub fn in_order(&self, now: time::Instant) -> Vec<WaitKey> {
+        let rank = |record: &WaitRecord| (record.on_time_until < now, record.priority, record.order);
         let mut keys: Vec<_> =
-            self.waiting.iter().map(|(key, record)| (record.priority, record.order, key)).collect();
+            self.waiting.iter().map(|(key, record)| (rank(record), key)).collect();
         keys.sort_unstable();
-        keys.into_iter().map(|(_, _, key)| key).collect()
+        keys.into_iter().map(|(_, key)| key).collect()
     }
 }
 
@@ -133,3 +139,12 @@
     let middle = wait.as_secs_f64().clamp(least.min(most), most);
     time::Duration::from_secs_f64((middle * (0.7 + 0.6 * draw)).min(most))
 }
+
+/// Part of an aim that a generation needs between its start and its first event.
+const START_PART: f64 = 0.3;
+
+/// How long after its arrival a request can start and still be on time.
+#[must_use]
+pub fn time_to_start(aim: time::Duration) -> time::Duration {
+    aim.mul_f64(1.0 - START_PART)
+}
