Loads are told as they change, a few VMs read the store for all, room is kept for runs that must move

Change: each change of load is told at once; six VMs read for all, the others take news from them and compare hashes; admission counts the memory of leaving engines' runs first; hints are shrunk.

--- a/crates/exchange/src/ask.rs
+++ b/crates/exchange/src/ask.rs
@@ -27,6 +27,14 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl GenerationSize {
+    /// Prompt, most output and hint, for logs.
+    #[must_use]
+    pub fn summary(&self) -> (u32, u32, Option<u32>) {
+        (self.prompt_tokens, self.most_tokens, self.hint_tokens)
+    }
+}
+
 /// One request.
 #[derive(Clone, Debug)]
 pub struct ExchangeAsk {
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -27,12 +27,17 @@
 /// An entry that lapsed during an outage of the store counts as alive until this long after the
 /// store is back; servers that live write themselves in again within about two seconds.
 pub const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_200);
-/// Part of what a generation may still produce that is expected once its hint is used up.
-const REST_PART: f64 = 0.3;
-/// Share of the most tokens that is expected without a hint.
-const UNHINTED_PART: f64 = 0.4;
-/// Added to a hint: half of all generations go past it.
-const HINT_MARGIN: f64 = 1.2;
+/// Part of what a generation may still produce that is expected once it is past its guess: the rest
+/// of a log-normal length of deviation 0.7 that is cut off at the most.
+const REST_PART: f64 = 0.28;
+/// Share of the most tokens that is expected without a hint: the mean of such lengths.
+const UNHINTED_PART: f64 = 0.34;
+/// Weight of the hint against that share, both as logarithms. Hints of deviation 1.3 explain
+/// lengths of deviation 0.7 with a slope of 0.2 to 0.33 (259 streams).
+const HINT_WEIGHT: f64 = 0.3;
+/// Part of a generation's expected output that is planned for in its engine's memory: generations
+/// are on average half through, and the memory of those that end is what the others grow into.
+pub const PLANNED_PART: f64 = 0.5;
 /// Milliseconds that a token takes before anything of a run is known; engines make one in 7 to 9.
 const TOKEN_MS: f64 = 8.0;
 
@@ -192,6 +197,15 @@
         u64::from(prompt) + self.expected_output() as u64
     }
 
+    /// Memory that is planned for it: never less than it holds.
+    #[must_use]
+    pub fn planned_tokens(&self) -> u64 {
+        match &self.size {
+            Some(size) => planned_tokens(size).max(self.held_tokens()),
+            None => 0,
+        }
+    }
+
     /// Memory that it holds now.
     #[must_use]
     pub fn held_tokens(&self) -> u64 {
@@ -227,14 +241,25 @@
 pub fn expected_output(size: &ask::GenerationSize, produced: u32) -> f64 {
     let most = f64::from(size.most_tokens);
     let produced = f64::from(produced);
+    let usual = (most * UNHINTED_PART).max(1.0);
     let guess = match size.hint_tokens {
-        Some(hint) => f64::from(hint) * HINT_MARGIN,
-        None => most * UNHINTED_PART,
+        Some(hint) => {
+            let hint = f64::from(hint.max(1));
+            usual.powf(1.0 - HINT_WEIGHT) * hint.powf(HINT_WEIGHT)
+        }
+        None => usual,
     };
-    let at_least = produced + (most - produced).max(0.0) * REST_PART * (produced / most.max(1.0));
+    let past = (produced / guess).min(1.0);
+    let at_least = produced + (most - produced).max(0.0) * REST_PART * past;
     guess.max(at_least).min(most.max(produced))
 }
 
+/// Memory that is planned for a generation of `size` before it starts.
+#[must_use]
+pub fn planned_tokens(size: &ask::GenerationSize) -> u64 {
+    u64::from(size.prompt_tokens) + (expected_output(size, 0) * PLANNED_PART) as u64
+}
+
 /// How a try ended, as far as it speaks of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerVerdict {
@@ -483,7 +508,7 @@
     pub fn own_loads(&self) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
         let mut loads = slotmap::SecondaryMap::<ServerKey, PeerLoad>::new();
         for run in self.runs.values() {
-            let tokens = run.expected_tokens();
+            let tokens = run.planned_tokens();
             if let Some(entry) = loads.entry(run.server) {
                 let load = entry.or_default();
                 load.runs += 1;
@@ -506,6 +531,16 @@
         }
     }
 
+    /// Hash of which servers stand how: equal on VMs that know the same news.
+    #[must_use]
+    pub fn standing_hash(&self) -> u64 {
+        let listed = self.servers.values().filter(|server| server.standing != ServerStanding::Gone);
+        listed.fold(0, |hash, server| {
+            let seed = u64::from(server.standing == ServerStanding::Leaving);
+            hash ^ xxhash_rust::xxh3::xxh3_64_with_seed(server.id.as_bytes(), seed)
+        })
+    }
+
     /// Another VM told all that it has: what it does not name, it no longer has.
     pub fn clear_peer_loads(&mut self, vm: u64) {
         for record in self.servers.values_mut() {
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -24,6 +24,10 @@
 /// How long one call waits for a configuration: short enough that a connection that went silent
 /// costs less than the users' bound for a VM to be in touch again, 3 s.
 const CATALOG_WAIT: time::Duration = time::Duration::from_millis(2_500);
+/// VMs that look at the servers in turn.
+const LOOKERS: u32 = 6;
+/// Time between two looks whether this VM is to read the store for all.
+const DUTY_GAP: time::Duration = time::Duration::from_millis(250);
 /// Time between two tries while the store is away: within its first second back each VM is served.
 const AWAY_GAP: time::Duration = time::Duration::from_millis(400);
 
@@ -120,6 +124,10 @@
 ) {
     let mut cursor = None;
     loop {
+        if !may_read(&plane, cursor.is_none()) {
+            time::sleep(DUTY_GAP).await;
+            continue;
+        }
         let page = match cursor {
             None => store.read_document().await,
             Some(from) => store.wait_document(from, CATALOG_WAIT).await,
@@ -144,6 +152,10 @@
 ) {
     let mut cursor = None;
     loop {
+        if !may_read(&plane, cursor.is_none()) {
+            time::sleep(DUTY_GAP).await;
+            continue;
+        }
         let page = match cursor {
             None => store.read_servers().await,
             Some(from) => store.read_news(from).await,
@@ -166,10 +178,17 @@
     }
 }
 
+/// Whether this VM reads the store now: at its start, and while it is one of those that read for
+/// all.
+fn may_read<P>(plane: &plane::ExchangePlane<P>, first: bool) -> bool {
+    let state = plane.state();
+    first && state.version() == 0 || state.reads_store(time::Instant::now())
+}
+
 /// Time until this VM looks again.
 fn look_gap<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Duration {
     let mut state = plane.state();
-    let gap = LOOK_GAP * state.peers.heard(now);
+    let gap = LOOK_GAP * state.peers.heard(now).min(LOOKERS);
     let draw = state.draw();
     gap.clamp(LOOK_LEAST, LOOK_MOST).mul_f64(0.85 + 0.3 * draw)
 }
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -14,12 +14,17 @@
 
 use crate::{fleet, follow, message, news, peers, plane, state};
 
-/// Time between two datagrams to each VM while loads change: an event of a stream takes 30 to 60 ms.
-const SPEAK_GAP: time::Duration = time::Duration::from_millis(100);
-/// Added to it for each VM that is heard, so that what one VM receives stays bounded.
-const SPEAK_GAP_EACH: time::Duration = time::Duration::from_millis(6);
-/// Datagrams that say nothing new are left out this many times in a row.
-const QUIET_TURNS: u32 = 3;
+/// Changes of load within this are told together.
+const LOADS_GAP: time::Duration = time::Duration::from_millis(15);
+/// VMs up to which each is told of each change of load. Beyond it loads come with the regular
+/// datagrams: at 410 VMs the others would hear 6,000 changes a second.
+const MOST_TOLD_LOADS: u32 = 128;
+/// Datagrams that carry a piece of news: one may be lost.
+const NEWS_TIMES: u32 = 2;
+/// Pause after the system gave no datagram or connection.
+const FAULT_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// How long most VMs must know other news of servers before one is asked for all that it knows.
+const DIFFERS_FOR: time::Duration = time::Duration::from_millis(400);
 /// Largest datagram that passes everywhere unsplit.
 const MOST_DATAGRAM: usize = 1_300;
 /// Suspicions in one datagram.
@@ -72,22 +77,17 @@
     socket: rc::Rc<sockets::UdpSocket>,
 ) {
     let mut sequence = 0;
-    let mut last = message::PeerDatagram::default();
-    let mut quiet = 0;
+    let mut news = collections::VecDeque::new();
     loop {
-        let gap = SPEAK_GAP + SPEAK_GAP_EACH * plane.state().peers.heard(time::Instant::now());
-        let urgent = time::timeout(gap, plane.spread.notified()).await.is_ok();
+        wait_to_speak(&plane, !news.is_empty()).await;
         let now = time::Instant::now();
-        let mut datagram = datagram(&mut plane.state());
-        if !urgent && datagram == last && quiet < QUIET_TURNS {
-            quiet += 1;
-            continue;
-        }
-        quiet = 0;
-        last = datagram.clone();
-        last.news.clear();
+        let mut datagram = datagram(&plane.state());
+        datagram.news = news_to_tell(&mut plane.state(), &mut news);
         sequence += 1;
         datagram.sequence = sequence;
+        if sequence.is_multiple_of(RARE) || sequence < RARE {
+            datagram.known = known(&plane.state());
+        }
         let bytes = encode(&mut datagram);
         for address in hearers(&mut plane.state(), sequence, now) {
             let _ = socket.try_send_to(&bytes, address);
@@ -95,6 +95,31 @@
     }
 }
 
+/// Waits until there is something to say, or it is time to show that this VM lives.
+async fn wait_to_speak<P>(plane: &plane::ExchangePlane<P>, news: bool) {
+    let (gap, heard) = {
+        let state = plane.state();
+        (state.peers.speak_gap(), state.peers.heard(time::Instant::now()))
+    };
+    let gap = if news { LOADS_GAP } else { gap };
+    tokio::select! {
+        () = time::sleep(gap) => {}
+        () = plane.spread.notified() => {}
+        () = plane.loads.notified(), if heard <= MOST_TOLD_LOADS => time::sleep(LOADS_GAP).await,
+    }
+}
+
+/// News for this datagram, each with those that are to be told again.
+fn news_to_tell(
+    state: &mut state::PlaneState,
+    news: &mut collections::VecDeque<(message::NewsItem, u32)>,
+) -> Vec<message::NewsItem> {
+    news.extend(state.untold.drain(..).map(|news| (message::NewsItem::from(&news), NEWS_TIMES)));
+    let told: Vec<_> = news.drain(..news.len().min(MOST_NEWS)).collect();
+    news.extend(told.iter().filter(|(_, left)| *left > 1).map(|(item, left)| (item.clone(), left - 1)));
+    told.into_iter().map(|(item, _)| item).collect()
+}
+
 /// Encodes a datagram, leaving out what does not fit.
 fn encode(datagram: &mut message::PeerDatagram) -> Vec<u8> {
     while datagram.encoded_len() > MOST_DATAGRAM {
@@ -108,7 +133,7 @@
     datagram.encode_to_vec()
 }
 
-fn datagram(state: &mut state::PlaneState) -> message::PeerDatagram {
+fn datagram(state: &state::PlaneState) -> message::PeerDatagram {
     let own = state.fleet.own_loads();
     let loads = own
         .iter()
@@ -122,8 +147,6 @@
             })
         })
         .collect();
-    let told = state.untold.len().min(MOST_NEWS);
-    let news = state.untold.drain(..told).map(|news| message::NewsItem::from(&news)).collect();
     let accusations = state
         .suspects
         .accusations()
@@ -141,9 +164,11 @@
         catalog_version: state.version(),
         news_end: state.news_end,
         loads,
-        news,
+        news: Vec::new(),
         accusations,
-        known: known(state),
+        known: Vec::new(),
+        store_away: state.store_away,
+        standing_hash: state.fleet.standing_hash(),
     }
 }
 
@@ -158,13 +183,16 @@
         .collect()
 }
 
+/// One in this many datagrams names other VMs, and goes to those that are silent too.
+const RARE: u64 = 16;
+
 /// Who gets a datagram: those that are heard always, the others now and then.
 fn hearers(
     state: &mut state::PlaneState,
     sequence: u64,
     now: time::Instant,
 ) -> Vec<net::SocketAddr> {
-    let rare = sequence.is_multiple_of(10);
+    let rare = sequence.is_multiple_of(RARE);
     let mut addresses: Vec<_> = state
         .peers
         .all()
@@ -186,7 +214,7 @@
     let mut buffer = vec![0; 2 * MOST_DATAGRAM];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
-            time::sleep(SPEAK_GAP).await;
+            time::sleep(FAULT_PAUSE).await;
             continue;
         };
         match message::PeerDatagram::decode(&buffer[..length]) {
@@ -268,6 +296,7 @@
 ) {
     loop {
         time::sleep(STORE_FIRST).await;
+        note_difference(&mut plane.state());
         let Some((address, version)) = who_knows_more(&plane) else { continue };
         let reply = time::timeout(STATE_WAIT, ask_state(address, version)).await;
         if let Ok(Ok(reply)) = reply {
@@ -277,6 +306,21 @@
     }
 }
 
+/// Notes whether most VMs know other news of servers than this one, for instance since a datagram
+/// with news was lost on its way here.
+fn note_difference(state: &mut state::PlaneState) {
+    let now = time::Instant::now();
+    let own = state.fleet.standing_hash();
+    let heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
+    let (same, other): (Vec<_>, Vec<_>) =
+        heard.map(|(_, peer)| peer.standing_hash).partition(|hash| *hash == own);
+    if other.len() > same.len() {
+        state.differs_since.get_or_insert(now);
+    } else {
+        state.differs_since = None;
+    }
+}
+
 /// A VM that has a newer configuration, or newer news while the store is away.
 fn who_knows_more<P>(plane: &plane::ExchangePlane<P>) -> Option<(net::SocketAddr, u64)> {
     let state = plane.state();
@@ -286,10 +330,13 @@
     let newer = heard()
         .filter(|peer| peer.catalog_version > version)
         .max_by_key(|peer| peer.catalog_version);
+    let differs = state
+        .differs_since
+        .is_some_and(|since| now.saturating_duration_since(since) >= DIFFERS_FOR);
+    let own = state.fleet.standing_hash();
     let newer = newer.or_else(|| {
-        let away = state.store_away;
         heard()
-            .filter(|peer| away && peer.news_end > state.news_end)
+            .filter(|peer| differs && peer.standing_hash != own)
             .max_by_key(|peer| peer.news_end)
     });
     newer.map(|peer| (peer.link_address, version))
@@ -335,7 +382,7 @@
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(SPEAK_GAP).await;
+            time::sleep(FAULT_PAUSE).await;
             continue;
         };
         let plane = plane.clone();
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -129,6 +129,12 @@
     /// Addresses of other VMs that it hears.
     #[prost(string, repeated, tag = "13")]
     pub known: Vec<String>,
+    /// Whether the store does not answer it.
+    #[prost(bool, tag = "14")]
+    pub store_away: bool,
+    /// Hash of which servers stand how, as far as it knows.
+    #[prost(fixed64, tag = "15")]
+    pub standing_hash: u64,
 }
 
 /// Asks a VM for all that it knows.
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -6,9 +6,15 @@
 
 use crate::message;
 
-/// A VM that was not heard for this long is not named to callers any more. VMs speak every 0.1 to
-/// 0.5 s, and the users' bound for a stopped or frozen VM is two seconds.
-const HEARD: time::Duration = time::Duration::from_millis(1_200);
+/// A VM that was not heard for this long is not named to callers any more; the users' bound for a
+/// stopped or frozen VM is two seconds.
+const HEARD_LEAST: time::Duration = time::Duration::from_millis(1_000);
+/// Times between two datagrams of a VM after which it is taken to be silent: two may be lost.
+const HEARD_GAPS: u32 = 3;
+/// Time between two datagrams of a VM that has nothing new to say.
+const SPEAK_GAP: time::Duration = time::Duration::from_millis(150);
+/// Added to it for each VM, so that what one VM receives stays bounded.
+const SPEAK_GAP_EACH: time::Duration = time::Duration::from_millis(6);
 /// A VM that was not heard for this long counts for nothing in limits that VMs share. Longer than
 /// the window of the retry budget: what it spent may still count.
 const COUNTED: time::Duration = time::Duration::from_secs(12);
@@ -34,8 +40,14 @@
     pub catalog_version: u64,
     /// Position up to which it knows the news of servers.
     pub news_end: u64,
+    /// Whether the store does not answer it.
+    pub store_away: bool,
+    /// Hash of which servers stand how, as far as it knows.
+    pub standing_hash: u64,
     /// When it was last heard.
     pub heard_at: time::Instant,
+    /// Until when it counts as heard.
+    heard_until: time::Instant,
 }
 
 impl PeerRecord {
@@ -48,7 +60,7 @@
     /// Whether it is alive, as far as can be heard.
     #[must_use]
     pub fn is_heard(&self, now: time::Instant) -> bool {
-        now.saturating_duration_since(self.heard_at) < HEARD
+        now < self.heard_until
     }
 }
 
@@ -99,7 +111,10 @@
             link_address,
             catalog_version: datagram.catalog_version,
             news_end: datagram.news_end,
+            store_away: datagram.store_away,
+            standing_hash: datagram.standing_hash,
             heard_at: now,
+            heard_until: now + HEARD_LEAST.max(self.speak_gap() * HEARD_GAPS),
         };
         let same = known.is_some_and(|peer| peer.stage == record.stage && peer.is_heard(now));
         self.told.remove(&link_address);
@@ -130,6 +145,12 @@
         greeted
     }
 
+    /// Time between two datagrams of a VM that has nothing new to say.
+    #[must_use]
+    pub fn speak_gap(&self) -> time::Duration {
+        SPEAK_GAP + SPEAK_GAP_EACH * u32::try_from(self.peers.len()).unwrap_or(u32::MAX)
+    }
+
     /// Forgets VMs that are gone for long.
     pub fn sweep(&mut self, now: time::Instant) {
         self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < KEPT);
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -40,6 +40,9 @@
 /// here, where they can still go elsewhere.
 const QUEUE_FACTOR: u32 = 2;
 
+/// How long the runs of a server that leaves are made room for: it is gone soon after.
+const MOVING_FOR: time::Duration = time::Duration::from_millis(2_500);
+
 /// What needs a place.
 #[derive(Clone, Debug)]
 pub struct PlaceAsk<'a> {
@@ -77,6 +80,12 @@
     let loads = fleet.loads(now);
     let engine = rule.and_then(|rule| rule.engine);
     let favourite = favourite(fleet, ask, now);
+    if let (Some(engine), Some(size)) = (engine, ask.size)
+        && !has_room_beside_moves(fleet, &engine, ask.service, size, &loads, now)
+    {
+        let any = fleet.ready(ask.service, now).next().is_some();
+        return if any { PlaceOutcome::Full } else { PlaceOutcome::NoServer };
+    }
     let mut best = None;
     let mut any = false;
     for (key, record) in fleet.ready(ask.service, now) {
@@ -109,6 +118,30 @@
     }
 }
 
+/// Whether a new generation leaves room for the runs of servers that leave. What runs has cost its
+/// prompt already, and is lost if it finds no room within two seconds; what is new can wait.
+fn has_room_beside_moves(
+    fleet: &fleet::ServerFleet,
+    engine: &catalog::EngineRule,
+    service: &str,
+    size: &ask::GenerationSize,
+    loads: &slotmap::SecondaryMap<fleet::ServerKey, fleet::ServerLoad>,
+    now: time::Instant,
+) -> bool {
+    let memory = engine.memory_tokens as f64;
+    let mut free = 0.0;
+    let mut moving = 0.0;
+    for (key, record) in fleet.servers().filter(|(_, record)| record.service == service) {
+        let tokens = loads.get(key).map_or(0.0, |load| load.tokens as f64);
+        if record.takes_work(now) {
+            free += (memory * MEMORY_FILL - tokens).max(0.0);
+        } else if now.saturating_duration_since(record.since) < MOVING_FOR {
+            moving += tokens;
+        }
+    }
+    moving == 0.0 || free - moving >= fleet::planned_tokens(size) as f64
+}
+
 /// Expected cost of a generation, absent where it finds no room.
 fn generation_cost(
     engine: &catalog::EngineRule,
@@ -116,7 +149,7 @@
     record: &fleet::ServerRecord,
     load: &fleet::ServerLoad,
 ) -> Option<f64> {
-    let need = f64::from(size.prompt_tokens) + fleet::expected_output(size, 0);
+    let need = fleet::planned_tokens(size) as f64;
     let memory = engine.memory_tokens as f64;
     let after = load.tokens as f64 + need;
     // An empty engine takes whatever fits at all: nothing better will come.
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -32,6 +32,8 @@
     pub(crate) stirred: tokio::sync::Notify,
     /// Something was learnt that the other VMs should hear at once.
     pub(crate) spread: tokio::sync::Notify,
+    /// What this VM has on servers changed.
+    pub(crate) loads: tokio::sync::Notify,
     /// Requests that have no final answer yet.
     open: cell::Cell<usize>,
 }
@@ -57,6 +59,7 @@
     fn drop(&mut self) {
         self.plane.state.borrow_mut().fleet.end(self.run);
         self.plane.movers.borrow_mut().remove(self.run);
+        self.plane.tell_loads();
         self.plane.stirred.notify_one();
     }
 }
@@ -82,6 +85,7 @@
             movers: cell::RefCell::default(),
             stirred: tokio::sync::Notify::new(),
             spread: tokio::sync::Notify::new(),
+            loads: tokio::sync::Notify::new(),
             open: cell::Cell::new(0),
         }
     }
@@ -114,6 +118,11 @@
         self.stirred.notify_one();
     }
 
+    /// What this VM has on servers changed.
+    pub(crate) fn tell_loads(&self) {
+        self.loads.notify_one();
+    }
+
     /// Something was learnt that the other VMs should hear at once.
     pub fn spread(&self) {
         self.spread.notify_one();
@@ -216,6 +225,7 @@
         let (sender, receiver) = mpsc::unbounded_channel();
         self.movers.borrow_mut().insert(run, sender);
         self.stirred.notify_one();
+        self.tell_loads();
         receiver
     }
 }
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -86,7 +86,7 @@
     }
     let ask = place::CopyAsk {
         source: run.server,
-        tokens: run.expected_tokens(),
+        tokens: run.planned_tokens(),
         beforehand: false,
         service,
     };
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -29,8 +29,6 @@
 
 /// Time for which memory is set aside: the request follows at once.
 const RESERVED_FOR: time::Duration = time::Duration::from_millis(500);
-/// Part of the expected output for which memory is set aside.
-const RESERVED_PART: f64 = 1.0;
 /// How long a server that has no room is not asked again: generations end there every second or so.
 const FULL_PAUSE: time::Duration = time::Duration::from_millis(150);
 
@@ -81,6 +79,7 @@
         splitter: event::EventSplitter::default(),
         ran: outcome::RanState::No,
         passed: 0,
+        pace: EventPace::default(),
     };
     let ended = tokio::select! {
         biased;
@@ -91,7 +90,12 @@
     let events = driver.splitter.events();
     match ended {
         Ok(Ok(())) => {
-            log::info!(request:% = ask.id, events, passed = driver.passed; "stream whole");
+            let pace = &driver.pace;
+            log::info!(
+                request:% = ask.id, events, passed = driver.passed,
+                first_ms = pace.first_ms(&ask), worst_pause_ms = pace.worst_ms();
+                "stream whole"
+            );
         }
         Ok(Err(refusal)) => driver.give_up(refusal),
         Err("caller left") => log::info!(request:% = ask.id, events; "caller left"),
@@ -117,6 +121,37 @@
     ran: outcome::RanState,
     /// Times that the run went on at another server.
     passed: u32,
+    /// When events came.
+    pace: EventPace,
+}
+
+/// When the events of one stream came.
+#[derive(Debug, Default)]
+struct EventPace {
+    first: Option<time::Instant>,
+    last: Option<time::Instant>,
+    worst: time::Duration,
+}
+
+impl EventPace {
+    fn note(&mut self, now: time::Instant) {
+        if let Some(last) = self.last {
+            self.worst = self.worst.max(now.saturating_duration_since(last));
+        }
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+    }
+
+    /// Time from the request to its first event.
+    fn first_ms(&self, ask: &ask::ExchangeAsk) -> Option<u64> {
+        let first = self.first?.saturating_duration_since(ask.arrived);
+        u64::try_from(first.as_millis()).ok()
+    }
+
+    /// Longest pause between two events.
+    fn worst_ms(&self) -> u64 {
+        u64::try_from(self.worst.as_millis()).unwrap_or(u64::MAX)
+    }
 }
 
 /// A try whose answer is being passed on.
@@ -183,7 +218,8 @@
             call.reservation = reservation;
             log::info!(
                 request:% = self.ask.id, server:% = call.target.id,
-                backup:? = call.backup, waited_ms = millis(self.ask.arrived);
+                backup:? = call.backup, waited_ms = millis(self.ask.arrived),
+                size:? = self.ask.size.as_ref().map(ask::GenerationSize::summary);
                 "stream sent"
             );
             let sent = time::Instant::now();
@@ -247,9 +283,7 @@
         let state = self.plane.state();
         let engine = state.service(&self.ask.service)?.engine?;
         let size = self.ask.size.as_ref()?;
-        let output = fleet::expected_output(size, 0) * RESERVED_PART;
-        let tokens = u64::from(size.prompt_tokens) + output as u64;
-        Some((engine.reservation?.min(RESERVED_FOR), tokens))
+        Some((engine.reservation?.min(RESERVED_FOR), fleet::planned_tokens(size)))
     }
 
     /// A try that certainly did not run may be followed by another, within the budget.
@@ -346,10 +380,12 @@
                 run.produced = events.saturating_mul(per_event);
                 if events > 0 && run.first_at.is_none() {
                     run.first_at = Some(time::Instant::now());
+                    self.plane.tell_loads();
                 }
             }
         }
         if !whole.is_empty() {
+            self.pace.note(time::Instant::now());
             let _ = self.parts.send(reply::StreamPart::Bytes(whole)).await;
         }
     }
@@ -520,6 +556,7 @@
             run.server = server;
             run.moving_to = None;
         }
+        self.plane.tell_loads();
         self.plane.stir();
     }
 
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -58,6 +58,8 @@
     pub store_back_at: Option<time::Instant>,
     /// Whether the store's last answer was none.
     pub store_away: bool,
+    /// Since when most VMs that are heard know other news of servers than this one.
+    pub differs_since: Option<time::Instant>,
     queues: collections::HashMap<String, wait::WaitQueue>,
     budgets: collections::HashMap<String, budget::RetryBudget>,
     rng: rngs::StdRng,
@@ -85,6 +87,7 @@
             stage: message::VmStage::Starting,
             store_back_at: None,
             store_away: false,
+            differs_since: None,
             queues: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             rng,
@@ -143,6 +146,21 @@
         true
     }
 
+    /// Whether this VM reads the store for all: one of a few among those that the store answers.
+    #[must_use]
+    pub fn reads_store(&self, now: time::Instant) -> bool {
+        let rank = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        let own = rank(&self.settings.name);
+        // VMs that the store turns away look among themselves too: else none would see it return.
+        let ahead = self
+            .peers
+            .all()
+            .filter(|(_, peer)| peer.is_heard(now) && peer.store_away == self.store_away)
+            .filter(|(name, _)| rank(name) < own)
+            .count();
+        ahead < if self.store_away { AWAY_READERS } else { READERS }
+    }
+
     /// The rule of a service, if it is configured.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&catalog::ServiceRule> {
@@ -220,7 +238,7 @@
         }
         let wanted = place::CopyAsk {
             source: server,
-            tokens: u64::from(size.prompt_tokens) + output as u64,
+            tokens: fleet::planned_tokens(size),
             beforehand: true,
             service: &ask.service,
         };
@@ -298,3 +316,9 @@
 /// Tokens that a generation must be expected to produce for a copy to be kept: what is shorter ends
 /// before its engine does.
 const BACKUP_OUTPUT: f64 = 64.0;
+
+/// VMs that read the store for all: enough that some remain when a third of them is cut off, few
+/// enough that reading costs the same at 60 VMs as at 6.
+const READERS: usize = 6;
+/// VMs that look whether the store is back, of those that it does not answer.
+const AWAY_READERS: usize = 3;
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -22,6 +22,8 @@
 const PATIENCE_PART: f64 = 0.5;
 /// Longest wait for an idempotent or single call, as a multiple of its aim.
 const AIMS_WAITED: f64 = 5.0;
+/// Longest wait for a stream, as a multiple of its aim: callers leave after four.
+const STREAM_AIMS_WAITED: f64 = 2.4;
 /// Least and most that a refused caller is told to stay away.
 const RETRY_AFTER_S: (f64, f64) = (0.5, 6.0);
 
@@ -122,11 +124,13 @@
     }
 }
 
-/// How long a request may wait for a place.
+/// How long a request may wait for a place. Callers leave a stream whose first event does not come
+/// within a few aims, whatever their deadline: one held for so long is lost, while one that is
+/// refused before comes back.
 #[must_use]
 pub fn patience(left: time::Duration, aim: time::Duration, stream: bool) -> time::Duration {
-    let part = left.mul_f64(PATIENCE_PART);
-    if stream { part } else { part.min(aim.mul_f64(AIMS_WAITED)) }
+    let aims = if stream { STREAM_AIMS_WAITED } else { AIMS_WAITED };
+    left.mul_f64(PATIENCE_PART).min(aim.mul_f64(aims))
 }
 
 /// When a refused caller is told to come back: when the queue will have moved on, spread evenly so
