Late waiters yield to those that can be on time; runs stop only for a quick last copy; prompts are spread

Cause: 59 queues each let late requests start beside other VMs' on-time ones (250 of 299 late reviews had waited over 0.7 s); a stopped run's last copy queued behind other runs' first ones (99 of 141 moved streams paused over 180 ms); a fresh engine got every VM's waiting prompts at once. Change: VMs tell the memory that waits on time, late ones leave it free; a run is copied again until a copy takes under 70 ms and only then stops; an engine gets 8,000 prompt tokens at a time.

--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -169,6 +169,7 @@
         known: Vec::new(),
         store_away: state.store_away,
         standing_hash: state.fleet.standing_hash(),
+        waiting_tokens: state.waiting_tokens(time::Instant::now()),
     }
 }
 
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -135,6 +135,9 @@
     /// Hash of which servers stand how, as far as it knows.
     #[prost(fixed64, tag = "15")]
     pub standing_hash: u64,
+    /// Memory planned for generations that wait there and can still be on time.
+    #[prost(uint64, tag = "16")]
+    pub waiting_tokens: u64,
 }
 
 /// Asks a VM for all that it knows.
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -44,6 +44,8 @@
     pub store_away: bool,
     /// Hash of which servers stand how, as far as it knows.
     pub standing_hash: u64,
+    /// Memory planned for generations that wait there and can still be on time.
+    pub waiting_tokens: u64,
     /// When it was last heard.
     pub heard_at: time::Instant,
     /// Until when it counts as heard.
@@ -113,6 +115,7 @@
             news_end: datagram.news_end,
             store_away: datagram.store_away,
             standing_hash: datagram.standing_hash,
+            waiting_tokens: datagram.waiting_tokens,
             heard_at: now,
             heard_until: now + HEARD_LEAST.max(self.speak_gap() * HEARD_GAPS),
         };
@@ -172,6 +175,13 @@
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Memory planned for generations that wait at other VMs and can still be on time.
+    #[must_use]
+    pub fn waiting_tokens(&self, now: time::Instant) -> u64 {
+        let heard = self.peers.values().filter(|peer| peer.is_heard(now));
+        heard.map(|peer| peer.waiting_tokens).sum()
+    }
+
     /// VMs that are heard, this one included.
     #[must_use]
     pub fn heard(&self, now: time::Instant) -> u32 {
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -16,6 +16,9 @@
 const BACKUP_FILL: f64 = 0.62;
 /// Tokens of a prompt that an engine reads in a millisecond while it makes tokens for others.
 const PREFILL_TOKENS_PER_MS: f64 = 7.0;
+/// Prompt tokens that one engine is given to read at a time: about a second's worth. An engine that
+/// has just started is empty, and every VM that has something waiting would send it there.
+const MOST_BACKLOG: f64 = 8_000.0;
 /// What one generation more adds to the time that others take for an event, counted over a prompt.
 const RUN_MS: f64 = 12.0;
 /// What a full engine costs: preemption is likely, and nothing can move there.
@@ -56,6 +59,8 @@
     pub zone: &'a str,
     /// VMs that share the servers, this one included.
     pub entries: u32,
+    /// Memory that must stay free for generations that go before this one elsewhere.
+    pub yielded_tokens: u64,
 }
 
 /// What came of it.
@@ -81,7 +86,7 @@
     let engine = rule.and_then(|rule| rule.engine);
     let favourite = favourite(fleet, ask, now);
     if let (Some(engine), Some(size)) = (engine, ask.size)
-        && !has_room_beside_moves(fleet, &engine, ask.service, size, &loads, now)
+        && !has_room_beside_others(fleet, &engine, ask, size, &loads, now)
     {
         let any = fleet.ready(ask.service, now).next().is_some();
         return if any { PlaceOutcome::Full } else { PlaceOutcome::NoServer };
@@ -120,26 +125,29 @@
 
 /// Whether a new generation leaves room for the runs of servers that leave. What runs has cost its
 /// prompt already, and is lost if it finds no room within two seconds; what is new can wait.
-fn has_room_beside_moves(
+///
+/// The same holds for one that is late already beside those that wait at other VMs and can still be
+/// on time: either way as many are served, but fewer of them late.
+fn has_room_beside_others(
     fleet: &fleet::ServerFleet,
     engine: &catalog::EngineRule,
-    service: &str,
+    ask: &PlaceAsk<'_>,
     size: &ask::GenerationSize,
     loads: &slotmap::SecondaryMap<fleet::ServerKey, fleet::ServerLoad>,
     now: time::Instant,
 ) -> bool {
     let memory = engine.memory_tokens as f64;
     let mut free = 0.0;
-    let mut moving = 0.0;
-    for (key, record) in fleet.servers().filter(|(_, record)| record.service == service) {
+    let mut owed = ask.yielded_tokens as f64;
+    for (key, record) in fleet.servers().filter(|(_, record)| record.service == ask.service) {
         let tokens = loads.get(key).map_or(0.0, |load| load.tokens as f64);
         if record.takes_work(now) {
             free += (memory * MEMORY_FILL - tokens).max(0.0);
         } else if now.saturating_duration_since(record.since) < MOVING_FOR {
-            moving += tokens;
+            owed += tokens;
         }
     }
-    moving == 0.0 || free - moving >= fleet::planned_tokens(size) as f64
+    owed == 0.0 || free - owed >= fleet::planned_tokens(size) as f64
 }
 
 /// Expected cost of a generation, absent where it finds no room.
@@ -157,6 +165,10 @@
     if after > limit || load.runs >= record.slots {
         return None;
     }
+    let crowded = load.backlog as f64 + f64::from(size.prompt_tokens) > MOST_BACKLOG;
+    if load.backlog > 0 && crowded {
+        return None;
+    }
     let prompts = load.backlog as f64 + f64::from(size.prompt_tokens);
     let fill = after / memory;
     Some(
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -171,7 +171,8 @@
             let index = (service.to_owned(), key);
             let Some(waiter) = waiters.get(&index) else { continue };
             let mut state = self.state.borrow_mut();
-            let Ok(placed) = state.place(&waiter.ask, &waiter.avoid, now) else {
+            let late = state.queue(service).get(key).is_some_and(|record| !record.is_on_time(now));
+            let Ok(placed) = state.place(&waiter.ask, &waiter.avoid, late, now) else {
                 // Whoever is first gets the next room: were smaller ones let past, a large one
                 // would wait for ever.
                 return;
@@ -292,7 +293,7 @@
         let now = time::Instant::now();
         let ahead = self.state.borrow_mut().queue(&ask.service).ahead(ask.priority);
         if ahead == 0 {
-            let placed = self.state.borrow_mut().place(ask, avoid, now);
+            let placed = self.state.borrow_mut().place(ask, avoid, false, now);
             match placed {
                 Ok((run, server)) => return Ok(self.placed(run, server)),
                 Err(place::PlaceOutcome::NoServer) if !avoid.is_empty() => {
@@ -332,6 +333,7 @@
         let guard = WaitGuard { plane: self, index };
         log::info!(request:% = ask.id, service:% = ask.service; "waits for a place");
         self.stirred.notify_one();
+        self.tell_loads();
         let placed = time::timeout_at(record.until, place.receive()).await;
         drop(guard);
         match placed {
@@ -354,6 +356,7 @@
             order: queue.next_order(),
             until: now + patience,
             on_time_until: ask.arrived + wait::time_to_start(ask.aim),
+            tokens: ask.size.as_ref().map_or(0, fleet::planned_tokens),
         })
     }
 
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -127,7 +127,7 @@
         {
             return None;
         }
-        let (run, server) = state.place(self.ask, &self.avoid, now).ok()?;
+        let (run, server) = state.place(self.ask, &self.avoid, false, now).ok()?;
         state.take_retry(&self.ask.service, now);
         drop(state);
         metrics::counter!("pollenchute_exchange_hedges_total").increment(1);
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -21,6 +21,11 @@
 const FRESH: time::Duration = time::Duration::from_millis(1_500);
 /// How long a stopped run's last events are waited for.
 const STOPPED_REST: time::Duration = time::Duration::from_millis(150);
+/// A copy that took less than this found the links free: the rest of the run is copied within a
+/// pause that callers still take as on time, 180 ms.
+const QUICK_COPY: time::Duration = time::Duration::from_millis(70);
+/// Time after a server's notice by which its runs stop to be moved: it is gone 1.5 to 2.1 s after.
+const STOP_BY: time::Duration = time::Duration::from_millis(1_150);
 /// Events that a run must have made for a break not to speak against its request: what crashes a
 /// server does so as it begins.
 const BEGUN_EVENTS: u64 = 2;
@@ -428,7 +433,13 @@
         let source = self.plane.target(live.placed.server)?;
         let target = self.plane.target(to)?;
         let started = time::Instant::now();
-        for stop in [false, true] {
+        let notice = self.plane.state().fleet.server(live.placed.server)?.since;
+        let mut quick = false;
+        loop {
+            // Copies of other runs queue on the same links. While this one waits behind them the
+            // run goes on; it stops for the last part only once that is quick, or time is short.
+            let stop = quick || notice.elapsed() > STOP_BY;
+            let began = time::Instant::now();
             let plane = self.plane.clone();
             let copying =
                 plane.port.copy(source.clone(), self.ask.id.clone(), target.address, stop);
@@ -457,7 +468,7 @@
                 handle,
             };
             match (copied, stop) {
-                (Ok(_), false) if ended.is_none() => {}
+                (Ok(_), false) if ended.is_none() => quick = began.elapsed() < QUICK_COPY,
                 (Ok(done), true) => {
                     let copy = copy(done.handle);
                     if ended.is_none() {
@@ -477,7 +488,6 @@
                 _ => return ended,
             }
         }
-        None
     }
 
     /// Passes on what a stopped run had still made.
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -175,6 +175,12 @@
         self.queues.get_mut(service).expect("just inserted")
     }
 
+    /// Memory planned for generations that wait here and can still be on time.
+    #[must_use]
+    pub fn waiting_tokens(&self, now: time::Instant) -> u64 {
+        self.queues.values().map(|queue| queue.waiting_tokens(now)).sum()
+    }
+
     /// Services for which something waits.
     #[must_use]
     pub fn waiting_services(&self) -> Vec<String> {
@@ -190,9 +196,11 @@
         &mut self,
         ask: &ask::ExchangeAsk,
         avoid: &[fleet::ServerKey],
+        late: bool,
         now: time::Instant,
     ) -> Result<(fleet::RunKey, fleet::ServerKey), place::PlaceOutcome> {
         let entries = self.peers.heard(now);
+        let yielded_tokens = if late { self.peers.waiting_tokens(now) } else { 0 };
         let rule = self.catalog.as_ref().and_then(|catalog| catalog.services.get(&ask.service));
         let wanted = place::PlaceAsk {
             service: &ask.service,
@@ -200,6 +208,7 @@
             avoid,
             zone: &self.settings.zone,
             entries,
+            yielded_tokens,
         };
         let outcome = place::choose(&self.fleet, rule, &wanted, now, &mut self.rng);
         let place::PlaceOutcome::Server(server) = outcome else { return Err(outcome) };
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -38,6 +38,16 @@
     pub until: time::Instant,
     /// Started later, its answer is late.
     pub on_time_until: time::Instant,
+    /// Memory that is planned for it; 0 for calls.
+    pub tokens: u64,
+}
+
+impl WaitRecord {
+    /// Whether it can still be on time.
+    #[must_use]
+    pub fn is_on_time(&self, now: time::Instant) -> bool {
+        now <= self.on_time_until
+    }
 }
 
 /// Requests of one service that wait on this VM.
@@ -62,6 +72,19 @@
         self.waiting.is_empty()
     }
 
+    /// One that waits.
+    #[must_use]
+    pub fn get(&self, key: WaitKey) -> Option<&WaitRecord> {
+        self.waiting.get(key)
+    }
+
+    /// Memory planned for those that wait and can still be on time.
+    #[must_use]
+    pub fn waiting_tokens(&self, now: time::Instant) -> u64 {
+        let on_time = self.waiting.values().filter(|record| record.is_on_time(now));
+        on_time.map(|record| record.tokens).sum()
+    }
+
     /// Requests that wait and go before one of rank `priority` that comes now.
     #[must_use]
     pub fn ahead(&self, priority: u8) -> usize {
@@ -116,7 +139,8 @@
     /// time. In lasting overload a plain queue would make every answer late.
     #[must_use]
     pub fn in_order(&self, now: time::Instant) -> Vec<WaitKey> {
-        let rank = |record: &WaitRecord| (record.on_time_until < now, record.priority, record.order);
+        let rank =
+            |record: &WaitRecord| (!record.is_on_time(now), record.priority, record.order);
         let mut keys: Vec<_> =
             self.waiting.iter().map(|(key, record)| (rank(record), key)).collect();
         keys.sort_unstable();
