ledger: "unknown" is said only after a look at the log that began when the holder's time was up

Cause: a reader that lagged behind a proof of not-run told "unknown"; the proof freed the key and it ran. Change: a look at the log's end first; if that fails, "in progress", which promises less.

--- a/crates/ledger/src/claim_store.rs
+++ b/crates/ledger/src/claim_store.rs
@@ -59,12 +59,48 @@
             hold_ms: self.settings.limits.hold_ms,
             run_ms: self.settings.limits.run_ms,
         };
-        if let Some(reply) = self.reply_early(request.claim, &item) {
-            return reply;
+        let claim = request.claim;
+        let reply = match self.reply_early(claim, &item) {
+            Some(reply) => reply,
+            None => self.append(claim, &item, deadline).await,
+        };
+        if reply == claim_calls::ClaimReply::Unknown {
+            return self.prove_unknown(claim, &item, deadline).await;
+        }
+        reply
+    }
+
+    /// Says "unknown" only after a look at the log that began when the holder's time was up.
+    ///
+    /// A reader that lags behind may not have met the holder's proof that nothing ran, which frees
+    /// the key: it would say "unknown", another VM would run the call, and a caller who has acted
+    /// on "unknown", say by paying in another way, would be charged. Proofs that come later than
+    /// this look free nothing.
+    async fn prove_unknown(
+        &self,
+        claim: id::RecordId,
+        item: &claims::ClaimItem,
+        deadline: time::Instant,
+    ) -> claim_calls::ClaimReply {
+        if !self.driver.catch_up(deadline).await {
+            return claim_calls::ClaimReply::InProgress;
         }
-        let entry = claims::ClaimEntry::Claim(item);
+        match self.reply_early(claim, item) {
+            Some(reply) => reply,
+            // The key has become free: whoever asks again may run it.
+            None => claim_calls::ClaimReply::InProgress,
+        }
+    }
+
+    async fn append(
+        &self,
+        claim: id::RecordId,
+        item: &claims::ClaimItem,
+        deadline: time::Instant,
+    ) -> claim_calls::ClaimReply {
+        let entry = claims::ClaimEntry::Claim(item.clone());
         let seen = self.driver.position();
-        let submitted = self.driver.submit(request.claim, &entry, seen, deadline);
+        let submitted = self.driver.submit(claim, &entry, seen, deadline);
         match submitted.await {
             Ok(verdict) => self.reply_of(verdict),
             Err(driver::SubmitFault::NotAppended(cause)) => {
