--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// The servers that this plane sends to.
+    pub const fn port(&self) -> &P {
+        &self.port
+    }
+
     /// What this VM believes; not to be held across an await.
     pub fn state(&self) -> cell::RefMut<'_, state::PlaneState> {
         self.state.borrow_mut()
--- /dev/null
+++ b/crates/exchange/tests/decisions.rs
@@ -0,0 +1,429 @@
+//! Pure decisions: placement, waiting, budgets, suspicion, events, lookup.
+
+mod world;
+
+use std::time;
+
+use exchange::{
+    ask, budget, directory, event, fleet, message, peers, place, relocate, suspect, wait,
+};
+use tokio::time::Instant;
+
+/// Histories of each property.
+const HISTORIES: u64 = 400;
+
+fn rng() -> rand::rngs::StdRng {
+    rand::SeedableRng::seed_from_u64(3)
+}
+
+fn size(prompt: u32) -> ask::GenerationSize {
+    ask::GenerationSize {
+        prompt_tokens: prompt,
+        most_tokens: 2_000,
+        hint_tokens: None,
+        parts: Vec::new(),
+    }
+}
+
+fn fleet_of(engines: u8) -> fleet::ServerFleet {
+    let mut fleet = fleet::ServerFleet::default();
+    for number in 1..=engines {
+        let entry = world::entry("llm", number, if number % 2 == 0 { "a" } else { "b" });
+        fleet.take_news(&world::news(&format!("e{number}"), 1, Some(entry)), None, Instant::now());
+    }
+    fleet
+}
+
+fn run(server: fleet::ServerKey, prompt: u32, started: bool) -> fleet::RunRecord {
+    let now = Instant::now();
+    fleet::RunRecord {
+        server,
+        backup: None,
+        moving_to: None,
+        size: Some(size(prompt)),
+        produced: 0,
+        started: now,
+        first_at: started.then_some(now),
+        fingerprint: 0,
+    }
+}
+
+fn rule() -> exchange::catalog::ServiceRule {
+    exchange::catalog::ServiceRule { connections: 100, engine: Some(world::engine_rule()) }
+}
+
+fn place_ask<'a>(size: &'a ask::GenerationSize, yielded_tokens: u64) -> place::PlaceAsk<'a> {
+    place::PlaceAsk {
+        service: "llm",
+        size: Some(size),
+        avoid: &[],
+        zone: "a",
+        entries: 7,
+        yielded_tokens,
+    }
+}
+
+#[test]
+fn memory_is_never_planned_beyond_an_engine() {
+    // Load: a burst of generations of every size, from several VMs, on few engines.
+    world::run(async {
+        world::histories(HISTORIES, |u| {
+            let now = Instant::now();
+            let mut fleet = fleet_of(4);
+            for _ in 0..u.int_in_range(1..=60)? {
+                let size = size(u.int_in_range(10..=6_000)?);
+                let placed =
+                    place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
+                if let place::PlaceOutcome::Server(server) = placed {
+                    let mut record = run(server, size.prompt_tokens, u.arbitrary()?);
+                    record.size = Some(size);
+                    fleet.start(record);
+                }
+            }
+            for load in fleet.loads(now).values() {
+                assert!(load.tokens <= 20_000, "{load:?}");
+                assert!(load.runs <= 8, "{load:?}");
+            }
+            Ok(())
+        });
+    });
+}
+
+#[test]
+fn prompts_are_spread_over_engines() {
+    // Load: every VM has something waiting as an empty engine comes up. Two long prompts at once
+    // on one engine make both late, and every stream beside them.
+    world::run(async {
+        let now = Instant::now();
+        let mut fleet = fleet_of(2);
+        for _ in 0..4 {
+            let size = size(3_000);
+            let placed = place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
+            let place::PlaceOutcome::Server(server) = placed else { panic!("room for four") };
+            fleet.start(run(server, 3_000, false));
+        }
+        let loads = fleet.loads(now);
+        assert!(loads.values().all(|load| load.runs == 2), "{loads:?}");
+        let size = size(3_000);
+        let fifth = place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
+        assert_eq!(fifth, place::PlaceOutcome::Full, "it waits where it can still go elsewhere");
+    });
+}
+
+#[test]
+fn new_work_leaves_room_for_runs_that_must_move() {
+    // Symptom: streams of a reclaimed engine are cut: no engine has room for their copies.
+    // Sequence: an engine leaves with much memory in use; waiting requests take all that is free.
+    // Cause: what waits was let in before what runs.
+    world::run(async {
+        let now = Instant::now();
+        let mut fleet = fleet_of(2);
+        let (first, second) = (fleet.find("e1").expect("e1"), fleet.find("e2").expect("e2"));
+        for _ in 0..4 {
+            fleet.start(run(first, 3_000, true));
+        }
+        fleet.start(run(second, 3_000, true));
+        let size = size(3_000);
+        let choose = |fleet: &fleet::ServerFleet| {
+            place::choose(fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng())
+        };
+        assert_eq!(choose(&fleet), place::PlaceOutcome::Server(second));
+        let mut leaving = world::entry("llm", 1, "b");
+        leaving.leaving = true;
+        fleet.take_news(&world::news("e1", 2, Some(leaving)), None, now);
+        assert_eq!(choose(&fleet), place::PlaceOutcome::Full);
+    });
+}
+
+#[test]
+fn a_late_request_leaves_room_for_those_on_time_elsewhere() {
+    // Load: lasting overload over many VMs, each with a queue of its own. Without this one VM's
+    // late request starts beside another's that could still be on time, and soon all are late.
+    world::run(async {
+        let now = Instant::now();
+        let fleet = fleet_of(1);
+        let size = size(3_000);
+        let choose = |yielded| {
+            place::choose(&fleet, Some(&rule()), &place_ask(&size, yielded), now, &mut rng())
+        };
+        assert!(matches!(choose(0), place::PlaceOutcome::Server(_)));
+        assert_eq!(choose(17_000), place::PlaceOutcome::Full);
+    });
+}
+
+#[test]
+fn moves_go_to_what_loses_most_and_are_ordered_once() {
+    // Load: an engine leaves with several runs; copies queue on its link, and it is soon gone.
+    world::run(async {
+        let now = Instant::now();
+        let mut fleet = fleet_of(3);
+        let first = fleet.find("e1").expect("e1");
+        let small = fleet.start(run(first, 1_000, true));
+        let large = fleet.start(run(first, 4_000, true));
+        let mut ending = run(first, 4_000, true);
+        ending.produced = 2_000;
+        let ending = fleet.start(ending);
+        let engine = world::engine_rule();
+        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut rng()).is_empty());
+        let mut leaving = world::entry("llm", 1, "b");
+        leaving.leaving = true;
+        fleet.take_news(&world::news("e1", 2, Some(leaving)), None, now);
+        let orders = relocate::plan(&mut fleet, "llm", &engine, now, &mut rng());
+        let runs: Vec<_> = orders.iter().map(|(run, _)| *run).collect();
+        assert_eq!(runs, [large, small], "what ends in time is left alone: {ending:?}");
+        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut rng()).is_empty());
+    });
+}
+
+#[test]
+fn news_count_by_their_place_in_the_store_whatever_way_they_come() {
+    // Symptom: a VM sends work to a server that left, since an older word of it came later.
+    // Sequence: news of one server from the store and from peers, in any order, some twice.
+    // Cause: the last word heard taken for the last word written.
+    world::run(async {
+        world::histories(HISTORIES, |u| {
+            let now = Instant::now();
+            let length = u.int_in_range(1..=8)?;
+            let mut words = vec![world::news("e1", 0, Some(world::entry("llm", 1, "a")))];
+            for offset in 1..length {
+                let mut entry = world::entry("llm", 1, "a");
+                entry.leaving = u.arbitrary()?;
+                words.push(world::news("e1", offset, u.ratio(3, 4)?.then_some(entry)));
+            }
+            let newest = words.last().cloned().expect("one");
+            let mut order: Vec<_> = words.iter().chain(&words).collect();
+            for last in (1..order.len()).rev() {
+                let other = u.int_in_range(0..=last)?;
+                order.swap(last, other);
+            }
+            let mut fleet = fleet::ServerFleet::default();
+            fleet.take_news(&words[0], None, now);
+            for word in order {
+                fleet.take_news(word, None, now);
+            }
+            let server = fleet.server(fleet.find("e1").expect("known")).expect("known");
+            let takes = server.takes_work(now);
+            match newest.entry {
+                None => assert!(!takes),
+                Some(entry) if entry.leaving => assert!(!takes),
+                // A word of leaving that was met stays, whatever follows for this incarnation.
+                Some(_) => {}
+            }
+            Ok(())
+        });
+    });
+}
+
+#[test]
+fn an_entry_that_lapsed_with_the_store_has_time_to_come_back() {
+    // Symptom: every server is gone for seconds after each outage of the store.
+    // Sequence: the store is away, entries lapse, it returns, servers write themselves in again.
+    // Cause: a lapse during an outage taken for a server's end.
+    world::run(async {
+        let mut fleet = fleet_of(1);
+        let key = fleet.find("e1").expect("e1");
+        let now = Instant::now();
+        let spared = Some(now + fleet::LAPSE_GRACE);
+        fleet.take_news(&world::news("e1", 2, None), spared, now);
+        assert!(fleet.server(key).expect("e1").takes_work(now));
+        assert!(fleet.end_spared(now).is_empty());
+        let later = now + fleet::LAPSE_GRACE + time::Duration::from_millis(1);
+        assert!(!fleet.server(key).expect("e1").takes_work(later));
+        assert_eq!(fleet.end_spared(later), [key]);
+        fleet.take_news(&world::news("e1", 3, Some(world::entry("llm", 1, "b"))), None, later);
+        assert!(fleet.server(key).expect("e1").takes_work(later));
+    });
+}
+
+#[test]
+fn further_tries_of_all_vms_stay_within_the_whole() {
+    // Load: all VMs see failures at once and try again as often as they may.
+    world::run(async {
+        world::histories(HISTORIES, |u| {
+            let rule = budget::BudgetRule {
+                ratio: 0.2,
+                slack: 54.0,
+                window: time::Duration::from_secs(10),
+            };
+            let vms = u.int_in_range(1..=12_u32)?;
+            let now = Instant::now();
+            let mut budgets: Vec<_> = (0..vms).map(|_| budget::RetryBudget::default()).collect();
+            let (mut first, mut further) = (0_u32, 0_u32);
+            for step in 0..u.int_in_range(0..=300_u32)? {
+                let now = now + time::Duration::from_millis(u64::from(step) * 5);
+                let budget = &mut budgets[u.choose_index(vms as usize)?];
+                if u.arbitrary()? {
+                    budget.count_first(&rule, now);
+                    first += 1;
+                } else if budget.take(&rule, vms, now) {
+                    further += 1;
+                }
+            }
+            let whole = 0.2 * f64::from(first) + 54.0;
+            assert!(f64::from(further) <= whole, "{further} of {whole}");
+            Ok(())
+        });
+    });
+}
+
+#[test]
+fn on_time_waiters_go_first_then_by_rank_and_age() {
+    world::run(async {
+        let now = Instant::now();
+        let mut queue = wait::WaitQueue::default();
+        let mut enter = |priority, on_time_ms: u64| {
+            let order = queue.next_order();
+            let key = queue.enter(wait::WaitRecord {
+                priority,
+                order,
+                until: now + time::Duration::from_secs(9),
+                on_time_until: now + time::Duration::from_millis(on_time_ms),
+                tokens: 10,
+            });
+            (key, order)
+        };
+        let (late, _) = enter(0, 10);
+        let (second, _) = enter(1, 1_000);
+        let (first, _) = enter(0, 1_000);
+        let (third, _) = enter(1, 1_000);
+        let later = now + time::Duration::from_millis(20);
+        assert_eq!(queue.in_order(later), [first, second, third, late]);
+        assert_eq!(queue.waiting_tokens(later), 30);
+        queue.leave(first);
+        assert_eq!(queue.in_order(later), [second, third, late]);
+    });
+}
+
+#[test]
+fn refused_callers_come_back_spread_and_in_time() {
+    // Load: a burst is refused at one moment; if all came back at one moment it would be refused
+    // again. Callers honour up to a third of the time that they have left.
+    world::run(async {
+        world::histories(HISTORIES, |u| {
+            let wait = time::Duration::from_millis(u.int_in_range(0..=20_000)?);
+            let left = time::Duration::from_millis(u.int_in_range(1_000..=39_000)?);
+            let draw = f64::from(u.int_in_range(0..=1_000_u32)?) / 1_000.0;
+            let after = wait::retry_after(wait, left, draw);
+            assert!(after <= left.mul_f64(0.3).max(time::Duration::from_millis(100)));
+            assert!(after <= time::Duration::from_secs(6));
+            Ok(())
+        });
+        let left = time::Duration::from_secs(39);
+        let wait = time::Duration::from_secs(2);
+        let soon = wait::retry_after(wait, left, 0.0);
+        let late = wait::retry_after(wait, left, 1.0);
+        assert!(late.as_secs_f64() > soon.as_secs_f64() * 1.5);
+    });
+}
+
+#[test]
+fn only_whole_events_are_passed_on_however_they_arrive() {
+    // Symptom: a caller reads an event that no engine sent: half of one, then another.
+    // Sequence: bytes split anywhere; the stream ends within an event and goes on elsewhere.
+    // Cause: bytes passed on before their event is whole.
+    world::histories(HISTORIES, |u| {
+        let newline = if u.arbitrary()? { "\n" } else { "\r\n" };
+        let count = u.int_in_range(0..=12)?;
+        let text: String = (0..count)
+            .map(|id| format!("id: {id}{newline}data: {}{newline}{newline}", "x".repeat(id * 3)))
+            .collect();
+        let cut = u.int_in_range(0..=text.len())?;
+        let mut splitter = event::EventSplitter::default();
+        let mut passed = Vec::new();
+        let mut rest = &text.as_bytes()[..cut];
+        while !rest.is_empty() {
+            let (now, later) = rest.split_at(u.int_in_range(1..=rest.len())?);
+            passed.extend_from_slice(&splitter.take(now));
+            rest = later;
+        }
+        let passed = String::from_utf8(passed).expect("text");
+        assert!(text.starts_with(&passed));
+        let end = newline.repeat(2);
+        assert!(passed.is_empty() || passed.ends_with(&end));
+        let whole = text[..cut].matches(&end).count();
+        assert_eq!(passed.matches(&end).count(), whole);
+        assert_eq!(splitter.events(), whole as u64);
+        let last = whole.checked_sub(1).map(|id| id.to_string());
+        assert_eq!(splitter.last_id().map(str::to_owned), last);
+        assert_eq!(passed.len() + splitter.rest().len(), cut);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_suspect_needs_two_different_servers_and_is_forgotten() {
+    world::run(async {
+        let now = Instant::now();
+        let mut table = suspect::SuspectTable::default();
+        assert!(table.accuse(7, 1, now));
+        assert!(!table.accuse(7, 1, now));
+        assert!(!table.is_quarantined(7, now));
+        table.accuse(7, 2, now);
+        assert!(table.is_quarantined(7, now));
+        assert!(!table.is_quarantined(7, now + time::Duration::from_secs(61)));
+        table.acquit(7);
+        assert!(!table.is_quarantined(7, now));
+        for fingerprint in 0..2_000 {
+            table.accuse(fingerprint, 1, now);
+        }
+        assert!(table.accusations().count() <= 512, "bounded");
+    });
+}
+
+fn datagram(name: &str, zone: &str, number: u8, sequence: u64) -> message::PeerDatagram {
+    message::PeerDatagram {
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        incarnation: 1,
+        sequence,
+        stage: message::VmStage::Serving.into(),
+        entry_address: world::address(number).to_string(),
+        link_address: world::address(number + 100).to_string(),
+        ..message::PeerDatagram::default()
+    }
+}
+
+#[test]
+fn callers_are_told_near_vms_that_are_heard() {
+    // Symptom: callers connect to a VM that was stopped or froze seconds ago.
+    // Sequence: one VM stops, one falls silent.
+    // Cause: lookups answered from what was once known.
+    world::run(async {
+        let now = Instant::now();
+        let mut peers = peers::PeerTable::default();
+        let own = directory::OwnEntry {
+            zone: String::from("a"),
+            stage: message::VmStage::Serving,
+            address: world::address(1),
+        };
+        for (name, zone, number) in [("vm-2", "a", 2), ("vm-3", "b", 3), ("vm-4", "b", 4)] {
+            peers.take(&datagram(name, zone, number, 1), now);
+        }
+        let near = directory::addresses(&own, &peers, "a", now);
+        assert_eq!(near, [world::address(1), world::address(2)]);
+        let mut stopping = datagram("vm-2", "a", 2, 2);
+        stopping.stage = message::VmStage::Stopping.into();
+        peers.take(&stopping, now);
+        let all = directory::addresses(&own, &peers, "a", now);
+        assert_eq!(all, [world::address(1), world::address(3), world::address(4)]);
+        let later = now + time::Duration::from_millis(1_900);
+        assert_eq!(directory::addresses(&own, &peers, "b", later), [world::address(1)]);
+        assert_eq!(peers.take(&datagram("vm-2", "a", 2, 1), later), peers::PeerChange::Stale);
+    });
+}
+
+#[test]
+fn lengths_are_believed_less_the_farther_a_run_has_come() {
+    let size = size(3_000);
+    let mut last = 0.0;
+    for produced in 0..2_000 {
+        let expected = fleet::expected_output(&size, produced);
+        assert!(expected >= f64::from(produced));
+        assert!(expected <= 2_000.0);
+        assert!(expected >= last, "expectation never falls as a run goes on");
+        last = expected;
+    }
+    let mut hinted = size;
+    hinted.hint_tokens = Some(1_000_000);
+    assert!(fleet::expected_output(&hinted, 0) <= 2_000.0);
+}
