--- /dev/null
+++ b/crates/carry/tests/connections.rs
@@ -0,0 +1,155 @@
+//! Connections and log lines under trouble.
+
+use std::{io, sync, time};
+
+use bytes::Bytes;
+use carry::{listen, output, pool};
+use http_body_util::{BodyExt as _, Full};
+use tokio::{io::AsyncReadExt as _, task};
+
+fn run<F: Future<Output = ()>>(test: F) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    task::LocalSet::new().block_on(&runtime, test);
+}
+
+fn rule() -> listen::ListenRule {
+    listen::ListenRule {
+        header_bytes: 16_384,
+        idle: time::Duration::from_secs(5),
+        connections: 2,
+    }
+}
+
+async fn listener() -> (tokio::net::TcpListener, std::net::SocketAddr) {
+    let listener =
+        listen::bind("127.0.0.1:0".parse().expect("address")).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    (listener, address)
+}
+
+fn request() -> http::Request<Full<Bytes>> {
+    let request = http::Request::builder().uri("/x").header("host", "h");
+    request.body(Full::new(Bytes::new())).expect("request")
+}
+
+const WAIT: time::Duration = time::Duration::from_millis(500);
+
+#[test]
+fn a_caller_that_leaves_ends_its_request_at_once() {
+    // Symptom: work goes on for callers that are gone.
+    // Sequence: a caller closes its connection while its request waits.
+    // Cause: a server that notices only when it writes.
+    run(async {
+        let (listener, address) = listener().await;
+        let (ended, mut told) = tokio::sync::mpsc::unbounded_channel::<()>();
+        task::spawn_local(listen::serve(listener, rule, listen::StopSwitch::default(), move |_| {
+            let ended = ended.clone();
+            async move {
+                // Dropped with the request.
+                let _ended = ended;
+                std::future::pending::<http::Response<Full<Bytes>>>().await
+            }
+        }));
+        let pool = pool::ConnectionPool::default();
+        let mut connection = pool.get(address, pool::KeptRule::Any, WAIT).await.expect("connected");
+        let sent = tokio::time::timeout(time::Duration::from_millis(50), connection.send(request()));
+        assert!(sent.await.is_err());
+        drop(connection);
+        let left = tokio::time::timeout(WAIT, async {
+            // The listener's own sender lives on; only the request's clone is counted here.
+            while told.sender_strong_count() > 1 {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+        });
+        left.await.expect("the request ended with its caller");
+        told.close();
+    });
+}
+
+#[test]
+fn a_stop_lets_requests_finish() {
+    run(async {
+        let (listener, address) = listener().await;
+        let switch = listen::StopSwitch::default();
+        let serving = task::spawn_local(listen::serve(listener, rule, switch.clone(), |_| async {
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+            http::Response::new(Full::new(Bytes::from("whole")))
+        }));
+        let pool = pool::ConnectionPool::default();
+        let mut connection = pool.get(address, pool::KeptRule::Any, WAIT).await.expect("connected");
+        let (answer, ()) = tokio::join!(connection.send(request()), async {
+            tokio::time::sleep(time::Duration::from_millis(30)).await;
+            switch.stop();
+        });
+        let body = answer.expect("answered").into_body().collect().await.expect("whole").to_bytes();
+        assert_eq!(body, "whole");
+        serving.await.expect("ended");
+        assert!(pool.get(address, pool::KeptRule::Any, WAIT).await.is_err(), "nobody listens");
+    });
+}
+
+#[test]
+fn connections_past_the_most_are_closed() {
+    run(async {
+        let (listener, address) = listener().await;
+        task::spawn_local(listen::serve(listener, rule, listen::StopSwitch::default(), |_| async {
+            http::Response::new(Full::new(Bytes::new()))
+        }));
+        let mut streams = Vec::new();
+        for _ in 0..3 {
+            streams.push(tokio::net::TcpStream::connect(address).await.expect("connected"));
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        let mut buffer = [0; 1];
+        let last = streams.last_mut().expect("three");
+        assert_eq!(last.read(&mut buffer).await.unwrap_or(0), 0, "closed");
+    });
+}
+
+#[test]
+fn a_kept_connection_that_was_closed_is_not_used() {
+    // Symptom: a call is lost on a connection that its server closed long ago.
+    // Sequence: an answer, then the server closes the idle connection.
+    // Cause: the close not looked for before the next request.
+    run(async {
+        let (listener, address) = listener().await;
+        let switch = listen::StopSwitch::default();
+        task::spawn_local(listen::serve(listener, rule, switch.clone(), |_| async {
+            http::Response::new(Full::new(Bytes::new()))
+        }));
+        let pool = pool::ConnectionPool::default();
+        let mut connection = pool.get(address, pool::KeptRule::Any, WAIT).await.expect("connected");
+        let answer = connection.send(request()).await.expect("answered");
+        answer.into_body().collect().await.expect("whole");
+        pool.put_rested(connection, None);
+        switch.stop();
+        tokio::time::sleep(time::Duration::from_millis(30)).await;
+        let again = pool.get(address, pool::KeptRule::Any, WAIT).await;
+        assert!(again.is_err(), "a new connection is tried, and nobody listens");
+    });
+}
+
+#[test]
+fn a_reader_that_stops_reading_costs_lines_not_time() {
+    // Symptom: all requests of a VM stand still while its log is not read.
+    // Sequence: the reader of the log blocks for ever, lines go on.
+    // Cause: lines written by whoever has something to say.
+    struct StuckReader(sync::Arc<sync::Barrier>);
+    impl io::Write for StuckReader {
+        fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+            self.0.wait();
+            Ok(line.len())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let barrier = sync::Arc::new(sync::Barrier::new(2));
+    let mut writer = output::LineWriter::new(StuckReader(barrier)).expect("thread");
+    let before = output::dropped_lines();
+    for _ in 0..10_000 {
+        assert_eq!(io::Write::write(&mut writer, b"line\n").expect("never fails"), 5);
+    }
+    assert!(output::dropped_lines() - before >= 5_000, "what does not fit is counted");
+}
