A newer configuration is fetched from the store by all VMs, from a random peer only after half a second

Change: a VM that hears of a newer version asks the store; after 500 ms, or at once where the store is away, any VM that has it.

--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -28,6 +28,8 @@
 const LOOKERS: u32 = 6;
 /// Time between two looks whether this VM is to read the store for all.
 const DUTY_GAP: time::Duration = time::Duration::from_millis(250);
+/// Time between two looks whether other VMs have a newer configuration.
+const BEHIND_GAP: time::Duration = time::Duration::from_millis(60);
 /// Time between two tries while the store is away: within its first second back each VM is served.
 const AWAY_GAP: time::Duration = time::Duration::from_millis(400);
 
@@ -124,13 +126,14 @@
 ) {
     let mut cursor = None;
     loop {
-        if !may_read(&plane, cursor.is_none()) {
-            time::sleep(DUTY_GAP).await;
+        let reader = may_read(&plane, cursor.is_none());
+        if !reader && !is_behind(&plane) {
+            time::sleep(BEHIND_GAP).await;
             continue;
         }
         let page = match cursor {
-            None => store.read_document().await,
-            Some(from) => store.wait_document(from, CATALOG_WAIT).await,
+            Some(from) if reader => store.wait_document(from, CATALOG_WAIT).await,
+            _ => store.read_document().await,
         };
         match page {
             Ok(page) => {
@@ -142,9 +145,21 @@
             Err(StoreFault::Trimmed) => cursor = None,
             Err(StoreFault::Away) => time::sleep(AWAY_GAP).await,
         }
+        if !reader {
+            cursor = None;
+        }
     }
 }
 
+/// Whether another VM has a newer configuration. The store is asked for it, which sends it to all
+/// VMs at once; a VM with a link of 10 Mbit/s would need 18 s for 300 KB to 72 others.
+fn is_behind<P>(plane: &plane::ExchangePlane<P>) -> bool {
+    let state = plane.state();
+    let now = time::Instant::now();
+    let version = state.version();
+    state.peers.all().any(|(_, peer)| peer.is_heard(now) && peer.catalog_version > version)
+}
+
 /// Keeps the servers up to date; never ends.
 pub async fn follow_servers<P, S: StorePort>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -37,8 +37,11 @@
 const MOST_STATE: usize = 32 * 1_024 * 1_024;
 /// Time that one exchange of state may take.
 const STATE_WAIT: time::Duration = time::Duration::from_millis(700);
-/// Time that the store has to bring a configuration before it is asked of the VM that has it.
-const STORE_FIRST: time::Duration = time::Duration::from_millis(60);
+/// Time between two looks whether another VM knows more.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(60);
+/// Time that the store has to bring a configuration before it is asked of a VM that has it: all
+/// other VMs fetch it at the same moment.
+const STORE_FIRST: time::Duration = time::Duration::from_millis(500);
 /// Time between two askings of state.
 const STATE_GAP: time::Duration = time::Duration::from_millis(300);
 
@@ -296,7 +299,7 @@
     decode: follow::DocumentDecoder,
 ) {
     loop {
-        time::sleep(STORE_FIRST).await;
+        time::sleep(LOOK_GAP).await;
         note_difference(&mut plane.state());
         let Some((address, version)) = who_knows_more(&plane) else { continue };
         let reply = time::timeout(STATE_WAIT, ask_state(address, version)).await;
@@ -312,6 +315,13 @@
 fn note_difference(state: &mut state::PlaneState) {
     let now = time::Instant::now();
     let own = state.fleet.standing_hash();
+    let version = state.version();
+    let mut heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
+    if heard.any(|(_, peer)| peer.catalog_version > version) {
+        state.behind_since.get_or_insert(now);
+    } else {
+        state.behind_since = None;
+    }
     let heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
     let (same, other): (Vec<_>, Vec<_>) =
         heard.map(|(_, peer)| peer.standing_hash).partition(|hash| *hash == own);
@@ -324,21 +334,27 @@
 
 /// A VM that has a newer configuration, or newer news while the store is away.
 fn who_knows_more<P>(plane: &plane::ExchangePlane<P>) -> Option<(net::SocketAddr, u64)> {
-    let state = plane.state();
+    let mut state = plane.state();
     let now = time::Instant::now();
     let version = state.version();
+    // Any one of those that know more, so that no single VM sends it to all others.
+    let draw = (state.draw() * 1e6) as usize;
     let heard = || state.peers.all().map(|(_, peer)| peer).filter(|peer| peer.is_heard(now));
-    let newer = heard()
-        .filter(|peer| peer.catalog_version > version)
-        .max_by_key(|peer| peer.catalog_version);
+    let late = state.behind_since.is_some_and(|since| {
+        let first = if state.store_away { LOOK_GAP } else { STORE_FIRST };
+        now.saturating_duration_since(since) >= first
+    });
+    let newer: Vec<_> =
+        heard().filter(|peer| late && peer.catalog_version > version).collect();
+    let newer = newer.get(draw % newer.len().max(1)).copied();
     let differs = state
         .differs_since
         .is_some_and(|since| now.saturating_duration_since(since) >= DIFFERS_FOR);
     let own = state.fleet.standing_hash();
     let newer = newer.or_else(|| {
-        heard()
-            .filter(|peer| differs && peer.standing_hash != own)
-            .max_by_key(|peer| peer.news_end)
+        let other: Vec<_> =
+            heard().filter(|peer| differs && peer.standing_hash != own).collect();
+        other.get(draw % other.len().max(1)).copied()
     });
     newer.map(|peer| (peer.link_address, version))
 }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -58,6 +58,8 @@
     pub store_back_at: Option<time::Instant>,
     /// Whether the store's last answer was none.
     pub store_away: bool,
+    /// Since when a VM that is heard has a newer configuration.
+    pub behind_since: Option<time::Instant>,
     /// Since when most VMs that are heard know other news of servers than this one.
     pub differs_since: Option<time::Instant>,
     queues: collections::HashMap<String, wait::WaitQueue>,
@@ -87,6 +89,7 @@
             stage: message::VmStage::Starting,
             store_back_at: None,
             store_away: false,
+            behind_since: None,
             differs_since: None,
             queues: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
