Copies beforehand only where memory is plenty; fewer prompts at a time; smaller datagrams, warm connections

Prompts that wait for another's reading hold memory meanwhile. Datagrams with names and addresses were most of 0.29 GB between failure domains.

--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -13,7 +13,7 @@
 
 /// Idle time after which a connection is not used again, unless its server names another. Servers
 /// close idle connections after a timeout of their own; a request that crosses the close is lost.
-const KEPT: time::Duration = time::Duration::from_secs(4);
+const KEPT: time::Duration = time::Duration::from_secs(8);
 /// Part of the idle timeout that a server names within which its connection is used again.
 const KEPT_PART: f64 = 0.7;
 /// Time that a connection rests after an answer before it carries another request. Surplus bytes of
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -22,6 +22,8 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// What one answer moves a server's believed latency by.
 const LATENCY_WEIGHT: f64 = 0.15;
+/// How long a connection may carry a call that can't be repeated: see `serve_call`.
+const WARM_FOR: time::Duration = time::Duration::from_millis(1_300);
 /// Records of servers that went are kept this long, so that late news does not bring them back.
 const GONE_KEPT: time::Duration = time::Duration::from_secs(120);
 /// An entry that lapsed during an outage of the store counts as alive until this long after the
@@ -35,12 +37,19 @@
 /// Weight of the hint against that share, both as logarithms. Hints of deviation 1.3 explain
 /// lengths of deviation 0.7 with a slope of 0.2 to 0.33 (259 streams).
 const HINT_WEIGHT: f64 = 0.3;
-/// Part of a generation's expected output that is planned for in its engine's memory: generations
-/// are on average half through, and the memory of those that end is what the others grow into.
-pub const PLANNED_PART: f64 = 0.5;
+/// Part of a generation's expected output that is planned for in its engine's memory: a
+/// generation met at a random moment has produced 0.7 of the mean length, since long ones are met
+/// more often; those that end make room for those that grow.
+pub const PLANNED_PART: f64 = 0.7;
 /// Milliseconds that a token takes before anything of a run is known; engines make one in 7 to 9.
 const TOKEN_MS: f64 = 8.0;
 
+/// Hash by which other VMs name a server in their loads.
+#[must_use]
+pub fn id_hash(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
+
 /// Whether a server takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerStanding {
@@ -103,6 +112,8 @@
     failure_rate: f64,
     /// It said that it has no room; not asked again until then.
     full_until: Option<time::Instant>,
+    /// When this VM last sent something there.
+    used_at: Option<time::Instant>,
     /// When `failure_rate` was last worked out.
     judged_at: time::Instant,
     /// Believed latency of a call in milliseconds; zero: nothing known.
@@ -122,6 +133,12 @@
         }
     }
 
+    /// Whether this VM probably has a connection there that may still be used.
+    #[must_use]
+    pub fn is_warm(&self, now: time::Instant) -> bool {
+        self.used_at.is_some_and(|at| now.saturating_duration_since(at) < WARM_FOR)
+    }
+
     /// Whether it said a moment ago that it has no room.
     #[must_use]
     pub fn is_full(&self, now: time::Instant) -> bool {
@@ -289,6 +306,9 @@
 pub struct ServerFleet {
     servers: slotmap::SlotMap<ServerKey, ServerRecord>,
     by_id: collections::HashMap<String, ServerKey>,
+    /// Servers by [`id_hash`]; of two with the same hash the later one, whose load is then told
+    /// wrongly: one in 10,000 pairs of 600 servers.
+    by_hash: collections::HashMap<u32, ServerKey>,
     runs: slotmap::SlotMap<RunKey, RunRecord>,
 }
 
@@ -357,11 +377,13 @@
             spared_until: None,
             failure_rate: 0.0,
             full_until: None,
+            used_at: None,
             judged_at: now,
             latency_ms: 0.0,
             peers: collections::HashMap::new(),
         });
         self.by_id.insert(news.id.clone(), key);
+        self.by_hash.insert(id_hash(&news.id), key);
         FleetChange::Arrived(key)
     }
 
@@ -410,12 +432,14 @@
     pub fn sweep(&mut self, now: time::Instant) {
         let used: collections::HashSet<_> = self.runs.values().map(|run| run.server).collect();
         let by_id = &mut self.by_id;
+        let by_hash = &mut self.by_hash;
         self.servers.retain(|key, record| {
             let old = now.saturating_duration_since(record.since) > GONE_KEPT;
             let keep =
                 record.standing != ServerStanding::Gone || !old || used.contains(&key);
             if !keep {
                 by_id.remove(&record.id);
+                by_hash.remove(&id_hash(&record.id));
             }
             keep
         });
@@ -427,6 +451,12 @@
         self.servers.get(key)
     }
 
+    /// A server by the hash of its name, as other VMs name it in their loads.
+    #[must_use]
+    pub fn find_hash(&self, hash: u32) -> Option<ServerKey> {
+        self.by_hash.get(&hash).copied()
+    }
+
     /// A server by the name of its incarnation.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<ServerKey> {
@@ -451,6 +481,9 @@
 
     /// A try is sent to a server.
     pub fn start(&mut self, run: RunRecord) -> RunKey {
+        if let Some(record) = self.servers.get_mut(run.server) {
+            record.used_at = Some(run.started);
+        }
         self.runs.insert(run)
     }
 
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -20,7 +20,7 @@
 /// Longest time between two looks of one VM: it alone must learn of leaving within two seconds.
 const LOOK_MOST: time::Duration = time::Duration::from_millis(1_000);
 /// Shortest time between two looks of one VM.
-const LOOK_LEAST: time::Duration = time::Duration::from_millis(200);
+const LOOK_LEAST: time::Duration = time::Duration::from_millis(600);
 /// How long one call waits for a configuration: short enough that a connection that went silent
 /// costs less than the users' bound for a VM to be in touch again, 3 s.
 const CATALOG_WAIT: time::Duration = time::Duration::from_millis(2_500);
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -88,12 +88,14 @@
         datagram.news = news_to_tell(&mut plane.state(), &mut news);
         sequence += 1;
         datagram.sequence = sequence;
-        if sequence.is_multiple_of(RARE) || sequence < RARE {
-            datagram.known = known(&plane.state());
-        }
-        let bytes = encode(&mut datagram);
-        for address in hearers(&mut plane.state(), sequence, now) {
-            let _ = socket.try_send_to(&bytes, address);
+        let full = sequence.is_multiple_of(RARE) || sequence < RARE;
+        let brief = encode(&mut datagram);
+        datagram.known = known(&plane.state());
+        identify(&mut datagram, &plane.state().settings);
+        let whole = encode(&mut datagram);
+        for (address, greeted) in hearers(&mut plane.state(), sequence, now) {
+            let bytes = if full || greeted { &whole } else { &brief };
+            let _ = socket.try_send_to(bytes, address);
         }
     }
 }
@@ -143,7 +145,7 @@
         .filter_map(|(key, load)| {
             let server = state.fleet.server(key)?;
             Some(message::LoadItem {
-                server: server.id.clone(),
+                server: fleet::id_hash(&server.id),
                 runs: load.runs,
                 tokens: load.tokens,
                 backlog: load.backlog,
@@ -157,25 +159,34 @@
         .map(|(fingerprint, server)| message::AccusationItem { fingerprint, server })
         .collect();
     message::PeerDatagram {
-        name: state.settings.name.clone(),
-        zone: state.settings.zone.clone(),
-        incarnation: state.settings.incarnation,
+        sender: sender(&state.settings),
         sequence: 0,
         stage: state.stage.into(),
-        entry_address: state.settings.entry_address.to_string(),
-        link_address: state.settings.link_address.to_string(),
         catalog_version: state.version(),
         news_end: state.news_end,
         loads,
-        news: Vec::new(),
         accusations,
-        known: Vec::new(),
         store_away: state.store_away,
         standing_hash: state.fleet.standing_hash(),
         waiting_tokens: state.waiting_tokens(time::Instant::now()),
+        ..message::PeerDatagram::default()
     }
 }
 
+/// Hash of this VM's name and incarnation.
+fn sender(settings: &state::PlaneSettings) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(settings.name.as_bytes(), settings.incarnation)
+}
+
+/// Adds who sends it.
+fn identify(datagram: &mut message::PeerDatagram, settings: &state::PlaneSettings) {
+    datagram.name.clone_from(&settings.name);
+    datagram.zone.clone_from(&settings.zone);
+    datagram.incarnation = settings.incarnation;
+    datagram.entry_address = settings.entry_address.to_string();
+    datagram.link_address = settings.link_address.to_string();
+}
+
 fn known(state: &state::PlaneState) -> Vec<String> {
     let now = time::Instant::now();
     state
@@ -190,20 +201,21 @@
 /// One in this many datagrams names other VMs, and goes to those that are silent too.
 const RARE: u64 = 16;
 
-/// Who gets a datagram: those that are heard always, the others now and then.
+/// Who gets a datagram, and whether it is greeted with it: those that are heard always, the others
+/// now and then.
 fn hearers(
     state: &mut state::PlaneState,
     sequence: u64,
     now: time::Instant,
-) -> Vec<net::SocketAddr> {
+) -> Vec<(net::SocketAddr, bool)> {
     let rare = sequence.is_multiple_of(RARE);
     let mut addresses: Vec<_> = state
         .peers
         .all()
         .filter(|(_, peer)| rare || peer.is_heard(now))
-        .map(|(_, peer)| peer.link_address)
+        .map(|(_, peer)| (peer.link_address, false))
         .collect();
-    addresses.extend(state.peers.greetings(now));
+    addresses.extend(state.peers.greetings(now).into_iter().map(|address| (address, true)));
     if rare {
         state.peers.sweep(now);
     }
@@ -234,14 +246,14 @@
 pub fn take_datagram<P>(plane: &plane::ExchangePlane<P>, datagram: &message::PeerDatagram) {
     let now = time::Instant::now();
     let mut state = plane.state();
-    if datagram.name == state.settings.name {
+    if datagram.sender == sender(&state.settings) {
         return;
     }
     match state.peers.take(datagram, now) {
         peers::PeerChange::Stale => return,
         peers::PeerChange::Same => {}
         peers::PeerChange::Changed => {
-            log::info!(vm:% = datagram.name, stage:? = datagram.stage(); "VM changed");
+            log::info!(vm:% = datagram.name, sender = datagram.sender, stage:? = datagram.stage(); "VM changed");
             plane.spread();
         }
     }
@@ -269,10 +281,10 @@
     datagram: &message::PeerDatagram,
     now: time::Instant,
 ) {
-    let vm = xxhash_rust::xxh3::xxh3_64(datagram.name.as_bytes());
+    let vm = datagram.sender;
     state.fleet.clear_peer_loads(vm);
     for item in &datagram.loads {
-        if let Some(key) = state.fleet.find(&item.server) {
+        if let Some(key) = state.fleet.find_hash(item.server) {
             let load =
                 fleet::PeerLoad { runs: item.runs, tokens: item.tokens, backlog: item.backlog };
             state.fleet.take_peer_load(key, vm, load, now);
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -21,9 +21,9 @@
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct LoadItem {
-    /// Name of the server's incarnation.
-    #[prost(string, tag = "1")]
-    pub server: String,
+    /// Hash of the name of the server's incarnation.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
     /// Tries there.
     #[prost(uint32, tag = "2")]
     pub runs: u32,
@@ -86,11 +86,16 @@
     pub server: u64,
 }
 
-/// One datagram.
+/// One datagram. Most carry the sender's hash and what changes all the time; its name and addresses
+/// are told now and then, and to whoever has not answered yet. At 78 VMs datagrams are most of what
+/// crosses between failure domains.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct PeerDatagram {
-    /// Name of the VM.
+    /// Hash of the VM's name and incarnation.
+    #[prost(fixed64, tag = "17")]
+    pub sender: u64,
+    /// Name of the VM; empty in most.
     #[prost(string, tag = "1")]
     pub name: String,
     /// Failure domain of the VM.
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -52,7 +52,24 @@
     heard_until: time::Instant,
 }
 
+/// What does not change of a VM's process.
+struct PeerIdentity {
+    zone: String,
+    incarnation: u64,
+    entry_address: net::SocketAddr,
+    link_address: net::SocketAddr,
+}
+
 impl PeerRecord {
+    fn identity(&self) -> PeerIdentity {
+        PeerIdentity {
+            zone: self.zone.clone(),
+            incarnation: self.incarnation,
+            entry_address: self.entry_address,
+            link_address: self.link_address,
+        }
+    }
+
     /// Whether callers may be sent there.
     #[must_use]
     pub fn serves(&self, now: time::Instant) -> bool {
@@ -81,6 +98,8 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: collections::BTreeMap<String, PeerRecord>,
+    /// Names by the hash that most datagrams carry in their place.
+    senders: collections::HashMap<u64, String>,
     /// Addresses that were told but not heard from, with the time of the last greeting.
     told: collections::BTreeMap<net::SocketAddr, Option<time::Instant>>,
 }
@@ -93,20 +112,19 @@
 impl PeerTable {
     /// Takes the part of a datagram that speaks of its sender.
     pub fn take(&mut self, datagram: &message::PeerDatagram, now: time::Instant) -> PeerChange {
-        let (Ok(entry_address), Ok(link_address)) =
-            (datagram.entry_address.parse(), datagram.link_address.parse())
-        else {
+        let Some((name, identity)) = self.identity(datagram) else {
             return PeerChange::Stale;
         };
-        let known = self.peers.get(&datagram.name);
+        let PeerIdentity { zone, incarnation, entry_address, link_address } = identity;
+        let known = self.peers.get(&name);
         if known.is_some_and(|peer| {
-            (peer.incarnation, peer.sequence) >= (datagram.incarnation, datagram.sequence)
+            (peer.incarnation, peer.sequence) >= (incarnation, datagram.sequence)
         }) {
             return PeerChange::Stale;
         }
         let record = PeerRecord {
-            zone: datagram.zone.clone(),
-            incarnation: datagram.incarnation,
+            zone,
+            incarnation,
             sequence: datagram.sequence,
             stage: datagram.stage(),
             entry_address,
@@ -121,10 +139,27 @@
         };
         let same = known.is_some_and(|peer| peer.stage == record.stage && peer.is_heard(now));
         self.told.remove(&link_address);
-        self.peers.insert(datagram.name.clone(), record);
+        self.senders.insert(datagram.sender, name.clone());
+        self.peers.insert(name, record);
         if same { PeerChange::Same } else { PeerChange::Changed }
     }
 
+    /// Who sent a datagram; absent when it does not say and is not known yet.
+    fn identity(&self, datagram: &message::PeerDatagram) -> Option<(String, PeerIdentity)> {
+        if datagram.name.is_empty() {
+            let name = self.senders.get(&datagram.sender)?;
+            let peer = self.peers.get(name)?;
+            return Some((name.clone(), peer.identity()));
+        }
+        let identity = PeerIdentity {
+            zone: datagram.zone.clone(),
+            incarnation: datagram.incarnation,
+            entry_address: datagram.entry_address.parse().ok()?,
+            link_address: datagram.link_address.parse().ok()?,
+        };
+        Some((datagram.name.clone(), identity))
+    }
+
     /// An address of another VM, from settings, the store or another VM.
     pub fn tell(&mut self, address: net::SocketAddr) {
         let known = self.peers.values().any(|peer| peer.link_address == address);
@@ -157,6 +192,8 @@
     /// Forgets VMs that are gone for long.
     pub fn sweep(&mut self, now: time::Instant) {
         self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < KEPT);
+        let peers = &self.peers;
+        self.senders.retain(|_, name| peers.contains_key(name));
     }
 
     /// All known VMs but this one.
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -12,13 +12,17 @@
 
 /// Part of an engine's memory that expected needs may fill: past it, expectation errors preempt.
 const MEMORY_FILL: f64 = 0.92;
-/// Part that copies of running generations may fill; the rest is for runs.
+/// Part of an engine's memory that copies made beforehand may fill; the rest is for runs.
 const BACKUP_FILL: f64 = 0.62;
+/// Part of all engines' memory that may be in use for a copy to be made beforehand. A copy takes as
+/// much memory as its run: where memory is short it keeps a new generation out for each that it
+/// would save from a crash.
+const BACKUP_FLEET_FILL: f64 = 0.55;
 /// Tokens of a prompt that an engine reads in a millisecond while it makes tokens for others.
 const PREFILL_TOKENS_PER_MS: f64 = 7.0;
-/// Prompt tokens that one engine is given to read at a time: about a second's worth. An engine that
+/// Prompt tokens that one engine is given to read at a time: about half a second's worth. An engine that
 /// has just started is empty, and every VM that has something waiting would send it there.
-const MOST_BACKLOG: f64 = 8_000.0;
+const MOST_BACKLOG: f64 = 4_500.0;
 /// What one generation more adds to the time that others take for an event, counted over a prompt.
 const RUN_MS: f64 = 12.0;
 /// What a full engine costs: preemption is likely, and nothing can move there.
@@ -37,6 +41,9 @@
 const AFFINITY_MS: f64 = 15.0;
 /// Latency of a call that is believed before any is known.
 const CALL_MS: f64 = 15.0;
+/// What a call gains at a server that this VM has a connection to: a new one costs the server a
+/// millisecond of a slot, and both sides their work.
+const WARM_MS: f64 = 8.0;
 /// Random part: VMs with equal beliefs spread.
 const SPREAD_MS: f64 = 4.0;
 /// Requests that may wait in a server's own queue, as a multiple of its slots. Beyond it they wait
@@ -191,7 +198,8 @@
     }
     let latency = if record.latency_ms() == 0.0 { CALL_MS } else { record.latency_ms() };
     let queue = f64::from(load.own_runs) * f64::from(entries) / f64::from(record.slots.max(1));
-    Some(latency * (1.0 + queue) + record.failure_rate(now) * FAILED_CALL_MS)
+    let warm = if record.is_warm(now) { WARM_MS } else { 0.0 };
+    Some(latency * (1.0 + queue) + record.failure_rate(now) * FAILED_CALL_MS - warm)
 }
 
 fn common_cost(record: &fleet::ServerRecord, zone: &str, now: time::Instant) -> f64 {
@@ -228,6 +236,23 @@
     pub service: &'a str,
 }
 
+/// Part of the memory of all engines that take work which is planned for.
+fn fleet_fill(
+    fleet: &fleet::ServerFleet,
+    service: &str,
+    memory: f64,
+    loads: &slotmap::SecondaryMap<fleet::ServerKey, fleet::ServerLoad>,
+    now: time::Instant,
+) -> f64 {
+    let mut engines = 0.0;
+    let mut tokens = 0.0;
+    for (key, _) in fleet.ready(service, now) {
+        engines += 1.0;
+        tokens += loads.get(key).map_or(0.0, |load| load.tokens as f64);
+    }
+    tokens / (engines * memory).max(1.0)
+}
+
 /// Chooses where a copy of a run goes: the copy is fastest within a failure domain.
 pub fn choose_copy(
     fleet: &fleet::ServerFleet,
@@ -239,6 +264,9 @@
     let source = fleet.server(ask.source)?;
     let loads = fleet.loads(now);
     let memory = engine.memory_tokens as f64;
+    if ask.beforehand && fleet_fill(fleet, ask.service, memory, &loads, now) > BACKUP_FLEET_FILL {
+        return None;
+    }
     let limit = memory * if ask.beforehand { BACKUP_FILL } else { 1.0 };
     let mut best = None;
     for (key, record) in fleet.ready(ask.service, now) {
