--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -187,6 +187,8 @@
     pub backup: Option<ServerKey>,
     /// Where it is to go.
     pub moving_to: Option<ServerKey>,
+    /// After a copy that failed, no other is ordered before then.
+    pub move_after: Option<time::Instant>,
     /// Present for generations.
     pub size: Option<ask::GenerationSize>,
     /// Tokens produced so far.
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -272,7 +272,8 @@
     for (key, record) in fleet.ready(ask.service, now) {
         let load = loads.get(key).copied().unwrap_or_default();
         let after = (load.tokens + ask.tokens) as f64;
-        if key == ask.source || after > limit || load.runs >= record.slots {
+        let full = record.is_full(now) || load.runs >= record.slots;
+        if key == ask.source || after > limit || full {
             continue;
         }
         let fill = after / memory;
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -54,6 +54,7 @@
     fleet
         .runs()
         .filter(|(_, run)| run.size.is_some() && run.moving_to.is_none())
+        .filter(|(_, run)| run.move_after.is_none_or(|after| after <= now))
         .filter(|(_, run)| {
             fleet.server(run.server).is_some_and(|server| {
                 server.service == service && !server.takes_work(now)
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -34,6 +34,8 @@
 
 /// Time for which memory is set aside: the request follows at once.
 const RESERVED_FOR: time::Duration = time::Duration::from_millis(500);
+/// How long a run whose copy failed is left alone: runs end or begin meanwhile.
+const MOVE_PAUSE: time::Duration = time::Duration::from_millis(70);
 /// How long a server that has no room is not asked again: generations end there every second or so.
 const FULL_PAUSE: time::Duration = time::Duration::from_millis(150);
 
@@ -264,7 +266,6 @@
             return Err(port::ReserveFault::Unreachable);
         };
         let reserved = self.plane.port.reserve(target, tokens, span).await;
-        let now = time::Instant::now();
         match reserved {
             Ok(handle) => Ok(Some(handle)),
             Err(fault) => {
@@ -275,9 +276,7 @@
                 if fault == port::ReserveFault::Unreachable {
                     self.plane.judge(server, fleet::ServerVerdict::Failed);
                 }
-                let mut state = self.plane.state();
-                let pause = FULL_PAUSE.mul_f64(0.7 + 0.6 * state.draw());
-                state.fleet.note_full(server, now + pause);
+                self.note_full(server);
                 Err(fault)
             }
         }
@@ -369,6 +368,7 @@
             }
             if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
                 run.moving_to = None;
+                run.move_after = Some(time::Instant::now() + MOVE_PAUSE);
             }
         }
     }
@@ -435,6 +435,7 @@
         let started = time::Instant::now();
         let notice = self.plane.state().fleet.server(live.placed.server)?.since;
         let mut quick = false;
+        let mut made = None;
         loop {
             // Copies of other runs queue on the same links. While this one waits behind them the
             // run goes on; it stops for the last part only once that is quick, or time is short.
@@ -468,7 +469,10 @@
                 handle,
             };
             match (copied, stop) {
-                (Ok(_), false) if ended.is_none() => quick = began.elapsed() < QUICK_COPY,
+                (Ok(done), false) if ended.is_none() => {
+                    made = Some(done.handle);
+                    quick = began.elapsed() < QUICK_COPY;
+                }
                 (Ok(done), true) => {
                     let copy = copy(done.handle);
                     if ended.is_none() {
@@ -485,11 +489,34 @@
                     }
                     return Some(RelayEnd::Stopped(copy));
                 }
-                _ => return ended,
+                (copied, _) => {
+                    if matches!(copied, Err(port::CopyFault::NoRoom(_))) {
+                        self.note_full(to);
+                    }
+                    let made = copied.ok().map(|done| done.handle).or(made);
+                    self.release(source, made);
+                    return ended;
+                }
             }
         }
     }
 
+    /// Frees a copy that will not be used. Left alone it would take a run's memory at its engine
+    /// for another five seconds, and keep other runs from moving there.
+    fn release(&self, source: port::ServerTarget, handle: Option<String>) {
+        let Some(handle) = handle else { return };
+        let plane = self.plane.clone();
+        tokio::task::spawn_local(async move { plane.port.release(source, handle).await });
+    }
+
+    /// A server said that it has no room.
+    fn note_full(&self, server: fleet::ServerKey) {
+        let now = time::Instant::now();
+        let mut state = self.plane.state();
+        let pause = FULL_PAUSE.mul_f64(0.7 + 0.6 * state.draw());
+        state.fleet.note_full(server, now + pause);
+    }
+
     /// Passes on what a stopped run had still made.
     async fn read_rest(&mut self, live: &mut LiveRun<P>) {
         let until = time::Instant::now() + STOPPED_REST;
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -221,6 +221,7 @@
             server,
             backup,
             moving_to: None,
+            move_after: None,
             size: ask.size.clone(),
             produced: 0,
             started: now,
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -40,6 +40,7 @@
         server,
         backup: None,
         moving_to: None,
+        move_after: None,
         size: Some(size(prompt)),
         produced: 0,
         started: now,
