--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -287,7 +287,8 @@
         let state = self.plane.state();
         let engine = state.service(&self.ask.service)?.engine?;
         let size = self.ask.size.as_ref()?;
-        Some((engine.reservation?.min(RESERVED_FOR), fleet::planned_tokens(size)))
+        let output = fleet::expected_output(size, 0) as u64;
+        Some((engine.reservation?.min(RESERVED_FOR), u64::from(size.prompt_tokens) + output))
     }
 
     /// A try that certainly did not run may be followed by another, within the budget.
