--- a/crates/carry/src/listen.rs
+++ b/crates/carry/src/listen.rs
@@ -31,7 +31,9 @@
 impl Default for StopSwitch {
     fn default() -> Self {
         let (sender, _) = sync::watch::channel(false);
-        Self { sender: rc::Rc::new(sender) }
+        Self {
+            sender: rc::Rc::new(sender),
+        }
     }
 }
 
--- a/crates/carry/src/output.rs
+++ b/crates/carry/src/output.rs
@@ -32,16 +32,18 @@
     /// When the system gives no thread.
     pub fn new(mut out: impl io::Write + Send + 'static) -> io::Result<Self> {
         let (lines, queue) = mpsc::sync_channel::<Vec<u8>>(MOST_LINES);
-        thread::Builder::new().name(String::from("log")).spawn(move || {
-            while let Ok(line) = queue.recv() {
-                // Nobody is left to tell when the log itself can't be written.
-                let _ = out.write_all(&line);
-                while let Ok(line) = queue.try_recv() {
+        thread::Builder::new()
+            .name(String::from("log"))
+            .spawn(move || {
+                while let Ok(line) = queue.recv() {
+                    // Nobody is left to tell when the log itself can't be written.
                     let _ = out.write_all(&line);
+                    while let Ok(line) = queue.try_recv() {
+                        let _ = out.write_all(&line);
+                    }
+                    let _ = out.flush();
                 }
-                let _ = out.flush();
-            }
-        })?;
+            })?;
         Ok(Self { lines, untold: 0 })
     }
 
--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -125,7 +125,9 @@
         let connections = kept.get_mut(&address)?;
         connections.retain(|kept| now < kept.until && !kept.connection.sender.is_closed());
         let usable = |kept: &KeptConnection| {
-            let Some(idle) = now.checked_duration_since(kept.since) else { return false };
+            let Some(idle) = now.checked_duration_since(kept.since) else {
+                return false;
+            };
             let fresh = match rule {
                 KeptRule::Any => true,
                 KeptRule::Within(span) => idle <= span,
@@ -162,7 +164,11 @@
         let mut kept = self.kept.borrow_mut();
         let connections = kept.entry(connection.address).or_default();
         if connections.len() < MOST_KEPT {
-            connections.push(KeptConnection { connection, since, until: now + keep });
+            connections.push(KeptConnection {
+                connection,
+                since,
+                until: now + keep,
+            });
         }
     }
 
@@ -189,7 +195,12 @@
         // Its end is seen by whoever holds the sender or reads the body.
         let _ = driver.await;
     });
-    Ok(LiveConnection { sender, address, reused: false, _driver: DriverGuard(task.abort_handle()) })
+    Ok(LiveConnection {
+        sender,
+        address,
+        reused: false,
+        _driver: DriverGuard(task.abort_handle()),
+    })
 }
 
 impl LiveConnection {
@@ -206,9 +217,16 @@
         if self.sender.ready().await.is_err() {
             return Err(SendFault::Unsent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut fault| {
-            if fault.take_message().is_some() { SendFault::Unsent } else { SendFault::Broken }
-        })
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut fault| {
+                if fault.take_message().is_some() {
+                    SendFault::Unsent
+                } else {
+                    SendFault::Broken
+                }
+            })
     }
 
     /// Whether it carried a request before this one.
@@ -222,16 +240,23 @@
 #[must_use]
 pub fn named_timeout(headers: &http::HeaderMap) -> Option<time::Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
     timeout.trim().parse().ok().map(time::Duration::from_secs)
 }
 
 /// Whether a message says that its connection will be closed behind it.
 #[must_use]
 pub fn closes(headers: &http::HeaderMap) -> bool {
-    headers.get_all(http::header::CONNECTION).iter().any(|value| {
-        value.to_str().is_ok_and(|value| {
-            value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close"))
+    headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .any(|value| {
+            value.to_str().is_ok_and(|value| {
+                value
+                    .split(',')
+                    .any(|part| part.trim().eq_ignore_ascii_case("close"))
+            })
         })
-    })
 }
--- a/crates/carry/tests/connections.rs
+++ b/crates/carry/tests/connections.rs
@@ -8,8 +8,10 @@
 use tokio::{io::AsyncReadExt as _, task};
 
 fn run<F: Future<Output = ()>>(test: F) {
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
     task::LocalSet::new().block_on(&runtime, test);
 }
 
@@ -22,8 +24,9 @@
 }
 
 async fn listener() -> (tokio::net::TcpListener, std::net::SocketAddr) {
-    let listener =
-        listen::bind("127.0.0.1:0".parse().expect("address")).await.expect("bind");
+    let listener = listen::bind("127.0.0.1:0".parse().expect("address"))
+        .await
+        .expect("bind");
     let address = listener.local_addr().expect("address");
     (listener, address)
 }
@@ -43,17 +46,26 @@
     run(async {
         let (listener, address) = listener().await;
         let (ended, mut told) = tokio::sync::mpsc::unbounded_channel::<()>();
-        task::spawn_local(listen::serve(listener, rule, listen::StopSwitch::default(), move |_| {
-            let ended = ended.clone();
-            async move {
-                // Dropped with the request.
-                let _ended = ended;
-                std::future::pending::<http::Response<Full<Bytes>>>().await
-            }
-        }));
+        task::spawn_local(listen::serve(
+            listener,
+            rule,
+            listen::StopSwitch::default(),
+            move |_| {
+                let ended = ended.clone();
+                async move {
+                    // Dropped with the request.
+                    let _ended = ended;
+                    std::future::pending::<http::Response<Full<Bytes>>>().await
+                }
+            },
+        ));
         let pool = pool::ConnectionPool::default();
-        let mut connection = pool.get(address, pool::KeptRule::Any, WAIT).await.expect("connected");
-        let sent = tokio::time::timeout(time::Duration::from_millis(50), connection.send(request()));
+        let mut connection = pool
+            .get(address, pool::KeptRule::Any, WAIT)
+            .await
+            .expect("connected");
+        let sent =
+            tokio::time::timeout(time::Duration::from_millis(50), connection.send(request()));
         assert!(sent.await.is_err());
         drop(connection);
         let left = tokio::time::timeout(WAIT, async {
@@ -77,15 +89,27 @@
             http::Response::new(Full::new(Bytes::from("whole")))
         }));
         let pool = pool::ConnectionPool::default();
-        let mut connection = pool.get(address, pool::KeptRule::Any, WAIT).await.expect("connected");
+        let mut connection = pool
+            .get(address, pool::KeptRule::Any, WAIT)
+            .await
+            .expect("connected");
         let (answer, ()) = tokio::join!(connection.send(request()), async {
             tokio::time::sleep(time::Duration::from_millis(30)).await;
             switch.stop();
         });
-        let body = answer.expect("answered").into_body().collect().await.expect("whole").to_bytes();
+        let body = answer
+            .expect("answered")
+            .into_body()
+            .collect()
+            .await
+            .expect("whole")
+            .to_bytes();
         assert_eq!(body, "whole");
         serving.await.expect("ended");
-        assert!(pool.get(address, pool::KeptRule::Any, WAIT).await.is_err(), "nobody listens");
+        assert!(
+            pool.get(address, pool::KeptRule::Any, WAIT).await.is_err(),
+            "nobody listens"
+        );
     });
 }
 
@@ -93,12 +117,19 @@
 fn connections_past_the_most_are_closed() {
     run(async {
         let (listener, address) = listener().await;
-        task::spawn_local(listen::serve(listener, rule, listen::StopSwitch::default(), |_| async {
-            http::Response::new(Full::new(Bytes::new()))
-        }));
+        task::spawn_local(listen::serve(
+            listener,
+            rule,
+            listen::StopSwitch::default(),
+            |_| async { http::Response::new(Full::new(Bytes::new())) },
+        ));
         let mut streams = Vec::new();
         for _ in 0..3 {
-            streams.push(tokio::net::TcpStream::connect(address).await.expect("connected"));
+            streams.push(
+                tokio::net::TcpStream::connect(address)
+                    .await
+                    .expect("connected"),
+            );
             tokio::time::sleep(time::Duration::from_millis(20)).await;
         }
         let mut buffer = [0; 1];
@@ -119,14 +150,20 @@
             http::Response::new(Full::new(Bytes::new()))
         }));
         let pool = pool::ConnectionPool::default();
-        let mut connection = pool.get(address, pool::KeptRule::Any, WAIT).await.expect("connected");
+        let mut connection = pool
+            .get(address, pool::KeptRule::Any, WAIT)
+            .await
+            .expect("connected");
         let answer = connection.send(request()).await.expect("answered");
         answer.into_body().collect().await.expect("whole");
         pool.put_rested(connection, None);
         switch.stop();
         tokio::time::sleep(time::Duration::from_millis(30)).await;
         let again = pool.get(address, pool::KeptRule::Any, WAIT).await;
-        assert!(again.is_err(), "a new connection is tried, and nobody listens");
+        assert!(
+            again.is_err(),
+            "a new connection is tried, and nobody listens"
+        );
     });
 }
 
@@ -149,7 +186,13 @@
     let mut writer = output::LineWriter::new(StuckReader(barrier)).expect("thread");
     let before = output::dropped_lines();
     for _ in 0..10_000 {
-        assert_eq!(io::Write::write(&mut writer, b"line\n").expect("never fails"), 5);
+        assert_eq!(
+            io::Write::write(&mut writer, b"line\n").expect("never fails"),
+            5
+        );
     }
-    assert!(output::dropped_lines() - before >= 5_000, "what does not fit is counted");
+    assert!(
+        output::dropped_lines() - before >= 5_000,
+        "what does not fit is counted"
+    );
 }
--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -35,9 +35,11 @@
 /// Names of metrics in the sources, with the macro that counts them.
 fn counted() -> collections::BTreeMap<String, String> {
     let mut counted = collections::BTreeMap::new();
-    for entry in fs::read_dir(root().join("crates")).unwrap() {
+    let crates = fs::read_dir(root().join("crates")).unwrap();
+    let folders = crates.map(|entry| entry.unwrap().path());
+    for folder in folders.chain([root().join("platform")]) {
         let mut sources = Vec::new();
-        files(&entry.unwrap().path().join("src"), ".rs", &mut sources);
+        files(&folder.join("src"), ".rs", &mut sources);
         for source in sources {
             let text = fs::read_to_string(&source).unwrap();
             for (start, _) in text.match_indices(PREFIX) {
--- a/crates/exchange/src/budget.rs
+++ b/crates/exchange/src/budget.rs
@@ -71,7 +71,10 @@
     window: time::Duration,
     now: time::Instant,
 ) {
-    while times.front().is_some_and(|&at| now.saturating_duration_since(at) > window) {
+    while times
+        .front()
+        .is_some_and(|&at| now.saturating_duration_since(at) > window)
+    {
         times.pop_front();
     }
 }
--- a/crates/exchange/src/catalog.rs
+++ b/crates/exchange/src/catalog.rs
@@ -138,7 +138,9 @@
         let host = host.split(':').next().unwrap_or(host);
         self.routes
             .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix))
+            .filter(|route| {
+                route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+            })
             .max_by_key(|route| route.prefix.len())
     }
 
@@ -168,7 +170,11 @@
     /// to the weights over many.
     #[must_use]
     pub fn service(&self, draw: u64) -> &str {
-        let total: u64 = self.splits.iter().map(|split| u64::from(split.weight)).sum();
+        let total: u64 = self
+            .splits
+            .iter()
+            .map(|split| u64::from(split.weight))
+            .sum();
         let mut point = draw % total.max(1);
         for split in &self.splits {
             let weight = u64::from(split.weight);
--- a/crates/exchange/src/directory.rs
+++ b/crates/exchange/src/directory.rs
@@ -39,7 +39,11 @@
         .map(|(_, peer)| (peer.zone.as_str(), peer.entry_address));
     let own = (own.stage == message::VmStage::Serving).then_some((own.zone.as_str(), own.address));
     for (place, address) in own.into_iter().chain(others) {
-        if place == zone { near.push(address) } else { far.push(address) }
+        if place == zone {
+            near.push(address)
+        } else {
+            far.push(address)
+        }
     }
     if near.len() < ENOUGH_NEAR {
         near.append(&mut far);
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -136,7 +136,8 @@
     /// Whether this VM probably has a connection there that may still be used.
     #[must_use]
     pub fn is_warm(&self, now: time::Instant) -> bool {
-        self.used_at.is_some_and(|at| now.saturating_duration_since(at) < WARM_FOR)
+        self.used_at
+            .is_some_and(|at| now.saturating_duration_since(at) < WARM_FOR)
     }
 
     /// Whether it said a moment ago that it has no room.
@@ -364,8 +365,14 @@
     }
 
     fn first_news(&mut self, news: &news::ServerNews, now: time::Instant) -> FleetChange {
-        let Some(entry) = &news.entry else { return FleetChange::Nothing };
-        let standing = if entry.leaving { ServerStanding::Leaving } else { ServerStanding::Ready };
+        let Some(entry) = &news.entry else {
+            return FleetChange::Nothing;
+        };
+        let standing = if entry.leaving {
+            ServerStanding::Leaving
+        } else {
+            ServerStanding::Ready
+        };
         let key = self.servers.insert(ServerRecord {
             id: news.id.clone(),
             service: entry.service.clone(),
@@ -437,8 +444,7 @@
         let by_hash = &mut self.by_hash;
         self.servers.retain(|key, record| {
             let old = now.saturating_duration_since(record.since) > GONE_KEPT;
-            let keep =
-                record.standing != ServerStanding::Gone || !old || used.contains(&key);
+            let keep = record.standing != ServerStanding::Gone || !old || used.contains(&key);
             if !keep {
                 by_id.remove(&record.id);
                 by_hash.remove(&id_hash(&record.id));
@@ -512,7 +518,9 @@
 
     /// What is learnt of a server from how a try ended there.
     pub fn judge(&mut self, key: ServerKey, verdict: ServerVerdict, now: time::Instant) {
-        let Some(record) = self.servers.get_mut(key) else { return };
+        let Some(record) = self.servers.get_mut(key) else {
+            return;
+        };
         let sample = match verdict {
             ServerVerdict::Good(_) => 0.0,
             ServerVerdict::Erred => 0.5,
@@ -538,6 +546,20 @@
         }
     }
 
+    /// Other VMs that have something on a server.
+    pub fn peers_at(&self, key: ServerKey, now: time::Instant) -> impl Iterator<Item = u64> {
+        let peers = self
+            .servers
+            .get(key)
+            .into_iter()
+            .flat_map(|record| &record.peers);
+        peers
+            .filter(move |(_, (load, at))| {
+                load.runs > 0 && now.saturating_duration_since(*at) <= PEER_LOAD_AGE
+            })
+            .map(|(vm, _)| *vm)
+    }
+
     /// What this VM has on each server.
     #[must_use]
     pub fn own_loads(&self) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
@@ -569,7 +591,10 @@
     /// Hash of which servers stand how: equal on VMs that know the same news.
     #[must_use]
     pub fn standing_hash(&self) -> u64 {
-        let listed = self.servers.values().filter(|server| server.standing != ServerStanding::Gone);
+        let listed = self
+            .servers
+            .values()
+            .filter(|server| server.standing != ServerStanding::Gone);
         listed.fold(0, |hash, server| {
             let seed = u64::from(server.standing == ServerStanding::Leaving);
             hash ^ xxhash_rust::xxh3::xxh3_64_with_seed(server.id.as_bytes(), seed)
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -157,7 +157,10 @@
     let state = plane.state();
     let now = time::Instant::now();
     let version = state.version();
-    state.peers.all().any(|(_, peer)| peer.is_heard(now) && peer.catalog_version > version)
+    state
+        .peers
+        .all()
+        .any(|(_, peer)| peer.is_heard(now) && peer.catalog_version > version)
 }
 
 /// Keeps the servers up to date; never ends.
@@ -208,12 +211,7 @@
     gap.clamp(LOOK_LEAST, LOOK_MOST).mul_f64(0.85 + 0.3 * draw)
 }
 
-fn take_page<P>(
-    plane: &plane::ExchangePlane<P>,
-    page: &NewsPage,
-    whole: bool,
-    now: time::Instant,
-) {
+fn take_page<P>(plane: &plane::ExchangePlane<P>, page: &NewsPage, whole: bool, now: time::Instant) {
     let mut changed = false;
     for news in &page.news {
         let change = plane.state().take_news(news.clone(), true, now);
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -75,10 +75,7 @@
 }
 
 /// Sends datagrams to all VMs.
-async fn speak<P>(
-    plane: rc::Rc<plane::ExchangePlane<P>>,
-    socket: rc::Rc<sockets::UdpSocket>,
-) {
+async fn speak<P>(plane: rc::Rc<plane::ExchangePlane<P>>, socket: rc::Rc<sockets::UdpSocket>) {
     let mut sequence = 0;
     let mut news = collections::VecDeque::new();
     loop {
@@ -104,7 +101,10 @@
 async fn wait_to_speak<P>(plane: &plane::ExchangePlane<P>, news: bool) {
     let (gap, heard) = {
         let state = plane.state();
-        (state.peers.speak_gap(), state.peers.heard(time::Instant::now()))
+        (
+            state.peers.speak_gap(),
+            state.peers.heard(time::Instant::now()),
+        )
     };
     let gap = if news { LOADS_GAP } else { gap };
     tokio::select! {
@@ -119,9 +119,18 @@
     state: &mut state::PlaneState,
     news: &mut collections::VecDeque<(message::NewsItem, u32)>,
 ) -> Vec<message::NewsItem> {
-    news.extend(state.untold.drain(..).map(|news| (message::NewsItem::from(&news), NEWS_TIMES)));
+    news.extend(
+        state
+            .untold
+            .drain(..)
+            .map(|news| (message::NewsItem::from(&news), NEWS_TIMES)),
+    );
     let told: Vec<_> = news.drain(..news.len().min(MOST_NEWS)).collect();
-    news.extend(told.iter().filter(|(_, left)| *left > 1).map(|(item, left)| (item.clone(), left - 1)));
+    news.extend(
+        told.iter()
+            .filter(|(_, left)| *left > 1)
+            .map(|(item, left)| (item.clone(), left - 1)),
+    );
     told.into_iter().map(|(item, _)| item).collect()
 }
 
@@ -156,10 +165,13 @@
         .suspects
         .accusations()
         .take(MOST_ACCUSATIONS)
-        .map(|(fingerprint, server)| message::AccusationItem { fingerprint, server })
+        .map(|(fingerprint, server)| message::AccusationItem {
+            fingerprint,
+            server,
+        })
         .collect();
     message::PeerDatagram {
-        sender: sender(&state.settings),
+        sender: state.sender(),
         sequence: 0,
         stage: state.stage.into(),
         catalog_version: state.version(),
@@ -167,17 +179,13 @@
         loads,
         accusations,
         store_away: state.store_away,
+        reads_store: !state.store_away && state.reads_store(time::Instant::now()),
         standing_hash: state.fleet.standing_hash(),
         waiting_tokens: state.waiting_tokens(time::Instant::now()),
         ..message::PeerDatagram::default()
     }
 }
 
-/// Hash of this VM's name and incarnation.
-fn sender(settings: &state::PlaneSettings) -> u64 {
-    xxhash_rust::xxh3::xxh3_64_with_seed(settings.name.as_bytes(), settings.incarnation)
-}
-
 /// Adds who sends it.
 fn identify(datagram: &mut message::PeerDatagram, settings: &state::PlaneSettings) {
     datagram.name.clone_from(&settings.name);
@@ -215,7 +223,13 @@
         .filter(|(_, peer)| rare || peer.is_heard(now))
         .map(|(_, peer)| (peer.link_address, false))
         .collect();
-    addresses.extend(state.peers.greetings(now).into_iter().map(|address| (address, true)));
+    addresses.extend(
+        state
+            .peers
+            .greetings(now)
+            .into_iter()
+            .map(|address| (address, true)),
+    );
     if rare {
         state.peers.sweep(now);
     }
@@ -223,10 +237,7 @@
 }
 
 /// Takes datagrams.
-async fn listen<P>(
-    plane: rc::Rc<plane::ExchangePlane<P>>,
-    socket: rc::Rc<sockets::UdpSocket>,
-) {
+async fn listen<P>(plane: rc::Rc<plane::ExchangePlane<P>>, socket: rc::Rc<sockets::UdpSocket>) {
     let mut buffer = vec![0; 2 * MOST_DATAGRAM];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
@@ -246,7 +257,7 @@
 pub fn take_datagram<P>(plane: &plane::ExchangePlane<P>, datagram: &message::PeerDatagram) {
     let now = time::Instant::now();
     let mut state = plane.state();
-    if datagram.sender == sender(&state.settings) {
+    if datagram.sender == state.sender() {
         return;
     }
     match state.peers.take(datagram, now) {
@@ -264,10 +275,16 @@
     }
     take_loads(&mut state, datagram, now);
     for accusation in &datagram.accusations {
-        state.suspects.accuse(accusation.fingerprint, accusation.server, now);
+        state
+            .suspects
+            .accuse(accusation.fingerprint, accusation.server, now);
     }
     drop(state);
-    let news: Vec<_> = datagram.news.iter().filter_map(message::NewsItem::decode_news).collect();
+    let news: Vec<_> = datagram
+        .news
+        .iter()
+        .filter_map(message::NewsItem::decode_news)
+        .collect();
     if take_news(plane, &news, now) {
         plane.stir();
     }
@@ -276,17 +293,16 @@
     }
 }
 
-fn take_loads(
-    state: &mut state::PlaneState,
-    datagram: &message::PeerDatagram,
-    now: time::Instant,
-) {
+fn take_loads(state: &mut state::PlaneState, datagram: &message::PeerDatagram, now: time::Instant) {
     let vm = datagram.sender;
     state.fleet.clear_peer_loads(vm);
     for item in &datagram.loads {
         if let Some(key) = state.fleet.find_hash(item.server) {
-            let load =
-                fleet::PeerLoad { runs: item.runs, tokens: item.tokens, backlog: item.backlog };
+            let load = fleet::PeerLoad {
+                runs: item.runs,
+                tokens: item.tokens,
+                backlog: item.backlog,
+            };
             state.fleet.take_peer_load(key, vm, load, now);
         }
     }
@@ -313,7 +329,9 @@
     loop {
         time::sleep(LOOK_GAP).await;
         note_difference(&mut plane.state());
-        let Some((address, version)) = who_knows_more(&plane) else { continue };
+        let Some((address, version)) = who_knows_more(&plane) else {
+            continue;
+        };
         let reply = time::timeout(STATE_WAIT, ask_state(address, version)).await;
         if let Ok(Ok(reply)) = reply {
             take_state(&plane, reply, decode);
@@ -335,8 +353,9 @@
         state.behind_since = None;
     }
     let heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
-    let (same, other): (Vec<_>, Vec<_>) =
-        heard.map(|(_, peer)| peer.standing_hash).partition(|hash| *hash == own);
+    let (same, other): (Vec<_>, Vec<_>) = heard
+        .map(|(_, peer)| peer.standing_hash)
+        .partition(|hash| *hash == own);
     if other.len() > same.len() {
         state.differs_since.get_or_insert(now);
     } else {
@@ -351,21 +370,33 @@
     let version = state.version();
     // Any one of those that know more, so that no single VM sends it to all others.
     let draw = (state.draw() * 1e6) as usize;
-    let heard = || state.peers.all().map(|(_, peer)| peer).filter(|peer| peer.is_heard(now));
+    let heard = || {
+        state
+            .peers
+            .all()
+            .map(|(_, peer)| peer)
+            .filter(|peer| peer.is_heard(now))
+    };
     let late = state.behind_since.is_some_and(|since| {
-        let first = if state.store_away { LOOK_GAP } else { STORE_FIRST };
+        let first = if state.store_away {
+            LOOK_GAP
+        } else {
+            STORE_FIRST
+        };
         now.saturating_duration_since(since) >= first
     });
-    let newer: Vec<_> =
-        heard().filter(|peer| late && peer.catalog_version > version).collect();
+    let newer: Vec<_> = heard()
+        .filter(|peer| late && peer.catalog_version > version)
+        .collect();
     let newer = newer.get(draw % newer.len().max(1)).copied();
     let differs = state
         .differs_since
         .is_some_and(|since| now.saturating_duration_since(since) >= DIFFERS_FOR);
     let own = state.fleet.standing_hash();
     let newer = newer.or_else(|| {
-        let other: Vec<_> =
-            heard().filter(|peer| differs && peer.standing_hash != own).collect();
+        let other: Vec<_> = heard()
+            .filter(|peer| differs && peer.standing_hash != own)
+            .collect();
         other.get(draw % other.len().max(1)).copied()
     });
     newer.map(|peer| (peer.link_address, version))
@@ -374,7 +405,9 @@
 async fn ask_state(address: net::SocketAddr, version: u64) -> io::Result<message::StateReply> {
     let stream = sockets::TcpStream::connect(address).await?;
     let mut framed = codec::Framed::new(stream, state_codec());
-    let ask = message::StateAsk { catalog_version: version };
+    let ask = message::StateAsk {
+        catalog_version: version,
+    };
     framed.send(Bytes::from(ask.encode_to_vec())).await?;
     let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     message::StateReply::decode(frame).map_err(io::Error::other)
@@ -389,7 +422,11 @@
     if !reply.catalog.is_empty() {
         follow::take_document(plane, decode, reply.catalog, "peer");
     }
-    let news: Vec<_> = reply.news.iter().filter_map(message::NewsItem::decode_news).collect();
+    let news: Vec<_> = reply
+        .news
+        .iter()
+        .filter_map(message::NewsItem::decode_news)
+        .collect();
     let changed = take_news(plane, &news, now);
     let mut state = plane.state();
     state.news_end = state.news_end.max(reply.news_end);
@@ -434,9 +471,16 @@
 
 fn state_reply(state: &state::PlaneState, ask: message::StateAsk) -> message::StateReply {
     let newer = state.version() > ask.catalog_version;
-    let news = state.fleet.servers().map(|(_, server)| message::NewsItem::from(&server.news()));
+    let news = state
+        .fleet
+        .servers()
+        .map(|(_, server)| message::NewsItem::from(&server.news()));
     message::StateReply {
-        catalog: if newer { state.document.clone() } else { Bytes::new() },
+        catalog: if newer {
+            state.document.clone()
+        } else {
+            Bytes::new()
+        },
         news: news.collect(),
         news_end: state.news_end,
         known: known(state),
@@ -444,7 +488,9 @@
 }
 
 fn state_codec() -> codec::LengthDelimitedCodec {
-    codec::LengthDelimitedCodec::builder().max_frame_length(MOST_STATE).new_codec()
+    codec::LengthDelimitedCodec::builder()
+        .max_frame_length(MOST_STATE)
+        .new_codec()
 }
 
 /// Addresses told of so far, for tests and for the status page.
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -137,6 +137,9 @@
     /// Whether the store does not answer it.
     #[prost(bool, tag = "14")]
     pub store_away: bool,
+    /// Whether it reads the store for all, and is answered.
+    #[prost(bool, tag = "18")]
+    pub reads_store: bool,
     /// Hash of which servers stand how, as far as it knows.
     #[prost(fixed64, tag = "15")]
     pub standing_hash: u64,
@@ -204,6 +207,10 @@
                 cold: time::Duration::from_millis(entry.cold_ms),
             }),
         };
-        Some(news::ServerNews { id: self.id.clone(), offset: self.offset, entry })
+        Some(news::ServerNews {
+            id: self.id.clone(),
+            offset: self.offset,
+            entry,
+        })
     }
 }
--- /dev/null
+++ b/crates/exchange/src/pace.rs
@@ -0,0 +1,43 @@
+//! When the events of one stream came.
+
+use tokio::time;
+
+use crate::ask;
+
+/// When the events of one stream came.
+#[derive(Debug, Default)]
+pub(crate) struct EventPace {
+    first: Option<time::Instant>,
+    last: Option<time::Instant>,
+    worst: time::Duration,
+}
+
+impl EventPace {
+    pub(crate) fn note(&mut self, now: time::Instant) {
+        if let Some(last) = self.last {
+            self.worst = self.worst.max(now.saturating_duration_since(last));
+        }
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+    }
+
+    pub(crate) fn count(&self, ask: &ask::ExchangeAsk) {
+        if let Some(first) = self.first {
+            let first = first.saturating_duration_since(ask.arrived).as_secs_f64();
+            metrics::histogram!("pollenchute_exchange_first_event_seconds").record(first);
+        }
+        let worst = self.worst.as_secs_f64();
+        metrics::histogram!("pollenchute_exchange_worst_pause_seconds").record(worst);
+    }
+
+    /// Time from the request to its first event.
+    pub(crate) fn first_ms(&self, ask: &ask::ExchangeAsk) -> Option<u64> {
+        let first = self.first?.saturating_duration_since(ask.arrived);
+        u64::try_from(first.as_millis()).ok()
+    }
+
+    /// Longest pause between two events.
+    pub(crate) fn worst_ms(&self) -> u64 {
+        u64::try_from(self.worst.as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -42,6 +42,8 @@
     pub news_end: u64,
     /// Whether the store does not answer it.
     pub store_away: bool,
+    /// Whether it reads the store for all, and is answered.
+    pub reads_store: bool,
     /// Hash of which servers stand how, as far as it knows.
     pub standing_hash: u64,
     /// Memory planned for generations that wait there and can still be on time.
@@ -115,7 +117,12 @@
         let Some((name, identity)) = self.identity(datagram) else {
             return PeerChange::Stale;
         };
-        let PeerIdentity { zone, incarnation, entry_address, link_address } = identity;
+        let PeerIdentity {
+            zone,
+            incarnation,
+            entry_address,
+            link_address,
+        } = identity;
         let known = self.peers.get(&name);
         if known.is_some_and(|peer| {
             (peer.incarnation, peer.sequence) >= (incarnation, datagram.sequence)
@@ -132,6 +139,7 @@
             catalog_version: datagram.catalog_version,
             news_end: datagram.news_end,
             store_away: datagram.store_away,
+            reads_store: datagram.reads_store,
             standing_hash: datagram.standing_hash,
             waiting_tokens: datagram.waiting_tokens,
             heard_at: now,
@@ -141,7 +149,11 @@
         self.told.remove(&link_address);
         self.senders.insert(datagram.sender, name.clone());
         self.peers.insert(name, record);
-        if same { PeerChange::Same } else { PeerChange::Changed }
+        if same {
+            PeerChange::Same
+        } else {
+            PeerChange::Changed
+        }
     }
 
     /// Who sent a datagram; absent when it does not say and is not known yet.
@@ -191,7 +203,8 @@
 
     /// Forgets VMs that are gone for long.
     pub fn sweep(&mut self, now: time::Instant) {
-        self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < KEPT);
+        self.peers
+            .retain(|_, peer| now.saturating_duration_since(peer.heard_at) < KEPT);
         let peers = &self.peers;
         self.senders.retain(|_, name| peers.contains_key(name));
     }
@@ -222,7 +235,11 @@
     /// VMs that are heard, this one included.
     #[must_use]
     pub fn heard(&self, now: time::Instant) -> u32 {
-        let others = self.peers.values().filter(|peer| peer.is_heard(now)).count();
+        let others = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(now))
+            .count();
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 }
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -99,7 +99,11 @@
         && !has_room_beside_others(fleet, &engine, ask, size, &loads, now)
     {
         let any = fleet.ready(ask.service, now).next().is_some();
-        return if any { PlaceOutcome::Full } else { PlaceOutcome::NoServer };
+        return if any {
+            PlaceOutcome::Full
+        } else {
+            PlaceOutcome::NoServer
+        };
     }
     let spread = (SPREAD_MS * f64::from(ask.entries)).min(SPREAD_MOST_MS);
     let spread = if engine.is_some() { spread } else { SPREAD_MS };
@@ -151,7 +155,10 @@
     let memory = engine.memory_tokens as f64;
     let mut free = 0.0;
     let mut owed = ask.yielded_tokens as f64;
-    for (key, record) in fleet.servers().filter(|(_, record)| record.service == ask.service) {
+    for (key, record) in fleet
+        .servers()
+        .filter(|(_, record)| record.service == ask.service)
+    {
         let tokens = loads.get(key).map_or(0.0, |load| load.tokens as f64);
         if record.takes_work(now) {
             free += (memory * MEMORY_FILL - tokens).max(0.0);
@@ -173,7 +180,11 @@
     let memory = engine.memory_tokens as f64;
     let after = load.tokens as f64 + need;
     // An empty engine takes whatever fits at all: nothing better will come.
-    let limit = if load.runs == 0 { memory } else { memory * MEMORY_FILL };
+    let limit = if load.runs == 0 {
+        memory
+    } else {
+        memory * MEMORY_FILL
+    };
     if after > limit || load.runs >= record.slots {
         return None;
     }
@@ -201,7 +212,11 @@
     if load.own_runs >= fair {
         return None;
     }
-    let latency = if record.latency_ms() == 0.0 { CALL_MS } else { record.latency_ms() };
+    let latency = if record.latency_ms() == 0.0 {
+        CALL_MS
+    } else {
+        record.latency_ms()
+    };
     let queue = f64::from(load.own_runs) * f64::from(entries) / f64::from(record.slots.max(1));
     let warm = if record.is_warm(now) { WARM_MS } else { 0.0 };
     Some(latency * (1.0 + queue) + record.failure_rate(now) * FAILED_CALL_MS - warm)
@@ -209,7 +224,11 @@
 
 fn common_cost(record: &fleet::ServerRecord, zone: &str, now: time::Instant) -> f64 {
     let domain = if record.zone == zone { 0.0 } else { DOMAIN_MS };
-    let cold = if now < record.cold_until { COLD_MS } else { 0.0 };
+    let cold = if now < record.cold_until {
+        COLD_MS
+    } else {
+        0.0
+    };
     domain + cold + record.failure_rate(now) * FAILED_MS
 }
 
@@ -282,7 +301,11 @@
             continue;
         }
         let fill = after / memory;
-        let domain = if record.zone == source.zone { 0.0 } else { DOMAIN_COPY_MS };
+        let domain = if record.zone == source.zone {
+            0.0
+        } else {
+            DOMAIN_COPY_MS
+        };
         let cost = fill * FULL_MS
             + domain
             + load.backlog as f64 / PREFILL_TOKENS_PER_MS
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -164,7 +164,10 @@
         let state = self.state.borrow();
         let unmoved = state.fleet.runs().any(|(_, run)| {
             run.size.is_some()
-                && state.fleet.server(run.server).is_some_and(|server| !server.takes_work(now))
+                && state
+                    .fleet
+                    .server(run.server)
+                    .is_some_and(|server| !server.takes_work(now))
         });
         !services.is_empty() || unmoved
     }
@@ -174,9 +177,14 @@
         for key in order {
             let mut waiters = self.waiters.borrow_mut();
             let index = (service.to_owned(), key);
-            let Some(waiter) = waiters.get(&index) else { continue };
+            let Some(waiter) = waiters.get(&index) else {
+                continue;
+            };
             let mut state = self.state.borrow_mut();
-            let late = state.queue(service).get(key).is_some_and(|record| !record.is_on_time(now));
+            let late = state
+                .queue(service)
+                .get(key)
+                .is_some_and(|record| !record.is_on_time(now));
             let Ok(placed) = state.place(&waiter.ask, &waiter.avoid, late, now) else {
                 // Whoever is first gets the next room: were smaller ones let past, a large one
                 // would wait for ever.
@@ -193,17 +201,26 @@
 
     pub(crate) fn server_id(&self, key: fleet::ServerKey) -> String {
         let state = self.state.borrow();
-        state.fleet.server(key).map_or_else(String::new, |server| server.id.clone())
+        state
+            .fleet
+            .server(key)
+            .map_or_else(String::new, |server| server.id.clone())
     }
 
     pub(crate) fn target(&self, key: fleet::ServerKey) -> Option<port::ServerTarget> {
         let state = self.state.borrow();
         let server = state.fleet.server(key)?;
-        Some(port::ServerTarget { id: server.id.clone(), address: server.address })
+        Some(port::ServerTarget {
+            id: server.id.clone(),
+            address: server.address,
+        })
     }
 
     pub(crate) fn judge(&self, server: fleet::ServerKey, verdict: fleet::ServerVerdict) {
-        self.state.borrow_mut().fleet.judge(server, verdict, time::Instant::now());
+        self.state
+            .borrow_mut()
+            .fleet
+            .judge(server, verdict, time::Instant::now());
     }
 
     /// A refusal that promises that the request did not run.
@@ -245,7 +262,11 @@
 impl<P> Drop for WaitGuard<'_, P> {
     fn drop(&mut self) {
         self.plane.waiters.borrow_mut().remove(&self.index);
-        self.plane.state.borrow_mut().queue(&self.index.0).leave(self.index.1);
+        self.plane
+            .state
+            .borrow_mut()
+            .queue(&self.index.0)
+            .leave(self.index.1);
         // Had its place been told in the same moment, the receiver's drop gives it back.
     }
 }
@@ -296,7 +317,11 @@
         waited: &mut Option<wait::WaitRecord>,
     ) -> Result<PlacedRun<P>, reply::Refusal> {
         let now = time::Instant::now();
-        let ahead = self.state.borrow_mut().queue(&ask.service).ahead(ask.priority);
+        let ahead = self
+            .state
+            .borrow_mut()
+            .queue(&ask.service)
+            .ahead(ask.priority);
         if ahead == 0 {
             let placed = self.state.borrow_mut().place(ask, avoid, false, now);
             match placed {
@@ -310,8 +335,16 @@
         self.wait_for_place(ask, avoid, waited, now).await
     }
 
-    pub(crate) fn placed(self: &rc::Rc<Self>, run: fleet::RunKey, server: fleet::ServerKey) -> PlacedRun<P> {
-        PlacedRun { plane: self.clone(), run, server }
+    pub(crate) fn placed(
+        self: &rc::Rc<Self>,
+        run: fleet::RunKey,
+        server: fleet::ServerKey,
+    ) -> PlacedRun<P> {
+        PlacedRun {
+            plane: self.clone(),
+            run,
+            server,
+        }
     }
 
     async fn wait_for_place(
@@ -332,15 +365,24 @@
         let key = self.state.borrow_mut().queue(&ask.service).enter(record);
         let index = (ask.service.clone(), key);
         let (told, place) = oneshot::channel();
-        let waiter = Waiter { ask: ask.clone(), avoid: avoid.to_vec(), told };
+        let waiter = Waiter {
+            ask: ask.clone(),
+            avoid: avoid.to_vec(),
+            told,
+        };
         self.waiters.borrow_mut().insert(index.clone(), waiter);
-        let place = PlaceReceiver { plane: self.clone(), place };
+        let place = PlaceReceiver {
+            plane: self.clone(),
+            place,
+        };
         let guard = WaitGuard { plane: self, index };
         log::info!(request:% = ask.id, service:% = ask.service; "waits for a place");
         self.stirred.notify_one();
         self.tell_loads();
         let placed = time::timeout_at(record.until, place.receive()).await;
         drop(guard);
+        metrics::histogram!("pollenchute_exchange_waited_seconds")
+            .record(now.elapsed().as_secs_f64());
         match placed {
             Ok(Some(placed)) => Ok(placed),
             _ => Err(self.refuse(ask, reply::RefusalCause::Patience)),
@@ -367,7 +409,9 @@
 
     /// Time that a try may take when sent now.
     pub(crate) fn left(ask: &ask::ExchangeAsk) -> time::Duration {
-        ask.limit.min(ask.deadline).saturating_duration_since(time::Instant::now())
+        ask.limit
+            .min(ask.deadline)
+            .saturating_duration_since(time::Instant::now())
     }
 }
 
@@ -380,7 +424,11 @@
 impl<P> PlaceReceiver<P> {
     async fn receive(mut self) -> Option<PlacedRun<P>> {
         let (run, server) = (&mut self.place).await.ok()?;
-        Some(PlacedRun { plane: self.plane.clone(), run, server })
+        Some(PlacedRun {
+            plane: self.plane.clone(),
+            run,
+            server,
+        })
     }
 }
 
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -56,9 +56,9 @@
         .filter(|(_, run)| run.size.is_some() && run.moving_to.is_none())
         .filter(|(_, run)| run.move_after.is_none_or(|after| after <= now))
         .filter(|(_, run)| {
-            fleet.server(run.server).is_some_and(|server| {
-                server.service == service && !server.takes_work(now)
-            })
+            fleet
+                .server(run.server)
+                .is_some_and(|server| server.service == service && !server.takes_work(now))
         })
         .filter(|(_, run)| run.expected_rest(now) > LEFT_ALONE)
         .map(|(key, run)| (key, run.held_tokens()))
@@ -75,7 +75,9 @@
 ) -> Option<RelocationOrder> {
     let run = fleet.run(key)?;
     let backup = run.backup.filter(|&backup| {
-        fleet.server(backup).is_some_and(|server| server.takes_work(now))
+        fleet
+            .server(backup)
+            .is_some_and(|server| server.takes_work(now))
     });
     if let Some(backup) = backup
         && run.first_at.is_some()
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -8,11 +8,7 @@
 use futures_util::{StreamExt as _, stream};
 use tokio::{sync::mpsc, time};
 
-use crate::{
-    ask, catalog, fleet, plane, port,
-    port::AnswerBody as _,
-    reply,
-};
+use crate::{ask, catalog, fleet, plane, port, port::AnswerBody as _, reply};
 
 /// Answers up to this size are read whole before they are passed on; longer ones are passed on as
 /// they come and can't be tried again.
@@ -56,7 +52,13 @@
     plane: &rc::Rc<plane::ExchangePlane<P>>,
     ask: rc::Rc<ask::ExchangeAsk>,
 ) -> Result<reply::Reply, reply::Refusal> {
-    let mut call = CallState { plane, ask: &ask, avoid: Vec::new(), sent: 0, ran: outcome::RanState::No };
+    let mut call = CallState {
+        plane,
+        ask: &ask,
+        avoid: Vec::new(),
+        sent: 0,
+        ran: outcome::RanState::No,
+    };
     match time::timeout_at(ask.limit, call.run()).await {
         Ok(end) => end,
         Err(_) => Err(call.timed_out()),
@@ -160,7 +162,11 @@
                     headers: answer.headers,
                     body: reply::ReplyBody::Whole(answer.body),
                 });
-                if failed && idempotent { Step::Again(reply) } else { Step::Answer(reply) }
+                if failed && idempotent {
+                    Step::Again(reply)
+                } else {
+                    Step::Answer(reply)
+                }
             }
             TryEnd::Long(answer) => {
                 self.ran = outcome::RanState::Yes;
@@ -186,7 +192,11 @@
                 self.ran = self.ran.and(outcome::RanState::Unknown);
                 self.log_failed(server, "lost");
                 let lost = Err(self.lost());
-                if idempotent { Step::Again(lost) } else { Step::Answer(lost) }
+                if idempotent {
+                    Step::Again(lost)
+                } else {
+                    Step::Answer(lost)
+                }
             }
         }
     }
@@ -207,7 +217,11 @@
     }
 
     fn lost(&self) -> reply::Refusal {
-        reply::Refusal { cause: reply::RefusalCause::ServerLost, ran: self.ran, retry_after: None }
+        reply::Refusal {
+            cause: reply::RefusalCause::ServerLost,
+            ran: self.ran,
+            retry_after: None,
+        }
     }
 
     fn timed_out(&self) -> reply::Refusal {
@@ -255,7 +269,15 @@
     };
     log::debug!(request:% = ask.id, server:% = target.id; "try sent");
     let left = plane::ExchangePlane::<P>::left(&ask);
-    let call = port::ServerCall { ask, target, left, resume: None, reservation: None, backup: None, reuse };
+    let call = port::ServerCall {
+        ask,
+        target,
+        left,
+        resume: None,
+        reservation: None,
+        backup: None,
+        reuse,
+    };
     let end = match plane.port.open(call).await {
         port::CallOutcome::Answered(answer) => read_answer(answer, placed).await,
         port::CallOutcome::NotRun(cause) => {
@@ -286,20 +308,35 @@
     placed: plane::PlacedRun<P>,
 ) -> (fleet::ServerKey, TryEnd<P>) {
     let server = placed.server;
-    let port::ServerAnswer { status, headers, mut body, .. } = answer;
+    let port::ServerAnswer {
+        status,
+        headers,
+        mut body,
+        ..
+    } = answer;
     let mut whole = BytesMut::new();
     let end = loop {
         match body.next().await {
             None => {
                 let body = whole.freeze();
-                break TryEnd::Whole(WholeAnswer { status, headers, body });
+                break TryEnd::Whole(WholeAnswer {
+                    status,
+                    headers,
+                    body,
+                });
             }
             Some(Err(_)) => break TryEnd::Lost,
             Some(Ok(bytes)) => whole.extend_from_slice(&bytes),
         }
         if whole.len() > WHOLE_BYTES {
             let first = whole.freeze();
-            break TryEnd::Long(LongAnswer { status, headers, first, body, placed });
+            break TryEnd::Long(LongAnswer {
+                status,
+                headers,
+                first,
+                body,
+                placed,
+            });
         }
     };
     (server, end)
@@ -307,7 +344,13 @@
 
 fn pass_on<P: port::ServerPort + 'static>(answer: LongAnswer<P>) -> reply::Reply {
     let (sender, receiver) = mpsc::channel(LONG_PARTS);
-    let LongAnswer { status, headers, first, mut body, placed } = answer;
+    let LongAnswer {
+        status,
+        headers,
+        first,
+        mut body,
+        placed,
+    } = answer;
     tokio::task::spawn_local(async move {
         let _placed = placed;
         let mut next = Some(Ok(first));
@@ -324,5 +367,9 @@
             let _ = sender.send(reply::StreamPart::End).await;
         }
     });
-    reply::Reply { status, headers, body: reply::ReplyBody::Parts(receiver) }
+    reply::Reply {
+        status,
+        headers,
+        body: reply::ReplyBody::Parts(receiver),
+    }
 }
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -1,9 +1,6 @@
 //! Streams: events are passed on as they come, and a run may go on at another server.
 //!
-//! A run moves in one of three ways. Its server leaves and a copy is kept up to date elsewhere: go
-//! on there at once. Its server leaves and there is none: copy while it runs on, then stop it, copy
-//! the rest, go on there. Its server dies: go on at the copy, if there is one. In each case the
-//! caller gets the events behind the last whole one that it had, of the same run.
+//! How a run moves is in `moving`.
 
 use std::rc;
 
@@ -13,19 +10,12 @@
     time,
 };
 
-use crate::{ask, event, fleet, plane, port, port::AnswerBody as _, relocate, reply};
+use crate::{ask, event, fleet, pace, plane, port, port::AnswerBody as _, relocate, reply};
 
 /// Parts under way to a slow caller: bounds what it can make us hold.
 const PARTS: usize = 16;
 /// A kept connection may carry a stream when it was used this recently.
 const FRESH: time::Duration = time::Duration::from_millis(1_500);
-/// How long a stopped run's last events are waited for.
-const STOPPED_REST: time::Duration = time::Duration::from_millis(150);
-/// A copy that took less than this found the links free: the rest of the run is copied within a
-/// pause that callers still take as on time, 180 ms.
-const QUICK_COPY: time::Duration = time::Duration::from_millis(70);
-/// Time after a server's notice by which its runs stop to be moved: it is gone 1.5 to 2.1 s after.
-const STOP_BY: time::Duration = time::Duration::from_millis(1_150);
 /// Events that a run must have made for a break not to speak against its request: what crashes a
 /// server does so as it begins.
 const BEGUN_EVENTS: u64 = 2;
@@ -67,7 +57,11 @@
     };
     let head = got_head.await.map_err(|_| lost)??;
     let body = reply::ReplyBody::Parts(got_parts);
-    Ok(reply::Reply { status: head.status, headers: head.headers, body })
+    Ok(reply::Reply {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
 }
 
 /// Runs one stream until it ends, its time is up or its caller leaves.
@@ -86,7 +80,7 @@
         splitter: event::EventSplitter::default(),
         ran: outcome::RanState::No,
         passed: 0,
-        pace: EventPace::default(),
+        pace: pace::EventPace::default(),
     };
     let ended = tokio::select! {
         biased;
@@ -98,6 +92,7 @@
     match ended {
         Ok(Ok(())) => {
             let pace = &driver.pace;
+            pace.count(&ask);
             log::info!(
                 request:% = ask.id, events, passed = driver.passed,
                 first_ms = pace.first_ms(&ask), worst_pause_ms = pace.worst_ms();
@@ -110,67 +105,42 @@
             log::info!(request:% = ask.id, events, cause:% = why; "stream given up");
             let refusal = match driver.ran {
                 outcome::RanState::No => plane.refuse(&ask, reply::RefusalCause::Patience),
-                ran => reply::Refusal { cause: reply::RefusalCause::Timeout, ran, retry_after: None },
+                ran => reply::Refusal {
+                    cause: reply::RefusalCause::Timeout,
+                    ran,
+                    retry_after: None,
+                },
             };
             driver.give_up(refusal);
         }
     }
 }
 
-struct StreamDriver<P: port::ServerPort> {
-    plane: rc::Rc<plane::ExchangePlane<P>>,
-    ask: rc::Rc<ask::ExchangeAsk>,
+pub(crate) struct StreamDriver<P: port::ServerPort> {
+    pub(crate) plane: rc::Rc<plane::ExchangePlane<P>>,
+    pub(crate) ask: rc::Rc<ask::ExchangeAsk>,
     /// Present until the caller has had the head.
     head: Option<HeadSender>,
-    parts: mpsc::Sender<reply::StreamPart>,
-    splitter: event::EventSplitter,
+    pub(crate) parts: mpsc::Sender<reply::StreamPart>,
+    pub(crate) splitter: event::EventSplitter,
     /// Whether any try may have run.
-    ran: outcome::RanState,
+    pub(crate) ran: outcome::RanState,
     /// Times that the run went on at another server.
-    passed: u32,
+    pub(crate) passed: u32,
     /// When events came.
-    pace: EventPace,
-}
-
-/// When the events of one stream came.
-#[derive(Debug, Default)]
-struct EventPace {
-    first: Option<time::Instant>,
-    last: Option<time::Instant>,
-    worst: time::Duration,
-}
-
-impl EventPace {
-    fn note(&mut self, now: time::Instant) {
-        if let Some(last) = self.last {
-            self.worst = self.worst.max(now.saturating_duration_since(last));
-        }
-        self.first.get_or_insert(now);
-        self.last = Some(now);
-    }
-
-    /// Time from the request to its first event.
-    fn first_ms(&self, ask: &ask::ExchangeAsk) -> Option<u64> {
-        let first = self.first?.saturating_duration_since(ask.arrived);
-        u64::try_from(first.as_millis()).ok()
-    }
-
-    /// Longest pause between two events.
-    fn worst_ms(&self) -> u64 {
-        u64::try_from(self.worst.as_millis()).unwrap_or(u64::MAX)
-    }
+    pub(crate) pace: pace::EventPace,
 }
 
 /// A try whose answer is being passed on.
-struct LiveRun<P: port::ServerPort> {
-    placed: plane::PlacedRun<P>,
-    orders: mpsc::UnboundedReceiver<relocate::RelocationOrder>,
+pub(crate) struct LiveRun<P: port::ServerPort> {
+    pub(crate) placed: plane::PlacedRun<P>,
+    pub(crate) orders: mpsc::UnboundedReceiver<relocate::RelocationOrder>,
     /// Absent until the server has answered.
-    body: Option<P::Body>,
+    pub(crate) body: Option<P::Body>,
 }
 
 /// Why relaying from one server ended.
-enum RelayEnd {
+pub(crate) enum RelayEnd {
     /// The last event came.
     Finished,
     /// The stream broke off.
@@ -180,13 +150,13 @@
 }
 
 /// A copy that a run can go on from.
-struct CopyPlace {
+pub(crate) struct CopyPlace {
     /// Server to send the request to.
-    to: fleet::ServerKey,
+    pub(crate) to: fleet::ServerKey,
     /// Where to try if that one has no room: the source itself.
-    or: Option<fleet::ServerKey>,
-    origin: std::net::SocketAddr,
-    handle: String,
+    pub(crate) or: Option<fleet::ServerKey>,
+    pub(crate) origin: std::net::SocketAddr,
+    pub(crate) handle: String,
 }
 
 impl<P: port::ServerPort + 'static> StreamDriver<P> {
@@ -215,13 +185,24 @@
         let mut avoid = Vec::new();
         let mut waited = None;
         loop {
-            let placed = self.plane.place_again(&self.ask, &avoid, &mut waited).await?;
+            let placed = self
+                .plane
+                .place_again(&self.ask, &avoid, &mut waited)
+                .await?;
             let server = placed.server;
-            let Ok(reservation) = self.reserve(server).await else { continue };
+            let Ok(reservation) = self.reserve(server).await else {
+                continue;
+            };
             avoid.push(server);
             let orders = self.plane.moves_of(placed.run);
-            let mut live = LiveRun { placed, orders, body: None };
-            let Some(mut call) = self.call(&live, None, server) else { continue };
+            let mut live = LiveRun {
+                placed,
+                orders,
+                body: None,
+            };
+            let Some(mut call) = self.call(&live, None, server) else {
+                continue;
+            };
             call.reservation = reservation;
             log::info!(
                 request:% = self.ask.id, server:% = call.target.id,
@@ -260,8 +241,13 @@
 
     /// Sets memory aside at a server, so that the request neither waits in the server's own queue
     /// nor is preempted: there it could not go elsewhere, and would be lost with the server.
-    async fn reserve(&self, server: fleet::ServerKey) -> Result<Option<String>, port::ReserveFault> {
-        let Some((span, tokens)) = self.reservation() else { return Ok(None) };
+    async fn reserve(
+        &self,
+        server: fleet::ServerKey,
+    ) -> Result<Option<String>, port::ReserveFault> {
+        let Some((span, tokens)) = self.reservation() else {
+            return Ok(None);
+        };
         let Some(target) = self.plane.target(server) else {
             return Err(port::ReserveFault::Unreachable);
         };
@@ -288,7 +274,10 @@
         let engine = state.service(&self.ask.service)?.engine?;
         let size = self.ask.size.as_ref()?;
         let output = fleet::expected_output(size, 0) as u64;
-        Some((engine.reservation?.min(RESERVED_FOR), u64::from(size.prompt_tokens) + output))
+        Some((
+            engine.reservation?.min(RESERVED_FOR),
+            u64::from(size.prompt_tokens) + output,
+        ))
     }
 
     /// A try that certainly did not run may be followed by another, within the budget.
@@ -303,7 +292,7 @@
         Err(self.plane.refuse(&self.ask, reply::RefusalCause::Rejected))
     }
 
-    fn call(
+    pub(crate) fn call(
         &self,
         live: &LiveRun<P>,
         resume: Option<port::ResumePoint>,
@@ -313,7 +302,9 @@
         let backup = {
             let state = self.plane.state();
             let backup = state.fleet.run(live.placed.run).and_then(|run| run.backup);
-            backup.and_then(|backup| state.fleet.server(backup)).map(|server| server.address)
+            backup
+                .and_then(|backup| state.fleet.server(backup))
+                .map(|server| server.address)
         };
         Some(port::ServerCall {
             ask: self.ask.clone(),
@@ -333,11 +324,15 @@
         sent: time::Instant,
     ) {
         if let Some(head) = self.head.take() {
-            let told = StreamHead { status: answer.status, headers: answer.headers };
+            let told = StreamHead {
+                status: answer.status,
+                headers: answer.headers,
+            };
             let _ = head.send(Ok(told));
         }
         if answer.status.is_server_error() {
-            self.plane.judge(live.placed.server, fleet::ServerVerdict::Erred);
+            self.plane
+                .judge(live.placed.server, fleet::ServerVerdict::Erred);
         } else {
             let verdict = fleet::ServerVerdict::Good(sent.elapsed());
             self.plane.judge(live.placed.server, verdict);
@@ -348,7 +343,9 @@
     /// Passes events on until the stream ends or the run stops here.
     async fn relay(&mut self, live: &mut LiveRun<P>) -> RelayEnd {
         loop {
-            let Some(body) = live.body.as_mut() else { return RelayEnd::Broken };
+            let Some(body) = live.body.as_mut() else {
+                return RelayEnd::Broken;
+            };
             let order = tokio::select! {
                 part = body.next() => {
                     match part {
@@ -375,11 +372,13 @@
     }
 
     /// Passes bytes on, and notes how far the run has come.
-    async fn pass(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
+    pub(crate) async fn pass(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
         let whole = self.splitter.take(bytes);
         {
             let mut state = self.plane.state();
-            let engine = state.service(&self.ask.service).and_then(|rule| rule.engine);
+            let engine = state
+                .service(&self.ask.service)
+                .and_then(|rule| rule.engine);
             let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
             let events = u32::try_from(self.splitter.events()).unwrap_or(u32::MAX);
             if let Some(run) = state.fleet.run_mut(live.placed.run) {
@@ -406,224 +405,28 @@
         Ok(())
     }
 
-    /// Goes on at the server that holds a copy. Relaying pauses meanwhile, so that no event is
-    /// passed on twice; the run here goes on until the one there has begun.
-    async fn switch(&mut self, live: &mut LiveRun<P>, to: fleet::ServerKey) -> Option<RelayEnd> {
-        let origin = self.plane.target(to)?.address;
-        let copy = CopyPlace { to, or: None, origin, handle: self.ask.id.clone() };
-        log::info!(
-            request:% = self.ask.id, from:% = self.plane.server_id(live.placed.server),
-            to:% = self.plane.server_id(to), events = self.splitter.events();
-            "goes on at its backup"
-        );
-        let old = live.body.take();
-        if self.resume(live, copy).await {
-            self.splitter.drop_partial();
-            drop(old);
-            return None;
-        }
-        live.body = old;
-        if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
-            run.backup = None;
-        }
-        None
-    }
-
-    /// Copies the run while it goes on, then stops it and copies the rest.
-    async fn move_run(&mut self, live: &mut LiveRun<P>, to: fleet::ServerKey) -> Option<RelayEnd> {
-        let source = self.plane.target(live.placed.server)?;
-        let target = self.plane.target(to)?;
-        let started = time::Instant::now();
-        let notice = self.plane.state().fleet.server(live.placed.server)?.since;
-        let mut quick = false;
-        let mut made = None;
-        loop {
-            // Copies of other runs queue on the same links. While this one waits behind them the
-            // run goes on; it stops for the last part only once that is quick, or time is short.
-            let stop = quick || notice.elapsed() > STOP_BY;
-            let began = time::Instant::now();
-            let plane = self.plane.clone();
-            let copying =
-                plane.port.copy(source.clone(), self.ask.id.clone(), target.address, stop);
-            tokio::pin!(copying);
-            let mut ended = None;
-            let copied = loop {
-                let body = live.body.as_mut()?;
-                tokio::select! {
-                    biased;
-                    copied = &mut copying => break copied,
-                    part = body.next(), if ended.is_none() => match part {
-                        Some(Ok(bytes)) => self.pass(live, &bytes).await,
-                        Some(Err(_)) => ended = Some(RelayEnd::Broken),
-                        None => ended = Some(RelayEnd::Finished),
-                    },
-                }
-            };
-            log::info!(
-                request:% = self.ask.id, from:% = source.id, to:% = target.id, stop,
-                outcome:? = copied, ms = millis(started); "copied"
-            );
-            let copy = |handle| CopyPlace {
-                to,
-                or: Some(live.placed.server),
-                origin: source.address,
-                handle,
-            };
-            match (copied, stop) {
-                (Ok(done), false) if ended.is_none() => {
-                    made = Some(done.handle);
-                    quick = began.elapsed() < QUICK_COPY;
-                }
-                (Ok(done), true) => {
-                    let copy = copy(done.handle);
-                    if ended.is_none() {
-                        self.read_rest(live).await;
-                    }
-                    return Some(RelayEnd::Stopped(copy));
-                }
-                (Err(port::CopyFault::NoRoom(Some(handle))), true) => {
-                    let mut copy = copy(handle);
-                    copy.to = live.placed.server;
-                    copy.or = None;
-                    if ended.is_none() {
-                        self.read_rest(live).await;
-                    }
-                    return Some(RelayEnd::Stopped(copy));
-                }
-                (copied, _) => {
-                    if matches!(copied, Err(port::CopyFault::NoRoom(_))) {
-                        self.note_full(to);
-                    }
-                    let made = copied.ok().map(|done| done.handle).or(made);
-                    self.release(source, made);
-                    return ended;
-                }
-            }
-        }
-    }
-
-    /// Frees a copy that will not be used. Left alone it would take a run's memory at its engine
-    /// for another five seconds, and keep other runs from moving there.
-    fn release(&self, source: port::ServerTarget, handle: Option<String>) {
-        let Some(handle) = handle else { return };
-        let plane = self.plane.clone();
-        tokio::task::spawn_local(async move { plane.port.release(source, handle).await });
-    }
-
     /// A server said that it has no room.
-    fn note_full(&self, server: fleet::ServerKey) {
+    pub(crate) fn note_full(&self, server: fleet::ServerKey) {
         let now = time::Instant::now();
         let mut state = self.plane.state();
         let pause = FULL_PAUSE.mul_f64(0.7 + 0.6 * state.draw());
         state.fleet.note_full(server, now + pause);
     }
 
-    /// Passes on what a stopped run had still made.
-    async fn read_rest(&mut self, live: &mut LiveRun<P>) {
-        let until = time::Instant::now() + STOPPED_REST;
-        while let Some(body) = live.body.as_mut() {
-            match time::timeout_at(until, body.next()).await {
-                Ok(Some(Ok(bytes))) => self.pass(live, &bytes).await,
-                _ => return,
-            }
-        }
-    }
-
-    /// Sends the request to where it goes on. On success the run is counted there.
-    async fn resume(&mut self, live: &mut LiveRun<P>, copy: CopyPlace) -> bool {
-        let now = time::Instant::now();
-        for server in std::iter::once(copy.to).chain(copy.or) {
-            self.plane.state().force_retry(&self.ask.service, now);
-            let backup = self.next_backup(server);
-            let resume = port::ResumePoint {
-                origin: copy.origin,
-                handle: copy.handle.clone(),
-                last_event: self.splitter.last_id().map(str::to_owned),
-            };
-            let held = self.set_backup(live, backup);
-            let Some(call) = self.call(live, Some(resume), server) else { continue };
-            let opened = self.plane.port.open(call).await;
-            match opened {
-                port::CallOutcome::Answered(answer) if answer.status.is_success() => {
-                    self.moved(live, server);
-                    live.body = Some(answer.body);
-                    self.passed += 1;
-                    metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
-                    log::info!(
-                        request:% = self.ask.id, server:% = self.plane.server_id(server),
-                        ms = millis(now), last_event:? = self.splitter.last_id(); "goes on"
-                    );
-                    return true;
-                }
-                other => {
-                    let ran = other.ran();
-                    self.set_backup(live, held);
-                    log::info!(
-                        request:% = self.ask.id, server:% = self.plane.server_id(server),
-                        ran:? = ran, ms = millis(now); "does not go on there"
-                    );
-                    if ran != outcome::RanState::No {
-                        return false;
-                    }
-                }
-            }
-        }
-        false
-    }
-
-    /// Where the copy of a run that goes on at `server` is kept from now on.
-    fn next_backup(&self, server: fleet::ServerKey) -> Option<fleet::ServerKey> {
-        let mut state = self.plane.state();
-        let engine = state.service(&self.ask.service)?.engine?;
-        state.backup_for(&self.ask, server, &engine, time::Instant::now())
-    }
-
-    fn set_backup(
-        &self,
-        live: &LiveRun<P>,
-        backup: Option<fleet::ServerKey>,
-    ) -> Option<fleet::ServerKey> {
-        let mut state = self.plane.state();
-        let run = state.fleet.run_mut(live.placed.run)?;
-        std::mem::replace(&mut run.backup, backup)
-    }
-
-    fn moved(&self, live: &mut LiveRun<P>, server: fleet::ServerKey) {
-        live.placed.server = server;
-        if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
-            run.server = server;
-            run.moving_to = None;
-        }
-        self.plane.tell_loads();
-        self.plane.stir();
-    }
-
-    /// The copy that a run whose server broke off can go on from.
-    fn copy_of_broken(&self, live: &LiveRun<P>) -> Option<CopyPlace> {
-        let server = live.placed.server;
-        log::info!(
-            request:% = self.ask.id, server:% = self.plane.server_id(server),
-            events = self.splitter.events(); "stream broke off"
-        );
-        self.plane.judge(server, fleet::ServerVerdict::Failed);
-        self.accuse(server);
-        let to = {
-            let state = self.plane.state();
-            state.fleet.run(live.placed.run)?.backup?
-        };
-        let origin = self.plane.target(to)?.address;
-        Some(CopyPlace { to, or: None, origin, handle: self.ask.id.clone() })
-    }
-
     /// A server broke off: its request is a suspect if it had just begun.
-    fn accuse(&self, server: fleet::ServerKey) {
+    pub(crate) fn accuse(&self, server: fleet::ServerKey) {
         let now = time::Instant::now();
         let mut state = self.plane.state();
-        let leaving = state.fleet.server(server).is_some_and(|server| !server.takes_work(now));
+        let leaving = state
+            .fleet
+            .server(server)
+            .is_some_and(|server| !server.takes_work(now));
         if leaving || self.splitter.events() >= BEGUN_EVENTS {
             return;
         }
-        let Some(id) = state.fleet.server(server).map(|server| server.id.clone()) else { return };
+        let Some(id) = state.fleet.server(server).map(|server| server.id.clone()) else {
+            return;
+        };
         let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
         if state.suspects.accuse(self.ask.fingerprint, hash, now) {
             log::info!(request:% = self.ask.id, server:% = id; "suspect of a crash");
@@ -631,7 +434,11 @@
     }
 
     fn lost(&self) -> reply::Refusal {
-        reply::Refusal { cause: reply::RefusalCause::ServerLost, ran: self.ran, retry_after: None }
+        reply::Refusal {
+            cause: reply::RefusalCause::ServerLost,
+            ran: self.ran,
+            retry_after: None,
+        }
     }
 
     /// Ends it without its last event.
@@ -647,6 +454,6 @@
     }
 }
 
-fn millis(since: time::Instant) -> u64 {
+pub(crate) fn millis(since: time::Instant) -> u64 {
     u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -99,7 +99,11 @@
 
     /// Takes a configuration if it is newer than the one in force. Says whether it was.
     pub fn take_catalog(&mut self, catalog: catalog::RouteCatalog, document: Bytes) -> bool {
-        if self.catalog.as_ref().is_some_and(|known| known.version >= catalog.version) {
+        if self
+            .catalog
+            .as_ref()
+            .is_some_and(|known| known.version >= catalog.version)
+        {
             return false;
         }
         self.catalog = Some(rc::Rc::new(catalog));
@@ -139,7 +143,7 @@
 
     /// The store answered, or did not. Says whether that changed.
     pub fn note_store(&mut self, answered: bool, now: time::Instant) -> bool {
-        if answered == !self.store_away {
+        if answered != self.store_away {
             return false;
         }
         self.store_away = !answered;
@@ -161,7 +165,12 @@
             .filter(|(_, peer)| peer.is_heard(now) && peer.store_away == self.store_away)
             .filter(|(name, _)| rank(name) < own)
             .count();
-        ahead < if self.store_away { AWAY_READERS } else { READERS }
+        ahead
+            < if self.store_away {
+                AWAY_READERS
+            } else {
+                READERS
+            }
     }
 
     /// The rule of a service, if it is configured.
@@ -173,7 +182,8 @@
     /// The queue of a service.
     pub fn queue(&mut self, service: &str) -> &mut wait::WaitQueue {
         if !self.queues.contains_key(service) {
-            self.queues.insert(service.to_owned(), wait::WaitQueue::default());
+            self.queues
+                .insert(service.to_owned(), wait::WaitQueue::default());
         }
         self.queues.get_mut(service).expect("just inserted")
     }
@@ -181,7 +191,10 @@
     /// Memory planned for generations that wait here and can still be on time.
     #[must_use]
     pub fn waiting_tokens(&self, now: time::Instant) -> u64 {
-        self.queues.values().map(|queue| queue.waiting_tokens(now)).sum()
+        self.queues
+            .values()
+            .map(|queue| queue.waiting_tokens(now))
+            .sum()
     }
 
     /// Services for which something waits.
@@ -203,8 +216,15 @@
         now: time::Instant,
     ) -> Result<(fleet::RunKey, fleet::ServerKey), place::PlaceOutcome> {
         let entries = self.peers.heard(now);
-        let yielded_tokens = if late { self.peers.waiting_tokens(now) } else { 0 };
-        let rule = self.catalog.as_ref().and_then(|catalog| catalog.services.get(&ask.service));
+        let yielded_tokens = if late {
+            self.peers.waiting_tokens(now)
+        } else {
+            0
+        };
+        let rule = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(&ask.service));
         let wanted = place::PlaceAsk {
             service: &ask.service,
             size: ask.size.as_ref(),
@@ -214,7 +234,9 @@
             yielded_tokens,
         };
         let outcome = place::choose(&self.fleet, rule, &wanted, now, &mut self.rng);
-        let place::PlaceOutcome::Server(server) = outcome else { return Err(outcome) };
+        let place::PlaceOutcome::Server(server) = outcome else {
+            return Err(outcome);
+        };
         let engine = rule.and_then(|rule| rule.engine);
         let backup = engine.and_then(|engine| self.backup_for(ask, server, &engine, now));
         let run = self.fleet.start(fleet::RunRecord {
@@ -263,7 +285,9 @@
         &mut self,
         now: time::Instant,
     ) -> Vec<(fleet::RunKey, relocate::RelocationOrder)> {
-        let Some(catalog) = self.catalog.clone() else { return Vec::new() };
+        let Some(catalog) = self.catalog.clone() else {
+            return Vec::new();
+        };
         let mut orders = Vec::new();
         if !self.settings.moves {
             return orders;
@@ -305,7 +329,8 @@
 
     fn budget(&mut self, service: &str) -> &mut budget::RetryBudget {
         if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.to_owned(), budget::RetryBudget::default());
+            self.budgets
+                .insert(service.to_owned(), budget::RetryBudget::default());
         }
         self.budgets.get_mut(service).expect("just inserted")
     }
@@ -315,6 +340,13 @@
         rand::RngExt::random(&mut self.rng)
     }
 
+    /// Hash of this VM's name and incarnation, by which other VMs know it.
+    #[must_use]
+    pub fn sender(&self) -> u64 {
+        let name = self.settings.name.as_bytes();
+        xxhash_rust::xxh3::xxh3_64_with_seed(name, self.settings.incarnation)
+    }
+
     /// This VM, as callers are told of it.
     #[must_use]
     pub fn own_entry(&self) -> directory::OwnEntry {
--- a/crates/exchange/src/suspect.rs
+++ b/crates/exchange/src/suspect.rs
@@ -34,17 +34,21 @@
 impl SuspectTable {
     /// A server crashed as this request began there. Returns whether that was not known.
     pub fn accuse(&mut self, fingerprint: u64, server: u64, now: time::Instant) -> bool {
-        self.suspects.retain(|_, record| now.saturating_duration_since(record.at) < KEPT);
+        self.suspects
+            .retain(|_, record| now.saturating_duration_since(record.at) < KEPT);
         if self.suspects.len() >= MOST && !self.suspects.contains_key(&fingerprint) {
             let oldest = self.suspects.iter().min_by_key(|(_, record)| record.at);
             if let Some(oldest) = oldest.map(|(&key, _)| key) {
                 self.suspects.remove(&oldest);
             }
         }
-        let record = self.suspects.entry(fingerprint).or_insert_with(|| SuspectRecord {
-            servers: collections::BTreeSet::new(),
-            at: now,
-        });
+        let record = self
+            .suspects
+            .entry(fingerprint)
+            .or_insert_with(|| SuspectRecord {
+                servers: collections::BTreeSet::new(),
+                at: now,
+            });
         record.at = now;
         record.servers.insert(server)
     }
@@ -65,7 +69,10 @@
     /// All suspicions, to be told to other VMs.
     pub fn accusations(&self) -> impl Iterator<Item = (u64, u64)> {
         self.suspects.iter().flat_map(|(&fingerprint, record)| {
-            record.servers.iter().map(move |&server| (fingerprint, server))
+            record
+                .servers
+                .iter()
+                .map(move |&server| (fingerprint, server))
         })
     }
 }
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -81,20 +81,29 @@
     /// Memory planned for those that wait and can still be on time.
     #[must_use]
     pub fn waiting_tokens(&self, now: time::Instant) -> u64 {
-        let on_time = self.waiting.values().filter(|record| record.is_on_time(now));
+        let on_time = self
+            .waiting
+            .values()
+            .filter(|record| record.is_on_time(now));
         on_time.map(|record| record.tokens).sum()
     }
 
     /// Requests that wait and go before one of rank `priority` that comes now.
     #[must_use]
     pub fn ahead(&self, priority: u8) -> usize {
-        self.waiting.values().filter(|record| record.priority <= priority).count()
+        self.waiting
+            .values()
+            .filter(|record| record.priority <= priority)
+            .count()
     }
 
     /// A request of this service started to run.
     pub fn started(&mut self, now: time::Instant) {
         self.starts.push_back(now);
-        while self.starts.front().is_some_and(|&at| now.saturating_duration_since(at) > PACE_SPAN)
+        while self
+            .starts
+            .front()
+            .is_some_and(|&at| now.saturating_duration_since(at) > PACE_SPAN)
         {
             self.starts.pop_front();
         }
@@ -139,10 +148,12 @@
     /// time. In lasting overload a plain queue would make every answer late.
     #[must_use]
     pub fn in_order(&self, now: time::Instant) -> Vec<WaitKey> {
-        let rank =
-            |record: &WaitRecord| (!record.is_on_time(now), record.priority, record.order);
-        let mut keys: Vec<_> =
-            self.waiting.iter().map(|(key, record)| (rank(record), key)).collect();
+        let rank = |record: &WaitRecord| (!record.is_on_time(now), record.priority, record.order);
+        let mut keys: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|(key, record)| (rank(record), key))
+            .collect();
         keys.sort_unstable();
         keys.into_iter().map(|(_, key)| key).collect()
     }
@@ -153,7 +164,11 @@
 /// refused before comes back.
 #[must_use]
 pub fn patience(left: time::Duration, aim: time::Duration, stream: bool) -> time::Duration {
-    let aims = if stream { STREAM_AIMS_WAITED } else { AIMS_WAITED };
+    let aims = if stream {
+        STREAM_AIMS_WAITED
+    } else {
+        AIMS_WAITED
+    };
     left.mul_f64(PATIENCE_PART).min(aim.mul_f64(aims))
 }
 
--- a/crates/exchange/tests/calls.rs
+++ b/crates/exchange/tests/calls.rs
@@ -30,7 +30,9 @@
     world::run(async {
         let plane = world::plane();
         both(&plane, &ServerScript::Lost);
-        let told = plane.serve(world::ask("a", catalog::ExchangeKind::Once)).await;
+        let told = plane
+            .serve(world::ask("a", catalog::ExchangeKind::Once))
+            .await;
         let refusal = told.expect_err("lost");
         assert_eq!(refusal.ran, outcome::RanState::Unknown);
         assert_eq!(refusal.cause, reply::RefusalCause::ServerLost);
@@ -44,11 +46,16 @@
     // Sequence: one server breaks off, the other answers.
     // Cause: no second try of a call that may be repeated.
     world::run(async {
-        for first in [ServerScript::Lost, ServerScript::Answer(500, time::Duration::ZERO)] {
+        for first in [
+            ServerScript::Lost,
+            ServerScript::Answer(500, time::Duration::ZERO),
+        ] {
             let plane = world::plane();
             both(&plane, &first);
             plane_port(&plane).tell("s1", ServerScript::Answer(200, time::Duration::ZERO));
-            let told = plane.serve(world::ask("a", catalog::ExchangeKind::Idempotent)).await;
+            let told = plane
+                .serve(world::ask("a", catalog::ExchangeKind::Idempotent))
+                .await;
             // The other server fails as well: its own answer, or the loss, is told.
             assert_ne!(status(&told), 200);
             let seen = plane_port(&plane).seen.borrow();
@@ -66,7 +73,9 @@
     world::run(async {
         let plane = world::plane();
         both(&plane, &ServerScript::NotRun(port::NotRunCause::Rejected));
-        let told = plane.serve(world::ask("a", catalog::ExchangeKind::Once)).await;
+        let told = plane
+            .serve(world::ask("a", catalog::ExchangeKind::Once))
+            .await;
         let refusal = told.expect_err("refused");
         assert_eq!(refusal.ran, outcome::RanState::No);
         assert!(refusal.retry_after.is_some());
@@ -80,10 +89,20 @@
     // Cause: a try that reached nobody counted against the route's one server.
     world::run(async {
         let plane = world::plane();
-        both(&plane, &ServerScript::NotRun(port::NotRunCause::Misdirected));
-        plane_port(&plane).scripts.borrow_mut().get_mut("s2").expect("s2").clear();
+        both(
+            &plane,
+            &ServerScript::NotRun(port::NotRunCause::Misdirected),
+        );
+        plane_port(&plane)
+            .scripts
+            .borrow_mut()
+            .get_mut("s2")
+            .expect("s2")
+            .clear();
         for _ in 0..4 {
-            let told = plane.serve(world::ask("a", catalog::ExchangeKind::Once)).await;
+            let told = plane
+                .serve(world::ask("a", catalog::ExchangeKind::Once))
+                .await;
             assert_eq!(status(&told), 200);
         }
     });
@@ -97,14 +116,25 @@
     world::run(async {
         let plane = world::plane();
         both(&plane, &ServerScript::Silent);
-        plane_port(&plane).scripts.borrow_mut().get_mut("s2").expect("s2").clear();
+        plane_port(&plane)
+            .scripts
+            .borrow_mut()
+            .get_mut("s2")
+            .expect("s2")
+            .clear();
         for number in 0..3 {
             let id = format!("a{number}");
             let began = tokio::time::Instant::now();
-            let told = plane.serve(world::ask(&id, catalog::ExchangeKind::Idempotent)).await;
+            let told = plane
+                .serve(world::ask(&id, catalog::ExchangeKind::Idempotent))
+                .await;
             assert_eq!(status(&told), 200);
             assert!(began.elapsed() < time::Duration::from_millis(100));
-            assert_eq!(plane.state().fleet.runs().count(), 0, "no try is left behind");
+            assert_eq!(
+                plane.state().fleet.runs().count(),
+                0,
+                "no try is left behind"
+            );
         }
     });
 }
@@ -154,12 +184,22 @@
         for number in 0..200 {
             both(&plane, &ServerScript::Lost);
             let id = format!("a{number}");
-            let told = plane.serve(world::ask(&id, catalog::ExchangeKind::Idempotent)).await;
+            let told = plane
+                .serve(world::ask(&id, catalog::ExchangeKind::Idempotent))
+                .await;
             assert!(told.is_err());
         }
         let further = plane_port(&plane).seen.borrow().len() - 200;
-        assert!(further <= 60, "{further} further tries; the rule allows 0.2 x 200 + 20");
+        assert!(
+            further <= 60,
+            "{further} further tries; the rule allows 0.2 x 200 + 20"
+        );
         let plane = rc::Rc::clone(&plane);
-        assert!(plane.state().retries_left("app", tokio::time::Instant::now()) < 1.0);
+        assert!(
+            plane
+                .state()
+                .retries_left("app", tokio::time::Instant::now())
+                < 1.0
+        );
     });
 }
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -29,7 +29,11 @@
     let mut fleet = fleet::ServerFleet::default();
     for number in 1..=engines {
         let entry = world::entry("llm", number, if number % 2 == 0 { "a" } else { "b" });
-        fleet.take_news(&world::news(&format!("e{number}"), 1, Some(entry)), None, Instant::now());
+        fleet.take_news(
+            &world::news(&format!("e{number}"), 1, Some(entry)),
+            None,
+            Instant::now(),
+        );
     }
     fleet
 }
@@ -50,7 +54,10 @@
 }
 
 fn rule() -> exchange::catalog::ServiceRule {
-    exchange::catalog::ServiceRule { connections: 100, engine: Some(world::engine_rule()) }
+    exchange::catalog::ServiceRule {
+        connections: 100,
+        engine: Some(world::engine_rule()),
+    }
 }
 
 fn place_ask<'a>(size: &'a ask::GenerationSize, yielded_tokens: u64) -> place::PlaceAsk<'a> {
@@ -99,15 +106,22 @@
         let mut fleet = fleet_of(2);
         for _ in 0..2 {
             let size = size(3_000);
-            let placed = place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
-            let place::PlaceOutcome::Server(server) = placed else { panic!("room for two") };
+            let placed =
+                place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
+            let place::PlaceOutcome::Server(server) = placed else {
+                panic!("room for two")
+            };
             fleet.start(run(server, 3_000, false));
         }
         let loads = fleet.loads(now);
         assert!(loads.values().all(|load| load.runs == 1), "{loads:?}");
         let size = size(3_000);
         let third = place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
-        assert_eq!(third, place::PlaceOutcome::Full, "it waits where it can still go elsewhere");
+        assert_eq!(
+            third,
+            place::PlaceOutcome::Full,
+            "it waits where it can still go elsewhere"
+        );
     });
 }
 
@@ -145,7 +159,13 @@
         let fleet = fleet_of(1);
         let size = size(3_000);
         let choose = |yielded| {
-            place::choose(&fleet, Some(&rule()), &place_ask(&size, yielded), now, &mut rng())
+            place::choose(
+                &fleet,
+                Some(&rule()),
+                &place_ask(&size, yielded),
+                now,
+                &mut rng(),
+            )
         };
         assert!(matches!(choose(0), place::PlaceOutcome::Server(_)));
         assert_eq!(choose(17_000), place::PlaceOutcome::Full);
@@ -171,7 +191,11 @@
         fleet.take_news(&world::news("e1", 2, Some(leaving)), None, now);
         let orders = relocate::plan(&mut fleet, "llm", &engine, now, &mut rng());
         let runs: Vec<_> = orders.iter().map(|(run, _)| *run).collect();
-        assert_eq!(runs, [large, small], "what ends in time is left alone: {ending:?}");
+        assert_eq!(
+            runs,
+            [large, small],
+            "what ends in time is left alone: {ending:?}"
+        );
         assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut rng()).is_empty());
     });
 }
@@ -202,7 +226,9 @@
             for word in order {
                 fleet.take_news(word, None, now);
             }
-            let server = fleet.server(fleet.find("e1").expect("known")).expect("known");
+            let server = fleet
+                .server(fleet.find("e1").expect("known"))
+                .expect("known");
             let takes = server.takes_work(now);
             match newest.entry {
                 None => assert!(!takes),
@@ -231,7 +257,11 @@
         let later = now + fleet::LAPSE_GRACE + time::Duration::from_millis(1);
         assert!(!fleet.server(key).expect("e1").takes_work(later));
         assert_eq!(fleet.end_spared(later), [key]);
-        fleet.take_news(&world::news("e1", 3, Some(world::entry("llm", 1, "b"))), None, later);
+        fleet.take_news(
+            &world::news("e1", 3, Some(world::entry("llm", 1, "b"))),
+            None,
+            later,
+        );
         assert!(fleet.server(key).expect("e1").takes_work(later));
     });
 }
@@ -326,7 +356,12 @@
         let newline = if u.arbitrary()? { "\n" } else { "\r\n" };
         let count = u.int_in_range(0..=12)?;
         let text: String = (0..count)
-            .map(|id| format!("id: {id}{newline}data: {}{newline}{newline}", "x".repeat(id * 3)))
+            .map(|id| {
+                format!(
+                    "id: {id}{newline}data: {}{newline}{newline}",
+                    "x".repeat(id * 3)
+                )
+            })
             .collect();
         let cut = u.int_in_range(0..=text.len())?;
         let mut splitter = event::EventSplitter::default();
@@ -407,10 +442,19 @@
         stopping.stage = message::VmStage::Stopping.into();
         peers.take(&stopping, now);
         let all = directory::addresses(&own, &peers, "a", now);
-        assert_eq!(all, [world::address(1), world::address(3), world::address(4)]);
+        assert_eq!(
+            all,
+            [world::address(1), world::address(3), world::address(4)]
+        );
         let later = now + time::Duration::from_millis(1_900);
-        assert_eq!(directory::addresses(&own, &peers, "b", later), [world::address(1)]);
-        assert_eq!(peers.take(&datagram("vm-2", "a", 2, 1), later), peers::PeerChange::Stale);
+        assert_eq!(
+            directory::addresses(&own, &peers, "b", later),
+            [world::address(1)]
+        );
+        assert_eq!(
+            peers.take(&datagram("vm-2", "a", 2, 1), later),
+            peers::PeerChange::Stale
+        );
     });
 }
 
--- a/crates/exchange/tests/streams.rs
+++ b/crates/exchange/tests/streams.rs
@@ -27,7 +27,13 @@
         both(&plane, &ServerScript::Events(30, GAP));
         let reply = plane.serve(stream("a")).await.expect("served");
         let read = world::read(world::parts(reply)).await;
-        assert_eq!(read, world::ReadStream { text: world::events(30), whole: true });
+        assert_eq!(
+            read,
+            world::ReadStream {
+                text: world::events(30),
+                whole: true
+            }
+        );
         let seen = plane.port().seen.borrow();
         assert!(seen[0].reservation.is_some(), "memory was set aside first");
     });
@@ -44,7 +50,13 @@
         both(&plane, &ServerScript::Breaks(5, GAP));
         let reply = plane.serve(stream("a")).await.expect("head");
         let read = world::read(world::parts(reply)).await;
-        assert_eq!(read, world::ReadStream { text: world::events(5), whole: false });
+        assert_eq!(
+            read,
+            world::ReadStream {
+                text: world::events(5),
+                whole: false
+            }
+        );
         assert_eq!(plane.port().seen.borrow().len(), 1, "it is not run again");
     });
 }
@@ -62,9 +74,21 @@
         // Whichever engine came first, the other answers its second script only when asked twice.
         let first = plane.port().seen.borrow()[0].clone();
         let other = if first.server == "e1" { "e2" } else { "e1" };
-        plane.port().scripts.borrow_mut().get_mut(other).expect("script").pop_front();
+        plane
+            .port()
+            .scripts
+            .borrow_mut()
+            .get_mut(other)
+            .expect("script")
+            .pop_front();
         let read = world::read(world::parts(reply)).await;
-        assert_eq!(read, world::ReadStream { text: world::events(20), whole: true });
+        assert_eq!(
+            read,
+            world::ReadStream {
+                text: world::events(20),
+                whole: true
+            }
+        );
         let seen = plane.port().seen.borrow();
         let resume = seen[1].resume.clone().expect("from a copy");
         assert_eq!(seen[1].server, other);
@@ -86,12 +110,28 @@
         both(&plane, &ServerScript::Events(100, GAP));
         let reply = plane.serve(stream("a")).await.expect("served");
         let first = plane.port().seen.borrow()[0].server.clone();
-        let (number, other) = if first == "e1" { (11, "e2") } else { (12, "e1") };
+        let (number, other) = if first == "e1" {
+            (11, "e2")
+        } else {
+            (12, "e1")
+        };
         tokio::time::sleep(GAP * 6).await;
         world::leave(&plane, &first, number);
         let read = world::read(world::parts(reply)).await;
-        assert_eq!(read, world::ReadStream { text: world::events(100), whole: true });
-        let copied: Vec<_> = plane.port().copied.borrow().iter().map(|copy| copy.2).collect();
+        assert_eq!(
+            read,
+            world::ReadStream {
+                text: world::events(100),
+                whole: true
+            }
+        );
+        let copied: Vec<_> = plane
+            .port()
+            .copied
+            .borrow()
+            .iter()
+            .map(|copy| copy.2)
+            .collect();
         assert_eq!(copied, [false, true], "first while it runs, then stopped");
         let seen = plane.port().seen.borrow();
         assert_eq!(seen[1].server, other);
@@ -110,9 +150,16 @@
         world::start(&plane);
         both(&plane, &ServerScript::Events(100, GAP));
         both(&plane, &ServerScript::Events(100, GAP));
-        let done = port::CopyDone { handle: String::from("h0"), events: 1 };
+        let done = port::CopyDone {
+            handle: String::from("h0"),
+            events: 1,
+        };
         let full = port::CopyFault::NoRoom(Some(String::from("h1")));
-        plane.port().copies.borrow_mut().extend([Ok(done), Err(full)]);
+        plane
+            .port()
+            .copies
+            .borrow_mut()
+            .extend([Ok(done), Err(full)]);
         let reply = plane.serve(stream("a")).await.expect("served");
         let first = plane.port().seen.borrow()[0].server.clone();
         tokio::time::sleep(GAP * 6).await;
@@ -140,7 +187,14 @@
             let reply = plane.serve(stream(&id)).await.expect("served");
             drop(reply);
         }
-        assert!(plane.port().seen.borrow().iter().all(|seen| seen.server == "e2"));
+        assert!(
+            plane
+                .port()
+                .seen
+                .borrow()
+                .iter()
+                .all(|seen| seen.server == "e2")
+        );
     });
 }
 
@@ -152,7 +206,11 @@
     world::run(async {
         let plane = world::plane();
         world::start(&plane);
-        plane.port().full.borrow_mut().extend([String::from("e1"), String::from("e2")]);
+        plane
+            .port()
+            .full
+            .borrow_mut()
+            .extend([String::from("e1"), String::from("e2")]);
         let began = tokio::time::Instant::now();
         let refusal = plane.serve(stream("a")).await.expect_err("no room");
         assert!(began.elapsed() < time::Duration::from_millis(4 * 1_800));
@@ -218,3 +276,33 @@
         assert!(crashed <= 4, "it reached engines {crashed} times");
     });
 }
+
+#[test]
+fn a_leaving_engine_is_noticed_while_the_store_is_away() {
+    // Symptom: streams are cut although their engine was told to leave two seconds before.
+    // Sequence: the store is down, so the engine's notice reaches nobody.
+    // Cause: leaving learnt from the store alone.
+    world::run(async {
+        let plane = world::plane();
+        plane.state().settings.backups = false;
+        world::start(&plane);
+        let watched = plane.clone();
+        tokio::task::spawn_local(exchange::watch::watch_engines(watched));
+        both(&plane, &ServerScript::Events(100, GAP));
+        let reply = plane.serve(stream("a")).await.expect("served");
+        let first = plane.port().seen.borrow()[0].server.clone();
+        plane.port().leaving.borrow_mut().insert(first.clone());
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        assert_eq!(plane.port().seen.borrow().len(), 1, "the store would tell");
+        plane.state().note_store(false, tokio::time::Instant::now());
+        let read = world::read(world::parts(reply)).await;
+        assert_eq!(
+            read,
+            world::ReadStream {
+                text: world::events(100),
+                whole: true
+            }
+        );
+        assert_ne!(plane.port().seen.borrow()[1].server, first);
+    });
+}
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -42,6 +42,8 @@
     pub seen: cell::RefCell<Vec<SeenCall>>,
     /// Servers that set nothing aside.
     pub full: cell::RefCell<collections::HashSet<String>>,
+    /// Servers that say that they leave.
+    pub leaving: cell::RefCell<collections::HashSet<String>>,
     /// Answers to copies, in order.
     pub copies: cell::RefCell<collections::VecDeque<Result<port::CopyDone, port::CopyFault>>>,
     /// Copies asked for: source, destination, whether the run was to stop.
@@ -61,7 +63,11 @@
 
 impl Drop for FakeBody {
     fn drop(&mut self) {
-        *self.open.borrow_mut().entry(self.server.clone()).or_default() -= 1;
+        *self
+            .open
+            .borrow_mut()
+            .entry(self.server.clone())
+            .or_default() -= 1;
     }
 }
 
@@ -74,21 +80,40 @@
 
 impl FakePort {
     pub fn tell(&self, server: &str, script: ServerScript) {
-        self.scripts.borrow_mut().entry(server.to_owned()).or_default().push_back(script);
+        self.scripts
+            .borrow_mut()
+            .entry(server.to_owned())
+            .or_default()
+            .push_back(script);
     }
 
-    fn body(&self, call: &port::ServerCall, events: u32, gap: time::Duration, ok: bool) -> FakeBody {
-        let first = call.resume.as_ref().and_then(|resume| resume.last_event.as_ref()?.parse().ok());
+    fn body(
+        &self,
+        call: &port::ServerCall,
+        events: u32,
+        gap: time::Duration,
+        ok: bool,
+    ) -> FakeBody {
+        let first = call
+            .resume
+            .as_ref()
+            .and_then(|resume| resume.last_event.as_ref()?.parse().ok());
         let first: u32 = first.map_or(0, |last: u32| last + 1);
-        let mut left: collections::VecDeque<_> =
-            (first..events).map(|id| Ok(Bytes::from(format!("id: {id}\ndata: x\n\n")))).collect();
+        let mut left: collections::VecDeque<_> = (first..events)
+            .map(|id| Ok(Bytes::from(format!("id: {id}\ndata: x\n\n"))))
+            .collect();
         if !ok {
             left.push_back(Ok(Bytes::from("id: 99\nda")));
             left.push_back(Err(port::LostCause::Broken));
         }
         let server = call.target.id.clone();
         *self.open.borrow_mut().entry(server.clone()).or_default() += 1;
-        FakeBody { left, gap, server, open: self.open.clone() }
+        FakeBody {
+            left,
+            gap,
+            server,
+            open: self.open.clone(),
+        }
     }
 }
 
@@ -105,7 +130,9 @@
         });
         let script = {
             let mut scripts = self.scripts.borrow_mut();
-            let script = scripts.get_mut(&call.target.id).and_then(collections::VecDeque::pop_front);
+            let script = scripts
+                .get_mut(&call.target.id)
+                .and_then(collections::VecDeque::pop_front);
             script.unwrap_or(ServerScript::Answer(200, time::Duration::from_millis(10)))
         };
         let (status, body) = match script {
@@ -139,6 +166,10 @@
         Ok(format!("hold-{}", target.id))
     }
 
+    async fn leaving(&self, target: port::ServerTarget) -> Option<bool> {
+        Some(self.leaving.borrow().contains(&target.id))
+    }
+
     async fn copy(
         &self,
         source: port::ServerTarget,
@@ -149,7 +180,10 @@
         self.copied.borrow_mut().push((source.id, to, stop));
         tokio::time::sleep(time::Duration::from_millis(20)).await;
         let told = self.copies.borrow_mut().pop_front();
-        told.unwrap_or(Ok(port::CopyDone { handle: String::from("h1"), events: 3 }))
+        told.unwrap_or(Ok(port::CopyDone {
+            handle: String::from("h1"),
+            events: 3,
+        }))
     }
 
     async fn release(&self, _source: port::ServerTarget, _handle: String) {}
@@ -198,14 +232,24 @@
         timeout: time::Duration::from_secs(10),
         aim: time::Duration::from_millis(100),
         priority: 0,
-        splits: vec![catalog::ServiceSplit { service: service.to_owned(), weight: 1 }],
-        attempts: if kind == catalog::ExchangeKind::Idempotent { 2 } else { 1 },
+        splits: vec![catalog::ServiceSplit {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        attempts: if kind == catalog::ExchangeKind::Idempotent {
+            2
+        } else {
+            1
+        },
         public: false,
     }
 }
 
 pub fn catalog(version: u64) -> catalog::RouteCatalog {
-    let rule = |engine| catalog::ServiceRule { connections: 100, engine };
+    let rule = |engine| catalog::ServiceRule {
+        connections: 100,
+        engine,
+    };
     catalog::RouteCatalog {
         version,
         routes: vec![
@@ -244,7 +288,11 @@
 }
 
 pub fn news(id: &str, offset: u64, entry: Option<news::ServerEntry>) -> news::ServerNews {
-    news::ServerNews { id: id.to_owned(), offset, entry }
+    news::ServerNews {
+        id: id.to_owned(),
+        offset,
+        entry,
+    }
 }
 
 /// A plane with two plain servers (`s1`, `s2`) and two engines (`e1`, `e2`).
@@ -267,7 +315,9 @@
     let mut leaving = entry("llm", number, "a");
     leaving.leaving = true;
     let now = tokio::time::Instant::now();
-    let change = plane.state().take_news(news(id, 50, Some(leaving)), false, now);
+    let change = plane
+        .state()
+        .take_news(news(id, 50, Some(leaving)), false, now);
     assert!(matches!(change, fleet::FleetChange::Leaves(_)));
     plane.stir();
 }
@@ -293,7 +343,11 @@
         service: String::from(if stream { "llm" } else { "app" }),
         kind,
         priority: 0,
-        attempts: if kind == catalog::ExchangeKind::Idempotent { 2 } else { 1 },
+        attempts: if kind == catalog::ExchangeKind::Idempotent {
+            2
+        } else {
+            1
+        },
         arrived: now,
         deadline: now + time::Duration::from_secs(20),
         limit: now + time::Duration::from_secs(20),
@@ -314,7 +368,9 @@
     let mut text = String::new();
     while let Some(part) = parts.recv().await {
         match part {
-            reply::StreamPart::Bytes(bytes) => text.push_str(std::str::from_utf8(&bytes).expect("text")),
+            reply::StreamPart::Bytes(bytes) => {
+                text.push_str(std::str::from_utf8(&bytes).expect("text"))
+            }
             reply::StreamPart::End => return ReadStream { text, whole: true },
         }
     }
@@ -330,7 +386,9 @@
 
 /// The events from 0 up to `count`, each once and in order.
 pub fn events(count: u32) -> String {
-    (0..count).map(|id| format!("id: {id}\ndata: x\n\n")).collect()
+    (0..count)
+        .map(|id| format!("id: {id}\ndata: x\n\n"))
+        .collect()
 }
 
 /// Runs a test on one thread with the paused clock.
