A stream that was sent and never answered may have run: it is not refused as not run

Cause: the outcome of a stream was noted when its engine answered; one whose time ran out before was told 503, the promise that it did not run, while its engine may have been running it. Change: sent counts as unknown until proved otherwise; the fuzz and a directed test, red before.

--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -211,6 +211,10 @@
                 "stream sent"
             );
             let sent = time::Instant::now();
+            // Should its time run out while the server is silent, it may have run: said to have not,
+            // its caller would ask again while it runs.
+            let before = self.ran;
+            self.ran = before.and(outcome::RanState::Unknown);
             match self.plane.port.open(call).await {
                 port::CallOutcome::Answered(answer) => {
                     self.ran = outcome::RanState::Yes;
@@ -218,6 +222,7 @@
                     return Ok(live);
                 }
                 port::CallOutcome::NotRun(cause) => {
+                    self.ran = before;
                     self.plane.judge(server, fleet::ServerVerdict::Refused);
                     log::info!(
                         request:% = self.ask.id, server:% = self.plane.server_id(server),
@@ -226,7 +231,6 @@
                     self.may_send_again(avoid.len(), cause)?;
                 }
                 port::CallOutcome::Lost(cause) => {
-                    self.ran = outcome::RanState::Unknown;
                     log::info!(
                         request:% = self.ask.id, server:% = self.plane.server_id(server),
                         cause:? = cause; "stream lost before its head"
--- /dev/null
+++ b/crates/exchange/tests/fuzz.rs
@@ -0,0 +1,210 @@
+//! Stateful fuzz of the plane against a simple oracle.
+
+mod world;
+
+use std::{cell, rc, time};
+
+use arbitrary::Unstructured;
+use exchange::{catalog, port, reply};
+use world::ServerScript;
+
+const GAP: time::Duration = time::Duration::from_millis(30);
+const EVENTS: u32 = 40;
+
+/// What one caller saw.
+#[derive(Debug)]
+struct CallerRecord {
+    id: String,
+    kind: catalog::ExchangeKind,
+    seen: CallerSeen,
+}
+
+#[derive(Debug)]
+enum CallerSeen {
+    Left,
+    Stream(world::ReadStream),
+    Whole,
+    Refused(reply::Refusal),
+}
+
+fn draw_script(u: &mut Unstructured<'_>) -> arbitrary::Result<ServerScript> {
+    let events = u.int_in_range(0..=EVENTS)?;
+    Ok(match u.int_in_range(0..=9_u8)? {
+        0 => ServerScript::Breaks(events, GAP),
+        1 => ServerScript::NotRun(port::NotRunCause::Rejected),
+        2 => ServerScript::NotRun(port::NotRunCause::Misdirected),
+        3 => ServerScript::Lost,
+        4 => ServerScript::Silent,
+        _ => ServerScript::Events(EVENTS, GAP),
+    })
+}
+
+fn draw_copy(
+    u: &mut Unstructured<'_>,
+) -> arbitrary::Result<Result<port::CopyDone, port::CopyFault>> {
+    let handle = String::from("h1");
+    Ok(match u.int_in_range(0..=7_u8)? {
+        0 => Err(port::CopyFault::NoRun),
+        1 => Err(port::CopyFault::Busy),
+        2 => Err(port::CopyFault::NoRoom(None)),
+        3 => Err(port::CopyFault::NoRoom(Some(handle))),
+        4 => Err(port::CopyFault::Unreachable),
+        _ => Ok(port::CopyDone { handle, events: 1 }),
+    })
+}
+
+async fn call(
+    plane: world::TestPlane,
+    id: String,
+    kind: catalog::ExchangeKind,
+    leaves: Option<time::Duration>,
+    records: rc::Rc<cell::RefCell<Vec<CallerRecord>>>,
+) {
+    let ask = world::ask(&id, kind);
+    let served = async {
+        match plane.serve(ask).await {
+            Err(refusal) => CallerSeen::Refused(refusal),
+            Ok(reply) => match reply.body {
+                reply::ReplyBody::Whole(_) => CallerSeen::Whole,
+                reply::ReplyBody::Parts(parts) => CallerSeen::Stream(world::read(parts).await),
+            },
+        }
+    };
+    let limit = leaves.unwrap_or(time::Duration::from_secs(60));
+    let seen = tokio::time::timeout(limit, served)
+        .await
+        .unwrap_or(CallerSeen::Left);
+    records.borrow_mut().push(CallerRecord { id, kind, seen });
+}
+
+fn draw_kind(u: &mut Unstructured<'_>) -> arbitrary::Result<catalog::ExchangeKind> {
+    Ok(match u.int_in_range(0..=3_u8)? {
+        0 => catalog::ExchangeKind::Idempotent,
+        1 => catalog::ExchangeKind::Once,
+        _ => catalog::ExchangeKind::Stream,
+    })
+}
+
+async fn history(u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    let plane = world::plane();
+    plane.state().settings.backups = u.arbitrary()?;
+    world::start(&plane);
+    tokio::task::spawn_local({
+        let plane = plane.clone();
+        async move { exchange::watch::watch_engines(plane).await }
+    });
+    for server in ["s1", "s2", "e1", "e2"] {
+        for _ in 0..12 {
+            let script = draw_script(u)?;
+            plane.port().tell(server, script);
+        }
+    }
+    for _ in 0..12 {
+        let copy = draw_copy(u)?;
+        plane.port().copies.borrow_mut().push_back(copy);
+    }
+    let records = rc::Rc::<cell::RefCell<Vec<CallerRecord>>>::default();
+    let mut calls = 0;
+    let mut offset = 100;
+    for _ in 0..16 {
+        match u.int_in_range(0..=9_u8)? {
+            0..=5 => {
+                let leaves = u.ratio(1, 5)?.then(|| time::Duration::from_millis(300));
+                let id = format!("a{calls}");
+                calls += 1;
+                let kind = draw_kind(u)?;
+                tokio::task::spawn_local(call(plane.clone(), id, kind, leaves, records.clone()));
+            }
+            6 => change_server(u, &plane, &mut offset)?,
+            7 => {
+                plane
+                    .state()
+                    .note_store(u.arbitrary()?, tokio::time::Instant::now());
+            }
+            _ => {
+                let steps = u64::from(u.arbitrary::<u8>()?);
+                tokio::time::sleep(time::Duration::from_millis(steps * 4)).await;
+            }
+        }
+    }
+    tokio::time::sleep(time::Duration::from_secs(90)).await;
+    check(&plane, &records.borrow(), calls);
+    Ok(())
+}
+
+fn change_server(
+    u: &mut Unstructured<'_>,
+    plane: &world::TestPlane,
+    offset: &mut u64,
+) -> arbitrary::Result<()> {
+    *offset += 10;
+    let (id, number) = if u.arbitrary()? {
+        ("e1", 11)
+    } else {
+        ("e2", 12)
+    };
+    let mut entry = world::entry("llm", number, "a");
+    entry.leaving = u.arbitrary()?;
+    // A new incarnation takes the place of one that left.
+    let fresh = format!("{id}-{offset}");
+    let id = if u.arbitrary()? { id } else { &fresh };
+    let entry = u.ratio(4, 5)?.then_some(entry);
+    let now = tokio::time::Instant::now();
+    plane
+        .state()
+        .take_news(world::news(id, *offset, entry), false, now);
+    plane.stir();
+    Ok(())
+}
+
+/// The oracle.
+fn check(plane: &world::TestPlane, records: &[CallerRecord], calls: usize) {
+    assert_eq!(records.len(), calls, "every caller has had its end");
+    assert_eq!(plane.open_requests(), 0);
+    assert_eq!(
+        plane.state().fleet.runs().count(),
+        0,
+        "every place is given back"
+    );
+    assert!(plane.port().open.borrow().values().all(|open| *open == 0));
+    let seen = plane.port().seen.borrow();
+    for record in records {
+        let fresh: Vec<_> = seen
+            .iter()
+            .filter(|call| call.request == record.id && call.resume.is_none())
+            .map(|call| call.proved)
+            .collect();
+        // All but the last try of what runs once must have been proved not to have run.
+        if record.kind != catalog::ExchangeKind::Idempotent {
+            let unproved = fresh.iter().filter(|proved| !**proved).count();
+            assert!(unproved <= 1, "{record:?} may have run twice");
+        }
+        match &record.seen {
+            CallerSeen::Stream(read) => {
+                let whole = world::events(EVENTS);
+                assert!(whole.starts_with(&read.text), "{record:?}");
+                assert!(!read.whole || read.text == whole, "{record:?}");
+            }
+            CallerSeen::Refused(refusal) if refusal.ran == base::outcome::RanState::No => {
+                assert!(
+                    fresh.iter().all(|proved| *proved),
+                    "{record:?} was not proved"
+                );
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn whatever_happens_answers_are_whole_or_honest() {
+    // Symptom: a doubled booking, a mixed stream, a false "not run", a place that is never free.
+    // Sequence: servers that reject, break, stay silent, leave, are replaced; copies that fail in
+    // every way; callers that leave; the store away; in any order.
+    // Cause: none known; this is the search for one.
+    world::histories(400, |u| {
+        let mut result = Ok(());
+        world::run(async { result = history(u).await });
+        result
+    });
+}
--- a/crates/exchange/tests/streams.rs
+++ b/crates/exchange/tests/streams.rs
@@ -306,3 +306,17 @@
         assert_ne!(plane.port().seen.borrow()[1].server, first);
     });
 }
+
+#[test]
+fn a_stream_sent_to_a_silent_engine_may_have_run() {
+    // Symptom: a caller is told 503 ("not run") of a stream that its engine was running.
+    // Sequence: the engine takes the request and stays silent until the time is up.
+    // Cause: what was sent counted as not run until its answer said otherwise.
+    world::run(async {
+        let plane = world::plane();
+        both(&plane, &ServerScript::Silent);
+        let refusal = plane.serve(stream("a")).await.expect_err("out of time");
+        assert_eq!(refusal.ran, outcome::RanState::Unknown);
+        assert_eq!(refusal.cause, reply::RefusalCause::Timeout);
+    });
+}
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -33,6 +33,8 @@
     pub reservation: Option<String>,
     pub backup: Option<net::SocketAddr>,
     pub resume: Option<port::ResumePoint>,
+    /// The server proved that it did not run it.
+    pub proved: bool,
 }
 
 /// Servers that behave as told.
@@ -121,20 +123,25 @@
     type Body = FakeBody;
 
     async fn open(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
+        let script = {
+            let mut scripts = self.scripts.borrow_mut();
+            let script = scripts
+                .get_mut(&call.target.id)
+                .and_then(collections::VecDeque::pop_front);
+            let gap = time::Duration::from_millis(10);
+            script.unwrap_or(match call.ask.kind {
+                catalog::ExchangeKind::Stream => ServerScript::Events(40, gap),
+                _ => ServerScript::Answer(200, gap),
+            })
+        };
         self.seen.borrow_mut().push(SeenCall {
             server: call.target.id.clone(),
             request: call.ask.id.clone(),
             reservation: call.reservation.clone(),
             backup: call.backup,
             resume: call.resume.clone(),
+            proved: matches!(script, ServerScript::NotRun(_)),
         });
-        let script = {
-            let mut scripts = self.scripts.borrow_mut();
-            let script = scripts
-                .get_mut(&call.target.id)
-                .and_then(collections::VecDeque::pop_front);
-            script.unwrap_or(ServerScript::Answer(200, time::Duration::from_millis(10)))
-        };
         let (status, body) = match script {
             ServerScript::Answer(status, after) => {
                 tokio::time::sleep(after).await;
