Reverted: engines are no longer asked whether they leave while the store is away

Cause: with it streams of leaving engines moved, but nobody learns of fresh engines during the outage, so memory is short and moved streams preempt others.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -546,20 +546,6 @@
         }
     }
 
-    /// Other VMs that have something on a server.
-    pub fn peers_at(&self, key: ServerKey, now: time::Instant) -> impl Iterator<Item = u64> {
-        let peers = self
-            .servers
-            .get(key)
-            .into_iter()
-            .flat_map(|record| &record.peers);
-        peers
-            .filter(move |(_, (load, at))| {
-                load.runs > 0 && now.saturating_duration_since(*at) <= PEER_LOAD_AGE
-            })
-            .map(|(vm, _)| *vm)
-    }
-
     /// What this VM has on each server.
     #[must_use]
     pub fn own_loads(&self) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -28,4 +28,3 @@
 pub mod state;
 pub mod suspect;
 pub mod wait;
-pub mod watch;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -179,7 +179,6 @@
         loads,
         accusations,
         store_away: state.store_away,
-        reads_store: !state.store_away && state.reads_store(time::Instant::now()),
         standing_hash: state.fleet.standing_hash(),
         waiting_tokens: state.waiting_tokens(time::Instant::now()),
         ..message::PeerDatagram::default()
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -137,9 +137,6 @@
     /// Whether the store does not answer it.
     #[prost(bool, tag = "14")]
     pub store_away: bool,
-    /// Whether it reads the store for all, and is answered.
-    #[prost(bool, tag = "18")]
-    pub reads_store: bool,
     /// Hash of which servers stand how, as far as it knows.
     #[prost(fixed64, tag = "15")]
     pub standing_hash: u64,
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -42,8 +42,6 @@
     pub news_end: u64,
     /// Whether the store does not answer it.
     pub store_away: bool,
-    /// Whether it reads the store for all, and is answered.
-    pub reads_store: bool,
     /// Hash of which servers stand how, as far as it knows.
     pub standing_hash: u64,
     /// Memory planned for generations that wait there and can still be on time.
@@ -139,7 +137,6 @@
             catalog_version: datagram.catalog_version,
             news_end: datagram.news_end,
             store_away: datagram.store_away,
-            reads_store: datagram.reads_store,
             standing_hash: datagram.standing_hash,
             waiting_tokens: datagram.waiting_tokens,
             heard_at: now,
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -165,9 +165,6 @@
         span: time::Duration,
     ) -> impl Future<Output = Result<String, ReserveFault>>;
 
-    /// Whether a server says that it leaves; absent when it does not say.
-    fn leaving(&self, target: ServerTarget) -> impl Future<Output = Option<bool>>;
-
     /// Copies a run's memory to another server; with `stop`, the run stops first.
     fn copy(
         &self,
