--- a/crates/exchange/src/directory.rs
+++ b/crates/exchange/src/directory.rs
@@ -16,19 +16,19 @@
 #[derive(Clone, Debug)]
 pub struct OwnEntry {
     /// Failure domain.
-    pub zone: String,
+    pub domain: String,
     /// What it does.
     pub stage: message::VmStage,
     /// Where callers reach it.
     pub address: net::SocketAddr,
 }
 
-/// Addresses for a caller in `zone`: VMs of its own failure domain if there are enough, else all.
+/// Addresses for a caller in `domain`: VMs of its own failure domain if there are enough, else all.
 #[must_use]
 pub fn addresses(
     own: &OwnEntry,
     peers: &peers::PeerTable,
-    zone: &str,
+    domain: &str,
     now: time::Instant,
 ) -> Vec<net::SocketAddr> {
     let mut near = Vec::new();
@@ -36,10 +36,11 @@
     let others = peers
         .all()
         .filter(|(_, peer)| peer.serves(now))
-        .map(|(_, peer)| (peer.zone.as_str(), peer.entry_address));
-    let own = (own.stage == message::VmStage::Serving).then_some((own.zone.as_str(), own.address));
+        .map(|(_, peer)| (peer.domain.as_str(), peer.entry_address));
+    let own =
+        (own.stage == message::VmStage::Serving).then_some((own.domain.as_str(), own.address));
     for (place, address) in own.into_iter().chain(others) {
-        if place == zone {
+        if place == domain {
             near.push(address)
         } else {
             far.push(address)
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -95,7 +95,7 @@
     /// Where it listens.
     pub address: net::SocketAddr,
     /// Its failure domain.
-    pub zone: String,
+    pub domain: String,
     /// Requests that it works on at a time.
     pub slots: u32,
     /// Whether it takes new work.
@@ -159,7 +159,7 @@
         let entry = news::ServerEntry {
             service: self.service.clone(),
             address: self.address,
-            zone: self.zone.clone(),
+            domain: self.domain.clone(),
             slots: self.slots,
             leaving: self.standing == ServerStanding::Leaving,
             cold: time::Duration::ZERO,
@@ -377,7 +377,7 @@
             id: news.id.clone(),
             service: entry.service.clone(),
             address: entry.address,
-            zone: entry.zone.clone(),
+            domain: entry.domain.clone(),
             slots: entry.slots,
             standing,
             since: now,
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -188,7 +188,7 @@
 /// Adds who sends it.
 fn identify(datagram: &mut message::PeerDatagram, settings: &state::PlaneSettings) {
     datagram.name.clone_from(&settings.name);
-    datagram.zone.clone_from(&settings.zone);
+    datagram.domain.clone_from(&settings.domain);
     datagram.incarnation = settings.incarnation;
     datagram.entry_address = settings.entry_address.to_string();
     datagram.link_address = settings.link_address.to_string();
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -62,7 +62,7 @@
     pub address: String,
     /// Failure domain.
     #[prost(string, tag = "3")]
-    pub zone: String,
+    pub domain: String,
     /// Requests at a time.
     #[prost(uint32, tag = "4")]
     pub slots: u32,
@@ -100,7 +100,7 @@
     pub name: String,
     /// Failure domain of the VM.
     #[prost(string, tag = "2")]
-    pub zone: String,
+    pub domain: String,
     /// Wall clock at its process's start; a greater one is a later process.
     #[prost(uint64, tag = "3")]
     pub incarnation: u64,
@@ -180,7 +180,7 @@
             entry: news.entry.as_ref().map(|entry| EntryItem {
                 service: entry.service.clone(),
                 address: entry.address.to_string(),
-                zone: entry.zone.clone(),
+                domain: entry.domain.clone(),
                 slots: entry.slots,
                 leaving: entry.leaving,
                 cold_ms: u64::try_from(entry.cold.as_millis()).unwrap_or(u64::MAX),
@@ -198,7 +198,7 @@
             Some(entry) => Some(news::ServerEntry {
                 service: entry.service.clone(),
                 address: entry.address.parse().ok()?,
-                zone: entry.zone.clone(),
+                domain: entry.domain.clone(),
                 slots: entry.slots,
                 leaving: entry.leaving,
                 cold: time::Duration::from_millis(entry.cold_ms),
--- a/crates/exchange/src/news.rs
+++ b/crates/exchange/src/news.rs
@@ -10,7 +10,7 @@
     /// Where it listens.
     pub address: net::SocketAddr,
     /// Its failure domain.
-    pub zone: String,
+    pub domain: String,
     /// Requests that it works on at a time.
     pub slots: u32,
     /// Whether it takes no new work.
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct PeerRecord {
     /// Failure domain.
-    pub zone: String,
+    pub domain: String,
     /// Later processes have greater ones.
     pub incarnation: u64,
     /// Newest datagram of that process.
@@ -54,7 +54,7 @@
 
 /// What does not change of a VM's process.
 struct PeerIdentity {
-    zone: String,
+    domain: String,
     incarnation: u64,
     entry_address: net::SocketAddr,
     link_address: net::SocketAddr,
@@ -63,7 +63,7 @@
 impl PeerRecord {
     fn identity(&self) -> PeerIdentity {
         PeerIdentity {
-            zone: self.zone.clone(),
+            domain: self.domain.clone(),
             incarnation: self.incarnation,
             entry_address: self.entry_address,
             link_address: self.link_address,
@@ -116,7 +116,7 @@
             return PeerChange::Stale;
         };
         let PeerIdentity {
-            zone,
+            domain,
             incarnation,
             entry_address,
             link_address,
@@ -128,7 +128,7 @@
             return PeerChange::Stale;
         }
         let record = PeerRecord {
-            zone,
+            domain,
             incarnation,
             sequence: datagram.sequence,
             stage: datagram.stage(),
@@ -161,7 +161,7 @@
             return Some((name.clone(), peer.identity()));
         }
         let identity = PeerIdentity {
-            zone: datagram.zone.clone(),
+            domain: datagram.domain.clone(),
             incarnation: datagram.incarnation,
             entry_address: datagram.entry_address.parse().ok()?,
             link_address: datagram.link_address.parse().ok()?,
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -66,7 +66,7 @@
     /// Servers that must not get it.
     pub avoid: &'a [fleet::ServerKey],
     /// Failure domain of this VM.
-    pub zone: &'a str,
+    pub domain: &'a str,
     /// VMs that share the servers, this one included.
     pub entries: u32,
     /// Memory that must stay free for generations that go before this one elsewhere.
@@ -123,7 +123,7 @@
             _ => call_cost(record, &load, ask.entries, now),
         };
         let Some(mut cost) = cost else { continue };
-        cost += common_cost(record, ask.zone, now);
+        cost += common_cost(record, ask.domain, now);
         if favourite == Some(key) {
             cost -= AFFINITY_MS;
         }
@@ -222,8 +222,12 @@
     Some(latency * (1.0 + queue) + record.failure_rate(now) * FAILED_CALL_MS - warm)
 }
 
-fn common_cost(record: &fleet::ServerRecord, zone: &str, now: time::Instant) -> f64 {
-    let domain = if record.zone == zone { 0.0 } else { DOMAIN_MS };
+fn common_cost(record: &fleet::ServerRecord, domain: &str, now: time::Instant) -> f64 {
+    let domain = if record.domain == domain {
+        0.0
+    } else {
+        DOMAIN_MS
+    };
     let cold = if now < record.cold_until {
         COLD_MS
     } else {
@@ -301,7 +305,7 @@
             continue;
         }
         let fill = after / memory;
-        let domain = if record.zone == source.zone {
+        let domain = if record.domain == source.domain {
             0.0
         } else {
             DOMAIN_COPY_MS
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -16,7 +16,7 @@
     /// Name of this VM.
     pub name: String,
     /// Failure domain of this VM.
-    pub zone: String,
+    pub domain: String,
     /// Where callers reach it.
     pub entry_address: net::SocketAddr,
     /// Where other VMs reach it.
@@ -229,7 +229,7 @@
             service: &ask.service,
             size: ask.size.as_ref(),
             avoid,
-            zone: &self.settings.zone,
+            domain: &self.settings.domain,
             entries,
             yielded_tokens,
         };
@@ -351,7 +351,7 @@
     #[must_use]
     pub fn own_entry(&self) -> directory::OwnEntry {
         directory::OwnEntry {
-            zone: self.settings.zone.clone(),
+            domain: self.settings.domain.clone(),
             stage: self.stage,
             address: self.settings.entry_address,
         }
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -65,7 +65,7 @@
         service: "llm",
         size: Some(size),
         avoid: &[],
-        zone: "a",
+        domain: "a",
         entries: 7,
         yielded_tokens,
     }
@@ -406,11 +406,11 @@
     });
 }
 
-fn datagram(name: &str, zone: &str, number: u8, sequence: u64) -> message::PeerDatagram {
+fn datagram(name: &str, domain: &str, number: u8, sequence: u64) -> message::PeerDatagram {
     message::PeerDatagram {
         sender: u64::from(number),
         name: name.to_owned(),
-        zone: zone.to_owned(),
+        domain: domain.to_owned(),
         incarnation: 1,
         sequence,
         stage: message::VmStage::Serving.into(),
@@ -429,12 +429,12 @@
         let now = Instant::now();
         let mut peers = peers::PeerTable::default();
         let own = directory::OwnEntry {
-            zone: String::from("a"),
+            domain: String::from("a"),
             stage: message::VmStage::Serving,
             address: world::address(1),
         };
-        for (name, zone, number) in [("vm-2", "a", 2), ("vm-3", "b", 3), ("vm-4", "b", 4)] {
-            peers.take(&datagram(name, zone, number, 1), now);
+        for (name, domain, number) in [("vm-2", "a", 2), ("vm-3", "b", 3), ("vm-4", "b", 4)] {
+            peers.take(&datagram(name, domain, number, 1), now);
         }
         let near = directory::addresses(&own, &peers, "a", now);
         assert_eq!(near, [world::address(1), world::address(2)]);
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -199,7 +199,7 @@
 pub fn settings(name: &str) -> state::PlaneSettings {
     state::PlaneSettings {
         name: name.to_owned(),
-        zone: String::from("a"),
+        domain: String::from("a"),
         entry_address: address(200),
         link_address: address(201),
         seeds: Vec::new(),
@@ -277,11 +277,11 @@
     }
 }
 
-pub fn entry(service: &str, number: u8, zone: &str) -> news::ServerEntry {
+pub fn entry(service: &str, number: u8, domain: &str) -> news::ServerEntry {
     news::ServerEntry {
         service: service.to_owned(),
         address: address(number),
-        zone: zone.to_owned(),
+        domain: domain.to_owned(),
         slots: 8,
         leaving: false,
         cold: time::Duration::ZERO,
