--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -22,7 +22,7 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// What one answer moves a server's believed latency by.
 const LATENCY_WEIGHT: f64 = 0.15;
-/// How long a connection may carry a call that can't be repeated: see `serve_call`.
+/// How long a connection may carry a call that can't be repeated: see [`crate::port::ReuseRule::FRESH`].
 const WARM_FOR: time::Duration = time::Duration::from_millis(1_300);
 /// Records of servers that went are kept this long, so that late news does not bring them back.
 const GONE_KEPT: time::Duration = time::Duration::from_secs(120);
@@ -198,8 +198,6 @@
     pub started: time::Instant,
     /// When its first event came.
     pub first_at: Option<time::Instant>,
-    /// Fingerprint of its request.
-    pub fingerprint: u64,
 }
 
 impl RunRecord {
@@ -210,13 +208,6 @@
         expected_output(size, self.produced)
     }
 
-    /// Memory that it is expected to need at its end.
-    #[must_use]
-    pub fn expected_tokens(&self) -> u64 {
-        let prompt = self.size.as_ref().map_or(0, |size| size.prompt_tokens);
-        u64::from(prompt) + self.expected_output() as u64
-    }
-
     /// Memory that is planned for it: never less than it holds.
     #[must_use]
     pub fn planned_tokens(&self) -> u64 {
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -91,6 +91,39 @@
     fn registered(&self) -> impl Future<Output = Result<Vec<net::SocketAddr>, StoreFault>>;
 }
 
+/// Time for VMs to meet through the addresses in their settings.
+const MEET_AFTER: time::Duration = time::Duration::from_millis(2_500);
+/// Time between two looks whether this VM should be found in the store.
+const MEET_LOOK: time::Duration = time::Duration::from_secs(1);
+/// Pause before this VM tries again to write itself down.
+const REGISTER_GAP: time::Duration = time::Duration::from_millis(700);
+
+/// Writes this VM down in the store and learns of the others there, once it is one of those that
+/// read the store for all: while enough others can be found there, it need not.
+pub async fn meet<P, S: StorePort>(plane: rc::Rc<plane::ExchangePlane<P>>, store: rc::Rc<S>) {
+    let (name, own) = {
+        let state = plane.state();
+        (state.settings.name.clone(), state.settings.link_address)
+    };
+    time::sleep(MEET_AFTER).await;
+    while !plane.state().reads_store(time::Instant::now()) {
+        time::sleep(MEET_LOOK).await;
+    }
+    while store.register(&name, own).await.is_err() {
+        time::sleep(REGISTER_GAP).await;
+    }
+    loop {
+        if let Ok(addresses) = store.registered().await {
+            let mut state = plane.state();
+            for address in addresses.into_iter().filter(|address| *address != own) {
+                state.peers.tell(address);
+            }
+            return;
+        }
+        time::sleep(REGISTER_GAP).await;
+    }
+}
+
 /// Reads the operator's document.
 pub type DocumentDecoder = fn(&[u8]) -> Result<catalog::RouteCatalog, String>;
 
@@ -227,7 +260,6 @@
             log::info!(server:? = state.fleet.server(key).map(|server| &server.id); "server is gone from the list");
         }
     }
-    state.news_end = state.news_end.max(page.end);
     state.fleet.sweep(now);
     drop(state);
     if changed {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -26,5 +26,6 @@
 mod serve_call;
 mod serve_stream;
 pub mod state;
+pub mod stopping;
 pub mod suspect;
 pub mod wait;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -86,11 +86,17 @@
         sequence += 1;
         datagram.sequence = sequence;
         let full = sequence.is_multiple_of(RARE) || sequence < RARE;
+        let hearers = hearers(&mut plane.state(), sequence, now);
         let brief = encode(&mut datagram);
-        datagram.known = known(&plane.state());
-        identify(&mut datagram, &plane.state().settings);
-        let whole = encode(&mut datagram);
-        for (address, greeted) in hearers(&mut plane.state(), sequence, now) {
+        // Few datagrams say who sends them; the others need not be written twice.
+        let whole = if full || hearers.iter().any(|(_, greeted)| *greeted) {
+            datagram.known = known(&plane.state());
+            identify(&mut datagram, &plane.state().settings);
+            encode(&mut datagram)
+        } else {
+            Vec::new()
+        };
+        for (address, greeted) in hearers {
             let bytes = if full || greeted { &whole } else { &brief };
             let _ = socket.try_send_to(bytes, address);
         }
@@ -175,7 +181,6 @@
         sequence: 0,
         stage: state.stage.into(),
         catalog_version: state.version(),
-        news_end: state.news_end,
         loads,
         accusations,
         store_away: state.store_away,
@@ -428,7 +433,6 @@
         .collect();
     let changed = take_news(plane, &news, now);
     let mut state = plane.state();
-    state.news_end = state.news_end.max(reply.news_end);
     for known in reply.known.iter().filter_map(|known| known.parse().ok()) {
         if known != state.settings.link_address {
             state.peers.tell(known);
@@ -481,7 +485,6 @@
             Bytes::new()
         },
         news: news.collect(),
-        news_end: state.news_end,
         known: known(state),
     }
 }
@@ -491,14 +494,3 @@
         .max_frame_length(MOST_STATE)
         .new_codec()
 }
-
-/// Addresses told of so far, for tests and for the status page.
-#[must_use]
-pub fn heard_addresses<P>(
-    plane: &plane::ExchangePlane<P>,
-) -> collections::BTreeSet<net::SocketAddr> {
-    let now = time::Instant::now();
-    let state = plane.state();
-    let heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
-    heard.map(|(_, peer)| peer.link_address).collect()
-}
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -119,9 +119,6 @@
     /// Version of the configuration in force there.
     #[prost(uint64, tag = "8")]
     pub catalog_version: u64,
-    /// Position up to which it knows the news of servers.
-    #[prost(uint64, tag = "9")]
-    pub news_end: u64,
     /// All that it has on servers.
     #[prost(message, repeated, tag = "10")]
     pub loads: Vec<LoadItem>,
@@ -164,9 +161,6 @@
     /// All servers.
     #[prost(message, repeated, tag = "2")]
     pub news: Vec<NewsItem>,
-    /// Position up to which they are known.
-    #[prost(uint64, tag = "3")]
-    pub news_end: u64,
     /// Addresses of other VMs.
     #[prost(string, repeated, tag = "4")]
     pub known: Vec<String>,
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -38,8 +38,6 @@
     pub link_address: net::SocketAddr,
     /// Configuration in force there.
     pub catalog_version: u64,
-    /// Position up to which it knows the news of servers.
-    pub news_end: u64,
     /// Whether the store does not answer it.
     pub store_away: bool,
     /// Hash of which servers stand how, as far as it knows.
@@ -135,7 +133,6 @@
             entry_address,
             link_address,
             catalog_version: datagram.catalog_version,
-            news_end: datagram.news_end,
             store_away: datagram.store_away,
             standing_hash: datagram.standing_hash,
             waiting_tokens: datagram.waiting_tokens,
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -87,6 +87,11 @@
     Lost(LostCause),
 }
 
+impl ReuseRule {
+    /// For what can't be sent again: a connection that was idle for longer may have gone silent.
+    pub const FRESH: Self = Self::Fresh(time::Duration::from_millis(1_500));
+}
+
 impl<B> CallOutcome<B> {
     /// Whether it ran.
     #[must_use]
@@ -106,8 +111,6 @@
     pub status: http::StatusCode,
     /// Headers to pass on.
     pub headers: http::HeaderMap,
-    /// The server says on this connection that it closes it.
-    pub closing: bool,
     /// Body as it comes.
     pub body: B,
 }
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -15,9 +15,6 @@
 const WHOLE_BYTES: usize = 256 * 1_024;
 /// Parts of a long answer that are under way to a slow caller: bounds what it can make us hold.
 const LONG_PARTS: usize = 4;
-/// A kept connection may carry a call that can't be repeated when it was used this recently: it may
-/// have gone silent since, and a call lost on it is lost for its caller.
-const FRESH: time::Duration = time::Duration::from_millis(1_500);
 /// Part of the aim after which an idempotent call is also sent to another server.
 const HEDGE_PART: f64 = 0.6;
 /// Least time before that: a hedge sooner doubles load for nothing.
@@ -265,7 +262,7 @@
     };
     let reuse = match ask.kind {
         catalog::ExchangeKind::Idempotent => port::ReuseRule::Any,
-        _ => port::ReuseRule::Fresh(FRESH),
+        _ => port::ReuseRule::FRESH,
     };
     log::debug!(request:% = ask.id, server:% = target.id; "try sent");
     let left = plane::ExchangePlane::<P>::left(&ask);
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -14,8 +14,6 @@
 
 /// Parts under way to a slow caller: bounds what it can make us hold.
 const PARTS: usize = 16;
-/// A kept connection may carry a stream when it was used this recently.
-const FRESH: time::Duration = time::Duration::from_millis(1_500);
 /// Events that a run must have made for a break not to speak against its request: what crashes a
 /// server does so as it begins.
 const BEGUN_EVENTS: u64 = 2;
@@ -317,7 +315,7 @@
             resume,
             reservation: None,
             backup,
-            reuse: port::ReuseRule::Fresh(FRESH),
+            reuse: port::ReuseRule::FRESH,
         })
     }
 
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -48,8 +48,6 @@
     pub peers: peers::PeerTable,
     /// Requests that crash servers.
     pub suspects: suspect::SuspectTable,
-    /// Position up to which the news of servers are known.
-    pub news_end: u64,
     /// News that the other VMs have not been told yet.
     pub untold: Vec<news::ServerNews>,
     /// What this VM does.
@@ -84,7 +82,6 @@
             fleet: fleet::ServerFleet::default(),
             peers,
             suspects: suspect::SuspectTable::default(),
-            news_end: 0,
             untold: Vec::new(),
             stage: message::VmStage::Starting,
             store_back_at: None,
@@ -181,11 +178,7 @@
 
     /// The queue of a service.
     pub fn queue(&mut self, service: &str) -> &mut wait::WaitQueue {
-        if !self.queues.contains_key(service) {
-            self.queues
-                .insert(service.to_owned(), wait::WaitQueue::default());
-        }
-        self.queues.get_mut(service).expect("just inserted")
+        of_service(&mut self.queues, service)
     }
 
     /// Memory planned for generations that wait here and can still be on time.
@@ -248,7 +241,6 @@
             produced: 0,
             started: now,
             first_at: None,
-            fingerprint: ask.fingerprint,
         });
         self.queue(&ask.service).started(now);
         Ok((run, server))
@@ -328,11 +320,7 @@
     }
 
     fn budget(&mut self, service: &str) -> &mut budget::RetryBudget {
-        if !self.budgets.contains_key(service) {
-            self.budgets
-                .insert(service.to_owned(), budget::RetryBudget::default());
-        }
-        self.budgets.get_mut(service).expect("just inserted")
+        of_service(&mut self.budgets, service)
     }
 
     /// A random number from 0 to 1.
@@ -358,6 +346,17 @@
     }
 }
 
+/// What is kept of a service; its name is copied only when it is new.
+fn of_service<'a, T: Default>(
+    table: &'a mut collections::HashMap<String, T>,
+    service: &str,
+) -> &'a mut T {
+    if !table.contains_key(service) {
+        table.insert(service.to_owned(), T::default());
+    }
+    table.get_mut(service).expect("just inserted")
+}
+
 /// Tokens that a generation must be expected to produce for a copy to be kept: what is shorter ends
 /// before its engine does.
 const BACKUP_OUTPUT: f64 = 64.0;
--- /dev/null
+++ b/crates/exchange/src/stopping.rs
@@ -0,0 +1,29 @@
+//! How a VM stops without cutting answers off.
+
+use tokio::time;
+
+use crate::plane;
+
+/// Time that callers need to learn that this VM stops: a lookup's answer is kept for 1.5 s, by some
+/// three times as long.
+const STOP_LEAST: time::Duration = time::Duration::from_millis(4_700);
+/// Time before the process is killed: what is left is cut off then.
+const STOP_SPARE: time::Duration = time::Duration::from_millis(300);
+/// Time between two looks whether all has ended.
+const STOP_LOOK: time::Duration = time::Duration::from_millis(50);
+
+/// Lets callers learn that this VM stops, then waits for what runs, within `grace`.
+pub async fn drain<P>(plane: &plane::ExchangePlane<P>, grace: time::Duration) {
+    let began = time::Instant::now();
+    log::info!(open = plane.open_requests(); "stopping");
+    plane.stop();
+    let most = grace.saturating_sub(STOP_SPARE);
+    loop {
+        let elapsed = began.elapsed();
+        let idle = plane.open_requests() == 0 && elapsed >= STOP_LEAST.min(most);
+        if idle || elapsed >= most {
+            return;
+        }
+        time::sleep(STOP_LOOK).await;
+    }
+}
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -49,7 +49,6 @@
         produced: 0,
         started: now,
         first_at: started.then_some(now),
-        fingerprint: 0,
     }
 }
 
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -154,7 +154,6 @@
         port::CallOutcome::Answered(port::ServerAnswer {
             status: http::StatusCode::from_u16(status).expect("status"),
             headers: http::HeaderMap::new(),
-            closing: false,
             body,
         })
     }
