A VM that stops takes no stream that it can't finish

Change: from 2.5 s after the start of a stop streams are refused as not run, from 6 s calls too, so that their callers go elsewhere at once. Test: a_vm_that_stops_takes_no_stream_that_it_can_not_finish.

--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     ask, catalog, fleet, message, place, port, relocate, reply, serve_call, serve_stream, state,
-    wait,
+    stopping, wait,
 };
 
 /// Time between two looks at what waits and what should move, while there is any: a tenth of the
@@ -114,7 +114,9 @@
 
     /// From now on this VM is named to nobody and finishes what it has.
     pub fn stop(&self) {
-        self.state.borrow_mut().stage = message::VmStage::Stopping;
+        let mut state = self.state.borrow_mut();
+        state.stage = message::VmStage::Stopping;
+        state.stopping_since = Some(time::Instant::now());
         self.spread.notify_one();
     }
 
@@ -291,6 +293,10 @@
             state.count_first(&ask.service, now);
             state.suspects.is_quarantined(ask.fingerprint, now)
         };
+        let since = self.state.borrow().stopping_since;
+        if since.is_some_and(|since| !stopping::takes(ask.kind, since, now)) {
+            return Err(self.refuse(&ask, reply::RefusalCause::Stopping));
+        }
         if quarantined {
             return Err(self.refuse(&ask, reply::RefusalCause::Quarantined));
         }
--- a/crates/exchange/src/reply.rs
+++ b/crates/exchange/src/reply.rs
@@ -25,6 +25,8 @@
     Patience,
     /// Servers turned it away, and it may not be sent to another.
     Rejected,
+    /// This VM stops, and would not live to the end of the answer.
+    Stopping,
     /// It crashed servers before.
     Quarantined,
     /// A server lost it, or answered with what is not an answer.
@@ -47,6 +49,7 @@
             Self::Overload => "overload",
             Self::Patience => "patience",
             Self::Rejected => "rejected",
+            Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::ServerLost => "server_lost",
             Self::Timeout => "timeout",
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -52,6 +52,8 @@
     pub untold: Vec<news::ServerNews>,
     /// What this VM does.
     pub stage: message::VmStage,
+    /// Since when it stops.
+    pub stopping_since: Option<time::Instant>,
     /// When the store last answered again after it had not.
     pub store_back_at: Option<time::Instant>,
     /// Whether the store's last answer was none.
@@ -84,6 +86,7 @@
             suspects: suspect::SuspectTable::default(),
             untold: Vec::new(),
             stage: message::VmStage::Starting,
+            stopping_since: None,
             store_back_at: None,
             store_away: false,
             behind_since: None,
--- a/crates/exchange/tests/streams.rs
+++ b/crates/exchange/tests/streams.rs
@@ -290,3 +290,27 @@
         assert_eq!(refusal.cause, reply::RefusalCause::Timeout);
     });
 }
+
+#[test]
+fn a_vm_that_stops_takes_no_stream_that_it_can_not_finish() {
+    // Symptom: a review that was taken six seconds after its VM was told to stop is cut.
+    // Sequence: a stop; a caller that kept an old lookup sends a stream late in the grace time.
+    // Cause: whatever still came was taken, until the process ended.
+    world::run(async {
+        let plane = world::plane();
+        both(&plane, &ServerScript::Events(20, GAP));
+        plane.stop();
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        let reply = plane.serve(stream("a")).await.expect("early enough");
+        assert!(world::read(world::parts(reply)).await.whole);
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        let refusal = plane.serve(stream("b")).await.expect_err("too late");
+        assert_eq!(refusal.cause, reply::RefusalCause::Stopping);
+        assert_eq!(refusal.ran, outcome::RanState::No);
+        let call = plane
+            .serve(world::ask("c", catalog::ExchangeKind::Once))
+            .await;
+        assert!(call.is_ok(), "a call still ends in time");
+        assert_eq!(plane.port().seen.borrow().len(), 2);
+    });
+}
