--- a/crates/exchange/src/ask.rs
+++ b/crates/exchange/src/ask.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use tokio::time;
 
-use crate::{catalog, wait};
+use crate::catalog;
 
 /// One part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,18 +77,6 @@
 }
 
 impl ExchangeAsk {
-    /// Started later, its answer is late.
-    #[must_use]
-    pub fn on_time_until(&self) -> time::Instant {
-        self.arrived + wait::time_to_start(self.aim)
-    }
-
-    /// Whether it can't be on time any more.
-    #[must_use]
-    pub fn is_late(&self, now: time::Instant) -> bool {
-        now > self.on_time_until()
-    }
-
     /// What the caller will still wait, never negative.
     #[must_use]
     pub fn left(&self, now: time::Instant) -> time::Duration {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ask;
 pub mod budget;
 pub mod catalog;
+pub mod comeback;
 pub mod directory;
 pub mod event;
 pub mod fleet;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -29,6 +29,8 @@
 const MOST_DATAGRAM: usize = 1_300;
 /// Suspicions in one datagram.
 const MOST_ACCUSATIONS: usize = 16;
+/// Refused requests in one datagram.
+const MOST_REFUSED: usize = 32;
 /// News of servers in one datagram.
 const MOST_NEWS: usize = 6;
 /// Addresses of other VMs in a greeting.
@@ -83,6 +85,7 @@
         let now = time::Instant::now();
         let mut datagram = datagram(&plane.state());
         datagram.news = news_to_tell(&mut plane.state(), &mut news);
+        datagram.refused = plane.state().comebacks.take_untold(MOST_REFUSED);
         sequence += 1;
         datagram.sequence = sequence;
         let full = sequence.is_multiple_of(RARE) || sequence < RARE;
@@ -278,6 +281,9 @@
         }
     }
     take_loads(&mut state, datagram, now);
+    for refused in &datagram.refused {
+        state.comebacks.told(*refused, now);
+    }
     for accusation in &datagram.accusations {
         state
             .suspects
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -140,6 +140,9 @@
     /// Memory planned for generations that wait there, by rank, without the zeros at the end.
     #[prost(uint64, repeated, tag = "18")]
     pub waiting_tokens: Vec<u64>,
+    /// Short fingerprints of requests that were refused and may come back.
+    #[prost(fixed32, repeated, tag = "19")]
+    pub refused: Vec<u32>,
 }
 
 /// Asks a VM for all that it knows.
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -18,9 +18,10 @@
 /// much memory as its run: where memory is short it keeps a new generation out for each that it
 /// would save from a crash.
 const BACKUP_FLEET_FILL: f64 = 0.55;
-/// Prompt tokens that one engine is given to read at a time: about half a second's worth. An engine that
-/// has just started is empty, and every VM that has something waiting would send it there.
-const MOST_BACKLOG: f64 = 4_500.0;
+/// Prompt tokens that one engine is given to read at a time: less than half a second's worth. An
+/// engine that has just started is empty, and every VM that has something waiting would send it
+/// there.
+const MOST_BACKLOG: f64 = 3_000.0;
 /// What one generation more adds to the time that others take for an event, counted over a prompt.
 const RUN_MS: f64 = 12.0;
 /// What a full engine costs: preemption is likely, and nothing can move there.
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -183,7 +183,10 @@
                 continue;
             };
             let mut state = self.state.borrow_mut();
-            let rank = state.queue(service).get(key).map(|record| record.rank(now));
+            let rank = state
+                .queue(service)
+                .get(key)
+                .map(|record| record.claim.rank(now));
             let rank = rank.unwrap_or_default();
             let Ok(placed) = state.place(&waiter.ask, &waiter.avoid, rank, now) else {
                 // Whoever is first gets the next room: were smaller ones let past, a large one
@@ -231,13 +234,17 @@
     ) -> reply::Refusal {
         let now = time::Instant::now();
         let mut state = self.state.borrow_mut();
-        let step = wait::cost_step(ask.priority, ask.size.as_ref());
-        let wait = state.queue(&ask.service).expected_wait(step, now);
+        let rank = state.claim(ask, now).rank(now);
+        let wait = state.queue(&ask.service).expected_wait(rank, now);
         let draw = state.draw();
+        let retry_after = wait::retry_after(wait, ask.left(now), draw);
+        if ask.size.is_some() {
+            state.comebacks.refused(ask.fingerprint, retry_after, now);
+        }
         reply::Refusal {
             cause,
             ran: outcome::RanState::No,
-            retry_after: Some(wait::retry_after(wait, ask.left(now), draw)),
+            retry_after: Some(retry_after),
         }
     }
 
@@ -322,10 +329,9 @@
         waited: &mut Option<wait::WaitRecord>,
     ) -> Result<PlacedRun<P>, reply::Refusal> {
         let now = time::Instant::now();
-        let step = wait::cost_step(ask.priority, ask.size.as_ref());
-        let ahead = self.state.borrow_mut().queue(&ask.service).ahead(step, now);
+        let rank = self.state.borrow().claim(ask, now).rank(now);
+        let ahead = self.state.borrow_mut().queue(&ask.service).ahead(rank, now);
         if ahead == 0 {
-            let rank = wait::WaitRank::new(ask.is_late(now), step);
             let placed = self.state.borrow_mut().place(ask, avoid, rank, now);
             match placed {
                 Ok((run, server)) => return Ok(self.placed(run, server)),
@@ -396,18 +402,17 @@
     fn wait_record(&self, ask: &ask::ExchangeAsk, now: time::Instant) -> Option<wait::WaitRecord> {
         let stream = ask.kind == catalog::ExchangeKind::Stream;
         let patience = wait::patience(ask.left(now), ask.aim, stream);
-        let step = wait::cost_step(ask.priority, ask.size.as_ref());
         let mut state = self.state.borrow_mut();
+        let claim = state.claim(ask, now);
         let queue = state.queue(&ask.service);
-        if queue.is_hopeless(step, patience, now) {
+        if queue.is_hopeless(claim.rank(now), patience, now) {
             return None;
         }
         Some(wait::WaitRecord {
             priority: ask.priority,
-            step,
+            claim,
             order: queue.next_order(),
             until: now + patience,
-            on_time_until: ask.on_time_until(),
             tokens: ask.size.as_ref().map_or(0, fleet::planned_tokens),
         })
     }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -7,7 +7,8 @@
 use tokio::time;
 
 use crate::{
-    ask, budget, catalog, directory, fleet, message, news, peers, place, relocate, suspect, wait,
+    ask, budget, catalog, comeback, directory, fleet, message, news, peers, place, relocate,
+    suspect, wait,
 };
 
 /// What the plane is told at its start.
@@ -48,6 +49,8 @@
     pub peers: peers::PeerTable,
     /// Requests that crash servers.
     pub suspects: suspect::SuspectTable,
+    /// Callers that are expected to come back.
+    pub comebacks: comeback::ComebackTable,
     /// News that the other VMs have not been told yet.
     pub untold: Vec<news::ServerNews>,
     /// What this VM does.
@@ -84,6 +87,7 @@
             fleet: fleet::ServerFleet::default(),
             peers,
             suspects: suspect::SuspectTable::default(),
+            comebacks: comeback::ComebackTable::default(),
             untold: Vec::new(),
             stage: message::VmStage::Starting,
             stopping_since: None,
@@ -184,6 +188,16 @@
         of_service(&mut self.queues, service)
     }
 
+    /// What the rank of a request that comes now follows from.
+    #[must_use]
+    pub fn claim(&self, ask: &ask::ExchangeAsk, now: time::Instant) -> wait::WaitClaim {
+        let first = wait::WaitClaim {
+            step: wait::cost_step(ask.priority, ask.size.as_ref()),
+            on_time_until: Some(ask.arrived + wait::time_to_start(ask.aim)),
+        };
+        self.comebacks.claim(ask.fingerprint, first, now)
+    }
+
     /// Memory planned for generations that wait here, by rank, without the zeros at the end.
     #[must_use]
     pub fn waiting_tokens(&self, now: time::Instant) -> Vec<u64> {
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -92,37 +92,39 @@
 /// Memory planned for what waits, by rank.
 pub type WaitingTokens = [u64; RANKS];
 
+/// What a request's rank follows from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitClaim {
+    /// Step of its cost: see [`cost_step`].
+    pub step: u8,
+    /// Started later, its answer is late; absent when it is late already.
+    pub on_time_until: Option<time::Instant>,
+}
+
+impl WaitClaim {
+    /// How soon it should start.
+    #[must_use]
+    pub fn rank(&self, now: time::Instant) -> WaitRank {
+        let late = self.on_time_until.is_none_or(|until| until < now);
+        WaitRank::new(late, self.step)
+    }
+}
+
 /// One waiting request.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitRecord {
     /// Rank of its route; 0 goes first.
     pub priority: u8,
-    /// Step of its cost: see [`cost_step`].
-    pub step: u8,
+    /// What its own rank follows from.
+    pub claim: WaitClaim,
     /// Order of arrival on this VM.
     pub order: u64,
     /// When it is given up.
     pub until: time::Instant,
-    /// Started later, its answer is late.
-    pub on_time_until: time::Instant,
     /// Memory that is planned for it; 0 for calls.
     pub tokens: u64,
 }
 
-impl WaitRecord {
-    /// Whether it can still be on time.
-    #[must_use]
-    pub fn is_on_time(&self, now: time::Instant) -> bool {
-        now <= self.on_time_until
-    }
-
-    /// How soon it should start.
-    #[must_use]
-    pub fn rank(&self, now: time::Instant) -> WaitRank {
-        WaitRank::new(!self.is_on_time(now), self.step)
-    }
-}
-
 /// Requests of one service that wait on this VM.
 #[derive(Debug, Default)]
 pub struct WaitQueue {
@@ -154,17 +156,16 @@
     /// Adds the memory planned for those that wait.
     pub fn add_waiting_tokens(&self, tokens: &mut WaitingTokens, now: time::Instant) {
         for record in self.waiting.values() {
-            tokens[record.rank(now).index()] += record.tokens;
+            tokens[record.claim.rank(now).index()] += record.tokens;
         }
     }
 
-    /// Requests that wait and go before one of step `step` that comes now.
+    /// Requests that wait and go before one of `rank` that comes now.
     #[must_use]
-    pub fn ahead(&self, step: u8, now: time::Instant) -> usize {
-        let rank = WaitRank::new(false, step);
+    pub fn ahead(&self, rank: WaitRank, now: time::Instant) -> usize {
         self.waiting
             .values()
-            .filter(|record| record.rank(now) <= rank)
+            .filter(|record| record.claim.rank(now) <= rank)
             .count()
     }
 
@@ -182,21 +183,26 @@
 
     /// Expected wait of a request that comes now, from how many are ahead and how fast they start.
     #[must_use]
-    pub fn expected_wait(&self, step: u8, now: time::Instant) -> time::Duration {
+    pub fn expected_wait(&self, rank: WaitRank, now: time::Instant) -> time::Duration {
         let recent = self
             .starts
             .iter()
             .filter(|&&at| now.saturating_duration_since(at) <= PACE_SPAN)
             .count();
         let pace = (recent as f64).max(1.0) / PACE_SPAN.as_secs_f64();
-        time::Duration::from_secs_f64((self.ahead(step, now) as f64 + 0.5) / pace)
+        time::Duration::from_secs_f64((self.ahead(rank, now) as f64 + 0.5) / pace)
     }
 
     /// Whether a request that comes now should be refused at once.
     #[must_use]
-    pub fn is_hopeless(&self, step: u8, patience: time::Duration, now: time::Instant) -> bool {
-        let late = self.expected_wait(step, now) > patience;
-        self.waiting.len() >= MOST_WAITING || (late && self.ahead(step, now) > 0)
+    pub fn is_hopeless(
+        &self,
+        rank: WaitRank,
+        patience: time::Duration,
+        now: time::Instant,
+    ) -> bool {
+        let late = self.expected_wait(rank, now) > patience;
+        self.waiting.len() >= MOST_WAITING || (late && self.ahead(rank, now) > 0)
     }
 
     /// The place in the order of a request that comes now.
@@ -219,7 +225,7 @@
     /// time, of them the cheapest. In lasting overload a plain queue would make every answer late.
     #[must_use]
     pub fn in_order(&self, now: time::Instant) -> Vec<WaitKey> {
-        let rank = |record: &WaitRecord| (record.rank(now), record.priority, record.order);
+        let rank = |record: &WaitRecord| (record.claim.rank(now), record.priority, record.order);
         let mut keys: Vec<_> = self
             .waiting
             .iter()
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use exchange::{
-    ask, budget, directory, event, fleet, message, peers, place, relocate, suspect, wait,
+    ask, budget, comeback, directory, event, fleet, message, peers, place, relocate, suspect, wait,
 };
 use tokio::time::Instant;
 
@@ -306,10 +306,12 @@
             let order = queue.next_order();
             queue.enter(wait::WaitRecord {
                 priority: 0,
-                step,
+                claim: wait::WaitClaim {
+                    step,
+                    on_time_until: Some(now + time::Duration::from_millis(on_time_ms)),
+                },
                 order,
                 until: now + time::Duration::from_secs(9),
-                on_time_until: now + time::Duration::from_millis(on_time_ms),
                 tokens: 10,
             })
         };
@@ -375,6 +377,42 @@
     });
 }
 
+#[test]
+fn callers_that_come_back_go_after_those_on_time() {
+    // Symptom: the more callers are refused, the more of the others are late.
+    // Sequence: a caller is refused and comes back at another VM, as it was told.
+    // Cause: there it looks new, and takes the place of one that can still be on time.
+    world::run(async {
+        let now = Instant::now();
+        let span = time::Duration::from_secs(2);
+        let (mut here, mut there) = (
+            comeback::ComebackTable::default(),
+            comeback::ComebackTable::default(),
+        );
+        let first = wait::WaitClaim {
+            step: 5,
+            on_time_until: Some(now + span),
+        };
+        here.refused(0x0102_0304_0506_0708, span, now);
+        let told = here.take_untold(8);
+        assert_eq!(told.len(), 1);
+        assert!(here.take_untold(8).is_empty(), "each is told once");
+        for short in told {
+            there.told(short, now);
+        }
+        let back = there.claim(0x0102_0304_0506_0708, first, now + span);
+        let new = there.claim(77, first, now + span);
+        let late = wait::WaitClaim {
+            on_time_until: None,
+            ..first
+        };
+        assert_eq!(new, first);
+        assert!(new.rank(now) < back.rank(now) && back.rank(now) < late.rank(now));
+        let long_after = now + time::Duration::from_secs(60);
+        assert_eq!(there.claim(0x0102_0304_0506_0708, first, long_after), first);
+    });
+}
+
 #[test]
 fn cost_is_weighed_by_priority() {
     let long = size(4_000);
--- a/crates/exchange/tests/overload.rs
+++ b/crates/exchange/tests/overload.rs
@@ -146,10 +146,12 @@
         };
         let key = self.queue.enter(wait::WaitRecord {
             priority: 0,
-            step,
+            claim: wait::WaitClaim {
+                step,
+                on_time_until: Some(now + on_time),
+            },
             order: u64::from(self.tally.asked),
             until: now + wait::patience(time::Duration::from_secs(39), AIM, true),
-            on_time_until: now + on_time,
             tokens: fleet::planned_tokens(&ask.size),
         });
         self.waiting.push((key, ask));
@@ -183,7 +185,7 @@
             let index = index.expect("waits");
             let rank = match self.policy {
                 WaitPolicy::Arrival => wait::WaitRank::default(),
-                WaitPolicy::Rank => self.queue.get(key).expect("waits").rank(now),
+                WaitPolicy::Rank => self.queue.get(key).expect("waits").claim.rank(now),
             };
             if !self.start(index, rank, now) {
                 return;
