--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -20,6 +20,13 @@
 const FAILURE_HALF_LIFE_S: f64 = 2.5;
 /// What one outcome moves a server's failure rate by.
 const FAILURE_WEIGHT: f64 = 0.25;
+/// What a generation that broke off before its first byte moves it by. It may have run, so nobody
+/// may send it again: one such loss is enough to look elsewhere.
+const BROKEN_WEIGHT: f64 = 0.5;
+/// Failure rate from which on a server gets no generations.
+const FAILING_RATE: f64 = 0.4;
+/// Other VMs that must say that a server fails for it to be believed. One may be cut off itself.
+const FAILING_PEERS: usize = 2;
 /// What one answer moves a server's believed latency by.
 const LATENCY_WEIGHT: f64 = 0.15;
 /// How long a connection may carry a call that can't be repeated: see [`crate::port::ReuseRule::FRESH`].
@@ -73,6 +80,8 @@
     pub tokens: u64,
     /// Prompt tokens of generations without a first event.
     pub backlog: u64,
+    /// Whether generations failed there of late.
+    pub failing: bool,
 }
 
 /// What a server has to do, over all VMs.
@@ -156,6 +165,23 @@
         self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE_S)
     }
 
+    /// Whether this VM alone would send no generations there.
+    #[must_use]
+    pub fn fails_here(&self, now: time::Instant) -> bool {
+        self.failure_rate(now) >= FAILING_RATE
+    }
+
+    /// Whether it should get no generations. An engine that goes down and up by turns takes
+    /// connections and reservations all the while; it is empty, and so draws the prompts of all VMs,
+    /// each of which would have to learn by a lost one.
+    #[must_use]
+    pub fn is_failing(&self, now: time::Instant) -> bool {
+        let fresh = |at: &time::Instant| now.saturating_duration_since(*at) <= PEER_LOAD_AGE;
+        let peers = self.peers.values();
+        let told = peers.filter(|(load, at)| load.failing && fresh(at));
+        self.fails_here(now) || told.count() >= FAILING_PEERS
+    }
+
     /// The newest word on it, for other VMs.
     #[must_use]
     pub fn news(&self) -> news::ServerNews {
@@ -294,6 +320,8 @@
     Refused,
     /// It broke off, stayed silent or sent garbage.
     Failed,
+    /// It broke off a generation of which nothing had come yet.
+    BrokeOff,
 }
 
 /// What a piece of news changed.
@@ -308,7 +336,7 @@
 }
 
 /// All servers and all tries of this VM.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ServerFleet {
     servers: slotmap::SlotMap<ServerKey, ServerRecord>,
     by_id: collections::HashMap<String, ServerKey>,
@@ -527,10 +555,14 @@
         let sample = match verdict {
             ServerVerdict::Good(_) => 0.0,
             ServerVerdict::Erred => 0.5,
-            ServerVerdict::Refused | ServerVerdict::Failed => 1.0,
+            ServerVerdict::Refused | ServerVerdict::Failed | ServerVerdict::BrokeOff => 1.0,
+        };
+        let weight = match verdict {
+            ServerVerdict::BrokeOff => BROKEN_WEIGHT,
+            _ => FAILURE_WEIGHT,
         };
         let rate = record.failure_rate(now);
-        record.failure_rate = rate + (sample - rate) * FAILURE_WEIGHT;
+        record.failure_rate = rate + (sample - rate) * weight;
         record.judged_at = now;
         if let ServerVerdict::Good(latency) = verdict {
             let latency = latency.as_secs_f64() * 1_000.0;
@@ -549,10 +581,19 @@
         }
     }
 
-    /// What this VM has on each server.
+    /// What this VM has on each server, and which fail.
     #[must_use]
-    pub fn own_loads(&self) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
+    pub fn own_loads(&self, now: time::Instant) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
         let mut loads = slotmap::SecondaryMap::<ServerKey, PeerLoad>::new();
+        for (key, record) in &self.servers {
+            if record.fails_here(now) {
+                let load = PeerLoad {
+                    failing: true,
+                    ..PeerLoad::default()
+                };
+                loads.insert(key, load);
+            }
+        }
         for run in self.runs.values() {
             let tokens = run.planned_tokens();
             if let Some(entry) = loads.entry(run.server) {
@@ -600,7 +641,7 @@
     /// What each server has to do, over all VMs.
     #[must_use]
     pub fn loads(&self, now: time::Instant) -> slotmap::SecondaryMap<ServerKey, ServerLoad> {
-        let own = self.own_loads();
+        let own = self.own_loads(now);
         let mut loads = slotmap::SecondaryMap::new();
         for (key, record) in &self.servers {
             let own = own.get(key).copied().unwrap_or_default();
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -157,7 +157,7 @@
 }
 
 fn datagram(state: &state::PlaneState) -> message::PeerDatagram {
-    let own = state.fleet.own_loads();
+    let own = state.fleet.own_loads(time::Instant::now());
     let loads = own
         .iter()
         .filter_map(|(key, load)| {
@@ -167,6 +167,7 @@
                 runs: load.runs,
                 tokens: load.tokens,
                 backlog: load.backlog,
+                failing: load.failing,
             })
         })
         .collect();
@@ -312,6 +313,7 @@
                 runs: item.runs,
                 tokens: item.tokens,
                 backlog: item.backlog,
+                failing: item.failing,
             };
             state.fleet.take_peer_load(key, vm, load, now);
         }
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -33,6 +33,9 @@
     /// Prompt tokens not read yet.
     #[prost(uint64, tag = "4")]
     pub backlog: u64,
+    /// Whether generations failed there of late.
+    #[prost(bool, tag = "5")]
+    pub failing: bool,
 }
 
 /// One record of the store on a server.
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -108,6 +108,7 @@
     }
     let spread = (SPREAD_MS * f64::from(ask.entries)).min(SPREAD_MOST_MS);
     let spread = if engine.is_some() { spread } else { SPREAD_MS };
+    let avoids_failing = engine.is_some() && few_fail(fleet, ask.service, now);
     let mut best = None;
     let mut any = false;
     for (key, record) in fleet.ready(ask.service, now) {
@@ -115,7 +116,7 @@
             continue;
         }
         any = true;
-        if record.is_full(now) {
+        if record.is_full(now) || (avoids_failing && record.is_failing(now)) {
             continue;
         }
         let load = loads.get(key).copied().unwrap_or_default();
@@ -140,6 +141,14 @@
     }
 }
 
+/// Whether few enough servers fail for it to be them. When most seem to, the fault is with this VM,
+/// its links or what was silent at all VMs, and keeping away from them would stop everything.
+fn few_fail(fleet: &fleet::ServerFleet, service: &str, now: time::Instant) -> bool {
+    let ready = fleet.ready(service, now);
+    let (failing, sound): (Vec<_>, Vec<_>) = ready.partition(|(_, record)| record.is_failing(now));
+    failing.len() <= sound.len()
+}
+
 /// Whether a new generation leaves room for the runs of servers that leave. What runs has cost its
 /// prompt already, and is lost if it finds no room within two seconds; what is new can wait.
 ///
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -233,7 +233,8 @@
                         request:% = self.ask.id, server:% = self.plane.server_id(server),
                         cause:? = cause; "stream lost before its head"
                     );
-                    self.plane.judge(server, fleet::ServerVerdict::Failed);
+                    self.plane.judge(server, fleet::ServerVerdict::BrokeOff);
+                    self.plane.tell_loads();
                     self.accuse(server);
                     return Err(self.lost());
                 }
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -360,6 +360,53 @@
     });
 }
 
+#[test]
+fn an_engine_that_breaks_generations_off_gets_no_more() {
+    // Symptom: 25 answers 502 within five seconds, all of one or two engines.
+    // Sequence: an engine goes down and up by turns. It is empty, so each VM in turn sends a prompt
+    // there, which breaks off and may not be sent again.
+    // Cause: no VM heard of the others' losses, and one loss of its own was too little.
+    world::run(async {
+        let now = Instant::now();
+        let mut fleet = fleet_of(3);
+        let key = |fleet: &fleet::ServerFleet, id| fleet.find(id).expect("known");
+        let first = key(&fleet, "e1");
+        for id in ["e2", "e3"] {
+            let server = key(&fleet, id);
+            fleet.start(run(server, 3_000, true));
+        }
+        let size = size(3_000);
+        let choose = |fleet: &fleet::ServerFleet, now| {
+            place::choose(fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng())
+        };
+        let there = place::PlaceOutcome::Server(first);
+        assert_eq!(choose(&fleet, now), there, "it is empty");
+        let failing = fleet::PeerLoad {
+            failing: true,
+            ..fleet::PeerLoad::default()
+        };
+        let mut told = fleet.clone();
+        told.take_peer_load(first, 1, failing, now);
+        assert_eq!(choose(&told, now), there, "one VM may be at fault itself");
+        told.take_peer_load(first, 2, failing, now);
+        assert_ne!(choose(&told, now), there, "two are not");
+        let mut lost = fleet.clone();
+        lost.judge(first, fleet::ServerVerdict::BrokeOff, now);
+        assert_ne!(choose(&lost, now), there, "one loss of its own is enough");
+        let later = now + time::Duration::from_secs(20);
+        assert_eq!(choose(&lost, later), there, "it is tried again");
+        for server in ["e1", "e2", "e3"] {
+            let server = key(&lost, server);
+            lost.judge(server, fleet::ServerVerdict::BrokeOff, now);
+        }
+        let placed = choose(&lost, now);
+        assert!(
+            matches!(placed, place::PlaceOutcome::Server(_)),
+            "not all at once"
+        );
+    });
+}
+
 #[test]
 fn idle_engines_take_the_dearest() {
     // Symptom: a long generation is refused while nothing runs.
