--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -371,7 +371,13 @@
             }
         };
         *waited = Some(record);
-        let key = self.state.borrow_mut().queue(&ask.service).enter(record);
+        let rank = record.claim.rank(now);
+        let (key, ahead) = {
+            let mut state = self.state.borrow_mut();
+            let queue = state.queue(&ask.service);
+            let ahead = queue.ahead(rank, now);
+            (queue.enter(record), ahead)
+        };
         let index = (ask.service.clone(), key);
         let (told, place) = oneshot::channel();
         let waiter = Waiter {
@@ -385,7 +391,11 @@
             place,
         };
         let guard = WaitGuard { plane: self, index };
-        log::info!(request:% = ask.id, service:% = ask.service; "waits for a place");
+        log::info!(
+            request:% = ask.id, service:% = ask.service, rank = rank.index(), ahead,
+            came_back = record.claim.on_time_until.is_none();
+            "waits for a place"
+        );
         self.stirred.notify_one();
         self.tell_loads();
         let placed = time::timeout_at(record.until, place.receive()).await;
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -229,13 +229,7 @@
                     self.may_send_again(avoid.len(), cause)?;
                 }
                 port::CallOutcome::Lost(cause) => {
-                    log::info!(
-                        request:% = self.ask.id, server:% = self.plane.server_id(server),
-                        cause:? = cause; "stream lost before its head"
-                    );
-                    self.plane.judge(server, fleet::ServerVerdict::BrokeOff);
-                    self.plane.tell_loads();
-                    self.accuse(server);
+                    self.note_lost(server, cause);
                     return Err(self.lost());
                 }
             }
@@ -416,6 +410,26 @@
         state.fleet.note_full(server, now + pause);
     }
 
+    /// A server broke the request off before its first byte.
+    fn note_lost(&self, server: fleet::ServerKey, cause: port::LostCause) {
+        log::info!(
+            request:% = self.ask.id, server:% = self.plane.server_id(server),
+            cause:? = cause; "stream lost before its head"
+        );
+        self.plane.judge(server, fleet::ServerVerdict::BrokeOff);
+        self.plane.tell_loads();
+        self.accuse(server);
+        let now = time::Instant::now();
+        let state = self.plane.state();
+        if let Some(record) = state.fleet.server(server) {
+            log::info!(
+                server:% = record.id, failure_rate = record.failure_rate(now),
+                failing = record.is_failing(now);
+                "server broke a generation off"
+            );
+        }
+    }
+
     /// A server broke off: its request is a suspect if it had just begun.
     pub(crate) fn accuse(&self, server: fleet::ServerKey) {
         let now = time::Instant::now();
