--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -356,7 +356,12 @@
 /// Explain why one request went where it went, waited, or was refused.
 #[derive(Debug)]
 #[derive(argh::ArgsInfo, argh::FromArgs)]
-#[argh(subcommand, name = "explain", example = "{command_name} 3f2a90c1")]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "{command_name} 3f2a90c1",
+    example = "From saved logs, one file a VM:\n  {command_name} 3f2a90c1 --logs edge-1.log --logs edge-2.log"
+)]
 pub struct ExplainArgs {
     /// its id (response header x-request-id) or the beginning of it
     #[argh(positional)]
@@ -364,6 +369,9 @@
     /// read a time line saved with --format jsonl, and ask no entry VM
     #[argh(option, arg_name = "file")]
     pub from: Option<String>,
+    /// read a log that pollenedge wrote, and ask no entry VM; give one file for each VM
+    #[argh(option, arg_name = "file")]
+    pub logs: Vec<String>,
 }
 
 /// Print completions for bash.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,8 +1,8 @@
 //! Runs one command.
 
 use crate::{
-    args, capacity, client, completions, configuration, error, operate, publish, settings, status,
-    timeline,
+    args, capacity, client, completions, configuration, error, operate, publish, saved_logs,
+    settings, status, timeline,
 };
 
 /// Runs what the command line asks for.
@@ -41,6 +41,9 @@
         args::CtlCommand::Timeline(timeline) if timeline.from.is_some() => {
             timeline::saved_timeline(&timeline, environment.now_ms)
         }
+        args::CtlCommand::Explain(explain) if !explain.logs.is_empty() => {
+            saved_logs::explain(&explain)
+        }
         args::CtlCommand::Explain(explain) if explain.from.is_some() => {
             timeline::saved_explain(&explain)
         }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod operate;
 pub mod overview;
 pub mod publish;
+pub mod saved_logs;
 pub mod settings;
 pub mod status;
 pub mod table;
--- /dev/null
+++ b/crates/ctl/src/saved_logs.rs
@@ -0,0 +1,237 @@
+//! One request in saved logs of entry VMs, with what its VMs believed meanwhile.
+
+use std::{collections, fs, path};
+
+use snafu::ResultExt as _;
+
+use crate::{args, error};
+
+/// Messages that are told for their own sake: what a VM believes, or that it started or stopped.
+const BELIEFS: [&str; 8] = [
+    "store changed",
+    "configuration in force",
+    "server changed",
+    "server broke a generation off",
+    "VM changed",
+    "started",
+    "stopping",
+    "stopped",
+];
+/// Lines of one kind of belief that are shown; the rest are counted.
+const MOST_BELIEFS: usize = 12;
+
+/// One line of a log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogLine {
+    /// Time as written: lines of all VMs sort by it.
+    pub time: String,
+    /// The file's name without its ending: the VM.
+    pub vm: String,
+    /// What happened.
+    pub message: String,
+    /// What it was decided by, in the order of writing.
+    pub fields: Vec<(String, String)>,
+}
+
+impl LogLine {
+    /// Reads one line; absent when it is none of ours.
+    #[must_use]
+    pub fn parse(vm: &str, line: &str) -> Option<Self> {
+        let (head, rest) = line.strip_prefix('[')?.split_once("] ")?;
+        let time = head.split(' ').next()?.to_owned();
+        let starts = field_starts(rest);
+        let message = rest[..starts.first().copied().unwrap_or(rest.len())].trim();
+        let ends = starts.iter().skip(1).copied().chain([rest.len()]);
+        let fields = starts.iter().zip(ends).filter_map(|(&start, end)| {
+            let (key, value) = rest[start..end].trim().split_once('=')?;
+            Some((key.to_owned(), value.to_owned()))
+        });
+        Some(Self {
+            time,
+            vm: vm.to_owned(),
+            message: message.to_owned(),
+            fields: fields.collect(),
+        })
+    }
+
+    /// The value of a field.
+    #[must_use]
+    pub fn field(&self, key: &str) -> Option<&str> {
+        let field = self.fields.iter().find(|(known, _)| known == key);
+        field.map(|(_, value)| value.as_str())
+    }
+
+    fn render(&self) -> String {
+        let fields: Vec<_> = self
+            .fields
+            .iter()
+            .filter(|(key, _)| key != "request")
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
+        format!(
+            "{} {:<16} {} {}",
+            self.time,
+            self.vm,
+            self.message,
+            fields.join(" ")
+        )
+    }
+}
+
+/// Where fields begin: a word, then `=`. Values may hold spaces.
+fn field_starts(text: &str) -> Vec<usize> {
+    let word = |part: &str| {
+        !part.is_empty()
+            && part
+                .bytes()
+                .all(|byte| byte.is_ascii_lowercase() || byte == b'_')
+    };
+    let mut starts = Vec::new();
+    let mut at = 0;
+    for part in text.split(' ') {
+        if part.split_once('=').is_some_and(|(key, _)| word(key)) {
+            starts.push(at);
+        }
+        at += part.len() + 1;
+    }
+    starts
+}
+
+/// `pollenctl explain --logs`.
+///
+/// # Errors
+/// When a file cannot be read, or no line or several requests fit.
+pub fn explain(args: &args::ExplainArgs) -> Result<error::CommandOutput, error::CtlError> {
+    let mut lines = Vec::new();
+    for file in &args.logs {
+        let text = fs::read_to_string(file).context(error::ReadFileSnafu { file })?;
+        let vm = path::Path::new(file).file_stem().unwrap_or_default();
+        let vm = vm.to_string_lossy().into_owned();
+        lines.extend(text.lines().filter_map(|line| LogLine::parse(&vm, line)));
+    }
+    lines.sort_by(|one, other| one.time.cmp(&other.time));
+    let request = find_request(&lines, &args.request)?;
+    Ok(error::CommandOutput::success(tell(&lines, &request)))
+}
+
+fn find_request(lines: &[LogLine], wanted: &str) -> Result<String, error::CtlError> {
+    let ids: collections::BTreeSet<_> = lines
+        .iter()
+        .filter_map(|line| line.field("request"))
+        .filter(|id| id.starts_with(wanted))
+        .collect();
+    let mut ids = ids.into_iter();
+    match (ids.next(), ids.next()) {
+        (Some(id), None) => Ok(id.to_owned()),
+        (Some(_), Some(_)) => Err(error::CtlError::Usage {
+            message: format!("several requests begin with {wanted}; give more of the id"),
+        }),
+        _ => Err(error::CtlError::Usage {
+            message: format!(
+                "no line of these logs has request={wanted}; give the files of all VMs of that time"
+            ),
+        }),
+    }
+}
+
+/// What happened to a request, what its VM believed meanwhile, and what that means.
+#[must_use]
+pub fn tell(lines: &[LogLine], request: &str) -> String {
+    let own: Vec<_> = lines
+        .iter()
+        .filter(|line| line.field("request") == Some(request))
+        .collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return String::new();
+    };
+    let mut text = format!("request {request}\n");
+    for line in &own {
+        text += &format!("  {}\n", line.render());
+    }
+    text += &beliefs(lines, &own, &first.time, &last.time);
+    text += &format!("ended: {}\n", verdict(&own));
+    text
+}
+
+/// Lines on what its VMs believed, and on the servers that it met, while it was under way.
+fn beliefs(lines: &[LogLine], own: &[&LogLine], from: &str, to: &str) -> String {
+    let vms: collections::BTreeSet<_> = own.iter().map(|line| line.vm.as_str()).collect();
+    let servers: collections::BTreeSet<_> = own
+        .iter()
+        .flat_map(|line| ["server", "from", "to"].map(|key| line.field(key)))
+        .flatten()
+        .collect();
+    let mut text = String::from("meanwhile, on its VM and of the servers that it met:\n");
+    for message in BELIEFS {
+        let of_server = message.starts_with("server");
+        let matching: Vec<_> = lines
+            .iter()
+            .filter(|line| line.message == message)
+            .filter(|line| line.time.as_str() >= from && line.time.as_str() <= to)
+            .filter(|line| match line.field("server") {
+                Some(server) => servers.contains(server),
+                None => !of_server && vms.contains(line.vm.as_str()),
+            })
+            .collect();
+        for line in matching.iter().take(MOST_BELIEFS) {
+            text += &format!("  {}\n", line.render());
+        }
+        if matching.len() > MOST_BELIEFS {
+            let more = matching.len() - MOST_BELIEFS;
+            text += &format!("  and {more} more of \"{message}\"\n");
+        }
+    }
+    text
+}
+
+/// What the last word on a request means.
+fn verdict(own: &[&LogLine]) -> String {
+    let count = |message: &str| own.iter().filter(|line| line.message == message).count();
+    let last_of = |message: &str| own.iter().rev().find(|line| line.message == message);
+    if let Some(line) = last_of("stream whole") {
+        let value = |key| line.field(key).unwrap_or("?");
+        return format!(
+            "whole; first event after {} ms, longest pause {} ms, moved {} times",
+            value("first_ms"),
+            value("worst_pause_ms"),
+            value("passed")
+        );
+    }
+    if let Some(line) = last_of("caller left") {
+        return format!(
+            "its caller left after {} events",
+            line.field("events").unwrap_or("?")
+        );
+    }
+    let Some(line) = last_of("refused").or_else(|| last_of("stream not whole")) else {
+        return match last_of("answered") {
+            Some(line) => format!(
+                "answered with status {}",
+                line.field("status").unwrap_or("?")
+            ),
+            None => String::from("not told; its VM may have ended, look for \"started\" there"),
+        };
+    };
+    let cause = line.field("cause").unwrap_or("?");
+    let why = match cause {
+        "patience" => format!(
+            "it waited for memory; {} servers that were asked had no room",
+            count("no room")
+        ),
+        "overload" => String::from("more waited than could be served in time"),
+        "rejected" => String::from("servers turned it away, and it may go to no more of them"),
+        "server_lost" if count("stream broke off") > 0 => format!(
+            "its server ended in mid-stream, and {} copies did not help",
+            count("copied")
+        ),
+        "server_lost" => String::from("its server broke off, or what it sent was no answer"),
+        "quarantined" => String::from("it crashed two servers before"),
+        "stopping" => String::from("its VM was told to stop"),
+        "no_server" => String::from("no server of its service was known to take work"),
+        "no_route" | "no_key" => String::from("the configuration in force does not allow it"),
+        "unconfigured" => String::from("its VM knew no configuration yet"),
+        _ => String::from("see docs/OPERATIONS.md"),
+    };
+    let ran = line.field("ran").unwrap_or("No");
+    format!("cause={cause}, ran={ran}: {why}")
+}
