--- a/crates/exchange/src/comeback.rs
+++ b/crates/exchange/src/comeback.rs
@@ -15,6 +15,8 @@
 const EXPECTED_FOR: time::Duration = time::Duration::from_secs(4);
 /// Callers that are remembered, 24 bytes each; the one expected soonest goes.
 const MOST: usize = 2_048;
+/// Callers that wait to be told to the other VMs: four seconds' worth of regular datagrams.
+const MOST_UNTOLD: usize = 256;
 /// Steps of cost by which one that came back goes before others that are late: half of its cost.
 const STEPS: u8 = 2;
 
@@ -24,7 +26,7 @@
     /// Until when each is expected, by the short fingerprint of its request.
     expected: collections::HashMap<u32, time::Instant>,
     /// Those that the other VMs have not been told yet.
-    untold: Vec<u32>,
+    untold: collections::VecDeque<u32>,
 }
 
 /// The part of a request's fingerprint that VMs tell each other.
@@ -37,7 +39,12 @@
     pub fn refused(&mut self, fingerprint: u64, wait: time::Duration, now: time::Instant) {
         let short = short(fingerprint);
         self.expect(short, now + wait + EXPECTED_FOR, now);
-        self.untold.push(short);
+        // A burst of refusals is told over several datagrams; of a longer one the oldest are left out,
+        // and their callers are taken for new.
+        if self.untold.len() == MOST_UNTOLD {
+            self.untold.pop_front();
+        }
+        self.untold.push_back(short);
     }
 
     /// Another VM refused a request; how long it told its caller to stay away is not said.
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -173,7 +173,7 @@
         accusations,
         store_away: state.store_away,
         standing_hash: state.fleet.standing_hash(),
-        waiting_tokens: state.waiting_tokens(time::Instant::now()),
+        waiting: state.waiting(time::Instant::now()),
         ..message::PeerDatagram::default()
     }
 }
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -89,6 +89,26 @@
     pub server: u64,
 }
 
+/// Memory planned for generations of one service that wait on a VM.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct WaitingItem {
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// By rank, without the zeros at the end.
+    #[prost(uint64, repeated, tag = "2")]
+    pub tokens: Vec<u64>,
+}
+
+impl WaitingItem {
+    /// Memory planned for those that go before one of `rank`.
+    #[must_use]
+    pub fn before(&self, rank: wait::WaitRank) -> u64 {
+        self.tokens.iter().take(rank.index()).sum()
+    }
+}
+
 /// One datagram. Most carry the sender's hash and what changes all the time; its name and addresses
 /// are told now and then, and to whoever has not answered yet. At 78 VMs datagrams are most of what
 /// crosses between failure domains.
@@ -140,9 +160,9 @@
     /// Hash of which servers stand how, as far as it knows.
     #[prost(fixed64, tag = "15")]
     pub standing_hash: u64,
-    /// Memory planned for generations that wait there, by rank, without the zeros at the end.
-    #[prost(uint64, repeated, tag = "18")]
-    pub waiting_tokens: Vec<u64>,
+    /// Memory planned for generations that wait there, for each service for which some do.
+    #[prost(message, repeated, tag = "18")]
+    pub waiting: Vec<WaitingItem>,
     /// Short fingerprints of requests that were refused and may come back.
     #[prost(fixed32, repeated, tag = "19")]
     pub refused: Vec<u32>,
@@ -172,18 +192,6 @@
     pub known: Vec<String>,
 }
 
-impl PeerDatagram {
-    /// What waits there by rank; ranks that this version does not know are left out.
-    #[must_use]
-    pub fn waiting_by_rank(&self) -> wait::WaitingTokens {
-        let mut tokens = [0; wait::RANKS];
-        for (known, told) in tokens.iter_mut().zip(&self.waiting_tokens) {
-            *known = *told;
-        }
-        tokens
-    }
-}
-
 impl From<&news::ServerNews> for NewsItem {
     fn from(news: &news::ServerNews) -> Self {
         Self {
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -42,8 +42,8 @@
     pub store_away: bool,
     /// Hash of which servers stand how, as far as it knows.
     pub standing_hash: u64,
-    /// Memory planned for generations that wait there, by rank.
-    pub waiting_tokens: wait::WaitingTokens,
+    /// Memory planned for generations that wait there.
+    pub waiting: Vec<message::WaitingItem>,
     /// When it was last heard.
     pub heard_at: time::Instant,
     /// Until when it counts as heard.
@@ -135,7 +135,7 @@
             catalog_version: datagram.catalog_version,
             store_away: datagram.store_away,
             standing_hash: datagram.standing_hash,
-            waiting_tokens: datagram.waiting_by_rank(),
+            waiting: datagram.waiting.clone(),
             heard_at: now,
             heard_until: now + HEARD_LEAST.max(self.speak_gap() * HEARD_GAPS),
         };
@@ -219,12 +219,14 @@
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
-    /// Memory planned for generations that wait at other VMs and go before one of `rank`.
+    /// Memory planned for generations of a service that wait at other VMs and go before one of `rank`.
     #[must_use]
-    pub fn waiting_before(&self, rank: wait::WaitRank, now: time::Instant) -> u64 {
+    pub fn waiting_before(&self, service: u32, rank: wait::WaitRank, now: time::Instant) -> u64 {
         let heard = self.peers.values().filter(|peer| peer.is_heard(now));
         heard
-            .flat_map(|peer| &peer.waiting_tokens[..rank.index()])
+            .flat_map(|peer| &peer.waiting)
+            .filter(|item| item.service == service)
+            .map(|item| item.before(rank))
             .sum()
     }
 
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -198,15 +198,18 @@
         self.comebacks.claim(ask.fingerprint, first, now)
     }
 
-    /// Memory planned for generations that wait here, by rank, without the zeros at the end.
+    /// Memory planned for generations that wait here, for each service for which some do.
     #[must_use]
-    pub fn waiting_tokens(&self, now: time::Instant) -> Vec<u64> {
-        let mut tokens = [0; wait::RANKS];
-        for queue in self.queues.values() {
-            queue.add_waiting_tokens(&mut tokens, now);
-        }
-        let used = tokens.iter().rposition(|&tokens| tokens > 0);
-        tokens[..used.map_or(0, |last| last + 1)].to_vec()
+    pub fn waiting(&self, now: time::Instant) -> Vec<message::WaitingItem> {
+        let items = self.queues.iter().map(|(service, queue)| {
+            let tokens = queue.waiting_tokens(now);
+            let used = tokens.iter().rposition(|&tokens| tokens > 0);
+            message::WaitingItem {
+                service: service_hash(service),
+                tokens: tokens[..used.map_or(0, |last| last + 1)].to_vec(),
+            }
+        });
+        items.filter(|item| !item.tokens.is_empty()).collect()
     }
 
     /// Services for which something waits.
@@ -228,7 +231,9 @@
         now: time::Instant,
     ) -> Result<(fleet::RunKey, fleet::ServerKey), place::PlaceOutcome> {
         let entries = self.peers.heard(now);
-        let yielded_tokens = self.peers.waiting_before(rank, now);
+        let yielded_tokens = self
+            .peers
+            .waiting_before(service_hash(&ask.service), rank, now);
         let rule = self
             .catalog
             .as_ref()
@@ -362,6 +367,12 @@
     }
 }
 
+/// Hash by which VMs name a service to each other.
+#[must_use]
+pub fn service_hash(service: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(service.as_bytes()) as u32
+}
+
 /// What is kept of a service; its name is copied only when it is new.
 fn of_service<'a, T: Default>(
     table: &'a mut collections::HashMap<String, T>,
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -33,14 +33,14 @@
 /// Steps of the cost of what waits, each half a doubling.
 const COST_STEPS: usize = 8;
 /// Cost, in thousands of tokens times seconds, below which all generations are equally cheap: a
-/// prompt of 2,500 tokens and an answer of a few hundred.
+/// prompt of 2,500 tokens and an answer of 150.
 const CHEAP_COST: f64 = 4.0;
-/// Highest rank that may take the last room: short answers, and the shortest third of long ones.
+/// Highest rank that may take the last room: short answers, and the shortest of the long ones.
 const KEPT_FROM: usize = 2;
 /// Part of all memory that each rank above leaves free. Room comes up in bursts, as engines start;
 /// were it taken by whatever waits, those that come in the three seconds until the next burst would
-/// all be late. Worth summed over four days at 59 VMs: 1.513 with 0.02, 1.628 with 0.03 and longer
-/// patience, 1.483 with 0.04.
+/// all be late. Worth summed over four days at 59 and 78 VMs: 1.513 with 0.02, 1.628 with 0.03 and
+/// longer patience, 1.483 with 0.04; later 2.025 with 0.03, 1.970 with 0.04.
 const KEPT_STEP: f64 = 0.03;
 /// Ranks that a waiting request may have.
 pub const RANKS: usize = 2 * COST_STEPS;
@@ -89,9 +89,6 @@
     (step as u8).min(last)
 }
 
-/// Memory planned for what waits, by rank.
-pub type WaitingTokens = [u64; RANKS];
-
 /// What a request's rank follows from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WaitClaim {
@@ -153,11 +150,14 @@
         self.waiting.get(key)
     }
 
-    /// Adds the memory planned for those that wait.
-    pub fn add_waiting_tokens(&self, tokens: &mut WaitingTokens, now: time::Instant) {
+    /// Memory planned for those that wait, by rank.
+    #[must_use]
+    pub fn waiting_tokens(&self, now: time::Instant) -> [u64; RANKS] {
+        let mut tokens = [0; RANKS];
         for record in self.waiting.values() {
             tokens[record.claim.rank(now).index()] += record.tokens;
         }
+        tokens
     }
 
     /// Requests that wait and go before one of `rank` that comes now.
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -322,8 +322,7 @@
         let third = enter(1, 1_000);
         let later = now + time::Duration::from_millis(20);
         assert_eq!(queue.in_order(later), [first, second, third, late]);
-        let mut tokens = [0; wait::RANKS];
-        queue.add_waiting_tokens(&mut tokens, later);
+        let tokens = queue.waiting_tokens(later);
         let used: Vec<_> = tokens.iter().filter(|&&tokens| tokens > 0).collect();
         assert_eq!(used, [&10, &20, &10]);
         assert_eq!(tokens[wait::WaitRank::new(true, 0).index()], 10);
@@ -461,6 +460,50 @@
     });
 }
 
+#[test]
+fn many_refusals_are_told_within_bounds() {
+    // Load: refusals come faster than datagrams carry them, for long.
+    world::run(async {
+        let now = Instant::now();
+        let mut table = comeback::ComebackTable::default();
+        for fingerprint in 0..10_000 {
+            table.refused(fingerprint, time::Duration::from_secs(1), now);
+        }
+        let told = table.take_untold(usize::MAX);
+        assert!(told.len() <= 256, "{}", told.len());
+        assert_eq!(told.last(), Some(&9_999), "the newest are told");
+    });
+}
+
+#[test]
+fn what_waits_for_one_service_holds_up_no_other() {
+    // Symptom: a service stands still while its engines are idle.
+    // Sequence: another service is in overload; its queues on other VMs are full.
+    // Cause: what waits was added up over all services.
+    world::run(async {
+        let now = Instant::now();
+        let mut peers = peers::PeerTable::default();
+        let datagram = message::PeerDatagram {
+            name: String::from("edge-2"),
+            sequence: 1,
+            entry_address: String::from("127.0.0.1:1"),
+            link_address: String::from("127.0.0.1:2"),
+            waiting: vec![message::WaitingItem {
+                service: 1,
+                tokens: vec![0, 500, 70],
+            }],
+            ..message::PeerDatagram::default()
+        };
+        peers.take(&datagram, now);
+        let dear = wait::WaitRank::new(false, 7);
+        let middle = wait::WaitRank::new(false, 2);
+        assert_eq!(peers.waiting_before(1, dear, now), 570);
+        assert_eq!(peers.waiting_before(1, middle, now), 500);
+        assert_eq!(peers.waiting_before(1, wait::WaitRank::default(), now), 0);
+        assert_eq!(peers.waiting_before(2, dear, now), 0);
+    });
+}
+
 #[test]
 fn cost_is_weighed_by_priority() {
     let long = size(4_000);
