--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -1,5 +1,5 @@
 //! Carries what entry VMs tell each other: datagrams for what changes all the time. What they don't
-//! bring is asked for: see [`crate::catchup`].
+//! bring is asked for, in `catchup`.
 //!
 //! Nothing here is needed for a promise: a lost datagram costs a worse choice of server, or the
 //! time until this VM reads the store itself.
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -62,7 +62,7 @@
         Self(if late { COST_STEPS as u8 } else { 0 } + step)
     }
 
-    /// Part of all memory that one of this rank must leave free: see [`KEPT_STEP`].
+    /// Part of all memory that one of this rank must leave free.
     #[must_use]
     pub fn kept_part(self) -> f64 {
         let above = self.index().saturating_sub(KEPT_FROM) as f64;
