--- a/crates/ctl/tests/saved_logs.rs
+++ b/crates/ctl/tests/saved_logs.rs
@@ -1,6 +1,7 @@
 //! `pollenctl explain --logs`: from a failed request's id to its cause, from files alone.
 
 use std::fs;
+use std::sync::atomic;
 
 use ctl::{args, command, error, saved_logs, settings};
 
@@ -23,8 +24,19 @@
 [2026-12-02T05:05:59.000Z INFO  platform::ingress] refused request=26aa route=r-1 cause=patience ran=No ms=2000 retry_after=Some(499.2ms)
 ";
 
+/// Threads that ask at once: enough to meet a half-written file within some calls.
+const CALLERS_SIDE_BY_SIDE: usize = 8;
+/// Calls of each thread.
+const CALLS_OF_ONE: usize = 25;
+
+/// Calls so far: names the folder of the next one.
+static CALLS_BEGUN: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
+
+/// What the command says of `request`, from two files that no other call writes.
 fn explain(request: &str) -> error::CommandOutput {
-    let folder = std::env::temp_dir().join(format!("ctl-saved-logs-{}", std::process::id()));
+    let call = CALLS_BEGUN.fetch_add(1, atomic::Ordering::Relaxed);
+    let name = format!("ctl-saved-logs-{}-{call}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
     fs::create_dir_all(&folder).expect("folder");
     let files = [("edge-1", FIRST), ("edge-2", SECOND)].map(|(name, text)| {
         let file = folder.join(format!("{name}.log"));
@@ -37,7 +49,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .expect("runtime");
-    runtime.block_on(command::run(parsed, &environment))
+    let output = runtime.block_on(command::run(parsed, &environment));
+    fs::remove_dir_all(&folder).expect("folder removed");
+    output
 }
 
 #[test]
@@ -74,6 +88,26 @@
     );
 }
 
+/// The symptom: one run of many found no line of a request that the files name. Tests of one
+/// program run side by side; all wrote the same two files, and a write empties a file before
+/// it fills it, so that another test read an empty one. Each call now has files of its own.
+#[test]
+fn calls_side_by_side_read_whole_files() {
+    let threads: Vec<std::thread::JoinHandle<()>> = (0..CALLERS_SIDE_BY_SIDE)
+        .map(|_| {
+            std::thread::spawn(|| {
+                for _ in 0..CALLS_OF_ONE {
+                    let output = explain("26aa");
+                    assert_eq!(output.status, error::ExitStatus::Success, "{output:?}");
+                }
+            })
+        })
+        .collect();
+    for thread in threads {
+        thread.join().expect("no call failed");
+    }
+}
+
 #[test]
 fn an_unknown_id_is_told_with_the_remedy() {
     let output = explain("ffff");
