--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -1,4 +1,4 @@
-//! The three-valued outcome of a try.
+//! The three-valued outcome of a try, and how a request ended.
 
 /// Whether a request ran on a backend server, as far as this process can prove.
 ///
@@ -26,3 +26,26 @@
         }
     }
 }
+
+/// How a request ended, as the field `end` of its last log line says it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndKind {
+    /// The caller had all of it.
+    Whole,
+    /// The caller left before.
+    Left,
+    /// Refused, cut, or answered with a server's fault.
+    Failed,
+}
+
+impl EndKind {
+    /// As written.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Left => "left",
+            Self::Failed => "failed",
+        }
+    }
+}
--- a/crates/carry/src/lib.rs
+++ b/crates/carry/src/lib.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 between processes, for one thread.
 //!
 //! [`pool`] keeps connections to servers and never trusts one that may have gone silent;
-//! [`listen`] serves callers until it is told to stop; [`output`] writes log lines without ever
-//! waiting for whoever reads them.
+//! [`listen`] serves callers until it is told to stop; [`logging`] is the log, which [`output`]
+//! writes without ever waiting for whoever reads it, after [`sampling`] has chosen its lines.
 
 pub mod listen;
+pub mod logging;
 pub mod output;
 pub mod pool;
+pub mod sampling;
 mod socket;
--- a/crates/carry/src/output.rs
+++ b/crates/carry/src/output.rs
@@ -7,12 +7,15 @@
 use std::{
     io::{self, Write as _},
     sync::{atomic, mpsc},
-    thread,
+    thread, time,
 };
 
 /// Lines that wait for the reader; 200 bytes each.
 const MOST_LINES: usize = 4_096;
 
+/// Time for the last lines of a process; writing a full queue of them takes a few milliseconds.
+const LAST_LINES: time::Duration = time::Duration::from_millis(30);
+
 /// Lines dropped so far.
 static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
@@ -87,6 +90,11 @@
     DROPPED.load(atomic::Ordering::Relaxed)
 }
 
+/// Gives the writer time for what is queued: its thread ends with the process.
+pub fn finish() {
+    thread::sleep(LAST_LINES);
+}
+
 /// Writes one last line past the queue, for a process that can't go on.
 pub fn last_word(message: &str) {
     let mut out = io::stderr();
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, process};
 
+use carry::{logging, output};
 use entry::{daemon, settings};
 use tokio::signal::unix;
 
@@ -65,8 +66,16 @@
     for module in QUIET_MODULES {
         logger.filter_module(module, log::LevelFilter::Error);
     }
-    logger.init();
-    run(settings).into()
+    match output::LineWriter::stdout() {
+        Ok(writer) => logging::SampledLog::new(logger, writer).install(),
+        Err(error) => {
+            output::last_word(&format!("no thread for the log: {error}"));
+            return ExitCode::Failure.into();
+        }
+    }
+    let code = run(settings);
+    output::finish();
+    code.into()
 }
 
 fn read_settings(path: &str) -> Result<settings::DaemonSettings, String> {
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -8,7 +8,7 @@
 use futures_util::{StreamExt as _, stream};
 use tokio::{sync::mpsc, time};
 
-use crate::{ask, catalog, fleet, plane, port, port::AnswerBody as _, reply, wait};
+use crate::{ask, catalog, fleet, plane, port, port::AnswerBody as _, reply, serve_stream, wait};
 
 /// Answers up to this size are read whole before they are passed on; longer ones are passed on as
 /// they come and can't be tried again.
@@ -266,7 +266,10 @@
         catalog::ExchangeKind::Idempotent => port::ReuseRule::Any,
         _ => port::ReuseRule::FRESH,
     };
-    log::debug!(request:% = ask.id, server:% = target.id; "try sent");
+    log::info!(
+        request:% = ask.id, server:% = target.id,
+        waited_ms = serve_stream::millis(ask.arrived); "try sent"
+    );
     let left = plane::ExchangePlane::<P>::left(&ask);
     let call = port::ServerCall {
         ask,
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -95,12 +95,16 @@
             pace.count(&ask);
             log::info!(
                 request:% = ask.id, events, passed = driver.passed,
-                first_ms = pace.first_ms(&ask), worst_pause_ms = pace.worst_ms();
+                first_ms = pace.first_ms(&ask), worst_pause_ms = pace.worst_ms(),
+                end:% = outcome::EndKind::Whole.name();
                 "stream whole"
             );
         }
         Ok(Err(refusal)) => driver.give_up(refusal),
-        Err("caller left") => log::info!(request:% = ask.id, events; "caller left"),
+        Err("caller left") => {
+            let end = outcome::EndKind::Left.name();
+            log::info!(request:% = ask.id, events, end:% = end; "caller left");
+        }
         Err(why) => {
             log::info!(request:% = ask.id, events, cause:% = why; "stream given up");
             let refusal = match driver.ran {
@@ -464,7 +468,8 @@
     fn give_up(&mut self, refusal: reply::Refusal) {
         let events = self.splitter.events();
         log::info!(
-            request:% = self.ask.id, cause:% = refusal.cause.name(), ran:? = refusal.ran, events;
+            request:% = self.ask.id, cause:% = refusal.cause.name(), ran:? = refusal.ran, events,
+            end:% = outcome::EndKind::Failed.name();
             "stream not whole"
         );
         if let Some(head) = self.head.take() {
