--- a/crates/carry/src/listen.rs
+++ b/crates/carry/src/listen.rs
@@ -11,6 +11,9 @@
 /// Pause after the system gave no connection, for instance for want of descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 
+/// Time between two looks whether all connections are closed.
+const CLOSE_LOOK: time::Duration = time::Duration::from_millis(10);
+
 /// What a listener accepts.
 #[derive(Clone, Copy, Debug)]
 pub struct ListenRule {
@@ -26,6 +29,25 @@
 #[derive(Clone, Debug)]
 pub struct StopSwitch {
     sender: rc::Rc<sync::watch::Sender<bool>>,
+    /// Connections of all listeners that hold this switch.
+    open: rc::Rc<cell::Cell<usize>>,
+}
+
+/// A connection that counts as open.
+#[derive(Debug)]
+struct OpenConnection(rc::Rc<cell::Cell<usize>>);
+
+impl OpenConnection {
+    fn new(open: &rc::Rc<cell::Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Default for StopSwitch {
@@ -33,6 +55,7 @@
         let (sender, _) = sync::watch::channel(false);
         Self {
             sender: rc::Rc::new(sender),
+            open: rc::Rc::default(),
         }
     }
 }
@@ -43,6 +66,15 @@
         self.sender.send_replace(true);
     }
 
+    /// Waits, after a stop, until every connection is closed: one that carries an answer is when
+    /// its caller has all of it. Gives up after `most`.
+    pub async fn closed(&self, most: time::Duration) {
+        let until = time::Instant::now() + most;
+        while self.open.get() > 0 && time::Instant::now() < until {
+            time::sleep(CLOSE_LOOK).await;
+        }
+    }
+
     async fn stopped(&self) {
         let mut receiver = self.sender.subscribe();
         // The sender lives in `self`, so this ends by a stop only.
@@ -80,13 +112,13 @@
             metrics::counter!("pollenchute_carry_connections_refused_total").increment(1);
             continue;
         }
-        open.set(open.get() + 1);
-        let (service, stop, open) = (service.clone(), stop.clone(), open.clone());
+        let counted = (OpenConnection::new(&open), OpenConnection::new(&stop.open));
+        let (service, stop) = (service.clone(), stop.clone());
         task::spawn_local(async move {
             if let Err(error) = serve_connection(stream, rule, stop, service).await {
                 log::debug!(error:% = error; "connection of a caller ended");
             }
-            open.set(open.get() - 1);
+            drop(counted);
         });
     }
 }
@@ -104,7 +136,7 @@
     B::Data: 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    socket::tune(&stream)?;
+    socket::tune(&stream, socket::CALLER_SILENCE)?;
     let answer = service::service_fn(move |request| {
         let answer = service(request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -308,7 +308,7 @@
         }
         match ask.kind {
             catalog::ExchangeKind::Stream => serve_stream::serve(self, ask, guard).await,
-            _ => serve_call::serve(self, ask).await,
+            _ => serve_call::serve(self, ask, guard).await,
         }
     }
 
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -44,10 +44,11 @@
     placed: plane::PlacedRun<P>,
 }
 
-/// Serves an idempotent or single call.
-pub(crate) async fn serve<P: port::ServerPort + 'static>(
+/// Serves an idempotent or single call. `guard` lives until its caller has all of the answer.
+pub(crate) async fn serve<P: port::ServerPort + 'static, G: 'static>(
     plane: &rc::Rc<plane::ExchangePlane<P>>,
     ask: rc::Rc<ask::ExchangeAsk>,
+    guard: G,
 ) -> Result<reply::Reply, reply::Refusal> {
     let mut call = CallState {
         plane,
@@ -55,6 +56,7 @@
         avoid: Vec::new(),
         sent: 0,
         ran: outcome::RanState::No,
+        guard: Some(guard),
     };
     match time::timeout_at(ask.limit, call.run()).await {
         Ok(end) => end,
@@ -62,7 +64,7 @@
     }
 }
 
-struct CallState<'a, P: port::ServerPort> {
+struct CallState<'a, P: port::ServerPort, G> {
     plane: &'a rc::Rc<plane::ExchangePlane<P>>,
     ask: &'a rc::Rc<ask::ExchangeAsk>,
     /// Servers that had a try.
@@ -71,9 +73,11 @@
     sent: u32,
     /// What is known of the tries so far.
     ran: outcome::RanState,
+    /// Goes with a long answer that is passed on.
+    guard: Option<G>,
 }
 
-impl<P: port::ServerPort + 'static> CallState<'_, P> {
+impl<P: port::ServerPort + 'static, G: 'static> CallState<'_, P, G> {
     async fn run(&mut self) -> Result<reply::Reply, reply::Refusal> {
         let mut tries = stream::FuturesUnordered::new();
         let first = self.plane.place(self.ask, &self.avoid).await?;
@@ -139,7 +143,7 @@
     fn send(
         &mut self,
         placed: plane::PlacedRun<P>,
-    ) -> impl Future<Output = (fleet::ServerKey, TryEnd<P>)> + use<P> {
+    ) -> impl Future<Output = (fleet::ServerKey, TryEnd<P>)> + use<P, G> {
         self.avoid.push(placed.server);
         self.sent += 1;
         let plane = self.plane.clone();
@@ -169,7 +173,7 @@
             }
             TryEnd::Long(answer) => {
                 self.ran = outcome::RanState::Yes;
-                Step::Answer(Ok(pass_on(answer)))
+                Step::Answer(Ok(pass_on(self.ask.clone(), answer, self.guard.take())))
             }
             TryEnd::NotRun(cause) => {
                 // What never reached a server that could run it is no try in the route's sense.
@@ -344,7 +348,13 @@
     (server, end)
 }
 
-fn pass_on<P: port::ServerPort + 'static>(answer: LongAnswer<P>) -> reply::Reply {
+/// Passes a long answer on as it comes, until its route's time is up. Until its caller has all of
+/// it, its server's place is taken and `guard` lives, so that a stop waits for it.
+fn pass_on<P: port::ServerPort + 'static, G: 'static>(
+    ask: rc::Rc<ask::ExchangeAsk>,
+    answer: LongAnswer<P>,
+    guard: G,
+) -> reply::Reply {
     let (sender, receiver) = mpsc::channel(LONG_PARTS);
     let LongAnswer {
         status,
@@ -354,20 +364,14 @@
         placed,
     } = answer;
     tokio::task::spawn_local(async move {
-        let _placed = placed;
-        let mut next = Some(Ok(first));
-        while let Some(Ok(bytes)) = next {
-            if sender.send(reply::StreamPart::Bytes(bytes)).await.is_err() {
-                return;
-            }
-            next = tokio::select! {
-                next = body.next() => next,
-                () = sender.closed() => return,
-            };
-        }
-        if next.is_none() {
-            let _ = sender.send(reply::StreamPart::End).await;
-        }
+        let end = tokio::select! {
+            biased;
+            () = sender.closed() => outcome::EndKind::Left,
+            () = time::sleep_until(ask.limit) => outcome::EndKind::Failed,
+            end = pass_parts(&sender, first, &mut body) => end,
+        };
+        log::info!(request:% = ask.id, end:% = end.name(); "long answer ended");
+        drop((placed, guard));
     });
     reply::Reply {
         status,
@@ -375,3 +379,21 @@
         body: reply::ReplyBody::Parts(receiver),
     }
 }
+
+async fn pass_parts(
+    sender: &mpsc::Sender<reply::StreamPart>,
+    first: Bytes,
+    body: &mut impl port::AnswerBody,
+) -> outcome::EndKind {
+    let mut next = Some(Ok(first));
+    while let Some(Ok(bytes)) = next {
+        // It fails when the caller has left, which is noticed beside this.
+        let _ = sender.send(reply::StreamPart::Bytes(bytes)).await;
+        next = body.next().await;
+    }
+    if next.is_some() {
+        return outcome::EndKind::Failed;
+    }
+    let _ = sender.send(reply::StreamPart::End).await;
+    outcome::EndKind::Whole
+}
--- a/crates/exchange/tests/calls.rs
+++ b/crates/exchange/tests/calls.rs
@@ -203,3 +203,46 @@
         );
     });
 }
+
+#[test]
+fn a_long_answer_counts_as_open_until_its_caller_has_it() {
+    // Symptom: a caller gets half of a large answer as its VM stops.
+    // Sequence: an answer over 256 KB is passed on as it comes; the VM is told to stop.
+    // Cause: a request that counted as ended with its head, so that the stop did not wait.
+    world::run(async {
+        let plane = world::plane();
+        let large = ServerScript::Large(10, time::Duration::from_millis(500));
+        both(&plane, &large);
+        let ask = world::ask("a", catalog::ExchangeKind::Idempotent);
+        let reply = plane.serve(ask).await.expect("head");
+        assert_eq!(plane.open_requests(), 1);
+        let read = world::read(world::parts(reply)).await;
+        assert!(read.whole);
+        assert_eq!(read.text.len(), 10 * world::LARGE_PART);
+        tokio::task::yield_now().await;
+        assert_eq!(plane.open_requests(), 0);
+    });
+}
+
+#[test]
+fn a_long_answer_ends_with_the_time_of_its_route() {
+    // Symptom: a server that sends one part a second holds its caller, and its own place, for
+    // minutes past the route's limit.
+    // Sequence: an answer over 256 KB whose parts come slower and slower.
+    // Cause: only the time up to the head was bounded.
+    world::run(async {
+        let plane = world::plane();
+        let large = ServerScript::Large(100, time::Duration::from_secs(1));
+        both(&plane, &large);
+        let mut ask = world::ask("a", catalog::ExchangeKind::Idempotent);
+        ask.limit = ask.arrived + time::Duration::from_secs(8);
+        let limit = ask.limit;
+        let reply = plane.serve(ask).await.expect("head");
+        let read = world::read(world::parts(reply)).await;
+        assert!(!read.whole, "the caller sees that it is cut");
+        assert_eq!(tokio::time::Instant::now(), limit);
+        tokio::task::yield_now().await;
+        assert_eq!(plane.open_requests(), 0);
+        assert_eq!(plane_port(&plane).open.borrow().values().sum::<u32>(), 0);
+    });
+}
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -13,6 +13,8 @@
 pub enum ServerScript {
     /// A whole answer after a time.
     Answer(u16, time::Duration),
+    /// An answer in this many parts of [`LARGE_PART`] bytes, one every so often.
+    Large(u32, time::Duration),
     /// A stream of this many events, one every so often.
     Events(u32, time::Duration),
     /// A stream that breaks off after this many events.
@@ -25,6 +27,9 @@
     Silent,
 }
 
+/// Bytes of a part of a large answer.
+pub const LARGE_PART: usize = 100_000;
+
 /// What the servers saw.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SeenCall {
@@ -145,6 +150,12 @@
                 tokio::time::sleep(after).await;
                 (status, self.body(&call, 1, time::Duration::ZERO, true))
             }
+            ServerScript::Large(parts, gap) => {
+                let mut body = self.body(&call, 0, gap, true);
+                let part = Ok(Bytes::from_static(&[b'x'; LARGE_PART]));
+                body.left = vec![part; parts as usize].into();
+                (200, body)
+            }
             ServerScript::Events(events, gap) => (200, self.body(&call, events, gap, true)),
             ServerScript::Breaks(events, gap) => (200, self.body(&call, events, gap, false)),
             ServerScript::NotRun(cause) => return port::CallOutcome::NotRun(cause),
