--- /dev/null
+++ b/crates/exchange/benches/scale.rs
@@ -0,0 +1,107 @@
+//! What one VM's part costs as VMs and servers grow together, ten servers to a VM: a choice of a
+//! server, and a datagram of another VM taken.
+//!
+//! `cargo bench -p exchange --bench scale`. The last column is the time over that of the smallest
+//! size: near 1 is what the size of the brief needs.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use std::{hint, time};
+
+use exchange::{catalog, fleet, link, message};
+
+/// VMs; servers are [`SERVERS_PER_VM`] times as many.
+const SIZES: [u32; 4] = [30, 100, 300, 410];
+const SERVERS_PER_VM: u32 = 10;
+/// Services; every second one is of engines.
+const SERVICES: u32 = 12;
+/// Servers on which another VM has something.
+const LOADS: u32 = 12;
+/// Times that each is measured.
+const TIMES: u32 = 2_000;
+
+fn plane(vms: u32) -> world::TestPlane {
+    let plane = world::plane();
+    let now = tokio::time::Instant::now();
+    for number in 0..vms * SERVERS_PER_VM {
+        let service = match number % SERVICES {
+            0 => String::from("llm"),
+            1 => String::from("app"),
+            other => format!("other-{other}"),
+        };
+        let entry = world::entry(&service, (number % 250) as u8, "a");
+        let news = world::news(&format!("i-{number}"), 9, Some(entry));
+        plane.state().take_news(news, false, now);
+    }
+    plane
+}
+
+/// What VM `sender` tells for the `sequence`th time.
+fn datagram(sender: u32, sequence: u64, servers: u32) -> message::PeerDatagram {
+    let loads = (0..LOADS).map(|index| message::LoadItem {
+        server: fleet::id_hash(&format!("i-{}", (sender * 7 + index * 13) % servers)),
+        runs: 1,
+        tokens: 900,
+        backlog: 0,
+        failing: false,
+    });
+    message::PeerDatagram {
+        sender: u64::from(sender) + 1,
+        name: format!("vm-{sender}"),
+        domain: String::from("a"),
+        incarnation: 1,
+        sequence,
+        stage: message::VmStage::Serving.into(),
+        entry_address: String::from("10.0.0.1:80"),
+        link_address: format!("10.1.{}.{}:81", sender / 250, sender % 250),
+        loads: loads.collect(),
+        ..message::PeerDatagram::default()
+    }
+}
+
+fn micros(times: u32, mut work: impl FnMut(u32)) -> f64 {
+    let began = time::Instant::now();
+    for number in 0..times {
+        work(number);
+    }
+    began.elapsed().as_secs_f64() * 1e6 / f64::from(times)
+}
+
+fn main() {
+    world::run(async {
+        println!("VMs  servers  choice of an engine   choice of a server   datagram taken");
+        let mut first = None;
+        for vms in SIZES {
+            let servers = vms * SERVERS_PER_VM;
+            let plane = plane(vms);
+            for sender in 1..vms {
+                link::take_datagram(&plane, &datagram(sender, 1, servers));
+            }
+            let stream = world::ask("a", catalog::ExchangeKind::Stream);
+            let call = world::ask("b", catalog::ExchangeKind::Idempotent);
+            let place = |ask| {
+                let now = tokio::time::Instant::now();
+                let placed = plane.state().place(ask, &[], Default::default(), now);
+                if let Ok((run, _)) = hint::black_box(placed) {
+                    plane.state().fleet.end(run);
+                }
+            };
+            let engine = micros(TIMES, |_| place(&stream));
+            let server = micros(TIMES, |_| place(&call));
+            let sequence = |number: u32| u64::from(2 + number);
+            let told = micros(TIMES, |number| {
+                let datagram = datagram(1 + number % (vms - 1), sequence(number), servers);
+                link::take_datagram(&plane, &datagram);
+            });
+            let (engine_first, server_first, told_first) =
+                *first.get_or_insert((engine, server, told));
+            println!(
+                "{vms:>3}  {servers:>7}  {engine:>8.1} us {:>6.2}   {server:>8.1} us {:>6.2}  {told:>8.1} us {:>6.2}",
+                engine / engine_first,
+                server / server_first,
+                told / told_first,
+            );
+        }
+    });
+}
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::{news, runs};
+use crate::{loads, news, runs};
 
 slotmap::new_key_type! {
     /// Key of one incarnation of a backend server.
@@ -13,8 +13,6 @@
     pub struct RunKey;
 }
 
-/// Age after which a peer's word on its own load counts for nothing: it is down or cut off.
-const PEER_LOAD_AGE: time::Duration = time::Duration::from_secs(3);
 /// Half-life of what failures say against a server: grey and dark servers are tried again after
 /// about three of these.
 const FAILURE_HALF_LIFE_S: f64 = 2.5;
@@ -23,10 +21,10 @@
 /// What a generation that broke off before its first byte moves it by. It may have run, so nobody
 /// may send it again: one such loss is enough to look elsewhere.
 const BROKEN_WEIGHT: f64 = 0.5;
+/// Failure rate below which a server is as good as any other.
+const DOUBT_LEAST: f64 = 0.01;
 /// Failure rate from which on a server gets no generations.
 const FAILING_RATE: f64 = 0.4;
-/// Other VMs that must say that a server fails for it to be believed. One may be cut off itself.
-const FAILING_PEERS: usize = 2;
 /// What one answer moves a server's believed latency by.
 const LATENCY_WEIGHT: f64 = 0.15;
 /// How long a connection may carry a call that can't be repeated: see [`crate::port::ReuseRule::FRESH`].
@@ -53,32 +51,6 @@
     Gone,
 }
 
-/// What another VM has on a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct PeerLoad {
-    /// Tries there.
-    pub runs: u32,
-    /// Memory that they and the copies there are expected to need.
-    pub tokens: u64,
-    /// Prompt tokens of generations without a first event.
-    pub backlog: u64,
-    /// Whether generations failed there of late.
-    pub failing: bool,
-}
-
-/// What a server has to do, over all VMs.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ServerLoad {
-    /// Tries there.
-    pub runs: u32,
-    /// Expected memory.
-    pub tokens: u64,
-    /// Prompt tokens not read yet.
-    pub backlog: u64,
-    /// Tries of this VM alone.
-    pub own_runs: u32,
-}
-
 /// One incarnation of a backend server.
 #[derive(Clone, Debug)]
 pub struct ServerRecord {
@@ -112,8 +84,6 @@
     judged_at: time::Instant,
     /// Believed latency of a call in milliseconds; zero: nothing known.
     latency_ms: f64,
-    /// What other VMs said of their load there, by VM, with the time it came.
-    peers: collections::HashMap<u64, (PeerLoad, time::Instant)>,
 }
 
 impl ServerRecord {
@@ -147,23 +117,17 @@
         self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE_S)
     }
 
+    /// Whether what failed there still counts for anything.
+    fn is_doubted(&self, now: time::Instant) -> bool {
+        self.failure_rate(now) > DOUBT_LEAST
+    }
+
     /// Whether this VM alone would send no generations there.
     #[must_use]
     pub fn fails_here(&self, now: time::Instant) -> bool {
         self.failure_rate(now) >= FAILING_RATE
     }
 
-    /// Whether it should get no generations. An engine that goes down and up by turns takes
-    /// connections and reservations all the while; it is empty, and so draws the prompts of all VMs,
-    /// each of which would have to learn by a lost one.
-    #[must_use]
-    pub fn is_failing(&self, now: time::Instant) -> bool {
-        let fresh = |at: &time::Instant| now.saturating_duration_since(*at) <= PEER_LOAD_AGE;
-        let peers = self.peers.values();
-        let told = peers.filter(|(load, at)| load.failing && fresh(at));
-        self.fails_here(now) || told.count() >= FAILING_PEERS
-    }
-
     /// The newest word on it, for other VMs.
     #[must_use]
     pub fn news(&self) -> news::ServerNews {
@@ -224,6 +188,15 @@
     /// Servers by [`id_hash`]; of two with the same hash the later one, whose load is then told
     /// wrongly: one in 10,000 pairs of 600 servers.
     by_hash: collections::HashMap<u32, ServerKey>,
+    /// All that are not forgotten: a choice among those of one service must not cost by how many
+    /// others there are.
+    by_service: collections::HashMap<String, Vec<ServerKey>>,
+    /// Those that something failed at since they were last looked through.
+    doubted: collections::HashSet<ServerKey>,
+    /// Hash of which servers stand how; each that is not gone adds its part.
+    standing_hash: u64,
+    /// What other VMs have on them.
+    peers: loads::PeerLoads,
     runs: slotmap::SlotMap<RunKey, runs::RunRecord>,
 }
 
@@ -263,6 +236,8 @@
         if after == before {
             return FleetChange::Nothing;
         }
+        self.standing_hash ^= standing_part(&record.id, before);
+        self.standing_hash ^= standing_part(&record.id, after);
         record.standing = after;
         record.since = now;
         record.spared_until = match (before, after) {
@@ -301,8 +276,10 @@
             used_at: None,
             judged_at: now,
             latency_ms: 0.0,
-            peers: collections::HashMap::new(),
         });
+        self.standing_hash ^= standing_part(&news.id, standing);
+        let service = self.by_service.entry(entry.service.clone());
+        service.or_default().push(key);
         self.by_id.insert(news.id.clone(), key);
         self.by_hash.insert(id_hash(&news.id), key);
         FleetChange::Arrived(key)
@@ -352,17 +329,33 @@
     /// Forgets servers that have been gone for long and run nothing.
     pub fn sweep(&mut self, now: time::Instant) {
         let used: collections::HashSet<_> = self.runs.values().map(|run| run.server).collect();
-        let by_id = &mut self.by_id;
-        let by_hash = &mut self.by_hash;
-        self.servers.retain(|key, record| {
-            let old = now.saturating_duration_since(record.since) > GONE_KEPT;
-            let keep = record.standing != ServerStanding::Gone || !old || used.contains(&key);
-            if !keep {
-                by_id.remove(&record.id);
-                by_hash.remove(&id_hash(&record.id));
-            }
-            keep
+        let old = self.servers.iter().filter(|(key, record)| {
+            record.standing == ServerStanding::Gone
+                && now.saturating_duration_since(record.since) > GONE_KEPT
+                && !used.contains(key)
         });
+        for key in old.map(|(key, _)| key).collect::<Vec<_>>() {
+            self.forget(key);
+        }
+        let servers = &self.servers;
+        self.doubted.retain(|key| {
+            servers
+                .get(*key)
+                .is_some_and(|server| server.is_doubted(now))
+        });
+    }
+
+    fn forget(&mut self, key: ServerKey) {
+        let Some(record) = self.servers.remove(key) else {
+            return;
+        };
+        self.by_id.remove(&record.id);
+        self.by_hash.remove(&id_hash(&record.id));
+        if let Some(keys) = self.by_service.get_mut(&record.service) {
+            keys.retain(|known| *known != key);
+        }
+        self.doubted.remove(&key);
+        self.peers.forget(key);
     }
 
     /// A server.
@@ -388,15 +381,35 @@
         self.servers.iter()
     }
 
+    /// Servers of a service, however they stand.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (ServerKey, &ServerRecord)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|&key| Some((key, self.servers.get(key)?)))
+    }
+
     /// Servers of a service that take new work.
     pub fn ready<'a>(
         &'a self,
-        service: &'a str,
+        service: &str,
         now: time::Instant,
-    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
-        self.servers
-            .iter()
-            .filter(move |(_, record)| record.service == service && record.takes_work(now))
+    ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> + use<'a> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(move |&key| {
+            let record = self.servers.get(key)?;
+            record.takes_work(now).then_some((key, record))
+        })
+    }
+
+    /// Whether a server should get no generations. An engine that goes down and up by turns takes
+    /// connections and reservations all the while; it is empty, and so draws the prompts of all VMs,
+    /// each of which would have to learn by a lost one.
+    #[must_use]
+    pub fn is_failing(&self, key: ServerKey, now: time::Instant) -> bool {
+        let here = self
+            .servers
+            .get(key)
+            .is_some_and(|record| record.fails_here(now));
+        here || self.peers.say_failing(key, now)
     }
 
     /// A try is sent to a server.
@@ -444,6 +457,9 @@
         };
         let rate = record.failure_rate(now);
         record.failure_rate = rate + (sample - rate) * weight;
+        if sample > 0.0 {
+            self.doubted.insert(key);
+        }
         record.judged_at = now;
         if let ServerVerdict::Good(latency) = verdict {
             let latency = latency.as_secs_f64() * 1_000.0;
@@ -464,83 +480,80 @@
 
     /// What this VM has on each server, and which fail.
     #[must_use]
-    pub fn own_loads(&self, now: time::Instant) -> slotmap::SecondaryMap<ServerKey, PeerLoad> {
-        let mut loads = slotmap::SecondaryMap::<ServerKey, PeerLoad>::new();
-        for (key, record) in &self.servers {
-            if record.fails_here(now) {
-                let load = PeerLoad {
+    pub fn own_loads(
+        &self,
+        now: time::Instant,
+    ) -> slotmap::SecondaryMap<ServerKey, loads::PeerLoad> {
+        let mut own = slotmap::SecondaryMap::<ServerKey, loads::PeerLoad>::new();
+        for &key in &self.doubted {
+            let record = self.servers.get(key);
+            if record.is_some_and(|record| record.fails_here(now)) {
+                let load = loads::PeerLoad {
                     failing: true,
-                    ..PeerLoad::default()
+                    ..loads::PeerLoad::default()
                 };
-                loads.insert(key, load);
+                own.insert(key, load);
             }
         }
         for run in self.runs.values() {
             let tokens = run.planned_tokens();
-            if let Some(entry) = loads.entry(run.server) {
+            if let Some(entry) = own.entry(run.server) {
                 let load = entry.or_default();
                 load.runs += 1;
                 load.tokens += tokens;
                 load.backlog += run.backlog();
             }
             for copy in run.backup.iter().chain(run.moving_to.iter()) {
-                if let Some(entry) = loads.entry(*copy) {
+                if let Some(entry) = own.entry(*copy) {
                     entry.or_default().tokens += tokens;
                 }
             }
         }
-        loads
+        own
     }
 
-    /// Another VM told what it has on a server.
-    pub fn take_peer_load(&mut self, key: ServerKey, vm: u64, load: PeerLoad, now: time::Instant) {
-        if let Some(record) = self.servers.get_mut(key) {
-            record.peers.insert(vm, (load, now));
-        }
+    /// Another VM told all that it has: what it does not name, it no longer has.
+    pub fn take_peer_loads(
+        &mut self,
+        vm: u64,
+        loads: impl Iterator<Item = (ServerKey, loads::PeerLoad)>,
+        now: time::Instant,
+    ) {
+        let servers = &self.servers;
+        let known = loads.filter(|(key, _)| servers.contains_key(*key));
+        self.peers.replace(vm, known, now);
     }
 
     /// Hash of which servers stand how: equal on VMs that know the same news.
     #[must_use]
-    pub fn standing_hash(&self) -> u64 {
-        let listed = self
-            .servers
-            .values()
-            .filter(|server| server.standing != ServerStanding::Gone);
-        listed.fold(0, |hash, server| {
-            let seed = u64::from(server.standing == ServerStanding::Leaving);
-            hash ^ xxhash_rust::xxh3::xxh3_64_with_seed(server.id.as_bytes(), seed)
-        })
-    }
-
-    /// Another VM told all that it has: what it does not name, it no longer has.
-    pub fn clear_peer_loads(&mut self, vm: u64) {
-        for record in self.servers.values_mut() {
-            record.peers.remove(&vm);
-        }
+    pub const fn standing_hash(&self) -> u64 {
+        self.standing_hash
     }
 
-    /// What each server has to do, over all VMs.
+    /// What each server of a service has to do, over all VMs.
     #[must_use]
-    pub fn loads(&self, now: time::Instant) -> slotmap::SecondaryMap<ServerKey, ServerLoad> {
+    pub fn loads(
+        &self,
+        service: &str,
+        now: time::Instant,
+    ) -> slotmap::SecondaryMap<ServerKey, loads::ServerLoad> {
         let own = self.own_loads(now);
         let mut loads = slotmap::SecondaryMap::new();
-        for (key, record) in &self.servers {
+        for (key, _) in self.of_service(service) {
             let own = own.get(key).copied().unwrap_or_default();
-            let mut load = ServerLoad {
-                runs: own.runs,
-                tokens: own.tokens,
-                backlog: own.backlog,
-                own_runs: own.runs,
-            };
-            for (peer, at) in record.peers.values() {
-                if now.saturating_duration_since(*at) <= PEER_LOAD_AGE {
-                    load.runs += peer.runs;
-                    load.tokens += peer.tokens;
-                    load.backlog += peer.backlog;
-                }
-            }
+            let mut load = loads::ServerLoad::of_own(own);
+            self.peers.add_to(&mut load, key, now);
             loads.insert(key, load);
         }
         loads
     }
 }
+
+/// What a server adds to the hash of how all stand.
+fn standing_part(id: &str, standing: ServerStanding) -> u64 {
+    match standing {
+        ServerStanding::Gone => 0,
+        ServerStanding::Ready => xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), 0),
+        ServerStanding::Leaving => xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), 1),
+    }
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod follow;
 pub mod forecast;
 pub mod link;
+pub mod loads;
 pub mod message;
 mod moving;
 pub mod news;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 use tokio::{net as sockets, time};
 
-use crate::{catchup, fleet, follow, message, news, peers, plane, state};
+use crate::{catchup, fleet, follow, loads, message, news, peers, plane, state};
 
 /// Changes of load within this are told together.
 const LOADS_GAP: time::Duration = time::Duration::from_millis(15);
@@ -290,19 +290,19 @@
 }
 
 fn take_loads(state: &mut state::PlaneState, datagram: &message::PeerDatagram, now: time::Instant) {
-    let vm = datagram.sender;
-    state.fleet.clear_peer_loads(vm);
-    for item in &datagram.loads {
-        if let Some(key) = state.fleet.find_hash(item.server) {
-            let load = fleet::PeerLoad {
-                runs: item.runs,
-                tokens: item.tokens,
-                backlog: item.backlog,
-                failing: item.failing,
-            };
-            state.fleet.take_peer_load(key, vm, load, now);
-        }
-    }
+    let told = datagram.loads.iter().filter_map(|item| {
+        let load = loads::PeerLoad {
+            runs: item.runs,
+            tokens: item.tokens,
+            backlog: item.backlog,
+            failing: item.failing,
+        };
+        Some((state.fleet.find_hash(item.server)?, load))
+    });
+    let told: Vec<_> = told.collect();
+    state
+        .fleet
+        .take_peer_loads(datagram.sender, told.into_iter(), now);
 }
 
 /// Takes news of servers; says whether they changed anything.
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use tokio::time;
 
-use crate::{ask, catalog, fleet, forecast};
+use crate::{ask, catalog, fleet, forecast, loads};
 
 /// Part of an engine's memory that expected needs may fill: past it, expectation errors preempt.
 const MEMORY_FILL: f64 = 0.92;
@@ -93,7 +93,7 @@
     now: time::Instant,
     rng: &mut impl rand::Rng,
 ) -> PlaceOutcome {
-    let loads = fleet.loads(now);
+    let loads = fleet.loads(ask.service, now);
     let engine = rule.and_then(|rule| rule.engine);
     let favourite = favourite(fleet, ask, now);
     if let (Some(engine), Some(size)) = (engine, ask.size)
@@ -116,7 +116,7 @@
             continue;
         }
         any = true;
-        if record.is_full(now) || (avoids_failing && record.is_failing(now)) {
+        if record.is_full(now) || (avoids_failing && fleet.is_failing(key, now)) {
             continue;
         }
         let load = loads.get(key).copied().unwrap_or_default();
@@ -145,7 +145,8 @@
 /// its links or what was silent at all VMs, and keeping away from them would stop everything.
 fn few_fail(fleet: &fleet::ServerFleet, service: &str, now: time::Instant) -> bool {
     let ready = fleet.ready(service, now);
-    let (failing, sound): (Vec<_>, Vec<_>) = ready.partition(|(_, record)| record.is_failing(now));
+    let (failing, sound): (Vec<_>, Vec<_>) =
+        ready.partition(|(key, _)| fleet.is_failing(*key, now));
     failing.len() <= sound.len()
 }
 
@@ -160,16 +161,13 @@
     engine: &catalog::EngineRule,
     ask: &PlaceAsk<'_>,
     size: &ask::GenerationSize,
-    loads: &slotmap::SecondaryMap<fleet::ServerKey, fleet::ServerLoad>,
+    loads: &slotmap::SecondaryMap<fleet::ServerKey, loads::ServerLoad>,
     now: time::Instant,
 ) -> bool {
     let memory = engine.memory_tokens as f64;
     let (mut free, mut used, mut all) = (0.0, 0.0, 0.0);
     let mut owed = ask.yielded_tokens as f64;
-    for (key, record) in fleet
-        .servers()
-        .filter(|(_, record)| record.service == ask.service)
-    {
+    for (key, record) in fleet.of_service(ask.service) {
         let tokens = loads.get(key).map_or(0.0, |load| load.tokens as f64);
         if record.takes_work(now) {
             all += memory;
@@ -189,7 +187,7 @@
     engine: &catalog::EngineRule,
     size: &ask::GenerationSize,
     record: &fleet::ServerRecord,
-    load: &fleet::ServerLoad,
+    load: &loads::ServerLoad,
 ) -> Option<f64> {
     let need = forecast::planned_tokens(size) as f64;
     let memory = engine.memory_tokens as f64;
@@ -219,7 +217,7 @@
 /// Expected cost of a call, absent where its server has its fill.
 fn call_cost(
     record: &fleet::ServerRecord,
-    load: &fleet::ServerLoad,
+    load: &loads::ServerLoad,
     entries: u32,
     now: time::Instant,
 ) -> Option<f64> {
@@ -284,7 +282,7 @@
     fleet: &fleet::ServerFleet,
     service: &str,
     memory: f64,
-    loads: &slotmap::SecondaryMap<fleet::ServerKey, fleet::ServerLoad>,
+    loads: &slotmap::SecondaryMap<fleet::ServerKey, loads::ServerLoad>,
     now: time::Instant,
 ) -> f64 {
     let mut engines = 0.0;
@@ -305,7 +303,7 @@
     rng: &mut impl rand::Rng,
 ) -> Option<fleet::ServerKey> {
     let source = fleet.server(ask.source)?;
-    let loads = fleet.loads(now);
+    let loads = fleet.loads(ask.service, now);
     let memory = engine.memory_tokens as f64;
     if ask.beforehand && fleet_fill(fleet, ask.service, memory, &loads, now) > BACKUP_FLEET_FILL {
         return None;
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -430,7 +430,7 @@
         if let Some(record) = state.fleet.server(server) {
             log::info!(
                 server:% = record.id, failure_rate = record.failure_rate(now),
-                failing = record.is_failing(now);
+                failing = state.fleet.is_failing(server, now);
                 "server broke a generation off"
             );
         }
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -5,8 +5,8 @@
 use std::time;
 
 use exchange::{
-    ask, budget, comeback, directory, event, fleet, forecast, message, peers, place, relocate,
-    runs, suspect, wait,
+    ask, budget, comeback, directory, event, fleet, forecast, loads, message, peers, place,
+    relocate, runs, suspect, wait,
 };
 use tokio::time::Instant;
 
@@ -89,7 +89,7 @@
                     fleet.start(record);
                 }
             }
-            for load in fleet.loads(now).values() {
+            for load in fleet.loads("llm", now).values() {
                 assert!(load.tokens <= 20_000, "{load:?}");
                 assert!(load.runs <= 8, "{load:?}");
             }
@@ -114,7 +114,7 @@
             };
             fleet.start(run(server, 3_000, false));
         }
-        let loads = fleet.loads(now);
+        let loads = fleet.loads("llm", now);
         assert!(loads.values().all(|load| load.runs == 1), "{loads:?}");
         let size = size(3_000);
         let third = place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
@@ -381,14 +381,14 @@
         };
         let there = place::PlaceOutcome::Server(first);
         assert_eq!(choose(&fleet, now), there, "it is empty");
-        let failing = fleet::PeerLoad {
+        let failing = loads::PeerLoad {
             failing: true,
-            ..fleet::PeerLoad::default()
+            ..loads::PeerLoad::default()
         };
         let mut told = fleet.clone();
-        told.take_peer_load(first, 1, failing, now);
+        told.take_peer_loads(1, std::iter::once((first, failing)), now);
         assert_eq!(choose(&told, now), there, "one VM may be at fault itself");
-        told.take_peer_load(first, 2, failing, now);
+        told.take_peer_loads(2, std::iter::once((first, failing)), now);
         assert_ne!(choose(&told, now), there, "two are not");
         let mut lost = fleet.clone();
         lost.judge(first, fleet::ServerVerdict::BrokeOff, now);
--- a/crates/exchange/tests/overload.rs
+++ b/crates/exchange/tests/overload.rs
@@ -215,7 +215,8 @@
         let place::PlaceOutcome::Server(server) = placed else {
             return false;
         };
-        let unread = self.fleet.loads(now)[server].backlog + u64::from(ask.size.prompt_tokens);
+        let unread =
+            self.fleet.loads("llm", now)[server].backlog + u64::from(ask.size.prompt_tokens);
         let reading = time::Duration::from_secs_f64(unread as f64 / 7_000.0);
         let making = time::Duration::from_millis(8 * u64::from(ask.output));
         let first_at = now + reading;
