--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -52,6 +52,10 @@
 /// here, where they can still go elsewhere.
 const QUEUE_FACTOR: u32 = 2;
 
+/// Part of the connections that a server takes which tries may hold; the rest is for those that are
+/// kept without a try, and for tries that are not told yet.
+const CONNECTIONS_FILL: f64 = 0.8;
+
 /// How long the runs of a server that leaves are made room for: it is gone soon after.
 const MOVING_FOR: time::Duration = time::Duration::from_millis(2_500);
 
@@ -120,6 +124,9 @@
             continue;
         }
         let load = loads.get(key).copied().unwrap_or_default();
+        if rule.is_some_and(|rule| has_its_connections(rule, &load)) {
+            continue;
+        }
         let cost = match (engine, ask.size) {
             (Some(engine), Some(size)) => generation_cost(&engine, size, record, &load),
             _ => call_cost(record, &load, ask.entries, now),
@@ -141,6 +148,12 @@
     }
 }
 
+/// Whether tries of all VMs hold as many connections to a server as it takes: it resets what comes
+/// beyond, and a call that may run once is then lost.
+fn has_its_connections(rule: &catalog::ServiceRule, load: &loads::ServerLoad) -> bool {
+    f64::from(load.runs) >= f64::from(rule.connections) * CONNECTIONS_FILL
+}
+
 /// Whether few enough servers fail for it to be them. When most seem to, the fault is with this VM,
 /// its links or what was silent at all VMs, and keeping away from them would stop everything.
 fn few_fail(fleet: &fleet::ServerFleet, service: &str, now: time::Instant) -> bool {
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -667,3 +667,62 @@
     hinted.hint_tokens = Some(1_000_000);
     assert!(forecast::expected_output(&hinted, 0) <= 2_000.0);
 }
+
+/// Each of `vms` has two tries on a server.
+fn crowd(
+    fleet: &mut fleet::ServerFleet,
+    server: fleet::ServerKey,
+    vms: std::ops::Range<u64>,
+    now: Instant,
+) {
+    for vm in vms {
+        let load = loads::PeerLoad {
+            runs: 2,
+            ..loads::PeerLoad::default()
+        };
+        fleet.take_peer_loads(vm, std::iter::once((server, load)), now);
+    }
+}
+
+#[test]
+fn connections_to_one_server_are_limited_over_all_vms() {
+    // Symptom: bookings are lost while servers have room.
+    // Load: 60 VMs crowd on three small servers, each with a few calls of its own; a server takes
+    // 100 connections and resets what comes beyond.
+    // Cause: each VM counts its own connections only.
+    world::run(async {
+        let now = Instant::now();
+        let mut fleet = fleet_of(2);
+        let first = fleet.find("e1").expect("e1");
+        let second = fleet.find("e2").expect("e2");
+        let rule = exchange::catalog::ServiceRule {
+            connections: 100,
+            engine: None,
+        };
+        let ask = place::PlaceAsk {
+            service: "llm",
+            size: None,
+            avoid: &[],
+            domain: "a",
+            entries: 60,
+            yielded_tokens: 0,
+            kept_part: 0.0,
+        };
+        let mut rng = rng();
+        crowd(&mut fleet, first, 0..40, now);
+        let there = place::PlaceOutcome::Server(second);
+        for _ in 0..20 {
+            let placed = place::choose(&fleet, Some(&rule), &ask, now, &mut rng);
+            assert_eq!(placed, there, "80 of 100 are taken at the first");
+        }
+        crowd(&mut fleet, second, 100..140, now);
+        let placed = place::choose(&fleet, Some(&rule), &ask, now, &mut rng);
+        assert_eq!(placed, place::PlaceOutcome::Full);
+        let later = now + time::Duration::from_secs(4);
+        let placed = place::choose(&fleet, Some(&rule), &ask, later, &mut rng);
+        assert!(
+            matches!(placed, place::PlaceOutcome::Server(_)),
+            "old words"
+        );
+    });
+}
