--- a/crates/ctl/src/saved_logs.rs
+++ b/crates/ctl/src/saved_logs.rs
@@ -203,6 +203,15 @@
             line.field("events").unwrap_or("?")
         );
     }
+    if let Some(line) = last_of("long answer ended") {
+        return match line.field("end") {
+            Some("whole") => String::from("whole; it was passed on as it came"),
+            Some("left") => String::from("its caller left in the middle of a long answer"),
+            _ => String::from(
+                "its long answer was cut: its server broke off, or the time of its route was up",
+            ),
+        };
+    }
     let Some(line) = last_of("refused").or_else(|| last_of("stream not whole")) else {
         return match last_of("answered") {
             Some(line) => format!(
--- a/crates/ctl/tests/saved_logs.rs
+++ b/crates/ctl/tests/saved_logs.rs
@@ -21,6 +21,8 @@
 [2026-12-02T05:05:57.000Z INFO  exchange::plane] waits for a place request=26aa service=llm rank=5 ahead=0 came_back=false
 [2026-12-02T05:05:57.900Z INFO  exchange::serve_stream] no room request=26aa server=i-56 tokens=4845 fault=Full
 [2026-12-02T05:05:58.000Z INFO  exchange::follow] store changed answered=false
+[2026-12-02T05:05:58.100Z INFO  platform::ingress] answered request=31ce route=r-2 status=200 ms=40
+[2026-12-02T05:06:00.100Z INFO  exchange::serve_call] long answer ended request=31ce end=failed
 [2026-12-02T05:05:59.000Z INFO  platform::ingress] refused request=26aa route=r-1 cause=patience ran=No ms=2000 retry_after=Some(499.2ms)
 ";
 
@@ -88,6 +90,12 @@
     );
 }
 
+#[test]
+fn a_long_answer_that_was_cut_is_no_answer() {
+    let text = explain("31ce").text;
+    assert!(text.contains("ended: its long answer was cut"), "{text}");
+}
+
 /// The symptom: one run of many found no line of a request that the files name. Tests of one
 /// program run side by side; all wrote the same two files, and a write empties a file before
 /// it fills it, so that another test read an empty one. Each call now has files of its own.
