--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -10,7 +10,7 @@
 
 use crate::{fleet, follow, link, message, peers, plane, server, speak, state};
 
-/// How long most VMs must know other news of servers before one is asked for all that it knows.
+/// How long most VMs must know other news of servers before one is asked for what differs.
 pub const DIFFERS_FOR: time::Duration = time::Duration::from_millis(400);
 /// Largest state that is taken: a configuration of 38,000 organisations takes about 8 MB.
 const MOST_STATE: usize = 32 * 1_024 * 1_024;
