--- a/crates/exchange/src/audience.rs
+++ b/crates/exchange/src/audience.rs
@@ -53,10 +53,10 @@
 /// VMs that get the regular datagram of a turn.
 #[must_use]
 pub fn regular(table: &peers::PeerTable, turn: u64, now: time::Instant) -> Vec<net::SocketAddr> {
-    let heard = table.all().filter(|(_, peer)| peer.is_heard(now));
     if !is_large(table.len()) {
-        return heard.map(|(_, peer)| peer.link_address).collect();
+        return heard(table, now);
     }
+    let heard = table.all().filter(|(_, peer)| peer.is_heard(now));
     let mut far = 0;
     let due = heard.filter(|(_, peer)| {
         if peer.domain == table.own_domain() {
--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -37,10 +37,10 @@
     loop {
         time::sleep(LOOK_GAP).await;
         note_difference(&mut plane.state());
-        let Some((address, version)) = who_knows_more(&plane) else {
+        let Some(address) = who_knows_more(&plane) else {
             continue;
         };
-        let ask = state_ask(&plane.state(), version);
+        let ask = state_ask(&plane.state());
         let gap = pace(ask.ready.len() + ask.leaving.len());
         let reply = time::timeout(STATE_WAIT, ask_state(address, &ask)).await;
         if let Ok(Ok(reply)) = reply {
@@ -58,14 +58,14 @@
 
 /// Asks for what a VM knows otherwise than this one.
 #[must_use]
-pub fn state_ask(state: &state::PlaneState, catalog_version: u64) -> message::StateAsk {
+pub fn state_ask(state: &state::PlaneState) -> message::StateAsk {
     let hashes = |standing| {
         let servers = state.fleet.servers();
         let servers = servers.filter(move |(_, server)| server.standing == standing);
         servers.map(|(_, server)| fleet::id_hash(&server.id))
     };
     message::StateAsk {
-        catalog_version,
+        catalog_version: state.version(),
         ready: hashes(server::ServerStanding::Ready).collect(),
         leaving: hashes(server::ServerStanding::Leaving).collect(),
     }
@@ -77,25 +77,30 @@
     let now = time::Instant::now();
     let own = state.fleet.standing_hash();
     let version = state.version();
-    let mut heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
-    if heard.any(|(_, peer)| peer.catalog_version > version) {
-        state.behind_since.get_or_insert(now);
-    } else {
-        state.behind_since = None;
+    let (mut behind, mut same, mut other) = (false, 0, 0);
+    for (_, peer) in state.peers.all().filter(|(_, peer)| peer.is_heard(now)) {
+        behind |= peer.catalog_version > version;
+        if peer.standing_hash == own {
+            same += 1;
+        } else {
+            other += 1;
+        }
     }
-    let heard = state.peers.all().filter(|(_, peer)| peer.is_heard(now));
-    let (same, other): (Vec<_>, Vec<_>) = heard
-        .map(|(_, peer)| peer.standing_hash)
-        .partition(|hash| *hash == own);
-    if other.len() > same.len() {
-        state.differs_since.get_or_insert(now);
+    note_since(&mut state.behind_since, behind, now);
+    note_since(&mut state.differs_since, other > same, now);
+}
+
+/// Keeps since when something holds.
+fn note_since(since: &mut Option<time::Instant>, holds: bool, now: time::Instant) {
+    if holds {
+        since.get_or_insert(now);
     } else {
-        state.differs_since = None;
+        *since = None;
     }
 }
 
 /// A VM that has a newer configuration, or newer news while the store is away.
-fn who_knows_more<P>(plane: &plane::ExchangePlane<P>) -> Option<(net::SocketAddr, u64)> {
+fn who_knows_more<P>(plane: &plane::ExchangePlane<P>) -> Option<net::SocketAddr> {
     let mut state = plane.state();
     let now = time::Instant::now();
     let version = state.version();
@@ -129,7 +134,7 @@
         let asked = worth_asking(other.collect(), &state.settings.domain);
         asked.get(draw % asked.len().max(1)).copied()
     });
-    newer.map(|peer| (peer.link_address, version))
+    newer.map(|peer| peer.link_address)
 }
 
 /// Of VMs that know other news than this one, those that know what most of them know: one that was
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -157,10 +157,15 @@
 /// Whether few enough servers fail for it to be them. When most seem to, the fault is with this VM,
 /// its links or what was silent at all VMs, and keeping away from them would stop everything.
 fn few_fail(fleet: &fleet::ServerFleet, service: &str, now: time::Instant) -> bool {
-    let ready = fleet.ready(service, now);
-    let (failing, sound): (Vec<_>, Vec<_>) =
-        ready.partition(|(key, _)| fleet.is_failing(*key, now));
-    failing.len() <= sound.len()
+    let (mut failing, mut sound) = (0, 0);
+    for (key, _) in fleet.ready(service, now) {
+        if fleet.is_failing(key, now) {
+            failing += 1;
+        } else {
+            sound += 1;
+        }
+    }
+    failing <= sound
 }
 
 /// Whether a new generation leaves room for the runs of servers that leave. What runs has cost its
--- a/crates/exchange/src/speak.rs
+++ b/crates/exchange/src/speak.rs
@@ -150,29 +150,35 @@
     let own = state.settings.name.clone();
     let mut composed = Vec::new();
     let news = news_to_tell(state, pending);
-    let tellers = audience::tellers(&state.peers, &own, turn + state.sequence, now);
-    let mut audience = match (cause, &tellers) {
-        (SpeakCause::All, _) | (_, None) => audience::heard(&state.peers, now),
-        (SpeakCause::Regular, Some(_)) => audience::regular(&state.peers, turn, now),
-        (SpeakCause::Loads, Some(_)) => audience::near(&state.peers, now),
-        (SpeakCause::News, Some(_)) => Vec::new(),
+    let large = audience::is_large(state.peers.len());
+    let mut audience = match cause {
+        SpeakCause::Regular => audience::regular(&state.peers, turn, now),
+        SpeakCause::Loads if large => audience::near(&state.peers, now),
+        SpeakCause::News if large => Vec::new(),
+        _ => audience::heard(&state.peers, now),
     };
+    // Tellers and parts are worked out from all VMs in order: only where there is news for them.
+    let tellers = (!news.is_empty())
+        .then(|| audience::tellers(&state.peers, &own, turn + state.sequence, now))
+        .flatten();
     let mut datagram = datagram(state);
     datagram.refused = state.comebacks.take_untold(MOST_REFUSED);
     let first_hand = tellers.as_ref().unwrap_or(&audience);
     for news in news.chunks(MOST_NEWS) {
-        let bytes = with_news(state, &datagram, news, tellers.is_some());
+        let bytes = with_news(state, &datagram, news, large);
         composed.push((first_hand.clone(), bytes));
     }
-    if tellers.is_some() {
+    if !large {
+        // Whoever asked for it believed that there are more VMs.
+        state.told_on.clear();
+    }
+    let told_on = take_told_on(state);
+    if !told_on.is_empty() {
         let part = audience::own_part(&state.peers, &own, now);
-        for news in take_told_on(state).chunks(MOST_NEWS) {
+        for news in told_on.chunks(MOST_NEWS) {
             let bytes = with_news(state, &datagram, news, false);
             composed.push((part.clone(), bytes));
         }
-    } else {
-        // Whoever asked for it believed that there are more VMs.
-        state.told_on.clear();
     }
     datagram.sequence = state.next_sequence();
     if rare {
@@ -181,7 +187,7 @@
     }
     let greeted = state.peers.greetings(now);
     // All have heard it with the news already.
-    let said = tellers.is_none() && !news.is_empty();
+    let said = !large && !news.is_empty();
     // Few datagrams say who sends them; the others need not be written twice.
     if !rare && !said {
         composed.push((std::mem::take(&mut audience), encode(&mut datagram)));
--- a/crates/exchange/tests/audience.rs
+++ b/crates/exchange/tests/audience.rs
@@ -178,7 +178,7 @@
         for news in &changes {
             there.state().take_news(news.clone(), false, now);
         }
-        let ask = catchup::state_ask(&here.state(), 1);
+        let ask = catchup::state_ask(&here.state());
         let reply = catchup::state_reply(&mut there.state(), &ask);
         let told: collections::BTreeSet<_> = reply.news.iter().map(|item| &item.id).collect();
         assert_eq!(told.len(), 3, "{told:?}");
@@ -188,7 +188,7 @@
         }
         let hash = |plane: &world::TestPlane| plane.state().fleet.standing_hash();
         assert_eq!(hash(&here), hash(&there));
-        let ask = catchup::state_ask(&there.state(), 1);
+        let ask = catchup::state_ask(&there.state());
         assert!(
             catchup::state_reply(&mut here.state(), &ask)
                 .news
