Incarnations of servers by name and birth; what is no entry names no server

Cause: a server may start again under its name with another birth; records were kept by name, so that leaving, failures, loads, copies and kept connections of the earlier one counted for the later.

--- a/crates/exchange/benches/scale.rs
+++ b/crates/exchange/benches/scale.rs
@@ -9,7 +9,7 @@
 
 use std::{hint, time};
 
-use exchange::{catalog, fleet, link, message};
+use exchange::{catalog, link, message, news, server};
 
 /// VMs; servers are [`SERVERS_PER_VM`] times as many.
 const SIZES: [u32; 4] = [30, 100, 300, 410];
@@ -40,7 +40,10 @@
 /// What VM `sender` tells for the `sequence`th time.
 fn datagram(sender: u32, sequence: u64, servers: u32) -> message::PeerDatagram {
     let loads = (0..LOADS).map(|index| message::LoadItem {
-        server: fleet::id_hash(&format!("i-{}", (sender * 7 + index * 13) % servers)),
+        server: {
+            let id = format!("i-{}", (sender * 7 + index * 13) % servers);
+            server::incarnation_hash(&id, news::BirthTime::UNTOLD) as u32
+        },
         runs: 1,
         tokens: 900,
         backlog: 0,
--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -8,7 +8,7 @@
 use tokio::{net as sockets, time};
 use tokio_util::codec;
 
-use crate::{fleet, follow, link, message, peers, plane, server, speak, state};
+use crate::{follow, link, message, peers, plane, server, speak, state};
 
 /// How long most VMs must know other news of servers before one is asked for what differs.
 pub const DIFFERS_FOR: time::Duration = time::Duration::from_millis(400);
@@ -62,7 +62,7 @@
     let hashes = |standing| {
         let servers = state.fleet.servers();
         let servers = servers.filter(move |(_, server)| server.standing == standing);
-        servers.map(|(_, server)| fleet::id_hash(&server.id))
+        servers.map(|(_, server)| server.name_hash())
     };
     message::StateAsk {
         catalog_version: state.version(),
@@ -231,7 +231,7 @@
     let ready: collections::HashSet<_> = ask.ready.iter().copied().collect();
     let leaving: collections::HashSet<_> = ask.leaving.iter().copied().collect();
     let differs = |server: &server::ServerRecord| {
-        let hash = fleet::id_hash(&server.id);
+        let hash = server.name_hash();
         let known = match server.standing {
             server::ServerStanding::Ready => ready.contains(&hash) || leaving.contains(&hash),
             server::ServerStanding::Leaving => leaving.contains(&hash),
@@ -241,7 +241,7 @@
     };
     let servers = state.fleet.servers().map(|(_, server)| server);
     let news = servers
-        .filter(|server| differs(server))
+        .filter(|server| !server.superseded && differs(server))
         .map(|server| message::NewsItem::from(&server.news()));
     let news = news.collect();
     let catalog = if newer {
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -18,11 +18,6 @@
 /// An entry that lapsed during an outage of the store counts as alive until this long after the
 /// store is back; servers that live write themselves in again within about two seconds.
 pub const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_200);
-/// Hash by which other VMs name a server in their loads.
-#[must_use]
-pub fn id_hash(id: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
-}
 
 /// What a piece of news changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +35,7 @@
 pub struct ServerFleet {
     servers: slotmap::SlotMap<ServerKey, server::ServerRecord>,
     by_id: collections::HashMap<String, ServerKey>,
-    /// Servers by [`id_hash`]; of two with the same hash the later one, whose load is then told
+    /// Servers by [`server::ServerRecord::name_hash`]; of two with the same hash the later one, whose load is then told
     /// wrongly: one in 10,000 pairs of 600 servers.
     by_hash: collections::HashMap<u32, ServerKey>,
     /// All that are not forgotten: a choice among those of one service must not cost by how many
@@ -70,31 +65,24 @@
         let Some(&key) = self.by_id.get(&news.id) else {
             return self.first_news(news, now);
         };
-        let record = &mut self.servers[key];
-        if news.offset <= record.offset {
-            return FleetChange::Nothing;
-        }
-        record.offset = news.offset;
-        let before = record.standing;
-        let after = match &news.entry {
-            None => server::ServerStanding::Gone,
-            // Leaving is never unlearnt for an incarnation; a lapsed entry may come back.
-            Some(entry) if entry.leaving || before == server::ServerStanding::Leaving => {
-                server::ServerStanding::Leaving
+        let known = self.servers[key].born;
+        match &news.entry {
+            // The late word of an incarnation that is over, or of a writer that knows none.
+            Some(entry) if entry.born < known => return FleetChange::Nothing,
+            Some(entry) if entry.born > known && known.is_told() => {
+                return self.take_successor(key, news, entry, now);
             }
-            Some(_) => server::ServerStanding::Ready,
-        };
-        if let Some(entry) = &news.entry {
-            record.slots = entry.slots;
-            record.address = entry.address;
+            Some(entry) if entry.born > known => self.tell_born(key, entry.born),
+            _ => {}
         }
+        let record = &mut self.servers[key];
+        let before = record.standing;
+        let after = record.take_word(news);
         if after == before {
             return FleetChange::Nothing;
         }
-        self.standing_hash ^= standing_part(&record.id, before);
-        self.standing_hash ^= standing_part(&record.id, after);
-        record.standing = after;
-        record.since = now;
+        self.set_standing(key, after, now);
+        let record = &mut self.servers[key];
         record.spared_until = match (before, after) {
             (server::ServerStanding::Ready, server::ServerStanding::Gone) => spared,
             _ => None,
@@ -111,14 +99,78 @@
             return FleetChange::Nothing;
         };
         let record = server::ServerRecord::new(&news.id, news.offset, entry, now);
-        let standing = record.standing;
+        FleetChange::Arrived(self.insert(record))
+    }
+
+    /// A server started again under its name. It knows nothing of what the incarnation before it had:
+    /// what was learnt of that one, and what runs or is kept there, stays with a record that takes no
+    /// work. Were it the same record, a server that left before it crashed would get no work ever
+    /// again, and a copy kept before the crash would be sent for where another run may have its name.
+    fn take_successor(
+        &mut self,
+        before: ServerKey,
+        news: &news::ServerNews,
+        entry: &news::ServerEntry,
+        now: time::Instant,
+    ) -> FleetChange {
+        self.set_standing(before, server::ServerStanding::Gone, now);
+        let old = &mut self.servers[before];
+        old.superseded = true;
+        old.spared_until = None;
+        let mut record = server::ServerRecord::new(&news.id, news.offset, entry, now);
+        record.end_at(old.ended_offset);
+        let gone = record.standing == server::ServerStanding::Gone;
+        let key = self.insert(record);
+        if gone {
+            FleetChange::Leaves(before)
+        } else {
+            FleetChange::Arrived(key)
+        }
+    }
+
+    /// The incarnation that is known is now known by its birth, too.
+    fn tell_born(&mut self, key: ServerKey, born: news::BirthTime) {
+        let record = &mut self.servers[key];
+        self.standing_hash ^= standing_part(record);
+        record.born = born;
+        self.standing_hash ^= standing_part(record);
+        self.by_hash.insert(record.name_hash(), key);
+    }
+
+    fn set_standing(
+        &mut self,
+        key: ServerKey,
+        standing: server::ServerStanding,
+        now: time::Instant,
+    ) {
+        let record = &mut self.servers[key];
+        self.standing_hash ^= standing_part(record);
+        if record.standing != standing {
+            record.since = now;
+        }
+        record.standing = standing;
+        self.standing_hash ^= standing_part(record);
+    }
+
+    fn insert(&mut self, record: server::ServerRecord) -> ServerKey {
+        self.standing_hash ^= standing_part(&record);
+        let (id, hash) = (record.id.clone(), record.name_hash());
+        let service = record.service.clone();
         let key = self.servers.insert(record);
-        self.standing_hash ^= standing_part(&news.id, standing);
-        let service = self.by_service.entry(entry.service.clone());
-        service.or_default().push(key);
-        self.by_id.insert(news.id.clone(), key);
-        self.by_hash.insert(id_hash(&news.id), key);
-        FleetChange::Arrived(key)
+        self.by_service.entry(service).or_default().push(key);
+        self.by_id.insert(id, key);
+        self.by_hash.insert(hash, key);
+        key
+    }
+
+    /// A word of the store on a server whose incarnations are told apart, but which does not say which
+    /// one it means, was written by somebody else: it names no server.
+    #[must_use]
+    pub fn names_none(&self, news: &news::ServerNews) -> bool {
+        let known = self.by_id.get(&news.id);
+        let known = known.is_some_and(|&key| self.servers[key].born.is_told());
+        let entry = news.entry.as_ref();
+        known && entry.is_some_and(|entry| !entry.born.is_told())
     }
 
     /// The store was read whole: servers that it does not list are gone. `end` is the position up
@@ -185,8 +237,10 @@
         let Some(record) = self.servers.remove(key) else {
             return;
         };
-        self.by_id.remove(&record.id);
-        self.by_hash.remove(&id_hash(&record.id));
+        if self.by_id.get(&record.id) == Some(&key) {
+            self.by_id.remove(&record.id);
+        }
+        self.by_hash.retain(|_, known| *known != key);
         if let Some(keys) = self.by_service.get_mut(&record.service) {
             keys.retain(|known| *known != key);
         }
@@ -206,7 +260,7 @@
         self.by_hash.get(&hash).copied()
     }
 
-    /// A server by the name of its incarnation.
+    /// The newest incarnation of a server's name.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<ServerKey> {
         self.by_id.get(id).copied()
@@ -369,10 +423,12 @@
 }
 
 /// What a server adds to the hash of how all stand.
-fn standing_part(id: &str, standing: server::ServerStanding) -> u64 {
-    match standing {
-        server::ServerStanding::Gone => 0,
-        server::ServerStanding::Ready => xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), 0),
-        server::ServerStanding::Leaving => xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), 1),
-    }
+fn standing_part(record: &server::ServerRecord) -> u64 {
+    let code = match record.standing {
+        server::ServerStanding::Gone => return 0,
+        server::ServerStanding::Ready => 0,
+        server::ServerStanding::Leaving => 1,
+    };
+    let seed = record.born.millis() << 1 | code;
+    xxhash_rust::xxh3::xxh3_64_with_seed(record.id.as_bytes(), seed)
 }
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -263,6 +263,12 @@
     let mut changed = false;
     let told = !whole || page.news.len() <= MOST_TOLD;
     for news in &page.news {
+        let mut news = news.clone();
+        if plane.state().fleet.names_none(&news) {
+            log::warn!(server:% = news.id, offset = news.offset; "entry does not say which incarnation it means");
+            news.entry = None;
+        }
+        let news = &news;
         let change = plane.state().take_news(news.clone(), told, now);
         changed |= log_change(plane, news, change, SOURCE_STORE);
     }
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct NewsItem {
-    /// Name of the server's incarnation.
+    /// Name of the server.
     #[prost(string, tag = "1")]
     pub id: String,
     /// Position in the store.
@@ -75,6 +75,9 @@
     /// Time for which it is still slow.
     #[prost(uint64, tag = "6")]
     pub cold_ms: u64,
+    /// When the incarnation was started, in milliseconds since 1970; 0: not told.
+    #[prost(uint64, tag = "7")]
+    pub born_ms: u64,
 }
 
 /// A request that was there when a server crashed.
@@ -213,6 +216,7 @@
                 slots: entry.slots,
                 leaving: entry.leaving,
                 cold_ms: u64::try_from(entry.cold.as_millis()).unwrap_or(u64::MAX),
+                born_ms: entry.born.millis(),
             }),
         }
     }
@@ -225,6 +229,7 @@
         let entry = match &self.entry {
             None => None,
             Some(entry) => Some(news::ServerEntry {
+                born: news::BirthTime::from_millis(entry.born_ms),
                 service: entry.service.clone(),
                 address: entry.address.parse().ok()?,
                 domain: entry.domain.clone(),
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -31,11 +31,10 @@
         live: &mut LiveRun<P>,
         to: fleet::ServerKey,
     ) -> Option<RelayEnd> {
-        let origin = self.plane.target(to)?.address;
         let copy = CopyPlace {
             to,
             or: None,
-            origin,
+            origin: to,
             handle: self.ask.id.clone(),
         };
         log::info!(
@@ -81,7 +80,7 @@
             let copy = |handle| CopyPlace {
                 to,
                 or: Some(live.placed.server),
-                origin: source.address,
+                origin: live.placed.server,
                 handle,
             };
             match (copied, stop) {
@@ -172,8 +171,11 @@
         for server in std::iter::once(copy.to).chain(copy.or) {
             self.plane.state().force_retry(&self.ask.service, now);
             let backup = self.next_backup(server);
+            let Some(origin) = self.plane.target(copy.origin) else {
+                return false;
+            };
             let resume = port::ResumePoint {
-                origin: copy.origin,
+                origin: origin.address,
                 handle: copy.handle.clone(),
                 last_event: self.splitter.last_id().map(str::to_owned),
             };
@@ -250,11 +252,10 @@
             let state = self.plane.state();
             state.fleet.run(live.placed.run)?.backup?
         };
-        let origin = self.plane.target(to)?.address;
         Some(CopyPlace {
             to,
             or: None,
-            origin,
+            origin: to,
             handle: self.ask.id.clone(),
         })
     }
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -221,12 +221,17 @@
             .map_or_else(String::new, |server| server.id.clone())
     }
 
+    /// Where to reach a server; absent once a later incarnation has its name and address.
     pub(crate) fn target(&self, key: fleet::ServerKey) -> Option<port::ServerTarget> {
         let state = self.state.borrow();
         let server = state.fleet.server(key)?;
+        if server.superseded {
+            return None;
+        }
         Some(port::ServerTarget {
             id: server.id.clone(),
             address: server.address,
+            known_for: server.known_since.elapsed(),
         })
     }
 
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -14,6 +14,19 @@
     pub id: String,
     /// Its address.
     pub address: net::SocketAddr,
+    /// Since when this incarnation is known: a connection that was kept for longer led to another.
+    pub known_for: time::Duration,
+}
+
+impl ServerTarget {
+    /// Which kept connections lead to this incarnation, of those that `rule` allows.
+    #[must_use]
+    pub fn kept(&self, rule: ReuseRule) -> time::Duration {
+        match rule {
+            ReuseRule::Any => self.known_for,
+            ReuseRule::Fresh(span) => span.min(self.known_for),
+        }
+    }
 }
 
 /// From where a generation goes on.
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -84,7 +84,10 @@
     {
         return Some(RelocationOrder::Switch(backup));
     }
-    if !engine.moves {
+    let superseded = fleet
+        .server(run.server)
+        .is_some_and(|server| server.superseded);
+    if !engine.moves || superseded {
         return None;
     }
     let ask = place::CopyAsk {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -159,7 +159,8 @@
     pub(crate) to: fleet::ServerKey,
     /// Where to try if that one has no room: the source itself.
     pub(crate) or: Option<fleet::ServerKey>,
-    pub(crate) origin: std::net::SocketAddr,
+    /// Server that named the copy. Once it has started again, the handle may name another run's.
+    pub(crate) origin: fleet::ServerKey,
     pub(crate) handle: String,
 }
 
@@ -302,20 +303,15 @@
         server: fleet::ServerKey,
     ) -> Option<port::ServerCall> {
         let target = self.plane.target(server)?;
-        let backup = {
-            let state = self.plane.state();
-            let backup = state.fleet.run(live.placed.run).and_then(|run| run.backup);
-            backup
-                .and_then(|backup| state.fleet.server(backup))
-                .map(|server| server.address)
-        };
+        let backup = self.plane.state().fleet.run(live.placed.run)?.backup;
+        let backup = backup.and_then(|backup| self.plane.target(backup));
         Some(port::ServerCall {
             ask: self.ask.clone(),
             target,
             left: plane::ExchangePlane::<P>::left(&self.ask),
             resume,
             reservation: None,
-            backup,
+            backup: backup.map(|backup| backup.address),
             reuse: port::ReuseRule::FRESH,
         })
     }
@@ -447,10 +443,10 @@
         if leaving || self.splitter.events() >= BEGUN_EVENTS {
             return;
         }
-        let Some(id) = state.fleet.server(server).map(|server| server.id.clone()) else {
+        let Some(record) = state.fleet.server(server) else {
             return;
         };
-        let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+        let (id, hash) = (record.id.clone(), record.incarnation_hash());
         if state.suspects.accuse(self.ask.fingerprint, hash, now) {
             log::info!(request:% = self.ask.id, server:% = id; "suspect of a crash");
         }
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -37,8 +37,12 @@
 /// One incarnation of a backend server.
 #[derive(Clone, Debug)]
 pub struct ServerRecord {
-    /// Unique name of the incarnation.
+    /// Name of the server; a later incarnation may have the same.
     pub id: String,
+    /// Which incarnation it is.
+    pub born: news::BirthTime,
+    /// Whether a later incarnation has its name: whatever was kept there is gone.
+    pub superseded: bool,
     /// Service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -55,6 +59,12 @@
     pub cold_until: time::Instant,
     /// Position of the newest news that made this record.
     pub offset: u64,
+    /// When this VM first heard of it: nothing that it has from it is older.
+    pub known_since: time::Instant,
+    /// Position of the newest word that its name has no entry, whichever incarnation had it; 0: none.
+    pub(crate) ended_offset: u64,
+    /// Whether any word of this incarnation said that it leaves.
+    pub(crate) told_leaving: bool,
     /// Present while its entry's lapse may be the store's doing.
     pub spared_until: Option<time::Instant>,
     /// Part of recent tries that failed, at `judged_at`.
@@ -80,6 +90,8 @@
         };
         Self {
             id: id.to_owned(),
+            born: entry.born,
+            superseded: false,
             service: entry.service.clone(),
             address: entry.address,
             domain: entry.domain.clone(),
@@ -88,6 +100,9 @@
             since: now,
             cold_until: now + entry.cold,
             offset,
+            known_since: now,
+            ended_offset: 0,
+            told_leaving: entry.leaving,
             spared_until: None,
             failure_rate: 0.0,
             full_until: None,
@@ -97,6 +112,62 @@
         }
     }
 
+    /// Takes a word on this incarnation, or that its name has no entry. Says how it stands then.
+    ///
+    /// Which of two words is newer is the store's order. That an incarnation leaves is never unlearnt,
+    /// however its words overtake each other: a heartbeat from before it may be written seconds late.
+    pub(crate) fn take_word(&mut self, news: &news::ServerNews) -> ServerStanding {
+        let leaving = news.entry.as_ref().is_some_and(|entry| entry.leaving);
+        self.told_leaving |= leaving && self.born.is_told();
+        if news.entry.is_none() {
+            self.ended_offset = self.ended_offset.max(news.offset);
+        }
+        if news.offset <= self.offset {
+            return match self.standing {
+                ServerStanding::Ready if self.told_leaving => ServerStanding::Leaving,
+                standing => standing,
+            };
+        }
+        self.offset = news.offset;
+        let Some(entry) = &news.entry else {
+            return ServerStanding::Gone;
+        };
+        self.slots = entry.slots;
+        self.address = entry.address;
+        // A name without incarnations may be used again once its entry was gone.
+        let left = if self.born.is_told() {
+            self.told_leaving
+        } else {
+            leaving || self.standing == ServerStanding::Leaving
+        };
+        if left {
+            ServerStanding::Leaving
+        } else {
+            ServerStanding::Ready
+        }
+    }
+
+    /// Its name was already known to have had no entry at `offset`.
+    pub(crate) const fn end_at(&mut self, offset: u64) {
+        self.ended_offset = offset;
+        if offset > self.offset {
+            self.offset = offset;
+            self.standing = ServerStanding::Gone;
+        }
+    }
+
+    /// Hash by which other VMs name this incarnation.
+    #[must_use]
+    pub fn name_hash(&self) -> u32 {
+        self.incarnation_hash() as u32
+    }
+
+    /// Hash of the incarnation.
+    #[must_use]
+    pub fn incarnation_hash(&self) -> u64 {
+        incarnation_hash(&self.id, self.born)
+    }
+
     /// This VM sent something there.
     pub const fn note_used(&mut self, at: time::Instant) {
         self.used_at = Some(at);
@@ -172,6 +243,7 @@
     #[must_use]
     pub fn news(&self) -> news::ServerNews {
         let entry = news::ServerEntry {
+            born: self.born,
             service: self.service.clone(),
             address: self.address,
             domain: self.domain.clone(),
@@ -194,6 +266,12 @@
     }
 }
 
+/// Hash of an incarnation of a server.
+#[must_use]
+pub fn incarnation_hash(id: &str, born: news::BirthTime) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), born.millis())
+}
+
 /// How a try ended, as far as it speaks of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerVerdict {
--- a/crates/exchange/src/speak.rs
+++ b/crates/exchange/src/speak.rs
@@ -7,7 +7,7 @@
 use prost::Message as _;
 use tokio::{net as sockets, time};
 
-use crate::{audience, fleet, link, message, plane, state};
+use crate::{audience, link, message, plane, state};
 
 /// Changes of load within this are told together.
 const LOADS_GAP: time::Duration = time::Duration::from_millis(15);
@@ -265,7 +265,7 @@
     let loads = own.iter().filter_map(|(key, load)| {
         let server = state.fleet.server(key)?;
         Some(message::LoadItem {
-            server: fleet::id_hash(&server.id),
+            server: server.name_hash(),
             runs: load.runs,
             tokens: load.tokens,
             backlog: load.backlog,
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -289,6 +289,7 @@
 
 pub fn entry(service: &str, number: u8, domain: &str) -> news::ServerEntry {
     news::ServerEntry {
+        born: news::BirthTime::UNTOLD,
         service: service.to_owned(),
         address: address(number),
         domain: domain.to_owned(),
