--- a/crates/exchange/src/comeback.rs
+++ b/crates/exchange/src/comeback.rs
@@ -49,7 +49,7 @@
 
     /// Another VM refused a request; how long it told its caller to stay away is not said.
     pub fn told(&mut self, short: u32, now: time::Instant) {
-        self.expect(short, now + 2 * EXPECTED_FOR, now);
+        self.expect(short, now + wait::RETRY_AFTER_MOST + EXPECTED_FOR, now);
     }
 
     fn expect(&mut self, short: u32, until: time::Instant, now: time::Instant) {
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -19,6 +19,9 @@
 /// store is back; servers that live write themselves in again within about two seconds.
 pub const LAPSE_GRACE: time::Duration = time::Duration::from_millis(2_200);
 
+/// What each server of a service has to do, over all VMs.
+pub type LoadTable = slotmap::SecondaryMap<ServerKey, loads::ServerLoad>;
+
 /// What a piece of news changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FleetChange {
@@ -405,11 +408,7 @@
 
     /// What each server of a service has to do, over all VMs.
     #[must_use]
-    pub fn loads(
-        &self,
-        service: &str,
-        now: time::Instant,
-    ) -> slotmap::SecondaryMap<ServerKey, loads::ServerLoad> {
+    pub fn loads(&self, service: &str, now: time::Instant) -> LoadTable {
         let own = self.own_loads(now);
         let mut loads = slotmap::SecondaryMap::new();
         for (key, _) in self.of_service(service) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod port;
 pub mod relocate;
 pub mod reply;
+pub mod room;
 pub mod runs;
 mod serve_call;
 mod serve_stream;
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -39,6 +39,15 @@
 }
 
 impl SpareCopy {
+    fn new(to: fleet::ServerKey, origin: fleet::ServerKey, handle: String) -> Self {
+        Self {
+            to,
+            origin,
+            handle,
+            made_at: time::Instant::now(),
+        }
+    }
+
     fn place(self) -> Option<CopyPlace> {
         let kept = self.made_at.elapsed() < SPARE_KEPT;
         kept.then_some(CopyPlace {
@@ -103,58 +112,56 @@
                 request:% = self.ask.id, from:% = source.id, to:% = target.id, stop,
                 outcome:? = copied, ms = millis(started); "copied"
             );
-            let copy = |handle| CopyPlace {
+            let from = live.placed.server;
+            let copy = |to, or, handle| CopyPlace {
                 to,
-                or: Some(live.placed.server),
-                origin: live.placed.server,
+                or,
+                origin: from,
                 handle,
             };
-            match (copied, stop) {
-                (Ok(done), false) if ended.is_none() => {
-                    let spare = SpareCopy {
-                        to,
-                        origin: live.placed.server,
-                        handle: done.handle,
-                        made_at: time::Instant::now(),
-                    };
-                    self.keep_spare(spare, &source);
-                    quick = began.elapsed() < QUICK_COPY;
-                }
-                (Ok(done), true) => {
-                    let copy = copy(done.handle);
-                    if ended.is_none() {
-                        self.read_rest(live).await;
-                    }
-                    self.spare = None;
-                    return Some(RelayEnd::Stopped(copy));
-                }
-                (Err(port::CopyFault::NoRoom(Some(handle))), true) => {
-                    let mut copy = copy(handle);
-                    copy.to = live.placed.server;
-                    copy.or = None;
-                    if ended.is_none() {
-                        self.read_rest(live).await;
+            let stopped = match (copied, stop) {
+                (Ok(done), false) if !matches!(ended, Some(RelayEnd::Finished)) => {
+                    self.keep_spare(SpareCopy::new(to, from, done.handle), &source);
+                    if ended.is_some() {
+                        return ended;
                     }
-                    return Some(RelayEnd::Stopped(copy));
+                    quick = began.elapsed() < QUICK_COPY;
+                    continue;
                 }
+                (Ok(done), true) => copy(to, Some(from), done.handle),
+                (Err(port::CopyFault::NoRoom(Some(handle))), true) => copy(from, None, handle),
                 (copied, _) => {
-                    if matches!(copied, Err(port::CopyFault::NoRoom(_))) {
-                        self.note_full(to);
-                    }
-                    // The source is gone, or its stream broke off: what was copied is all there is.
-                    let gone = matches!(copied, Err(port::CopyFault::Unreachable));
-                    if gone || matches!(ended, Some(RelayEnd::Broken)) {
-                        return ended;
-                    }
-                    let spare = self.spare.take().map(|spare| spare.handle);
-                    let made = copied.ok().map(|done| done.handle).or(spare);
-                    self.release(source, made);
+                    self.end_move(copied, ended.as_ref(), source, to);
                     return ended;
                 }
+            };
+            if ended.is_none() {
+                self.read_rest(live).await;
             }
+            return Some(RelayEnd::Stopped(stopped));
         }
     }
 
+    /// A move came to nothing: frees what was copied, unless it is all that is left of the run.
+    fn end_move(
+        &mut self,
+        copied: Result<port::CopyDone, port::CopyFault>,
+        ended: Option<&RelayEnd>,
+        source: port::ServerTarget,
+        to: fleet::ServerKey,
+    ) {
+        if matches!(copied, Err(port::CopyFault::NoRoom(_))) {
+            self.note_full(to);
+        }
+        let gone = matches!(copied, Err(port::CopyFault::Unreachable));
+        if gone || matches!(ended, Some(RelayEnd::Broken)) {
+            return;
+        }
+        let spare = self.spare.take().map(|spare| spare.handle);
+        let made = copied.ok().map(|done| done.handle).or(spare);
+        self.release(source, made);
+    }
+
     /// Copies a run once, passing on what it makes meanwhile. Tells also how its stream ended, if it
     /// did.
     async fn copy_once(
@@ -235,6 +242,7 @@
             match opened {
                 port::CallOutcome::Answered(answer) if answer.status.is_success() => {
                     self.moved(live, server);
+                    self.spare = None;
                     live.body = Some(answer.body);
                     self.passed += 1;
                     metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -8,10 +8,8 @@
 use rand::RngExt;
 use tokio::time;
 
-use crate::{ask, catalog, fleet, forecast, loads, server};
+use crate::{ask, catalog, fleet, forecast, loads, room, server};
 
-/// Part of an engine's memory that expected needs may fill: past it, expectation errors preempt.
-const MEMORY_FILL: f64 = 0.92;
 /// Part of an engine's memory that copies made beforehand may fill; the rest is for runs.
 const BACKUP_FILL: f64 = 0.62;
 /// Part of all engines' memory that may be in use for a copy to be made beforehand. A copy takes as
@@ -60,9 +58,6 @@
 /// kept without a try, and for tries that are not told yet.
 const CONNECTIONS_FILL: f64 = 0.8;
 
-/// How long the runs of a server that leaves are made room for: it is gone soon after.
-const MOVING_FOR: time::Duration = time::Duration::from_millis(2_500);
-
 /// What needs a place.
 #[derive(Clone, Debug)]
 pub struct PlaceAsk<'a> {
@@ -82,6 +77,16 @@
     pub kept_part: f64,
 }
 
+impl PlaceAsk<'_> {
+    fn need(&self, size: &ask::GenerationSize) -> room::RoomNeed {
+        room::RoomNeed {
+            tokens: forecast::planned_tokens(size) as f64,
+            yielded: self.yielded_tokens as f64,
+            kept_part: self.kept_part,
+        }
+    }
+}
+
 /// What came of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlaceOutcome {
@@ -105,7 +110,8 @@
     let engine = rule.and_then(|rule| rule.engine);
     let favourite = favourite(fleet, ask, now);
     if let (Some(engine), Some(size)) = (engine, ask.size)
-        && !has_room_beside_others(fleet, &engine, ask, size, &loads, now)
+        && !room::MemoryRoom::measure(fleet, ask.service, &engine, &loads, now)
+            .takes(&ask.need(size))
     {
         let any = fleet.ready(ask.service, now).next().is_some();
         return if any {
@@ -172,38 +178,6 @@
     failing <= sound
 }
 
-/// Whether a new generation leaves room for the runs of servers that leave. What runs has cost its
-/// prompt already, and is lost if it finds no room within two seconds; what is new can wait.
-///
-/// The same holds for what waits at other VMs and goes before it, and for what will come and go
-/// before it: either way as much is served, but less of it late. What it must keep free for the
-/// latter is never more than what is in use: idle engines take anything.
-fn has_room_beside_others(
-    fleet: &fleet::ServerFleet,
-    engine: &catalog::EngineRule,
-    ask: &PlaceAsk<'_>,
-    size: &ask::GenerationSize,
-    loads: &slotmap::SecondaryMap<fleet::ServerKey, loads::ServerLoad>,
-    now: time::Instant,
-) -> bool {
-    let memory = engine.memory_tokens as f64;
-    let (mut free, mut used, mut all) = (0.0, 0.0, 0.0);
-    let mut owed = ask.yielded_tokens as f64;
-    for (key, record) in fleet.of_service(ask.service) {
-        let tokens = loads.get(key).map_or(0.0, |load| load.tokens as f64);
-        if record.takes_work(now) {
-            all += memory;
-            used += tokens;
-            free += (memory * MEMORY_FILL - tokens).max(0.0);
-        } else if now.saturating_duration_since(record.since) < MOVING_FOR {
-            owed += tokens;
-        }
-    }
-    let kept = used.min(all * ask.kept_part);
-    let owed = owed + kept;
-    owed == 0.0 || free - owed >= forecast::planned_tokens(size) as f64
-}
-
 /// Expected cost of a generation, absent where it finds no room.
 fn generation_cost(
     engine: &catalog::EngineRule,
@@ -218,7 +192,7 @@
     let limit = if load.runs == 0 {
         memory
     } else {
-        memory * MEMORY_FILL
+        memory * room::MEMORY_FILL
     };
     if after > limit || load.runs >= record.slots {
         return None;
@@ -304,7 +278,7 @@
     fleet: &fleet::ServerFleet,
     service: &str,
     memory: f64,
-    loads: &slotmap::SecondaryMap<fleet::ServerKey, loads::ServerLoad>,
+    loads: &fleet::LoadTable,
     now: time::Instant,
 ) -> f64 {
     let mut engines = 0.0;
@@ -318,11 +292,7 @@
 
 /// Time that the source's link needs for this run, and for the others there that move with it: what a
 /// copy to another failure domain takes longer than one within it.
-fn copy_queue_ms(
-    engine: &catalog::EngineRule,
-    ask: &CopyAsk<'_>,
-    loads: &slotmap::SecondaryMap<fleet::ServerKey, loads::ServerLoad>,
-) -> f64 {
+fn copy_queue_ms(engine: &catalog::EngineRule, ask: &CopyAsk<'_>, loads: &fleet::LoadTable) -> f64 {
     let moving = loads.get(ask.source).map_or(1, |load| load.runs.max(1));
     let runs = if ask.beforehand { 1 } else { moving };
     ask.tokens as f64 * engine.copy_us_per_token / 1_000.0 * f64::from(runs)
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -160,6 +160,7 @@
 
     /// Starts what can start and moves what should; says whether there is more to look at soon.
     fn poll(&self, now: time::Instant) -> bool {
+        self.state.borrow_mut().note_room(now);
         let services = self.state.borrow().waiting_services();
         for service in &services {
             self.start_waiting(service, now);
@@ -252,6 +253,7 @@
         let mut state = self.state.borrow_mut();
         let rank = state.claim(ask, now).rank(now);
         let wait = state.queue(&ask.service).expected_wait(rank, now);
+        let wait = wait.max(state.closed_for(ask, rank, now));
         let draw = state.draw();
         let retry_after = wait::retry_after(wait, ask.left(now), draw);
         if ask.size.is_some() {
@@ -414,13 +416,38 @@
         );
         self.stirred.notify_one();
         self.tell_loads();
-        let placed = time::timeout_at(record.until, place.receive()).await;
+        let placed = self.receive_place(ask, &record, place).await;
         drop(guard);
         metrics::histogram!("pollenchute_exchange_waited_seconds")
             .record(now.elapsed().as_secs_f64());
-        match placed {
-            Ok(Some(placed)) => Ok(placed),
-            _ => Err(self.refuse(ask, reply::RefusalCause::Patience)),
+        placed.map_err(|cause| self.refuse(ask, cause))
+    }
+
+    /// Waits for a place until it is told, or none is to be had any more.
+    async fn receive_place(
+        &self,
+        ask: &ask::ExchangeAsk,
+        record: &wait::WaitRecord,
+        place: PlaceReceiver<P>,
+    ) -> Result<PlacedRun<P>, reply::RefusalCause> {
+        let receiving = place.receive();
+        tokio::pin!(receiving);
+        loop {
+            let now = time::Instant::now();
+            let look_at = record.next_look(now);
+            if let Ok(placed) = time::timeout_at(look_at, &mut receiving).await {
+                return placed.ok_or(reply::RefusalCause::Patience);
+            }
+            let now = time::Instant::now();
+            if now >= record.until {
+                return Err(reply::RefusalCause::Patience);
+            }
+            let rank = record.claim.rank(now);
+            if record.claim.on_time_until.is_some()
+                && self.state.borrow().is_hopeless(ask, rank, now)
+            {
+                return Err(reply::RefusalCause::Overload);
+            }
         }
     }
 
@@ -430,8 +457,9 @@
         let patience = wait::patience(ask.left(now), ask.aim, stream);
         let mut state = self.state.borrow_mut();
         let claim = state.claim(ask, now);
+        let rank = claim.rank(now);
         let queue = state.queue(&ask.service);
-        if queue.is_hopeless(claim.rank(now), patience, now) {
+        if queue.is_hopeless(rank, patience, now) {
             return None;
         }
         Some(wait::WaitRecord {
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ask, budget, catalog, comeback, directory, fleet, forecast, message, news, peers, place,
-    relocate, runs, suspect, wait,
+    relocate, room, runs, suspect, wait,
 };
 
 /// What the plane is told at its start.
@@ -70,6 +70,7 @@
     /// Since when most VMs that are heard know other news of servers than this one.
     pub differs_since: Option<time::Instant>,
     queues: collections::HashMap<String, wait::WaitQueue>,
+    trends: collections::HashMap<String, room::RoomTrend>,
     budgets: collections::HashMap<String, budget::RetryBudget>,
     rng: rngs::StdRng,
 }
@@ -102,6 +103,7 @@
             behind_since: None,
             differs_since: None,
             queues: collections::HashMap::new(),
+            trends: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             rng,
         }
@@ -228,6 +230,68 @@
             .collect()
     }
 
+    /// Notes how much room the engines of each service have, now and then.
+    pub fn note_room(&mut self, now: time::Instant) {
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        for (service, rule) in &catalog.services {
+            let Some(engine) = &rule.engine else { continue };
+            if !of_service(&mut self.trends, service).is_due(now) {
+                continue;
+            }
+            let loads = self.fleet.loads(service, now);
+            let room = room::MemoryRoom::measure(&self.fleet, service, engine, &loads, now);
+            of_service(&mut self.trends, service).note(room, now);
+        }
+    }
+
+    /// What a generation of this rank needs of its engines' memory; absent for calls.
+    fn need(
+        &self,
+        ask: &ask::ExchangeAsk,
+        rank: wait::WaitRank,
+        now: time::Instant,
+    ) -> Option<room::RoomNeed> {
+        let size = ask.size.as_ref()?;
+        let service = service_hash(&ask.service);
+        Some(room::RoomNeed {
+            tokens: forecast::planned_tokens(size) as f64,
+            yielded: self.peers.waiting_before(service, rank, now) as f64,
+            kept_part: rank.kept_part(),
+        })
+    }
+
+    /// Whether a generation of this rank will hardly find room before its caller leaves.
+    #[must_use]
+    pub fn is_hopeless(
+        &self,
+        ask: &ask::ExchangeAsk,
+        rank: wait::WaitRank,
+        now: time::Instant,
+    ) -> bool {
+        let need = self.need(ask, rank, now);
+        let trend = self.trends.get(&ask.service);
+        need.zip(trend)
+            .is_some_and(|(need, trend)| trend.is_hopeless(&need, now))
+    }
+
+    /// For how long there has been no room for a generation of this rank.
+    #[must_use]
+    pub fn closed_for(
+        &self,
+        ask: &ask::ExchangeAsk,
+        rank: wait::WaitRank,
+        now: time::Instant,
+    ) -> time::Duration {
+        let need = self.need(ask, rank, now);
+        let trend = self.trends.get(&ask.service);
+        need.zip(trend)
+            .map_or(time::Duration::ZERO, |(need, trend)| {
+                trend.closed_for(&need, now)
+            })
+    }
+
     /// Chooses a server for a request and counts it there.
     pub fn place(
         &mut self,
--- a/crates/exchange/src/wait.rs
+++ b/crates/exchange/src/wait.rs
@@ -16,6 +16,10 @@
     pub struct WaitKey;
 }
 
+/// How long after a request turned late it is looked at again: what it needs is more from then on.
+const LATE_LOOK: time::Duration = time::Duration::from_millis(2);
+/// Time between two looks whether a late request still has a chance.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(500);
 /// Requests of one service that may wait on one VM; about 200 bytes each beside their bodies.
 const MOST_WAITING: usize = 64;
 /// Span over which the pace of starts is measured.
@@ -27,8 +31,10 @@
 /// Longest wait for a stream, as a multiple of its aim: callers leave after four. One that is refused
 /// sooner comes back only to wait again.
 const STREAM_AIMS_WAITED: f64 = 3.3;
-/// Least and most that a refused caller is told to stay away.
-const RETRY_AFTER_S: (f64, f64) = (0.5, 6.0);
+/// Least that a refused caller is told to stay away.
+const RETRY_AFTER_LEAST: time::Duration = time::Duration::from_millis(500);
+/// Most that one is told: callers honour a third of what they have left, and the longest have 39 s.
+pub const RETRY_AFTER_MOST: time::Duration = time::Duration::from_secs(13);
 
 /// Steps of the cost of what waits, each half a doubling.
 const COST_STEPS: usize = 8;
@@ -122,6 +128,18 @@
     pub tokens: u64,
 }
 
+impl WaitRecord {
+    /// When to look next whether it still has a chance: as it turns late, and then now and then.
+    #[must_use]
+    pub fn next_look(&self, now: time::Instant) -> time::Instant {
+        let late_at = self.claim.on_time_until.map(|until| until + LATE_LOOK);
+        match late_at {
+            Some(late_at) if now < late_at => late_at.min(self.until),
+            _ => (now + LOOK_GAP).min(self.until),
+        }
+    }
+}
+
 /// Requests of one service that wait on this VM.
 #[derive(Debug, Default)]
 pub struct WaitQueue {
@@ -253,13 +271,20 @@
 /// that the returns don't come as one burst. `draw` is a random number from 0 to 1.
 #[must_use]
 pub fn retry_after(wait: time::Duration, left: time::Duration, draw: f64) -> time::Duration {
-    let (least, most) = RETRY_AFTER_S;
+    let least = RETRY_AFTER_LEAST.as_secs_f64();
+    let most = RETRY_AFTER_MOST.as_secs_f64();
     // Callers honour up to a third of what they have left; beyond it they come when they like.
     let most = most.min(left.as_secs_f64() * 0.3).max(0.1);
-    let middle = wait.as_secs_f64().clamp(least.min(most), most);
-    time::Duration::from_secs_f64((middle * (0.7 + 0.6 * draw)).min(most))
+    // Half of the spread lies above the middle: were it cut off, half of the returns would be one burst.
+    let middle_most = most / (SPREAD.0 + SPREAD.1);
+    let middle = wait
+        .as_secs_f64()
+        .clamp(least.min(middle_most), middle_most);
+    time::Duration::from_secs_f64(middle * (SPREAD.0 + SPREAD.1 * draw))
 }
 
+/// Least part of the middle that a caller is told, and by how much the latest are told more.
+const SPREAD: (f64, f64) = (0.7, 0.6);
 /// Part of an aim that a generation needs between its start and its first event: at aims of 1.5 and
 /// 1.8 s half of them take 0.44 and 0.57 s, a quarter over 0.67 and 0.89 s (1,700 streams of a day at
 /// 59 VMs). Worth summed over four days with 0.3, 0.45 and 0.55: 1.906, 1.977, 2.025.
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -530,7 +530,12 @@
             let draw = f64::from(u.int_in_range(0..=1_000_u32)?) / 1_000.0;
             let after = wait::retry_after(wait, left, draw);
             assert!(after <= left.mul_f64(0.3).max(time::Duration::from_millis(100)));
-            assert!(after <= time::Duration::from_secs(6));
+            assert!(after <= wait::RETRY_AFTER_MOST);
+            let longest = wait.mul_f64(1.3).max(time::Duration::from_millis(650));
+            assert!(after <= longest, "{after:?} for a wait of {wait:?}");
+            let last = wait::retry_after(wait, left, 1.0);
+            let first = wait::retry_after(wait, left, 0.0);
+            assert!(last.as_secs_f64() > first.as_secs_f64() * 1.5, "spread");
             Ok(())
         });
         let left = time::Duration::from_secs(39);
