--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -24,6 +24,7 @@
 mod pace;
 pub mod peers;
 pub mod place;
+mod placing;
 pub mod plane;
 pub mod port;
 pub mod relocate;
--- /dev/null
+++ b/crates/exchange/src/placing.rs
@@ -0,0 +1,208 @@
+//! How a request comes by its place on a server: at once, or by waiting here.
+//!
+//! What waits is kept in order by `wait`; which server has room is `place`'s to say. A request waits
+//! until it is told a place, its patience is over, or `room` says that none is to be had.
+
+use std::{collections, rc};
+
+use tokio::{sync::oneshot, time};
+
+use crate::{ask, catalog, fleet, forecast, place, plane, port, reply, wait};
+
+/// Where each waiting request learns of its place, by service.
+pub(crate) type WaiterTable = collections::HashMap<(String, wait::WaitKey), Waiter>;
+
+/// A request that waits for a place.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub(crate) ask: rc::Rc<ask::ExchangeAsk>,
+    pub(crate) avoid: Vec<fleet::ServerKey>,
+    pub(crate) told: oneshot::Sender<(fleet::RunKey, fleet::ServerKey)>,
+}
+
+/// Takes a waiting request out of its queue, whatever ends its wait.
+struct WaitGuard<'a, P> {
+    plane: &'a plane::ExchangePlane<P>,
+    index: (String, wait::WaitKey),
+}
+
+impl<P> Drop for WaitGuard<'_, P> {
+    fn drop(&mut self) {
+        self.plane.waiters.borrow_mut().remove(&self.index);
+        self.plane
+            .state
+            .borrow_mut()
+            .queue(&self.index.0)
+            .leave(self.index.1);
+        // Had its place been told in the same moment, the receiver's drop gives it back.
+    }
+}
+
+impl<P: port::ServerPort + 'static> plane::ExchangePlane<P> {
+    /// Gets a place for a try, waiting for one if need be.
+    pub(crate) async fn place(
+        self: &rc::Rc<Self>,
+        ask: &rc::Rc<ask::ExchangeAsk>,
+        avoid: &[fleet::ServerKey],
+    ) -> Result<plane::PlacedRun<P>, reply::Refusal> {
+        self.place_again(ask, avoid, &mut None).await
+    }
+
+    /// Gets a place for a try that may have waited before: it keeps its place in the queue.
+    pub(crate) async fn place_again(
+        self: &rc::Rc<Self>,
+        ask: &rc::Rc<ask::ExchangeAsk>,
+        avoid: &[fleet::ServerKey],
+        waited: &mut Option<wait::WaitRecord>,
+    ) -> Result<plane::PlacedRun<P>, reply::Refusal> {
+        let now = time::Instant::now();
+        let rank = self.state.borrow().claim(ask, now).rank(now);
+        let ahead = self.state.borrow_mut().queue(&ask.service).ahead(rank, now);
+        if ahead == 0 {
+            let placed = self.state.borrow_mut().place(ask, avoid, rank, now);
+            match placed {
+                Ok((run, server)) => return Ok(self.placed(run, server)),
+                Err(place::PlaceOutcome::NoServer) if !avoid.is_empty() => {
+                    return Err(self.refuse(ask, reply::RefusalCause::NoServer));
+                }
+                Err(_) => {}
+            }
+        }
+        self.wait_for_place(ask, avoid, waited, now).await
+    }
+
+    pub(crate) fn placed(
+        self: &rc::Rc<Self>,
+        run: fleet::RunKey,
+        server: fleet::ServerKey,
+    ) -> plane::PlacedRun<P> {
+        plane::PlacedRun {
+            plane: self.clone(),
+            run,
+            server,
+        }
+    }
+
+    async fn wait_for_place(
+        self: &rc::Rc<Self>,
+        ask: &rc::Rc<ask::ExchangeAsk>,
+        avoid: &[fleet::ServerKey],
+        waited: &mut Option<wait::WaitRecord>,
+        now: time::Instant,
+    ) -> Result<plane::PlacedRun<P>, reply::Refusal> {
+        let record = match *waited {
+            Some(record) => record,
+            None => {
+                let record = self.wait_record(ask, now);
+                record.ok_or_else(|| self.refuse(ask, reply::RefusalCause::Overload))?
+            }
+        };
+        *waited = Some(record);
+        let rank = record.claim.rank(now);
+        let (key, ahead) = {
+            let mut state = self.state.borrow_mut();
+            let queue = state.queue(&ask.service);
+            let ahead = queue.ahead(rank, now);
+            (queue.enter(record), ahead)
+        };
+        let index = (ask.service.clone(), key);
+        let (told, place) = oneshot::channel();
+        let waiter = Waiter {
+            ask: ask.clone(),
+            avoid: avoid.to_vec(),
+            told,
+        };
+        self.waiters.borrow_mut().insert(index.clone(), waiter);
+        let place = PlaceReceiver {
+            plane: self.clone(),
+            place,
+        };
+        let guard = WaitGuard { plane: self, index };
+        log::info!(
+            request:% = ask.id, service:% = ask.service, rank = rank.index(), ahead,
+            came_back = record.claim.on_time_until.is_none();
+            "waits for a place"
+        );
+        self.stirred.notify_one();
+        self.tell_loads();
+        let placed = self.receive_place(ask, &record, place).await;
+        drop(guard);
+        metrics::histogram!("pollenchute_exchange_waited_seconds")
+            .record(now.elapsed().as_secs_f64());
+        placed.map_err(|cause| self.refuse(ask, cause))
+    }
+
+    /// Waits for a place until it is told, or none is to be had any more.
+    async fn receive_place(
+        &self,
+        ask: &ask::ExchangeAsk,
+        record: &wait::WaitRecord,
+        place: PlaceReceiver<P>,
+    ) -> Result<plane::PlacedRun<P>, reply::RefusalCause> {
+        let receiving = place.receive();
+        tokio::pin!(receiving);
+        loop {
+            let now = time::Instant::now();
+            let look_at = record.next_look(now);
+            if let Ok(placed) = time::timeout_at(look_at, &mut receiving).await {
+                return placed.ok_or(reply::RefusalCause::Patience);
+            }
+            let now = time::Instant::now();
+            if now >= record.until {
+                return Err(reply::RefusalCause::Patience);
+            }
+            let rank = record.claim.rank(now);
+            if record.claim.on_time_until.is_some()
+                && self.state.borrow().is_hopeless(ask, rank, now)
+            {
+                return Err(reply::RefusalCause::Overload);
+            }
+        }
+    }
+
+    /// How a request that comes now waits; absent when it should be refused at once.
+    fn wait_record(&self, ask: &ask::ExchangeAsk, now: time::Instant) -> Option<wait::WaitRecord> {
+        let stream = ask.kind == catalog::ExchangeKind::Stream;
+        let patience = wait::patience(ask.left(now), ask.aim, stream);
+        let mut state = self.state.borrow_mut();
+        let claim = state.claim(ask, now);
+        let rank = claim.rank(now);
+        let queue = state.queue(&ask.service);
+        if queue.is_hopeless(rank, patience, now) {
+            return None;
+        }
+        Some(wait::WaitRecord {
+            priority: ask.priority,
+            claim,
+            order: queue.next_order(),
+            until: now + patience,
+            tokens: ask.size.as_ref().map_or(0, forecast::planned_tokens),
+        })
+    }
+}
+
+/// A place that may be told in the very moment in which nobody waits for it any more.
+struct PlaceReceiver<P> {
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    place: oneshot::Receiver<(fleet::RunKey, fleet::ServerKey)>,
+}
+
+impl<P> PlaceReceiver<P> {
+    async fn receive(mut self) -> Option<plane::PlacedRun<P>> {
+        let (run, server) = (&mut self.place).await.ok()?;
+        Some(plane::PlacedRun {
+            plane: self.plane.clone(),
+            run,
+            server,
+        })
+    }
+}
+
+impl<P> Drop for PlaceReceiver<P> {
+    fn drop(&mut self) {
+        // Without this the place of a request whose caller left in this moment would stay taken.
+        if let Ok((run, _)) = self.place.try_recv() {
+            self.plane.state.borrow_mut().fleet.end(run);
+        }
+    }
+}
