--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -97,6 +97,10 @@
 
 /// Time for VMs to meet through the addresses in their settings.
 const MEET_AFTER: time::Duration = time::Duration::from_millis(2_500);
+/// Most time before VMs whose settings name no others look for them in the store, each at its own
+/// moment: those that are found meanwhile need not. All VMs that come back at once know nothing of each
+/// other's streams until they meet.
+const MEET_SPREAD: time::Duration = time::Duration::from_millis(300);
 /// Time between two looks whether this VM should be found in the store.
 const MEET_LOOK: time::Duration = time::Duration::from_secs(1);
 /// Pause before this VM tries again to write itself down.
@@ -105,11 +109,15 @@
 /// Writes this VM down in the store and learns of the others there, once it is one of those that
 /// read the store for all: while enough others can be found there, it need not.
 pub async fn meet<P, S: StorePort>(plane: rc::Rc<plane::ExchangePlane<P>>, store: rc::Rc<S>) {
-    let (name, own) = {
-        let state = plane.state();
-        (state.settings.name.clone(), state.settings.link_address)
+    let (name, own, meet_after) = {
+        let mut state = plane.state();
+        let alone = state.settings.seeds.is_empty();
+        let spread = MEET_SPREAD.mul_f64(state.draw());
+        let meet_after = if alone { spread } else { MEET_AFTER };
+        let settings = &state.settings;
+        (settings.name.clone(), settings.link_address, meet_after)
     };
-    time::sleep(MEET_AFTER).await;
+    time::sleep(meet_after).await;
     while !plane.state().reads_store(time::Instant::now()) {
         time::sleep(MEET_LOOK).await;
     }
--- a/crates/exchange/tests/storm.rs
+++ b/crates/exchange/tests/storm.rs
@@ -1,4 +1,4 @@
-//! What a storm of configurations costs at the store.
+//! What the store is asked for, and when: a storm of configurations, VMs that look for each other.
 
 mod world;
 
@@ -18,6 +18,7 @@
 struct StormStore {
     began: Instant,
     read: cell::Cell<u32>,
+    registered_at: cell::Cell<Option<Instant>>,
 }
 
 impl StormStore {
@@ -60,6 +61,7 @@
         _name: &str,
         _address: net::SocketAddr,
     ) -> Result<(), follow::StoreFault> {
+        self.registered_at.set(Some(Instant::now()));
         Ok(())
     }
 
@@ -99,6 +101,7 @@
         let store = rc::Rc::new(StormStore {
             began: Instant::now(),
             read: cell::Cell::new(0),
+            registered_at: cell::Cell::new(None),
         });
         let mut sequence = 0;
         let mut hear = |version| {
@@ -123,3 +126,27 @@
         assert!((5..=12).contains(&read), "{read} readings of 28 versions");
     });
 }
+
+#[test]
+fn vms_that_are_told_of_no_others_look_for_them_at_once() {
+    // Symptom: for 2.4 s after all VMs lost power each believes that it is alone: it counts no stream
+    // of the others, and reads the store for all.
+    // Sequence: their settings name no other VM; all start within 0.4 s.
+    // Cause: each waited to be found through addresses that nobody had.
+    world::run(async {
+        for (seeds, least, most) in [(vec![], 0, 300), (vec![world::address(202)], 2_500, 2_500)] {
+            let plane = world::plane();
+            plane.state().settings.seeds = seeds;
+            let began = Instant::now();
+            let store = rc::Rc::new(StormStore {
+                began,
+                read: cell::Cell::new(0),
+                registered_at: cell::Cell::new(None),
+            });
+            follow::meet(plane, store.clone()).await;
+            let after = store.registered_at.get().expect("registered") - began;
+            let millis = after.as_millis();
+            assert!((least..=most).contains(&millis), "{millis} ms");
+        }
+    });
+}
