What ran on an incarnation that is over needs no room elsewhere

Cause: read in the diff: its runs counted as moving for 2.5 s, and kept new work out for that long. Change: they do not count. Measured: test red with 9,000 tokens moving, green with none.

--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -280,7 +280,10 @@
     for news in &page.news {
         let mut news = news.clone();
         if plane.state().fleet.names_none(&news) {
-            log::warn!(server:% = news.id, offset = news.offset; "entry does not say which incarnation it means");
+            log::warn!(
+                server:% = news.id, offset = news.offset;
+                "entry does not say which incarnation it means"
+            );
             news.entry = None;
         }
         let news = &news;
--- a/crates/exchange/src/room.rs
+++ b/crates/exchange/src/room.rs
@@ -73,7 +73,7 @@
             self.all += memory;
             self.used += tokens;
             self.free += (memory * MEMORY_FILL - tokens).max(0.0);
-        } else if now.saturating_duration_since(record.since) < MOVING_FOR {
+        } else if !record.superseded && now.saturating_duration_since(record.since) < MOVING_FOR {
             self.moving += tokens;
         }
     }
--- a/crates/exchange/tests/incarnations.rs
+++ b/crates/exchange/tests/incarnations.rs
@@ -4,7 +4,7 @@
 
 use std::{collections, time};
 
-use exchange::{catalog, fleet, news, port, server};
+use exchange::{catalog, fleet, news, port, room, server};
 use tokio::time::Instant;
 use world::ServerScript;
 
@@ -136,6 +136,12 @@
         assert!(record.failure_rate(now) < 0.01 && !fleet.is_failing(after, now));
         let loads = fleet.loads("llm", now);
         assert_eq!((loads[after].runs, loads[after].tokens), (0, 0));
+        let engine = world::engine_rule();
+        let room = room::MemoryRoom::measure(&fleet, "llm", &engine, &loads, now);
+        assert!(
+            room.moving < 1.0,
+            "what ran there is over, and needs no room"
+        );
         // What a VM that has not heard of it still tells is of the earlier one.
         assert_eq!(fleet.find_hash(hash), Some(before));
         let old = fleet.server(before).expect("kept");
