VMs of another system are no peers: a system has a number in its store

Cause: whoever spoke the protocol was taken for a peer; its configuration was fetched as the newer one, its news of servers merged, and it was named in lookups. Change: VMs meet by a number that the first one writes into the store under the condition that none is there; state that is asked of a peer carries it too. Conclusion: holds by construction while the store answers; without it the first VM heard is believed until it does.

--- a/crates/exchange/benches/scale.rs
+++ b/crates/exchange/benches/scale.rs
@@ -59,6 +59,7 @@
         entry_address: String::from("10.0.0.1:80"),
         link_address: format!("10.1.{}.{}:81", sender / 250, sender % 250),
         loads: loads.collect(),
+        system: world::SYSTEM,
         ..message::PeerDatagram::default()
     }
 }
--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -168,12 +168,17 @@
     message::StateReply::decode(frame).map_err(io::Error::other)
 }
 
-fn take_state<P>(
+/// Takes what a VM answered.
+pub fn take_state<P>(
     plane: &plane::ExchangePlane<P>,
     reply: message::StateReply,
     decode: follow::DocumentDecoder,
 ) {
     let now = time::Instant::now();
+    // A VM that was heard a moment ago may be gone, and another system's have its address.
+    if !plane.state().system.is_own(reply.system) {
+        return;
+    }
     if !reply.catalog.is_empty() {
         follow::take_document(plane, decode, reply.catalog, "peer");
     }
@@ -253,6 +258,7 @@
         catalog,
         news,
         known: speak::known(state),
+        system: state.system.number(),
     }
 }
 
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -12,7 +12,7 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::{catalog, fleet, news, plane};
+use crate::{catalog, fleet, news, plane, system};
 
 /// Time between two looks of any VM: a leaving engine is gone 1.5 to 2 s after its notice, and its
 /// streams need about one of them to move.
@@ -84,6 +84,13 @@
         wait: time::Duration,
     ) -> impl Future<Output = Result<DocumentPage, StoreFault>>;
 
+    /// The system that the store belongs to: `proposed` if none was written down yet. All that ask
+    /// get the same.
+    fn system(
+        &self,
+        proposed: system::SystemId,
+    ) -> impl Future<Output = Result<system::SystemId, StoreFault>>;
+
     /// Writes down where other VMs reach this one.
     fn register(
         &self,
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod state;
 pub mod stopping;
 pub mod suspect;
+pub mod system;
 pub mod wait;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 use tokio::{net as sockets, time};
 
-use crate::{catchup, follow, loads, message, news, peers, plane, speak, state};
+use crate::{catchup, follow, loads, message, news, peers, plane, speak, state, system};
 
 /// Pause after the system gave no datagram or connection.
 pub(crate) const FAULT_PAUSE: time::Duration = time::Duration::from_millis(100);
@@ -77,6 +77,15 @@
     if datagram.sender == state.sender() {
         return None;
     }
+    match system::sender_standing(&mut state, datagram) {
+        system::SenderStanding::Peer => {}
+        // It learns from the answer which system there is, for when its store does not tell it.
+        system::SenderStanding::Undecided => return datagram.link_address.parse().ok(),
+        system::SenderStanding::Stranger => {
+            metrics::counter!("pollenchute_exchange_datagrams_foreign_total").increment(1);
+            return None;
+        }
+    }
     let change = state.peers.take(datagram, now);
     if change != peers::PeerChange::Stale {
         take_state_of_sender(&mut state, datagram, now);
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -172,6 +172,9 @@
     /// Short fingerprints of requests that were refused and may come back.
     #[prost(fixed32, repeated, tag = "19")]
     pub refused: Vec<u32>,
+    /// Number of the system that it belongs to, where its name stands; 0: not known yet.
+    #[prost(fixed64, tag = "21")]
+    pub system: u64,
 }
 
 /// Asks a VM for what it knows otherwise.
@@ -202,6 +205,9 @@
     /// Addresses of other VMs.
     #[prost(string, repeated, tag = "4")]
     pub known: Vec<String>,
+    /// Number of the system of the VM that answers; 0: not known yet.
+    #[prost(fixed64, tag = "5")]
+    pub system: u64,
 }
 
 impl From<&news::ServerNews> for NewsItem {
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -35,6 +35,8 @@
     pub(crate) news: tokio::sync::Notify,
     /// What this VM has on servers changed.
     pub(crate) loads: tokio::sync::Notify,
+    /// It is known which system this VM belongs to, or that the store does not say it.
+    pub(crate) identified: tokio::sync::Notify,
     /// Requests that have no final answer yet.
     open: cell::Cell<usize>,
 }
@@ -81,6 +83,7 @@
             spread: tokio::sync::Notify::new(),
             news: tokio::sync::Notify::new(),
             loads: tokio::sync::Notify::new(),
+            identified: tokio::sync::Notify::new(),
             open: cell::Cell::new(0),
         }
     }
--- a/crates/exchange/src/speak.rs
+++ b/crates/exchange/src/speak.rs
@@ -55,6 +55,8 @@
     plane: rc::Rc<plane::ExchangePlane<P>>,
     socket: rc::Rc<sockets::UdpSocket>,
 ) {
+    // VMs that know their system take none that does not say its own for a peer.
+    plane.identified.notified().await;
     let mut pending = collections::VecDeque::new();
     let mut turn = 0;
     let mut said = 0_u64;
@@ -295,6 +297,7 @@
 
 /// Adds who sends it, and some of those that it hears.
 fn introduce(datagram: &mut message::PeerDatagram, state: &mut state::PlaneState) {
+    datagram.system = state.system.number();
     datagram.name.clone_from(&state.settings.name);
     datagram.domain.clone_from(&state.settings.domain);
     datagram.incarnation = state.settings.incarnation;
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ask, budget, catalog, comeback, directory, fleet, forecast, message, news, peers, place,
-    relocate, room, runs, suspect, wait,
+    relocate, room, runs, suspect, system, wait,
 };
 
 /// What the plane is told at its start.
@@ -45,7 +45,9 @@
     pub document: Bytes,
     /// Servers and tries.
     pub fleet: fleet::ServerFleet,
-    /// Other VMs.
+    /// Which system this VM belongs to.
+    pub system: system::SystemBelief,
+    /// Other VMs, all of the same system.
     pub peers: peers::PeerTable,
     /// Requests that crash servers.
     pub suspects: suspect::SuspectTable,
@@ -72,7 +74,7 @@
     queues: collections::HashMap<String, wait::WaitQueue>,
     trends: collections::HashMap<String, room::RoomTrend>,
     budgets: collections::HashMap<String, budget::RetryBudget>,
-    rng: rngs::StdRng,
+    pub(crate) rng: rngs::StdRng,
 }
 
 impl PlaneState {
@@ -90,6 +92,7 @@
             catalog: None,
             document: Bytes::new(),
             fleet: fleet::ServerFleet::default(),
+            system: system::SystemBelief::default(),
             peers,
             suspects: suspect::SuspectTable::default(),
             comebacks: comeback::ComebackTable::default(),
--- a/crates/exchange/tests/audience.rs
+++ b/crates/exchange/tests/audience.rs
@@ -31,6 +31,7 @@
         stage: message::VmStage::Serving.into(),
         entry_address: String::from("10.0.0.1:80"),
         link_address: address(number).to_string(),
+        system: world::SYSTEM,
         ..message::PeerDatagram::default()
     }
 }
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -492,6 +492,7 @@
                 service: 1,
                 tokens: vec![0, 500, 70],
             }],
+            system: world::SYSTEM,
             ..message::PeerDatagram::default()
         };
         peers.take(&datagram, now);
@@ -615,6 +616,7 @@
         stage: message::VmStage::Serving.into(),
         entry_address: world::address(number).to_string(),
         link_address: world::address(number + 100).to_string(),
+        system: world::SYSTEM,
         ..message::PeerDatagram::default()
     }
 }
--- a/crates/exchange/tests/storm.rs
+++ b/crates/exchange/tests/storm.rs
@@ -5,7 +5,7 @@
 use std::{cell, net, rc, time};
 
 use bytes::Bytes;
-use exchange::{follow, message, news};
+use exchange::{follow, message, news, system};
 use tokio::time::Instant;
 
 /// Other VMs; six of all VMs read the store for all.
@@ -56,6 +56,13 @@
         self.read_document().await
     }
 
+    async fn system(
+        &self,
+        proposed: system::SystemId,
+    ) -> Result<system::SystemId, follow::StoreFault> {
+        Ok(proposed)
+    }
+
     async fn register(
         &self,
         _name: &str,
@@ -88,6 +95,7 @@
         entry_address: world::address(number).to_string(),
         link_address: world::address(number + 100).to_string(),
         catalog_version: version,
+        system: world::SYSTEM,
         ..message::PeerDatagram::default()
     }
 }
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -5,7 +5,7 @@
 use std::{cell, collections, net, rc, time};
 
 use bytes::Bytes;
-use exchange::{ask, budget, catalog, fleet, news, plane, port, reply, state};
+use exchange::{ask, budget, catalog, fleet, news, plane, port, reply, state, system};
 use tokio::sync::mpsc;
 
 /// How one server answers the next try that it gets.
@@ -308,10 +308,18 @@
     }
 }
 
+/// Number of the system that all VMs here belong to.
+pub const SYSTEM: u64 = 41;
+
+pub fn system_id(number: u64) -> system::SystemId {
+    system::SystemId::from_number(number).expect("not 0")
+}
+
 /// A plane with two plain servers (`s1`, `s2`) and two engines (`e1`, `e2`).
 pub fn plane() -> TestPlane {
     let rng = rand::SeedableRng::seed_from_u64(7);
     let mut state = state::PlaneState::new(settings("vm-1"), rng);
+    state.system = system::SystemBelief::Known(system_id(SYSTEM));
     let now = tokio::time::Instant::now();
     state.take_catalog(catalog(1), Bytes::from_static(b"1"));
     for (number, id) in [(1, "s1"), (2, "s2")] {
