Daemons catch signals before all else

Callers saw: nothing reported; a VM that starts is gone for one more start. Cause: signals were asked for after settings, log and metrics (pollenchuted: after its listeners), so that SIGHUP, or SIGTERM, in that span ended the process by the system's default. Seen in a soak of 60 VMs on a busy machine: "VM 56 ended with signal: 1 (SIGHUP) after 173.778818ms (Runs)", no line in its log. Conclusion: holds, since nothing that takes time comes before; the first instructions of a process stay open.

--- a/crates/carry/src/lib.rs
+++ b/crates/carry/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! [`pool`] keeps connections to servers and never trusts one that may have gone silent;
 //! [`listen`] serves callers until it is told to stop; [`logging`] is the log, which [`output`]
-//! writes without ever waiting for whoever reads it, after [`sampling`] has chosen its lines.
+//! writes without ever waiting for whoever reads it, after [`sampling`] has chosen its lines;
+//! [`signals`] are what stops a daemon.
 
 pub mod listen;
 pub mod logging;
 pub mod output;
 pub mod pool;
 pub mod sampling;
+pub mod signals;
 mod socket;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,10 +1,10 @@
 //! The entry daemon: reads its options and settings, runs, and stops gracefully on a signal.
 
-use std::{fs, process};
+use std::{fs, io, process};
 
-use carry::{logging, output};
+use carry::{logging, output, signals};
 use entry::{daemon, settings};
-use tokio::signal::unix;
+use tokio::runtime;
 
 /// The entry daemon of pollenchute: takes callers' requests, decides, relays.
 ///
@@ -46,6 +46,15 @@
 
 fn main() -> process::ExitCode {
     let options: DaemonOptions = argh::from_env();
+    let (runtime, stop) = match start_runtime() {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!(
+                "no runtime, or signals can't be caught: {error}; a stop would cut off answers"
+            );
+            return ExitCode::Failure.into();
+        }
+    };
     let settings = match read_settings(&options.config) {
         Ok(settings) => settings,
         Err(message) => {
@@ -73,7 +82,7 @@
             return ExitCode::Failure.into();
         }
     }
-    let code = run(settings);
+    let code = runtime.block_on(run(settings, stop));
     output::finish();
     code.into()
 }
@@ -87,8 +96,16 @@
     Ok(settings)
 }
 
-#[tokio::main]
-async fn run(settings: settings::DaemonSettings) -> ExitCode {
+/// A runtime, and the signals that it catches from now on.
+fn start_runtime() -> io::Result<(runtime::Runtime, signals::StopSignals)> {
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build()?;
+    let entered = runtime.enter();
+    let stop = signals::StopSignals::catch()?;
+    drop(entered);
+    Ok((runtime, stop))
+}
+
+async fn run(settings: settings::DaemonSettings, stop: signals::StopSignals) -> ExitCode {
     let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
         .install_recorder()
         .ok();
@@ -99,18 +116,9 @@
             return ExitCode::Failure;
         }
     };
-    let signals = (
-        unix::signal(unix::SignalKind::terminate()),
-        unix::signal(unix::SignalKind::interrupt()),
-    );
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
-        eprintln!("signals cannot be listened to; a stop would cut off answers, so not starting");
-        return ExitCode::Failure;
-    };
     tokio::select! {
         () = daemon.ended() => return ExitCode::Failure,
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = stop.wait() => {}
     }
     daemon.stop().await;
     ExitCode::Success
--- /dev/null
+++ b/crates/entry/tests/early_signals.rs
@@ -0,0 +1,41 @@
+//! The program while it starts.
+
+use std::{fs, io::Write as _, process, thread, time};
+
+#[test]
+fn a_signal_while_settings_are_read_does_not_end_the_process() {
+    // Symptom: an entry VM is gone, with nothing in its log.
+    // Sequence: it is told of new settings, or to stop, before it has read its first ones.
+    // Cause: signals asked for only once all else was set up, and SIGHUP never: until then a signal
+    // ends a process by the system's default.
+    for (number, signal) in [rustix::process::Signal::HUP, rustix::process::Signal::TERM]
+        .into_iter()
+        .enumerate()
+    {
+        let folder = std::env::temp_dir().join(format!("early-{number}-{}", process::id()));
+        fs::create_dir_all(&folder).expect("folder");
+        let path = folder.join("settings.jsonc");
+        let mode = rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR;
+        let kind = rustix::fs::FileType::Fifo;
+        rustix::fs::mknodat(rustix::fs::CWD, &path, kind, mode, 0).expect("pipe");
+        let mut child = process::Command::new(env!("CARGO_BIN_EXE_pollenchuted"))
+            .args(["--config", path.to_str().expect("path")])
+            .stderr(process::Stdio::null())
+            .spawn()
+            .expect("pollenchuted starts");
+        // Opening it waits for the process to open it too; that then waits for the text.
+        let mut pipe = fs::OpenOptions::new()
+            .write(true)
+            .open(&path)
+            .expect("pipe");
+        let id = rustix::process::Pid::from_child(&child);
+        rustix::process::kill_process(id, signal).expect("signal");
+        thread::sleep(time::Duration::from_millis(100));
+        // Were the process gone, nobody would read this.
+        let read = pipe.write_all(b"no settings");
+        drop(pipe);
+        let status = child.wait().expect("ended");
+        assert_eq!((read.is_ok(), status.code()), (true, Some(2)), "{signal:?}");
+        fs::remove_dir_all(&folder).expect("folder removed");
+    }
+}
