--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -6,53 +6,14 @@
 
 use exchange::{
     ask, budget, comeback, directory, event, fleet, forecast, loads, message, peers, place,
-    relocate, runs, server, suspect, wait,
+    relocate, server, suspect, wait,
 };
 use tokio::time::Instant;
+use world::engines;
 
 /// Histories of each property.
 const HISTORIES: u64 = 400;
 
-fn rng() -> rand::rngs::StdRng {
-    rand::SeedableRng::seed_from_u64(3)
-}
-
-fn size(prompt: u32) -> ask::GenerationSize {
-    ask::GenerationSize {
-        prompt_tokens: prompt,
-        most_tokens: 2_000,
-        hint_tokens: None,
-        parts: Vec::new(),
-    }
-}
-
-fn fleet_of(engines: u8) -> fleet::ServerFleet {
-    let mut fleet = fleet::ServerFleet::default();
-    for number in 1..=engines {
-        let entry = world::entry("llm", number, if number % 2 == 0 { "a" } else { "b" });
-        fleet.take_news(
-            &world::news(&format!("e{number}"), 1, Some(entry)),
-            None,
-            Instant::now(),
-        );
-    }
-    fleet
-}
-
-fn run(server: fleet::ServerKey, prompt: u32, started: bool) -> runs::RunRecord {
-    let now = Instant::now();
-    runs::RunRecord {
-        server,
-        backup: None,
-        moving_to: None,
-        move_after: None,
-        size: Some(size(prompt)),
-        produced: 0,
-        started: now,
-        first_at: started.then_some(now),
-    }
-}
-
 fn rule() -> exchange::catalog::ServiceRule {
     exchange::catalog::ServiceRule {
         connections: 100,
@@ -78,13 +39,18 @@
     world::run(async {
         world::histories(HISTORIES, |u| {
             let now = Instant::now();
-            let mut fleet = fleet_of(4);
+            let mut fleet = engines::fleet_of(4);
             for _ in 0..u.int_in_range(1..=60)? {
-                let size = size(u.int_in_range(10..=6_000)?);
-                let placed =
-                    place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
+                let size = engines::size(u.int_in_range(10..=6_000)?);
+                let placed = place::choose(
+                    &fleet,
+                    Some(&rule()),
+                    &place_ask(&size, 0),
+                    now,
+                    &mut engines::rng(),
+                );
                 if let place::PlaceOutcome::Server(server) = placed {
-                    let mut record = run(server, size.prompt_tokens, u.arbitrary()?);
+                    let mut record = engines::run(server, size.prompt_tokens, u.arbitrary()?);
                     record.size = Some(size);
                     fleet.start(record);
                 }
@@ -104,20 +70,31 @@
     // on one engine make both late, and every stream beside them.
     world::run(async {
         let now = Instant::now();
-        let mut fleet = fleet_of(2);
+        let mut fleet = engines::fleet_of(2);
         for _ in 0..2 {
-            let size = size(3_000);
-            let placed =
-                place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
+            let size = engines::size(3_000);
+            let placed = place::choose(
+                &fleet,
+                Some(&rule()),
+                &place_ask(&size, 0),
+                now,
+                &mut engines::rng(),
+            );
             let place::PlaceOutcome::Server(server) = placed else {
                 panic!("room for two")
             };
-            fleet.start(run(server, 3_000, false));
+            fleet.start(engines::run(server, 3_000, false));
         }
         let loads = fleet.loads("llm", now);
         assert!(loads.values().all(|load| load.runs == 1), "{loads:?}");
-        let size = size(3_000);
-        let third = place::choose(&fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng());
+        let size = engines::size(3_000);
+        let third = place::choose(
+            &fleet,
+            Some(&rule()),
+            &place_ask(&size, 0),
+            now,
+            &mut engines::rng(),
+        );
         assert_eq!(
             third,
             place::PlaceOutcome::Full,
@@ -133,15 +110,21 @@
     // Cause: what waits was let in before what runs.
     world::run(async {
         let now = Instant::now();
-        let mut fleet = fleet_of(2);
+        let mut fleet = engines::fleet_of(2);
         let (first, second) = (fleet.find("e1").expect("e1"), fleet.find("e2").expect("e2"));
         for _ in 0..4 {
-            fleet.start(run(first, 3_000, true));
+            fleet.start(engines::run(first, 3_000, true));
         }
-        fleet.start(run(second, 3_000, true));
-        let size = size(3_000);
+        fleet.start(engines::run(second, 3_000, true));
+        let size = engines::size(3_000);
         let choose = |fleet: &fleet::ServerFleet| {
-            place::choose(fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng())
+            place::choose(
+                fleet,
+                Some(&rule()),
+                &place_ask(&size, 0),
+                now,
+                &mut engines::rng(),
+            )
         };
         assert_eq!(choose(&fleet), place::PlaceOutcome::Server(second));
         let mut leaving = world::entry("llm", 1, "b");
@@ -157,15 +140,15 @@
     // late request starts beside another's that could still be on time, and soon all are late.
     world::run(async {
         let now = Instant::now();
-        let fleet = fleet_of(1);
-        let size = size(3_000);
+        let fleet = engines::fleet_of(1);
+        let size = engines::size(3_000);
         let choose = |yielded| {
             place::choose(
                 &fleet,
                 Some(&rule()),
                 &place_ask(&size, yielded),
                 now,
-                &mut rng(),
+                &mut engines::rng(),
             )
         };
         assert!(matches!(choose(0), place::PlaceOutcome::Server(_)));
@@ -178,26 +161,26 @@
     // Load: an engine leaves with several runs; copies queue on its link, and it is soon gone.
     world::run(async {
         let now = Instant::now();
-        let mut fleet = fleet_of(3);
+        let mut fleet = engines::fleet_of(3);
         let first = fleet.find("e1").expect("e1");
-        let small = fleet.start(run(first, 1_000, true));
-        let large = fleet.start(run(first, 4_000, true));
-        let mut ending = run(first, 4_000, true);
+        let small = fleet.start(engines::run(first, 1_000, true));
+        let large = fleet.start(engines::run(first, 4_000, true));
+        let mut ending = engines::run(first, 4_000, true);
         ending.produced = 2_000;
         let ending = fleet.start(ending);
         let engine = world::engine_rule();
-        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut rng()).is_empty());
+        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut engines::rng()).is_empty());
         let mut leaving = world::entry("llm", 1, "b");
         leaving.leaving = true;
         fleet.take_news(&world::news("e1", 2, Some(leaving)), None, now);
-        let orders = relocate::plan(&mut fleet, "llm", &engine, now, &mut rng());
+        let orders = relocate::plan(&mut fleet, "llm", &engine, now, &mut engines::rng());
         let runs: Vec<_> = orders.iter().map(|(run, _)| *run).collect();
         assert_eq!(
             runs,
             [large, small],
             "what ends in time is left alone: {ending:?}"
         );
-        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut rng()).is_empty());
+        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut engines::rng()).is_empty());
     });
 }
 
@@ -248,7 +231,7 @@
     // Sequence: the store is away, entries lapse, it returns, servers write themselves in again.
     // Cause: a lapse during an outage taken for a server's end.
     world::run(async {
-        let mut fleet = fleet_of(1);
+        let mut fleet = engines::fleet_of(1);
         let key = fleet.find("e1").expect("e1");
         let now = Instant::now();
         let spared = Some(now + fleet::LAPSE_GRACE);
@@ -338,20 +321,20 @@
     // Cause: whatever waits takes the last room.
     world::run(async {
         let now = Instant::now();
-        let mut fleet = fleet_of(2);
+        let mut fleet = engines::fleet_of(2);
         let servers: Vec<_> = fleet.ready("llm", now).map(|(key, _)| key).collect();
         for server in servers {
             for _ in 0..4 {
-                fleet.start(run(server, 3_000, true));
+                fleet.start(engines::run(server, 3_000, true));
             }
         }
-        let size = size(1_000);
+        let size = engines::size(1_000);
         let choose = |kept_part| {
             let ask = place::PlaceAsk {
                 kept_part,
                 ..place_ask(&size, 0)
             };
-            place::choose(&fleet, Some(&rule()), &ask, now, &mut rng())
+            place::choose(&fleet, Some(&rule()), &ask, now, &mut engines::rng())
         };
         let cheap = wait::WaitRank::new(false, 0).kept_part();
         let dear = wait::WaitRank::new(true, 7).kept_part();
@@ -368,16 +351,22 @@
     // Cause: no VM heard of the others' losses, and one loss of its own was too little.
     world::run(async {
         let now = Instant::now();
-        let mut fleet = fleet_of(3);
+        let mut fleet = engines::fleet_of(3);
         let key = |fleet: &fleet::ServerFleet, id| fleet.find(id).expect("known");
         let first = key(&fleet, "e1");
         for id in ["e2", "e3"] {
             let server = key(&fleet, id);
-            fleet.start(run(server, 3_000, true));
+            fleet.start(engines::run(server, 3_000, true));
         }
-        let size = size(3_000);
+        let size = engines::size(3_000);
         let choose = |fleet: &fleet::ServerFleet, now| {
-            place::choose(fleet, Some(&rule()), &place_ask(&size, 0), now, &mut rng())
+            place::choose(
+                fleet,
+                Some(&rule()),
+                &place_ask(&size, 0),
+                now,
+                &mut engines::rng(),
+            )
         };
         let there = place::PlaceOutcome::Server(first);
         assert_eq!(choose(&fleet, now), there, "it is empty");
@@ -413,13 +402,13 @@
     // Cause: it must leave room for others that are not there.
     world::run(async {
         let now = Instant::now();
-        let fleet = fleet_of(1);
-        let size = size(17_000);
+        let fleet = engines::fleet_of(1);
+        let size = engines::size(17_000);
         let ask = place::PlaceAsk {
             kept_part: wait::WaitRank::new(true, 7).kept_part(),
             ..place_ask(&size, 0)
         };
-        let placed = place::choose(&fleet, Some(&rule()), &ask, now, &mut rng());
+        let placed = place::choose(&fleet, Some(&rule()), &ask, now, &mut engines::rng());
         assert!(matches!(placed, place::PlaceOutcome::Server(_)));
     });
 }
@@ -507,7 +496,7 @@
 
 #[test]
 fn cost_is_weighed_by_priority() {
-    let long = size(4_000);
+    let long = engines::size(4_000);
     let short = ask::GenerationSize {
         prompt_tokens: 2_000,
         most_tokens: 36,
@@ -661,7 +650,7 @@
 
 #[test]
 fn lengths_are_believed_less_the_farther_a_run_has_come() {
-    let size = size(3_000);
+    let size = engines::size(3_000);
     let mut last = 0.0;
     for produced in 0..2_000 {
         let expected = forecast::expected_output(&size, produced);
@@ -699,7 +688,7 @@
     // Cause: each VM counts its own connections only.
     world::run(async {
         let now = Instant::now();
-        let mut fleet = fleet_of(2);
+        let mut fleet = engines::fleet_of(2);
         let first = fleet.find("e1").expect("e1");
         let second = fleet.find("e2").expect("e2");
         let rule = exchange::catalog::ServiceRule {
@@ -715,7 +704,7 @@
             yielded_tokens: 0,
             kept_part: 0.0,
         };
-        let mut rng = rng();
+        let mut rng = engines::rng();
         crowd(&mut fleet, first, 0..40, now);
         let there = place::PlaceOutcome::Server(second);
         for _ in 0..20 {
--- a/crates/exchange/tests/moves.rs
+++ b/crates/exchange/tests/moves.rs
@@ -2,47 +2,9 @@
 
 mod world;
 
-use exchange::{ask, fleet, place, runs};
+use exchange::place;
 use tokio::time::Instant;
-
-fn rng() -> rand::rngs::StdRng {
-    rand::SeedableRng::seed_from_u64(3)
-}
-
-fn size(prompt: u32) -> ask::GenerationSize {
-    ask::GenerationSize {
-        prompt_tokens: prompt,
-        most_tokens: 2_000,
-        hint_tokens: None,
-        parts: Vec::new(),
-    }
-}
-
-/// Engines `e1` to `eN`; those with odd numbers are in domain `b`, the others in `a`.
-fn fleet_of(engines: u8) -> fleet::ServerFleet {
-    let mut fleet = fleet::ServerFleet::default();
-    for number in 1..=engines {
-        let domain = if number % 2 == 0 { "a" } else { "b" };
-        let entry = world::entry("llm", number, domain);
-        let news = world::news(&format!("e{number}"), 1, Some(entry));
-        fleet.take_news(&news, None, Instant::now());
-    }
-    fleet
-}
-
-fn run(server: fleet::ServerKey, prompt: u32, started: bool) -> runs::RunRecord {
-    let now = Instant::now();
-    runs::RunRecord {
-        server,
-        backup: None,
-        moving_to: None,
-        move_after: None,
-        size: Some(size(prompt)),
-        produced: 0,
-        started: now,
-        first_at: started.then_some(now),
-    }
-}
+use world::engines;
 
 #[test]
 fn runs_that_leave_together_stay_within_their_domain() {
@@ -51,12 +13,12 @@
     // Cause: the engine of their own domain was reading one prompt, which counted for more.
     world::run(async {
         let now = Instant::now();
-        let mut fleet = fleet_of(3);
+        let mut fleet = engines::fleet_of(3);
         let [source, other, near] = ["e1", "e2", "e3"].map(|id| fleet.find(id).expect("known"));
         for _ in 0..5 {
-            fleet.start(run(source, 2_600, true));
+            fleet.start(engines::run(source, 2_600, true));
         }
-        fleet.start(run(near, 2_600, false));
+        fleet.start(engines::run(near, 2_600, false));
         let ask = place::CopyAsk {
             source,
             tokens: 3_000,
@@ -71,9 +33,9 @@
         }
         // Where there is no room in the domain, another one is better than none.
         for _ in 0..5 {
-            fleet.start(run(near, 3_000, true));
+            fleet.start(engines::run(near, 3_000, true));
         }
-        let chosen = place::choose_copy(&fleet, &engine, &ask, now, &mut rng());
+        let chosen = place::choose_copy(&fleet, &engine, &ask, now, &mut engines::rng());
         assert_eq!(chosen, Some(other));
     });
 }
--- a/crates/exchange/tests/storm.rs
+++ b/crates/exchange/tests/storm.rs
@@ -2,81 +2,17 @@
 
 mod world;
 
-use std::{cell, net, rc, time};
+use std::time;
 
-use bytes::Bytes;
-use exchange::{follow, message, news, system};
+use exchange::{follow, message};
 use tokio::time::Instant;
+use world::store;
 
 /// Other VMs; six of all VMs read the store for all.
 const OTHERS: u8 = 40;
 /// Time between two changes.
 const CHANGE_GAP: time::Duration = time::Duration::from_millis(165);
 
-/// A store in which the configuration changes all the time.
-#[derive(Debug)]
-struct StormStore {
-    began: Instant,
-    read: cell::Cell<u32>,
-    registered_at: cell::Cell<Option<Instant>>,
-}
-
-impl StormStore {
-    fn version(&self) -> u64 {
-        1 + (self.began.elapsed().as_millis() / CHANGE_GAP.as_millis()) as u64
-    }
-}
-
-impl follow::StorePort for StormStore {
-    async fn read_servers(&self) -> Result<follow::NewsPage, follow::StoreFault> {
-        Ok(follow::NewsPage::default())
-    }
-
-    async fn read_news(&self, _from: u64) -> Result<follow::NewsPage, follow::StoreFault> {
-        Ok(follow::NewsPage {
-            news: Vec::<news::ServerNews>::new(),
-            end: 0,
-        })
-    }
-
-    async fn read_document(&self) -> Result<follow::DocumentPage, follow::StoreFault> {
-        self.read.set(self.read.get() + 1);
-        tokio::time::sleep(time::Duration::from_millis(8)).await;
-        Ok(follow::DocumentPage {
-            document: Some(Bytes::from(self.version().to_string())),
-            end: self.version(),
-        })
-    }
-
-    async fn wait_document(
-        &self,
-        _from: u64,
-        _wait: time::Duration,
-    ) -> Result<follow::DocumentPage, follow::StoreFault> {
-        self.read_document().await
-    }
-
-    async fn system(
-        &self,
-        proposed: system::SystemId,
-    ) -> Result<system::SystemId, follow::StoreFault> {
-        Ok(proposed)
-    }
-
-    async fn register(
-        &self,
-        _name: &str,
-        _address: net::SocketAddr,
-    ) -> Result<(), follow::StoreFault> {
-        self.registered_at.set(Some(Instant::now()));
-        Ok(())
-    }
-
-    async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreFault> {
-        Ok(Vec::new())
-    }
-}
-
 fn decode(bytes: &[u8]) -> Result<exchange::catalog::RouteCatalog, String> {
     let text = std::str::from_utf8(bytes).map_err(|error| error.to_string())?;
     let version = text.parse().map_err(|_| String::from("no number"))?;
@@ -106,11 +42,7 @@
     // store for each version: 3,629 calls a day at 74 VMs.
     world::run(async {
         let plane = world::plane();
-        let store = rc::Rc::new(StormStore {
-            began: Instant::now(),
-            read: cell::Cell::new(0),
-            registered_at: cell::Cell::new(None),
-        });
+        let store = store::FakeStore::changing(CHANGE_GAP);
         let mut sequence = 0;
         let mut hear = |version| {
             sequence += 1;
@@ -146,11 +78,7 @@
             let plane = world::plane();
             plane.state().settings.seeds = seeds;
             let began = Instant::now();
-            let store = rc::Rc::new(StormStore {
-                began,
-                read: cell::Cell::new(0),
-                registered_at: cell::Cell::new(None),
-            });
+            let store = store::FakeStore::changing(CHANGE_GAP);
             follow::meet(plane, store.clone()).await;
             let after = store.registered_at.get().expect("registered") - began;
             let millis = after.as_millis();
--- a/crates/exchange/tests/systems.rs
+++ b/crates/exchange/tests/systems.rs
@@ -3,11 +3,12 @@
 
 mod world;
 
-use std::{cell, net, rc, time};
+use std::{rc, time};
 
 use arbitrary::Unstructured;
-use exchange::{catchup, follow, link, message, news, system};
+use exchange::{catchup, link, message, system};
 use tokio::time as clock;
+use world::store;
 
 /// Another system.
 const OTHER: u64 = 42;
@@ -105,70 +106,6 @@
     });
 }
 
-/// A store that says which system it belongs to after a time.
-#[derive(Debug)]
-struct SlowStore {
-    answers_at: clock::Instant,
-    asked: cell::Cell<u32>,
-}
-
-impl SlowStore {
-    fn after(span: time::Duration) -> rc::Rc<Self> {
-        rc::Rc::new(Self {
-            answers_at: clock::Instant::now() + span,
-            asked: cell::Cell::new(0),
-        })
-    }
-}
-
-impl follow::StorePort for SlowStore {
-    async fn read_servers(&self) -> Result<follow::NewsPage, follow::StoreFault> {
-        Ok(follow::NewsPage::default())
-    }
-
-    async fn read_news(&self, _from: u64) -> Result<follow::NewsPage, follow::StoreFault> {
-        Ok(follow::NewsPage {
-            news: Vec::<news::ServerNews>::new(),
-            end: 0,
-        })
-    }
-
-    async fn read_document(&self) -> Result<follow::DocumentPage, follow::StoreFault> {
-        Ok(follow::DocumentPage::default())
-    }
-
-    async fn wait_document(
-        &self,
-        _from: u64,
-        _wait: time::Duration,
-    ) -> Result<follow::DocumentPage, follow::StoreFault> {
-        self.read_document().await
-    }
-
-    async fn system(
-        &self,
-        _proposed: system::SystemId,
-    ) -> Result<system::SystemId, follow::StoreFault> {
-        self.asked.set(self.asked.get() + 1);
-        if clock::Instant::now() < self.answers_at {
-            return Err(follow::StoreFault::Away);
-        }
-        Ok(world::system_id(world::SYSTEM))
-    }
-
-    async fn register(
-        &self,
-        _name: &str,
-        _address: net::SocketAddr,
-    ) -> Result<(), follow::StoreFault> {
-        Ok(())
-    }
-
-    async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreFault> {
-        Ok(Vec::new())
-    }
-}
-
 /// A VM that knows of no system yet.
 fn fresh_plane() -> world::TestPlane {
     let plane = world::plane();
@@ -179,7 +116,7 @@
 /// The plane identifies itself beside the test.
 fn identify(
     plane: &world::TestPlane,
-    store: rc::Rc<SlowStore>,
+    store: rc::Rc<store::FakeStore>,
 ) -> tokio::task::JoinHandle<Result<(), system::JoinedOther>> {
     let plane = plane.clone();
     tokio::task::spawn_local(async move { system::identify(&plane, store).await })
@@ -192,7 +129,7 @@
     // Cause: the first that spoke believed.
     world::run(async {
         let plane = fresh_plane();
-        let store = SlowStore::after(time::Duration::from_millis(300));
+        let store = store::FakeStore::silent_for(time::Duration::from_millis(300));
         let identified = identify(&plane, store);
         clock::sleep(time::Duration::from_millis(100)).await;
         let answered = link::take_datagram(&plane, &introduction(2, 1, OTHER));
@@ -216,7 +153,7 @@
     world::run(async {
         for (heard, other) in [(world::SYSTEM, OTHER), (OTHER, world::SYSTEM)] {
             let plane = fresh_plane();
-            let store = SlowStore::after(time::Duration::from_secs(5));
+            let store = store::FakeStore::silent_for(time::Duration::from_secs(5));
             let identified = identify(&plane, store.clone());
             clock::sleep(time::Duration::from_secs(1)).await;
             assert_eq!(plane.state().system, system::SystemBelief::Unanswered);
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod engines;
+pub mod store;
+
 use std::{cell, collections, net, rc, time};
 
 use bytes::Bytes;
