--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -74,7 +74,7 @@
     queues: collections::HashMap<String, wait::WaitQueue>,
     trends: collections::HashMap<String, room::RoomTrend>,
     budgets: collections::HashMap<String, budget::RetryBudget>,
-    pub(crate) rng: rngs::StdRng,
+    rng: rngs::StdRng,
 }
 
 impl PlaneState {
@@ -422,6 +422,16 @@
         rand::RngExt::random(&mut self.rng)
     }
 
+    /// A number for a system that has none yet.
+    pub fn draw_system(&mut self) -> system::SystemId {
+        loop {
+            let number = rand::RngExt::random(&mut self.rng);
+            if let Some(id) = system::SystemId::from_number(number) {
+                return id;
+            }
+        }
+    }
+
     /// Hash of this VM's name and incarnation, by which other VMs know it.
     #[must_use]
     pub fn sender(&self) -> u64 {
--- a/crates/exchange/src/system.rs
+++ b/crates/exchange/src/system.rs
@@ -11,7 +11,7 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::{follow, message, plane};
+use crate::{follow, message, plane, state};
 
 /// Names a system: a random number that is not 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -120,12 +120,7 @@
     plane: &plane::ExchangePlane<P>,
     store: rc::Rc<S>,
 ) -> Result<(), JoinedOther> {
-    let proposed = loop {
-        let number = rand::RngExt::random(&mut plane.state().rng);
-        if let Some(id) = SystemId::from_number(number) {
-            break id;
-        }
-    };
+    let proposed = plane.state().draw_system();
     let asking = async {
         loop {
             match store.system(proposed).await {
@@ -159,9 +154,10 @@
     }
 }
 
-/// Takes who sent a datagram. Most don't say it, and are known by their hash from one that did.
+/// How whoever sent a datagram stands to this VM. Most datagrams don't name their sender, who is known
+/// by its hash from one that did.
 pub(crate) fn sender_standing(
-    state: &mut crate::state::PlaneState,
+    state: &mut state::PlaneState,
     datagram: &message::PeerDatagram,
 ) -> SenderStanding {
     if !datagram.name.is_empty() {
