Daemons hold signals back from before main until they catch them

Cause: between the language's runtime (which catches signals of its own before main) and StopSignals::catch a daemon collected its arguments, parsed them, built a runtime and asked for SIGTERM, SIGINT and SIGHUP one after the other.

--- a/crates/carry/src/signals.rs
+++ b/crates/carry/src/signals.rs
@@ -2,13 +2,33 @@
 
 use std::io;
 
+use nix::sys::signal;
 use tokio::signal::unix;
 
-/// SIGTERM, SIGINT and SIGHUP, caught.
+/// Blocks SIGTERM, SIGINT and SIGHUP until [`StopSignals::catch`]; one that comes meanwhile waits.
+///
+/// A daemon calls it from a constructor, which runs before the language's runtime and `main`: until a
+/// signal is caught, the system's default ends the process, SIGHUP too. A daemon that calls it and then
+/// never [`StopSignals::catch`] can be ended by SIGKILL only.
 ///
-/// A daemon catches them before all else. One that comes while settings are read, or listeners are
-/// opened, would end the process by the system's default, SIGHUP too, although nothing is wrong: a VM
-/// would be gone without a line in its log, and answers that it had begun would be cut.
+/// # Errors
+///
+/// When the system refuses.
+pub fn hold() -> io::Result<()> {
+    Ok(stop_set().thread_block()?)
+}
+
+fn stop_set() -> signal::SigSet {
+    [
+        signal::Signal::SIGTERM,
+        signal::Signal::SIGINT,
+        signal::Signal::SIGHUP,
+    ]
+    .into_iter()
+    .collect()
+}
+
+/// SIGTERM, SIGINT and SIGHUP, caught.
 #[derive(Debug)]
 pub struct StopSignals {
     terminate: unix::Signal,
@@ -17,17 +37,20 @@
 }
 
 impl StopSignals {
-    /// Catches them from now on. To be called in the context of a runtime.
+    /// Catches them from now on, and those that [`hold`] held back. To be called in the context of a
+    /// runtime, by the thread that called `hold`.
     ///
     /// # Errors
     ///
     /// When the system refuses.
     pub fn catch() -> io::Result<Self> {
-        Ok(Self {
+        let signals = Self {
             terminate: unix::signal(unix::SignalKind::terminate())?,
             interrupt: unix::signal(unix::SignalKind::interrupt())?,
             hangup: unix::signal(unix::SignalKind::hangup())?,
-        })
+        };
+        stop_set().thread_unblock()?;
+        Ok(signals)
     }
 
     /// Ends at SIGTERM or SIGINT, also one that came before. SIGHUP is noted: nothing that settings
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,6 +4,8 @@
 
 use carry::{logging, output, signals};
 use entry::{daemon, settings};
+// Linked for its constructor: signals are held until `start_runtime` catches them.
+use startup as _;
 use tokio::runtime;
 
 /// The entry daemon of pollenchute: takes callers' requests, decides, relays.
--- a/crates/entry/tests/early_signals.rs
+++ b/crates/entry/tests/early_signals.rs
@@ -1,5 +1,8 @@
 //! The program while it starts.
 
+#[path = "../../carry/tests/starting/mod.rs"]
+mod starting;
+
 use std::{fs, io::Write as _, process, thread, time};
 
 #[test]
@@ -39,3 +42,10 @@
         fs::remove_dir_all(&folder).expect("folder removed");
     }
 }
+
+#[test]
+fn no_signal_ends_a_process_that_has_begun() {
+    // Guards against a signal that comes after the process has begun and before it catches signals.
+    let unprotected = starting::unprotected_starts(env!("CARGO_BIN_EXE_pollenchuted"));
+    assert_eq!(unprotected, 0, "starts");
+}
