Evacuation of a failure domain by the operator

Change: exchange::evacuation keeps the set as of a position of the operator's records; servers of such domains get no calls, generations, copies or resumed runs, and their memory is no room.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::{loads, news, runs, server};
+use crate::{evacuation, loads, news, runs, server};
 
 slotmap::new_key_type! {
     /// Key of one incarnation of a backend server.
@@ -48,6 +48,8 @@
     doubted: collections::HashSet<ServerKey>,
     /// Hash of which servers stand how; each that is not gone adds its part.
     standing_hash: u64,
+    /// Failure domains whose servers get no new work.
+    evacuations: evacuation::EvacuationSet,
     /// What other VMs have on them.
     peers: loads::PeerLoads,
     runs: slotmap::SlotMap<RunKey, runs::RunRecord>,
@@ -292,10 +294,34 @@
         let keys = self.by_service.get(service).into_iter().flatten();
         keys.filter_map(move |&key| {
             let record = self.servers.get(key)?;
-            record.takes_work(now).then_some((key, record))
+            self.gives_work(record, now).then_some((key, record))
         })
     }
 
+    /// Whether a server gets new work: it takes some, and its failure domain is not evacuated.
+    #[must_use]
+    pub fn gives_work(&self, record: &server::ServerRecord, now: time::Instant) -> bool {
+        record.takes_work(now) && !self.evacuations.domains.contains(&record.domain)
+    }
+
+    /// Whether the failure domain of a server is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, key: ServerKey) -> bool {
+        let record = self.servers.get(key);
+        record.is_some_and(|record| self.evacuations.domains.contains(&record.domain))
+    }
+
+    /// Failure domains that are evacuated.
+    #[must_use]
+    pub const fn evacuations(&self) -> &evacuation::EvacuationSet {
+        &self.evacuations
+    }
+
+    /// Takes evacuations as of a later position; says whether other domains are evacuated then.
+    pub fn take_evacuations(&mut self, evacuations: evacuation::EvacuationSet) -> bool {
+        self.evacuations.take(evacuations)
+    }
+
     /// Whether a server should get no generations. An engine that goes down and up by turns takes
     /// connections and reservations all the while; it is empty, and so draws the prompts of all VMs,
     /// each of which would have to learn by a lost one.
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -12,7 +12,7 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::{catalog, fleet, news, plane, system};
+use crate::{catalog, evacuation, fleet, news, plane, system};
 
 /// Time between two looks of any VM: a leaving engine is gone 1.5 to 2 s after its notice, and its
 /// streams need about one of them to move.
@@ -57,11 +57,13 @@
     pub end: u64,
 }
 
-/// The operator's document as of one position.
+/// The operator's document and evacuations as of one position.
 #[derive(Clone, Debug, Default)]
 pub struct DocumentPage {
     /// The newest, if there is one.
     pub document: Option<Bytes>,
+    /// What it says of failure domains, oldest first.
+    pub evacuations: Vec<evacuation::EvacuationRecord>,
     /// Position from which to read on.
     pub end: u64,
 }
@@ -176,6 +178,23 @@
     }
 }
 
+/// Takes which failure domains are evacuated, from wherever it came.
+pub fn take_evacuations<P>(
+    plane: &plane::ExchangePlane<P>,
+    evacuations: evacuation::EvacuationSet,
+    source: &str,
+) {
+    let now = time::Instant::now();
+    let position = evacuations.position;
+    if !plane.state().take_evacuations(evacuations, now) {
+        return;
+    }
+    let domains = plane.state().fleet.evacuations().domains.clone();
+    log::info!(domains:? = domains, position, source:% = source; "evacuated failure domains");
+    plane.stir();
+    tell_version(plane, source);
+}
+
 /// Tells all others at once of a configuration that those who read the store for all have found.
 /// Did each VM that takes it tell all, they would be as many datagrams as VMs squared.
 fn tell_version<P>(plane: &plane::ExchangePlane<P>, source: &str) {
@@ -201,13 +220,21 @@
             continue;
         }
         read_at = Some(time::Instant::now());
+        let whole = !reader || cursor.is_none();
         let page = match cursor {
-            Some(from) if reader => store.wait_document(from, CATALOG_WAIT).await,
+            Some(from) if !whole => store.wait_document(from, CATALOG_WAIT).await,
             _ => store.read_document().await,
         };
         match page {
             Ok(page) => {
                 cursor = Some(page.end);
+                let evacuations = if whole {
+                    evacuation::EvacuationSet::of_all(&page.evacuations, page.end)
+                } else {
+                    let known = plane.state().fleet.evacuations().clone();
+                    known.followed_by(&page.evacuations, page.end)
+                };
+                take_evacuations(&plane, evacuations, SOURCE_STORE);
                 if let Some(document) = page.document {
                     take_document(&plane, decode, document, SOURCE_STORE);
                 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catchup;
 pub mod comeback;
 pub mod directory;
+pub mod evacuation;
 pub mod event;
 pub mod fleet;
 pub mod follow;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -98,6 +98,9 @@
         log::info!(vm:% = datagram.name, sender = datagram.sender, stage:? = datagram.stage(); "VM changed");
     }
     drop(state);
+    if let Some(item) = &datagram.evacuations {
+        follow::take_evacuations(plane, item.clone().into(), "peer");
+    }
     // Each piece of news has its own place in the order of the store: one that was overtaken on its
     // way is as good as any other.
     let news: Vec<_> = datagram
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{news, wait};
+use crate::{evacuation, news, wait};
 
 /// Stage of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -175,6 +175,39 @@
     /// Number of the system that it belongs to, where its name stands; 0: not known yet.
     #[prost(fixed64, tag = "21")]
     pub system: u64,
+    /// Present in some: which failure domains are evacuated.
+    #[prost(message, optional, tag = "22")]
+    pub evacuations: Option<EvacuationItem>,
+}
+
+/// Failure domains that are evacuated.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct EvacuationItem {
+    /// Position of the operator's records as of which they are.
+    #[prost(uint64, tag = "1")]
+    pub position: u64,
+    /// Their names.
+    #[prost(string, repeated, tag = "2")]
+    pub domains: Vec<String>,
+}
+
+impl From<&evacuation::EvacuationSet> for EvacuationItem {
+    fn from(evacuations: &evacuation::EvacuationSet) -> Self {
+        Self {
+            position: evacuations.position,
+            domains: evacuations.domains.iter().cloned().collect(),
+        }
+    }
+}
+
+impl From<EvacuationItem> for evacuation::EvacuationSet {
+    fn from(item: EvacuationItem) -> Self {
+        Self {
+            position: item.position,
+            domains: item.domains.into_iter().collect(),
+        }
+    }
 }
 
 /// Asks a VM for what it knows otherwise.
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -224,6 +224,10 @@
     pub(crate) async fn resume(&mut self, live: &mut LiveRun<P>, copy: CopyPlace) -> bool {
         let now = time::Instant::now();
         for server in std::iter::once(copy.to).chain(copy.or) {
+            let moves = server != live.placed.server;
+            if moves && self.plane.state().fleet.is_evacuated(server) {
+                continue;
+            }
             self.plane.state().force_retry(&self.ask.service, now);
             let backup = self.next_backup(server);
             let Some(origin) = self.plane.target(copy.origin) else {
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -77,7 +77,7 @@
     let backup = run.backup.filter(|&backup| {
         fleet
             .server(backup)
-            .is_some_and(|server| server.takes_work(now))
+            .is_some_and(|server| fleet.gives_work(server, now))
     });
     if let Some(backup) = backup
         && run.first_at.is_some()
--- a/crates/exchange/src/room.rs
+++ b/crates/exchange/src/room.rs
@@ -63,19 +63,20 @@
         let mut room = Self::default();
         for (key, record) in fleet.of_service(service) {
             let tokens = loads.get(key).map_or(0.0, |load| load.tokens as f64);
-            room.add(record, memory, tokens, now);
+            if fleet.gives_work(record, now) {
+                room.add_open(memory, tokens);
+            } else if moves_off(record, now) {
+                room.moving += tokens;
+            }
         }
         room
     }
 
-    fn add(&mut self, record: &server::ServerRecord, memory: f64, tokens: f64, now: time::Instant) {
-        if record.takes_work(now) {
-            self.all += memory;
-            self.used += tokens;
-            self.free += (memory * MEMORY_FILL - tokens).max(0.0);
-        } else if !record.superseded && now.saturating_duration_since(record.since) < MOVING_FOR {
-            self.moving += tokens;
-        }
+    /// Adds an engine that gets work.
+    fn add_open(&mut self, memory: f64, tokens: f64) {
+        self.all += memory;
+        self.used += tokens;
+        self.free += (memory * MEMORY_FILL - tokens).max(0.0);
     }
 
     /// Whether a generation leaves room for runs that move and for those that go before it. What it
@@ -93,6 +94,12 @@
     }
 }
 
+/// Whether the runs of a server are expected to move off it.
+fn moves_off(record: &server::ServerRecord, now: time::Instant) -> bool {
+    let left_for = now.saturating_duration_since(record.since);
+    !record.takes_work(now) && !record.superseded && left_for < MOVING_FOR
+}
+
 /// How room was of late.
 #[derive(Clone, Debug, Default)]
 pub struct RoomTrend {
--- a/crates/exchange/src/speak.rs
+++ b/crates/exchange/src/speak.rs
@@ -33,6 +33,9 @@
 const MOST_KNOWN: usize = 24;
 /// One in this many datagrams names other VMs, and goes to those that are silent too.
 const RARE: u64 = 16;
+/// How long each datagram tells of evacuations that changed: as long as a VM may be silent and still
+/// count as heard.
+const EVACUATIONS_TOLD: time::Duration = time::Duration::from_secs(5);
 
 /// Why something is said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -291,12 +294,19 @@
         store_away: state.store_away,
         standing_hash: state.fleet.standing_hash(),
         waiting: state.waiting(now),
+        evacuations: evacuations_changed(state, now).then(|| state.fleet.evacuations().into()),
         ..message::PeerDatagram::default()
     }
 }
 
-/// Adds who sends it, and some of those that it hears.
+fn evacuations_changed(state: &state::PlaneState, now: time::Instant) -> bool {
+    let changed_at = state.evacuated_at;
+    changed_at.is_some_and(|at| now.saturating_duration_since(at) < EVACUATIONS_TOLD)
+}
+
+/// Adds who sends it, some of those that it hears, and what it rarely tells.
 fn introduce(datagram: &mut message::PeerDatagram, state: &mut state::PlaneState) {
+    datagram.evacuations = Some(state.fleet.evacuations().into());
     datagram.system = state.system.number();
     datagram.name.clone_from(&state.settings.name);
     datagram.domain.clone_from(&state.settings.domain);
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -7,8 +7,8 @@
 use tokio::time;
 
 use crate::{
-    ask, budget, catalog, comeback, directory, fleet, forecast, message, news, peers, place,
-    relocate, room, runs, suspect, system, wait,
+    ask, budget, catalog, comeback, directory, evacuation, fleet, forecast, message, news, peers,
+    place, relocate, room, runs, suspect, system, wait,
 };
 
 /// What the plane is told at its start.
@@ -67,6 +67,8 @@
     pub store_back_at: Option<time::Instant>,
     /// Whether the store's last answer was none.
     pub store_away: bool,
+    /// When other failure domains than before came to be evacuated.
+    pub evacuated_at: Option<time::Instant>,
     /// Since when a VM that is heard has a newer configuration.
     pub behind_since: Option<time::Instant>,
     /// Since when most VMs that are heard know other news of servers than this one.
@@ -103,6 +105,7 @@
             stopping_since: None,
             store_back_at: None,
             store_away: false,
+            evacuated_at: None,
             behind_since: None,
             differs_since: None,
             queues: collections::HashMap::new(),
@@ -129,6 +132,19 @@
         true
     }
 
+    /// Takes evacuations as of a later position; says whether other domains are evacuated then.
+    pub fn take_evacuations(
+        &mut self,
+        evacuations: evacuation::EvacuationSet,
+        now: time::Instant,
+    ) -> bool {
+        let changed = self.fleet.take_evacuations(evacuations);
+        if changed {
+            self.evacuated_at = Some(now);
+        }
+        changed
+    }
+
     /// Version of the configuration in force; 0: none.
     #[must_use]
     pub fn version(&self) -> u64 {
--- /dev/null
+++ b/crates/exchange/tests/evacuation.rs
@@ -0,0 +1,245 @@
+//! Failure domains that the operator evacuates.
+
+mod world;
+
+use std::collections;
+
+use arbitrary::Unstructured;
+use exchange::{catalog, evacuation, link, message, place};
+use tokio::time;
+
+/// Histories that are played.
+const HISTORIES: u64 = 500;
+/// Failure domains of a history.
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+fn record(offset: u64, domain: &str, evacuated: bool) -> evacuation::EvacuationRecord {
+    evacuation::EvacuationRecord {
+        domain: domain.to_owned(),
+        offset,
+        evacuated,
+    }
+}
+
+/// Which domains are evacuated once the first `end` records of the log are taken into account.
+fn oracle(log: &[evacuation::EvacuationRecord], end: u64) -> collections::BTreeSet<String> {
+    let mut domains = collections::BTreeSet::new();
+    for record in log.iter().filter(|record| record.offset < end) {
+        if record.evacuated {
+            domains.insert(record.domain.clone());
+        } else {
+            domains.remove(&record.domain);
+        }
+    }
+    domains
+}
+
+/// The newest record of each domain, as the store keeps them: those taken back have none.
+fn newest(log: &[evacuation::EvacuationRecord], end: u64) -> Vec<evacuation::EvacuationRecord> {
+    let standing = oracle(log, end);
+    let before = log.iter().filter(|record| record.offset < end).rev();
+    let mut records: Vec<evacuation::EvacuationRecord> = Vec::new();
+    for record in before.filter(|record| standing.contains(&record.domain)) {
+        if !records.iter().any(|known| known.domain == record.domain) {
+            records.push(record.clone());
+        }
+    }
+    records
+}
+
+/// VMs read the log whole or go on reading it, and tell each other, late and in any order.
+fn history(u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+    let mut log = Vec::new();
+    let mut vms = [(); 3].map(|()| evacuation::EvacuationSet::default());
+    let mut on_the_way = Vec::new();
+    for _ in 0..u.int_in_range(1..=40)? {
+        let offset = log.len() as u64;
+        let vm = u.choose_index(vms.len())?;
+        let end = u.int_in_range(0..=offset)?;
+        match u.int_in_range(0..=4)? {
+            0 => log.push(record(offset, u.choose(&DOMAINS)?, u.arbitrary()?)),
+            1 => {
+                vms[vm].take(evacuation::EvacuationSet::of_all(&newest(&log, end), end));
+            }
+            2 => {
+                // From where an earlier reading of this VM ended, up to what the store has by then.
+                let from = u.int_in_range(0..=vms[vm].position)?;
+                let follow = log
+                    .iter()
+                    .filter(|record| (from..end).contains(&record.offset));
+                let follow: Vec<_> = follow.cloned().collect();
+                let next = vms[vm].followed_by(&follow, end);
+                vms[vm].take(next);
+            }
+            3 => on_the_way.push(message::EvacuationItem::from(&vms[vm])),
+            _ if on_the_way.is_empty() => {}
+            _ => {
+                let item = on_the_way[u.choose_index(on_the_way.len())?].clone();
+                vms[vm].take(item.into());
+            }
+        }
+        for vm in &vms {
+            assert_eq!(
+                vm.domains,
+                oracle(&log, vm.position),
+                "as of {}",
+                vm.position
+            );
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn what_is_evacuated_follows_from_the_position_alone() {
+    // Guards against an evacuation that returns with a late datagram after it was taken back.
+    world::histories(HISTORIES, history);
+}
+
+fn evacuate(plane: &world::TestPlane, position: u64, domains: &[&str]) {
+    let evacuations = evacuation::EvacuationSet {
+        position,
+        domains: domains.iter().map(ToString::to_string).collect(),
+    };
+    plane
+        .state()
+        .take_evacuations(evacuations, time::Instant::now());
+}
+
+/// A plane whose servers `s2` and `e2` are in another failure domain than the others.
+fn plane_of_two_domains() -> world::TestPlane {
+    let plane = world::plane();
+    let now = time::Instant::now();
+    for (id, service, number) in [("s3", "app", 3), ("e3", "llm", 13)] {
+        let entry = world::entry(service, number, "b");
+        plane
+            .state()
+            .take_news(world::news(id, 1, Some(entry)), false, now);
+    }
+    plane
+}
+
+#[test]
+fn calls_and_generations_avoid_an_evacuated_domain() {
+    // Guards against new work for servers that are about to be taken away.
+    world::run(async {
+        let plane = plane_of_two_domains();
+        evacuate(&plane, 1, &["a"]);
+        for number in 0..40 {
+            for kind in [catalog::ExchangeKind::Once, catalog::ExchangeKind::Stream] {
+                let ask = world::ask(&format!("r-{number}"), kind);
+                let now = time::Instant::now();
+                let mut state = plane.state();
+                let rank = state.claim(&ask, now).rank(now);
+                let (run, server) = state.place(&ask, &[], rank, now).expect("a place");
+                let domain = state.fleet.server(server).expect("known").domain.clone();
+                assert_eq!(domain, "b");
+                state.fleet.end(run);
+            }
+        }
+        evacuate(&plane, 2, &["a", "b"]);
+        let ask = world::ask("none", catalog::ExchangeKind::Once);
+        let now = time::Instant::now();
+        let mut state = plane.state();
+        let rank = state.claim(&ask, now).rank(now);
+        let outcome = state.place(&ask, &[], rank, now);
+        assert_eq!(outcome, Err(place::PlaceOutcome::NoServer));
+    });
+}
+
+#[test]
+fn what_runs_in_an_evacuated_domain_ends_there() {
+    // Guards against running generations that are moved off, or on, for an evacuation.
+    world::run(async {
+        let plane = plane_of_two_domains();
+        world::start(&plane);
+        let ask = world::ask("r-1", catalog::ExchangeKind::Stream);
+        let reply = plane.serve(ask).await.expect("served");
+        evacuate(&plane, 1, &["a", "b"]);
+        plane.stir();
+        let read = world::read(world::parts(reply)).await;
+        assert!(read.whole);
+        assert_eq!(plane.port().seen.borrow().len(), 1, "sent once");
+        assert_eq!(plane.port().copied.borrow().len(), 0, "not moved");
+    });
+}
+
+#[test]
+fn no_copy_of_a_run_goes_to_an_evacuated_domain() {
+    // Guards against runs of a leaving engine that are moved to engines which are to be emptied.
+    world::run(async {
+        let plane = plane_of_two_domains();
+        let now = time::Instant::now();
+        let mut state = plane.state();
+        let source = state.fleet.find("e1").expect("known");
+        let wanted = place::CopyAsk {
+            source,
+            tokens: 1_000,
+            beforehand: false,
+            service: "llm",
+        };
+        let mut rng: rand::rngs::StdRng = rand::SeedableRng::seed_from_u64(3);
+        let engine = world::engine_rule();
+        let mut chosen = |state: &exchange::state::PlaneState| {
+            place::choose_copy(&state.fleet, &engine, &wanted, now, &mut rng)
+        };
+        assert_eq!(chosen(&state), state.fleet.find("e2"), "in its domain");
+        let evacuations = evacuation::EvacuationSet::of_all(&[record(0, "a", true)], 1);
+        state.take_evacuations(evacuations, now);
+        assert_eq!(chosen(&state), state.fleet.find("e3"));
+    });
+}
+
+#[test]
+fn a_run_does_not_go_on_at_a_copy_in_an_evacuated_domain() {
+    // Guards against requests for evacuated engines when the engine of a run breaks off.
+    world::run(async {
+        let plane = plane_of_two_domains();
+        world::start(&plane);
+        for engine in ["e1", "e2", "e3"] {
+            let gap = std::time::Duration::from_millis(10);
+            plane
+                .port()
+                .tell(engine, world::ServerScript::Breaks(9, gap));
+        }
+        let ask = world::ask("r-1", catalog::ExchangeKind::Stream);
+        let reply = plane.serve(ask).await.expect("served");
+        let backup = plane.port().seen.borrow()[0].backup;
+        assert!(backup.is_some(), "a copy is kept");
+        evacuate(&plane, 1, &["a", "b"]);
+        let read = world::read(world::parts(reply)).await;
+        assert!(!read.whole, "an honest end");
+        assert_eq!(plane.port().seen.borrow().len(), 1, "sent once");
+    });
+}
+
+#[test]
+fn an_evacuation_is_told_to_other_vms() {
+    // Guards against VMs that do not read the store and never learn of an evacuation.
+    world::run(async {
+        let plane = world::plane();
+        let told = |sequence, position, domains: &[&str]| message::PeerDatagram {
+            sender: 2,
+            name: String::from("vm-2"),
+            domain: String::from("a"),
+            incarnation: 1,
+            sequence,
+            stage: message::VmStage::Serving.into(),
+            entry_address: world::address(2).to_string(),
+            link_address: world::address(102).to_string(),
+            system: world::SYSTEM,
+            evacuations: Some(message::EvacuationItem {
+                position,
+                domains: domains.iter().map(ToString::to_string).collect(),
+            }),
+            ..message::PeerDatagram::default()
+        };
+        let evacuated = || plane.state().fleet.evacuations().domains.len();
+        link::take_datagram(&plane, &told(1, 7, &["a", "b"]));
+        assert_eq!(evacuated(), 2);
+        link::take_datagram(&plane, &told(2, 9, &[]));
+        assert_eq!(evacuated(), 0);
+        link::take_datagram(&plane, &told(3, 8, &["a"]));
+        assert_eq!(evacuated(), 0, "an older position");
+    });
+}
--- a/crates/exchange/tests/world/store.rs
+++ b/crates/exchange/tests/world/store.rs
@@ -71,6 +71,7 @@
         clock::sleep(READ_TIME).await;
         Ok(follow::DocumentPage {
             document: Some(Bytes::from(self.version().to_string())),
+            evacuations: Vec::new(),
             end: self.version(),
         })
     }
