Recovery at size: the list of servers is read whole by few VMs and told to the others

Cause, as traced: all VMs that start at once read the whole list of servers from the store. Change: each VM takes the first page as it comes and serves from it; only those that read for all read on, the others take the rest from VMs that have it (datagrams say whether a list is partial). A VM sends at most three long lists at a time; who finds it busy asks another. A failed page is asked for again, not the whole list. Long changes are one line in the log.

--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -16,6 +16,15 @@
 const MOST_STATE: usize = 32 * 1_024 * 1_024;
 /// Time that one exchange of state may take.
 const STATE_WAIT: time::Duration = time::Duration::from_millis(700);
+/// Time that the list of servers may take for a VM that does not have it whole: 3,000 servers are
+/// 200 KB, which a link of 20 Mbit/s carries in 90 ms when it carries nothing else.
+const LIST_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// Pause of such a VM after one that was busy, on average.
+const LIST_GAP: time::Duration = time::Duration::from_millis(300);
+/// Servers more than the asker knows from which on a list is long.
+const LONG_LIST: usize = 200;
+/// Long lists that one VM sends at a time.
+const MOST_LISTS: usize = 3;
 /// Time between two looks whether another VM knows more.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(60);
 /// Time that the store has to bring a configuration before it is asked of a VM that has it: all
@@ -29,9 +38,38 @@
 /// leaving must be known everywhere within two seconds or so.
 const STATE_GAP_EACH: time::Duration = time::Duration::from_micros(300);
 
-/// Asks other VMs for what the store does not bring.
-pub(crate) async fn catch_up<P: 'static>(
+/// Other VMs, as far as they are asked for state.
+pub trait PeerPort {
+    /// Asks the VM at an address. An error is a VM that is gone or busy.
+    fn ask_state(
+        &self,
+        address: net::SocketAddr,
+        ask: &message::StateAsk,
+    ) -> impl Future<Output = io::Result<message::StateReply>>;
+}
+
+/// Other VMs over TCP.
+#[derive(Clone, Copy, Debug)]
+pub struct TcpPeers;
+
+impl PeerPort for TcpPeers {
+    async fn ask_state(
+        &self,
+        address: net::SocketAddr,
+        ask: &message::StateAsk,
+    ) -> io::Result<message::StateReply> {
+        let stream = sockets::TcpStream::connect(address).await?;
+        let mut framed = codec::Framed::new(stream, state_codec());
+        framed.send(Bytes::from(ask.encode_to_vec())).await?;
+        let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+        message::StateReply::decode(frame).map_err(io::Error::other)
+    }
+}
+
+/// Asks other VMs for what the store does not bring; never ends.
+pub async fn catch_up<P, Q: PeerPort>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
+    port: Q,
     decode: follow::DocumentDecoder,
 ) {
     loop {
@@ -40,12 +78,22 @@
         let Some(address) = who_knows_more(&plane) else {
             continue;
         };
+        let whole = plane.state().servers_whole;
         let ask = state_ask(&plane.state());
-        let gap = pace(ask.ready.len() + ask.leaving.len());
-        let reply = time::timeout(STATE_WAIT, ask_state(address, &ask)).await;
-        if let Ok(Ok(reply)) = reply {
-            take_state(&plane, reply, decode);
-        }
+        let wait = if whole { STATE_WAIT } else { LIST_WAIT };
+        let reply = time::timeout(wait, port.ask_state(address, &ask)).await;
+        let taken = match reply {
+            Ok(Ok(reply)) => {
+                take_state(&plane, reply, decode);
+                true
+            }
+            _ => false,
+        };
+        let gap = if whole || taken {
+            pace(ask.ready.len() + ask.leaving.len())
+        } else {
+            LIST_GAP.mul_f64(0.5 + plane.state().draw())
+        };
         time::sleep(gap).await;
     }
 }
@@ -125,6 +173,11 @@
         .filter(|peer| late && peer.catalog_version > version)
         .collect();
     let newer = newer.get(draw % newer.len().max(1)).copied();
+    let newer = newer.or_else(|| {
+        let whole = heard().filter(|peer| !state.servers_whole && !peer.partial);
+        let asked = near_first(whole.collect(), &state.settings.domain);
+        asked.get(draw % asked.len().max(1)).copied()
+    });
     let differs = state
         .differs_since
         .is_some_and(|since| now.saturating_duration_since(since) >= DIFFERS_FOR);
@@ -137,6 +190,14 @@
     newer.map(|peer| peer.link_address)
 }
 
+/// VMs of this VM's failure domain if there are some, as bytes between domains are dear; else all. One
+/// alone would be asked by its whole domain.
+fn near_first<'a>(peers: Vec<&'a peers::PeerRecord>, domain: &str) -> Vec<&'a peers::PeerRecord> {
+    let near = peers.iter().filter(|peer| peer.domain == domain);
+    let near: Vec<_> = near.copied().collect();
+    if near.len() > 1 { near } else { peers }
+}
+
 /// Of VMs that know other news than this one, those that know what most of them know: one that was
 /// cut off knows otherwise too. Of these, those of this VM's failure domain if there are any: bytes
 /// between domains are dear.
@@ -157,17 +218,6 @@
     if near.is_empty() { far } else { near }
 }
 
-async fn ask_state(
-    address: net::SocketAddr,
-    ask: &message::StateAsk,
-) -> io::Result<message::StateReply> {
-    let stream = sockets::TcpStream::connect(address).await?;
-    let mut framed = codec::Framed::new(stream, state_codec());
-    framed.send(Bytes::from(ask.encode_to_vec())).await?;
-    let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    message::StateReply::decode(frame).map_err(io::Error::other)
-}
-
 /// Takes what a VM answered.
 pub fn take_state<P>(
     plane: &plane::ExchangePlane<P>,
@@ -189,6 +239,7 @@
         .collect();
     let changed = link::take_news(plane, &news, now);
     let mut state = plane.state();
+    state.servers_whole |= !reply.partial;
     for known in reply.known.iter().filter_map(|known| known.parse().ok()) {
         if known != state.settings.link_address {
             state.peers.tell(known);
@@ -212,7 +263,7 @@
         };
         let plane = plane.clone();
         tokio::task::spawn_local(async move {
-            let _ = time::timeout(STATE_WAIT, answer_state(plane, stream)).await;
+            let _ = time::timeout(LIST_WAIT, answer_state(plane, stream)).await;
         });
     }
 }
@@ -224,10 +275,44 @@
     let mut framed = codec::Framed::new(stream, state_codec());
     let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     let ask = message::StateAsk::decode(frame).map_err(io::Error::other)?;
-    let reply = state_reply(&mut plane.state(), &ask);
+    let (reply, _guard) = answer(&plane, &ask).ok_or(io::ErrorKind::ResourceBusy)?;
     framed.send(Bytes::from(reply.encode_to_vec())).await
 }
 
+/// Counts a long list as being sent until dropped.
+#[derive(Debug)]
+pub struct ListGuard<P>(rc::Rc<plane::ExchangePlane<P>>);
+
+impl<P> Drop for ListGuard<P> {
+    fn drop(&mut self) {
+        self.0.lists_sent.set(self.0.lists_sent.get() - 1);
+    }
+}
+
+/// The answer to a VM that asks, with a guard to be kept until it is sent; absent while this VM sends
+/// as many long lists as its link carries in time. Were all that ask answered, hundreds that start at
+/// once would each get theirs too late, and ask again.
+pub fn answer<P>(
+    plane: &rc::Rc<plane::ExchangePlane<P>>,
+    ask: &message::StateAsk,
+) -> Option<(message::StateReply, Option<ListGuard<P>>)> {
+    let mut state = plane.state();
+    let known = state
+        .fleet
+        .servers()
+        .filter(|(_, server)| server.is_listed());
+    let long = known.count() > ask.ready.len() + ask.leaving.len() + LONG_LIST;
+    let sent = plane.lists_sent.get();
+    if long && sent >= MOST_LISTS {
+        return None;
+    }
+    let guard = long.then(|| {
+        plane.lists_sent.set(sent + 1);
+        ListGuard(plane.clone())
+    });
+    Some((state_reply(&mut state, ask), guard))
+}
+
 /// What this VM knows otherwise than the asker. Where thousands of servers come and go, all that it
 /// knows is 300 KB, and all but a few hundred bytes of it are known to the asker.
 #[must_use]
@@ -259,6 +344,7 @@
         news,
         known: speak::known(state),
         system: state.system.number(),
+        partial: !state.servers_whole,
     }
 }
 
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -1,10 +1,5 @@
-//! Follows the store: configuration by waiting for it, servers by looking at a slow pace that all
-//! VMs share.
-//!
-//! Load pattern: every heartbeat of every server is a record, so a reader that waits for records is
-//! answered ten times a second, on each VM. Instead each VM looks about once a second, at its own
-//! moment, and tells the others at once what has changed: together they look several times a
-//! second, at the price of one reader, and any of them can be cut off.
+//! Follows the operator's records in the store: few VMs wait for them and tell the others of a new
+//! version, which they then read.
 
 use std::{net, rc};
 
@@ -12,22 +7,11 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::{catalog, evacuation, fleet, news, plane, system};
+use crate::{catalog, evacuation, news, plane, system};
 
-/// Time between two looks of any VM: a leaving engine is gone 1.5 to 2 s after its notice, and its
-/// streams need about one of them to move.
-const LOOK_GAP: time::Duration = time::Duration::from_millis(130);
-/// Longest time between two looks of one VM: it alone must learn of leaving within two seconds.
-const LOOK_MOST: time::Duration = time::Duration::from_millis(1_000);
-/// Shortest time between two looks of one VM.
-const LOOK_LEAST: time::Duration = time::Duration::from_millis(600);
 /// How long one call waits for a configuration: short enough that a connection that went silent
 /// costs less than the users' bound for a VM to be in touch again, 3 s.
 const CATALOG_WAIT: time::Duration = time::Duration::from_millis(2_500);
-/// VMs that look at the servers in turn.
-const LOOKERS: u32 = 6;
-/// Time between two looks whether this VM is to read the store for all.
-const DUTY_GAP: time::Duration = time::Duration::from_millis(250);
 /// Time between two looks whether other VMs have a newer configuration.
 const BEHIND_GAP: time::Duration = time::Duration::from_millis(60);
 /// Shortest time between two readings of the configuration by a VM that does not read for all. In a
@@ -35,7 +19,7 @@
 /// Callers are bound to see a change within 2 s.
 const STORM_GAP: time::Duration = time::Duration::from_millis(500);
 /// Time between two tries while the store is away: within its first second back each VM is served.
-const AWAY_GAP: time::Duration = time::Duration::from_millis(400);
+pub(crate) const AWAY_GAP: time::Duration = time::Duration::from_millis(400);
 
 /// Why the store did not answer a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -55,6 +39,8 @@
     pub news: Vec<news::ServerNews>,
     /// Position from which to read on.
     pub end: u64,
+    /// Name after which a list goes on; absent on its last page.
+    pub next: Option<String>,
 }
 
 /// The operator's document and evacuations as of one position.
@@ -70,8 +56,11 @@
 
 /// The platform's store, as far as this plane needs it.
 pub trait StorePort {
-    /// All entries that stand now.
-    fn read_servers(&self) -> impl Future<Output = Result<NewsPage, StoreFault>>;
+    /// A page of the entries that stand now, by name: the first, or the one after a name.
+    fn read_servers(
+        &self,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<NewsPage, StoreFault>>;
 
     /// What came since `from`.
     fn read_news(&self, from: u64) -> impl Future<Output = Result<NewsPage, StoreFault>>;
@@ -146,10 +135,7 @@
 }
 
 /// Name in the log of what the store told.
-const SOURCE_STORE: &str = "store";
-/// News of one reading up to which the others are told each piece. More is what a VM reads that
-/// knew nothing, and the others know it; or it is found by the hash of how all servers stand.
-const MOST_TOLD: usize = 64;
+pub(crate) const SOURCE_STORE: &str = "store";
 
 /// Reads the operator's document.
 pub type DocumentDecoder = fn(&[u8]) -> Result<catalog::RouteCatalog, String>;
@@ -213,7 +199,8 @@
     let mut cursor = None;
     let mut read_at = None::<time::Instant>;
     loop {
-        let reader = may_read(&plane, cursor.is_none());
+        let first = cursor.is_none() && plane.state().version() == 0;
+        let reader = first || plane.state().reads_store(time::Instant::now());
         let rests = read_at.is_some_and(|at| at.elapsed() < STORM_GAP);
         if !reader && (rests || !is_behind(&plane)) {
             time::sleep(BEHIND_GAP).await;
@@ -259,106 +246,3 @@
         .all()
         .any(|(_, peer)| peer.is_heard(now) && peer.catalog_version > version)
 }
-
-/// Keeps the servers up to date; never ends.
-pub async fn follow_servers<P, S: StorePort>(
-    plane: rc::Rc<plane::ExchangePlane<P>>,
-    store: rc::Rc<S>,
-) {
-    let mut cursor = None;
-    loop {
-        if !may_read(&plane, cursor.is_none()) {
-            time::sleep(DUTY_GAP).await;
-            continue;
-        }
-        let page = match cursor {
-            None => store.read_servers().await,
-            Some(from) => store.read_news(from).await,
-        };
-        let now = time::Instant::now();
-        let answered = page != Err(StoreFault::Away);
-        if plane.state().note_store(answered, now) {
-            log::warn!(answered; "store changed");
-        }
-        match page {
-            Ok(page) => {
-                take_page(&plane, &page, cursor.is_none(), now);
-                cursor = Some(page.end);
-                let gap = look_gap(&plane, now);
-                time::sleep(gap).await;
-            }
-            Err(StoreFault::Trimmed) => cursor = None,
-            Err(StoreFault::Away) => time::sleep(AWAY_GAP).await,
-        }
-    }
-}
-
-/// Whether this VM reads the store now: at its start, and while it is one of those that read for
-/// all.
-fn may_read<P>(plane: &plane::ExchangePlane<P>, first: bool) -> bool {
-    let state = plane.state();
-    first && state.version() == 0 || state.reads_store(time::Instant::now())
-}
-
-/// Time until this VM looks again.
-fn look_gap<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Duration {
-    let mut state = plane.state();
-    let gap = LOOK_GAP * state.peers.heard(now).min(LOOKERS);
-    let draw = state.draw();
-    gap.clamp(LOOK_LEAST, LOOK_MOST).mul_f64(0.85 + 0.3 * draw)
-}
-
-fn take_page<P>(plane: &plane::ExchangePlane<P>, page: &NewsPage, whole: bool, now: time::Instant) {
-    let mut changed = false;
-    let told = !whole || page.news.len() <= MOST_TOLD;
-    for news in &page.news {
-        let mut news = news.clone();
-        if plane.state().fleet.names_none(&news) {
-            log::warn!(
-                server:% = news.id, offset = news.offset;
-                "entry does not say which incarnation it means"
-            );
-            news.entry = None;
-        }
-        let news = &news;
-        let change = plane.state().take_news(news.clone(), told, now);
-        changed |= log_change(plane, news, change, SOURCE_STORE);
-    }
-    let mut state = plane.state();
-    if whole {
-        let listed = page.news.iter().map(|news| news.id.clone()).collect();
-        let spared = state.spared();
-        let absent = state.fleet.take_absence(&listed, page.end, spared, now);
-        changed |= !absent.is_empty();
-        for key in absent {
-            log::info!(server:? = state.fleet.server(key).map(|server| &server.id); "server is gone from the list");
-        }
-    }
-    drop(state);
-    if changed {
-        plane.stir();
-        plane.news.notify_one();
-    }
-}
-
-/// Logs what a piece of news changed; says whether it changed anything.
-pub fn log_change<P>(
-    plane: &plane::ExchangePlane<P>,
-    news: &news::ServerNews,
-    change: fleet::FleetChange,
-    source: &str,
-) -> bool {
-    let key = match change {
-        fleet::FleetChange::Nothing => return false,
-        fleet::FleetChange::Arrived(key) | fleet::FleetChange::Leaves(key) => key,
-    };
-    let state = plane.state();
-    let server = state.fleet.server(key);
-    let standing = server.map(|server| server.standing);
-    let born_ms = server.map_or(0, |server| server.born.millis());
-    log::info!(
-        server:% = news.id, standing:? = standing, offset = news.offset, born_ms, source:% = source;
-        "server changed"
-    );
-    true
-}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod follow;
 pub mod forecast;
 pub mod link;
+pub mod listing;
 pub mod loads;
 pub mod message;
 mod moving;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 use tokio::{net as sockets, time};
 
-use crate::{catchup, follow, loads, message, news, peers, plane, speak, state, system};
+use crate::{catchup, follow, listing, loads, message, news, peers, plane, speak, state, system};
 
 /// Pause after the system gave no datagram or connection.
 pub(crate) const FAULT_PAUSE: time::Duration = time::Duration::from_millis(100);
@@ -41,7 +41,7 @@
         speak::run(plane.clone(), datagrams.clone()),
         listen(plane.clone(), datagrams),
         catchup::answer_states(plane.clone(), listener),
-        catchup::catch_up(plane, decode),
+        catchup::catch_up(plane, catchup::TcpPeers, decode),
     );
 }
 
@@ -163,10 +163,10 @@
     news: &[news::ServerNews],
     now: time::Instant,
 ) -> bool {
-    let mut changed = false;
-    for news in news {
+    let changes = news.iter().map(|news| {
         let change = plane.state().take_news(news.clone(), false, now);
-        changed |= follow::log_change(plane, news, change, "peer");
-    }
-    changed
+        (news.clone(), change)
+    });
+    let changes: Vec<_> = changes.collect();
+    listing::log_changes(plane, &changes, "peer")
 }
--- /dev/null
+++ b/crates/exchange/src/listing.rs
@@ -0,0 +1,248 @@
+//! Keeps the list of servers up to date.
+//!
+//! Load pattern, always: every heartbeat of every server is a record, so a reader that waits for records
+//! is answered ten times a second, on each VM. Instead few VMs look, each at its own moment, and tell
+//! the others at once what has changed: together they look several times a second, at the price of one
+//! reader, and any of them can be cut off.
+//!
+//! Load pattern, after the loss of all VMs: hundreds of VMs start in one second and know no server. At
+//! 300 VMs and 3,000 servers each whole list is over a megabyte; read by all, the store needs seconds for
+//! it, calls time out and are made again. So each VM reads the first page, from which it can serve, and
+//! only those that read the store for all read on. The others take the rest from VMs that have it.
+
+use std::{collections, rc};
+
+use tokio::time;
+
+use crate::{fleet, follow, news, plane};
+
+/// Time between two looks of any VM: a leaving engine is gone 1.5 to 2 s after its notice, and its
+/// streams need about one of them to move.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(130);
+/// Longest time between two looks of one VM: it alone must learn of leaving within two seconds.
+const LOOK_MOST: time::Duration = time::Duration::from_millis(1_000);
+/// Shortest time between two looks of one VM.
+const LOOK_LEAST: time::Duration = time::Duration::from_millis(600);
+/// VMs that look at the servers in turn.
+const LOOKERS: u32 = 6;
+/// Time between two looks whether this VM is to read the store for all.
+const DUTY_GAP: time::Duration = time::Duration::from_millis(250);
+/// Time between two such looks while the list is read in part.
+const REST_GAP: time::Duration = time::Duration::from_millis(60);
+/// Time for VMs to hear each other before any reads on after the first page: until then each takes
+/// itself for one of those that read for all.
+const MEET_GAP: time::Duration = time::Duration::from_millis(300);
+/// How long a VM that does not read for all waits for the rest of the list from other VMs before it
+/// reads on itself.
+const REST_WAIT: time::Duration = time::Duration::from_secs(4);
+/// News of one reading up to which the others are told each piece. More is what a VM reads that
+/// knew nothing, and the others know it; or it is found by the hash of how all servers stand.
+pub(crate) const MOST_TOLD: usize = 64;
+
+/// How far the list of servers was read.
+#[derive(Debug, Default)]
+enum ListCursor {
+    /// Not at all.
+    #[default]
+    Start,
+    /// Some pages.
+    Within(ListPart),
+    /// Whole; what changes is read from this position on.
+    Whole(u64),
+}
+
+/// Pages of a list that were read.
+#[derive(Debug)]
+struct ListPart {
+    /// Name after which it goes on.
+    after: String,
+    /// Position of the first page: what changes while pages are read comes behind it.
+    end: u64,
+    listed: collections::HashSet<String>,
+    began: time::Instant,
+}
+
+/// Keeps the servers up to date; never ends.
+pub async fn follow_servers<P, S: follow::StorePort>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    store: rc::Rc<S>,
+) {
+    let mut cursor = ListCursor::Start;
+    loop {
+        if !may_read(&plane, &cursor) {
+            let within = matches!(cursor, ListCursor::Within(_));
+            if within && plane.state().servers_whole {
+                cursor = ListCursor::Start;
+            }
+            time::sleep(if within { REST_GAP } else { DUTY_GAP }).await;
+            continue;
+        }
+        let page = match &cursor {
+            ListCursor::Start => store.read_servers(None).await,
+            ListCursor::Within(part) => store.read_servers(Some(&part.after)).await,
+            ListCursor::Whole(from) => store.read_news(*from).await,
+        };
+        let now = time::Instant::now();
+        let answered = page != Err(follow::StoreFault::Away);
+        if plane.state().note_store(answered, now) {
+            log::warn!(answered; "store changed");
+        }
+        match page {
+            Ok(page) => {
+                cursor = take_page(&plane, cursor, page, now);
+                if matches!(cursor, ListCursor::Whole(_)) {
+                    let gap = look_gap(&plane, now);
+                    time::sleep(gap).await;
+                }
+            }
+            Err(follow::StoreFault::Trimmed) => cursor = ListCursor::Start,
+            Err(follow::StoreFault::Away) => time::sleep(follow::AWAY_GAP).await,
+        }
+    }
+}
+
+/// Whether this VM reads the store now: the first page at its start, and what follows while it is one
+/// of those that read for all.
+fn may_read<P>(plane: &plane::ExchangePlane<P>, cursor: &ListCursor) -> bool {
+    let state = plane.state();
+    let now = time::Instant::now();
+    let reader = state.reads_store(now);
+    match cursor {
+        ListCursor::Start => reader || state.version() == 0,
+        ListCursor::Within(part) => {
+            let waited = now.saturating_duration_since(part.began);
+            let met = state.servers_whole || waited >= MEET_GAP;
+            met && reader || waited >= REST_WAIT && !state.servers_whole
+        }
+        ListCursor::Whole(_) => reader,
+    }
+}
+
+/// Takes a page, and gives from where to read on.
+fn take_page<P>(
+    plane: &plane::ExchangePlane<P>,
+    cursor: ListCursor,
+    page: follow::NewsPage,
+    now: time::Instant,
+) -> ListCursor {
+    let listing = !matches!(cursor, ListCursor::Whole(_));
+    let told = !listing || page.news.len() <= MOST_TOLD;
+    let mut changed = take_news(plane, &page.news, told, now);
+    let cursor = if listing {
+        let mut part = match cursor {
+            ListCursor::Within(part) => part,
+            _ => ListPart {
+                after: String::new(),
+                end: page.end,
+                listed: collections::HashSet::new(),
+                began: now,
+            },
+        };
+        part.listed
+            .extend(page.news.into_iter().map(|news| news.id));
+        if let Some(next) = page.next {
+            part.after = next;
+            ListCursor::Within(part)
+        } else {
+            changed |= take_whole(plane, &part, now);
+            ListCursor::Whole(part.end)
+        }
+    } else {
+        ListCursor::Whole(page.end)
+    };
+    if changed {
+        plane.stir();
+        plane.news.notify_one();
+    }
+    cursor
+}
+
+/// Takes news of the store; says whether it changed anything.
+fn take_news<P>(
+    plane: &plane::ExchangePlane<P>,
+    page: &[news::ServerNews],
+    told: bool,
+    now: time::Instant,
+) -> bool {
+    let mut changes = Vec::new();
+    for news in page {
+        let mut news = news.clone();
+        if plane.state().fleet.names_none(&news) {
+            log::warn!(
+                server:% = news.id, offset = news.offset;
+                "entry does not say which incarnation it means"
+            );
+            news.entry = None;
+        }
+        let change = plane.state().take_news(news.clone(), told, now);
+        changes.push((news, change));
+    }
+    log_changes(plane, &changes, follow::SOURCE_STORE)
+}
+
+/// The list was read to its end: servers that are not in it are gone. Says whether that changed
+/// anything.
+fn take_whole<P>(plane: &plane::ExchangePlane<P>, part: &ListPart, now: time::Instant) -> bool {
+    let mut state = plane.state();
+    let spared = state.spared();
+    let absent = state
+        .fleet
+        .take_absence(&part.listed, part.end, spared, now);
+    for key in &absent {
+        log::info!(server:? = state.fleet.server(*key).map(|server| &server.id); "server is gone from the list");
+    }
+    let first = !std::mem::replace(&mut state.servers_whole, true);
+    let reader = state.reads_store(now);
+    drop(state);
+    if first && reader {
+        plane.spread();
+    }
+    !absent.is_empty()
+}
+
+/// Time until this VM looks again.
+fn look_gap<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Duration {
+    let mut state = plane.state();
+    let gap = LOOK_GAP * state.peers.heard(now).min(LOOKERS);
+    let draw = state.draw();
+    gap.clamp(LOOK_LEAST, LOOK_MOST).mul_f64(0.85 + 0.3 * draw)
+}
+
+/// Logs what news changed, each server or, where there are more, their number; says whether anything
+/// changed.
+pub(crate) fn log_changes<P>(
+    plane: &plane::ExchangePlane<P>,
+    changes: &[(news::ServerNews, fleet::FleetChange)],
+    source: &str,
+) -> bool {
+    let changed = changes
+        .iter()
+        .filter(|(_, change)| *change != fleet::FleetChange::Nothing);
+    let count = changed.clone().count();
+    if count > MOST_TOLD {
+        log::info!(count, source:% = source; "servers changed");
+    } else {
+        changed.for_each(|(news, change)| log_change(plane, news, *change, source));
+    }
+    count > 0
+}
+
+fn log_change<P>(
+    plane: &plane::ExchangePlane<P>,
+    news: &news::ServerNews,
+    change: fleet::FleetChange,
+    source: &str,
+) {
+    let key = match change {
+        fleet::FleetChange::Nothing => return,
+        fleet::FleetChange::Arrived(key) | fleet::FleetChange::Leaves(key) => key,
+    };
+    let state = plane.state();
+    let server = state.fleet.server(key);
+    let standing = server.map(|server| server.standing);
+    let born_ms = server.map_or(0, |server| server.born.millis());
+    log::info!(
+        server:% = news.id, standing:? = standing, offset = news.offset, born_ms, source:% = source;
+        "server changed"
+    );
+}
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -178,6 +178,9 @@
     /// Present in some: which failure domains are evacuated.
     #[prost(message, optional, tag = "22")]
     pub evacuations: Option<EvacuationItem>,
+    /// Whether it never knew the list of servers to its end.
+    #[prost(bool, tag = "23")]
+    pub partial: bool,
 }
 
 /// Failure domains that are evacuated.
@@ -241,6 +244,9 @@
     /// Number of the system of the VM that answers; 0: not known yet.
     #[prost(fixed64, tag = "5")]
     pub system: u64,
+    /// Whether that VM never knew the list of servers to its end.
+    #[prost(bool, tag = "6")]
+    pub partial: bool,
 }
 
 impl From<&news::ServerNews> for NewsItem {
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -45,6 +45,8 @@
     pub store_away: bool,
     /// Hash of which servers stand how, as far as it knows.
     pub standing_hash: u64,
+    /// Whether it never knew the list of servers to its end.
+    pub partial: bool,
     /// Memory planned for generations that wait there.
     pub waiting: Vec<message::WaitingItem>,
     /// When it was last heard.
@@ -154,6 +156,7 @@
             catalog_version: datagram.catalog_version,
             store_away: datagram.store_away,
             standing_hash: datagram.standing_hash,
+            partial: datagram.partial,
             waiting: datagram.waiting.clone(),
             heard_at: now,
             heard_until: now + HEARD_LEAST.max(gap * HEARD_GAPS),
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -207,6 +207,12 @@
         }
     }
 
+    /// Whether the store has an entry of it, as far as is known.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.standing != ServerStanding::Gone
+    }
+
     /// Whether this VM probably has a connection there that may still be used.
     #[must_use]
     pub fn is_warm(&self, now: time::Instant) -> bool {
--- a/crates/exchange/src/speak.rs
+++ b/crates/exchange/src/speak.rs
@@ -87,12 +87,18 @@
     socket: &sockets::UdpSocket,
     address: net::SocketAddr,
 ) {
-    let mut state = plane.state();
-    let mut datagram = datagram(&mut state);
-    introduce(&mut datagram, &mut state);
+    let mut datagram = introduction(&mut plane.state());
     let _ = socket.try_send_to(&encode(&mut datagram), address);
 }
 
+/// A datagram that says who sends it.
+#[must_use]
+pub fn introduction(state: &mut state::PlaneState) -> message::PeerDatagram {
+    let mut datagram = datagram(state);
+    introduce(&mut datagram, state);
+    datagram
+}
+
 /// When a regular datagram is due after one of `cause`: whoever is not told by it waits for none
 /// the longer. At hundreds of pieces of news a second a VM would else be silent to most others.
 #[must_use]
@@ -294,6 +300,7 @@
         store_away: state.store_away,
         standing_hash: state.fleet.standing_hash(),
         waiting: state.waiting(now),
+        partial: !state.servers_whole,
         evacuations: evacuations_changed(state, now).then(|| state.fleet.evacuations().into()),
         ..message::PeerDatagram::default()
     }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -67,6 +67,9 @@
     pub store_back_at: Option<time::Instant>,
     /// Whether the store's last answer was none.
     pub store_away: bool,
+    /// Whether the list of servers was known to its end once: read from the store, or told by a VM
+    /// for which that holds.
+    pub servers_whole: bool,
     /// When other failure domains than before came to be evacuated.
     pub evacuated_at: Option<time::Instant>,
     /// Since when a VM that is heard has a newer configuration.
@@ -105,6 +108,7 @@
             stopping_since: None,
             store_back_at: None,
             store_away: false,
+            servers_whole: false,
             evacuated_at: None,
             behind_since: None,
             differs_since: None,
--- a/crates/exchange/tests/world/store.rs
+++ b/crates/exchange/tests/world/store.rs
@@ -58,7 +58,10 @@
 }
 
 impl follow::StorePort for FakeStore {
-    async fn read_servers(&self) -> Result<follow::NewsPage, follow::StoreFault> {
+    async fn read_servers(
+        &self,
+        _after: Option<&str>,
+    ) -> Result<follow::NewsPage, follow::StoreFault> {
         Ok(follow::NewsPage::default())
     }
 
