VMs of other domains are told in turns that do not shift as others fall silent

Cause: the turn of a far VM was its place among those that are heard. Each that falls silent moves all behind it by one, to a turn that may just be over; at 300 VMs each saw 4 to 16 others a second fall silent and come back ("VM changed" in a trial without faults), and answered each with an introduction. Change: the place among all that are known. Test: 300 VMs that speak and are silent by turns; a VM that is heard was not told for more than three turns before, and is told in each round of four now.

--- a/crates/exchange/src/audience.rs
+++ b/crates/exchange/src/audience.rs
@@ -56,16 +56,18 @@
     if !is_large(table.len()) {
         return heard(table, now);
     }
-    let heard = table.all().filter(|(_, peer)| peer.is_heard(now));
+    // Turns go by the place among all that are known. By that among those that are heard, each VM that
+    // falls silent would move others to a turn that is just over, and so make them silent in turn.
     let mut far = 0;
-    let due = heard.filter(|(_, peer)| {
+    let due = table.all().filter(|(_, peer)| {
         if peer.domain == table.own_domain() {
             return true;
         }
         far += 1;
         far % FAR_TURNS == turn % FAR_TURNS
     });
-    due.map(|(_, peer)| peer.link_address).collect()
+    let heard = due.filter(|(_, peer)| peer.is_heard(now));
+    heard.map(|(_, peer)| peer.link_address).collect()
 }
 
 /// VMs that are told news first hand, each to tell its part of the others: one of each part.
--- a/crates/exchange/tests/audience.rs
+++ b/crates/exchange/tests/audience.rs
@@ -83,6 +83,32 @@
     });
 }
 
+#[test]
+fn a_far_vm_is_told_in_each_round_whoever_else_falls_silent() {
+    // Guards against VMs that are taken to be silent because others come and go.
+    world::run(async {
+        let vms = 300;
+        let mut table = table(0, vms, &[], Instant::now());
+        // Turns in a row in which a VM was heard and not told.
+        let mut missed = collections::BTreeMap::<_, u64>::new();
+        for turn in 0..40 {
+            tokio::time::advance(time::Duration::from_millis(600)).await;
+            let now = Instant::now();
+            // Each VM speaks for twenty turns and is silent for as many.
+            for number in (1..vms).filter(|number| (number * 7 + turn) % 40 >= 20) {
+                table.take(&datagram(number, 2 + turn as u64), now);
+            }
+            let told = audience::regular(&table, turn as u64, now);
+            for (name, peer) in table.all() {
+                let missed = missed.entry(name.clone()).or_default();
+                let counts = peer.is_heard(now) && !told.contains(&peer.link_address);
+                *missed = if counts { *missed + 1 } else { 0 };
+                assert!(*missed < audience::FAR_TURNS, "{name}: {missed} turns");
+            }
+        }
+    });
+}
+
 #[test]
 fn a_silent_vm_of_the_own_domain_is_not_named_after_two_seconds() {
     // Symptom: callers are sent to a VM that is dead for five seconds.
