--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -16,12 +16,11 @@
 const MOST_STATE: usize = 32 * 1_024 * 1_024;
 /// Time that one exchange of state may take.
 const STATE_WAIT: time::Duration = time::Duration::from_millis(700);
-/// Time that the list of servers may take for a VM that does not have it whole: 3,000 servers are
-/// 200 KB, which a link of 20 Mbit/s carries in 90 ms when it carries nothing else.
+/// Time that one exchange may take while the asker has only a part of the list of servers.
 const LIST_WAIT: time::Duration = time::Duration::from_millis(1_500);
-/// Pause of such a VM after one that was busy, on average.
+/// Mean pause of such an asker after a VM that was busy.
 const LIST_GAP: time::Duration = time::Duration::from_millis(300);
-/// Servers more than the asker knows from which on a list is long.
+/// A list is long from this many servers on that the asker does not know.
 const LONG_LIST: usize = 200;
 /// Long lists that one VM sends at a time.
 const MOST_LISTS: usize = 3;
@@ -290,8 +289,8 @@
 }
 
 /// The answer to a VM that asks, with a guard to be kept until it is sent; absent while this VM sends
-/// as many long lists as its link carries in time. Were all that ask answered, hundreds that start at
-/// once would each get theirs too late, and ask again.
+/// as many long lists as it may. If all that ask at a mass restart were answered, each list would
+/// arrive after the asker's timeout, and be asked for again.
 pub fn answer<P>(
     plane: &rc::Rc<plane::ExchangePlane<P>>,
     ask: &message::StateAsk,
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -1,14 +1,14 @@
 //! Keeps the list of servers up to date.
 //!
-//! Load pattern, always: every heartbeat of every server is a record, so a reader that waits for records
-//! is answered ten times a second, on each VM. Instead few VMs look, each at its own moment, and tell
-//! the others at once what has changed: together they look several times a second, at the price of one
-//! reader, and any of them can be cut off.
+//! Load pattern in steady state: every heartbeat of every server is a record, so a reader that waits for
+//! records is answered many times a second, on each VM. Instead few VMs poll, each at its own moment,
+//! and tell the others at once what has changed: together they poll several times a second at the price
+//! of one reader, and any of them can be cut off.
 //!
-//! Load pattern, after the loss of all VMs: hundreds of VMs start in one second and know no server. At
-//! 300 VMs and 3,000 servers each whole list is over a megabyte; read by all, the store needs seconds for
-//! it, calls time out and are made again. So each VM reads the first page, from which it can serve, and
-//! only those that read the store for all read on. The others take the rest from VMs that have it.
+//! Load pattern at a mass restart: hundreds of VMs start at once and know no server. If each read the
+//! whole list, the store would answer too slowly, and calls that time out would be repeated. So each VM
+//! reads the first page, from which it can serve, and only those that read the store for all read on.
+//! The others take the rest from VMs that have it.
 
 use std::{collections, rc};
 
@@ -16,21 +16,20 @@
 
 use crate::{fleet, follow, news, plane};
 
-/// Time between two looks of any VM: a leaving engine is gone 1.5 to 2 s after its notice, and its
-/// streams need about one of them to move.
-const LOOK_GAP: time::Duration = time::Duration::from_millis(130);
-/// Longest time between two looks of one VM: it alone must learn of leaving within two seconds.
-const LOOK_MOST: time::Duration = time::Duration::from_millis(1_000);
-/// Shortest time between two looks of one VM.
-const LOOK_LEAST: time::Duration = time::Duration::from_millis(600);
-/// VMs that look at the servers in turn.
-const LOOKERS: u32 = 6;
-/// Time between two looks whether this VM is to read the store for all.
+/// Time between two polls of any VM: streams of a leaving engine need time to move before it is gone.
+const POLL_GAP: time::Duration = time::Duration::from_millis(130);
+/// Longest time between two polls of one VM.
+const POLL_MOST: time::Duration = time::Duration::from_millis(1_000);
+/// Shortest time between two polls of one VM.
+const POLL_LEAST: time::Duration = time::Duration::from_millis(600);
+/// VMs that poll in turn.
+const POLLERS: u32 = 6;
+/// Time between two checks whether this VM is to read the store for all.
 const DUTY_GAP: time::Duration = time::Duration::from_millis(250);
-/// Time between two such looks while the list is read in part.
+/// The same while the list is read in part.
 const REST_GAP: time::Duration = time::Duration::from_millis(60);
-/// Time for VMs to hear each other before any reads on after the first page: until then each takes
-/// itself for one of those that read for all.
+/// Time for VMs to hear each other before any reads on after the first page: a VM that hears no other
+/// takes itself for one of those that read for all.
 const MEET_GAP: time::Duration = time::Duration::from_millis(300);
 /// How long a VM that does not read for all waits for the rest of the list from other VMs before it
 /// reads on itself.
@@ -62,6 +61,26 @@
     began: time::Instant,
 }
 
+impl ListPart {
+    fn begin(end: u64, now: time::Instant) -> Self {
+        Self {
+            after: String::new(),
+            end,
+            listed: collections::HashSet::new(),
+            began: now,
+        }
+    }
+
+    /// Adds a page; says whether it is the last one.
+    fn add(&mut self, page: follow::NewsPage) -> bool {
+        let names = page.news.into_iter().map(|news| news.id);
+        self.listed.extend(names);
+        let last = page.next.is_none();
+        self.after = page.next.unwrap_or_default();
+        last
+    }
+}
+
 /// Keeps the servers up to date; never ends.
 pub async fn follow_servers<P, S: follow::StorePort>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
@@ -91,7 +110,7 @@
             Ok(page) => {
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Whole(_)) {
-                    let gap = look_gap(&plane, now);
+                    let gap = poll_gap(&plane, now);
                     time::sleep(gap).await;
                 }
             }
@@ -125,30 +144,23 @@
     page: follow::NewsPage,
     now: time::Instant,
 ) -> ListCursor {
-    let listing = !matches!(cursor, ListCursor::Whole(_));
-    let told = !listing || page.news.len() <= MOST_TOLD;
+    let part = match cursor {
+        ListCursor::Start => Some(ListPart::begin(page.end, now)),
+        ListCursor::Within(part) => Some(part),
+        ListCursor::Whole(_) => None,
+    };
+    let told = part.is_none() || page.news.len() <= MOST_TOLD;
     let mut changed = take_news(plane, &page.news, told, now);
-    let cursor = if listing {
-        let mut part = match cursor {
-            ListCursor::Within(part) => part,
-            _ => ListPart {
-                after: String::new(),
-                end: page.end,
-                listed: collections::HashSet::new(),
-                began: now,
-            },
-        };
-        part.listed
-            .extend(page.news.into_iter().map(|news| news.id));
-        if let Some(next) = page.next {
-            part.after = next;
-            ListCursor::Within(part)
-        } else {
-            changed |= take_whole(plane, &part, now);
-            ListCursor::Whole(part.end)
+    let cursor = match part {
+        None => ListCursor::Whole(page.end),
+        Some(mut part) => {
+            if part.add(page) {
+                changed |= take_whole(plane, &part, now);
+                ListCursor::Whole(part.end)
+            } else {
+                ListCursor::Within(part)
+            }
         }
-    } else {
-        ListCursor::Whole(page.end)
     };
     if changed {
         plane.stir();
@@ -200,12 +212,12 @@
     !absent.is_empty()
 }
 
-/// Time until this VM looks again.
-fn look_gap<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Duration {
+/// Time until this VM polls again.
+fn poll_gap<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Duration {
     let mut state = plane.state();
-    let gap = LOOK_GAP * state.peers.heard(now).min(LOOKERS);
+    let gap = POLL_GAP * state.peers.heard(now).min(POLLERS);
     let draw = state.draw();
-    gap.clamp(LOOK_LEAST, LOOK_MOST).mul_f64(0.85 + 0.3 * draw)
+    gap.clamp(POLL_LEAST, POLL_MOST).mul_f64(0.85 + 0.3 * draw)
 }
 
 /// Logs what news changed, each server or, where there are more, their number; says whether anything
