Early signals: each sampled start is seen to its end

Change: a start is sampled until it has caught the three signals and waits for its settings in a pipe, so that each is seen; one that does not catch them fails the test. The other check is as it was.

--- a/crates/carry/tests/starting/mod.rs
+++ b/crates/carry/tests/starting/mod.rs
@@ -1,58 +1,78 @@
 //! What the system says of a daemon's signals while it starts.
 
-use std::{fs, process};
+use std::{env, fs, path, process, time};
 
 use rustix::process::Signal;
 
 /// Starts of one test.
 const STARTS: usize = 100;
+/// Time in which a start must catch the signals.
+const CAUGHT_WITHIN: time::Duration = time::Duration::from_secs(20);
 /// Signals that must not end a daemon that has begun to run.
 const HELD: [Signal; 3] = [Signal::TERM, Signal::INT, Signal::HUP];
 
-/// Starts `program` again and again, with settings that can't be read, and gives how many processes
-/// ran code of their own while a signal would have ended them.
+/// Signals of a process, a bit for each.
+#[derive(Clone, Copy, Debug)]
+struct SignalMasks {
+    caught: u64,
+    blocked: u64,
+}
+
+/// Starts `program` again and again, each time until it waits for its settings, and gives how many
+/// processes ran code of their own while a signal would have ended them.
 ///
 /// # Panics
 ///
-/// When fewer than half of the processes were seen while they ran.
+/// When a process does not catch the signals.
 pub fn unprotected_starts(program: &str) -> usize {
-    let (mut seen, mut unprotected) = (0, 0);
-    for _ in 0..STARTS {
-        let mut child = process::Command::new(program)
-            .args(["--config", "/no/settings.jsonc"])
-            .stdout(process::Stdio::null())
-            .stderr(process::Stdio::null())
-            .spawn()
-            .expect("started");
-        let path = format!("/proc/{}/status", child.id());
-        let mut samples = Vec::new();
-        while child.try_wait().expect("looked").is_none() {
-            samples.extend(
-                fs::read_to_string(&path)
-                    .ok()
-                    .and_then(|text| caught_and_blocked(&text)),
-            );
+    let pipe = env::temp_dir().join(format!("settings-{}", process::id()));
+    let mode = rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR;
+    let kind = rustix::fs::FileType::Fifo;
+    rustix::fs::mknodat(rustix::fs::CWD, &pipe, kind, mode, 0).expect("pipe");
+    let unprotected = (0..STARTS).filter(|_| is_unprotected(program, &pipe));
+    let unprotected = unprotected.count();
+    fs::remove_file(pipe).expect("pipe removed");
+    unprotected
+}
+
+/// Whether one start had a moment in which a signal would have ended it.
+fn is_unprotected(program: &str, pipe: &path::Path) -> bool {
+    let held = HELD
+        .iter()
+        .fold(0, |mask, signal| mask | 1 << (signal.as_raw() - 1));
+    let mut child = process::Command::new(program)
+        .args([path::Path::new("--config"), pipe])
+        .spawn()
+        .expect("started");
+    let status = format!("/proc/{}/status", child.id());
+    let began = time::Instant::now();
+    let mut unprotected = false;
+    loop {
+        assert!(began.elapsed() < CAUGHT_WITHIN, "signals are not caught");
+        let text = fs::read_to_string(&status).unwrap_or_default();
+        let Some(masks) = signal_masks(&text) else {
+            continue;
+        };
+        unprotected |= (masks.caught | masks.blocked) & held != held;
+        if masks.caught & held == held {
+            break;
         }
-        seen += usize::from(!samples.is_empty());
-        let mask = HELD
-            .iter()
-            .fold(0, |mask, signal| mask | 1 << (signal.as_raw() - 1));
-        unprotected += usize::from(samples.iter().any(|handled| handled & mask != mask));
     }
-    assert!(
-        seen > STARTS / 2,
-        "{seen} processes were seen while they ran"
-    );
+    child.kill().expect("killed");
+    child.wait().expect("ended");
     unprotected
 }
 
-/// Signals that a process catches or blocks; absent until the language's runtime has caught its own,
-/// as long as the system's loader is at work.
-fn caught_and_blocked(status: &str) -> Option<u64> {
+/// The signals of a process; absent until the language's runtime has caught its own, as long as the
+/// system's loader is at work.
+fn signal_masks(status: &str) -> Option<SignalMasks> {
     let mask = |name| {
         let line = status.lines().find_map(|line| line.strip_prefix(name))?;
         u64::from_str_radix(line.trim(), 16).ok()
     };
-    let caught = mask("SigCgt:")?;
-    (caught != 0).then_some(caught | mask("SigBlk:")?)
+    let masks = SignalMasks {
+        caught: mask("SigCgt:")?,
+        blocked: mask("SigBlk:")?,
+    };
+    (masks.caught != 0).then_some(masks)
 }
