--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -80,13 +80,24 @@
         let whole = plane.state().servers_whole;
         let ask = state_ask(&plane.state());
         let wait = if whole { STATE_WAIT } else { LIST_WAIT };
+        let began = time::Instant::now();
         let reply = time::timeout(wait, port.ask_state(address, &ask)).await;
         let taken = match reply {
             Ok(Ok(reply)) => {
                 take_state(&plane, reply, decode);
                 true
             }
-            _ => false,
+            Ok(Err(fault)) => {
+                count_failed("refused");
+                log::debug!(vm:% = address, fault:% = fault; "VM gave no state");
+                false
+            }
+            Err(_) => {
+                count_failed("late");
+                let waited_ms = began.elapsed().as_millis();
+                log::warn!(vm:% = address, waited_ms; "state of another VM not whole in time");
+                false
+            }
         };
         let gap = if whole || taken {
             pace(ask.ready.len() + ask.leaving.len())
@@ -97,6 +108,10 @@
     }
 }
 
+fn count_failed(cause: &'static str) {
+    metrics::counter!("pollenchute_exchange_states_failed_total", "cause" => cause).increment(1);
+}
+
 /// Time until the next asking.
 #[must_use]
 pub fn pace(servers: usize) -> time::Duration {
