Transfers are limited by silence, not by their whole time; a configuration comes one way at a time

Callers were served by a configuration of before for more than 3 s after the next one was acknowledged, on most VMs with links of 10 Mbit/s for as long as they ran. A reading of the configuration could take 1.0 s, an exchange with another VM 0.7 s, whatever was being sent: 1.4 MB in base64 takes 1.12 s of such a link. Each failed try threw away what had come and began anew, and both ran at once over the same link.

Tests of recovery keep their loads and bounds; their VMs, links and store move to world/herd.rs, where links now carry in parts, so that a transfer can be seen to move.

--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -3,10 +3,11 @@
 use std::{collections, io, net, rc};
 
 use bytes::Bytes;
+use carry::transfer;
 use futures_util::{SinkExt as _, StreamExt as _};
 use prost::Message as _;
 use tokio::{net as sockets, time};
-use tokio_util::codec;
+use tokio_util::{codec, io as taps};
 
 use crate::{follow, link, message, peers, plane, server, speak, state};
 
@@ -14,10 +15,22 @@
 pub const DIFFERS_FOR: time::Duration = time::Duration::from_millis(400);
 /// Largest state that is taken: a configuration of 38,000 organisations takes about 8 MB.
 const MOST_STATE: usize = 32 * 1_024 * 1_024;
-/// Time that one exchange of state may take.
-const STATE_WAIT: time::Duration = time::Duration::from_millis(700);
-/// Time that one exchange may take while the asker has only a part of the list of servers.
-const LIST_WAIT: time::Duration = time::Duration::from_millis(1_500);
+/// Time without a byte after which an exchange of state is given up.
+const STATE_SILENCE: time::Duration = time::Duration::from_millis(700);
+/// Longest time of an exchange.
+const STATE_MOST: time::Duration = time::Duration::from_secs(20);
+/// Limit of one exchange of state.
+const STATE_LIMIT: transfer::TransferLimit = transfer::TransferLimit {
+    first: STATE_SILENCE,
+    silence: STATE_SILENCE,
+    whole: STATE_MOST,
+};
+/// The same while the asker has only a part of the list of servers, and for the VM that answers:
+/// others ask too.
+const LIST_LIMIT: transfer::TransferLimit = transfer::TransferLimit {
+    first: time::Duration::from_millis(1_500),
+    ..STATE_LIMIT
+};
 /// Mean pause of such an asker after a VM that was busy.
 const LIST_GAP: time::Duration = time::Duration::from_millis(300);
 /// A list is long from this many servers on that the asker does not know.
@@ -39,11 +52,12 @@
 
 /// Other VMs, as far as they are asked for state.
 pub trait PeerPort {
-    /// Asks the VM at an address. An error is a VM that is gone or busy.
+    /// Asks the VM at an address; `meter` notes what comes. An error is a VM that is gone or busy.
     fn ask_state(
         &self,
         address: net::SocketAddr,
         ask: &message::StateAsk,
+        meter: &transfer::TransferMeter,
     ) -> impl Future<Output = io::Result<message::StateReply>>;
 }
 
@@ -56,8 +70,10 @@
         &self,
         address: net::SocketAddr,
         ask: &message::StateAsk,
+        meter: &transfer::TransferMeter,
     ) -> io::Result<message::StateReply> {
         let stream = sockets::TcpStream::connect(address).await?;
+        let stream = taps::InspectReader::new(stream, |bytes: &[u8]| meter.note(bytes.len()));
         let mut framed = codec::Framed::new(stream, state_codec());
         framed.send(Bytes::from(ask.encode_to_vec())).await?;
         let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
@@ -79,9 +95,10 @@
         };
         let whole = plane.state().servers_whole;
         let ask = state_ask(&plane.state());
-        let wait = if whole { STATE_WAIT } else { LIST_WAIT };
-        let began = time::Instant::now();
-        let reply = time::timeout(wait, port.ask_state(address, &ask)).await;
+        let limit = if whole { STATE_LIMIT } else { LIST_LIMIT };
+        let meter = plane.state().from_peers.clone();
+        let asking = port.ask_state(address, &ask, &meter);
+        let reply = meter.limit(&limit, asking).await;
         let taken = match reply {
             Ok(Ok(reply)) => {
                 take_state(&plane, reply, decode);
@@ -92,10 +109,9 @@
                 log::debug!(vm:% = address, fault:% = fault; "VM gave no state");
                 false
             }
-            Err(_) => {
+            Err(stalled) => {
                 count_failed("late");
-                let waited_ms = began.elapsed().as_millis();
-                log::warn!(vm:% = address, waited_ms; "state of another VM not whole in time");
+                log::warn!(vm:% = address, fault:% = stalled; "state of another VM not whole");
                 false
             }
         };
@@ -175,14 +191,15 @@
             .map(|(_, peer)| peer)
             .filter(|peer| peer.is_heard(now))
     };
-    let late = state.behind_since.is_some_and(|since| {
-        let first = if state.store_away {
-            LOOK_GAP
-        } else {
-            STORE_FIRST
-        };
-        now.saturating_duration_since(since) >= first
-    });
+    let late = !state.from_store.is_moving()
+        && state.behind_since.is_some_and(|since| {
+            let first = if state.store_away {
+                LOOK_GAP
+            } else {
+                STORE_FIRST
+            };
+            now.saturating_duration_since(since) >= first
+        });
     let newer: Vec<_> = heard()
         .filter(|peer| late && peer.catalog_version > version)
         .collect();
@@ -277,7 +294,11 @@
         };
         let plane = plane.clone();
         tokio::task::spawn_local(async move {
-            let _ = time::timeout(LIST_WAIT, answer_state(plane, stream)).await;
+            let meter = transfer::TransferMeter::default();
+            let answering = answer_state(plane, stream, &meter);
+            if let Err(stalled) = meter.limit(&LIST_LIMIT, answering).await {
+                log::debug!(fault:% = stalled; "a VM does not take the state that it asked for");
+            }
         });
     }
 }
@@ -285,7 +306,9 @@
 async fn answer_state<P>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
     stream: sockets::TcpStream,
+    meter: &transfer::TransferMeter,
 ) -> io::Result<()> {
+    let stream = taps::InspectWriter::new(stream, |bytes: &[u8]| meter.note(bytes.len()));
     let mut framed = codec::Framed::new(stream, state_codec());
     let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     let ask = message::StateAsk::decode(frame).map_err(io::Error::other)?;
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -4,6 +4,7 @@
 use std::{net, rc};
 
 use bytes::Bytes;
+use carry::transfer;
 use snafu::Snafu;
 use tokio::time;
 
@@ -75,6 +76,9 @@
         wait: time::Duration,
     ) -> impl Future<Output = Result<DocumentPage, StoreFault>>;
 
+    /// What has come of the document that is being read.
+    fn arriving(&self) -> transfer::TransferMeter;
+
     /// The system that the store belongs to: `proposed` if none was written down yet. All that ask
     /// get the same.
     fn system(
@@ -196,12 +200,14 @@
     store: rc::Rc<S>,
     decode: DocumentDecoder,
 ) {
+    plane.state().from_store = store.arriving();
     let mut cursor = None;
     let mut read_at = None::<time::Instant>;
     loop {
         let first = cursor.is_none() && plane.state().version() == 0;
         let reader = first || plane.state().reads_store(time::Instant::now());
-        let rests = read_at.is_some_and(|at| at.elapsed() < STORM_GAP);
+        let rests = read_at.is_some_and(|at| at.elapsed() < STORM_GAP)
+            || plane.state().from_peers.is_moving();
         if !reader && (rests || !is_behind(&plane)) {
             time::sleep(BEHIND_GAP).await;
             continue;
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -3,6 +3,7 @@
 use std::{collections, net, rc};
 
 use bytes::Bytes;
+use carry::transfer;
 use rand::rngs;
 use tokio::time;
 
@@ -74,6 +75,11 @@
     pub evacuated_at: Option<time::Instant>,
     /// Since when a VM that is heard has a newer configuration.
     pub behind_since: Option<time::Instant>,
+    /// What comes of a configuration from the store. While it moves, no VM is asked for one: over a slow
+    /// link each would take twice as long.
+    pub from_store: transfer::TransferMeter,
+    /// What comes of state from another VM. While it moves, the store is not asked for a configuration.
+    pub from_peers: transfer::TransferMeter,
     /// Since when most VMs that are heard know other news of servers than this one.
     pub differs_since: Option<time::Instant>,
     queues: collections::HashMap<String, wait::WaitQueue>,
@@ -111,6 +117,8 @@
             servers_whole: false,
             evacuated_at: None,
             behind_since: None,
+            from_store: transfer::TransferMeter::default(),
+            from_peers: transfer::TransferMeter::default(),
             differs_since: None,
             queues: collections::HashMap::new(),
             trends: collections::HashMap::new(),
--- /dev/null
+++ b/crates/exchange/tests/world/herd.rs
@@ -0,0 +1,399 @@
+//! Many VMs of the product on the paused clock, whose links and store carry so many bytes a second.
+
+use std::{cell, io, net, rc, time};
+
+use bytes::Bytes;
+use carry::transfer;
+use exchange::{
+    audience, catalog, catchup, evacuation, follow, link, listing, message, news, plane, speak,
+    state, system,
+};
+use prost::Message as _;
+use tokio::time::{self as clock, Instant};
+
+/// Failure domains.
+pub const DOMAINS: usize = 5;
+/// Entries in one page of the store.
+const PAGE: usize = 500;
+/// Bytes of an entry in a page.
+const ENTRY_BYTES: usize = 450;
+/// Rate at which the store answers all together, in bytes a second.
+const STORE_RATE: f64 = 80e6;
+/// Time until an answer of the store must begin: that of a short call, and of a page.
+const CALL_WAIT: time::Duration = time::Duration::from_millis(1_000);
+const PAGE_WAIT: time::Duration = time::Duration::from_millis(2_500);
+/// Time without a byte after which an answer that began is given up, and its longest time.
+const ANSWER_SILENCE: time::Duration = time::Duration::from_millis(1_000);
+const ANSWER_MOST: time::Duration = time::Duration::from_secs(20);
+/// Time that a VM with an eighth of a core works on one server of a list, to send it or to take it.
+const WORK_EACH: time::Duration = time::Duration::from_micros(10);
+/// From a VM's start until it speaks.
+const SILENT_SPAN: time::Duration = time::Duration::from_millis(100);
+/// Delay of a link.
+const LINK_DELAY: time::Duration = time::Duration::from_millis(2);
+/// Bytes that a link carries at a time, so that transfers share it.
+const PART_BYTES: usize = 16_000;
+/// How far ahead of a slow link a fast one may send.
+const WINDOW: time::Duration = time::Duration::from_millis(50);
+/// Newest records are read in base64.
+const BASE64: f64 = 4.0 / 3.0;
+
+/// A link, or whatever carries one thing after the other.
+#[derive(Debug)]
+pub struct SharedLink {
+    rate: f64,
+    free_at: cell::Cell<Instant>,
+}
+
+impl SharedLink {
+    pub fn new(rate: f64) -> Self {
+        Self {
+            rate,
+            free_at: cell::Cell::new(Instant::now()),
+        }
+    }
+
+    /// When `bytes` that are there at `from` have been carried.
+    fn carry(&self, bytes: usize, from: Instant) -> Instant {
+        let begins = self.free_at.get().max(from);
+        let ends = begins + time::Duration::from_secs_f64(bytes as f64 / self.rate);
+        self.free_at.set(ends);
+        ends
+    }
+}
+
+/// Carries `bytes` over both links, beside all else that they carry.
+async fn carry(
+    bytes: usize,
+    (near, far): (&SharedLink, &SharedLink),
+    meter: &transfer::TransferMeter,
+) {
+    let mut left = bytes;
+    let mut here = Instant::now();
+    while left > 0 {
+        let part = left.min(PART_BYTES);
+        let sent = near.carry(part, Instant::now());
+        clock::sleep_until(sent).await;
+        here = far.carry(part, sent);
+        clock::sleep_until(here - WINDOW).await;
+        meter.note(part);
+        left -= part;
+    }
+    clock::sleep_until(here).await;
+}
+
+/// The store of all VMs.
+#[derive(Debug)]
+pub struct HerdStore {
+    pub entries: Vec<news::ServerNews>,
+    output: SharedLink,
+    call_time: time::Duration,
+    /// It answers from then on.
+    up_at: Instant,
+    pub calls: cell::Cell<usize>,
+    /// Bytes of documents that it sent.
+    pub document_bytes: cell::Cell<usize>,
+    /// The newest document; its position is its version.
+    document: cell::RefCell<(u64, Bytes)>,
+}
+
+impl HerdStore {
+    /// One with a first document, which answers a short call after `call_time`, and none before `up_at`.
+    pub fn new(
+        entries: Vec<news::ServerNews>,
+        document: Bytes,
+        call_time: time::Duration,
+        up_at: Instant,
+    ) -> Self {
+        Self {
+            entries,
+            output: SharedLink::new(STORE_RATE),
+            call_time,
+            up_at,
+            calls: cell::Cell::new(0),
+            document_bytes: cell::Cell::new(0),
+            document: cell::RefCell::new((1, document)),
+        }
+    }
+
+    pub fn publish(&self, version: u64, document: Bytes) {
+        *self.document.borrow_mut() = (version, document);
+    }
+
+    fn version(&self) -> u64 {
+        self.document.borrow().0
+    }
+}
+
+/// The store as one VM reaches it.
+#[derive(Debug)]
+pub struct VmStore {
+    store: rc::Rc<HerdStore>,
+    link: rc::Rc<SharedLink>,
+    meter: transfer::TransferMeter,
+}
+
+impl VmStore {
+    pub fn new(store: rc::Rc<HerdStore>, link: rc::Rc<SharedLink>) -> Self {
+        Self {
+            store,
+            link,
+            meter: transfer::TransferMeter::default(),
+        }
+    }
+
+    async fn call(
+        &self,
+        bytes: usize,
+        first: time::Duration,
+        meter: &transfer::TransferMeter,
+    ) -> Result<(), follow::StoreFault> {
+        let store = &self.store;
+        store.calls.set(store.calls.get() + 1);
+        clock::sleep(store.call_time).await;
+        if Instant::now() < store.up_at {
+            return Err(follow::StoreFault::Away);
+        }
+        let limit = transfer::TransferLimit {
+            first,
+            silence: ANSWER_SILENCE,
+            whole: ANSWER_MOST,
+        };
+        let carried = carry(bytes, (&store.output, &self.link), meter);
+        let carried = meter.limit(&limit, carried).await;
+        carried.map_err(|_| follow::StoreFault::Away)
+    }
+
+    async fn document(&self, share: f64) -> Result<follow::DocumentPage, follow::StoreFault> {
+        let (version, document) = self.store.document.borrow().clone();
+        let bytes = (document.len() as f64 * share) as usize;
+        let sent = &self.store.document_bytes;
+        sent.set(sent.get() + bytes);
+        self.call(bytes, CALL_WAIT, &self.meter).await?;
+        Ok(follow::DocumentPage {
+            document: Some(document),
+            evacuations: Vec::<evacuation::EvacuationRecord>::new(),
+            end: version,
+        })
+    }
+}
+
+impl follow::StorePort for VmStore {
+    async fn read_servers(
+        &self,
+        after: Option<&str>,
+    ) -> Result<follow::NewsPage, follow::StoreFault> {
+        let entries = &self.store.entries;
+        let first = after.map_or(0, |after| {
+            entries.partition_point(|news| news.id.as_str() <= after)
+        });
+        let page = &entries[first..entries.len().min(first + PAGE)];
+        let meter = transfer::TransferMeter::default();
+        self.call(page.len() * ENTRY_BYTES, PAGE_WAIT, &meter)
+            .await?;
+        clock::sleep(WORK_EACH * u32::try_from(page.len()).expect("small")).await;
+        let more = first + page.len() < entries.len();
+        Ok(follow::NewsPage {
+            news: page.to_vec(),
+            end: 1_000_000,
+            next: page.last().filter(|_| more).map(|news| news.id.clone()),
+        })
+    }
+
+    async fn read_news(&self, from: u64) -> Result<follow::NewsPage, follow::StoreFault> {
+        let meter = transfer::TransferMeter::default();
+        self.call(16, CALL_WAIT, &meter).await?;
+        Ok(follow::NewsPage {
+            end: from,
+            ..follow::NewsPage::default()
+        })
+    }
+
+    async fn read_document(&self) -> Result<follow::DocumentPage, follow::StoreFault> {
+        self.document(BASE64).await
+    }
+
+    async fn wait_document(
+        &self,
+        from: u64,
+        wait: time::Duration,
+    ) -> Result<follow::DocumentPage, follow::StoreFault> {
+        self.call(16, CALL_WAIT, &self.meter).await?;
+        let until = Instant::now() + wait;
+        while self.store.version() <= from {
+            if Instant::now() >= until {
+                return Ok(follow::DocumentPage {
+                    end: from,
+                    ..follow::DocumentPage::default()
+                });
+            }
+            clock::sleep(self.store.call_time).await;
+        }
+        self.document(1.0).await
+    }
+
+    fn arriving(&self) -> transfer::TransferMeter {
+        self.meter.clone()
+    }
+
+    async fn system(
+        &self,
+        _proposed: system::SystemId,
+    ) -> Result<system::SystemId, follow::StoreFault> {
+        unreachable!("each VM knows it")
+    }
+
+    async fn register(
+        &self,
+        _name: &str,
+        _address: net::SocketAddr,
+    ) -> Result<(), follow::StoreFault> {
+        unreachable!("no VM looks for others in the store")
+    }
+
+    async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreFault> {
+        unreachable!("no VM looks for others in the store")
+    }
+}
+
+/// One VM.
+#[derive(Debug)]
+pub struct HerdVm {
+    pub plane: super::TestPlane,
+    pub link: rc::Rc<SharedLink>,
+    started: cell::Cell<bool>,
+}
+
+/// All VMs.
+pub type VmHerd = rc::Rc<Vec<HerdVm>>;
+
+impl HerdVm {
+    /// A VM that knows nothing yet, with a link of `rate` bytes a second.
+    pub fn new(number: usize, rate: f64) -> Self {
+        let settings = state::PlaneSettings {
+            name: format!("vm-{number:04}"),
+            domain: format!("d-{}", number % DOMAINS),
+            link_address: address(number),
+            ..super::settings("")
+        };
+        let rng = rand::SeedableRng::seed_from_u64(number as u64);
+        let mut state = state::PlaneState::new(settings, rng);
+        state.system = system::SystemBelief::Known(super::system_id(super::SYSTEM));
+        Self {
+            plane: rc::Rc::new(plane::ExchangePlane::new(super::FakePort::default(), state)),
+            link: rc::Rc::new(SharedLink::new(rate)),
+            started: cell::Cell::new(false),
+        }
+    }
+
+    /// It has run for a while, and knows all that there is.
+    pub fn know_all(&self, store: &HerdStore, catalog: catalog::RouteCatalog) {
+        let mut state = self.plane.state();
+        for news in &store.entries {
+            state.take_news(news.clone(), false, Instant::now());
+        }
+        state.take_catalog(catalog, store.document.borrow().1.clone());
+        state.servers_whole = true;
+    }
+}
+
+/// Other VMs as one of them reaches them.
+struct HerdPeers {
+    herd: VmHerd,
+    own: usize,
+}
+
+impl catchup::PeerPort for HerdPeers {
+    async fn ask_state(
+        &self,
+        address: net::SocketAddr,
+        ask: &message::StateAsk,
+        meter: &transfer::TransferMeter,
+    ) -> io::Result<message::StateReply> {
+        let asked = &self.herd[number_of(address)];
+        clock::sleep(LINK_DELAY).await;
+        let answer = asked
+            .started
+            .get()
+            .then(|| catchup::answer(&asked.plane, ask));
+        let Some((reply, _guard)) = answer.flatten() else {
+            return Err(io::ErrorKind::ResourceBusy.into());
+        };
+        let work = WORK_EACH * u32::try_from(reply.news.len()).expect("small");
+        clock::sleep(work).await;
+        let links = (&*asked.link, &*self.herd[self.own].link);
+        carry(reply.encoded_len(), links, meter).await;
+        clock::sleep(work).await;
+        Ok(reply)
+    }
+}
+
+fn address(number: usize) -> net::SocketAddr {
+    let [high, low] = u16::try_from(number).expect("small").to_be_bytes();
+    net::SocketAddr::from(([10, 1, high, low], 81))
+}
+
+fn number_of(address: net::SocketAddr) -> usize {
+    let net::IpAddr::V4(ip) = address.ip() else {
+        unreachable!("all are V4");
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+/// Tells others that this VM is there: all of them at first, then as many as the product tells.
+async fn introduce(herd: VmHerd, own: usize) {
+    clock::sleep(SILENT_SPAN).await;
+    herd[own].started.set(true);
+    let mut first = true;
+    for turn in 0.. {
+        let (told, audience, gap) = {
+            let mut state = herd[own].plane.state();
+            let now = Instant::now();
+            let regular = audience::regular(&state.peers, turn, now);
+            (
+                speak::introduction(&mut state),
+                regular,
+                state.peers.speak_gap(),
+            )
+        };
+        let audience: Vec<_> = if std::mem::take(&mut first) {
+            (0..herd.len()).filter(|number| *number != own).collect()
+        } else {
+            audience.into_iter().map(number_of).collect()
+        };
+        for number in audience {
+            let there = &herd[number];
+            if !there.started.get() {
+                continue;
+            }
+            // Who hears it for the first time answers.
+            if link::take_datagram(&there.plane, &told).is_some() {
+                let answer = speak::introduction(&mut there.plane.state());
+                link::take_datagram(&herd[own].plane, &answer);
+            }
+        }
+        clock::sleep(gap).await;
+    }
+}
+
+/// Runs one VM; never ends.
+pub async fn run_vm(
+    herd: VmHerd,
+    store: rc::Rc<HerdStore>,
+    number: usize,
+    decode: follow::DocumentDecoder,
+) {
+    let vm = &herd[number];
+    let store = rc::Rc::new(VmStore::new(store, vm.link.clone()));
+    let peers = HerdPeers {
+        herd: herd.clone(),
+        own: number,
+    };
+    tokio::join!(
+        follow::follow_catalog(vm.plane.clone(), store.clone(), decode),
+        listing::follow_servers(vm.plane.clone(), store),
+        catchup::catch_up(vm.plane.clone(), peers, decode),
+        introduce(herd.clone(), number),
+    );
+}
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod engines;
+pub mod herd;
 pub mod store;
 
 use std::{cell, collections, net, rc, time};
--- a/crates/exchange/tests/world/store.rs
+++ b/crates/exchange/tests/world/store.rs
@@ -3,6 +3,7 @@
 use std::{cell, net, rc, time};
 
 use bytes::Bytes;
+use carry::transfer;
 use exchange::{follow, system};
 use tokio::time::{self as clock, Instant};
 
@@ -87,6 +88,10 @@
         self.read_document().await
     }
 
+    fn arriving(&self) -> transfer::TransferMeter {
+        transfer::TransferMeter::default()
+    }
+
     async fn system(
         &self,
         _proposed: system::SystemId,
