Documents come from other VMs, as what differs; the store is the fallback

What callers would see: a configuration of a megabyte not in force in time where there are more VMs.

A VM sends two long answers at a time, until the asker has closed, and refuses others at once. A VM waits 1.2 to 1.8 s for others, 0.15 s where none is asked, before it asks the store.

The test of a state of another system keeps its checks; a state is now taken against a document.

--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -9,7 +9,7 @@
 use tokio::{net as sockets, time};
 use tokio_util::{codec, io as taps};
 
-use crate::{follow, link, message, peers, plane, server, speak, state};
+use crate::{delta, follow, link, message, peers, plane, server, speak, state};
 
 /// How long most VMs must know other news of servers before one is asked for what differs.
 pub const DIFFERS_FOR: time::Duration = time::Duration::from_millis(400);
@@ -31,16 +31,18 @@
     first: time::Duration::from_millis(1_500),
     ..STATE_LIMIT
 };
-/// Mean pause of such an asker after a VM that was busy.
-const LIST_GAP: time::Duration = time::Duration::from_millis(300);
+/// Mean pause after a VM that was busy, of an asker that lacks a configuration or a part of the list.
+const RETRY_GAP: time::Duration = time::Duration::from_millis(100);
 /// A list is long from this many servers on that the asker does not know.
 const LONG_LIST: usize = 200;
-/// Long lists that one VM sends at a time.
-const MOST_LISTS: usize = 3;
+/// A document is long from this many bytes on that the asker does not have.
+const LONG_DOCUMENT: usize = 32 * 1_024;
+/// Long answers that one VM sends at a time.
+const MOST_LONG: usize = 2;
 /// Time between two looks whether another VM knows more.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(60);
-/// Time that the store has to bring a configuration before it is asked of a VM that has it: all
-/// other VMs fetch it at the same moment.
+/// Time that the store has to bring a configuration to a VM that reads it for all, before it is asked of
+/// a VM that has it.
 const STORE_FIRST: time::Duration = time::Duration::from_millis(500);
 /// Time between two askings of state.
 const STATE_GAP: time::Duration = time::Duration::from_millis(300);
@@ -95,13 +97,18 @@
         };
         let whole = plane.state().servers_whole;
         let ask = state_ask(&plane.state());
+        let base = plane.state().document.clone();
+        let behind = plane.state().behind_since.is_some();
+        if behind {
+            plane.state().peers_asked_at = Some(time::Instant::now());
+        }
         let limit = if whole { STATE_LIMIT } else { LIST_LIMIT };
         let meter = plane.state().from_peers.clone();
         let asking = port.ask_state(address, &ask, &meter);
         let reply = meter.limit(&limit, asking).await;
         let taken = match reply {
             Ok(Ok(reply)) => {
-                take_state(&plane, reply, decode);
+                take_state(&plane, &base, reply, decode);
                 true
             }
             Ok(Err(fault)) => {
@@ -115,10 +122,11 @@
                 false
             }
         };
-        let gap = if whole || taken {
-            pace(ask.ready.len() + ask.leaving.len())
+        let still_behind = behind && plane.state().version() == ask.catalog_version;
+        let gap = if still_behind || !whole && !taken {
+            RETRY_GAP.mul_f64(0.5 + plane.state().draw())
         } else {
-            LIST_GAP.mul_f64(0.5 + plane.state().draw())
+            pace(ask.ready.len() + ask.leaving.len())
         };
         time::sleep(gap).await;
     }
@@ -142,10 +150,19 @@
         let servers = servers.filter(move |(_, server)| server.standing == standing);
         servers.map(|(_, server)| server.name_hash())
     };
+    let takes_delta = !state.delta_failed;
+    let behind = state.behind_since.is_some();
+    let pieces = if takes_delta && behind {
+        state.document.hashes()
+    } else {
+        Vec::new()
+    };
     message::StateAsk {
         catalog_version: state.version(),
         ready: hashes(server::ServerStanding::Ready).collect(),
         leaving: hashes(server::ServerStanding::Leaving).collect(),
+        pieces,
+        takes_delta,
     }
 }
 
@@ -193,16 +210,15 @@
     };
     let late = !state.from_store.is_moving()
         && state.behind_since.is_some_and(|since| {
-            let first = if state.store_away {
-                LOOK_GAP
-            } else {
+            let first = if state.reads_store(now) && !state.store_away {
                 STORE_FIRST
+            } else {
+                time::Duration::ZERO
             };
             now.saturating_duration_since(since) >= first
         });
-    let newer: Vec<_> = heard()
-        .filter(|peer| late && peer.catalog_version > version)
-        .collect();
+    let newer = heard().filter(|peer| late && peer.catalog_version > version);
+    let newer = near_first(newer.collect(), &state.settings.domain);
     let newer = newer.get(draw % newer.len().max(1)).copied();
     let newer = newer.or_else(|| {
         let whole = heard().filter(|peer| !state.servers_whole && !peer.partial);
@@ -249,9 +265,10 @@
     if near.is_empty() { far } else { near }
 }
 
-/// Takes what a VM answered.
+/// Takes what a VM answered that was asked when `base` was the document in force.
 pub fn take_state<P>(
     plane: &plane::ExchangePlane<P>,
+    base: &delta::PiecedDocument,
     reply: message::StateReply,
     decode: follow::DocumentDecoder,
 ) {
@@ -260,8 +277,8 @@
     if !plane.state().system.is_own(reply.system) {
         return;
     }
-    if !reply.catalog.is_empty() {
-        follow::take_document(plane, decode, reply.catalog, "peer");
+    if let Some(document) = document_of(plane, base, &reply) {
+        follow::take_document(plane, decode, document, "peer");
     }
     let news: Vec<_> = reply
         .news
@@ -282,6 +299,23 @@
     }
 }
 
+/// The document in an answer, if there is one.
+fn document_of<P>(
+    plane: &plane::ExchangePlane<P>,
+    base: &delta::PiecedDocument,
+    reply: &message::StateReply,
+) -> Option<Bytes> {
+    let Some(delta) = &reply.delta else {
+        return (!reply.catalog.is_empty()).then(|| reply.catalog.clone());
+    };
+    let applied = base.apply(delta).map_err(|fault| {
+        count_failed("delta");
+        log::warn!(fault:% = fault; "document not taken, the next one is asked for whole");
+        plane.state().delta_failed = true;
+    });
+    applied.ok()
+}
+
 /// Answers VMs that ask for all that this one knows.
 pub(crate) async fn answer_states<P: 'static>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
@@ -313,41 +347,52 @@
     let frame = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     let ask = message::StateAsk::decode(frame).map_err(io::Error::other)?;
     let (reply, _guard) = answer(&plane, &ask).ok_or(io::ErrorKind::ResourceBusy)?;
-    framed.send(Bytes::from(reply.encode_to_vec())).await
+    framed.send(Bytes::from(reply.encode_to_vec())).await?;
+    // What is still in the socket's buffer counts as being sent until the asker closes.
+    framed.next().await.transpose().map(drop)
 }
 
-/// Counts a long list as being sent until dropped.
+/// Counts a long answer as being sent until dropped.
 #[derive(Debug)]
-pub struct ListGuard<P>(rc::Rc<plane::ExchangePlane<P>>);
+pub struct LongGuard<P>(rc::Rc<plane::ExchangePlane<P>>);
 
-impl<P> Drop for ListGuard<P> {
+impl<P> Drop for LongGuard<P> {
     fn drop(&mut self) {
-        self.0.lists_sent.set(self.0.lists_sent.get() - 1);
+        self.0.long_sent.set(self.0.long_sent.get() - 1);
     }
 }
 
 /// The answer to a VM that asks, with a guard to be kept until it is sent; absent while this VM sends
-/// as many long lists as it may. If all that ask at a mass restart were answered, each list would
-/// arrive after the asker's timeout, and be asked for again.
+/// as many long answers as it may. If all that ask at a mass restart were answered, each would arrive
+/// late, and none could be passed on meanwhile.
 pub fn answer<P>(
     plane: &rc::Rc<plane::ExchangePlane<P>>,
     ask: &message::StateAsk,
-) -> Option<(message::StateReply, Option<ListGuard<P>>)> {
+) -> Option<(message::StateReply, Option<LongGuard<P>>)> {
     let mut state = plane.state();
     let known = state
         .fleet
         .servers()
         .filter(|(_, server)| server.is_listed());
-    let long = known.count() > ask.ready.len() + ask.leaving.len() + LONG_LIST;
-    let sent = plane.lists_sent.get();
-    if long && sent >= MOST_LISTS {
+    let long_list = known.count() > ask.ready.len() + ask.leaving.len() + LONG_LIST;
+    let newer = state.version() > ask.catalog_version;
+    let sent = plane.long_sent.get();
+    if (long_list || newer) && sent >= MOST_LONG {
         return None;
     }
+    let reply = state_reply(&mut state, ask);
+    let long = long_list || document_bytes(&reply) > LONG_DOCUMENT;
     let guard = long.then(|| {
-        plane.lists_sent.set(sent + 1);
-        ListGuard(plane.clone())
+        plane.long_sent.set(sent + 1);
+        LongGuard(plane.clone())
     });
-    Some((state_reply(&mut state, ask), guard))
+    Some((reply, guard))
+}
+
+/// Bytes of a document in an answer.
+fn document_bytes(reply: &message::StateReply) -> usize {
+    let delta = reply.delta.as_ref();
+    reply.catalog.len() + delta.map_or(0, prost::Message::encoded_len)
 }
 
 /// What this VM knows otherwise than the asker. Where thousands of servers come and go, all that it
@@ -371,13 +416,15 @@
         .filter(|server| !server.superseded && differs(server))
         .map(|server| message::NewsItem::from(&server.news()));
     let news = news.collect();
-    let catalog = if newer {
-        state.document.clone()
+    let delta = (newer && ask.takes_delta).then(|| state.document.delta(&ask.pieces));
+    let catalog = if newer && delta.is_none() {
+        state.document.bytes().clone()
     } else {
         Bytes::new()
     };
     message::StateReply {
         catalog,
+        delta,
         news,
         known: speak::known(state),
         system: state.system.number(),
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -8,13 +8,19 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::{catalog, evacuation, news, plane, system};
+use crate::{catalog, evacuation, news, plane, state, system};
 
 /// How long one call waits for a configuration: short enough that a connection that went silent
 /// costs less than the users' bound for a VM to be in touch again, 3 s.
 const CATALOG_WAIT: time::Duration = time::Duration::from_millis(2_500);
 /// Time between two looks whether other VMs have a newer configuration.
 const BEHIND_GAP: time::Duration = time::Duration::from_millis(60);
+/// Time that other VMs have to bring a configuration before a VM that does not read for all asks the
+/// store for it, and what is added at random, so that not all do so at once.
+const PEERS_FIRST: time::Duration = time::Duration::from_millis(1_200);
+const PEERS_FIRST_SPREAD: time::Duration = time::Duration::from_millis(600);
+/// The same where no other VM is asked.
+const PEERS_IDLE: time::Duration = time::Duration::from_millis(150);
 /// Shortest time between two readings of the configuration by a VM that does not read for all. In a
 /// storm of changes, one each 165 ms, 68 such VMs asked for each version: 3,629 calls a day at 74 VMs.
 /// Callers are bound to see a change within 2 s.
@@ -203,16 +209,19 @@
     plane.state().from_store = store.arriving();
     let mut cursor = None;
     let mut read_at = None::<time::Instant>;
+    let mut patience = PeerPatience::draw(plane.state().draw());
     loop {
         let first = cursor.is_none() && plane.state().version() == 0;
         let reader = first || plane.state().reads_store(time::Instant::now());
         let rests = read_at.is_some_and(|at| at.elapsed() < STORM_GAP)
             || plane.state().from_peers.is_moving();
-        if !reader && (rests || !is_behind(&plane)) {
+        let now = time::Instant::now();
+        if !reader && (rests || !patience.is_over(&plane.state(), now)) {
             time::sleep(BEHIND_GAP).await;
             continue;
         }
         read_at = Some(time::Instant::now());
+        patience = PeerPatience::draw(plane.state().draw());
         let whole = !reader || cursor.is_none();
         let page = match cursor {
             Some(from) if !whole => store.wait_document(from, CATALOG_WAIT).await,
@@ -241,11 +250,37 @@
     }
 }
 
-/// Whether another VM has a newer configuration. The store is asked for it, which sends it to all
-/// VMs at once; a VM with a link of 10 Mbit/s would need 18 s for 300 KB to 72 others.
-fn is_behind<P>(plane: &plane::ExchangePlane<P>) -> bool {
-    let state = plane.state();
-    let now = time::Instant::now();
+/// How long other VMs are waited for.
+#[derive(Debug)]
+struct PeerPatience {
+    span: time::Duration,
+    /// Since when another VM has a newer configuration.
+    behind_since: Option<time::Instant>,
+}
+
+impl PeerPatience {
+    fn draw(draw: f64) -> Self {
+        Self {
+            span: PEERS_FIRST + PEERS_FIRST_SPREAD.mul_f64(draw),
+            behind_since: None,
+        }
+    }
+
+    /// Whether it is over: others had time to bring the configuration, or none of them is asked.
+    fn is_over(&mut self, state: &state::PlaneState, now: time::Instant) -> bool {
+        if !is_behind(state, now) {
+            self.behind_since = None;
+            return false;
+        }
+        let behind_since = *self.behind_since.get_or_insert(now);
+        let waited = now.saturating_duration_since(behind_since);
+        let asked = state.peers_asked_at.is_some_and(|at| at >= behind_since);
+        waited >= if asked { self.span } else { PEERS_IDLE }
+    }
+}
+
+/// Whether another VM has a newer configuration.
+fn is_behind(state: &state::PlaneState, now: time::Instant) -> bool {
     let version = state.version();
     state
         .peers
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod catchup;
 pub mod comeback;
+pub mod delta;
 pub mod directory;
 pub mod evacuation;
 pub mod event;
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{evacuation, news, wait};
+use crate::{delta, evacuation, news, wait};
 
 /// Stage of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -226,13 +226,20 @@
     /// Servers that leave, likewise.
     #[prost(fixed32, repeated, tag = "3")]
     pub leaving: Vec<u32>,
+    /// Hashes of the pieces of the asker's document.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub pieces: Vec<u64>,
+    /// Whether the asker takes a newer document as a delta.
+    #[prost(bool, tag = "5")]
+    pub takes_delta: bool,
 }
 
 /// What a VM knows otherwise than the asker.
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct StateReply {
-    /// The operator's document, as the store gave it; empty unless newer than the asker's.
+    /// The operator's document, as the store gave it; empty unless newer than the asker's, and where
+    /// `delta` stands in its place.
     #[prost(bytes = "bytes", tag = "1")]
     pub catalog: bytes::Bytes,
     /// Servers that stand otherwise than the asker believes.
@@ -247,6 +254,9 @@
     /// Whether that VM never knew the list of servers to its end.
     #[prost(bool, tag = "6")]
     pub partial: bool,
+    /// What makes the newer document of the asker's.
+    #[prost(message, optional, tag = "7")]
+    pub delta: Option<delta::DocumentDelta>,
 }
 
 impl From<&news::ServerNews> for NewsItem {
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -39,8 +39,8 @@
     pub(crate) identified: tokio::sync::Notify,
     /// Requests that have no final answer yet.
     open: cell::Cell<usize>,
-    /// Long lists of servers that are being sent to other VMs.
-    pub(crate) lists_sent: cell::Cell<usize>,
+    /// Long answers that are being sent to other VMs.
+    pub(crate) long_sent: cell::Cell<usize>,
 }
 
 type MoveSender = mpsc::UnboundedSender<relocate::RelocationOrder>;
@@ -87,7 +87,7 @@
             loads: tokio::sync::Notify::new(),
             identified: tokio::sync::Notify::new(),
             open: cell::Cell::new(0),
-            lists_sent: cell::Cell::new(0),
+            long_sent: cell::Cell::new(0),
         }
     }
 
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,8 +8,8 @@
 use tokio::time;
 
 use crate::{
-    ask, budget, catalog, comeback, directory, evacuation, fleet, forecast, message, news, peers,
-    place, relocate, room, runs, suspect, system, wait,
+    ask, budget, catalog, comeback, delta, directory, evacuation, fleet, forecast, message, news,
+    peers, place, relocate, room, runs, suspect, system, wait,
 };
 
 /// What the plane is told at its start.
@@ -43,7 +43,9 @@
     /// Configuration in force; its version never falls.
     pub catalog: Option<rc::Rc<catalog::RouteCatalog>>,
     /// The document that `catalog` was read from, for other VMs.
-    pub document: Bytes,
+    pub document: rc::Rc<delta::PiecedDocument>,
+    /// Whether the last delta of a document gave none: the next one is asked for whole.
+    pub delta_failed: bool,
     /// Servers and tries.
     pub fleet: fleet::ServerFleet,
     /// Which system this VM belongs to.
@@ -75,6 +77,8 @@
     pub evacuated_at: Option<time::Instant>,
     /// Since when a VM that is heard has a newer configuration.
     pub behind_since: Option<time::Instant>,
+    /// When a VM was last asked while one that is heard had a newer configuration.
+    pub peers_asked_at: Option<time::Instant>,
     /// What comes of a configuration from the store. While it moves, no VM is asked for one: over a slow
     /// link each would take twice as long.
     pub from_store: transfer::TransferMeter,
@@ -101,7 +105,8 @@
         Self {
             settings,
             catalog: None,
-            document: Bytes::new(),
+            document: rc::Rc::default(),
+            delta_failed: false,
             fleet: fleet::ServerFleet::default(),
             system: system::SystemBelief::default(),
             peers,
@@ -117,6 +122,7 @@
             servers_whole: false,
             evacuated_at: None,
             behind_since: None,
+            peers_asked_at: None,
             from_store: transfer::TransferMeter::default(),
             from_peers: transfer::TransferMeter::default(),
             differs_since: None,
@@ -137,7 +143,8 @@
             return false;
         }
         self.catalog = Some(rc::Rc::new(catalog));
-        self.document = document;
+        self.document = rc::Rc::new(document.into());
+        self.delta_failed = false;
         if self.stage == message::VmStage::Starting {
             self.stage = message::VmStage::Serving;
         }
--- a/crates/exchange/tests/configurations.rs
+++ b/crates/exchange/tests/configurations.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use std::{net, time};
+use std::{net, rc, time};
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use exchange::{catalog, catchup, message};
@@ -10,7 +10,9 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net as sockets,
+    time::{self as clock, Instant},
 };
+use world::herd;
 
 /// Link of a small VM, in bytes a second.
 const LINK_RATE: usize = 1_250_000;
@@ -58,7 +60,7 @@
             frame.extend_from_slice(&reply);
             for part in frame.chunks(LINK_RATE / PARTS_A_SECOND) {
                 let pace = part.len() as f64 / LINK_RATE as f64;
-                tokio::time::sleep(time::Duration::from_secs_f64(pace)).await;
+                clock::sleep(time::Duration::from_secs_f64(pace)).await;
                 if stream.write_all(part).await.is_err() {
                     return;
                 }
@@ -103,15 +105,127 @@
         let plane = world::plane();
         let asking = catchup::catch_up(plane.clone(), catchup::TcpPeers, decode);
         tokio::task::spawn_local(asking);
-        let began = tokio::time::Instant::now();
+        let began = Instant::now();
         let mut sequence = 0;
         while plane.state().version() < 2 {
             assert!(began.elapsed() <= IN_FORCE_WITHIN, "not in force in time");
             sequence += 1;
-            let now = tokio::time::Instant::now();
+            let now = Instant::now();
             let told = datagram(address, sequence, 2);
             plane.state().peers.take(&told, now);
-            tokio::time::sleep(SPEAK_GAP).await;
+            clock::sleep(SPEAK_GAP).await;
         }
     });
 }
+
+/// Bytes of a route in a document.
+const ROUTE_BYTES: usize = 250;
+
+/// A document of so many routes, no two alike, as operators name them.
+fn routes(version: u64, count: usize) -> Bytes {
+    let mut document = format!("{version} ");
+    for number in 0..count {
+        let name = (number as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let route = format!(
+            r#"{{"name":"r-{name:016x}","host":"h.example","path_prefix":"/{:012x}/","type":"safe","#,
+            name.rotate_left(17) >> 16
+        );
+        document.push_str(&route);
+        let rest = ROUTE_BYTES - route.len();
+        document.push_str(
+            &format!(
+                r#""service":"app","timeout_ms":2000,"attempts":2}},{:rest$}"#,
+                ""
+            )[..rest],
+        );
+    }
+    Bytes::from(document)
+}
+
+/// Some VMs, few of which have fast links, and the configurations that they are told.
+#[derive(Clone, Copy, Debug)]
+struct ConfigurationLoad {
+    vms: usize,
+    routes: usize,
+    /// Time between a configuration of so many routes and one that changes nothing else.
+    gap: time::Duration,
+    /// Time in which the users of a deployment of this size want each in force.
+    within: time::Duration,
+}
+
+/// How long until each VM had the first of them or a later one, and the second.
+#[derive(Clone, Copy, Debug, Default)]
+struct ConfigurationSpread {
+    first: time::Duration,
+    second: time::Duration,
+    /// Megabytes of documents that the store sent.
+    store_mb: f64,
+}
+
+async fn spread(load: ConfigurationLoad) -> ConfigurationSpread {
+    let store = rc::Rc::new(herd::HerdStore::new(
+        Vec::new(),
+        routes(1, load.routes / 2),
+        time::Duration::from_millis(4),
+        Instant::now(),
+    ));
+    let rate = |number: usize| {
+        if number.is_multiple_of(12) {
+            20 * LINK_RATE
+        } else {
+            LINK_RATE
+        }
+    };
+    let vms = (0..load.vms).map(|number| herd::HerdVm::new(number, rate(number) as f64));
+    let vms: herd::VmHerd = rc::Rc::new(vms.collect());
+    let tasks: Vec<_> = (0..load.vms)
+        .map(|number| {
+            vms[number].know_all(&store, world::catalog(1));
+            tokio::task::spawn_local(herd::run_vm(vms.clone(), store.clone(), number, decode))
+        })
+        .collect();
+    clock::sleep(time::Duration::from_secs(3)).await;
+    store.document_bytes.set(0);
+    let began = Instant::now();
+    let mut spread = ConfigurationSpread::default();
+    store.publish(2, routes(2, load.routes));
+    let mut published = false;
+    while spread.second.is_zero() && began.elapsed() < time::Duration::from_secs(30) {
+        clock::sleep(time::Duration::from_millis(20)).await;
+        if !published && began.elapsed() >= load.gap {
+            store.publish(3, routes(3, load.routes));
+            published = true;
+        }
+        let all = |version| vms.iter().all(|vm| vm.plane.state().version() >= version);
+        if spread.first.is_zero() && all(2) {
+            spread.first = began.elapsed();
+        }
+        if all(3) {
+            spread.second = began.elapsed() - load.gap;
+        }
+    }
+    spread.store_mb = store.document_bytes.get() as f64 / 1e6;
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    spread
+}
+
+fn check(load: ConfigurationLoad) {
+    let mut measured = ConfigurationSpread::default();
+    world::run(async { measured = spread(load).await });
+    println!("{load:?}: {measured:?}");
+    assert!(!measured.first.is_zero() && measured.first <= load.within);
+    assert!(!measured.second.is_zero() && measured.second <= load.within);
+}
+
+#[test]
+fn large_configurations_are_in_force_on_all_vms_in_time() {
+    // Guards against VMs that all fetch a large document over slow links at once, and never have it.
+    for (vms, within_ms) in [(9, 2_000), (74, 3_000), (195, 4_000), (410, 4_000)] {
+        check(ConfigurationLoad {
+            vms,
+            routes: 4_200,
+            gap: time::Duration::from_millis(3_300),
+            within: time::Duration::from_millis(within_ms),
+        });
+    }
+}
--- /dev/null
+++ b/crates/exchange/tests/delta.rs
@@ -0,0 +1,128 @@
+//! Deltas of documents against the plain documents.
+
+mod world;
+
+use bytes::Bytes;
+use exchange::{catchup, delta, message};
+use prost::Message as _;
+
+/// Random histories.
+const HISTORIES: u64 = 300;
+
+fn pieced(bytes: &[u8]) -> delta::PiecedDocument {
+    Bytes::copy_from_slice(bytes).into()
+}
+
+/// Bytes that do not repeat themselves.
+fn noise(length: usize, mut seed: u64) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(length);
+    while bytes.len() < length {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        bytes.extend_from_slice(&seed.rotate_left(29).to_be_bytes());
+    }
+    bytes.truncate(length);
+    bytes
+}
+
+#[test]
+fn a_delta_gives_the_document_that_it_was_made_of() {
+    // Guards against a configuration that no operator wrote.
+    world::histories(HISTORIES, |u| {
+        let mut document = noise(u.int_in_range(0..=200_000)?, u.arbitrary()?);
+        let base = pieced(&document);
+        for _ in 0..u.int_in_range(0..=4)? {
+            let at = u.int_in_range(0..=document.len())?;
+            let end = (at + u.int_in_range(0..=20_000)?).min(document.len());
+            let inserted = noise(u.int_in_range(0..=20_000)?, u.arbitrary()?);
+            document.splice(at..end, inserted);
+        }
+        let delta = pieced(&document).delta(&base.hashes());
+        assert_eq!(base.apply(&delta).expect("document"), document);
+        let whole = pieced(&document).delta(&[]);
+        assert_eq!(pieced(&[]).apply(&whole).expect("document"), document);
+        Ok(())
+    });
+}
+
+#[test]
+fn a_damaged_delta_gives_no_document() {
+    // Guards against a configuration put together of pieces that do not belong together.
+    world::histories(HISTORIES, |u| {
+        let mut document = noise(100_000, u.arbitrary()?);
+        let base = pieced(&document);
+        document.splice(40_000..40_010, noise(3_000, u.arbitrary()?));
+        let mut delta = pieced(&document).delta(&base.hashes());
+        match u.int_in_range(0..=4)? {
+            0 => drop(delta.order.pop()),
+            1 => delta.order.swap(0, 1),
+            2 => drop(delta.packed.pop()),
+            3 => delta.packed[0] = noise(500, u.arbitrary()?).into(),
+            _ => delta.hash ^= 1 << u.int_in_range(0..=63)?,
+        }
+        assert!(base.apply(&delta).is_err());
+        Ok(())
+    });
+}
+
+#[test]
+fn a_small_change_of_a_large_document_is_a_small_delta() {
+    // Load: one value of a megabyte changes; 68 VMs behind links of 10 Mbit/s have all the rest.
+    let mut document = noise(1_000_000, 7);
+    let base = pieced(&document);
+    document.splice(500_000..500_004, *b"changed");
+    let delta = pieced(&document).delta(&base.hashes());
+    assert!(delta.encoded_len() < 80_000, "{}", delta.encoded_len());
+}
+
+#[test]
+fn a_vm_that_took_no_delta_asks_for_the_whole() {
+    // Guards against a VM that asks for ever for a delta that it can't use.
+    world::run(async {
+        let decode = |bytes: &[u8]| match bytes {
+            b"2" => Ok(world::catalog(2)),
+            _ => Err(String::from("other")),
+        };
+        let (plane, there) = (world::plane(), world::plane());
+        let document = Bytes::from_static(b"2");
+        there.state().take_catalog(world::catalog(2), document);
+        plane.state().behind_since = Some(tokio::time::Instant::now());
+        let ask = catchup::state_ask(&plane.state());
+        assert!(ask.takes_delta);
+        let mut reply = catchup::state_reply(&mut there.state(), &ask);
+        reply.delta.as_mut().expect("delta").hash ^= 1;
+        let base = plane.state().document.clone();
+        catchup::take_state(&plane, &base, reply, decode);
+        assert_eq!(plane.state().version(), 1);
+        let ask = catchup::state_ask(&plane.state());
+        assert!(!ask.takes_delta);
+        let reply = catchup::state_reply(&mut there.state(), &ask);
+        assert_eq!(reply.catalog, b"2".as_slice());
+        catchup::take_state(&plane, &base, reply, decode);
+        assert_eq!(plane.state().version(), 2);
+        assert!(catchup::state_ask(&plane.state()).takes_delta);
+    });
+}
+
+#[test]
+fn a_vm_sends_few_long_documents_at_a_time() {
+    // Guards against a link that carries one document to all that ask, and none to the end.
+    world::run(async {
+        let there = world::plane();
+        let document = Bytes::from(noise(1_000_000, 3));
+        there.state().take_catalog(world::catalog(2), document);
+        let ask = message::StateAsk {
+            catalog_version: 1,
+            takes_delta: true,
+            ..message::StateAsk::default()
+        };
+        let sent: Vec<_> = (0..10)
+            .filter_map(|_| catchup::answer(&there, &ask))
+            .collect();
+        assert!((1..=3).contains(&sent.len()), "{}", sent.len());
+        drop(sent);
+        assert!(
+            catchup::answer(&there, &ask).is_some(),
+            "others get it later"
+        );
+    });
+}
--- a/crates/exchange/tests/systems.rs
+++ b/crates/exchange/tests/systems.rs
@@ -200,12 +200,13 @@
         there.state().system = system::SystemBelief::Known(world::system_id(OTHER));
         let decode = |_: &[u8]| Ok(world::catalog(9));
         let ask = message::StateAsk::default();
-        there.state().document = bytes::Bytes::from_static(b"9");
+        there.state().document = rc::Rc::new(bytes::Bytes::from_static(b"9").into());
         let mut reply = catchup::state_reply(&mut there.state(), &ask);
-        catchup::take_state(&plane, reply.clone(), decode);
+        let base = plane.state().document.clone();
+        catchup::take_state(&plane, &base, reply.clone(), decode);
         assert_eq!(plane.state().version(), 1);
         reply.system = world::SYSTEM;
-        catchup::take_state(&plane, reply, decode);
+        catchup::take_state(&plane, &base, reply, decode);
         assert_eq!(plane.state().version(), 9);
     });
 }
--- a/crates/exchange/tests/world/herd.rs
+++ b/crates/exchange/tests/world/herd.rs
@@ -341,27 +341,39 @@
     usize::from(u16::from_be_bytes([high, low]))
 }
 
-/// Tells others that this VM is there: all of them at first, then as many as the product tells.
+/// Time between two looks whether there is something that all should hear at once.
+const SPREAD_LOOK: time::Duration = time::Duration::from_millis(25);
+
+/// Tells others that this VM is there: all of them at first and of each configuration that it reads for
+/// all, else as many as the product tells.
 async fn introduce(herd: VmHerd, own: usize) {
     clock::sleep(SILENT_SPAN).await;
     herd[own].started.set(true);
-    let mut first = true;
-    for turn in 0.. {
+    let mut turn = 0;
+    let mut told_version = None;
+    let mut due = Instant::now();
+    loop {
         let (told, audience, gap) = {
             let mut state = herd[own].plane.state();
             let now = Instant::now();
-            let regular = audience::regular(&state.peers, turn, now);
-            (
-                speak::introduction(&mut state),
-                regular,
-                state.peers.speak_gap(),
-            )
-        };
-        let audience: Vec<_> = if std::mem::take(&mut first) {
-            (0..herd.len()).filter(|number| *number != own).collect()
-        } else {
-            audience.into_iter().map(number_of).collect()
+            let version = state.version();
+            let spread = told_version.is_none() || state.reads_store(now);
+            let news = told_version.replace(version) != Some(version);
+            let audience = if spread && news {
+                (0..herd.len()).filter(|number| *number != own).collect()
+            } else if now < due {
+                Vec::new()
+            } else {
+                turn += 1;
+                let regular = audience::regular(&state.peers, turn - 1, now);
+                regular.into_iter().map(number_of).collect()
+            };
+            let told = speak::introduction(&mut state);
+            (told, audience, state.peers.speak_gap())
         };
+        if !audience.is_empty() {
+            due = Instant::now() + gap;
+        }
         for number in audience {
             let there = &herd[number];
             if !there.started.get() {
@@ -373,7 +385,8 @@
                 link::take_datagram(&herd[own].plane, &answer);
             }
         }
-        clock::sleep(gap).await;
+        let look = due.min(Instant::now() + SPREAD_LOOK);
+        clock::sleep_until(look.max(Instant::now() + time::Duration::from_millis(1))).await;
     }
 }
 
