A page of the log is read as long as it goes on coming

Sought after the cause of the large configuration that was never in force: pollenchuted's reading of the log had a limit of 2 s on a whole page, which may hold 256 records of 255 KiB. A checkpoint of 5 MB (38,000 organisations) takes 4 s of a link of 10 Mbit/s: a VM there would never read it, and begin anew for ever.

Test: a page of 3 MB over 3 s. Failed before after 2.0 s (error decoding response body), passes now; a page that halts is given up within 4 s, as before. ReadQuery and settings stay: read_timeout_ms is now the time without a byte.

--- a/crates/ledger/src/http.rs
+++ b/crates/ledger/src/http.rs
@@ -15,7 +15,8 @@
     pub url: String,
     /// An append without an answer after this is given up as unknown, in milliseconds.
     pub append_timeout_ms: u64,
-    /// Added to a read's own waiting time before the read is given up, in milliseconds.
+    /// A read is given up when nothing comes for this long, in milliseconds; until the answer begins, its
+    /// own waiting time is added.
     pub read_timeout_ms: u64,
 }
 
@@ -113,7 +114,8 @@
     }
 
     async fn read(&self, query: &client::ReadQuery) -> Result<client::ReadPage, client::ReadError> {
-        let limit_ms = query.wait_ms.saturating_add(self.settings.read_timeout_ms);
+        let silence = time::Duration::from_millis(self.settings.read_timeout_ms);
+        let wait = time::Duration::from_millis(query.wait_ms);
         let url = format!(
             "{}?from={}&max={}&wait_ms={}",
             self.records_url(&query.stream),
@@ -121,19 +123,14 @@
             query.max,
             query.wait_ms
         );
-        let response = self
-            .http
-            .get(url)
-            .timeout(time::Duration::from_millis(limit_ms))
-            .send()
-            .await
+        let sending = self.http.get(url).send();
+        let sent = time::timeout(wait.saturating_add(silence), sending).await;
+        let response = sent
+            .map_err(|_| silent_fault(query, silence))?
             .map_err(|error| read_fault(query, error.to_string()))?;
         let status = response.status();
         if status.as_u16() == 410 {
-            let answer: DroppedAnswer = response
-                .json()
-                .await
-                .map_err(|error| read_fault(query, error.to_string()))?;
+            let answer: DroppedAnswer = read_json(query, response, silence).await?;
             return client::DroppedSnafu {
                 stream: &query.stream,
                 first: answer.first,
@@ -143,14 +140,34 @@
         if !status.is_success() {
             return Err(read_fault(query, format!("status {status}")));
         }
-        let answer: PageAnswer = response
-            .json()
-            .await
-            .map_err(|error| read_fault(query, error.to_string()))?;
+        let answer: PageAnswer = read_json(query, response, silence).await?;
         page_of(query, answer)
     }
 }
 
+/// Reads a body as long as it goes on coming: a page of large records takes its time over a slow link, and
+/// would never be read within a limit on the whole.
+async fn read_json<T: serde::de::DeserializeOwned>(
+    query: &client::ReadQuery,
+    mut response: reqwest::Response,
+    silence: time::Duration,
+) -> Result<T, client::ReadError> {
+    let mut body = bytes::BytesMut::new();
+    loop {
+        let part = time::timeout(silence, response.chunk()).await;
+        let part = part
+            .map_err(|_| silent_fault(query, silence))?
+            .map_err(|error| read_fault(query, error.to_string()))?;
+        let Some(part) = part else { break };
+        body.extend_from_slice(&part);
+    }
+    serde_json::from_slice(&body).map_err(|error| read_fault(query, error.to_string()))
+}
+
+fn silent_fault(query: &client::ReadQuery, silence: time::Duration) -> client::ReadError {
+    read_fault(query, format!("nothing for {} ms", silence.as_millis()))
+}
+
 /// Only a connection that was never made proves that nothing was appended; every later fault may
 /// hide an append that took effect.
 fn append_fault(stream: &str, error: &reqwest::Error) -> client::AppendError {
--- a/crates/ledger/tests/http_log.rs
+++ b/crates/ledger/tests/http_log.rs
@@ -1,8 +1,12 @@
 //! The client over HTTP against the stand-in of the platform's log, through real sockets.
 
+use std::time::Duration;
+
 use ledger::client::LogClient as _;
 use ledger::{client, http};
 use stand::log;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::{net, time};
 
 async fn serve(profile: log::LogProfile) -> (log::LogHandle, stand::http::RunningServer) {
     let handle = log::LogHandle::new(profile);
@@ -91,3 +95,62 @@
     let fault = log.read(&query(0)).await.expect_err("no connection");
     assert!(matches!(fault, client::ReadError::Fault { .. }), "{fault}");
 }
+
+/// Answers any request with a page of one record of `bytes` bytes, spread evenly over `span`.
+async fn serve_slowly(listener: net::TcpListener, bytes: usize, span: Duration) {
+    let (mut stream, _) = listener.accept().await.expect("connection");
+    let mut request = vec![0; 4_096];
+    let _ = stream.read(&mut request).await.expect("request");
+    let record = "A".repeat(bytes / 3 * 4);
+    let page =
+        format!(r#"{{"first":0,"next":1,"records":[{{"offset":0,"at_ms":1,"body":"{record}"}}]}}"#);
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", page.len());
+    stream.write_all(head.as_bytes()).await.expect("head");
+    for part in page.as_bytes().chunks(page.len().div_ceil(SLOW_PARTS)) {
+        time::sleep(span / SLOW_PARTS as u32).await;
+        if stream.write_all(part).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Parts in which a slow answer comes.
+const SLOW_PARTS: usize = 30;
+
+#[tokio::test]
+async fn a_large_page_is_read_over_a_slow_link() {
+    // Guards against a time limit on the whole of a page, which a large one never keeps.
+    let listener = net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("listener");
+    let address = listener.local_addr().expect("address");
+    let span = Duration::from_millis(3_000);
+    tokio::spawn(serve_slowly(listener, 3_000_000, span));
+    let settings = http::HttpSettings::at(format!("http://{address}"));
+    let query = client::ReadQuery {
+        stream: String::from("configuration"),
+        from: 0,
+        max: 256,
+        wait_ms: 0,
+    };
+    let page = http::HttpLog::new(settings).read(&query).await;
+    assert_eq!(page.expect("page").records[0].body.len(), 3_000_000);
+}
+
+#[tokio::test]
+async fn a_page_that_halts_is_given_up() {
+    // Guards against a reader that is held by a connection that went silent.
+    let listener = net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("listener");
+    let address = listener.local_addr().expect("address");
+    tokio::spawn(serve_slowly(listener, 3_000, Duration::from_secs(600)));
+    let settings = http::HttpSettings::at(format!("http://{address}"));
+    let query = client::ReadQuery {
+        stream: String::from("configuration"),
+        from: 0,
+        max: 256,
+        wait_ms: 0,
+    };
+    let began = time::Instant::now();
+    assert!(http::HttpLog::new(settings).read(&query).await.is_err());
+    assert!(began.elapsed() < Duration::from_secs(4));
+}
