Documents put together of pieces are bounded in size

A damaged delta may name one piece again and again: 4,000 times the order of a 100 KB document is 400 MB, on VMs of 88 MB. Refused beyond 32 MB, the largest state that is taken at all. The test of damaged deltas draws this case too (300 histories).

--- a/crates/exchange/src/delta.rs
+++ b/crates/exchange/src/delta.rs
@@ -16,6 +16,9 @@
 const PIECE_MEAN: usize = 8 * 1_024;
 const PIECE_MOST: usize = 32 * 1_024;
 
+/// Largest document that is put together: a damaged delta may name one piece again and again.
+const MOST_DOCUMENT: usize = 32 * 1_024 * 1_024;
+
 /// Hash of a piece's bytes.
 type PieceHash = u64;
 
@@ -67,6 +70,12 @@
         /// Which one.
         hash: u64,
     },
+    /// The whole is larger than any document.
+    #[snafu(display("{bytes} bytes are more than {MOST_DOCUMENT}"))]
+    TooLarge {
+        /// Its length so far.
+        bytes: usize,
+    },
     /// The whole is not what was sent.
     #[snafu(display("{bytes} bytes do not have the hash that was told"))]
     Mismatch {
@@ -147,7 +156,10 @@
         }
         let mut whole = BytesMut::new();
         for &hash in &delta.order {
-            whole.extend_from_slice(pieces.get(&hash).context(MissingSnafu { hash })?);
+            let piece = pieces.get(&hash).context(MissingSnafu { hash })?;
+            let bytes = whole.len() + piece.len();
+            ensure!(bytes <= MOST_DOCUMENT, TooLargeSnafu { bytes });
+            whole.extend_from_slice(piece);
         }
         let bytes = whole.len();
         let told = xxhash_rust::xxh3::xxh3_64(&whole) == delta.hash;
--- a/crates/exchange/tests/delta.rs
+++ b/crates/exchange/tests/delta.rs
@@ -52,7 +52,8 @@
         let base = pieced(&document);
         document.splice(40_000..40_010, noise(3_000, u.arbitrary()?));
         let mut delta = pieced(&document).delta(&base.hashes());
-        match u.int_in_range(0..=4)? {
+        match u.int_in_range(0..=5)? {
+            5 => delta.order = delta.order.repeat(4_000),
             0 => drop(delta.order.pop()),
             1 => delta.order.swap(0, 1),
             2 => drop(delta.packed.pop()),
