--- a/crates/ledger/tests/http_log.rs
+++ b/crates/ledger/tests/http_log.rs
@@ -117,40 +117,27 @@
 /// Parts in which a slow answer comes.
 const SLOW_PARTS: usize = 30;
 
-#[tokio::test]
-async fn a_large_page_is_read_over_a_slow_link() {
-    // Guards against a time limit on the whole of a page, which a large one never keeps.
+/// Reads a page of one record of `bytes` bytes that comes over `span`.
+async fn read_slowly(bytes: usize, span: Duration) -> Result<client::ReadPage, client::ReadError> {
     let listener = net::TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("listener");
     let address = listener.local_addr().expect("address");
-    let span = Duration::from_millis(3_000);
-    tokio::spawn(serve_slowly(listener, 3_000_000, span));
+    tokio::spawn(serve_slowly(listener, bytes, span));
     let settings = http::HttpSettings::at(format!("http://{address}"));
-    let query = client::ReadQuery {
-        stream: String::from("configuration"),
-        from: 0,
-        max: 256,
-        wait_ms: 0,
-    };
-    let page = http::HttpLog::new(settings).read(&query).await;
+    http::HttpLog::new(settings).read(&query(0)).await
+}
+
+#[tokio::test]
+async fn a_large_page_is_read_over_a_slow_link() {
+    // Guards against a time limit on the whole of a page, which a large one never keeps.
+    let page = read_slowly(3_000_000, Duration::from_millis(3_000)).await;
     assert_eq!(page.expect("page").records[0].body.len(), 3_000_000);
 }
 
 #[tokio::test]
 async fn a_page_that_halts_is_given_up() {
     // Guards against a reader that is held by a connection that went silent.
-    let listener = net::TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("listener");
-    let address = listener.local_addr().expect("address");
-    tokio::spawn(serve_slowly(listener, 3_000, Duration::from_secs(600)));
-    let settings = http::HttpSettings::at(format!("http://{address}"));
-    let query = client::ReadQuery {
-        stream: String::from("configuration"),
-        from: 0,
-        max: 256,
-        wait_ms: 0,
-    };
     let began = time::Instant::now();
-    assert!(http::HttpLog::new(settings).read(&query).await.is_err());
-    assert!(began.elapsed() < Duration::from_secs(4));
+    let page = read_slowly(3_000, Duration::from_secs(600)).await;
+    assert!(page.is_err() && began.elapsed() < Duration::from_secs(4));
 }
