--- a/crates/exchange/tests/notices.rs
+++ b/crates/exchange/tests/notices.rs
@@ -4,7 +4,7 @@
 
 use std::{collections, rc, time};
 
-use exchange::news;
+use exchange::{evacuation, follow, news};
 use tokio::time::{self as clock, Instant};
 use world::lossy::{self, VmHealth};
 
@@ -18,6 +18,8 @@
 const NOTICE_GAP: time::Duration = time::Duration::from_millis(10);
 /// One in this many VMs is slow or killed where some are.
 const HARMED_PART: usize = 20;
+/// Changes of the operator in one play.
+const OPERATOR_CHANGES: u64 = 4;
 /// Time between two looks at what the VMs know.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(10);
 
@@ -57,23 +59,41 @@
     }
 }
 
-/// The time in which each notice was known to all VMs that are sound.
-async fn play(play: NoticePlay) -> Vec<time::Duration> {
+/// VMs that run, and their store.
+struct RunningVms {
+    vms: rc::Rc<lossy::LossyVms>,
+    store: rc::Rc<lossy::LogStore>,
+    runs: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Drop for RunningVms {
+    fn drop(&mut self) {
+        self.runs.iter().for_each(tokio::task::JoinHandle::abort);
+    }
+}
+
+/// Starts the VMs, which then read the store and tell each other what it holds.
+async fn start(play: &NoticePlay) -> RunningVms {
     let store = rc::Rc::new(lossy::LogStore::default());
     for number in 0..SERVERS {
         store.append(&name(number), Some(entry(number, false)));
     }
-    let mut first = store.records.borrow().clone();
-    first.sort_by(|one, other| one.id.cmp(&other.id));
+    let first = store.records.borrow().clone();
     let seed = (play.vms * 1_000) as u64 + (play.loss * 100.0) as u64;
     let vms = lossy::LossyVms::new(play.vms, play.loss, seed, &first);
-    let first = rc::Rc::new(first);
     let runs = (0..play.vms).map(|own| {
-        let run = lossy::run_vm(vms.clone(), store.clone(), first.clone(), own, true);
+        let run = lossy::run_vm(vms.clone(), store.clone(), own);
         tokio::task::spawn_local(run)
     });
-    let runs: Vec<_> = runs.collect();
+    let runs = runs.collect();
     clock::sleep(WARM_UP).await;
+    RunningVms { vms, store, runs }
+}
+
+/// The time in which each notice was known to all VMs that are sound.
+async fn play(play: NoticePlay) -> Vec<time::Duration> {
+    let running = start(&play).await;
+    let (vms, store) = (&running.vms, &running.store);
     let mut open = collections::VecDeque::<GivenNotice>::new();
     let mut times = Vec::new();
     let mut given = 0;
@@ -105,7 +125,11 @@
             let state = vms.vms[*number].plane.state();
             let key = state.fleet.find(server).expect("known from the start");
             let record = state.fleet.server(key).expect("just found");
-            vms.vms[*number].health.get() != VmHealth::Sound || !record.takes_work(now)
+            let harmed = matches!(
+                vms.vms[*number].health.get(),
+                VmHealth::Killed | VmHealth::Slow
+            );
+            harmed || !record.takes_work(now)
         };
         for notice in &mut open {
             let server = &notice.server;
@@ -120,7 +144,6 @@
             !known
         });
     }
-    runs.iter().for_each(tokio::task::JoinHandle::abort);
     let span = (WARM_UP + NOTICE_GAP * u32::try_from(play.notices).expect("few")).as_secs_f64();
     let rate = vms.sent_bytes.get() as f64 / play.vms as f64 / span / 1_000.0;
     times.sort_unstable();
@@ -201,6 +224,80 @@
     check(with_harms(play_of(414)));
 }
 
+#[test]
+fn a_vm_that_hears_of_no_poll_polls_by_itself() {
+    // Guards against a VM that learns of the store through a few others only, none of which it hears.
+    let deaf = |vms| NoticePlay {
+        harm: VmHealth::Deaf,
+        loss: 0.2,
+        ..play_of(vms)
+    };
+    check([30, 129].map(deaf));
+}
+
+/// What the operator changes at the store.
+#[derive(Clone, Copy, Debug)]
+enum OperatorChange {
+    Evacuation,
+    Configuration,
+}
+
+/// The longest time in which changes of the operator, each found by one VM, were in force on all.
+async fn change(play: NoticePlay, change: OperatorChange) -> time::Duration {
+    let running = start(&play).await;
+    let planes: Vec<_> = running.vms.vms.iter().map(|vm| vm.plane.clone()).collect();
+    let is_reader = |plane: &&world::TestPlane| plane.state().reads_store(Instant::now());
+    let mut longest = time::Duration::ZERO;
+    for number in 2..=OPERATOR_CHANGES + 1 {
+        let mut readers = planes.iter().filter(is_reader);
+        let reader = readers.next().expect("some read");
+        match change {
+            OperatorChange::Evacuation => {
+                let domain = (number % 2 == 0).then(|| String::from("d-1"));
+                let evacuations = evacuation::EvacuationSet {
+                    position: number,
+                    domains: domain.into_iter().collect(),
+                };
+                follow::take_evacuations(reader, evacuations, "store");
+            }
+            OperatorChange::Configuration => {
+                let document = number.to_string().into();
+                follow::take_document(reader, lossy::decode, document, "store");
+            }
+        }
+        let given_at = Instant::now();
+        let in_force = |plane: &world::TestPlane| match change {
+            OperatorChange::Evacuation => plane.state().fleet.evacuations().position == number,
+            OperatorChange::Configuration => plane.state().version() == number,
+        };
+        while !planes.iter().all(in_force) && given_at.elapsed() < 4 * KNOWN_WITHIN {
+            clock::sleep(LOOK_GAP).await;
+        }
+        longest = longest.max(given_at.elapsed());
+    }
+    println!("{play:?}, {change:?}: longest {longest:?}");
+    longest
+}
+
+#[test]
+fn evacuations_and_configurations_are_in_force_on_all_in_time_whatever_is_lost() {
+    // Guards against a VM that is told once of what it must refuse from then on.
+    for vms in [30, 129, 414] {
+        let what = NoticePlay {
+            loss: 0.2,
+            ..play_of(vms)
+        };
+        for changed in [OperatorChange::Evacuation, OperatorChange::Configuration] {
+            let mut longest = time::Duration::ZERO;
+            world::run(async { longest = change(what, changed).await });
+            assert!(
+                longest <= KNOWN_WITHIN,
+                "{what:?}, {changed:?}: {longest:?}"
+            );
+        }
+    }
+}
+
 #[test]
 #[ignore = "10,000 notices, by hand"]
 fn ten_thousand_notices_are_known_to_all_in_time() {
--- a/crates/exchange/tests/world/lossy.rs
+++ b/crates/exchange/tests/world/lossy.rs
@@ -1,10 +1,12 @@
 //! Many VMs of the product on the paused clock, whose datagrams get lost, before a store that tells what
 //! came since.
 
-use std::{cell, io, net, rc, time};
+use std::{cell, collections, io, net, rc, time};
 
 use carry::transfer;
-use exchange::{catchup, follow, link, listing, message, news, plane, speak, state, system};
+use exchange::{
+    catalog, catchup, follow, link, listing, message, news, plane, speak, state, system,
+};
 use prost::Message as _;
 use tokio::{
     sync::mpsc,
@@ -27,6 +29,8 @@
     Sound,
     Slow,
     Killed,
+    /// It hears nothing of the VMs that read the store.
+    Deaf,
 }
 
 /// The store of all VMs: records in order.
@@ -49,42 +53,25 @@
     }
 }
 
-/// The store as a VM reaches it.
-struct VmStore {
-    store: rc::Rc<LogStore>,
-    /// Known to all VMs at their start, by name.
-    first: rc::Rc<Vec<news::ServerNews>>,
-    /// Whether it answers this VM.
-    reached: bool,
-}
-
-impl VmStore {
-    async fn call(&self) -> Result<(), follow::StoreFault> {
-        self.store.call().await;
-        if self.reached {
-            Ok(())
-        } else {
-            Err(follow::StoreFault::Away)
-        }
-    }
-}
-
-impl follow::StorePort for VmStore {
+impl follow::StorePort for LogStore {
     async fn read_servers(
         &self,
         _after: Option<&str>,
     ) -> Result<follow::NewsPage, follow::StoreFault> {
-        self.call().await?;
+        self.call().await;
+        let records = self.records.borrow();
+        let newest: collections::BTreeMap<_, _> =
+            records.iter().map(|news| (&news.id, news)).collect();
         Ok(follow::NewsPage {
-            news: self.first.to_vec(),
-            end: self.first.len() as u64,
+            news: newest.into_values().cloned().collect(),
+            end: records.len() as u64,
             next: None,
         })
     }
 
     async fn read_news(&self, from: u64) -> Result<follow::NewsPage, follow::StoreFault> {
-        self.call().await?;
-        let records = self.store.records.borrow();
+        self.call().await;
+        let records = self.records.borrow();
         let first = usize::try_from(from).expect("small");
         Ok(follow::NewsPage {
             news: records.get(first..).unwrap_or_default().to_vec(),
@@ -205,6 +192,10 @@
         if killed(from) || killed(to) || self.draw() < self.loss {
             return;
         }
+        let reads = || from.plane.state().reads_store(Instant::now());
+        if to.health.get() == VmHealth::Deaf && reads() {
+            return;
+        }
         let is_slow = |vm: &LossyVm| vm.health.get() == VmHealth::Slow;
         let slow = [from, to].map(is_slow).iter().filter(|slow| **slow).count();
         let delay = LINK_DELAY + SLOW_DELAY * u32::try_from(slow).expect("two at most");
@@ -270,9 +261,8 @@
         meter: &transfer::TransferMeter,
     ) -> io::Result<message::StateReply> {
         let asked = &self.vms.vms[number_of(address)];
-        let slow = asked.health.get() != VmHealth::Sound
-            || self.vms.vms[self.own].health.get() != VmHealth::Sound;
-        if slow {
+        let answers = |vm: &LossyVm| matches!(vm.health.get(), VmHealth::Sound | VmHealth::Deaf);
+        if !answers(asked) || !answers(&self.vms.vms[self.own]) {
             std::future::pending::<()>().await;
         }
         let sent = ask.encoded_len() as f64 / LINK_RATE;
@@ -303,24 +293,15 @@
     }
 }
 
-fn decode(_: &[u8]) -> Result<exchange::catalog::RouteCatalog, String> {
-    Ok(super::catalog(1))
+/// A configuration of the version that the document names.
+pub fn decode(document: &[u8]) -> Result<catalog::RouteCatalog, String> {
+    let version = std::str::from_utf8(document).expect("text").parse();
+    Ok(super::catalog(version.expect("a number")))
 }
 
-/// Runs one VM; never ends. `reached` says whether the store answers it.
-pub async fn run_vm(
-    vms: rc::Rc<LossyVms>,
-    store: rc::Rc<LogStore>,
-    first: rc::Rc<Vec<news::ServerNews>>,
-    own: usize,
-    reached: bool,
-) {
+/// Runs one VM; never ends.
+pub async fn run_vm(vms: rc::Rc<LossyVms>, store: rc::Rc<LogStore>, own: usize) {
     let plane = vms.vms[own].plane.clone();
-    let store = rc::Rc::new(VmStore {
-        store,
-        first,
-        reached,
-    });
     let port = rc::Rc::new(LossyPort {
         vms: vms.clone(),
         own,
