--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -137,9 +137,6 @@
     datagram: &message::PeerDatagram,
     now: time::Instant,
 ) {
-    if datagram.polled {
-        state.notices.note_poll(now);
-    }
     for known in datagram.known.iter().filter_map(|known| known.parse().ok()) {
         if known != state.settings.link_address {
             state.peers.tell(known);
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -103,17 +103,15 @@
         };
         let now = time::Instant::now();
         let answered = page != Err(follow::StoreFault::Away);
-        // What a VM finds that polls for itself alone says nothing of the store.
-        let alone = !plane.state().reads_store(now) && plane.state().polls_alone(now);
-        if !alone && plane.state().note_store(answered, now) {
+        if plane.state().note_store(answered, now) {
             log::warn!(answered; "store changed");
-            plane.spread();
         }
         match page {
             Ok(page) => {
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Whole(_)) {
-                    note_poll(&plane, now);
+                    plane.state().notices.note_poll();
+                    plane.spread();
                     let gap = poll_gap(&plane, now);
                     time::sleep(gap).await;
                 }
@@ -124,21 +122,12 @@
     }
 }
 
-/// The store was polled: the others are told, unless each VM polls for itself and would tell all.
-fn note_poll<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) {
-    let mut state = plane.state();
-    if state.reads_store(now) {
-        state.notices.note_own_poll(now);
-        plane.spread();
-    }
-}
-
 /// Whether this VM reads the store now: the first page at its start, and what follows while it is one
-/// of those that read for all, or hears of none of them.
+/// of those that read for all.
 fn may_read<P>(plane: &plane::ExchangePlane<P>, cursor: &ListCursor) -> bool {
     let state = plane.state();
     let now = time::Instant::now();
-    let reader = state.reads_store(now) || state.polls_alone(now);
+    let reader = state.reads_store(now);
     match cursor {
         ListCursor::Start => reader || state.version() == 0,
         ListCursor::Within(part) => {
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -199,9 +199,6 @@
     /// Servers that were learnt to leave of late, by those that read the store for all.
     #[prost(message, repeated, tag = "24")]
     pub notices: Vec<NoticeItem>,
-    /// Whether the sender reads the store for all and has just polled it.
-    #[prost(bool, tag = "25")]
-    pub polled: bool,
 }
 
 /// Failure domains that are evacuated.
--- a/crates/exchange/src/notices.rs
+++ b/crates/exchange/src/notices.rs
@@ -9,9 +9,6 @@
 //! number of times. With a poll each second at the most and [`READERS`](crate::state::READERS) VMs that
 //! poll, the last VM knows within one poll, unless the datagrams of all of them are lost; each then tells
 //! it once more.
-//!
-//! These datagrams also say that their sender polled the store. A VM that has heard of no poll for too
-//! long polls by itself.
 
 use std::collections;
 
@@ -25,11 +22,6 @@
 pub const MOST_NOTICES: usize = 48;
 /// Notices that are kept; the oldest go first.
 const MOST_KEPT: usize = 4_096;
-/// How long a VM hears of no poll before it polls by itself: longer than any VM that reads the store lets
-/// pass between two polls.
-const UNPOLLED_MOST: time::Duration = time::Duration::from_millis(1_000);
-/// Added to it at random, so that not all VMs poll at once when the store is away.
-const UNPOLLED_SPREAD: time::Duration = time::Duration::from_millis(200);
 
 /// Notices that this VM took of late.
 #[derive(Debug, Default)]
@@ -38,8 +30,6 @@
     recent: collections::VecDeque<(time::Instant, message::NoticeItem)>,
     /// Whether this VM polled the store and has not told it yet.
     poll_untold: bool,
-    /// When this VM last polled for all or heard of such a poll; absent until it has.
-    polled_at: Option<time::Instant>,
 }
 
 impl LeavingNotices {
@@ -52,23 +42,9 @@
         self.recent.push_back((now, notice));
     }
 
-    /// This VM polled the store for all.
-    pub const fn note_own_poll(&mut self, now: time::Instant) {
+    /// This VM polled the store.
+    pub const fn note_poll(&mut self) {
         self.poll_untold = true;
-        self.note_poll(now);
-    }
-
-    /// The store was polled for all, as far as this VM hears.
-    pub const fn note_poll(&mut self, now: time::Instant) {
-        self.polled_at = Some(now);
-    }
-
-    /// Whether this VM hears of no poll any more; `draw`, from 0 to 1, is its own.
-    #[must_use]
-    pub fn is_uninformed(&self, draw: f64, now: time::Instant) -> bool {
-        let most = UNPOLLED_MOST + UNPOLLED_SPREAD.mul_f64(draw);
-        let polled_at = self.polled_at;
-        polled_at.is_some_and(|at| now.saturating_duration_since(at) >= most)
     }
 
     /// Notices to be told after a poll; absent while none is to be told of.
--- a/crates/exchange/src/speak.rs
+++ b/crates/exchange/src/speak.rs
@@ -181,10 +181,8 @@
         .then(|| audience::tellers(&state.peers, &own, turn + state.sequence, now))
         .flatten();
     let notices = (cause == SpeakCause::All).then(|| state.notices.take_due(now));
-    let notices = notices.flatten();
+    let notices = notices.flatten().unwrap_or_default();
     let mut datagram = datagram(state);
-    datagram.polled = notices.is_some();
-    let notices = notices.unwrap_or_default();
     datagram.refused = state.comebacks.take_untold(MOST_REFUSED);
     let first_hand = tellers.as_ref().unwrap_or(&audience);
     for news in news.chunks(MOST_NEWS) {
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -236,19 +236,6 @@
             }
     }
 
-    /// Whether this VM polls the store for itself: it hears of no poll of those that read for all, and
-    /// most of them do not say that the store is away.
-    #[must_use]
-    pub fn polls_alone(&self, now: time::Instant) -> bool {
-        let hash = xxhash_rust::xxh3::xxh3_64(self.settings.name.as_bytes());
-        let draw = f64::from(hash as u32) / f64::from(u32::MAX);
-        if self.store_away || !self.notices.is_uninformed(draw, now) {
-            return false;
-        }
-        let heard = self.peers.all().filter(|(_, peer)| peer.is_heard(now));
-        heard.filter(|(_, peer)| peer.store_away).count() < READERS / 2
-    }
-
     /// The rule of a service, if it is configured.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&catalog::ServiceRule> {
