Tests of many VMs make their VMs and addresses in one place

Cause: three test files had the address of a numbered VM, two the VM and the way back from its address; a counter of calls in the newer of them was never read. Change: they stand in the tests' world once.

--- a/crates/exchange/tests/audience.rs
+++ b/crates/exchange/tests/audience.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use std::{collections, net, time};
+use std::{collections, time};
 
 use exchange::{audience, catchup, link, message, peers, speak};
 use tokio::time::Instant;
@@ -10,27 +10,17 @@
 /// Failure domains of these VMs.
 const DOMAINS: usize = 9;
 
-fn name(number: usize) -> String {
-    format!("vm-{number:04}")
-}
-
-fn address(number: usize) -> net::SocketAddr {
-    let number = u16::try_from(number).expect("small");
-    let [high, low] = number.to_be_bytes();
-    net::SocketAddr::from(([10, 1, high, low], 81))
-}
-
 /// What a VM tells of itself.
 fn datagram(number: usize, sequence: u64) -> message::PeerDatagram {
     message::PeerDatagram {
         sender: number as u64 + 1,
-        name: name(number),
+        name: world::vm_name(number),
         domain: format!("d-{}", number % DOMAINS),
         incarnation: 1,
         sequence,
         stage: message::VmStage::Serving.into(),
         entry_address: String::from("10.0.0.1:80"),
-        link_address: address(number).to_string(),
+        link_address: world::vm_address(number).to_string(),
         system: world::SYSTEM,
         ..message::PeerDatagram::default()
     }
@@ -52,7 +42,7 @@
         for vms in [2, 30, 100] {
             let table = table(0, vms, &[], now);
             assert_eq!(audience::regular(&table, 3, now).len(), vms - 1);
-            assert_eq!(audience::tellers(&table, &name(0), 3, now), None);
+            assert_eq!(audience::tellers(&table, &world::vm_name(0), 3, now), None);
         }
     });
 }
@@ -78,7 +68,11 @@
             } else {
                 1
             };
-            assert_eq!(told.get(&address(number)), Some(&times), "VM {number}");
+            assert_eq!(
+                told.get(&world::vm_address(number)),
+                Some(&times),
+                "VM {number}"
+            );
         }
     });
 }
@@ -135,22 +129,24 @@
         for vms in [130, 200, 300, 410] {
             for (reader, turn) in [(0, 0), (7, 5), (vms / 2, 91), (vms - 1, 12_345)] {
                 let own = table(reader, vms, &[], now);
-                let tellers = audience::tellers(&own, &name(reader), turn, now).expect("large");
+                let tellers =
+                    audience::tellers(&own, &world::vm_name(reader), turn, now).expect("large");
                 assert!(tellers.len() < 25, "{} tellers", tellers.len());
                 let mut told: collections::BTreeSet<_> = tellers.iter().copied().collect();
                 for teller in 0..vms {
-                    if !tellers.contains(&address(teller)) {
+                    if !tellers.contains(&world::vm_address(teller)) {
                         continue;
                     }
                     // One VM is not known here yet.
                     let unknown = [(teller + 3) % vms];
                     let table = table(teller, vms, &unknown, now);
-                    let part = audience::own_part(&table, &name(teller), now);
+                    let part = audience::own_part(&table, &world::vm_name(teller), now);
                     assert!(part.len() < 26, "{} told by one", part.len());
                     told.extend(part);
                 }
-                let missed = (0..vms)
-                    .filter(|number| *number != reader && !told.contains(&address(*number)));
+                let missed = (0..vms).filter(|number| {
+                    *number != reader && !told.contains(&world::vm_address(*number))
+                });
                 // Each may miss the one that it does not know; the second telling finds it.
                 assert!(
                     missed.count() <= tellers.len(),
@@ -169,14 +165,14 @@
     world::run(async {
         let plane = world::plane();
         let first = link::take_datagram(&plane, &datagram(5, 1));
-        assert_eq!(first, Some(address(5)), "it may not know this VM");
+        assert_eq!(first, Some(world::vm_address(5)), "it may not know this VM");
         let second = link::take_datagram(&plane, &datagram(5, 2));
         assert_eq!(second, None);
         let stale = link::take_datagram(&plane, &datagram(5, 2));
         assert_eq!(stale, None);
         tokio::time::advance(time::Duration::from_secs(9)).await;
         let back = link::take_datagram(&plane, &datagram(5, 3));
-        assert_eq!(back, Some(address(5)), "it was silent");
+        assert_eq!(back, Some(world::vm_address(5)), "it was silent");
     });
 }
 
--- a/crates/exchange/tests/world/herd.rs
+++ b/crates/exchange/tests/world/herd.rs
@@ -6,7 +6,7 @@
 use carry::transfer;
 use exchange::{
     audience, catalog, catchup, evacuation, follow, link, listing, message, news, plane, speak,
-    state, system,
+    system,
 };
 use prost::Message as _;
 use tokio::time::{self as clock, Instant};
@@ -270,15 +270,7 @@
 impl HerdVm {
     /// A VM that knows nothing yet, with a link of `rate` bytes a second.
     pub fn new(number: usize, rate: f64) -> Self {
-        let settings = state::PlaneSettings {
-            name: format!("vm-{number:04}"),
-            domain: format!("d-{}", number % DOMAINS),
-            link_address: address(number),
-            ..super::settings("")
-        };
-        let rng = rand::SeedableRng::seed_from_u64(number as u64);
-        let mut state = state::PlaneState::new(settings, rng);
-        state.system = system::SystemBelief::Known(super::system_id(super::SYSTEM));
+        let state = super::vm_state(number, DOMAINS);
         Self {
             plane: rc::Rc::new(plane::ExchangePlane::new(super::FakePort::default(), state)),
             link: rc::Rc::new(SharedLink::new(rate)),
@@ -310,7 +302,7 @@
         ask: &message::StateAsk,
         meter: &transfer::TransferMeter,
     ) -> io::Result<message::StateReply> {
-        let asked = &self.herd[number_of(address)];
+        let asked = &self.herd[super::vm_number(address)];
         clock::sleep(LINK_DELAY).await;
         let answer = asked
             .started
@@ -328,19 +320,6 @@
     }
 }
 
-fn address(number: usize) -> net::SocketAddr {
-    let [high, low] = u16::try_from(number).expect("small").to_be_bytes();
-    net::SocketAddr::from(([10, 1, high, low], 81))
-}
-
-fn number_of(address: net::SocketAddr) -> usize {
-    let net::IpAddr::V4(ip) = address.ip() else {
-        unreachable!("all are V4");
-    };
-    let [_, _, high, low] = ip.octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 /// Time between two looks whether there is something that all should hear at once.
 const SPREAD_LOOK: time::Duration = time::Duration::from_millis(25);
 
@@ -366,7 +345,7 @@
             } else {
                 turn += 1;
                 let regular = audience::regular(&state.peers, turn - 1, now);
-                regular.into_iter().map(number_of).collect()
+                regular.into_iter().map(super::vm_number).collect()
             };
             let told = speak::introduction(&mut state);
             (told, audience, state.peers.speak_gap())
--- a/crates/exchange/tests/world/lossy.rs
+++ b/crates/exchange/tests/world/lossy.rs
@@ -4,9 +4,7 @@
 use std::{cell, collections, io, net, rc, time};
 
 use carry::transfer;
-use exchange::{
-    catalog, catchup, follow, link, listing, message, news, plane, speak, state, system,
-};
+use exchange::{catalog, catchup, follow, link, listing, message, news, plane, speak, system};
 use prost::Message as _;
 use tokio::{
     sync::mpsc,
@@ -37,7 +35,6 @@
 #[derive(Debug, Default)]
 pub struct LogStore {
     pub records: cell::RefCell<Vec<news::ServerNews>>,
-    pub calls: cell::Cell<usize>,
 }
 
 impl LogStore {
@@ -46,11 +43,6 @@
         let offset = records.len() as u64 + 1;
         records.push(super::news(id, offset, entry));
     }
-
-    async fn call(&self) {
-        self.calls.set(self.calls.get() + 1);
-        clock::sleep(STORE_TIME).await;
-    }
 }
 
 impl follow::StorePort for LogStore {
@@ -58,7 +50,7 @@
         &self,
         _after: Option<&str>,
     ) -> Result<follow::NewsPage, follow::StoreFault> {
-        self.call().await;
+        clock::sleep(STORE_TIME).await;
         let records = self.records.borrow();
         let newest: collections::BTreeMap<_, _> =
             records.iter().map(|news| (&news.id, news)).collect();
@@ -70,7 +62,7 @@
     }
 
     async fn read_news(&self, from: u64) -> Result<follow::NewsPage, follow::StoreFault> {
-        self.call().await;
+        clock::sleep(STORE_TIME).await;
         let records = self.records.borrow();
         let first = usize::try_from(from).expect("small");
         Ok(follow::NewsPage {
@@ -205,15 +197,7 @@
 }
 
 fn new_plane(number: usize, first: &[news::ServerNews]) -> super::TestPlane {
-    let settings = state::PlaneSettings {
-        name: format!("vm-{number:04}"),
-        domain: format!("d-{}", number % DOMAINS),
-        link_address: address(number),
-        ..super::settings("")
-    };
-    let rng = rand::SeedableRng::seed_from_u64(number as u64);
-    let mut state = state::PlaneState::new(settings, rng);
-    state.system = system::SystemBelief::Known(super::system_id(super::SYSTEM));
+    let mut state = super::vm_state(number, DOMAINS);
     for news in first {
         state.take_news(news.clone(), false, Instant::now());
     }
@@ -222,19 +206,6 @@
     rc::Rc::new(plane::ExchangePlane::new(super::FakePort::default(), state))
 }
 
-pub fn address(number: usize) -> net::SocketAddr {
-    let [high, low] = u16::try_from(number).expect("small").to_be_bytes();
-    net::SocketAddr::from(([10, 1, high, low], 81))
-}
-
-fn number_of(address: net::SocketAddr) -> usize {
-    let net::IpAddr::V4(ip) = address.ip() else {
-        unreachable!("all are V4");
-    };
-    let [_, _, high, low] = ip.octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 /// Datagrams as one VM sends them.
 struct LossyPort {
     vms: rc::Rc<LossyVms>,
@@ -243,7 +214,7 @@
 
 impl speak::DatagramPort for LossyPort {
     fn send(&self, datagram: &[u8], address: net::SocketAddr) {
-        self.vms.send(self.own, datagram, number_of(address));
+        self.vms.send(self.own, datagram, super::vm_number(address));
     }
 }
 
@@ -260,7 +231,7 @@
         ask: &message::StateAsk,
         meter: &transfer::TransferMeter,
     ) -> io::Result<message::StateReply> {
-        let asked = &self.vms.vms[number_of(address)];
+        let asked = &self.vms.vms[super::vm_number(address)];
         let answers = |vm: &LossyVm| matches!(vm.health.get(), VmHealth::Sound | VmHealth::Deaf);
         if !answers(asked) || !answers(&self.vms.vms[self.own]) {
             std::future::pending::<()>().await;
--- a/crates/exchange/tests/world/mod.rs
+++ b/crates/exchange/tests/world/mod.rs
@@ -229,6 +229,40 @@
     }
 }
 
+/// Name of one of many VMs.
+pub fn vm_name(number: usize) -> String {
+    format!("vm-{number:04}")
+}
+
+/// Where the others reach one of many VMs.
+pub fn vm_address(number: usize) -> net::SocketAddr {
+    let [high, low] = u16::try_from(number).expect("small").to_be_bytes();
+    net::SocketAddr::from(([10, 1, high, low], 81))
+}
+
+/// Which of many VMs is reached there.
+pub fn vm_number(address: net::SocketAddr) -> usize {
+    let net::IpAddr::V4(ip) = address.ip() else {
+        unreachable!("all are V4");
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+/// One of many VMs in so many failure domains, which knows nothing but its system.
+pub fn vm_state(number: usize, domains: usize) -> state::PlaneState {
+    let settings = state::PlaneSettings {
+        name: vm_name(number),
+        domain: format!("d-{}", number % domains),
+        link_address: vm_address(number),
+        ..settings("")
+    };
+    let rng = rand::SeedableRng::seed_from_u64(number as u64);
+    let mut state = state::PlaneState::new(settings, rng);
+    state.system = system::SystemBelief::Known(system_id(SYSTEM));
+    state
+}
+
 pub fn engine_rule() -> catalog::EngineRule {
     catalog::EngineRule {
         memory_tokens: 20_000,
