Readers tell all others after a poll only where a server has left of late

Found on reading the change again. Each VM whose poll was whole told all others, also one that read the first page at its start and reads for nobody, and also where there was nothing to tell. Now a reader does that has notices. With it: news and notices go into a datagram of their own by one function, and whether a VM is near is asked of its record (catchup) rather than compared again.

--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -218,11 +218,11 @@
             now.saturating_duration_since(since) >= first
         });
     let newer = heard().filter(|peer| late && peer.catalog_version > version);
-    let newer = near_first(newer.collect(), &state.settings.domain);
+    let newer = near_first(newer.collect());
     let newer = newer.get(draw % newer.len().max(1)).copied();
     let newer = newer.or_else(|| {
         let whole = heard().filter(|peer| !state.servers_whole && !peer.partial);
-        let asked = near_first(whole.collect(), &state.settings.domain);
+        let asked = near_first(whole.collect());
         asked.get(draw % asked.len().max(1)).copied()
     });
     let differs = state
@@ -239,8 +239,8 @@
 
 /// VMs of this VM's failure domain if there are some, as bytes between domains are dear; else all. One
 /// alone would be asked by its whole domain.
-fn near_first<'a>(peers: Vec<&'a peers::PeerRecord>, domain: &str) -> Vec<&'a peers::PeerRecord> {
-    let near = peers.iter().filter(|peer| peer.domain == domain);
+fn near_first(peers: Vec<&peers::PeerRecord>) -> Vec<&peers::PeerRecord> {
+    let near = peers.iter().filter(|peer| peer.near);
     let near: Vec<_> = near.copied().collect();
     if near.len() > 1 { near } else { peers }
 }
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -110,8 +110,7 @@
             Ok(page) => {
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Whole(_)) {
-                    plane.state().notices.note_poll();
-                    plane.spread();
+                    tell_notices(&plane, now);
                     let gap = poll_gap(&plane, now);
                     time::sleep(gap).await;
                 }
@@ -122,6 +121,14 @@
     }
 }
 
+/// Has the others told after a poll which servers leave, where this VM reads the store for all.
+fn tell_notices<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) {
+    let mut state = plane.state();
+    if state.reads_store(now) && state.notices.make_due(now) {
+        plane.spread();
+    }
+}
+
 /// Whether this VM reads the store now: the first page at its start, and what follows while it is one
 /// of those that read for all.
 fn may_read<P>(plane: &plane::ExchangePlane<P>, cursor: &ListCursor) -> bool {
--- a/crates/exchange/src/notices.rs
+++ b/crates/exchange/src/notices.rs
@@ -28,8 +28,8 @@
 pub struct LeavingNotices {
     /// Oldest first.
     recent: collections::VecDeque<(time::Instant, message::NoticeItem)>,
-    /// Whether this VM polled the store and has not told it yet.
-    poll_untold: bool,
+    /// Whether they are to be told with the next datagram to all.
+    due: bool,
 }
 
 impl LeavingNotices {
@@ -42,18 +42,19 @@
         self.recent.push_back((now, notice));
     }
 
-    /// This VM polled the store.
-    pub const fn note_poll(&mut self) {
-        self.poll_untold = true;
+    /// This VM polled the store: what it has is to be told. Says whether there is any.
+    pub fn make_due(&mut self, now: time::Instant) -> bool {
+        self.forget_old(now);
+        self.due = !self.recent.is_empty();
+        self.due
     }
 
-    /// Notices to be told after a poll; absent while none is to be told of.
-    pub fn take_due(&mut self, now: time::Instant) -> Option<Vec<message::NoticeItem>> {
-        if !std::mem::take(&mut self.poll_untold) {
-            return None;
+    /// Notices that are to be told now.
+    pub fn take_due(&mut self) -> Vec<message::NoticeItem> {
+        if !std::mem::take(&mut self.due) {
+            return Vec::new();
         }
-        self.forget_old(now);
-        Some(self.recent.iter().map(|(_, notice)| *notice).collect())
+        self.recent.iter().map(|(_, notice)| *notice).collect()
     }
 
     fn forget_old(&mut self, now: time::Instant) {
--- a/crates/exchange/src/speak.rs
+++ b/crates/exchange/src/speak.rs
@@ -180,8 +180,6 @@
     let tellers = (!news.is_empty())
         .then(|| audience::tellers(&state.peers, &own, turn + state.sequence, now))
         .flatten();
-    let notices = (cause == SpeakCause::All).then(|| state.notices.take_due(now));
-    let notices = notices.flatten().unwrap_or_default();
     let mut datagram = datagram(state);
     datagram.refused = state.comebacks.take_untold(MOST_REFUSED);
     let first_hand = tellers.as_ref().unwrap_or(&audience);
@@ -201,18 +199,16 @@
             composed.push((part.clone(), bytes));
         }
     }
-    for chunk in notices.chunks(notices::MOST_NOTICES) {
-        let bytes = with_notices(state, &datagram, chunk);
-        composed.push((audience.clone(), bytes));
-    }
+    let noticed = with_notices(state, &datagram, cause);
+    // All have heard it with the news or notices already.
+    let said = !large && !news.is_empty() || !noticed.is_empty();
+    composed.extend(noticed.into_iter().map(|bytes| (audience.clone(), bytes)));
     datagram.sequence = state.next_sequence();
     if rare {
         state.peers.sweep(now);
         audience.extend(audience::silent(&state.peers, now));
     }
     let greeted = state.peers.greetings(now);
-    // All have heard it with the news or notices already.
-    let said = !large && !news.is_empty() || !notices.is_empty();
     // Few datagrams say who sends them; the others need not be written twice.
     if !rare && !said {
         composed.push((std::mem::take(&mut audience), encode(&mut datagram)));
@@ -235,22 +231,40 @@
     news: &[message::NewsItem],
     tell_on: bool,
 ) -> Vec<u8> {
-    let mut datagram = datagram.clone();
-    datagram.sequence = state.next_sequence();
-    datagram.news = news.to_vec();
-    datagram.tell_on = tell_on;
-    encode(&mut datagram)
+    with(state, datagram, |datagram| {
+        datagram.news = news.to_vec();
+        datagram.tell_on = tell_on;
+    })
 }
 
-/// A datagram of its own for some notices.
+/// Datagrams of their own for notices, where all are told and some are due.
 fn with_notices(
     state: &mut state::PlaneState,
     datagram: &message::PeerDatagram,
-    notices: &[message::NoticeItem],
+    cause: SpeakCause,
+) -> Vec<Vec<u8>> {
+    if cause != SpeakCause::All {
+        return Vec::new();
+    }
+    let notices = state.notices.take_due();
+    let chunks = notices.chunks(notices::MOST_NOTICES);
+    let chunks = chunks.map(|chunk| {
+        with(state, datagram, |datagram| {
+            datagram.notices = chunk.to_vec();
+        })
+    });
+    chunks.collect()
+}
+
+/// A datagram of its own, with more than the others have.
+fn with(
+    state: &mut state::PlaneState,
+    datagram: &message::PeerDatagram,
+    add: impl FnOnce(&mut message::PeerDatagram),
 ) -> Vec<u8> {
     let mut datagram = datagram.clone();
     datagram.sequence = state.next_sequence();
-    datagram.notices = notices.to_vec();
+    add(&mut datagram);
     encode(&mut datagram)
 }
 
