A late datagram of a process before is not taken for one of the VM's process that runs

Cause: the hash by which a process names itself went on to lead to the VM's name after its next process was heard. A datagram without a name that came late, with a greater number than the new process's, then counted, and what the new one said was stale until its numbers had grown as far: the VM would be silent to that peer and missing in its lookups. Change: the hash of the process before is forgotten with it.

Test: a_late_datagram_of_a_process_before_is_not_of_the_one_that_runs, failed before (Same where Stale is right).

--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -55,6 +55,8 @@
     pub heard_at: time::Instant,
     /// Until when it counts as heard.
     heard_until: time::Instant,
+    /// Hash by which that process names itself.
+    sender: u64,
 }
 
 impl PeerRecord {
@@ -79,6 +81,7 @@
             waiting: Vec::new(),
             heard_at: now,
             heard_until: now,
+            sender: datagram.sender,
         })
     }
 
@@ -200,6 +203,8 @@
             }
             record.stage = known.stage;
             record.heard_until = known.heard_until;
+            // What a process before sent late would else count as of this one, whose numbers begin anew.
+            self.senders.remove(&known.sender);
         }
         let (near, far) = self.heard_for();
         let heard_for = if record.near { near } else { far };
--- a/crates/exchange/tests/audience.rs
+++ b/crates/exchange/tests/audience.rs
@@ -305,3 +305,28 @@
         );
     }
 }
+
+#[test]
+fn a_late_datagram_of_a_process_before_is_not_of_the_one_that_runs() {
+    // Guards against a VM that is silent to others after its restart, since its numbers begin anew.
+    let now = Instant::now();
+    let mut table = peers::PeerTable::new("d-0");
+    let before = datagram(5, 5_000);
+    let mut after = message::PeerDatagram {
+        sender: 1_005,
+        incarnation: 2,
+        ..datagram(5, 1)
+    };
+    let mut late = message::PeerDatagram {
+        name: String::new(),
+        sequence: 5_001,
+        ..before.clone()
+    };
+    assert_eq!(table.take(&before, now), peers::PeerChange::Changed);
+    table.take(&after, now);
+    assert_eq!(table.take(&late, now), peers::PeerChange::Stale);
+    after.sequence = 2;
+    assert_eq!(table.take(&after, now), peers::PeerChange::Same);
+    late.sequence = 5_002;
+    assert_eq!(table.take(&late, now), peers::PeerChange::Stale);
+}
