Readers tell all others after each poll again, with or without notices

What stays of the re-read: a VM that reads for nobody tells nobody, one function for datagrams of their own.

--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -110,7 +110,7 @@
             Ok(page) => {
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Whole(_)) {
-                    tell_notices(&plane, now);
+                    tell_poll(&plane, now);
                     let gap = poll_gap(&plane, now);
                     time::sleep(gap).await;
                 }
@@ -121,10 +121,12 @@
     }
 }
 
-/// Has the others told after a poll which servers leave, where this VM reads the store for all.
-fn tell_notices<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) {
+/// Has the others told after a poll, where this VM reads the store for all: of servers that leave, and also
+/// without any, since the same datagram brings evacuations and the version of the configuration.
+fn tell_poll<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) {
     let mut state = plane.state();
-    if state.reads_store(now) && state.notices.make_due(now) {
+    if state.reads_store(now) {
+        state.notices.make_due(now);
         plane.spread();
     }
 }
--- a/crates/exchange/src/notices.rs
+++ b/crates/exchange/src/notices.rs
@@ -42,11 +42,10 @@
         self.recent.push_back((now, notice));
     }
 
-    /// This VM polled the store: what it has is to be told. Says whether there is any.
-    pub fn make_due(&mut self, now: time::Instant) -> bool {
+    /// This VM polled the store: what it has is to be told.
+    pub fn make_due(&mut self, now: time::Instant) {
         self.forget_old(now);
-        self.due = !self.recent.is_empty();
-        self.due
+        self.due = true;
     }
 
     /// Notices that are to be told now.
