exchange, platform: read and log the limit that a server states

Change: answers of servers carry signals beside the reply (port::SignalledReply). The plane keeps the newest statement, logs each change and counts requests to limited servers by kind. No decision uses it yet.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -397,6 +397,11 @@
         }
     }
 
+    /// Returns a server, mutably.
+    pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut server::ServerRecord> {
+        self.servers.get_mut(key)
+    }
+
     /// Records that a server is full; it gets no requests before `until`.
     pub fn mark_full(&mut self, key: ServerKey, until: time::Instant) {
         if let Some(record) = self.servers.get_mut(key) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod forecast;
+pub mod limits;
 pub mod link;
 pub mod listing;
 pub mod loads;
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -176,6 +176,9 @@
     ) -> (Result<port::CopyDone, port::CopyFault>, Option<RelayEnd>) {
         let plane = self.plane.clone();
         let run = self.request.id.clone();
+        let from = live.placed.server;
+        let sent = time::Instant::now();
+        plane.count_limited(from, "copy");
         let copying = plane.port.copy(source.clone(), run, target.address, stop);
         tokio::pin!(copying);
         let mut ended = None;
@@ -185,7 +188,9 @@
             };
             tokio::select! {
                 biased;
-                copied = &mut copying => return (copied, ended),
+                copied = &mut copying => {
+                    return (plane.take_signals(from, sent, copied), ended);
+                }
                 part = body.next(), if ended.is_none() => match part {
                     Some(Ok(bytes)) => self.forward(live, &bytes).await,
                     Some(Err(_)) => ended = Some(RelayEnd::Broken),
@@ -210,7 +215,14 @@
     fn release(&self, source: port::ServerTarget, handle: Option<String>) {
         let Some(handle) = handle else { return };
         let plane = self.plane.clone();
-        tokio::task::spawn_local(async move { plane.port.release(source, handle).await });
+        let key = plane.state().fleet.find(&source.id);
+        tokio::task::spawn_local(async move {
+            let sent = time::Instant::now();
+            let reply = plane.port.release(source, handle).await;
+            if let Some(key) = key {
+                plane.take_signals(key, sent, reply);
+            }
+        });
     }
 
     /// Forwards the last events of a stopped run.
@@ -247,8 +259,10 @@
             let Some(call) = self.call(live, Some(resume), server) else {
                 continue;
             };
-            let opened = self.plane.port.open(call).await;
-            match opened {
+            let sent = time::Instant::now();
+            self.plane.count_limited(server, "resume");
+            let reply = self.plane.port.open(call).await;
+            match self.plane.take_signals(server, sent, reply) {
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
                     self.moved(live, server);
                     self.spare = None;
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -243,6 +243,37 @@
             .record_outcome(server, verdict, time::Instant::now());
     }
 
+    /// Takes the signals of an answer to a request that was sent at `sent_at`, and returns the reply.
+    pub(crate) fn take_signals<T>(
+        &self,
+        key: fleet::ServerKey,
+        sent_at: time::Instant,
+        reply: port::SignalledReply<T>,
+    ) -> T {
+        let now = time::Instant::now();
+        let mut state = self.state.borrow_mut();
+        if let Some(signal) = reply.signals.limit
+            && let Some(server) = state.fleet.server_mut(key)
+            && server.limit.take_signal(signal, sent_at, now)
+        {
+            log::info!(
+                server:% = server.id, per_second:? = server.limit.per_second(), source:% = "server";
+                "server changed its limit"
+            );
+        }
+        reply.reply
+    }
+
+    /// Counts a request to a server that states a limit.
+    pub(crate) fn count_limited(&self, key: fleet::ServerKey, kind: &'static str) {
+        let state = self.state.borrow();
+        let server = state.fleet.server(key);
+        if server.is_some_and(|server| server.limit.per_second().is_some()) {
+            metrics::counter!("pollenchute_exchange_limited_requests_total", "kind" => kind)
+                .increment(1);
+        }
+    }
+
     /// Refusal of a request that certainly did not run.
     pub(crate) fn refuse(
         &self,
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -118,6 +118,39 @@
     }
 }
 
+/// Limit on requests as an answer of a server states it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitSignal {
+    /// Requests per second that the server takes from all VMs together.
+    PerSecond(f64),
+    /// The server takes any number.
+    Unlimited,
+}
+
+/// What a server says of itself in an answer, whatever it answers to the request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerSignals {
+    /// Limit on requests; `None` if the answer does not tell.
+    pub limit: Option<LimitSignal>,
+}
+
+/// Reply of a server, with the signals of the answer that it was read from.
+#[derive(Debug)]
+pub struct SignalledReply<T> {
+    /// The reply.
+    pub reply: T,
+    /// Empty if there was no answer.
+    pub signals: ServerSignals,
+}
+
+impl<T> SignalledReply<T> {
+    /// A reply without an answer of the server.
+    pub const fn silent(reply: T) -> Self {
+        let signals = ServerSignals { limit: None };
+        Self { reply, signals }
+    }
+}
+
 /// Response of a server.
 #[derive(Debug)]
 pub struct ServerResponse<B> {
@@ -173,7 +206,10 @@
     type Body: ResponseBody;
 
     /// Sends one attempt; dropping the future cancels it and closes its connection.
-    fn open(&self, call: ServerCall) -> impl Future<Output = CallOutcome<Self::Body>>;
+    fn open(
+        &self,
+        call: ServerCall,
+    ) -> impl Future<Output = SignalledReply<CallOutcome<Self::Body>>>;
 
     /// Reserves memory and a slot on a server, for a request that is sent there next.
     fn reserve(
@@ -181,7 +217,7 @@
         target: ServerTarget,
         tokens: u64,
         span: time::Duration,
-    ) -> impl Future<Output = Result<String, ReserveFault>>;
+    ) -> impl Future<Output = SignalledReply<Result<String, ReserveFault>>>;
 
     /// Copies a run's memory to another server; with `stop`, the run stops first.
     fn copy(
@@ -190,8 +226,12 @@
         run: String,
         to: net::SocketAddr,
         stop: bool,
-    ) -> impl Future<Output = Result<CopyDone, CopyFault>>;
+    ) -> impl Future<Output = SignalledReply<Result<CopyDone, CopyFault>>>;
 
     /// Releases an unused copy.
-    fn release(&self, source: ServerTarget, handle: String) -> impl Future<Output = ()>;
+    fn release(
+        &self,
+        source: ServerTarget,
+        handle: String,
+    ) -> impl Future<Output = SignalledReply<()>>;
 }
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -152,6 +152,12 @@
         &mut self,
         placed: plane::PlacedRun<P>,
     ) -> impl Future<Output = (fleet::ServerKey, AttemptEnd<P>)> + use<P, G> {
+        let kind = if self.avoid.is_empty() {
+            "first"
+        } else {
+            "further"
+        };
+        self.plane.count_limited(placed.server, kind);
         self.avoid.push(placed.server);
         self.sent += 1;
         let plane = self.plane.clone();
@@ -300,7 +306,9 @@
         backup: None,
         reuse,
     };
-    let end = match plane.port.open(call).await {
+    let sent_at = time::Instant::now();
+    let reply = plane.port.open(call).await;
+    let end = match plane.take_signals(placed.server, sent_at, reply) {
         port::CallOutcome::Responded(response) => read_response(response, placed).await,
         port::CallOutcome::NotRun(cause) => {
             let verdict = match cause {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -226,7 +226,10 @@
             // Reported as not run, it would be retried by its caller while it still runs.
             let before = self.ran;
             self.ran = before.and(outcome::RanState::Unknown);
-            match self.plane.port.open(call).await {
+            let kind = if avoid.len() == 1 { "first" } else { "further" };
+            self.plane.count_limited(server, kind);
+            let reply = self.plane.port.open(call).await;
+            match self.plane.take_signals(server, sent, reply) {
                 port::CallOutcome::Responded(response) => {
                     self.ran = outcome::RanState::Yes;
                     self.begin_response(&mut live, response, sent);
@@ -263,8 +266,10 @@
         let Some(target) = self.plane.target(server) else {
             return Err(port::ReserveFault::Unreachable);
         };
-        let reserved = self.plane.port.reserve(target, tokens, span).await;
-        match reserved {
+        let sent = time::Instant::now();
+        self.plane.count_limited(server, "reserve");
+        let reply = self.plane.port.reserve(target, tokens, span).await;
+        match self.plane.take_signals(server, sent, reply) {
             Ok(handle) => Ok(Some(handle)),
             Err(error) => {
                 log::info!(
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::update;
+use crate::{limits, update};
 
 /// Half-life of a server's failure rate: a server that failed or stopped responding gets attempts
 /// again after about three half-lives.
@@ -72,6 +72,8 @@
     failure_rate: f64,
     /// The server reported that it is full, and gets no requests until then.
     full_until: Option<time::Instant>,
+    /// Limit on requests that the server states.
+    pub limit: limits::ServerLimit,
     /// When this VM last sent an attempt to the server.
     used_at: Option<time::Instant>,
     /// When `failure_rate` was last updated.
@@ -107,6 +109,7 @@
             lapse_grace_until: None,
             failure_rate: 0.0,
             full_until: None,
+            limit: limits::ServerLimit::default(),
             used_at: None,
             failure_rate_at: now,
             latency_ms: 0.0,
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -58,6 +58,10 @@
     pub copies: cell::RefCell<collections::VecDeque<Result<port::CopyDone, port::CopyFault>>>,
     /// Requested copies: source, target, whether the run was to stop.
     pub copied: cell::RefCell<Vec<(String, net::SocketAddr, bool)>>,
+    /// Signals in each answer of a server.
+    pub signals: cell::RefCell<collections::HashMap<String, port::ServerSignals>>,
+    /// Requests of any kind that servers got, with the time.
+    pub arrivals: cell::RefCell<Vec<(String, tokio::time::Instant)>>,
     /// Runs whose responses are still open, by server.
     pub open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
 }
@@ -130,7 +134,77 @@
 impl port::ServerPort for FakePort {
     type Body = FakeBody;
 
-    async fn open(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
+    async fn open(
+        &self,
+        call: port::ServerCall,
+    ) -> port::SignalledReply<port::CallOutcome<FakeBody>> {
+        let server = call.target.id.clone();
+        let reply = self.respond(call).await;
+        let answered = !matches!(reply, port::CallOutcome::Lost(_));
+        self.signalled(&server, reply, answered)
+    }
+
+    async fn reserve(
+        &self,
+        target: port::ServerTarget,
+        _tokens: u64,
+        _span: time::Duration,
+    ) -> port::SignalledReply<Result<String, port::ReserveFault>> {
+        self.count(&target.id);
+        let reply = if self.full.borrow().contains(&target.id) {
+            Err(port::ReserveFault::Full)
+        } else {
+            Ok(format!("hold-{}", target.id))
+        };
+        self.signalled(&target.id, reply, true)
+    }
+
+    async fn copy(
+        &self,
+        source: port::ServerTarget,
+        _run: String,
+        to: net::SocketAddr,
+        stop: bool,
+    ) -> port::SignalledReply<Result<port::CopyDone, port::CopyFault>> {
+        self.count(&source.id);
+        self.copied.borrow_mut().push((source.id.clone(), to, stop));
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+        let reply = self.copies.borrow_mut().pop_front();
+        let reply = reply.unwrap_or(Ok(port::CopyDone {
+            handle: String::from("h1"),
+            events: 3,
+        }));
+        self.signalled(&source.id, reply, true)
+    }
+
+    async fn release(
+        &self,
+        source: port::ServerTarget,
+        _handle: String,
+    ) -> port::SignalledReply<()> {
+        self.count(&source.id);
+        self.signalled(&source.id, (), true)
+    }
+}
+
+impl FakePort {
+    /// Records that a server got a request of any kind.
+    fn count(&self, server: &str) {
+        let now = tokio::time::Instant::now();
+        self.arrivals.borrow_mut().push((server.to_owned(), now));
+    }
+
+    /// Adds the signals that the server gives now, if it answered.
+    fn signalled<T>(&self, server: &str, reply: T, answered: bool) -> port::SignalledReply<T> {
+        let signals = self.signals.borrow().get(server).copied();
+        port::SignalledReply {
+            reply,
+            signals: signals.filter(|_| answered).unwrap_or_default(),
+        }
+    }
+
+    async fn respond(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
+        self.count(&call.target.id);
         let script = {
             let mut scripts = self.scripts.borrow_mut();
             let script = scripts
@@ -177,36 +251,6 @@
             body,
         })
     }
-
-    async fn reserve(
-        &self,
-        target: port::ServerTarget,
-        _tokens: u64,
-        _span: time::Duration,
-    ) -> Result<String, port::ReserveFault> {
-        if self.full.borrow().contains(&target.id) {
-            return Err(port::ReserveFault::Full);
-        }
-        Ok(format!("hold-{}", target.id))
-    }
-
-    async fn copy(
-        &self,
-        source: port::ServerTarget,
-        _run: String,
-        to: net::SocketAddr,
-        stop: bool,
-    ) -> Result<port::CopyDone, port::CopyFault> {
-        self.copied.borrow_mut().push((source.id, to, stop));
-        tokio::time::sleep(time::Duration::from_millis(20)).await;
-        let result = self.copies.borrow_mut().pop_front();
-        result.unwrap_or(Ok(port::CopyDone {
-            handle: String::from("h1"),
-            events: 3,
-        }))
-    }
-
-    async fn release(&self, _source: port::ServerTarget, _handle: String) {}
 }
 
 pub type TestPlane = rc::Rc<plane::ExchangePlane<FakePort>>;
