--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -60,6 +60,8 @@
     pub copied: cell::RefCell<Vec<(String, net::SocketAddr, bool)>>,
     /// Signals in each answer of a server.
     pub signals: cell::RefCell<collections::HashMap<String, port::ServerSignals>>,
+    /// When each server first stated a limit to this VM.
+    pub told: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
     /// Requests of any kind that servers got, with the time.
     pub arrivals: cell::RefCell<Vec<(String, tokio::time::Instant)>>,
     /// Runs whose responses are still open, by server.
@@ -197,10 +199,13 @@
     /// Adds the signals that the server gives now, if it answered.
     fn signalled<T>(&self, server: &str, reply: T, answered: bool) -> port::SignalledReply<T> {
         let signals = self.signals.borrow().get(server).copied();
-        port::SignalledReply {
-            reply,
-            signals: signals.filter(|_| answered).unwrap_or_default(),
+        let signals = signals.filter(|_| answered).unwrap_or_default();
+        if let Some(port::LimitSignal::PerSecond(_)) = signals.limit {
+            let now = tokio::time::Instant::now();
+            let mut told = self.told.borrow_mut();
+            told.entry(server.to_owned()).or_insert(now);
         }
+        port::SignalledReply { reply, signals }
     }
 
     async fn respond(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
