exchange: keep the limits that servers state, over all VMs together

Cause: Server-Limit was forwarded to callers and used by no decision. The class of fault: a limit over all VMs that each VM can only keep alone.

Change: the requests of a window of 4 s are dealt out to the VMs that may send, by rank over names, so that the shares add up to the limit at 2 and at 300 VMs. Attempts, retries, hedges, reservations, copies and continued runs count. VMs tell each other what servers stated, with its age. A VM that has just started and knows nobody has no share; one that fell silent keeps it.

Found on the way by the new tests: late VMs that had heard of nobody took the whole limit (61 requests of 28 at 40 VMs, 13 of them late, VMs killed); they now have no share for 5 s.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::{evacuation, loads, runs, server, update};
+use crate::{evacuation, limits, loads, runs, server, update};
 
 slotmap::new_key_type! {
     /// Key of one incarnation of a backend server.
@@ -50,6 +50,8 @@
     recently_failed: collections::HashSet<ServerKey>,
     /// Hash over the standing of all servers; each whose standing is not `Gone` contributes.
     standing_hash: u64,
+    /// Servers that stated a limit on requests.
+    pub limited: limits::LimitedServers,
     /// Failure domains whose servers get no new work.
     evacuations: evacuation::EvacuationSet,
     /// Loads reported by other VMs.
@@ -267,6 +269,7 @@
             keys.retain(|known| *known != key);
         }
         self.recently_failed.remove(&key);
+        self.limited.remove(key);
         self.peers.forget(key);
     }
 
@@ -282,6 +285,14 @@
         self.by_hash.get(&hash).copied()
     }
 
+    /// Returns a server by its [`server::ServerRecord::incarnation_hash`].
+    #[must_use]
+    pub fn find_incarnation(&self, hash: u64) -> Option<ServerKey> {
+        let key = self.find_by_hash(hash as u32)?;
+        let record = self.servers.get(key)?;
+        (record.incarnation_hash() == hash).then_some(key)
+    }
+
     /// Returns the newest incarnation of a server.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<ServerKey> {
@@ -357,6 +368,7 @@
     pub fn start(&mut self, run: runs::RunRecord) -> RunKey {
         if let Some(record) = self.servers.get_mut(run.server) {
             record.mark_used(run.started);
+            record.limit.count_request(run.started);
         }
         self.runs.insert(run)
     }
@@ -397,6 +409,55 @@
         }
     }
 
+    /// Counts a request other than an attempt, such as a reservation or a copy.
+    pub fn count_request(&mut self, key: ServerKey, now: time::Instant) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.limit.count_request(now);
+        }
+    }
+
+    /// Returns whether a server may get a request of this VM now.
+    #[must_use]
+    pub fn may_send(&self, key: ServerKey, now: time::Instant) -> bool {
+        let record = self.servers.get(key);
+        record.is_some_and(|record| record.limit.allows(now))
+    }
+
+    /// Returns whether a server states a limit on requests.
+    #[must_use]
+    pub fn is_limited(&self, key: ServerKey, now: time::Instant) -> bool {
+        let record = self.servers.get(key);
+        record.is_some_and(|record| record.limit.per_second(now).is_some())
+    }
+
+    /// Returns whether all servers that could get a request of this VM take none before `until`.
+    #[must_use]
+    pub fn is_withheld(
+        &self,
+        service: &str,
+        avoid: &[ServerKey],
+        until: time::Instant,
+        now: time::Instant,
+    ) -> bool {
+        let mut servers = self
+            .ready(service, now)
+            .filter(|(key, _)| !avoid.contains(key))
+            .peekable();
+        let next = |record: &server::ServerRecord| record.limit.next_request(now);
+        servers.peek().is_some()
+            && servers.all(|(_, record)| next(record).is_none_or(|at| at > until))
+    }
+
+    /// Computes the shares of this VM in the limits of servers anew.
+    pub fn update_limit_shares(&mut self, view: &limits::SenderView, now: time::Instant) {
+        for key in self.limited.keys() {
+            if let Some(record) = self.servers.get_mut(key) {
+                let hash = record.incarnation_hash();
+                record.limit.update_share(hash, view, now);
+            }
+        }
+    }
+
     /// Returns a server, mutably.
     pub fn server_mut(&mut self, key: ServerKey) -> Option<&mut server::ServerRecord> {
         self.servers.get_mut(key)
--- a/crates/exchange/src/limits.rs
+++ b/crates/exchange/src/limits.rs
@@ -1,22 +1,101 @@
 //! Limits on requests that servers state in their answers.
+//!
+//! Load pattern: an overloaded server states how many requests per second it takes from all VMs
+//! together. Each of them has sent it as much as it could, and none knows how much the others will
+//! send. The requests that the server takes in one window are therefore dealt out to the VMs that
+//! may send, in an order that all of them derive from the same names: the sum of all shares is the
+//! limit, whether there are fewer VMs than requests or more. VMs that fell silent without
+//! announcing a stop keep their share, because they may be cut off and still send.
+
+use std::collections;
 
 use tokio::time;
 
-use crate::port;
+use crate::{fleet, message, port, server};
+
+/// Window over which a limit is kept: the users sum requests over 4 s.
+const WINDOW: time::Duration = time::Duration::from_secs(4);
+/// Longest window, for limits of less than one request in [`WINDOW`]. A limit of zero is treated
+/// like this, because only an answer can tell that it has ended.
+const MAX_WINDOW: time::Duration = time::Duration::from_secs(30);
+/// Time for which a statement is repeated to other VMs.
+const REPEAT_TIME: time::Duration = time::Duration::from_secs(3);
+/// A limit that no VM has confirmed for this long counts as ended; the next answer tells.
+const RETENTION: time::Duration = time::Duration::from_secs(60);
+/// Interval between two computations of the shares while VMs come and go.
+const SHARE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Number of VMs that a VM assumes while it does not know whether there are others.
+pub const MANY_VMS: usize = 100_000;
+/// Maximum number of limits in one datagram, of up to 24 bytes each.
+pub const MAX_LIMITS_PER_DATAGRAM: usize = 16;
 
 /// Newest known statement of a server about its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitReport {
     /// Requests per second from all VMs together; `None` if the limit has ended.
     pub per_second: Option<f64>,
-    /// When the answer with the statement was received.
+    /// When the answer with the statement was received, by this VM or another one.
     pub said_at: time::Instant,
 }
 
-/// Limit of one server.
-#[derive(Clone, Copy, Debug, Default)]
+/// VMs among which the limits of servers are divided, as far as this VM knows.
+#[derive(Clone, Debug, Default)]
+pub struct SenderView {
+    /// Hash of this VM's name.
+    pub own: u64,
+    /// Hashes of the names of the other VMs that may send.
+    pub others: Vec<u64>,
+    /// Greatest number of VMs that another VM knows of; this VM may have started a moment ago.
+    pub vms: usize,
+}
+
+/// Requests that one VM may send to a server in each window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitShare {
+    /// Number of requests.
+    pub requests: usize,
+    /// Length of the window.
+    pub window: time::Duration,
+}
+
+impl LimitShare {
+    /// Share of one VM in the limit of a server with this incarnation hash. Over all VMs the shares
+    /// add up to at most the limit. A VM that knows only some of the others assumes that those it
+    /// does not know are spread evenly over the order.
+    #[must_use]
+    pub fn new(per_second: f64, server: u64, view: &SenderView) -> Self {
+        let total = (per_second * WINDOW.as_secs_f64()) as usize;
+        let (total, window) = if total == 0 {
+            let window = time::Duration::try_from_secs_f64(1.0 / per_second);
+            (
+                1,
+                window.map_or(MAX_WINDOW, |window| window.min(MAX_WINDOW)),
+            )
+        } else {
+            (total, WINDOW)
+        };
+        let known = view.others.len() + 1;
+        let vms = view.vms.max(known);
+        let place = |vm: u64| xxhash_rust::xxh3::xxh3_64_with_seed(&vm.to_le_bytes(), server);
+        let own = place(view.own);
+        let ahead = view.others.iter().filter(|&&vm| place(vm) < own).count();
+        let remainder = (total % vms).saturating_mul(known);
+        Self {
+            requests: total / vms + usize::from((ahead + 1) * vms <= remainder),
+            window,
+        }
+    }
+}
+
+/// Limit of one server, and the requests that this VM sent to it.
+#[derive(Clone, Debug, Default)]
 pub struct ServerLimit {
     report: Option<LimitReport>,
+    /// Share of this VM; meaningful while there is a limit.
+    share: LimitShare,
+    /// Times of requests of any kind, oldest first. Kept without a limit too: those sent before the
+    /// limit was stated count in its first window.
+    sent: collections::VecDeque<time::Instant>,
 }
 
 impl ServerLimit {
@@ -38,18 +117,126 @@
             }
             port::LimitSignal::Unlimited => None,
         };
-        let before = self.per_second();
-        self.report = Some(LimitReport {
+        self.take_report(LimitReport {
             per_second,
             said_at: now,
-        });
-        before != per_second
+        })
+    }
+
+    /// Applies a statement that this VM or another one received. Returns whether the limit changed.
+    pub fn take_report(&mut self, report: LimitReport) -> bool {
+        let known = self.report;
+        if known.is_some_and(|known| report.said_at <= known.said_at) {
+            return false;
+        }
+        self.report = Some(report);
+        known.and_then(|known| known.per_second) != report.per_second
+    }
+
+    /// The newest statement, if it is still believed.
+    #[must_use]
+    pub fn report(&self, now: time::Instant) -> Option<LimitReport> {
+        self.report
+            .filter(|report| now.saturating_duration_since(report.said_at) < RETENTION)
     }
 
-    /// Requests per second that the server takes from all VMs together; `None` if it states no
+    /// Requests per second that the server takes from all VMs together; `None` if there is no
     /// limit.
     #[must_use]
-    pub fn per_second(&self) -> Option<f64> {
-        self.report?.per_second
+    pub fn per_second(&self, now: time::Instant) -> Option<f64> {
+        self.report(now)?.per_second
+    }
+
+    /// Computes the share of this VM anew.
+    pub fn update_share(&mut self, server: u64, view: &SenderView, now: time::Instant) {
+        if let Some(per_second) = self.per_second(now) {
+            self.share = LimitShare::new(per_second, server, view);
+        }
+    }
+
+    /// Counts a request of this VM.
+    pub fn count_request(&mut self, now: time::Instant) {
+        let kept = self.share.window.max(WINDOW);
+        while self
+            .sent
+            .front()
+            .is_some_and(|&at| now.saturating_duration_since(at) > kept)
+        {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(now);
     }
+
+    /// When this VM may send the next request; `None` if it has no share.
+    #[must_use]
+    pub fn next_request(&self, now: time::Instant) -> Option<time::Instant> {
+        if self.per_second(now).is_none() {
+            return Some(now);
+        }
+        let last = self.share.requests.checked_sub(1)?;
+        // With this many sent in the window, the oldest of them must leave it first.
+        let oldest = self.sent.iter().rev().nth(last);
+        Some(oldest.map_or(now, |&at| now.max(at + self.share.window)))
+    }
+
+    /// Returns whether this VM may send a request now.
+    #[must_use]
+    pub fn allows(&self, now: time::Instant) -> bool {
+        self.next_request(now).is_some_and(|at| at <= now)
+    }
+}
+
+/// Servers that stated a limit, and when the shares were computed.
+#[derive(Clone, Debug, Default)]
+pub struct LimitedServers {
+    servers: collections::BTreeSet<fleet::ServerKey>,
+    updated_at: Option<time::Instant>,
+}
+
+impl LimitedServers {
+    /// Adds a server whose limit changed; all shares are then due.
+    pub fn add(&mut self, key: fleet::ServerKey) {
+        self.servers.insert(key);
+        self.updated_at = None;
+    }
+
+    /// Removes a server.
+    pub fn remove(&mut self, key: fleet::ServerKey) {
+        self.servers.remove(&key);
+    }
+
+    /// Servers that stated a limit, ended ones included.
+    pub fn keys(&self) -> impl Iterator<Item = fleet::ServerKey> {
+        self.servers.iter().copied()
+    }
+
+    /// Returns whether the shares are due, and notes that they are computed now.
+    pub fn take_due(&mut self, now: time::Instant) -> bool {
+        let due = self
+            .updated_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= SHARE_INTERVAL);
+        let due = due && !self.servers.is_empty();
+        if due {
+            self.updated_at = Some(now);
+        }
+        due
+    }
+}
+
+/// Statement about the limit of a server, for other VMs. `all` includes those that are no longer
+/// repeated.
+#[must_use]
+pub fn limit_item(
+    record: &server::ServerRecord,
+    all: bool,
+    now: time::Instant,
+) -> Option<message::LimitItem> {
+    let report = record.limit.report(now)?;
+    let age = now.saturating_duration_since(report.said_at);
+    let due = age < REPEAT_TIME || all && report.per_second.is_some();
+    due.then(|| message::LimitItem {
+        server: record.incarnation_hash(),
+        per_second: report.per_second,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+    })
 }
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -150,6 +150,9 @@
         }
     }
     take_loads(state, datagram, now);
+    for item in &datagram.limits {
+        state.take_limit_item(item, now);
+    }
     for refused in &datagram.refused {
         state.returning.record_peer_refusal(*refused, now);
     }
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -96,6 +96,21 @@
     pub removed: bool,
 }
 
+/// What a server stated about its limit on requests.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(prost::Message)]
+pub struct LimitItem {
+    /// Hash of the incarnation.
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    /// Requests per second from all VMs together; absent if the limit has ended.
+    #[prost(double, optional, tag = "2")]
+    pub per_second: Option<f64>,
+    /// Time since the answer with the statement.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
 /// A request that was running when a server crashed.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(prost::Message)]
@@ -200,6 +215,12 @@
     /// Servers that were recently found to be leaving, from VMs that read the store for all.
     #[prost(message, repeated, tag = "24")]
     pub notices: Vec<NoticeItem>,
+    /// Limits that servers stated recently; in datagrams with a name all that are in force.
+    #[prost(message, repeated, tag = "25")]
+    pub limits: Vec<LimitItem>,
+    /// Number of VMs that may send to servers, the sender included, as far as it knows.
+    #[prost(uint32, tag = "26")]
+    pub senders: u32,
 }
 
 /// Failure domains that are evacuated.
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -29,6 +29,10 @@
 /// request it.
 const SPARE_RETENTION: time::Duration = time::Duration::from_millis(4_500);
 
+/// Max wait for the limit of the server on which a run continues: callers leave after a pause of
+/// two seconds.
+const MAX_RESUME_WAIT: time::Duration = time::Duration::from_millis(1_500);
+
 /// A copy completed before its source ended. The output produced since is recomputed on the
 /// server that holds the copy. Without these copies, runs that waited for others on their engine's
 /// link were lost with the engine, about twice as many streams.
@@ -55,6 +59,7 @@
         let kept = self.made_at.elapsed() < SPARE_RETENTION;
         kept.then_some(CopyPlace {
             to: self.to,
+            counted: false,
             fallback: None,
             origin: self.origin,
             handle: self.handle,
@@ -72,6 +77,7 @@
     ) -> Option<RelayEnd> {
         let copy = CopyPlace {
             to,
+            counted: true,
             fallback: None,
             origin: to,
             handle: self.request.id.clone(),
@@ -105,19 +111,28 @@
         let started = time::Instant::now();
         let notice = self.plane.state().fleet.server(live.placed.server)?.since;
         let mut links_free = false;
+        // The first copy was counted against the limit of the server when the move was ordered.
+        let mut copies = 0;
         loop {
             // Copies of other runs queue on the same links. The run continues while its copy waits
             // for them, and stops for the last part only once that is fast or time is short.
-            let stop = links_free || notice.elapsed() > STOP_DELAY;
+            // A limited server gets a single request for the copy.
+            let limited = self.plane.is_limited(live.placed.server);
+            let stop = limited || links_free || notice.elapsed() > STOP_DELAY;
             let copy_started = time::Instant::now();
+            if copies > 0 {
+                self.plane.count_request(live.placed.server, "copy");
+            }
+            copies += 1;
             let (copied, ended) = self.copy_once(live, &source, &target, stop).await;
             log::info!(
                 request:% = self.request.id, from:% = source.id, to:% = target.id, stop,
                 outcome:? = copied, ms = millis(started); "copied"
             );
             let from = live.placed.server;
-            let copy = |to, fallback, handle| CopyPlace {
-                to,
+            let copy = |place, fallback, handle| CopyPlace {
+                to: place,
+                counted: place == to,
                 fallback,
                 origin: from,
                 handle,
@@ -178,7 +193,6 @@
         let run = self.request.id.clone();
         let from = live.placed.server;
         let sent = time::Instant::now();
-        plane.count_limited(from, "copy");
         let copying = plane.port.copy(source.clone(), run, target.address, stop);
         tokio::pin!(copying);
         let mut ended = None;
@@ -216,6 +230,13 @@
         let Some(handle) = handle else { return };
         let plane = self.plane.clone();
         let key = plane.state().fleet.find(&source.id);
+        if let Some(key) = key {
+            // A limited server frees the copy itself once it expires.
+            if plane.is_limited(key) {
+                return;
+            }
+            plane.count_request(key, "release");
+        }
         tokio::task::spawn_local(async move {
             let sent = time::Instant::now();
             let reply = plane.port.release(source, handle).await;
@@ -245,6 +266,14 @@
             if moves && self.plane.state().fleet.is_evacuated(server) {
                 continue;
             }
+            let counted = copy.counted && server == copy.to;
+            if counted {
+                self.plane.count_limited(server, "resume");
+            } else if self.may_send_soon(server).await {
+                self.plane.count_request(server, "resume");
+            } else {
+                continue;
+            }
             self.plane.state().force_retry(&self.request.service, now);
             let backup = self.next_backup(server);
             let Some(origin) = self.plane.target(copy.origin) else {
@@ -260,7 +289,6 @@
                 continue;
             };
             let sent = time::Instant::now();
-            self.plane.count_limited(server, "resume");
             let reply = self.plane.port.open(call).await;
             match self.plane.take_signals(server, sent, reply) {
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
@@ -291,6 +319,25 @@
         false
     }
 
+    /// Waits until a server may get a request; returns whether that is before the copy of the run
+    /// there may have expired.
+    async fn may_send_soon(&self, server: fleet::ServerKey) -> bool {
+        let until = time::Instant::now() + MAX_RESUME_WAIT;
+        loop {
+            let now = time::Instant::now();
+            let next = {
+                let state = self.plane.state();
+                let server = state.fleet.server(server);
+                server.and_then(|server| server.limit.next_request(now))
+            };
+            match next {
+                Some(at) if at <= now => return true,
+                Some(at) if at <= until => time::sleep_until(at).await,
+                _ => return false,
+            }
+        }
+    }
+
     /// Chooses the server for the proactive copy of a run that continues on `server`.
     fn next_backup(&self, server: fleet::ServerKey) -> Option<fleet::ServerKey> {
         let mut state = self.plane.state();
@@ -337,6 +384,7 @@
         };
         Some(CopyPlace {
             to,
+            counted: false,
             fallback: None,
             origin: to,
             handle: self.request.id.clone(),
--- a/crates/exchange/src/notices.rs
+++ b/crates/exchange/src/notices.rs
@@ -74,9 +74,8 @@
         notice: &message::NoticeItem,
         now: time::Instant,
     ) -> Option<update::ServerUpdate> {
-        let key = self.find_by_hash(notice.server as u32)?;
-        let record = self.server(key)?;
-        if record.incarnation_hash() != notice.server || !record.takes_work(now) {
+        let record = self.server(self.find_incarnation(notice.server)?)?;
+        if !record.takes_work(now) {
             return None;
         }
         let mut update = record.update();
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -51,6 +51,8 @@
     pub standing_hash: u64,
     /// Whether that VM has not yet received the complete list of servers.
     pub partial: bool,
+    /// Number of VMs that may send to servers, as far as that VM knows.
+    pub senders: u32,
     /// Memory planned for generations that wait at that VM.
     pub waiting: Vec<message::WaitingItem>,
     /// When the last datagram was received.
@@ -81,6 +83,7 @@
             store_unavailable: false,
             standing_hash: 0,
             partial: false,
+            senders: 0,
             waiting: Vec::new(),
             received_at: now,
             alive_until: now,
@@ -103,6 +106,7 @@
         self.store_unavailable = datagram.store_unavailable;
         self.standing_hash = datagram.standing_hash;
         self.partial = datagram.partial;
+        self.senders = datagram.senders;
         self.waiting.clone_from(&datagram.waiting);
         self.received_at = now;
         self.alive_until = now + alive_time;
@@ -341,6 +345,27 @@
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Other VMs that may send to servers. One that fell silent without announcing a stop may be cut
+    /// off from this VM and still send.
+    pub fn senders(&self, now: time::Instant) -> impl Iterator<Item = (&String, &PeerRecord)> {
+        self.peers.iter().filter(move |(_, peer)| {
+            let silence = now.saturating_duration_since(peer.received_at);
+            let retention = match peer.stage {
+                message::VmStage::Stopping => LIMIT_SHARE_TIME,
+                _ => PEER_RETENTION,
+            };
+            silence < retention
+        })
+    }
+
+    /// Greatest number of senders that another VM has reported recently.
+    #[must_use]
+    pub fn reported_senders(&self, now: time::Instant) -> usize {
+        let recent = self.peers.values().filter(|peer| peer.is_alive(now));
+        let senders = recent.map(|peer| peer.senders).max();
+        usize::try_from(senders.unwrap_or_default()).unwrap_or(usize::MAX)
+    }
+
     /// Memory in tokens planned for generations of a service that wait at other VMs and go before
     /// one of `rank`.
     #[must_use]
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -134,7 +134,10 @@
             continue;
         }
         any = true;
-        if record.is_full(now) || (avoids_failing && fleet.is_failing(key, now)) {
+        if record.is_full(now) || !record.limit.allows(now) {
+            continue;
+        }
+        if avoids_failing && fleet.is_failing(key, now) {
             continue;
         }
         let load = loads.get(key).copied().unwrap_or_default();
@@ -342,6 +345,11 @@
         if key == request.source || after > limit || full {
             continue;
         }
+        // A run can continue at a limited server only if that takes the request.
+        let limited = request.proactive && record.limit.per_second(now).is_some();
+        if limited || !record.limit.allows(now) {
+            continue;
+        }
         let fill = after / memory;
         let domain = if record.domain == source.domain {
             0.0
--- a/crates/exchange/src/placing.rs
+++ b/crates/exchange/src/placing.rs
@@ -99,7 +99,7 @@
         let record = match *waited {
             Some(record) => record,
             None => {
-                let record = self.wait_record(request, now);
+                let record = self.wait_record(request, avoid, now);
                 record.ok_or_else(|| self.refuse(request, reply::RefusalCause::Overload))?
             }
         };
@@ -171,6 +171,7 @@
     fn wait_record(
         &self,
         request: &request::ExchangeRequest,
+        avoid: &[fleet::ServerKey],
         now: time::Instant,
     ) -> Option<wait::WaitRecord> {
         let stream = request.kind == catalog::ExchangeKind::Stream;
@@ -178,8 +179,11 @@
         let mut state = self.state.borrow_mut();
         let basis = state.rank_basis(request, now);
         let rank = basis.rank(now);
+        let withheld = state
+            .fleet
+            .is_withheld(&request.service, avoid, now + max_wait, now);
         let queue = state.queue(&request.service);
-        if queue.should_refuse(rank, max_wait, now) {
+        if withheld || queue.should_refuse(rank, max_wait, now) {
             return None;
         }
         Some(wait::WaitRecord {
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -251,24 +251,34 @@
         reply: port::SignalledReply<T>,
     ) -> T {
         let now = time::Instant::now();
-        let mut state = self.state.borrow_mut();
         if let Some(signal) = reply.signals.limit
-            && let Some(server) = state.fleet.server_mut(key)
-            && server.limit.take_signal(signal, sent_at, now)
+            && self
+                .state
+                .borrow_mut()
+                .take_limit_signal(key, signal, sent_at, now)
         {
-            log::info!(
-                server:% = server.id, per_second:? = server.limit.per_second(), source:% = "server";
-                "server changed its limit"
-            );
+            self.announce.notify_one();
+            self.decisions_due.notify_one();
         }
         reply.reply
     }
 
-    /// Counts a request to a server that states a limit.
+    /// Counts a request other than an attempt against the limit of a server.
+    pub(crate) fn count_request(&self, key: fleet::ServerKey, kind: &'static str) {
+        let now = time::Instant::now();
+        self.state.borrow_mut().fleet.count_request(key, now);
+        self.count_limited(key, kind);
+    }
+
+    /// Returns whether a server states a limit on requests.
+    pub(crate) fn is_limited(&self, key: fleet::ServerKey) -> bool {
+        let now = time::Instant::now();
+        self.state.borrow().fleet.is_limited(key, now)
+    }
+
+    /// Counts a request to a server that states a limit in the metrics.
     pub(crate) fn count_limited(&self, key: fleet::ServerKey, kind: &'static str) {
-        let state = self.state.borrow();
-        let server = state.fleet.server(key);
-        if server.is_some_and(|server| server.limit.per_second().is_some()) {
+        if self.is_limited(key) {
             metrics::counter!("pollenchute_exchange_limited_requests_total", "kind" => kind)
                 .increment(1);
         }
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -22,7 +22,8 @@
 }
 
 /// Returns orders for the runs of leaving servers, the runs with the most to lose first. Runs with
-/// a pending order get no second one; runs that fit on no server get one later.
+/// a pending order get no second one; runs that fit on no server get one later. The first request
+/// of each order to either server is counted against its limit.
 pub fn plan(
     fleet: &mut fleet::ServerFleet,
     service: &str,
@@ -35,9 +36,13 @@
     let mut orders = Vec::new();
     for (key, _) in due {
         if let Some(order) = choose_order(fleet, key, service, engine, now, rng) {
-            if let (Some(run), RelocationOrder::Switch(to) | RelocationOrder::Move(to)) =
-                (fleet.run_mut(key), order)
-            {
+            let source = fleet.run(key).map(|run| run.server);
+            let (RelocationOrder::Switch(to) | RelocationOrder::Move(to)) = order;
+            if let (Some(source), RelocationOrder::Move(_)) = (source, order) {
+                fleet.count_request(source, now);
+            }
+            fleet.count_request(to, now);
+            if let Some(run) = fleet.run_mut(key) {
                 run.moving_to = Some(to);
             }
             orders.push((key, order));
@@ -78,7 +83,7 @@
     let backup = run.backup.filter(|&backup| {
         fleet
             .server(backup)
-            .is_some_and(|server| fleet.is_eligible(server, now))
+            .is_some_and(|server| fleet.is_eligible(server, now) && server.limit.allows(now))
     });
     if let Some(backup) = backup
         && run.first_at.is_some()
@@ -88,7 +93,7 @@
     let superseded = fleet
         .server(run.server)
         .is_some_and(|server| server.superseded);
-    if !engine.moves || superseded {
+    if !engine.moves || superseded || !fleet.may_send(run.server, now) {
         return None;
     }
     let request = place::CopyRequest {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -162,6 +162,8 @@
 pub(crate) struct CopyPlace {
     /// Server on which the run continues.
     pub(crate) to: fleet::ServerKey,
+    /// Whether the request to that server is already counted against its limit.
+    pub(crate) counted: bool,
     /// Fallback if that server is full: the source of the copy.
     pub(crate) fallback: Option<fleet::ServerKey>,
     /// Server that issued the handle. After a restart of that server the handle may name another
@@ -260,14 +262,16 @@
         &self,
         server: fleet::ServerKey,
     ) -> Result<Option<String>, port::ReserveFault> {
-        let Some((span, tokens)) = self.reservation() else {
+        // A limited server takes the attempt instead of the reservation.
+        let wanted = self.reservation();
+        let Some((span, tokens)) = wanted.filter(|_| !self.plane.is_limited(server)) else {
             return Ok(None);
         };
         let Some(target) = self.plane.target(server) else {
             return Err(port::ReserveFault::Unreachable);
         };
         let sent = time::Instant::now();
-        self.plane.count_limited(server, "reserve");
+        self.plane.count_request(server, "reserve");
         let reply = self.plane.port.reserve(target, tokens, span).await;
         match self.plane.take_signals(server, sent, reply) {
             Ok(handle) => Ok(Some(handle)),
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,8 +8,8 @@
 use tokio::time;
 
 use crate::{
-    budget, capacity, catalog, delta, directory, evacuation, fleet, forecast, message, notices,
-    peers, place, relocate, request, returning, runs, suspect, system, update, wait,
+    budget, capacity, catalog, delta, directory, evacuation, fleet, forecast, limits, message,
+    notices, peers, place, port, relocate, request, returning, runs, suspect, system, update, wait,
 };
 
 /// Settings of the plane, fixed at its start.
@@ -62,6 +62,8 @@
     pub notices: notices::LeavingNotices,
     /// Server updates that another VM asked this one to forward.
     pub forwarded_updates: Vec<message::UpdateItem>,
+    /// When this VM started.
+    pub started_at: time::Instant,
     /// Sequence number of the last datagram.
     pub sequence: u64,
     /// Stage of this VM.
@@ -118,6 +120,7 @@
             unannounced: Vec::new(),
             notices: notices::LeavingNotices::default(),
             forwarded_updates: Vec::new(),
+            started_at: time::Instant::now(),
             sequence: 0,
             stage: message::VmStage::Starting,
             stopping_since: None,
@@ -365,6 +368,7 @@
         rank: wait::WaitRank,
         now: time::Instant,
     ) -> Result<(fleet::RunKey, fleet::ServerKey), place::PlacementOutcome> {
+        self.update_limit_shares(now);
         let entries = self.peers.alive_count(now);
         let ahead_tokens = self
             .peers
@@ -436,6 +440,7 @@
         let Some(catalog) = self.catalog.clone() else {
             return Vec::new();
         };
+        self.update_limit_shares(now);
         let mut orders = Vec::new();
         if !self.settings.moves {
             return orders;
@@ -449,6 +454,96 @@
         orders
     }
 
+    /// Takes what a server states about its limit in the answer to a request that was sent at
+    /// `sent_at`. Returns whether the limit changed.
+    pub fn take_limit_signal(
+        &mut self,
+        key: fleet::ServerKey,
+        signal: port::LimitSignal,
+        sent_at: time::Instant,
+        now: time::Instant,
+    ) -> bool {
+        let Some(server) = self.fleet.server_mut(key) else {
+            return false;
+        };
+        let changed = server.limit.take_signal(signal, sent_at, now);
+        if changed {
+            self.note_limit(key, "server", now);
+        }
+        changed
+    }
+
+    /// Takes what a server stated about its limit to another VM. Returns whether the limit changed.
+    pub fn take_limit_item(&mut self, item: &message::LimitItem, now: time::Instant) -> bool {
+        let Some(key) = self.fleet.find_incarnation(item.server) else {
+            return false;
+        };
+        let age = time::Duration::from_millis(u64::from(item.age_ms));
+        let (Some(server), Some(said_at)) = (self.fleet.server_mut(key), now.checked_sub(age))
+        else {
+            return false;
+        };
+        let report = limits::LimitReport {
+            per_second: item.per_second,
+            said_at,
+        };
+        let changed = server.limit.take_report(report);
+        if changed {
+            self.note_limit(key, "peer", now);
+        }
+        changed
+    }
+
+    fn note_limit(&mut self, key: fleet::ServerKey, source: &str, now: time::Instant) {
+        if let Some(server) = self.fleet.server(key) {
+            log::info!(
+                server:% = server.id, per_second:? = server.limit.per_second(now), source:%;
+                "server changed its limit"
+            );
+        }
+        self.fleet.limited.add(key);
+        self.update_limit_shares(now);
+    }
+
+    /// Computes this VM's shares in the limits of servers, if that is due.
+    pub fn update_limit_shares(&mut self, now: time::Instant) {
+        if self.fleet.limited.take_due(now) {
+            let view = self.sender_view(now);
+            self.fleet.update_limit_shares(&view, now);
+        }
+    }
+
+    /// VMs that may send to servers, as far as this VM knows.
+    #[must_use]
+    pub fn sender_view(&self, now: time::Instant) -> limits::SenderView {
+        let hash = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        let others: Vec<_> = self
+            .peers
+            .senders(now)
+            .map(|(name, _)| hash(name))
+            .collect();
+        let started = now.saturating_duration_since(self.started_at);
+        let vms = if others.is_empty() && started < ALONE_TIME {
+            limits::MANY_VMS
+        } else {
+            self.peers.reported_senders(now)
+        };
+        limits::SenderView {
+            own: hash(&self.settings.name),
+            others,
+            vms,
+        }
+    }
+
+    /// Statements about limits for other VMs; `all` includes those that are no longer repeated.
+    #[must_use]
+    pub fn limit_items(&self, all: bool, now: time::Instant) -> Vec<message::LimitItem> {
+        let servers = self.fleet.limited.keys();
+        let servers = servers.filter_map(|key| self.fleet.server(key));
+        let items = servers.filter_map(|server| limits::limit_item(server, all, now));
+        items.take(limits::MAX_LIMITS_PER_DATAGRAM).collect()
+    }
+
     /// Counts the first attempt of a request.
     pub fn count_first(&mut self, service: &str, now: time::Instant) {
         let rule = self.settings.retries;
@@ -542,5 +637,7 @@
 /// Number of VMs that read the store on behalf of all: enough that some remain when a third of them
 /// is partitioned, few enough that reading costs the same with 60 VMs as with 6.
 pub const READERS: usize = 6;
+/// Time from its start after which a VM that has heard of no other counts as the only one.
+const ALONE_TIME: time::Duration = time::Duration::from_secs(5);
 /// Number of VMs that poll the store for its recovery, among those that can't reach it.
 const MAX_PROBING_VMS: usize = 3;
--- a/crates/exchange/tests/cluster/lossy.rs
+++ b/crates/exchange/tests/cluster/lossy.rs
@@ -148,14 +148,32 @@
 impl LossyVms {
     /// Creates VMs that know each other, and the servers in `first` from updates that each VM has.
     pub fn new(count: usize, loss: f64, seed: u64, first: &[update::ServerUpdate]) -> rc::Rc<Self> {
+        Self::new_with_late(count, 0, loss, seed, first)
+    }
+
+    /// Creates VMs, of which the last `late` ones know only the addresses of the first three VMs and
+    /// are known to none.
+    pub fn new_with_late(
+        count: usize,
+        late: usize,
+        loss: f64,
+        seed: u64,
+        first: &[update::ServerUpdate],
+    ) -> rc::Rc<Self> {
         let now = Instant::now();
         let planes: Vec<_> = (0..count).map(|number| new_plane(number, first)).collect();
         let introductions: Vec<_> = planes
             .iter()
             .map(|plane| announce::introduction(&mut plane.state()))
             .collect();
-        for (own, plane) in planes.iter().enumerate() {
-            for (other, datagram) in introductions.iter().enumerate() {
+        let early = count - late;
+        for plane in &planes[early..] {
+            for number in 0..early.min(3) {
+                plane.state().peers.add_address(super::vm_address(number));
+            }
+        }
+        for (own, plane) in planes[..early].iter().enumerate() {
+            for (other, datagram) in introductions[..early].iter().enumerate() {
                 if other != own {
                     plane.state().peers.take(datagram, now);
                 }
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -52,6 +52,8 @@
 pub struct FakePort {
     pub scripts: cell::RefCell<collections::HashMap<String, collections::VecDeque<ServerScript>>>,
     pub seen: cell::RefCell<Vec<SeenCall>>,
+    /// Servers that answer with an error status unless a script says otherwise.
+    pub erring: cell::RefCell<collections::HashSet<String>>,
     /// Servers that refuse reservations.
     pub full: cell::RefCell<collections::HashSet<String>>,
     /// Results of copies, in order.
@@ -216,7 +218,9 @@
                 .get_mut(&call.target.id)
                 .and_then(collections::VecDeque::pop_front);
             let interval = time::Duration::from_millis(10);
+            let errs = self.erring.borrow().contains(&call.target.id);
             script.unwrap_or(match call.request.kind {
+                _ if errs => ServerScript::Answer(500, interval),
                 catalog::ExchangeKind::Stream => ServerScript::Events(40, interval),
                 _ => ServerScript::Answer(200, interval),
             })
--- a/crates/exchange/tests/limits.rs
+++ b/crates/exchange/tests/limits.rs
@@ -5,7 +5,8 @@
 use std::{rc, time};
 
 use cluster::lossy;
-use exchange::{catalog, port};
+use exchange::{catalog, limits, port, reply, update};
+use rand::RngExt as _;
 use tokio::time::{self as clock, Instant};
 
 /// Window in which the users count the requests at a limited server.
@@ -30,12 +31,54 @@
     /// Requests of callers per second, over all VMs.
     callers: f64,
     kind: catalog::ExchangeKind,
+    /// Number of VMs that start when the limit has been in force for half of the time.
+    late: usize,
+    /// Whether VMs are killed when the limit has been in force for a third of the time.
+    kills: bool,
 }
 
+impl LimitScenario {
+    /// Calls that may be repeated, to VMs that all run.
+    fn calls(vms: usize, per_second: f64) -> Self {
+        Self {
+            vms,
+            loss: 0.05,
+            per_second,
+            callers: 60.0,
+            kind: catalog::ExchangeKind::Idempotent,
+            late: 0,
+            kills: false,
+        }
+    }
+
+    /// Streams.
+    fn streams(vms: usize, per_second: f64) -> Self {
+        Self {
+            callers: 10.0,
+            kind: catalog::ExchangeKind::Stream,
+            ..Self::calls(vms, per_second)
+        }
+    }
+
+    /// Server that states the limit.
+    fn server(&self) -> &'static str {
+        match self.kind {
+            catalog::ExchangeKind::Stream => "e1",
+            _ => "s1",
+        }
+    }
+}
+
+/// One VM in this many is killed.
+const KILLED_ONE_IN: usize = 4;
+
 /// Running VMs, with two servers of each service, of which `s1` and `e1` may state limits.
 struct LimitedVms {
     vms: rc::Rc<lossy::LossyVms>,
     runs: Vec<tokio::task::JoinHandle<()>>,
+    store: rc::Rc<lossy::LogStore>,
+    /// Number of VMs that callers know; the others have not started.
+    started: usize,
     requests: usize,
 }
 
@@ -58,21 +101,63 @@
         }
         let first = store.records.borrow().clone();
         let seed = scenario.vms as u64;
-        let vms = lossy::LossyVms::new(scenario.vms, scenario.loss, seed, &first);
-        let mut runs = Vec::new();
-        for (own, vm) in vms.vms.iter().enumerate() {
-            let run = lossy::run_vm(vms.clone(), store.clone(), own);
-            runs.push(tokio::task::spawn_local(run));
-            cluster::start(&vm.plane);
-        }
-        let requests = 0;
-        Self {
+        let (vms, late, loss) = (scenario.vms, scenario.late, scenario.loss);
+        let vms = lossy::LossyVms::new_with_late(vms, late, loss, seed, &first);
+        let mut running = Self {
             vms,
-            runs,
-            requests,
+            runs: Vec::new(),
+            store,
+            started: 0,
+            requests: 0,
+        };
+        running.start_vms(scenario.vms - late);
+        running
+    }
+
+    /// Starts VMs until `count` run.
+    fn start_vms(&mut self, count: usize) {
+        for own in self.started..count {
+            let run = lossy::run_vm(self.vms.clone(), self.store.clone(), own);
+            self.runs.push(tokio::task::spawn_local(run));
+            cluster::start(&self.vms.vms[own].plane);
+        }
+        self.started = count;
+    }
+
+    fn kill_some(&self) {
+        for vm in self.vms.vms.iter().step_by(KILLED_ONE_IN) {
+            vm.health.set(lossy::VmHealth::Killed);
+        }
+    }
+
+    /// A random VM that runs.
+    fn random_vm(&self) -> &lossy::LossyVm {
+        loop {
+            let index = (self.vms.draw() * self.started as f64) as usize;
+            let vm = &self.vms.vms[index];
+            if vm.health.get() == lossy::VmHealth::Healthy {
+                return vm;
+            }
+        }
+    }
+
+    /// Lets a server answer with errors from now on.
+    fn err(&self, server: &str) {
+        for vm in &self.vms.vms {
+            let mut erring = vm.plane.port().erring.borrow_mut();
+            erring.insert(server.to_owned());
         }
     }
 
+    /// Number of requests that a server has got from all VMs.
+    fn count(&self, server: &str) -> usize {
+        let counts = self.vms.vms.iter().map(|vm| {
+            let arrivals = vm.plane.port().arrivals.borrow();
+            arrivals.iter().filter(|(at, _)| at == server).count()
+        });
+        counts.sum()
+    }
+
     /// Lets a server state this in each of its answers from now on.
     fn state_limit(&self, server: &str, limit: port::LimitSignal) {
         for vm in &self.vms.vms {
@@ -88,8 +173,7 @@
         while Instant::now() < until {
             clock::sleep(time::Duration::from_secs_f64(1.0 / scenario.callers)).await;
             self.requests += 1;
-            let vm = (self.vms.draw() * self.vms.vms.len() as f64) as usize;
-            let plane = self.vms.vms[vm].plane.clone();
+            let plane = self.random_vm().plane.clone();
             let request = cluster::request(&format!("r{}", self.requests), scenario.kind);
             tokio::task::spawn_local(async move {
                 let _ = plane.serve(request).await;
@@ -124,55 +208,344 @@
     (1.5 * per_second * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
-/// Runs one scenario; returns the most requests that the limited server got in a window.
-async fn most_requests(scenario: LimitScenario) -> usize {
-    let mut running = LimitedVms::start(&scenario);
+/// Runs one scenario on running VMs and checks the limit.
+async fn check_limit(mut running: LimitedVms, scenario: LimitScenario) {
     running.call(&scenario, WARM_UP).await;
-    let limit = port::LimitSignal::PerSecond(scenario.per_second);
-    let server = match scenario.kind {
-        catalog::ExchangeKind::Stream => "e1",
-        _ => "s1",
-    };
-    running.state_limit(server, limit);
+    let server = scenario.server();
+    running.state_limit(server, port::LimitSignal::PerSecond(scenario.per_second));
     let stated_at = Instant::now();
-    running.call(&scenario, LIMITED_TIME).await;
-    running.most_requests(server, stated_at + CONTACT)
+    running.call(&scenario, LIMITED_TIME / 3).await;
+    if scenario.kills {
+        running.kill_some();
+    }
+    running.call(&scenario, LIMITED_TIME / 6).await;
+    running.start_vms(scenario.vms);
+    running.call(&scenario, LIMITED_TIME / 2).await;
+    let most = running.most_requests(server, stated_at + CONTACT);
+    let allowed = allowed(scenario.per_second);
+    assert!(most <= allowed, "{most} of {allowed}: {scenario:?}");
+}
+
+fn run(scenario: LimitScenario) {
+    cluster::run(async move { check_limit(LimitedVms::start(&scenario), scenario).await });
 }
 
 #[test]
 fn a_limit_holds_over_all_vms_for_calls() {
     // Guards against a server that gets its limit from each of many VMs, or that no VM heeds.
     for vms in [2, 7, 30, 100, 300] {
+        run(LimitScenario::calls(vms, 3.9));
+    }
+}
+
+#[test]
+fn a_limit_holds_over_all_vms_for_streams() {
+    // Guards against reservations and attempts of streams that a limit does not count.
+    for vms in [2, 7, 30] {
+        run(LimitScenario::streams(vms, 1.5));
+    }
+}
+
+#[test]
+fn a_limit_holds_for_retries_and_hedges() {
+    // Guards against second attempts that pass by a limit: the other server answers with errors.
+    for vms in [7, 30] {
         cluster::run(async move {
-            let scenario = LimitScenario {
-                vms,
-                loss: 0.05,
-                per_second: 3.9,
-                callers: 60.0,
-                kind: catalog::ExchangeKind::Idempotent,
+            let scenario = LimitScenario::calls(vms, 2.0);
+            let running = LimitedVms::start(&scenario);
+            running.err("s2");
+            check_limit(running, scenario).await;
+        });
+    }
+}
+
+#[test]
+fn a_limit_holds_between_vms_that_are_cut_off_from_each_other() {
+    // Guards against VMs that give the share of a silent VM to each other while it still sends.
+    for vms in [7, 30] {
+        cluster::run(async move {
+            let scenario = LimitScenario::calls(vms, 3.9);
+            let silent = LimitScenario {
+                loss: 1.0,
+                ..scenario
             };
-            let most = most_requests(scenario).await;
-            let allowed = allowed(scenario.per_second);
-            assert!(most <= allowed, "{most} of {allowed} from {vms} VMs");
+            let mut running = LimitedVms::start(&silent);
+            running.call(&scenario, LIMITED_TIME).await;
+            check_limit(running, silent).await;
         });
     }
 }
 
 #[test]
-fn a_limit_holds_over_all_vms_for_streams() {
-    // Guards against reservations and attempts of streams that a limit does not count.
+fn a_limit_holds_while_vms_join_and_are_killed() {
+    // Guards against a VM that has just started and takes the share of a small cluster.
+    for vms in [9, 40, 120] {
+        run(LimitScenario {
+            late: vms / 3,
+            kills: true,
+            ..LimitScenario::calls(vms, 3.9)
+        });
+    }
+}
+
+#[test]
+fn a_limit_holds_where_no_other_server_is_left() {
+    // Guards against waiting requests that pass by a limit, and against a limited server that gets
+    // next to nothing.
     for vms in [2, 7, 30] {
         cluster::run(async move {
-            let scenario = LimitScenario {
-                vms,
-                loss: 0.05,
-                per_second: 1.5,
-                callers: 10.0,
-                kind: catalog::ExchangeKind::Stream,
+            let scenario = LimitScenario::calls(vms, 3.9);
+            let mut running = LimitedVms::start(&scenario);
+            running.call(&scenario, WARM_UP).await;
+            for server in ["s1", "s2"] {
+                running.state_limit(server, port::LimitSignal::PerSecond(scenario.per_second));
+            }
+            let stated_at = Instant::now();
+            running.call(&scenario, LIMITED_TIME).await;
+            let before = running.count("s1");
+            running.call(&scenario, LIMITED_TIME).await;
+            let served = (running.count("s1") - before) as f64;
+            let wanted = scenario.per_second * LIMITED_TIME.as_secs_f64();
+            assert!(
+                served >= 0.6 * wanted,
+                "{served} of {wanted} from {vms} VMs"
+            );
+            let most = running.most_requests("s1", stated_at + CONTACT);
+            assert!(
+                most <= allowed(scenario.per_second),
+                "{most} from {vms} VMs"
+            );
+        });
+    }
+}
+
+#[test]
+fn requests_that_limits_leave_no_place_are_refused_at_once() {
+    // Guards against callers that wait for a server whose limit this VM has used up for seconds.
+    cluster::run(async {
+        let plane = cluster::plane();
+        cluster::start(&plane);
+        for server in ["s1", "s2"] {
+            let limit = Some(port::LimitSignal::PerSecond(0.25));
+            let signals = port::ServerSignals { limit };
+            let mut all = plane.port().signals.borrow_mut();
+            all.insert(server.to_owned(), signals);
+        }
+        let kind = catalog::ExchangeKind::Once;
+        for number in 0..20 {
+            let asked_at = Instant::now();
+            let request = cluster::request(&format!("r{number}"), kind);
+            let served = plane.serve(request).await;
+            if let Err(refusal) = served {
+                assert_eq!(refusal.cause, reply::RefusalCause::Overload);
+                assert_eq!(asked_at.elapsed(), time::Duration::ZERO);
+            } else {
+                assert!(number < 2, "a second request within the window");
+            }
+        }
+    });
+}
+
+fn is_limited(vm: &lossy::LossyVm, server: &str) -> bool {
+    let state = vm.plane.state();
+    let key = state.fleet.find(server).expect("known from the start");
+    state.fleet.is_limited(key, Instant::now())
+}
+
+/// Waits until a VM lets requests through to a server, or not.
+async fn wait_for(vm: &lossy::LossyVm, server: &str, limited: bool) -> time::Duration {
+    let since = Instant::now();
+    loop {
+        if is_limited(vm, server) == limited {
+            return since.elapsed();
+        }
+        assert!(since.elapsed() < time::Duration::from_secs(10), "never");
+        clock::sleep(time::Duration::from_millis(5)).await;
+    }
+}
+
+#[test]
+fn a_vm_that_no_answer_told_knows_of_a_limit_and_of_its_end() {
+    // Guards against VMs that send as much as before until each was told by the server itself, and
+    // against a limit that stays where no request goes to the server any more.
+    for vms in [2, 30, 300] {
+        cluster::run(async move {
+            let scenario = LimitScenario::calls(vms, 3.9);
+            let mut running = LimitedVms::start(&scenario);
+            running.call(&scenario, WARM_UP).await;
+            let (first, last) = (&running.vms.vms[0], &running.vms.vms[vms - 1]);
+            let tell = |limit| {
+                let now = Instant::now();
+                let mut state = first.plane.state();
+                let key = state.fleet.find("s1").expect("known from the start");
+                assert!(state.take_limit_signal(key, limit, now, now));
+                drop(state);
+                first.plane.announce();
             };
-            let most = most_requests(scenario).await;
-            let allowed = allowed(scenario.per_second);
-            assert!(most <= allowed, "{most} of {allowed} from {vms} VMs");
+            let bound = time::Duration::from_millis(500);
+            tell(port::LimitSignal::PerSecond(3.9));
+            assert!(wait_for(last, "s1", true).await < bound);
+            clock::sleep(LIMITED_TIME).await;
+            tell(port::LimitSignal::Unlimited);
+            assert!(wait_for(last, "s1", false).await < bound);
         });
     }
 }
+
+#[test]
+fn a_late_answer_does_not_end_a_limit() {
+    // Guards against an answer that was made before the limit and arrives after it.
+    cluster::run(async {
+        let mut limit = limits::ServerLimit::default();
+        let second = time::Duration::from_secs(1);
+        let start = Instant::now();
+        assert!(!limit.take_signal(port::LimitSignal::Unlimited, start, start));
+        assert!(limit.take_signal(port::LimitSignal::PerSecond(2.0), start, start + second));
+        let late = start + 2 * second;
+        assert!(!limit.take_signal(port::LimitSignal::Unlimited, start, late));
+        assert_eq!(limit.per_second(late), Some(2.0));
+        assert!(limit.take_signal(port::LimitSignal::Unlimited, late, late));
+        assert_eq!(limit.per_second(late), None);
+        // A statement that another VM got before that.
+        let old = limits::LimitReport {
+            per_second: Some(2.0),
+            said_at: start + second,
+        };
+        assert!(!limit.take_report(old));
+    });
+}
+
+#[test]
+fn a_new_incarnation_has_no_limit_of_the_one_before() {
+    // Guards against a server that comes back under its name and gets no work.
+    cluster::run(async {
+        let plane = cluster::plane();
+        let entry = |started| update::ServerEntry {
+            started_at: update::StartTime::from_millis(started),
+            ..cluster::entry("app", 1, "a")
+        };
+        let now = Instant::now();
+        let mut state = plane.state();
+        state.apply_update(cluster::update("s1", 2, Some(entry(10))), false, now);
+        let before = state.fleet.find("s1").expect("known");
+        state.take_limit_signal(before, port::LimitSignal::PerSecond(0.0), now, now);
+        state.apply_update(cluster::update("s1", 3, Some(entry(20))), false, now);
+        let after = state.fleet.find("s1").expect("known");
+        assert!(state.fleet.is_limited(before, now));
+        assert!(!state.fleet.is_limited(after, now));
+    });
+}
+
+#[test]
+fn moves_off_a_leaving_server_keep_its_limit() {
+    // Guards against the copies of many runs that leave a server together.
+    cluster::run(async {
+        let plane = cluster::plane();
+        plane.state().settings.backups = false;
+        cluster::start(&plane);
+        for number in 0..6 {
+            let plane = plane.clone();
+            tokio::task::spawn_local(async move {
+                let kind = catalog::ExchangeKind::Stream;
+                let request = cluster::request(&format!("r{number}"), kind);
+                plane.port().push_script(
+                    "e1",
+                    cluster::ServerScript::Events(200, time::Duration::from_millis(50)),
+                );
+                if let Ok(reply) = plane.serve(request).await {
+                    cluster::read(cluster::parts(reply)).await;
+                }
+            });
+        }
+        clock::sleep(time::Duration::from_secs(5)).await;
+        let now = Instant::now();
+        {
+            let mut state = plane.state();
+            let key = state.fleet.find("e1").expect("known");
+            let running = state.fleet.runs().filter(|(_, run)| run.server == key);
+            assert!(running.count() >= 2, "runs that must move");
+            let limit = port::LimitSignal::PerSecond(0.5);
+            state.take_limit_signal(key, limit, now, now);
+        }
+        cluster::leave(&plane, "e1", 11);
+        clock::sleep(WINDOW).await;
+        let arrivals = plane.port().arrivals.borrow();
+        let counted = arrivals
+            .iter()
+            .filter(|(at, when)| at == "e1" && *when >= now);
+        let (moved, counted) = (plane.port().copied.borrow().len(), counted.count());
+        assert!(
+            (1..=2).contains(&counted),
+            "{counted} requests, {moved} copies"
+        );
+    });
+}
+
+/// Shares of `vms` VMs of which each knows the others with probability `knows`.
+fn sum_of_shares(vms: usize, per_second: f64, knows: f64, rng: &mut impl rand::Rng) -> usize {
+    let names: Vec<u64> = (0..vms).map(|_| rng.random()).collect();
+    let shares = names.iter().map(|&own| {
+        let others = names.iter().filter(|&&name| name != own);
+        let others = others.filter(|_| rng.random::<f64>() < knows);
+        let view = limits::SenderView {
+            own,
+            others: others.copied().collect(),
+            vms,
+        };
+        limits::LimitShare::new(per_second, 5, &view).requests
+    });
+    shares.sum()
+}
+
+#[test]
+fn shares_add_up_to_the_limit() {
+    // Guards against shares that are rounded up on each of many VMs.
+    let mut rng = cluster::engines::rng();
+    for vms in [1, 2, 7, 30, 300] {
+        for per_second in [0.0, 0.1, 1.0, 3.9, 50.0, 1_000.0] {
+            let total = (per_second * 4.0) as usize;
+            let sum = sum_of_shares(vms, per_second, 1.0, &mut rng);
+            assert_eq!(sum, total.max(1), "{vms} VMs, {per_second} a second");
+        }
+    }
+}
+
+#[test]
+fn shares_of_vms_that_know_few_others_stay_within_the_limit() {
+    // Guards against VMs that have just started and hear of the number of VMs before their names.
+    let mut rng = cluster::engines::rng();
+    for vms in [7, 30, 300] {
+        for knows in [0.0, 0.3, 0.9] {
+            for per_second in [0.5, 3.9, 20.0] {
+                let sum = sum_of_shares(vms, per_second, knows, &mut rng);
+                let allowed = allowed(per_second);
+                assert!(
+                    sum <= allowed,
+                    "{sum} of {allowed}: {vms} VMs, {knows} known"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn a_limit_holds_in_random_runs() {
+    // Guards against combinations of limits, losses, kills and starts that no other test has.
+    cluster::histories(24, |u| {
+        let vms = u.int_in_range(2..=40)?;
+        let per_second = f64::from(u.int_in_range(2..=80_u32)?) / 10.0;
+        let base = if u.ratio(1, 3)? {
+            LimitScenario::streams(vms, per_second)
+        } else {
+            LimitScenario::calls(vms, per_second)
+        };
+        run(LimitScenario {
+            loss: f64::from(u.int_in_range(0..=30_u32)?) / 100.0,
+            callers: base.callers * f64::from(u.int_in_range(1..=4_u32)?) / 2.0,
+            late: u.int_in_range(0..=vms / 2)?,
+            kills: vms > 4 && u.arbitrary()?,
+            ..base
+        });
+        Ok(())
+    });
+}
