--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -260,9 +260,26 @@
             self.announce.notify_one();
             self.decisions_due.notify_one();
         }
+        if reply.signals.leaving {
+            self.take_leaving_signal(key, now);
+        }
         reply.reply
     }
 
+    /// Takes the statement of a server that it leaves.
+    fn take_leaving_signal(&self, key: fleet::ServerKey, now: time::Instant) {
+        let mut state = self.state.borrow_mut();
+        let Some(server) = state.fleet.server_mut(key) else {
+            return;
+        };
+        if !std::mem::replace(&mut server.said_leaving, true) {
+            log::info!(
+                server:% = server.id, took_work = server.takes_work(now);
+                "server says that it leaves"
+            );
+        }
+    }
+
     /// Counts a request other than an attempt against the limit of a server.
     pub(crate) fn count_request(&self, key: fleet::ServerKey, kind: &'static str) {
         let now = time::Instant::now();
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -132,6 +132,8 @@
 pub struct ServerSignals {
     /// Limit on requests; `None` if the answer does not tell.
     pub limit: Option<LimitSignal>,
+    /// Whether the server says that it leaves. An answer that does not say so tells nothing.
+    pub leaving: bool,
 }
 
 /// Reply of a server, with the signals of the answer that it was read from.
@@ -146,7 +148,10 @@
 impl<T> SignalledReply<T> {
     /// A reply without an answer of the server.
     pub const fn silent(reply: T) -> Self {
-        let signals = ServerSignals { limit: None };
+        let signals = ServerSignals {
+            limit: None,
+            leaving: false,
+        };
         Self { reply, signals }
     }
 }
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -72,6 +72,8 @@
     failure_rate: f64,
     /// The server reported that it is full, and gets no requests until then.
     full_until: Option<time::Instant>,
+    /// Whether the server itself has said that this incarnation leaves.
+    pub(crate) said_leaving: bool,
     /// Limit on requests that the server states.
     pub limit: limits::ServerLimit,
     /// When this VM last sent an attempt to the server.
@@ -109,6 +111,7 @@
             lapse_grace_until: None,
             failure_rate: 0.0,
             full_until: None,
+            said_leaving: false,
             limit: limits::ServerLimit::default(),
             used_at: None,
             failure_rate_at: now,
--- a/crates/exchange/tests/limits.rs
+++ b/crates/exchange/tests/limits.rs
@@ -161,7 +161,10 @@
     /// Lets a server state this in each of its answers from now on.
     fn state_limit(&self, server: &str, limit: port::LimitSignal) {
         for vm in &self.vms.vms {
-            let signals = port::ServerSignals { limit: Some(limit) };
+            let signals = port::ServerSignals {
+                limit: Some(limit),
+                ..port::ServerSignals::default()
+            };
             let mut all = vm.plane.port().signals.borrow_mut();
             all.insert(server.to_owned(), signals);
         }
@@ -327,7 +330,10 @@
         cluster::start(&plane);
         for server in ["s1", "s2"] {
             let limit = Some(port::LimitSignal::PerSecond(0.25));
-            let signals = port::ServerSignals { limit };
+            let signals = port::ServerSignals {
+                limit,
+                ..port::ServerSignals::default()
+            };
             let mut all = plane.port().signals.borrow_mut();
             all.insert(server.to_owned(), signals);
         }
