--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod called;
 pub mod engines;
 pub mod lossy;
 pub mod many_vms;
--- a/crates/exchange/tests/limits.rs
+++ b/crates/exchange/tests/limits.rs
@@ -2,9 +2,12 @@
 
 mod cluster;
 
-use std::{rc, time};
+use std::time;
 
-use cluster::lossy;
+use cluster::{
+    called::{CallScenario, CalledVms},
+    lossy,
+};
 use exchange::{catalog, limits, port, reply, update};
 use rand::RngExt as _;
 use tokio::time::{self as clock, Instant};
@@ -23,187 +26,53 @@
 /// Parameters of a run.
 #[derive(Clone, Copy, Debug)]
 struct LimitScenario {
-    vms: usize,
-    /// Fraction of datagrams between VMs that is lost.
-    loss: f64,
-    /// Requests per second that server `s1` states.
+    /// VMs that start late do so when the limit has been in force for half of the time.
+    calls: CallScenario,
+    /// Requests per second that the server states.
     per_second: f64,
-    /// Requests of callers per second, over all VMs.
-    callers: f64,
-    kind: catalog::ExchangeKind,
-    /// Number of VMs that start when the limit has been in force for half of the time.
-    late: usize,
     /// Whether VMs are killed when the limit has been in force for a third of the time.
     kills: bool,
 }
 
 impl LimitScenario {
-    /// Calls that may be repeated, to VMs that all run.
-    fn calls(vms: usize, per_second: f64) -> Self {
+    fn new(calls: CallScenario, per_second: f64) -> Self {
         Self {
-            vms,
-            loss: 0.05,
+            calls,
             per_second,
-            callers: 60.0,
-            kind: catalog::ExchangeKind::Idempotent,
-            late: 0,
             kills: false,
         }
     }
-
-    /// Streams.
-    fn streams(vms: usize, per_second: f64) -> Self {
-        Self {
-            callers: 10.0,
-            kind: catalog::ExchangeKind::Stream,
-            ..Self::calls(vms, per_second)
-        }
-    }
-
-    /// Server that states the limit.
-    fn server(&self) -> &'static str {
-        match self.kind {
-            catalog::ExchangeKind::Stream => "e1",
-            _ => "s1",
-        }
-    }
 }
 
-/// One VM in this many is killed.
-const KILLED_ONE_IN: usize = 4;
-
-/// Running VMs, with two servers of each service, of which `s1` and `e1` may state limits.
-struct LimitedVms {
-    vms: rc::Rc<lossy::LossyVms>,
-    runs: Vec<tokio::task::JoinHandle<()>>,
-    store: rc::Rc<lossy::LogStore>,
-    /// Number of VMs that callers know; the others have not started.
-    started: usize,
-    requests: usize,
-}
-
-impl Drop for LimitedVms {
-    fn drop(&mut self) {
-        self.runs.iter().for_each(tokio::task::JoinHandle::abort);
-    }
+/// Lets a server state this limit in each of its answers from now on.
+fn state_limit(running: &CalledVms, server: &str, limit: port::LimitSignal) {
+    let limit = Some(limit);
+    let signals = port::ServerSignals {
+        limit,
+        ..port::ServerSignals::default()
+    };
+    running.signal(server, signals);
 }
 
-impl LimitedVms {
-    fn start(scenario: &LimitScenario) -> Self {
-        let store = rc::Rc::new(lossy::LogStore::default());
-        for (number, service) in [(1, "app"), (2, "app"), (11, "llm"), (12, "llm")] {
-            let id = format!(
-                "{}{}",
-                if service == "app" { "s" } else { "e" },
-                number % 10
-            );
-            store.append(&id, Some(cluster::entry(service, number, "d-0")));
-        }
-        let first = store.records.borrow().clone();
-        let seed = scenario.vms as u64;
-        let (vms, late, loss) = (scenario.vms, scenario.late, scenario.loss);
-        let vms = lossy::LossyVms::new_with_late(vms, late, loss, seed, &first);
-        let mut running = Self {
-            vms,
-            runs: Vec::new(),
-            store,
-            started: 0,
-            requests: 0,
-        };
-        running.start_vms(scenario.vms - late);
-        running
-    }
-
-    /// Starts VMs until `count` run.
-    fn start_vms(&mut self, count: usize) {
-        for own in self.started..count {
-            let run = lossy::run_vm(self.vms.clone(), self.store.clone(), own);
-            self.runs.push(tokio::task::spawn_local(run));
-            cluster::start(&self.vms.vms[own].plane);
-        }
-        self.started = count;
-    }
-
-    fn kill_some(&self) {
-        for vm in self.vms.vms.iter().step_by(KILLED_ONE_IN) {
-            vm.health.set(lossy::VmHealth::Killed);
-        }
-    }
-
-    /// A random VM that runs.
-    fn random_vm(&self) -> &lossy::LossyVm {
-        loop {
-            let index = (self.vms.draw() * self.started as f64) as usize;
-            let vm = &self.vms.vms[index];
-            if vm.health.get() == lossy::VmHealth::Healthy {
-                return vm;
-            }
-        }
-    }
-
-    /// Lets a server answer with errors from now on.
-    fn err(&self, server: &str) {
-        for vm in &self.vms.vms {
-            let mut erring = vm.plane.port().erring.borrow_mut();
-            erring.insert(server.to_owned());
-        }
-    }
-
-    /// Number of requests that a server has got from all VMs.
-    fn count(&self, server: &str) -> usize {
-        let counts = self.vms.vms.iter().map(|vm| {
-            let arrivals = vm.plane.port().arrivals.borrow();
-            arrivals.iter().filter(|(at, _)| at == server).count()
-        });
-        counts.sum()
-    }
-
-    /// Lets a server state this in each of its answers from now on.
-    fn state_limit(&self, server: &str, limit: port::LimitSignal) {
-        for vm in &self.vms.vms {
-            let signals = port::ServerSignals {
-                limit: Some(limit),
-                ..port::ServerSignals::default()
-            };
-            let mut all = vm.plane.port().signals.borrow_mut();
-            all.insert(server.to_owned(), signals);
-        }
-    }
-
-    /// Sends the requests of callers, each to a random VM, for `duration`.
-    async fn call(&mut self, scenario: &LimitScenario, duration: time::Duration) {
-        let until = Instant::now() + duration;
-        while Instant::now() < until {
-            clock::sleep(time::Duration::from_secs_f64(1.0 / scenario.callers)).await;
-            self.requests += 1;
-            let plane = self.random_vm().plane.clone();
-            let request = cluster::request(&format!("r{}", self.requests), scenario.kind);
-            tokio::task::spawn_local(async move {
-                let _ = plane.serve(request).await;
-            });
-        }
-    }
-
-    /// Most requests of any kind that a server got in a window that ends after `from`, from VMs to
-    /// which it had stated its limit.
-    fn most_requests(&self, server: &str, from: Instant) -> usize {
-        let ports = || self.vms.vms.iter().map(|vm| vm.plane.port());
-        let arrivals = ports().flat_map(|port| {
-            let told = port.told.borrow().get(server).copied();
-            let arrivals = port.arrivals.borrow();
-            let own = arrivals.iter().filter(|(at, _)| at == server);
-            own.map(move |&(_, at)| (at, told)).collect::<Vec<_>>()
-        });
-        let arrivals: Vec<_> = arrivals.collect();
-        let ends = arrivals.iter().filter(|(at, _)| *at >= from);
-        let counts = ends.map(|&(end, _)| {
-            let counted = arrivals.iter().filter(|&&(at, told)| {
-                told.is_some_and(|told| told + TOLD <= end) && at <= end && at + WINDOW > end
-            });
-            counted.count()
+/// Most requests of any kind that a server got in a window that ends after `from`, from VMs to
+/// which it had stated its limit.
+fn most_at(running: &CalledVms, server: &str, from: Instant) -> usize {
+    let ports = || running.vms.vms.iter().map(|vm| vm.plane.port());
+    let arrivals = ports().flat_map(|port| {
+        let told = port.told.borrow().get(server).copied();
+        let arrivals = port.arrivals.borrow();
+        let own = arrivals.iter().filter(|(at, _)| at == server);
+        own.map(move |&(_, at)| (at, told)).collect::<Vec<_>>()
+    });
+    let arrivals: Vec<_> = arrivals.collect();
+    let ends = arrivals.iter().filter(|(at, _)| *at >= from);
+    let counts = ends.map(|&(end, _)| {
+        let counted = arrivals.iter().filter(|&&(at, told)| {
+            told.is_some_and(|told| told + TOLD <= end) && at <= end && at + WINDOW > end
         });
-        counts.max().unwrap_or_default()
-    }
+        counted.count()
+    });
+    counts.max().unwrap_or_default()
 }
 
 /// Most requests of a window that the users allow.
@@ -212,32 +81,36 @@
 }
 
 /// Runs one scenario on running VMs and checks the limit.
-async fn check_limit(mut running: LimitedVms, scenario: LimitScenario) {
-    running.call(&scenario, WARM_UP).await;
-    let server = scenario.server();
-    running.state_limit(server, port::LimitSignal::PerSecond(scenario.per_second));
+async fn check_limit(mut running: CalledVms, scenario: LimitScenario) {
+    running.call(&scenario.calls, WARM_UP).await;
+    let server = scenario.calls.server();
+    state_limit(
+        &running,
+        server,
+        port::LimitSignal::PerSecond(scenario.per_second),
+    );
     let stated_at = Instant::now();
-    running.call(&scenario, LIMITED_TIME / 3).await;
+    running.call(&scenario.calls, LIMITED_TIME / 3).await;
     if scenario.kills {
         running.kill_some();
     }
-    running.call(&scenario, LIMITED_TIME / 6).await;
-    running.start_vms(scenario.vms);
-    running.call(&scenario, LIMITED_TIME / 2).await;
-    let most = running.most_requests(server, stated_at + CONTACT);
+    running.call(&scenario.calls, LIMITED_TIME / 6).await;
+    running.start_vms(scenario.calls.vms);
+    running.call(&scenario.calls, LIMITED_TIME / 2).await;
+    let most = most_at(&running, server, stated_at + CONTACT);
     let allowed = allowed(scenario.per_second);
     assert!(most <= allowed, "{most} of {allowed}: {scenario:?}");
 }
 
 fn run(scenario: LimitScenario) {
-    cluster::run(async move { check_limit(LimitedVms::start(&scenario), scenario).await });
+    cluster::run(async move { check_limit(CalledVms::start(&scenario.calls), scenario).await });
 }
 
 #[test]
 fn a_limit_holds_over_all_vms_for_calls() {
     // Guards against a server that gets its limit from each of many VMs, or that no VM heeds.
     for vms in [2, 7, 30, 100, 300] {
-        run(LimitScenario::calls(vms, 3.9));
+        run(LimitScenario::new(CallScenario::calls(vms), 3.9));
     }
 }
 
@@ -245,7 +118,7 @@
 fn a_limit_holds_over_all_vms_for_streams() {
     // Guards against reservations and attempts of streams that a limit does not count.
     for vms in [2, 7, 30] {
-        run(LimitScenario::streams(vms, 1.5));
+        run(LimitScenario::new(CallScenario::streams(vms), 1.5));
     }
 }
 
@@ -254,8 +127,8 @@
     // Guards against second attempts that pass by a limit: the other server answers with errors.
     for vms in [7, 30] {
         cluster::run(async move {
-            let scenario = LimitScenario::calls(vms, 2.0);
-            let running = LimitedVms::start(&scenario);
+            let scenario = LimitScenario::new(CallScenario::calls(vms), 2.0);
+            let running = CalledVms::start(&scenario.calls);
             running.err("s2");
             check_limit(running, scenario).await;
         });
@@ -267,13 +140,11 @@
     // Guards against VMs that give the share of a silent VM to each other while it still sends.
     for vms in [7, 30] {
         cluster::run(async move {
-            let scenario = LimitScenario::calls(vms, 3.9);
-            let silent = LimitScenario {
-                loss: 1.0,
-                ..scenario
-            };
-            let mut running = LimitedVms::start(&silent);
-            running.call(&scenario, LIMITED_TIME).await;
+            let scenario = LimitScenario::new(CallScenario::calls(vms), 3.9);
+            let mut silent = scenario;
+            silent.calls.loss = 1.0;
+            let mut running = CalledVms::start(&silent.calls);
+            running.call(&scenario.calls, LIMITED_TIME).await;
             check_limit(running, silent).await;
         });
     }
@@ -283,11 +154,10 @@
 fn a_limit_holds_while_vms_join_and_are_killed() {
     // Guards against a VM that has just started and takes the share of a small cluster.
     for vms in [9, 40, 120] {
-        run(LimitScenario {
-            late: vms / 3,
-            kills: true,
-            ..LimitScenario::calls(vms, 3.9)
-        });
+        let mut scenario = LimitScenario::new(CallScenario::calls(vms), 3.9);
+        scenario.calls.late = vms / 3;
+        scenario.kills = true;
+        run(scenario);
     }
 }
 
@@ -297,23 +167,27 @@
     // next to nothing.
     for vms in [2, 7, 30] {
         cluster::run(async move {
-            let scenario = LimitScenario::calls(vms, 3.9);
-            let mut running = LimitedVms::start(&scenario);
-            running.call(&scenario, WARM_UP).await;
+            let scenario = LimitScenario::new(CallScenario::calls(vms), 3.9);
+            let mut running = CalledVms::start(&scenario.calls);
+            running.call(&scenario.calls, WARM_UP).await;
             for server in ["s1", "s2"] {
-                running.state_limit(server, port::LimitSignal::PerSecond(scenario.per_second));
+                state_limit(
+                    &running,
+                    server,
+                    port::LimitSignal::PerSecond(scenario.per_second),
+                );
             }
             let stated_at = Instant::now();
-            running.call(&scenario, LIMITED_TIME).await;
+            running.call(&scenario.calls, LIMITED_TIME).await;
             let before = running.count("s1");
-            running.call(&scenario, LIMITED_TIME).await;
+            running.call(&scenario.calls, LIMITED_TIME).await;
             let served = (running.count("s1") - before) as f64;
             let wanted = scenario.per_second * LIMITED_TIME.as_secs_f64();
             assert!(
                 served >= 0.6 * wanted,
                 "{served} of {wanted} from {vms} VMs"
             );
-            let most = running.most_requests("s1", stated_at + CONTACT);
+            let most = most_at(&running, "s1", stated_at + CONTACT);
             assert!(
                 most <= allowed(scenario.per_second),
                 "{most} from {vms} VMs"
@@ -376,9 +250,9 @@
     // against a limit that stays where no request goes to the server any more.
     for vms in [2, 30, 300] {
         cluster::run(async move {
-            let scenario = LimitScenario::calls(vms, 3.9);
-            let mut running = LimitedVms::start(&scenario);
-            running.call(&scenario, WARM_UP).await;
+            let scenario = LimitScenario::new(CallScenario::calls(vms), 3.9);
+            let mut running = CalledVms::start(&scenario.calls);
+            running.call(&scenario.calls, WARM_UP).await;
             let (first, last) = (&running.vms.vms[0], &running.vms.vms[vms - 1]);
             let tell = |limit| {
                 let now = Instant::now();
@@ -540,17 +414,20 @@
     cluster::histories(24, |u| {
         let vms = u.int_in_range(2..=40)?;
         let per_second = f64::from(u.int_in_range(2..=80_u32)?) / 10.0;
-        let base = if u.ratio(1, 3)? {
-            LimitScenario::streams(vms, per_second)
+        let calls = if u.ratio(1, 3)? {
+            CallScenario::streams(vms)
         } else {
-            LimitScenario::calls(vms, per_second)
+            CallScenario::calls(vms)
         };
-        run(LimitScenario {
+        let calls = CallScenario {
             loss: f64::from(u.int_in_range(0..=30_u32)?) / 100.0,
-            callers: base.callers * f64::from(u.int_in_range(1..=4_u32)?) / 2.0,
+            callers: calls.callers * f64::from(u.int_in_range(1..=4_u32)?) / 2.0,
             late: u.int_in_range(0..=vms / 2)?,
+            ..calls
+        };
+        run(LimitScenario {
             kills: vms > 4 && u.arbitrary()?,
-            ..base
+            ..LimitScenario::new(calls, per_second)
         });
         Ok(())
     });
