--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -65,6 +65,8 @@
     pub signals: cell::RefCell<collections::HashMap<String, port::ServerSignals>>,
     /// When each server first stated a limit to this VM.
     pub told: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
+    /// When each server first said to this VM that it leaves.
+    pub told_leaving: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
     /// Requests of any kind that servers got, with the time.
     pub arrivals: cell::RefCell<Vec<(String, tokio::time::Instant)>>,
     /// Runs whose responses are still open, by server.
@@ -208,6 +210,11 @@
             let mut told = self.told.borrow_mut();
             told.entry(server.to_owned()).or_insert(now);
         }
+        if signals.leaving {
+            let now = tokio::time::Instant::now();
+            let mut told = self.told_leaving.borrow_mut();
+            told.entry(server.to_owned()).or_insert(now);
+        }
         port::SignalledReply { reply, signals }
     }
 
