exchange: a server that says that it leaves gets no more work

Cause: only entries of the store changed a server's standing. The class of fault: a belief that only one source may change, while the server itself has told the VM.

Change: the statement makes the server leave on the VM that was told, at once, for its incarnation; no entry undoes it, nor the grace period of expired ones. The VM sends a notice to all others; lists between VMs carry the statement, for VMs that start later.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -110,6 +110,23 @@
         }
     }
 
+    /// Records that a server said that it leaves. Returns `Leaves` if it still took work.
+    pub fn record_said_leaving(&mut self, key: ServerKey, now: time::Instant) -> FleetChange {
+        let Some(record) = self.servers.get_mut(key) else {
+            return FleetChange::Nothing;
+        };
+        let took_work = record.takes_work(now);
+        record.said_leaving = true;
+        if record.standing == server::ServerStanding::Ready {
+            self.set_standing(key, server::ServerStanding::Leaving, now);
+        }
+        if took_work {
+            FleetChange::Leaves(key)
+        } else {
+            FleetChange::Nothing
+        }
+    }
+
     fn insert_new(&mut self, update: &update::ServerUpdate, now: time::Instant) -> FleetChange {
         let Some(entry) = &update.entry else {
             return FleetChange::Nothing;
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -78,6 +78,9 @@
     /// When the incarnation was started, in milliseconds since 1970; 0 if unknown.
     #[prost(uint64, tag = "7")]
     pub started_ms: u64,
+    /// Whether the server itself said that it leaves.
+    #[prost(bool, tag = "8")]
+    pub said_leaving: bool,
 }
 
 /// Short form of an update for VMs that know the server: one incarnation takes no new work any
@@ -94,6 +97,9 @@
     /// Whether the entry was removed; otherwise the server is leaving.
     #[prost(bool, tag = "3")]
     pub removed: bool,
+    /// Whether the server itself said that it leaves.
+    #[prost(bool, tag = "4")]
+    pub said: bool,
 }
 
 /// What a server stated about its limit on requests.
@@ -310,6 +316,7 @@
                 domain: entry.domain.clone(),
                 slots: entry.slots,
                 leaving: entry.leaving,
+                said_leaving: entry.said_leaving,
                 cold_ms: u64::try_from(entry.cold.as_millis()).unwrap_or(u64::MAX),
                 started_ms: entry.started_at.millis(),
             }),
@@ -330,6 +337,7 @@
                 domain: entry.domain.clone(),
                 slots: entry.slots,
                 leaving: entry.leaving,
+                said_leaving: entry.said_leaving,
                 cold: time::Duration::from_millis(entry.cold_ms),
             }),
         };
--- a/crates/exchange/src/notices.rs
+++ b/crates/exchange/src/notices.rs
@@ -83,6 +83,7 @@
         update.entry = update.entry.filter(|_| !notice.removed);
         if let Some(entry) = &mut update.entry {
             entry.leaving = true;
+            entry.said_leaving |= notice.said;
         }
         Some(update)
     }
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -268,16 +268,12 @@
 
     /// Takes the statement of a server that it leaves.
     fn take_leaving_signal(&self, key: fleet::ServerKey, now: time::Instant) {
-        let mut state = self.state.borrow_mut();
-        let Some(server) = state.fleet.server_mut(key) else {
+        if !self.state.borrow_mut().take_leaving_signal(key, now) {
             return;
-        };
-        if !std::mem::replace(&mut server.said_leaving, true) {
-            log::info!(
-                server:% = server.id, took_work = server.takes_work(now);
-                "server says that it leaves"
-            );
         }
+        log::info!(server:% = self.server_id(key); "server says that it leaves");
+        self.announce.notify_one();
+        self.decisions_due.notify_one();
     }
 
     /// Counts a request other than an attempt against the limit of a server.
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -88,7 +88,7 @@
     /// Creates the record of a newly discovered server.
     #[must_use]
     pub fn new(id: &str, offset: u64, entry: &update::ServerEntry, now: time::Instant) -> Self {
-        let standing = if entry.leaving {
+        let standing = if entry.leaving || entry.said_leaving {
             ServerStanding::Leaving
         } else {
             ServerStanding::Ready
@@ -111,7 +111,7 @@
             lapse_grace_until: None,
             failure_rate: 0.0,
             full_until: None,
-            said_leaving: false,
+            said_leaving: entry.said_leaving,
             limit: limits::ServerLimit::default(),
             used_at: None,
             failure_rate_at: now,
@@ -124,16 +124,24 @@
     ///
     /// The store's order decides which of two updates is newer. The announcement that an
     /// incarnation leaves is never undone, in whatever order updates arrive: a heartbeat sent
-    /// before it may be written seconds later.
+    /// before it may be written seconds later. The same holds for what the server itself said, also
+    /// where its entry expires and comes back without a start time.
     pub(crate) fn apply_update(&mut self, update: &update::ServerUpdate) -> ServerStanding {
         let leaving = update.entry.as_ref().is_some_and(|entry| entry.leaving);
+        let said = update
+            .entry
+            .as_ref()
+            .is_some_and(|entry| entry.said_leaving);
+        self.said_leaving |= said;
         self.announced_leaving |= leaving && self.started_at.is_known();
         if update.entry.is_none() {
             self.removed_offset = self.removed_offset.max(update.offset);
         }
         if update.offset <= self.offset {
             return match self.standing {
-                ServerStanding::Ready if self.announced_leaving => ServerStanding::Leaving,
+                ServerStanding::Ready if self.announced_leaving || self.said_leaving => {
+                    ServerStanding::Leaving
+                }
                 standing => standing,
             };
         }
@@ -149,7 +157,7 @@
         } else {
             leaving || self.standing == ServerStanding::Leaving
         };
-        if left {
+        if left || self.said_leaving {
             ServerStanding::Leaving
         } else {
             ServerStanding::Ready
@@ -209,6 +217,9 @@
     /// Returns whether the server accepts new work.
     #[must_use]
     pub fn takes_work(&self, now: time::Instant) -> bool {
+        if self.said_leaving {
+            return false;
+        }
         match self.standing {
             ServerStanding::Ready => true,
             ServerStanding::Leaving => false,
@@ -266,6 +277,7 @@
             domain: self.domain.clone(),
             slots: self.slots,
             leaving: self.standing == ServerStanding::Leaving,
+            said_leaving: self.said_leaving,
             cold: time::Duration::ZERO,
         };
         let gone = self.standing == ServerStanding::Gone;
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -194,6 +194,7 @@
                 server: record.incarnation_hash(),
                 offset: update.offset,
                 removed: update.entry.is_none(),
+                said: record.said_leaving,
             };
             self.notices.add(notice, now);
         }
@@ -203,6 +204,24 @@
         change
     }
 
+    /// Takes the statement of a server, in an answer to this VM, that it leaves. Returns whether it
+    /// still took work; its notice is then due for all VMs, because the store may not have it.
+    pub fn take_leaving_signal(&mut self, key: fleet::ServerKey, now: time::Instant) -> bool {
+        let change = self.fleet.record_said_leaving(key, now);
+        let leaves = change == fleet::FleetChange::Leaves(key);
+        if let Some(record) = self.fleet.server(key).filter(|_| leaves) {
+            let notice = message::NoticeItem {
+                server: record.incarnation_hash(),
+                offset: record.offset,
+                removed: false,
+                said: true,
+            };
+            self.notices.add(notice, now);
+            self.notices.make_due(now);
+        }
+        leaves
+    }
+
     /// End of the grace period for entries that expire now; `None` if the store was never
     /// unavailable.
     #[must_use]
--- a/crates/exchange/src/update.rs
+++ b/crates/exchange/src/update.rs
@@ -48,6 +48,8 @@
     pub slots: u32,
     /// Whether the server takes no new work.
     pub leaving: bool,
+    /// Whether the server itself said so in an answer to some VM, whatever its entry says.
+    pub said_leaving: bool,
     /// Remaining time for which the server is still slow.
     pub cold: time::Duration,
 }
--- a/crates/exchange/tests/cluster/called.rs
+++ b/crates/exchange/tests/cluster/called.rs
@@ -60,7 +60,7 @@
     pub store: rc::Rc<lossy::LogStore>,
     /// Number of VMs that callers know; the others have not started.
     started: usize,
-    pub requests: usize,
+    requests: usize,
 }
 
 impl Drop for CalledVms {
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -400,6 +400,7 @@
         domain: domain.to_owned(),
         slots: 8,
         leaving: false,
+        said_leaving: false,
         cold: time::Duration::ZERO,
     }
 }
--- a/crates/exchange/tests/leaving.rs
+++ b/crates/exchange/tests/leaving.rs
@@ -100,20 +100,14 @@
                 loss,
                 ..CallScenario::calls(vms)
             };
-            let mut running = CalledVms::start(&scenario);
+            let running = CalledVms::start(&scenario);
             clock::sleep(WARM_UP).await;
-            let told = &running.vms.vms[0].plane;
-            told.port()
-                .signals
-                .borrow_mut()
-                .insert(String::from("s1"), LEAVING);
+            let told = running.vms.vms[0].plane.clone();
             told.port().erring.borrow_mut().insert(String::from("s2"));
-            let request = cluster::request("r", catalog::ExchangeKind::Idempotent);
-            let _ = told.serve(request).await;
+            tell(&told, "s1").await;
             clock::sleep(KNOWN_WITHIN).await;
             let ignorant = running.vms.vms.iter().filter(|vm| takes_work(vm, "s1"));
             assert_eq!(ignorant.count(), 0, "of {vms} VMs");
-            running.requests += 1;
         });
     }
 }
@@ -130,7 +124,9 @@
             };
             let mut running = CalledVms::start(&scenario);
             running.signal("s1", LEAVING);
+            running.err("s2");
             running.call(&scenario, LEAVING_TIME).await;
+            assert!(!takes_work(&running.vms.vms[0], "s1"), "told");
             running.start_vms(vms);
             clock::sleep(TOLD).await;
             assert!(!takes_work(&running.vms.vms[vms - 1], "s1"), "of {vms} VMs");
@@ -138,11 +134,14 @@
     }
 }
 
-/// Lets a server of a single VM say that it leaves, in the answer to a call.
-async fn tell(plane: &cluster::TestPlane, server: &str) {
+fn say_leaving(plane: &cluster::TestPlane, server: &str) {
     let mut signals = plane.port().signals.borrow_mut();
     signals.insert(server.to_owned(), LEAVING);
-    drop(signals);
+}
+
+/// Lets a server of a single VM say that it leaves, in the answer to a call.
+async fn tell(plane: &cluster::TestPlane, server: &str) {
+    say_leaving(plane, server);
     for number in 0..20 {
         let request = cluster::request(&format!("t{number}"), catalog::ExchangeKind::Once);
         let _ = plane.serve(request).await;
@@ -232,9 +231,7 @@
         let reply = plane.serve(first).await.expect("served");
         clock::sleep(time::Duration::from_secs(1)).await;
         let server = plane.port().seen.borrow()[0].server.clone();
-        let mut signals = plane.port().signals.borrow_mut();
-        signals.insert(server.clone(), LEAVING);
-        drop(signals);
+        say_leaving(&plane, &server);
         // The next streams bring the answer that says so.
         for number in 2..6 {
             let request = cluster::request(&format!("r{number}"), catalog::ExchangeKind::Stream);
