--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -260,12 +260,23 @@
             self.announce.notify_one();
             self.decisions_due.notify_one();
         }
+        if let Some(rest) = reply.signals.rest {
+            self.take_rest_signal(key, rest);
+        }
         if reply.signals.leaving {
             self.take_leaving_signal(key, now);
         }
         reply.reply
     }
 
+    /// Takes the statement of a server that it wants nothing from this VM for a while.
+    fn take_rest_signal(&self, key: fleet::ServerKey, rest: time::Duration) {
+        log::info!(
+            server:% = self.server_id(key), rest_ms = rest.as_millis();
+            "server asks for rest"
+        );
+    }
+
     /// Takes the statement of a server that it leaves.
     fn take_leaving_signal(&self, key: fleet::ServerKey, now: time::Instant) {
         if !self.state.borrow_mut().take_leaving_signal(key, now) {
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -134,6 +134,8 @@
     pub limit: Option<LimitSignal>,
     /// Whether the server says that it leaves. An answer that does not say so tells nothing.
     pub leaving: bool,
+    /// Time for which the server wants nothing from this VM; set if it turned the request away.
+    pub rest: Option<time::Duration>,
 }
 
 /// Reply of a server, with the signals of the answer that it was read from.
@@ -151,6 +153,7 @@
         let signals = ServerSignals {
             limit: None,
             leaving: false,
+            rest: None,
         };
         Self { reply, signals }
     }
--- a/crates/exchange/tests/leaving.rs
+++ b/crates/exchange/tests/leaving.rs
@@ -22,6 +22,7 @@
 const LEAVING: port::ServerSignals = port::ServerSignals {
     limit: None,
     leaving: true,
+    rest: None,
 };
 
 /// Attempts that a server gets on a VM later than `TOLD` after it was told, over all VMs.
