--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -271,6 +271,8 @@
 
     /// Takes the statement of a server that it wants nothing from this VM for a while.
     fn take_rest_signal(&self, key: fleet::ServerKey, rest: time::Duration) {
+        let now = time::Instant::now();
+        self.state.borrow_mut().take_rest_signal(key, rest, now);
         log::info!(
             server:% = self.server_id(key), rest_ms = rest.as_millis();
             "server asks for rest"
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -24,6 +24,10 @@
 /// [`crate::port::ReuseRule::FRESH`].
 const WARM_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
 
+/// Longest rest that a server is granted: a longer one is more likely a wrong value, and the next
+/// answer states it again.
+const MAX_REST: time::Duration = time::Duration::from_secs(300);
+
 /// Whether a server accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerStanding {
@@ -74,6 +78,8 @@
     full_until: Option<time::Instant>,
     /// Whether the server itself has said that this incarnation leaves.
     pub(crate) said_leaving: bool,
+    /// The server asked this VM to send nothing until then.
+    rest_until: Option<time::Instant>,
     /// Limit on requests that the server states.
     pub limit: limits::ServerLimit,
     /// When this VM last sent an attempt to the server.
@@ -112,6 +118,7 @@
             failure_rate: 0.0,
             full_until: None,
             said_leaving: entry.said_leaving,
+            rest_until: None,
             limit: limits::ServerLimit::default(),
             used_at: None,
             failure_rate_at: now,
@@ -195,6 +202,13 @@
         self.full_until = Some(until);
     }
 
+    /// Records that the server asked this VM to send nothing for a while. A rest that ends later
+    /// stays.
+    pub fn rest(&mut self, rest: time::Duration, now: time::Instant) {
+        let until = now + rest.min(MAX_REST);
+        self.rest_until = self.rest_until.max(Some(until));
+    }
+
     /// Updates failure rate and latency with the outcome of an attempt.
     pub fn record_outcome(&mut self, verdict: ServerVerdict, now: time::Instant) {
         let weight = match verdict {
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -222,6 +222,18 @@
         leaves
     }
 
+    /// Takes the statement of a server that it wants nothing from this VM for a while.
+    pub fn take_rest_signal(
+        &mut self,
+        key: fleet::ServerKey,
+        rest: time::Duration,
+        now: time::Instant,
+    ) {
+        if let Some(server) = self.fleet.server_mut(key) {
+            server.rest(rest, now);
+        }
+    }
+
     /// End of the grace period for entries that expire now; `None` if the store was never
     /// unavailable.
     #[must_use]
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -65,6 +65,10 @@
     pub signals: cell::RefCell<collections::HashMap<String, port::ServerSignals>>,
     /// When each server first stated a limit to this VM.
     pub told: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
+    /// Rest that a server asks for when it turns the next request away.
+    pub rests: cell::RefCell<collections::HashMap<String, time::Duration>>,
+    /// When each server asked this VM for rest.
+    pub asked_rest: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
     /// When each server first said to this VM that it leaves.
     pub told_leaving: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
     /// Requests of any kind that servers got, with the time.
@@ -146,6 +150,11 @@
         call: port::ServerCall,
     ) -> port::SignalledReply<port::CallOutcome<FakeBody>> {
         let server = call.target.id.clone();
+        if let Some(signals) = self.take_turn_away(&server) {
+            self.count(&server);
+            let reply = port::CallOutcome::NotRun(port::NotRunCause::Rejected);
+            return port::SignalledReply { reply, signals };
+        }
         let reply = self.respond(call).await;
         let answered = !matches!(reply, port::CallOutcome::Lost(_));
         self.signalled(&server, reply, answered)
@@ -158,6 +167,10 @@
         _span: time::Duration,
     ) -> port::SignalledReply<Result<String, port::ReserveFault>> {
         self.count(&target.id);
+        if let Some(signals) = self.take_turn_away(&target.id) {
+            let reply = Err(port::ReserveFault::Full);
+            return port::SignalledReply { reply, signals };
+        }
         let reply = if self.full.borrow().contains(&target.id) {
             Err(port::ReserveFault::Full)
         } else {
@@ -195,6 +208,22 @@
 }
 
 impl FakePort {
+    /// Lets a server turn the next request away and ask for rest.
+    pub fn turn_away(&self, server: &str, rest: time::Duration) {
+        self.rests.borrow_mut().insert(server.to_owned(), rest);
+    }
+
+    /// Signals of a server that turns this request away.
+    fn take_turn_away(&self, server: &str) -> Option<port::ServerSignals> {
+        let rest = self.rests.borrow_mut().remove(server)?;
+        let now = tokio::time::Instant::now();
+        self.asked_rest.borrow_mut().insert(server.to_owned(), now);
+        Some(port::ServerSignals {
+            rest: Some(rest),
+            ..port::ServerSignals::default()
+        })
+    }
+
     /// Records that a server got a request of any kind.
     fn count(&self, server: &str) {
         let now = tokio::time::Instant::now();
