exchange: a server that asks a VM for rest gets nothing from it until then

Cause: Retry-After of a 503 was not read. A rejection only raised the failure rate of the server, one cost among others. The class of fault: an explicit instruction that is weighed like a guess.

Runs stay where they are or continue from a copy elsewhere. Callers are refused at once while all servers rest, with the time of the first end.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -437,7 +437,7 @@
     #[must_use]
     pub fn may_send(&self, key: ServerKey, now: time::Instant) -> bool {
         let record = self.servers.get(key);
-        record.is_some_and(|record| record.limit.allows(now))
+        record.is_some_and(|record| record.allows_request(now))
     }
 
     /// Returns whether a server states a limit on requests.
@@ -447,6 +447,22 @@
         record.is_some_and(|record| record.limit.per_second(now).is_some())
     }
 
+    /// Returns whether a server limits requests or wants none for a while.
+    #[must_use]
+    pub fn is_restricted(&self, key: ServerKey, now: time::Instant) -> bool {
+        let record = self.servers.get(key);
+        record.is_some_and(|record| record.is_restricted(now))
+    }
+
+    /// When any server of a service may get the next request of this VM; `None` if none may.
+    #[must_use]
+    pub fn next_request(&self, service: &str, now: time::Instant) -> Option<time::Instant> {
+        let servers = self.ready(service, now);
+        servers
+            .filter_map(|(_, record)| record.next_request(now))
+            .min()
+    }
+
     /// Returns whether all servers that could get a request of this VM take none before `until`.
     #[must_use]
     pub fn is_withheld(
@@ -460,7 +476,7 @@
             .ready(service, now)
             .filter(|(key, _)| !avoid.contains(key))
             .peekable();
-        let next = |record: &server::ServerRecord| record.limit.next_request(now);
+        let next = |record: &server::ServerRecord| record.next_request(now);
         servers.peek().is_some()
             && servers.all(|(_, record)| next(record).is_none_or(|at| at > until))
     }
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -121,6 +121,10 @@
             let stop = limited || links_free || notice.elapsed() > STOP_DELAY;
             let copy_started = time::Instant::now();
             if copies > 0 {
+                // The move is ordered again once the server takes the request.
+                if !self.plane.may_send(live.placed.server) {
+                    return None;
+                }
                 self.plane.count_request(live.placed.server, "copy");
             }
             copies += 1;
@@ -231,8 +235,8 @@
         let plane = self.plane.clone();
         let key = plane.state().fleet.find(&source.id);
         if let Some(key) = key {
-            // A limited server frees the copy itself once it expires.
-            if plane.is_limited(key) {
+            // A restricted server frees the copy itself once it expires.
+            if plane.is_restricted(key) {
                 return;
             }
             plane.count_request(key, "release");
@@ -328,7 +332,7 @@
             let next = {
                 let state = self.plane.state();
                 let server = state.fleet.server(server);
-                server.and_then(|server| server.limit.next_request(now))
+                server.and_then(|server| server.next_request(now))
             };
             match next {
                 Some(at) if at <= now => return true,
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -134,7 +134,7 @@
             continue;
         }
         any = true;
-        if record.is_full(now) || !record.limit.allows(now) {
+        if record.is_full(now) || !record.allows_request(now) {
             continue;
         }
         if avoids_failing && fleet.is_failing(key, now) {
@@ -345,9 +345,9 @@
         if key == request.source || after > limit || full {
             continue;
         }
-        // A run can continue at a limited server only if that takes the request.
-        let limited = request.proactive && record.limit.per_second(now).is_some();
-        if limited || !record.limit.allows(now) {
+        // A run can continue at a restricted server only if that takes the request.
+        let restricted = request.proactive && record.is_restricted(now);
+        if restricted || !record.allows_request(now) {
             continue;
         }
         let fill = after / memory;
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -296,12 +296,24 @@
         self.count_limited(key, kind);
     }
 
+    /// Returns whether a server may get a request of this VM now.
+    pub(crate) fn may_send(&self, key: fleet::ServerKey) -> bool {
+        let now = time::Instant::now();
+        self.state.borrow().fleet.may_send(key, now)
+    }
+
     /// Returns whether a server states a limit on requests.
     pub(crate) fn is_limited(&self, key: fleet::ServerKey) -> bool {
         let now = time::Instant::now();
         self.state.borrow().fleet.is_limited(key, now)
     }
 
+    /// Returns whether a server limits requests or wants none for a while.
+    pub(crate) fn is_restricted(&self, key: fleet::ServerKey) -> bool {
+        let now = time::Instant::now();
+        self.state.borrow().fleet.is_restricted(key, now)
+    }
+
     /// Counts a request to a server that states a limit in the metrics.
     pub(crate) fn count_limited(&self, key: fleet::ServerKey, kind: &'static str) {
         if self.is_limited(key) {
@@ -321,6 +333,8 @@
         let rank = state.rank_basis(request, now).rank(now);
         let wait = state.queue(&request.service).expected_wait(rank, now);
         let wait = wait.max(state.exhausted_for(request, rank, now));
+        let next = state.fleet.next_request(&request.service, now);
+        let wait = next.map_or(wait, |at| wait.max(at.saturating_duration_since(now)));
         let draw = state.draw();
         let retry_after = wait::retry_after(wait, request.left(now), draw);
         if request.size.is_some() {
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -83,7 +83,7 @@
     let backup = run.backup.filter(|&backup| {
         fleet
             .server(backup)
-            .is_some_and(|server| fleet.is_eligible(server, now) && server.limit.allows(now))
+            .is_some_and(|server| fleet.is_eligible(server, now) && server.allows_request(now))
     });
     if let Some(backup) = backup
         && run.first_at.is_some()
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -254,6 +254,28 @@
             .is_some_and(|at| now.saturating_duration_since(at) < WARM_TIMEOUT)
     }
 
+    /// When this VM may send the next request of any kind: after the rest that the server asked for,
+    /// within its limit. `None` if this VM has no share of the limit.
+    #[must_use]
+    pub fn next_request(&self, now: time::Instant) -> Option<time::Instant> {
+        let at = self.limit.next_request(now)?;
+        Some(self.rest_until.map_or(at, |until| until.max(at)))
+    }
+
+    /// Returns whether this VM may send a request of any kind now.
+    #[must_use]
+    pub fn allows_request(&self, now: time::Instant) -> bool {
+        self.next_request(now).is_some_and(|at| at <= now)
+    }
+
+    /// Returns whether the server limits requests or wants none, so that requests which serve only
+    /// to plan ahead or to clean up are left out.
+    #[must_use]
+    pub fn is_restricted(&self, now: time::Instant) -> bool {
+        let rests = self.rest_until.is_some_and(|until| now < until);
+        rests || self.limit.per_second(now).is_some()
+    }
+
     /// Returns whether the server recently reported that it is full.
     #[must_use]
     pub fn is_full(&self, now: time::Instant) -> bool {
