stand: engines and plain services state a limit in their answers

The stand-ins of pollenstand stated nothing of themselves in answers. The fault limit, over the handle or POST /admin/faults, adds Server-Limit to all answers until it is taken back.

--- a/crates/stand/src/engine/fault.rs
+++ b/crates/stand/src/engine/fault.rs
@@ -57,6 +57,12 @@
         /// Whether the fault is switched on or off.
         on: bool,
     },
+    /// States a limit on requests in all answers; takes any number all the same.
+    Limit {
+        /// Requests per second from all callers together; states none if absent.
+        #[serde(default)]
+        per_second: Option<f64>,
+    },
 }
 
 impl EngineCore {
--- a/crates/stand/src/engine/front.rs
+++ b/crates/stand/src/engine/front.rs
@@ -37,7 +37,8 @@
         state,
         faults
     ];
-    http::serve(address, handle.gate().clone(), handle, routes).await
+    let (gate, signals) = (handle.gate().clone(), handle.signals().clone());
+    http::serve_with_signals(address, gate, signals, handle, routes).await
 }
 
 /// Event stream whose header names its generation, so that mixed-up answers can be detected.
--- a/crates/stand/src/engine/handle.rs
+++ b/crates/stand/src/engine/handle.rs
@@ -6,7 +6,7 @@
 use tokio::{sync as signal, time};
 
 use super::{EngineCore, call, error, fault, feeds, profile, stream};
-use crate::{draw, gate};
+use crate::{draw, gate, signals};
 
 /// State behind the lock.
 #[derive(Debug)]
@@ -30,6 +30,7 @@
     shared: sync::Arc<sync::Mutex<EngineShared>>,
     wake: sync::Arc<signal::Notify>,
     gate: gate::LinkGate,
+    signals: signals::StatedSignals,
     origin: time::Instant,
 }
 
@@ -60,6 +61,7 @@
             shared: sync::Arc::new(sync::Mutex::new(shared)),
             wake: sync::Arc::new(signal::Notify::new()),
             gate: gate::LinkGate::default(),
+            signals: signals::StatedSignals::default(),
             origin: time::Instant::now(),
         };
         let shared = sync::Arc::downgrade(&handle.shared);
@@ -235,9 +237,16 @@
             }
             fault::EngineFault::LoseAnswers { count } => self.lock().lose_answers = count,
             fault::EngineFault::Nonsense { on } => self.lock().faults.nonsense = on,
+            fault::EngineFault::Limit { per_second } => self.signals.set_limit(per_second),
         }
     }
 
+    /// Returns what the engine states in the headers of its answers.
+    #[must_use]
+    pub const fn signals(&self) -> &signals::StatedSignals {
+        &self.signals
+    }
+
     /// Crashes the engine: streams are cut, state is lost, new connections are refused.
     pub fn crash(&self) {
         self.change(EngineCore::crash);
--- a/crates/stand/src/http.rs
+++ b/crates/stand/src/http.rs
@@ -5,7 +5,7 @@
 use rocket::{data, fairing, http::Status, request, response};
 use tokio::{sync as signal, time};
 
-use crate::gate;
+use crate::{gate, signals};
 
 /// Answer of a stand-in.
 #[derive(Debug)]
@@ -201,9 +201,32 @@
     gate: gate::LinkGate,
     state: S,
     routes: Vec<rocket::Route>,
+) -> Result<RunningServer, ServeError> {
+    serve_with_signals(
+        address,
+        gate,
+        signals::StatedSignals::default(),
+        state,
+        routes,
+    )
+    .await
+}
+
+/// Serves like [`serve`], with `signals` in the headers of each answer.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub async fn serve_with_signals<S: Clone + Send + Sync + 'static>(
+    address: net::SocketAddr,
+    gate: gate::LinkGate,
+    signals: signals::StatedSignals,
+    state: S,
+    routes: Vec<rocket::Route>,
 ) -> Result<RunningServer, ServeError> {
     let front = FrontSpec {
         gate,
+        signals,
         state,
         routes,
         connections: sync::Arc::new(ConnectionTable::default()),
@@ -223,6 +246,7 @@
 /// Parameters from which each server run is built.
 struct FrontSpec<S> {
     gate: gate::LinkGate,
+    signals: signals::StatedSignals,
     state: S,
     routes: Vec<rocket::Route>,
     connections: sync::Arc<ConnectionTable>,
@@ -258,6 +282,7 @@
         });
         rocket::custom(config)
             .attach(pass)
+            .attach(self.signals.fairing())
             .manage(self.state.clone())
             .register("/", rocket::catchers![plain_error])
             .mount("/", self.routes.clone())
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod log;
 pub mod service;
 pub mod settings;
+pub mod signals;
 pub mod vms;
 pub mod weights;
--- a/crates/stand/src/service/front.rs
+++ b/crates/stand/src/service/front.rs
@@ -26,7 +26,8 @@
     ] {
         routes.push(rocket::Route::ranked(10, method, "/<path..>", AnyCall));
     }
-    http::serve(address, handle.gate().clone(), handle, routes).await
+    let (gate, signals) = (handle.gate().clone(), handle.signals().clone());
+    http::serve_with_signals(address, gate, signals, handle, routes).await
 }
 
 #[get("/healthz")]
--- a/crates/stand/src/service/handle.rs
+++ b/crates/stand/src/service/handle.rs
@@ -5,10 +5,10 @@
 use tokio::time;
 
 use super::{RunCounts, ServiceAnswer, ServiceCall, ServiceCore, ServiceProfile};
-use crate::gate;
+use crate::{gate, signals};
 
 /// Fault that a caller injects.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum ServiceFault {
@@ -42,6 +42,12 @@
         /// Whether the fault is switched on or off.
         on: bool,
     },
+    /// States a limit on requests in all answers; takes any number all the same.
+    Limit {
+        /// Requests per second from all callers together; states none if absent.
+        #[serde(default)]
+        per_second: Option<f64>,
+    },
 }
 
 /// Error of a call to a server.
@@ -73,6 +79,7 @@
 pub struct ServiceHandle {
     shared: sync::Arc<sync::Mutex<ServiceShared>>,
     gate: gate::LinkGate,
+    signals: signals::StatedSignals,
 }
 
 impl ServiceHandle {
@@ -89,6 +96,7 @@
         Self {
             shared: sync::Arc::new(sync::Mutex::new(shared)),
             gate: gate::LinkGate::default(),
+            signals: signals::StatedSignals::default(),
         }
     }
 
@@ -149,6 +157,12 @@
         &self.gate
     }
 
+    /// Returns what the server states in the headers of its answers.
+    #[must_use]
+    pub const fn signals(&self) -> &signals::StatedSignals {
+        &self.signals
+    }
+
     /// Injects or clears a fault.
     pub fn apply(&self, fault: &ServiceFault) {
         match *fault {
@@ -170,6 +184,7 @@
             }
             ServiceFault::LoseAnswers { count } => self.lock().core.lose_answers(count),
             ServiceFault::Leaving { on } => self.lock().leaving = on,
+            ServiceFault::Limit { per_second } => self.signals.set_limit(per_second),
         }
     }
 
--- a/crates/stand/tests/http.rs
+++ b/crates/stand/tests/http.rs
@@ -1,6 +1,6 @@
 //! HTTP interfaces of the stand-ins.
 
-use std::net;
+use std::{net, sync::atomic};
 
 use base::id;
 use stand::{engine, log, service, vms, weights};
@@ -313,3 +313,45 @@
         assert_eq!(body["error"]["code"], code);
     }
 }
+
+/// Id of the next generation, so that none is known to its engine.
+static NEXT_ID: atomic::AtomicU64 = atomic::AtomicU64::new(1_000);
+
+/// Answers of a plain service server and of an engine to a call, each with this header.
+async fn header_of(
+    service: &service::ServiceHandle,
+    engine: &engine::EngineHandle,
+    name: &str,
+) -> [(u16, Option<String>); 2] {
+    let client = reqwest::Client::new();
+    let servers = [
+        service::serve(service.clone(), ANY).await.expect("listens"),
+        engine::serve(engine.clone(), ANY).await.expect("listens"),
+    ];
+    let mut read = [(0, None), (0, None)];
+    for (index, path) in ["call", "v1/generations"].into_iter().enumerate() {
+        let url = format!("http://{}/{path}", servers[index].address());
+        let body = start_body(
+            NEXT_ID.fetch_add(1, atomic::Ordering::Relaxed).into(),
+            "one [[len=1]]",
+        );
+        let answer = client.post(&url).json(&body).send().await.expect("answers");
+        let value = answer.headers().get(name);
+        let value = value.map(|value| value.to_str().expect("text").to_owned());
+        read[index] = (answer.status().as_u16(), value);
+    }
+    read
+}
+
+#[tokio::test]
+async fn a_stated_limit_is_in_each_answer() {
+    let service = service::ServiceHandle::new(service::ServiceProfile::default());
+    let engine = engine::EngineHandle::spawn(quick_profile());
+    for per_second in [Some(2.5), None] {
+        service.apply(&service::ServiceFault::Limit { per_second });
+        engine.apply(&engine::EngineFault::Limit { per_second });
+        let read = header_of(&service, &engine, "server-limit").await;
+        let expected = per_second.map(|limit| limit.to_string());
+        assert_eq!(read, [(200, expected.clone()), (200, expected)]);
+    }
+}
