stand: engines and plain services that leave say so in all answers

The faults reclaim and leaving changed an engine's load report and a service's health check only. They now also add Server-Leaving to all answers until the next start.

Test: a_stand_in_that_leaves_says_so_in_each_answer_until_its_restart; stand http 9 passed.

--- a/crates/stand/src/engine/handle.rs
+++ b/crates/stand/src/engine/handle.rs
@@ -230,6 +230,7 @@
             }
             fault::EngineFault::Reclaim { notice_ms } => {
                 self.change(|core, now| core.set_leaving(now, true));
+                self.signals.set_leaving(true);
                 self.later(notice_ms, Self::crash);
             }
             fault::EngineFault::Truncate { after_tokens } => {
@@ -262,6 +263,7 @@
         shared.incarnations += 1;
         shared.core.restart(self.now(), incarnation);
         drop(shared);
+        self.signals.set_leaving(false);
         self.gate.set_up(true);
         self.wake.notify_one();
     }
--- a/crates/stand/src/service/handle.rs
+++ b/crates/stand/src/service/handle.rs
@@ -37,7 +37,7 @@
         /// Number of answers to drop.
         count: u32,
     },
-    /// Sets whether the health check announces that the server is leaving.
+    /// Sets whether the health check and all answers state that the server is leaving.
     Leaving {
         /// Whether the fault is switched on or off.
         on: bool,
@@ -183,7 +183,10 @@
                 self.lock().delay = time::Duration::from_millis(delay_ms);
             }
             ServiceFault::LoseAnswers { count } => self.lock().core.lose_answers(count),
-            ServiceFault::Leaving { on } => self.lock().leaving = on,
+            ServiceFault::Leaving { on } => {
+                self.lock().leaving = on;
+                self.signals.set_leaving(on);
+            }
             ServiceFault::Limit { per_second } => self.signals.set_limit(per_second),
         }
     }
@@ -197,6 +200,7 @@
     /// Restarts the server.
     pub fn restart(&self) {
         self.lock().leaving = false;
+        self.signals.set_leaving(false);
         self.gate.set_up(true);
     }
 
--- a/crates/stand/src/signals.rs
+++ b/crates/stand/src/signals.rs
@@ -14,6 +14,7 @@
 struct SignalState {
     /// Requests per second from all callers together.
     limit_per_second: Option<f64>,
+    leaving: bool,
 }
 
 impl StatedSignals {
@@ -22,6 +23,11 @@
         self.lock().limit_per_second = per_second;
     }
 
+    /// States from now on whether the stand-in leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
     /// Adds the headers to each answer.
     pub(crate) fn fairing(&self) -> impl fairing::Fairing + use<> {
         let signals = self.clone();
@@ -31,6 +37,9 @@
                 if let Some(limit) = state.limit_per_second {
                     response.set_raw_header("Server-Limit", limit.to_string());
                 }
+                if state.leaving {
+                    response.set_raw_header("Server-Leaving", "1");
+                }
             })
         })
     }
--- a/crates/stand/tests/http.rs
+++ b/crates/stand/tests/http.rs
@@ -355,3 +355,20 @@
         assert_eq!(read, [(200, expected.clone()), (200, expected)]);
     }
 }
+
+#[tokio::test]
+async fn a_stand_in_that_leaves_says_so_in_each_answer_until_its_restart() {
+    let service = service::ServiceHandle::new(service::ServiceProfile::default());
+    let engine = engine::EngineHandle::spawn(quick_profile());
+    service.apply(&service::ServiceFault::Leaving { on: true });
+    engine.apply(&engine::EngineFault::Reclaim { notice_ms: 60_000 });
+    let read = header_of(&service, &engine, "server-leaving").await;
+    let said = Some(String::from("1"));
+    assert_eq!(read, [(200, said.clone()), (200, said)]);
+    service.crash();
+    service.restart();
+    engine.crash();
+    engine.restart();
+    let read = header_of(&service, &engine, "server-leaving").await;
+    assert_eq!(read, [(200, None), (200, None)]);
+}
