stand: engines and plain services turn requests away and ask for rest

The stand-ins of pollenstand never answered a request with 503 and a time. The fault turn_away does so for the next requests, which do not run.

--- a/crates/stand/src/engine/fault.rs
+++ b/crates/stand/src/engine/fault.rs
@@ -63,6 +63,13 @@
         #[serde(default)]
         per_second: Option<f64>,
     },
+    /// Turns the next requests away unrun and asks their callers for rest.
+    TurnAway {
+        /// Number of requests.
+        count: u32,
+        /// Time for which the caller is to send nothing.
+        rest_ms: u64,
+    },
 }
 
 impl EngineCore {
--- a/crates/stand/src/engine/front.rs
+++ b/crates/stand/src/engine/front.rs
@@ -63,6 +63,9 @@
     body: data::Data<'_>,
     handle: &State<handle::EngineHandle>,
 ) -> EventAnswer<impl futures_util::Stream<Item = String> + use<>> {
+    if let Some(reply) = handle.signals().take_turn_away() {
+        return Err(reply);
+    }
     let call: call::StartCall = http::read_json(body).await?;
     let generation = call.id;
     let stream = handle.start(call).await.map_err(error_reply)?;
--- a/crates/stand/src/engine/handle.rs
+++ b/crates/stand/src/engine/handle.rs
@@ -239,6 +239,10 @@
             fault::EngineFault::LoseAnswers { count } => self.lock().lose_answers = count,
             fault::EngineFault::Nonsense { on } => self.lock().faults.nonsense = on,
             fault::EngineFault::Limit { per_second } => self.signals.set_limit(per_second),
+            fault::EngineFault::TurnAway { count, rest_ms } => {
+                let rest = time::Duration::from_millis(rest_ms);
+                self.signals.turn_away(count, rest);
+            }
         }
     }
 
--- a/crates/stand/src/service/front.rs
+++ b/crates/stand/src/service/front.rs
@@ -78,6 +78,9 @@
     let Some(handle) = request.rocket().state::<handle::ServiceHandle>() else {
         return LOST;
     };
+    if let Some(reply) = handle.signals().take_turn_away() {
+        return reply;
+    }
     let body = match http::read_bytes(body).await {
         Ok(body) => bytes::Bytes::from(body),
         Err(reply) => return reply,
--- a/crates/stand/src/service/handle.rs
+++ b/crates/stand/src/service/handle.rs
@@ -48,6 +48,13 @@
         #[serde(default)]
         per_second: Option<f64>,
     },
+    /// Turns the next requests away unrun and asks their callers for rest.
+    TurnAway {
+        /// Number of requests.
+        count: u32,
+        /// Time for which the caller is to send nothing.
+        rest_ms: u64,
+    },
 }
 
 /// Error of a call to a server.
@@ -188,6 +195,10 @@
                 self.signals.set_leaving(on);
             }
             ServiceFault::Limit { per_second } => self.signals.set_limit(per_second),
+            ServiceFault::TurnAway { count, rest_ms } => {
+                let rest = time::Duration::from_millis(rest_ms);
+                self.signals.turn_away(count, rest);
+            }
         }
     }
 
--- a/crates/stand/src/signals.rs
+++ b/crates/stand/src/signals.rs
@@ -1,9 +1,14 @@
 //! What a stand-in states of itself in the headers of its answers.
 
-use std::sync;
+use std::{sync, time};
 
 use rocket::fairing;
 
+use crate::http;
+
+/// Code of the error of a request that is turned away.
+const TURNED_AWAY: &str = "turned_away";
+
 /// Statements in all answers of a stand-in, shared between clones.
 #[derive(Clone, Debug, Default)]
 pub struct StatedSignals {
@@ -15,6 +20,9 @@
     /// Requests per second from all callers together.
     limit_per_second: Option<f64>,
     leaving: bool,
+    /// Number of requests that are still turned away, and the rest that each is asked for.
+    turned_away: u32,
+    rest: time::Duration,
 }
 
 impl StatedSignals {
@@ -28,6 +36,22 @@
         self.lock().leaving = leaving;
     }
 
+    /// Turns the next `count` requests away and asks each caller for `rest`.
+    pub fn turn_away(&self, count: u32, rest: time::Duration) {
+        let mut state = self.lock();
+        state.turned_away = count;
+        state.rest = rest;
+    }
+
+    /// Answer to a request that is turned away; `None` if it is to run.
+    pub(crate) fn take_turn_away(&self) -> Option<http::JsonReply> {
+        let mut state = self.lock();
+        state.turned_away = state.turned_away.checked_sub(1)?;
+        let rest_ms = u64::try_from(state.rest.as_millis()).unwrap_or(u64::MAX);
+        let message = "the request did not run; send nothing until the rest is over";
+        Some(http::error_after(503, TURNED_AWAY, message, rest_ms))
+    }
+
     /// Adds the headers to each answer.
     pub(crate) fn fairing(&self) -> impl fairing::Fairing + use<> {
         let signals = self.clone();
@@ -37,6 +61,11 @@
                 if let Some(limit) = state.limit_per_second {
                     response.set_raw_header("Server-Limit", limit.to_string());
                 }
+                let refused = response.status() == rocket::http::Status::ServiceUnavailable;
+                if refused && !state.rest.is_zero() {
+                    let seconds = state.rest.as_secs_f64();
+                    response.set_raw_header("Retry-After", seconds.to_string());
+                }
                 if state.leaving {
                     response.set_raw_header("Server-Leaving", "1");
                 }
--- a/crates/stand/tests/http.rs
+++ b/crates/stand/tests/http.rs
@@ -372,3 +372,19 @@
     let read = header_of(&service, &engine, "server-leaving").await;
     assert_eq!(read, [(200, None), (200, None)]);
 }
+
+#[tokio::test]
+async fn a_request_that_is_turned_away_is_asked_for_rest_and_does_not_run() {
+    let service = service::ServiceHandle::new(service::ServiceProfile::default());
+    let engine = engine::EngineHandle::spawn(quick_profile());
+    let (count, rest_ms) = (1, 1_500);
+    service.apply(&service::ServiceFault::TurnAway { count, rest_ms });
+    engine.apply(&engine::EngineFault::TurnAway { count, rest_ms });
+    let read = header_of(&service, &engine, "retry-after").await;
+    let asked = Some(String::from("1.5"));
+    assert_eq!(read, [(503, asked.clone()), (503, asked)]);
+    assert_eq!(service.counts().total, 0);
+    let read = header_of(&service, &engine, "retry-after").await;
+    assert_eq!(read, [(200, None), (200, None)]);
+    assert_eq!(service.counts().total, 1);
+}
