exchange: stop telling other VMs of limits that ended long ago

What would be seen: datagrams name each server that ever stated a limit for as long as it answers, up to 16 of them, 13 bytes each.

Cause: each response without a limit counted as a new statement that it had ended, and statements are repeated for 3 s.

Change: a response ends a limit once. Test the_end_of_a_limit_is_told_to_other_vms_for_a_few_seconds_only failed before (told after 4 s); limits 15 passed.

--- a/crates/exchange/src/limits.rs
+++ b/crates/exchange/src/limits.rs
@@ -109,12 +109,7 @@
     ) -> bool {
         let per_second = match signal {
             port::LimitSignal::PerSecond(rate) => Some(rate),
-            // The answer to a request that crossed the statement may have been made before it.
-            port::LimitSignal::Unlimited
-                if self.report.is_none_or(|report| sent_at <= report.said_at) =>
-            {
-                return false;
-            }
+            port::LimitSignal::Unlimited if !self.may_end(sent_at) => return false,
             port::LimitSignal::Unlimited => None,
         };
         self.take_report(LimitReport {
@@ -123,6 +118,13 @@
         })
     }
 
+    /// Returns whether the response to a request that was sent at `sent_at` can end the limit. One
+    /// to a request that crossed the statement may have been made before it.
+    fn may_end(&self, sent_at: time::Instant) -> bool {
+        self.report
+            .is_some_and(|report| report.per_second.is_some() && report.said_at < sent_at)
+    }
+
     /// Applies a statement that this VM or another one received. Returns whether the limit changed.
     pub fn take_report(&mut self, report: LimitReport) -> bool {
         let known = self.report;
--- a/crates/exchange/tests/limits.rs
+++ b/crates/exchange/tests/limits.rs
@@ -295,6 +295,27 @@
     });
 }
 
+#[test]
+fn the_end_of_a_limit_is_told_to_other_vms_for_a_few_seconds_only() {
+    // Guards against datagrams that name each server that ever stated a limit.
+    cluster::run(async {
+        let plane = cluster::plane();
+        let second = time::Duration::from_secs(1);
+        let mut state = plane.state();
+        let key = state.fleet.find("s1").expect("known");
+        let start = Instant::now();
+        let limit = port::LimitSignal::PerSecond(2.0);
+        assert!(state.take_limit_signal(key, limit, start, start));
+        for number in 1..8 {
+            let now = start + second * number;
+            let ended = state.take_limit_signal(key, port::LimitSignal::Unlimited, now, now);
+            assert_eq!(ended, number == 1);
+            let told = state.limit_items(true, now).len();
+            assert_eq!(told, usize::from(number < 4), "after {number} s");
+        }
+    });
+}
+
 #[test]
 fn a_new_incarnation_has_no_limit_of_the_one_before() {
     // Guards against a server that comes back under its name and gets no work.
