exchange: tell other VMs at once of large changes of a limit only

What would be seen: a server that adapts its limit with each answer makes the VM that was told send a datagram to each other VM, 300 for each answer, and log a line.

Cause: any change of the number counted as a change of the limit.

Change: a limit that begins, ends or changes by more than a tenth is told at once; others travel with the next datagrams, as all statements do for 3 s.

--- a/crates/exchange/src/limits.rs
+++ b/crates/exchange/src/limits.rs
@@ -18,6 +18,9 @@
 /// Longest window, for limits of less than one request in [`WINDOW`]. A limit of zero is treated
 /// like this, because only an answer can tell that it has ended.
 const MAX_WINDOW: time::Duration = time::Duration::from_secs(30);
+/// Change of a limit, as a fraction, up to which other VMs learn of it with the next datagrams only.
+/// A server that adapts its limit would otherwise cause a datagram to each VM with each answer.
+const MIN_CHANGE: f64 = 0.1;
 /// Time for which a statement is repeated to other VMs.
 const REPEAT_TIME: time::Duration = time::Duration::from_secs(3);
 /// A limit that no VM has confirmed for this long counts as ended; the next answer tells.
@@ -99,8 +102,8 @@
 }
 
 impl ServerLimit {
-    /// Applies the statement of an answer to a request that was sent at `sent_at`. Returns whether
-    /// the limit changed.
+    /// Applies the statement of an answer to a request that was sent at `sent_at`. Returns as
+    /// [`Self::take_report`].
     pub fn take_signal(
         &mut self,
         signal: port::LimitSignal,
@@ -125,14 +128,19 @@
             .is_some_and(|report| report.per_second.is_some() && report.said_at < sent_at)
     }
 
-    /// Applies a statement that this VM or another one received. Returns whether the limit changed.
+    /// Applies a statement that this VM or another one received. Returns whether the limit began,
+    /// ended or changed by more than [`MIN_CHANGE`].
     pub fn take_report(&mut self, report: LimitReport) -> bool {
         let known = self.report;
         if known.is_some_and(|known| report.said_at <= known.said_at) {
             return false;
         }
         self.report = Some(report);
-        known.and_then(|known| known.per_second) != report.per_second
+        match (known.and_then(|known| known.per_second), report.per_second) {
+            (None, None) => false,
+            (Some(before), Some(after)) => (after - before).abs() > before * MIN_CHANGE,
+            _ => true,
+        }
     }
 
     /// The newest statement, if it is still believed.
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -29,8 +29,8 @@
 /// request it.
 const SPARE_RETENTION: time::Duration = time::Duration::from_millis(4_500);
 
-/// Max wait for the limit of the server on which a run continues: callers leave after a pause of
-/// two seconds.
+/// Max wait until the server on which a run continues takes the request: callers leave after a pause
+/// of two seconds.
 const MAX_RESUME_WAIT: time::Duration = time::Duration::from_millis(1_500);
 
 /// A copy completed before its source ended. The output produced since is recomputed on the
@@ -323,8 +323,7 @@
         false
     }
 
-    /// Waits until a server may get a request; returns whether that is before the copy of the run
-    /// there may have expired.
+    /// Waits until a server may get a request; returns whether that is within `MAX_RESUME_WAIT`.
     async fn may_send_soon(&self, server: fleet::ServerKey) -> bool {
         let until = time::Instant::now() + MAX_RESUME_WAIT;
         loop {
--- a/crates/exchange/tests/limits.rs
+++ b/crates/exchange/tests/limits.rs
@@ -295,6 +295,29 @@
     });
 }
 
+#[test]
+fn small_changes_of_a_limit_are_not_told_at_once() {
+    // Guards against a datagram to each VM with each answer of a server that adapts its limit.
+    cluster::run(async {
+        let mut limit = limits::ServerLimit::default();
+        let start = Instant::now();
+        let second = time::Duration::from_secs(1);
+        let mut state = |number, rate| {
+            let now = start + second * number;
+            let signal = port::LimitSignal::PerSecond(rate);
+            let changed = limit.take_signal(signal, now, now);
+            assert_eq!(limit.per_second(now), Some(rate));
+            changed
+        };
+        assert!(state(1, 4.0));
+        assert!(!state(2, 3.8));
+        assert!(!state(3, 4.1));
+        assert!(state(4, 3.0));
+        assert!(state(5, 0.0));
+        assert!(state(6, 0.5));
+    });
+}
+
 #[test]
 fn the_end_of_a_limit_is_told_to_other_vms_for_a_few_seconds_only() {
     // Guards against datagrams that name each server that ever stated a limit.
