--- a/crates/exchange/src/limits.rs
+++ b/crates/exchange/src/limits.rs
@@ -129,7 +129,7 @@
     }
 
     /// Applies a statement that this VM or another one received. Returns whether the limit began,
-    /// ended or changed by more than [`MIN_CHANGE`].
+    /// ended or changed by more than a tenth.
     pub fn take_report(&mut self, report: LimitReport) -> bool {
         let known = self.report;
         if known.is_some_and(|known| report.said_at <= known.said_at) {
