exchange: log removals that are deferred, and the way on which each server change came

The logs showed no line for a removal that a VM read and held back for the grace period after an outage, and source=peer for updates, notices and state replies alike. Change: 'removal deferred' with the rest of the grace period, a counter of them, and source=peer, notice or state. No decision changes.

--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -56,6 +56,9 @@
 /// two seconds.
 const REQUEST_INTERVAL_PER_SERVER: time::Duration = time::Duration::from_micros(300);
 
+/// Value of `source` in log lines for a server in the state reply of another VM.
+const SOURCE_STATE: &str = "state";
+
 /// State requests to other VMs.
 pub trait PeerPort {
     /// Requests state from the VM at an address; `meter` counts the bytes received. An error means
@@ -291,7 +294,7 @@
         .iter()
         .filter_map(message::UpdateItem::decode_update)
         .collect();
-    let changed = link::take_updates(plane, &updates, now);
+    let changed = link::take_updates(plane, &updates, SOURCE_STATE, now);
     let mut state = plane.state();
     state.servers_complete |= !reply.partial;
     for known in reply.known.iter().filter_map(|known| known.parse().ok()) {
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -31,6 +31,9 @@
     Arrived(ServerKey),
     /// A server leaves or was removed; its runs should move.
     Leaves(ServerKey),
+    /// The entry of a server was removed, but it may have expired in an outage of the store: the
+    /// server keeps its work for the grace period.
+    Deferred(ServerKey),
 }
 
 /// All servers, and all running attempts of this VM.
@@ -104,7 +107,7 @@
         match after {
             server::ServerStanding::Ready => FleetChange::Arrived(key),
             server::ServerStanding::Gone if record.lapse_grace_until.is_some() => {
-                FleetChange::Nothing
+                FleetChange::Deferred(key)
             }
             _ => FleetChange::Leaves(key),
         }
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -18,6 +18,11 @@
 /// Maximum size of a datagram that is not fragmented on any path.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_300;
 
+/// Value of `source` in log lines for an update in a datagram of another VM.
+const SOURCE_PEER: &str = "peer";
+/// Value of `source` in log lines for a notice of another VM.
+const SOURCE_NOTICE: &str = "notice";
+
 /// Binds the UDP and the TCP socket of the link.
 ///
 /// # Errors
@@ -109,10 +114,10 @@
         .updates
         .iter()
         .filter_map(message::UpdateItem::decode_update);
-    let updates: Vec<_> = updates
-        .chain(notice_updates(plane, datagram, now))
-        .collect();
-    let changed = take_updates(plane, &updates, now);
+    let updates: Vec<_> = updates.collect();
+    let notices = notice_updates(plane, datagram, now);
+    let mut changed = take_updates(plane, &updates, SOURCE_PEER, now);
+    changed |= take_updates(plane, &notices, SOURCE_NOTICE, now);
     if changed && datagram.forward {
         plane
             .state()
@@ -183,6 +188,7 @@
 pub(crate) fn take_updates<P>(
     plane: &plane::ExchangePlane<P>,
     updates: &[update::ServerUpdate],
+    source: &str,
     now: time::Instant,
 ) -> bool {
     let changes = updates.iter().map(|update| {
@@ -190,5 +196,5 @@
         (update.clone(), change)
     });
     let changes: Vec<_> = changes.collect();
-    listing::log_changes(plane, &changes, "peer")
+    listing::log_changes(plane, &changes, source)
 }
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -252,9 +252,17 @@
     changes: &[(update::ServerUpdate, fleet::FleetChange)],
     source: &str,
 ) -> bool {
-    let changed = changes
-        .iter()
-        .filter(|(_, change)| *change != fleet::FleetChange::Nothing);
+    for (update, change) in changes {
+        if let fleet::FleetChange::Deferred(key) = change {
+            log_deferred(plane, update, *key, source);
+        }
+    }
+    let changed = changes.iter().filter(|(_, change)| {
+        !matches!(
+            change,
+            fleet::FleetChange::Nothing | fleet::FleetChange::Deferred(_)
+        )
+    });
     let count = changed.clone().count();
     if count > MAX_ANNOUNCED_UPDATES {
         log::info!(count, source:% = source; "servers changed");
@@ -264,6 +272,25 @@
     count > 0
 }
 
+/// Logs a removal that is not applied until the grace period ends.
+fn log_deferred<P>(
+    plane: &plane::ExchangePlane<P>,
+    update: &update::ServerUpdate,
+    key: fleet::ServerKey,
+    source: &str,
+) {
+    metrics::counter!("pollenchute_exchange_removals_deferred_total").increment(1);
+    let now = time::Instant::now();
+    let state = plane.state();
+    let record = state.fleet.server(key);
+    let until = record.and_then(|record| record.lapse_grace_until);
+    let grace_ms = until.map_or(0, |until| until.saturating_duration_since(now).as_millis());
+    log::info!(
+        server:% = update.id, offset = update.offset, grace_ms, source:% = source;
+        "removal deferred: the entry may have expired in an outage of the store"
+    );
+}
+
 fn log_change<P>(
     plane: &plane::ExchangePlane<P>,
     update: &update::ServerUpdate,
@@ -271,7 +298,7 @@
     source: &str,
 ) {
     let key = match change {
-        fleet::FleetChange::Nothing => return,
+        fleet::FleetChange::Nothing | fleet::FleetChange::Deferred(_) => return,
         fleet::FleetChange::Arrived(key) | fleet::FleetChange::Leaves(key) => key,
     };
     let state = plane.state();
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -198,7 +198,11 @@
             };
             self.notices.add(notice, now);
         }
-        if from_store && change != fleet::FleetChange::Nothing {
+        let known_to_others = matches!(
+            change,
+            fleet::FleetChange::Nothing | fleet::FleetChange::Deferred(_)
+        );
+        if from_store && !known_to_others {
             self.unannounced.push(update);
         }
         change
