exchange: failing tests of removals after an outage of the store

What callers saw: requests reached a server 3,022 and 3,094 ms after its entry was removed (bound 3,000 ms).

--- a/crates/exchange/tests/cluster/lossy.rs
+++ b/crates/exchange/tests/cluster/lossy.rs
@@ -35,6 +35,10 @@
 #[derive(Debug, Default)]
 pub struct LogStore {
     pub records: cell::RefCell<Vec<update::ServerUpdate>>,
+    /// Whether no call is answered.
+    pub away: cell::Cell<bool>,
+    /// Number of the oldest records that are trimmed.
+    pub trimmed: cell::Cell<u64>,
 }
 
 impl LogStore {
@@ -43,6 +47,20 @@
         let offset = records.len() as u64 + 1;
         records.push(super::update(id, offset, entry));
     }
+
+    /// Trims all records; the newest one of each name stays in the list.
+    pub fn trim(&self) {
+        self.trimmed.set(self.records.borrow().len() as u64);
+    }
+
+    /// The time of a call, and whether it is answered.
+    async fn call(&self) -> Result<(), follow::StoreError> {
+        clock::sleep(STORE_TIME).await;
+        if self.away.get() {
+            return Err(follow::StoreError::Unavailable);
+        }
+        Ok(())
+    }
 }
 
 impl follow::StorePort for LogStore {
@@ -50,19 +68,23 @@
         &self,
         _after: Option<&str>,
     ) -> Result<follow::UpdatePage, follow::StoreError> {
-        clock::sleep(STORE_TIME).await;
+        self.call().await?;
         let records = self.records.borrow();
         let newest: collections::BTreeMap<_, _> =
             records.iter().map(|update| (&update.id, update)).collect();
+        let listed = newest.into_values().filter(|update| update.entry.is_some());
         Ok(follow::UpdatePage {
-            updates: newest.into_values().cloned().collect(),
+            updates: listed.cloned().collect(),
             end: records.len() as u64,
             next: None,
         })
     }
 
     async fn read_updates(&self, from: u64) -> Result<follow::UpdatePage, follow::StoreError> {
-        clock::sleep(STORE_TIME).await;
+        self.call().await?;
+        if from < self.trimmed.get() {
+            return Err(follow::StoreError::Trimmed);
+        }
         let records = self.records.borrow();
         let first = usize::try_from(from).expect("small");
         Ok(follow::UpdatePage {
