--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -219,7 +219,7 @@
     now: time::Instant,
 ) -> bool {
     let mut state = plane.state();
-    let spared = state.lapse_grace_until();
+    let spared = state.lapse_grace_until(now);
     let absent = state
         .fleet
         .remove_unlisted(&list.listed, list.end, spared, now);
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -185,7 +185,7 @@
         from_store: bool,
         now: time::Instant,
     ) -> fleet::FleetChange {
-        let grace_until = self.lapse_grace_until();
+        let grace_until = self.lapse_grace_until(now);
         let change = self.fleet.apply_update(&update, grace_until, now);
         if let fleet::FleetChange::Leaves(key) = change
             && let Some(record) = self.fleet.server(key)
@@ -238,11 +238,12 @@
         }
     }
 
-    /// End of the grace period for entries that expire now; `None` if the store was never
-    /// unavailable.
+    /// End of the grace period for entries whose removal is read now; `None` unless the store has
+    /// just recovered from an outage.
     #[must_use]
-    pub fn lapse_grace_until(&self) -> Option<time::Instant> {
-        self.store_recovered_at.map(|at| at + fleet::LAPSE_GRACE)
+    pub fn lapse_grace_until(&self, now: time::Instant) -> Option<time::Instant> {
+        let until = self.store_recovered_at? + fleet::LAPSE_GRACE;
+        (now < until).then_some(until)
     }
 
     /// Records whether a call to the store succeeded. Returns whether its availability changed.
