exchange: tell all VMs when a grace period ends

What callers see: after an outage, VMs that do not read the store go on sending to a server whose entry expired in it and never came back. Cause: the same as of the removal after an outage: the end of the grace period changed what the VM that had read the removal believes, and no other. It was also noticed up to a second late, as the decision loop slept for a second. Change: the end of a grace period is announced like a removal, with a notice and an update, at the moment at which it is due.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -258,6 +258,14 @@
         ended
     }
 
+    /// When the next grace period ends, if there is one.
+    #[must_use]
+    pub fn next_lapse_end(&self) -> Option<time::Instant> {
+        let records = self.in_lapse_grace.iter();
+        let records = records.filter_map(|&key| self.servers.get(key));
+        records.filter_map(|record| record.lapse_grace_until).min()
+    }
+
     /// Drops the records of servers that were removed long ago and run nothing.
     pub fn sweep(&mut self, now: time::Instant) {
         let used: collections::HashSet<_> = self.runs.values().map(|run| run.server).collect();
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -206,6 +206,10 @@
             update.entry = None;
         }
         let change = plane.state().apply_update(update.clone(), announce, now);
+        if let fleet::FleetChange::Deferred(_) = change {
+            // The decision loop ends the grace period.
+            plane.wake_decisions();
+        }
         changes.push((update, change));
     }
     log_changes(plane, &changes, follow::SOURCE_STORE)
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -13,6 +13,8 @@
 /// Interval between checks of waiting requests and due moves, while there are any: a tenth of the
 /// time allowed for the fastest decision.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Maximum time between two checks.
+const MAX_DECISION_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// Interval between sweeps of removed servers.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(5);
 
@@ -149,8 +151,14 @@
             if busy {
                 time::sleep(POLL_INTERVAL).await;
             } else {
-                let _ = time::timeout(time::Duration::from_secs(1), self.decisions_due.notified())
-                    .await;
+                let due = now + MAX_DECISION_PAUSE;
+                let due = self
+                    .state
+                    .borrow()
+                    .fleet
+                    .next_lapse_end()
+                    .map_or(due, |at| at.min(due));
+                let _ = time::timeout_at(due, self.decisions_due.notified()).await;
             }
         }
     }
@@ -162,7 +170,10 @@
         for service in &services {
             self.start_waiting(service, now);
         }
-        let ended = self.state.borrow_mut().fleet.end_lapse_grace(now);
+        let ended = self.state.borrow_mut().end_lapse_grace(now);
+        if !ended.is_empty() {
+            self.announce();
+        }
         for server in ended {
             log::info!(
                 server:? = self.server_id(server);
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     budget, capacity, catalog, delta, directory, evacuation, fleet, forecast, limits, message,
-    notices, peers, place, port, relocate, request, returning, runs, suspect, system, update, wait,
+    notices, peers, place, port, relocate, request, returning, runs, server, suspect, system,
+    update, wait,
 };
 
 /// Settings of the plane, fixed at its start.
@@ -187,16 +188,8 @@
     ) -> fleet::FleetChange {
         let grace_until = self.lapse_grace_until(now);
         let change = self.fleet.apply_update(&update, grace_until, now);
-        if let fleet::FleetChange::Leaves(key) = change
-            && let Some(record) = self.fleet.server(key)
-        {
-            let notice = message::NoticeItem {
-                server: record.incarnation_hash(),
-                offset: update.offset,
-                removed: update.entry.is_none(),
-                said: record.said_leaving,
-            };
-            self.notices.add(notice, now);
+        if let fleet::FleetChange::Leaves(key) = change {
+            self.add_notice(key, &update, now);
         }
         let known_to_others = matches!(
             change,
@@ -208,6 +201,41 @@
         change
     }
 
+    /// Adds the notice that stands for an update after which a server takes no new work.
+    fn add_notice(
+        &mut self,
+        key: fleet::ServerKey,
+        update: &update::ServerUpdate,
+        now: time::Instant,
+    ) {
+        let Some(record) = self.fleet.server(key) else {
+            return;
+        };
+        let notice = message::NoticeItem {
+            server: record.incarnation_hash(),
+            offset: update.offset,
+            removed: update.entry.is_none(),
+            said: record.said_leaving,
+        };
+        self.notices.add(notice, now);
+    }
+
+    /// Ends the grace periods that are over. Returns the servers whose removal is final now; it is
+    /// due for all VMs, as they have not been told of it.
+    pub fn end_lapse_grace(&mut self, now: time::Instant) -> Vec<fleet::ServerKey> {
+        let ended = self.fleet.end_lapse_grace(now);
+        for &key in &ended {
+            if let Some(update) = self.fleet.server(key).map(server::ServerRecord::update) {
+                self.add_notice(key, &update, now);
+                self.unannounced.push(update);
+            }
+        }
+        if !ended.is_empty() {
+            self.notices.make_due(now);
+        }
+        ended
+    }
+
     /// Takes the statement of a server, in an answer to this VM, that it leaves. Returns whether it
     /// still took work; its notice is then due for all VMs, because the store may not have it.
     pub fn take_leaving_signal(&mut self, key: fleet::ServerKey, now: time::Instant) -> bool {
