exchange: tell all VMs of removals that only the complete list shows

What callers see: requests reach servers whose entries were removed, after the store has dropped old records. Cause: a VM that reads the store and finds its position trimmed reads the complete list. Servers that it misses there left for this VM alone; the others hear of them only by comparing lists, which they do while most VMs differ from them. Same class as a removal after an outage. Change: what the list misses is applied like a removal in the records, with the same announcement.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -214,35 +214,24 @@
         known && entry.is_some_and(|entry| !entry.started_at.is_known())
     }
 
-    /// Removes the servers that a complete read of the store did not list. `end` is the log
+    /// Removals of the servers that a complete read of the store did not list. `end` is the log
     /// position up to which the list is complete.
-    pub fn remove_unlisted(
-        &mut self,
+    #[must_use]
+    pub fn unlisted(
+        &self,
         listed: &collections::HashSet<String>,
         end: u64,
-        grace_until: Option<time::Instant>,
-        now: time::Instant,
-    ) -> Vec<ServerKey> {
-        let removed: Vec<_> = self
-            .servers
-            .iter()
-            .filter(|(_, record)| record.offset < end && !listed.contains(&record.id))
-            .filter(|(_, record)| record.standing != server::ServerStanding::Gone)
-            .map(|(_, record)| update::ServerUpdate {
-                id: record.id.clone(),
-                offset: record.offset + 1,
-                entry: None,
-            })
-            .collect();
-        let changes = removed
-            .iter()
-            .map(|update| self.apply_update(update, grace_until, now));
-        changes
-            .filter_map(|change| match change {
-                FleetChange::Leaves(key) => Some(key),
-                _ => None,
-            })
-            .collect()
+    ) -> Vec<update::ServerUpdate> {
+        let records = self.servers.values();
+        let unlisted = records
+            .filter(|record| record.offset < end && !listed.contains(&record.id))
+            .filter(|record| record.standing != server::ServerStanding::Gone);
+        let removals = unlisted.map(|record| update::ServerUpdate {
+            id: record.id.clone(),
+            offset: record.offset + 1,
+            entry: None,
+        });
+        removals.collect()
     }
 
     /// Ends expired grace periods, and returns the servers that are removed for good.
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -222,21 +222,16 @@
     list: &PartialList,
     now: time::Instant,
 ) -> bool {
+    let removals = plane.state().fleet.unlisted(&list.listed, list.end);
+    let removed = take_updates(plane, &removals, true, now);
     let mut state = plane.state();
-    let spared = state.lapse_grace_until(now);
-    let absent = state
-        .fleet
-        .remove_unlisted(&list.listed, list.end, spared, now);
-    for key in &absent {
-        log::info!(server:? = state.fleet.server(*key).map(|server| &server.id); "server is gone from the list");
-    }
     let first = !std::mem::replace(&mut state.servers_complete, true);
     let reader = state.reads_store(now);
     drop(state);
     if first && reader {
         plane.announce();
     }
-    !absent.is_empty()
+    removed
 }
 
 /// Time until this VM polls again.
