--- a/crates/exchange/src/evacuation.rs
+++ b/crates/exchange/src/evacuation.rs
@@ -7,13 +7,15 @@
 
 use std::collections;
 
+use crate::position;
+
 /// One record of the operator on a failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationRecord {
     /// The failure domain.
     pub domain: String,
     /// Position of the record.
-    pub offset: u64,
+    pub position: position::StorePosition,
     /// Whether the domain is evacuated from then on, or takes work again.
     pub evacuated: bool,
 }
@@ -22,7 +24,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuationSet {
     /// Records before this position are taken into account; never decreases.
-    pub position: u64,
+    pub position: position::StorePosition,
     /// Evacuated domains, whose servers get no new work.
     pub domains: collections::BTreeSet<String>,
 }
@@ -31,7 +33,7 @@
     /// The set that results from all current records; `end` is the position up to which they were
     /// read.
     #[must_use]
-    pub fn of_all(records: &[EvacuationRecord], end: u64) -> Self {
+    pub fn of_all(records: &[EvacuationRecord], end: position::StorePosition) -> Self {
         let evacuated = records.iter().filter(|record| record.evacuated);
         Self {
             position: end,
@@ -42,11 +44,11 @@
     /// The set after the records that follow, in order, up to `end`. Records that are already taken
     /// into account change nothing.
     #[must_use]
-    pub fn followed_by(&self, records: &[EvacuationRecord], end: u64) -> Self {
+    pub fn followed_by(&self, records: &[EvacuationRecord], end: position::StorePosition) -> Self {
         let mut next = self.clone();
         for record in records
             .iter()
-            .filter(|record| record.offset >= self.position)
+            .filter(|record| record.position >= self.position)
         {
             if record.evacuated {
                 next.domains.insert(record.domain.clone());
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::{evacuation, limits, loads, runs, server, update};
+use crate::{evacuation, limits, loads, position, runs, server, update};
 
 slotmap::new_key_type! {
     /// Key of one incarnation of a backend server.
@@ -93,8 +93,9 @@
         let before = record.standing;
         let after = record.apply_update(update);
         if after == before {
-            let is_final =
-                grace_until.is_none() && update.entry.is_none() && update.offset >= record.offset;
+            let is_final = grace_until.is_none()
+                && update.entry.is_none()
+                && update.position >= record.position;
             if is_final && record.lapse_grace_until.take().is_some() {
                 return FleetChange::Leaves(key);
             }
@@ -139,7 +140,7 @@
         let Some(entry) = &update.entry else {
             return FleetChange::Nothing;
         };
-        let record = server::ServerRecord::new(&update.id, update.offset, entry, now);
+        let record = server::ServerRecord::new(&update.id, update.position, entry, now);
         FleetChange::Arrived(self.insert(record))
     }
 
@@ -158,8 +159,8 @@
         let old = &mut self.servers[before];
         old.superseded = true;
         old.lapse_grace_until = None;
-        let mut record = server::ServerRecord::new(&update.id, update.offset, entry, now);
-        record.record_removal(old.removed_offset);
+        let mut record = server::ServerRecord::new(&update.id, update.position, entry, now);
+        record.record_removal(old.removed_at);
         let gone = record.standing == server::ServerStanding::Gone;
         let key = self.insert(record);
         if gone {
@@ -220,15 +221,15 @@
     pub fn unlisted(
         &self,
         listed: &collections::HashSet<String>,
-        end: u64,
+        end: position::StorePosition,
     ) -> Vec<update::ServerUpdate> {
         let records = self.servers.values();
         let unlisted = records
-            .filter(|record| record.offset < end && !listed.contains(&record.id))
+            .filter(|record| record.position < end && !listed.contains(&record.id))
             .filter(|record| record.standing != server::ServerStanding::Gone);
         let removals = unlisted.map(|record| update::ServerUpdate {
             id: record.id.clone(),
-            offset: record.offset + 1,
+            position: record.position.next(),
             entry: None,
         });
         removals.collect()
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::{catalog, evacuation, plane, state, system, update};
+use crate::{catalog, evacuation, plane, position, state, system, update};
 
 /// Timeout of one call that waits for a configuration: short enough that a connection that went
 /// silent costs less than the users' bound of 3 s for a VM to be in touch again.
@@ -46,7 +46,7 @@
     /// Records, oldest first.
     pub updates: Vec<update::ServerUpdate>,
     /// Position from which to continue reading.
-    pub end: u64,
+    pub end: position::StorePosition,
     /// Name after which the list continues; `None` on its last page.
     pub next: Option<String>,
 }
@@ -59,7 +59,7 @@
     /// The operator's evacuation records, oldest first.
     pub evacuations: Vec<evacuation::EvacuationRecord>,
     /// Position from which to continue reading.
-    pub end: u64,
+    pub end: position::StorePosition,
 }
 
 /// The parts of the platform's store that this plane needs.
@@ -72,7 +72,10 @@
     ) -> impl Future<Output = Result<UpdatePage, StoreError>>;
 
     /// Reads the server updates since `from`.
-    fn read_updates(&self, from: u64) -> impl Future<Output = Result<UpdatePage, StoreError>>;
+    fn read_updates(
+        &self,
+        from: position::StorePosition,
+    ) -> impl Future<Output = Result<UpdatePage, StoreError>>;
 
     /// Reads the newest document.
     fn read_document(&self) -> impl Future<Output = Result<DocumentPage, StoreError>>;
@@ -80,7 +83,7 @@
     /// Waits for a document at or after position `from`.
     fn wait_document(
         &self,
-        from: u64,
+        from: position::StorePosition,
         wait: time::Duration,
     ) -> impl Future<Output = Result<DocumentPage, StoreError>>;
 
@@ -195,7 +198,10 @@
         return;
     }
     let domains = plane.state().fleet.evacuations().domains.clone();
-    log::info!(domains:? = domains, position, source:% = source; "evacuated failure domains");
+    log::info!(
+        domains:? = domains, position = position.offset, era = position.era, source:% = source;
+        "evacuated failure domains"
+    );
     plane.wake_decisions();
     announce_version(plane, source);
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -30,6 +30,7 @@
 mod placing;
 pub mod plane;
 pub mod port;
+pub mod position;
 pub mod recipients;
 pub mod relocate;
 pub mod reply;
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -14,7 +14,7 @@
 
 use tokio::time;
 
-use crate::{fleet, follow, plane, update};
+use crate::{fleet, follow, plane, position, update};
 
 /// Interval between two polls of any VM: streams of a leaving engine need time to move before the
 /// engine stops.
@@ -49,7 +49,7 @@
     /// Some pages.
     Partial(PartialList),
     /// All pages; changes are read from this position on.
-    Complete(u64),
+    Complete(position::StorePosition),
 }
 
 /// Pages of a list that were read so far.
@@ -58,13 +58,13 @@
     /// Name after which the list continues.
     after: String,
     /// Position of the first page: changes made while pages are read come after it.
-    end: u64,
+    end: position::StorePosition,
     listed: collections::HashSet<String>,
     started_at: time::Instant,
 }
 
 impl PartialList {
-    fn begin(end: u64, now: time::Instant) -> Self {
+    fn begin(end: position::StorePosition, now: time::Instant) -> Self {
         Self {
             after: String::new(),
             end,
@@ -200,7 +200,7 @@
         let mut update = update.clone();
         if plane.state().fleet.lacks_incarnation(&update) {
             log::warn!(
-                server:% = update.id, offset = update.offset;
+                server:% = update.id, offset = update.position.offset, era = update.position.era;
                 "entry does not name its incarnation; treating it as removed"
             );
             update.entry = None;
@@ -285,7 +285,7 @@
     let until = record.and_then(|record| record.lapse_grace_until);
     let grace_ms = until.map_or(0, |until| until.saturating_duration_since(now).as_millis());
     log::info!(
-        server:% = update.id, offset = update.offset, grace_ms, source:% = source;
+        server:% = update.id, offset = update.position.offset, era = update.position.era, grace_ms, source:% = source;
         "removal deferred: the entry may have expired in an outage of the store"
     );
 }
@@ -305,7 +305,7 @@
     let standing = server.map(|server| server.standing);
     let born_ms = server.map_or(0, |server| server.started_at.millis());
     log::info!(
-        server:% = update.id, standing:? = standing, offset = update.offset, born_ms, source:% = source;
+        server:% = update.id, standing:? = standing, offset = update.position.offset, era = update.position.era, born_ms, source:% = source;
         "server changed"
     );
 }
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{delta, evacuation, update, wait};
+use crate::{delta, evacuation, position, update, wait};
 
 /// Stage of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -45,12 +45,15 @@
     /// Name of the server.
     #[prost(string, tag = "1")]
     pub id: String,
-    /// Position in the store.
+    /// Offset in the store.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
     /// The server's entry; absent if it was removed.
     #[prost(message, optional, tag = "3")]
     pub entry: Option<EntryItem>,
+    /// Era of the store to which the offset belongs.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 /// A server's entry.
@@ -91,7 +94,7 @@
     /// Hash of the incarnation.
     #[prost(fixed64, tag = "1")]
     pub server: u64,
-    /// Position in the store.
+    /// Offset in the store.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
     /// Whether the entry was removed; otherwise the server is leaving.
@@ -100,6 +103,17 @@
     /// Whether the server itself said that it leaves.
     #[prost(bool, tag = "4")]
     pub said: bool,
+    /// Era of the store to which the offset belongs.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
+}
+
+impl NoticeItem {
+    /// Position in the store.
+    #[must_use]
+    pub const fn position(&self) -> position::StorePosition {
+        position::StorePosition::new(self.era, self.offset)
+    }
 }
 
 /// What a server stated about its limit on requests.
@@ -233,19 +247,23 @@
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 pub struct EvacuationItem {
-    /// Position in the operator's records up to which they are taken into account.
+    /// Offset in the operator's records up to which they are taken into account.
     #[prost(uint64, tag = "1")]
-    pub position: u64,
+    pub offset: u64,
     /// Names of the domains.
     #[prost(string, repeated, tag = "2")]
     pub domains: Vec<String>,
+    /// Era of the store to which the offset belongs.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 
 impl From<&evacuation::EvacuationSet> for EvacuationItem {
     fn from(evacuations: &evacuation::EvacuationSet) -> Self {
         Self {
-            position: evacuations.position,
+            offset: evacuations.position.offset,
             domains: evacuations.domains.iter().cloned().collect(),
+            era: evacuations.position.era,
         }
     }
 }
@@ -253,7 +271,7 @@
 impl From<EvacuationItem> for evacuation::EvacuationSet {
     fn from(item: EvacuationItem) -> Self {
         Self {
-            position: item.position,
+            position: position::StorePosition::new(item.era, item.offset),
             domains: item.domains.into_iter().collect(),
         }
     }
@@ -309,7 +327,8 @@
     fn from(update: &update::ServerUpdate) -> Self {
         Self {
             id: update.id.clone(),
-            offset: update.offset,
+            offset: update.position.offset,
+            era: update.position.era,
             entry: update.entry.as_ref().map(|entry| EntryItem {
                 service: entry.service.clone(),
                 address: entry.address.to_string(),
@@ -343,7 +362,7 @@
         };
         Some(update::ServerUpdate {
             id: self.id.clone(),
-            offset: self.offset,
+            position: position::StorePosition::new(self.era, self.offset),
             entry,
         })
     }
--- a/crates/exchange/src/notices.rs
+++ b/crates/exchange/src/notices.rs
@@ -79,7 +79,7 @@
             return None;
         }
         let mut update = record.update();
-        update.offset = notice.offset;
+        update.position = notice.position();
         update.entry = update.entry.filter(|_| !notice.removed);
         if let Some(entry) = &mut update.entry {
             entry.leaving = true;
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::{limits, update};
+use crate::{limits, position, update};
 
 /// Half-life of a server's failure rate: a server that failed or stopped responding gets attempts
 /// again after about three half-lives.
@@ -63,11 +63,12 @@
     /// End of the warm-up.
     pub cold_until: time::Instant,
     /// Log position of the newest update applied to this record.
-    pub offset: u64,
+    pub position: position::StorePosition,
     /// When this VM first learnt of the incarnation; connections to it are never older.
     pub known_since: time::Instant,
-    /// Log position of the newest removal of the name, for any incarnation; 0 if there was none.
-    pub(crate) removed_offset: u64,
+    /// Log position of the newest removal of the name, for any incarnation; the first one if there
+    /// was none.
+    pub(crate) removed_at: position::StorePosition,
     /// Whether any update of this incarnation announced that it leaves.
     pub(crate) announced_leaving: bool,
     /// End of the grace period while the entry's expiry may be due to an outage of the store.
@@ -93,7 +94,12 @@
 impl ServerRecord {
     /// Creates the record of a newly discovered server.
     #[must_use]
-    pub fn new(id: &str, offset: u64, entry: &update::ServerEntry, now: time::Instant) -> Self {
+    pub fn new(
+        id: &str,
+        position: position::StorePosition,
+        entry: &update::ServerEntry,
+        now: time::Instant,
+    ) -> Self {
         let standing = if entry.leaving || entry.said_leaving {
             ServerStanding::Leaving
         } else {
@@ -110,9 +116,9 @@
             standing,
             since: now,
             cold_until: now + entry.cold,
-            offset,
+            position,
             known_since: now,
-            removed_offset: 0,
+            removed_at: position::StorePosition::default(),
             announced_leaving: entry.leaving,
             lapse_grace_until: None,
             failure_rate: 0.0,
@@ -142,9 +148,9 @@
         self.said_leaving |= said;
         self.announced_leaving |= leaving && self.started_at.is_known();
         if update.entry.is_none() {
-            self.removed_offset = self.removed_offset.max(update.offset);
+            self.removed_at = self.removed_at.max(update.position);
         }
-        if update.offset <= self.offset {
+        if update.position <= self.position {
             return match self.standing {
                 ServerStanding::Ready if self.announced_leaving || self.said_leaving => {
                     ServerStanding::Leaving
@@ -152,7 +158,7 @@
                 standing => standing,
             };
         }
-        self.offset = update.offset;
+        self.position = update.position;
         let Some(entry) = &update.entry else {
             return ServerStanding::Gone;
         };
@@ -171,11 +177,11 @@
         }
     }
 
-    /// Records that the name is already known to have had no entry at `offset`.
-    pub(crate) const fn record_removal(&mut self, offset: u64) {
-        self.removed_offset = offset;
-        if offset > self.offset {
-            self.offset = offset;
+    /// Records that the name is already known to have had no entry at a position.
+    pub(crate) fn record_removal(&mut self, removed_at: position::StorePosition) {
+        self.removed_at = removed_at;
+        if removed_at > self.position {
+            self.position = removed_at;
             self.standing = ServerStanding::Gone;
         }
     }
@@ -319,7 +325,7 @@
         let gone = self.standing == ServerStanding::Gone;
         update::ServerUpdate {
             id: self.id.clone(),
-            offset: self.offset,
+            position: self.position,
             entry: (!gone).then_some(entry),
         }
     }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -217,7 +217,8 @@
         };
         let notice = message::NoticeItem {
             server: record.incarnation_hash(),
-            offset: update.offset,
+            offset: update.position.offset,
+            era: update.position.era,
             removed: update.entry.is_none(),
             said: record.said_leaving,
         };
@@ -248,7 +249,8 @@
         if let Some(record) = self.fleet.server(key).filter(|_| leaves) {
             let notice = message::NoticeItem {
                 server: record.incarnation_hash(),
-                offset: record.offset,
+                offset: record.position.offset,
+                era: record.position.era,
                 removed: false,
                 said: true,
             };
--- a/crates/exchange/src/update.rs
+++ b/crates/exchange/src/update.rs
@@ -5,6 +5,8 @@
 
 use std::{net, time};
 
+use crate::position;
+
 /// Start time of an incarnation of a server, on the server's own wall clock in milliseconds since
 /// 1970. A later one belongs to a later incarnation of the same name.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -60,7 +62,7 @@
     /// Name of the server.
     pub id: String,
     /// Position in the store; of two records of one incarnation the later one counts.
-    pub offset: u64,
+    pub position: position::StorePosition,
     /// The server's entry; `None` if it was removed or its record does not describe a server.
     pub entry: Option<ServerEntry>,
 }
--- a/crates/exchange/tests/cluster/lossy.rs
+++ b/crates/exchange/tests/cluster/lossy.rs
@@ -4,7 +4,9 @@
 use std::{cell, collections, io, net, rc, time};
 
 use carry::transfer;
-use exchange::{announce, catalog, catchup, follow, link, listing, message, plane, system, update};
+use exchange::{
+    announce, catalog, catchup, follow, link, listing, message, plane, position, system, update,
+};
 use prost::Message as _;
 use tokio::{
     sync::mpsc,
@@ -44,7 +46,7 @@
 impl LogStore {
     pub fn append(&self, id: &str, entry: Option<update::ServerEntry>) {
         let mut records = self.records.borrow_mut();
-        let offset = records.len() as u64 + 1;
+        let offset = records.len() as u64;
         records.push(super::update(id, offset, entry));
     }
 
@@ -75,21 +77,24 @@
         let listed = newest.into_values().filter(|update| update.entry.is_some());
         Ok(follow::UpdatePage {
             updates: listed.cloned().collect(),
-            end: records.len() as u64,
+            end: position::StorePosition::new(0, records.len() as u64),
             next: None,
         })
     }
 
-    async fn read_updates(&self, from: u64) -> Result<follow::UpdatePage, follow::StoreError> {
+    async fn read_updates(
+        &self,
+        from: position::StorePosition,
+    ) -> Result<follow::UpdatePage, follow::StoreError> {
         self.call().await?;
-        if from < self.trimmed.get() {
+        if from.offset < self.trimmed.get() {
             return Err(follow::StoreError::Trimmed);
         }
         let records = self.records.borrow();
-        let first = usize::try_from(from).expect("small");
+        let first = usize::try_from(from.offset).expect("small");
         Ok(follow::UpdatePage {
             updates: records.get(first..).unwrap_or_default().to_vec(),
-            end: records.len() as u64,
+            end: position::StorePosition::new(0, records.len() as u64),
             next: None,
         })
     }
@@ -100,7 +105,7 @@
 
     async fn wait_document(
         &self,
-        _from: u64,
+        _from: position::StorePosition,
         _wait: time::Duration,
     ) -> Result<follow::DocumentPage, follow::StoreError> {
         unreachable!("no VM follows documents")
--- a/crates/exchange/tests/cluster/many_vms.rs
+++ b/crates/exchange/tests/cluster/many_vms.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use carry::transfer;
 use exchange::{
-    announce, catalog, catchup, evacuation, follow, link, listing, message, plane, recipients,
-    system, update,
+    announce, catalog, catchup, evacuation, follow, link, listing, message, plane, position,
+    recipients, system, update,
 };
 use prost::Message as _;
 use tokio::time::{self as clock, Instant};
@@ -174,7 +174,7 @@
         Ok(follow::DocumentPage {
             document: Some(document),
             evacuations: Vec::<evacuation::EvacuationRecord>::new(),
-            end: version,
+            end: position::StorePosition::new(0, version),
         })
     }
 }
@@ -196,12 +196,15 @@
         let more = first + page.len() < entries.len();
         Ok(follow::UpdatePage {
             updates: page.to_vec(),
-            end: 1_000_000,
+            end: position::StorePosition::new(0, 1_000_000),
             next: page.last().filter(|_| more).map(|update| update.id.clone()),
         })
     }
 
-    async fn read_updates(&self, from: u64) -> Result<follow::UpdatePage, follow::StoreError> {
+    async fn read_updates(
+        &self,
+        from: position::StorePosition,
+    ) -> Result<follow::UpdatePage, follow::StoreError> {
         let meter = transfer::TransferMeter::default();
         self.call(16, CALL_TIMEOUT, &meter).await?;
         Ok(follow::UpdatePage {
@@ -216,12 +219,12 @@
 
     async fn wait_document(
         &self,
-        from: u64,
+        from: position::StorePosition,
         wait: time::Duration,
     ) -> Result<follow::DocumentPage, follow::StoreError> {
         self.call(16, CALL_TIMEOUT, &self.meter).await?;
         let until = Instant::now() + wait;
-        while self.store.version() <= from {
+        while self.store.version() <= from.offset {
             if Instant::now() >= until {
                 return Ok(follow::DocumentPage {
                     end: from,
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -11,7 +11,9 @@
 use std::{cell, collections, net, rc, time};
 
 use bytes::Bytes;
-use exchange::{budget, catalog, fleet, plane, port, reply, request, state, system, update};
+use exchange::{
+    budget, catalog, fleet, plane, port, position, reply, request, state, system, update,
+};
 use tokio::sync::mpsc;
 
 /// Behaviour of a server for its next attempt.
@@ -437,7 +439,7 @@
 pub fn update(id: &str, offset: u64, entry: Option<update::ServerEntry>) -> update::ServerUpdate {
     update::ServerUpdate {
         id: id.to_owned(),
-        offset,
+        position: position::StorePosition::new(0, offset),
         entry,
     }
 }
--- a/crates/exchange/tests/cluster/store.rs
+++ b/crates/exchange/tests/cluster/store.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use carry::transfer;
-use exchange::{follow, system};
+use exchange::{follow, position, system};
 use tokio::time::{self as clock, Instant};
 
 /// Duration of a read of the configuration.
@@ -69,7 +69,10 @@
         Ok(follow::UpdatePage::default())
     }
 
-    async fn read_updates(&self, _from: u64) -> Result<follow::UpdatePage, follow::StoreError> {
+    async fn read_updates(
+        &self,
+        _from: position::StorePosition,
+    ) -> Result<follow::UpdatePage, follow::StoreError> {
         Ok(follow::UpdatePage::default())
     }
 
@@ -79,13 +82,13 @@
         Ok(follow::DocumentPage {
             document: Some(Bytes::from(self.version().to_string())),
             evacuations: Vec::new(),
-            end: self.version(),
+            end: position::StorePosition::new(0, self.version()),
         })
     }
 
     async fn wait_document(
         &self,
-        _from: u64,
+        _from: position::StorePosition,
         _wait: time::Duration,
     ) -> Result<follow::DocumentPage, follow::StoreError> {
         self.read_document().await
--- a/crates/exchange/tests/evacuation.rs
+++ b/crates/exchange/tests/evacuation.rs
@@ -5,7 +5,7 @@
 use std::collections;
 
 use arbitrary::Unstructured;
-use exchange::{catalog, evacuation, link, message, place};
+use exchange::{catalog, evacuation, link, message, place, position};
 use tokio::time;
 
 /// Number of random histories.
@@ -13,10 +13,14 @@
 /// Failure domains of a history.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
+fn at(offset: u64) -> position::StorePosition {
+    position::StorePosition::new(0, offset)
+}
+
 fn record(offset: u64, domain: &str, evacuated: bool) -> evacuation::EvacuationRecord {
     evacuation::EvacuationRecord {
         domain: domain.to_owned(),
-        offset,
+        position: at(offset),
         evacuated,
     }
 }
@@ -24,7 +28,7 @@
 /// The domains that are evacuated after the first `end` records of the log.
 fn oracle(log: &[evacuation::EvacuationRecord], end: u64) -> collections::BTreeSet<String> {
     let mut domains = collections::BTreeSet::new();
-    for record in log.iter().filter(|record| record.offset < end) {
+    for record in log.iter().filter(|record| record.position.offset < end) {
         if record.evacuated {
             domains.insert(record.domain.clone());
         } else {
@@ -38,7 +42,10 @@
 /// none.
 fn newest(log: &[evacuation::EvacuationRecord], end: u64) -> Vec<evacuation::EvacuationRecord> {
     let standing = oracle(log, end);
-    let before = log.iter().filter(|record| record.offset < end).rev();
+    let before = log
+        .iter()
+        .filter(|record| record.position.offset < end)
+        .rev();
     let mut records: Vec<evacuation::EvacuationRecord> = Vec::new();
     for record in before.filter(|record| standing.contains(&record.domain)) {
         if !records.iter().any(|known| known.domain == record.domain) {
@@ -61,16 +68,19 @@
         match u.int_in_range(0..=4)? {
             0 => log.push(record(offset, u.choose(&DOMAINS)?, u.arbitrary()?)),
             1 => {
-                vms[vm].take(evacuation::EvacuationSet::of_all(&newest(&log, end), end));
+                vms[vm].take(evacuation::EvacuationSet::of_all(
+                    &newest(&log, end),
+                    at(end),
+                ));
             }
             2 => {
                 // From the end of an earlier read of this VM, up to what the store has now.
-                let from = u.int_in_range(0..=vms[vm].position)?;
+                let from = u.int_in_range(0..=vms[vm].position.offset)?;
                 let follow = log
                     .iter()
-                    .filter(|record| (from..end).contains(&record.offset));
+                    .filter(|record| (from..end).contains(&record.position.offset));
                 let follow: Vec<_> = follow.cloned().collect();
-                let next = vms[vm].followed_by(&follow, end);
+                let next = vms[vm].followed_by(&follow, at(end));
                 vms[vm].take(next);
             }
             3 => on_the_way.push(message::EvacuationItem::from(&vms[vm])),
@@ -83,9 +93,9 @@
         for vm in &vms {
             assert_eq!(
                 vm.domains,
-                oracle(&log, vm.position),
+                oracle(&log, vm.position.offset),
                 "as of {}",
-                vm.position
+                vm.position.offset
             );
         }
     }
@@ -98,9 +108,9 @@
     cluster::histories(HISTORIES, history);
 }
 
-fn evacuate(plane: &cluster::TestPlane, position: u64, domains: &[&str]) {
+fn evacuate(plane: &cluster::TestPlane, offset: u64, domains: &[&str]) {
     let evacuations = evacuation::EvacuationSet {
-        position,
+        position: at(offset),
         domains: domains.iter().map(ToString::to_string).collect(),
     };
     plane
@@ -186,7 +196,7 @@
             place::choose_copy(&state.fleet, &engine, &wanted, now, &mut rng)
         };
         assert_eq!(chosen(&state), state.fleet.find("e2"), "in its domain");
-        let evacuations = evacuation::EvacuationSet::of_all(&[record(0, "a", true)], 1);
+        let evacuations = evacuation::EvacuationSet::of_all(&[record(0, "a", true)], at(1));
         state.apply_evacuations(evacuations, now);
         assert_eq!(chosen(&state), state.fleet.find("e3"));
     });
@@ -220,7 +230,7 @@
     // Guards against VMs that do not read the store and never receive an evacuation.
     cluster::run(async {
         let plane = cluster::plane();
-        let told = |sequence, position, domains: &[&str]| message::PeerDatagram {
+        let told = |sequence, offset, domains: &[&str]| message::PeerDatagram {
             sender: 2,
             name: String::from("vm-2"),
             domain: String::from("a"),
@@ -231,7 +241,7 @@
             link_address: cluster::address(102).to_string(),
             system: cluster::SYSTEM,
             evacuations: Some(message::EvacuationItem {
-                position,
+                offset,
                 domains: domains.iter().map(ToString::to_string).collect(),
             }),
             ..message::PeerDatagram::default()
--- a/crates/exchange/tests/incarnations.rs
+++ b/crates/exchange/tests/incarnations.rs
@@ -5,7 +5,7 @@
 use std::{collections, time};
 
 use cluster::ServerScript;
-use exchange::{capacity, catalog, fleet, port, server, update};
+use exchange::{capacity, catalog, fleet, port, position, server, update};
 use tokio::time::Instant;
 
 const HISTORIES: u64 = 2_000;
@@ -29,13 +29,13 @@
     let entries = || {
         updates
             .iter()
-            .filter_map(|update| Some((update.offset, update.entry.as_ref()?)))
+            .filter_map(|update| Some((update.position, update.entry.as_ref()?)))
     };
     let newest = entries().map(|(_, entry)| entry.started_at).max()?;
     let own = || entries().filter(|(_, entry)| entry.started_at == newest);
     let written = own().map(|(offset, _)| offset).max()?;
     let ends = updates.iter().filter(|update| update.entry.is_none());
-    let ended = ends.map(|update| update.offset).max();
+    let ended = ends.map(|update| update.position).max();
     let standing = if ended.is_some_and(|ended| ended > written) {
         server::ServerStanding::Gone
     } else if own().any(|(_, entry)| entry.leaving) {
@@ -58,7 +58,7 @@
             let now = Instant::now();
             let first = update::ServerUpdate {
                 id: String::from("e1"),
-                offset: 1,
+                position: position::StorePosition::new(0, 1),
                 entry: Some(entry(1, 1_000, false)),
             };
             let mut updates = vec![first.clone()];
--- a/crates/exchange/tests/notices.rs
+++ b/crates/exchange/tests/notices.rs
@@ -6,7 +6,7 @@
 use std::{collections, rc, time};
 
 use cluster::lossy::{self, VmHealth};
-use exchange::{evacuation, follow, update};
+use exchange::{evacuation, follow, position, update};
 use tokio::time::{self as clock, Instant};
 
 /// Half of the time that the users allow until a server that leaves gets no more work.
@@ -267,7 +267,7 @@
             OperatorChange::Evacuation => {
                 let domain = (number % 2 == 0).then(|| String::from("d-1"));
                 let evacuations = evacuation::EvacuationSet {
-                    position: number,
+                    position: position::StorePosition::new(0, number),
                     domains: domain.into_iter().collect(),
                 };
                 follow::apply_evacuations(reader, evacuations, "store");
@@ -279,7 +279,9 @@
         }
         let changed_at = Instant::now();
         let in_force = |plane: &cluster::TestPlane| match change {
-            OperatorChange::Evacuation => plane.state().fleet.evacuations().position == number,
+            OperatorChange::Evacuation => {
+                plane.state().fleet.evacuations().position.offset == number
+            }
             OperatorChange::Configuration => plane.state().version() == number,
         };
         while !planes.iter().all(in_force) && changed_at.elapsed() < 4 * KNOWN_WITHIN {
