exchange: note the store's era and tell it other VMs

Cause: after a restore of the store from an older copy no line and no metric told on-call engineers that it had happened, nor which VM knew of it when. Change: each VM keeps the latest era that it read or heard of, tells it in datagrams and state replies, and writes 'the store came back from an older copy' with both eras and the source. No decision goes by it yet. The store of the tests on the paused clock moves into a file of its own, and plays outages and restores.

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -359,6 +359,7 @@
         loads,
         accusations,
         store_unavailable: state.store_unavailable,
+        store_era: state.era(),
         standing_hash: state.fleet.standing_hash(),
         waiting: state.waiting(now),
         partial: !state.servers_complete,
--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -286,6 +286,7 @@
     if !plane.state().system.is_own(reply.system) {
         return;
     }
+    plane.state().note_era(reply.store_era, SOURCE_STATE, now);
     if let Some(document) = document_of(plane, base, &reply) {
         follow::take_document(plane, decode, document, "peer");
     }
@@ -442,6 +443,7 @@
         updates,
         known: announce::known(state),
         system: state.system.number(),
+        store_era: state.era(),
         partial: !state.servers_complete,
     }
 }
--- /dev/null
+++ b/crates/exchange/src/era.rs
@@ -0,0 +1,47 @@
+//! The store's era as this VM knows it.
+//!
+//! Each time the store comes back from an older copy of itself, its era rises by one. What it had
+//! acknowledged since the copy was made is gone; servers and the operator write again what is
+//! theirs. A VM may learn of it from an answer of the store or from another VM, and another VM may
+//! learn of it seconds earlier or later.
+
+use tokio::time;
+
+/// Latest era that a VM has learnt of.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EraBelief {
+    /// Never decreases.
+    newest: u64,
+    /// When the VM learnt of it; `None` before it knew any.
+    learnt_at: Option<time::Instant>,
+}
+
+/// Effect of an era that was learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EraChange {
+    /// The era is known, or an earlier one.
+    Nothing,
+    /// The first era that the VM learns of.
+    First,
+    /// The store came back from an older copy; names the era before.
+    Restored(u64),
+}
+
+impl EraBelief {
+    /// Takes an era from an answer of the store or a message of another VM.
+    pub fn take(&mut self, era: u64, now: time::Instant) -> EraChange {
+        let before = self.learnt_at.map(|_| self.newest);
+        if before.is_some_and(|before| era <= before) {
+            return EraChange::Nothing;
+        }
+        self.newest = era;
+        self.learnt_at = Some(now);
+        before.map_or(EraChange::First, EraChange::Restored)
+    }
+
+    /// The latest era; 0 if none is known.
+    #[must_use]
+    pub const fn newest(&self) -> u64 {
+        self.newest
+    }
+}
--- a/crates/exchange/src/evacuation.rs
+++ b/crates/exchange/src/evacuation.rs
@@ -60,6 +60,18 @@
         next
     }
 
+    /// Returns whether a failure domain is evacuated.
+    #[must_use]
+    pub fn contains(&self, domain: &str) -> bool {
+        self.domains.contains(domain)
+    }
+
+    /// The evacuated domains, in order.
+    #[must_use]
+    pub fn all(&self) -> Vec<String> {
+        self.domains.iter().cloned().collect()
+    }
+
     /// Replaces the set by one as of a later position; returns whether the evacuated domains
     /// changed.
     pub fn take(&mut self, other: Self) -> bool {
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -353,14 +353,14 @@
     /// evacuated.
     #[must_use]
     pub fn is_eligible(&self, record: &server::ServerRecord, now: time::Instant) -> bool {
-        record.takes_work(now) && !self.evacuations.domains.contains(&record.domain)
+        record.takes_work(now) && !self.evacuations.contains(&record.domain)
     }
 
     /// Returns whether the failure domain of a server is evacuated.
     #[must_use]
     pub fn is_evacuated(&self, key: ServerKey) -> bool {
         let record = self.servers.get(key);
-        record.is_some_and(|record| self.evacuations.domains.contains(&record.domain))
+        record.is_some_and(|record| self.evacuations.contains(&record.domain))
     }
 
     /// Failure domains that are evacuated.
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -197,7 +197,7 @@
     if !plane.state().apply_evacuations(evacuations, now) {
         return;
     }
-    let domains = plane.state().fleet.evacuations().domains.clone();
+    let domains = plane.state().fleet.evacuations().all();
     log::info!(
         domains:? = domains, position = position.offset, era = position.era, source:% = source;
         "evacuated failure domains"
@@ -245,6 +245,8 @@
         };
         match page {
             Ok(page) => {
+                let now = time::Instant::now();
+                plane.state().note_era(page.end.era, SOURCE_STORE, now);
                 cursor = Some(page.end);
                 let evacuations = if complete {
                     evacuation::EvacuationSet::of_all(&page.evacuations, page.end)
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catchup;
 pub mod delta;
 pub mod directory;
+pub mod era;
 pub mod evacuation;
 pub mod event;
 pub mod fleet;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -93,6 +93,7 @@
             return None;
         }
     }
+    state.note_era(datagram.store_era, SOURCE_PEER, now);
     let change = state.peers.take(datagram, now);
     if change != peers::PeerChange::Stale {
         take_state_of_sender(&mut state, datagram, now);
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -115,6 +115,9 @@
         }
         match page {
             Ok(page) => {
+                plane
+                    .state()
+                    .note_era(page.end.era, follow::SOURCE_STORE, now);
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Complete(_)) {
                     announce_poll(&plane, now);
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -241,6 +241,9 @@
     /// Number of VMs that may send to servers, the sender included, as far as it knows.
     #[prost(uint32, tag = "26")]
     pub senders: u32,
+    /// Latest era of the store that the VM knows.
+    #[prost(uint64, tag = "27")]
+    pub store_era: u64,
 }
 
 /// Failure domains that are evacuated.
@@ -321,6 +324,9 @@
     /// Delta from the requester's document to the newer one.
     #[prost(message, optional, tag = "7")]
     pub delta: Option<delta::DocumentDelta>,
+    /// Latest era of the store that the replying VM knows.
+    #[prost(uint64, tag = "8")]
+    pub store_era: u64,
 }
 
 impl From<&update::ServerUpdate> for UpdateItem {
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,7 +8,7 @@
 use tokio::time;
 
 use crate::{
-    budget, capacity, catalog, delta, directory, evacuation, fleet, forecast, limits, message,
+    budget, capacity, catalog, delta, directory, era, evacuation, fleet, forecast, limits, message,
     notices, peers, place, port, relocate, request, returning, runs, server, suspect, system,
     update, wait,
 };
@@ -75,6 +75,8 @@
     pub store_recovered_at: Option<time::Instant>,
     /// Whether the last call to the store failed.
     pub store_unavailable: bool,
+    /// Latest era of the store.
+    era: era::EraBelief,
     /// When the store last answered this VM.
     store_answered_at: Option<time::Instant>,
     /// Whether the list of servers was complete once: read from the store, or received from a VM
@@ -129,6 +131,7 @@
             stopping_since: None,
             store_recovered_at: None,
             store_unavailable: false,
+            era: era::EraBelief::default(),
             store_answered_at: None,
             servers_complete: false,
             evacuated_at: None,
@@ -303,6 +306,20 @@
         true
     }
 
+    /// Latest era of the store that this VM knows; 0 if it knows none.
+    #[must_use]
+    pub const fn era(&self) -> u64 {
+        self.era.newest()
+    }
+
+    /// Takes the era that an answer of the store or a message of another VM names.
+    pub fn note_era(&mut self, era: u64, source: &str, now: time::Instant) {
+        if let era::EraChange::Restored(before) = self.era.take(era, now) {
+            metrics::counter!("pollenchute_exchange_store_restores_total").increment(1);
+            log::warn!(era, before, source:% = source; "the store came back from an older copy");
+        }
+    }
+
     /// Returns whether this VM is one of the few that read the store on behalf of all, among those
     /// that reach it.
     #[must_use]
--- a/crates/exchange/tests/cluster/called.rs
+++ b/crates/exchange/tests/cluster/called.rs
@@ -5,7 +5,7 @@
 use exchange::{catalog, port};
 use tokio::time::{self as clock, Instant};
 
-use super::lossy;
+use super::{log_store, lossy};
 
 /// Requests of callers and the VMs that get them.
 #[derive(Clone, Copy, Debug)]
@@ -57,7 +57,7 @@
 pub struct CalledVms {
     pub vms: rc::Rc<lossy::LossyVms>,
     runs: Vec<tokio::task::JoinHandle<()>>,
-    pub store: rc::Rc<lossy::LogStore>,
+    pub store: rc::Rc<log_store::LogStore>,
     /// Number of VMs that callers know; the others have not started.
     started: usize,
     requests: usize,
@@ -71,7 +71,7 @@
 
 impl CalledVms {
     pub fn start(scenario: &CallScenario) -> Self {
-        let store = rc::Rc::new(lossy::LogStore::default());
+        let store = rc::Rc::new(log_store::LogStore::default());
         for (number, service) in [(1, "app"), (2, "app"), (11, "llm"), (12, "llm")] {
             let id = format!(
                 "{}{}",
@@ -80,7 +80,7 @@
             );
             store.append(&id, Some(super::entry(service, number, "d-0")));
         }
-        let first = store.records.borrow().clone();
+        let first = store.records();
         let seed = scenario.vms as u64;
         let (vms, late, loss) = (scenario.vms, scenario.late, scenario.loss);
         let vms = lossy::LossyVms::new_with_late(vms, late, loss, seed, &first);
--- a/crates/exchange/tests/cluster/lossy.rs
+++ b/crates/exchange/tests/cluster/lossy.rs
@@ -1,23 +1,21 @@
-//! A test cluster of entry VMs on the paused clock whose datagrams may be lost, with a store that
-//! returns updates since a position.
+//! A test cluster of entry VMs on the paused clock whose datagrams may be lost.
 
-use std::{cell, collections, io, net, rc, time};
+use std::{cell, io, net, rc, time};
 
 use carry::transfer;
-use exchange::{
-    announce, catalog, catchup, follow, link, listing, message, plane, position, system, update,
-};
+use exchange::{announce, catalog, catchup, link, listing, message, plane, system, update};
 use prost::Message as _;
 use tokio::{
     sync::mpsc,
     time::{self as clock, Instant},
 };
 
+use super::log_store;
+
 /// Failure domains of VMs and servers.
 pub const DOMAINS: usize = 3;
-/// Delay of a link, and duration of a call to the store.
+/// Delay of a link.
 const LINK_DELAY: time::Duration = time::Duration::from_millis(2);
-const STORE_TIME: time::Duration = time::Duration::from_millis(4);
 /// Additional delay of each datagram of a slow VM.
 const SLOW_DELAY: time::Duration = time::Duration::from_secs(1);
 /// Rate of a VM's link, in bytes per second, for state requests.
@@ -33,108 +31,6 @@
     CutFromReaders,
 }
 
-/// The store that all VMs share: records in order.
-#[derive(Debug, Default)]
-pub struct LogStore {
-    pub records: cell::RefCell<Vec<update::ServerUpdate>>,
-    /// Whether no call is answered.
-    pub away: cell::Cell<bool>,
-    /// Number of the oldest records that are trimmed.
-    pub trimmed: cell::Cell<u64>,
-}
-
-impl LogStore {
-    pub fn append(&self, id: &str, entry: Option<update::ServerEntry>) {
-        let mut records = self.records.borrow_mut();
-        let offset = records.len() as u64;
-        records.push(super::update(id, offset, entry));
-    }
-
-    /// Trims all records; the newest one of each name stays in the list.
-    pub fn trim(&self) {
-        self.trimmed.set(self.records.borrow().len() as u64);
-    }
-
-    /// The time of a call, and whether it is answered.
-    async fn call(&self) -> Result<(), follow::StoreError> {
-        clock::sleep(STORE_TIME).await;
-        if self.away.get() {
-            return Err(follow::StoreError::Unavailable);
-        }
-        Ok(())
-    }
-}
-
-impl follow::StorePort for LogStore {
-    async fn read_servers(
-        &self,
-        _after: Option<&str>,
-    ) -> Result<follow::UpdatePage, follow::StoreError> {
-        self.call().await?;
-        let records = self.records.borrow();
-        let newest: collections::BTreeMap<_, _> =
-            records.iter().map(|update| (&update.id, update)).collect();
-        let listed = newest.into_values().filter(|update| update.entry.is_some());
-        Ok(follow::UpdatePage {
-            updates: listed.cloned().collect(),
-            end: position::StorePosition::new(0, records.len() as u64),
-            next: None,
-        })
-    }
-
-    async fn read_updates(
-        &self,
-        from: position::StorePosition,
-    ) -> Result<follow::UpdatePage, follow::StoreError> {
-        self.call().await?;
-        if from.offset < self.trimmed.get() {
-            return Err(follow::StoreError::Trimmed);
-        }
-        let records = self.records.borrow();
-        let first = usize::try_from(from.offset).expect("small");
-        Ok(follow::UpdatePage {
-            updates: records.get(first..).unwrap_or_default().to_vec(),
-            end: position::StorePosition::new(0, records.len() as u64),
-            next: None,
-        })
-    }
-
-    async fn read_document(&self) -> Result<follow::DocumentPage, follow::StoreError> {
-        unreachable!("no VM follows documents")
-    }
-
-    async fn wait_document(
-        &self,
-        _from: position::StorePosition,
-        _wait: time::Duration,
-    ) -> Result<follow::DocumentPage, follow::StoreError> {
-        unreachable!("no VM follows documents")
-    }
-
-    fn document_meter(&self) -> transfer::TransferMeter {
-        transfer::TransferMeter::default()
-    }
-
-    async fn system(
-        &self,
-        _proposed: system::SystemId,
-    ) -> Result<system::SystemId, follow::StoreError> {
-        Ok(super::system_id(super::SYSTEM))
-    }
-
-    async fn register(
-        &self,
-        _name: &str,
-        _address: net::SocketAddr,
-    ) -> Result<(), follow::StoreError> {
-        unreachable!("no VM looks for others in the store")
-    }
-
-    async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreError> {
-        unreachable!("no VM looks for others in the store")
-    }
-}
-
 /// A datagram in flight and its arrival time.
 type SentDatagram = (Instant, Vec<u8>);
 
@@ -187,8 +83,32 @@
         seed: u64,
         first: &[update::ServerUpdate],
     ) -> rc::Rc<Self> {
+        let planes = (0..count).map(|number| new_plane(number, first));
+        Self::new_of(planes.collect(), late, loss, seed)
+    }
+
+    /// Creates VMs, of which the last `fresh` ones know nothing but the addresses of the first three
+    /// VMs and are known to none.
+    pub fn new_with_fresh(
+        count: usize,
+        fresh: usize,
+        loss: f64,
+        seed: u64,
+        first: &[update::ServerUpdate],
+    ) -> rc::Rc<Self> {
+        let planes = (0..count).map(|number| {
+            if number < count - fresh {
+                return new_plane(number, first);
+            }
+            let state = super::vm_state(number, DOMAINS);
+            rc::Rc::new(plane::ExchangePlane::new(super::FakePort::default(), state))
+        });
+        Self::new_of(planes.collect(), fresh, loss, seed)
+    }
+
+    fn new_of(planes: Vec<super::TestPlane>, late: usize, loss: f64, seed: u64) -> rc::Rc<Self> {
         let now = Instant::now();
-        let planes: Vec<_> = (0..count).map(|number| new_plane(number, first)).collect();
+        let count = planes.len();
         let introductions: Vec<_> = planes
             .iter()
             .map(|plane| announce::introduction(&mut plane.state()))
@@ -322,7 +242,7 @@
 }
 
 /// Runs one VM; never ends.
-pub async fn run_vm(vms: rc::Rc<LossyVms>, store: rc::Rc<LogStore>, own: usize) {
+pub async fn run_vm(vms: rc::Rc<LossyVms>, store: rc::Rc<log_store::LogStore>, own: usize) {
     let plane = vms.vms[own].plane.clone();
     let port = rc::Rc::new(LossyPort {
         vms: vms.clone(),
@@ -332,15 +252,14 @@
         vms: vms.clone(),
         own,
     };
-    system::identify(&plane, store.clone())
-        .await
-        .expect("its own system");
+    let identified = system::identify(&plane, store.clone());
     tokio::join!(
+        async { identified.await.expect("its own system") },
         announce::run(plane.clone(), port),
         listen(vms.clone(), own, 0),
         listen(vms.clone(), own, 1),
         listen(vms.clone(), own, 2),
-        listing::follow_servers(plane.clone(), store),
-        catchup::catch_up(plane, peers, decode),
+        listing::follow_servers(plane.clone(), store.clone()),
+        catchup::catch_up(plane.clone(), peers, decode),
     );
 }
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -4,8 +4,10 @@
 
 pub mod called;
 pub mod engines;
+pub mod log_store;
 pub mod lossy;
 pub mod many_vms;
+pub mod running;
 pub mod store;
 
 use std::{cell, collections, net, rc, time};
--- a/crates/exchange/tests/evacuation.rs
+++ b/crates/exchange/tests/evacuation.rs
@@ -242,6 +242,7 @@
             system: cluster::SYSTEM,
             evacuations: Some(message::EvacuationItem {
                 offset,
+                era: 0,
                 domains: domains.iter().map(ToString::to_string).collect(),
             }),
             ..message::PeerDatagram::default()
--- a/crates/exchange/tests/notices.rs
+++ b/crates/exchange/tests/notices.rs
@@ -5,7 +5,10 @@
 
 use std::{collections, rc, time};
 
-use cluster::lossy::{self, VmHealth};
+use cluster::{
+    log_store,
+    lossy::{self, VmHealth},
+};
 use exchange::{evacuation, follow, position, update};
 use tokio::time::{self as clock, Instant};
 
@@ -63,7 +66,7 @@
 /// Running VMs and their store.
 struct RunningVms {
     vms: rc::Rc<lossy::LossyVms>,
-    store: rc::Rc<lossy::LogStore>,
+    store: rc::Rc<log_store::LogStore>,
     runs: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -75,11 +78,11 @@
 
 /// Starts the VMs, which then read the store and send each other its contents.
 async fn start(scenario: &NoticeScenario) -> RunningVms {
-    let store = rc::Rc::new(lossy::LogStore::default());
+    let store = rc::Rc::new(log_store::LogStore::default());
     for number in 0..SERVERS {
         store.append(&name(number), Some(entry(number, false)));
     }
-    let first = store.records.borrow().clone();
+    let first = store.records();
     let seed = (scenario.vms * 1_000) as u64 + (scenario.loss * 100.0) as u64;
     let vms = lossy::LossyVms::new(scenario.vms, scenario.loss, seed, &first);
     let runs = (0..scenario.vms).map(|own| {
