exchange: read all records again when the store's era changes

What callers would see: after a restore of the store, requests reach a server that leaves, routes are served by an older configuration, work goes to an evacuated domain, for as long as the VMs run. Cause: a VM went on reading at its offset of the era before. The restored store had given that offset out again, so the VM skipped what was written before it. Change: a position belongs to an era; where an answer names another era, the VM drops the position and reads the complete list of servers, or all records of the operator.

--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -247,6 +247,12 @@
             Ok(page) => {
                 let now = time::Instant::now();
                 plane.state().note_era(page.end.era, SOURCE_STORE, now);
+                let followed = cursor.filter(|_| !complete);
+                if followed.is_some_and(|from: position::StorePosition| from.era != page.end.era) {
+                    // Offsets of another era name other records: all are read.
+                    cursor = None;
+                    continue;
+                }
                 cursor = Some(page.end);
                 let evacuations = if complete {
                     evacuation::EvacuationSet::of_all(&page.evacuations, page.end)
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -52,6 +52,17 @@
     Complete(position::StorePosition),
 }
 
+impl ListCursor {
+    /// Era of the store that the position belongs to.
+    const fn era(&self) -> Option<u64> {
+        match self {
+            Self::Start => None,
+            Self::Partial(list) => Some(list.end.era),
+            Self::Complete(end) => Some(end.era),
+        }
+    }
+}
+
 /// Pages of a list that were read so far.
 #[derive(Debug)]
 struct PartialList {
@@ -118,6 +129,11 @@
                 plane
                     .state()
                     .note_era(page.end.era, follow::SOURCE_STORE, now);
+                if cursor.era().is_some_and(|era| era != page.end.era) {
+                    // Offsets of another era name other records: the list is read from its start.
+                    cursor = ListCursor::Start;
+                    continue;
+                }
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Complete(_)) {
                     announce_poll(&plane, now);
