exchange: poll the store shortly before a grace period ends

What callers see: two seconds after an outage of the store some VMs have no server of a service for up to a second. Cause: a VM that reads the store polls it every 0.6 to 1.15 s. An entry that is back after 1.9 s may be read only after 2.9 s, and the grace period ends after 2.2 s; since its end is now told to all, all VMs drop the server until the entry is read. Change: the VM that deferred a removal polls 150 ms before the end.

--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -23,6 +23,8 @@
 const MAX_POLL_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// Minimum interval between two polls of one VM.
 const MIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(600);
+/// Time before the end of a grace period at which the store is polled again.
+const LAPSE_POLL_LEAD: time::Duration = time::Duration::from_millis(150);
 /// Maximum number of VMs over which the polls are spread.
 const MAX_POLLERS: u32 = 6;
 /// Interval between two checks whether this VM is to read the store for all.
@@ -137,8 +139,8 @@
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Complete(_)) {
                     announce_poll(&plane, now);
-                    let interval = poll_interval(&plane, now);
-                    time::sleep(interval).await;
+                    let next = next_poll(&plane, time::Instant::now());
+                    time::sleep_until(next).await;
                 }
             }
             Err(follow::StoreError::Trimmed) => cursor = ListCursor::Start,
@@ -253,7 +255,18 @@
     removed
 }
 
-/// Time until this VM polls again.
+/// When this VM polls again: after its interval, or shortly before a grace period ends, so that a
+/// server that has registered again meanwhile is not removed.
+fn next_poll<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Instant {
+    let lapse_end = plane.state().fleet.next_lapse_end();
+    let confirm_at = lapse_end.and_then(|end| end.checked_sub(LAPSE_POLL_LEAD));
+    let due = now + poll_interval(plane, now);
+    confirm_at
+        .filter(|at| now < *at)
+        .map_or(due, |at| at.min(due))
+}
+
+/// Interval between two polls of this VM.
 fn poll_interval<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) -> time::Duration {
     let mut state = plane.state();
     let interval = POLL_INTERVAL * state.peers.alive_count(now).min(MAX_POLLERS);
--- a/crates/exchange/tests/removals.rs
+++ b/crates/exchange/tests/removals.rs
@@ -70,8 +70,11 @@
             let entry = running::entry();
             running.store.append(&running::name(number), Some(entry));
         }
-        clock::sleep(SETTLED).await;
-        assert_eq!(running.senders(&server).len(), vms);
+        while back_at.elapsed() < SETTLED {
+            clock::sleep(running::CHECK_INTERVAL).await;
+            let senders = running.senders(&server).len();
+            assert_eq!(senders, vms, "after {:?}", back_at.elapsed());
+        }
     });
 }
 
