exchange: keep servers whose entries the copy of the store lacks

What callers would see: after a restore of the store, servers that had registered after the copy was made get no work until their entries are read again; where these are all servers of a service, callers are refused. Cause: the complete list lacks them, so they counted as removed at once. The removal is in the era of the list.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -229,7 +229,10 @@
             .filter(|record| record.standing != server::ServerStanding::Gone);
         let removals = unlisted.map(|record| update::ServerUpdate {
             id: record.id.clone(),
-            position: record.position.next(),
+            position: record
+                .position
+                .next()
+                .max(position::StorePosition::new(end.era, 0)),
             entry: None,
         });
         removals.collect()
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -227,13 +227,22 @@
             update.entry = None;
         }
         let change = plane.state().apply_update(update.clone(), announce, now);
-        if let fleet::FleetChange::Deferred(_) = change {
-            // The decision loop ends the grace period.
-            plane.wake_decisions();
-        }
         changes.push((update, change));
     }
-    log_changes(plane, &changes, follow::SOURCE_STORE)
+    finish_changes(plane, &changes)
+}
+
+/// Logs changes from the store; returns whether there are any.
+fn finish_changes<P>(
+    plane: &plane::ExchangePlane<P>,
+    changes: &[(update::ServerUpdate, fleet::FleetChange)],
+) -> bool {
+    let deferred = |change: &fleet::FleetChange| matches!(change, fleet::FleetChange::Deferred(_));
+    if changes.iter().any(|(_, change)| deferred(change)) {
+        // The decision loop ends the grace period.
+        plane.wake_decisions();
+    }
+    log_changes(plane, changes, follow::SOURCE_STORE)
 }
 
 /// Marks servers that are not in the complete list as removed; returns whether that changed
@@ -244,7 +253,12 @@
     now: time::Instant,
 ) -> bool {
     let removals = plane.state().fleet.unlisted(&list.listed, list.end);
-    let removed = take_updates(plane, &removals, true, now);
+    let changes = removals.into_iter().map(|removal| {
+        let change = plane.state().remove_unlisted(removal.clone(), now);
+        (removal, change)
+    });
+    let changes: Vec<_> = changes.collect();
+    let removed = finish_changes(plane, &changes);
     let mut state = plane.state();
     let first = !std::mem::replace(&mut state.servers_complete, true);
     let reader = state.reads_store(now);
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -77,6 +77,8 @@
     pub store_unavailable: bool,
     /// Latest era of the store.
     era: era::EraBelief,
+    /// When this VM last learnt that the store came back from an older copy.
+    store_restored_at: Option<time::Instant>,
     /// When the store last answered this VM.
     store_answered_at: Option<time::Instant>,
     /// Whether the list of servers was complete once: read from the store, or received from a VM
@@ -132,6 +134,7 @@
             store_recovered_at: None,
             store_unavailable: false,
             era: era::EraBelief::default(),
+            store_restored_at: None,
             store_answered_at: None,
             servers_complete: false,
             evacuated_at: None,
@@ -194,6 +197,34 @@
         now: time::Instant,
     ) -> fleet::FleetChange {
         let grace_until = self.lapse_grace_until(now).filter(|_| from_store);
+        self.apply_with_grace(update, from_store, grace_until, now)
+    }
+
+    /// Removes a server that the complete list does not name. A list that comes from an older copy
+    /// may lack servers that registered lately; they write their entries again.
+    pub fn remove_unlisted(
+        &mut self,
+        removal: update::ServerUpdate,
+        now: time::Instant,
+    ) -> fleet::FleetChange {
+        let server = self.fleet.find(&removal.id);
+        let server = server.and_then(|key| self.fleet.server(key));
+        let is_new = server
+            .is_some_and(|server| now.saturating_duration_since(server.known_since) < MAX_COPY_AGE);
+        let restored_at = self.store_restored_at.filter(|_| is_new);
+        let until = restored_at.map(|at| at + fleet::LAPSE_GRACE);
+        let restore_grace = until.filter(|until| now < *until);
+        let grace_until = restore_grace.max(self.lapse_grace_until(now));
+        self.apply_with_grace(removal, true, grace_until, now)
+    }
+
+    fn apply_with_grace(
+        &mut self,
+        update: update::ServerUpdate,
+        from_store: bool,
+        grace_until: Option<time::Instant>,
+        now: time::Instant,
+    ) -> fleet::FleetChange {
         let change = self.fleet.apply_update(&update, grace_until, now);
         if let fleet::FleetChange::Leaves(key) = change {
             self.add_notice(key, &update, now);
@@ -317,6 +348,7 @@
         if let era::EraChange::Restored(before) = self.era.take(era, now) {
             metrics::counter!("pollenchute_exchange_store_restores_total").increment(1);
             log::warn!(era, before, source:% = source; "the store came back from an older copy");
+            self.store_restored_at = Some(now);
         }
     }
 
@@ -732,6 +764,8 @@
 /// engine does.
 const MIN_BACKUP_OUTPUT_TOKENS: f64 = 64.0;
 
+/// Age up to which a copy may be from which the store comes back: some seconds, and a margin.
+const MAX_COPY_AGE: time::Duration = time::Duration::from_secs(30);
 /// Number of VMs that read the store on behalf of all: enough that some remain when a third of them
 /// is partitioned, few enough that reading costs the same with 60 VMs as with 6.
 pub const READERS: usize = 6;
