exchange: servers that left stay away though a copy of the store lists them

What callers would see: after a restore of the store, requests go to servers that had said that they leave or whose entries were removed, in the seconds that the copy lacks; DRAIN on every VM. Cause: an entry of the copy came later in the order of positions than the removal that the VM knew, so it revived the server. VMs that had started since knew the copy alone, and a late notice of the era before lost against the copy's entry. A VM that reads the store tells others of the servers concerned at once. Whether the entry is still listed is read by the VMs that read the store, which then tell the others. Four earlier eras are remembered for each server.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -34,6 +34,9 @@
     /// The entry of a server was removed, but it may have expired in an outage of the store: the
     /// server keeps its work for the grace period.
     Deferred(ServerKey),
+    /// The store, which came back from an older copy, lists a server that is known to leave or to be
+    /// gone. VMs that have started since may not know.
+    Outdated(ServerKey),
 }
 
 /// All servers, and all running attempts of this VM.
@@ -49,6 +52,10 @@
     by_service: collections::HashMap<String, Vec<ServerKey>>,
     /// Servers that may be in the grace period after their entry expired.
     in_lapse_grace: Vec<ServerKey>,
+    /// Servers that the store may list only because it came back from an older copy.
+    distrusted: collections::HashSet<ServerKey>,
+    /// Until then entries may come from an older copy of the store.
+    pub(crate) settles_at: Option<time::Instant>,
     /// Servers with failed attempts since the last sweep.
     recently_failed: collections::HashSet<ServerKey>,
     /// Hash over the standing of all servers; each whose standing is not `Gone` contributes.
@@ -89,10 +96,19 @@
             Some(entry) if entry.started_at > known => self.set_start(key, entry.started_at),
             _ => {}
         }
+        let settles_at = self.settles_at.filter(|at| now < *at);
         let record = &mut self.servers[key];
         let before = record.standing;
-        let after = record.apply_update(update);
+        let later_era = update.position.era > record.position.era;
+        let after = record.apply_update(update, settles_at);
+        if record.distrusted_until.is_some() {
+            self.distrusted.insert(key);
+        }
         if after == before {
+            let ready = update.entry.as_ref().is_some_and(|entry| !entry.leaving);
+            if later_era && ready && after != server::ServerStanding::Ready {
+                return FleetChange::Outdated(key);
+            }
             let is_final = grace_until.is_none()
                 && update.entry.is_none()
                 && update.position >= record.position;
@@ -256,6 +272,36 @@
         ended
     }
 
+    /// Ends the distrust of servers whose entries would have expired by now if the servers did not
+    /// run. Returns those that get work again: all if this VM has just read that the store lists
+    /// them, otherwise none, until another VM tells of their entries.
+    pub fn end_distrust(&mut self, listed: bool, now: time::Instant) -> Vec<ServerKey> {
+        let servers = &self.servers;
+        let ended = self.distrusted.extract_if(|key| {
+            let record = servers.get(*key);
+            let until = record.and_then(|record| record.distrusted_until);
+            until.is_none_or(|until| until <= now)
+        });
+        let ended: Vec<_> = ended.collect();
+        let mut revived = Vec::new();
+        for key in ended {
+            let Some(record) = self.servers.get_mut(key) else {
+                continue;
+            };
+            if record.distrusted_until.take().is_none() {
+                continue;
+            }
+            if listed {
+                let standing = record.standing_when_settled();
+                self.set_standing(key, standing, now);
+                revived.push(key);
+            } else {
+                record.position = record.removed_at;
+            }
+        }
+        revived
+    }
+
     /// When the next grace period ends, if there is one.
     #[must_use]
     pub fn next_lapse_end(&self) -> Option<time::Instant> {
@@ -269,6 +315,7 @@
         let used: collections::HashSet<_> = self.runs.values().map(|run| run.server).collect();
         let old = self.servers.iter().filter(|(key, record)| {
             record.standing == server::ServerStanding::Gone
+                && record.distrusted_until.is_none()
                 && now.saturating_duration_since(record.since) > GONE_RETENTION
                 && !used.contains(key)
         });
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -138,6 +138,7 @@
                 }
                 cursor = take_page(&plane, cursor, page, now);
                 if matches!(cursor, ListCursor::Complete(_)) {
+                    end_distrust(&plane, now);
                     announce_poll(&plane, now);
                     let next = next_poll(&plane, time::Instant::now());
                     time::sleep_until(next).await;
@@ -160,6 +161,24 @@
     }
 }
 
+/// Lets servers get work again that the store still lists after entries of an older copy have
+/// expired.
+fn end_distrust<P>(plane: &plane::ExchangePlane<P>, now: time::Instant) {
+    let revived = plane.state().end_distrust(now);
+    for &key in &revived {
+        let state = plane.state();
+        let server = state.fleet.server(key).map(|server| server.id.as_str());
+        log::info!(
+            server:? = server;
+            "server is still listed after a restore of the store; it gets work again"
+        );
+    }
+    if !revived.is_empty() {
+        plane.wake_decisions();
+        plane.updates.notify_one();
+    }
+}
+
 /// Whether this VM may read the store now: the first page at its start, and the rest while it is
 /// one of the VMs that read for all.
 fn may_read<P>(plane: &plane::ExchangePlane<P>, cursor: &ListCursor) -> bool {
@@ -298,14 +317,16 @@
     source: &str,
 ) -> bool {
     for (update, change) in changes {
-        if let fleet::FleetChange::Deferred(key) = change {
-            log_deferred(plane, update, *key, source);
+        match change {
+            fleet::FleetChange::Deferred(key) => log_deferred(plane, update, *key, source),
+            fleet::FleetChange::Outdated(key) => log_outdated(plane, update, *key, source),
+            _ => {}
         }
     }
     let changed = changes.iter().filter(|(_, change)| {
-        !matches!(
+        matches!(
             change,
-            fleet::FleetChange::Nothing | fleet::FleetChange::Deferred(_)
+            fleet::FleetChange::Arrived(_) | fleet::FleetChange::Leaves(_)
         )
     });
     let count = changed.clone().count();
@@ -336,6 +357,21 @@
     );
 }
 
+/// Logs an entry of an older copy that this VM does not go by.
+fn log_outdated<P>(
+    plane: &plane::ExchangePlane<P>,
+    update: &update::ServerUpdate,
+    key: fleet::ServerKey,
+    source: &str,
+) {
+    let state = plane.state();
+    let standing = state.fleet.server(key).map(|server| server.standing);
+    log::info!(
+        server:% = update.id, standing:? = standing, offset = update.position.offset, era = update.position.era, source:% = source;
+        "entry of an older copy of the store; the server still leaves or is gone"
+    );
+}
+
 fn log_change<P>(
     plane: &plane::ExchangePlane<P>,
     update: &update::ServerUpdate,
@@ -343,7 +379,9 @@
     source: &str,
 ) {
     let key = match change {
-        fleet::FleetChange::Nothing | fleet::FleetChange::Deferred(_) => return,
+        fleet::FleetChange::Nothing
+        | fleet::FleetChange::Deferred(_)
+        | fleet::FleetChange::Outdated(_) => return,
         fleet::FleetChange::Arrived(key) | fleet::FleetChange::Leaves(key) => key,
     };
     let state = plane.state();
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -170,6 +170,9 @@
         for service in &services {
             self.start_waiting(service, now);
         }
+        if !self.state.borrow().reads_store(now) {
+            self.state.borrow_mut().fleet.end_distrust(false, now);
+        }
         let ended = self.state.borrow_mut().end_lapse_grace(now);
         if !ended.is_empty() {
             self.announce();
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -28,6 +28,9 @@
 /// answer states it again.
 const MAX_REST: time::Duration = time::Duration::from_secs(300);
 
+/// Number of earlier eras of the store of which a position is kept.
+const MAX_EARLIER_ERAS: usize = 4;
+
 /// Whether a server accepts new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerStanding {
@@ -69,6 +72,11 @@
     /// Log position of the newest removal of the name, for any incarnation; the first one if there
     /// was none.
     pub(crate) removed_at: position::StorePosition,
+    /// Newest position known in each of the last earlier eras of the store, oldest first.
+    earlier: Vec<position::StorePosition>,
+    /// Until then the server gets no work, though the store lists it again: this VM knows of a
+    /// removal that the store has lost. If the entry is still listed then, the server runs.
+    pub(crate) distrusted_until: Option<time::Instant>,
     /// Whether any update of this incarnation announced that it leaves.
     pub(crate) announced_leaving: bool,
     /// End of the grace period while the entry's expiry may be due to an outage of the store.
@@ -119,6 +127,8 @@
             position,
             known_since: now,
             removed_at: position::StorePosition::default(),
+            earlier: Vec::new(),
+            distrusted_until: None,
             announced_leaving: entry.leaving,
             lapse_grace_until: None,
             failure_rate: 0.0,
@@ -139,7 +149,13 @@
     /// incarnation leaves is never undone, in whatever order updates arrive: a heartbeat sent
     /// before it may be written seconds later. The same holds for what the server itself said, also
     /// where its entry expires and comes back without a start time.
-    pub(crate) fn apply_update(&mut self, update: &update::ServerUpdate) -> ServerStanding {
+    ///
+    /// `settles_at` is set while entries may come from an older copy of the store.
+    pub(crate) fn apply_update(
+        &mut self,
+        update: &update::ServerUpdate,
+        settles_at: Option<time::Instant>,
+    ) -> ServerStanding {
         let leaving = update.entry.as_ref().is_some_and(|entry| entry.leaving);
         let said = update
             .entry
@@ -150,20 +166,31 @@
         if update.entry.is_none() {
             self.removed_at = self.removed_at.max(update.position);
         }
+        let later_era = update.position.era > self.position.era;
+        if update.position.era < self.position.era {
+            return self.apply_earlier_era(update, settles_at);
+        }
         if update.position <= self.position {
-            return match self.standing {
-                ServerStanding::Ready if self.announced_leaving || self.said_leaving => {
-                    ServerStanding::Leaving
-                }
-                standing => standing,
-            };
+            // Another VM may know that the server of an entry in the copy leaves.
+            return self.standing_unless_leaving(leaving && update.position == self.position);
+        }
+        if later_era {
+            self.remember(self.position);
         }
         self.position = update.position;
         let Some(entry) = &update.entry else {
+            self.distrusted_until = None;
             return ServerStanding::Gone;
         };
         self.slots = entry.slots;
         self.address = entry.address;
+        let removed = self.standing == ServerStanding::Gone && self.lapse_grace_until.is_none();
+        if removed && later_era && settles_at.is_some() {
+            self.distrusted_until = settles_at;
+        }
+        if self.distrusted_until.is_some() {
+            return ServerStanding::Gone;
+        }
         // A name without incarnations may be used again after its entry was removed.
         let left = if self.started_at.is_known() {
             self.announced_leaving
@@ -177,6 +204,60 @@
         }
     }
 
+    /// Applies an update of an earlier era than the entry. While the entry may come from an older
+    /// copy, what this VM did not know of the earlier era is newer.
+    fn apply_earlier_era(
+        &mut self,
+        update: &update::ServerUpdate,
+        settles_at: Option<time::Instant>,
+    ) -> ServerStanding {
+        let mut known = self.earlier.iter();
+        let known = known.find(|known| known.era == update.position.era);
+        let is_news = known.is_none_or(|known| *known < update.position);
+        if settles_at.is_none() || !is_news {
+            return self.standing_unless_leaving(false);
+        }
+        self.remember(update.position);
+        match &update.entry {
+            Some(entry) => self.standing_unless_leaving(entry.leaving),
+            None => {
+                if self.standing != ServerStanding::Gone {
+                    self.distrusted_until = settles_at;
+                }
+                ServerStanding::Gone
+            }
+        }
+    }
+
+    /// The standing, unless the server is ready and known to leave.
+    const fn standing_unless_leaving(&self, leaving: bool) -> ServerStanding {
+        match self.standing {
+            ServerStanding::Ready if leaving || self.announced_leaving || self.said_leaving => {
+                ServerStanding::Leaving
+            }
+            standing => standing,
+        }
+    }
+
+    /// Remembers the newest position in an earlier era.
+    fn remember(&mut self, position: position::StorePosition) {
+        self.earlier.retain(|known| known.era != position.era);
+        if self.earlier.len() >= MAX_EARLIER_ERAS {
+            self.earlier.remove(0);
+        }
+        self.earlier.push(position);
+        self.earlier.sort_unstable();
+    }
+
+    /// Standing of a server that the store still lists once it has settled.
+    pub(crate) const fn standing_when_settled(&self) -> ServerStanding {
+        if self.announced_leaving || self.said_leaving {
+            ServerStanding::Leaving
+        } else {
+            ServerStanding::Ready
+        }
+    }
+
     /// Records that the name is already known to have had no entry at a position.
     pub(crate) fn record_removal(&mut self, removed_at: position::StorePosition) {
         self.removed_at = removed_at;
@@ -323,9 +404,14 @@
             cold: time::Duration::ZERO,
         };
         let gone = self.standing == ServerStanding::Gone;
+        let position = if self.distrusted_until.is_some() {
+            self.removed_at
+        } else {
+            self.position
+        };
         update::ServerUpdate {
             id: self.id.clone(),
-            position: self.position,
+            position,
             entry: (!gone).then_some(entry),
         }
     }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -34,6 +34,8 @@
     pub backups: bool,
     /// Whether generations are moved off leaving engines.
     pub moves: bool,
+    /// Interval at which servers write their entries; an entry expires after three.
+    pub server_heartbeat: time::Duration,
 }
 
 /// State of one entry VM.
@@ -229,12 +231,16 @@
         if let fleet::FleetChange::Leaves(key) = change {
             self.add_notice(key, &update, now);
         }
-        let known_to_others = matches!(
-            change,
-            fleet::FleetChange::Nothing | fleet::FleetChange::Deferred(_)
-        );
-        if from_store && !known_to_others {
-            self.unannounced.push(update);
+        match change {
+            fleet::FleetChange::Arrived(_) | fleet::FleetChange::Leaves(_) if from_store => {
+                self.unannounced.push(update);
+            }
+            fleet::FleetChange::Outdated(key) if from_store => {
+                if let Some(update) = self.fleet.server(key).map(server::ServerRecord::update) {
+                    self.add_notice(key, &update, now);
+                }
+            }
+            _ => {}
         }
         change
     }
@@ -275,6 +281,16 @@
         ended
     }
 
+    /// Returns the servers that get work again after this VM has read the changes of the list: the
+    /// store still lists them, and entries of an older copy have expired.
+    pub fn end_distrust(&mut self, now: time::Instant) -> Vec<fleet::ServerKey> {
+        let revived = self.fleet.end_distrust(true, now);
+        let records = revived.iter().filter_map(|&key| self.fleet.server(key));
+        let updates = records.map(server::ServerRecord::update);
+        self.unannounced.extend(updates);
+        revived
+    }
+
     /// Takes the statement of a server, in an answer to this VM, that it leaves. Returns whether it
     /// still took work; its notice is then due for all VMs, because the store may not have it.
     pub fn take_leaving_signal(&mut self, key: fleet::ServerKey, now: time::Instant) -> bool {
@@ -345,7 +361,14 @@
 
     /// Takes the era that an answer of the store or a message of another VM names.
     pub fn note_era(&mut self, era: u64, source: &str, now: time::Instant) {
-        if let era::EraChange::Restored(before) = self.era.take(era, now) {
+        let change = self.era.take(era, now);
+        if change != era::EraChange::Nothing {
+            // Entries of servers that no longer run expire, and running servers write theirs again.
+            let heartbeat = self.settings.server_heartbeat.min(MAX_HEARTBEAT);
+            let expired = now + heartbeat * HEARTBEATS_UNTIL_EXPIRY;
+            self.fleet.settles_at = Some(expired + fleet::LAPSE_GRACE);
+        }
+        if let era::EraChange::Restored(before) = change {
             metrics::counter!("pollenchute_exchange_store_restores_total").increment(1);
             log::warn!(era, before, source:% = source; "the store came back from an older copy");
             self.store_restored_at = Some(now);
@@ -764,6 +787,10 @@
 /// engine does.
 const MIN_BACKUP_OUTPUT_TOKENS: f64 = 64.0;
 
+/// Number of intervals without a heartbeat after which the store removes an entry.
+const HEARTBEATS_UNTIL_EXPIRY: u32 = 3;
+/// Longest interval between heartbeats that is taken into account.
+const MAX_HEARTBEAT: time::Duration = time::Duration::from_secs(30);
 /// Age up to which a copy may be from which the store comes back: some seconds, and a margin.
 const MAX_COPY_AGE: time::Duration = time::Duration::from_secs(30);
 /// Number of VMs that read the store on behalf of all: enough that some remain when a third of them
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -324,6 +324,7 @@
         },
         backups: true,
         moves: true,
+        server_heartbeat: time::Duration::from_millis(1_200),
     }
 }
 
