exchange: keep evacuations that the copy of the store lacks until it settles

What callers would see: after a restore of the store, work goes to a failure domain that the operator evacuates, until the operator has written that again. Cause: the set of the restored store has a later position and replaced the set that VMs knew. Change: domains that were evacuated before a restore stay so until entries of an older copy have expired, unless the operator revokes them; VMs that have started since are told of them. Then the records alone count. The six tests of evacuation pass. Four of restores still fail.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -421,8 +421,22 @@
 
     /// Applies evacuations as of a later log position; returns whether the set of evacuated domains
     /// changed.
-    pub fn apply_evacuations(&mut self, evacuations: evacuation::EvacuationSet) -> bool {
-        self.evacuations.take(evacuations)
+    pub fn apply_evacuations(
+        &mut self,
+        evacuations: evacuation::EvacuationSet,
+        now: time::Instant,
+    ) -> bool {
+        let before = self.evacuations.all();
+        self.evacuations.take(evacuations);
+        self.settle_evacuations(now);
+        self.evacuations.all() != before
+    }
+
+    /// Takes back evacuations that an older copy of the store lacks and that the operator has not
+    /// written again; returns whether there were any.
+    pub fn settle_evacuations(&mut self, now: time::Instant) -> bool {
+        let settling = self.settles_at.is_some_and(|at| now < at);
+        !settling && self.evacuations.settle()
     }
 
     /// Returns whether a server should get no generations. An engine that repeatedly goes down and
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -259,6 +259,12 @@
     /// Era of the store to which the offset belongs.
     #[prost(uint64, tag = "3")]
     pub era: u64,
+    /// Domains that were evacuated before the store came back from an older copy.
+    #[prost(string, repeated, tag = "4")]
+    pub carried: Vec<String>,
+    /// Domains that were revoked since.
+    #[prost(string, repeated, tag = "5")]
+    pub revoked: Vec<String>,
 }
 
 impl From<&evacuation::EvacuationSet> for EvacuationItem {
@@ -267,6 +273,8 @@
             offset: evacuations.position.offset,
             domains: evacuations.domains.iter().cloned().collect(),
             era: evacuations.position.era,
+            carried: evacuations.carried.iter().cloned().collect(),
+            revoked: evacuations.revoked.iter().cloned().collect(),
         }
     }
 }
@@ -276,6 +284,9 @@
         Self {
             position: position::StorePosition::new(item.era, item.offset),
             domains: item.domains.into_iter().collect(),
+            carried: item.carried.into_iter().collect(),
+            revoked: item.revoked.into_iter().collect(),
+            earlier: position::StorePosition::default(),
         }
     }
 }
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -170,6 +170,10 @@
         for service in &services {
             self.start_waiting(service, now);
         }
+        if self.state.borrow_mut().fleet.settle_evacuations(now) {
+            let domains = self.state.borrow().fleet.evacuations().all();
+            log::info!(domains:? = domains; "evacuations that the restored store lacks are taken back");
+        }
         if !self.state.borrow().reads_store(now) {
             self.state.borrow_mut().fleet.end_distrust(false, now);
         }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -177,7 +177,7 @@
         evacuations: evacuation::EvacuationSet,
         now: time::Instant,
     ) -> bool {
-        let changed = self.fleet.apply_evacuations(evacuations);
+        let changed = self.fleet.apply_evacuations(evacuations, now);
         if changed {
             self.evacuated_at = Some(now);
         }
--- a/crates/exchange/tests/evacuation.rs
+++ b/crates/exchange/tests/evacuation.rs
@@ -112,6 +112,7 @@
     let evacuations = evacuation::EvacuationSet {
         position: at(offset),
         domains: domains.iter().map(ToString::to_string).collect(),
+        ..evacuation::EvacuationSet::default()
     };
     plane
         .state()
@@ -242,8 +243,8 @@
             system: cluster::SYSTEM,
             evacuations: Some(message::EvacuationItem {
                 offset,
-                era: 0,
                 domains: domains.iter().map(ToString::to_string).collect(),
+                ..message::EvacuationItem::default()
             }),
             ..message::PeerDatagram::default()
         };
--- a/crates/exchange/tests/notices.rs
+++ b/crates/exchange/tests/notices.rs
@@ -272,6 +272,7 @@
                 let evacuations = evacuation::EvacuationSet {
                     position: position::StorePosition::new(0, number),
                     domains: domain.into_iter().collect(),
+                    ..evacuation::EvacuationSet::default()
                 };
                 follow::apply_evacuations(reader, evacuations, "store");
             }
