exchange: register again after a restore of the store

What callers would see: after a restore, VMs that start without seeds find nobody in the store; each serves by itself, ignores the streams of the others and reads the store for itself. Cause: a VM registered once; the copy may lack its address. Change: the VMs that read the store register again after each restore, and read the addresses again.

--- a/crates/exchange/src/era.rs
+++ b/crates/exchange/src/era.rs
@@ -14,6 +14,8 @@
     newest: u64,
     /// When the VM learnt of it; `None` before it knew any.
     learnt_at: Option<time::Instant>,
+    /// Number of restores that the VM has learnt of.
+    restores: u64,
 }
 
 /// Effect of an era that was learnt.
@@ -36,9 +38,16 @@
         }
         self.newest = era;
         self.learnt_at = Some(now);
+        self.restores += u64::from(before.is_some());
         before.map_or(EraChange::First, EraChange::Restored)
     }
 
+    /// Number of restores that the VM has learnt of.
+    #[must_use]
+    pub const fn restores(&self) -> u64 {
+        self.restores
+    }
+
     /// The latest era; 0 if none is known.
     #[must_use]
     pub const fn newest(&self) -> u64 {
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -119,8 +119,9 @@
 /// Pause before another attempt to register.
 const REGISTER_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(700);
 
-/// Registers this VM in the store and reads the addresses of the others there, once this VM is one
-/// of those that read the store for all. While enough other VMs are registered, it need not be.
+/// Registers this VM in the store and reads the addresses of the others there, while this VM is one
+/// of those that read the store for all, and again after each restore, which may have lost the
+/// addresses. While enough other VMs are registered, it need not be. Never ends.
 pub async fn discover_peers<P, S: StorePort>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
     store: rc::Rc<S>,
@@ -138,21 +139,25 @@
         )
     };
     time::sleep(discovery_delay).await;
-    while !plane.state().reads_store(time::Instant::now()) {
-        time::sleep(DISCOVERY_CHECK_INTERVAL).await;
-    }
-    while store.register(&name, own).await.is_err() {
-        time::sleep(REGISTER_RETRY_INTERVAL).await;
-    }
+    let mut registered_after = None;
     loop {
-        if let Ok(addresses) = store.registered().await {
+        let restores = plane.state().restores();
+        let reader = plane.state().reads_store(time::Instant::now());
+        if registered_after == Some(restores) || !reader {
+            time::sleep(DISCOVERY_CHECK_INTERVAL).await;
+            continue;
+        }
+        if store.register(&name, own).await.is_ok()
+            && let Ok(addresses) = store.registered().await
+        {
             let mut state = plane.state();
             for address in addresses.into_iter().filter(|address| *address != own) {
                 state.peers.add_address(address);
             }
-            return;
+            registered_after = Some(restores);
+        } else {
+            time::sleep(REGISTER_RETRY_INTERVAL).await;
         }
-        time::sleep(REGISTER_RETRY_INTERVAL).await;
     }
 }
 
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -359,6 +359,12 @@
         self.era.newest()
     }
 
+    /// Number of restores of the store from an older copy that this VM has learnt of.
+    #[must_use]
+    pub const fn restores(&self) -> u64 {
+        self.era.restores()
+    }
+
     /// Takes the era that an answer of the store or a message of another VM names.
     pub fn note_era(&mut self, era: u64, source: &str, now: time::Instant) {
         let change = self.era.take(era, now);
