exchange: write the system's number again after a restore of the store

What callers would see: after a restore that lost the number, a VM that starts founds a system of its own: it takes the others for foreign and they it, so callers get answers by different configurations and limits count double. A VM that had started while the store was away wrote its own number, found that it had joined another system, and ended. Cause: the number was written once, by the first VM. Change: after each restore VMs read the number and write it again where it is missing, those that read the store first. If another number is there, it counts: all VMs that use one store are one system. A VM that has joined others proposes their number.

--- a/crates/exchange/src/system.rs
+++ b/crates/exchange/src/system.rs
@@ -115,6 +115,12 @@
 /// Interval between two attempts to read the system while the store is unavailable.
 const STORE_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
 
+/// Interval between two checks whether the store came back from an older copy.
+const RESTORE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Maximum random delay before a VM that does not read the store for all checks the number there:
+/// those that do write it first.
+const MAX_RESTORE_JITTER: time::Duration = time::Duration::from_secs(2);
+
 /// Reads from the store which system this VM belongs to.
 ///
 /// # Errors
@@ -124,9 +130,11 @@
     plane: &plane::ExchangePlane<P>,
     store: rc::Rc<S>,
 ) -> Result<(), JoinedOther> {
-    let proposed = plane.state().draw_system();
+    let drawn = plane.state().draw_system();
     let reading = async {
         loop {
+            // A restored store may have lost the number of the system that this VM has joined.
+            let proposed = plane.state().system.id().unwrap_or(drawn);
             match store.system(proposed).await {
                 Ok(id) => return id,
                 Err(_) => time::sleep(STORE_RETRY_INTERVAL).await,
@@ -158,6 +166,42 @@
     }
 }
 
+/// Writes this system's number again after each restore of the store, which may have lost it. If a
+/// VM that started meanwhile has written another number, that one counts: all VMs that use the
+/// store belong to one system. Never ends.
+pub async fn follow_restores<P, S: follow::StorePort>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    store: rc::Rc<S>,
+) {
+    let mut checked = plane.state().restores();
+    loop {
+        time::sleep(RESTORE_CHECK_INTERVAL).await;
+        let restores = plane.state().restores();
+        let SystemBelief::Known(own) = plane.state().system else {
+            continue;
+        };
+        if restores == checked {
+            continue;
+        }
+        if !plane.state().reads_store(time::Instant::now()) {
+            let draw = plane.state().draw();
+            time::sleep(MAX_RESTORE_JITTER.mul_f64(draw)).await;
+        }
+        let Ok(known) = store.system(own).await else {
+            continue;
+        };
+        checked = restores;
+        if known != own {
+            plane.state().system = SystemBelief::Known(known);
+            plane.announce();
+            log::warn!(
+                system = known.number(), before = own.number();
+                "the restored store names this system otherwise"
+            );
+        }
+    }
+}
+
 /// Classifies the sender of a datagram. Most datagrams don't name their sender; it is then
 /// identified by the hash from an earlier datagram that did.
 pub(crate) fn classify_sender(
--- a/crates/exchange/tests/cluster/lossy.rs
+++ b/crates/exchange/tests/cluster/lossy.rs
@@ -260,6 +260,7 @@
         listen(vms.clone(), own, 1),
         listen(vms.clone(), own, 2),
         listing::follow_servers(plane.clone(), store.clone()),
+        system::follow_restores(plane.clone(), store.clone()),
         catchup::catch_up(plane.clone(), peers, decode),
     );
 }
