exchange: give servers time after each of several restores

Cause: a VM gave three servers up 2.2 s after a restore whose list lacked them, though the store had come back again meanwhile and their entries were to be written again only after that. The next copy listed them; since the VM counted them as removed, it sent them nothing for 5.8 s more. Change: a restore prolongs the grace periods that run; a server that was given up since no list named it, not since its entry was removed, is trusted when a list names it.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -245,10 +245,11 @@
             .filter(|record| record.standing != server::ServerStanding::Gone);
         let removals = unlisted.map(|record| update::ServerUpdate {
             id: record.id.clone(),
-            position: record
-                .position
-                .next()
-                .max(position::StorePosition::new(end.era, 0)),
+            position: if record.position.era < end.era {
+                position::StorePosition::era_start(end.era)
+            } else {
+                record.position.next()
+            },
             entry: None,
         });
         removals.collect()
@@ -302,6 +303,18 @@
         revived
     }
 
+    /// Prolongs the grace periods after a restore of the store, until servers have had the time to
+    /// write their entries again.
+    pub fn prolong_lapse_grace(&mut self, until: time::Instant) {
+        for &key in &self.in_lapse_grace {
+            if let Some(record) = self.servers.get_mut(key)
+                && record.lapse_grace_until.is_some()
+            {
+                record.lapse_grace_until = Some(until);
+            }
+        }
+    }
+
     /// When the next grace period ends, if there is one.
     #[must_use]
     pub fn next_lapse_end(&self) -> Option<time::Instant> {
--- a/crates/exchange/src/position.rs
+++ b/crates/exchange/src/position.rs
@@ -20,6 +20,18 @@
         Self { era, offset }
     }
 
+    /// The position of a removal that no record states: the list of this era never named the server.
+    #[must_use]
+    pub const fn era_start(era: u64) -> Self {
+        Self::new(era, 0)
+    }
+
+    /// Whether this is such a position.
+    #[must_use]
+    pub const fn is_era_start(self) -> bool {
+        self.offset == 0
+    }
+
     /// The position after this one.
     #[must_use]
     pub const fn next(self) -> Self {
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -184,7 +184,9 @@
         };
         self.slots = entry.slots;
         self.address = entry.address;
-        let removed = self.standing == ServerStanding::Gone && self.lapse_grace_until.is_none();
+        let removed = self.standing == ServerStanding::Gone
+            && self.lapse_grace_until.is_none()
+            && !self.removed_at.is_era_start();
         if removed && later_era && settles_at.is_some() {
             self.distrusted_until = settles_at;
         }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -378,6 +378,7 @@
             metrics::counter!("pollenchute_exchange_store_restores_total").increment(1);
             log::warn!(era, before, source:% = source; "the store came back from an older copy");
             self.store_restored_at = Some(now);
+            self.fleet.prolong_lapse_grace(now + fleet::LAPSE_GRACE);
         }
     }
 
--- a/crates/exchange/tests/restores.rs
+++ b/crates/exchange/tests/restores.rs
@@ -150,6 +150,50 @@
     });
 }
 
+#[test]
+fn a_server_written_again_only_after_a_second_restore_gets_work_all_the_while() {
+    // Guards against a grace period that ends although its server has had no time to write its
+    // entry again since the last restore.
+    running::check(|vms| async move {
+        let running = running::RunningVms::start(vms, 0.05).await;
+        let copy = running.store.copy();
+        let server = running::name(running::SERVERS);
+        running.store.append(&server, Some(running::entry()));
+        let all_know = || running.senders(&server).len() == vms;
+        running::wait_until(all_know, ARRIVED).await;
+        let all_send = || assert_eq!(running.senders(&server).len(), vms);
+        running.drill(copy.clone(), AWAY).await;
+        always(time::Duration::from_millis(1_500), all_send).await;
+        running.drill(copy, AWAY).await;
+        always(WRITTEN_AGAIN, all_send).await;
+        running.store.append(&server, Some(running::entry()));
+        always(EXPIRED, all_send).await;
+    });
+}
+
+#[test]
+fn a_server_that_registers_after_it_was_given_up_gets_work_at_once() {
+    // Guards against a server that was removed since no list named it, not since its entry was
+    // removed, and that VMs do not trust when a later copy lists it.
+    running::check(|vms| async move {
+        let running = running::RunningVms::start(vms, 0.05).await;
+        let copy = running.store.copy();
+        let server = running::name(running::SERVERS);
+        running.store.append(&server, Some(running::entry()));
+        let all_know = || running.senders(&server).len() == vms;
+        running::wait_until(all_know, ARRIVED).await;
+        running.drill(copy, AWAY).await;
+        running.known_after(&server, EXPIRED).await;
+        assert_eq!(running.senders(&server), [0; 0]);
+        let copy = running.store.copy();
+        let register = |store: &log_store::LogStore| store.append(&server, Some(running::entry()));
+        running.drill_and(copy, AWAY_UNNOTICED, register).await;
+        running::wait_until(all_know, KNOWN_WITHIN).await;
+        // At 300 VMs a few learn of an arrival by comparing lists.
+        assert!(running.senders(&server).len() > vms / 2);
+    });
+}
+
 #[test]
 fn a_server_whose_entry_the_copy_lacks_is_removed_if_it_is_not_written_again() {
     // Guards against a server that is gone and that no record of the later era names.
