ledger: claims and outcomes hold though the log comes back from an older copy

What callers would see: after a restore of the log, a call that may not run twice is granted again to its repeat, on VMs that started since or that had not read its claim. Cause: readers went on at their offset, which the log gave out again; claims and outcomes that it had lost were known only to the VMs that had read them. Change: a page names the log's era. When it changes, the reader goes back by 60 s of the log's clock and applies what it does not know; the fold keeps what it knows. For 2.5 s, and until nothing is missing, no entry is accepted and no verdict is given: a claim of the earlier era may come later in the restored log.

--- a/crates/ledger/src/appender.rs
+++ b/crates/ledger/src/appender.rs
@@ -104,6 +104,11 @@
         self.0.load(atomic::Ordering::Acquire)
     }
 
+    /// Moves the mark back or forward, after the log came back from an older copy.
+    pub fn reset(&self, position: u64) {
+        self.0.store(position, atomic::Ordering::Release);
+    }
+
     /// Moves the mark forward; a lower position has no effect.
     pub fn advance(&self, position: u64) {
         self.0.fetch_max(position, atomic::Ordering::AcqRel);
--- a/crates/ledger/src/client.rs
+++ b/crates/ledger/src/client.rs
@@ -29,6 +29,9 @@
 /// The answer to a read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReadPage {
+    /// Era of the log that answered; it rises each time the log comes back from an older copy of
+    /// itself, and offsets are then given out again.
+    pub era: u64,
     /// Lowest offset that the log still retains.
     pub first: u64,
     /// Offset at which the next read starts.
@@ -103,6 +106,8 @@
     Dropped {
         /// Name of the stream.
         stream: String,
+        /// Era of the log that answered.
+        era: u64,
         /// Lowest offset that the log still retains.
         first: u64,
     },
--- a/crates/ledger/src/driver.rs
+++ b/crates/ledger/src/driver.rs
@@ -3,11 +3,11 @@
 
 use std::{collections, sync};
 
-use base::id;
+use base::{fingerprint, id};
 use tokio::{sync as tokio_sync, task, time};
 
 use crate::client::LogClient;
-use crate::{appender, client, record, seek, signal, tail};
+use crate::{appender, client, recent, record, seek, signal, tail};
 
 /// A pure function of the records of one stream.
 ///
@@ -83,6 +83,21 @@
     /// The log's clock; `None` until a record arrives after the stream was read to its end.
     pub clock: Option<LogClock>,
     waiters: collections::BTreeMap<id::RecordId, tokio_sync::oneshot::Sender<F::Verdict>>,
+    recent: recent::RecentRecords,
+    /// Set after the log came back from an older copy, until its state is complete again.
+    restore: Option<LogRestore>,
+}
+
+/// Progress after the log came back from an older copy.
+#[derive(Clone, Copy, Debug)]
+struct LogRestore {
+    /// Whether the restored log was read to its end.
+    read_to_end: bool,
+    /// When records that the log lacks are appended again, unless another process did so.
+    rewrite_at: time::Instant,
+    /// When other processes have had the time to append what only they have read. Until then no
+    /// entry is accepted: a claim of the earlier era could be granted a second time.
+    settles_at: time::Instant,
 }
 
 impl<F: LogFold> StreamState<F> {
@@ -151,6 +166,8 @@
             position: 0,
             clock: None,
             waiters: collections::BTreeMap::new(),
+            recent: recent::RecentRecords::default(),
+            restore: None,
         };
         let shared = sync::Arc::new(SharedState {
             state: sync::Mutex::new(state),
@@ -161,6 +178,7 @@
             stream: stream.to_owned(),
             shared: sync::Arc::clone(&shared),
             mark: mark.clone(),
+            rewrite_delay: rewrite_delay(writer),
         };
         let reading = tokio::spawn(reading.run());
         let (appender, appending) =
@@ -319,11 +337,20 @@
     stream: String,
     shared: sync::Arc<SharedState<F>>,
     mark: appender::PositionMark,
+    rewrite_delay: time::Duration,
+}
+
+/// Delay after which a process appends again what a restored log lacks. It differs between
+/// processes, so that few of them append the same record.
+fn rewrite_delay(writer: &str) -> time::Duration {
+    let hash = fingerprint::ContentHash::of(writer.as_bytes());
+    MAX_REWRITE_DELAY.mul_f64(f64::from(hash.0[0]) / 256.0)
 }
 
 impl<C: LogClient, F: LogFold> FollowTask<C, F> {
     async fn run(self) {
-        let start = self.find_start().await;
+        let lookback_ms = self.shared.lock().fold.lookback_ms();
+        let start = self.find_start(lookback_ms).await;
         if start > 0 {
             self.shared.restart(start);
             self.mark.advance(start);
@@ -332,6 +359,15 @@
         let mut reader = reader.wait_ms(0);
         loop {
             let event = reader.next_event().await;
+            if let tail::TailEvent::Restored { .. } = event {
+                let start = self.find_start(Some(RESTORE_LOOKBACK_MS)).await;
+                self.shared.begin_restore(start, self.rewrite_delay);
+                reader.restart(start);
+                reader = reader.wait_ms(RESTORE_POLL_MS);
+                self.mark.reset(start);
+                continue;
+            }
+            self.rewrite_lost().await;
             if self.shared.handle_event(event, reader.failures()) {
                 reader = reader.wait_ms(LONG_POLL_TIMEOUT_MS);
             }
@@ -339,8 +375,15 @@
         }
     }
 
-    async fn find_start(&self) -> u64 {
-        let Some(lookback_ms) = self.shared.lock().fold.lookback_ms() else {
+    /// Appends the records that the restored log lacks and that no other process has appended.
+    async fn rewrite_lost(&self) {
+        for body in self.shared.take_lost() {
+            let _ = self.client.append(&self.stream, body).await;
+        }
+    }
+
+    async fn find_start(&self, lookback_ms: Option<u64>) -> u64 {
+        let Some(lookback_ms) = lookback_ms else {
             return 0;
         };
         loop {
@@ -364,6 +407,21 @@
 /// Time that one read waits at the log for the next record.
 const LONG_POLL_TIMEOUT_MS: u64 = 2_000;
 
+/// How far before the end of a restored log reading starts again.
+const RESTORE_LOOKBACK_MS: u64 = 60_000;
+
+/// Time that one read waits at the log until a restore is complete.
+const RESTORE_POLL_MS: u64 = 50;
+
+/// Maximum delay before a process appends again what a restored log lacks.
+const MAX_REWRITE_DELAY: time::Duration = time::Duration::from_millis(800);
+
+/// Interval between two attempts to append it.
+const REWRITE_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
+/// Time in which all running processes notice a restore and append what the log lacks.
+const RESTORE_SETTLE_TIME: time::Duration = time::Duration::from_millis(2_500);
+
 /// Number of consecutive failed reads after which the log counts as unreadable.
 const MIN_OUTAGE_FAILURES: u32 = 2;
 
@@ -384,6 +442,10 @@
                 }
             }
             tail::TailEvent::AtEnd { .. } => {
+                if !self.end_restore() {
+                    self.set_outage(false);
+                    return false;
+                }
                 let current = ReadState {
                     loaded: true,
                     outage: false,
@@ -391,11 +453,60 @@
                 return !self.read_state.replace(current).loaded;
             }
             tail::TailEvent::Gap { first } => self.restart(first),
+            tail::TailEvent::Restored { .. } => {}
             tail::TailEvent::Outage { .. } => self.set_outage(failures >= MIN_OUTAGE_FAILURES),
         }
         false
     }
 
+    /// Starts to read a restored log at `start`. The fold keeps what it knows.
+    fn begin_restore(&self, start: u64, rewrite_delay: time::Duration) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        state.position = start;
+        state.waiters.clear();
+        state.recent.begin_restore();
+        state.restore = Some(LogRestore {
+            read_to_end: false,
+            rewrite_at: now + rewrite_delay,
+            settles_at: now + RESTORE_SETTLE_TIME,
+        });
+        drop(state);
+        let outage = self.read_state.get().outage;
+        self.read_state.replace(ReadState {
+            loaded: false,
+            outage,
+        });
+    }
+
+    /// Records to append again now.
+    fn take_lost(&self) -> Vec<bytes::Bytes> {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        match &mut state.restore {
+            Some(restore) if restore.read_to_end && restore.rewrite_at <= now => {
+                restore.rewrite_at = now + REWRITE_RETRY_INTERVAL;
+                state.recent.missing()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Whether no restore is in progress, at the end of the stream.
+    fn end_restore(&self) -> bool {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        let Some(restore) = &mut state.restore else {
+            return true;
+        };
+        restore.read_to_end = true;
+        if restore.settles_at > now || !state.recent.missing().is_empty() {
+            return false;
+        }
+        state.restore = None;
+        true
+    }
+
     fn restart(&self, first: u64) {
         let mut state = self.lock();
         state.fold.restart(first);
@@ -413,6 +524,10 @@
         if loaded {
             state.update_clock(found.at_ms, time::Instant::now());
         }
+        if state.restore.is_some() && state.recent.take(&found.body) {
+            return;
+        }
+        state.recent.add(found.at_ms, found.body.clone());
         let batch = match record::decode(&found.body) {
             Ok(batch) => batch,
             Err(error) => {
@@ -422,7 +537,9 @@
             }
         };
         for decided in state.fold.apply(place, batch) {
-            if let Some(waiter) = state.waiters.remove(&decided.id) {
+            let waiter = state.waiters.remove(&decided.id);
+            // Until the restored log is complete, an entry that it has lost may come first.
+            if let Some(waiter) = waiter.filter(|_| state.restore.is_none()) {
                 let _ = waiter.send(decided.verdict);
             }
         }
--- a/crates/ledger/src/http.rs
+++ b/crates/ledger/src/http.rs
@@ -62,6 +62,9 @@
     body: String,
 }
 
+/// Header with the era of the log, in all its answers.
+const ERA_HEADER: &str = "log-era";
+
 impl HttpLog {
     /// Creates a client with its own connection pool.
     #[must_use]
@@ -129,10 +132,12 @@
             .map_err(|_| idle_timeout_error(query, idle_timeout))?
             .map_err(|error| read_error(query, error.to_string()))?;
         let status = response.status();
+        let era = era_of(&response);
         if status.as_u16() == 410 {
             let answer: DroppedAnswer = read_json(query, response, idle_timeout).await?;
             return client::DroppedSnafu {
                 stream: &query.stream,
+                era,
                 first: answer.first,
             }
             .fail();
@@ -141,7 +146,7 @@
             return Err(read_error(query, format!("status {status}")));
         }
         let answer: PageAnswer = read_json(query, response, idle_timeout).await?;
-        page_of(query, answer)
+        page_of(query, era, answer)
     }
 }
 
@@ -193,8 +198,16 @@
     .build()
 }
 
+/// The era that an answer names; 0 if it names none.
+fn era_of(response: &reqwest::Response) -> u64 {
+    let era = response.headers().get(ERA_HEADER);
+    let era = era.and_then(|era| era.to_str().ok()?.parse().ok());
+    era.unwrap_or_default()
+}
+
 fn page_of(
     query: &client::ReadQuery,
+    era: u64,
     answer: PageAnswer,
 ) -> Result<client::ReadPage, client::ReadError> {
     let mut records = Vec::with_capacity(answer.records.len());
@@ -209,6 +222,7 @@
         });
     }
     Ok(client::ReadPage {
+        era,
         first: answer.first,
         next: answer.next,
         records,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod partition;
 pub mod parts;
 pub mod permit;
+mod recent;
 pub mod record;
 pub mod route;
 pub mod seek;
--- a/crates/ledger/src/memory.rs
+++ b/crates/ledger/src/memory.rs
@@ -59,8 +59,14 @@
     epoch_ms: u64,
 }
 
+/// Contents of a [`MemoryLog`] at one moment.
+#[derive(Clone, Debug)]
+pub struct LogCopy(collections::BTreeMap<String, StreamState>);
+
 #[derive(Debug)]
 struct LogState {
+    /// Number of restores.
+    era: u64,
     streams: collections::BTreeMap<String, StreamState>,
     faults: LogFaults,
     counts: LogCounts,
@@ -70,7 +76,7 @@
     appends_in_second: u32,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StreamState {
     /// Offset of the first retained record.
     first: u64,
@@ -107,6 +113,7 @@
     #[must_use]
     pub fn new(seed: u64, epoch_ms: u64) -> Self {
         let state = LogState {
+            era: 0,
             streams: collections::BTreeMap::new(),
             faults: LogFaults::default(),
             counts: LogCounts::default(),
@@ -143,6 +150,22 @@
         self.shared.epoch_ms + u64::try_from(passed).unwrap_or(u64::MAX)
     }
 
+    /// Copies the log.
+    #[must_use]
+    pub fn copy(&self) -> LogCopy {
+        LogCopy(self.state().streams.clone())
+    }
+
+    /// Replaces the log by an older copy of itself: records appended since are lost, and their
+    /// offsets are given out again.
+    pub fn restore(&self, copy: LogCopy) {
+        let mut state = self.state();
+        state.streams = copy.0;
+        state.era += 1;
+        drop(state);
+        self.shared.appended.notify_waiters();
+    }
+
     /// Returns all records that a stream still retains.
     #[must_use]
     pub fn records(&self, stream: &str) -> Vec<client::LogRecord> {
@@ -211,6 +234,7 @@
             return client::FailedSnafu { stream, cause }.fail();
         }
         let retention_ms = state.faults.retention_ms;
+        let era = state.era;
         let found = state.streams.entry(query.stream.clone()).or_default();
         if let Some(kept_ms) = retention_ms {
             found.drop_older(now_ms.saturating_sub(kept_ms));
@@ -218,6 +242,7 @@
         if query.from < found.first {
             return client::DroppedSnafu {
                 stream: &query.stream,
+                era,
                 first: found.first,
             }
             .fail();
@@ -234,6 +259,7 @@
         let first = found.first;
         state.counts.reads += 1;
         Ok(client::ReadPage {
+            era,
             first,
             next,
             records,
--- a/crates/ledger/src/tail.rs
+++ b/crates/ledger/src/tail.rs
@@ -28,6 +28,12 @@
         /// Lowest offset that the log still retains.
         first: u64,
     },
+    /// The log came back from an older copy of itself: records may be lost, and offsets are given
+    /// out again. Reading continues after [`TailReader::restart`].
+    Restored {
+        /// The later era of the log.
+        era: u64,
+    },
     /// The log cannot be read; the next call retries after an increasing delay.
     Outage {
         /// Cause that the connection reported.
@@ -35,13 +41,15 @@
     },
 }
 
-/// A reader of one stream; its position never decreases.
+/// A reader of one stream; its position decreases only at a restart.
 #[derive(Clone, Debug)]
 pub struct TailReader<C> {
     client: C,
     stream: String,
     /// Offset of the next record to return.
     position: u64,
+    /// Era of the log to which the position belongs; `None` before the first answer.
+    era: Option<u64>,
     wait_ms: u64,
     /// Number of failed reads since the last successful one.
     failures: u32,
@@ -54,6 +62,7 @@
             client,
             stream: stream.into(),
             position: from,
+            era: None,
             wait_ms: 10_000,
             failures: 0,
         }
@@ -72,6 +81,22 @@
         self.position
     }
 
+    /// Continues at `position`, after the log came back from an older copy.
+    pub const fn restart(&mut self, position: u64) {
+        self.position = position;
+    }
+
+    /// Whether an answer comes from a later era than the answers before.
+    fn is_restored(&mut self, era: u64) -> bool {
+        let known = self.era.replace(era);
+        if known.is_none_or(|known| known == era) {
+            return false;
+        }
+        log::warn!(stream = self.stream.as_str(), era = era, position = self.position; "the log came back from an older copy");
+        metrics::counter!("pollenchute_ledger_restores_total").increment(1);
+        true
+    }
+
     /// Returns the number of failed reads since the last successful one.
     #[must_use]
     pub const fn failures(&self) -> u32 {
@@ -93,6 +118,12 @@
             wait_ms,
         };
         match self.client.read(&query).await {
+            Ok(client::ReadPage { era, .. }) | Err(client::ReadError::Dropped { era, .. })
+                if self.is_restored(era) =>
+            {
+                self.failures = 0;
+                TailEvent::Restored { era }
+            }
             Ok(page) => {
                 self.failures = 0;
                 self.accept_page(page)
