exchange: a log line and a metric of repeats allowed, refused and forced

Cause: no line told a hedge, a retry or a resumed run apart from a first attempt, nor what a VM had spent of its share when it decided. Change: the line `repeat` (request, service, kind, outcome, first attempts and repeats in the window, VMs that share) and pollenchute_exchange_repeats_total{kind,outcome}. A resumed run that goes beyond the share counts as forced. No decision changes.

--- a/crates/exchange/src/budget.rs
+++ b/crates/exchange/src/budget.rs
@@ -24,6 +24,29 @@
     pub window: time::Duration,
 }
 
+/// Why an attempt beyond the first of its request is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatKind {
+    /// A second attempt of a call while the first one is still silent.
+    Hedge,
+    /// An attempt after one that failed.
+    Retry,
+    /// A stream that goes on from a copy of its run.
+    Resume,
+}
+
+impl RepeatKind {
+    /// Name in log lines and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+            Self::Resume => "resume",
+        }
+    }
+}
+
 /// Recent attempts of this VM on one service.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
@@ -58,6 +81,13 @@
         self.further.push_back(now);
     }
 
+    /// Numbers of first attempts and of retries in the window that ends now.
+    pub fn counts(&mut self, rule: &BudgetRule, now: time::Instant) -> (usize, usize) {
+        trim(&mut self.first, rule.window, now);
+        trim(&mut self.further, rule.window, now);
+        (self.first.len(), self.further.len())
+    }
+
     /// Number of retries that this VM, one of `entries`, has left.
     pub fn left(&mut self, rule: &BudgetRule, entries: u32, now: time::Instant) -> f64 {
         trim(&mut self.first, rule.window, now);
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use crate::{
-    fleet, port,
+    budget, fleet, port,
     port::ResponseBody as _,
     serve_stream::{CopyPlace, LiveRun, RelayEnd, StreamDriver, millis},
     server,
@@ -278,7 +278,7 @@
             } else {
                 continue;
             }
-            self.plane.state().force_retry(&self.request.service, now);
+            self.count_resume();
             let backup = self.next_backup(server);
             let Some(origin) = self.plane.target(copy.origin) else {
                 return false;
@@ -323,6 +323,13 @@
         false
     }
 
+    /// Counts an attempt to go on as a repeat.
+    fn count_resume(&self) {
+        let kind = budget::RepeatKind::Resume;
+        let mut state = self.plane.state();
+        state.force_repeat(&self.request, kind, time::Instant::now());
+    }
+
     /// Waits until a server may get a request; returns whether that is within `MAX_RESUME_WAIT`.
     async fn may_send_soon(&self, server: fleet::ServerKey) -> bool {
         let until = time::Instant::now() + MAX_RESUME_WAIT;
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -9,8 +9,8 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    catalog, fleet, plane, port, port::ResponseBody as _, reply, request, serve_stream, server,
-    wait,
+    budget, catalog, fleet, plane, port, port::ResponseBody as _, reply, request, serve_stream,
+    server, wait,
 };
 
 /// Max size of a response that is buffered completely; a longer one is streamed to the caller and
@@ -141,7 +141,7 @@
         let (run, server) = state
             .place(self.request, &self.avoid, wait::WaitRank::default(), now)
             .ok()?;
-        state.take_retry(&self.request.service, now);
+        state.take_repeat(self.request, budget::RepeatKind::Hedge, now);
         drop(state);
         metrics::counter!("pollenchute_exchange_hedges_total").increment(1);
         Some(self.plane.placed(run, server))
@@ -228,7 +228,10 @@
         let idempotent = self.request.kind == catalog::ExchangeKind::Idempotent;
         let may = idempotent || self.ran == outcome::RanState::No;
         may && self.sent < self.request.attempts
-            && self.plane.state().take_retry(&self.request.service, now)
+            && self
+                .plane
+                .state()
+                .take_repeat(self.request, budget::RepeatKind::Retry, now)
     }
 
     fn log_failed(&self, server: fleet::ServerKey, why: &str) {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    event, fleet, forecast, moving, pace, plane, port, port::ResponseBody as _, relocate, reply,
-    request, server,
+    budget, event, fleet, forecast, moving, pace, plane, port, port::ResponseBody as _, relocate,
+    reply, request, server,
 };
 
 /// Stream parts buffered for a slow caller: limits the memory that it can hold.
@@ -308,7 +308,12 @@
         let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
         let counted = cause == port::NotRunCause::Rejected && attempts >= self.request.attempts;
         let may_retry = !counted && attempts < MAX_NOT_RUN_ATTEMPTS;
-        if may_retry && self.plane.state().take_retry(&self.request.service, now) {
+        if may_retry
+            && self
+                .plane
+                .state()
+                .take_repeat(&self.request, budget::RepeatKind::Retry, now)
+        {
             return Ok(());
         }
         Err(self
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -710,17 +710,57 @@
         self.budget(service).count_first(&rule, now);
     }
 
-    /// Takes one retry of a service; returns false if this VM has none left.
-    pub fn take_retry(&mut self, service: &str, now: time::Instant) -> bool {
+    /// Takes one repeat of a request; returns false if this VM has none left.
+    pub fn take_repeat(
+        &mut self,
+        request: &request::ExchangeRequest,
+        kind: budget::RepeatKind,
+        now: time::Instant,
+    ) -> bool {
+        let rule = self.settings.retries;
+        let entries = self.peers.limit_share_count(now);
+        let allowed = self.budget(&request.service).take(&rule, entries, now);
+        let outcome = if allowed { "allowed" } else { "refused" };
+        self.record_repeat(request, kind, outcome, now);
+        allowed
+    }
+
+    /// Counts a repeat that is made even if none is left.
+    pub fn force_repeat(
+        &mut self,
+        request: &request::ExchangeRequest,
+        kind: budget::RepeatKind,
+        now: time::Instant,
+    ) {
         let rule = self.settings.retries;
         let entries = self.peers.limit_share_count(now);
-        self.budget(service).take(&rule, entries, now)
+        let budget = self.budget(&request.service);
+        let forced = budget.left(&rule, entries, now) < 1.0;
+        budget.force(&rule, now);
+        let outcome = if forced { "forced" } else { "allowed" };
+        self.record_repeat(request, kind, outcome, now);
     }
 
-    /// Counts a retry that is made even if none is left.
-    pub fn force_retry(&mut self, service: &str, now: time::Instant) {
+    /// Logs and counts a decision on a repeat.
+    fn record_repeat(
+        &mut self,
+        request: &request::ExchangeRequest,
+        kind: budget::RepeatKind,
+        outcome: &'static str,
+        now: time::Instant,
+    ) {
         let rule = self.settings.retries;
-        self.budget(service).force(&rule, now);
+        let vms = self.peers.limit_share_count(now);
+        let (first, repeats) = self.budget(&request.service).counts(&rule, now);
+        metrics::counter!(
+            "pollenchute_exchange_repeats_total", "kind" => kind.name(), "outcome" => outcome
+        )
+        .increment(1);
+        log::info!(
+            request:% = request.id, service:% = request.service, kind:% = kind.name(),
+            outcome:% = outcome, first, repeats, vms;
+            "repeat"
+        );
     }
 
     /// Number of retries of a service that this VM has left.
