exchange: failing tests of repeats beyond the allowance

Cause: no test counts repeats where they arrive, over all processes of all VMs. Change: RepeatingVms, VMs on the paused clock that start again with an empty memory, are cut from each other, lose their streams, or send into paths that stall; the count is as in the soak.

--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -7,6 +7,7 @@
 pub mod log_store;
 pub mod lossy;
 pub mod many_vms;
+pub mod repeating;
 pub mod running;
 pub mod store;
 
@@ -59,6 +60,8 @@
     pub seen: cell::RefCell<Vec<SeenCall>>,
     /// Servers that answer with an error status unless a script says otherwise.
     pub erring: cell::RefCell<collections::HashSet<String>>,
+    /// Events after which any server breaks a stream off.
+    pub breaks_after: cell::Cell<Option<u32>>,
     /// Servers that refuse reservations.
     pub full: cell::RefCell<collections::HashSet<String>>,
     /// Results of copies, in order.
@@ -77,6 +80,11 @@
     pub told_leaving: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
     /// Requests of any kind that servers got, with the time.
     pub arrivals: cell::RefCell<Vec<(String, tokio::time::Instant)>>,
+    /// Attempts that reached servers, by request, with the time.
+    pub attempts: cell::RefCell<Vec<(String, tokio::time::Instant)>>,
+    /// Servers behind a path that stalls until a time. Attempts reach them then, also those that
+    /// were given up.
+    pub stalled: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
     /// Runs whose responses are still open, by server.
     pub open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
 }
@@ -154,6 +162,12 @@
         call: port::ServerCall,
     ) -> port::SignalledReply<port::CallOutcome<FakeBody>> {
         let server = call.target.id.clone();
+        let now = tokio::time::Instant::now();
+        let stalled_until = self.stalled.borrow().get(&server).copied();
+        let arrives_at = stalled_until.map_or(now, |until| until.max(now));
+        let attempt = (call.request.id.clone(), arrives_at);
+        self.attempts.borrow_mut().push(attempt);
+        tokio::time::sleep_until(arrives_at).await;
         if let Some(signals) = self.take_turn_away(&server) {
             self.count(&server);
             let reply = port::CallOutcome::NotRun(port::NotRunCause::Rejected);
@@ -260,7 +274,17 @@
                 .and_then(collections::VecDeque::pop_front);
             let interval = time::Duration::from_millis(10);
             let errs = self.erring.borrow().contains(&call.target.id);
+            let breaks_after = self.breaks_after.get();
             script.unwrap_or(match call.request.kind {
+                catalog::ExchangeKind::Stream if breaks_after.is_some() => {
+                    let seen = call
+                        .resume
+                        .as_ref()
+                        .and_then(|resume| resume.last_event.as_ref());
+                    let seen = seen.and_then(|last| last.parse::<u32>().ok());
+                    let events = breaks_after.unwrap_or_default();
+                    ServerScript::Breaks(seen.map_or(0, |last| last + 1) + events, interval)
+                }
                 _ if errs => ServerScript::Answer(500, interval),
                 catalog::ExchangeKind::Stream => ServerScript::Events(40, interval),
                 _ => ServerScript::Answer(200, interval),
