exchange: VMs that start or are cut off take no more than their part of the repeats

What callers saw: while servers fail, repeats that make their load larger, more of them the more VMs start again or lose sight of each other. Cause: a VM divided the fixed allowance by the VMs that it had heard in the last 12 s. One that had just started divided it by one, and took all of it; VMs cut from each other each took all of it after 12 s. A process also forgot what the one before it had spent. Change: VMs that fell silent without announcing a stop keep their part for an hour, also once they have left the table; the number of VMs that another one reports counts; a VM that knows addresses of others and has heard none has no part; in its first window a process has none either. The fraction of its own requests is always its own. Tests of VMs that are not said to have just started let them run for a minute before.

--- a/crates/exchange/src/budget.rs
+++ b/crates/exchange/src/budget.rs
@@ -2,9 +2,9 @@
 //!
 //! Load pattern: a server fails and every VM retries at once; without a limit the remaining servers
 //! of the service get several times their load. Each VM keeps to its own share without
-//! coordination: a fraction of the requests that it received itself, and an even share of the fixed
-//! allowance. The shares of VMs that are down stay unused until membership removes them, so the sum
-//! never exceeds the total.
+//! coordination: a fraction of the requests that it received itself, and an even part of the fixed
+//! allowance. VMs that fell silent keep their part, because they may be cut off and still send. A
+//! VM that has just started has none, because the process before it may have spent it.
 
 use std::collections;
 
@@ -63,10 +63,10 @@
         self.first.push_back(now);
     }
 
-    /// Takes one retry from the share of this VM among `entries` VMs; returns false if none is
-    /// left.
-    pub fn take(&mut self, rule: &BudgetRule, entries: u32, now: time::Instant) -> bool {
-        let left = self.left(rule, entries, now);
+    /// Takes one retry if `slack`, this VM's part of the fixed allowance, and its requests leave
+    /// one; returns false otherwise.
+    pub fn take(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> bool {
+        let left = self.left(rule, slack, now);
         if left < 1.0 {
             return false;
         }
@@ -88,11 +88,10 @@
         (self.first.len(), self.further.len())
     }
 
-    /// Number of retries that this VM, one of `entries`, has left.
-    pub fn left(&mut self, rule: &BudgetRule, entries: u32, now: time::Instant) -> f64 {
+    /// Number of retries that this VM has left with `slack` of the fixed allowance.
+    pub fn left(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> f64 {
         trim(&mut self.first, rule.window, now);
         trim(&mut self.further, rule.window, now);
-        let slack = rule.slack / f64::from(entries.max(1));
         let total = rule.ratio * self.first.len() as f64 + slack;
         total * SAFETY_FRACTION - self.further.len() as f64
     }
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -20,11 +20,15 @@
 /// Upper bound of the interval. A VM counts as silent after three intervals, which stay within the
 /// users' bound of two seconds.
 const MAX_ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(600);
-/// A VM that sent nothing for this long no longer counts in limits that VMs share. Longer than the
-/// window of the retry budget, because what the VM spent before may still count.
+/// A VM that announced its stop and sent nothing for this long no longer counts in limits that VMs
+/// share. Longer than the window of the retry budget, because what the VM spent before may still
+/// count.
 const LIMIT_SHARE_TIME: time::Duration = time::Duration::from_secs(12);
 /// A VM that sent nothing for this long is removed from the table.
 const PEER_RETENTION: time::Duration = time::Duration::from_secs(180);
+/// A VM that sent nothing for this long, and did not announce a stop, no longer has a part of the
+/// allowance of repeats.
+const CUT_OFF_RETENTION: time::Duration = time::Duration::from_secs(3_600);
 
 /// Another entry VM.
 #[derive(Clone, Debug)]
@@ -159,6 +163,9 @@
     addresses: collections::HashSet<net::SocketAddr>,
     /// Names of peers by the sender hash, which most datagrams carry instead of the name.
     senders: collections::HashMap<u64, String>,
+    /// VMs that fell silent without announcing a stop and were removed, with the time of their last
+    /// datagram. They may be cut off from this VM and still send to servers.
+    cut_off: collections::BTreeMap<String, time::Instant>,
     /// Addresses that were reported but have not answered, with the time of the last greeting.
     unanswered: collections::BTreeMap<net::SocketAddr, Option<time::Instant>>,
 }
@@ -228,6 +235,7 @@
         let alive_time = if record.near { near } else { far };
         let change = record.take(datagram, alive_time, now);
         let address = record.link_address;
+        self.cut_off.remove(&datagram.name);
         self.unanswered.remove(&address);
         self.senders.insert(datagram.sender, datagram.name.clone());
         let before = self.peers.insert(datagram.name.clone(), record);
@@ -336,8 +344,15 @@
 
     /// Removes VMs that have been silent for longer than `PEER_RETENTION`.
     pub fn sweep(&mut self, now: time::Instant) {
-        self.peers
-            .retain(|_, peer| now.saturating_duration_since(peer.received_at) < PEER_RETENTION);
+        let silent_for = |at: time::Instant| now.saturating_duration_since(at);
+        let removed = self
+            .peers
+            .extract_if(.., |_, peer| silent_for(peer.received_at) >= PEER_RETENTION);
+        let cut_off = removed.filter(|(_, peer)| peer.stage != message::VmStage::Stopping);
+        self.cut_off
+            .extend(cut_off.map(|(name, peer)| (name, peer.received_at)));
+        self.cut_off
+            .retain(|_, at| silent_for(*at) < CUT_OFF_RETENTION);
         self.near = self.peers.values().filter(|peer| peer.near).count();
         self.collect_addresses();
         let peers = &self.peers;
@@ -349,15 +364,15 @@
         self.peers.iter()
     }
 
-    /// Number of VMs that share limits, including this one.
+    /// Number of VMs that share the allowance of repeats, including this one and those that may be
+    /// cut off from it. `None` if there are others of which this VM has heard none.
     #[must_use]
-    pub fn limit_share_count(&self, now: time::Instant) -> u32 {
-        let others = self
-            .peers
-            .values()
-            .filter(|peer| now.saturating_duration_since(peer.received_at) < LIMIT_SHARE_TIME)
-            .count();
-        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    pub fn repeat_share_count(&self, now: time::Instant) -> Option<usize> {
+        let known = self.senders(now).count() + self.cut_off.len();
+        if known == 0 && !self.unanswered.is_empty() {
+            return None;
+        }
+        Some((known + 1).max(self.reported_senders(now)))
     }
 
     /// Other VMs that may send to servers. One that fell silent without announcing a stop may be cut
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -718,8 +718,8 @@
         now: time::Instant,
     ) -> bool {
         let rule = self.settings.retries;
-        let entries = self.peers.limit_share_count(now);
-        let allowed = self.budget(&request.service).take(&rule, entries, now);
+        let slack = self.repeat_slack(now);
+        let allowed = self.budget(&request.service).take(&rule, slack, now);
         let outcome = if allowed { "allowed" } else { "refused" };
         self.record_repeat(request, kind, outcome, now);
         allowed
@@ -733,9 +733,9 @@
         now: time::Instant,
     ) {
         let rule = self.settings.retries;
-        let entries = self.peers.limit_share_count(now);
+        let slack = self.repeat_slack(now);
         let budget = self.budget(&request.service);
-        let forced = budget.left(&rule, entries, now) < 1.0;
+        let forced = budget.left(&rule, slack, now) < 1.0;
         budget.force(&rule, now);
         let outcome = if forced { "forced" } else { "allowed" };
         self.record_repeat(request, kind, outcome, now);
@@ -750,7 +750,7 @@
         now: time::Instant,
     ) {
         let rule = self.settings.retries;
-        let vms = self.peers.limit_share_count(now);
+        let slack = self.repeat_slack(now);
         let (first, repeats) = self.budget(&request.service).counts(&rule, now);
         metrics::counter!(
             "pollenchute_exchange_repeats_total", "kind" => kind.name(), "outcome" => outcome
@@ -758,7 +758,7 @@
         .increment(1);
         log::info!(
             request:% = request.id, service:% = request.service, kind:% = kind.name(),
-            outcome:% = outcome, first, repeats, vms;
+            outcome:% = outcome, first, repeats, slack;
             "repeat"
         );
     }
@@ -766,8 +766,20 @@
     /// Number of retries of a service that this VM has left.
     pub fn retries_left(&mut self, service: &str, now: time::Instant) -> f64 {
         let rule = self.settings.retries;
-        let entries = self.peers.limit_share_count(now);
-        self.budget(service).left(&rule, entries, now)
+        let slack = self.repeat_slack(now);
+        self.budget(service).left(&rule, slack, now)
+    }
+
+    /// This VM's part of the fixed allowance of repeats: none for as long as the repeats of its
+    /// previous process count, and none while it knows of other VMs and hears none of them.
+    #[must_use]
+    pub fn repeat_slack(&self, now: time::Instant) -> f64 {
+        let rule = self.settings.retries;
+        if now.saturating_duration_since(self.started_at) < rule.window {
+            return 0.0;
+        }
+        let vms = self.peers.repeat_share_count(now);
+        vms.map_or(0.0, |vms| rule.slack / vms as f64)
     }
 
     fn budget(&mut self, service: &str) -> &mut budget::RetryBudget {
--- a/crates/exchange/tests/cluster/lossy.rs
+++ b/crates/exchange/tests/cluster/lossy.rs
@@ -120,6 +120,7 @@
             }
         }
         for (own, plane) in planes[..early].iter().enumerate() {
+            plane.state().started_at = now - super::UPTIME;
             for (other, datagram) in introductions[..early].iter().enumerate() {
                 if other != own {
                     plane.state().peers.take(datagram, now);
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -478,12 +478,17 @@
     system::SystemId::from_number(number).expect("not 0")
 }
 
-/// A plane with two plain servers (`s1`, `s2`) and two engines (`e1`, `e2`).
+/// Time that VMs have run which are not said to have just started.
+pub const UPTIME: time::Duration = time::Duration::from_secs(60);
+
+/// A plane with two plain servers (`s1`, `s2`) and two engines (`e1`, `e2`), which has run for a
+/// while.
 pub fn plane() -> TestPlane {
     let rng = rand::SeedableRng::seed_from_u64(7);
     let mut state = state::PlaneState::new(settings("vm-1"), rng);
     state.system = system::SystemBelief::Known(system_id(SYSTEM));
     let now = tokio::time::Instant::now();
+    state.started_at = now - UPTIME;
     state.take_catalog(catalog(1), Bytes::from_static(b"1"));
     for (number, id) in [(1, "s1"), (2, "s2")] {
         state.apply_update(update(id, 1, Some(entry("app", number, "a"))), false, now);
--- a/crates/exchange/tests/cluster/repeating.rs
+++ b/crates/exchange/tests/cluster/repeating.rs
@@ -10,8 +10,6 @@
 pub const RATIO: f64 = 0.2;
 pub const SLACK: f64 = 54.0;
 pub const WINDOW: time::Duration = time::Duration::from_secs(10);
-/// Time that each VM has run when a test begins.
-const UPTIME: time::Duration = time::Duration::from_secs(60);
 /// Interval between regular datagrams, and the time that a datagram takes.
 const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(150);
 const LINK_DELAY: time::Duration = time::Duration::from_millis(2);
@@ -74,7 +72,7 @@
             connected: true,
         };
         for vm in &running.vms {
-            vm.state().started_at = Instant::now() - UPTIME;
+            vm.state().started_at = Instant::now() - super::UPTIME;
         }
         running.announce();
         running
