exchange: a repeat counts until its attempts have arrived

What callers saw: after a stall of the paths to a service's servers, all attempts that VMs had sent into it arrived at once, beside those of the servers' normal load. Cause: a repeat left the budget a window after it was sent; the rule counts it when it arrives. Over a stall of 30 s a VM could spend its share three times. Change: a repeat counts for a window from the answer that shows that each attempt of its request has arrived: its own, or a later answer of the same server. Without an answer it counts for 30 s more. Attempts that were not sent, or found no server, count no longer. RepeatLedger holds the budgets, which stood in PlaneState.

--- a/crates/exchange/src/budget.rs
+++ b/crates/exchange/src/budget.rs
@@ -13,6 +13,15 @@
 /// Fraction of the budget that is used, because the known number of VMs lags behind the actual one.
 const SAFETY_FRACTION: f64 = 0.75;
 
+/// Time after the sending of a repeat for which it counts as on its way if no answer shows that it
+/// has arrived: a path that stalls may deliver it late, together with many others.
+const MAX_DELAY: time::Duration = time::Duration::from_secs(30);
+
+slotmap::new_key_type! {
+    /// Key of a repeat that counts.
+    pub struct RepeatKey;
+}
+
 /// Limit on the retries of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetRule {
@@ -52,60 +61,65 @@
 pub struct RetryBudget {
     /// Times of first attempts, oldest first, none older than the window.
     first: collections::VecDeque<time::Instant>,
-    /// Times of retries, oldest first.
-    further: collections::VecDeque<time::Instant>,
+    /// Repeats that count, with the time until which they do.
+    further: slotmap::SlotMap<RepeatKey, time::Instant>,
 }
 
 impl RetryBudget {
     /// Counts the first attempt of a request.
     pub fn count_first(&mut self, rule: &BudgetRule, now: time::Instant) {
-        trim(&mut self.first, rule.window, now);
+        self.trim(rule, now);
         self.first.push_back(now);
     }
 
     /// Takes one retry if `slack`, this VM's part of the fixed allowance, and its requests leave
-    /// one; returns false otherwise.
-    pub fn take(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> bool {
-        let left = self.left(rule, slack, now);
-        if left < 1.0 {
-            return false;
-        }
-        self.further.push_back(now);
-        true
+    /// one. It counts for a window from the time at which it has arrived for certain.
+    pub fn take(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> Option<RepeatKey> {
+        (self.left(rule, slack, now) >= 1.0).then(|| self.force(rule, now))
     }
 
     /// Counts a retry that is made even if none is left: continuing a run on another server is
     /// worth more than the retries that it takes from others.
-    pub fn force(&mut self, rule: &BudgetRule, now: time::Instant) {
-        trim(&mut self.further, rule.window, now);
-        self.further.push_back(now);
+    pub fn force(&mut self, rule: &BudgetRule, now: time::Instant) -> RepeatKey {
+        self.further.insert(now + MAX_DELAY + rule.window)
+    }
+
+    /// Records that all attempts that a repeat stands for have arrived.
+    pub fn settle(&mut self, rule: &BudgetRule, key: RepeatKey, now: time::Instant) {
+        if let Some(until) = self.further.get_mut(key) {
+            *until = (*until).min(now + rule.window);
+        }
+    }
+
+    /// Removes a repeat that was not made.
+    pub fn remove(&mut self, key: RepeatKey) {
+        self.further.remove(key);
+    }
+
+    /// Whether a repeat still counts.
+    #[must_use]
+    pub fn counts_repeat(&self, key: RepeatKey) -> bool {
+        self.further.contains_key(key)
     }
 
     /// Numbers of first attempts and of retries in the window that ends now.
     pub fn counts(&mut self, rule: &BudgetRule, now: time::Instant) -> (usize, usize) {
-        trim(&mut self.first, rule.window, now);
-        trim(&mut self.further, rule.window, now);
+        self.trim(rule, now);
         (self.first.len(), self.further.len())
     }
 
     /// Number of retries that this VM has left with `slack` of the fixed allowance.
     pub fn left(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> f64 {
-        trim(&mut self.first, rule.window, now);
-        trim(&mut self.further, rule.window, now);
+        self.trim(rule, now);
         let total = rule.ratio * self.first.len() as f64 + slack;
         total * SAFETY_FRACTION - self.further.len() as f64
     }
-}
 
-fn trim(
-    times: &mut collections::VecDeque<time::Instant>,
-    window: time::Duration,
-    now: time::Instant,
-) {
-    while times
-        .front()
-        .is_some_and(|&at| now.saturating_duration_since(at) > window)
-    {
-        times.pop_front();
+    fn trim(&mut self, rule: &BudgetRule, now: time::Instant) {
+        let is_old = |at: &time::Instant| now.saturating_duration_since(*at) > rule.window;
+        while self.first.front().is_some_and(is_old) {
+            self.first.pop_front();
+        }
+        self.further.retain(|_, until| now <= *until);
     }
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod position;
 pub mod recipients;
 pub mod relocate;
+pub mod repeats;
 pub mod reply;
 pub mod request;
 pub mod returning;
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -281,6 +281,7 @@
             self.count_resume();
             let backup = self.next_backup(server);
             let Some(origin) = self.plane.target(copy.origin) else {
+                self.give_back();
                 return false;
             };
             let resume = port::ResumePoint {
@@ -290,11 +291,10 @@
             };
             let held = self.set_backup(live, backup);
             let Some(call) = self.call(live, Some(resume), server) else {
+                self.give_back();
                 continue;
             };
-            let sent = time::Instant::now();
-            let reply = self.plane.port.open(call).await;
-            match self.plane.take_signals(server, sent, reply) {
+            match self.send(call, server).await {
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
                     self.moved(live, server);
                     self.spare = None;
@@ -324,10 +324,12 @@
     }
 
     /// Counts an attempt to go on as a repeat.
-    fn count_resume(&self) {
+    fn count_resume(&mut self) {
         let kind = budget::RepeatKind::Resume;
         let mut state = self.plane.state();
-        state.force_repeat(&self.request, kind, time::Instant::now());
+        let repeat = state.force_repeat(&self.request, kind, time::Instant::now());
+        drop(state);
+        self.repeat = Some(repeat);
     }
 
     /// Waits until a server may get a request; returns whether that is within `MAX_RESUME_WAIT`.
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -6,8 +6,8 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    catalog, fleet, message, placing, port, relocate, reply, request, serve_call, serve_stream,
-    server, state, stopping, wait,
+    catalog, fleet, message, placing, port, relocate, repeats, reply, request, serve_call,
+    serve_stream, server, state, stopping, wait,
 };
 
 /// Interval between checks of waiting requests and due moves, while there are any: a tenth of the
@@ -287,6 +287,29 @@
         reply.reply
     }
 
+    /// Takes the answer to an attempt, its signals, and what it tells of attempts that may not have
+    /// arrived yet.
+    pub(crate) fn take_outcome<B>(
+        &self,
+        attempt: repeats::SentAttempt,
+        reply: port::SignalledReply<port::CallOutcome<B>>,
+    ) -> port::CallOutcome<B> {
+        let outcome = self.take_signals(attempt.server, attempt.sent_at, reply);
+        let mut state = self.state.borrow_mut();
+        let (rule, now) = (state.settings.retries, time::Instant::now());
+        match &outcome {
+            port::CallOutcome::NotRun(port::NotRunCause::Unreachable) => {
+                state.repeats.record_unsent(&rule, attempt, now);
+            }
+            port::CallOutcome::Responded(_) | port::CallOutcome::NotRun(_) => {
+                state.repeats.record_answer(&rule, attempt, now);
+            }
+            port::CallOutcome::Lost(_) => {}
+        }
+        drop(state);
+        outcome
+    }
+
     /// Takes the statement of a server that it wants nothing from this VM for a while.
     fn take_rest_signal(&self, key: fleet::ServerKey, rest: time::Duration) {
         let now = time::Instant::now();
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -9,8 +9,8 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    budget, catalog, fleet, plane, port, port::ResponseBody as _, reply, request, serve_stream,
-    server, wait,
+    budget, catalog, fleet, plane, port, port::ResponseBody as _, repeats, reply, request,
+    serve_stream, server, wait,
 };
 
 /// Max size of a response that is buffered completely; a longer one is streamed to the caller and
@@ -59,6 +59,8 @@
         plane,
         request: &request,
         avoid: Vec::new(),
+        unanswered: Vec::new(),
+        repeat: None,
         sent: 0,
         ran: outcome::RanState::No,
         guard: Some(guard),
@@ -74,6 +76,10 @@
     request: &'a rc::Rc<request::ExchangeRequest>,
     /// Servers that already got an attempt.
     avoid: Vec<fleet::ServerKey>,
+    /// Attempts that no answer has shown to have arrived.
+    unanswered: Vec<repeats::SentAttempt>,
+    /// Repeat that was taken for the next attempt.
+    repeat: Option<budget::RepeatKey>,
     /// Attempts that may have reached a server able to run the call.
     sent: u32,
     /// Whether any attempt so far ran.
@@ -115,7 +121,10 @@
             if attempts.is_empty() {
                 match self.plane.place(self.request, &self.avoid).await {
                     Ok(placed) => attempts.push(self.send(placed)),
-                    Err(refusal) => return last_response.unwrap_or(Err(refusal)),
+                    Err(refusal) => {
+                        self.give_back();
+                        return last_response.unwrap_or(Err(refusal));
+                    }
                 }
             }
         }
@@ -141,7 +150,8 @@
         let (run, server) = state
             .place(self.request, &self.avoid, wait::WaitRank::default(), now)
             .ok()?;
-        state.take_repeat(self.request, budget::RepeatKind::Hedge, now);
+        let kind = budget::RepeatKind::Hedge;
+        self.repeat = state.take_repeat(self.request, kind, now);
         drop(state);
         metrics::counter!("pollenchute_exchange_hedges_total").increment(1);
         Some(self.plane.placed(run, server))
@@ -160,15 +170,28 @@
         self.plane.count_limited(placed.server, kind);
         self.avoid.push(placed.server);
         self.sent += 1;
+        let attempt = repeats::SentAttempt {
+            server: placed.server,
+            sent_at: time::Instant::now(),
+        };
+        self.unanswered.push(attempt);
+        if let Some(repeat) = self.repeat.take() {
+            let mut state = self.plane.state();
+            let ledger = &mut state.repeats;
+            ledger.await_arrival(&self.request.service, repeat, &self.unanswered);
+        }
         let plane = self.plane.clone();
         let request = self.request.clone();
         async move {
             let server = placed.server;
-            (server, run_attempt(plane, request, placed).await)
+            (server, run_attempt(plane, request, placed, attempt).await)
         }
     }
 
     fn next_step(&mut self, server: fleet::ServerKey, end: AttemptEnd<P>) -> Step {
+        if !matches!(end, AttemptEnd::Lost) {
+            self.unanswered.retain(|attempt| attempt.server != server);
+        }
         let idempotent = self.request.kind == catalog::ExchangeKind::Idempotent;
         match end {
             AttemptEnd::Complete(response) => {
@@ -223,15 +246,24 @@
         }
     }
 
-    fn retry_allowed(&self) -> bool {
+    fn retry_allowed(&mut self) -> bool {
         let now = time::Instant::now();
         let idempotent = self.request.kind == catalog::ExchangeKind::Idempotent;
         let may = idempotent || self.ran == outcome::RanState::No;
-        may && self.sent < self.request.attempts
-            && self
-                .plane
-                .state()
-                .take_repeat(self.request, budget::RepeatKind::Retry, now)
+        if !may || self.sent >= self.request.attempts {
+            return false;
+        }
+        let kind = budget::RepeatKind::Retry;
+        self.repeat = self.plane.state().take_repeat(self.request, kind, now);
+        self.repeat.is_some()
+    }
+
+    /// Takes back the repeat of an attempt that found no server.
+    fn give_back(&mut self) {
+        if let Some(repeat) = self.repeat.take() {
+            let mut state = self.plane.state();
+            state.repeats.give_back(&self.request.service, repeat);
+        }
     }
 
     fn log_failed(&self, server: fleet::ServerKey, why: &str) {
@@ -286,6 +318,7 @@
     plane: rc::Rc<plane::ExchangePlane<P>>,
     request: rc::Rc<request::ExchangeRequest>,
     placed: plane::PlacedRun<P>,
+    attempt: repeats::SentAttempt,
 ) -> AttemptEnd<P> {
     let started = time::Instant::now();
     let Some(target) = plane.target(placed.server) else {
@@ -309,9 +342,8 @@
         backup: None,
         reuse,
     };
-    let sent_at = time::Instant::now();
     let reply = plane.port.open(call).await;
-    let end = match plane.take_signals(placed.server, sent_at, reply) {
+    let end = match plane.take_outcome(attempt, reply) {
         port::CallOutcome::Responded(response) => read_response(response, placed).await,
         port::CallOutcome::NotRun(cause) => {
             let verdict = match cause {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     budget, event, fleet, forecast, moving, pace, plane, port, port::ResponseBody as _, relocate,
-    reply, request, server,
+    repeats, reply, request, server,
 };
 
 /// Stream parts buffered for a slow caller: limits the memory that it can hold.
@@ -84,6 +84,7 @@
         moves: 0,
         pace: pace::EventPace::default(),
         spare: None,
+        repeat: None,
     };
     let ended = tokio::select! {
         biased;
@@ -92,6 +93,7 @@
         end = driver.run() => Ok(end),
     };
     let events = driver.splitter.events();
+    driver.give_back();
     match ended {
         Ok(Ok(())) => {
             let pace = &driver.pace;
@@ -138,6 +140,8 @@
     pub(crate) pace: pace::EventPace,
     /// Copy made by an unfinished move: see [`moving::SpareCopy`].
     pub(crate) spare: Option<moving::SpareCopy>,
+    /// Repeat that was taken for the next attempt.
+    pub(crate) repeat: Option<budget::RepeatKey>,
 }
 
 /// An attempt whose response is being forwarded.
@@ -230,8 +234,7 @@
             self.ran = before.and(outcome::RanState::Unknown);
             let kind = if avoid.len() == 1 { "first" } else { "further" };
             self.plane.count_limited(server, kind);
-            let reply = self.plane.port.open(call).await;
-            match self.plane.take_signals(server, sent, reply) {
+            match self.send(call, server).await {
                 port::CallOutcome::Responded(response) => {
                     self.ran = outcome::RanState::Yes;
                     self.begin_response(&mut live, response, sent);
@@ -245,7 +248,7 @@
                         request:% = self.request.id, server:% = self.plane.server_id(server),
                         cause:? = cause; "stream not run"
                     );
-                    self.check_retry(avoid.len(), cause)?;
+                    self.take_retry(avoid.len(), cause)?;
                 }
                 port::CallOutcome::Lost(cause) => {
                     self.record_lost(server, cause);
@@ -303,17 +306,19 @@
     }
 
     /// Allows another attempt after one that certainly did not run, within the retry budget.
-    fn check_retry(&self, attempts: usize, cause: port::NotRunCause) -> Result<(), reply::Refusal> {
+    fn take_retry(
+        &mut self,
+        attempts: usize,
+        cause: port::NotRunCause,
+    ) -> Result<(), reply::Refusal> {
         let now = time::Instant::now();
         let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
         let counted = cause == port::NotRunCause::Rejected && attempts >= self.request.attempts;
-        let may_retry = !counted && attempts < MAX_NOT_RUN_ATTEMPTS;
-        if may_retry
-            && self
-                .plane
-                .state()
-                .take_repeat(&self.request, budget::RepeatKind::Retry, now)
-        {
+        if !counted && attempts < MAX_NOT_RUN_ATTEMPTS {
+            let kind = budget::RepeatKind::Retry;
+            self.repeat = self.plane.state().take_repeat(&self.request, kind, now);
+        }
+        if self.repeat.is_some() {
             return Ok(());
         }
         Err(self
@@ -321,6 +326,33 @@
             .refuse(&self.request, reply::RefusalCause::Rejected))
     }
 
+    /// Takes back the repeat of an attempt that was not sent.
+    pub(crate) fn give_back(&mut self) {
+        if let Some(repeat) = self.repeat.take() {
+            let mut state = self.plane.state();
+            state.repeats.give_back(&self.request.service, repeat);
+        }
+    }
+
+    /// Sends one attempt. The repeat that was taken for it counts until it has arrived.
+    pub(crate) async fn send(
+        &mut self,
+        call: port::ServerCall,
+        server: fleet::ServerKey,
+    ) -> port::CallOutcome<P::Body> {
+        let attempt = repeats::SentAttempt {
+            server,
+            sent_at: time::Instant::now(),
+        };
+        if let Some(repeat) = self.repeat.take() {
+            let mut state = self.plane.state();
+            let ledger = &mut state.repeats;
+            ledger.await_arrival(&self.request.service, repeat, &[attempt]);
+        }
+        let reply = self.plane.port.open(call).await;
+        self.plane.take_outcome(attempt, reply)
+    }
+
     pub(crate) fn call(
         &self,
         live: &LiveRun<P>,
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     budget, capacity, catalog, delta, directory, era, evacuation, fleet, forecast, limits, message,
-    notices, peers, place, port, relocate, request, returning, runs, server, suspect, system,
-    update, wait,
+    notices, peers, place, port, relocate, repeats, request, returning, runs, server, suspect,
+    system, update, wait,
 };
 
 /// Settings of the plane, fixed at its start.
@@ -102,7 +102,8 @@
     pub differs_since: Option<time::Instant>,
     queues: collections::HashMap<String, wait::WaitQueue>,
     trends: collections::HashMap<String, capacity::CapacityTrend>,
-    budgets: collections::HashMap<String, budget::RetryBudget>,
+    /// Repeats of requests that this VM sent.
+    pub repeats: repeats::RepeatLedger,
     rng: rngs::StdRng,
 }
 
@@ -147,7 +148,7 @@
             differs_since: None,
             queues: collections::HashMap::new(),
             trends: collections::HashMap::new(),
-            budgets: collections::HashMap::new(),
+            repeats: repeats::RepeatLedger::default(),
             rng,
         }
     }
@@ -707,20 +708,27 @@
     /// Counts the first attempt of a request.
     pub fn count_first(&mut self, service: &str, now: time::Instant) {
         let rule = self.settings.retries;
-        self.budget(service).count_first(&rule, now);
+        self.repeats.budget(service).count_first(&rule, now);
     }
 
-    /// Takes one repeat of a request; returns false if this VM has none left.
+    /// Takes one repeat of a request; `None` if this VM has none left.
     pub fn take_repeat(
         &mut self,
         request: &request::ExchangeRequest,
         kind: budget::RepeatKind,
         now: time::Instant,
-    ) -> bool {
+    ) -> Option<budget::RepeatKey> {
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        let allowed = self.budget(&request.service).take(&rule, slack, now);
-        let outcome = if allowed { "allowed" } else { "refused" };
+        let allowed = self
+            .repeats
+            .budget(&request.service)
+            .take(&rule, slack, now);
+        let outcome = if allowed.is_some() {
+            "allowed"
+        } else {
+            "refused"
+        };
         self.record_repeat(request, kind, outcome, now);
         allowed
     }
@@ -731,14 +739,15 @@
         request: &request::ExchangeRequest,
         kind: budget::RepeatKind,
         now: time::Instant,
-    ) {
+    ) -> budget::RepeatKey {
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        let budget = self.budget(&request.service);
+        let budget = self.repeats.budget(&request.service);
         let forced = budget.left(&rule, slack, now) < 1.0;
-        budget.force(&rule, now);
+        let repeat = budget.force(&rule, now);
         let outcome = if forced { "forced" } else { "allowed" };
         self.record_repeat(request, kind, outcome, now);
+        repeat
     }
 
     /// Logs and counts a decision on a repeat.
@@ -751,7 +760,7 @@
     ) {
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        let (first, repeats) = self.budget(&request.service).counts(&rule, now);
+        let (first, repeats) = self.repeats.budget(&request.service).counts(&rule, now);
         metrics::counter!(
             "pollenchute_exchange_repeats_total", "kind" => kind.name(), "outcome" => outcome
         )
@@ -767,7 +776,7 @@
     pub fn retries_left(&mut self, service: &str, now: time::Instant) -> f64 {
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        self.budget(service).left(&rule, slack, now)
+        self.repeats.budget(service).left(&rule, slack, now)
     }
 
     /// This VM's part of the fixed allowance of repeats: none for as long as the repeats of its
@@ -782,10 +791,6 @@
         vms.map_or(0.0, |vms| rule.slack / vms as f64)
     }
 
-    fn budget(&mut self, service: &str) -> &mut budget::RetryBudget {
-        entry_of(&mut self.budgets, service)
-    }
-
     /// A random number from 0 to 1.
     pub fn draw(&mut self) -> f64 {
         rand::RngExt::random(&mut self.rng)
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -281,7 +281,10 @@
                 if u.arbitrary()? {
                     budget.count_first(&rule, now);
                     first += 1;
-                } else if budget.take(&rule, rule.slack / f64::from(vms), now) {
+                } else if budget
+                    .take(&rule, rule.slack / f64::from(vms), now)
+                    .is_some()
+                {
                     retries += 1;
                 }
             }
