exchange: resumed runs keep to the allowance, and VMs lend each other repeats

What callers saw: when most engines are lost or replaced within seconds, each stream is sent again once or more, beside all retries, and the engines that are left get more repeats than they are to get. Cause: a resumed run was counted and never limited, and hedges and retries did not leave it anything. Change: a stream goes on only with a repeat: of this VM's share, of which one for each of its streams, at most half, is kept from hedges and retries; or one that another VM lends it. A lender counts what it lends as its own before it answers, so what is lost on the way is spent, not doubled. A stream waits up to 1.5 s for a repeat; no more moves are ordered than repeats are left for.

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -50,6 +50,8 @@
     Updates,
     /// Something that all VMs must receive at once.
     All,
+    /// There are messages to single VMs about repeats that are lent.
+    Loans,
 }
 
 /// Sends datagrams to other VMs.
@@ -81,6 +83,12 @@
         let cause = wait_for_cause(&plane, more, regular_at).await;
         regular_at = next_regular(&plane.state(), cause, regular_at);
         turn += u64::from(cause == AnnounceCause::Regular);
+        if cause == AnnounceCause::Loans {
+            for (address, bytes) in loan_datagrams(&mut plane.state()) {
+                port.send(&bytes, address);
+            }
+            continue;
+        }
         rounds += 1;
         let introduces = rounds.is_multiple_of(INTRODUCTION_ROUNDS) || rounds < INTRODUCTION_ROUNDS;
         let datagrams = compose(&mut plane.state(), &mut pending, cause, turn, introduces);
@@ -121,6 +129,7 @@
 ) -> time::Instant {
     let reaches_all = match cause {
         AnnounceCause::Regular | AnnounceCause::All => true,
+        AnnounceCause::Loans => false,
         AnnounceCause::Loads | AnnounceCause::Updates => !recipients::is_large(state.peers.len()),
     };
     if reaches_all {
@@ -149,6 +158,7 @@
     };
     tokio::select! {
         biased;
+        () = plane.loans_due.notified() => AnnounceCause::Loans,
         () = time::sleep_until(regular_at) => AnnounceCause::Regular,
         () = time::sleep(updates_interval), if pending => AnnounceCause::Updates,
         () = plane.announce.notified() => AnnounceCause::All,
@@ -165,6 +175,17 @@
     }
 }
 
+/// Creates the datagrams about repeats that are lent, each with its recipient.
+pub fn loan_datagrams(state: &mut state::PlaneState) -> Vec<(net::SocketAddr, Vec<u8>)> {
+    let outgoing = state.loans.take_outgoing();
+    let datagrams = outgoing.into_iter().map(|(address, item)| {
+        let mut datagram = datagram(state);
+        datagram.loans.push(item);
+        (address, encode(&mut datagram))
+    });
+    datagrams.collect()
+}
+
 /// Creates the datagrams of one round, each with its recipients.
 fn compose(
     state: &mut state::PlaneState,
--- a/crates/exchange/src/budget.rs
+++ b/crates/exchange/src/budget.rs
@@ -17,6 +17,10 @@
 /// has arrived: a path that stalls may deliver it late, together with many others.
 const MAX_DELAY: time::Duration = time::Duration::from_secs(30);
 
+/// Time for which a repeat that was lent counts beyond the window: the time that the borrower has to
+/// make it, and to learn that it has arrived.
+const LENT_TIME: time::Duration = time::Duration::from_secs(3);
+
 slotmap::new_key_type! {
     /// Key of a repeat that counts.
     pub struct RepeatKey;
@@ -61,8 +65,18 @@
 pub struct RetryBudget {
     /// Times of first attempts, oldest first, none older than the window.
     first: collections::VecDeque<time::Instant>,
-    /// Repeats that count, with the time until which they do.
-    further: slotmap::SlotMap<RepeatKey, time::Instant>,
+    /// Repeats that count.
+    further: slotmap::SlotMap<RepeatKey, CountedRepeat>,
+    /// Repeats that other VMs granted, with the time until which they may be made.
+    granted: collections::VecDeque<time::Instant>,
+}
+
+/// A repeat that counts.
+#[derive(Clone, Copy, Debug)]
+struct CountedRepeat {
+    until: time::Instant,
+    /// Whether another VM granted it, and counts it.
+    borrowed: bool,
 }
 
 impl RetryBudget {
@@ -73,21 +87,68 @@
     }
 
     /// Takes one retry if `slack`, this VM's part of the fixed allowance, and its requests leave
-    /// one. It counts for a window from the time at which it has arrived for certain.
-    pub fn take(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> Option<RepeatKey> {
-        (self.left(rule, slack, now) >= 1.0).then(|| self.force(rule, now))
+    /// one besides those that are `reserved`. It counts for a window from the time at which it has
+    /// arrived for certain.
+    pub fn take(
+        &mut self,
+        rule: &BudgetRule,
+        slack: f64,
+        reserved: f64,
+        now: time::Instant,
+    ) -> Option<RepeatKey> {
+        (self.left(rule, slack, now) >= 1.0 + reserved).then(|| self.insert(rule, false, now))
+    }
+
+    /// Takes one repeat that another VM granted.
+    pub fn take_granted(&mut self, rule: &BudgetRule, now: time::Instant) -> Option<RepeatKey> {
+        self.trim(rule, now);
+        self.granted.pop_front()?;
+        Some(self.insert(rule, true, now))
+    }
+
+    fn insert(&mut self, rule: &BudgetRule, borrowed: bool, now: time::Instant) -> RepeatKey {
+        self.further.insert(CountedRepeat {
+            until: now + MAX_DELAY + rule.window,
+            borrowed,
+        })
     }
 
-    /// Counts a retry that is made even if none is left: continuing a run on another server is
-    /// worth more than the retries that it takes from others.
-    pub fn force(&mut self, rule: &BudgetRule, now: time::Instant) -> RepeatKey {
-        self.further.insert(now + MAX_DELAY + rule.window)
+    /// Adds repeats that another VM granted.
+    pub fn add_granted(&mut self, repeats: u32, until: time::Instant) {
+        self.granted.extend((0..repeats).map(|_| until));
+    }
+
+    /// Lends up to `wanted` repeats, besides those that are `reserved`. They count here for as long
+    /// as they can arrive from the borrower.
+    pub fn lend(
+        &mut self,
+        rule: &BudgetRule,
+        slack: f64,
+        reserved: f64,
+        wanted: u32,
+        now: time::Instant,
+    ) -> u32 {
+        let free = (self.left(rule, slack, now) - reserved).max(0.0);
+        let lent = (free as u32).min(wanted);
+        for _ in 0..lent {
+            self.further.insert(CountedRepeat {
+                until: now + LENT_TIME + rule.window,
+                borrowed: false,
+            });
+        }
+        lent
+    }
+
+    /// Number of streams that can be continued: what is left, and what other VMs granted.
+    pub fn resumes_left(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> usize {
+        let left = self.left(rule, slack, now).max(0.0) as usize;
+        left + self.granted.len()
     }
 
     /// Records that all attempts that a repeat stands for have arrived.
     pub fn settle(&mut self, rule: &BudgetRule, key: RepeatKey, now: time::Instant) {
-        if let Some(until) = self.further.get_mut(key) {
-            *until = (*until).min(now + rule.window);
+        if let Some(repeat) = self.further.get_mut(key) {
+            repeat.until = repeat.until.min(now + rule.window);
         }
     }
 
@@ -111,8 +172,15 @@
     /// Number of retries that this VM has left with `slack` of the fixed allowance.
     pub fn left(&mut self, rule: &BudgetRule, slack: f64, now: time::Instant) -> f64 {
         self.trim(rule, now);
-        let total = rule.ratio * self.first.len() as f64 + slack;
-        total * SAFETY_FRACTION - self.further.len() as f64
+        let counted = self.further.values().filter(|repeat| !repeat.borrowed);
+        let counted = counted.count();
+        self.share(rule, slack) - counted as f64
+    }
+
+    /// Number of repeats that this VM may make in a window that ends now.
+    #[must_use]
+    pub fn share(&self, rule: &BudgetRule, slack: f64) -> f64 {
+        (rule.ratio * self.first.len() as f64 + slack) * SAFETY_FRACTION
     }
 
     fn trim(&mut self, rule: &BudgetRule, now: time::Instant) {
@@ -120,6 +188,7 @@
         while self.first.front().is_some_and(is_old) {
             self.first.pop_front();
         }
-        self.further.retain(|_, until| now <= *until);
+        self.further.retain(|_, repeat| now <= repeat.until);
+        self.granted.retain(|until| now < *until);
     }
 }
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -70,6 +70,14 @@
 }
 
 impl ServerFleet {
+    /// Generations of this VM that run on servers of a service.
+    pub fn streams(&self, service: &str) -> impl Iterator<Item = &runs::RunRecord> {
+        self.runs.values().filter(move |run| {
+            let server = self.servers.get(run.server);
+            run.size.is_some() && server.is_some_and(|server| server.service == service)
+        })
+    }
+
     /// Applies an update from the store or a peer. An update older than the one behind the record
     /// changes nothing, whichever way it arrives: a server that leaves never becomes ready again
     /// because of an older update that arrives later.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod link;
 pub mod listing;
 pub mod loads;
+pub mod loans;
 pub mod message;
 mod moving;
 pub mod notices;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -126,6 +126,11 @@
             .extend(datagram.updates.iter().cloned());
         plane.updates.notify_one();
     }
+    if !datagram.loans.is_empty() {
+        plane.loans_due.notify_one();
+        plane.repeats_lent.notify_waiters();
+        plane.wake_decisions();
+    }
     if changed || !plane.state().waiting_services().is_empty() {
         plane.wake_decisions();
     }
@@ -159,6 +164,11 @@
     for item in &datagram.limits {
         state.take_limit_item(item, now);
     }
+    if let Some(address) = state.peers.address_of(datagram.sender) {
+        for item in &datagram.loans {
+            state.take_loan_item(address, item, now);
+        }
+    }
     for refused in &datagram.refused {
         state.returning.record_peer_refusal(*refused, now);
     }
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -131,6 +131,24 @@
     pub age_ms: u32,
 }
 
+/// Repeats of a service that the sender asks the recipient for, or grants it.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(prost::Message)]
+pub struct LoanItem {
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Number of the ask.
+    #[prost(uint32, tag = "2")]
+    pub ask: u32,
+    /// Number of repeats.
+    #[prost(uint32, tag = "3")]
+    pub repeats: u32,
+    /// Whether they are granted; otherwise they are asked for.
+    #[prost(bool, tag = "4")]
+    pub granted: bool,
+}
+
 /// A request that was running when a server crashed.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(prost::Message)]
@@ -244,6 +262,9 @@
     /// Latest era of the store that the VM knows.
     #[prost(uint64, tag = "27")]
     pub store_era: u64,
+    /// Repeats that the sender asks the recipient for, or grants it.
+    #[prost(message, repeated, tag = "28")]
+    pub loans: Vec<LoanItem>,
 }
 
 /// Failure domains that are evacuated.
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use crate::{
-    budget, fleet, port,
+    budget, fleet, loans, port,
     port::ResponseBody as _,
     serve_stream::{CopyPlace, LiveRun, RelayEnd, StreamDriver, millis},
     server,
@@ -29,8 +29,8 @@
 /// request it.
 const SPARE_RETENTION: time::Duration = time::Duration::from_millis(4_500);
 
-/// Max wait until the server on which a run continues takes the request: callers leave after a pause
-/// of two seconds.
+/// Max wait until a repeat is left and the server on which a run continues takes the request: callers
+/// leave after a pause of two seconds.
 const MAX_RESUME_WAIT: time::Duration = time::Duration::from_millis(1_500);
 
 /// A copy completed before its source ended. The output produced since is recomputed on the
@@ -271,14 +271,12 @@
                 continue;
             }
             let counted = copy.counted && server == copy.to;
-            if counted {
-                self.plane.count_limited(server, "resume");
-            } else if self.may_send_soon(server).await {
-                self.plane.count_request(server, "resume");
-            } else {
+            if !self.count_resume(server, counted).await {
+                continue;
+            }
+            if !self.take_resume(now + MAX_RESUME_WAIT).await {
                 continue;
             }
-            self.count_resume();
             let backup = self.next_backup(server);
             let Some(origin) = self.plane.target(copy.origin) else {
                 self.give_back();
@@ -323,13 +321,37 @@
         false
     }
 
-    /// Counts an attempt to go on as a repeat.
-    fn count_resume(&mut self) {
-        let kind = budget::RepeatKind::Resume;
-        let mut state = self.plane.state();
-        let repeat = state.force_repeat(&self.request, kind, time::Instant::now());
-        drop(state);
-        self.repeat = Some(repeat);
+    /// Counts an attempt to go on against the limit of its server, unless that is done already.
+    /// Returns false if the server takes none soon.
+    async fn count_resume(&self, server: fleet::ServerKey, counted: bool) -> bool {
+        if counted {
+            self.plane.count_limited(server, "resume");
+        } else if self.may_send_soon(server).await {
+            self.plane.count_request(server, "resume");
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// Takes a repeat for an attempt to go on. Waits until one is left or another VM has lent one,
+    /// at most until `until`.
+    async fn take_resume(&mut self, until: time::Instant) -> bool {
+        let plane = self.plane.clone();
+        let service = &self.request.service;
+        loop {
+            let lent = plane.repeats_lent.notified();
+            let now = time::Instant::now();
+            if plane.state().resumes_left(service, now) > 0 || now >= until {
+                break;
+            }
+            plane.state().borrow_repeats(service, 1, now);
+            plane.loans_due.notify_one();
+            let _ = time::timeout_at(until.min(now + loans::ASK_INTERVAL), lent).await;
+        }
+        let (kind, now) = (budget::RepeatKind::Resume, time::Instant::now());
+        self.repeat = plane.state().take_repeat(&self.request, kind, now);
+        self.repeat.is_some()
     }
 
     /// Waits until a server may get a request; returns whether that is within `MAX_RESUME_WAIT`.
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -37,6 +37,10 @@
     pub(crate) updates: tokio::sync::Notify,
     /// Signals a change of this VM's load on servers.
     pub(crate) loads: tokio::sync::Notify,
+    /// Signals messages about repeats that are lent.
+    pub(crate) loans_due: tokio::sync::Notify,
+    /// Signals that another VM may have lent repeats.
+    pub(crate) repeats_lent: tokio::sync::Notify,
     /// Signals that this VM's system is known, or that the store does not name one.
     pub(crate) identified: tokio::sync::Notify,
     /// Number of requests without a final response.
@@ -87,6 +91,8 @@
             announce: tokio::sync::Notify::new(),
             updates: tokio::sync::Notify::new(),
             loads: tokio::sync::Notify::new(),
+            loans_due: tokio::sync::Notify::new(),
+            repeats_lent: tokio::sync::Notify::new(),
             identified: tokio::sync::Notify::new(),
             open: cell::Cell::new(0),
             long_sent: cell::Cell::new(0),
@@ -188,6 +194,7 @@
             );
         }
         let orders = self.state.borrow_mut().relocations(now);
+        self.loans_due.notify_one();
         for (run, order) in orders {
             if let Some(sender) = self.relocation_senders.borrow().get(run) {
                 let _ = sender.send(order);
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -22,19 +22,24 @@
 }
 
 /// Returns orders for the runs of leaving servers, the runs with the most to lose first. Runs with
-/// a pending order get no second one; runs that fit on no server get one later. The first request
-/// of each order to either server is counted against its limit.
+/// a pending order get no second one; runs that fit on no server get one later, and so do those
+/// beyond the first `max_orders`. The first request of each order to either server is counted
+/// against its limit.
 pub fn plan(
     fleet: &mut fleet::ServerFleet,
     service: &str,
     engine: &catalog::EngineRule,
     now: time::Instant,
     rng: &mut impl rand::Rng,
+    max_orders: usize,
 ) -> Vec<(fleet::RunKey, RelocationOrder)> {
     let mut due = due_runs(fleet, service, now);
     due.sort_by_key(|&(_, progress)| std::cmp::Reverse(progress));
     let mut orders = Vec::new();
     for (key, _) in due {
+        if orders.len() >= max_orders {
+            break;
+        }
         if let Some(order) = choose_order(fleet, key, service, engine, now, rng) {
             let source = fleet.run(key).map(|run| run.server);
             let (RelocationOrder::Switch(to) | RelocationOrder::Move(to)) = order;
@@ -51,8 +56,9 @@
     orders
 }
 
-/// Runs that should move, with the tokens that would be lost with each.
-fn due_runs(
+/// Runs of leaving servers that should move, with the tokens that would be lost with each.
+#[must_use]
+pub fn due_runs(
     fleet: &fleet::ServerFleet,
     service: &str,
     now: time::Instant,
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,9 +8,9 @@
 use tokio::time;
 
 use crate::{
-    budget, capacity, catalog, delta, directory, era, evacuation, fleet, forecast, limits, message,
-    notices, peers, place, port, relocate, repeats, request, returning, runs, server, suspect,
-    system, update, wait,
+    budget, capacity, catalog, delta, directory, era, evacuation, fleet, forecast, limits, loans,
+    message, notices, peers, place, port, relocate, repeats, request, returning, runs, server,
+    suspect, system, update, wait,
 };
 
 /// Settings of the plane, fixed at its start.
@@ -104,6 +104,8 @@
     trends: collections::HashMap<String, capacity::CapacityTrend>,
     /// Repeats of requests that this VM sent.
     pub repeats: repeats::RepeatLedger,
+    /// Repeats that VMs lend each other.
+    pub loans: loans::RepeatLoans,
     rng: rngs::StdRng,
 }
 
@@ -149,6 +151,7 @@
             queues: collections::HashMap::new(),
             trends: collections::HashMap::new(),
             repeats: repeats::RepeatLedger::default(),
+            loans: loans::RepeatLoans::default(),
             rng,
         }
     }
@@ -607,10 +610,20 @@
             return orders;
         }
         for (service, rule) in &catalog.services {
-            if let Some(engine) = &rule.engine {
-                let fleet = &mut self.fleet;
-                orders.extend(relocate::plan(fleet, service, engine, now, &mut self.rng));
+            let Some(engine) = &rule.engine else { continue };
+            let due = relocate::due_runs(&self.fleet, service, now).len();
+            if due == 0 {
+                continue;
             }
+            let moving = self.fleet.streams(service);
+            let moving = moving.filter(|run| run.moving_to.is_some()).count();
+            let left = self.resumes_left(service, now).saturating_sub(moving);
+            if left < due && !self.loans.has_asked(service_hash(service), now) {
+                self.borrow_repeats(service, due - left, now);
+            }
+            let planned =
+                relocate::plan(&mut self.fleet, service, engine, now, &mut self.rng, left);
+            orders.extend(planned);
         }
         orders
     }
@@ -720,34 +733,83 @@
     ) -> Option<budget::RepeatKey> {
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        let allowed = self
-            .repeats
-            .budget(&request.service)
-            .take(&rule, slack, now);
-        let outcome = if allowed.is_some() {
-            "allowed"
-        } else {
-            "refused"
+        let reserved = match kind {
+            budget::RepeatKind::Resume => 0.0,
+            _ => self.reserved_repeats(&request.service, now),
         };
+        let budget = self.repeats.budget(&request.service);
+        let mut repeat = budget.take(&rule, slack, reserved, now);
+        let mut outcome = "allowed";
+        if repeat.is_none() && kind == budget::RepeatKind::Resume {
+            repeat = budget.take_granted(&rule, now);
+            outcome = "borrowed";
+        }
+        if repeat.is_none() {
+            outcome = "refused";
+        }
         self.record_repeat(request, kind, outcome, now);
-        allowed
+        repeat
+    }
+
+    /// Repeats of a service that are kept for the streams of this VM: one for each, and at most half
+    /// of its share. A stream that can go on comes before hedges and retries.
+    fn reserved_repeats(&mut self, service: &str, now: time::Instant) -> f64 {
+        let rule = self.settings.retries;
+        let slack = self.repeat_slack(now);
+        let streams = self.fleet.streams(service).count();
+        let share = self.repeats.budget(service).share(&rule, slack);
+        (streams as f64).min(share / 2.0)
+    }
+
+    /// Number of streams of a service that can be continued now.
+    pub fn resumes_left(&mut self, service: &str, now: time::Instant) -> usize {
+        let rule = self.settings.retries;
+        let slack = self.repeat_slack(now);
+        let budget = self.repeats.budget(service);
+        budget.resumes_left(&rule, slack, now)
+    }
+
+    /// Asks another VM for repeats of a service.
+    pub fn borrow_repeats(&mut self, service: &str, wanted: usize, now: time::Instant) {
+        let serving = self.peers.all().filter(|(_, peer)| peer.serves(now));
+        let serving: Vec<_> = serving.map(|(_, peer)| peer.link_address).collect();
+        let lender = (self.draw() * serving.len() as f64) as usize;
+        let wanted = u32::try_from(wanted).unwrap_or(u32::MAX);
+        if let Some(&lender) = serving.get(lender) {
+            self.loans.ask(service_hash(service), wanted, lender, now);
+        }
     }
 
-    /// Counts a repeat that is made even if none is left.
-    pub fn force_repeat(
+    /// Takes another VM's ask for repeats, or its answer to one.
+    pub fn take_loan_item(
         &mut self,
-        request: &request::ExchangeRequest,
-        kind: budget::RepeatKind,
+        sender: net::SocketAddr,
+        item: &message::LoanItem,
         now: time::Instant,
-    ) -> budget::RepeatKey {
+    ) {
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        let mut services = catalog.services.keys();
+        let Some(service) = services.find(|service| service_hash(service) == item.service) else {
+            return;
+        };
+        if item.granted {
+            if let Some(until) = self.loans.granted_until(item, now) {
+                let budget = self.repeats.budget(service);
+                budget.add_granted(item.repeats, until);
+            }
+            return;
+        }
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        let budget = self.repeats.budget(&request.service);
-        let forced = budget.left(&rule, slack, now) < 1.0;
-        let repeat = budget.force(&rule, now);
-        let outcome = if forced { "forced" } else { "allowed" };
-        self.record_repeat(request, kind, outcome, now);
-        repeat
+        let reserved = self.reserved_repeats(service, now);
+        let budget = self.repeats.budget(service);
+        let lent = budget.lend(&rule, slack, reserved, item.repeats, now);
+        metrics::counter!("pollenchute_exchange_repeats_lent_total").increment(u64::from(lent));
+        if lent > 0 {
+            self.loans.grant(item, lent, sender);
+        }
     }
 
     /// Logs and counts a decision on a repeat.
@@ -772,11 +834,12 @@
         );
     }
 
-    /// Number of retries of a service that this VM has left.
+    /// Number of hedges and retries of a service that this VM has left.
     pub fn retries_left(&mut self, service: &str, now: time::Instant) -> f64 {
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        self.repeats.budget(service).left(&rule, slack, now)
+        let reserved = self.reserved_repeats(service, now);
+        self.repeats.budget(service).left(&rule, slack, now) - reserved
     }
 
     /// This VM's part of the fixed allowance of repeats: none for as long as the repeats of its
--- a/crates/exchange/tests/cluster/repeating.rs
+++ b/crates/exchange/tests/cluster/repeating.rs
@@ -1,9 +1,10 @@
 //! VMs that send repeats while servers fail, with a count of what reaches the servers. VMs start
 //! again with an empty memory, and may be cut from each other.
 
-use std::{collections, time};
+use std::{cell, collections, rc, time};
 
-use exchange::{announce, catalog, link, plane};
+use exchange::{announce, catalog, link, message, plane};
+use prost::Message as _;
 use tokio::time::{self as clock, Instant};
 
 /// Allowance of the users: a fraction of the requests, a number, and the window.
@@ -32,6 +33,8 @@
     announced_at: Instant,
     /// Whether VMs receive datagrams of each other.
     pub connected: bool,
+    /// Number of streams that callers received completely.
+    pub whole: rc::Rc<cell::Cell<usize>>,
 }
 
 /// Repeats of a service in the worst window.
@@ -54,7 +57,7 @@
         state.apply_update(super::update(&id, 1, Some(entry)), false, now);
     }
     let plane = plane::ExchangePlane::new(super::FakePort::default(), state);
-    let plane = std::rc::Rc::new(plane);
+    let plane = rc::Rc::new(plane);
     super::start(&plane);
     plane
 }
@@ -70,6 +73,7 @@
             services: collections::HashMap::new(),
             announced_at: Instant::now(),
             connected: true,
+            whole: rc::Rc::default(),
         };
         for vm in &running.vms {
             vm.state().started_at = Instant::now() - super::UPTIME;
@@ -108,6 +112,17 @@
         }
     }
 
+    /// Delivers what VMs say to single others about repeats that they lend.
+    fn deliver_loans(&self) {
+        for vm in &self.vms {
+            let datagrams = announce::loan_datagrams(&mut vm.state());
+            for (address, bytes) in datagrams.into_iter().filter(|_| self.connected) {
+                let datagram = message::PeerDatagram::decode(&*bytes).expect("sound");
+                link::take_datagram(&self.vms[super::vm_number(address)], &datagram);
+            }
+        }
+    }
+
     /// Sends a request of a caller to a VM.
     pub fn call(&mut self, vm: usize, id: String, kind: catalog::ExchangeKind) {
         let mut request = super::request(&id, kind);
@@ -121,12 +136,13 @@
         };
         self.sent.entry(service).or_default().push(Instant::now());
         self.services.insert(id, service);
-        let plane = self.vms[vm].clone();
+        let (plane, whole) = (self.vms[vm].clone(), self.whole.clone());
         tokio::task::spawn_local(async move {
             if let Ok(reply) = plane.serve(request).await
                 && kind == catalog::ExchangeKind::Stream
+                && super::read(super::parts(reply)).await.complete
             {
-                super::read(super::parts(reply)).await;
+                whole.set(whole.get() + 1);
             }
         });
     }
@@ -136,6 +152,7 @@
         let until = Instant::now() + duration;
         while Instant::now() < until {
             clock::sleep(LINK_DELAY).await;
+            self.deliver_loans();
             if self.announced_at.elapsed() >= ANNOUNCE_INTERVAL {
                 self.announce();
             }
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -173,18 +173,45 @@
         ending.produced = 2_000;
         let ending = fleet.start(ending);
         let engine = cluster::engine_rule();
-        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut engines::rng()).is_empty());
+        assert!(
+            relocate::plan(
+                &mut fleet,
+                "llm",
+                &engine,
+                now,
+                &mut engines::rng(),
+                usize::MAX
+            )
+            .is_empty()
+        );
         let mut leaving = cluster::entry("llm", 1, "b");
         leaving.leaving = true;
         fleet.apply_update(&cluster::update("e1", 2, Some(leaving)), None, now);
-        let orders = relocate::plan(&mut fleet, "llm", &engine, now, &mut engines::rng());
+        let orders = relocate::plan(
+            &mut fleet,
+            "llm",
+            &engine,
+            now,
+            &mut engines::rng(),
+            usize::MAX,
+        );
         let runs: Vec<_> = orders.iter().map(|(run, _)| *run).collect();
         assert_eq!(
             runs,
             [large, small],
             "a run that ends soon is not moved: {ending:?}"
         );
-        assert!(relocate::plan(&mut fleet, "llm", &engine, now, &mut engines::rng()).is_empty());
+        assert!(
+            relocate::plan(
+                &mut fleet,
+                "llm",
+                &engine,
+                now,
+                &mut engines::rng(),
+                usize::MAX
+            )
+            .is_empty()
+        );
     });
 }
 
@@ -282,7 +309,7 @@
                     budget.count_first(&rule, now);
                     first += 1;
                 } else if budget
-                    .take(&rule, rule.slack / f64::from(vms), now)
+                    .take(&rule, rule.slack / f64::from(vms), 0.0, now)
                     .is_some()
                 {
                     retries += 1;
--- a/crates/exchange/tests/repeats.rs
+++ b/crates/exchange/tests/repeats.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use cluster::repeating::{self, RepeatingVms};
-use exchange::catalog;
+use exchange::{budget, catalog};
 use tokio::time::Instant;
 
 const VMS: usize = 7;
@@ -106,3 +106,101 @@
         running.check("app");
     });
 }
+
+#[test]
+fn a_vm_whose_streams_exceed_its_share_continues_them_with_repeats_of_others() {
+    // Guards against streams that are lost on one VM while the others spend nothing.
+    cluster::run(async {
+        let mut running = RepeatingVms::start(VMS);
+        let streams = 14;
+        for number in 0..streams {
+            running.vms()[0].port().breaks_after.set(Some(60));
+            running.call(0, format!("r{number}"), catalog::ExchangeKind::Stream);
+        }
+        running.pass(time::Duration::from_millis(300)).await;
+        running.vms()[0].port().breaks_after.set(None);
+        running.pass(time::Duration::from_secs(3)).await;
+        assert_eq!(running.whole.get(), streams);
+        running.check("llm");
+    });
+}
+
+#[test]
+fn streams_that_can_go_on_come_before_hedges_and_retries() {
+    // Guards against retries that leave no repeats for the streams that a VM runs.
+    cluster::run(async {
+        let mut running = RepeatingVms::start(VMS);
+        running.connected = false;
+        let plane = running.vms()[0].clone();
+        for number in 0..4 {
+            running.call(0, format!("r{number}"), catalog::ExchangeKind::Stream);
+        }
+        running.pass(time::Duration::from_millis(100)).await;
+        let now = Instant::now();
+        let request = cluster::request("r9", catalog::ExchangeKind::Stream);
+        let mut state = plane.state();
+        let mut take = |kind| state.take_repeat(&request, kind, now).is_some();
+        while take(budget::RepeatKind::Retry) {}
+        let resumed = (0..10).filter(|_| take(budget::RepeatKind::Resume));
+        assert!(resumed.count() >= 3, "half of the share is kept");
+    });
+}
+
+#[test]
+fn repeats_of_random_histories_stay_within_the_allowance() {
+    // Guards against combinations of starts, partitions, stalls and lost streams that no other test
+    // has.
+    cluster::histories(20, |u| {
+        let vms = u.int_in_range(2..=12)?;
+        let mut steps = Vec::new();
+        for _ in 0..60 {
+            steps.push((u.int_in_range(0..=11_u8)?, u.int_in_range(0..=100_usize)?));
+        }
+        cluster::run(play(vms, steps));
+        Ok(())
+    });
+}
+
+/// Plays steps of half a second with 10 calls and 5 streams each.
+async fn play(vms: usize, steps: Vec<(u8, usize)>) {
+    let mut running = RepeatingVms::start(vms);
+    let mut number = 0;
+    for (fault, size) in steps {
+        let some = running.vms().len().min(1 + size / 10);
+        match fault {
+            0 | 1 => (0..some).for_each(|vm| running.restart(vm)),
+            2 => running.connected = !running.connected,
+            3 | 4 => fail_plain_servers(&running),
+            5 | 6 => {
+                let until = Instant::now() + time::Duration::from_millis(200 * size as u64);
+                for vm in running.vms() {
+                    let stalled = ["s1", "s2", "s3", "e1", "e2", "e3"].map(String::from);
+                    let stalled = stalled.into_iter().map(|server| (server, until));
+                    vm.port().stalled.borrow_mut().extend(stalled);
+                }
+            }
+            7..=9 => {
+                for vm in running.vms() {
+                    vm.port().breaks_after.set(Some(1 + size as u32));
+                }
+            }
+            _ => {
+                for vm in running.vms() {
+                    vm.port().breaks_after.set(None);
+                    vm.port().erring.borrow_mut().clear();
+                }
+            }
+        }
+        for call in 0..15 {
+            number += 1;
+            let kind = match call % 3 {
+                0 => catalog::ExchangeKind::Stream,
+                _ => catalog::ExchangeKind::Idempotent,
+            };
+            running.call(number % vms, format!("x{number}"), kind);
+            running.pass(time::Duration::from_millis(33)).await;
+        }
+    }
+    running.check("app");
+    running.check("llm");
+}
