exchange: a run that was stopped and finds no room is not stopped again at once

What callers saw: pauses, one after the other, in streams of engines that leave and stay for seconds, while no other engine has room; each costs a repeat. Cause: the last part of a move stops the run first. Without room at the target the run went on where it was, and the next check, 20 ms later, ordered the same move. Change: the target counts as full, and the run is moved again after 0.8 s.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -25,6 +25,9 @@
 /// 1.5 to 2.1 s after the notice.
 const STOP_DELAY: time::Duration = time::Duration::from_millis(1_150);
 
+/// Delay before a run is moved again that was stopped and found no room.
+const NO_ROOM_DELAY: time::Duration = time::Duration::from_millis(800);
+
 /// How long a copy can be used: the time that an engine keeps an unused copy, minus the time to
 /// request it.
 const SPARE_RETENTION: time::Duration = time::Duration::from_millis(4_500);
@@ -151,7 +154,10 @@
                     continue;
                 }
                 (Ok(done), true) => copy(to, Some(from), done.handle),
-                (Err(port::CopyFault::NoRoom(Some(handle))), true) => copy(from, None, handle),
+                (Err(port::CopyFault::NoRoom(Some(handle))), true) => {
+                    self.delay_move(live, to);
+                    copy(from, None, handle)
+                }
                 (copied, _) => {
                     self.end_move(copied, ended.as_ref(), source, to);
                     return ended;
@@ -164,6 +170,14 @@
         }
     }
 
+    /// Delays the next move of a run that was stopped in vain, because it is resumed where it was.
+    fn delay_move(&self, live: &LiveRun<P>, full: fleet::ServerKey) {
+        self.mark_full(full);
+        if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
+            run.move_after = Some(time::Instant::now() + NO_ROOM_DELAY);
+        }
+    }
+
     /// Ends a failed move: releases its copies, unless they are all that is left of the run.
     fn end_move(
         &mut self,
@@ -274,7 +288,9 @@
             if !self.count_resume(server, counted).await {
                 continue;
             }
-            if !self.take_resume(now + MAX_RESUME_WAIT).await {
+            let until = now + MAX_RESUME_WAIT;
+            if !self.take_resume(until).await {
+                self.give_back();
                 continue;
             }
             let backup = self.next_backup(server);
--- a/crates/exchange/tests/moves.rs
+++ b/crates/exchange/tests/moves.rs
@@ -1,9 +1,11 @@
-//! Tests of the choice of the target of a move.
+//! Tests of the choice of the target of a move, and of what follows where there is none.
 
 mod cluster;
 
+use std::time;
+
 use cluster::engines;
-use exchange::place;
+use exchange::{catalog, place, port};
 use tokio::time::Instant;
 
 #[test]
@@ -39,3 +41,34 @@
         assert_eq!(chosen, Some(other));
     });
 }
+
+#[test]
+fn a_stream_whose_copies_find_no_room_is_not_sent_again_and_again() {
+    // Guards against a run that is stopped, finds no room, goes on where it was, and is stopped
+    // again at once: each time is a repeat.
+    cluster::run(async {
+        let plane = cluster::plane();
+        plane.state().settings.backups = false;
+        cluster::start(&plane);
+        for server in ["e1", "e2"] {
+            for _ in 0..100 {
+                let script = cluster::ServerScript::Events(400, time::Duration::from_millis(20));
+                plane.port().push_script(server, script);
+            }
+        }
+        for _ in 0..200 {
+            let no_room = port::CopyFault::NoRoom(Some(String::from("h1")));
+            plane.port().copies.borrow_mut().push_back(Err(no_room));
+        }
+        let request = cluster::request("r1", catalog::ExchangeKind::Stream);
+        let reply = plane.serve(request).await.expect("served");
+        let server = plane.port().seen.borrow()[0].server.clone();
+        let number = if server == "e1" { 11 } else { 12 };
+        cluster::leave(&plane, &server, number);
+        tokio::task::spawn_local(cluster::read(cluster::parts(reply)));
+        tokio::time::sleep(time::Duration::from_secs(4)).await;
+        let sent = plane.port().seen.borrow().len();
+        assert!(sent <= 8, "{sent} attempts in four seconds");
+        assert_eq!(plane.state().fleet.runs().count(), 1, "it goes on");
+    });
+}
