exchange: a run does not go on at a backup that left long ago

DRAIN allows 2 s. Cause: when an engine broke a run off, the run went on at the engine that held its copy, whatever that one had announced. Change: a run goes to another server only within 1.5 s of that server's notice. A stream without another copy ends, as it would once that server is gone.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -27,6 +27,9 @@
 
 /// Delay before a run is moved again that was stopped and found no room.
 const NO_ROOM_DELAY: time::Duration = time::Duration::from_millis(800);
+/// Time after a server's notice within which a run may continue there: the users allow new work for
+/// two seconds.
+const MAX_RESUME_AFTER_NOTICE: time::Duration = time::Duration::from_millis(1_500);
 
 /// How long a copy can be used: the time that an engine keeps an unused copy, minus the time to
 /// request it.
@@ -289,7 +292,7 @@
                 continue;
             }
             let until = now + MAX_RESUME_WAIT;
-            if !self.take_resume(until).await {
+            if !self.take_resume(until).await || moves && self.left_long_ago(server) {
                 self.give_back();
                 continue;
             }
@@ -350,6 +353,16 @@
         true
     }
 
+    /// Whether a server announced its end too long ago for a run to be sent there.
+    fn left_long_ago(&self, server: fleet::ServerKey) -> bool {
+        let now = time::Instant::now();
+        let state = self.plane.state();
+        state.fleet.server(server).is_none_or(|server| {
+            let known_for = now.saturating_duration_since(server.since);
+            !server.takes_work(now) && known_for > MAX_RESUME_AFTER_NOTICE
+        })
+    }
+
     /// Takes a repeat for an attempt to go on. Waits until one is left or another VM has lent one,
     /// at most until `until`.
     async fn take_resume(&mut self, until: time::Instant) -> bool {
--- a/crates/exchange/tests/moves.rs
+++ b/crates/exchange/tests/moves.rs
@@ -72,3 +72,33 @@
         assert_eq!(plane.state().fleet.runs().count(), 1, "it goes on");
     });
 }
+
+#[test]
+fn a_stream_does_not_go_on_at_a_backup_that_left_long_ago() {
+    // Guards against work for a server that leaves, seconds after its notice.
+    cluster::run(async {
+        let plane = cluster::plane();
+        cluster::start(&plane);
+        for server in ["e1", "e2"] {
+            let script = cluster::ServerScript::Breaks(100, time::Duration::from_millis(50));
+            plane.port().push_script(server, script);
+        }
+        let request = cluster::request("r1", catalog::ExchangeKind::Stream);
+        let reply = plane.serve(request).await.expect("served");
+        let (server, backup) = {
+            let seen = plane.port().seen.borrow();
+            (seen[0].server.clone(), seen[0].backup)
+        };
+        assert!(backup.is_some());
+        let (other, number) = if server == "e1" {
+            ("e2", 12)
+        } else {
+            ("e1", 11)
+        };
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        cluster::leave(&plane, other, number);
+        let read = cluster::read(cluster::parts(reply)).await;
+        assert!(!read.complete, "nothing is left to go on from");
+        assert_eq!(plane.port().seen.borrow().len(), 1);
+    });
+}
