stand: all servers lose power at the same moment

Cause: machines of the stand-ins could be lost one after the other only; when disks are lost, all other machines may lose power at once. Change: POST /admin/power-loss of pollenstand: engines and plain servers crash at once and come back together; with log_age_ms the log comes back from an older copy.

--- a/crates/stand/src/admin.rs
+++ b/crates/stand/src/admin.rs
@@ -20,7 +20,7 @@
 ) -> Result<http::RunningServer, http::ServeError> {
     let members: Members = sync::Arc::new(members);
     let gate = gate::LinkGate::default();
-    http::serve(address, gate, members, routes![list, faults]).await
+    http::serve(address, gate, members, routes![list, faults, power_loss]).await
 }
 
 /// Entry of a stand-in in the answer of `GET /admin/members`.
@@ -41,6 +41,17 @@
     fault: serde_json::Value,
 }
 
+/// Body of `POST /admin/power-loss`.
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(deny_unknown_fields)]
+struct PowerLossCall {
+    /// Time in milliseconds until the servers are back.
+    down_ms: u64,
+    /// Age in milliseconds of the copy that the log comes back from, if its disks are lost too.
+    #[serde(default)]
+    log_age_ms: Option<u64>,
+}
+
 #[get("/admin/members")]
 fn list(members: &State<Members>) -> http::JsonReply {
     let answers = members.iter().map(|member| MemberAnswer {
@@ -75,3 +86,27 @@
         }
     }
 }
+
+/// Lets all engines and plain servers lose power at the same moment.
+#[post("/admin/power-loss", data = "<body>")]
+async fn power_loss(body: data::Data<'_>, members: &State<Members>) -> http::JsonReply {
+    let call: PowerLossCall = match http::read_json(body).await {
+        Ok(call) => call,
+        Err(reply) => return reply,
+    };
+    for member in members.iter() {
+        let fault = match (member.handle.kind(), call.log_age_ms) {
+            ("engine" | "service", _) => {
+                serde_json::json!({"fault": "crash", "down_ms": call.down_ms})
+            }
+            ("log", Some(age_ms)) => serde_json::json!({"fault": "restore", "age_ms": age_ms}),
+            _ => continue,
+        };
+        if let Err(cause) = member.handle.apply(fault) {
+            let message = format!("stand-in \"{}\" did not lose power: {cause}", member.name);
+            return http::error(500, "internal", &message);
+        }
+    }
+    log::info!(down_ms = call.down_ms, log_age_ms:? = call.log_age_ms; "power lost");
+    http::json(200, &call)
+}
--- a/crates/stand/tests/fleet.rs
+++ b/crates/stand/tests/fleet.rs
@@ -126,3 +126,29 @@
     assert_eq!(switch("log", "crash").await.expect("answers").status(), 400);
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn all_servers_lose_power_at_the_same_moment_and_come_back() {
+    // Guards against plays in which machines are lost one after the other only.
+    let settings = settings::StandSettings::on_loopback(0, 2, 1);
+    let fleet = fleet::StandFleet::start(&settings).await.expect("listens");
+    let admin = fleet.admin_address().expect("is on");
+    let body = serde_json::json!({"down_ms": 150, "log_age_ms": 0});
+    let call = reqwest::Client::new()
+        .post(format!("http://{admin}/admin/power-loss"))
+        .json(&body);
+    assert_eq!(call.send().await.expect("answers").status(), 200);
+    let up = || {
+        let engines = fleet
+            .members()
+            .iter()
+            .filter(|member| match &member.handle {
+                fleet::StandHandle::Engine(engine) => engine.is_up(),
+                _ => false,
+            });
+        engines.count()
+    };
+    assert_eq!(up(), 0);
+    tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+    assert_eq!(up(), 2, "both engines");
+}
