--- a/crates/exchange/src/loans.rs
+++ b/crates/exchange/src/loans.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: engines are lost whose streams are not spread evenly, and one VM has more streams
 //! to continue than its share of the allowance has repeats, while others spend nothing. It asks
-//! some of them. A lender counts what it lends as its own repeats before it answers, for as long as
+//! them, one after the other. A lender counts what it lends as its own repeats before it answers, for as long as
 //! they can arrive, so the sum over all VMs stays the same whatever is lost on the way.
 
 use std::net;
@@ -83,6 +83,12 @@
         (now < until).then_some(until)
     }
 
+    /// Whether messages are due.
+    #[must_use]
+    pub const fn has_outgoing(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
     /// Takes the messages that are due, with their recipients.
     pub fn take_outgoing(&mut self) -> Vec<(net::SocketAddr, message::LoanItem)> {
         std::mem::take(&mut self.outgoing)
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -368,15 +368,20 @@
     async fn take_resume(&mut self, until: time::Instant) -> bool {
         let plane = self.plane.clone();
         let service = &self.request.service;
+        let mut ask_at = time::Instant::now();
         loop {
             let lent = plane.repeats_lent.notified();
             let now = time::Instant::now();
             if plane.state().resumes_left(service, now) > 0 || now >= until {
                 break;
             }
-            plane.state().borrow_repeats(service, 1, now);
-            plane.loans_due.notify_one();
-            let _ = time::timeout_at(until.min(now + loans::ASK_INTERVAL), lent).await;
+            // A loan to another stream also wakes this one, which must not ask again at once.
+            if now >= ask_at {
+                plane.state().borrow_repeats(service, 1, now);
+                plane.loans_due.notify_one();
+                ask_at = now + loans::ASK_INTERVAL;
+            }
+            let _ = time::timeout_at(until.min(ask_at), lent).await;
         }
         let (kind, now) = (budget::RepeatKind::Resume, time::Instant::now());
         self.repeat = plane.state().take_repeat(&self.request, kind, now);
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -194,7 +194,9 @@
             );
         }
         let orders = self.state.borrow_mut().relocations(now);
-        self.loans_due.notify_one();
+        if self.state.borrow().loans.has_outgoing() {
+            self.loans_due.notify_one();
+        }
         for (run, order) in orders {
             if let Some(sender) = self.relocation_senders.borrow().get(run) {
                 let _ = sender.send(order);
