exchange: runs that must move, and the part of the allowance, are computed once

Each check of moves listed the runs on leaving servers twice, and each decision on a repeat counted the VMs that share three times. Change: plan takes the list that its caller has; the part of the allowance is passed on. Behaviour as before.

--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -21,19 +21,19 @@
     Move(fleet::ServerKey),
 }
 
-/// Returns orders for the runs of leaving servers, the runs with the most to lose first. Runs with
+/// Returns orders for the `due` runs of leaving servers, the runs with the most to lose first. Runs with
 /// a pending order get no second one; runs that fit on no server get one later, and so do those
 /// beyond the first `max_orders`. The first request of each order to either server is counted
 /// against its limit.
 pub fn plan(
     fleet: &mut fleet::ServerFleet,
+    mut due: Vec<(fleet::RunKey, u64)>,
     service: &str,
     engine: &catalog::EngineRule,
     now: time::Instant,
     rng: &mut impl rand::Rng,
     max_orders: usize,
 ) -> Vec<(fleet::RunKey, RelocationOrder)> {
-    let mut due = due_runs(fleet, service, now);
     due.sort_by_key(|&(_, progress)| std::cmp::Reverse(progress));
     let mut orders = Vec::new();
     for (key, _) in due {
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -611,18 +611,18 @@
         }
         for (service, rule) in &catalog.services {
             let Some(engine) = &rule.engine else { continue };
-            let due = relocate::due_runs(&self.fleet, service, now).len();
-            if due == 0 {
+            let due = relocate::due_runs(&self.fleet, service, now);
+            if due.is_empty() {
                 continue;
             }
             let moving = self.fleet.streams(service);
             let moving = moving.filter(|run| run.moving_to.is_some()).count();
             let left = self.resumes_left(service, now).saturating_sub(moving);
-            if left < due && !self.loans.has_asked(service_hash(service), now) {
-                self.borrow_repeats(service, due - left, now);
+            if left < due.len() && !self.loans.has_asked(service_hash(service), now) {
+                self.borrow_repeats(service, due.len() - left, now);
             }
-            let planned =
-                relocate::plan(&mut self.fleet, service, engine, now, &mut self.rng, left);
+            let (fleet, rng) = (&mut self.fleet, &mut self.rng);
+            let planned = relocate::plan(fleet, due, service, engine, now, rng, left);
             orders.extend(planned);
         }
         orders
@@ -735,7 +735,7 @@
         let slack = self.repeat_slack(now);
         let reserved = match kind {
             budget::RepeatKind::Resume => 0.0,
-            _ => self.reserved_repeats(&request.service, now),
+            _ => self.reserved_repeats(&request.service, slack),
         };
         let budget = self.repeats.budget(&request.service);
         let mut repeat = budget.take(&rule, slack, reserved, now);
@@ -747,15 +747,14 @@
         if repeat.is_none() {
             outcome = "refused";
         }
-        self.record_repeat(request, kind, outcome, now);
+        self.record_repeat(request, (kind, outcome), slack, now);
         repeat
     }
 
     /// Repeats of a service that are kept for the streams of this VM: one for each, and at most half
     /// of its share. A stream that can go on comes before hedges and retries.
-    fn reserved_repeats(&mut self, service: &str, now: time::Instant) -> f64 {
+    fn reserved_repeats(&mut self, service: &str, slack: f64) -> f64 {
         let rule = self.settings.retries;
-        let slack = self.repeat_slack(now);
         let streams = self.fleet.streams(service).count();
         let share = self.repeats.budget(service).share(&rule, slack);
         (streams as f64).min(share / 2.0)
@@ -803,7 +802,7 @@
         }
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        let reserved = self.reserved_repeats(service, now);
+        let reserved = self.reserved_repeats(service, slack);
         let budget = self.repeats.budget(service);
         let lent = budget.lend(&rule, slack, reserved, item.repeats, now);
         metrics::counter!("pollenchute_exchange_repeats_lent_total").increment(u64::from(lent));
@@ -816,12 +815,11 @@
     fn record_repeat(
         &mut self,
         request: &request::ExchangeRequest,
-        kind: budget::RepeatKind,
-        outcome: &'static str,
+        (kind, outcome): (budget::RepeatKind, &'static str),
+        slack: f64,
         now: time::Instant,
     ) {
         let rule = self.settings.retries;
-        let slack = self.repeat_slack(now);
         let (first, repeats) = self.repeats.budget(&request.service).counts(&rule, now);
         metrics::counter!(
             "pollenchute_exchange_repeats_total", "kind" => kind.name(), "outcome" => outcome
@@ -838,7 +836,7 @@
     pub fn retries_left(&mut self, service: &str, now: time::Instant) -> f64 {
         let rule = self.settings.retries;
         let slack = self.repeat_slack(now);
-        let reserved = self.reserved_repeats(service, now);
+        let reserved = self.reserved_repeats(service, slack);
         self.repeats.budget(service).left(&rule, slack, now) - reserved
     }
 
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -6,16 +6,16 @@
 
 use cluster::engines;
 use exchange::{
-    budget, directory, event, fleet, forecast, loads, message, peers, place, relocate, request,
-    returning, server, suspect, wait,
+    budget, catalog, directory, event, fleet, forecast, loads, message, peers, place, relocate,
+    request, returning, server, suspect, wait,
 };
 use tokio::time::Instant;
 
 /// Number of random histories per property.
 const HISTORIES: u64 = 400;
 
-fn rule() -> exchange::catalog::ServiceRule {
-    exchange::catalog::ServiceRule {
+fn rule() -> catalog::ServiceRule {
+    catalog::ServiceRule {
         connections: 100,
         engine: Some(cluster::engine_rule()),
     }
@@ -36,6 +36,17 @@
     }
 }
 
+/// Orders for all runs of leaving engines.
+fn plan_moves(
+    fleet: &mut fleet::ServerFleet,
+    engine: &catalog::EngineRule,
+    now: Instant,
+) -> Vec<(fleet::RunKey, relocate::RelocationOrder)> {
+    let due = relocate::due_runs(fleet, "llm", now);
+    let rng = &mut engines::rng();
+    relocate::plan(fleet, due, "llm", engine, now, rng, usize::MAX)
+}
+
 #[test]
 fn memory_is_never_planned_beyond_an_engine() {
     // Guards against planning more memory or slots on an engine than it has, under a burst of
@@ -173,45 +184,18 @@
         ending.produced = 2_000;
         let ending = fleet.start(ending);
         let engine = cluster::engine_rule();
-        assert!(
-            relocate::plan(
-                &mut fleet,
-                "llm",
-                &engine,
-                now,
-                &mut engines::rng(),
-                usize::MAX
-            )
-            .is_empty()
-        );
+        assert!(plan_moves(&mut fleet, &engine, now).is_empty());
         let mut leaving = cluster::entry("llm", 1, "b");
         leaving.leaving = true;
         fleet.apply_update(&cluster::update("e1", 2, Some(leaving)), None, now);
-        let orders = relocate::plan(
-            &mut fleet,
-            "llm",
-            &engine,
-            now,
-            &mut engines::rng(),
-            usize::MAX,
-        );
+        let orders = plan_moves(&mut fleet, &engine, now);
         let runs: Vec<_> = orders.iter().map(|(run, _)| *run).collect();
         assert_eq!(
             runs,
             [large, small],
             "a run that ends soon is not moved: {ending:?}"
         );
-        assert!(
-            relocate::plan(
-                &mut fleet,
-                "llm",
-                &engine,
-                now,
-                &mut engines::rng(),
-                usize::MAX
-            )
-            .is_empty()
-        );
+        assert!(plan_moves(&mut fleet, &engine, now).is_empty());
     });
 }
 
@@ -741,7 +725,7 @@
         let mut fleet = engines::fleet_of(2);
         let first = fleet.find("e1").expect("e1");
         let second = fleet.find("e2").expect("e2");
-        let rule = exchange::catalog::ServiceRule {
+        let rule = catalog::ServiceRule {
             connections: 100,
             engine: None,
         };
