Tests of restores and claims share what they repeated

Change: RunningVms::check_known, register_after_copy, cluster::booking and booked. Each assertion, bound and wait is as it was.

--- a/crates/exchange/tests/cluster/running.rs
+++ b/crates/exchange/tests/cluster/running.rs
@@ -135,6 +135,13 @@
         let no_sender = || self.senders(server).is_empty();
         wait_until(no_sender, limit).await
     }
+
+    /// Checks that no VM sends work to a server after `limit`.
+    pub async fn check_known(&self, server: &str, limit: time::Duration) {
+        let took = self.known_after(server, limit).await;
+        let (senders, vms) = (self.senders(server), self.runs.len());
+        assert!(took <= limit, "{senders:?} of {vms} VMs send to it");
+    }
 }
 
 /// Waits until a condition holds, at most somewhat longer than `limit`. Returns the time that it
--- a/crates/exchange/tests/removals.rs
+++ b/crates/exchange/tests/removals.rs
@@ -27,9 +27,7 @@
         clock::sleep(SETTLED).await;
         let server = running::name(7);
         running.store.append(&server, None);
-        let took = running.known_after(&server, KNOWN_WITHIN).await;
-        let senders = running.senders(&server);
-        assert!(took <= KNOWN_WITHIN, "{senders:?} of {vms} VMs send to it");
+        running.check_known(&server, KNOWN_WITHIN).await;
     });
 }
 
@@ -42,9 +40,7 @@
         running.store.append(&server, None);
         running.outage(OUTAGE).await;
         let limit = RETURN_NOTED + fleet::LAPSE_GRACE + KNOWN_WITHIN;
-        let took = running.known_after(&server, limit).await;
-        let senders = running.senders(&server);
-        assert!(took <= limit, "{senders:?} of {vms} VMs send to it");
+        running.check_known(&server, limit).await;
     });
 }
 
@@ -86,9 +82,7 @@
         let server = running::name(7);
         running.store.append(&server, None);
         running.store.trim();
-        let took = running.known_after(&server, KNOWN_WITHIN).await;
-        let senders = running.senders(&server);
-        assert!(took <= KNOWN_WITHIN, "{senders:?} of {vms} VMs send to it");
+        running.check_known(&server, KNOWN_WITHIN).await;
     });
 }
 
--- a/crates/exchange/tests/restores.rs
+++ b/crates/exchange/tests/restores.rs
@@ -55,9 +55,7 @@
             }
         };
         running.drill_and(copy, AWAY_UNNOTICED, write).await;
-        let took = running.known_after(&server, KNOWN_WITHIN).await;
-        let senders = running.senders(&server);
-        assert!(took <= KNOWN_WITHIN, "{senders:?} of {vms} VMs send to it");
+        running.check_known(&server, KNOWN_WITHIN).await;
     });
 }
 
@@ -123,24 +121,31 @@
         running.start_vm(vms + 1);
         clock::sleep(KNOWN_WITHIN).await;
         for server in [&leaves, &removed] {
-            let took = running.known_after(server, KNOWN_WITHIN).await;
-            let senders = running.senders(server);
-            assert!(took <= KNOWN_WITHIN, "{senders:?} of {vms} VMs send to it");
+            running.check_known(server, KNOWN_WITHIN).await;
         }
         assert_eq!(running.senders(&running::name(10)).len(), vms + 2);
     });
 }
 
+/// Starts VMs, and a server that the returned copy of the store lacks, and waits until all VMs know
+/// it.
+async fn register_after_copy(
+    vms: usize,
+) -> (running::RunningVms, log_store::StoreContents, String) {
+    let running = running::RunningVms::start(vms, 0.05).await;
+    let copy = running.store.copy();
+    let server = running::name(running::SERVERS);
+    running.store.append(&server, Some(running::entry()));
+    let all_know = || running.senders(&server).len() == vms;
+    running::wait_until(all_know, ARRIVED).await;
+    (running, copy, server)
+}
+
 #[test]
 fn a_server_whose_entry_the_copy_lacks_gets_work_until_it_is_written_again() {
     // Guards against the loss of servers that registered after the copy was made.
     running::check(|vms| async move {
-        let running = running::RunningVms::start(vms, 0.05).await;
-        let copy = running.store.copy();
-        let server = running::name(running::SERVERS);
-        running.store.append(&server, Some(running::entry()));
-        let all_know = || running.senders(&server).len() == vms;
-        running::wait_until(all_know, ARRIVED).await;
+        let (running, copy, server) = register_after_copy(vms).await;
         assert_eq!(running.senders(&server).len(), vms);
         running.drill(copy, AWAY).await;
         let all_send = || assert_eq!(running.senders(&server).len(), vms);
@@ -155,12 +160,7 @@
     // Guards against a grace period that ends although its server has had no time to write its
     // entry again since the last restore.
     running::check(|vms| async move {
-        let running = running::RunningVms::start(vms, 0.05).await;
-        let copy = running.store.copy();
-        let server = running::name(running::SERVERS);
-        running.store.append(&server, Some(running::entry()));
-        let all_know = || running.senders(&server).len() == vms;
-        running::wait_until(all_know, ARRIVED).await;
+        let (running, copy, server) = register_after_copy(vms).await;
         let all_send = || assert_eq!(running.senders(&server).len(), vms);
         running.drill(copy.clone(), AWAY).await;
         always(time::Duration::from_millis(1_500), all_send).await;
@@ -176,15 +176,11 @@
     // Guards against a server that was removed since no list named it, not since its entry was
     // removed, and that VMs do not trust when a later copy lists it.
     running::check(|vms| async move {
-        let running = running::RunningVms::start(vms, 0.05).await;
-        let copy = running.store.copy();
-        let server = running::name(running::SERVERS);
-        running.store.append(&server, Some(running::entry()));
-        let all_know = || running.senders(&server).len() == vms;
-        running::wait_until(all_know, ARRIVED).await;
+        let (running, copy, server) = register_after_copy(vms).await;
         running.drill(copy, AWAY).await;
         running.known_after(&server, EXPIRED).await;
         assert_eq!(running.senders(&server), [0; 0]);
+        let all_know = || running.senders(&server).len() == vms;
         let copy = running.store.copy();
         let register = |store: &log_store::LogStore| store.append(&server, Some(running::entry()));
         running.drill_and(copy, AWAY_UNNOTICED, register).await;
@@ -198,18 +194,11 @@
 fn a_server_whose_entry_the_copy_lacks_is_removed_if_it_is_not_written_again() {
     // Guards against a server that is gone and that no record of the later era names.
     running::check(|vms| async move {
-        let running = running::RunningVms::start(vms, 0.05).await;
-        let copy = running.store.copy();
-        let server = running::name(running::SERVERS);
-        running.store.append(&server, Some(running::entry()));
-        let all_know = || running.senders(&server).len() == vms;
-        running::wait_until(all_know, ARRIVED).await;
+        let (running, copy, server) = register_after_copy(vms).await;
         assert_eq!(running.senders(&server).len(), vms);
         running.drill(copy, AWAY).await;
         let limit = time::Duration::from_millis(2_700) + KNOWN_WITHIN;
-        let took = running.known_after(&server, limit).await;
-        let senders = running.senders(&server);
-        assert!(took <= limit, "{senders:?} of {vms} VMs send to it");
+        running.check_known(&server, limit).await;
     });
 }
 
--- a/crates/ledger/tests/claim_driver.rs
+++ b/crates/ledger/tests/claim_driver.rs
@@ -5,7 +5,7 @@
 use std::sync;
 
 use base::{fingerprint, id, outcome};
-use ledger::{appender, claim_calls, claims, host, memory, permit, route};
+use ledger::{appender, claim_calls, host, memory, permit, route};
 use tokio::time;
 
 fn single_vm_cluster() -> cluster::TestCluster {
@@ -15,22 +15,6 @@
     cluster
 }
 
-fn call(key: &str) -> permit::ClaimCall {
-    permit::ClaimCall {
-        organisation: String::from("depot-3"),
-        key: key.to_owned(),
-        content: fingerprint::ContentHash::of(b"book"),
-    }
-}
-
-fn ran() -> claims::SettledOutcome {
-    claims::SettledOutcome::Ran(claims::StoredOutcome {
-        status: 201,
-        content_type: None,
-        body: Some(claims::StoredBody("booked".into())),
-    })
-}
-
 /// Returns the number of records on all claim streams.
 fn record_count(log: &memory::MemoryLog) -> usize {
     (0..ledger::partition::CLAIM_PARTITIONS)
@@ -46,27 +30,27 @@
     cluster::run_paused(async {
         let cluster = single_vm_cluster();
         let router = &cluster.vms[0].router;
-        let first = router.claim(call("1000000-a")).await;
+        let first = router.claim(cluster::booking("1000000-a")).await;
         let permit::ClaimAnswer::Granted(permit) = first else {
             panic!("{first:?}");
         };
-        router.settle(permit, ran()).await;
+        router.settle(permit, cluster::booked()).await;
         cluster.log.change_faults(|faults| faults.down = true);
         let started_at = time::Instant::now();
-        let refused = router.claim(call("1000000-b")).await;
+        let refused = router.claim(cluster::booking("1000000-b")).await;
         let permit::ClaimAnswer::Refused(refusal) = refused else {
             panic!("{refused:?}");
         };
         assert_eq!(refusal.ran, outcome::RanState::No);
         assert!(started_at.elapsed() < time::Duration::from_secs(1));
-        let repeated = router.claim(call("1000000-a")).await;
+        let repeated = router.claim(cluster::booking("1000000-a")).await;
         assert!(
             matches!(repeated, permit::ClaimAnswer::Stored(_)),
             "{repeated:?}"
         );
         cluster.clear_faults();
         time::sleep(time::Duration::from_secs(2)).await;
-        let again = router.claim(call("1000000-b")).await;
+        let again = router.claim(cluster::booking("1000000-b")).await;
         assert!(
             matches!(again, permit::ClaimAnswer::Granted(_)),
             "{again:?}"
@@ -81,7 +65,10 @@
     cluster::run_paused(async {
         let cluster = single_vm_cluster();
         cluster.log.change_faults(|faults| faults.lose_answer = 1.0);
-        let answer = cluster.vms[0].router.claim(call("1000000-a")).await;
+        let answer = cluster.vms[0]
+            .router
+            .claim(cluster::booking("1000000-a"))
+            .await;
         assert!(
             matches!(answer, permit::ClaimAnswer::Granted(_)),
             "{answer:?}"
@@ -102,7 +89,8 @@
             .log
             .change_faults(|faults| faults.lose_request = 1.0);
         let router = cluster.vms[0].router.clone();
-        let claiming = tokio::spawn(async move { router.claim(call("1000000-a")).await });
+        let claiming =
+            tokio::spawn(async move { router.claim(cluster::booking("1000000-a")).await });
         time::sleep(time::Duration::from_millis(100)).await;
         cluster.clear_faults();
         let answer = claiming.await.expect("an answer");
@@ -123,7 +111,9 @@
         for index in 0..400 {
             let router = cluster.vms[0].router.clone();
             let key = format!("1000000-{index}");
-            claiming.push(tokio::spawn(async move { router.claim(call(&key)).await }));
+            claiming.push(tokio::spawn(async move {
+                router.claim(cluster::booking(&key)).await
+            }));
         }
         for answer in claiming {
             let answer = answer.await.expect("an answer");
@@ -182,11 +172,15 @@
     cluster::run_paused(async {
         let cluster = single_vm_cluster();
         let router = cluster.vms[0].router.clone();
-        let claiming = tokio::spawn(async move { router.claim(call("1000000-a")).await });
+        let claiming =
+            tokio::spawn(async move { router.claim(cluster::booking("1000000-a")).await });
         time::sleep(time::Duration::from_millis(3)).await;
         claiming.abort();
         time::sleep(time::Duration::from_secs(1)).await;
-        let again = cluster.vms[0].router.claim(call("1000000-a")).await;
+        let again = cluster.vms[0]
+            .router
+            .claim(cluster::booking("1000000-a"))
+            .await;
         assert!(
             matches!(again, permit::ClaimAnswer::Granted(_)),
             "{again:?}"
--- a/crates/ledger/tests/cluster/mod.rs
+++ b/crates/ledger/tests/cluster/mod.rs
@@ -6,9 +6,10 @@
 use std::{collections, sync};
 
 use arbitrary::Unstructured;
+use base::fingerprint;
 use ledger::client::LogClient;
 use ledger::route::LedgerPeers;
-use ledger::{client, host, memory, route, signal};
+use ledger::{claims, client, host, memory, permit, route, signal};
 use tokio::time;
 
 pub type TestRouter = route::LedgerRouter<PausableClient, TestPeers>;
@@ -314,3 +315,21 @@
         "{completed} histories had enough random input"
     );
 }
+
+/// A call that may not run twice.
+pub fn booking(key: &str) -> permit::ClaimCall {
+    permit::ClaimCall {
+        organisation: String::from("depot-3"),
+        key: key.to_owned(),
+        content: fingerprint::ContentHash::of(b"book"),
+    }
+}
+
+/// Outcome of such a call.
+pub fn booked() -> claims::SettledOutcome {
+    claims::SettledOutcome::Ran(claims::StoredOutcome {
+        status: 201,
+        content_type: None,
+        body: Some(claims::StoredBody("booked".into())),
+    })
+}
--- a/crates/ledger/tests/restores.rs
+++ b/crates/ledger/tests/restores.rs
@@ -3,8 +3,7 @@
 
 mod cluster;
 
-use base::fingerprint;
-use ledger::{claims, host, permit, route};
+use ledger::{host, permit, route};
 use tokio::time;
 
 /// Number of random histories.
@@ -19,24 +18,8 @@
     cluster
 }
 
-fn call(key: &str) -> permit::ClaimCall {
-    permit::ClaimCall {
-        organisation: String::from("depot-3"),
-        key: key.to_owned(),
-        content: fingerprint::ContentHash::of(b"book"),
-    }
-}
-
-fn ran() -> claims::SettledOutcome {
-    claims::SettledOutcome::Ran(claims::StoredOutcome {
-        status: 201,
-        content_type: None,
-        body: Some(claims::StoredBody("booked".into())),
-    })
-}
-
 async fn claim(cluster: &cluster::TestCluster, vm: usize, key: &str) -> permit::ClaimAnswer {
-    cluster.vms[vm].router.claim(call(key)).await
+    cluster.vms[vm].router.claim(cluster::booking(key)).await
 }
 
 #[test]
@@ -74,7 +57,10 @@
         let permit::ClaimAnswer::Granted(permit) = answer else {
             panic!("{answer:?}");
         };
-        cluster.vms[0].router.settle(permit, ran()).await;
+        cluster.vms[0]
+            .router
+            .settle(permit, cluster::booked())
+            .await;
         time::sleep(time::Duration::from_millis(200)).await;
         cluster.log.restore(copy);
         time::sleep(RESTORED).await;
