exchange: repeats of different services are told apart

Cause: second reading. A key of a repeat is unique within its service only; an attempt of one service that had not arrived could keep a repeat of another counted for 40 s. Change: the service is compared too.

--- a/crates/exchange/src/repeats.rs
+++ b/crates/exchange/src/repeats.rs
@@ -109,7 +109,8 @@
             service, repeat, ..
         } in known
         {
-            let waits = self.unanswered.iter().any(|other| other.repeat == repeat);
+            let mut others = self.unanswered.iter();
+            let waits = others.any(|other| other.repeat == repeat && other.service == service);
             if !waits && let Some(budget) = self.budgets.get_mut(&service) {
                 budget.settle(rule, repeat, now);
             }
