exchange: an attempt to go on that found no connection costs no repeat

Cause: the repeat was taken before the connection was made and counted for 10 s. Change: without a connection it is given back. Calls, which may try many servers, keep counting, so the budget still bounds their connections.

--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -334,7 +334,8 @@
         }
     }
 
-    /// Sends one attempt. The repeat that was taken for it counts until it has arrived.
+    /// Sends one attempt. The repeat that was taken for it counts until it has arrived, and not at
+    /// all if there was no connection.
     pub(crate) async fn send(
         &mut self,
         call: port::ServerCall,
@@ -344,13 +345,19 @@
             server,
             sent_at: time::Instant::now(),
         };
-        if let Some(repeat) = self.repeat.take() {
+        let repeat = self.repeat.take();
+        if let Some(repeat) = repeat {
             let mut state = self.plane.state();
             let ledger = &mut state.repeats;
             ledger.await_arrival(&self.request.service, repeat, &[attempt]);
         }
         let reply = self.plane.port.open(call).await;
-        self.plane.take_outcome(attempt, reply)
+        let outcome = self.plane.take_outcome(attempt, reply);
+        if let port::CallOutcome::NotRun(port::NotRunCause::Unreachable) = outcome {
+            self.repeat = repeat;
+            self.give_back();
+        }
+        outcome
     }
 
     pub(crate) fn call(
--- a/crates/exchange/tests/repeats.rs
+++ b/crates/exchange/tests/repeats.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use cluster::repeating::{self, RepeatingVms};
-use exchange::{budget, catalog};
+use exchange::{budget, catalog, port};
 use tokio::time::Instant;
 
 const VMS: usize = 7;
@@ -146,6 +146,32 @@
     });
 }
 
+#[test]
+fn attempts_that_were_not_sent_leave_the_share_as_it_was() {
+    // Guards against streams that end since the share was spent on servers that take no connection.
+    cluster::run(async {
+        let plane = cluster::plane();
+        cluster::start(&plane);
+        let left = || plane.state().resumes_left("llm", Instant::now());
+        let before = left();
+        for number in 0..20 {
+            let id = format!("r{number}");
+            let request = cluster::request(&id, catalog::ExchangeKind::Stream);
+            plane.port().breaks_after.set(Some(10));
+            let reply = plane.serve(request).await.expect("served");
+            for server in ["e1", "e2"] {
+                let unreachable = cluster::ServerScript::NotRun(port::NotRunCause::Unreachable);
+                plane.port().push_script(server, unreachable);
+            }
+            cluster::read(cluster::parts(reply)).await;
+            plane.port().scripts.borrow_mut().clear();
+        }
+        let sent = plane.port().seen.borrow().len();
+        assert!(sent > 20, "{sent} attempts: some streams tried to go on");
+        assert!(left() >= before, "{} of {before}", left());
+    });
+}
+
 #[test]
 fn repeats_of_random_histories_stay_within_the_allowance() {
     // Guards against combinations of starts, partitions, stalls and lost streams that no other test
