exchange: lines and metric of repeats name service, share and what it rests on

Change: pollenchute_exchange_repeats_total has the label service; the line repeat has share and vms; a refused hedge is counted. The rule for hedges stands in PlaneState, with the same bound of 3.

--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -23,8 +23,6 @@
 const HEDGE_AFTER_FRACTION: f64 = 0.6;
 /// Min delay before a hedge: a hedge sent sooner doubles the load without benefit.
 const MIN_HEDGE_DELAY: time::Duration = time::Duration::from_millis(50);
-/// Min retries left for a hedge to be sent: retries after failures take precedence.
-const MIN_RETRIES_TO_HEDGE: f64 = 3.0;
 
 /// Outcome of one attempt.
 enum AttemptEnd<P: port::ServerPort> {
@@ -142,9 +140,7 @@
     fn hedge(&mut self) -> Option<plane::PlacedRun<P>> {
         let now = time::Instant::now();
         let mut state = self.plane.state();
-        if self.sent >= self.request.attempts
-            || state.retries_left(&self.request.service, now) < MIN_RETRIES_TO_HEDGE
-        {
+        if self.sent >= self.request.attempts || !state.may_hedge(self.request, now) {
             return None;
         }
         let (run, server) = state
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -820,18 +820,33 @@
         now: time::Instant,
     ) {
         let rule = self.settings.retries;
-        let (first, repeats) = self.repeats.budget(&request.service).counts(&rule, now);
+        let budget = self.repeats.budget(&request.service);
+        let (first, repeats) = budget.counts(&rule, now);
+        let share = budget.share(&rule, slack);
+        let vms = self.peers.repeat_share_count(now);
         metrics::counter!(
-            "pollenchute_exchange_repeats_total", "kind" => kind.name(), "outcome" => outcome
+            "pollenchute_exchange_repeats_total", "service" => request.service.clone(),
+            "kind" => kind.name(), "outcome" => outcome
         )
         .increment(1);
         log::info!(
             request:% = request.id, service:% = request.service, kind:% = kind.name(),
-            outcome:% = outcome, first, repeats, slack;
+            outcome:% = outcome, repeats, share, first, slack, vms:?;
             "repeat"
         );
     }
 
+    /// Returns whether a call may be hedged: retries after failures take precedence.
+    pub fn may_hedge(&mut self, request: &request::ExchangeRequest, now: time::Instant) -> bool {
+        let may = self.retries_left(&request.service, now) >= MIN_RETRIES_TO_HEDGE;
+        if !may {
+            let slack = self.repeat_slack(now);
+            let refused = (budget::RepeatKind::Hedge, "refused");
+            self.record_repeat(request, refused, slack, now);
+        }
+        may
+    }
+
     /// Number of hedges and retries of a service that this VM has left.
     pub fn retries_left(&mut self, service: &str, now: time::Instant) -> f64 {
         let rule = self.settings.retries;
@@ -908,6 +923,8 @@
     table.get_mut(service).expect("just inserted")
 }
 
+/// Min retries left for a hedge to be sent.
+const MIN_RETRIES_TO_HEDGE: f64 = 3.0;
 /// Min expected output tokens of a generation for a proactive copy: a shorter one ends before its
 /// engine does.
 const MIN_BACKUP_OUTPUT_TOKENS: f64 = 64.0;
