exchange: the store's era keeps no time that nothing reads

EraBelief kept when it learnt of an era only to tell whether it knew any. Change: the newest era is optional.

--- a/crates/exchange/src/era.rs
+++ b/crates/exchange/src/era.rs
@@ -5,15 +5,11 @@
 //! theirs. A VM may learn of it from an answer of the store or from another VM, and another VM may
 //! learn of it seconds earlier or later.
 
-use tokio::time;
-
 /// Latest era that a VM has learnt of.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EraBelief {
-    /// Never decreases.
-    newest: u64,
-    /// When the VM learnt of it; `None` before it knew any.
-    learnt_at: Option<time::Instant>,
+    /// Never decreases; `None` before the VM knew any.
+    newest: Option<u64>,
     /// Number of restores that the VM has learnt of.
     restores: u64,
 }
@@ -31,13 +27,12 @@
 
 impl EraBelief {
     /// Takes an era from an answer of the store or a message of another VM.
-    pub fn take(&mut self, era: u64, now: time::Instant) -> EraChange {
-        let before = self.learnt_at.map(|_| self.newest);
+    pub fn take(&mut self, era: u64) -> EraChange {
+        let before = self.newest;
         if before.is_some_and(|before| era <= before) {
             return EraChange::Nothing;
         }
-        self.newest = era;
-        self.learnt_at = Some(now);
+        self.newest = Some(era);
         self.restores += u64::from(before.is_some());
         before.map_or(EraChange::First, EraChange::Restored)
     }
@@ -50,7 +45,7 @@
 
     /// The latest era; 0 if none is known.
     #[must_use]
-    pub const fn newest(&self) -> u64 {
-        self.newest
+    pub fn newest(&self) -> u64 {
+        self.newest.unwrap_or_default()
     }
 }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -359,7 +359,7 @@
 
     /// Latest era of the store that this VM knows; 0 if it knows none.
     #[must_use]
-    pub const fn era(&self) -> u64 {
+    pub fn era(&self) -> u64 {
         self.era.newest()
     }
 
@@ -371,7 +371,7 @@
 
     /// Takes the era that an answer of the store or a message of another VM names.
     pub fn note_era(&mut self, era: u64, source: &str, now: time::Instant) {
-        let change = self.era.take(era, now);
+        let change = self.era.take(era);
         if change != era::EraChange::Nothing {
             // Entries of servers that no longer run expire, and running servers write theirs again.
             let heartbeat = self.settings.server_heartbeat.min(MAX_HEARTBEAT);
