exchange: decisions on repeats stand in a file of their own

PlaneState had grown to 957 lines; 160 of them are this VM's share of the repeats and what it is spent on. Change: the functions move to shares.rs, word for word. state.rs has 793 lines.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -1,7 +1,7 @@
 //! Exchange plane: routes opaque requests and responses, of which only the kind, the deadline and,
 //! for generations, the prompt size are known.
 //!
-//! Decisions are pure functions that take the time as an argument: [`place`], [`budget`], [`wait`],
+//! Decisions are pure functions that take the time as an argument: [`place`], [`budget`], [`shares`], [`wait`],
 //! [`suspect`], [`relocate`], [`directory`]. [`plane`] executes them over the interface in
 //! [`port`]; [`link`] carries the messages between entry VMs.
 
@@ -43,6 +43,7 @@
 mod serve_call;
 mod serve_stream;
 pub mod server;
+pub mod shares;
 pub mod state;
 pub mod stopping;
 pub mod suspect;
