exchange: logs tell how the body of a stream ended

Cause: the log can't distinguish the hypotheses on broken streams that look complete: 'stream whole' names neither the bytes after the last event nor how the end of the body was known. Change: a line 'body of a stream ended' with both, for bodies without length or chunks and for bodies that end inside an event. The port tells whether a body is delimited. No decision changes.

--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{body, client::conn::http1};
+use hyper::{body, body::Body as _, client::conn::http1};
 use hyper_util::rt;
 use snafu::Snafu;
 use tokio::{task, time};
@@ -251,6 +251,19 @@
     timeout.trim().parse().ok().map(time::Duration::from_secs)
 }
 
+/// Whether an answer states where its body ends, by a length or by chunks. The body of any other
+/// answer ends when the server closes the connection.
+#[must_use]
+pub fn is_delimited(headers: &http::HeaderMap, body: &body::Incoming) -> bool {
+    let codings = headers.get_all(http::header::TRANSFER_ENCODING);
+    let last = codings.iter().next_back();
+    let chunked = last.is_some_and(|value| {
+        let coding = value.as_bytes().rsplit(|&byte| byte == b',').next();
+        coding.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+    });
+    chunked || body.size_hint().exact().is_some()
+}
+
 /// Whether a message has `connection: close`.
 #[must_use]
 pub fn closes(headers: &http::HeaderMap) -> bool {
--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -50,6 +50,12 @@
         self.buffer.split_to(length).freeze()
     }
 
+    /// Number of bytes received after the last complete event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Id of the last complete event.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -229,7 +229,7 @@
                 part = body.next(), if ended.is_none() => match part {
                     Some(Ok(bytes)) => self.forward(live, &bytes).await,
                     Some(Err(_)) => ended = Some(RelayEnd::Broken),
-                    None => ended = Some(RelayEnd::Finished),
+                    None => ended = Some(self.end_of_body(live)),
                 },
             }
         }
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -174,6 +174,10 @@
 pub trait ResponseBody {
     /// Returns the next bytes; `None` at the regular end.
     fn next(&mut self) -> impl Future<Output = Option<Result<Bytes, LostCause>>>;
+
+    /// Whether the response states where its body ends, by a length or by chunks. Any other body
+    /// ends when its connection is closed.
+    fn is_delimited(&self) -> bool;
 }
 
 /// A completed copy.
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -414,7 +414,7 @@
                     match part {
                         Some(Ok(bytes)) => self.forward(live, &bytes).await,
                         Some(Err(_)) => return RelayEnd::Broken,
-                        None => return RelayEnd::Finished,
+                        None => return self.end_of_body(live),
                     }
                     continue;
                 }
@@ -434,6 +434,22 @@
         }
     }
 
+    /// Returns how forwarding ended when the body of a response reached its end.
+    pub(crate) fn end_of_body(&self, live: &LiveRun<P>) -> RelayEnd {
+        let delimited = live
+            .body
+            .as_ref()
+            .is_some_and(port::ResponseBody::is_delimited);
+        let partial_bytes = self.splitter.partial_bytes();
+        if !delimited || partial_bytes > 0 {
+            log::info!(
+                request:% = self.request.id, server:% = self.plane.server_id(live.placed.server),
+                events = self.splitter.events(), delimited, partial_bytes; "body of a stream ended"
+            );
+        }
+        RelayEnd::Finished
+    }
+
     /// Forwards bytes and records the progress of the run.
     pub(crate) async fn forward(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
         let complete = self.splitter.take(bytes);
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -113,6 +113,10 @@
         tokio::time::sleep(self.interval).await;
         self.left.pop_front()
     }
+
+    fn is_delimited(&self) -> bool {
+        true
+    }
 }
 
 impl FakePort {
