--- a/crates/carry/tests/connections.rs
+++ b/crates/carry/tests/connections.rs
@@ -1,11 +1,14 @@
 //! Connections and log output under faults.
 
-use std::{io, sync, time};
+use std::{io, pin, sync, time};
 
 use bytes::Bytes;
 use carry::{listen, output, pool};
 use http_body_util::{BodyExt as _, Full};
-use tokio::{io::AsyncReadExt as _, task};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    task,
+};
 
 fn run<F: Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -193,3 +196,64 @@
         "lines that do not fit the queue are counted as dropped"
     );
 }
+
+/// Body that sends one part and then ends, or breaks off.
+struct OnePart {
+    part: Option<Bytes>,
+    breaks: bool,
+}
+
+impl http_body::Body for OnePart {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<io::Result<http_body::Frame<Bytes>>>> {
+        let frame = match self.part.take() {
+            Some(part) => Some(Ok(http_body::Frame::data(part))),
+            None if self.breaks => Some(Err(io::Error::other("cut"))),
+            None => None,
+        };
+        std::task::Poll::Ready(frame)
+    }
+}
+
+/// Returns what a caller of this version of HTTP reads, or the error of its connection.
+async fn read_raw(version: &str, breaks: bool) -> io::Result<String> {
+    let (listener, address) = listener().await;
+    let stop = listen::StopSwitch::default();
+    task::spawn_local(listen::serve(listener, rule, stop, move |_| async move {
+        http::Response::new(OnePart {
+            part: Some(Bytes::from("part")),
+            breaks,
+        })
+    }));
+    let mut stream = tokio::net::TcpStream::connect(address).await?;
+    let request = format!("GET /x HTTP/{version}\r\nHost: h\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.map(|_| text)
+}
+
+#[test]
+fn an_answer_that_breaks_off_never_looks_complete() {
+    // Guards against an answer that breaks off and looks complete: callers of HTTP/1.0 get no chunks,
+    // so only the end of their connection tells them that the answer is complete.
+    run(async {
+        for version in ["1.0", "1.1"] {
+            let whole = read_raw(version, false).await.expect("whole");
+            let is_chunked = version == "1.1";
+            assert!(whole.contains("part"), "HTTP/{version}: {whole}");
+            assert_eq!(whole.ends_with("0\r\n\r\n"), is_chunked, "HTTP/{version}");
+            let broken = read_raw(version, true).await;
+            let looks_complete = match &broken {
+                Ok(text) if is_chunked => text.ends_with("0\r\n\r\n"),
+                Ok(_) => true,
+                Err(_) => false,
+            };
+            assert!(!looks_complete, "HTTP/{version}: {broken:?}");
+        }
+    });
+}
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -30,6 +30,8 @@
     Events(u32, time::Duration),
     /// A stream that breaks off after this many events.
     Breaks(u32, time::Duration),
+    /// A response with this status whose body is given.
+    Body(u16, GivenBody),
     /// The request was not run.
     NotRun(port::NotRunCause),
     /// The request may have run.
@@ -38,6 +40,24 @@
     Silent,
 }
 
+/// Body of a scripted response.
+#[derive(Clone, Debug)]
+pub struct GivenBody {
+    pub parts: Vec<Bytes>,
+    pub end: BodyEnd,
+    /// Whether the response states the length of its body or sends it in chunks.
+    pub delimited: bool,
+}
+
+/// How the connection of a response ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// Closed by the server after its last byte.
+    Closed,
+    /// Reset.
+    Reset,
+}
+
 /// Size in bytes of a part of a large response.
 pub const LARGE_PART: usize = 100_000;
 
@@ -85,6 +105,10 @@
     /// Servers behind a path that stalls until a time. Attempts reach them then, also those that
     /// were given up.
     pub stalled: cell::RefCell<collections::HashMap<String, tokio::time::Instant>>,
+    /// Whether streams have neither a length nor chunks, and end with their connection.
+    pub undelimited: cell::Cell<bool>,
+    /// Requests whose runs were stopped for a copy.
+    pub stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
     /// Runs whose responses are still open, by server.
     pub open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
 }
@@ -95,6 +119,9 @@
     left: collections::VecDeque<Result<Bytes, port::LostCause>>,
     interval: time::Duration,
     server: String,
+    request: String,
+    delimited: bool,
+    stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
     open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
 }
 
@@ -111,11 +138,15 @@
 impl port::ResponseBody for FakeBody {
     async fn next(&mut self) -> Option<Result<Bytes, port::LostCause>> {
         tokio::time::sleep(self.interval).await;
+        // The server closes the stream of a stopped run without its end.
+        if !self.delimited && self.stopped.borrow().contains(&self.request) {
+            return None;
+        }
         self.left.pop_front()
     }
 
     fn is_delimited(&self) -> bool {
-        true
+        self.delimited
     }
 }
 
@@ -143,16 +174,35 @@
         let mut left: collections::VecDeque<_> = (first..events)
             .map(|id| Ok(Bytes::from(format!("id: {id}\ndata: x\n\n"))))
             .collect();
+        let delimited = !self.undelimited.get();
         if !ok {
             left.push_back(Ok(Bytes::from("id: 99\nda")));
-            left.push_back(Err(port::LostCause::Broken));
+            if delimited {
+                left.push_back(Err(port::LostCause::Broken));
+            }
         }
+        self.fake_body(call, left, interval, delimited)
+    }
+
+    fn fake_body(
+        &self,
+        call: &port::ServerCall,
+        left: collections::VecDeque<Result<Bytes, port::LostCause>>,
+        interval: time::Duration,
+        delimited: bool,
+    ) -> FakeBody {
         let server = call.target.id.clone();
         *self.open.borrow_mut().entry(server.clone()).or_default() += 1;
+        if call.resume.is_some() {
+            self.stopped.borrow_mut().remove(&call.request.id);
+        }
         FakeBody {
             left,
             interval,
             server,
+            request: call.request.id.clone(),
+            delimited,
+            stopped: self.stopped.clone(),
             open: self.open.clone(),
         }
     }
@@ -204,7 +254,7 @@
     async fn copy(
         &self,
         source: port::ServerTarget,
-        _run: String,
+        run: String,
         to: net::SocketAddr,
         stop: bool,
     ) -> port::SignalledReply<Result<port::CopyDone, port::CopyFault>> {
@@ -216,6 +266,10 @@
             handle: String::from("h1"),
             events: 3,
         }));
+        let refused = matches!(reply, Err(port::CopyFault::NoRun | port::CopyFault::Busy));
+        if stop && !refused {
+            self.stopped.borrow_mut().insert(run);
+        }
         self.signalled(&source.id, reply, true)
     }
 
@@ -319,6 +373,17 @@
             ServerScript::Breaks(events, interval) => {
                 (200, self.body(&call, events, interval, false))
             }
+            ServerScript::Body(status, given) => {
+                let mut left: collections::VecDeque<_> = given.parts.into_iter().map(Ok).collect();
+                if given.end == BodyEnd::Reset {
+                    left.push_back(Err(port::LostCause::Broken));
+                }
+                let interval = time::Duration::from_millis(10);
+                (
+                    status,
+                    self.fake_body(&call, left, interval, given.delimited),
+                )
+            }
             ServerScript::NotRun(cause) => return port::CallOutcome::NotRun(cause),
             ServerScript::Lost => return port::CallOutcome::Lost(port::LostCause::Broken),
             ServerScript::Silent => std::future::pending().await,
--- a/crates/exchange/tests/fuzz.rs
+++ b/crates/exchange/tests/fuzz.rs
@@ -88,8 +88,9 @@
 }
 
 /// Runs a history and returns everything that servers and callers observed, in order.
-async fn history(u: &mut Unstructured<'_>) -> arbitrary::Result<String> {
+async fn history(u: &mut Unstructured<'_>, undelimited: bool) -> arbitrary::Result<String> {
     let plane = cluster::plane();
+    plane.port().undelimited.set(undelimited);
     plane.state().settings.backups = u.arbitrary()?;
     cluster::start(&plane);
     for server in ["s1", "s2", "e1", "e2"] {
@@ -210,7 +211,18 @@
     // replaced, copies that fail in every way, callers that leave, and store outages in any order.
     cluster::histories(400, |u| {
         let mut result = Ok(());
-        cluster::run(async { result = history(u).await.map(drop) });
+        cluster::run(async { result = history(u, false).await.map(drop) });
+        result
+    });
+}
+
+#[test]
+fn streams_that_end_with_their_connection_are_complete_or_fail_correctly() {
+    // Searches for broken streams that look complete, in the same histories: streams have neither a
+    // length nor chunks, so that a server that breaks one off or stops its run ends it regularly.
+    cluster::histories(400, |u| {
+        let mut result = Ok(());
+        cluster::run(async { result = history(u, true).await.map(drop) });
         result
     });
 }
@@ -226,7 +238,7 @@
         arbtest::arbtest(move |u| {
             let mut result = Ok(());
             cluster::run(async {
-                result = history(u).await.map(|text| {
+                result = history(u, false).await.map(|text| {
                     recorder.replace(text);
                 });
             });
--- a/crates/flow/tests/http.rs
+++ b/crates/flow/tests/http.rs
@@ -10,7 +10,10 @@
     proof,
 };
 use stand::{engine, service};
-use tokio::time;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    time,
+};
 
 fn target(address: net::SocketAddr) -> port::ServerTarget {
     port::ServerTarget {
@@ -55,6 +58,81 @@
     }
 }
 
+/// Starts a server that sends these bytes on each connection and closes it, with a reset if
+/// `resets`.
+async fn start_raw(bytes: Vec<u8>, resets: bool) -> net::SocketAddr {
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = tokio::net::TcpListener::bind(any).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(&bytes).await;
+            if resets {
+                time::sleep(time::Duration::from_millis(5)).await;
+                let no_linger = Some(time::Duration::ZERO);
+                let _ = socket2::SockRef::from(&stream).set_linger(no_linger);
+            }
+        }
+    });
+    address
+}
+
+// Guards against a generation taken for finished because its stream, which has neither a length nor
+// chunks, ended with its connection.
+#[tokio::test]
+async fn a_stream_without_length_ends_only_with_its_finish_event() {
+    let events =
+        "data: {\"seq\":0,\"text\":\"x\"}\n\ndata: {\"finish\":\"stop\",\"produced\":1}\n\n";
+    let whole = format!("HTTP/1.1 200 OK\r\n\r\n{events}");
+    let finished_at = whole.len() - 1;
+    let engines = http::HttpEngines::new().unwrap();
+    for length in 0..=whole.len() {
+        for resets in [false, true] {
+            let address = start_raw(whole.as_bytes()[..length].to_vec(), resets).await;
+            let started = engines
+                .start(&target(address), &start_request(1, "x"), permit())
+                .await;
+            let mut finished = false;
+            if let Ok(mut stream) = started {
+                while let Ok(tagged) = stream.next().await {
+                    finished |= matches!(tagged.event, port::EngineEvent::Finish(_));
+                }
+            }
+            let expected = length >= finished_at;
+            assert_eq!(finished, expected, "{length} bytes, reset: {resets}");
+        }
+    }
+}
+
+// Guards against a call's answer taken for whole that ended in its head or by a reset.
+#[tokio::test]
+async fn only_the_close_of_a_connection_ends_an_answer_without_length() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    let whole = format!("{head}done");
+    let services = http::HttpServices::new().unwrap();
+    for length in 0..=whole.len() {
+        for resets in [false, true] {
+            let address = start_raw(whole.as_bytes()[..length].to_vec(), resets).await;
+            let call = port::ServiceCall {
+                request: id::RequestId(9),
+                method: "POST".to_owned(),
+                path: "/charge".to_owned(),
+                key: None,
+                content_type: None,
+                body: Bytes::new(),
+            };
+            let limit = time::Duration::from_secs(2);
+            let answer = services
+                .call(&target(address), &call, limit, permit())
+                .await;
+            let expected = !resets && length >= head.len();
+            assert_eq!(answer.is_ok(), expected, "{length} bytes, reset: {resets}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_generation_is_started_resumed_and_cancelled() {
     let handle = engine::EngineHandle::spawn(engine::EngineProfile::default());
