exchange: a stream that ends inside an event has broken off

Cause: the body of a response without length or chunks ends regularly when its connection is closed. The stream took every regular end for a whole stream, sent the bytes of the partial event and then the end. Change: where the body consists of events, an end inside an event is a break, and so is the end of a body without events that only the close of its connection ended. The run goes on from its copy, or the caller's answer breaks off too; the partial event is dropped. Line ends after the last event are no event, and error responses are forwarded as before.

--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -43,6 +43,12 @@
         self.scanned_bytes = 0;
     }
 
+    /// Whether the bytes so far end inside an event. Line ends after the last event begin none.
+    #[must_use]
+    pub fn is_in_event(&self) -> bool {
+        !self.buffer.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+    }
+
     /// Returns the remaining bytes when the stream has ended normally.
     pub fn rest(&mut self) -> Bytes {
         self.scanned_bytes = 0;
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -316,6 +316,7 @@
                     self.moved(live, server);
                     self.spare = None;
                     live.body = Some(response.body);
+                    live.first_event = self.splitter.events();
                     self.moves += 1;
                     metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
                     log::info!(
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -150,6 +150,10 @@
     pub(crate) orders: mpsc::UnboundedReceiver<relocate::RelocationOrder>,
     /// Response body; `None` until the server has responded.
     pub(crate) body: Option<P::Body>,
+    /// Whether the body consists of events. An error response does not.
+    pub(crate) has_events: bool,
+    /// Number of events that the caller had when the body began.
+    pub(crate) first_event: u64,
 }
 
 /// Why forwarding from one server ended.
@@ -216,6 +220,8 @@
                 placed,
                 orders,
                 body: None,
+                has_events: false,
+                first_event: 0,
             };
             let Some(mut call) = self.call(&live, None, server) else {
                 continue;
@@ -400,6 +406,7 @@
             let verdict = server::ServerVerdict::Good(sent.elapsed());
             self.plane.record_outcome(live.placed.server, verdict);
         }
+        live.has_events = response.status.is_success();
         live.body = Some(response.body);
     }
 
@@ -434,7 +441,9 @@
         }
     }
 
-    /// Returns how forwarding ended when the body of a response reached its end.
+    /// Returns how forwarding ended when the body of a response reached its end. A stream that ends
+    /// inside an event has been broken off. So has one without events if only the close of its
+    /// connection ended it: a generation has at least one.
     pub(crate) fn end_of_body(&self, live: &LiveRun<P>) -> RelayEnd {
         let delimited = live
             .body
@@ -447,7 +456,12 @@
                 events = self.splitter.events(), delimited, partial_bytes; "body of a stream ended"
             );
         }
-        RelayEnd::Finished
+        let empty = !delimited && self.splitter.events() == live.first_event;
+        if live.has_events && (empty || self.splitter.is_in_event()) {
+            RelayEnd::Broken
+        } else {
+            RelayEnd::Finished
+        }
     }
 
     /// Forwards bytes and records the progress of the run.
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -323,31 +323,34 @@
         port::SignalledReply { reply, signals }
     }
 
+    /// Takes the script for an attempt.
+    fn take_script(&self, call: &port::ServerCall) -> ServerScript {
+        let mut scripts = self.scripts.borrow_mut();
+        let script = scripts
+            .get_mut(&call.target.id)
+            .and_then(collections::VecDeque::pop_front);
+        let interval = time::Duration::from_millis(10);
+        let errs = self.erring.borrow().contains(&call.target.id);
+        let breaks_after = self.breaks_after.get();
+        script.unwrap_or(match call.request.kind {
+            catalog::ExchangeKind::Stream if breaks_after.is_some() => {
+                let seen = call
+                    .resume
+                    .as_ref()
+                    .and_then(|resume| resume.last_event.as_ref());
+                let seen = seen.and_then(|last| last.parse::<u32>().ok());
+                let events = breaks_after.unwrap_or_default();
+                ServerScript::Breaks(seen.map_or(0, |last| last + 1) + events, interval)
+            }
+            _ if errs => ServerScript::Answer(500, interval),
+            catalog::ExchangeKind::Stream => ServerScript::Events(40, interval),
+            _ => ServerScript::Answer(200, interval),
+        })
+    }
+
     async fn respond(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
         self.count(&call.target.id);
-        let script = {
-            let mut scripts = self.scripts.borrow_mut();
-            let script = scripts
-                .get_mut(&call.target.id)
-                .and_then(collections::VecDeque::pop_front);
-            let interval = time::Duration::from_millis(10);
-            let errs = self.erring.borrow().contains(&call.target.id);
-            let breaks_after = self.breaks_after.get();
-            script.unwrap_or(match call.request.kind {
-                catalog::ExchangeKind::Stream if breaks_after.is_some() => {
-                    let seen = call
-                        .resume
-                        .as_ref()
-                        .and_then(|resume| resume.last_event.as_ref());
-                    let seen = seen.and_then(|last| last.parse::<u32>().ok());
-                    let events = breaks_after.unwrap_or_default();
-                    ServerScript::Breaks(seen.map_or(0, |last| last + 1) + events, interval)
-                }
-                _ if errs => ServerScript::Answer(500, interval),
-                catalog::ExchangeKind::Stream => ServerScript::Events(40, interval),
-                _ => ServerScript::Answer(200, interval),
-            })
-        };
+        let script = self.take_script(&call);
         self.seen.borrow_mut().push(SeenCall {
             server: call.target.id.clone(),
             request: call.request.id.clone(),
