exchange: the close of a stopped run's stream is not its end

Callers could get a stream without its last events framed as complete, when its server left. Cause: to move a run it is stopped, and its server closes the stream without its end. Without length or chunks that is a regular end, between two events. Where the answer to the copy was lost, or named no handle, the end counted as that of the stream; also when it came later. The copies that were made before were released. Change: from an order to stop on that the server has not denied (no such run, copy in progress), the mere close of a connection ends no stream: the run goes on from the copy made before, which is kept then, or breaks off.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -73,6 +73,11 @@
     }
 }
 
+/// Whether a server may have stopped a run for a copy with this result.
+const fn may_have_stopped(copied: &Result<port::CopyDone, port::CopyFault>) -> bool {
+    !matches!(copied, Err(port::CopyFault::NoRun | port::CopyFault::Busy))
+}
+
 impl<P: port::ServerPort + 'static> StreamDriver<P> {
     /// Continues the run on the server that holds its copy. Forwarding pauses meanwhile, so that no
     /// event is sent twice; the run here continues until the one there has started.
@@ -134,7 +139,13 @@
                 self.plane.count_request(live.placed.server, "copy");
             }
             copies += 1;
-            let (copied, ended) = self.copy_once(live, &source, &target, stop).await;
+            let (copied, mut ended) = self.copy_once(live, &source, &target, stop).await;
+            if stop && may_have_stopped(&copied) {
+                live.may_be_stopped = true;
+                if let Some(RelayEnd::Finished) = ended {
+                    ended = Some(self.end_of_body(live));
+                }
+            }
             log::info!(
                 request:% = self.request.id, from:% = source.id, to:% = target.id, stop,
                 outcome:? = copied, ms = millis(started); "copied"
@@ -162,7 +173,8 @@
                     copy(from, None, handle)
                 }
                 (copied, _) => {
-                    self.end_move(copied, ended.as_ref(), source, to);
+                    let run_lost = live.may_be_stopped || matches!(ended, Some(RelayEnd::Broken));
+                    self.end_move(copied, run_lost, source, to);
                     return ended;
                 }
             };
@@ -181,11 +193,11 @@
         }
     }
 
-    /// Ends a failed move: releases its copies, unless they are all that is left of the run.
+    /// Ends a failed move: releases its copies, unless they may be all that is left of the run.
     fn end_move(
         &mut self,
         copied: Result<port::CopyDone, port::CopyFault>,
-        ended: Option<&RelayEnd>,
+        run_lost: bool,
         source: port::ServerTarget,
         to: fleet::ServerKey,
     ) {
@@ -193,7 +205,7 @@
             self.mark_full(to);
         }
         let source_lost = matches!(copied, Err(port::CopyFault::Unreachable));
-        if source_lost || matches!(ended, Some(RelayEnd::Broken)) {
+        if source_lost || run_lost {
             return;
         }
         let spare = self.spare.take().map(|spare| spare.handle);
@@ -317,6 +329,7 @@
                     self.spare = None;
                     live.body = Some(response.body);
                     live.first_event = self.splitter.events();
+                    live.may_be_stopped = false;
                     self.moves += 1;
                     metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
                     log::info!(
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -154,6 +154,9 @@
     pub(crate) has_events: bool,
     /// Number of events that the caller had when the body began.
     pub(crate) first_event: u64,
+    /// Whether the server was asked to stop the run and has not denied it. It closes the stream of a
+    /// stopped run without its end.
+    pub(crate) may_be_stopped: bool,
 }
 
 /// Why forwarding from one server ended.
@@ -222,6 +225,7 @@
                 body: None,
                 has_events: false,
                 first_event: 0,
+                may_be_stopped: false,
             };
             let Some(mut call) = self.call(&live, None, server) else {
                 continue;
@@ -442,8 +446,8 @@
     }
 
     /// Returns how forwarding ended when the body of a response reached its end. A stream that ends
-    /// inside an event has been broken off. So has one without events if only the close of its
-    /// connection ended it: a generation has at least one.
+    /// inside an event has been broken off. If only the close of its connection ended it, so has one
+    /// without events, since a generation has at least one, and one whose run may be stopped.
     pub(crate) fn end_of_body(&self, live: &LiveRun<P>) -> RelayEnd {
         let delimited = live
             .body
@@ -456,8 +460,9 @@
                 events = self.splitter.events(), delimited, partial_bytes; "body of a stream ended"
             );
         }
-        let empty = !delimited && self.splitter.events() == live.first_event;
-        if live.has_events && (empty || self.splitter.is_in_event()) {
+        let empty = self.splitter.events() == live.first_event;
+        let unproved = !delimited && (empty || live.may_be_stopped);
+        if live.has_events && (unproved || self.splitter.is_in_event()) {
             RelayEnd::Broken
         } else {
             RelayEnd::Finished
