exchange: a run does not go on after half an event was forwarded

Callers could get a part of an event twice. Cause: an event of more than 256 KB is forwarded as it arrives. If the stream then broke off, or its server left, the run went on after the last complete event, which repeats the first part. Besides, the end of such an event was missed if it fell between two parts. Change: a stream with an event that was forwarded in parts goes on nowhere; its last three bytes are kept back, so that the end of the event is found. Conclusion: same class as the partial event: bytes of an unfinished event that reached the caller.

--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -8,6 +8,8 @@
 /// Max size of an event that is buffered until it is complete. A larger one is forwarded as it
 /// arrives, and its stream can no longer continue on another server.
 const MAX_EVENT_BYTES: usize = 256 * 1_024;
+/// Bytes of a large event that are kept back, so that its end is found across two parts.
+const MAX_END_BYTES: usize = 3;
 
 /// Incremental splitter of a stream's bytes into complete events.
 #[derive(Debug, Default)]
@@ -17,6 +19,10 @@
     scanned_bytes: usize,
     last_id: Option<String>,
     events: u64,
+    /// Whether `buffer` begins inside an event, whose first part was forwarded.
+    inside_event: bool,
+    /// Whether an event was forwarded before it was complete.
+    has_split_event: bool,
 }
 
 impl EventSplitter {
@@ -30,8 +36,12 @@
             end = after;
             at = after;
         }
-        if end == 0 && self.buffer.len() > MAX_EVENT_BYTES {
-            end = self.buffer.len();
+        if end > 0 {
+            self.inside_event = false;
+        } else if self.buffer.len() > MAX_EVENT_BYTES {
+            end = self.buffer.len() - MAX_END_BYTES;
+            self.inside_event = true;
+            self.has_split_event = true;
         }
         self.scanned_bytes = self.buffer.len() - end;
         self.buffer.split_to(end).freeze()
@@ -46,7 +56,15 @@
     /// Whether the bytes so far end inside an event. Line ends after the last event begin none.
     #[must_use]
     pub fn is_in_event(&self) -> bool {
-        !self.buffer.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+        let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        self.inside_event || !self.buffer.iter().all(is_line_end)
+    }
+
+    /// Whether the stream may continue after the last complete event. After an event that was
+    /// forwarded in parts, the caller would get a part of it twice.
+    #[must_use]
+    pub const fn may_continue(&self) -> bool {
+        !self.has_split_event
     }
 
     /// Returns the remaining bytes when the stream has ended normally.
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -195,8 +195,8 @@
             self.splitter.drop_partial();
             live.body = None;
             let resumed = match copy {
-                Some(copy) => self.resume(&mut live, copy).await,
-                None => false,
+                Some(copy) if self.splitter.may_continue() => self.resume(&mut live, copy).await,
+                _ => false,
             };
             if !resumed {
                 return Err(self.lost());
@@ -432,6 +432,7 @@
                 Some(order) = live.orders.recv() => order,
             };
             let end = match order {
+                _ if !self.splitter.may_continue() => None,
                 relocate::RelocationOrder::Switch(to) => self.switch(live, to).await,
                 relocate::RelocationOrder::Move(to) => self.move_run(live, to).await,
             };
--- a/crates/exchange/tests/broken_streams.rs
+++ b/crates/exchange/tests/broken_streams.rs
@@ -268,3 +268,49 @@
         assert_eq!(splitter.partial_bytes(), "id: 3\nda".len());
     }
 }
+
+#[test]
+fn the_end_of_a_large_event_is_found_across_parts() {
+    let large = format!("id: 7\ndata: {}\n\n", "x".repeat(700_000));
+    for rest in 1..12 {
+        let mut splitter = event::EventSplitter::default();
+        let (first, last) = large.as_bytes().split_at(large.len() - rest);
+        let mut taken = splitter.take(first).to_vec();
+        assert!(splitter.is_in_event() && !splitter.may_continue());
+        for byte in last {
+            taken.extend_from_slice(&splitter.take(&[*byte]));
+        }
+        assert_eq!(taken, large.as_bytes(), "the last {rest} bytes one by one");
+        assert!(!splitter.is_in_event());
+        assert_eq!(splitter.events(), 1);
+    }
+}
+
+#[test]
+fn a_run_whose_large_event_was_sent_in_parts_is_not_moved() {
+    // Guards against half an event that reaches the caller twice because its server leaves.
+    cluster::run(async {
+        let plane = cluster::plane();
+        cluster::start(&plane);
+        let part = Bytes::from("y".repeat(100_000));
+        let given = cluster::GivenBody {
+            parts: vec![part; 60],
+            end: BodyEnd::Closed,
+            delimited: true,
+        };
+        for server in ["e1", "e2"] {
+            let script = ServerScript::Body(200, given.clone());
+            plane.port().push_script(server, script);
+        }
+        let reply = plane.serve(stream()).await.expect("a head");
+        let mut parts = cluster::parts(reply);
+        let first = plane.port().seen.borrow()[0].server.clone();
+        let reading = async { while parts.recv().await.is_some() {} };
+        let leaving = async {
+            tokio::time::sleep(INTERVAL * 20).await;
+            cluster::leave(&plane, &first, if first == "e1" { 11 } else { 12 });
+        };
+        tokio::join!(reading, leaving);
+        assert_eq!(plane.port().seen.borrow().len(), 1);
+    });
+}
