exchange: an error response that breaks off does not go on as a stream

Callers could get an answer joined of an error's body and the events of a run. Cause: a response with an error status in place of a stream was moved and continued like one. Change: only the body of a successful response goes on elsewhere. Conclusion: found while the same cause was looked for elsewhere.

--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -195,7 +195,7 @@
             self.splitter.drop_partial();
             live.body = None;
             let resumed = match copy {
-                Some(copy) if self.splitter.may_continue() => self.resume(&mut live, copy).await,
+                Some(copy) if self.may_continue(&live) => self.resume(&mut live, copy).await,
                 _ => false,
             };
             if !resumed {
@@ -432,7 +432,7 @@
                 Some(order) = live.orders.recv() => order,
             };
             let end = match order {
-                _ if !self.splitter.may_continue() => None,
+                _ if !self.may_continue(live) => None,
                 relocate::RelocationOrder::Switch(to) => self.switch(live, to).await,
                 relocate::RelocationOrder::Move(to) => self.move_run(live, to).await,
             };
@@ -446,6 +446,12 @@
         }
     }
 
+    /// Whether the caller's answer may continue with the events of the run on another server. Nothing
+    /// continues the body of an error response.
+    fn may_continue(&self, live: &LiveRun<P>) -> bool {
+        live.has_events && self.splitter.may_continue()
+    }
+
     /// Returns how forwarding ended when the body of a response reached its end. A stream that ends
     /// inside an event has been broken off. If only the close of its connection ended it, so has one
     /// without events, since a generation has at least one, and one whose run may be stopped.
--- a/crates/exchange/tests/broken_streams.rs
+++ b/crates/exchange/tests/broken_streams.rs
@@ -314,3 +314,22 @@
         assert_eq!(plane.port().seen.borrow().len(), 1);
     });
 }
+
+#[test]
+fn an_error_that_broke_off_does_not_go_on_as_a_stream() {
+    // Guards against an answer joined of an error's body and the events of a run.
+    for end in [BodyEnd::Closed, BodyEnd::Reset] {
+        cluster::run(async move {
+            let plane = cluster::plane();
+            let given = cluster::GivenBody {
+                parts: vec![Bytes::from_static(b"no wei")],
+                end,
+                delimited: false,
+            };
+            let first = ServerScript::Body(500, given);
+            let read = read_stream(&plane, &first).await.expect("a head");
+            assert!(!read.text.contains("id: "), "{}", read.text);
+            assert_eq!(read.complete, end == BodyEnd::Closed);
+        });
+    }
+}
