carry: an answer to HTTP/1.0 that breaks off resets its connection

Callers of HTTP/1.0 got broken streams that looked complete. Cause: they get no chunks, so an answer of unknown length ends with its connection, and a listener whose answer broke off, or whose process was killed, closed it regularly. Change: while such an answer is sent the connection is set to reset when it is closed; the regular end of the answer clears that. The test waits until the first part is written, since an answer of no bytes does not look complete; it failed like that before, too. Conclusion: the same class on the side of callers.

--- a/crates/carry/src/lib.rs
+++ b/crates/carry/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`sampling`] and written by [`output`], which never blocks on the reader; [`signals`] handles
 //! the signals that stop a daemon; [`transfer`] limits the time of transfers of unknown size.
 
+mod caller;
 pub mod listen;
 pub mod logging;
 pub mod output;
--- a/crates/carry/src/listen.rs
+++ b/crates/carry/src/listen.rs
@@ -6,7 +6,7 @@
 use hyper_util::rt;
 use tokio::{sync, task, time};
 
-use crate::socket;
+use crate::{caller, socket};
 
 /// Delay after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
@@ -137,7 +137,10 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     socket::tune(&stream, socket::CALLER_ACK_TIMEOUT)?;
-    let answer = service::service_fn(move |request| {
+    let framing = caller::AnswerFraming::default();
+    let stream = caller::CallerConnection::new(stream, framing.clone());
+    let answer = service::service_fn(move |request: http::Request<body::Incoming>| {
+        framing.note_version(request.version());
         let answer = service(request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
@@ -145,7 +148,7 @@
         .timer(rt::TokioTimer::new())
         .header_read_timeout(rule.idle)
         .max_buf_size(rule.header_bytes.max(16 * 1_024))
-        .serve_connection(rt::TokioIo::new(stream), answer);
+        .serve_connection(stream, answer);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
--- a/crates/carry/tests/connections.rs
+++ b/crates/carry/tests/connections.rs
@@ -201,6 +201,8 @@
 struct OnePart {
     part: Option<Bytes>,
     breaks: bool,
+    /// Whether the part may still wait to be written.
+    waits: bool,
 }
 
 impl http_body::Body for OnePart {
@@ -209,8 +211,13 @@
 
     fn poll_frame(
         mut self: pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
+        context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<io::Result<http_body::Frame<Bytes>>>> {
+        if self.part.is_none() && self.waits {
+            self.waits = false;
+            context.waker().wake_by_ref();
+            return std::task::Poll::Pending;
+        }
         let frame = match self.part.take() {
             Some(part) => Some(Ok(http_body::Frame::data(part))),
             None if self.breaks => Some(Err(io::Error::other("cut"))),
@@ -228,6 +235,7 @@
         http::Response::new(OnePart {
             part: Some(Bytes::from("part")),
             breaks,
+            waits: true,
         })
     }));
     let mut stream = tokio::net::TcpStream::connect(address).await?;
