exchange: VMs that are cut from all servers hand requests over to others

Change: two servers of a service that are not reached raise a suspicion; connections to all of them, opened for this, confirm that the service is cut. While it is, its requests are handed over at once to a VM that does not say the same of itself, over HTTP at a port of their own, with the number of the system, which callers do not know. The other VM serves them with the time that is left: limits, repeats, at most once and streams are decided there; a handed request is not handed on; the body of its answer holds both VMs' stops and cancels both ways. Requests that wait when the cut is found go too. Two VMs are tried, then the refusal is quick and says when to return. Every 0.5 s connections are tried again. VMs that reach no server are left out of lookups, unless none reaches any; each speaks for itself alone.

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -387,6 +387,12 @@
         limits: state.limit_items(false, now),
         senders: u32::try_from(state.peers.senders(now).count() + 1).unwrap_or(u32::MAX),
         evacuations: evacuations_changed(state, now).then(|| state.fleet.evacuations().into()),
+        cut_services: state
+            .reach
+            .cut_services()
+            .map(state::service_hash)
+            .collect(),
+        cut_off: state.reach.is_cut_off(),
         ..message::PeerDatagram::default()
     }
 }
@@ -406,6 +412,9 @@
     datagram.incarnation = state.settings.incarnation;
     datagram.entry_address = state.settings.entry_address.to_string();
     datagram.link_address = state.settings.link_address.to_string();
+    let handover_address = state.settings.handover_address;
+    datagram.handover_address =
+        handover_address.map_or_else(String::new, |address| address.to_string());
     datagram.known = known(state);
 }
 
--- a/crates/exchange/src/directory.rs
+++ b/crates/exchange/src/directory.rs
@@ -21,10 +21,20 @@
     pub stage: message::VmStage,
     /// Address for callers.
     pub address: net::SocketAddr,
+    /// Whether this VM reaches no server.
+    pub cut_off: bool,
+}
+
+/// A VM that serves callers.
+#[derive(Clone, Copy, Debug)]
+struct ServingVm<'a> {
+    domain: &'a str,
+    address: net::SocketAddr,
+    cut_off: bool,
 }
 
 /// Addresses for a caller in `domain`: VMs of its own failure domain if there are enough, otherwise
-/// all.
+/// all. VMs that reach no server are left out, unless no VM reaches any.
 #[must_use]
 pub fn addresses(
     own: &OwnEntry,
@@ -32,24 +42,25 @@
     domain: &str,
     now: time::Instant,
 ) -> Vec<net::SocketAddr> {
-    let mut near = Vec::new();
-    let mut far = Vec::new();
-    let others = peers
-        .all()
-        .filter(|(_, peer)| peer.serves(now))
-        .map(|(_, peer)| (peer.domain.as_str(), peer.entry_address));
-    let own =
-        (own.stage == message::VmStage::Serving).then_some((own.domain.as_str(), own.address));
-    for (other, address) in own.into_iter().chain(others) {
-        if other == domain {
-            near.push(address)
-        } else {
-            far.push(address)
-        }
+    let own = (own.stage == message::VmStage::Serving).then_some(ServingVm {
+        domain: &own.domain,
+        address: own.address,
+        cut_off: own.cut_off,
+    });
+    let others = peers.all().filter(|(_, peer)| peer.serves(now));
+    let others = others.map(|(_, peer)| ServingVm {
+        domain: &peer.domain,
+        address: peer.entry_address,
+        cut_off: peer.cut_off,
+    });
+    let mut serving: Vec<_> = own.into_iter().chain(others).collect();
+    if serving.iter().any(|vm| !vm.cut_off) {
+        serving.retain(|vm| !vm.cut_off);
     }
+    let (mut near, far): (Vec<_>, Vec<_>) = serving.into_iter().partition(|vm| vm.domain == domain);
     if near.len() < MIN_NEAR_ADDRESSES {
-        near.append(&mut far);
+        near.extend(far);
     }
     near.truncate(MAX_ADDRESSES);
-    near
+    near.iter().map(|vm| vm.address).collect()
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`port`]; [`link`] carries the messages between entry VMs.
 
 pub mod announce;
+pub mod body;
 pub mod budget;
 pub mod capacity;
 pub mod catalog;
@@ -18,6 +19,8 @@
 pub mod fleet;
 pub mod follow;
 pub mod forecast;
+pub mod handed;
+pub mod handover;
 pub mod limits;
 pub mod link;
 pub mod listing;
@@ -33,6 +36,8 @@
 pub mod plane;
 pub mod port;
 pub mod position;
+pub mod reach;
+mod reaching;
 pub mod recipients;
 pub mod relocate;
 pub mod repeats;
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -265,6 +265,15 @@
     /// Repeats that the sender asks the recipient for, or grants it.
     #[prost(message, repeated, tag = "28")]
     pub loans: Vec<LoanItem>,
+    /// Address at which the VM takes over requests of others; empty if it takes none.
+    #[prost(string, tag = "29")]
+    pub handover_address: String,
+    /// Hashes of the names of services of which the VM reaches no server.
+    #[prost(fixed32, repeated, tag = "30")]
+    pub cut_services: Vec<u32>,
+    /// Whether the VM reaches no server at all.
+    #[prost(bool, tag = "31")]
+    pub cut_off: bool,
 }
 
 /// Failure domains that are evacuated.
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -456,6 +456,7 @@
         );
         self.plane
             .record_outcome(server, server::ServerVerdict::Failed);
+        self.plane.record_reach(server, time::Instant::now(), false);
         self.record_crash(server);
         let backup = {
             let state = self.plane.state();
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -47,6 +47,12 @@
     pub entry_address: net::SocketAddr,
     /// Address for other VMs.
     pub link_address: net::SocketAddr,
+    /// Address at which that VM takes over requests; absent if it takes none.
+    pub handover_address: Option<net::SocketAddr>,
+    /// Hashes of the names of services of which that VM reaches no server.
+    pub cut_services: Vec<u32>,
+    /// Whether that VM reaches no server at all.
+    pub cut_off: bool,
     /// Version of the configuration in force at that VM.
     pub catalog_version: u64,
     /// Whether the store does not answer that VM.
@@ -85,6 +91,9 @@
             stage: datagram.stage(),
             entry_address: datagram.entry_address.parse().ok()?,
             link_address: datagram.link_address.parse().ok()?,
+            handover_address: datagram.handover_address.parse().ok(),
+            cut_services: Vec::new(),
+            cut_off: false,
             catalog_version: 0,
             store_unavailable: false,
             outage_reported_at: None,
@@ -117,6 +126,8 @@
         self.standing_hash = datagram.standing_hash;
         self.partial = datagram.partial;
         self.senders = datagram.senders;
+        self.cut_services.clone_from(&datagram.cut_services);
+        self.cut_off = datagram.cut_off;
         self.waiting.clone_from(&datagram.waiting);
         self.received_at = now;
         self.alive_until = now + alive_time;
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -41,6 +41,8 @@
     pub(crate) loans_due: tokio::sync::Notify,
     /// Signals that another VM may have lent repeats.
     pub(crate) repeats_lent: tokio::sync::Notify,
+    /// Signals that a service is cut, or that its servers are reached.
+    pub(crate) reach_changed: tokio::sync::Notify,
     /// Signals that this VM's system is known, or that the store does not name one.
     pub(crate) identified: tokio::sync::Notify,
     /// Number of requests without a final response.
@@ -93,6 +95,7 @@
             loads: tokio::sync::Notify::new(),
             loans_due: tokio::sync::Notify::new(),
             repeats_lent: tokio::sync::Notify::new(),
+            reach_changed: tokio::sync::Notify::new(),
             identified: tokio::sync::Notify::new(),
             open: cell::Cell::new(0),
             long_sent: cell::Cell::new(0),
@@ -424,12 +427,14 @@
         request: request::ExchangeRequest,
     ) -> Result<reply::Reply, reply::Refusal> {
         self.open.set(self.open.get() + 1);
-        let guard = OpenGuard(self.clone());
+        let guard = rc::Rc::new(OpenGuard(self.clone()));
         let request = rc::Rc::new(request);
         let now = time::Instant::now();
         let quarantined = {
             let mut state = self.state.borrow_mut();
-            state.count_first(&request.service, now);
+            if !request.handed_over {
+                state.count_first(&request.service, now);
+            }
             state.suspects.is_quarantined(request.fingerprint, now)
         };
         let since = self.state.borrow().stopping_since;
@@ -439,6 +444,15 @@
         if quarantined {
             return Err(self.refuse(&request, reply::RefusalCause::Quarantined));
         }
+        self.serve_reached(request, guard).await
+    }
+
+    /// Serves one request on this VM.
+    pub(crate) async fn serve_here<G: 'static>(
+        self: &rc::Rc<Self>,
+        request: rc::Rc<request::ExchangeRequest>,
+        guard: G,
+    ) -> Result<reply::Reply, reply::Refusal> {
         match request.kind {
             catalog::ExchangeKind::Stream => serve_stream::serve(self, request, guard).await,
             _ => serve_call::serve(self, request, guard).await,
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -5,7 +5,7 @@
 use base::outcome;
 use bytes::Bytes;
 
-use crate::request;
+use crate::{handed, handover, request};
 
 /// Target of one attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -103,10 +103,21 @@
 impl ReuseRule {
     /// Rule for requests that can't be sent again: a connection that was idle for longer may be
     /// dead.
-    pub const FRESH: Self = Self::Fresh(time::Duration::from_millis(1_500));
+    pub const FRESH: Self = Self::Fresh(Self::FRESH_TIME);
+    /// Idle time up to which a connection may carry such a request.
+    pub const FRESH_TIME: time::Duration = time::Duration::from_millis(1_500);
 }
 
 impl<B> CallOutcome<B> {
+    /// Returns whether the server answered in any way.
+    #[must_use]
+    pub const fn reached(&self) -> bool {
+        !matches!(
+            self,
+            Self::NotRun(NotRunCause::Unreachable) | Self::Lost(LostCause::Broken)
+        )
+    }
+
     /// Returns whether the attempt ran.
     #[must_use]
     pub const fn ran(&self) -> outcome::RanState {
@@ -212,7 +223,7 @@
     Unreachable,
 }
 
-/// Backend servers.
+/// Backend servers, and other VMs that reach them.
 pub trait ServerPort {
     /// Body of a response.
     type Body: ResponseBody;
@@ -246,4 +257,15 @@
         source: ServerTarget,
         handle: String,
     ) -> impl Future<Output = SignalledReply<()>>;
+
+    /// Returns whether a new connection to a server is established. It sends no request.
+    fn probe(&self, target: ServerTarget) -> impl Future<Output = bool>;
+
+    /// Hands a request over to another VM. Dropping the future, or the body of the reply, cancels it
+    /// there.
+    fn hand_over(
+        &self,
+        peer: net::SocketAddr,
+        request: handed::HandedRequest,
+    ) -> impl Future<Output = Result<handover::HandedAnswer, handover::HandoverError>>;
 }
--- /dev/null
+++ b/crates/exchange/src/reaching.rs
@@ -0,0 +1,329 @@
+//! Detects that this VM has lost its links to servers, and hands its requests over to VMs that
+//! reach them.
+//!
+//! Lookups alone are not enough: callers keep their results for seconds, and connections for
+//! longer.
+
+use std::{net, rc, time};
+
+use base::outcome;
+use futures_util::{StreamExt as _, stream};
+use rand::seq::IndexedRandom as _;
+use tokio::{sync::mpsc, time::Instant};
+
+use crate::{budget, catalog, fleet, handed, handover, plane, port, reach, reply, request, state};
+
+/// Maximum number of servers to which connections are tried on a suspicion.
+const MAX_SUSPECT_PROBES: usize = 12;
+/// Number of servers to which connections are tried while a service is cut.
+const MAX_CUT_PROBES: usize = 3;
+/// Interval between two trials while a service is cut.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Maximum time for the trials on a suspicion.
+const MAX_VERDICT_TIME: time::Duration = time::Duration::from_millis(450);
+/// Maximum number of VMs to which a request is handed, one after the other, if none serves it.
+const MAX_VMS: usize = 2;
+/// Delay after which a caller may return if no VM reaches the servers.
+const NO_VM_RETRY: time::Duration = time::Duration::from_millis(500);
+/// Parts of a reply buffered for a slow caller.
+const MAX_BUFFERED_PARTS: usize = 16;
+
+impl<P: port::ServerPort + 'static> plane::ExchangePlane<P> {
+    /// Records whether an attempt that was sent at `sent_at` reached its server.
+    pub(crate) fn record_reach(
+        self: &rc::Rc<Self>,
+        server: fleet::ServerKey,
+        sent_at: Instant,
+        reached: bool,
+    ) {
+        let now = Instant::now();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        let Some(record) = state.fleet.server(server) else {
+            return;
+        };
+        let service = record.service.as_str();
+        if reached {
+            if state.reach.record_reached(service, now) {
+                let service = service.to_owned();
+                drop(guard);
+                self.end_cut(&service);
+            }
+            return;
+        }
+        let known = state.fleet.ready(service, now).count();
+        let reach = &mut state.reach;
+        if reach.record_unreached(service, server, known, sent_at) {
+            let service = service.to_owned();
+            log::info!(service:% = service, known; "servers are not reached; trying all of them");
+            tokio::task::spawn_local(check_links(self.clone(), service));
+        }
+    }
+
+    fn end_cut(&self, service: &str) {
+        log::info!(service:%; "servers are reached again");
+        metrics::gauge!("pollenchute_exchange_cut_services").decrement(1.0);
+        self.reach_changed.notify_waiters();
+        self.announce.notify_one();
+    }
+
+    /// Whether no server of a service is reached.
+    pub(crate) fn is_cut(&self, service: &str) -> bool {
+        self.state().reach.stage(service) == reach::ReachStage::Cut
+    }
+
+    /// Waits until a suspicion about a service is confirmed or not; returns whether it is cut.
+    async fn await_verdict(&self, service: &str) -> bool {
+        let until = Instant::now() + MAX_VERDICT_TIME;
+        loop {
+            let stage = self.state().reach.stage(service);
+            if stage != reach::ReachStage::Suspect {
+                return stage == reach::ReachStage::Cut;
+            }
+            let changed = self.reach_changed.notified();
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// Serves a request on this VM, or at one that reaches the servers if this one does not.
+    pub(crate) async fn serve_reached<G: 'static>(
+        self: &rc::Rc<Self>,
+        request: rc::Rc<request::ExchangeRequest>,
+        guard: rc::Rc<G>,
+    ) -> Result<reply::Reply, reply::Refusal> {
+        if request.handed_over {
+            return self.serve_here(request, guard).await;
+        }
+        if self.is_cut(&request.service) {
+            let handed = self.hand_over(&request, guard).await;
+            return handed.unwrap_or_else(|| Err(self.refuse_cut(&request)));
+        }
+        let answer = self.serve_here(request.clone(), guard.clone()).await;
+        let Err(refusal) = &answer else {
+            return answer;
+        };
+        if refusal.ran != outcome::RanState::No || !self.await_verdict(&request.service).await {
+            return answer;
+        }
+        self.hand_over(&request, guard).await.unwrap_or(answer)
+    }
+
+    /// Refusal of a request whose servers no VM is known to reach.
+    fn refuse_cut(&self, request: &request::ExchangeRequest) -> reply::Refusal {
+        let refusal = self.refuse(request, reply::RefusalCause::NoServer);
+        let retry_after = refusal.retry_after.map(|after| after.max(NO_VM_RETRY));
+        reply::Refusal {
+            retry_after,
+            ..refusal
+        }
+    }
+
+    /// Hands a request over to another VM; `None` if none took it.
+    async fn hand_over<G: 'static>(
+        self: &rc::Rc<Self>,
+        request: &rc::Rc<request::ExchangeRequest>,
+        guard: rc::Rc<G>,
+    ) -> Option<Result<reply::Reply, reply::Refusal>> {
+        let mut tried = Vec::new();
+        let mut last = None;
+        while tried.len() < MAX_VMS {
+            let Some(peer) = self.choose_vm(&request.service, &tried) else {
+                break;
+            };
+            tried.push(peer);
+            let handing = self.hand_to(peer, request);
+            let answer = match tokio::time::timeout_at(request.limit, handing).await {
+                Ok(answer) => answer,
+                Err(_) => return Some(Err(lost(reply::RefusalCause::Timeout))),
+            };
+            let outcome = outcome_name(&answer);
+            metrics::counter!("pollenchute_exchange_handed_over_total", "outcome" => outcome)
+                .increment(1);
+            log::info!(
+                request:% = request.id, to:% = peer, service:% = request.service, outcome:%;
+                "handed over to another VM"
+            );
+            match answer {
+                Ok(Ok(reply)) => return Some(Ok(hold_guard(request, reply, guard))),
+                Ok(Err(refusal)) if is_final(&refusal) => return Some(Err(refusal)),
+                Ok(Err(refusal)) => last = Some(Err(refusal)),
+                Err(handover::HandoverError::Unsent) => {}
+                Err(handover::HandoverError::Lost) => {
+                    if !self.may_repeat(request) {
+                        return Some(Err(lost(reply::RefusalCause::ServerLost)));
+                    }
+                    last = Some(Err(lost(reply::RefusalCause::ServerLost)));
+                }
+            }
+        }
+        last
+    }
+
+    async fn hand_to(
+        &self,
+        peer: net::SocketAddr,
+        request: &request::ExchangeRequest,
+    ) -> Result<handover::HandedAnswer, handover::HandoverError> {
+        let message = {
+            let state = self.state();
+            let (system, name) = (state.system.number(), &state.settings.name);
+            handed::HandedRequest::of(request, system, name, Instant::now())
+        };
+        self.port.hand_over(peer, message).await
+    }
+
+    /// Takes a repeat for a request whose answer another VM lost.
+    fn may_repeat(&self, request: &request::ExchangeRequest) -> bool {
+        let now = Instant::now();
+        let kind = budget::RepeatKind::Retry;
+        request.kind == catalog::ExchangeKind::Idempotent
+            && self.state().take_repeat(request, kind, now).is_some()
+    }
+
+    /// Draws a VM that does not say that it is cut from a service.
+    fn choose_vm(&self, service: &str, tried: &[net::SocketAddr]) -> Option<net::SocketAddr> {
+        let now = Instant::now();
+        let hash = state::service_hash(service);
+        let mut state = self.state();
+        let reaching = state.peers.all().filter(|(_, peer)| {
+            let is_cut = peer.cut_off || peer.cut_services.contains(&hash);
+            peer.serves(now) && !is_cut
+        });
+        let addresses = reaching.filter_map(|(_, peer)| peer.handover_address);
+        let addresses: Vec<_> = addresses
+            .filter(|address| !tried.contains(address))
+            .collect();
+        addresses.choose(state.rng()).copied()
+    }
+
+    /// Tries connections to servers of a service; returns whether one is reached, or none is known.
+    async fn probe_servers(&self, service: &str, max: usize) -> bool {
+        let now = Instant::now();
+        let mut keys: Vec<_> = {
+            let state = self.state();
+            let ready = state.fleet.ready(service, now);
+            ready.map(|(key, _)| key).collect()
+        };
+        if keys.is_empty() {
+            return true;
+        }
+        keys = keys.sample(self.state().rng(), max).copied().collect();
+        let targets = keys.into_iter().filter_map(|key| self.target(key));
+        let probes = targets.map(|target| self.port.probe(target));
+        let mut probes: stream::FuturesUnordered<_> = probes.collect();
+        while let Some(reached) = probes.next().await {
+            if reached {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Ends the waits of requests for a service that is cut.
+    fn release_waiters(&self, service: &str) {
+        self.waiters
+            .borrow_mut()
+            .retain(|(waiting, _), _| waiting != service);
+    }
+}
+
+/// Tries connections to the servers of a service until one is reached.
+async fn check_links<P: port::ServerPort + 'static>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    service: String,
+) {
+    let mut max = MAX_SUSPECT_PROBES;
+    loop {
+        if plane.probe_servers(&service, max).await {
+            let was_cut = plane.state().reach.record_reached(&service, Instant::now());
+            if was_cut {
+                plane.end_cut(&service);
+            }
+        }
+        if plane.state().reach.stage(&service) == reach::ReachStage::Reached {
+            plane.reach_changed.notify_waiters();
+            return;
+        }
+        if plane.state().reach.confirm_cut(&service) {
+            let cut_off = plane.state().reach.is_cut_off();
+            log::warn!(service:% = service, cut_off; "no server is reached");
+            metrics::gauge!("pollenchute_exchange_cut_services").increment(1.0);
+            plane.reach_changed.notify_waiters();
+            plane.release_waiters(&service);
+            plane.announce.notify_one();
+        }
+        max = MAX_CUT_PROBES;
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// Whether a refusal of another VM is that of all.
+fn is_final(refusal: &reply::Refusal) -> bool {
+    let elsewhere = matches!(
+        refusal.cause,
+        reply::RefusalCause::NoServer
+            | reply::RefusalCause::Stopping
+            | reply::RefusalCause::Unconfigured
+    );
+    refusal.ran != outcome::RanState::No || !elsewhere
+}
+
+const fn lost(cause: reply::RefusalCause) -> reply::Refusal {
+    reply::Refusal {
+        cause,
+        ran: outcome::RanState::Unknown,
+        retry_after: None,
+    }
+}
+
+const fn outcome_name(
+    answer: &Result<handover::HandedAnswer, handover::HandoverError>,
+) -> &'static str {
+    match answer {
+        Ok(Ok(_)) => "served",
+        Ok(Err(_)) => "refused",
+        Err(handover::HandoverError::Unsent) => "unsent",
+        Err(handover::HandoverError::Lost) => "lost",
+    }
+}
+
+/// Holds `guard` until the caller has the whole reply, so that a stop of this VM waits for it.
+fn hold_guard<G: 'static>(
+    request: &rc::Rc<request::ExchangeRequest>,
+    reply: reply::Reply,
+    guard: rc::Rc<G>,
+) -> reply::Reply {
+    let reply::ReplyBody::Parts(mut parts) = reply.body else {
+        return reply;
+    };
+    let (sender, receiver) = mpsc::channel(MAX_BUFFERED_PARTS);
+    let request = request.clone();
+    tokio::task::spawn_local(async move {
+        let watched = sender.clone();
+        let forwarding = async {
+            while let Some(part) = parts.recv().await {
+                let is_end = part == reply::StreamPart::End;
+                // The send fails if the caller has left, which ends this task.
+                let _ = sender.send(part).await;
+                if is_end {
+                    return outcome::EndKind::Whole;
+                }
+            }
+            outcome::EndKind::Failed
+        };
+        let end = tokio::select! {
+            biased;
+            () = watched.closed() => outcome::EndKind::Left,
+            () = tokio::time::sleep_until(request.limit) => outcome::EndKind::Failed,
+            end = forwarding => end,
+        };
+        log::info!(request:% = request.id, end:% = end.name(); "answer of another VM ended");
+        drop(guard);
+    });
+    reply::Reply {
+        body: reply::ReplyBody::Parts(receiver),
+        ..reply
+    }
+}
--- a/crates/exchange/src/reply.rs
+++ b/crates/exchange/src/reply.rs
@@ -35,7 +35,26 @@
     Timeout,
 }
 
+/// Causes of refusals that another VM may name.
+const NAMED_CAUSES: [RefusalCause; 9] = [
+    RefusalCause::Unconfigured,
+    RefusalCause::NoServer,
+    RefusalCause::Overload,
+    RefusalCause::Patience,
+    RefusalCause::Rejected,
+    RefusalCause::Stopping,
+    RefusalCause::Quarantined,
+    RefusalCause::ServerLost,
+    RefusalCause::Timeout,
+];
+
 impl RefusalCause {
+    /// The cause that another VM names.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        NAMED_CAUSES.into_iter().find(|cause| cause.name() == name)
+    }
+
     /// The name used in logs and metrics.
     #[must_use]
     pub const fn name(self) -> &'static str {
--- a/crates/exchange/src/request.rs
+++ b/crates/exchange/src/request.rs
@@ -74,6 +74,8 @@
     pub size: Option<GenerationSize>,
     /// Fingerprint of path, caller and body.
     pub fingerprint: u64,
+    /// Whether another VM handed the request over; it is then not handed on.
+    pub handed_over: bool,
 }
 
 impl ExchangeRequest {
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -113,6 +113,10 @@
                 Step::Respond(response) => return response,
                 Step::Retry(response) => last_response = Some(response),
             }
+            if attempts.is_empty() && self.leaves_to_another_vm() {
+                let cause = reply::RefusalCause::NoServer;
+                return Err(self.plane.refuse(self.request, cause));
+            }
             if attempts.is_empty() && !self.retry_allowed() {
                 return last_response.unwrap_or_else(|| Err(self.lost()));
             }
@@ -242,6 +246,12 @@
         }
     }
 
+    /// Whether the servers are not reached, and another VM may serve the call.
+    fn leaves_to_another_vm(&self) -> bool {
+        let not_run = self.ran == outcome::RanState::No;
+        not_run && !self.request.handed_over && self.plane.is_cut(&self.request.service)
+    }
+
     fn retry_allowed(&mut self) -> bool {
         let now = time::Instant::now();
         let idempotent = self.request.kind == catalog::ExchangeKind::Idempotent;
@@ -278,6 +288,10 @@
     }
 
     fn timed_out(&self) -> reply::Refusal {
+        for attempt in &self.unanswered {
+            let (server, sent_at) = (attempt.server, attempt.sent_at);
+            self.plane.record_reach(server, sent_at, false);
+        }
         for &server in &self.avoid {
             self.plane
                 .record_outcome(server, server::ServerVerdict::Failed);
@@ -339,7 +353,9 @@
         reuse,
     };
     let reply = plane.port.open(call).await;
-    let end = match plane.take_outcome(attempt, reply) {
+    let outcome = plane.take_outcome(attempt, reply);
+    plane.record_reach(placed.server, attempt.sent_at, outcome.reached());
+    let end = match outcome {
         port::CallOutcome::Responded(response) => read_response(response, placed).await,
         port::CallOutcome::NotRun(cause) => {
             let verdict = match cause {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -215,6 +215,10 @@
                 .await?;
             let server = placed.server;
             let Ok(reservation) = self.reserve(server).await else {
+                if !self.request.handed_over && self.plane.is_cut(&self.request.service) {
+                    let cause = reply::RefusalCause::NoServer;
+                    return Err(self.plane.refuse(&self.request, cause));
+                }
                 continue;
             };
             avoid.push(server);
@@ -286,7 +290,10 @@
         let sent = time::Instant::now();
         self.plane.count_request(server, "reserve");
         let reply = self.plane.port.reserve(target, tokens, span).await;
-        match self.plane.take_signals(server, sent, reply) {
+        let held = self.plane.take_signals(server, sent, reply);
+        let reached = !matches!(held, Err(port::ReserveFault::Unreachable));
+        self.plane.record_reach(server, sent, reached);
+        match held {
             Ok(handle) => Ok(Some(handle)),
             Err(error) => {
                 log::info!(
@@ -363,6 +370,8 @@
         }
         let reply = self.plane.port.open(call).await;
         let outcome = self.plane.take_outcome(attempt, reply);
+        let reached = outcome.reached();
+        self.plane.record_reach(server, attempt.sent_at, reached);
         if let port::CallOutcome::NotRun(port::NotRunCause::Unreachable) = outcome {
             self.repeat = repeat;
             self.give_back();
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     budget, capacity, catalog, delta, directory, era, evacuation, fleet, forecast, limits, loans,
-    message, notices, peers, place, port, relocate, repeats, request, returning, runs, server,
-    suspect, system, update, wait,
+    message, notices, peers, place, port, reach, relocate, repeats, request, returning, runs,
+    server, suspect, system, update, wait,
 };
 
 /// Settings of the plane, fixed at its start.
@@ -24,6 +24,8 @@
     pub entry_address: net::SocketAddr,
     /// Address for other VMs.
     pub link_address: net::SocketAddr,
+    /// Address at which other VMs hand requests over; absent if this VM takes none.
+    pub handover_address: Option<net::SocketAddr>,
     /// Addresses at which other VMs may be found at the start.
     pub seeds: Vec<net::SocketAddr>,
     /// Wall clock at the start in milliseconds, greater for each later process of this VM.
@@ -106,6 +108,8 @@
     pub repeats: repeats::RepeatLedger,
     /// Repeats that VMs lend each other.
     pub loans: loans::RepeatLoans,
+    /// Links of this VM to the servers of each service.
+    pub reach: reach::ReachTable,
     rng: rngs::StdRng,
 }
 
@@ -152,6 +156,7 @@
             trends: collections::HashMap::new(),
             repeats: repeats::RepeatLedger::default(),
             loans: loans::RepeatLoans::default(),
+            reach: reach::ReachTable::default(),
             rng,
         }
     }
@@ -718,6 +723,11 @@
         items.take(limits::MAX_LIMITS_PER_DATAGRAM).collect()
     }
 
+    /// Random source of decisions.
+    pub(crate) const fn rng(&mut self) -> &mut rngs::StdRng {
+        &mut self.rng
+    }
+
     /// A random number from 0 to 1.
     pub fn draw(&mut self) -> f64 {
         rand::RngExt::random(&mut self.rng)
@@ -753,6 +763,7 @@
             domain: self.settings.domain.clone(),
             stage: self.stage,
             address: self.settings.entry_address,
+            cut_off: self.reach.is_cut_off(),
         }
     }
 }
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -15,7 +15,8 @@
 
 use bytes::Bytes;
 use exchange::{
-    budget, catalog, fleet, plane, port, position, reply, request, state, system, update,
+    budget, catalog, fleet, handed, handover, plane, port, position, reply, request, state, system,
+    update,
 };
 use tokio::sync::mpsc;
 
@@ -49,6 +50,15 @@
     pub delimited: bool,
 }
 
+/// How the paths of a VM to all servers are cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathCut {
+    /// New connections are refused at once.
+    Refused,
+    /// New connections hang.
+    Silent,
+}
+
 /// How the connection of a response ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -58,6 +68,9 @@
     Reset,
 }
 
+/// Time after which a connection that hangs is given up.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
 /// Size in bytes of a part of a large response.
 pub const LARGE_PART: usize = 100_000;
 
@@ -109,6 +122,18 @@
     pub undelimited: cell::Cell<bool>,
     /// Requests whose runs were stopped for a copy.
     pub stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
+    /// Servers that refuse connections.
+    pub unreachable: cell::RefCell<collections::BTreeSet<String>>,
+    /// How the paths of this VM to all servers are cut.
+    pub cut: cell::Cell<Option<PathCut>>,
+    /// Servers to which connections were tried.
+    pub probed: cell::RefCell<Vec<String>>,
+    /// Requests that were handed over, with the address of the other VM.
+    pub handed: cell::RefCell<Vec<(String, net::SocketAddr)>>,
+    /// Other VMs by the address at which they take requests over.
+    pub vms: cell::RefCell<
+        collections::HashMap<net::SocketAddr, rc::Weak<plane::ExchangePlane<FakePort>>>,
+    >,
     /// Runs whose responses are still open, by server.
     pub open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
 }
@@ -159,6 +184,21 @@
             .push_back(script);
     }
 
+    /// Opens a connection to a server; returns whether it is reached.
+    async fn path(&self, server: &str) -> bool {
+        if self.unreachable.borrow().contains(server) {
+            return false;
+        }
+        match self.cut.get() {
+            None => true,
+            Some(PathCut::Refused) => false,
+            Some(PathCut::Silent) => {
+                tokio::time::sleep(CONNECT_TIMEOUT).await;
+                false
+            }
+        }
+    }
+
     fn body(
         &self,
         call: &port::ServerCall,
@@ -216,6 +256,10 @@
         call: port::ServerCall,
     ) -> port::SignalledReply<port::CallOutcome<FakeBody>> {
         let server = call.target.id.clone();
+        if !self.path(&server).await {
+            let cause = port::NotRunCause::Unreachable;
+            return port::SignalledReply::silent(port::CallOutcome::NotRun(cause));
+        }
         let now = tokio::time::Instant::now();
         let stalled_until = self.stalled.borrow().get(&server).copied();
         let arrives_at = stalled_until.map_or(now, |until| until.max(now));
@@ -238,6 +282,9 @@
         _tokens: u64,
         _span: time::Duration,
     ) -> port::SignalledReply<Result<String, port::ReserveFault>> {
+        if !self.path(&target.id).await {
+            return port::SignalledReply::silent(Err(port::ReserveFault::Unreachable));
+        }
         self.count(&target.id);
         if let Some(signals) = self.take_turn_away(&target.id) {
             let reply = Err(port::ReserveFault::Full);
@@ -281,6 +328,24 @@
         self.count(&source.id);
         self.signalled(&source.id, (), true)
     }
+
+    async fn probe(&self, target: port::ServerTarget) -> bool {
+        self.probed.borrow_mut().push(target.id.clone());
+        self.path(&target.id).await
+    }
+
+    async fn hand_over(
+        &self,
+        peer: net::SocketAddr,
+        request: handed::HandedRequest,
+    ) -> Result<handover::HandedAnswer, handover::HandoverError> {
+        self.handed.borrow_mut().push((request.id.clone(), peer));
+        let plane = self.vms.borrow().get(&peer).and_then(rc::Weak::upgrade);
+        let plane = plane.ok_or(handover::HandoverError::Unsent)?;
+        let request = handover::take_request(&plane, request);
+        let request = request.ok_or(handover::HandoverError::Unsent)?;
+        Ok(Box::pin(plane.serve(request)).await)
+    }
 }
 
 impl FakePort {
@@ -411,6 +476,7 @@
         domain: String::from("a"),
         entry_address: address(200),
         link_address: address(201),
+        handover_address: Some(address(202)),
         seeds: Vec::new(),
         incarnation: 1,
         retries: budget::BudgetRule {
@@ -615,6 +681,7 @@
         target_latency: time::Duration::from_millis(if stream { 1_800 } else { 100 }),
         size: stream.then_some(size),
         fingerprint: request::fingerprint(id, None, b""),
+        handed_over: false,
     }
 }
 
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -653,6 +653,7 @@
             domain: String::from("a"),
             stage: message::VmStage::Serving,
             address: cluster::address(1),
+            cut_off: false,
         };
         for (name, domain, number) in [("vm-2", "a", 2), ("vm-3", "b", 3), ("vm-4", "b", 4)] {
             peers.take(&datagram(name, domain, number, 1), now);
