exchange: a VM that is cut refuses what others hand over at once

Change: a known cut ends the attempts of handed requests too, with a quick refusal that they have not run.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -139,13 +139,7 @@
                 self.plane.count_request(live.placed.server, "copy");
             }
             copies += 1;
-            let (copied, mut ended) = self.copy_once(live, &source, &target, stop).await;
-            if stop && may_have_stopped(&copied) {
-                live.may_be_stopped = true;
-                if let Some(RelayEnd::Finished) = ended {
-                    ended = Some(self.end_of_body(live));
-                }
-            }
+            let (copied, ended) = self.copy_once(live, &source, &target, stop).await;
             log::info!(
                 request:% = self.request.id, from:% = source.id, to:% = target.id, stop,
                 outcome:? = copied, ms = millis(started); "copied"
@@ -229,22 +223,27 @@
         let copying = plane.port.copy(source.clone(), run, target.address, stop);
         tokio::pin!(copying);
         let mut ended = None;
-        loop {
+        let copied = loop {
             let Some(body) = live.body.as_mut() else {
                 return (Err(port::CopyFault::Unreachable), Some(RelayEnd::Broken));
             };
             tokio::select! {
                 biased;
-                copied = &mut copying => {
-                    return (plane.take_signals(from, sent, copied), ended);
-                }
+                copied = &mut copying => break plane.take_signals(from, sent, copied),
                 part = body.next(), if ended.is_none() => match part {
                     Some(Ok(bytes)) => self.forward(live, &bytes).await,
                     Some(Err(_)) => ended = Some(RelayEnd::Broken),
                     None => ended = Some(self.end_of_body(live)),
                 },
             }
+        };
+        if stop && may_have_stopped(&copied) {
+            live.may_be_stopped = true;
+            if matches!(ended, Some(RelayEnd::Finished)) {
+                ended = Some(self.end_of_body(live));
+            }
         }
+        (copied, ended)
     }
 
     /// Keeps the newest copy, from which the run can continue if its server is lost, and releases
@@ -327,9 +326,7 @@
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
                     self.moved(live, server);
                     self.spare = None;
-                    live.body = Some(response.body);
-                    live.first_event = self.splitter.events();
-                    live.may_be_stopped = false;
+                    live.continue_with(response.body, self.splitter.events());
                     self.moves += 1;
                     metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
                     log::info!(
--- a/crates/exchange/src/reaching.rs
+++ b/crates/exchange/src/reaching.rs
@@ -93,16 +93,17 @@
         request: rc::Rc<request::ExchangeRequest>,
         guard: rc::Rc<G>,
     ) -> Result<reply::Reply, reply::Refusal> {
-        if request.handed_over {
-            return self.serve_here(request, guard).await;
-        }
         if self.is_cut(&request.service) {
+            if request.handed_over {
+                return Err(self.refuse_cut(&request));
+            }
             let handed = self.hand_over(&request, guard).await;
             return handed.unwrap_or_else(|| Err(self.refuse_cut(&request)));
         }
         let answer = self.serve_here(request.clone(), guard.clone()).await;
-        let Err(refusal) = &answer else {
-            return answer;
+        let refusal = match &answer {
+            Err(refusal) if !request.handed_over => refusal,
+            _ => return answer,
         };
         if refusal.ran != outcome::RanState::No || !self.await_verdict(&request.service).await {
             return answer;
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -113,7 +113,7 @@
                 Step::Respond(response) => return response,
                 Step::Retry(response) => last_response = Some(response),
             }
-            if attempts.is_empty() && self.leaves_to_another_vm() {
+            if attempts.is_empty() && self.is_cut() {
                 let cause = reply::RefusalCause::NoServer;
                 return Err(self.plane.refuse(self.request, cause));
             }
@@ -246,10 +246,9 @@
         }
     }
 
-    /// Whether the servers are not reached, and another VM may serve the call.
-    fn leaves_to_another_vm(&self) -> bool {
-        let not_run = self.ran == outcome::RanState::No;
-        not_run && !self.request.handed_over && self.plane.is_cut(&self.request.service)
+    /// Whether no server is reached, and none has run the call.
+    fn is_cut(&self) -> bool {
+        self.ran == outcome::RanState::No && self.plane.is_cut(&self.request.service)
     }
 
     fn retry_allowed(&mut self) -> bool {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -159,6 +159,29 @@
     pub(crate) may_be_stopped: bool,
 }
 
+impl<P: port::ServerPort> LiveRun<P> {
+    const fn new(
+        placed: plane::PlacedRun<P>,
+        orders: mpsc::UnboundedReceiver<relocate::RelocationOrder>,
+    ) -> Self {
+        Self {
+            placed,
+            orders,
+            body: None,
+            has_events: false,
+            first_event: 0,
+            may_be_stopped: false,
+        }
+    }
+
+    /// Continues with the body of another server, after so many events.
+    pub(crate) fn continue_with(&mut self, body: P::Body, events: u64) {
+        self.body = Some(body);
+        self.first_event = events;
+        self.may_be_stopped = false;
+    }
+}
+
 /// Why forwarding from one server ended.
 pub(crate) enum RelayEnd {
     /// The stream is complete.
@@ -215,7 +238,7 @@
                 .await?;
             let server = placed.server;
             let Ok(reservation) = self.reserve(server).await else {
-                if !self.request.handed_over && self.plane.is_cut(&self.request.service) {
+                if self.plane.is_cut(&self.request.service) {
                     let cause = reply::RefusalCause::NoServer;
                     return Err(self.plane.refuse(&self.request, cause));
                 }
@@ -223,14 +246,7 @@
             };
             avoid.push(server);
             let orders = self.plane.relocation_orders(placed.run);
-            let mut live = LiveRun {
-                placed,
-                orders,
-                body: None,
-                has_events: false,
-                first_event: 0,
-                may_be_stopped: false,
-            };
+            let mut live = LiveRun::new(placed, orders);
             let Some(mut call) = self.call(&live, None, server) else {
                 continue;
             };
