exchange: brittle servers are not made to turn too many requests away

Change: a signal of the server like its limit, known over all VMs. The slots of a brittle server are dealt out to the VMs, so that calls do not wait there; a VM that was turned away, also from a reservation, sends nothing there for as many seconds as there are VMs for one such request, up to twice that, so that they do not return together. With more VMs than slots those without a part send nothing there.

--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -578,6 +578,7 @@
             if let Some(record) = self.servers.get_mut(key) {
                 let hash = record.incarnation_hash();
                 record.limit.update_share(hash, view, now);
+                record.brittle.update_slots(record.slots, hash, view);
             }
         }
     }
--- a/crates/exchange/src/limits.rs
+++ b/crates/exchange/src/limits.rs
@@ -77,25 +77,32 @@
         } else {
             (total, WINDOW)
         };
-        let known = view.others.len() + 1;
-        let vms = view.vms.max(known);
-        let place = |vm: u64| xxhash_rust::xxh3::xxh3_64_with_seed(&vm.to_le_bytes(), server);
-        let own = place(view.own);
-        let ahead = view.others.iter().filter(|&&vm| place(vm) < own).count();
-        let remainder = (total % vms).saturating_mul(known);
         Self {
-            requests: total / vms + usize::from((ahead + 1) * vms <= remainder),
+            requests: deal(total, server, view),
             window,
         }
     }
 }
 
+/// Part of one VM in `total` requests to a server with this incarnation hash.
+fn deal(total: usize, server: u64, view: &SenderView) -> usize {
+    let known = view.others.len() + 1;
+    let vms = view.vms.max(known);
+    let place = |vm: u64| xxhash_rust::xxh3::xxh3_64_with_seed(&vm.to_le_bytes(), server);
+    let own = place(view.own);
+    let ahead = view.others.iter().filter(|&&vm| place(vm) < own).count();
+    let remainder = (total % vms).saturating_mul(known);
+    total / vms + usize::from((ahead + 1) * vms <= remainder)
+}
+
 /// Limit of one server, and the requests that this VM sent to it.
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimit {
     report: Option<LimitReport>,
     /// Share of this VM; meaningful while there is a limit.
     share: LimitShare,
+    /// Part of this VM in the slots of a brittle server.
+    slots: u32,
     /// Times of requests of any kind, oldest first. Kept without a limit too: those sent before the
     /// limit was stated count in its first window.
     sent: collections::VecDeque<time::Instant>,
@@ -164,6 +171,17 @@
         }
     }
 
+    /// Computes the part of this VM in the slots of a brittle server anew.
+    pub fn update_slots(&mut self, slots: u32, server: u64, view: &SenderView) {
+        self.slots = u32::try_from(deal(slots as usize, server, view)).unwrap_or(u32::MAX);
+    }
+
+    /// Slots of a brittle server that this VM may use.
+    #[must_use]
+    pub const fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Counts a request of this VM.
     pub fn count_request(&mut self, now: time::Instant) {
         let kept = self.share.window.max(WINDOW);
@@ -233,20 +251,23 @@
     }
 }
 
-/// Statement about the limit of a server, for other VMs. `all` includes those that are no longer
-/// repeated.
-#[must_use]
-pub fn limit_item(
+/// Statements of a server for other VMs: about its limit, and about the requests that it can turn
+/// away. `all` includes those that are no longer repeated.
+pub fn limit_items(
     record: &server::ServerRecord,
     all: bool,
     now: time::Instant,
-) -> Option<message::LimitItem> {
-    let report = record.limit.report(now)?;
-    let age = now.saturating_duration_since(report.said_at);
-    let due = age < REPEAT_TIME || all && report.per_second.is_some();
-    due.then(|| message::LimitItem {
-        server: record.incarnation_hash(),
-        per_second: report.per_second,
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+) -> impl Iterator<Item = message::LimitItem> {
+    let limits = [(&record.limit, false), (&record.brittle, true)];
+    limits.into_iter().filter_map(move |(limit, brittle)| {
+        let report = limit.report(now)?;
+        let age = now.saturating_duration_since(report.said_at);
+        let due = age < REPEAT_TIME || all && report.per_second.is_some();
+        due.then(|| message::LimitItem {
+            server: record.incarnation_hash(),
+            per_second: report.per_second,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            brittle,
+        })
     })
 }
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -116,7 +116,7 @@
     }
 }
 
-/// What a server stated about its limit on requests.
+/// What a server stated about its limit on requests, or on those that it turns away.
 #[derive(Clone, Copy, PartialEq)]
 #[derive(prost::Message)]
 pub struct LimitItem {
@@ -129,6 +129,10 @@
     /// Time since the answer with the statement.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Whether the statement is about requests that the server turns away, instead of all that it
+    /// takes.
+    #[prost(bool, tag = "4")]
+    pub brittle: bool,
 }
 
 /// Repeats of a service that the sender asks the recipient for, or grants it.
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -225,7 +225,7 @@
     now: time::Instant,
 ) -> Option<f64> {
     let fair_share = record.slots * (1 + MAX_QUEUE_FACTOR) / entries.max(1) + 2;
-    if load.own_runs >= fair_share {
+    if load.own_runs >= fair_share || is_filled(record, load, now) {
         return None;
     }
     let latency = if record.latency_ms() == 0.0 {
@@ -242,6 +242,12 @@
     Some(latency * (1.0 + queue) + record.failure_rate(now) * FAILED_CALL_MS - warm)
 }
 
+/// Returns whether a brittle server may have to turn a further call of this VM away: the slots are
+/// dealt out to the VMs, and none fills the server's queue.
+fn is_filled(record: &server::ServerRecord, load: &loads::ServerLoad, now: time::Instant) -> bool {
+    record.is_brittle(now) && load.own_runs >= record.brittle.slots()
+}
+
 fn common_cost(record: &server::ServerRecord, domain: &str, now: time::Instant) -> f64 {
     let domain = if record.domain == domain {
         0.0
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -290,6 +290,14 @@
             self.announce.notify_one();
             self.decisions_due.notify_one();
         }
+        if let Some(signal) = reply.signals.brittle
+            && self
+                .state
+                .borrow_mut()
+                .take_brittle_signal(key, signal, sent_at, now)
+        {
+            self.announce.notify_one();
+        }
         if let Some(rest) = reply.signals.rest {
             self.take_rest_signal(key, rest);
         }
@@ -314,6 +322,9 @@
                 state.repeats.record_unsent(&rule, attempt, now);
             }
             port::CallOutcome::Responded(_) | port::CallOutcome::NotRun(_) => {
+                if let port::CallOutcome::NotRun(port::NotRunCause::Rejected) = &outcome {
+                    state.note_turned_away(attempt.server, now);
+                }
                 state.repeats.record_answer(&rule, attempt, now);
             }
             port::CallOutcome::Lost(_) => {}
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -143,6 +143,9 @@
 pub struct ServerSignals {
     /// Limit on requests; `None` if the answer does not tell.
     pub limit: Option<LimitSignal>,
+    /// Number of requests per second that the server can turn away for want of room, those of all
+    /// VMs together; one that has to turn away more falls over. `None` if the answer does not tell.
+    pub brittle: Option<LimitSignal>,
     /// Whether the server says that it leaves. An answer that does not say so tells nothing.
     pub leaving: bool,
     /// Time for which the server wants nothing from this VM; set if it turned the request away.
@@ -163,6 +166,7 @@
     pub const fn silent(reply: T) -> Self {
         let signals = ServerSignals {
             limit: None,
+            brittle: None,
             leaving: false,
             rest: None,
         };
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -542,6 +542,9 @@
     pub(crate) fn mark_full(&self, server: fleet::ServerKey) {
         let now = time::Instant::now();
         let mut state = self.plane.state();
+        if state.note_turned_away(server, now) {
+            return;
+        }
         let pause = FULL_RETRY_DELAY.mul_f64(0.7 + 0.6 * state.draw());
         state.fleet.mark_full(server, now + pause);
     }
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -28,6 +28,10 @@
 /// answer states it again.
 const MAX_REST: time::Duration = time::Duration::from_secs(300);
 
+/// Shortest and longest pause after a brittle server has turned this VM away.
+const MIN_TURNED_AWAY_PAUSE: time::Duration = time::Duration::from_secs(1);
+const MAX_TURNED_AWAY_PAUSE: time::Duration = time::Duration::from_secs(30);
+
 /// Number of earlier eras of the store of which a position is kept.
 const MAX_EARLIER_ERAS: usize = 4;
 
@@ -91,6 +95,8 @@
     rest_until: Option<time::Instant>,
     /// Limit on requests that the server states.
     pub limit: limits::ServerLimit,
+    /// Number of requests that the server can turn away for want of room without falling over.
+    pub brittle: limits::ServerLimit,
     /// When this VM last sent an attempt to the server.
     used_at: Option<time::Instant>,
     /// When `failure_rate` was last updated.
@@ -136,6 +142,7 @@
             said_leaving: entry.said_leaving,
             rest_until: None,
             limit: limits::ServerLimit::default(),
+            brittle: limits::ServerLimit::default(),
             used_at: None,
             failure_rate_at: now,
             latency_ms: 0.0,
@@ -365,6 +372,22 @@
         rests || self.limit.per_second(now).is_some()
     }
 
+    /// Returns whether the server falls over if it has to turn too many requests away.
+    #[must_use]
+    pub fn is_brittle(&self, now: time::Instant) -> bool {
+        self.brittle.per_second(now).is_some()
+    }
+
+    /// How long this VM must not send to a brittle server that turned it away, so that all of `vms`
+    /// together are not turned away more often than the server can bear; `None` for other servers.
+    #[must_use]
+    pub fn turned_away_pause(&self, vms: usize, now: time::Instant) -> Option<time::Duration> {
+        let per_second = self.brittle.per_second(now)?;
+        let pause = time::Duration::try_from_secs_f64(vms as f64 / per_second);
+        let pause = pause.unwrap_or(MAX_TURNED_AWAY_PAUSE);
+        Some(pause.clamp(MIN_TURNED_AWAY_PAUSE, MAX_TURNED_AWAY_PAUSE))
+    }
+
     /// Returns whether the server recently reported that it is full.
     #[must_use]
     pub fn is_full(&self, now: time::Instant) -> bool {
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -666,6 +666,13 @@
             per_second: item.per_second,
             said_at,
         };
+        if item.brittle {
+            let changed = server.brittle.take_report(report);
+            if changed {
+                self.note_brittle(key, "peer", now);
+            }
+            return changed;
+        }
         let changed = server.limit.take_report(report);
         if changed {
             self.note_limit(key, "peer", now);
@@ -673,6 +680,49 @@
         changed
     }
 
+    /// Takes what a server states about the requests that it can turn away, in the answer to a
+    /// request that was sent at `sent_at`. Returns whether that changed.
+    pub fn take_brittle_signal(
+        &mut self,
+        key: fleet::ServerKey,
+        signal: port::LimitSignal,
+        sent_at: time::Instant,
+        now: time::Instant,
+    ) -> bool {
+        let Some(server) = self.fleet.server_mut(key) else {
+            return false;
+        };
+        let changed = server.brittle.take_signal(signal, sent_at, now);
+        if changed {
+            self.note_brittle(key, "server", now);
+        }
+        changed
+    }
+
+    fn note_brittle(&mut self, key: fleet::ServerKey, source: &str, now: time::Instant) {
+        if let Some(server) = self.fleet.server(key) {
+            log::info!(
+                server:% = server.id, per_second:? = server.brittle.per_second(now), source:%;
+                "server changed how many requests it can turn away"
+            );
+        }
+        self.fleet.limited.add(key);
+    }
+
+    /// Notes that a brittle server turned a request of this VM away. Returns whether it is one.
+    pub fn note_turned_away(&mut self, key: fleet::ServerKey, now: time::Instant) -> bool {
+        let vms = self.peers.senders(now).count() + 1;
+        let vms = vms.max(self.peers.reported_senders(now));
+        let record = self.fleet.server(key);
+        let pause = record.and_then(|record| record.turned_away_pause(vms, now));
+        if let Some(pause) = pause {
+            // VMs that were turned away at the same moment return one after the other.
+            let spread = 1.0 + self.draw();
+            self.fleet.mark_full(key, now + pause.mul_f64(spread));
+        }
+        pause.is_some()
+    }
+
     fn note_limit(&mut self, key: fleet::ServerKey, source: &str, now: time::Instant) {
         if let Some(server) = self.fleet.server(key) {
             log::info!(
@@ -719,7 +769,7 @@
     pub fn limit_items(&self, all: bool, now: time::Instant) -> Vec<message::LimitItem> {
         let servers = self.fleet.limited.keys();
         let servers = servers.filter_map(|key| self.fleet.server(key));
-        let items = servers.filter_map(|server| limits::limit_item(server, all, now));
+        let items = servers.flat_map(|server| limits::limit_items(server, all, now));
         items.take(limits::MAX_LIMITS_PER_DATAGRAM).collect()
     }
 
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -50,6 +50,21 @@
     pub delimited: bool,
 }
 
+/// Brittle servers by name.
+pub type SharedServers = rc::Rc<cell::RefCell<collections::BTreeMap<String, SharedServer>>>;
+
+/// A server that all VMs share, with room for a few requests.
+#[derive(Clone, Debug)]
+pub struct SharedServer {
+    /// Requests that it takes at a time, waiting ones included.
+    pub room: usize,
+    pub running: usize,
+    /// Requests per second that it can turn away.
+    pub brittle: f64,
+    /// When it turned requests away.
+    pub turned_away: Vec<tokio::time::Instant>,
+}
+
 /// How the paths of a VM to all servers are cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathCut {
@@ -122,6 +137,8 @@
     pub undelimited: cell::Cell<bool>,
     /// Requests whose runs were stopped for a copy.
     pub stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
+    /// Brittle servers that all VMs share, by name.
+    pub shared: cell::RefCell<SharedServers>,
     /// Servers that refuse connections.
     pub unreachable: cell::RefCell<collections::BTreeSet<String>>,
     /// How the paths of this VM to all servers are cut.
@@ -271,9 +288,14 @@
             let reply = port::CallOutcome::NotRun(port::NotRunCause::Rejected);
             return port::SignalledReply { reply, signals };
         }
-        let reply = self.respond(call).await;
+        let reply = self.respond_shared(call).await;
         let answered = !matches!(reply, port::CallOutcome::Lost(_));
-        self.signalled(&server, reply, answered)
+        let mut reply = self.signalled(&server, reply, answered);
+        let shared = self.shared.borrow().clone();
+        if let Some(shared) = shared.borrow().get(&server) {
+            reply.signals.brittle = Some(port::LimitSignal::PerSecond(shared.brittle));
+        }
+        reply
     }
 
     async fn reserve(
@@ -388,6 +410,29 @@
         port::SignalledReply { reply, signals }
     }
 
+    /// Responds, or turns the request away if a shared server has no room.
+    async fn respond_shared(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
+        let server = call.target.id.clone();
+        let servers = self.shared.borrow().clone();
+        let taken = servers.borrow_mut().get_mut(&server).map(|shared| {
+            let taken = shared.running < shared.room;
+            if taken {
+                shared.running += 1;
+            } else {
+                shared.turned_away.push(tokio::time::Instant::now());
+            }
+            taken
+        });
+        if taken == Some(false) {
+            return port::CallOutcome::NotRun(port::NotRunCause::Rejected);
+        }
+        let reply = self.respond(call).await;
+        if let Some(shared) = servers.borrow_mut().get_mut(&server) {
+            shared.running -= 1;
+        }
+        reply
+    }
+
     /// Takes the script for an attempt.
     fn take_script(&self, call: &port::ServerCall) -> ServerScript {
         let mut scripts = self.scripts.borrow_mut();
--- a/crates/exchange/tests/handovers.rs
+++ b/crates/exchange/tests/handovers.rs
@@ -269,6 +269,36 @@
     });
 }
 
+#[test]
+fn a_server_that_is_silent_for_a_second_is_not_taken_for_lost() {
+    // Guards against calls that are lost, or take a way round, because a sound server pauses.
+    cluster::run(async {
+        let vms = TestVms::new(2);
+        let plane = &vms.planes[0];
+        for round in 0..4 {
+            let silent_until = Instant::now() + time::Duration::from_millis(1_100);
+            let server = ["s1", "s2"][round % 2].to_owned();
+            plane
+                .port()
+                .stalled
+                .borrow_mut()
+                .insert(server, silent_until);
+            let calls = (0..6).map(|number| {
+                let kind = CALLS[number % 2];
+                let request = cluster::request(&format!("a{round}-{number}"), kind);
+                async { is_served(plane.serve(request).await).await }
+            });
+            let calls = futures_util::future::join_all(calls);
+            let passing = vms.pass(time::Duration::from_millis(1_500));
+            let (served, ()) = tokio::join!(calls, passing);
+            assert_eq!(served, [true; 6], "round {round}");
+        }
+        assert!(plane.port().handed.borrow().is_empty());
+        let once = (0..4).flat_map(|round| [1, 3, 5].map(|number| format!("a{round}-{number}")));
+        assert!(once.into_iter().all(|id| vms.attempts(&id) == 1));
+    });
+}
+
 #[test]
 fn only_vms_of_this_system_hand_requests_over() {
     // Guards against callers that pass for a VM: they do not know the number of the system.
--- a/crates/exchange/tests/leaving.rs
+++ b/crates/exchange/tests/leaving.rs
@@ -21,6 +21,7 @@
 
 const LEAVING: port::ServerSignals = port::ServerSignals {
     limit: None,
+    brittle: None,
     leaving: true,
     rest: None,
 };
