--- a/crates/exchange/tests/brittle.rs
+++ b/crates/exchange/tests/brittle.rs
@@ -50,22 +50,9 @@
     }
 }
 
-/// Plays a load at `vms` VMs of two servers that are brittle and then let none wait; returns how
-/// often servers fell over, and the fraction of the calls that was served.
-async fn play(vms: usize, per_second: f64, load_ms: u64, seed: u64) -> (usize, f64) {
+/// VMs that share two brittle servers.
+fn start_vms(vms: usize, per_second: f64) -> (Vec<cluster::TestPlane>, cluster::SharedServers) {
     let shared = cluster::SharedServers::default();
-    let planes: Vec<_> = (0..vms)
-        .map(|number| {
-            let plane = cluster::plane();
-            *plane.port().shared.borrow_mut() = shared.clone();
-            let mut state = plane.state();
-            state.settings.name = cluster::vm_name(number);
-            state.settings.link_address = cluster::vm_address(number);
-            drop(state);
-            cluster::start(&plane);
-            plane
-        })
-        .collect();
     for server in ["s1", "s2"] {
         let brittle = cluster::SharedServer {
             room: 24,
@@ -75,6 +62,23 @@
         };
         shared.borrow_mut().insert(server.to_owned(), brittle);
     }
+    let planes = (0..vms).map(|number| {
+        let plane = cluster::plane();
+        *plane.port().shared.borrow_mut() = shared.clone();
+        let mut state = plane.state();
+        state.settings.name = cluster::vm_name(number);
+        state.settings.link_address = cluster::vm_address(number);
+        drop(state);
+        cluster::start(&plane);
+        plane
+    });
+    (planes.collect(), shared)
+}
+
+/// Plays a load at `vms` VMs of two servers that are brittle and then let none wait; returns how
+/// often servers fell over, and the fraction of the calls that was served.
+async fn play(vms: usize, per_second: f64, load_ms: u64, seed: u64) -> (usize, f64) {
+    let (planes, shared) = start_vms(vms, per_second);
     let mut rng = rngs::StdRng::seed_from_u64(seed);
     let started = Instant::now();
     let mut calls = Vec::new();
@@ -132,7 +136,6 @@
             cluster::run(async move {
                 let (falls, served) = play(vms, per_second, 2, seed).await;
                 let what = format!("{vms} VMs, {per_second} a second, seed {seed}");
-                println!("{what}: {falls} falls, {served:.3} served");
                 assert!(falls <= MAX_FALLS, "{what}: {falls} falls");
                 assert!(served > 0.4, "{what}: {served} of the calls served");
             });
