exchange: statements of brittle servers travel in a field of their own

Cause: read again: VMs of an earlier version would have taken them for limits on all requests. Change: a field beside that of the limits, which they pass over; one function takes both.

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -342,6 +342,7 @@
     while datagram.encoded_len() > link::MAX_DATAGRAM_BYTES {
         let shorter = datagram.known.pop().is_some()
             || datagram.accusations.pop().is_some()
+            || datagram.brittle.pop().is_some()
             || datagram.limits.pop().is_some()
             || datagram.loads.pop().is_some();
         if !shorter {
@@ -385,6 +386,7 @@
         waiting: state.waiting(now),
         partial: !state.servers_complete,
         limits: state.limit_items(false, now),
+        brittle: state.brittle_items(false, now),
         senders: u32::try_from(state.peers.senders(now).count() + 1).unwrap_or(u32::MAX),
         evacuations: evacuations_changed(state, now).then(|| state.fleet.evacuations().into()),
         cut_services: state
@@ -405,7 +407,9 @@
 /// Adds the sender's name and addresses, some other VMs and the evacuations.
 fn introduce(datagram: &mut message::PeerDatagram, state: &mut state::PlaneState) {
     datagram.evacuations = Some(state.fleet.evacuations().into());
-    datagram.limits = state.limit_items(true, time::Instant::now());
+    let now = time::Instant::now();
+    datagram.limits = state.limit_items(true, now);
+    datagram.brittle = state.brittle_items(true, now);
     datagram.system = state.system.number();
     datagram.name.clone_from(&state.settings.name);
     datagram.domain.clone_from(&state.settings.domain);
--- a/crates/exchange/src/limits.rs
+++ b/crates/exchange/src/limits.rs
@@ -11,7 +11,7 @@
 
 use tokio::time;
 
-use crate::{fleet, message, port, server};
+use crate::{fleet, message, port};
 
 /// Window over which a limit is kept: the users sum requests over 4 s.
 const WINDOW: time::Duration = time::Duration::from_secs(4);
@@ -251,23 +251,21 @@
     }
 }
 
-/// Statements of a server for other VMs: about its limit, and about the requests that it can turn
-/// away. `all` includes those that are no longer repeated.
-pub fn limit_items(
-    record: &server::ServerRecord,
+/// Statement for other VMs about a limit of the server with this incarnation hash. `all` includes
+/// those that are no longer repeated.
+#[must_use]
+pub fn limit_item(
+    server: u64,
+    limit: &ServerLimit,
     all: bool,
     now: time::Instant,
-) -> impl Iterator<Item = message::LimitItem> {
-    let limits = [(&record.limit, false), (&record.brittle, true)];
-    limits.into_iter().filter_map(move |(limit, brittle)| {
-        let report = limit.report(now)?;
-        let age = now.saturating_duration_since(report.said_at);
-        let due = age < REPEAT_TIME || all && report.per_second.is_some();
-        due.then(|| message::LimitItem {
-            server: record.incarnation_hash(),
-            per_second: report.per_second,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            brittle,
-        })
+) -> Option<message::LimitItem> {
+    let report = limit.report(now)?;
+    let age = now.saturating_duration_since(report.said_at);
+    let due = age < REPEAT_TIME || all && report.per_second.is_some();
+    due.then(|| message::LimitItem {
+        server,
+        per_second: report.per_second,
+        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     })
 }
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -164,6 +164,9 @@
     for item in &datagram.limits {
         state.take_limit_item(item, now);
     }
+    for item in &datagram.brittle {
+        state.take_brittle_item(item, now);
+    }
     if let Some(address) = state.peers.address_of(datagram.sender) {
         for item in &datagram.loans {
             state.take_loan_item(address, item, now);
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -129,10 +129,6 @@
     /// Time since the answer with the statement.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
-    /// Whether the statement is about requests that the server turns away, instead of all that it
-    /// takes.
-    #[prost(bool, tag = "4")]
-    pub brittle: bool,
 }
 
 /// Repeats of a service that the sender asks the recipient for, or grants it.
@@ -278,6 +274,9 @@
     /// Whether the VM reaches no server at all.
     #[prost(bool, tag = "31")]
     pub cut_off: bool,
+    /// Requests per second that brittle servers can turn away; which ones is as for `limits`.
+    #[prost(message, repeated, tag = "32")]
+    pub brittle: Vec<LimitItem>,
 }
 
 /// Failure domains that are evacuated.
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -654,30 +654,39 @@
 
     /// Takes what a server stated about its limit to another VM. Returns whether the limit changed.
     pub fn take_limit_item(&mut self, item: &message::LimitItem, now: time::Instant) -> bool {
-        let Some(key) = self.fleet.find_incarnation(item.server) else {
-            return false;
-        };
+        let changed = self.take_statement(item, |server| &mut server.limit, now);
+        if let Some(key) = changed {
+            self.note_limit(key, "peer", now);
+        }
+        changed.is_some()
+    }
+
+    /// Takes what a server stated to another VM about the requests that it can turn away. Returns
+    /// whether that changed.
+    pub fn take_brittle_item(&mut self, item: &message::LimitItem, now: time::Instant) -> bool {
+        let changed = self.take_statement(item, |server| &mut server.brittle, now);
+        if let Some(key) = changed {
+            self.note_brittle(key, "peer", now);
+        }
+        changed.is_some()
+    }
+
+    /// Takes a statement of a server to another VM. Returns the server if that changed anything.
+    fn take_statement(
+        &mut self,
+        item: &message::LimitItem,
+        limit_of: impl Fn(&mut server::ServerRecord) -> &mut limits::ServerLimit,
+        now: time::Instant,
+    ) -> Option<fleet::ServerKey> {
+        let key = self.fleet.find_incarnation(item.server)?;
         let age = time::Duration::from_millis(u64::from(item.age_ms));
-        let (Some(server), Some(said_at)) = (self.fleet.server_mut(key), now.checked_sub(age))
-        else {
-            return false;
-        };
+        let said_at = now.checked_sub(age)?;
         let report = limits::LimitReport {
             per_second: item.per_second,
             said_at,
         };
-        if item.brittle {
-            let changed = server.brittle.take_report(report);
-            if changed {
-                self.note_brittle(key, "peer", now);
-            }
-            return changed;
-        }
-        let changed = server.limit.take_report(report);
-        if changed {
-            self.note_limit(key, "peer", now);
-        }
-        changed
+        let server = self.fleet.server_mut(key)?;
+        limit_of(server).take_report(report).then_some(key)
     }
 
     /// Takes what a server states about the requests that it can turn away, in the answer to a
@@ -767,9 +776,27 @@
     /// Statements about limits for other VMs; `all` includes those that are no longer repeated.
     #[must_use]
     pub fn limit_items(&self, all: bool, now: time::Instant) -> Vec<message::LimitItem> {
+        self.statements(|server| &server.limit, all, now)
+    }
+
+    /// Statements for other VMs about the requests that servers can turn away; see
+    /// [`Self::limit_items`].
+    #[must_use]
+    pub fn brittle_items(&self, all: bool, now: time::Instant) -> Vec<message::LimitItem> {
+        self.statements(|server| &server.brittle, all, now)
+    }
+
+    fn statements(
+        &self,
+        limit_of: impl Fn(&server::ServerRecord) -> &limits::ServerLimit,
+        all: bool,
+        now: time::Instant,
+    ) -> Vec<message::LimitItem> {
         let servers = self.fleet.limited.keys();
         let servers = servers.filter_map(|key| self.fleet.server(key));
-        let items = servers.flat_map(|server| limits::limit_items(server, all, now));
+        let items = servers.filter_map(|server| {
+            limits::limit_item(server.incarnation_hash(), limit_of(server), all, now)
+        });
         items.take(limits::MAX_LIMITS_PER_DATAGRAM).collect()
     }
 
--- a/crates/exchange/tests/brittle.rs
+++ b/crates/exchange/tests/brittle.rs
@@ -143,6 +143,29 @@
     }
 }
 
+#[test]
+fn what_a_server_can_turn_away_is_known_to_all_vms() {
+    // Guards against VMs that fill a brittle server since it has not told them so itself.
+    cluster::run(async {
+        let (planes, _) = start_vms(3, 4.0);
+        let now = Instant::now();
+        let key = planes[0].state().fleet.find("s1").expect("known");
+        let stated = port::LimitSignal::PerSecond(4.0);
+        planes[0].state().take_brittle_signal(key, stated, now, now);
+        tell_all(&planes, 2);
+        for plane in &planes {
+            let state = plane.state();
+            let server = |id| state.fleet.server(state.fleet.find(id).expect("known"));
+            assert!(server("s1").expect("known").is_brittle(now));
+            assert!(!server("s2").expect("known").is_brittle(now));
+            assert!(
+                !state.fleet.is_limited(key, now),
+                "that is another statement"
+            );
+        }
+    });
+}
+
 #[test]
 fn a_server_that_says_no_more_that_it_is_brittle_is_filled_again() {
     cluster::run(async {
