exchange: sizes of generations are converted in one place each way

The conversion of a generation's size stood in the middle of those of a handed request, twice; statements of servers were taken with an early return where one expression does. Behaviour as before.

--- a/crates/exchange/src/handed.rs
+++ b/crates/exchange/src/handed.rs
@@ -203,6 +203,36 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+impl From<&request::GenerationSize> for SizeItem {
+    fn from(size: &request::GenerationSize) -> Self {
+        let parts = size.parts.iter().map(|part| PartItem {
+            hash: part.hash,
+            tokens: part.tokens,
+        });
+        Self {
+            prompt_tokens: size.prompt_tokens,
+            max_tokens: size.max_tokens,
+            hint_tokens: size.hint_tokens,
+            parts: parts.collect(),
+        }
+    }
+}
+
+impl From<SizeItem> for request::GenerationSize {
+    fn from(size: SizeItem) -> Self {
+        let parts = size.parts.iter().map(|part| request::PromptPart {
+            hash: part.hash,
+            tokens: part.tokens,
+        });
+        Self {
+            prompt_tokens: size.prompt_tokens,
+            max_tokens: size.max_tokens,
+            hint_tokens: size.hint_tokens,
+            parts: parts.collect(),
+        }
+    }
+}
+
 impl HandedRequest {
     /// Whether the answer is a stream.
     #[must_use]
@@ -213,19 +243,6 @@
     /// The message that hands a request over.
     #[must_use]
     pub fn of(request: &request::ExchangeRequest, system: u64, vm: &str, now: Instant) -> Self {
-        let size = request.size.as_ref().map(|size| SizeItem {
-            prompt_tokens: size.prompt_tokens,
-            max_tokens: size.max_tokens,
-            hint_tokens: size.hint_tokens,
-            parts: size
-                .parts
-                .iter()
-                .map(|part| PartItem {
-                    hash: part.hash,
-                    tokens: part.tokens,
-                })
-                .collect(),
-        });
         Self {
             system,
             vm: vm.to_owned(),
@@ -244,7 +261,7 @@
             deadline_ms: millis(request.deadline.saturating_duration_since(now)),
             limit_ms: millis(request.left(now)),
             target_latency_ms: millis(request.target_latency),
-            size,
+            size: request.size.as_ref().map(SizeItem::from),
             fingerprint: request.fingerprint,
         }
     }
@@ -252,19 +269,6 @@
     /// The request that was handed over; `None` if a field is not valid.
     #[must_use]
     pub fn into_request(self, now: Instant) -> Option<request::ExchangeRequest> {
-        let size = self.size.map(|size| request::GenerationSize {
-            prompt_tokens: size.prompt_tokens,
-            max_tokens: size.max_tokens,
-            hint_tokens: size.hint_tokens,
-            parts: size
-                .parts
-                .iter()
-                .map(|part| request::PromptPart {
-                    hash: part.hash,
-                    tokens: part.tokens,
-                })
-                .collect(),
-        });
         let deadline = now + time::Duration::from_millis(self.deadline_ms);
         Some(request::ExchangeRequest {
             id: self.id,
@@ -283,7 +287,7 @@
             deadline,
             limit: deadline.min(now + time::Duration::from_millis(self.limit_ms)),
             target_latency: time::Duration::from_millis(self.target_latency_ms),
-            size,
+            size: self.size.map(request::GenerationSize::from),
             fingerprint: self.fingerprint,
             handed_over: true,
         })
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -642,10 +642,8 @@
         sent_at: time::Instant,
         now: time::Instant,
     ) -> bool {
-        let Some(server) = self.fleet.server_mut(key) else {
-            return false;
-        };
-        let changed = server.limit.take_signal(signal, sent_at, now);
+        let server = self.fleet.server_mut(key);
+        let changed = server.is_some_and(|server| server.limit.take_signal(signal, sent_at, now));
         if changed {
             self.note_limit(key, "server", now);
         }
@@ -698,10 +696,8 @@
         sent_at: time::Instant,
         now: time::Instant,
     ) -> bool {
-        let Some(server) = self.fleet.server_mut(key) else {
-            return false;
-        };
-        let changed = server.brittle.take_signal(signal, sent_at, now);
+        let server = self.fleet.server_mut(key);
+        let changed = server.is_some_and(|server| server.brittle.take_signal(signal, sent_at, now));
         if changed {
             self.note_brittle(key, "server", now);
         }
