--- a/crates/exchange/src/handed.rs
+++ b/crates/exchange/src/handed.rs
@@ -94,7 +94,7 @@
     /// Service that handles the request.
     #[prost(string, tag = "11")]
     pub service: String,
-    /// Kind of the request: see [`kind_number`].
+    /// Kind of the request: 1 idempotent, 2 once, 3 stream.
     #[prost(uint32, tag = "12")]
     pub kind: u32,
     /// Priority; 0 goes first.
@@ -133,7 +133,7 @@
     /// Name of the refusal's cause.
     #[prost(string, tag = "3")]
     pub cause: String,
-    /// Whether the refused request ran: see [`ran_number`].
+    /// Whether the refused request ran: 1 no, 2 yes, 3 unknown.
     #[prost(uint32, tag = "4")]
     pub ran: u32,
     /// Delay before a retry, in milliseconds.
