KNOWN-RED: a handed call is told as not run though a VM may have served it

An idempotent call is handed to a second VM after the answer of the first was lost, within the allowance of repeats; if the second one refuses it as not run, that refusal is passed on, and hides that the first may have served it. Calls that may run once are not handed on after a loss (a_call_that_the_other_vm_lost).

--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -147,6 +147,8 @@
     pub probed: cell::RefCell<Vec<String>>,
     /// Requests that were handed over, with the address of the other VM.
     pub handed: cell::RefCell<Vec<(String, net::SocketAddr)>>,
+    /// Number of next handed requests whose answers are lost.
+    pub lost_answers: cell::Cell<u32>,
     /// Other VMs by the address at which they take requests over.
     pub vms: cell::RefCell<
         collections::HashMap<net::SocketAddr, rc::Weak<plane::ExchangePlane<FakePort>>>,
@@ -366,7 +368,12 @@
         let plane = plane.ok_or(handover::HandoverError::Unsent)?;
         let request = handover::take_request(&plane, request);
         let request = request.ok_or(handover::HandoverError::Unsent)?;
-        Ok(Box::pin(plane.serve(request)).await)
+        let answer = Box::pin(plane.serve(request)).await;
+        if self.lost_answers.get() > 0 {
+            self.lost_answers.set(self.lost_answers.get() - 1);
+            return Err(handover::HandoverError::Lost);
+        }
+        Ok(answer)
     }
 }
 
--- a/crates/exchange/tests/handovers.rs
+++ b/crates/exchange/tests/handovers.rs
@@ -417,6 +417,29 @@
     });
 }
 
+#[test]
+fn a_call_that_a_vm_may_have_served_is_not_told_as_not_run() {
+    // Guards against a refusal of the second VM that hides that the answer of the first one was lost.
+    cluster::run(async {
+        let vms = TestVms::new(3);
+        vms.cut(0, PathCut::Refused).await;
+        for plane in &vms.planes[1..] {
+            for server in ["s1", "s2"] {
+                let full = exchange::port::NotRunCause::Rejected;
+                for _ in 0..4 {
+                    plane.port().push_script(server, ServerScript::NotRun(full));
+                }
+            }
+        }
+        vms.planes[0].port().lost_answers.set(1);
+        let request = cluster::request("a", catalog::ExchangeKind::Idempotent);
+        let refusal = vms.planes[0].serve(request).await.expect_err("no room");
+        let handed = vms.planes[0].port().handed.borrow();
+        assert_eq!(handed.iter().filter(|(id, _)| id == "a").count(), 2);
+        assert_eq!(refusal.ran, outcome::RanState::Unknown);
+    });
+}
+
 #[test]
 fn a_handed_stream_goes_on_elsewhere_when_its_server_breaks_it_off() {
     cluster::run(async {
