exchange: lines tell which request and which parts a crash accuses

Change: the fingerprint on 'try failed', fingerprint and parts on 'suspect of a crash', and a line 'request is quarantined' with the number of crashes and the age of the newest report. No decision changes.

--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -470,6 +470,12 @@
             return Err(self.refuse(&request, reply::RefusalCause::Stopping));
         }
         if quarantined {
+            let (crashes, age) = self.state().suspects.evidence(request.fingerprint, now);
+            log::info!(
+                request:% = request.id, fingerprint = request.fingerprint, crashes,
+                age_ms = age.as_millis();
+                "request is quarantined"
+            );
             return Err(self.refuse(&request, reply::RefusalCause::Quarantined));
         }
         self.serve_reached(request, &permit::SharedAttempts::default(), guard)
--- a/crates/exchange/src/request.rs
+++ b/crates/exchange/src/request.rs
@@ -33,6 +33,12 @@
     pub fn summary(&self) -> (u32, u32, Option<u32>) {
         (self.prompt_tokens, self.max_tokens, self.hint_tokens)
     }
+
+    /// Hashes of the parts of the prompt, for logs.
+    #[must_use]
+    pub fn part_hashes(&self) -> Vec<u64> {
+        self.parts.iter().map(|part| part.hash).collect()
+    }
 }
 
 /// One request.
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -245,7 +245,8 @@
 
     fn log_failed(&self, server: fleet::ServerKey, why: &str) {
         log::info!(
-            request:% = self.request.id, server:% = self.plane.server_id(server), cause:% = why;
+            request:% = self.request.id, server:% = self.plane.server_id(server), cause:% = why,
+            fingerprint = self.request.fingerprint;
             "try failed"
         );
     }
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -556,7 +556,12 @@
             .suspects
             .record_crash(self.request.fingerprint, hash, now)
         {
-            log::info!(request:% = self.request.id, server:% = id; "suspect of a crash");
+            let size = self.request.size.as_ref();
+            let parts: Vec<_> = size.map_or_else(Vec::new, request::GenerationSize::part_hashes);
+            log::info!(
+                request:% = self.request.id, server:% = id, fingerprint = self.request.fingerprint, parts:?;
+                "suspect of a crash"
+            );
         }
     }
 
--- a/crates/exchange/src/suspect.rs
+++ b/crates/exchange/src/suspect.rs
@@ -69,6 +69,16 @@
         })
     }
 
+    /// Number of servers that crashed under a request, and the age of the newest report, for logs.
+    #[must_use]
+    pub fn evidence(&self, fingerprint: u64, now: time::Instant) -> (usize, time::Duration) {
+        let record = self.suspects.get(&fingerprint);
+        record.map_or((0, time::Duration::ZERO), |record| {
+            let age = now.saturating_duration_since(record.at);
+            (record.servers.len(), age)
+        })
+    }
+
     /// All suspicions as pairs of fingerprint and server hash, to be announced to other VMs.
     pub fn crash_reports(&self) -> impl Iterator<Item = (u64, u64)> {
         self.suspects.iter().flat_map(|(&fingerprint, record)| {
