--- /dev/null
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -0,0 +1,298 @@
+//! Servers that crash under a request or a part of a prompt, and VMs that send to them.
+
+use std::{cell, collections, rc, time};
+
+use exchange::{announce, catalog, link, plane, reply, request, update};
+use tokio::time::{self as clock, Instant};
+
+/// Time from the arrival of a call until its server crashes.
+pub const CRASH_DELAY: time::Duration = time::Duration::from_millis(50);
+/// Time from a crash until a successor is listed.
+const RESTART_TIME: time::Duration = time::Duration::from_secs(3);
+/// Interval between regular datagrams, and the time that a datagram takes.
+const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(150);
+const LINK_DELAY: time::Duration = time::Duration::from_millis(2);
+
+/// What crashes servers, and which of them are down. All VMs share it.
+#[derive(Debug, Default)]
+pub struct CrashBoard {
+    /// Fingerprints of requests that crash servers.
+    pub bad_requests: cell::RefCell<collections::BTreeSet<u64>>,
+    /// Parts of prompts that crash servers.
+    pub bad_parts: cell::RefCell<collections::BTreeSet<u64>>,
+    /// Number of events before a stream crashes its server.
+    pub events_before: cell::Cell<u32>,
+    down: cell::RefCell<collections::BTreeSet<String>>,
+    changed: tokio::sync::Notify,
+    /// When each server crashed.
+    pub crashes: cell::RefCell<Vec<(String, Instant)>>,
+    /// When requests that crash servers reached one, with their ids.
+    pub arrivals: cell::RefCell<Vec<(String, Instant)>>,
+}
+
+impl CrashBoard {
+    pub fn is_bad(&self, request: &request::ExchangeRequest) -> bool {
+        let parts = request.size.as_ref().map_or(&[][..], |size| &size.parts);
+        let bad_parts = self.bad_parts.borrow();
+        self.bad_requests.borrow().contains(&request.fingerprint)
+            || parts.iter().any(|part| bad_parts.contains(&part.hash))
+    }
+
+    pub fn is_down(&self, server: &str) -> bool {
+        self.down.borrow().contains(server)
+    }
+
+    /// Crashes a server, with all that runs there.
+    pub fn crash(&self, server: &str) {
+        if self.down.borrow_mut().insert(server.to_owned()) {
+            let crash = (server.to_owned(), Instant::now());
+            self.crashes.borrow_mut().push(crash);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Waits until a server crashes.
+    pub async fn crashed(&self, server: &str) {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_down(server) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    pub fn count_arrival(&self, id: &str) {
+        let arrival = (id.to_owned(), Instant::now());
+        self.arrivals.borrow_mut().push(arrival);
+    }
+
+    /// Number of arrivals of bad requests later than `span` after the crash with this number.
+    pub fn arrivals_after(&self, crash: usize, span: time::Duration) -> usize {
+        let crashes = self.crashes.borrow();
+        let Some((_, at)) = crashes.get(crash - 1) else {
+            return 0;
+        };
+        let arrivals = self.arrivals.borrow();
+        arrivals
+            .iter()
+            .filter(|(_, arrived)| *arrived > *at + span)
+            .count()
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    Whole,
+    /// The server's answer broke off.
+    Broken,
+    Refused(reply::RefusalCause),
+}
+
+/// Whether an answer is whole.
+async fn is_whole(reply: reply::Reply) -> bool {
+    match reply.body {
+        reply::ReplyBody::Complete(_) => true,
+        reply::ReplyBody::Parts(parts) => super::read(parts).await.complete,
+    }
+}
+
+/// VMs that tell each other of themselves, and servers that crash.
+pub struct CrashingVms {
+    pub vms: Vec<super::TestPlane>,
+    pub board: rc::Rc<CrashBoard>,
+    /// Servers by id, with their service, number and start order.
+    servers: Vec<(String, &'static str, u8)>,
+    restarted: usize,
+    pub restart_time: time::Duration,
+    offset: u64,
+    announced_at: Instant,
+    /// VMs that receive no datagrams, and whose datagrams are lost.
+    pub deaf: collections::BTreeSet<usize>,
+    /// Whether datagrams are exchanged at all.
+    pub connected: bool,
+    /// How requests ended, in the order of their ends.
+    pub ends: rc::Rc<cell::RefCell<Vec<(String, CallEnd)>>>,
+    requests: usize,
+}
+
+impl CrashingVms {
+    /// Starts VMs that have run for a while before so many plain servers and engines.
+    pub fn start(vms: usize, plain: u8, engines: u8) -> Self {
+        let plain = (1..=plain).map(|number| (format!("s{number}"), "app", number));
+        let engines = (1..=engines).map(|number| (format!("e{number}"), "llm", 10 + number));
+        let mut running = Self {
+            vms: Vec::new(),
+            board: rc::Rc::default(),
+            servers: plain.chain(engines).collect(),
+            restarted: 0,
+            restart_time: RESTART_TIME,
+            offset: 1,
+            announced_at: Instant::now(),
+            deaf: collections::BTreeSet::new(),
+            connected: true,
+            ends: rc::Rc::default(),
+            requests: 0,
+        };
+        for _ in 0..vms {
+            running.add_vm();
+        }
+        for vm in &running.vms {
+            vm.state().started_at = Instant::now() - super::UPTIME;
+        }
+        running.announce();
+        running
+    }
+
+    /// Starts one more VM, which knows the servers that run and nothing else.
+    pub fn add_vm(&mut self) {
+        let number = self.vms.len();
+        let mut state = super::vm_state(number, 3);
+        let now = Instant::now();
+        state.take_catalog(super::catalog(1), bytes::Bytes::from_static(b"1"));
+        state.servers_complete = true;
+        for (id, service, number) in &self.servers {
+            if !self.board.is_down(id) {
+                let entry = super::entry(service, *number, "d-0");
+                state.apply_update(super::update(id, self.offset, Some(entry)), false, now);
+            }
+        }
+        for other in 0..number.min(3) {
+            state.peers.add_address(super::vm_address(other));
+        }
+        let plane = plane::ExchangePlane::new(super::FakePort::default(), state);
+        let plane = rc::Rc::new(plane);
+        *plane.port().crashing.borrow_mut() = Some(self.board.clone());
+        super::start(&plane);
+        self.vms.push(plane);
+    }
+
+    /// Lets each VM introduce itself to all others.
+    pub fn announce(&mut self) {
+        self.announced_at = Instant::now();
+        if !self.connected {
+            return;
+        }
+        let vms = self.vms.iter();
+        let datagrams: Vec<_> = vms
+            .map(|vm| announce::introduction(&mut vm.state()))
+            .collect();
+        for (from, datagram) in datagrams.iter().enumerate() {
+            let others = (0..self.vms.len()).filter(|to| *to != from);
+            for to in others.filter(|to| !self.deaf.contains(to) && !self.deaf.contains(&from)) {
+                link::take_datagram(&self.vms[to], datagram);
+            }
+        }
+    }
+
+    /// Lists successors of servers that crashed some time ago.
+    fn restart(&mut self) {
+        loop {
+            let crash = self.board.crashes.borrow().get(self.restarted).cloned();
+            let Some((id, _)) = crash.filter(|(_, at)| at.elapsed() >= self.restart_time) else {
+                return;
+            };
+            self.restarted += 1;
+            let server = self.servers.iter_mut().find(|(server, ..)| *server == id);
+            let server = server.expect("a server that ran");
+            let base = id.split('.').next().expect("a name").to_owned();
+            server.0 = format!("{base}.{}", self.restarted);
+            let (successor, service, number) = server.clone();
+            self.offset += 2;
+            let entry = super::entry(service, number, "d-0");
+            self.apply(&super::update(&id, self.offset, None));
+            self.apply(&super::update(&successor, self.offset + 1, Some(entry)));
+        }
+    }
+
+    fn apply(&self, update: &update::ServerUpdate) {
+        for vm in &self.vms {
+            let now = Instant::now();
+            vm.state().apply_update(update.clone(), false, now);
+            vm.wake_decisions();
+        }
+    }
+
+    /// Lets some time pass.
+    pub async fn pass(&mut self, duration: time::Duration) {
+        let until = Instant::now() + duration;
+        while Instant::now() < until {
+            clock::sleep(LINK_DELAY).await;
+            self.restart();
+            if self.announced_at.elapsed() >= ANNOUNCE_INTERVAL {
+                self.announce();
+            }
+        }
+    }
+
+    /// Sends a request to a VM.
+    pub fn send(&mut self, vm: usize, request: request::ExchangeRequest) {
+        let (plane, ends) = (self.vms[vm].clone(), self.ends.clone());
+        let id = request.id.clone();
+        tokio::task::spawn_local(async move {
+            let end = match plane.serve(request).await {
+                Err(refusal) => CallEnd::Refused(refusal.cause),
+                Ok(reply) => match is_whole(reply).await {
+                    true => CallEnd::Whole,
+                    false => CallEnd::Broken,
+                },
+            };
+            ends.borrow_mut().push((id, end));
+        });
+    }
+
+    /// A request whose id and fingerprint no other one has.
+    pub fn request(&mut self, name: &str, kind: catalog::ExchangeKind) -> request::ExchangeRequest {
+        self.requests += 1;
+        let mut request = super::request(&format!("{name}-{}", self.requests), kind);
+        if kind != catalog::ExchangeKind::Stream {
+            request.deadline = request.arrived + time::Duration::from_secs(1);
+            request.limit = request.deadline;
+        }
+        request
+    }
+
+    /// A request like all others with this fingerprint.
+    pub fn alike(
+        &mut self,
+        name: &str,
+        kind: catalog::ExchangeKind,
+        fingerprint: u64,
+    ) -> request::ExchangeRequest {
+        let mut request = self.request(name, kind);
+        request.fingerprint = fingerprint;
+        request
+    }
+
+    /// A stream whose prompt has these parts, the last one of its own.
+    pub fn stream_of(&mut self, name: &str, parts: &[u64]) -> request::ExchangeRequest {
+        let mut request = self.request(name, catalog::ExchangeKind::Stream);
+        let own = 1_000_000 + self.requests as u64;
+        let size = request.size.as_mut().expect("a stream");
+        let parts = parts.iter().chain(std::iter::once(&own));
+        let part = |hash: &u64| request::PromptPart {
+            hash: *hash,
+            tokens: 500,
+        };
+        size.parts = parts.map(part).collect();
+        request
+    }
+
+    /// How requests of this name ended.
+    pub fn ends_of(&self, name: &str) -> Vec<CallEnd> {
+        let ends = self.ends.borrow();
+        let ends = ends
+            .iter()
+            .filter(|(id, _)| id.rsplit_once('-').is_some_and(|(of, _)| of == name));
+        ends.map(|(_, end)| *end).collect()
+    }
+
+    /// How many requests of this name ended so.
+    pub fn count(&self, name: &str, end: CallEnd) -> usize {
+        self.ends_of(name)
+            .into_iter()
+            .filter(|it| *it == end)
+            .count()
+    }
+}
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod called;
+pub mod crashing;
 pub mod engines;
 pub mod handing;
 pub mod log_store;
@@ -151,6 +152,12 @@
     pub unreachable: cell::RefCell<collections::BTreeSet<String>>,
     /// How the paths of this VM to all servers are cut.
     pub cut: cell::Cell<Option<PathCut>>,
+    /// Time of an answer, and between events, unless a script says otherwise.
+    pub pace: cell::Cell<Option<time::Duration>>,
+    /// Signals that open connections of this VM are reset.
+    pub severed: rc::Rc<tokio::sync::Notify>,
+    /// Servers that crash under some requests, shared by all VMs.
+    pub crashing: cell::RefCell<Option<rc::Rc<crashing::CrashBoard>>>,
     /// Servers to which connections were tried.
     pub probed: cell::RefCell<Vec<String>>,
     /// Requests that were handed over, with the address of the other VM.
@@ -175,6 +182,10 @@
     delimited: bool,
     stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
     open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
+    severed: rc::Rc<tokio::sync::Notify>,
+    crashing: Option<rc::Rc<crashing::CrashBoard>>,
+    /// Whether the run crashes its server after what is left.
+    crashes: bool,
 }
 
 impl Drop for FakeBody {
@@ -189,7 +200,19 @@
 
 impl port::ResponseBody for FakeBody {
     async fn next(&mut self) -> Option<Result<Bytes, port::LostCause>> {
-        tokio::time::sleep(self.interval).await;
+        let crashing = self.crashing.clone();
+        tokio::select! {
+            biased;
+            () = crashed(crashing.as_deref(), &self.server) => {
+                return Some(Err(port::LostCause::Broken));
+            }
+            () = self.severed.notified() => return Some(Err(port::LostCause::Broken)),
+            () = tokio::time::sleep(self.interval) => {}
+        }
+        if let Some(board) = crashing.filter(|_| self.crashes && self.left.is_empty()) {
+            board.crash(&self.server);
+            return Some(Err(port::LostCause::Broken));
+        }
         // The server closes the stream of a stopped run without its end.
         if !self.delimited && self.stopped.borrow().contains(&self.request) {
             return None;
@@ -202,7 +225,21 @@
     }
 }
 
+/// Waits until a server crashes, if any does.
+async fn crashed(board: Option<&crashing::CrashBoard>, server: &str) {
+    match board {
+        Some(board) => board.crashed(server).await,
+        None => std::future::pending().await,
+    }
+}
+
 impl FakePort {
+    /// Cuts the paths to all servers, and resets open connections.
+    pub fn sever(&self) {
+        self.cut.set(Some(PathCut::Refused));
+        self.severed.notify_waiters();
+    }
+
     pub fn push_script(&self, server: &str, script: ServerScript) {
         self.scripts
             .borrow_mut()
@@ -213,6 +250,10 @@
 
     /// Opens a connection to a server; returns whether it is reached.
     async fn path(&self, server: &str) -> bool {
+        let crashing = self.crashing.borrow().clone();
+        if crashing.is_some_and(|board| board.is_down(server)) {
+            return false;
+        }
         if self.unreachable.borrow().contains(server) {
             return false;
         }
@@ -271,6 +312,9 @@
             delimited,
             stopped: self.stopped.clone(),
             open: self.open.clone(),
+            severed: self.severed.clone(),
+            crashing: self.crashing.borrow().clone(),
+            crashes: false,
         }
     }
 }
@@ -309,7 +353,15 @@
             let reply = port::CallOutcome::NotRun(port::NotRunCause::Rejected);
             return port::SignalledReply { reply, signals };
         }
-        let reply = self.respond_shared(call).await;
+        let crashing = self.crashing.borrow().clone();
+        let reply = tokio::select! {
+            biased;
+            () = crashed(crashing.as_deref(), &server) => {
+                port::CallOutcome::Lost(port::LostCause::Broken)
+            }
+            () = self.severed.notified() => port::CallOutcome::Lost(port::LostCause::Broken),
+            reply = self.respond_shared(call) => reply,
+        };
         let answered = !matches!(reply, port::CallOutcome::Lost(_));
         let mut reply = self.signalled(&server, reply, answered);
         let shared = self.shared.borrow().clone();
@@ -470,7 +522,7 @@
         let script = scripts
             .get_mut(&call.target.id)
             .and_then(collections::VecDeque::pop_front);
-        let interval = time::Duration::from_millis(10);
+        let interval = self.pace.get().unwrap_or(time::Duration::from_millis(10));
         let errs = self.erring.borrow().contains(&call.target.id);
         let breaks_after = self.breaks_after.get();
         script.unwrap_or(match call.request.kind {
@@ -489,8 +541,34 @@
         })
     }
 
+    /// Crashes the server of a bad request: a call at once, a stream after its first events.
+    async fn crash(
+        &self,
+        call: &port::ServerCall,
+        board: &crashing::CrashBoard,
+    ) -> port::CallOutcome<FakeBody> {
+        board.count_arrival(&call.request.id);
+        tokio::time::sleep(crashing::CRASH_DELAY).await;
+        if call.request.kind != catalog::ExchangeKind::Stream {
+            board.crash(&call.target.id);
+            return port::CallOutcome::Lost(port::LostCause::Broken);
+        }
+        let interval = time::Duration::from_millis(10);
+        let mut body = self.body(call, board.events_before.get(), interval, true);
+        body.crashes = true;
+        port::CallOutcome::Responded(port::ServerResponse {
+            status: http::StatusCode::OK,
+            headers: http::HeaderMap::new(),
+            body,
+        })
+    }
+
     async fn respond(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
         self.count(&call.target.id);
+        let board = self.crashing.borrow().clone();
+        if let Some(board) = board.filter(|board| board.is_bad(&call.request)) {
+            return self.crash(&call, &board).await;
+        }
         let script = self.take_script(&call);
         self.seen.borrow_mut().push(SeenCall {
             server: call.target.id.clone(),
