crash: one inference of what crashes servers, in a crate of its own

Cause: flow infers from deaths that VMs merge as a set; exchange has a weaker table of its own. Change: flow::suspect goes to the crate crash, generic over servers and contents; flow keeps its types as aliases. New in the inference: the content that explains most crashes is their cause and explains all of them, those that never ran well first; ties identify nobody, and may be refused for a while; content that ran well stays cleared for a time; an answer after an alleged death refutes it; the oldest death is dropped first, whatever its order of arrival. Off by default, so that flow decides as before except for the first. Conclusion: ready for the exchange plane.

--- /dev/null
+++ b/crates/crash/src/table.rs
@@ -0,0 +1,422 @@
+//! Crashes of servers, the contents that they speak against, and contents that ran well.
+//!
+//! What follows depends only on the set of records and not on the order in which they arrive: entry
+//! VMs merge their tables by set union.
+
+use std::{collections, time::Duration};
+
+use crate::verdict;
+
+/// Records of the same server's death at most this far apart describe one death.
+const SAME_DEATH_WINDOW_MS: u64 = 1_500;
+/// A server that answers what was sent between these times after its alleged death did not die.
+/// Clocks differ by less than the first one; after the second one a successor may answer.
+const REFUTATION_MS: std::ops::Range<u64> = 250..2_000;
+
+/// Durations and sizes of the evidence.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspectLimits {
+    /// Time for which content that ran at one death is a suspect.
+    pub suspected_for: Duration,
+    /// Time for which content identified as the cause of deaths is refused.
+    pub quarantined_for: Duration,
+    /// Time for which deaths are remembered.
+    pub retained_for: Duration,
+    /// Time after content ran well for which deaths do not count against it.
+    pub cleared_for: Duration,
+    /// Number of deaths from which tied contents are all refused for a while; `None` for never. Each
+    /// further death doubles the time, which is `suspected_for` at first.
+    pub refused_ties: Option<usize>,
+    /// Maximum number of deaths kept; the oldest is dropped first.
+    pub max_deaths: usize,
+    /// Maximum number of contents kept for one death.
+    pub max_contents: usize,
+}
+
+impl Default for SuspectLimits {
+    fn default() -> Self {
+        Self {
+            suspected_for: Duration::from_mins(2),
+            quarantined_for: Duration::from_mins(15),
+            retained_for: Duration::from_mins(15),
+            cleared_for: Duration::ZERO,
+            refused_ties: None,
+            max_deaths: 128,
+            max_contents: 512,
+        }
+    }
+}
+
+/// One death of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(bound(
+    deserialize = "S: serde::Deserialize<'de>, K: Ord + serde::Deserialize<'de>",
+    serialize = "S: serde::Serialize, K: serde::Serialize"
+))]
+pub struct DeathRecord<S, K> {
+    /// Name of the server.
+    pub server: S,
+    /// Time of detection in milliseconds, by a clock that all users of the table share.
+    pub at_ms: u64,
+    /// Contents that the death speaks against.
+    pub contents: collections::BTreeSet<K>,
+}
+
+/// Clears content of deaths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ClearedRecord<K> {
+    /// The content.
+    pub content: K,
+    /// Deaths up to this time, and for `cleared_for` after it, do not count against the content, in
+    /// milliseconds.
+    pub at_ms: u64,
+}
+
+/// Records exchanged between entry VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+#[serde(bound(
+    deserialize = "S: serde::Deserialize<'de>, K: Ord + serde::Deserialize<'de>",
+    serialize = "S: serde::Serialize, K: serde::Serialize"
+))]
+pub struct SuspectDigest<S, K> {
+    /// Deaths.
+    pub deaths: Vec<DeathRecord<S, K>>,
+    /// Content that ran to completion, or whose quarantine an operator lifted.
+    pub cleared: Vec<ClearedRecord<K>>,
+}
+
+impl<S, K> Default for SuspectDigest<S, K> {
+    fn default() -> Self {
+        Self {
+            deaths: Vec::new(),
+            cleared: Vec::new(),
+        }
+    }
+}
+
+/// How content may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContentStanding {
+    /// The content runs without restriction.
+    Clear,
+    /// The content may have caused deaths.
+    Suspect {
+        /// Deaths during which it was running.
+        deaths: u32,
+    },
+    /// The content is refused.
+    Quarantined {
+        /// Time left, milliseconds.
+        left_ms: u64,
+    },
+}
+
+/// Deaths of servers with the contents that ran there, and what follows from them.
+#[derive(Clone, Debug)]
+pub struct SuspectTable<S, K> {
+    limits: SuspectLimits,
+    /// At most `max_deaths`, in the order in which they were recorded.
+    deaths: collections::VecDeque<DeathRecord<S, K>>,
+    cleared: collections::BTreeMap<K, u64>,
+    /// Servers that answered after a death in `deaths`, with the time of that answer's request.
+    answered: collections::BTreeMap<S, u64>,
+    /// Indices into `deaths` that count against each content. Derived from the fields above, like
+    /// `verdict`.
+    against: verdict::EvidenceMap<K>,
+    verdict: verdict::CrashVerdict<K>,
+}
+
+impl<S: Clone + Ord, K: verdict::SuspectContent> Default for SuspectTable<S, K> {
+    fn default() -> Self {
+        Self::new(SuspectLimits::default())
+    }
+}
+
+impl<S: Clone + Ord, K: verdict::SuspectContent> SuspectTable<S, K> {
+    /// Creates an empty table.
+    #[must_use]
+    pub const fn new(limits: SuspectLimits) -> Self {
+        Self {
+            limits,
+            deaths: collections::VecDeque::new(),
+            cleared: collections::BTreeMap::new(),
+            answered: collections::BTreeMap::new(),
+            against: collections::BTreeMap::new(),
+            verdict: verdict::CrashVerdict {
+                causes: Vec::new(),
+                tied: collections::BTreeMap::new(),
+            },
+        }
+    }
+
+    /// Records a server's death. Returns whether the record was new or added contents.
+    pub fn record_death(&mut self, record: DeathRecord<S, K>) -> bool {
+        let is_new = self.insert_death(record);
+        if is_new {
+            self.index();
+        }
+        is_new
+    }
+
+    fn insert_death(&mut self, mut record: DeathRecord<S, K>) -> bool {
+        let max_contents = self.limits.max_contents;
+        truncate(&mut record.contents, max_contents);
+        if let Some(held) = self.same_death(&record) {
+            let before = held.contents.clone();
+            held.contents.append(&mut record.contents);
+            truncate(&mut held.contents, max_contents);
+            held.at_ms = held.at_ms.min(record.at_ms);
+            return held.contents != before;
+        }
+        if self.deaths.len() == self.limits.max_deaths {
+            let Some(oldest) = self.oldest_death() else {
+                return false;
+            };
+            if self.deaths[oldest].at_ms > record.at_ms {
+                return false;
+            }
+            self.deaths.remove(oldest);
+        }
+        self.deaths.push_back(record);
+        true
+    }
+
+    fn oldest_death(&self) -> Option<usize> {
+        let deaths = self.deaths.iter().enumerate();
+        let oldest = deaths.min_by_key(|(_, death)| death.at_ms);
+        oldest.map(|(index, _)| index)
+    }
+
+    /// Clears content that ran to completion or whose quarantine an operator lifted. Returns
+    /// whether this is newer than the last such record.
+    pub fn clear(&mut self, content: K, at_ms: u64) -> bool {
+        let newer = self.insert_cleared(content, at_ms);
+        if newer {
+            self.index();
+        }
+        newer
+    }
+
+    fn insert_cleared(&mut self, content: K, at_ms: u64) -> bool {
+        let held = self.cleared.get(&content);
+        let newer = held.is_none_or(|held| *held < at_ms);
+        if newer {
+            self.cleared.insert(content, at_ms);
+        }
+        newer
+    }
+
+    /// Records that a server answered a request that was sent at `sent_ms`. Returns whether that
+    /// refutes a death which counted until now.
+    pub fn record_answer(&mut self, server: &S, sent_ms: u64) -> bool {
+        let refutes = |death: &DeathRecord<S, K>| {
+            death.server == *server
+                && is_refutation(death.at_ms, sent_ms)
+                && !self.is_refuted(death)
+        };
+        if !self.deaths.iter().any(refutes) {
+            return false;
+        }
+        self.answered.insert(server.clone(), sent_ms);
+        self.index();
+        true
+    }
+
+    /// When a request was sent that a server answered after its alleged death.
+    #[must_use]
+    pub fn answered_at(&self, death: &DeathRecord<S, K>) -> Option<u64> {
+        let sent_ms = self.answered.get(&death.server).copied();
+        sent_ms.filter(|sent_ms| is_refutation(death.at_ms, *sent_ms))
+    }
+
+    fn is_refuted(&self, death: &DeathRecord<S, K>) -> bool {
+        self.answered_at(death).is_some()
+    }
+
+    /// Merges the records of another table. Returns whether any of them was new.
+    pub fn merge(&mut self, digest: SuspectDigest<S, K>) -> bool {
+        let mut is_new = false;
+        for record in digest.deaths {
+            is_new |= self.insert_death(record);
+        }
+        for record in digest.cleared {
+            is_new |= self.insert_cleared(record.content, record.at_ms);
+        }
+        if is_new {
+            self.index();
+        }
+        is_new
+    }
+
+    /// All records, for other entry VMs.
+    #[must_use]
+    pub fn digest(&self) -> SuspectDigest<S, K> {
+        self.digest_since(0)
+    }
+
+    /// Records of `since_ms` or later, for other entry VMs.
+    #[must_use]
+    pub fn digest_since(&self, since_ms: u64) -> SuspectDigest<S, K> {
+        let deaths = self.deaths.iter().filter(|death| death.at_ms >= since_ms);
+        let cleared = self.cleared.iter().filter(|(_, at_ms)| **at_ms >= since_ms);
+        SuspectDigest {
+            deaths: deaths.cloned().collect(),
+            cleared: cleared
+                .map(|(content, at_ms)| ClearedRecord {
+                    content: *content,
+                    at_ms: *at_ms,
+                })
+                .collect(),
+        }
+    }
+
+    /// All deaths, refuted ones too, in the order in which they were recorded.
+    pub fn deaths(&self) -> impl DoubleEndedIterator<Item = &DeathRecord<S, K>> {
+        self.deaths.iter()
+    }
+
+    /// When content last ran well, if that is known.
+    #[must_use]
+    pub fn cleared_at(&self, content: K) -> Option<u64> {
+        self.cleared.get(&content).copied()
+    }
+
+    /// Whether any death names a content.
+    #[must_use]
+    pub fn names(&self, content: K) -> bool {
+        self.deaths
+            .iter()
+            .any(|death| death.contents.contains(&content))
+    }
+
+    /// Drops records that are too old to count.
+    pub fn expire(&mut self, now_ms: u64) {
+        let retention_ms = millis(self.limits.retained_for);
+        let is_kept = |at_ms: u64| at_ms.saturating_add(retention_ms) > now_ms;
+        let before = self.deaths.len();
+        self.deaths.retain(|death| is_kept(death.at_ms));
+        self.cleared.retain(|_, at_ms| is_kept(*at_ms));
+        self.answered.retain(|_, sent_ms| is_kept(*sent_ms));
+        if self.deaths.len() < before {
+            self.index();
+        }
+    }
+
+    /// Whether `content` may run freely, is a suspect, or is quarantined.
+    #[must_use]
+    pub fn standing(&self, content: K, now_ms: u64) -> ContentStanding {
+        let mut deaths = 0;
+        let mut unexplained_deaths = 0;
+        let mut newest_ms = 0;
+        let mut is_cause = false;
+        for (death, cause) in self.against(content) {
+            deaths += 1;
+            newest_ms = newest_ms.max(death.at_ms);
+            is_cause |= cause == Some(content);
+            unexplained_deaths += u32::from(cause.is_none());
+        }
+        let left_ms = |limit_ms: u64| newest_ms.saturating_add(limit_ms).saturating_sub(now_ms);
+        let quarantine_ms = left_ms(millis(self.limits.quarantined_for));
+        if is_cause && quarantine_ms > 0 {
+            return ContentStanding::Quarantined {
+                left_ms: quarantine_ms,
+            };
+        }
+        let tie_ms = left_ms(self.tie_ms(content));
+        if tie_ms > 0 {
+            return ContentStanding::Quarantined { left_ms: tie_ms };
+        }
+        if unexplained_deaths > 0 && left_ms(millis(self.limits.suspected_for)) > 0 {
+            return ContentStanding::Suspect { deaths };
+        }
+        ContentStanding::Clear
+    }
+
+    /// Time after the newest death for which tied content is refused, in milliseconds; 0 for never.
+    fn tie_ms(&self, content: K) -> u64 {
+        let tied = self.verdict.tied.get(&content).copied();
+        let Some((deaths, min)) = tied.zip(self.limits.refused_ties) else {
+            return 0;
+        };
+        let Some(further) = deaths.checked_sub(min) else {
+            return 0;
+        };
+        let doublings = u32::try_from(further).unwrap_or(u32::MAX);
+        let factor = 2_u64.saturating_pow(doublings);
+        let limit_ms = millis(self.limits.quarantined_for);
+        millis(self.limits.suspected_for)
+            .saturating_mul(factor)
+            .min(limit_ms)
+    }
+
+    /// Contents that deaths count against.
+    pub fn suspects(&self) -> impl Iterator<Item = K> {
+        self.against.keys().copied()
+    }
+
+    /// Contents identified as causes of deaths, without repetition, whether or not they are still
+    /// quarantined.
+    #[must_use]
+    pub fn causes(&self) -> collections::BTreeSet<K> {
+        self.verdict.causes.iter().flatten().copied().collect()
+    }
+
+    /// Deaths that count against `content`, each with its identified cause.
+    pub fn against(&self, content: K) -> impl Iterator<Item = (&DeathRecord<S, K>, Option<K>)> {
+        let evidence = self.against.get(&content).into_iter();
+        let indices = evidence.flat_map(|evidence| &evidence.crashes);
+        indices.map(|index| (&self.deaths[*index], self.verdict.causes[*index]))
+    }
+
+    /// Recomputes `against` and `verdict` from the records.
+    fn index(&mut self) {
+        self.against.clear();
+        let cleared_for_ms = millis(self.limits.cleared_for);
+        let mut against = verdict::EvidenceMap::new();
+        for (index, death) in self.deaths.iter().enumerate() {
+            if self.is_refuted(death) {
+                continue;
+            }
+            for content in &death.contents {
+                let cleared_ms = self.cleared.get(content).copied();
+                let until_ms = cleared_ms.map(|at_ms| at_ms.saturating_add(cleared_for_ms));
+                if until_ms.is_none_or(|until_ms| until_ms < death.at_ms) {
+                    let evidence: &mut verdict::ContentEvidence =
+                        against.entry(*content).or_default();
+                    evidence.crashes.push(index);
+                    evidence.ran_well = cleared_ms.is_some();
+                }
+            }
+        }
+        self.verdict = verdict::infer(&against, self.deaths.len());
+        self.against = against;
+    }
+
+    fn same_death(&mut self, record: &DeathRecord<S, K>) -> Option<&mut DeathRecord<S, K>> {
+        self.deaths.iter_mut().find(|held| {
+            held.server == record.server
+                && held.at_ms.abs_diff(record.at_ms) <= SAME_DEATH_WINDOW_MS
+        })
+    }
+}
+
+/// Whether an answer to a request that was sent at `sent_ms` shows that a server did not die at
+/// `died_ms`.
+fn is_refutation(died_ms: u64, sent_ms: u64) -> bool {
+    let after_ms = sent_ms.checked_sub(died_ms);
+    after_ms.is_some_and(|after_ms| REFUTATION_MS.contains(&after_ms))
+}
+
+/// Drops the greatest contents, the same ones on all VMs.
+fn truncate<K: Ord>(contents: &mut collections::BTreeSet<K>, max: usize) {
+    while contents.len() > max {
+        contents.pop_last();
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/crash/tests/table.rs
@@ -0,0 +1,248 @@
+//! Properties of the evidence and of what follows from it.
+
+use std::{collections, time::Duration};
+
+use crash::{
+    table::{self, ContentStanding},
+    verdict,
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Request(u8);
+
+impl verdict::SuspectContent for Request {}
+
+type TestTable = table::SuspectTable<u8, Request>;
+type TestDeath = table::DeathRecord<u8, Request>;
+
+fn limits() -> table::SuspectLimits {
+    table::SuspectLimits {
+        suspected_for: Duration::from_secs(20),
+        quarantined_for: Duration::from_mins(5),
+        cleared_for: Duration::from_secs(30),
+        refused_ties: Some(3),
+        max_deaths: 16,
+        max_contents: 32,
+        ..table::SuspectLimits::default()
+    }
+}
+
+fn death(server: u8, at_ms: u64, contents: &[Request]) -> TestDeath {
+    TestDeath {
+        server,
+        at_ms,
+        contents: contents.iter().copied().collect(),
+    }
+}
+
+fn table_of(deaths: &[TestDeath]) -> TestTable {
+    let mut table = TestTable::new(limits());
+    for death in deaths {
+        table.record_death(death.clone());
+    }
+    table
+}
+
+fn is_quarantined(table: &TestTable, content: Request, now_ms: u64) -> bool {
+    matches!(
+        table.standing(content, now_ms),
+        ContentStanding::Quarantined { .. }
+    )
+}
+
+/// Checks a property for `count` fixed seeds.
+fn for_seeds(
+    count: u64,
+    property: impl Fn(&mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()>,
+) {
+    for number in 0..count {
+        let seed = (number.wrapping_mul(0x9E37_79B9) << 32) | 1_024;
+        arbtest::arbtest(&property).seed(seed).run();
+    }
+}
+
+fn draw_death(u: &mut arbitrary::Unstructured<'_>, number: u8) -> arbitrary::Result<TestDeath> {
+    let mut contents = collections::BTreeSet::new();
+    for _ in 0..u.int_in_range(1..=4)? {
+        contents.insert(Request(u.int_in_range(0..=5)?));
+    }
+    Ok(TestDeath {
+        server: number,
+        at_ms: 1_000 + u.int_in_range(0..=60)? * 1_000,
+        contents,
+    })
+}
+
+#[test]
+fn tables_that_merge_in_any_order_agree() {
+    for_seeds(400, |u| {
+        let mut records = Vec::new();
+        for number in 0..u.int_in_range(1..=7)? {
+            records.push(table::SuspectDigest {
+                deaths: vec![draw_death(u, number)?],
+                cleared: Vec::new(),
+            });
+        }
+        for _ in 0..u.int_in_range(0..=4)? {
+            let name = u.int_in_range(0..=5)?;
+            let record = table::ClearedRecord {
+                content: Request(name),
+                at_ms: u.int_in_range(0..=60)? * 1_000,
+            };
+            records.push(table::SuspectDigest {
+                deaths: Vec::new(),
+                cleared: vec![record],
+            });
+        }
+        let (mut one, mut other) = (TestTable::new(limits()), TestTable::new(limits()));
+        for record in &records {
+            one.merge(record.clone());
+        }
+        while !records.is_empty() {
+            let index = u.choose_index(records.len())?;
+            other.merge(records.swap_remove(index));
+        }
+        other.merge(one.digest());
+        for name in 0..=5 {
+            for now_ms in [62_000, 90_000, 400_000] {
+                let standing = one.standing(Request(name), now_ms);
+                assert_eq!(standing, other.standing(Request(name), now_ms));
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn the_request_that_was_at_all_crashes_is_their_cause() {
+    // Guards against sound requests that are refused since they ran beside the cause at two crashes.
+    for_seeds(400, |u| {
+        let mut table = TestTable::new(limits());
+        let crashes = u.int_in_range(3..=8)?;
+        for number in 0..crashes {
+            let mut contents = vec![Request(0)];
+            // Each sound request misses at least one crash.
+            for sound in 1..=5 {
+                if number % crashes != sound % crashes && u.arbitrary()? {
+                    contents.push(Request(sound));
+                }
+            }
+            table.record_death(death(number, 1_000 + u64::from(number) * 1_000, &contents));
+        }
+        assert!(is_quarantined(&table, Request(0), 12_000));
+        for sound in 1..=5 {
+            let standing = table.standing(Request(sound), 12_000);
+            assert_eq!(standing, ContentStanding::Clear, "explained by the cause");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn one_crash_identifies_nothing() {
+    let table = table_of(&[death(1, 1_000, &[Request(1)])]);
+    assert_eq!(
+        table.standing(Request(1), 2_000),
+        ContentStanding::Suspect { deaths: 1 }
+    );
+}
+
+#[test]
+fn content_that_runs_well_is_not_the_cause() {
+    // Guards against a request that many send, which is at each crash, that is taken for the cause.
+    let mut table = TestTable::new(limits());
+    table.clear(Request(1), 1_000);
+    for number in 0..3 {
+        let at_ms = 40_000 + u64::from(number) * 1_000;
+        table.record_death(death(number, at_ms, &[Request(1), Request(2)]));
+    }
+    assert!(is_quarantined(&table, Request(2), 45_000));
+    assert!(!is_quarantined(&table, Request(1), 45_000), "ran well once");
+    table.clear(Request(2), 46_000);
+    assert!(!is_quarantined(&table, Request(2), 46_000));
+    for number in 3..6 {
+        let at_ms = 50_000 + u64::from(number) * 1_000;
+        table.record_death(death(number, at_ms, &[Request(2)]));
+    }
+    assert!(
+        !is_quarantined(&table, Request(2), 57_000),
+        "ran well 10 s before"
+    );
+}
+
+#[test]
+fn tied_contents_are_refused_for_a_while_and_longer_each_time() {
+    let crash = |number: u8| {
+        let contents = [Request(1), Request(2)];
+        death(number, 1_000 + u64::from(number) * 50_000, &contents)
+    };
+    let tied = |crashes: u8, now_ms| {
+        let deaths: Vec<_> = (1..=crashes).map(crash).collect();
+        is_quarantined(&table_of(&deaths), Request(1), now_ms)
+    };
+    assert!(!tied(2, 102_000), "either may run");
+    assert!(tied(3, 152_000) && !tied(3, 172_000), "20 s");
+    assert!(tied(4, 222_000) && !tied(4, 242_000), "40 s");
+    let mut deaths: Vec<_> = (1..=4).map(crash).collect();
+    deaths.push(death(9, 260_000, &[Request(2)]));
+    let table = table_of(&deaths);
+    assert!(is_quarantined(&table, Request(2), 261_000));
+    assert_eq!(
+        table.standing(Request(1), 261_000),
+        ContentStanding::Clear,
+        "the other one was alone at a crash"
+    );
+}
+
+#[test]
+fn a_quarantine_ends_however_often_its_records_are_merged() {
+    let deaths = [
+        death(1, 1_000, &[Request(1)]),
+        death(2, 2_000, &[Request(1)]),
+    ];
+    let mut table = table_of(&deaths);
+    let digest = table.digest();
+    for second in 2..302 {
+        assert!(is_quarantined(&table, Request(1), second * 1_000 - 1));
+        table.merge(digest.clone());
+        table.expire(second * 1_000);
+    }
+    assert!(!is_quarantined(&table, Request(1), 302_000));
+    let again = death(3, 310_000, &[Request(1)]);
+    table.record_death(again);
+    assert!(
+        is_quarantined(&table, Request(1), 311_000),
+        "at the next one"
+    );
+    table.expire(902_001);
+    table.expire(1_210_001);
+    assert_eq!(table.digest(), table::SuspectDigest::default());
+}
+
+#[test]
+fn a_death_counts_only_while_no_answer_refutes_it() {
+    let contents = [Request(1)];
+    let deaths = [death(1, 1_000, &contents), death(2, 2_000, &contents)];
+    let mut table = table_of(&deaths);
+    assert!(!table.record_answer(&1, 900), "sent before");
+    assert!(!table.record_answer(&1, 1_100), "clocks may differ");
+    assert!(!table.record_answer(&1, 4_000), "a successor");
+    assert!(is_quarantined(&table, Request(1), 5_000));
+    assert!(table.record_answer(&1, 1_500));
+    assert!(!table.record_answer(&1, 1_600), "known");
+    assert!(!is_quarantined(&table, Request(1), 5_000));
+}
+
+#[test]
+fn the_table_is_bounded_and_keeps_the_newest() {
+    let mut table = TestTable::new(limits());
+    for number in 0..200_u8 {
+        let contents: Vec<_> = (0..100).map(|name| Request(name ^ number)).collect();
+        table.record_death(death(number, 1_000 + u64::from(number) * 10, &contents));
+    }
+    let old = death(201, 500, &[Request(1)]);
+    assert!(!table.record_death(old), "older than all");
+    let kept: Vec<_> = table.deaths().map(|death| death.server).collect();
+    assert_eq!(kept, (184..200).collect::<Vec<_>>());
+    assert!(table.deaths().all(|death| death.contents.len() == 32));
+}
--- a/crates/flow/benches/promises.rs
+++ b/crates/flow/benches/promises.rs
@@ -162,6 +162,7 @@
             suspect::SuspectLimits {
                 suspected_for: Duration::ZERO,
                 quarantined_for: Duration::ZERO,
+                ..suspect::SuspectLimits::default()
             },
         ),
     ] {
