exchange: records of crashes carry their age, and so does what ran well

What callers saw: a request stays quarantined for ever (two VMs still refuse it after 600 s), and one that ran well is refused again. Cause: a report of a suspect had no age, so that each datagram renewed it at every VM; clearing was local and was undone by the next report. Class: state that is copied without its time, so that copies keep each other alive. Change: exchange::crashes on the crate crash in place of exchange::suspect. A record of a crash carries its age and the greatest age wins; content that ran well is told with the crashes that it was in, with its age, and counts anew only if it is 5 s newer, since copies differ by the time that datagrams take. Quarantine ends 5 minutes after the last crash; crashes are remembered for 15. Which crashes a datagram names is still that of the old table: the oldest few.

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -26,8 +26,6 @@
 /// Maximum number of datagrams with updates in one round. 3,000 servers of which a sixth is
 /// replaced every 3.3 s make 450 updates a second; a lower limit delayed updates for four seconds.
 const MAX_UPDATE_DATAGRAMS: usize = 24;
-/// Maximum number of suspect requests in one datagram.
-const MAX_ACCUSATIONS: usize = 16;
 /// Maximum number of refused requests in one datagram.
 const MAX_REFUSED: usize = 32;
 /// Maximum number of addresses of other VMs in an introduction.
@@ -341,7 +339,7 @@
 fn encode(datagram: &mut message::PeerDatagram) -> Vec<u8> {
     while datagram.encoded_len() > link::MAX_DATAGRAM_BYTES {
         let shorter = datagram.known.pop().is_some()
-            || datagram.accusations.pop().is_some()
+            || datagram.crashes.pop().is_some()
             || datagram.brittle.pop().is_some()
             || datagram.limits.pop().is_some()
             || datagram.loads.pop().is_some();
@@ -367,19 +365,13 @@
         })
     });
     let loads = loads.collect();
-    let accusations = state.suspects.crash_reports().take(MAX_ACCUSATIONS);
-    let accusations = accusations.map(|(fingerprint, server)| message::AccusationItem {
-        fingerprint,
-        server,
-    });
-    let accusations = accusations.collect();
     message::PeerDatagram {
         sender: state.sender(),
         sequence: state.next_sequence(),
         stage: state.stage.into(),
         catalog_version: state.version(),
         loads,
-        accusations,
+        crashes: state.crashes.items(now),
         store_unavailable: state.store_unavailable,
         store_era: state.era(),
         standing_hash: state.fleet.standing_hash(),
--- /dev/null
+++ b/crates/exchange/src/crashes.rs
@@ -0,0 +1,224 @@
+//! Crashes of servers and the requests that cause them, as all VMs know them.
+//!
+//! Load pattern: one request crashes each server that starts it, and is retried at another VM. Each
+//! server that crashes loses all that it runs. VMs tell each other which servers crashed, what had
+//! just begun there, and what of that ran well elsewhere; the crate `crash` infers the cause from it.
+//!
+//! Records carry their age, and a VM keeps the oldest time that it was told of a crash. So no record
+//! is renewed by being repeated.
+
+use std::{collections, num};
+
+use crash::table;
+use tokio::time;
+
+use crate::{content, message, request};
+
+/// Time after a crash for which its cause is refused.
+pub const QUARANTINE_TIME: time::Duration = time::Duration::from_mins(5);
+/// Time for which crashes are remembered: a cause that crashes one more server after its quarantine
+/// is refused again at once.
+const RETENTION: time::Duration = time::Duration::from_mins(15);
+/// Time for which contents are refused at first if crashes do not tell which of them is the cause.
+const TIE_TIME: time::Duration = time::Duration::from_secs(20);
+/// Number of crashes from which such contents are refused.
+const MIN_TIED_CRASHES: usize = 3;
+/// Time after content ran well for which crashes do not count against it.
+const CLEARED_TIME: time::Duration = time::Duration::from_secs(30);
+/// Content that ran well later than by this is cleared anew. Copies of a record differ by the time
+/// that datagrams take; without this step VMs would renew each other's records for ever.
+const CLEARED_STEP: time::Duration = time::Duration::from_secs(5);
+
+/// Maximum number of crashes kept, of 2 KB each; the oldest is dropped first.
+const MAX_CRASHES: usize = 64;
+/// Maximum number of contents of one crash.
+const MAX_CONTENTS: usize = 128;
+/// Maximum number of contents that are known to have run well, of 40 bytes each; those that ran
+/// longest ago are dropped first.
+const MAX_RAN_WELL: num::NonZeroUsize = num::NonZeroUsize::new(4_096).expect("not 0");
+
+/// Time of the clock of records when this VM started, so that records may be older than this VM.
+const CLOCK_START: time::Duration = time::Duration::from_hours(1);
+
+/// Maximum number of crashes in one datagram.
+const MAX_TOLD: usize = 4;
+
+/// Table of crashes by the hashes of incarnations.
+type CrashTable = table::SuspectTable<u64, content::ContentKey>;
+type CrashRecord = table::DeathRecord<u64, content::ContentKey>;
+
+/// What this VM knows of crashes and their causes.
+#[derive(Debug)]
+pub struct CrashEvidence {
+    table: CrashTable,
+    /// When the clock of records was [`CLOCK_START`].
+    epoch: time::Instant,
+    /// When contents last ran well at this VM, by the clock of records.
+    ran_well: lru::LruCache<content::ContentKey, u64>,
+    /// Causes that were logged.
+    logged: collections::BTreeSet<content::ContentKey>,
+}
+
+impl Default for CrashEvidence {
+    fn default() -> Self {
+        let limits = table::SuspectLimits {
+            suspected_for: TIE_TIME,
+            quarantined_for: QUARANTINE_TIME,
+            retained_for: RETENTION,
+            cleared_for: CLEARED_TIME,
+            refused_ties: Some(MIN_TIED_CRASHES),
+            max_deaths: MAX_CRASHES,
+            max_contents: MAX_CONTENTS,
+        };
+        Self {
+            table: CrashTable::new(limits),
+            epoch: time::Instant::now(),
+            ran_well: lru::LruCache::new(MAX_RAN_WELL),
+            logged: collections::BTreeSet::new(),
+        }
+    }
+}
+
+impl CrashEvidence {
+    /// Records that a server crashed under a request that had just begun there. Returns whether this
+    /// is news.
+    pub fn record_crash(
+        &mut self,
+        server: u64,
+        request: &request::ExchangeRequest,
+        now: time::Instant,
+    ) -> bool {
+        let record = CrashRecord {
+            server,
+            at_ms: self.millis(now),
+            contents: content::ContentKey::all_of(request).into_iter().collect(),
+        };
+        self.insert(record, now)
+    }
+
+    fn insert(&mut self, record: CrashRecord, now: time::Instant) -> bool {
+        self.table.expire(self.millis(now));
+        let contents = record.contents.clone();
+        let is_new = self.table.record_death(record);
+        if is_new {
+            for content in contents {
+                if let Some(&ran_ms) = self.ran_well.peek(&content) {
+                    self.clear(content, ran_ms);
+                }
+            }
+            self.note_causes();
+        }
+        is_new
+    }
+
+    /// Records that a request ran well.
+    pub fn record_ran_well(&mut self, request: &request::ExchangeRequest, now: time::Instant) {
+        let now_ms = self.millis(now);
+        for content in content::ContentKey::all_of(request) {
+            self.ran_well.put(content, now_ms);
+            if self.table.names(content) {
+                self.clear(content, now_ms);
+            }
+        }
+    }
+
+    /// Clears content, if it is not known to have run well about then.
+    fn clear(&mut self, content: content::ContentKey, ran_ms: u64) {
+        let step_ms = to_millis(CLEARED_STEP);
+        let known_ms = self.table.cleared_at(content);
+        if known_ms.is_some_and(|known_ms| ran_ms < known_ms.saturating_add(step_ms)) {
+            return;
+        }
+        self.table.clear(content, ran_ms);
+        log::info!(content:?; "content ran well, and is cleared of crashes");
+        metrics::counter!("pollenchute_exchange_crash_clearances_total").increment(1);
+        self.note_causes();
+    }
+
+    /// Logs causes that are new, and forgets those that are none any more.
+    fn note_causes(&mut self) {
+        let causes = self.table.causes();
+        for content in causes.difference(&self.logged) {
+            let crashes = self.table.against(*content);
+            let servers: Vec<_> = crashes.map(|(crash, _)| crash.server).collect();
+            log::warn!(
+                content:?, crashes = servers.len(), servers:?;
+                "content crashes servers, and is quarantined"
+            );
+        }
+        metrics::gauge!("pollenchute_exchange_crash_causes").set(causes.len() as f64);
+        self.logged = causes;
+    }
+
+    /// Time for which a request is refused; `None` unless it is quarantined.
+    #[must_use]
+    pub fn quarantine_left(
+        &self,
+        request: &request::ExchangeRequest,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        let now_ms = self.millis(now);
+        let contents = content::ContentKey::all_of(request).into_iter();
+        let left = contents.filter_map(|content| match self.table.standing(content, now_ms) {
+            table::ContentStanding::Quarantined { left_ms } => Some(left_ms),
+            _ => None,
+        });
+        left.max().map(time::Duration::from_millis)
+    }
+
+    /// Crashes for other VMs.
+    pub fn items(&mut self, now: time::Instant) -> Vec<message::CrashItem> {
+        let now_ms = self.millis(now);
+        self.table.expire(now_ms);
+        let crashes = self.table.deaths().take(MAX_TOLD);
+        crashes.map(|crash| self.item(crash, now_ms)).collect()
+    }
+
+    fn item(&self, crash: &CrashRecord, now_ms: u64) -> message::CrashItem {
+        let mut item = message::CrashItem {
+            server: crash.server,
+            age_ms: age(crash.at_ms, now_ms),
+            ..message::CrashItem::default()
+        };
+        for content in &crash.contents {
+            item.add(*content);
+            if let Some(ran_ms) = self.table.cleared_at(*content) {
+                item.add_clearance(*content, age(ran_ms, now_ms));
+            }
+        }
+        item
+    }
+
+    /// Takes what another VM tells of a crash. Returns whether it is news.
+    pub fn take_item(&mut self, item: &message::CrashItem, now: time::Instant) -> bool {
+        let now_ms = self.millis(now);
+        if time::Duration::from_millis(item.age_ms.into()) >= RETENTION {
+            return false;
+        }
+        let record = CrashRecord {
+            server: item.server,
+            at_ms: now_ms.saturating_sub(item.age_ms.into()),
+            contents: item.contents().collect(),
+        };
+        let is_new = self.insert(record, now);
+        for (content, age_ms) in item.clearances() {
+            if self.table.names(content) {
+                self.clear(content, now_ms.saturating_sub(age_ms.into()));
+            }
+        }
+        is_new
+    }
+
+    /// The clock of records.
+    fn millis(&self, now: time::Instant) -> u64 {
+        to_millis(CLOCK_START + now.saturating_duration_since(self.epoch))
+    }
+}
+
+fn age(at_ms: u64, now_ms: u64) -> u32 {
+    u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)
+}
+
+fn to_millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -2,7 +2,7 @@
 //! for generations, the prompt size are known.
 //!
 //! Decisions are pure functions that take the time as an argument: [`place`], [`budget`], [`shares`], [`wait`],
-//! [`suspect`], [`relocate`], [`directory`]. [`plane`] executes them over the interface in
+//! [`crashes`], [`relocate`], [`directory`]. [`plane`] executes them over the interface in
 //! [`port`]; [`link`] carries the messages between entry VMs.
 
 pub mod announce;
@@ -11,6 +11,8 @@
 pub mod capacity;
 pub mod catalog;
 pub mod catchup;
+pub mod content;
+pub mod crashes;
 pub mod delta;
 pub mod directory;
 pub mod era;
@@ -53,7 +55,6 @@
 pub mod shares;
 pub mod state;
 pub mod stopping;
-pub mod suspect;
 pub mod system;
 pub mod update;
 pub mod wait;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -149,7 +149,7 @@
     updates.collect()
 }
 
-/// Applies the sender's loads and known addresses, and its reports of refused and suspect requests.
+/// Applies the sender's loads and known addresses, and its reports of refused requests and of crashes.
 fn take_state_of_sender(
     state: &mut state::PlaneState,
     datagram: &message::PeerDatagram,
@@ -175,10 +175,8 @@
     for refused in &datagram.refused {
         state.returning.record_peer_refusal(*refused, now);
     }
-    for accusation in &datagram.accusations {
-        state
-            .suspects
-            .record_crash(accusation.fingerprint, accusation.server, now);
+    for item in &datagram.crashes {
+        state.crashes.take_item(item, now);
     }
 }
 
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{delta, evacuation, position, update, wait};
+use crate::{content, delta, evacuation, position, update, wait};
 
 /// Stage of a VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -152,16 +152,61 @@
     pub settled: bool,
 }
 
-/// A request that was running when a server crashed.
-#[derive(Clone, Copy, PartialEq)]
+/// A crash of a server, with contents of which one may be its cause.
+#[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
-pub struct AccusationItem {
-    /// Fingerprint of the request.
+pub struct CrashItem {
+    /// Hash of the incarnation.
     #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
-    /// Hash of the server's id.
-    #[prost(fixed64, tag = "2")]
     pub server: u64,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Fingerprints of requests that had just begun there.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub requests: Vec<u64>,
+    /// Contents of the crash that ran well.
+    #[prost(message, repeated, tag = "4")]
+    pub cleared: Vec<ClearedItem>,
+}
+
+/// Content that ran well.
+#[derive(Clone, Copy, PartialEq)]
+#[derive(prost::Message)]
+pub struct ClearedItem {
+    /// Fingerprint of a request.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Time since it last ran well, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
+impl CrashItem {
+    /// Adds content that the crash may be due to.
+    pub fn add(&mut self, content: content::ContentKey) {
+        match content {
+            content::ContentKey::Request(fingerprint) => self.requests.push(fingerprint),
+        }
+    }
+
+    /// Adds that a content ran well.
+    pub fn add_clearance(&mut self, content: content::ContentKey, age_ms: u32) {
+        let content::ContentKey::Request(request) = content;
+        self.cleared.push(ClearedItem { request, age_ms });
+    }
+
+    /// Contents that the crash may be due to.
+    pub fn contents(&self) -> impl Iterator<Item = content::ContentKey> {
+        let requests = self.requests.iter().copied();
+        requests.map(content::ContentKey::Request)
+    }
+
+    /// Contents that ran well, with the time since, in milliseconds.
+    pub fn clearances(&self) -> impl Iterator<Item = (content::ContentKey, u32)> {
+        let cleared = self.cleared.iter();
+        cleared.map(|item| (content::ContentKey::Request(item.request), item.age_ms))
+    }
 }
 
 /// Memory planned for generations of one service that wait on a VM.
@@ -223,9 +268,9 @@
     /// Server updates that the VM has just received.
     #[prost(message, repeated, tag = "11")]
     pub updates: Vec<UpdateItem>,
-    /// Requests that the VM suspects of crashing servers.
-    #[prost(message, repeated, tag = "12")]
-    pub accusations: Vec<AccusationItem>,
+    /// Crashes of servers.
+    #[prost(message, repeated, tag = "33")]
+    pub crashes: Vec<CrashItem>,
     /// Addresses of other VMs that count as alive.
     #[prost(string, repeated, tag = "13")]
     pub known: Vec<String>,
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -458,22 +458,17 @@
         let guard = rc::Rc::new(OpenGuard(self.clone()));
         let request = rc::Rc::new(request);
         let now = time::Instant::now();
-        let quarantined = {
-            let mut state = self.state.borrow_mut();
-            if !request.handed_over {
-                state.count_first(&request.service, now);
-            }
-            state.suspects.is_quarantined(request.fingerprint, now)
-        };
+        if !request.handed_over {
+            self.state.borrow_mut().count_first(&request.service, now);
+        }
+        let quarantine = self.state().crashes.quarantine_left(&request, now);
         let since = self.state.borrow().stopping_since;
         if since.is_some_and(|since| !stopping::takes(request.kind, since, now)) {
             return Err(self.refuse(&request, reply::RefusalCause::Stopping));
         }
-        if quarantined {
-            let (crashes, age) = self.state().suspects.evidence(request.fingerprint, now);
+        if let Some(left) = quarantine {
             log::info!(
-                request:% = request.id, fingerprint = request.fingerprint, crashes,
-                age_ms = age.as_millis();
+                request:% = request.id, fingerprint = request.fingerprint, left_ms = left.as_millis();
                 "request is quarantined"
             );
             return Err(self.refuse(&request, reply::RefusalCause::Quarantined));
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -498,10 +498,11 @@
             let _ = self.parts.send(reply::StreamPart::Bytes(rest)).await;
         }
         let _ = self.parts.send(reply::StreamPart::End).await;
+        let now = time::Instant::now();
         self.plane
             .state()
-            .suspects
-            .clear_suspect(self.request.fingerprint);
+            .crashes
+            .record_ran_well(&self.request, now);
         Ok(())
     }
 
@@ -552,10 +553,7 @@
             return;
         };
         let (id, hash) = (record.id.clone(), record.incarnation_hash());
-        if state
-            .suspects
-            .record_crash(self.request.fingerprint, hash, now)
-        {
+        if state.crashes.record_crash(hash, &self.request, now) {
             let size = self.request.size.as_ref();
             let parts: Vec<_> = size.map_or_else(Vec::new, request::GenerationSize::part_hashes);
             log::info!(
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,9 +8,9 @@
 use tokio::time;
 
 use crate::{
-    budget, capacity, catalog, delta, directory, era, evacuation, fleet, forecast, limits, loans,
-    message, notices, peers, place, port, reach, relocate, repeats, request, returning, runs,
-    server, suspect, system, update, wait,
+    budget, capacity, catalog, crashes, delta, directory, era, evacuation, fleet, forecast, limits,
+    loans, message, notices, peers, place, port, reach, relocate, repeats, request, returning,
+    runs, server, system, update, wait,
 };
 
 /// Settings of the plane, fixed at its start.
@@ -57,8 +57,8 @@
     pub system: system::SystemBelief,
     /// Other VMs, all of the same system.
     pub peers: peers::PeerTable,
-    /// Requests suspected of crashing servers.
-    pub suspects: suspect::SuspectTable,
+    /// Crashes of servers and their causes.
+    pub crashes: crashes::CrashEvidence,
     /// Refused requests whose retry is expected.
     pub returning: returning::ReturningRequests,
     /// Server updates that have not been announced to the other VMs yet.
@@ -131,7 +131,7 @@
             fleet: fleet::ServerFleet::default(),
             system: system::SystemBelief::default(),
             peers,
-            suspects: suspect::SuspectTable::default(),
+            crashes: crashes::CrashEvidence::default(),
             returning: returning::ReturningRequests::default(),
             unannounced: Vec::new(),
             notices: notices::LeavingNotices::default(),
