exchange: the newest crash is told first, and at once; those remembered in turn

What callers saw: a request that has crashed two servers is served once more at a VM that was not told of them. Class: a bounded message filled in an order that has nothing to do with what is new. Change: exchange::crash_news. What is new goes out newest first, with the next three datagrams (once by VMs that were told of it), the first at once. What is remembered and still counts goes out in turn, once a second, less often with more than 8 VMs, and in introductions, so that a VM that starts late or missed datagrams learns it. At most about 400 bytes a datagram. No figure of bytes at 410 VMs was measured.

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -210,6 +210,7 @@
         .flatten();
     let mut datagram = datagram(state);
     datagram.refused = state.returning.take_unannounced(MAX_REFUSED);
+    datagram.crashes = state.crashes.news(state.peers.len(), now);
     let direct = relays.as_ref().unwrap_or(&recipients);
     for chunk in updates.chunks(MAX_UPDATES_PER_DATAGRAM) {
         let bytes = with_updates(state, &datagram, chunk, large);
@@ -371,7 +372,6 @@
         stage: state.stage.into(),
         catalog_version: state.version(),
         loads,
-        crashes: state.crashes.items(now),
         store_unavailable: state.store_unavailable,
         store_era: state.era(),
         standing_hash: state.fleet.standing_hash(),
@@ -402,6 +402,7 @@
     let now = time::Instant::now();
     datagram.limits = state.limit_items(true, now);
     datagram.brittle = state.brittle_items(true, now);
+    datagram.crashes.extend(state.crashes.introduction(now));
     datagram.system = state.system.number();
     datagram.name.clone_from(&state.settings.name);
     datagram.domain.clone_from(&state.settings.domain);
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -10,9 +10,10 @@
 use std::{collections, num};
 
 use crash::table;
+use prost::Message as _;
 use tokio::time;
 
-use crate::{content, message, request};
+use crate::{content, crash_news, message, request};
 
 /// Time after a crash for which its cause is refused.
 pub const QUARANTINE_TIME: time::Duration = time::Duration::from_mins(5);
@@ -40,8 +41,8 @@
 /// Time of the clock of records when this VM started, so that records may be older than this VM.
 const CLOCK_START: time::Duration = time::Duration::from_hours(1);
 
-/// Maximum number of crashes in one datagram.
-const MAX_TOLD: usize = 4;
+/// Size in bytes from which a datagram tells of no further crash.
+const MAX_TOLD_BYTES: usize = 400;
 
 /// Table of crashes by the hashes of incarnations.
 type CrashTable = table::SuspectTable<u64, content::ContentKey>;
@@ -55,6 +56,7 @@
     epoch: time::Instant,
     /// When contents last ran well at this VM, by the clock of records.
     ran_well: lru::LruCache<content::ContentKey, u64>,
+    news: crash_news::CrashNews,
     /// Causes that were logged.
     logged: collections::BTreeSet<content::ContentKey>,
 }
@@ -74,6 +76,7 @@
             table: CrashTable::new(limits),
             epoch: time::Instant::now(),
             ran_well: lru::LruCache::new(MAX_RAN_WELL),
+            news: crash_news::CrashNews::default(),
             logged: collections::BTreeSet::new(),
         }
     }
@@ -93,17 +96,18 @@
             at_ms: self.millis(now),
             contents: content::ContentKey::all_of(request).into_iter().collect(),
         };
-        self.insert(record, now)
+        self.insert(record, crash_news::OWN_SENDS, now)
     }
 
-    fn insert(&mut self, record: CrashRecord, now: time::Instant) -> bool {
+    fn insert(&mut self, record: CrashRecord, sends: u32, now: time::Instant) -> bool {
         self.table.expire(self.millis(now));
-        let contents = record.contents.clone();
+        let (server, contents) = (record.server, record.contents.clone());
         let is_new = self.table.record_death(record);
         if is_new {
+            self.add_news(server, sends, |_| true);
             for content in contents {
                 if let Some(&ran_ms) = self.ran_well.peek(&content) {
-                    self.clear(content, ran_ms);
+                    self.clear(content, ran_ms, crash_news::OWN_SENDS);
                 }
             }
             self.note_causes();
@@ -117,19 +121,37 @@
         for content in content::ContentKey::all_of(request) {
             self.ran_well.put(content, now_ms);
             if self.table.names(content) {
-                self.clear(content, now_ms);
+                self.clear(content, now_ms, crash_news::OWN_SENDS);
+            }
+        }
+    }
+
+    /// Adds the parts of crashes of a server that have a content as given to the news.
+    fn add_news(&mut self, server: u64, sends: u32, is_told: impl Fn(content::ContentKey) -> bool) {
+        let crashes = self.table.deaths().filter(|crash| crash.server == server);
+        for crash in crashes {
+            for (number, chunk) in chunks(crash).into_iter().enumerate() {
+                if chunk.into_iter().any(&is_told) {
+                    self.news.add((server, number), sends);
+                }
             }
         }
     }
 
     /// Clears content, if it is not known to have run well about then.
-    fn clear(&mut self, content: content::ContentKey, ran_ms: u64) {
+    fn clear(&mut self, content: content::ContentKey, ran_ms: u64, sends: u32) {
         let step_ms = to_millis(CLEARED_STEP);
         let known_ms = self.table.cleared_at(content);
         if known_ms.is_some_and(|known_ms| ran_ms < known_ms.saturating_add(step_ms)) {
             return;
         }
         self.table.clear(content, ran_ms);
+        let crashes = self.table.deaths();
+        let crashes = crashes.filter(|crash| crash.contents.contains(&content));
+        let servers: Vec<_> = crashes.map(|crash| crash.server).collect();
+        for server in servers {
+            self.add_news(server, sends, |named| named == content);
+        }
         log::info!(content:?; "content ran well, and is cleared of crashes");
         metrics::counter!("pollenchute_exchange_crash_clearances_total").increment(1);
         self.note_causes();
@@ -166,21 +188,97 @@
         left.max().map(time::Duration::from_millis)
     }
 
-    /// Crashes for other VMs.
-    pub fn items(&mut self, now: time::Instant) -> Vec<message::CrashItem> {
+    /// News of crashes for so many other VMs; now and then a crash that is remembered.
+    pub fn news(&mut self, vms: usize, now: time::Instant) -> Vec<message::CrashItem> {
+        let now_ms = self.millis(now);
+        let pending = self.news.pending().collect();
+        let (told, items) = self.items_of(pending, 0, now_ms);
+        self.news.record_told(told);
+        if !items.is_empty() || !self.news.is_turn_due(vms, now) {
+            return items;
+        }
+        self.remembered(0, now).into_iter().take(1).collect()
+    }
+
+    /// News of crashes and those that are remembered, for a VM that may know of none.
+    pub fn introduction(&mut self, now: time::Instant) -> Vec<message::CrashItem> {
+        let now_ms = self.millis(now);
+        let pending = self.news.pending().collect();
+        let (told, mut items) = self.items_of(pending, 0, now_ms);
+        self.news.record_told(told);
+        let bytes = items.iter().map(prost::Message::encoded_len).sum();
+        items.extend(self.remembered(bytes, now));
+        items
+    }
+
+    /// Remembered crashes that still count, in turn, next to `bytes` of others.
+    fn remembered(&mut self, bytes: usize, now: time::Instant) -> Vec<message::CrashItem> {
         let now_ms = self.millis(now);
         self.table.expire(now_ms);
-        let crashes = self.table.deaths().take(MAX_TOLD);
-        crashes.map(|crash| self.item(crash, now_ms)).collect()
+        let counts = |crash: &&CrashRecord| {
+            let mut contents = crash.contents.iter();
+            contents.any(|content| {
+                self.table.standing(*content, now_ms) != table::ContentStanding::Clear
+            })
+        };
+        let crashes = self.table.deaths().rev().filter(counts);
+        let remembered = crashes.flat_map(|crash| {
+            let numbers = 0..chunks(crash).len();
+            numbers.map(move |number| (crash.server, number))
+        });
+        let in_turn = self.news.in_turn(remembered.collect());
+        let (told, items) = self.items_of(in_turn, bytes, now_ms);
+        self.news.record_turn(told, now);
+        items
+    }
+
+    /// Messages of parts of crashes, next to `bytes` of others, and the number of parts told.
+    fn items_of(
+        &self,
+        chunks: Vec<crash_news::CrashChunk>,
+        mut bytes: usize,
+        now_ms: u64,
+    ) -> (usize, Vec<message::CrashItem>) {
+        let mut told = 0;
+        let mut items = Vec::new();
+        for chunk in chunks {
+            if bytes >= MAX_TOLD_BYTES {
+                break;
+            }
+            told += 1;
+            for item in self.items_of_chunk(chunk, now_ms) {
+                bytes += item.encoded_len();
+                items.push(item);
+            }
+        }
+        (told, items)
     }
 
-    fn item(&self, crash: &CrashRecord, now_ms: u64) -> message::CrashItem {
+    fn items_of_chunk(
+        &self,
+        (server, number): crash_news::CrashChunk,
+        now_ms: u64,
+    ) -> Vec<message::CrashItem> {
+        let crashes = self.table.deaths().filter(|crash| crash.server == server);
+        let items = crashes.filter_map(|crash| {
+            let chunk = chunks(crash).into_iter().nth(number)?;
+            Some(self.item(crash, &chunk, now_ms))
+        });
+        items.collect()
+    }
+
+    fn item(
+        &self,
+        crash: &CrashRecord,
+        contents: &[content::ContentKey],
+        now_ms: u64,
+    ) -> message::CrashItem {
         let mut item = message::CrashItem {
             server: crash.server,
             age_ms: age(crash.at_ms, now_ms),
             ..message::CrashItem::default()
         };
-        for content in &crash.contents {
+        for content in contents {
             item.add(*content);
             if let Some(ran_ms) = self.table.cleared_at(*content) {
                 item.add_clearance(*content, age(ran_ms, now_ms));
@@ -200,10 +298,11 @@
             at_ms: now_ms.saturating_sub(item.age_ms.into()),
             contents: item.contents().collect(),
         };
-        let is_new = self.insert(record, now);
+        let is_new = self.insert(record, crash_news::FORWARDED_SENDS, now);
         for (content, age_ms) in item.clearances() {
             if self.table.names(content) {
-                self.clear(content, now_ms.saturating_sub(age_ms.into()));
+                let ran_ms = now_ms.saturating_sub(age_ms.into());
+                self.clear(content, ran_ms, crash_news::FORWARDED_SENDS);
             }
         }
         is_new
@@ -215,6 +314,13 @@
     }
 }
 
+/// Contents of a crash in parts that fit into messages.
+fn chunks(crash: &CrashRecord) -> Vec<Vec<content::ContentKey>> {
+    let contents: Vec<_> = crash.contents.iter().copied().collect();
+    let chunks = contents.chunks(crash_news::CHUNK_CONTENTS);
+    chunks.map(<[_]>::to_vec).collect()
+}
+
 fn age(at_ms: u64, now_ms: u64) -> u32 {
     u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catalog;
 pub mod catchup;
 pub mod content;
+pub mod crash_news;
 pub mod crashes;
 pub mod delta;
 pub mod directory;
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -560,6 +560,7 @@
                 request:% = self.request.id, server:% = id, fingerprint = self.request.fingerprint, parts:?;
                 "suspect of a crash"
             );
+            self.plane.announce.notify_one();
         }
     }
 
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -630,9 +630,9 @@
             evidence.record_crash(1, &request, now);
             evidence.record_crash(number, &request, now);
         }
-        let items = evidence.items(now);
+        let items = evidence.introduction(now);
         let contents = items.iter().map(|item| item.requests.len());
-        assert!(contents.max() <= Some(128), "bounded");
+        assert!(contents.sum::<usize>() <= 128, "bounded");
     });
 }
 
--- a/crates/exchange/tests/systems.rs
+++ b/crates/exchange/tests/systems.rs
@@ -78,7 +78,7 @@
     let mut state = plane.state();
     let peers: Vec<_> = state.peers.all().map(|peer| format!("{peer:?}")).collect();
     let servers: Vec<_> = state.fleet.servers().map(|(_, it)| it.update()).collect();
-    let accused = state.crashes.items(now);
+    let accused = state.crashes.introduction(now);
     let greeted = state.peers.greetings(now);
     format!("{peers:?} {servers:?} {accused:?} {greeted:?}")
 }
