exchange: calls accuse as streams do

What callers saw: a call that crashes plain servers is sent to one after the other; 15 of them ended in the users' record, all three at a time. Cause: only streams recorded what a server crashed under; a call that was lost told nothing. Class: one of several paths that end an attempt leaves out what the others record. Change: exchange::accusing, called where an attempt of any kind ends. A call whose answer is whole clears its request; an answer without a length or chunks does not, since a crash may have ended it.

--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`crashes`], [`relocate`], [`directory`]. [`plane`] executes them over the interface in
 //! [`port`]; [`link`] carries the messages between entry VMs.
 
+mod accusing;
 pub mod announce;
 pub mod body;
 pub mod budget;
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -33,6 +33,8 @@
 }
 
 struct CompleteResponse {
+    /// Whether the response states where its body ends; any other one may have been broken off.
+    delimited: bool,
     status: http::StatusCode,
     headers: http::HeaderMap,
     body: Bytes,
@@ -316,7 +318,7 @@
     );
     let left = plane::ExchangePlane::<P>::left(&request);
     let call = port::ServerCall {
-        request,
+        request: request.clone(),
         target,
         left,
         resume: None,
@@ -335,13 +337,28 @@
             plane.record_outcome(placed.server, verdict);
             return AttemptEnd::NotRun(cause);
         }
-        port::CallOutcome::Lost(_) => {
+        port::CallOutcome::Lost(cause) => {
             plane.record_outcome(placed.server, server::ServerVerdict::Failed);
+            if cause == port::LostCause::Broken {
+                plane.record_crash(placed.server, &request);
+            }
             return AttemptEnd::Lost;
         }
     };
     let (server, end) = end;
-    let verdict = match &end {
+    record_end(&plane, server, &request, &end, started);
+    end
+}
+
+/// Records what the end of an attempt that was answered tells of its server and of the request.
+fn record_end<P: port::ServerPort>(
+    plane: &plane::ExchangePlane<P>,
+    server: fleet::ServerKey,
+    request: &request::ExchangeRequest,
+    end: &AttemptEnd<P>,
+    started: time::Instant,
+) {
+    let verdict = match end {
         AttemptEnd::Complete(response) if response.status.is_server_error() => {
             server::ServerVerdict::Erred
         }
@@ -351,7 +368,16 @@
         _ => server::ServerVerdict::Failed,
     };
     plane.record_outcome(server, verdict);
-    end
+    match end {
+        AttemptEnd::Complete(response)
+            if response.delimited && !response.status.is_server_error() =>
+        {
+            plane.record_ran_well(request);
+        }
+        AttemptEnd::Long(_) => plane.record_ran_well(request),
+        AttemptEnd::Lost => plane.record_crash(server, request),
+        _ => {}
+    }
 }
 
 async fn read_response<P: port::ServerPort>(
@@ -369,8 +395,10 @@
     let end = loop {
         match body.next().await {
             None => {
+                let delimited = body.is_delimited();
                 let body = buffer.freeze();
                 break AttemptEnd::Complete(CompleteResponse {
+                    delimited,
                     status,
                     headers,
                     body,
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -498,11 +498,7 @@
             let _ = self.parts.send(reply::StreamPart::Bytes(rest)).await;
         }
         let _ = self.parts.send(reply::StreamPart::End).await;
-        let now = time::Instant::now();
-        self.plane
-            .state()
-            .crashes
-            .record_ran_well(&self.request, now);
+        self.plane.record_ran_well(&self.request);
         Ok(())
     }
 
@@ -540,27 +536,8 @@
 
     /// Makes the request a suspect if its server broke it off soon after its start.
     pub(crate) fn record_crash(&self, server: fleet::ServerKey) {
-        let now = time::Instant::now();
-        let mut state = self.plane.state();
-        let leaving = state
-            .fleet
-            .server(server)
-            .is_some_and(|server| !server.takes_work(now));
-        if leaving || self.splitter.events() >= MIN_EVENTS_TO_CLEAR {
-            return;
-        }
-        let Some(record) = state.fleet.server(server) else {
-            return;
-        };
-        let (id, hash) = (record.id.clone(), record.incarnation_hash());
-        if state.crashes.record_crash(hash, &self.request, now) {
-            let size = self.request.size.as_ref();
-            let parts: Vec<_> = size.map_or_else(Vec::new, request::GenerationSize::part_hashes);
-            log::info!(
-                request:% = self.request.id, server:% = id, fingerprint = self.request.fingerprint, parts:?;
-                "suspect of a crash"
-            );
-            self.plane.announce.notify_one();
+        if self.splitter.events() < MIN_EVENTS_TO_CLEAR {
+            self.plane.record_crash(server, &self.request);
         }
     }
 
