exchange: quarantine is asked wherever an attempt is permitted or sent

What callers saw: requests that arrived before the cause was known crash servers after it; one stream crashes all six engines of the test cluster by itself, going on at one backup after the other. Cause: quarantine was asked once, when a request arrives; what waits, is retried, hedged, resumed, moved or handed over was not. Class: a check at the door of a path that has several doors. Change: RequestAttempts' permits are refused for what is quarantined, and send_attempt, the only place that sends, asks once more, since a permit may be older than the verdict. Waits end at once. A run that is quarantined is neither moved nor resumed. The refusal is not-run, and names the end of the quarantine as the time to come back. What may have crashed two servers while crashes do not tell the cause is sent once, not repeated. Conclusion: a cause that is known reaches no server from a VM that knows it.

--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -1,8 +1,10 @@
-//! Records that servers crash under requests, or that requests run well.
+//! Records that servers crash under requests, or that requests run well, and refuses those that crash
+//! servers.
 
+use base::outcome;
 use tokio::time;
 
-use crate::{fleet, plane, request};
+use crate::{fleet, plane, reply, request};
 
 impl<P> plane::ExchangePlane<P> {
     /// Records that a server broke a request off as it began.
@@ -31,6 +33,7 @@
             "suspect of a crash"
         );
         self.announce();
+        self.wake_decisions();
     }
 
     /// Records that a request ran well.
@@ -38,4 +41,42 @@
         let now = time::Instant::now();
         self.state().crashes.record_ran_well(request, now);
     }
+
+    /// Whether a request must not be sent to any server.
+    pub(crate) fn is_quarantined(&self, request: &request::ExchangeRequest) -> bool {
+        let now = time::Instant::now();
+        self.state().crashes.quarantine_left(request, now).is_some()
+    }
+
+    /// Refusal of a request that got no permit.
+    pub(crate) fn refuse_unpermitted(&self, request: &request::ExchangeRequest) -> reply::Refusal {
+        let cause = if self.is_quarantined(request) {
+            reply::RefusalCause::Quarantined
+        } else {
+            reply::RefusalCause::Rejected
+        };
+        self.refuse(request, cause)
+    }
+
+    /// Refusal of a request that is quarantined, until its quarantine ends.
+    pub(crate) fn refuse_quarantined(&self, request: &request::ExchangeRequest) -> reply::Refusal {
+        let now = time::Instant::now();
+        let left = self.state().crashes.quarantine_left(request, now);
+        log::info!(
+            request:% = request.id, fingerprint = request.fingerprint,
+            left_ms:? = left.map(|left| left.as_millis());
+            "request is quarantined"
+        );
+        reply::Refusal {
+            cause: reply::RefusalCause::Quarantined,
+            ran: outcome::RanState::No,
+            retry_after: left,
+        }
+    }
+
+    /// Ends the waits of requests that are quarantined.
+    pub(crate) fn release_quarantined(&self) {
+        let mut waiters = self.waiters.borrow_mut();
+        waiters.retain(|_, waiter| !self.is_quarantined(&waiter.request));
+    }
 }
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -22,6 +22,8 @@
 const RETENTION: time::Duration = time::Duration::from_mins(15);
 /// Time for which contents are refused at first if crashes do not tell which of them is the cause.
 const TIE_TIME: time::Duration = time::Duration::from_secs(20);
+/// Number of crashes from which a request is sent only once, while crashes do not tell the cause.
+const MIN_SUSPECT_CRASHES: u32 = 2;
 /// Number of crashes from which such contents are refused.
 const MIN_TIED_CRASHES: usize = 3;
 /// Time after content ran well for which crashes do not count against it.
@@ -57,6 +59,8 @@
     /// When contents last ran well at this VM, by the clock of records.
     ran_well: lru::LruCache<content::ContentKey, u64>,
     news: crash_news::CrashNews,
+    /// Whether what is quarantined may have changed.
+    changed: bool,
     /// Causes that were logged.
     logged: collections::BTreeSet<content::ContentKey>,
 }
@@ -77,6 +81,7 @@
             epoch: time::Instant::now(),
             ran_well: lru::LruCache::new(MAX_RAN_WELL),
             news: crash_news::CrashNews::default(),
+            changed: false,
             logged: collections::BTreeSet::new(),
         }
     }
@@ -159,6 +164,7 @@
 
     /// Logs causes that are new, and forgets those that are none any more.
     fn note_causes(&mut self) {
+        self.changed = true;
         let causes = self.table.causes();
         for content in causes.difference(&self.logged) {
             let crashes = self.table.against(*content);
@@ -188,6 +194,22 @@
         left.max().map(time::Duration::from_millis)
     }
 
+    /// Whether a request may be what crashed several servers, and crashes do not tell yet.
+    #[must_use]
+    pub fn is_suspect(&self, request: &request::ExchangeRequest, now: time::Instant) -> bool {
+        let now_ms = self.millis(now);
+        let mut contents = content::ContentKey::all_of(request).into_iter();
+        contents.any(|content| {
+            let standing = self.table.standing(content, now_ms);
+            matches!(standing, table::ContentStanding::Suspect { deaths } if deaths >= MIN_SUSPECT_CRASHES)
+        })
+    }
+
+    /// Whether what is quarantined may have changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// News of crashes for so many other VMs; now and then a crash that is remembered.
     pub fn news(&mut self, vms: usize, now: time::Instant) -> Vec<message::CrashItem> {
         let now_ms = self.millis(now);
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -131,7 +131,8 @@
         plane.repeats_lent.notify_waiters();
         plane.wake_decisions();
     }
-    if changed || !plane.state().waiting_services().is_empty() {
+    let waits = !plane.state().waiting_services().is_empty();
+    if changed || waits || !datagram.crashes.is_empty() {
         plane.wake_decisions();
     }
     answered
--- a/crates/exchange/src/permit.rs
+++ b/crates/exchange/src/permit.rs
@@ -143,7 +143,8 @@
 impl state::PlaneState {
     /// Issues the permit for the next attempt of a request: without a repeat if no attempt before it
     /// can have reached a server, else with one of this VM's share. `None` if none is left, or if the
-    /// route allows no further attempt.
+    /// route allows no further attempt, if the request is quarantined, or if it would be repeated though
+    /// it may be what crashed several servers.
     pub fn permit(
         &mut self,
         request: &request::ExchangeRequest,
@@ -151,6 +152,9 @@
         kind: budget::RepeatKind,
         now: time::Instant,
     ) -> Option<AttemptPermit> {
+        if self.crashes.quarantine_left(request, now).is_some() {
+            return None;
+        }
         let is_resume = kind == budget::RepeatKind::Resume;
         let basis = {
             let attempts = attempts.borrow();
@@ -164,6 +168,7 @@
         };
         let basis = match basis {
             Some(first) => first,
+            None if self.crashes.is_suspect(request, now) => return None,
             None => PermitBasis::Repeat(kind, self.take_repeat(request, kind, now)?),
         };
         {
--- a/crates/exchange/src/placing.rs
+++ b/crates/exchange/src/placing.rs
@@ -135,7 +135,11 @@
         drop(guard);
         metrics::histogram!("pollenchute_exchange_waited_seconds")
             .record(now.elapsed().as_secs_f64());
-        placed.map_err(|cause| self.refuse(request, cause))
+        placed.map_err(|cause| {
+            let quarantined = self.is_quarantined(request);
+            let quarantined = quarantined.then_some(reply::RefusalCause::Quarantined);
+            self.refuse(request, quarantined.unwrap_or(cause))
+        })
     }
 
     /// Waits until a server is assigned, the max wait ends, or the request can't start in time any
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -183,6 +183,9 @@
     /// Starts waiting requests and orders moves. Returns whether the next check is due soon.
     fn poll(&self, now: time::Instant) -> bool {
         self.state.borrow_mut().sample_capacity(now);
+        if self.state.borrow_mut().crashes.take_changed() {
+            self.release_quarantined();
+        }
         let services = self.state.borrow().waiting_services();
         for service in &services {
             self.start_waiting(service, now);
@@ -375,6 +378,9 @@
         request: &request::ExchangeRequest,
         cause: reply::RefusalCause,
     ) -> reply::Refusal {
+        if cause == reply::RefusalCause::Quarantined {
+            return self.refuse_quarantined(request);
+        }
         let now = time::Instant::now();
         let mut state = self.state.borrow_mut();
         let rank = state.rank_basis(request, now).rank(now);
@@ -417,6 +423,9 @@
         server: fleet::ServerKey,
         permit: permit::AttemptPermit,
     ) -> port::CallOutcome<P::Body> {
+        if self.is_quarantined(&call.request) {
+            return port::CallOutcome::NotRun(port::NotRunCause::Quarantined);
+        }
         let sent_at = time::Instant::now();
         let used = self.state().use_permit(permit, Some(server), sent_at);
         let Some((used, proof)) = used else {
@@ -426,9 +435,9 @@
         let outcome = self.take_signals(server, sent_at, reply);
         let now = time::Instant::now();
         let arrival = match &outcome {
-            port::CallOutcome::NotRun(port::NotRunCause::Unreachable) => {
-                permit::AttemptArrival::Unsent
-            }
+            port::CallOutcome::NotRun(
+                port::NotRunCause::Unreachable | port::NotRunCause::Quarantined,
+            ) => permit::AttemptArrival::Unsent,
             port::CallOutcome::NotRun(port::NotRunCause::Misdirected) => {
                 permit::AttemptArrival::Misdirected
             }
@@ -461,16 +470,11 @@
         if !request.handed_over {
             self.state.borrow_mut().count_first(&request.service, now);
         }
-        let quarantine = self.state().crashes.quarantine_left(&request, now);
         let since = self.state.borrow().stopping_since;
         if since.is_some_and(|since| !stopping::takes(request.kind, since, now)) {
             return Err(self.refuse(&request, reply::RefusalCause::Stopping));
         }
-        if let Some(left) = quarantine {
-            log::info!(
-                request:% = request.id, fingerprint = request.fingerprint, left_ms = left.as_millis();
-                "request is quarantined"
-            );
+        if self.is_quarantined(&request) {
             return Err(self.refuse(&request, reply::RefusalCause::Quarantined));
         }
         self.serve_reached(request, &permit::SharedAttempts::default(), guard)
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -78,6 +78,8 @@
     Rejected,
     /// Another incarnation has the address.
     Misdirected,
+    /// The request is quarantined, and was not sent.
+    Quarantined,
 }
 
 /// Why it is unknown whether an attempt ran.
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -201,6 +201,7 @@
             AttemptEnd::NotRun(cause) => {
                 let refused = match cause {
                     port::NotRunCause::Rejected => reply::RefusalCause::Rejected,
+                    port::NotRunCause::Quarantined => reply::RefusalCause::Quarantined,
                     _ => reply::RefusalCause::NoServer,
                 };
                 self.log_failed(server, cause_name(cause));
@@ -241,8 +242,7 @@
     }
 
     fn rejected(&self) -> reply::Refusal {
-        self.plane
-            .refuse(self.request, reply::RefusalCause::Rejected)
+        self.plane.refuse_unpermitted(self.request)
     }
 
     fn log_failed(&self, server: fleet::ServerKey, why: &str) {
@@ -295,6 +295,7 @@
         port::NotRunCause::Unreachable => "unreachable",
         port::NotRunCause::Rejected => "rejected",
         port::NotRunCause::Misdirected => "misdirected",
+        port::NotRunCause::Quarantined => "quarantined",
     }
 }
 
@@ -329,6 +330,9 @@
     let outcome = plane.send_attempt(call, placed.server, permit).await;
     let end = match outcome {
         port::CallOutcome::Responded(response) => read_response(response, placed).await,
+        port::CallOutcome::NotRun(port::NotRunCause::Quarantined) => {
+            return AttemptEnd::NotRun(port::NotRunCause::Quarantined);
+        }
         port::CallOutcome::NotRun(cause) => {
             let verdict = match cause {
                 port::NotRunCause::Misdirected => server::ServerVerdict::Failed,
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -273,12 +273,7 @@
                 }
                 port::CallOutcome::NotRun(cause) => {
                     self.ran = before;
-                    self.plane
-                        .record_outcome(server, server::ServerVerdict::Refused);
-                    log::info!(
-                        request:% = self.request.id, server:% = self.plane.server_id(server),
-                        cause:? = cause; "stream not run"
-                    );
+                    self.record_not_run(server, cause);
                     permit = self.permit_retry(avoid.len())?;
                 }
                 port::CallOutcome::Lost(cause) => {
@@ -339,6 +334,18 @@
         ))
     }
 
+    /// Records that an attempt certainly did not run.
+    fn record_not_run(&self, server: fleet::ServerKey, cause: port::NotRunCause) {
+        if cause != port::NotRunCause::Quarantined {
+            self.plane
+                .record_outcome(server, server::ServerVerdict::Refused);
+        }
+        log::info!(
+            request:% = self.request.id, server:% = self.plane.server_id(server),
+            cause:? = cause; "stream not run"
+        );
+    }
+
     /// Permits another attempt after one that certainly did not run.
     fn permit_retry(&self, attempts: usize) -> Result<permit::AttemptPermit, reply::Refusal> {
         let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
@@ -358,8 +365,7 @@
     }
 
     fn rejected(&self) -> reply::Refusal {
-        self.plane
-            .refuse(&self.request, reply::RefusalCause::Rejected)
+        self.plane.refuse_unpermitted(&self.request)
     }
 
     pub(crate) fn call(
@@ -439,9 +445,10 @@
     }
 
     /// Whether the caller's answer may continue with the events of the run on another server. Nothing
-    /// continues the body of an error response.
+    /// continues the body of an error response, and what is quarantined is not sent again.
     fn may_continue(&self, live: &LiveRun<P>) -> bool {
-        live.has_events && self.splitter.may_continue()
+        let quarantined = self.plane.is_quarantined(&self.request);
+        live.has_events && self.splitter.may_continue() && !quarantined
     }
 
     /// Returns how forwarding ended when the body of a response reached its end. A stream that ends
--- a/crates/exchange/tests/crashes.rs
+++ b/crates/exchange/tests/crashes.rs
@@ -195,25 +195,54 @@
     });
 }
 
+#[test]
+fn a_run_does_not_go_on_from_one_crash_to_the_next() {
+    // Guards against a stream that goes on at its backups, and crashes all engines by itself.
+    cluster::run(async {
+        let mut vms = crashing_vms(1, 0, 6);
+        let request = vms.alike("bad", ExchangeKind::Stream, BAD);
+        vms.send(0, request);
+        vms.pass(ms(2_000)).await;
+        assert_eq!(vms.ends_of("bad"), [CallEnd::Broken]);
+        let crashes = vms.board.crashes.borrow().len();
+        assert!(crashes <= 2, "{crashes} engines crashed");
+    });
+}
+
 #[test]
 fn what_waits_is_refused_once_it_is_quarantined() {
     // Guards against requests that arrived before the verdict, waited, and were sent after it.
     cluster::run(async {
-        let mut vms = crashing_vms(1, 0, 6);
-        for _ in 0..60 {
+        let mut vms = crashing_vms(2, 0, 6);
+        for plane in &vms.vms {
+            plane.state().settings.backups = false;
+        }
+        vms.connected = false;
+        vms.vms[0].port().pace.set(Some(ms(100)));
+        for _ in 0..100 {
+            if !vms.vms[0].state().waiting_services().is_empty() {
+                break;
+            }
             let request = vms.request("filler", ExchangeKind::Stream);
             vms.send(0, request);
+            vms.pass(ms(50)).await;
         }
-        vms.pass(ms(20)).await;
-        for _ in 0..12 {
-            let mut request = vms.alike("bad", ExchangeKind::Stream, BAD);
-            request.priority = 0;
+        for _ in 0..4 {
+            let request = vms.alike("waits", ExchangeKind::Stream, BAD);
             vms.send(0, request);
         }
+        for _ in 0..2 {
+            let request = vms.alike("bad", ExchangeKind::Stream, BAD);
+            vms.send(1, request);
+            vms.pass(ms(200)).await;
+        }
+        assert_eq!(vms.ends_of("waits"), [], "all wait");
+        vms.connected = true;
+        vms.pass(ms(400)).await;
+        let refused = vms.count("waits", QUARANTINED);
         vms.pass(ms(8_000)).await;
-        assert_eq!(vms.ends_of("bad").len(), 12, "all have ended");
         let crashes = vms.board.crashes.borrow().len();
-        assert!((2..=4).contains(&crashes), "{crashes} engines crashed");
+        assert_eq!((crashes, refused), (2, 4), "crashes, refused at once");
     });
 }
 
