exchange: a crash is told from a cut link

What callers saw: a stream that was lost in two cuts of its VM's links is refused at all VMs. Cause: whatever broke off as it began counted as a crash; a link that is cut, and a server that sends half an answer, look the same. Class: one symptom taken for one cause. Change: a VM opens a connection to the server that broke a request off. A process that has ended refuses it; one that takes it runs, and one that does not answer tells nothing. An attempt waits for the check for 20 ms at most before it is repeated, so that the repeat knows the verdict. Conclusion: a crash needs a refused connection and no answer after it. Costs one connection for each server that breaks off as a request begins.

--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -44,6 +44,17 @@
     },
 }
 
+impl ConnectError {
+    /// Whether the server's host answered that nothing listens at the address.
+    #[must_use]
+    pub fn is_refusal(&self) -> bool {
+        match self {
+            Self::Refused { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
+            Self::TimedOut { .. } => false,
+        }
+    }
+}
+
 /// Which idle connections may be reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReuseRule {
--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -273,6 +273,12 @@
         }
     }
 
+    /// Whether no death is recorded.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.deaths.is_empty()
+    }
+
     /// All deaths, refuted ones too, in the order in which they were recorded.
     pub fn deaths(&self) -> impl DoubleEndedIterator<Item = &DeathRecord<S, K>> {
         self.deaths.iter()
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -1,41 +1,84 @@
 //! Records that servers crash under requests, or that requests run well, and refuses those that crash
 //! servers.
+//!
+//! A request that breaks off does not tell a crash from a link that was cut. A process that has ended
+//! refuses new connections, so this VM opens one. A link may refuse them, too: then another VM has
+//! answers of the server, and tells so.
+
+use std::rc;
 
 use base::outcome;
 use tokio::time;
 
-use crate::{fleet, plane, reply, request};
+use crate::{fleet, plane, port, reply, request};
 
-impl<P> plane::ExchangePlane<P> {
-    /// Records that a server broke a request off as it began.
-    pub(crate) fn record_crash(
-        &self,
+/// Maximum time for which an attempt that was broken off waits for the check of its server. A server
+/// that is reached answers the check in a millisecond.
+const MAX_CHECK_WAIT: time::Duration = time::Duration::from_millis(20);
+
+impl<P: port::ServerPort + 'static> plane::ExchangePlane<P> {
+    /// Records that a server broke a request off as it began, and checks whether it crashed.
+    pub(crate) async fn record_broken(
+        self: &rc::Rc<Self>,
         server: fleet::ServerKey,
         request: &request::ExchangeRequest,
     ) {
         let now = time::Instant::now();
-        let mut state = self.state();
-        let Some(record) = state.fleet.server(server) else {
-            return;
+        let hash = {
+            let mut state = self.state();
+            let record = state.fleet.server(server);
+            let Some(record) = record.filter(|record| record.takes_work(now)) else {
+                return;
+            };
+            let hash = record.incarnation_hash();
+            if state.crashes.record_broken(hash, request, now) {
+                tokio::task::spawn_local(check_server(self.clone(), server, hash));
+            }
+            hash
         };
-        if !record.takes_work(now) {
-            return;
-        }
-        let (id, hash) = (record.id.clone(), record.incarnation_hash());
-        if !state.crashes.record_crash(hash, request, now) {
-            return;
-        }
-        drop(state);
         let size = request.size.as_ref();
         let parts = size.map_or_else(Vec::new, request::GenerationSize::part_hashes);
         log::info!(
-            request:% = request.id, server:% = id, fingerprint = request.fingerprint, parts:?;
-            "suspect of a crash"
+            request:% = request.id, server:% = self.server_id(server),
+            fingerprint = request.fingerprint, parts:?;
+            "request broke off as it began; checking its server"
         );
-        self.announce();
-        self.wake_decisions();
+        let until = now + MAX_CHECK_WAIT;
+        while self.state().crashes.is_unchecked(hash) {
+            let checked = self.servers_checked.notified();
+            if time::timeout_at(until, checked).await.is_err() {
+                return;
+            }
+        }
     }
+}
 
+/// Checks whether a server crashed that broke requests off.
+async fn check_server<P: port::ServerPort + 'static>(
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    server: fleet::ServerKey,
+    hash: u64,
+) {
+    let outcome = match plane.target(server) {
+        Some(target) => plane.port.probe(target).await,
+        None => port::ProbeOutcome::Unreached,
+    };
+    let crashed = outcome == port::ProbeOutcome::Refused;
+    let now = time::Instant::now();
+    let contents = plane.state().crashes.record_check(hash, crashed, now);
+    log::info!(
+        server:% = plane.server_id(server), outcome:?, contents:?;
+        "server that broke requests off was checked"
+    );
+    if contents.is_some() {
+        metrics::counter!("pollenchute_exchange_crashes_total").increment(1);
+        plane.announce();
+        plane.wake_decisions();
+    }
+    plane.servers_checked.notify_waiters();
+}
+
+impl<P> plane::ExchangePlane<P> {
     /// Records that a request ran well.
     pub(crate) fn record_ran_well(&self, request: &request::ExchangeRequest) {
         let now = time::Instant::now();
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -59,6 +59,8 @@
     /// When contents last ran well at this VM, by the clock of records.
     ran_well: lru::LruCache<content::ContentKey, u64>,
     news: crash_news::CrashNews,
+    /// Servers that broke requests off, with these, while it is checked whether they crashed.
+    unchecked: collections::HashMap<u64, CrashRecord>,
     /// Whether what is quarantined may have changed.
     changed: bool,
     /// Causes that were logged.
@@ -81,6 +83,7 @@
             epoch: time::Instant::now(),
             ran_well: lru::LruCache::new(MAX_RAN_WELL),
             news: crash_news::CrashNews::default(),
+            unchecked: collections::HashMap::new(),
             changed: false,
             logged: collections::BTreeSet::new(),
         }
@@ -88,20 +91,60 @@
 }
 
 impl CrashEvidence {
-    /// Records that a server crashed under a request that had just begun there. Returns whether this
-    /// is news.
-    pub fn record_crash(
+    /// Records that a server broke off a request that had just begun there. Returns whether it is to
+    /// be checked whether the server crashed.
+    pub fn record_broken(
         &mut self,
         server: u64,
         request: &request::ExchangeRequest,
         now: time::Instant,
     ) -> bool {
-        let record = CrashRecord {
+        let at_ms = self.millis(now);
+        let contents = content::ContentKey::all_of(request);
+        let is_first = !self.unchecked.contains_key(&server);
+        let unchecked = self.unchecked.entry(server);
+        let record = unchecked.or_insert_with(|| CrashRecord {
             server,
-            at_ms: self.millis(now),
-            contents: content::ContentKey::all_of(request).into_iter().collect(),
-        };
-        self.insert(record, crash_news::OWN_SENDS, now)
+            at_ms,
+            contents: collections::BTreeSet::new(),
+        });
+        record.contents.extend(contents);
+        is_first
+    }
+
+    /// Whether it is being checked whether a server crashed.
+    #[must_use]
+    pub fn is_unchecked(&self, server: u64) -> bool {
+        self.unchecked.contains_key(&server)
+    }
+
+    /// Records whether a server crashed under the requests that it broke off. Returns the number of
+    /// contents that it may be due to, if it crashed and this is news.
+    pub fn record_check(
+        &mut self,
+        server: u64,
+        crashed: bool,
+        now: time::Instant,
+    ) -> Option<usize> {
+        let record = self.unchecked.remove(&server)?;
+        let contents = record.contents.len();
+        let is_news = crashed && self.insert(record, crash_news::OWN_SENDS, now);
+        is_news.then_some(contents)
+    }
+
+    /// Records that a server answered what was sent at `sent_at`. If that was after its alleged crash,
+    /// it did not crash.
+    pub fn record_answer(&mut self, server: u64, sent_at: time::Instant) {
+        if self.table.is_empty() {
+            return;
+        }
+        let sent_ms = self.millis(sent_at);
+        if self.table.record_answer(&server, sent_ms) {
+            log::info!(server; "server answered after its alleged crash");
+            metrics::counter!("pollenchute_exchange_crashes_refuted_total").increment(1);
+            self.add_news(server, crash_news::OWN_SENDS, |_| true);
+            self.note_causes();
+        }
     }
 
     fn insert(&mut self, record: CrashRecord, sends: u32, now: time::Instant) -> bool {
@@ -298,6 +341,10 @@
         let mut item = message::CrashItem {
             server: crash.server,
             age_ms: age(crash.at_ms, now_ms),
+            answered_ms: self
+                .table
+                .answered_at(crash)
+                .map(|sent_ms| age(crash.at_ms, sent_ms)),
             ..message::CrashItem::default()
         };
         for content in contents {
@@ -315,12 +362,21 @@
         if time::Duration::from_millis(item.age_ms.into()) >= RETENTION {
             return false;
         }
+        let at_ms = now_ms.saturating_sub(item.age_ms.into());
         let record = CrashRecord {
             server: item.server,
-            at_ms: now_ms.saturating_sub(item.age_ms.into()),
+            at_ms,
             contents: item.contents().collect(),
         };
         let is_new = self.insert(record, crash_news::FORWARDED_SENDS, now);
+        if let Some(answered_ms) = item.answered_ms
+            && self
+                .table
+                .record_answer(&item.server, at_ms + u64::from(answered_ms))
+        {
+            self.add_news(item.server, crash_news::FORWARDED_SENDS, |_| true);
+            self.note_causes();
+        }
         for (content, age_ms) in item.clearances() {
             if self.table.names(content) {
                 let ran_ms = now_ms.saturating_sub(age_ms.into());
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -168,6 +168,10 @@
     /// Contents of the crash that ran well.
     #[prost(message, repeated, tag = "4")]
     pub cleared: Vec<ClearedItem>,
+    /// Time after the crash at which a request was sent that the server answered, in milliseconds:
+    /// it did not crash.
+    #[prost(uint32, optional, tag = "5")]
+    pub answered_ms: Option<u32>,
 }
 
 /// Content that ran well.
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -443,7 +443,7 @@
     }
 
     /// Returns the copy from which a run can continue after its server broke it off.
-    pub(crate) fn copy_after_break(&mut self, live: &LiveRun<P>) -> Option<CopyPlace> {
+    pub(crate) async fn copy_after_break(&mut self, live: &LiveRun<P>) -> Option<CopyPlace> {
         let server = live.placed.server;
         log::info!(
             request:% = self.request.id, server:% = self.plane.server_id(server),
@@ -452,7 +452,7 @@
         self.plane
             .record_outcome(server, server::ServerVerdict::Failed);
         self.plane.record_reach(server, time::Instant::now(), false);
-        self.record_crash(server);
+        self.record_broken(server).await;
         let backup = {
             let state = self.plane.state();
             state.fleet.run(live.placed.run)?.backup
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -220,6 +220,17 @@
     Unreachable,
 }
 
+/// What a new connection to a server tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The connection was established.
+    Reached,
+    /// The server's host refused it: nothing listens at the address.
+    Refused,
+    /// There was no answer in time, or another error.
+    Unreached,
+}
+
 /// Why a server reserved no memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReserveFault {
@@ -266,8 +277,8 @@
         handle: String,
     ) -> impl Future<Output = SignalledReply<()>>;
 
-    /// Returns whether a new connection to a server is established. It sends no request.
-    fn probe(&self, target: ServerTarget) -> impl Future<Output = bool>;
+    /// Opens a new connection to a server, without a request.
+    fn probe(&self, target: ServerTarget) -> impl Future<Output = ProbeOutcome>;
 
     /// Hands a request over to another VM for one attempt, which is permitted. Dropping the future, or the body of the reply, cancels it
     /// there.
--- a/crates/exchange/src/reaching.rs
+++ b/crates/exchange/src/reaching.rs
@@ -46,8 +46,9 @@
         };
         let service = record.service.as_str();
         if reached {
-            if state.reach.record_reached(service, now) {
-                let service = service.to_owned();
+            let (hash, service) = (record.incarnation_hash(), service.to_owned());
+            state.crashes.record_answer(hash, sent_at);
+            if state.reach.record_reached(&service, now) {
                 drop(guard);
                 self.end_cut(&service);
             }
@@ -246,8 +247,8 @@
         let targets = keys.into_iter().filter_map(|key| self.target(key));
         let probes = targets.map(|target| self.port.probe(target));
         let mut probes: stream::FuturesUnordered<_> = probes.collect();
-        while let Some(reached) = probes.next().await {
-            if reached {
+        while let Some(outcome) = probes.next().await {
+            if outcome == port::ProbeOutcome::Reached {
                 return true;
             }
         }
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -344,13 +344,16 @@
         port::CallOutcome::Lost(cause) => {
             plane.record_outcome(placed.server, server::ServerVerdict::Failed);
             if cause == port::LostCause::Broken {
-                plane.record_crash(placed.server, &request);
+                plane.record_broken(placed.server, &request).await;
             }
             return AttemptEnd::Lost;
         }
     };
     let (server, end) = end;
     record_end(&plane, server, &request, &end, started);
+    if matches!(end, AttemptEnd::Lost) {
+        plane.record_broken(server, &request).await;
+    }
     end
 }
 
@@ -379,7 +382,6 @@
             plane.record_ran_well(request);
         }
         AttemptEnd::Long(_) => plane.record_ran_well(request),
-        AttemptEnd::Lost => plane.record_crash(server, request),
         _ => {}
     }
 }
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -213,7 +213,7 @@
             let copy = match self.relay(&mut live).await {
                 RelayEnd::Finished => return self.finish().await,
                 RelayEnd::Stopped(copy) => Some(copy),
-                RelayEnd::Broken => self.copy_after_break(&live),
+                RelayEnd::Broken => self.copy_after_break(&live).await,
             };
             self.splitter.drop_partial();
             live.body = None;
@@ -277,7 +277,7 @@
                     permit = self.permit_retry(avoid.len())?;
                 }
                 port::CallOutcome::Lost(cause) => {
-                    self.record_lost(server, cause);
+                    self.record_lost(server, cause).await;
                     return Err(self.lost());
                 }
             }
@@ -521,7 +521,7 @@
     }
 
     /// Records that a server broke the request off before its first byte.
-    fn record_lost(&self, server: fleet::ServerKey, cause: port::LostCause) {
+    async fn record_lost(&self, server: fleet::ServerKey, cause: port::LostCause) {
         log::info!(
             request:% = self.request.id, server:% = self.plane.server_id(server),
             cause:? = cause; "stream lost before its head"
@@ -529,7 +529,9 @@
         self.plane
             .record_outcome(server, server::ServerVerdict::BrokeOff);
         self.plane.announce_loads();
-        self.record_crash(server);
+        if cause == port::LostCause::Broken {
+            self.record_broken(server).await;
+        }
         let now = time::Instant::now();
         let state = self.plane.state();
         if let Some(record) = state.fleet.server(server) {
@@ -542,9 +544,9 @@
     }
 
     /// Makes the request a suspect if its server broke it off soon after its start.
-    pub(crate) fn record_crash(&self, server: fleet::ServerKey) {
+    pub(crate) async fn record_broken(&self, server: fleet::ServerKey) {
         if self.splitter.events() < MIN_EVENTS_TO_CLEAR {
-            self.plane.record_crash(server, &self.request);
+            self.plane.record_broken(server, &self.request).await;
         }
     }
 
--- a/crates/exchange/tests/cluster/crashing.rs
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Restarts all servers under their names.
+    pub fn restart_all(&self) {
+        self.down.borrow_mut().clear();
+    }
+
     /// Waits until a server crashes.
     pub async fn crashed(&self, server: &str) {
         loop {
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -424,9 +424,14 @@
         self.signalled(&source.id, (), true)
     }
 
-    async fn probe(&self, target: port::ServerTarget) -> bool {
+    async fn probe(&self, target: port::ServerTarget) -> port::ProbeOutcome {
         self.probed.borrow_mut().push(target.id.clone());
-        self.path(&target.id).await
+        let hangs = self.cut.get() == Some(PathCut::Silent);
+        match self.path(&target.id).await {
+            true => port::ProbeOutcome::Reached,
+            false if hangs => port::ProbeOutcome::Unreached,
+            false => port::ProbeOutcome::Refused,
+        }
     }
 
     async fn hand_over(
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -617,18 +617,22 @@
         let quarantined = |evidence: &crashes::CrashEvidence, at| {
             evidence.quarantine_left(&request, at).is_some()
         };
-        assert!(evidence.record_crash(1, &request, now));
-        assert!(!evidence.record_crash(1, &request, now));
+        let crash = |evidence: &mut crashes::CrashEvidence, server, request: &_| {
+            evidence.record_broken(server, request, now);
+            evidence.record_check(server, true, now).is_some()
+        };
+        assert!(crash(&mut evidence, 1, &request));
+        assert!(!crash(&mut evidence, 1, &request));
         assert!(!quarantined(&evidence, now));
-        evidence.record_crash(2, &request, now);
+        crash(&mut evidence, 2, &request);
         assert!(quarantined(&evidence, now));
         assert!(!quarantined(&evidence, now + crashes::QUARANTINE_TIME));
         evidence.record_ran_well(&request, now);
         assert!(!quarantined(&evidence, now));
         for number in 0..2_000 {
             let request = cluster::request(&format!("r{number}"), catalog::ExchangeKind::Stream);
-            evidence.record_crash(1, &request, now);
-            evidence.record_crash(number, &request, now);
+            crash(&mut evidence, 1, &request);
+            crash(&mut evidence, number, &request);
         }
         let items = evidence.introduction(now);
         let contents = items.iter().map(|item| item.requests.len());
--- a/crates/exchange/tests/streams.rs
+++ b/crates/exchange/tests/streams.rs
@@ -311,7 +311,9 @@
     cluster::run(async {
         let plane = cluster::plane();
         plane.state().settings.backups = false;
-        script_both(&plane, &ServerScript::Breaks(0, INTERVAL));
+        let board = std::rc::Rc::new(cluster::crashing::CrashBoard::default());
+        board.bad_requests.borrow_mut().insert(77);
+        *plane.port().crashing.borrow_mut() = Some(board.clone());
         let mut causes = Vec::new();
         for _ in 0..6 {
             let mut request = stream("a");
@@ -321,9 +323,10 @@
                 Err(refusal) => causes.push(refusal.cause),
             }
             tokio::time::sleep(time::Duration::from_secs(3)).await;
+            board.restart_all();
         }
         assert!(causes.contains(&reply::RefusalCause::Quarantined));
-        let crashed = plane.port().seen.borrow().len();
+        let crashed = board.arrivals.borrow().len();
         assert!(crashed <= 4, "it reached engines {crashed} times");
     });
 }
