exchange: parts of prompts are accused and cleared as requests are

What callers saw: engines crash one after the other under requests that share a part of their prompts, no two alike; 26 in one outbreak. Cause: only whole requests were suspects (hypothesis 1: 17 crashes named 17 requests), so no two crashes had a suspect in common. Class: an identity that is narrower than what causes the fault. Change: the contents of a request are its fingerprint and each part of its prompt but the last, by service, once with its organisation and once without. What explains most crashes is the cause; among those that explain as many, the narrowest: so a part is refused for one organisation, and for all only if another one's requests crash with it too. A part needs three crashes, a request two. An answer that went on (its second event from one server) clears request and parts, at once and on all VMs. A request that has all parts that are tied is refused; one that has some of them runs, and tells. A stream that ends with its connection before its second event proves nothing, and its server is checked. The suspicion of the crate that refused tied contents for a while, doubling, is gone: it refused sound requests that share the first part; its test asks now that these run.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -24,9 +24,6 @@
     pub retained_for: Duration,
     /// Time after content ran well for which deaths do not count against it.
     pub cleared_for: Duration,
-    /// Number of deaths from which tied contents are all refused for a while; `None` for never. Each
-    /// further death doubles the time, which is `suspected_for` at first.
-    pub refused_ties: Option<usize>,
     /// Maximum number of deaths kept; the oldest is dropped first.
     pub max_deaths: usize,
     /// Maximum number of contents kept for one death.
@@ -40,7 +37,6 @@
             quarantined_for: Duration::from_mins(15),
             retained_for: Duration::from_mins(15),
             cleared_for: Duration::ZERO,
-            refused_ties: None,
             max_deaths: 128,
             max_contents: 512,
         }
@@ -324,38 +320,52 @@
             is_cause |= cause == Some(content);
             unexplained_deaths += u32::from(cause.is_none());
         }
-        let left_ms = |limit_ms: u64| newest_ms.saturating_add(limit_ms).saturating_sub(now_ms);
-        let quarantine_ms = left_ms(millis(self.limits.quarantined_for));
+        let suspected_until_ms = newest_ms.saturating_add(millis(self.limits.suspected_for));
+        let quarantine_ms = self.quarantine_ms(content, now_ms);
         if is_cause && quarantine_ms > 0 {
             return ContentStanding::Quarantined {
                 left_ms: quarantine_ms,
             };
         }
-        let tie_ms = left_ms(self.tie_ms(content));
-        if tie_ms > 0 {
-            return ContentStanding::Quarantined { left_ms: tie_ms };
-        }
-        if unexplained_deaths > 0 && left_ms(millis(self.limits.suspected_for)) > 0 {
+        if unexplained_deaths > 0 && suspected_until_ms > now_ms {
             return ContentStanding::Suspect { deaths };
         }
         ContentStanding::Clear
     }
 
-    /// Time after the newest death for which tied content is refused, in milliseconds; 0 for never.
-    fn tie_ms(&self, content: K) -> u64 {
-        let tied = self.verdict.tied.get(&content).copied();
-        let Some((deaths, min)) = tied.zip(self.limits.refused_ties) else {
-            return 0;
-        };
-        let Some(further) = deaths.checked_sub(min) else {
-            return 0;
-        };
-        let doublings = u32::try_from(further).unwrap_or(u32::MAX);
-        let factor = 2_u64.saturating_pow(doublings);
-        let limit_ms = millis(self.limits.quarantined_for);
-        millis(self.limits.suspected_for)
-            .saturating_mul(factor)
-            .min(limit_ms)
+    /// For which of its contents a request is refused, and the time left in milliseconds: for a cause,
+    /// or if it has all contents that are tied, of which one is the cause.
+    #[must_use]
+    pub fn quarantine(&self, contents: &[K], now_ms: u64) -> Option<(K, u64)> {
+        contents.iter().find_map(|content| {
+            let left_ms = match self.standing(*content, now_ms) {
+                ContentStanding::Quarantined { left_ms } => left_ms,
+                _ if self.has_all_tied(*content, contents) => self.quarantine_ms(*content, now_ms),
+                _ => 0,
+            };
+            (left_ms > 0).then_some((*content, left_ms))
+        })
+    }
+
+    /// Whether content is a suspect, or a request may be refused for it.
+    #[must_use]
+    pub fn is_accused(&self, content: K, now_ms: u64) -> bool {
+        let is_tied = self.verdict.tied.contains_key(&content);
+        self.standing(content, now_ms) != ContentStanding::Clear
+            || is_tied && self.quarantine_ms(content, now_ms) > 0
+    }
+
+    fn has_all_tied(&self, content: K, contents: &[K]) -> bool {
+        let rivals = self.verdict.tied.get(&content);
+        rivals.is_some_and(|rivals| rivals.iter().all(|rival| contents.contains(rival)))
+    }
+
+    /// Time left of a quarantine after the newest death that counts against content.
+    fn quarantine_ms(&self, content: K, now_ms: u64) -> u64 {
+        let deaths = self.against(content).map(|(death, _)| death.at_ms);
+        let newest_ms = deaths.max().unwrap_or_default();
+        let until_ms = newest_ms.saturating_add(millis(self.limits.quarantined_for));
+        until_ms.saturating_sub(now_ms)
     }
 
     /// Contents that deaths count against.
--- a/crates/crash/src/verdict.rs
+++ b/crates/crash/src/verdict.rs
@@ -1,14 +1,22 @@
 //! Infers the causes of crashes.
 
-use std::collections;
+use std::{cmp, collections};
 
 use base::fingerprint;
 
-/// Number of crashes from which content may be their cause.
-const MIN_CRASHES: usize = 2;
+/// Content that may crash servers: a request, or something that requests share.
+pub trait SuspectContent: Copy + Ord {
+    /// Number of crashes from which the content may be their cause.
+    fn min_crashes(&self) -> usize {
+        2
+    }
 
-/// Content that may crash servers.
-pub trait SuspectContent: Copy + Ord {}
+    /// How many requests share such content. Of two contents that explain the same crashes, the
+    /// narrower one is their cause: refusing it affects fewer requests.
+    fn breadth(&self) -> u8 {
+        0
+    }
+}
 
 impl SuspectContent for fingerprint::ContentHash {}
 
@@ -29,9 +37,9 @@
 pub struct CrashVerdict<K> {
     /// Cause of each crash, if it is identified.
     pub causes: Vec<Option<K>>,
-    /// Contents of which each explains the same number of crashes as another one that was there, with
-    /// that number. One of them is the cause.
-    pub tied: collections::BTreeMap<K, usize>,
+    /// Contents that explain as many crashes as others that were there, each with those others. One
+    /// of them is the cause.
+    pub tied: collections::BTreeMap<K, collections::BTreeSet<K>>,
 }
 
 impl<K> Default for CrashVerdict<K> {
@@ -44,7 +52,7 @@
 }
 
 /// How well content explains crashes; the greatest is the cause.
-type ContentRank = (bool, usize);
+type ContentRank = (bool, usize, cmp::Reverse<u8>);
 
 /// A candidate, with the crashes that it explains.
 type ContentClaim<K> = (K, Vec<usize>);
@@ -67,11 +75,13 @@
             return verdict;
         }
         for (content, crashes) in &leaders {
-            let is_tied = leaders.iter().any(|(other, theirs)| {
+            let rivals = leaders.iter().filter(|(other, theirs)| {
                 other != content && theirs.iter().any(|crash| crashes.contains(crash))
             });
+            let rivals: collections::BTreeSet<_> = rivals.map(|(other, _)| *other).collect();
+            let is_tied = !rivals.is_empty();
             if is_tied {
-                verdict.tied.insert(*content, crashes.len());
+                verdict.tied.insert(*content, rivals);
             }
             for &crash in crashes {
                 explained[crash] = true;
@@ -93,10 +103,11 @@
     for (content, against) in evidence {
         let crashes = against.crashes.iter().copied();
         let crashes: Vec<_> = crashes.filter(|crash| !explained[*crash]).collect();
-        if crashes.len() < MIN_CRASHES {
+        if crashes.is_empty() || crashes.len() < content.min_crashes() {
             continue;
         }
-        let rank = (!against.ran_well, crashes.len());
+        let breadth = cmp::Reverse(content.breadth());
+        let rank = (!against.ran_well, crashes.len(), breadth);
         if best.is_none_or(|best| rank > best) {
             best = Some(rank);
             leaders.clear();
--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -7,27 +7,46 @@
     verdict,
 };
 
+/// Content of two widths: requests, and parts that requests share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Request(u8);
+enum TestContent {
+    Request(u8),
+    Part(u8),
+}
+
+impl verdict::SuspectContent for TestContent {
+    fn min_crashes(&self) -> usize {
+        match self {
+            Self::Request(_) => 2,
+            Self::Part(_) => 3,
+        }
+    }
 
-impl verdict::SuspectContent for Request {}
+    fn breadth(&self) -> u8 {
+        match self {
+            Self::Request(_) => 0,
+            Self::Part(_) => 1,
+        }
+    }
+}
 
-type TestTable = table::SuspectTable<u8, Request>;
-type TestDeath = table::DeathRecord<u8, Request>;
+type TestTable = table::SuspectTable<u8, TestContent>;
+type TestDeath = table::DeathRecord<u8, TestContent>;
+
+use TestContent::{Part, Request};
 
 fn limits() -> table::SuspectLimits {
     table::SuspectLimits {
         suspected_for: Duration::from_secs(20),
         quarantined_for: Duration::from_mins(5),
         cleared_for: Duration::from_secs(30),
-        refused_ties: Some(3),
         max_deaths: 16,
         max_contents: 32,
         ..table::SuspectLimits::default()
     }
 }
 
-fn death(server: u8, at_ms: u64, contents: &[Request]) -> TestDeath {
+fn death(server: u8, at_ms: u64, contents: &[TestContent]) -> TestDeath {
     TestDeath {
         server,
         at_ms,
@@ -43,11 +62,8 @@
     table
 }
 
-fn is_quarantined(table: &TestTable, content: Request, now_ms: u64) -> bool {
-    matches!(
-        table.standing(content, now_ms),
-        ContentStanding::Quarantined { .. }
-    )
+fn is_quarantined(table: &TestTable, content: TestContent, now_ms: u64) -> bool {
+    table.quarantine(&[content], now_ms).is_some()
 }
 
 /// Checks a property for `count` fixed seeds.
@@ -64,7 +80,9 @@
 fn draw_death(u: &mut arbitrary::Unstructured<'_>, number: u8) -> arbitrary::Result<TestDeath> {
     let mut contents = collections::BTreeSet::new();
     for _ in 0..u.int_in_range(1..=4)? {
-        contents.insert(Request(u.int_in_range(0..=5)?));
+        let request = u.arbitrary()?;
+        let name = u.int_in_range(0..=5)?;
+        contents.insert(if request { Request(name) } else { Part(name) });
     }
     Ok(TestDeath {
         server: number,
@@ -86,7 +104,11 @@
         for _ in 0..u.int_in_range(0..=4)? {
             let name = u.int_in_range(0..=5)?;
             let record = table::ClearedRecord {
-                content: Request(name),
+                content: if u.arbitrary()? {
+                    Request(name)
+                } else {
+                    Part(name)
+                },
                 at_ms: u.int_in_range(0..=60)? * 1_000,
             };
             records.push(table::SuspectDigest {
@@ -104,9 +126,11 @@
         }
         other.merge(one.digest());
         for name in 0..=5 {
-            for now_ms in [62_000, 90_000, 400_000] {
-                let standing = one.standing(Request(name), now_ms);
-                assert_eq!(standing, other.standing(Request(name), now_ms));
+            for content in [Request(name), Part(name)] {
+                for now_ms in [62_000, 90_000, 400_000] {
+                    let standing = one.standing(content, now_ms);
+                    assert_eq!(standing, other.standing(content, now_ms));
+                }
             }
         }
         Ok(())
@@ -140,58 +164,105 @@
 
 #[test]
 fn one_crash_identifies_nothing() {
-    let table = table_of(&[death(1, 1_000, &[Request(1)])]);
+    let table = table_of(&[death(1, 1_000, &[Request(1), Part(1)])]);
     assert_eq!(
         table.standing(Request(1), 2_000),
         ContentStanding::Suspect { deaths: 1 }
     );
+    assert!(!is_quarantined(&table, Part(1), 2_000));
+}
+
+#[test]
+fn a_part_that_different_requests_share_is_the_cause() {
+    let crashes = |count: u8| {
+        let deaths: Vec<_> = (0..count)
+            .map(|number| {
+                let at_ms = 1_000 + u64::from(number) * 1_000;
+                death(
+                    number,
+                    at_ms,
+                    &[Request(number), Part(7), Part(10 + number)],
+                )
+            })
+            .collect();
+        table_of(&deaths)
+    };
+    assert!(!is_quarantined(&crashes(2), Part(7), 5_000));
+    let table = crashes(3);
+    assert!(is_quarantined(&table, Part(7), 5_000));
+    for innocent in [Request(0), Part(10), Part(12)] {
+        assert_eq!(table.standing(innocent, 5_000), ContentStanding::Clear);
+    }
+}
+
+#[test]
+fn one_request_is_the_cause_rather_than_its_parts() {
+    let contents = [Request(1), Part(1), Part(2)];
+    let deaths: Vec<_> = (0..4)
+        .map(|number| death(number, 1_000 + u64::from(number), &contents))
+        .collect();
+    let table = table_of(&deaths);
+    assert!(is_quarantined(&table, Request(1), 5_000));
+    assert!(!is_quarantined(&table, Part(1), 5_000));
+    assert!(!is_quarantined(&table, Part(2), 5_000));
 }
 
 #[test]
 fn content_that_runs_well_is_not_the_cause() {
-    // Guards against a request that many send, which is at each crash, that is taken for the cause.
+    // Guards against a part of all prompts, which is at each crash, that is taken for the cause.
     let mut table = TestTable::new(limits());
-    table.clear(Request(1), 1_000);
+    table.clear(Part(1), 1_000);
     for number in 0..3 {
         let at_ms = 40_000 + u64::from(number) * 1_000;
-        table.record_death(death(number, at_ms, &[Request(1), Request(2)]));
+        table.record_death(death(number, at_ms, &[Request(number), Part(1), Part(2)]));
     }
-    assert!(is_quarantined(&table, Request(2), 45_000));
-    assert!(!is_quarantined(&table, Request(1), 45_000), "ran well once");
-    table.clear(Request(2), 46_000);
-    assert!(!is_quarantined(&table, Request(2), 46_000));
+    assert!(is_quarantined(&table, Part(2), 45_000));
+    assert!(!is_quarantined(&table, Part(1), 45_000), "ran well once");
+    table.clear(Part(2), 46_000);
+    assert!(!is_quarantined(&table, Part(2), 46_000));
     for number in 3..6 {
         let at_ms = 50_000 + u64::from(number) * 1_000;
-        table.record_death(death(number, at_ms, &[Request(2)]));
+        table.record_death(death(number, at_ms, &[Request(number), Part(2)]));
     }
     assert!(
-        !is_quarantined(&table, Request(2), 57_000),
+        !is_quarantined(&table, Part(2), 57_000),
         "ran well 10 s before"
     );
 }
 
 #[test]
-fn tied_contents_are_refused_for_a_while_and_longer_each_time() {
-    let crash = |number: u8| {
-        let contents = [Request(1), Request(2)];
-        death(number, 1_000 + u64::from(number) * 50_000, &contents)
+fn what_has_all_tied_contents_is_refused() {
+    // Guards against requests that go on crashing servers while two of their parts are tied, and
+    // against sound ones that are refused since they share one of the two.
+    let crash = |number: u8, parts: &[TestContent]| {
+        let mut contents = vec![Request(number)];
+        contents.extend(parts);
+        death(number, 1_000 + u64::from(number) * 1_000, &contents)
     };
-    let tied = |crashes: u8, now_ms| {
-        let deaths: Vec<_> = (1..=crashes).map(crash).collect();
-        is_quarantined(&table_of(&deaths), Request(1), now_ms)
+    let both = [Part(1), Part(2)];
+    let mut deaths: Vec<_> = (0..3).map(|number| crash(number, &both)).collect();
+    let table = table_of(&deaths);
+    let is_refused = |table: &TestTable, contents: &[TestContent], now_ms| {
+        table.quarantine(contents, now_ms).is_some()
     };
-    assert!(!tied(2, 102_000), "either may run");
-    assert!(tied(3, 152_000) && !tied(3, 172_000), "20 s");
-    assert!(tied(4, 222_000) && !tied(4, 242_000), "40 s");
-    let mut deaths: Vec<_> = (1..=4).map(crash).collect();
-    deaths.push(death(9, 260_000, &[Request(2)]));
+    assert!(is_refused(&table, &[Request(9), Part(1), Part(2)], 10_000));
+    assert!(
+        !is_refused(&table, &[Request(9), Part(1), Part(2)], 304_000),
+        "ended"
+    );
+    for one in both {
+        assert!(
+            !is_refused(&table, &[Request(9), one], 10_000),
+            "it will tell"
+        );
+    }
+    deaths.push(crash(3, &[Part(2)]));
     let table = table_of(&deaths);
-    assert!(is_quarantined(&table, Request(2), 261_000));
-    assert_eq!(
-        table.standing(Request(1), 261_000),
-        ContentStanding::Clear,
-        "the other one was alone at a crash"
+    assert!(
+        is_refused(&table, &[Request(9), Part(2)], 10_000),
+        "it told"
     );
+    assert!(!is_refused(&table, &[Request(9), Part(1)], 10_000));
 }
 
 #[test]
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -10,7 +10,7 @@
 use base::outcome;
 use tokio::time;
 
-use crate::{fleet, plane, port, reply, request};
+use crate::{content, fleet, plane, port, reply, request};
 
 /// Maximum time for which an attempt that was broken off waits for the check of its server. A server
 /// that is reached answers the check in a millisecond.
@@ -104,9 +104,18 @@
     /// Refusal of a request that is quarantined, until its quarantine ends.
     pub(crate) fn refuse_quarantined(&self, request: &request::ExchangeRequest) -> reply::Refusal {
         let now = time::Instant::now();
-        let left = self.state().crashes.quarantine_left(request, now);
+        let quarantine = self.state().crashes.quarantine(request, now);
+        let cause = quarantine.map(|(content, _)| content);
+        let left = quarantine.map(|(_, left_ms)| time::Duration::from_millis(left_ms));
+        let breadth = match cause {
+            Some(content::ContentKey::Request(_)) | None => "request",
+            Some(content::ContentKey::OwnPart(_)) => "own_part",
+            Some(content::ContentKey::Part(_)) => "part",
+        };
+        metrics::counter!("pollenchute_exchange_quarantined_total", "breadth" => breadth)
+            .increment(1);
         log::info!(
-            request:% = request.id, fingerprint = request.fingerprint,
+            request:% = request.id, fingerprint = request.fingerprint, cause:?,
             left_ms:? = left.map(|left| left.as_millis());
             "request is quarantined"
         );
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -20,12 +20,10 @@
 /// Time for which crashes are remembered: a cause that crashes one more server after its quarantine
 /// is refused again at once.
 const RETENTION: time::Duration = time::Duration::from_mins(15);
-/// Time for which contents are refused at first if crashes do not tell which of them is the cause.
-const TIE_TIME: time::Duration = time::Duration::from_secs(20);
+/// Time after a crash for which content is a suspect that may be its cause.
+const SUSPICION_TIME: time::Duration = time::Duration::from_secs(20);
 /// Number of crashes from which a request is sent only once, while crashes do not tell the cause.
 const MIN_SUSPECT_CRASHES: u32 = 2;
-/// Number of crashes from which such contents are refused.
-const MIN_TIED_CRASHES: usize = 3;
 /// Time after content ran well for which crashes do not count against it.
 const CLEARED_TIME: time::Duration = time::Duration::from_secs(30);
 /// Content that ran well later than by this is cleared anew. Copies of a record differ by the time
@@ -70,11 +68,10 @@
 impl Default for CrashEvidence {
     fn default() -> Self {
         let limits = table::SuspectLimits {
-            suspected_for: TIE_TIME,
+            suspected_for: SUSPICION_TIME,
             quarantined_for: QUARANTINE_TIME,
             retained_for: RETENTION,
             cleared_for: CLEARED_TIME,
-            refused_ties: Some(MIN_TIED_CRASHES),
             max_deaths: MAX_CRASHES,
             max_contents: MAX_CONTENTS,
         };
@@ -228,24 +225,30 @@
         request: &request::ExchangeRequest,
         now: time::Instant,
     ) -> Option<time::Duration> {
-        let now_ms = self.millis(now);
-        let contents = content::ContentKey::all_of(request).into_iter();
-        let left = contents.filter_map(|content| match self.table.standing(content, now_ms) {
-            table::ContentStanding::Quarantined { left_ms } => Some(left_ms),
-            _ => None,
-        });
-        left.max().map(time::Duration::from_millis)
+        let quarantine = self.quarantine(request, now);
+        quarantine.map(|(_, left_ms)| time::Duration::from_millis(left_ms))
+    }
+
+    /// The content for which a request is quarantined, and the time left in milliseconds.
+    #[must_use]
+    pub fn quarantine(
+        &self,
+        request: &request::ExchangeRequest,
+        now: time::Instant,
+    ) -> Option<(content::ContentKey, u64)> {
+        if self.table.is_empty() {
+            return None;
+        }
+        let contents = content::ContentKey::all_of(request);
+        self.table.quarantine(&contents, self.millis(now))
     }
 
     /// Whether a request may be what crashed several servers, and crashes do not tell yet.
     #[must_use]
     pub fn is_suspect(&self, request: &request::ExchangeRequest, now: time::Instant) -> bool {
-        let now_ms = self.millis(now);
-        let mut contents = content::ContentKey::all_of(request).into_iter();
-        contents.any(|content| {
-            let standing = self.table.standing(content, now_ms);
-            matches!(standing, table::ContentStanding::Suspect { deaths } if deaths >= MIN_SUSPECT_CRASHES)
-        })
+        let content = content::ContentKey::Request(request.fingerprint);
+        let standing = self.table.standing(content, self.millis(now));
+        matches!(standing, table::ContentStanding::Suspect { deaths } if deaths >= MIN_SUSPECT_CRASHES)
     }
 
     /// Whether what is quarantined may have changed since the last call.
@@ -282,9 +285,7 @@
         self.table.expire(now_ms);
         let counts = |crash: &&CrashRecord| {
             let mut contents = crash.contents.iter();
-            contents.any(|content| {
-                self.table.standing(*content, now_ms) != table::ContentStanding::Clear
-            })
+            contents.any(|content| self.table.is_accused(*content, now_ms))
         };
         let crashes = self.table.deaths().rev().filter(counts);
         let remembered = crashes.flat_map(|crash| {
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -165,6 +165,12 @@
     /// Fingerprints of requests that had just begun there.
     #[prost(fixed64, repeated, tag = "3")]
     pub requests: Vec<u64>,
+    /// Parts of their prompts, each with its organisation.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub own_parts: Vec<u64>,
+    /// Parts of their prompts.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub parts: Vec<u64>,
     /// Contents of the crash that ran well.
     #[prost(message, repeated, tag = "4")]
     pub cleared: Vec<ClearedItem>,
@@ -178,9 +184,12 @@
 #[derive(Clone, Copy, PartialEq)]
 #[derive(prost::Message)]
 pub struct ClearedItem {
-    /// Fingerprint of a request.
+    /// Fingerprint of a request, or hash of a part.
     #[prost(fixed64, tag = "1")]
-    pub request: u64,
+    pub hash: u64,
+    /// 0 for a request, 1 for a part of one organisation, 2 for a part of all.
+    #[prost(uint32, tag = "3")]
+    pub breadth: u32,
     /// Time since it last ran well, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
@@ -191,25 +200,48 @@
     pub fn add(&mut self, content: content::ContentKey) {
         match content {
             content::ContentKey::Request(fingerprint) => self.requests.push(fingerprint),
+            content::ContentKey::OwnPart(hash) => self.own_parts.push(hash),
+            content::ContentKey::Part(hash) => self.parts.push(hash),
         }
     }
 
     /// Adds that a content ran well.
     pub fn add_clearance(&mut self, content: content::ContentKey, age_ms: u32) {
-        let content::ContentKey::Request(request) = content;
-        self.cleared.push(ClearedItem { request, age_ms });
+        let (breadth, hash) = match content {
+            content::ContentKey::Request(fingerprint) => (0, fingerprint),
+            content::ContentKey::OwnPart(hash) => (1, hash),
+            content::ContentKey::Part(hash) => (2, hash),
+        };
+        self.cleared.push(ClearedItem {
+            hash,
+            breadth,
+            age_ms,
+        });
     }
 
     /// Contents that the crash may be due to.
     pub fn contents(&self) -> impl Iterator<Item = content::ContentKey> {
         let requests = self.requests.iter().copied();
-        requests.map(content::ContentKey::Request)
+        let own_parts = self.own_parts.iter().copied();
+        let parts = self.parts.iter().copied();
+        requests
+            .map(content::ContentKey::Request)
+            .chain(own_parts.map(content::ContentKey::OwnPart))
+            .chain(parts.map(content::ContentKey::Part))
     }
 
     /// Contents that ran well, with the time since, in milliseconds.
     pub fn clearances(&self) -> impl Iterator<Item = (content::ContentKey, u32)> {
         let cleared = self.cleared.iter();
-        cleared.map(|item| (content::ContentKey::Request(item.request), item.age_ms))
+        cleared.filter_map(|item| {
+            let content = match item.breadth {
+                0 => content::ContentKey::Request(item.hash),
+                1 => content::ContentKey::OwnPart(item.hash),
+                2 => content::ContentKey::Part(item.hash),
+                _ => return None,
+            };
+            Some((content, item.age_ms))
+        })
     }
 }
 
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -452,7 +452,7 @@
         self.plane
             .record_outcome(server, server::ServerVerdict::Failed);
         self.plane.record_reach(server, time::Instant::now(), false);
-        self.record_broken(server).await;
+        self.record_broken(live).await;
         let backup = {
             let state = self.plane.state();
             state.fleet.run(live.placed.run)?.backup
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -211,7 +211,10 @@
         let mut live = self.start().await?;
         loop {
             let copy = match self.relay(&mut live).await {
-                RelayEnd::Finished => return self.finish().await,
+                RelayEnd::Finished => {
+                    self.record_finished(&live).await;
+                    return self.finish().await;
+                }
                 RelayEnd::Stopped(copy) => Some(copy),
                 RelayEnd::Broken => self.copy_after_break(&live).await,
             };
@@ -477,7 +480,11 @@
 
     /// Forwards bytes and records the progress of the run.
     pub(crate) async fn forward(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
+        let had_gone_on = self.has_gone_on(live);
         let complete = self.splitter.take(bytes);
+        if !had_gone_on && self.has_gone_on(live) && live.has_events {
+            self.plane.record_ran_well(&self.request);
+        }
         {
             let mut state = self.plane.state();
             let engine = state
@@ -505,7 +512,6 @@
             let _ = self.parts.send(reply::StreamPart::Bytes(rest)).await;
         }
         let _ = self.parts.send(reply::StreamPart::End).await;
-        self.plane.record_ran_well(&self.request);
         Ok(())
     }
 
@@ -530,7 +536,7 @@
             .record_outcome(server, server::ServerVerdict::BrokeOff);
         self.plane.announce_loads();
         if cause == port::LostCause::Broken {
-            self.record_broken(server).await;
+            self.plane.record_broken(server, &self.request).await;
         }
         let now = time::Instant::now();
         let state = self.plane.state();
@@ -543,13 +549,34 @@
         }
     }
 
+    /// Whether the answer of this server has gone on beyond its beginning, at which a request crashes
+    /// its server.
+    const fn has_gone_on(&self, live: &LiveRun<P>) -> bool {
+        self.splitter.events() >= live.first_event + MIN_EVENTS_TO_CLEAR
+    }
+
     /// Makes the request a suspect if its server broke it off soon after its start.
-    pub(crate) async fn record_broken(&self, server: fleet::ServerKey) {
-        if self.splitter.events() < MIN_EVENTS_TO_CLEAR {
+    pub(crate) async fn record_broken(&self, live: &LiveRun<P>) {
+        if !self.has_gone_on(live) {
+            let server = live.placed.server;
             self.plane.record_broken(server, &self.request).await;
         }
     }
 
+    /// Records what the end of a whole body tells. One that ended with its connection as it began may
+    /// have been broken off by a crash.
+    async fn record_finished(&self, live: &LiveRun<P>) {
+        if self.has_gone_on(live) || !live.has_events {
+            return;
+        }
+        let body = live.body.as_ref();
+        if body.is_some_and(port::ResponseBody::is_delimited) {
+            self.plane.record_ran_well(&self.request);
+        } else {
+            self.record_broken(live).await;
+        }
+    }
+
     fn lost(&self) -> reply::Refusal {
         reply::Refusal {
             cause: reply::RefusalCause::ServerLost,
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -559,7 +559,10 @@
             return port::CallOutcome::Lost(port::LostCause::Broken);
         }
         let interval = time::Duration::from_millis(10);
-        let mut body = self.body(call, board.events_before.get(), interval, true);
+        let resumed = call.resume.as_ref();
+        let last = resumed.and_then(|resume| resume.last_event.as_ref()?.parse().ok());
+        let first = last.map_or(0, |last: u32| last + 1);
+        let mut body = self.body(call, first + board.events_before.get(), interval, true);
         body.crashes = true;
         port::CallOutcome::Responded(port::ServerResponse {
             status: http::StatusCode::OK,
