Tests of what VMs tell each other of crashes

Cause: the tests of crashes let VMs introduce themselves; the datagrams of running VMs were not tried. Conclusion: told and bounded.

--- /dev/null
+++ b/crates/exchange/tests/crash_news.rs
@@ -0,0 +1,137 @@
+//! How VMs learn of crashes, and which they remember.
+
+mod cluster;
+
+use std::time;
+
+use cluster::running;
+use exchange::{catalog::ExchangeKind, crashes, message, request};
+use tokio::time::Instant;
+
+/// Time within which all VMs know of a crash.
+const CONTACT: time::Duration = time::Duration::from_secs(3);
+/// Fraction of datagrams that is lost.
+const LOSS: f64 = 0.2;
+
+fn bad_request() -> request::ExchangeRequest {
+    cluster::request("bad", ExchangeKind::Stream)
+}
+
+/// Lets a VM find that a server crashed under the bad request.
+fn crash(vms: &running::RunningVms, vm: usize, server: u64) {
+    let plane = &vms.vms.vms[vm].plane;
+    let now = Instant::now();
+    let mut state = plane.state();
+    state.crashes.record_broken(server, &bad_request(), now);
+    assert!(state.crashes.record_check(server, true, now).is_some());
+    drop(state);
+    plane.announce();
+}
+
+/// VMs that refuse the bad request.
+fn refusing(vms: &running::RunningVms) -> usize {
+    let now = Instant::now();
+    let planes = vms.vms.vms.iter().map(|vm| &vm.plane);
+    let refusing = planes.filter(|plane| {
+        let quarantine = plane.state().crashes.quarantine_left(&bad_request(), now);
+        quarantine.is_some()
+    });
+    refusing.count()
+}
+
+#[test]
+fn all_vms_learn_of_a_crash_though_datagrams_are_lost() {
+    // Guards against VMs that go on sending a request of which others know that it crashes servers.
+    running::check(|count| async move {
+        let vms = running::RunningVms::start(count, LOSS).await;
+        crash(&vms, 0, 1);
+        crash(&vms, count - 1, 2);
+        let known = || refusing(&vms) == count;
+        let took = running::wait_until(known, CONTACT).await;
+        assert!(took <= CONTACT, "{} of {count} know", refusing(&vms));
+    });
+}
+
+#[test]
+fn a_vm_that_starts_much_later_learns_of_a_crash() {
+    // Guards against news that are told once, and never to a VM that starts after that.
+    cluster::run(async {
+        let mut vms = running::RunningVms::start_with_fresh(9, 1, LOSS).await;
+        crash(&vms, 0, 1);
+        crash(&vms, 4, 2);
+        tokio::time::sleep(time::Duration::from_secs(120)).await;
+        vms.start_vm(9);
+        let known = || refusing(&vms) == 10;
+        let took = running::wait_until(known, CONTACT).await;
+        assert!(took <= CONTACT, "{} of 10 know", refusing(&vms));
+    });
+}
+
+#[test]
+fn what_is_told_of_crashes_is_bounded() {
+    // Guards against datagrams and tables that grow with what callers invent.
+    cluster::run(async {
+        let now = Instant::now();
+        let mut evidence = crashes::CrashEvidence::default();
+        for number in 0..500 {
+            for other in 0..20 {
+                let mut request = bad_request();
+                request.fingerprint = number * 100 + other;
+                let size = request.size.as_mut().expect("a stream");
+                size.parts = (0..16)
+                    .map(|part| request::PromptPart {
+                        hash: number * 10_000 + other * 100 + part,
+                        tokens: 1,
+                    })
+                    .collect();
+                evidence.record_broken(number, &request, now);
+            }
+            evidence.record_check(number, true, now);
+            let items = evidence.news(9, now);
+            let contents: Vec<_> = items.iter().map(|item| item.contents().count()).collect();
+            assert!(
+                contents.iter().sum::<usize>() <= 96,
+                "{contents:?} in one datagram"
+            );
+        }
+        let mut servers = std::collections::BTreeSet::new();
+        for _ in 0..2_000 {
+            let items = evidence.introduction(now);
+            servers.extend(items.into_iter().map(|item| item.server));
+        }
+        assert!(
+            servers.len() <= 64,
+            "{} crashes are remembered",
+            servers.len()
+        );
+        assert!(servers.contains(&499), "the newest is");
+    });
+}
+
+#[test]
+fn a_record_is_not_renewed_by_vms_that_repeat_it() {
+    // Guards against two VMs that keep each other's records alive: each datagram takes some time, and
+    // makes what it tells look newer.
+    cluster::run(async {
+        let mut vms = [(); 2].map(|()| crashes::CrashEvidence::default());
+        let request = bad_request();
+        for server in 1..=2 {
+            vms[0].record_broken(server, &request, Instant::now());
+            vms[0].record_check(server, true, Instant::now());
+        }
+        let from = Instant::now();
+        while from.elapsed() < crashes::QUARANTINE_TIME + time::Duration::from_secs(1) {
+            for teller in 0..2 {
+                let items: Vec<message::CrashItem> = vms[teller].introduction(Instant::now());
+                tokio::time::sleep(time::Duration::from_millis(400)).await;
+                for item in items {
+                    vms[1 - teller].take_item(&item, Instant::now());
+                }
+            }
+        }
+        let now = Instant::now();
+        for vm in &vms {
+            assert_eq!(vm.quarantine_left(&request, now), None);
+        }
+    });
+}
