Tests: what is about to be sent, and requests that share only their last part

Change: a request that reserves memory while the verdict comes; five different requests that crash engines and share only their last part.

--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -154,6 +154,8 @@
     pub cut: cell::Cell<Option<PathCut>>,
     /// Time of an answer, and between events, unless a script says otherwise.
     pub pace: cell::Cell<Option<time::Duration>>,
+    /// Time that a server takes to answer a reservation.
+    pub reserve_time: cell::Cell<time::Duration>,
     /// Signals that open connections of this VM are reset.
     pub severed: rc::Rc<tokio::sync::Notify>,
     /// Servers that crash under some requests, shared by all VMs.
@@ -377,6 +379,7 @@
         _tokens: u64,
         _span: time::Duration,
     ) -> port::SignalledReply<Result<String, port::ReserveFault>> {
+        tokio::time::sleep(self.reserve_time.get()).await;
         if !self.path(&target.id).await {
             return port::SignalledReply::silent(Err(port::ReserveFault::Unreachable));
         }
--- a/crates/exchange/tests/crashes.rs
+++ b/crates/exchange/tests/crashes.rs
@@ -246,6 +246,27 @@
     });
 }
 
+#[test]
+fn what_is_about_to_be_sent_is_refused_once_it_is_quarantined() {
+    // Guards against requests that were permitted and placed before the verdict, and sent after it.
+    cluster::run(async {
+        let mut vms = crashing_vms(2, 0, 6);
+        vms.vms[0].port().reserve_time.set(ms(800));
+        let request = vms.alike("reserves", ExchangeKind::Stream, BAD);
+        vms.send(0, request);
+        for _ in 0..2 {
+            let request = vms.alike("bad", ExchangeKind::Stream, BAD);
+            vms.send(1, request);
+            vms.pass(ms(200)).await;
+        }
+        assert_eq!(vms.ends_of("reserves"), [], "it reserves memory");
+        vms.pass(ms(1_000)).await;
+        assert_eq!(vms.ends_of("reserves"), [QUARANTINED]);
+        let crashes = vms.board.crashes.borrow().len();
+        assert_eq!(crashes, 2);
+    });
+}
+
 #[test]
 fn a_sound_request_that_many_send_is_served_beside_crashes() {
     // Guards against a sound request that is quarantined since it ran on two servers that crashed.
--- a/crates/exchange/tests/part_crashes.rs
+++ b/crates/exchange/tests/part_crashes.rs
@@ -115,6 +115,37 @@
     });
 }
 
+#[test]
+fn requests_that_share_only_their_last_part_accuse_no_part() {
+    // Guards against a last part that is refused since three different requests with it crashed engines.
+    const LAST: u64 = 60;
+    cluster::run(async {
+        let mut vms = crashing_vms(2);
+        let last = |request: &mut exchange::request::ExchangeRequest| {
+            let size = request.size.as_mut().expect("a stream");
+            size.parts.last_mut().expect("its own").hash = LAST;
+        };
+        for number in 0..5 {
+            let mut request = vms.stream_of("bad", &[100 + number]);
+            last(&mut request);
+            vms.board
+                .bad_requests
+                .borrow_mut()
+                .insert(request.fingerprint);
+            vms.send(0, request);
+            vms.pass(ms(800)).await;
+        }
+        assert!(vms.board.crashes.borrow().len() >= 5);
+        for vm in 0..2 {
+            let mut request = vms.stream_of("sound", &[2]);
+            last(&mut request);
+            vms.send(vm, request);
+        }
+        vms.pass(ms(1_000)).await;
+        assert_eq!(vms.ends_of("sound"), [CallEnd::Whole; 2]);
+    });
+}
+
 #[test]
 fn the_part_of_a_stranger_is_not_quarantined_for_the_stranger() {
     // Guards against an organisation that crashes engines with the parts of another one, to have that
