--- a/crates/exchange/tests/cluster/running.rs
+++ b/crates/exchange/tests/cluster/running.rs
@@ -19,6 +19,8 @@
     pub vms: rc::Rc<lossy::LossyVms>,
     pub store: rc::Rc<log_store::LogStore>,
     runs: Vec<tokio::task::JoinHandle<()>>,
+    loss: f64,
+    started: Instant,
 }
 
 impl Drop for RunningVms {
@@ -68,6 +70,8 @@
             vms,
             store,
             runs: Vec::new(),
+            loss,
+            started: Instant::now(),
         };
         for own in 0..running.vms.vms.len() - fresh {
             running.start_vm(own);
@@ -76,6 +80,21 @@
         running
     }
 
+    /// Ends the processes of all VMs, and starts them again with nothing but what the store has.
+    pub fn restart_all(&mut self) {
+        let count = self.vms.vms.len();
+        self.runs.drain(..).for_each(|run| run.abort());
+        let first = self.store.records();
+        self.vms = lossy::LossyVms::new(count, self.loss, 1 + count as u64, &first);
+        let uptime = u64::try_from(self.started.elapsed().as_millis()).expect("small");
+        for (own, vm) in self.vms.vms.iter().enumerate() {
+            vm.plane.state().settings.incarnation = 1 + uptime + own as u64;
+        }
+        for own in 0..count {
+            self.start_vm(own);
+        }
+    }
+
     /// Starts one VM.
     pub fn start_vm(&mut self, own: usize) {
         let plane = self.vms.vms[own].plane.clone();
--- a/crates/exchange/tests/crash_news.rs
+++ b/crates/exchange/tests/crash_news.rs
@@ -67,6 +67,26 @@
     });
 }
 
+#[test]
+fn crashes_are_known_after_all_vms_have_restarted() {
+    // Guards against a request that crashes servers anew each time that all VMs lose power.
+    cluster::run(async {
+        let mut vms = running::RunningVms::start(9, LOSS).await;
+        crash(&vms, 0, 1);
+        crash(&vms, 4, 2);
+        tokio::time::sleep(time::Duration::from_secs(10)).await;
+        vms.restart_all();
+        let known = || refusing(&vms) == 9;
+        let took = running::wait_until(known, CONTACT).await;
+        assert!(took <= CONTACT, "{} of 9 know", refusing(&vms));
+        tokio::time::sleep(crashes::QUARANTINE_TIME).await;
+        assert_eq!(refusing(&vms), 0, "it ends as it would have");
+        vms.restart_all();
+        tokio::time::sleep(CONTACT).await;
+        assert_eq!(refusing(&vms), 0, "ended");
+    });
+}
+
 #[test]
 fn what_is_told_of_crashes_is_bounded() {
     // Guards against datagrams and tables that grow with what callers invent.
