exchange: what crashes servers is kept in the store

What callers saw: servers that crash anew under a request that was quarantined, each time that all VMs lose power. Cause: evidence of crashes was only in the memory of VMs and in their datagrams. Class: agreed state that no part of the system keeps. Change: exchange::crash_store. Conclusion: costs one call of the store for each start of a VM.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -350,9 +350,16 @@
     /// Whether content is a suspect, or a request may be refused for it.
     #[must_use]
     pub fn is_accused(&self, content: K, now_ms: u64) -> bool {
+        let is_suspect = self.standing(content, now_ms) != ContentStanding::Clear;
+        is_suspect || self.is_refused(content, now_ms)
+    }
+
+    /// Whether a request may be refused for content: as a cause, or as one of those that are tied.
+    #[must_use]
+    pub fn is_refused(&self, content: K, now_ms: u64) -> bool {
+        let is_cause = self.verdict.causes.contains(&Some(content));
         let is_tied = self.verdict.tied.contains_key(&content);
-        self.standing(content, now_ms) != ContentStanding::Clear
-            || is_tied && self.quarantine_ms(content, now_ms) > 0
+        (is_cause || is_tied) && self.quarantine_ms(content, now_ms) > 0
     }
 
     fn has_all_tied(&self, content: K, contents: &[K]) -> bool {
@@ -380,6 +387,12 @@
         self.verdict.causes.iter().flatten().copied().collect()
     }
 
+    /// Contents that are tied, whether or not requests are still refused for them.
+    #[must_use]
+    pub fn tied(&self) -> collections::BTreeSet<K> {
+        self.verdict.tied.keys().copied().collect()
+    }
+
     /// Deaths that count against `content`, each with its identified cause.
     pub fn against(&self, content: K) -> impl Iterator<Item = (&DeathRecord<S, K>, Option<K>)> {
         let evidence = self.against.get(&content).into_iter();
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -70,6 +70,7 @@
         server:% = plane.server_id(server), outcome:?, contents:?;
         "server that broke requests off was checked"
     );
+    plane.save_crashes();
     if contents.is_some() {
         metrics::counter!("pollenchute_exchange_crashes_total").increment(1);
         plane.announce();
@@ -83,6 +84,14 @@
     pub(crate) fn record_ran_well(&self, request: &request::ExchangeRequest) {
         let now = time::Instant::now();
         self.state().crashes.record_ran_well(request, now);
+        self.save_crashes();
+    }
+
+    /// Lets causes of crashes be saved that this VM found to have changed.
+    pub(crate) fn save_crashes(&self) {
+        if self.state().crashes.take_unsaved() {
+            self.crashes_unsaved.notify_one();
+        }
     }
 
     /// Whether a request must not be sent to any server.
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -63,6 +63,12 @@
     changed: bool,
     /// Causes that were logged.
     logged: collections::BTreeSet<content::ContentKey>,
+    /// Contents that were tied when they were last looked at.
+    tied: collections::BTreeSet<content::ContentKey>,
+    /// Servers whose crashes this VM found.
+    found: collections::BTreeSet<u64>,
+    /// Whether this VM is to save what is refused.
+    unsaved: bool,
 }
 
 impl Default for CrashEvidence {
@@ -83,6 +89,9 @@
             unchecked: collections::HashMap::new(),
             changed: false,
             logged: collections::BTreeSet::new(),
+            tied: collections::BTreeSet::new(),
+            found: collections::BTreeSet::new(),
+            unsaved: false,
         }
     }
 }
@@ -124,6 +133,12 @@
         now: time::Instant,
     ) -> Option<usize> {
         let record = self.unchecked.remove(&server)?;
+        if crashed {
+            let table = &self.table;
+            self.found
+                .retain(|server| table.deaths().any(|crash| crash.server == *server));
+            self.found.insert(server);
+        }
         let contents = record.contents.len();
         let is_news = crashed && self.insert(record, crash_news::OWN_SENDS, now);
         is_news.then_some(contents)
@@ -140,7 +155,7 @@
             log::info!(server; "server answered after its alleged crash");
             metrics::counter!("pollenchute_exchange_crashes_refuted_total").increment(1);
             self.add_news(server, crash_news::OWN_SENDS, |_| true);
-            self.note_causes();
+            self.note_causes(crash_news::OWN_SENDS);
         }
     }
 
@@ -155,7 +170,7 @@
                     self.clear(content, ran_ms, crash_news::OWN_SENDS);
                 }
             }
-            self.note_causes();
+            self.note_causes(sends);
         }
         is_new
     }
@@ -199,11 +214,12 @@
         }
         log::info!(content:?; "content ran well, and is cleared of crashes");
         metrics::counter!("pollenchute_exchange_crash_clearances_total").increment(1);
-        self.note_causes();
+        self.note_causes(sends);
     }
 
-    /// Logs causes that are new, and forgets those that are none any more.
-    fn note_causes(&mut self) {
+    /// Logs causes that are new, and forgets those that are none any more. `sends` tells whether this
+    /// VM found what changed.
+    fn note_causes(&mut self, sends: u32) {
         self.changed = true;
         let causes = self.table.causes();
         for content in causes.difference(&self.logged) {
@@ -215,7 +231,17 @@
             );
         }
         metrics::gauge!("pollenchute_exchange_crash_causes").set(causes.len() as f64);
+        let tied = self.table.tied();
+        let changed: Vec<_> = causes
+            .symmetric_difference(&self.logged)
+            .chain(tied.symmetric_difference(&self.tied))
+            .copied()
+            .collect();
+        // Of many VMs that learn of a change, those save it that have a part in it.
+        self.unsaved |= !changed.is_empty() && sends == crash_news::OWN_SENDS
+            || changed.into_iter().any(|content| self.has_found(content));
         self.logged = causes;
+        self.tied = tied;
     }
 
     /// Time for which a request is refused; `None` unless it is quarantined.
@@ -256,6 +282,41 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Whether this VM found a crash that a content was at.
+    fn has_found(&self, content: content::ContentKey) -> bool {
+        self.table
+            .deaths()
+            .any(|crash| self.found.contains(&crash.server) && crash.contents.contains(&content))
+    }
+
+    /// Whether what is refused has changed since the last call, and this VM is to save it.
+    pub fn take_unsaved(&mut self) -> bool {
+        std::mem::take(&mut self.unsaved)
+    }
+
+    /// Crashes for whose contents requests are refused, newest first, in at most `max_bytes`.
+    #[must_use]
+    pub fn refused_items(&self, max_bytes: usize, now: time::Instant) -> Vec<message::CrashItem> {
+        let now_ms = self.millis(now);
+        let is_refused = |crash: &&CrashRecord| {
+            let mut contents = crash.contents.iter();
+            contents.any(|content| self.table.is_refused(*content, now_ms))
+        };
+        let mut bytes = 0;
+        let mut items = Vec::new();
+        for crash in self.table.deaths().rev().filter(is_refused) {
+            for chunk in chunks(crash) {
+                let item = self.item(crash, &chunk, now_ms);
+                bytes += item.encoded_len();
+                if bytes > max_bytes {
+                    return items;
+                }
+                items.push(item);
+            }
+        }
+        items
+    }
+
     /// News of crashes for so many other VMs; now and then a crash that is remembered.
     pub fn news(&mut self, vms: usize, now: time::Instant) -> Vec<message::CrashItem> {
         let now_ms = self.millis(now);
@@ -376,7 +437,7 @@
                 .record_answer(&item.server, at_ms + u64::from(answered_ms))
         {
             self.add_news(item.server, crash_news::FORWARDED_SENDS, |_| true);
-            self.note_causes();
+            self.note_causes(crash_news::FORWARDED_SENDS);
         }
         for (content, age_ms) in item.clearances() {
             if self.table.names(content) {
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -104,6 +104,12 @@
         address: net::SocketAddr,
     ) -> impl Future<Output = Result<(), StoreError>>;
 
+    /// Saves the crashes whose causes are refused, in place of what was saved before.
+    fn save_crashes(&self, record: Bytes) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// The crashes that were saved last, if any were.
+    fn saved_crashes(&self) -> impl Future<Output = Result<Option<Bytes>, StoreError>>;
+
     /// Addresses of the VMs that are registered in the store.
     fn registered(&self) -> impl Future<Output = Result<Vec<net::SocketAddr>, StoreError>>;
 }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod catchup;
 pub mod content;
 pub mod crash_news;
+pub mod crash_store;
 pub mod crashes;
 pub mod delta;
 pub mod directory;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -131,6 +131,7 @@
         plane.repeats_lent.notify_waiters();
         plane.wake_decisions();
     }
+    plane.save_crashes();
     let waits = !plane.state().waiting_services().is_empty();
     if changed || waits || !datagram.crashes.is_empty() {
         plane.wake_decisions();
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -205,6 +205,14 @@
         }
     }
 
+    /// Adds the time that has passed since the ages were those of the item.
+    pub fn grow_older(&mut self, passed_ms: u32) {
+        self.age_ms = self.age_ms.saturating_add(passed_ms);
+        for cleared in &mut self.cleared {
+            cleared.age_ms = cleared.age_ms.saturating_add(passed_ms);
+        }
+    }
+
     /// Adds that a content ran well.
     pub fn add_clearance(&mut self, content: content::ContentKey, age_ms: u32) {
         let (breadth, hash) = match content {
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -48,6 +48,8 @@
     pub(crate) reach_changed: tokio::sync::Notify,
     /// Signals that it was checked whether a server crashed.
     pub(crate) servers_checked: tokio::sync::Notify,
+    /// Signals that causes of crashes changed which are not saved in the store.
+    pub(crate) crashes_unsaved: tokio::sync::Notify,
     /// Signals that this VM's system is known, or that the store does not name one.
     pub(crate) identified: tokio::sync::Notify,
     /// Number of requests without a final response.
@@ -102,6 +104,7 @@
             repeats_lent: tokio::sync::Notify::new(),
             reach_changed: tokio::sync::Notify::new(),
             servers_checked: tokio::sync::Notify::new(),
+            crashes_unsaved: tokio::sync::Notify::new(),
             identified: tokio::sync::Notify::new(),
             open: cell::Cell::new(0),
             long_sent: cell::Cell::new(0),
--- a/crates/exchange/tests/cluster/log_store.rs
+++ b/crates/exchange/tests/cluster/log_store.rs
@@ -26,6 +26,7 @@
     operator: Vec<OperatorRecord>,
     pub vms: collections::BTreeMap<String, net::SocketAddr>,
     pub system: Option<system::SystemId>,
+    crashes: Option<Bytes>,
 }
 
 /// The store that all VMs share.
@@ -223,6 +224,17 @@
         Ok(())
     }
 
+    async fn save_crashes(&self, record: Bytes) -> Result<(), follow::StoreError> {
+        self.call().await?;
+        self.contents.borrow_mut().crashes = Some(record);
+        Ok(())
+    }
+
+    async fn saved_crashes(&self) -> Result<Option<Bytes>, follow::StoreError> {
+        self.call().await?;
+        Ok(self.contents.borrow().crashes.clone())
+    }
+
     async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreError> {
         self.call().await?;
         Ok(self.contents.borrow().vms.values().copied().collect())
--- a/crates/exchange/tests/cluster/many_vms.rs
+++ b/crates/exchange/tests/cluster/many_vms.rs
@@ -255,6 +255,14 @@
         unreachable!("no VM looks for others in the store")
     }
 
+    async fn save_crashes(&self, _record: Bytes) -> Result<(), follow::StoreError> {
+        Ok(())
+    }
+
+    async fn saved_crashes(&self) -> Result<Option<Bytes>, follow::StoreError> {
+        Ok(None)
+    }
+
     async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreError> {
         unreachable!("no VM looks for others in the store")
     }
--- a/crates/exchange/tests/cluster/running.rs
+++ b/crates/exchange/tests/cluster/running.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use exchange::{follow, update};
+use exchange::{crash_store, follow, update};
 use tokio::time::{self as clock, Instant};
 
 use super::{log_store, lossy};
@@ -105,6 +105,7 @@
             tokio::join!(
                 lossy::run_vm(vms, store.clone(), own),
                 follow::follow_catalog(plane.clone(), store.clone(), lossy::decode),
+                crash_store::keep_crashes(plane.clone(), store.clone()),
                 follow::discover_peers(plane, store),
             );
         }));
--- a/crates/exchange/tests/cluster/store.rs
+++ b/crates/exchange/tests/cluster/store.rs
@@ -118,6 +118,14 @@
         Ok(())
     }
 
+    async fn save_crashes(&self, _record: Bytes) -> Result<(), follow::StoreError> {
+        Ok(())
+    }
+
+    async fn saved_crashes(&self) -> Result<Option<Bytes>, follow::StoreError> {
+        Ok(None)
+    }
+
     async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreError> {
         Ok(Vec::new())
     }
