exchange: a run that goes on and breaks off its next server accuses, too

What callers saw: nothing yet; found by reading the diff. An attempt to go on from a copy that was lost before the head of its answer recorded no crash. Cause and class: as for calls: one of the paths that end an attempt left out what the others record. Change: StreamDriver::resume records it, and the server is checked.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -334,6 +334,9 @@
                     return true;
                 }
                 other => {
+                    if matches!(other, port::CallOutcome::Lost(port::LostCause::Broken)) {
+                        self.plane.record_broken(server, &self.request).await;
+                    }
                     let ran = other.ran();
                     self.set_backup(live, held);
                     log::info!(
--- a/crates/exchange/tests/cluster/crashing.rs
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -22,6 +22,8 @@
     pub bad_parts: cell::RefCell<collections::BTreeSet<u64>>,
     /// Number of events before a stream crashes its server.
     pub events_before: cell::Cell<u32>,
+    /// Whether a run that goes on crashes its server before the head of the answer.
+    pub resumed_before_head: cell::Cell<bool>,
     down: cell::RefCell<collections::BTreeSet<String>>,
     changed: tokio::sync::Notify,
     /// When each server crashed.
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -557,7 +557,8 @@
     ) -> port::CallOutcome<FakeBody> {
         board.count_arrival(&call.request.id);
         tokio::time::sleep(crashing::CRASH_DELAY).await;
-        if call.request.kind != catalog::ExchangeKind::Stream {
+        let before_head = call.resume.is_some() && board.resumed_before_head.get();
+        if call.request.kind != catalog::ExchangeKind::Stream || before_head {
             board.crash(&call.target.id);
             return port::CallOutcome::Lost(port::LostCause::Broken);
         }
--- a/crates/exchange/tests/crashes.rs
+++ b/crates/exchange/tests/crashes.rs
@@ -209,6 +209,22 @@
     });
 }
 
+#[test]
+fn a_run_that_goes_on_and_crashes_its_server_accuses() {
+    // Guards against a second crash that nobody counts, since the run had gone on from a copy.
+    cluster::run(async {
+        let mut vms = crashing_vms(1, 0, 6);
+        vms.board.resumed_before_head.set(true);
+        for _ in 0..3 {
+            let request = vms.alike("bad", ExchangeKind::Stream, BAD);
+            vms.send(0, request);
+            vms.pass(ms(1_000)).await;
+        }
+        let crashes = vms.board.crashes.borrow().len();
+        assert!(crashes <= 2, "{crashes} engines crashed");
+    });
+}
+
 #[test]
 fn what_waits_is_refused_once_it_is_quarantined() {
     // Guards against requests that arrived before the verdict, waited, and were sent after it.
