exchange: remembered crashes are told in turn, not the same one each time

What callers saw: nothing yet; found by reading the change once more. A VM that missed the news of crashes and is not introduced again learns one of them. Cause: the turn advanced by all parts that fit into a datagram, of which one was sent. Where all fit, it came back to the same part each time. Change: the number of parts is bounded before they are chosen, so the turn advances by what is sent. Tests: all_remembered_crashes_are_told_in_turn: 1 of 2 crashes told in 2 s before, all of 2 to 6 now, one a second. Introductions were not affected, so the tests of late VMs passed. Conclusion: told in turn.

--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -326,7 +326,7 @@
         if !items.is_empty() || !self.news.is_turn_due(vms, now) {
             return items;
         }
-        self.remembered(0, now).into_iter().take(1).collect()
+        self.remembered(1, 0, now)
     }
 
     /// News of crashes and those that are remembered, for a VM that may know of none.
@@ -336,12 +336,17 @@
         let (told, mut items) = self.items_of(pending, 0, now_ms);
         self.news.record_told(told);
         let bytes = items.iter().map(prost::Message::encoded_len).sum();
-        items.extend(self.remembered(bytes, now));
+        items.extend(self.remembered(usize::MAX, bytes, now));
         items
     }
 
-    /// Remembered crashes that still count, in turn, next to `bytes` of others.
-    fn remembered(&mut self, bytes: usize, now: time::Instant) -> Vec<message::CrashItem> {
+    /// At most `max` parts of remembered crashes that still count, in turn, next to `bytes` of others.
+    fn remembered(
+        &mut self,
+        max: usize,
+        bytes: usize,
+        now: time::Instant,
+    ) -> Vec<message::CrashItem> {
         let now_ms = self.millis(now);
         self.table.expire(now_ms);
         let counts = |crash: &&CrashRecord| {
@@ -353,7 +358,8 @@
             let numbers = 0..chunks(crash).len();
             numbers.map(move |number| (crash.server, number))
         });
-        let in_turn = self.news.in_turn(remembered.collect());
+        let mut in_turn = self.news.in_turn(remembered.collect());
+        in_turn.truncate(max);
         let (told, items) = self.items_of(in_turn, bytes, now_ms);
         self.news.record_turn(told, now);
         items
--- a/crates/exchange/tests/crash_news.rs
+++ b/crates/exchange/tests/crash_news.rs
@@ -128,6 +128,29 @@
     });
 }
 
+#[test]
+fn all_remembered_crashes_are_told_in_turn() {
+    // Guards against a VM that repeats one of several crashes, and never the others.
+    for crashes in 2..=6 {
+        cluster::run(async move {
+            let mut evidence = crashes::CrashEvidence::default();
+            for server in 1..=crashes {
+                evidence.record_broken(server, &bad_request(), Instant::now());
+                evidence.record_check(server, true, Instant::now());
+            }
+            while !evidence.news(6, Instant::now()).is_empty() {}
+            let mut told = std::collections::BTreeSet::new();
+            for _ in 0..crashes {
+                tokio::time::sleep(time::Duration::from_secs(1)).await;
+                let items = evidence.news(6, Instant::now());
+                assert_eq!(items.len(), 1, "one a second");
+                told.extend(items.into_iter().map(|item| item.server));
+            }
+            assert_eq!(told.len() as u64, crashes);
+        });
+    }
+}
+
 #[test]
 fn a_record_is_not_renewed_by_vms_that_repeat_it() {
     // Guards against two VMs that keep each other's records alive: each datagram takes some time, and
