--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -148,6 +148,12 @@
         }
     }
 
+    /// Durations and sizes that the table was created with.
+    #[must_use]
+    pub const fn limits(&self) -> &SuspectLimits {
+        &self.limits
+    }
+
     /// Records a server's death. Returns whether the record was new or added contents.
     pub fn record_death(&mut self, record: DeathRecord<S, K>) -> bool {
         let is_new = self.insert_death(record);
--- a/crates/exchange/src/crash_store.rs
+++ b/crates/exchange/src/crash_store.rs
@@ -40,7 +40,7 @@
     loop {
         plane.crashes_unsaved.notified().await;
         loop {
-            let record = record(&mut plane.state());
+            let record = record(&plane.state());
             if store.save_crashes(record).await.is_ok() {
                 break;
             }
@@ -49,7 +49,7 @@
     }
 }
 
-fn record(state: &mut state::PlaneState) -> Bytes {
+fn record(state: &state::PlaneState) -> Bytes {
     let now = time::Instant::now();
     let saved = SavedCrashes {
         saved_ms: wall_clock(state, now),
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -335,7 +335,7 @@
         let pending = self.news.pending().collect();
         let (told, mut items) = self.items_of(pending, 0, now_ms);
         self.news.record_told(told);
-        let bytes = items.iter().map(prost::Message::encoded_len).sum();
+        let bytes = items.iter().map(message::CrashItem::encoded_len).sum();
         items.extend(self.remembered(usize::MAX, bytes, now));
         items
     }
--- a/crates/exchange/tests/part_crashes.rs
+++ b/crates/exchange/tests/part_crashes.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use cluster::crashing::{self, CallEnd};
-use exchange::reply::RefusalCause;
+use exchange::{reply::RefusalCause, request};
 
 /// First part of all prompts.
 const FIRST: u64 = 1;
@@ -16,6 +16,15 @@
 const MAX_MORE: usize = 3;
 const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
 
+/// Last part of prompts that have the same one.
+const LAST: u64 = 60;
+
+/// Gives a prompt the last part that others have.
+fn set_last(request: &mut request::ExchangeRequest) {
+    let size = request.size.as_mut().expect("a stream");
+    size.parts.last_mut().expect("its own").hash = LAST;
+}
+
 const fn ms(count: u64) -> time::Duration {
     time::Duration::from_millis(count)
 }
@@ -93,21 +102,18 @@
 #[test]
 fn the_last_part_of_a_prompt_is_not_accused() {
     // Guards against sound requests that are refused for a last part that they share with bad ones.
-    const LAST: u64 = 60;
     cluster::run(async {
         let mut vms = crashing_vms(2);
         for number in 0..8 {
             let mut request = vms.stream_of("bad", &[FIRST, BAD]);
-            let size = request.size.as_mut().expect("a stream");
-            size.parts.last_mut().expect("its own").hash = LAST;
+            set_last(&mut request);
             vms.send(number % 2, request);
             vms.pass(ms(800)).await;
         }
         assert!(vms.count("bad", QUARANTINED) > 0);
         for vm in 0..2 {
             let mut request = vms.stream_of("sound", &[FIRST, 2]);
-            let size = request.size.as_mut().expect("a stream");
-            size.parts.last_mut().expect("its own").hash = LAST;
+            set_last(&mut request);
             vms.send(vm, request);
             vms.pass(ms(1_000)).await;
         }
@@ -118,16 +124,11 @@
 #[test]
 fn requests_that_share_only_their_last_part_accuse_no_part() {
     // Guards against a last part that is refused since three different requests with it crashed engines.
-    const LAST: u64 = 60;
     cluster::run(async {
         let mut vms = crashing_vms(2);
-        let last = |request: &mut exchange::request::ExchangeRequest| {
-            let size = request.size.as_mut().expect("a stream");
-            size.parts.last_mut().expect("its own").hash = LAST;
-        };
         for number in 0..5 {
             let mut request = vms.stream_of("bad", &[100 + number]);
-            last(&mut request);
+            set_last(&mut request);
             vms.board
                 .bad_requests
                 .borrow_mut()
@@ -138,7 +139,7 @@
         assert!(vms.board.crashes.borrow().len() >= 5);
         for vm in 0..2 {
             let mut request = vms.stream_of("sound", &[2]);
-            last(&mut request);
+            set_last(&mut request);
             vms.send(vm, request);
         }
         vms.pass(ms(1_000)).await;
--- a/crates/flow/src/crash_tracker.rs
+++ b/crates/flow/src/crash_tracker.rs
@@ -12,7 +12,6 @@
 #[derive(Debug, Default)]
 struct TrackerState {
     table: suspect::SuspectTable,
-    limits: suspect::SuspectLimits,
     /// Number of runs of each content on each server; never 0.
     running: collections::BTreeMap<(id::ServerKey, ContentHash), u32>,
     /// Completed contents, oldest first.
@@ -60,7 +59,6 @@
     pub fn new(limits: suspect::SuspectLimits) -> Self {
         let state = TrackerState {
             table: suspect::SuspectTable::new(limits),
-            limits,
             ..TrackerState::default()
         };
         Self {
@@ -171,8 +169,7 @@
     /// Lists all suspected and quarantined contents.
     #[must_use]
     pub fn list(&self, now_ms: u64) -> Vec<ops::QuarantineStatus> {
-        let state = self.lock();
-        suspect::list(&state.table, &state.limits, now_ms)
+        suspect::list(&self.lock().table, now_ms)
     }
 
     /// Lifts the quarantine or suspicion of content for an operator. Returns false if there was
--- a/crates/flow/src/suspect.rs
+++ b/crates/flow/src/suspect.rs
@@ -19,19 +19,14 @@
 
 /// Lists all suspected and quarantined contents, for operators.
 #[must_use]
-pub fn list(
-    table: &SuspectTable,
-    limits: &SuspectLimits,
-    now_ms: u64,
-) -> Vec<ops::QuarantineStatus> {
+pub fn list(table: &SuspectTable, now_ms: u64) -> Vec<ops::QuarantineStatus> {
     let contents = table.suspects();
-    let listed = contents.filter_map(|content| status(table, limits, content, now_ms));
+    let listed = contents.filter_map(|content| status(table, content, now_ms));
     listed.collect()
 }
 
 fn status(
     table: &SuspectTable,
-    limits: &SuspectLimits,
     content: ContentHash,
     now_ms: u64,
 ) -> Option<ops::QuarantineStatus> {
@@ -39,7 +34,8 @@
     let (state, left_ms) = match table.standing(content, now_ms) {
         ContentStanding::Clear => return None,
         ContentStanding::Suspect { .. } => {
-            let suspected_ms = u64::try_from(limits.suspected_for.as_millis()).unwrap_or(u64::MAX);
+            let suspected_ms =
+                u64::try_from(table.limits().suspected_for.as_millis()).unwrap_or(u64::MAX);
             let end_ms = newest_ms.saturating_add(suspected_ms);
             (ops::QuarantineState::Suspect, end_ms.saturating_sub(now_ms))
         }
