exchange: lines and gauges tell ties, causes of each crash, what clears, and dropped attempts

Change: lines 'crash recorded' (with its cause), 'content is tied with others at crashes', 'request ran well, which clears ...' and 'attempt was dropped before its end', two metrics. An AttemptWatch lasts from the send of an attempt until its end is known. No decision changes.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -369,7 +369,7 @@
     }
 
     fn has_all_tied(&self, content: K, contents: &[K]) -> bool {
-        let rivals = self.verdict.tied.get(&content);
+        let rivals = self.rivals(content);
         rivals.is_some_and(|rivals| rivals.iter().all(|rival| contents.contains(rival)))
     }
 
@@ -399,6 +399,18 @@
         self.verdict.tied.keys().copied().collect()
     }
 
+    /// Contents of which one is a cause, as `content` may be.
+    #[must_use]
+    pub fn rivals(&self, content: K) -> Option<&collections::BTreeSet<K>> {
+        self.verdict.tied.get(&content)
+    }
+
+    /// All deaths with their identified causes, in the order in which they were recorded.
+    pub fn deaths_with_causes(&self) -> impl Iterator<Item = (&DeathRecord<S, K>, Option<K>)> {
+        let causes = self.verdict.causes.iter().copied();
+        self.deaths.iter().zip(causes)
+    }
+
     /// Deaths that count against `content`, each with its identified cause.
     pub fn against(&self, content: K) -> impl Iterator<Item = (&DeathRecord<S, K>, Option<K>)> {
         let evidence = self.against.get(&content).into_iter();
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -53,6 +53,44 @@
     }
 }
 
+/// An attempt that a server may be at work on. Dropped before it is settled, it was given up: its
+/// caller left, its time was over or another attempt answered.
+#[derive(Debug)]
+pub(crate) struct AttemptWatch<P> {
+    plane: rc::Rc<plane::ExchangePlane<P>>,
+    server: fleet::ServerKey,
+    request: rc::Rc<request::ExchangeRequest>,
+    settled: bool,
+}
+
+impl<P> AttemptWatch<P> {
+    pub(crate) const fn new(
+        plane: rc::Rc<plane::ExchangePlane<P>>,
+        server: fleet::ServerKey,
+        request: rc::Rc<request::ExchangeRequest>,
+    ) -> Self {
+        Self {
+            plane,
+            server,
+            request,
+            settled: false,
+        }
+    }
+
+    /// Ends the watch of an attempt whose end is known.
+    pub(crate) fn settle(mut self) {
+        self.settled = true;
+    }
+}
+
+impl<P> Drop for AttemptWatch<P> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.plane.record_dropped(self.server, &self.request);
+        }
+    }
+}
+
 /// Checks whether a server crashed that broke requests off.
 async fn check_server<P: port::ServerPort + 'static>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
@@ -83,10 +121,30 @@
     /// Records that a request ran well.
     pub(crate) fn record_ran_well(&self, request: &request::ExchangeRequest) {
         let now = time::Instant::now();
-        self.state().crashes.record_ran_well(request, now);
+        let cleared = self.state().crashes.record_ran_well(request, now);
+        if !cleared.is_empty() {
+            log::info!(
+                request:% = request.id, fingerprint = request.fingerprint, cleared:?;
+                "request ran well, which clears its contents of crashes"
+            );
+        }
         self.save_crashes();
     }
 
+    /// Records that this VM dropped an attempt while its server may have been at work on it.
+    pub(crate) fn record_dropped(
+        &self,
+        server: fleet::ServerKey,
+        request: &request::ExchangeRequest,
+    ) {
+        log::info!(
+            request:% = request.id, server:% = self.server_id(server),
+            fingerprint = request.fingerprint;
+            "attempt was dropped before its end"
+        );
+        metrics::counter!("pollenchute_exchange_dropped_attempts_total").increment(1);
+    }
+
     /// Lets causes of crashes be saved that this VM found to have changed.
     pub(crate) fn save_crashes(&self) {
         if self.state().crashes.take_unsaved() {
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -171,21 +171,37 @@
                 }
             }
             self.note_causes(sends);
+            self.log_crash(server);
         }
         is_new
     }
 
-    /// Records that a request ran well.
-    pub fn record_ran_well(&mut self, request: &request::ExchangeRequest, now: time::Instant) {
-        let now_ms = self.millis(now);
-        for content in content::ContentKey::all_of(request) {
-            self.ran_well.put(content, now_ms);
-            if self.table.names(content) {
-                self.clear(content, now_ms, crash_news::OWN_SENDS);
-            }
+    /// Logs what is inferred of the crash of a server.
+    fn log_crash(&self, server: u64) {
+        let crashes = self.table.deaths_with_causes();
+        for (crash, cause) in crashes.filter(|(crash, _)| crash.server == server) {
+            log::info!(
+                server, contents = crash.contents.len(), cause:?, refuted = self.table.answered_at(crash).is_some();
+                "crash recorded"
+            );
         }
     }
 
+    /// Records that a request ran well. Returns the contents that are cleared of crashes by it.
+    pub fn record_ran_well(
+        &mut self,
+        request: &request::ExchangeRequest,
+        now: time::Instant,
+    ) -> Vec<content::ContentKey> {
+        let now_ms = self.millis(now);
+        let mut cleared = content::ContentKey::all_of(request);
+        cleared.retain(|content| {
+            self.ran_well.put(*content, now_ms);
+            self.table.names(*content) && self.clear(*content, now_ms, crash_news::OWN_SENDS)
+        });
+        cleared
+    }
+
     /// Adds the parts of crashes of a server that have a content as given to the news.
     fn add_news(&mut self, server: u64, sends: u32, is_told: impl Fn(content::ContentKey) -> bool) {
         let crashes = self.table.deaths().filter(|crash| crash.server == server);
@@ -198,12 +214,12 @@
         }
     }
 
-    /// Clears content, if it is not known to have run well about then.
-    fn clear(&mut self, content: content::ContentKey, ran_ms: u64, sends: u32) {
+    /// Clears content, unless it is known to have run well about then. Returns whether it does.
+    fn clear(&mut self, content: content::ContentKey, ran_ms: u64, sends: u32) -> bool {
         let step_ms = to_millis(CLEARED_STEP);
         let known_ms = self.table.cleared_at(content);
         if known_ms.is_some_and(|known_ms| ran_ms < known_ms.saturating_add(step_ms)) {
-            return;
+            return false;
         }
         self.table.clear(content, ran_ms);
         let crashes = self.table.deaths();
@@ -215,6 +231,7 @@
         log::info!(content:?; "content ran well, and is cleared of crashes");
         metrics::counter!("pollenchute_exchange_crash_clearances_total").increment(1);
         self.note_causes(sends);
+        true
     }
 
     /// Logs causes that are new, and forgets those that are none any more. `sends` tells whether this
@@ -232,6 +249,12 @@
         }
         metrics::gauge!("pollenchute_exchange_crash_causes").set(causes.len() as f64);
         let tied = self.table.tied();
+        for content in tied.difference(&self.tied) {
+            let crashes = self.table.against(*content).count();
+            let rivals = self.table.rivals(*content);
+            log::info!(content:?, crashes, rivals:?; "content is tied with others at crashes");
+        }
+        metrics::gauge!("pollenchute_exchange_crash_ties").set(tied.len() as f64);
         let changed: Vec<_> = causes
             .symmetric_difference(&self.logged)
             .chain(tied.symmetric_difference(&self.tied))
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -324,7 +324,7 @@
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
                     self.moved(live, server);
                     self.spare = None;
-                    live.continue_with(response.body, self.splitter.events());
+                    live.continue_with(response.body, self.watch(server), self.splitter.events());
                     self.moves += 1;
                     metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
                     log::info!(
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -6,7 +6,7 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    catalog, fleet, message, permit, placing, port, relocate, reply, request, serve_call,
+    accusing, catalog, fleet, message, permit, placing, port, relocate, reply, request, serve_call,
     serve_stream, server, state, stopping, wait,
 };
 
@@ -437,7 +437,9 @@
         let Some((used, proof)) = used else {
             return port::CallOutcome::NotRun(port::NotRunCause::Unreachable);
         };
+        let watch = accusing::AttemptWatch::new(self.clone(), server, call.request.clone());
         let reply = self.port.open(call, proof).await;
+        watch.settle();
         let outcome = self.take_signals(server, sent_at, reply);
         let now = time::Instant::now();
         let arrival = match &outcome {
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    budget, catalog, fleet, permit, plane, port, port::ResponseBody as _, reply, request,
+    accusing, budget, catalog, fleet, permit, plane, port, port::ResponseBody as _, reply, request,
     serve_stream, server, wait,
 };
 
@@ -46,6 +46,7 @@
     first: Bytes,
     body: P::Body,
     placed: plane::PlacedRun<P>,
+    watch: accusing::AttemptWatch<P>,
 }
 
 /// Serves an idempotent or single call. `guard` is held until the caller has received the complete
@@ -329,7 +330,10 @@
     };
     let outcome = plane.send_attempt(call, placed.server, permit).await;
     let end = match outcome {
-        port::CallOutcome::Responded(response) => read_response(response, placed).await,
+        port::CallOutcome::Responded(response) => {
+            let watch = accusing::AttemptWatch::new(plane.clone(), placed.server, request.clone());
+            read_response(response, placed, watch).await
+        }
         port::CallOutcome::NotRun(port::NotRunCause::Quarantined) => {
             return AttemptEnd::NotRun(port::NotRunCause::Quarantined);
         }
@@ -389,6 +393,7 @@
 async fn read_response<P: port::ServerPort>(
     response: port::ServerResponse<P::Body>,
     placed: plane::PlacedRun<P>,
+    watch: accusing::AttemptWatch<P>,
 ) -> (fleet::ServerKey, AttemptEnd<P>) {
     let server = placed.server;
     let port::ServerResponse {
@@ -401,6 +406,7 @@
     let end = loop {
         match body.next().await {
             None => {
+                watch.settle();
                 let delimited = body.is_delimited();
                 let body = buffer.freeze();
                 break AttemptEnd::Complete(CompleteResponse {
@@ -410,7 +416,10 @@
                     body,
                 });
             }
-            Some(Err(_)) => break AttemptEnd::Lost,
+            Some(Err(_)) => {
+                watch.settle();
+                break AttemptEnd::Lost;
+            }
             Some(Ok(bytes)) => buffer.extend_from_slice(&bytes),
         }
         if buffer.len() > MAX_BUFFERED_BYTES {
@@ -421,6 +430,7 @@
                 first,
                 body,
                 placed,
+                watch,
             });
         }
     };
@@ -442,6 +452,7 @@
         first,
         mut body,
         placed,
+        watch,
     } = response;
     tokio::task::spawn_local(async move {
         let end = tokio::select! {
@@ -451,6 +462,9 @@
             end = forward_parts(&sender, first, &mut body) => end,
         };
         log::info!(request:% = request.id, end:% = end.name(); "long answer ended");
+        if end == outcome::EndKind::Whole {
+            watch.settle();
+        }
         drop((placed, guard));
     });
     reply::Reply {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::{
-    budget, event, fleet, forecast, moving, pace, permit, plane, port, port::ResponseBody as _,
-    relocate, reply, request, server,
+    accusing, budget, event, fleet, forecast, moving, pace, permit, plane, port,
+    port::ResponseBody as _, relocate, reply, request, server,
 };
 
 /// Stream parts buffered for a slow caller: limits the memory that it can hold.
@@ -150,6 +150,8 @@
     pub(crate) orders: mpsc::UnboundedReceiver<relocate::RelocationOrder>,
     /// Response body; `None` until the server has responded.
     pub(crate) body: Option<P::Body>,
+    /// Present while the server may be at work on the run.
+    pub(crate) watch: Option<accusing::AttemptWatch<P>>,
     /// Whether the body consists of events. An error response does not.
     pub(crate) has_events: bool,
     /// Number of events that the caller had when the body began.
@@ -168,6 +170,7 @@
             placed,
             orders,
             body: None,
+            watch: None,
             has_events: false,
             first_event: 0,
             may_be_stopped: false,
@@ -175,11 +178,24 @@
     }
 
     /// Continues with the body of another server, after so many events.
-    pub(crate) fn continue_with(&mut self, body: P::Body, events: u64) {
+    pub(crate) fn continue_with(
+        &mut self,
+        body: P::Body,
+        watch: accusing::AttemptWatch<P>,
+        events: u64,
+    ) {
         self.body = Some(body);
+        self.watch = Some(watch);
         self.first_event = events;
         self.may_be_stopped = false;
     }
+
+    /// Ends the watch of the run on its server, at which its end is known.
+    pub(crate) fn settle(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.settle();
+        }
+    }
 }
 
 /// Why forwarding from one server ended.
@@ -210,7 +226,9 @@
     async fn run(&mut self) -> Result<(), reply::Refusal> {
         let mut live = self.start().await?;
         loop {
-            let copy = match self.relay(&mut live).await {
+            let end = self.relay(&mut live).await;
+            live.settle();
+            let copy = match end {
                 RelayEnd::Finished => {
                     self.record_finished(&live).await;
                     return self.finish().await;
@@ -411,10 +429,15 @@
             let verdict = server::ServerVerdict::Good(sent.elapsed());
             self.plane.record_outcome(live.placed.server, verdict);
         }
+        live.watch = Some(self.watch(live.placed.server));
         live.has_events = response.status.is_success();
         live.body = Some(response.body);
     }
 
+    pub(crate) fn watch(&self, server: fleet::ServerKey) -> accusing::AttemptWatch<P> {
+        accusing::AttemptWatch::new(self.plane.clone(), server, self.request.clone())
+    }
+
     /// Forwards events until the stream ends or the run stops on this server.
     async fn relay(&mut self, live: &mut LiveRun<P>) -> RelayEnd {
         loop {
