--- a/crates/exchange/tests/cluster/crashing.rs
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -22,6 +22,14 @@
     pub bad_parts: cell::RefCell<collections::BTreeSet<u64>>,
     /// Number of events before a stream crashes its server.
     pub events_before: cell::Cell<u32>,
+    /// Whether that is the most of them, and each run draws its own.
+    pub draws_events: cell::Cell<bool>,
+    /// Number of large parts of an answer to a call that its server sends before it crashes.
+    pub large_parts: cell::Cell<u32>,
+    /// Time from the arrival of a request until its server crashes; [`CRASH_DELAY`] if none is set.
+    pub delay: cell::Cell<Option<time::Duration>>,
+    /// Whether servers go on with requests whose connection is closed.
+    pub keeps_on: cell::Cell<bool>,
     /// Whether a run that goes on crashes its server before the head of the answer.
     pub resumed_before_head: cell::Cell<bool>,
     down: cell::RefCell<collections::BTreeSet<String>>,
@@ -30,14 +38,66 @@
     pub crashes: cell::RefCell<Vec<(String, Instant)>>,
     /// When requests that crash servers reached one, with their ids.
     pub arrivals: cell::RefCell<Vec<(String, Instant)>>,
+    /// Servers with the causes that run there, one for each run.
+    running: cell::RefCell<Vec<(String, u64)>>,
+    /// Causes that ran on a server as it crashed, with the time.
+    under: cell::RefCell<Vec<(u64, Instant)>>,
+    /// When each cause reached a server.
+    sent: cell::RefCell<Vec<(u64, Instant)>>,
+}
+
+/// A run of a request that crashes its server.
+#[derive(Debug)]
+pub struct BadRun {
+    board: rc::Rc<CrashBoard>,
+    run: (String, u64),
+}
+
+impl Drop for BadRun {
+    fn drop(&mut self) {
+        let mut running = self.board.running.borrow_mut();
+        if let Some(index) = running.iter().position(|run| *run == self.run) {
+            running.swap_remove(index);
+        }
+    }
 }
 
 impl CrashBoard {
-    pub fn is_bad(&self, request: &request::ExchangeRequest) -> bool {
+    /// What makes a request crash its server: its fingerprint, or a part of its prompt.
+    pub fn cause_of(&self, request: &request::ExchangeRequest) -> Option<u64> {
+        if self.bad_requests.borrow().contains(&request.fingerprint) {
+            return Some(request.fingerprint);
+        }
         let parts = request.size.as_ref().map_or(&[][..], |size| &size.parts);
         let bad_parts = self.bad_parts.borrow();
-        self.bad_requests.borrow().contains(&request.fingerprint)
-            || parts.iter().any(|part| bad_parts.contains(&part.hash))
+        let mut hashes = parts.iter().map(|part| part.hash);
+        hashes.find(|hash| bad_parts.contains(hash))
+    }
+
+    /// Counts a run that will crash its server.
+    pub fn begin(self: &rc::Rc<Self>, server: &str, cause: u64) -> BadRun {
+        self.sent.borrow_mut().push((cause, Instant::now()));
+        let run = (server.to_owned(), cause);
+        self.running.borrow_mut().push(run.clone());
+        BadRun {
+            board: self.clone(),
+            run,
+        }
+    }
+
+    /// Time from the arrival of a request until its server crashes.
+    pub fn delay(&self) -> time::Duration {
+        self.delay.get().unwrap_or(CRASH_DELAY)
+    }
+
+    /// Number of events before the next run crashes its server.
+    pub fn draw_events(&self) -> u32 {
+        let most = self.events_before.get();
+        if !self.draws_events.get() {
+            return most;
+        }
+        let number = self.sent.borrow().len() as u32;
+        number.wrapping_mul(2_654_435_761) % (most + 1)
     }
 
     pub fn is_down(&self, server: &str) -> bool {
@@ -49,6 +109,12 @@
         if self.down.borrow_mut().insert(server.to_owned()) {
             let crash = (server.to_owned(), Instant::now());
             self.crashes.borrow_mut().push(crash);
+            let mut causes: Vec<_> = self.running.borrow().clone();
+            causes.retain(|(of, _)| of == server);
+            causes.sort_unstable();
+            causes.dedup();
+            let under = causes.into_iter().map(|(_, cause)| (cause, Instant::now()));
+            self.under.borrow_mut().extend(under);
             self.changed.notify_waiters();
         }
     }
@@ -74,6 +140,26 @@
         self.arrivals.borrow_mut().push(arrival);
     }
 
+    /// Number of servers that crashed while a cause ran there.
+    pub fn crashes_under(&self, cause: u64) -> usize {
+        let under = self.under.borrow();
+        under.iter().filter(|(of, _)| *of == cause).count()
+    }
+
+    /// Number of runs of a cause that began later than `span` after its crash with this number.
+    pub fn late_of(&self, cause: u64, crash: usize, span: time::Duration) -> usize {
+        let under = self.under.borrow();
+        let mut of_cause = under.iter().filter(|(of, _)| *of == cause);
+        let Some((_, at)) = of_cause.nth(crash - 1) else {
+            return 0;
+        };
+        let sent = self.sent.borrow();
+        let late = sent
+            .iter()
+            .filter(|(of, began)| *of == cause && *began > *at + span);
+        late.count()
+    }
+
     /// Number of arrivals of bad requests later than `span` after the crash with this number.
     pub fn arrivals_after(&self, crash: usize, span: time::Duration) -> usize {
         let crashes = self.crashes.borrow();
@@ -249,6 +335,21 @@
         });
     }
 
+    /// Sends a request to a VM; its caller leaves after a while.
+    pub fn send_and_leave(
+        &mut self,
+        vm: usize,
+        request: request::ExchangeRequest,
+        after: time::Duration,
+    ) {
+        let plane = self.vms[vm].clone();
+        tokio::task::spawn_local(clock::timeout(after, async move {
+            if let Ok(reply) = plane.serve(request).await {
+                is_whole(reply).await;
+            }
+        }));
+    }
+
     /// A request whose id and fingerprint no other one has.
     pub fn request(&mut self, name: &str, kind: catalog::ExchangeKind) -> request::ExchangeRequest {
         self.requests += 1;
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -186,8 +186,10 @@
     open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
     severed: rc::Rc<tokio::sync::Notify>,
     crashing: Option<rc::Rc<crashing::CrashBoard>>,
-    /// Whether the run crashes its server after what is left.
-    crashes: bool,
+    /// Present if the run crashes its server after what is left.
+    crashes: Option<crashing::BadRun>,
+    /// Whether nothing comes after what is left.
+    hangs: bool,
 }
 
 impl Drop for FakeBody {
@@ -211,7 +213,11 @@
             () = self.severed.notified() => return Some(Err(port::LostCause::Broken)),
             () = tokio::time::sleep(self.interval) => {}
         }
-        if let Some(board) = crashing.filter(|_| self.crashes && self.left.is_empty()) {
+        if self.hangs && self.left.is_empty() {
+            crashed(crashing.as_deref(), &self.server).await;
+            return Some(Err(port::LostCause::Broken));
+        }
+        if let Some(board) = crashing.filter(|_| self.crashes.is_some() && self.left.is_empty()) {
             board.crash(&self.server);
             return Some(Err(port::LostCause::Broken));
         }
@@ -227,6 +233,14 @@
     }
 }
 
+fn responded(body: FakeBody) -> port::CallOutcome<FakeBody> {
+    port::CallOutcome::Responded(port::ServerResponse {
+        status: http::StatusCode::OK,
+        headers: http::HeaderMap::new(),
+        body,
+    })
+}
+
 /// Waits until a server crashes, if any does.
 async fn crashed(board: Option<&crashing::CrashBoard>, server: &str) {
     match board {
@@ -316,7 +330,8 @@
             open: self.open.clone(),
             severed: self.severed.clone(),
             crashing: self.crashing.borrow().clone(),
-            crashes: false,
+            crashes: None,
+            hangs: false,
         }
     }
 }
@@ -549,37 +564,79 @@
         })
     }
 
-    /// Crashes the server of a bad request: a call at once, a stream after its first events.
+    /// Crashes the server of a bad request: a call before its answer, a stream after some events.
     async fn crash(
         &self,
         call: &port::ServerCall,
-        board: &crashing::CrashBoard,
+        board: rc::Rc<crashing::CrashBoard>,
+        cause: u64,
     ) -> port::CallOutcome<FakeBody> {
         board.count_arrival(&call.request.id);
-        tokio::time::sleep(crashing::CRASH_DELAY).await;
+        let run = board.begin(&call.target.id, cause);
         let before_head = call.resume.is_some() && board.resumed_before_head.get();
-        if call.request.kind != catalog::ExchangeKind::Stream || before_head {
+        let is_stream = call.request.kind == catalog::ExchangeKind::Stream && !before_head;
+        let interval = time::Duration::from_millis(10);
+        let events = board.draw_events();
+        let delay = board.delay();
+        if board.keeps_on.get() {
+            let runs = if is_stream {
+                interval * (events + 1)
+            } else {
+                time::Duration::ZERO
+            };
+            let server = call.target.id.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(delay + runs).await;
+                board.crash(&server);
+                drop(run);
+            });
+            tokio::time::sleep(delay).await;
+            if !is_stream {
+                return std::future::pending().await;
+            }
+            return responded(self.body_of_bad(call, events, interval, None));
+        }
+        tokio::time::sleep(delay).await;
+        if !is_stream && board.large_parts.get() > 0 {
+            let part = Ok(Bytes::from_static(&[b'x'; LARGE_PART]));
+            let left = vec![part; board.large_parts.get() as usize];
+            let mut body = self.fake_body(call, left.into(), interval, true);
+            body.crashes = Some(run);
+            return responded(body);
+        }
+        if !is_stream {
             board.crash(&call.target.id);
             return port::CallOutcome::Lost(port::LostCause::Broken);
         }
-        let interval = time::Duration::from_millis(10);
+        responded(self.body_of_bad(call, events, interval, Some(run)))
+    }
+
+    /// Body of so many events after those that the caller has; with `run`, its end crashes the server.
+    fn body_of_bad(
+        &self,
+        call: &port::ServerCall,
+        events: u32,
+        interval: time::Duration,
+        run: Option<crashing::BadRun>,
+    ) -> FakeBody {
         let resumed = call.resume.as_ref();
         let last = resumed.and_then(|resume| resume.last_event.as_ref()?.parse().ok());
         let first = last.map_or(0, |last: u32| last + 1);
-        let mut body = self.body(call, first + board.events_before.get(), interval, true);
-        body.crashes = true;
-        port::CallOutcome::Responded(port::ServerResponse {
-            status: http::StatusCode::OK,
-            headers: http::HeaderMap::new(),
-            body,
-        })
+        let mut body = self.body(call, first + events, interval, true);
+        if run.is_none() {
+            body.hangs = true;
+        }
+        body.crashes = run;
+        body
     }
 
     async fn respond(&self, call: port::ServerCall) -> port::CallOutcome<FakeBody> {
         self.count(&call.target.id);
         let board = self.crashing.borrow().clone();
-        if let Some(board) = board.filter(|board| board.is_bad(&call.request)) {
-            return self.crash(&call, &board).await;
+        if let Some(board) = board
+            && let Some(cause) = board.cause_of(&call.request)
+        {
+            return self.crash(&call, board, cause).await;
         }
         let script = self.take_script(&call);
         self.seen.borrow_mut().push(SeenCall {
--- /dev/null
+++ b/crates/exchange/tests/crashes_together.rs
@@ -0,0 +1,160 @@
+//! Several requests that crash servers at the same time.
+
+mod cluster;
+
+use std::{cell, rc, time};
+
+use cluster::crashing::{self, CallEnd};
+use exchange::{catalog::ExchangeKind, reply::RefusalCause};
+
+/// Time after the third crash from which no more than [`MAX_RETRIES`] may reach servers.
+const CONTACT: time::Duration = time::Duration::from_secs(3);
+const MAX_RETRIES: usize = 3;
+/// Number of crashes after which few of a request may follow, and of a part.
+const REQUEST_CRASHES: usize = 3;
+const PART_CRASHES: usize = 5;
+/// Interval between equal requests that crash servers, as a number of steps.
+const BAD_STEPS: usize = 30;
+const STEP: time::Duration = time::Duration::from_millis(10);
+/// First part of all prompts.
+const FIRST: u64 = 1;
+const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
+
+/// What is sent beside each other.
+#[derive(Clone, Copy, Debug)]
+struct Mix {
+    /// Number of requests that crash servers, and of parts of prompts that do.
+    calls: u64,
+    streams: u64,
+    parts: u64,
+    /// Steps between two different bad requests.
+    offset: usize,
+    /// Duration in seconds.
+    seconds: usize,
+}
+
+const NO_MIX: Mix = Mix {
+    calls: 0,
+    streams: 0,
+    parts: 0,
+    offset: 0,
+    seconds: 30,
+};
+
+impl Mix {
+    fn causes(self) -> impl Iterator<Item = (u64, usize)> {
+        let requests = (100..100 + self.calls).chain(200..200 + self.streams);
+        let requests = requests.map(|cause| (cause, REQUEST_CRASHES));
+        requests.chain((300..300 + self.parts).map(|cause| (cause, PART_CRASHES)))
+    }
+
+    fn start(self) -> crashing::CrashingVms {
+        let vms = crashing::CrashingVms::start(7, 3, 9);
+        let requests = (100..100 + self.calls).chain(200..200 + self.streams);
+        vms.board.bad_requests.borrow_mut().extend(requests);
+        let parts = 300..300 + self.parts;
+        vms.board.bad_parts.borrow_mut().extend(parts);
+        vms
+    }
+
+    /// Sends the bad requests, each every 0.3 s to the next VM, and sound ones beside them.
+    async fn play(self, vms: &mut crashing::CrashingVms) {
+        for step in 0..self.seconds * 100 {
+            let running = vms.vms.len();
+            for (number, (cause, _)) in self.causes().enumerate() {
+                if !(step + number * self.offset).is_multiple_of(BAD_STEPS) {
+                    continue;
+                }
+                let request = match cause {
+                    100..200 => vms.alike("bad", ExchangeKind::Idempotent, cause),
+                    200..300 => vms.alike("bad", ExchangeKind::Stream, cause),
+                    _ => vms.stream_of("bad", &[FIRST, cause]),
+                };
+                vms.send((step / BAD_STEPS * 3 + number) % running, request);
+            }
+            if step % 10 == 0 {
+                let request = vms.request("sound", ExchangeKind::Idempotent);
+                vms.send(step / 10 % running, request);
+            }
+            if step % 10 == 5 {
+                let request = vms.stream_of("sound", &[FIRST, 2 + step as u64 / 10 % 3]);
+                vms.send(step / 10 % running, request);
+            }
+            vms.pass(STEP).await;
+        }
+        vms.pass(time::Duration::from_secs(2)).await;
+    }
+
+    /// Whether each cause was refused in time, and no sound request was.
+    fn check(self, vms: &crashing::CrashingVms) -> bool {
+        let late: Vec<_> = self
+            .causes()
+            .map(|(cause, crashes)| vms.board.late_of(cause, crashes, CONTACT))
+            .collect();
+        let crashes = vms.board.crashes.borrow().len();
+        let ends = vms.ends_of("sound");
+        let whole = vms.count("sound", CallEnd::Whole);
+        let refused = vms.count("sound", QUARANTINED);
+        println!(
+            "{self:?}: late {late:?}, {crashes} crashes, sound {whole} of {}, {refused} quarantined",
+            ends.len()
+        );
+        late.iter().all(|late| *late <= MAX_RETRIES) && refused == 0
+    }
+}
+
+/// Mixes whose bad requests come at the same moment, and shortly after each other.
+fn of_offsets<const N: usize>(mixes: [Mix; N]) -> impl Iterator<Item = Mix> {
+    let offsets = [0, 2, 7];
+    let offsets = offsets.into_iter();
+    offsets.flat_map(move |offset| mixes.map(|mix| Mix { offset, ..mix }))
+}
+
+/// Plays mixes one after the other, and fails after the last one if any broke the bound.
+fn play(mixes: impl IntoIterator<Item = Mix>) {
+    let mut broken = Vec::new();
+    for mix in mixes {
+        let holds = rc::Rc::new(cell::Cell::new(false));
+        let played = holds.clone();
+        cluster::run(async move {
+            let mut vms = mix.start();
+            mix.play(&mut vms).await;
+            played.set(mix.check(&vms));
+        });
+        if !holds.get() {
+            broken.push(mix);
+        }
+    }
+    assert!(broken.is_empty(), "late or refused: {broken:?}");
+}
+
+#[test]
+fn calls_that_crash_servers_at_the_same_time_are_refused() {
+    // Guards against bad requests whose crashes coincide, so that none of them is identified.
+    play(of_offsets([2, 3, 8].map(|calls| Mix { calls, ..NO_MIX })));
+}
+
+#[test]
+fn streams_that_crash_servers_at_the_same_time_are_refused() {
+    // Guards against the same with streams.
+    play(of_offsets(
+        [2, 5, 8].map(|streams| Mix { streams, ..NO_MIX }),
+    ));
+}
+
+#[test]
+fn parts_that_crash_servers_at_the_same_time_are_refused() {
+    // Guards against bad parts of prompts whose crashes coincide.
+    play(of_offsets([2, 4].map(|parts| Mix { parts, ..NO_MIX })));
+}
+
+#[test]
+fn bad_requests_of_all_kinds_are_refused_at_the_same_time() {
+    // Guards against streams and parts that crash the same engines.
+    play(of_offsets([Mix {
+        calls: 3,
+        streams: 3,
+        parts: 2,
+        ..NO_MIX
+    }]));
+}
