exchange: a request that crashes its server late in its answer is accused

What callers saw: in the test cluster, a stream that crashes its engine after 2, 3, 6 or 20 events took 72 to 81 engines in 30 s, as a request and by a part of prompts; none was refused, and 35 to 75 of 300 sound streams were whole. Cause: two events of an answer counted as proof that its contents run well, at all VMs and for 30 s, and a later break accused nobody. Class: a sign of progress taken for proof of the end. Change: only a whole answer clears. A break after the second event accuses as well, as late evidence: with it a request needs three crashes instead of two and a part five instead of three, since long sound streams are at crashes by chance. Streams that end with their connection clear only if their server takes a new connection, while crashes are remembered. Datagrams carry the moment in one bool.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -57,6 +57,34 @@
     pub at_ms: u64,
     /// Contents that the death speaks against.
     pub contents: collections::BTreeSet<K>,
+    /// Those of `contents` that had made progress there, as sound ones do.
+    #[serde(default = "collections::BTreeSet::new")]
+    pub late: collections::BTreeSet<K>,
+}
+
+impl<S, K: Copy + Ord> DeathRecord<S, K> {
+    fn has_early(&self, content: K) -> bool {
+        self.contents.contains(&content) && !self.late.contains(&content)
+    }
+
+    /// Adds another record of the same death. Content that had made no progress in one of them is
+    /// not late.
+    fn unite(&mut self, mut other: Self, max_contents: usize) {
+        let mut late = &self.late | &other.late;
+        late.retain(|content| !self.has_early(*content) && !other.has_early(*content));
+        self.contents.append(&mut other.contents);
+        self.late = late;
+        self.truncate(max_contents);
+        self.at_ms = self.at_ms.min(other.at_ms);
+    }
+
+    /// Drops the greatest contents, the same ones on all VMs.
+    fn truncate(&mut self, max: usize) {
+        while self.contents.len() > max {
+            self.contents.pop_last();
+        }
+        self.late.retain(|content| self.contents.contains(content));
+    }
 }
 
 /// Clears content of deaths.
@@ -165,13 +193,11 @@
 
     fn insert_death(&mut self, mut record: DeathRecord<S, K>) -> bool {
         let max_contents = self.limits.max_contents;
-        truncate(&mut record.contents, max_contents);
+        record.truncate(max_contents);
         if let Some(held) = self.same_death(&record) {
-            let before = held.contents.clone();
-            held.contents.append(&mut record.contents);
-            truncate(&mut held.contents, max_contents);
-            held.at_ms = held.at_ms.min(record.at_ms);
-            return held.contents != before;
+            let before = (held.contents.clone(), held.late.clone());
+            held.unite(record, max_contents);
+            return (&held.contents, &held.late) != (&before.0, &before.1);
         }
         if self.deaths.len() == self.limits.max_deaths {
             let Some(oldest) = self.oldest_death() else {
@@ -381,6 +407,13 @@
         until_ms.saturating_sub(now_ms)
     }
 
+    /// Whether content had made progress at one of the deaths that count against it.
+    #[must_use]
+    pub fn has_late(&self, content: K) -> bool {
+        let evidence = self.against.get(&content);
+        evidence.is_some_and(|evidence| evidence.has_late)
+    }
+
     /// Contents that deaths count against.
     pub fn suspects(&self) -> impl Iterator<Item = K> {
         self.against.keys().copied()
@@ -435,6 +468,7 @@
                         against.entry(*content).or_default();
                     evidence.crashes.push(index);
                     evidence.ran_well = cleared_ms.is_some();
+                    evidence.has_late |= death.late.contains(content);
                 }
             }
         }
@@ -457,13 +491,6 @@
     after_ms.is_some_and(|after_ms| REFUTATION_MS.contains(&after_ms))
 }
 
-/// Drops the greatest contents, the same ones on all VMs.
-fn truncate<K: Ord>(contents: &mut collections::BTreeSet<K>, max: usize) {
-    while contents.len() > max {
-        contents.pop_last();
-    }
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/crash/src/verdict.rs
+++ b/crates/crash/src/verdict.rs
@@ -11,6 +11,12 @@
         2
     }
 
+    /// The same if it had made progress at any of them: sound content that runs for long is at more
+    /// crashes by chance.
+    fn min_late_crashes(&self) -> usize {
+        3
+    }
+
     /// How many requests share such content. Of two contents that explain the same crashes, the
     /// narrower one is their cause: refusing it affects fewer requests.
     fn breadth(&self) -> u8 {
@@ -27,6 +33,19 @@
     pub crashes: Vec<usize>,
     /// Whether the content has ever run well.
     pub ran_well: bool,
+    /// Whether it had made progress at one of the crashes.
+    pub has_late: bool,
+}
+
+impl ContentEvidence {
+    /// Number of crashes from which `content` may be their cause.
+    fn min_crashes<K: SuspectContent>(&self, content: &K) -> usize {
+        if self.has_late {
+            content.min_late_crashes()
+        } else {
+            content.min_crashes()
+        }
+    }
 }
 
 /// Evidence by content.
@@ -103,7 +122,7 @@
     for (content, against) in evidence {
         let crashes = against.crashes.iter().copied();
         let crashes: Vec<_> = crashes.filter(|crash| !explained[*crash]).collect();
-        if crashes.is_empty() || crashes.len() < content.min_crashes() {
+        if crashes.is_empty() || crashes.len() < against.min_crashes(content) {
             continue;
         }
         let breadth = cmp::Reverse(content.breadth());
--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -22,6 +22,13 @@
         }
     }
 
+    fn min_late_crashes(&self) -> usize {
+        match self {
+            Self::Request(_) => 3,
+            Self::Part(_) => 5,
+        }
+    }
+
     fn breadth(&self) -> u8 {
         match self {
             Self::Request(_) => 0,
@@ -51,6 +58,7 @@
         server,
         at_ms,
         contents: contents.iter().copied().collect(),
+        late: collections::BTreeSet::new(),
     }
 }
 
@@ -79,15 +87,21 @@
 
 fn draw_death(u: &mut arbitrary::Unstructured<'_>, number: u8) -> arbitrary::Result<TestDeath> {
     let mut contents = collections::BTreeSet::new();
+    let mut late = collections::BTreeSet::new();
     for _ in 0..u.int_in_range(1..=4)? {
         let request = u.arbitrary()?;
         let name = u.int_in_range(0..=5)?;
-        contents.insert(if request { Request(name) } else { Part(name) });
+        let content = if request { Request(name) } else { Part(name) };
+        contents.insert(content);
+        if u.arbitrary()? {
+            late.insert(content);
+        }
     }
     Ok(TestDeath {
         server: number,
         at_ms: 1_000 + u.int_in_range(0..=60)? * 1_000,
         contents,
+        late,
     })
 }
 
@@ -95,12 +109,26 @@
 fn tables_that_merge_in_any_order_agree() {
     for_seeds(400, |u| {
         let mut records = Vec::new();
+        let mut others = Vec::new();
         for number in 0..u.int_in_range(1..=7)? {
             records.push(table::SuspectDigest {
                 deaths: vec![draw_death(u, number)?],
                 cleared: Vec::new(),
             });
+            if u.arbitrary()? {
+                // Another VM's record of the same death.
+                let at_ms = records[usize::from(number)].deaths[0].at_ms;
+                let other = TestDeath {
+                    at_ms,
+                    ..draw_death(u, number)?
+                };
+                others.push(table::SuspectDigest {
+                    deaths: vec![other],
+                    cleared: Vec::new(),
+                });
+            }
         }
+        records.append(&mut others);
         for _ in 0..u.int_in_range(0..=4)? {
             let name = u.int_in_range(0..=5)?;
             let record = table::ClearedRecord {
@@ -195,6 +223,32 @@
     }
 }
 
+#[test]
+fn what_had_made_progress_needs_more_crashes() {
+    // Guards against sound streams that are refused since two servers crashed by themselves under
+    // them.
+    let late = |number: u8, content| TestDeath {
+        late: [content].into(),
+        ..death(number, 1_000 + u64::from(number) * 1_000, &[content])
+    };
+    let mut table = table_of(&[late(1, Request(1)), late(2, Request(1))]);
+    assert!(!is_quarantined(&table, Request(1), 5_000));
+    table.record_death(late(3, Request(1)));
+    assert!(is_quarantined(&table, Request(1), 5_000));
+    let parts: Vec<_> = (1..5).map(|number| late(number, Part(1))).collect();
+    let mut table = table_of(&parts);
+    assert!(!is_quarantined(&table, Part(1), 6_000));
+    table.record_death(death(5, 6_000, &[Part(1)]));
+    assert!(is_quarantined(&table, Part(1), 6_000));
+    let mut table = table_of(&[late(1, Request(1)), death(2, 3_000, &[Request(1)])]);
+    assert!(!is_quarantined(&table, Request(1), 5_000));
+    table.record_death(death(1, 2_000, &[Request(1)]));
+    assert!(
+        is_quarantined(&table, Request(1), 5_000),
+        "early at another VM"
+    );
+}
+
 #[test]
 fn one_request_is_the_cause_rather_than_its_parts() {
     let contents = [Request(1), Part(1), Part(2)];
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -10,28 +10,30 @@
 use base::outcome;
 use tokio::time;
 
-use crate::{content, fleet, plane, port, reply, request};
+use crate::{content, crashes, fleet, plane, port, reply, request};
 
 /// Maximum time for which an attempt that was broken off waits for the check of its server. A server
 /// that is reached answers the check in a millisecond.
 const MAX_CHECK_WAIT: time::Duration = time::Duration::from_millis(20);
 
 impl<P: port::ServerPort + 'static> plane::ExchangePlane<P> {
-    /// Records that a server broke a request off as it began, and checks whether it crashed.
+    /// Records that a server broke a request off, and checks whether it crashed. Returns whether it
+    /// is known to run.
     pub(crate) async fn record_broken(
         self: &rc::Rc<Self>,
         server: fleet::ServerKey,
         request: &request::ExchangeRequest,
-    ) {
+        moment: crashes::BreakMoment,
+    ) -> bool {
         let now = time::Instant::now();
         let hash = {
             let mut state = self.state();
             let record = state.fleet.server(server);
             let Some(record) = record.filter(|record| record.takes_work(now)) else {
-                return;
+                return false;
             };
             let hash = record.incarnation_hash();
-            if state.crashes.record_broken(hash, request, now) {
+            if state.crashes.record_broken(hash, request, moment, now) {
                 tokio::task::spawn_local(check_server(self.clone(), server, hash));
             }
             hash
@@ -40,16 +42,17 @@
         let parts = size.map_or_else(Vec::new, request::GenerationSize::part_hashes);
         log::info!(
             request:% = request.id, server:% = self.server_id(server),
-            fingerprint = request.fingerprint, parts:?;
-            "request broke off as it began; checking its server"
+            fingerprint = request.fingerprint, parts:?, moment:?;
+            "request broke off; checking its server"
         );
         let until = now + MAX_CHECK_WAIT;
         while self.state().crashes.is_unchecked(hash) {
             let checked = self.servers_checked.notified();
             if time::timeout_at(until, checked).await.is_err() {
-                return;
+                return false;
             }
         }
+        self.state().crashes.has_taken_check(hash, now)
     }
 }
 
@@ -103,6 +106,9 @@
     };
     let crashed = outcome == port::ProbeOutcome::Refused;
     let now = time::Instant::now();
+    if outcome == port::ProbeOutcome::Reached {
+        plane.state().crashes.record_check_taken(hash, now);
+    }
     let contents = plane.state().crashes.record_check(hash, crashed, now);
     log::info!(
         server:% = plane.server_id(server), outcome:?, contents:?;
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -22,7 +22,8 @@
 const RETENTION: time::Duration = time::Duration::from_mins(15);
 /// Time after a crash for which content is a suspect that may be its cause.
 const SUSPICION_TIME: time::Duration = time::Duration::from_secs(20);
-/// Number of crashes from which a request is sent only once, while crashes do not tell the cause.
+/// Number of crashes from which a request is sent only once, while crashes do not tell the cause; one
+/// more if its answer had gone on at any of them.
 const MIN_SUSPECT_CRASHES: u32 = 2;
 /// Time after content ran well for which crashes do not count against it.
 const CLEARED_TIME: time::Duration = time::Duration::from_secs(30);
@@ -38,6 +39,9 @@
 /// longest ago are dropped first.
 const MAX_RAN_WELL: num::NonZeroUsize = num::NonZeroUsize::new(4_096).expect("not 0");
 
+/// Maximum number of servers of which it is known when they took the connection of a check.
+const MAX_CHECKS_TAKEN: num::NonZeroUsize = num::NonZeroUsize::new(64).expect("not 0");
+
 /// Time of the clock of records when this VM started, so that records may be older than this VM.
 const CLOCK_START: time::Duration = time::Duration::from_hours(1);
 
@@ -48,6 +52,15 @@
 type CrashTable = table::SuspectTable<u64, content::ContentKey>;
 type CrashRecord = table::DeathRecord<u64, content::ContentKey>;
 
+/// When a server broke a request off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BreakMoment {
+    /// At its beginning.
+    Early,
+    /// Once its answer had gone on.
+    Late,
+}
+
 /// What this VM knows of crashes and their causes.
 #[derive(Debug)]
 pub struct CrashEvidence {
@@ -59,6 +72,8 @@
     news: crash_news::CrashNews,
     /// Servers that broke requests off, with these, while it is checked whether they crashed.
     unchecked: collections::HashMap<u64, CrashRecord>,
+    /// When servers last took the connection of a check.
+    checks_taken: lru::LruCache<u64, time::Instant>,
     /// Whether what is quarantined may have changed.
     changed: bool,
     /// Causes that were logged.
@@ -87,6 +102,7 @@
             ran_well: lru::LruCache::new(MAX_RAN_WELL),
             news: crash_news::CrashNews::default(),
             unchecked: collections::HashMap::new(),
+            checks_taken: lru::LruCache::new(MAX_CHECKS_TAKEN),
             changed: false,
             logged: collections::BTreeSet::new(),
             tied: collections::BTreeSet::new(),
@@ -97,12 +113,13 @@
 }
 
 impl CrashEvidence {
-    /// Records that a server broke off a request that had just begun there. Returns whether it is to
+    /// Records that a server broke off a request. Returns whether it is to
     /// be checked whether the server crashed.
     pub fn record_broken(
         &mut self,
         server: u64,
         request: &request::ExchangeRequest,
+        moment: BreakMoment,
         now: time::Instant,
     ) -> bool {
         let at_ms = self.millis(now);
@@ -113,8 +130,16 @@
             server,
             at_ms,
             contents: collections::BTreeSet::new(),
+            late: collections::BTreeSet::new(),
         });
-        record.contents.extend(contents);
+        for content in contents {
+            let is_new = record.contents.insert(content);
+            if moment == BreakMoment::Early {
+                record.late.remove(&content);
+            } else if is_new {
+                record.late.insert(content);
+            }
+        }
         is_first
     }
 
@@ -124,6 +149,24 @@
         self.unchecked.contains_key(&server)
     }
 
+    /// Whether a server took a connection since an instant, with which it was checked.
+    #[must_use]
+    pub fn has_taken_check(&self, server: u64, since: time::Instant) -> bool {
+        let taken = self.checks_taken.peek(&server);
+        taken.is_some_and(|taken| *taken >= since)
+    }
+
+    /// Records that a server took the connection with which it was checked.
+    pub fn record_check_taken(&mut self, server: u64, now: time::Instant) {
+        self.checks_taken.put(server, now);
+    }
+
+    /// Whether any crash is remembered.
+    #[must_use]
+    pub fn knows_crashes(&self) -> bool {
+        !self.table.is_empty()
+    }
+
     /// Records whether a server crashed under the requests that it broke off. Returns the number of
     /// contents that it may be due to, if it crashed and this is news.
     pub fn record_check(
@@ -207,7 +250,7 @@
         let crashes = self.table.deaths().filter(|crash| crash.server == server);
         for crash in crashes {
             for (number, chunk) in chunks(crash).into_iter().enumerate() {
-                if chunk.into_iter().any(&is_told) {
+                if chunk.contents.into_iter().any(&is_told) {
                     self.news.add((server, number), sends);
                 }
             }
@@ -297,7 +340,8 @@
     pub fn is_suspect(&self, request: &request::ExchangeRequest, now: time::Instant) -> bool {
         let content = content::ContentKey::Request(request.fingerprint);
         let standing = self.table.standing(content, self.millis(now));
-        matches!(standing, table::ContentStanding::Suspect { deaths } if deaths >= MIN_SUSPECT_CRASHES)
+        let min = MIN_SUSPECT_CRASHES + u32::from(self.table.has_late(content));
+        matches!(standing, table::ContentStanding::Suspect { deaths } if deaths >= min)
     }
 
     /// Whether what is quarantined may have changed since the last call.
@@ -329,7 +373,7 @@
         let mut items = Vec::new();
         for crash in self.table.deaths().rev().filter(is_refused) {
             for chunk in chunks(crash) {
-                let item = self.item(crash, &chunk, now_ms);
+                let item = self.item(crash, chunk, now_ms);
                 bytes += item.encoded_len();
                 if bytes > max_bytes {
                     return items;
@@ -418,17 +462,12 @@
         let crashes = self.table.deaths().filter(|crash| crash.server == server);
         let items = crashes.filter_map(|crash| {
             let chunk = chunks(crash).into_iter().nth(number)?;
-            Some(self.item(crash, &chunk, now_ms))
+            Some(self.item(crash, chunk, now_ms))
         });
         items.collect()
     }
 
-    fn item(
-        &self,
-        crash: &CrashRecord,
-        contents: &[content::ContentKey],
-        now_ms: u64,
-    ) -> message::CrashItem {
+    fn item(&self, crash: &CrashRecord, chunk: ContentChunk, now_ms: u64) -> message::CrashItem {
         let mut item = message::CrashItem {
             server: crash.server,
             age_ms: age(crash.at_ms, now_ms),
@@ -436,12 +475,13 @@
                 .table
                 .answered_at(crash)
                 .map(|sent_ms| age(crash.at_ms, sent_ms)),
+            late: chunk.late,
             ..message::CrashItem::default()
         };
-        for content in contents {
-            item.add(*content);
-            if let Some(ran_ms) = self.table.cleared_at(*content) {
-                item.add_clearance(*content, age(ran_ms, now_ms));
+        for content in chunk.contents {
+            item.add(content);
+            if let Some(ran_ms) = self.table.cleared_at(content) {
+                item.add_clearance(content, age(ran_ms, now_ms));
             }
         }
         item
@@ -454,10 +494,15 @@
             return false;
         }
         let at_ms = now_ms.saturating_sub(item.age_ms.into());
+        let contents: collections::BTreeSet<_> = item.contents().collect();
         let record = CrashRecord {
             server: item.server,
             at_ms,
-            contents: item.contents().collect(),
+            late: match item.late {
+                true => contents.clone(),
+                false => collections::BTreeSet::new(),
+            },
+            contents,
         };
         let is_new = self.insert(record, crash_news::FORWARDED_SENDS, now);
         if let Some(answered_ms) = item.answered_ms
@@ -483,11 +528,25 @@
     }
 }
 
+/// Contents of a crash that fit into one message, all late or none.
+struct ContentChunk {
+    contents: Vec<content::ContentKey>,
+    late: bool,
+}
+
 /// Contents of a crash in parts that fit into messages.
-fn chunks(crash: &CrashRecord) -> Vec<Vec<content::ContentKey>> {
-    let contents: Vec<_> = crash.contents.iter().copied().collect();
-    let chunks = contents.chunks(crash_news::CHUNK_CONTENTS);
-    chunks.map(<[_]>::to_vec).collect()
+fn chunks(crash: &CrashRecord) -> Vec<ContentChunk> {
+    let early: Vec<_> = crash.contents.difference(&crash.late).copied().collect();
+    let late: Vec<_> = crash.late.iter().copied().collect();
+    let chunks = [(early, false), (late, true)];
+    let chunks = chunks.iter().flat_map(|(contents, late)| {
+        let chunks = contents.chunks(crash_news::CHUNK_CONTENTS);
+        chunks.map(|contents| ContentChunk {
+            contents: contents.to_vec(),
+            late: *late,
+        })
+    });
+    chunks.collect()
 }
 
 fn age(at_ms: u64, now_ms: u64) -> u32 {
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -178,6 +178,9 @@
     /// it did not crash.
     #[prost(uint32, optional, tag = "5")]
     pub answered_ms: Option<u32>,
+    /// Whether the contents had made progress there.
+    #[prost(bool, tag = "8")]
+    pub late: bool,
 }
 
 /// Content that ran well.
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -335,7 +335,7 @@
                 }
                 other => {
                     if matches!(other, port::CallOutcome::Lost(port::LostCause::Broken)) {
-                        self.plane.record_broken(server, &self.request).await;
+                        self.record_lost_at(server).await;
                     }
                     let ran = other.ran();
                     self.set_backup(live, held);
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -9,8 +9,8 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    accusing, budget, catalog, fleet, permit, plane, port, port::ResponseBody as _, reply, request,
-    serve_stream, server, wait,
+    accusing, budget, catalog, crashes, fleet, permit, plane, port, port::ResponseBody as _, reply,
+    request, serve_stream, server, wait,
 };
 
 /// Max size of a response that is buffered completely; a longer one is streamed to the caller and
@@ -348,7 +348,8 @@
         port::CallOutcome::Lost(cause) => {
             plane.record_outcome(placed.server, server::ServerVerdict::Failed);
             if cause == port::LostCause::Broken {
-                plane.record_broken(placed.server, &request).await;
+                let early = crashes::BreakMoment::Early;
+                plane.record_broken(placed.server, &request, early).await;
             }
             return AttemptEnd::Lost;
         }
@@ -356,7 +357,8 @@
     let (server, end) = end;
     record_end(&plane, server, &request, &end, started);
     if matches!(end, AttemptEnd::Lost) {
-        plane.record_broken(server, &request).await;
+        let early = crashes::BreakMoment::Early;
+        plane.record_broken(server, &request, early).await;
     }
     end
 }
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -11,15 +11,14 @@
 };
 
 use crate::{
-    accusing, budget, event, fleet, forecast, moving, pace, permit, plane, port,
+    accusing, budget, crashes, event, fleet, forecast, moving, pace, permit, plane, port,
     port::ResponseBody as _, relocate, reply, request, server,
 };
 
 /// Stream parts buffered for a slow caller: limits the memory that it can hold.
 const MAX_BUFFERED_PARTS: usize = 16;
-/// Number of events from which a broken stream does not make its request a suspect: a request that
-/// crashes servers does so when it starts.
-const MIN_EVENTS_TO_CLEAR: u64 = 2;
+/// Number of events from which a stream has gone on beyond its beginning.
+const MIN_EVENTS_TO_GO_ON: u64 = 2;
 /// Max attempts of one request that certainly did not run; each may meet a server that has just
 /// left.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 3;
@@ -503,11 +502,7 @@
 
     /// Forwards bytes and records the progress of the run.
     pub(crate) async fn forward(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
-        let had_gone_on = self.has_gone_on(live);
         let complete = self.splitter.take(bytes);
-        if !had_gone_on && self.has_gone_on(live) && live.has_events {
-            self.plane.record_ran_well(&self.request);
-        }
         {
             let mut state = self.plane.state();
             let engine = state
@@ -559,7 +554,7 @@
             .record_outcome(server, server::ServerVerdict::BrokeOff);
         self.plane.announce_loads();
         if cause == port::LostCause::Broken {
-            self.plane.record_broken(server, &self.request).await;
+            self.record_lost_at(server).await;
         }
         let now = time::Instant::now();
         let state = self.plane.state();
@@ -572,31 +567,41 @@
         }
     }
 
-    /// Whether the answer of this server has gone on beyond its beginning, at which a request crashes
-    /// its server.
-    const fn has_gone_on(&self, live: &LiveRun<P>) -> bool {
-        self.splitter.events() >= live.first_event + MIN_EVENTS_TO_CLEAR
+    /// Makes the request a suspect if a server crashed that lost it before the head of its answer.
+    pub(crate) async fn record_lost_at(&self, server: fleet::ServerKey) {
+        let early = crashes::BreakMoment::Early;
+        self.plane.record_broken(server, &self.request, early).await;
     }
 
-    /// Makes the request a suspect if its server broke it off soon after its start.
-    pub(crate) async fn record_broken(&self, live: &LiveRun<P>) {
-        if !self.has_gone_on(live) {
-            let server = live.placed.server;
-            self.plane.record_broken(server, &self.request).await;
+    /// When the answer of this server broke off, if it does now.
+    const fn moment(&self, live: &LiveRun<P>) -> crashes::BreakMoment {
+        if self.splitter.events() < live.first_event + MIN_EVENTS_TO_GO_ON {
+            crashes::BreakMoment::Early
+        } else {
+            crashes::BreakMoment::Late
         }
     }
 
-    /// Records what the end of a whole body tells. One that ended with its connection as it began may
-    /// have been broken off by a crash.
+    /// Makes the request a suspect if its server crashed. Returns whether the server is known to run.
+    pub(crate) async fn record_broken(&self, live: &LiveRun<P>) -> bool {
+        let (server, moment) = (live.placed.server, self.moment(live));
+        self.plane
+            .record_broken(server, &self.request, moment)
+            .await
+    }
+
+    /// Records what the end of a whole body tells. One that ended with its connection may have been
+    /// broken off by a crash; that is checked if it has just begun, or while crashes are remembered.
     async fn record_finished(&self, live: &LiveRun<P>) {
-        if self.has_gone_on(live) || !live.has_events {
+        if !live.has_events {
             return;
         }
         let body = live.body.as_ref();
-        if body.is_some_and(port::ResponseBody::is_delimited) {
+        let is_delimited = body.is_some_and(port::ResponseBody::is_delimited);
+        let is_checked = self.moment(live) == crashes::BreakMoment::Early
+            || self.plane.state().crashes.knows_crashes();
+        if is_delimited || is_checked && self.record_broken(live).await {
             self.plane.record_ran_well(&self.request);
-        } else {
-            self.record_broken(live).await;
         }
     }
 
--- a/crates/exchange/tests/cluster/crashing.rs
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -279,6 +279,13 @@
         }
     }
 
+    /// The name under which a server with this first name runs now.
+    pub fn current_name(&self, first: &str) -> String {
+        let mut servers = self.servers.iter().map(|(id, ..)| id);
+        let current = servers.find(|id| id.split('.').next() == Some(first));
+        current.expect("a server").clone()
+    }
+
     /// Lists successors of servers that crashed some time ago.
     fn restart(&mut self) {
         loop {
--- a/crates/exchange/tests/crash_news.rs
+++ b/crates/exchange/tests/crash_news.rs
@@ -5,7 +5,11 @@
 use std::time;
 
 use cluster::running;
-use exchange::{catalog::ExchangeKind, crashes, message, request};
+use exchange::{
+    catalog::ExchangeKind,
+    crashes::{self, BreakMoment::Early as EARLY},
+    message, request,
+};
 use tokio::time::Instant;
 
 /// Time within which all VMs know of a crash.
@@ -22,7 +26,9 @@
     let plane = &vms.vms.vms[vm].plane;
     let now = Instant::now();
     let mut state = plane.state();
-    state.crashes.record_broken(server, &bad_request(), now);
+    state
+        .crashes
+        .record_broken(server, &bad_request(), EARLY, now);
     assert!(state.crashes.record_check(server, true, now).is_some());
     drop(state);
     plane.announce();
@@ -104,7 +110,7 @@
                         tokens: 1,
                     })
                     .collect();
-                evidence.record_broken(number, &request, now);
+                evidence.record_broken(number, &request, EARLY, now);
             }
             evidence.record_check(number, true, now);
             let items = evidence.news(9, now);
@@ -135,7 +141,7 @@
         cluster::run(async move {
             let mut evidence = crashes::CrashEvidence::default();
             for server in 1..=crashes {
-                evidence.record_broken(server, &bad_request(), Instant::now());
+                evidence.record_broken(server, &bad_request(), EARLY, Instant::now());
                 evidence.record_check(server, true, Instant::now());
             }
             while !evidence.news(6, Instant::now()).is_empty() {}
@@ -159,7 +165,7 @@
         let mut vms = [(); 2].map(|()| crashes::CrashEvidence::default());
         let request = bad_request();
         for server in 1..=2 {
-            vms[0].record_broken(server, &request, Instant::now());
+            vms[0].record_broken(server, &request, EARLY, Instant::now());
             vms[0].record_check(server, true, Instant::now());
         }
         let from = Instant::now();
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -618,7 +618,8 @@
             evidence.quarantine_left(&request, at).is_some()
         };
         let crash = |evidence: &mut crashes::CrashEvidence, server, request: &_| {
-            evidence.record_broken(server, request, now);
+            let early = crashes::BreakMoment::Early;
+            evidence.record_broken(server, request, early, now);
             evidence.record_check(server, true, now).is_some()
         };
         assert!(crash(&mut evidence, 1, &request));
--- a/crates/exchange/tests/late_crashes.rs
+++ b/crates/exchange/tests/late_crashes.rs
@@ -134,3 +134,37 @@
         assert_eq!(vms.count("sound", QUARANTINED), 0);
     });
 }
+
+#[test]
+fn long_streams_of_one_subject_are_served_while_engines_crash_by_themselves() {
+    // Guards against a part of long streams, none of which has ended yet, that is refused since
+    // engines crashed that ran them.
+    cluster::run(async {
+        let mut vms = crashing::CrashingVms::start(7, 0, 9);
+        for plane in &vms.vms {
+            plane
+                .port()
+                .pace
+                .set(Some(time::Duration::from_millis(200)));
+        }
+        for round in 0..200_usize {
+            for subject in [2, 3] {
+                let mut request = vms.stream_of("sound", &[FIRST, subject]);
+                request.size.as_mut().expect("a stream").prompt_tokens = 500;
+                vms.send((round + subject as usize) % 7, request);
+            }
+            vms.pass(time::Duration::from_millis(250)).await;
+            if round % 8 == 7 {
+                let number = round / 8 * 2;
+                let engine = format!("e{}", number % 9 + 1);
+                let name = vms.current_name(&engine);
+                vms.board.crash(&name);
+            }
+        }
+        vms.pass(time::Duration::from_secs(10)).await;
+        let (crashes, sent) = (vms.board.crashes.borrow().len(), vms.ends_of("sound").len());
+        let whole = vms.count("sound", CallEnd::Whole);
+        println!("long streams: {crashes} crashes, {whole} of {sent} whole");
+        assert_eq!(vms.count("sound", QUARANTINED), 0);
+    });
+}
--- a/crates/flow/src/crash_tracker.rs
+++ b/crates/flow/src/crash_tracker.rs
@@ -130,6 +130,7 @@
             server: name.to_owned(),
             at_ms: now_ms,
             contents: contents.clone(),
+            late: collections::BTreeSet::new(),
         };
         state.table.expire(now_ms);
         let is_new = state.table.record_death(record);
--- a/crates/flow/tests/pure.rs
+++ b/crates/flow/tests/pure.rs
@@ -34,6 +34,7 @@
             contents.insert(content(u.int_in_range(0..=9)?));
         }
         deaths.push(suspect::DeathRecord {
+            late: Default::default(),
             server: format!("engine-{}", u.int_in_range(0..=2_u8)?),
             at_ms: 1_000_000 + number * 10_000,
             contents,
@@ -87,6 +88,7 @@
             }
             let server = format!("engine-{at_ms}");
             table.record_death(suspect::DeathRecord {
+                late: Default::default(),
                 server,
                 at_ms,
                 contents: contents.clone(),
