crash: late evidence explains only what evidence from beginnings does not

Class: weak evidence that outvotes strong one. Change: an answer that goes on clears again of crashes at which the content was early, a whole one of all; causes are inferred from early evidence first, and late evidence explains what is left. Clearances carry how far the content ran.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -96,6 +96,50 @@
     /// Deaths up to this time, and for `cleared_for` after it, do not count against the content, in
     /// milliseconds.
     pub at_ms: u64,
+    /// What the content was seen to do.
+    #[serde(default)]
+    pub extent: RunExtent,
+}
+
+/// How far content ran well.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub enum RunExtent {
+    /// Beyond its beginning: it is cleared of deaths at which it had made no progress.
+    Beginning,
+    /// To its end: it is cleared of all deaths.
+    #[default]
+    Whole,
+}
+
+/// When content last ran well.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClearedTimes {
+    /// Beyond its beginning, in milliseconds; never before `whole_ms`.
+    pub beginning_ms: u64,
+    /// To its end.
+    pub whole_ms: Option<u64>,
+}
+
+impl ClearedTimes {
+    /// When it last ran well so far.
+    #[must_use]
+    pub const fn of(&self, extent: RunExtent) -> Option<u64> {
+        match extent {
+            RunExtent::Beginning => Some(self.beginning_ms),
+            RunExtent::Whole => self.whole_ms,
+        }
+    }
+
+    /// Takes a record. Returns whether it is newer.
+    pub fn take(&mut self, at_ms: u64, extent: RunExtent) -> bool {
+        let before = *self;
+        self.beginning_ms = self.beginning_ms.max(at_ms);
+        if extent == RunExtent::Whole {
+            self.whole_ms = self.whole_ms.max(Some(at_ms));
+        }
+        *self != before
+    }
 }
 
 /// Records exchanged between entry VMs.
@@ -144,12 +188,14 @@
     limits: SuspectLimits,
     /// At most `max_deaths`, in the order in which they were recorded.
     deaths: collections::VecDeque<DeathRecord<S, K>>,
-    cleared: collections::BTreeMap<K, u64>,
+    cleared: collections::BTreeMap<K, ClearedTimes>,
     /// Servers that answered after a death in `deaths`, with the time of that answer's request.
     answered: collections::BTreeMap<S, u64>,
     /// Indices into `deaths` that count against each content. Derived from the fields above, like
-    /// `verdict`.
+    /// those below.
     against: verdict::EvidenceMap<K>,
+    /// Those of them at which it had made no progress.
+    early: verdict::EvidenceMap<K>,
     verdict: verdict::CrashVerdict<K>,
 }
 
@@ -169,6 +215,7 @@
             cleared: collections::BTreeMap::new(),
             answered: collections::BTreeMap::new(),
             against: collections::BTreeMap::new(),
+            early: collections::BTreeMap::new(),
             verdict: verdict::CrashVerdict {
                 causes: Vec::new(),
                 tied: collections::BTreeMap::new(),
@@ -221,20 +268,21 @@
     /// Clears content that ran to completion or whose quarantine an operator lifted. Returns
     /// whether this is newer than the last such record.
     pub fn clear(&mut self, content: K, at_ms: u64) -> bool {
-        let newer = self.insert_cleared(content, at_ms);
+        self.clear_to(content, at_ms, RunExtent::Whole)
+    }
+
+    /// Clears content that ran well so far. Returns whether this is newer than the last such record.
+    pub fn clear_to(&mut self, content: K, at_ms: u64, extent: RunExtent) -> bool {
+        let newer = self.insert_cleared(content, at_ms, extent);
         if newer {
             self.index();
         }
         newer
     }
 
-    fn insert_cleared(&mut self, content: K, at_ms: u64) -> bool {
-        let held = self.cleared.get(&content);
-        let newer = held.is_none_or(|held| *held < at_ms);
-        if newer {
-            self.cleared.insert(content, at_ms);
-        }
-        newer
+    fn insert_cleared(&mut self, content: K, at_ms: u64, extent: RunExtent) -> bool {
+        let held = self.cleared.entry(content).or_default();
+        held.take(at_ms, extent)
     }
 
     /// Records that a server answered a request that was sent at `sent_ms`. Returns whether that
@@ -271,7 +319,7 @@
             is_new |= self.insert_death(record);
         }
         for record in digest.cleared {
-            is_new |= self.insert_cleared(record.content, record.at_ms);
+            is_new |= self.insert_cleared(record.content, record.at_ms, record.extent);
         }
         if is_new {
             self.index();
@@ -289,15 +337,19 @@
     #[must_use]
     pub fn digest_since(&self, since_ms: u64) -> SuspectDigest<S, K> {
         let deaths = self.deaths.iter().filter(|death| death.at_ms >= since_ms);
-        let cleared = self.cleared.iter().filter(|(_, at_ms)| **at_ms >= since_ms);
-        SuspectDigest {
-            deaths: deaths.cloned().collect(),
-            cleared: cleared
-                .map(|(content, at_ms)| ClearedRecord {
+        let cleared = self.cleared.iter().flat_map(|(content, times)| {
+            let extents = [RunExtent::Beginning, RunExtent::Whole].into_iter();
+            extents.filter_map(|extent| {
+                Some(ClearedRecord {
                     content: *content,
-                    at_ms: *at_ms,
+                    at_ms: times.of(extent)?,
+                    extent,
                 })
-                .collect(),
+            })
+        });
+        SuspectDigest {
+            deaths: deaths.cloned().collect(),
+            cleared: cleared.filter(|record| record.at_ms >= since_ms).collect(),
         }
     }
 
@@ -314,7 +366,7 @@
 
     /// When content last ran well, if that is known.
     #[must_use]
-    pub fn cleared_at(&self, content: K) -> Option<u64> {
+    pub fn cleared_at(&self, content: K) -> Option<ClearedTimes> {
         self.cleared.get(&content).copied()
     }
 
@@ -332,7 +384,7 @@
         let is_kept = |at_ms: u64| at_ms.saturating_add(retention_ms) > now_ms;
         let before = self.deaths.len();
         self.deaths.retain(|death| is_kept(death.at_ms));
-        self.cleared.retain(|_, at_ms| is_kept(*at_ms));
+        self.cleared.retain(|_, times| is_kept(times.beginning_ms));
         self.answered.retain(|_, sent_ms| is_kept(*sent_ms));
         if self.deaths.len() < before {
             self.index();
@@ -342,23 +394,22 @@
     /// Whether `content` may run freely, is a suspect, or is quarantined.
     #[must_use]
     pub fn standing(&self, content: K, now_ms: u64) -> ContentStanding {
+        let quarantine_ms = self.quarantine_ms(content, now_ms);
+        let is_cause = self.verdict.causes.contains(&Some(content));
+        if is_cause && quarantine_ms > 0 {
+            return ContentStanding::Quarantined {
+                left_ms: quarantine_ms,
+            };
+        }
         let mut deaths = 0;
         let mut unexplained_deaths = 0;
         let mut newest_ms = 0;
-        let mut is_cause = false;
-        for (death, cause) in self.against(content) {
+        for (death, cause) in self.of_evidence(&self.early, content) {
             deaths += 1;
             newest_ms = newest_ms.max(death.at_ms);
-            is_cause |= cause == Some(content);
             unexplained_deaths += u32::from(cause.is_none());
         }
         let suspected_until_ms = newest_ms.saturating_add(millis(self.limits.suspected_for));
-        let quarantine_ms = self.quarantine_ms(content, now_ms);
-        if is_cause && quarantine_ms > 0 {
-            return ContentStanding::Quarantined {
-                left_ms: quarantine_ms,
-            };
-        }
         if unexplained_deaths > 0 && suspected_until_ms > now_ms {
             return ContentStanding::Suspect { deaths };
         }
@@ -382,8 +433,11 @@
     /// Whether content is a suspect, or a request may be refused for it.
     #[must_use]
     pub fn is_accused(&self, content: K, now_ms: u64) -> bool {
-        let is_suspect = self.standing(content, now_ms) != ContentStanding::Clear;
-        is_suspect || self.is_refused(content, now_ms)
+        let suspected_ms = millis(self.limits.suspected_for);
+        let is_suspect = |(death, cause): (&DeathRecord<S, K>, Option<K>)| {
+            cause.is_none() && death.at_ms.saturating_add(suspected_ms) > now_ms
+        };
+        self.against(content).any(is_suspect) || self.is_refused(content, now_ms)
     }
 
     /// Whether a request may be refused for content: as a cause, or as one of those that are tied.
@@ -407,13 +461,6 @@
         until_ms.saturating_sub(now_ms)
     }
 
-    /// Whether content had made progress at one of the deaths that count against it.
-    #[must_use]
-    pub fn has_late(&self, content: K) -> bool {
-        let evidence = self.against.get(&content);
-        evidence.is_some_and(|evidence| evidence.has_late)
-    }
-
     /// Contents that deaths count against.
     pub fn suspects(&self) -> impl Iterator<Item = K> {
         self.against.keys().copied()
@@ -446,34 +493,56 @@
 
     /// Deaths that count against `content`, each with its identified cause.
     pub fn against(&self, content: K) -> impl Iterator<Item = (&DeathRecord<S, K>, Option<K>)> {
-        let evidence = self.against.get(&content).into_iter();
+        self.of_evidence(&self.against, content)
+    }
+
+    fn of_evidence<'a>(
+        &'a self,
+        evidence: &'a verdict::EvidenceMap<K>,
+        content: K,
+    ) -> impl Iterator<Item = (&'a DeathRecord<S, K>, Option<K>)> {
+        let evidence = evidence.get(&content).into_iter();
         let indices = evidence.flat_map(|evidence| &evidence.crashes);
         indices.map(|index| (&self.deaths[*index], self.verdict.causes[*index]))
     }
 
-    /// Recomputes `against` and `verdict` from the records.
+    /// Recomputes `against`, `early` and `verdict` from the records.
     fn index(&mut self) {
-        self.against.clear();
-        let cleared_for_ms = millis(self.limits.cleared_for);
         let mut against = verdict::EvidenceMap::new();
+        let mut early = verdict::EvidenceMap::new();
         for (index, death) in self.deaths.iter().enumerate() {
             if self.is_refuted(death) {
                 continue;
             }
-            for content in &death.contents {
-                let cleared_ms = self.cleared.get(content).copied();
-                let until_ms = cleared_ms.map(|at_ms| at_ms.saturating_add(cleared_for_ms));
-                if until_ms.is_none_or(|until_ms| until_ms < death.at_ms) {
-                    let evidence: &mut verdict::ContentEvidence =
-                        against.entry(*content).or_default();
-                    evidence.crashes.push(index);
-                    evidence.ran_well = cleared_ms.is_some();
-                    evidence.has_late |= death.late.contains(content);
+            for &content in &death.contents {
+                self.add_evidence(&mut against, content, index, RunExtent::Whole);
+                if !death.late.contains(&content) {
+                    self.add_evidence(&mut early, content, index, RunExtent::Beginning);
                 }
             }
         }
-        self.verdict = verdict::infer(&against, self.deaths.len());
+        self.verdict = verdict::infer(&early, &against, self.deaths.len());
         self.against = against;
+        self.early = early;
+    }
+
+    /// Counts a death against content, unless that ran well so far at about that time or later.
+    fn add_evidence(
+        &self,
+        evidence: &mut verdict::EvidenceMap<K>,
+        content: K,
+        index: usize,
+        extent: RunExtent,
+    ) {
+        let cleared_for_ms = millis(self.limits.cleared_for);
+        let times = self.cleared.get(&content);
+        let cleared_ms = times.and_then(|times| times.of(extent));
+        let until_ms = cleared_ms.map(|at_ms| at_ms.saturating_add(cleared_for_ms));
+        if until_ms.is_none_or(|until_ms| until_ms < self.deaths[index].at_ms) {
+            let evidence: &mut verdict::ContentEvidence = evidence.entry(content).or_default();
+            evidence.crashes.push(index);
+            evidence.ran_well = cleared_ms.is_some();
+        }
     }
 
     fn same_death(&mut self, record: &DeathRecord<S, K>) -> Option<&mut DeathRecord<S, K>> {
--- a/crates/crash/src/verdict.rs
+++ b/crates/crash/src/verdict.rs
@@ -11,8 +11,8 @@
         2
     }
 
-    /// The same if it had made progress at any of them: sound content that runs for long is at more
-    /// crashes by chance.
+    /// The same for crashes at some of which it had made progress: sound content that runs for long is
+    /// at more crashes by chance.
     fn min_late_crashes(&self) -> usize {
         3
     }
@@ -33,19 +33,6 @@
     pub crashes: Vec<usize>,
     /// Whether the content has ever run well.
     pub ran_well: bool,
-    /// Whether it had made progress at one of the crashes.
-    pub has_late: bool,
-}
-
-impl ContentEvidence {
-    /// Number of crashes from which `content` may be their cause.
-    fn min_crashes<K: SuspectContent>(&self, content: &K) -> usize {
-        if self.has_late {
-            content.min_late_crashes()
-        } else {
-            content.min_crashes()
-        }
-    }
 }
 
 /// Evidence by content.
@@ -76,36 +63,55 @@
 /// A candidate, with the crashes that it explains.
 type ContentClaim<K> = (K, Vec<usize>);
 
-/// Infers the causes of `count` crashes.
+/// Infers the causes of `count` crashes, from those at which contents had made no progress and then
+/// from all.
 ///
 /// The content that explains most crashes is the cause of all of them, those that never ran well
 /// first; what is left is explained in the same way. Contents that were at the same crashes and rank
 /// alike are tied, and identify no cause.
 #[must_use]
-pub fn infer<K: SuspectContent>(evidence: &EvidenceMap<K>, count: usize) -> CrashVerdict<K> {
+pub fn infer<K: SuspectContent>(
+    early: &EvidenceMap<K>,
+    all: &EvidenceMap<K>,
+    count: usize,
+) -> CrashVerdict<K> {
     let mut verdict = CrashVerdict {
         causes: vec![None; count],
         tied: collections::BTreeMap::new(),
     };
     let mut explained = vec![false; count];
-    loop {
-        let leaders = leaders(evidence, &explained);
-        if leaders.is_empty() {
-            return verdict;
-        }
-        for (content, crashes) in &leaders {
-            let rivals = leaders.iter().filter(|(other, theirs)| {
-                other != content && theirs.iter().any(|crash| crashes.contains(crash))
-            });
-            let rivals: collections::BTreeSet<_> = rivals.map(|(other, _)| *other).collect();
-            let is_tied = !rivals.is_empty();
-            if is_tied {
-                verdict.tied.insert(*content, rivals);
+    verdict.explain(early, K::min_crashes, &mut explained);
+    verdict.explain(all, K::min_late_crashes, &mut explained);
+    verdict
+}
+
+impl<K: SuspectContent> CrashVerdict<K> {
+    /// Explains crashes by contents that are at so many of them.
+    fn explain(
+        &mut self,
+        evidence: &EvidenceMap<K>,
+        min_crashes: impl Fn(&K) -> usize,
+        explained: &mut [bool],
+    ) {
+        loop {
+            let leaders = leaders(evidence, &min_crashes, explained);
+            if leaders.is_empty() {
+                return;
             }
-            for &crash in crashes {
-                explained[crash] = true;
-                if !is_tied {
-                    verdict.causes[crash] = Some(*content);
+            for (content, crashes) in &leaders {
+                let rivals = leaders.iter().filter(|(other, theirs)| {
+                    other != content && theirs.iter().any(|crash| crashes.contains(crash))
+                });
+                let rivals: collections::BTreeSet<_> = rivals.map(|(other, _)| *other).collect();
+                let is_tied = !rivals.is_empty();
+                if is_tied {
+                    self.tied.insert(*content, rivals);
+                }
+                for &crash in crashes {
+                    explained[crash] = true;
+                    if !is_tied {
+                        self.causes[crash] = Some(*content);
+                    }
                 }
             }
         }
@@ -115,6 +121,7 @@
 /// Contents that explain most of the crashes without a cause.
 fn leaders<K: SuspectContent>(
     evidence: &EvidenceMap<K>,
+    min_crashes: impl Fn(&K) -> usize,
     explained: &[bool],
 ) -> Vec<ContentClaim<K>> {
     let mut best: Option<ContentRank> = None;
@@ -122,7 +129,7 @@
     for (content, against) in evidence {
         let crashes = against.crashes.iter().copied();
         let crashes: Vec<_> = crashes.filter(|crash| !explained[*crash]).collect();
-        if crashes.is_empty() || crashes.len() < against.min_crashes(content) {
+        if crashes.is_empty() || crashes.len() < min_crashes(content) {
             continue;
         }
         let breadth = cmp::Reverse(content.breadth());
--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -138,6 +138,10 @@
                     Part(name)
                 },
                 at_ms: u.int_in_range(0..=60)? * 1_000,
+                extent: match u.arbitrary()? {
+                    true => table::RunExtent::Whole,
+                    false => table::RunExtent::Beginning,
+                },
             };
             records.push(table::SuspectDigest {
                 deaths: Vec::new(),
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -8,6 +8,7 @@
 use std::rc;
 
 use base::outcome;
+use crash::table;
 use tokio::time;
 
 use crate::{content, crashes, fleet, plane, port, reply, request};
@@ -124,13 +125,17 @@
 }
 
 impl<P> plane::ExchangePlane<P> {
-    /// Records that a request ran well.
-    pub(crate) fn record_ran_well(&self, request: &request::ExchangeRequest) {
+    /// Records that a request ran well so far.
+    pub(crate) fn record_ran_well(
+        &self,
+        request: &request::ExchangeRequest,
+        extent: table::RunExtent,
+    ) {
         let now = time::Instant::now();
-        let cleared = self.state().crashes.record_ran_well(request, now);
+        let cleared = self.state().crashes.record_ran_well(request, extent, now);
         if !cleared.is_empty() {
             log::info!(
-                request:% = request.id, fingerprint = request.fingerprint, cleared:?;
+                request:% = request.id, fingerprint = request.fingerprint, extent:?, cleared:?;
                 "request ran well, which clears its contents of crashes"
             );
         }
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -22,8 +22,8 @@
 const RETENTION: time::Duration = time::Duration::from_mins(15);
 /// Time after a crash for which content is a suspect that may be its cause.
 const SUSPICION_TIME: time::Duration = time::Duration::from_secs(20);
-/// Number of crashes from which a request is sent only once, while crashes do not tell the cause; one
-/// more if its answer had gone on at any of them.
+/// Number of crashes at its beginning from which a request is sent only once, while crashes do not
+/// tell the cause.
 const MIN_SUSPECT_CRASHES: u32 = 2;
 /// Time after content ran well for which crashes do not count against it.
 const CLEARED_TIME: time::Duration = time::Duration::from_secs(30);
@@ -52,6 +52,9 @@
 type CrashTable = table::SuspectTable<u64, content::ContentKey>;
 type CrashRecord = table::DeathRecord<u64, content::ContentKey>;
 
+/// How far content may have run well.
+const EXTENTS: [table::RunExtent; 2] = [table::RunExtent::Whole, table::RunExtent::Beginning];
+
 /// When a server broke a request off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BreakMoment {
@@ -68,7 +71,7 @@
     /// When the clock of records was [`CLOCK_START`].
     epoch: time::Instant,
     /// When contents last ran well at this VM, by the clock of records.
-    ran_well: lru::LruCache<content::ContentKey, u64>,
+    ran_well: lru::LruCache<content::ContentKey, table::ClearedTimes>,
     news: crash_news::CrashNews,
     /// Servers that broke requests off, with these, while it is checked whether they crashed.
     unchecked: collections::HashMap<u64, CrashRecord>,
@@ -209,8 +212,8 @@
         if is_new {
             self.add_news(server, sends, |_| true);
             for content in contents {
-                if let Some(&ran_ms) = self.ran_well.peek(&content) {
-                    self.clear(content, ran_ms, crash_news::OWN_SENDS);
+                if let Some(&times) = self.ran_well.peek(&content) {
+                    self.clear_to(content, times, crash_news::OWN_SENDS);
                 }
             }
             self.note_causes(sends);
@@ -230,21 +233,35 @@
         }
     }
 
-    /// Records that a request ran well. Returns the contents that are cleared of crashes by it.
+    /// Records that a request ran well so far. Returns the contents that are cleared of crashes by
+    /// it.
     pub fn record_ran_well(
         &mut self,
         request: &request::ExchangeRequest,
+        extent: table::RunExtent,
         now: time::Instant,
     ) -> Vec<content::ContentKey> {
         let now_ms = self.millis(now);
         let mut cleared = content::ContentKey::all_of(request);
         cleared.retain(|content| {
-            self.ran_well.put(*content, now_ms);
-            self.table.names(*content) && self.clear(*content, now_ms, crash_news::OWN_SENDS)
+            let default = table::ClearedTimes::default;
+            let times = self.ran_well.get_or_insert_mut(*content, default);
+            times.take(now_ms, extent);
+            self.table.names(*content)
+                && self.clear(*content, now_ms, extent, crash_news::OWN_SENDS)
         });
         cleared
     }
 
+    /// Clears content that ran well at some times.
+    fn clear_to(&mut self, content: content::ContentKey, times: table::ClearedTimes, sends: u32) {
+        for extent in EXTENTS {
+            if let Some(ran_ms) = times.of(extent) {
+                self.clear(content, ran_ms, extent, sends);
+            }
+        }
+    }
+
     /// Adds the parts of crashes of a server that have a content as given to the news.
     fn add_news(&mut self, server: u64, sends: u32, is_told: impl Fn(content::ContentKey) -> bool) {
         let crashes = self.table.deaths().filter(|crash| crash.server == server);
@@ -258,20 +275,27 @@
     }
 
     /// Clears content, unless it is known to have run well about then. Returns whether it does.
-    fn clear(&mut self, content: content::ContentKey, ran_ms: u64, sends: u32) -> bool {
+    fn clear(
+        &mut self,
+        content: content::ContentKey,
+        ran_ms: u64,
+        extent: table::RunExtent,
+        sends: u32,
+    ) -> bool {
         let step_ms = to_millis(CLEARED_STEP);
-        let known_ms = self.table.cleared_at(content);
+        let known = self.table.cleared_at(content);
+        let known_ms = known.and_then(|times| times.of(extent));
         if known_ms.is_some_and(|known_ms| ran_ms < known_ms.saturating_add(step_ms)) {
             return false;
         }
-        self.table.clear(content, ran_ms);
+        self.table.clear_to(content, ran_ms, extent);
         let crashes = self.table.deaths();
         let crashes = crashes.filter(|crash| crash.contents.contains(&content));
         let servers: Vec<_> = crashes.map(|crash| crash.server).collect();
         for server in servers {
             self.add_news(server, sends, |named| named == content);
         }
-        log::info!(content:?; "content ran well, and is cleared of crashes");
+        log::info!(content:?, extent:?; "content ran well, and is cleared of crashes");
         metrics::counter!("pollenchute_exchange_crash_clearances_total").increment(1);
         self.note_causes(sends);
         true
@@ -340,8 +364,7 @@
     pub fn is_suspect(&self, request: &request::ExchangeRequest, now: time::Instant) -> bool {
         let content = content::ContentKey::Request(request.fingerprint);
         let standing = self.table.standing(content, self.millis(now));
-        let min = MIN_SUSPECT_CRASHES + u32::from(self.table.has_late(content));
-        matches!(standing, table::ContentStanding::Suspect { deaths } if deaths >= min)
+        matches!(standing, table::ContentStanding::Suspect { deaths } if deaths >= MIN_SUSPECT_CRASHES)
     }
 
     /// Whether what is quarantined may have changed since the last call.
@@ -480,8 +503,11 @@
         };
         for content in chunk.contents {
             item.add(content);
-            if let Some(ran_ms) = self.table.cleared_at(content) {
-                item.add_clearance(content, age(ran_ms, now_ms));
+            let times = self.table.cleared_at(content).unwrap_or_default();
+            for extent in EXTENTS {
+                if let Some(ran_ms) = times.of(extent).filter(|ran_ms| *ran_ms > 0) {
+                    item.add_clearance(content, age(ran_ms, now_ms), extent);
+                }
             }
         }
         item
@@ -513,10 +539,10 @@
             self.add_news(item.server, crash_news::FORWARDED_SENDS, |_| true);
             self.note_causes(crash_news::FORWARDED_SENDS);
         }
-        for (content, age_ms) in item.clearances() {
+        for (content, age_ms, extent) in item.clearances() {
             if self.table.names(content) {
                 let ran_ms = now_ms.saturating_sub(age_ms.into());
-                self.clear(content, ran_ms, crash_news::FORWARDED_SENDS);
+                self.clear(content, ran_ms, extent, crash_news::FORWARDED_SENDS);
             }
         }
         is_new
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crash::table;
+
 use crate::{content, delta, evacuation, position, update, wait};
 
 /// Stage of a VM.
@@ -196,6 +198,9 @@
     /// Time since it last ran well, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
+    /// Whether it ran to its end, not only beyond its beginning.
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
 }
 
 impl CrashItem {
@@ -217,7 +222,12 @@
     }
 
     /// Adds that a content ran well.
-    pub fn add_clearance(&mut self, content: content::ContentKey, age_ms: u32) {
+    pub fn add_clearance(
+        &mut self,
+        content: content::ContentKey,
+        age_ms: u32,
+        extent: table::RunExtent,
+    ) {
         let (breadth, hash) = match content {
             content::ContentKey::Request(fingerprint) => (0, fingerprint),
             content::ContentKey::OwnPart(hash) => (1, hash),
@@ -227,6 +237,7 @@
             hash,
             breadth,
             age_ms,
+            whole: extent == table::RunExtent::Whole,
         });
     }
 
@@ -241,8 +252,8 @@
             .chain(parts.map(content::ContentKey::Part))
     }
 
-    /// Contents that ran well, with the time since, in milliseconds.
-    pub fn clearances(&self) -> impl Iterator<Item = (content::ContentKey, u32)> {
+    /// Contents that ran well, with the time since, in milliseconds, and how far they ran.
+    pub fn clearances(&self) -> impl Iterator<Item = (content::ContentKey, u32, table::RunExtent)> {
         let cleared = self.cleared.iter();
         cleared.filter_map(|item| {
             let content = match item.breadth {
@@ -251,7 +262,11 @@
                 2 => content::ContentKey::Part(item.hash),
                 _ => return None,
             };
-            Some((content, item.age_ms))
+            let extent = match item.whole {
+                true => table::RunExtent::Whole,
+                false => table::RunExtent::Beginning,
+            };
+            Some((content, item.age_ms, extent))
         })
     }
 }
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -5,6 +5,7 @@
 
 use base::outcome;
 use bytes::{Bytes, BytesMut};
+use crash::table;
 use futures_util::{StreamExt as _, stream};
 use tokio::{sync::mpsc, time};
 
@@ -385,9 +386,9 @@
         AttemptEnd::Complete(response)
             if response.delimited && !response.status.is_server_error() =>
         {
-            plane.record_ran_well(request);
+            plane.record_ran_well(request, table::RunExtent::Whole);
         }
-        AttemptEnd::Long(_) => plane.record_ran_well(request),
+        AttemptEnd::Long(_) => plane.record_ran_well(request, table::RunExtent::Whole),
         _ => {}
     }
 }
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -5,6 +5,7 @@
 use std::rc;
 
 use base::outcome;
+use crash::table;
 use tokio::{
     sync::{mpsc, oneshot},
     time,
@@ -502,7 +503,12 @@
 
     /// Forwards bytes and records the progress of the run.
     pub(crate) async fn forward(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
+        let before = self.moment(live);
         let complete = self.splitter.take(bytes);
+        if before != self.moment(live) && live.has_events {
+            let beginning = table::RunExtent::Beginning;
+            self.plane.record_ran_well(&self.request, beginning);
+        }
         {
             let mut state = self.plane.state();
             let engine = state
@@ -601,7 +607,8 @@
         let is_checked = self.moment(live) == crashes::BreakMoment::Early
             || self.plane.state().crashes.knows_crashes();
         if is_delimited || is_checked && self.record_broken(live).await {
-            self.plane.record_ran_well(&self.request);
+            let whole = table::RunExtent::Whole;
+            self.plane.record_ran_well(&self.request, whole);
         }
     }
 
--- a/crates/exchange/tests/decisions.rs
+++ b/crates/exchange/tests/decisions.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use cluster::engines;
+use crash::table;
 use exchange::{
     budget, catalog, crashes, directory, event, fleet, forecast, loads, message, peers, place,
     relocate, request, returning, server, wait,
@@ -628,7 +629,7 @@
         crash(&mut evidence, 2, &request);
         assert!(quarantined(&evidence, now));
         assert!(!quarantined(&evidence, now + crashes::QUARANTINE_TIME));
-        evidence.record_ran_well(&request, now);
+        evidence.record_ran_well(&request, table::RunExtent::Beginning, now);
         assert!(!quarantined(&evidence, now));
         for number in 0..2_000 {
             let request = cluster::request(&format!("r{number}"), catalog::ExchangeKind::Stream);
