crash: causes whose crashes coincide are refused

Cause: contents at the same crashes are tied, and each ran, since each request has only one of them; a crash that one cause explains did not count for another one that was there, which started from nothing. Class: a rule for one fault at a time. Change: tied contents are refused by themselves from their third crash (parts: their fifth), for a minute, and for five if they are at one more. Of the crashes that content needs to be a cause, one may have another cause already. Explained contents stay clear, as a test of ours asks. New: tied requests that are tried again (200 s: at most one late each), a polled call beside eight bad ones, a sound request that was tied and is served a minute later; two of the table. Conclusion: the bound holds for each of several bad requests, and for each of them by itself.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -3,7 +3,7 @@
 //! What follows depends only on the set of records and not on the order in which they arrive: entry
 //! VMs merge their tables by set union.
 
-use std::{collections, time::Duration};
+use std::{cmp, collections, time::Duration};
 
 use crate::verdict;
 
@@ -20,6 +20,8 @@
     pub suspected_for: Duration,
     /// Time for which content identified as the cause of deaths is refused.
     pub quarantined_for: Duration,
+    /// Time for which tied content is refused that was at just so many deaths that it is refused.
+    pub tied_for: Duration,
     /// Time for which deaths are remembered.
     pub retained_for: Duration,
     /// Time after content ran well for which deaths do not count against it.
@@ -35,6 +37,7 @@
         Self {
             suspected_for: Duration::from_mins(2),
             quarantined_for: Duration::from_mins(15),
+            tied_for: Duration::from_mins(1),
             retained_for: Duration::from_mins(15),
             cleared_for: Duration::ZERO,
             max_deaths: 128,
@@ -394,12 +397,14 @@
     /// Whether `content` may run freely, is a suspect, or is quarantined.
     #[must_use]
     pub fn standing(&self, content: K, now_ms: u64) -> ContentStanding {
-        let quarantine_ms = self.quarantine_ms(content, now_ms);
         let is_cause = self.verdict.causes.contains(&Some(content));
-        if is_cause && quarantine_ms > 0 {
-            return ContentStanding::Quarantined {
-                left_ms: quarantine_ms,
-            };
+        let left_ms = if is_cause {
+            self.quarantine_ms(content, now_ms)
+        } else {
+            self.tied_quarantine_ms(content, now_ms)
+        };
+        if left_ms > 0 {
+            return ContentStanding::Quarantined { left_ms };
         }
         let mut deaths = 0;
         let mut unexplained_deaths = 0;
@@ -453,11 +458,42 @@
         rivals.is_some_and(|rivals| rivals.iter().all(|rival| contents.contains(rival)))
     }
 
-    /// Time left of a quarantine after the newest death that counts against content.
+    /// Whether content is tied, and was at so many deaths that it is refused by itself.
+    fn is_tied_often(&self, content: K) -> bool {
+        let is_tied = self.verdict.tied.contains_key(&content);
+        is_tied && self.against(content).count() >= content.max_tied_crashes()
+    }
+
+    /// Contents that are refused by themselves though they are tied, whether or not they still are.
+    #[must_use]
+    pub fn tied_often(&self) -> collections::BTreeSet<K> {
+        let tied = self.verdict.tied.keys().copied();
+        tied.filter(|content| self.is_tied_often(*content))
+            .collect()
+    }
+
+    /// Time left of the quarantine of a cause.
     fn quarantine_ms(&self, content: K, now_ms: u64) -> u64 {
+        self.left_ms(content, self.limits.quarantined_for, now_ms)
+    }
+
+    /// Time left of the quarantine of content that is refused though it is tied. It is short at first:
+    /// one of what is tied is the cause, and the others are sound.
+    fn tied_quarantine_ms(&self, content: K, now_ms: u64) -> u64 {
+        let limits = &self.limits;
+        let deaths = self.against(content).count();
+        match deaths.cmp(&content.max_tied_crashes()) {
+            _ if !self.is_tied_often(content) => 0,
+            cmp::Ordering::Greater => self.left_ms(content, limits.quarantined_for, now_ms),
+            _ => self.left_ms(content, limits.tied_for, now_ms),
+        }
+    }
+
+    /// Time left until `duration` after the newest death that counts against content.
+    fn left_ms(&self, content: K, duration: Duration, now_ms: u64) -> u64 {
         let deaths = self.against(content).map(|(death, _)| death.at_ms);
         let newest_ms = deaths.max().unwrap_or_default();
-        let until_ms = newest_ms.saturating_add(millis(self.limits.quarantined_for));
+        let until_ms = newest_ms.saturating_add(millis(duration));
         until_ms.saturating_sub(now_ms)
     }
 
--- a/crates/crash/src/verdict.rs
+++ b/crates/crash/src/verdict.rs
@@ -17,6 +17,12 @@
         3
     }
 
+    /// Number of crashes from which tied content is refused, whether or not a request has what it is
+    /// tied with.
+    fn max_tied_crashes(&self) -> usize {
+        3
+    }
+
     /// How many requests share such content. Of two contents that explain the same crashes, the
     /// narrower one is their cause: refusing it affects fewer requests.
     fn breadth(&self) -> u8 {
@@ -57,8 +63,9 @@
     }
 }
 
-/// How well content explains crashes; the greatest is the cause.
-type ContentRank = (bool, usize, cmp::Reverse<u8>);
+/// How well content explains crashes; the greatest is the cause: whether it never ran well, how many
+/// crashes without a cause it was at, how few requests share it, and at how many crashes it was.
+type ContentRank = (bool, usize, cmp::Reverse<u8>, usize);
 
 /// A candidate, with the crashes that it explains.
 type ContentClaim<K> = (K, Vec<usize>);
@@ -68,7 +75,8 @@
 ///
 /// The content that explains most crashes is the cause of all of them, those that never ran well
 /// first; what is left is explained in the same way. Contents that were at the same crashes and rank
-/// alike are tied, and identify no cause.
+/// alike are tied, and identify no cause. One of the crashes from which content may be a cause may have
+/// another one already: causes whose crashes coincide are found one after the other.
 #[must_use]
 pub fn infer<K: SuspectContent>(
     early: &EvidenceMap<K>,
@@ -129,11 +137,13 @@
     for (content, against) in evidence {
         let crashes = against.crashes.iter().copied();
         let crashes: Vec<_> = crashes.filter(|crash| !explained[*crash]).collect();
-        if crashes.is_empty() || crashes.len() < min_crashes(content) {
+        let (min, total) = (min_crashes(content), against.crashes.len());
+        // A crash that has a cause speaks against what else was there as well, but less.
+        if crashes.is_empty() || total < min || crashes.len() + 1 < min {
             continue;
         }
         let breadth = cmp::Reverse(content.breadth());
-        let rank = (!against.ran_well, crashes.len(), breadth);
+        let rank = (!against.ran_well, crashes.len(), breadth, total);
         if best.is_none_or(|best| rank > best) {
             best = Some(rank);
             leaders.clear();
--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -22,6 +22,13 @@
         }
     }
 
+    fn max_tied_crashes(&self) -> usize {
+        match self {
+            Self::Request(_) => 3,
+            Self::Part(_) => 5,
+        }
+    }
+
     fn min_late_crashes(&self) -> usize {
         match self {
             Self::Request(_) => 3,
@@ -46,6 +53,7 @@
     table::SuspectLimits {
         suspected_for: Duration::from_secs(20),
         quarantined_for: Duration::from_mins(5),
+        tied_for: Duration::from_mins(1),
         cleared_for: Duration::from_secs(30),
         max_deaths: 16,
         max_contents: 32,
@@ -323,6 +331,48 @@
     assert!(!is_refused(&table, &[Request(9), Part(1)], 10_000));
 }
 
+#[test]
+fn tied_requests_are_refused_from_their_third_crash() {
+    // Guards against requests whose crashes coincide, so that none of them is identified, and against
+    // a sound one that is refused for long with them.
+    let both = [Request(1), Request(2)];
+    let deaths: Vec<_> = (0..3)
+        .map(|number| death(number, 1_000 + u64::from(number) * 1_000, &both))
+        .collect();
+    let table = table_of(&deaths[..2]);
+    assert!(!is_quarantined(&table, Request(1), 3_000), "it will tell");
+    let mut table = table_of(&deaths);
+    for tied in both {
+        assert!(is_quarantined(&table, tied, 62_999));
+        assert!(!is_quarantined(&table, tied, 63_000), "tried again");
+    }
+    table.record_death(death(3, 64_000, &[Request(1)]));
+    assert!(is_quarantined(&table, Request(1), 70_000), "it told");
+    assert_eq!(
+        table.standing(Request(2), 70_000),
+        ContentStanding::Clear,
+        "explained"
+    );
+    let mut table = table_of(&deaths);
+    table.record_death(death(3, 64_000, &both));
+    assert!(is_quarantined(&table, Request(2), 363_999), "tied again");
+}
+
+#[test]
+fn a_crash_that_has_a_cause_still_speaks_against_another_one() {
+    // Guards against a second cause that starts from nothing when the first one is found.
+    let mut table = table_of(&[
+        death(1, 1_000, &[Request(1), Request(2)]),
+        death(2, 2_000, &[Request(1), Request(2)]),
+        death(3, 3_000, &[Request(1)]),
+    ]);
+    assert!(is_quarantined(&table, Request(1), 4_000));
+    assert!(!is_quarantined(&table, Request(2), 4_000));
+    table.record_death(death(4, 5_000, &[Request(2), Request(3)]));
+    assert!(is_quarantined(&table, Request(2), 6_000));
+    assert!(!is_quarantined(&table, Request(3), 6_000), "at one crash");
+}
+
 #[test]
 fn a_quarantine_ends_however_often_its_records_are_merged() {
     let deaths = [
--- a/crates/exchange/src/content.rs
+++ b/crates/exchange/src/content.rs
@@ -20,10 +20,14 @@
 const MIN_REQUEST_CRASHES: usize = 2;
 /// The same if its answer had gone on at any of them.
 const MIN_LATE_REQUEST_CRASHES: usize = 3;
+/// Number of crashes from which a request is refused that is tied with others.
+const MAX_TIED_REQUEST_CRASHES: usize = 3;
 /// Number of crashes from which a part of prompts is their cause: it affects more requests.
 const MIN_PART_CRASHES: usize = 3;
 /// The same if an answer had gone on at any of them.
 const MIN_LATE_PART_CRASHES: usize = 5;
+/// Number of crashes from which a part is refused that is tied with others.
+const MAX_TIED_PART_CRASHES: usize = 5;
 
 impl verdict::SuspectContent for ContentKey {
     fn min_crashes(&self) -> usize {
@@ -40,6 +44,13 @@
         }
     }
 
+    fn max_tied_crashes(&self) -> usize {
+        match self {
+            Self::Request(_) => MAX_TIED_REQUEST_CRASHES,
+            Self::OwnPart(_) | Self::Part(_) => MAX_TIED_PART_CRASHES,
+        }
+    }
+
     fn breadth(&self) -> u8 {
         match self {
             Self::Request(_) => 0,
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -17,6 +17,8 @@
 
 /// Time after a crash for which its cause is refused.
 pub const QUARANTINE_TIME: time::Duration = time::Duration::from_mins(5);
+/// The same for content that is tied with others, the first time.
+const TIED_QUARANTINE_TIME: time::Duration = time::Duration::from_mins(1);
 /// Time for which crashes are remembered: a cause that crashes one more server after its quarantine
 /// is refused again at once.
 const RETENTION: time::Duration = time::Duration::from_mins(15);
@@ -83,6 +85,8 @@
     logged: collections::BTreeSet<content::ContentKey>,
     /// Contents that were tied when they were last looked at.
     tied: collections::BTreeSet<content::ContentKey>,
+    /// Those of them that were refused by themselves.
+    tied_often: collections::BTreeSet<content::ContentKey>,
     /// Servers whose crashes this VM found.
     found: collections::BTreeSet<u64>,
     /// Whether this VM is to save what is refused.
@@ -94,6 +98,7 @@
         let limits = table::SuspectLimits {
             suspected_for: SUSPICION_TIME,
             quarantined_for: QUARANTINE_TIME,
+            tied_for: TIED_QUARANTINE_TIME,
             retained_for: RETENTION,
             cleared_for: CLEARED_TIME,
             max_deaths: MAX_CRASHES,
@@ -109,6 +114,7 @@
             changed: false,
             logged: collections::BTreeSet::new(),
             tied: collections::BTreeSet::new(),
+            tied_often: collections::BTreeSet::new(),
             found: collections::BTreeSet::new(),
             unsaved: false,
         }
@@ -322,6 +328,10 @@
             log::info!(content:?, crashes, rivals:?; "content is tied with others at crashes");
         }
         metrics::gauge!("pollenchute_exchange_crash_ties").set(tied.len() as f64);
+        for content in self.table.tied_often().difference(&self.tied_often) {
+            log::warn!(content:?; "content is quarantined, since it is tied at many crashes");
+        }
+        self.tied_often = self.table.tied_often();
         let changed: Vec<_> = causes
             .symmetric_difference(&self.logged)
             .chain(tied.symmetric_difference(&self.tied))
--- a/crates/exchange/tests/crashes_together.rs
+++ b/crates/exchange/tests/crashes_together.rs
@@ -158,3 +158,73 @@
         ..NO_MIX
     }]));
 }
+
+#[test]
+fn tied_requests_stay_refused_when_they_are_tried_again() {
+    // Guards against bad requests that are tied, and crash servers each time they are tried again.
+    let mixes = [(2, 0), (8, 0), (0, 2), (0, 8)];
+    play(mixes.map(|(calls, streams)| Mix {
+        calls,
+        streams,
+        seconds: 200,
+        ..NO_MIX
+    }));
+}
+
+#[test]
+fn a_sound_call_that_is_polled_is_served_beside_many_bad_ones() {
+    // Guards against a sound call that is refused since it is at the crashes of all bad ones.
+    const POLLED: u64 = 9;
+    cluster::run(async {
+        let mix = Mix { calls: 8, ..NO_MIX };
+        let mut vms = mix.start();
+        for step in 0..2_000 {
+            if step % BAD_STEPS == 0 {
+                for (cause, _) in mix.causes() {
+                    let request = vms.alike("bad", ExchangeKind::Idempotent, cause);
+                    vms.send((step + cause as usize) % 7, request);
+                }
+            }
+            let request = vms.alike("polled", ExchangeKind::Idempotent, POLLED);
+            vms.send(step % 7, request);
+            vms.pass(STEP).await;
+        }
+        assert_eq!(vms.count("polled", QUARANTINED), 0);
+        let ends = vms.ends_of("polled");
+        let last = &ends[ends.len() - 800..];
+        assert!(last.iter().all(|end| *end == CallEnd::Whole), "{last:?}");
+    });
+}
+
+#[test]
+fn a_sound_request_that_was_tied_is_served_a_minute_later() {
+    // Guards against a sound request that stays refused since it was at three crashes of a bad one.
+    const SOUND: u64 = 9;
+    cluster::run(async {
+        let mut vms = crashing::CrashingVms::start(2, 1, 0);
+        vms.board.bad_requests.borrow_mut().insert(100);
+        for plane in &vms.vms {
+            plane
+                .port()
+                .pace
+                .set(Some(time::Duration::from_millis(100)));
+        }
+        for _ in 0..3 {
+            for (name, fingerprint) in [("bad", 100), ("sound", SOUND)] {
+                let mut request = vms.alike(name, ExchangeKind::Once, fingerprint);
+                request.attempts = 1;
+                vms.send(0, request);
+            }
+            vms.pass(time::Duration::from_secs(6)).await;
+        }
+        let request = vms.alike("sound", ExchangeKind::Once, SOUND);
+        vms.send(0, request);
+        vms.pass(time::Duration::from_secs(60)).await;
+        let request = vms.alike("sound", ExchangeKind::Once, SOUND);
+        vms.send(1, request);
+        vms.pass(time::Duration::from_secs(1)).await;
+        let lost = CallEnd::Refused(RefusalCause::ServerLost);
+        let ends = [lost, lost, lost, QUARANTINED, CallEnd::Whole];
+        assert_eq!(vms.ends_of("sound"), ends);
+    });
+}
