exchange: a call that crashes its server within a long answer is accused

What callers saw: in the test cluster, a call whose answer is longer than 256 KB and that crashes its server before the end took 28 servers in 30 s. Cause: a call was recorded as one that ran well once its answer was too long to be buffered, and the end of the rest was recorded nowhere. Class: as for streams: a sign of progress taken for proof of the end. Change: a long answer records its end: whole clears, broken off accuses late.

--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -388,7 +388,6 @@
         {
             plane.record_ran_well(request, table::RunExtent::Whole);
         }
-        AttemptEnd::Long(_) => plane.record_ran_well(request, table::RunExtent::Whole),
         _ => {}
     }
 }
@@ -458,15 +457,16 @@
         watch,
     } = response;
     tokio::task::spawn_local(async move {
-        let end = tokio::select! {
+        let (end, is_known) = tokio::select! {
             biased;
-            () = sender.closed() => outcome::EndKind::Left,
-            () = time::sleep_until(request.limit) => outcome::EndKind::Failed,
-            end = forward_parts(&sender, first, &mut body) => end,
+            () = sender.closed() => (outcome::EndKind::Left, false),
+            () = time::sleep_until(request.limit) => (outcome::EndKind::Failed, false),
+            end = forward_parts(&sender, first, &mut body) => (end, true),
         };
         log::info!(request:% = request.id, end:% = end.name(); "long answer ended");
-        if end == outcome::EndKind::Whole {
+        if is_known {
             watch.settle();
+            record_long_end(&placed, &request, end, body.is_delimited()).await;
         }
         drop((placed, guard));
     });
@@ -477,6 +477,22 @@
     }
 }
 
+/// Records what the end of a long answer tells of the request.
+async fn record_long_end<P: port::ServerPort + 'static>(
+    placed: &plane::PlacedRun<P>,
+    request: &request::ExchangeRequest,
+    end: outcome::EndKind,
+    is_delimited: bool,
+) {
+    let plane = &placed.plane;
+    if end != outcome::EndKind::Whole {
+        let late = crashes::BreakMoment::Late;
+        plane.record_broken(placed.server, request, late).await;
+    } else if is_delimited {
+        plane.record_ran_well(request, table::RunExtent::Whole);
+    }
+}
+
 async fn forward_parts(
     sender: &mpsc::Sender<reply::StreamPart>,
     first: Bytes,
