exchange: a part of sound prompts is not refused for crashes late in answers

Class: evidence for that comes later than evidence against. Change: an answer that goes on for 1 s clears its parts as a whole one does, and a part is refused for late crashes only if the first and the last are 2 s apart. Requests stay as they were: a whole answer clears, three late crashes refuse. Conclusion: parts whose crashes come more than a second after an answer went on are found by their requests only.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -22,6 +22,9 @@
     pub quarantined_for: Duration,
     /// Time for which tied content is refused that was at just so many deaths that it is refused.
     pub tied_for: Duration,
+    /// Time between the first and the last death from which content that requests share is refused, if
+    /// it had made progress at any of them.
+    pub min_late_span: Duration,
     /// Time for which deaths are remembered.
     pub retained_for: Duration,
     /// Time after content ran well for which deaths do not count against it.
@@ -38,6 +41,7 @@
             suspected_for: Duration::from_mins(2),
             quarantined_for: Duration::from_mins(15),
             tied_for: Duration::from_mins(1),
+            min_late_span: Duration::from_secs(2),
             retained_for: Duration::from_mins(15),
             cleared_for: Duration::ZERO,
             max_deaths: 128,
@@ -222,6 +226,7 @@
             verdict: verdict::CrashVerdict {
                 causes: Vec::new(),
                 tied: collections::BTreeMap::new(),
+                late: collections::BTreeSet::new(),
             },
         }
     }
@@ -474,6 +479,9 @@
 
     /// Time left of the quarantine of a cause.
     fn quarantine_ms(&self, content: K, now_ms: u64) -> u64 {
+        if !self.is_spread(content) {
+            return 0;
+        }
         self.left_ms(content, self.limits.quarantined_for, now_ms)
     }
 
@@ -483,12 +491,31 @@
         let limits = &self.limits;
         let deaths = self.against(content).count();
         match deaths.cmp(&content.max_tied_crashes()) {
-            _ if !self.is_tied_often(content) => 0,
+            _ if !self.is_tied_often(content) || !self.is_spread(content) => 0,
             cmp::Ordering::Greater => self.left_ms(content, limits.quarantined_for, now_ms),
             _ => self.left_ms(content, limits.tied_for, now_ms),
         }
     }
 
+    /// Whether the evidence against content suffices in time. What many requests share is at all deaths
+    /// of a short time, before any of these requests has run for long.
+    fn is_spread(&self, content: K) -> bool {
+        if content.breadth() == 0 || !self.verdict.late.contains(&content) {
+            return true;
+        }
+        let times = || self.against(content).map(|(death, _)| death.at_ms);
+        let (first_ms, last_ms) = (times().min(), times().max());
+        let span_ms = last_ms.unwrap_or_default() - first_ms.unwrap_or_default();
+        span_ms >= millis(self.limits.min_late_span)
+    }
+
+    /// Contents that are causes or tied, and not refused since the deaths are too close to each other.
+    #[must_use]
+    pub fn pending(&self) -> collections::BTreeSet<K> {
+        let late = self.verdict.late.iter().copied();
+        late.filter(|content| !self.is_spread(*content)).collect()
+    }
+
     /// Time left until `duration` after the newest death that counts against content.
     fn left_ms(&self, content: K, duration: Duration, now_ms: u64) -> u64 {
         let deaths = self.against(content).map(|(death, _)| death.at_ms);
--- a/crates/crash/src/verdict.rs
+++ b/crates/crash/src/verdict.rs
@@ -52,6 +52,8 @@
     /// Contents that explain as many crashes as others that were there, each with those others. One
     /// of them is the cause.
     pub tied: collections::BTreeMap<K, collections::BTreeSet<K>>,
+    /// Contents that are causes or tied by crashes at some of which they had made progress.
+    pub late: collections::BTreeSet<K>,
 }
 
 impl<K> Default for CrashVerdict<K> {
@@ -59,6 +61,7 @@
         Self {
             causes: Vec::new(),
             tied: collections::BTreeMap::new(),
+            late: collections::BTreeSet::new(),
         }
     }
 }
@@ -85,15 +88,23 @@
 ) -> CrashVerdict<K> {
     let mut verdict = CrashVerdict {
         causes: vec![None; count],
-        tied: collections::BTreeMap::new(),
+        ..CrashVerdict::default()
     };
     let mut explained = vec![false; count];
     verdict.explain(early, K::min_crashes, &mut explained);
+    let early = verdict.named();
     verdict.explain(all, K::min_late_crashes, &mut explained);
+    verdict.late = &verdict.named() - &early;
     verdict
 }
 
 impl<K: SuspectContent> CrashVerdict<K> {
+    /// Contents that are causes or tied.
+    fn named(&self) -> collections::BTreeSet<K> {
+        let causes = self.causes.iter().flatten();
+        causes.chain(self.tied.keys()).copied().collect()
+    }
+
     /// Explains crashes by contents that are at so many of them.
     fn explain(
         &mut self,
--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -252,6 +252,14 @@
     assert!(!is_quarantined(&table, Part(1), 6_000));
     table.record_death(death(5, 6_000, &[Part(1)]));
     assert!(is_quarantined(&table, Part(1), 6_000));
+    let parts = (0..9).map(|number| TestDeath {
+        at_ms: 1_000 + u64::from(number) * 200,
+        ..late(number, Part(1))
+    });
+    let mut table = table_of(&parts.collect::<Vec<_>>());
+    assert!(!is_quarantined(&table, Part(1), 3_000), "all in 1.6 s");
+    table.record_death(late(10, Part(1)));
+    assert!(is_quarantined(&table, Part(1), 11_000));
     let mut table = table_of(&[late(1, Request(1)), death(2, 3_000, &[Request(1)])]);
     assert!(!is_quarantined(&table, Request(1), 5_000));
     table.record_death(death(1, 2_000, &[Request(1)]));
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -149,9 +149,26 @@
         &self,
         request: &request::ExchangeRequest,
         extent: table::RunExtent,
+    ) {
+        let contents = content::ContentKey::all_of(request);
+        self.clear_contents(request, contents, extent);
+    }
+
+    /// Records that the parts of a prompt ran well, since an answer went on for long.
+    pub(crate) fn record_parts_ran_well(&self, request: &request::ExchangeRequest) {
+        let mut contents = content::ContentKey::all_of(request);
+        contents.retain(|content| !matches!(content, content::ContentKey::Request(_)));
+        self.clear_contents(request, contents, table::RunExtent::Whole);
+    }
+
+    fn clear_contents(
+        &self,
+        request: &request::ExchangeRequest,
+        contents: Vec<content::ContentKey>,
+        extent: table::RunExtent,
     ) {
         let now = time::Instant::now();
-        let cleared = self.state().crashes.record_ran_well(request, extent, now);
+        let cleared = self.state().crashes.record_ran_well(contents, extent, now);
         if !cleared.is_empty() {
             log::info!(
                 request:% = request.id, fingerprint = request.fingerprint, extent:?, cleared:?;
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -19,6 +19,9 @@
 pub const QUARANTINE_TIME: time::Duration = time::Duration::from_mins(5);
 /// The same for content that is tied with others, the first time.
 const TIED_QUARANTINE_TIME: time::Duration = time::Duration::from_mins(1);
+/// Time between the first and the last crash from which a part of prompts is refused for crashes late in
+/// answers: twice as long as an answer goes on until it clears its parts.
+const MIN_LATE_SPAN: time::Duration = time::Duration::from_secs(2);
 /// Time for which crashes are remembered: a cause that crashes one more server after its quarantine
 /// is refused again at once.
 const RETENTION: time::Duration = time::Duration::from_mins(15);
@@ -102,6 +105,8 @@
     tied: collections::BTreeSet<content::ContentKey>,
     /// Those of them that were refused by themselves.
     tied_often: collections::BTreeSet<content::ContentKey>,
+    /// Contents that were not refused yet, since their crashes were too close to each other.
+    pending: collections::BTreeSet<content::ContentKey>,
     /// Servers whose crashes this VM found.
     found: collections::BTreeSet<u64>,
     /// Whether this VM is to save what is refused.
@@ -114,6 +119,7 @@
             suspected_for: SUSPICION_TIME,
             quarantined_for: QUARANTINE_TIME,
             tied_for: TIED_QUARANTINE_TIME,
+            min_late_span: MIN_LATE_SPAN,
             retained_for: RETENTION,
             cleared_for: CLEARED_TIME,
             max_deaths: MAX_CRASHES,
@@ -131,6 +137,7 @@
             logged: collections::BTreeSet::new(),
             tied: collections::BTreeSet::new(),
             tied_often: collections::BTreeSet::new(),
+            pending: collections::BTreeSet::new(),
             found: collections::BTreeSet::new(),
             unsaved: false,
         }
@@ -327,24 +334,22 @@
         }
     }
 
-    /// Records that a request ran well so far. Returns the contents that are cleared of crashes by
-    /// it.
+    /// Records that contents ran well so far. Returns those that are cleared of crashes by it.
     pub fn record_ran_well(
         &mut self,
-        request: &request::ExchangeRequest,
+        mut contents: Vec<content::ContentKey>,
         extent: table::RunExtent,
         now: time::Instant,
     ) -> Vec<content::ContentKey> {
         let now_ms = self.millis(now);
-        let mut cleared = content::ContentKey::all_of(request);
-        cleared.retain(|content| {
+        contents.retain(|content| {
             let default = table::ClearedTimes::default;
             let times = self.ran_well.get_or_insert_mut(*content, default);
             times.take(now_ms, extent);
             self.table.names(*content)
                 && self.clear(*content, now_ms, extent, crash_news::OWN_SENDS)
         });
-        cleared
+        contents
     }
 
     /// Clears content that ran well at some times.
@@ -420,15 +425,18 @@
             log::warn!(content:?; "content is quarantined, since it is tied at many crashes");
         }
         self.tied_often = self.table.tied_often();
+        let pending = self.table.pending();
         let changed: Vec<_> = causes
             .symmetric_difference(&self.logged)
             .chain(tied.symmetric_difference(&self.tied))
+            .chain(pending.symmetric_difference(&self.pending))
             .copied()
             .collect();
         // Of many VMs that learn of a change, those save it that have a part in it.
         self.unsaved |= !changed.is_empty() && sends == crash_news::OWN_SENDS
             || changed.into_iter().any(|content| self.has_found(content));
         self.logged = causes;
+        self.pending = pending;
         self.tied = tied;
     }
 
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -20,6 +20,9 @@
 const MAX_BUFFERED_PARTS: usize = 16;
 /// Number of events from which a stream has gone on beyond its beginning.
 const MIN_EVENTS_TO_GO_ON: u64 = 2;
+/// Time for which an answer has to go on to clear the parts of its prompt of all crashes. Whole answers
+/// may take much longer, and all that share a part would be refused until the first one.
+const LONG_RUN_TIME: time::Duration = time::Duration::from_secs(1);
 /// Max attempts of one request that certainly did not run; each may meet a server that has just
 /// left.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 3;
@@ -86,6 +89,7 @@
         ran: outcome::RanState::No,
         moves: 0,
         pace: pace::EventPace::default(),
+        went_on_at: None,
         spare: None,
     };
     let ended = tokio::select! {
@@ -140,6 +144,9 @@
     pub(crate) moves: u32,
     /// Arrival times of events.
     pub(crate) pace: pace::EventPace,
+    /// When the answer of the server that it runs on went on beyond its beginning, until that was long
+    /// ago.
+    went_on_at: Option<time::Instant>,
     /// Copy made by an unfinished move: see [`moving::SpareCopy`].
     pub(crate) spare: Option<moving::SpareCopy>,
 }
@@ -228,6 +235,7 @@
         loop {
             let end = self.relay(&mut live).await;
             live.settle();
+            self.went_on_at = None;
             let copy = match end {
                 RelayEnd::Finished => {
                     self.record_finished(&live).await;
@@ -505,9 +513,8 @@
     pub(crate) async fn forward(&mut self, live: &LiveRun<P>, bytes: &[u8]) {
         let before = self.moment(live);
         let complete = self.splitter.take(bytes);
-        if before != self.moment(live) && live.has_events {
-            let beginning = table::RunExtent::Beginning;
-            self.plane.record_ran_well(&self.request, beginning);
+        if live.has_events {
+            self.record_progress(before, self.moment(live));
         }
         {
             let mut state = self.plane.state();
@@ -579,6 +586,21 @@
         self.plane.record_broken(server, &self.request, early).await;
     }
 
+    /// Records what the progress of an answer tells of the request.
+    fn record_progress(&mut self, before: crashes::BreakMoment, after: crashes::BreakMoment) {
+        let now = time::Instant::now();
+        if before != after {
+            self.went_on_at = Some(now);
+            let beginning = table::RunExtent::Beginning;
+            self.plane.record_ran_well(&self.request, beginning);
+        }
+        let is_long = |at| now.saturating_duration_since(at) >= LONG_RUN_TIME;
+        if self.went_on_at.is_some_and(is_long) {
+            self.went_on_at = None;
+            self.plane.record_parts_ran_well(&self.request);
+        }
+    }
+
     /// When the answer of this server broke off, if it does now.
     const fn moment(&self, live: &LiveRun<P>) -> crashes::BreakMoment {
         if self.splitter.events() < live.first_event + MIN_EVENTS_TO_GO_ON {
