--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -64,7 +64,8 @@
     pub at_ms: u64,
     /// Contents that the death speaks against.
     pub contents: collections::BTreeSet<K>,
-    /// Those of `contents` that had made progress there, as sound ones do.
+    /// Those of `contents` that had made progress there, or were given up before: weaker evidence, since
+    /// sound ones are at deaths so as well.
     #[serde(default = "collections::BTreeSet::new")]
     pub late: collections::BTreeSet<K>,
 }
--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -373,10 +373,11 @@
         death(1, 1_000, &[Request(1), Request(2)]),
         death(2, 2_000, &[Request(1), Request(2)]),
         death(3, 3_000, &[Request(1)]),
+        death(4, 3_500, &[Request(1)]),
     ]);
     assert!(is_quarantined(&table, Request(1), 4_000));
     assert!(!is_quarantined(&table, Request(2), 4_000));
-    table.record_death(death(4, 5_000, &[Request(2), Request(3)]));
+    table.record_death(death(5, 5_000, &[Request(2), Request(3)]));
     assert!(is_quarantined(&table, Request(2), 6_000));
     assert!(!is_quarantined(&table, Request(3), 6_000), "at one crash");
 }
--- a/crates/exchange/tests/crash_news.rs
+++ b/crates/exchange/tests/crash_news.rs
@@ -194,6 +194,8 @@
     const REQUESTS: u64 = 8;
     cluster::run(async {
         let vms = running::RunningVms::start(VMS, 0.0).await;
+        // Until then VMs introduce themselves to each other.
+        tokio::time::sleep(time::Duration::from_secs(60)).await;
         let span = time::Duration::from_secs(10);
         let rate = async || {
             let before = vms.vms.sent_bytes.get();
