Second reading: one state less, dropped attempts in a file of their own, one driver of plays

Cause: read once more. Change: SuspectTable::causes and tied_often leave out what is not refused yet, so that the difference of the two tells what is to be saved and logged; ClearedTimes::all instead of loops over extents; exchange::dropped; hash_at_work; cluster::crashing has check_all and the constants. No decision changes, no bound does. New: a_hedge_that_is_dropped_does_not_accuse_a_sound_call, which passes.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -115,7 +115,7 @@
 pub enum RunExtent {
     /// Beyond its beginning: it is cleared of deaths at which it had made no progress.
     Beginning,
-    /// To its end: it is cleared of all deaths.
+    /// To its end, or as far as any content runs that kills its server: it is cleared of all deaths.
     #[default]
     Whole,
 }
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Each extent that it ran well to, with the time, the farthest first.
+    pub fn all(&self) -> impl Iterator<Item = (RunExtent, u64)> + use<> {
+        let beginning = (RunExtent::Beginning, self.beginning_ms);
+        let whole = self.whole_ms.map(|at_ms| (RunExtent::Whole, at_ms));
+        whole.into_iter().chain([beginning])
+    }
+
     /// Takes a record. Returns whether it is newer.
     pub fn take(&mut self, at_ms: u64, extent: RunExtent) -> bool {
         let before = *self;
@@ -347,13 +354,10 @@
     pub fn digest_since(&self, since_ms: u64) -> SuspectDigest<S, K> {
         let deaths = self.deaths.iter().filter(|death| death.at_ms >= since_ms);
         let cleared = self.cleared.iter().flat_map(|(content, times)| {
-            let extents = [RunExtent::Beginning, RunExtent::Whole].into_iter();
-            extents.filter_map(|extent| {
-                Some(ClearedRecord {
-                    content: *content,
-                    at_ms: times.of(extent)?,
-                    extent,
-                })
+            times.all().map(|(extent, at_ms)| ClearedRecord {
+                content: *content,
+                at_ms,
+                extent,
             })
         });
         SuspectDigest {
@@ -466,7 +470,7 @@
 
     /// Whether content is tied, and was at so many deaths that it is refused by itself.
     fn is_tied_often(&self, content: K) -> bool {
-        let is_tied = self.verdict.tied.contains_key(&content);
+        let is_tied = self.verdict.tied.contains_key(&content) && self.is_spread(content);
         is_tied && self.against(content).count() >= content.max_tied_crashes()
     }
 
@@ -492,7 +496,7 @@
         let limits = &self.limits;
         let deaths = self.against(content).count();
         match deaths.cmp(&content.max_tied_crashes()) {
-            _ if !self.is_tied_often(content) || !self.is_spread(content) => 0,
+            _ if !self.is_tied_often(content) => 0,
             cmp::Ordering::Greater => self.left_ms(content, limits.quarantined_for, now_ms),
             _ => self.left_ms(content, limits.tied_for, now_ms),
         }
@@ -510,13 +514,6 @@
         span_ms >= millis(self.limits.min_late_span)
     }
 
-    /// Contents that are causes or tied, and not refused since the deaths are too close to each other.
-    #[must_use]
-    pub fn pending(&self) -> collections::BTreeSet<K> {
-        let late = self.verdict.late.iter().copied();
-        late.filter(|content| !self.is_spread(*content)).collect()
-    }
-
     /// Time left until `duration` after the newest death that counts against content.
     fn left_ms(&self, content: K, duration: Duration, now_ms: u64) -> u64 {
         let deaths = self.against(content).map(|(death, _)| death.at_ms);
@@ -530,11 +527,12 @@
         self.against.keys().copied()
     }
 
-    /// Contents identified as causes of deaths, without repetition, whether or not they are still
-    /// quarantined.
+    /// Contents identified as causes of deaths and refused for that, without repetition, whether or
+    /// not they still are.
     #[must_use]
     pub fn causes(&self) -> collections::BTreeSet<K> {
-        self.verdict.causes.iter().flatten().copied().collect()
+        let causes = self.verdict.causes.iter().flatten().copied();
+        causes.filter(|content| self.is_spread(*content)).collect()
     }
 
     /// Contents that are tied, whether or not requests are still refused for them.
--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -22,19 +22,20 @@
     /// ago.
     pub(crate) fn check_dropped(self: &rc::Rc<Self>, server: fleet::ServerKey) {
         let now = time::Instant::now();
-        let hash = {
-            let mut state = self.state();
-            let record = state.fleet.server(server);
-            let record = record.filter(|record| record.takes_work(now));
-            let Some(hash) = record.map(server::ServerRecord::incarnation_hash) else {
-                return;
-            };
-            if !state.crashes.begin_check_of_dropped(hash, now) {
-                return;
-            }
-            hash
+        let Some(hash) = self.hash_at_work(server, now) else {
+            return;
         };
-        tokio::task::spawn_local(check_server(self.clone(), server, hash));
+        if self.state().crashes.begin_check_of_dropped(hash, now) {
+            tokio::task::spawn_local(check_server(self.clone(), server, hash));
+        }
+    }
+
+    /// Hash of the incarnation of a server whose end is a crash; `None` if it is known to leave.
+    fn hash_at_work(&self, server: fleet::ServerKey, now: time::Instant) -> Option<u64> {
+        let state = self.state();
+        let record = state.fleet.server(server);
+        let record = record.filter(|record| record.takes_work(now));
+        record.map(server::ServerRecord::incarnation_hash)
     }
 
     /// Records that a server broke a request off, and checks whether it crashed. Returns whether it
@@ -46,18 +47,16 @@
         moment: crashes::BreakMoment,
     ) -> bool {
         let now = time::Instant::now();
-        let hash = {
-            let mut state = self.state();
-            let record = state.fleet.server(server);
-            let Some(record) = record.filter(|record| record.takes_work(now)) else {
-                return false;
-            };
-            let hash = record.incarnation_hash();
-            if state.crashes.record_broken(hash, request, moment, now) {
-                tokio::task::spawn_local(check_server(self.clone(), server, hash));
-            }
-            hash
+        let Some(hash) = self.hash_at_work(server, now) else {
+            return false;
         };
+        let is_first = {
+            let crashes = &mut self.state().crashes;
+            crashes.record_broken(hash, request, moment, now)
+        };
+        if is_first {
+            tokio::task::spawn_local(check_server(self.clone(), server, hash));
+        }
         let size = request.size.as_ref();
         let parts = size.map_or_else(Vec::new, request::GenerationSize::part_hashes);
         log::info!(
@@ -186,12 +185,9 @@
     ) {
         let now = time::Instant::now();
         {
-            let mut state = self.state();
-            let hash = state
-                .fleet
-                .server(server)
-                .map(server::ServerRecord::incarnation_hash);
-            if let Some(hash) = hash {
+            let state = &mut *self.state();
+            if let Some(record) = state.fleet.server(server) {
+                let hash = record.incarnation_hash();
                 state.crashes.record_dropped(hash, request, now);
             }
         }
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -13,7 +13,7 @@
 use prost::Message as _;
 use tokio::time;
 
-use crate::{content, crash_news, message, request};
+use crate::{content, crash_news, dropped, message, request};
 
 /// Time after a crash for which its cause is refused.
 pub const QUARANTINE_TIME: time::Duration = time::Duration::from_mins(5);
@@ -44,10 +44,6 @@
 /// longest ago are dropped first.
 const MAX_RAN_WELL: num::NonZeroUsize = num::NonZeroUsize::new(4_096).expect("not 0");
 
-/// Time after an attempt was dropped within which a crash of its server may be due to it.
-const DROPPED_TIME: time::Duration = time::Duration::from_secs(2);
-/// Maximum number of dropped attempts that are remembered, of 0.3 KB each.
-const MAX_DROPPED: usize = 256;
 /// Maximum number of servers of which it is known when they took the connection of a check.
 const MAX_CHECKS_TAKEN: num::NonZeroUsize = num::NonZeroUsize::new(64).expect("not 0");
 
@@ -61,9 +57,6 @@
 type CrashTable = table::SuspectTable<u64, content::ContentKey>;
 type CrashRecord = table::DeathRecord<u64, content::ContentKey>;
 
-/// How far content may have run well.
-const EXTENTS: [table::RunExtent; 2] = [table::RunExtent::Whole, table::RunExtent::Beginning];
-
 /// When a server broke a request off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BreakMoment {
@@ -73,15 +66,6 @@
     Late,
 }
 
-/// An attempt that this VM gave up while its server may have been at work on it.
-#[derive(Debug)]
-struct DroppedAttempt {
-    server: u64,
-    /// By the clock of records.
-    at_ms: u64,
-    contents: Vec<content::ContentKey>,
-}
-
 /// What this VM knows of crashes and their causes.
 #[derive(Debug)]
 pub struct CrashEvidence {
@@ -91,8 +75,7 @@
     /// When contents last ran well at this VM, by the clock of records.
     ran_well: lru::LruCache<content::ContentKey, table::ClearedTimes>,
     news: crash_news::CrashNews,
-    /// At most [`MAX_DROPPED`], the oldest first.
-    dropped: collections::VecDeque<DroppedAttempt>,
+    dropped: dropped::DroppedAttempts,
     /// Servers that broke requests off, with these, while it is checked whether they crashed.
     unchecked: collections::HashMap<u64, CrashRecord>,
     /// When servers last took the connection of a check.
@@ -105,8 +88,6 @@
     tied: collections::BTreeSet<content::ContentKey>,
     /// Those of them that were refused by themselves.
     tied_often: collections::BTreeSet<content::ContentKey>,
-    /// Contents that were not refused yet, since their crashes were too close to each other.
-    pending: collections::BTreeSet<content::ContentKey>,
     /// Servers whose crashes this VM found.
     found: collections::BTreeSet<u64>,
     /// Whether this VM is to save what is refused.
@@ -130,14 +111,13 @@
             epoch: time::Instant::now(),
             ran_well: lru::LruCache::new(MAX_RAN_WELL),
             news: crash_news::CrashNews::default(),
-            dropped: collections::VecDeque::new(),
+            dropped: dropped::DroppedAttempts::default(),
             unchecked: collections::HashMap::new(),
             checks_taken: lru::LruCache::new(MAX_CHECKS_TAKEN),
             changed: false,
             logged: collections::BTreeSet::new(),
             tied: collections::BTreeSet::new(),
             tied_often: collections::BTreeSet::new(),
-            pending: collections::BTreeSet::new(),
             found: collections::BTreeSet::new(),
             unsaved: false,
         }
@@ -145,8 +125,8 @@
 }
 
 impl CrashEvidence {
-    /// Records that a server broke off a request. Returns whether it is to
-    /// be checked whether the server crashed.
+    /// Records that a server broke off a request. Returns whether it is to be checked whether the
+    /// server crashed.
     pub fn record_broken(
         &mut self,
         server: u64,
@@ -210,8 +190,6 @@
         let mut record = self.unchecked.remove(&server)?;
         if crashed {
             self.add_dropped(&mut record);
-        }
-        if crashed {
             let table = &self.table;
             self.found
                 .retain(|server| table.deaths().any(|crash| crash.server == *server));
@@ -245,14 +223,8 @@
         now: time::Instant,
     ) {
         let at_ms = self.millis(now);
-        if self.dropped.len() == MAX_DROPPED {
-            self.dropped.pop_front();
-        }
-        self.dropped.push_back(DroppedAttempt {
-            server,
-            at_ms,
-            contents: content::ContentKey::all_of(request),
-        });
+        let contents = content::ContentKey::all_of(request);
+        self.dropped.add(server, contents, at_ms);
         // The server may be known to have crashed before the attempt was given up.
         let crashes = self.table.deaths();
         let crash = crashes.rev().find(|crash| crash.server == server).cloned();
@@ -265,10 +237,11 @@
     /// it crashed. If so, it is being checked from now on.
     pub fn begin_check_of_dropped(&mut self, server: u64, now: time::Instant) -> bool {
         let now_ms = self.millis(now);
-        let is_checked = self.is_unchecked(server);
-        if is_checked || self.dropped_on(server, now_ms).next().is_none() {
+        let mut contents = self.dropped.contents_on(server, now_ms);
+        if self.is_unchecked(server) || contents.next().is_none() {
             return false;
         }
+        drop(contents);
         let record = CrashRecord {
             server,
             at_ms: now_ms,
@@ -279,27 +252,16 @@
         true
     }
 
-    /// Attempts that were dropped on a server shortly before a time.
-    fn dropped_on(&self, server: u64, at_ms: u64) -> impl Iterator<Item = &DroppedAttempt> {
-        let dropped_ms = to_millis(DROPPED_TIME);
-        self.dropped.iter().filter(move |attempt| {
-            attempt.server == server && attempt.at_ms.saturating_add(dropped_ms) >= at_ms
-        })
-    }
-
     /// Adds the contents that this VM had dropped on a server before it crashed. Returns whether any
     /// is new.
     fn add_dropped(&self, crash: &mut CrashRecord) -> bool {
-        let dropped = self.dropped_on(crash.server, crash.at_ms);
-        let contents = dropped.flat_map(|attempt| &attempt.contents);
-        let mut is_new = false;
-        for content in contents {
-            if crash.contents.insert(*content) {
-                crash.late.insert(*content);
-                is_new = true;
+        let before = crash.contents.len();
+        for content in self.dropped.contents_on(crash.server, crash.at_ms) {
+            if crash.contents.insert(content) {
+                crash.late.insert(content);
             }
         }
-        is_new
+        crash.contents.len() > before
     }
 
     fn insert(&mut self, mut record: CrashRecord, sends: u32, now: time::Instant) -> bool {
@@ -313,8 +275,9 @@
         if is_new {
             self.add_news(server, sends, |_| true);
             for content in contents {
-                if let Some(&times) = self.ran_well.peek(&content) {
-                    self.clear_to(content, times, crash_news::OWN_SENDS);
+                let times = self.ran_well.peek(&content).copied();
+                for (extent, ran_ms) in times.iter().flat_map(table::ClearedTimes::all) {
+                    self.clear(content, ran_ms, extent, crash_news::OWN_SENDS);
                 }
             }
             self.note_causes(sends);
@@ -352,15 +315,6 @@
         contents
     }
 
-    /// Clears content that ran well at some times.
-    fn clear_to(&mut self, content: content::ContentKey, times: table::ClearedTimes, sends: u32) {
-        for extent in EXTENTS {
-            if let Some(ran_ms) = times.of(extent) {
-                self.clear(content, ran_ms, extent, sends);
-            }
-        }
-    }
-
     /// Adds the parts of crashes of a server that have a content as given to the news.
     fn add_news(&mut self, server: u64, sends: u32, is_told: impl Fn(content::ContentKey) -> bool) {
         let crashes = self.table.deaths().filter(|crash| crash.server == server);
@@ -421,23 +375,22 @@
             log::info!(content:?, crashes, rivals:?; "content is tied with others at crashes");
         }
         metrics::gauge!("pollenchute_exchange_crash_ties").set(tied.len() as f64);
-        for content in self.table.tied_often().difference(&self.tied_often) {
+        let tied_often = self.table.tied_often();
+        for content in tied_often.difference(&self.tied_often) {
             log::warn!(content:?; "content is quarantined, since it is tied at many crashes");
         }
-        self.tied_often = self.table.tied_often();
-        let pending = self.table.pending();
         let changed: Vec<_> = causes
             .symmetric_difference(&self.logged)
             .chain(tied.symmetric_difference(&self.tied))
-            .chain(pending.symmetric_difference(&self.pending))
+            .chain(tied_often.symmetric_difference(&self.tied_often))
             .copied()
             .collect();
         // Of many VMs that learn of a change, those save it that have a part in it.
         self.unsaved |= !changed.is_empty() && sends == crash_news::OWN_SENDS
             || changed.into_iter().any(|content| self.has_found(content));
         self.logged = causes;
-        self.pending = pending;
         self.tied = tied;
+        self.tied_often = tied_often;
     }
 
     /// Time for which a request is refused; `None` unless it is quarantined.
@@ -609,11 +562,9 @@
         };
         for content in chunk.contents {
             item.add(content);
-            let times = self.table.cleared_at(content).unwrap_or_default();
-            for extent in EXTENTS {
-                if let Some(ran_ms) = times.of(extent).filter(|ran_ms| *ran_ms > 0) {
-                    item.add_clearance(content, age(ran_ms, now_ms), extent);
-                }
+            let times = self.table.cleared_at(content);
+            for (extent, ran_ms) in times.iter().flat_map(table::ClearedTimes::all) {
+                item.add_clearance(content, age(ran_ms, now_ms), extent);
             }
         }
         item
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod crashes;
 pub mod delta;
 pub mod directory;
+pub mod dropped;
 pub mod era;
 pub mod evacuation;
 pub mod event;
--- a/crates/exchange/tests/cluster/crashing.rs
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -13,6 +13,29 @@
 const ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(150);
 const LINK_DELAY: time::Duration = time::Duration::from_millis(2);
 
+/// Time after the last crash that does not count from which no more than [`MAX_RETRIES`] of a cause
+/// may reach servers.
+pub const CONTACT: time::Duration = time::Duration::from_secs(3);
+pub const MAX_RETRIES: usize = 3;
+/// Refusal of what is quarantined.
+pub const QUARANTINED: CallEnd = CallEnd::Refused(reply::RefusalCause::Quarantined);
+
+/// Plays scenarios one after the other, and fails after the last one if any did not hold.
+pub fn check_all<T: Copy + std::fmt::Debug, F: Future<Output = bool>>(
+    plays: impl IntoIterator<Item = T>,
+    holds: impl Fn(T) -> F,
+) {
+    let mut broken = Vec::new();
+    for play in plays {
+        super::run(async {
+            if !holds(play).await {
+                broken.push(play);
+            }
+        });
+    }
+    assert!(broken.is_empty(), "{} broken: {broken:?}", broken.len());
+}
+
 /// What crashes servers, and which of them are down. All VMs share it.
 #[derive(Debug, Default)]
 pub struct CrashBoard {
--- a/crates/exchange/tests/crash_mixes.rs
+++ b/crates/exchange/tests/crash_mixes.rs
@@ -5,19 +5,14 @@
 
 use std::{cell, rc, time};
 
-use cluster::crashing::{self, CallEnd};
-use exchange::{catalog::ExchangeKind, reply::RefusalCause};
+use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
+use exchange::catalog::ExchangeKind;
 
 /// Number of random mixes.
 const MIXES: u64 = 40;
-/// Time after the last crash that does not count from which no more than [`MAX_RETRIES`] may reach
-/// servers.
-const CONTACT: time::Duration = time::Duration::from_secs(3);
-const MAX_RETRIES: usize = 3;
 const STEP: time::Duration = time::Duration::from_millis(20);
 const STEPS: usize = 1_500;
 const FIRST: u64 = 1;
-const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
 
 /// Something that crashes servers, and how it is sent.
 #[derive(Clone, Copy, Debug)]
--- a/crates/exchange/tests/crashes.rs
+++ b/crates/exchange/tests/crashes.rs
@@ -4,17 +4,12 @@
 
 use std::time;
 
-use cluster::crashing::{self, CallEnd};
-use exchange::{budget, catalog::ExchangeKind, permit, reply::RefusalCause};
+use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
+use exchange::{budget, catalog::ExchangeKind, permit};
 use tokio::time::Instant;
 
 /// Fingerprint of the request that crashes servers.
 const BAD: u64 = 77;
-/// Time after the third crash from which no more than [`MAX_RETRIES`] may reach servers.
-const CONTACT: time::Duration = time::Duration::from_secs(3);
-const MAX_RETRIES: usize = 3;
-/// Refusal of what is quarantined.
-const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
 
 /// Time of an answer, and between events, of servers on which runs often meet a crash as they begin.
 const SLOW: time::Duration = time::Duration::from_millis(40);
--- a/crates/exchange/tests/crashes_together.rs
+++ b/crates/exchange/tests/crashes_together.rs
@@ -2,14 +2,11 @@
 
 mod cluster;
 
-use std::{cell, rc, time};
+use std::time;
 
-use cluster::crashing::{self, CallEnd};
+use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
 use exchange::{catalog::ExchangeKind, reply::RefusalCause};
 
-/// Time after the third crash from which no more than [`MAX_RETRIES`] may reach servers.
-const CONTACT: time::Duration = time::Duration::from_secs(3);
-const MAX_RETRIES: usize = 3;
 /// Number of crashes after which few of a request may follow, and of a part.
 const REQUEST_CRASHES: usize = 3;
 const PART_CRASHES: usize = 5;
@@ -18,7 +15,6 @@
 const STEP: time::Duration = time::Duration::from_millis(10);
 /// First part of all prompts.
 const FIRST: u64 = 1;
-const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
 
 /// What is sent beside each other.
 #[derive(Clone, Copy, Debug)]
@@ -110,22 +106,13 @@
     offsets.flat_map(move |offset| mixes.map(|mix| Mix { offset, ..mix }))
 }
 
-/// Plays mixes one after the other, and fails after the last one if any broke the bound.
+/// Plays mixes, and fails if any broke the bound or had sound requests refused.
 fn play(mixes: impl IntoIterator<Item = Mix>) {
-    let mut broken = Vec::new();
-    for mix in mixes {
-        let holds = rc::Rc::new(cell::Cell::new(false));
-        let played = holds.clone();
-        cluster::run(async move {
-            let mut vms = mix.start();
-            mix.play(&mut vms).await;
-            played.set(mix.check(&vms));
-        });
-        if !holds.get() {
-            broken.push(mix);
-        }
-    }
-    assert!(broken.is_empty(), "late or refused: {broken:?}");
+    crashing::check_all(mixes, |mix| async move {
+        let mut vms = mix.start();
+        mix.play(&mut vms).await;
+        mix.check(&vms)
+    });
 }
 
 #[test]
--- a/crates/exchange/tests/late_crashes.rs
+++ b/crates/exchange/tests/late_crashes.rs
@@ -2,20 +2,15 @@
 
 mod cluster;
 
-use std::{cell, rc, time};
+use std::time;
 
-use cluster::crashing::{self, CallEnd};
-use exchange::{catalog::ExchangeKind, reply::RefusalCause};
+use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
+use exchange::catalog::ExchangeKind;
 
 const BAD: u64 = 77;
 /// First part of all prompts, and the part that crashes engines.
 const FIRST: u64 = 1;
 const BAD_PART: u64 = 50;
-/// Time after the last crash that does not count from which no more than [`MAX_RETRIES`] may reach
-/// servers.
-const CONTACT: time::Duration = time::Duration::from_secs(3);
-const MAX_RETRIES: usize = 3;
-const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
 
 /// Sends a bad stream every 0.3 s, and a sound one every 0.1 s, to the next VM.
 async fn play(vms: &mut crashing::CrashingVms, is_part: bool) {
@@ -52,24 +47,15 @@
     late <= MAX_RETRIES && refused == 0 && whole * 20 >= sent * 17
 }
 
-/// Plays runs that crash after so many events, and fails after the last play if any broke the bound.
+/// Plays runs that crash after so many events, and fails if any broke the bound.
 fn play_all(plays: impl IntoIterator<Item = (u32, bool)>, draws_events: bool) {
-    let mut broken = Vec::new();
-    for (events, is_part) in plays {
-        let holds = rc::Rc::new(cell::Cell::new(false));
-        let played = holds.clone();
-        cluster::run(async move {
-            let mut vms = crashing::CrashingVms::start(7, 3, 9);
-            vms.board.events_before.set(events);
-            vms.board.draws_events.set(draws_events);
-            play(&mut vms, is_part).await;
-            played.set(check(&vms, events, is_part));
-        });
-        if !holds.get() {
-            broken.push((events, is_part));
-        }
-    }
-    assert!(broken.is_empty(), "late, refused or not served: {broken:?}");
+    crashing::check_all(plays, |(events, is_part)| async move {
+        let mut vms = crashing::CrashingVms::start(7, 3, 9);
+        vms.board.events_before.set(events);
+        vms.board.draws_events.set(draws_events);
+        play(&mut vms, is_part).await;
+        check(&vms, events, is_part)
+    });
 }
 
 #[test]
--- a/crates/exchange/tests/left_crashes.rs
+++ b/crates/exchange/tests/left_crashes.rs
@@ -2,16 +2,12 @@
 
 mod cluster;
 
-use std::{cell, rc, time};
+use std::time;
 
-use cluster::crashing::{self, CallEnd};
-use exchange::{catalog::ExchangeKind, reply::RefusalCause};
+use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
+use exchange::catalog::ExchangeKind;
 
 const BAD: u64 = 77;
-/// Time after the third crash from which no more than [`MAX_RETRIES`] may reach servers.
-const CONTACT: time::Duration = time::Duration::from_secs(3);
-const MAX_RETRIES: usize = 3;
-const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
 
 const fn ms(count: u64) -> time::Duration {
     time::Duration::from_millis(count)
@@ -53,22 +49,13 @@
     late <= MAX_RETRIES && vms.count("sound", QUARANTINED) == 0
 }
 
-/// Plays callers that leave, and fails after the last play if any broke the bound.
+/// Plays callers that leave, and fails if any play broke the bound.
 fn play_all(plays: impl IntoIterator<Item = (ExchangeKind, Option<time::Duration>)>) {
-    let mut broken = Vec::new();
-    for (kind, leave) in plays {
-        let holds = rc::Rc::new(cell::Cell::new(false));
-        let played = holds.clone();
-        cluster::run(async move {
-            let mut vms = crashing::CrashingVms::start(7, 3, 9);
-            play(&mut vms, kind, leave).await;
-            played.set(check(&vms, &format!("{kind:?}, left after {leave:?}")));
-        });
-        if !holds.get() {
-            broken.push((kind, leave));
-        }
-    }
-    assert!(broken.is_empty(), "late or refused: {broken:?}");
+    crashing::check_all(plays, |(kind, leave)| async move {
+        let mut vms = crashing::CrashingVms::start(7, 3, 9);
+        play(&mut vms, kind, leave).await;
+        check(&vms, &format!("{kind:?}, left after {leave:?}"))
+    });
 }
 
 #[test]
@@ -90,3 +77,33 @@
         (ExchangeKind::Stream, None),
     ]);
 }
+
+#[test]
+fn a_hedge_that_is_dropped_does_not_accuse_a_sound_call() {
+    // Guards against a call that is refused since servers crashed where its hedges were dropped.
+    const SOUND: u64 = 5;
+    cluster::run(async {
+        let mut vms = crashing::CrashingVms::start(3, 6, 0);
+        for plane in &vms.vms {
+            plane.port().pace.set(Some(ms(90)));
+        }
+        for round in 0..60_usize {
+            let request = vms.alike("sound", ExchangeKind::Idempotent, SOUND);
+            vms.send(round % 3, request);
+            vms.pass(ms(100)).await;
+            if round % 10 == 9 {
+                let server = vms.current_name(&format!("s{}", round / 10 % 6 + 1));
+                vms.board.crash(&server);
+            }
+        }
+        let hedged = vms.vms.iter().map(|vm| vm.port().seen.borrow().len());
+        let (sent, seen) = (vms.ends_of("sound").len(), hedged.sum::<usize>());
+        let crashes = vms.board.crashes.borrow().len();
+        assert!(
+            seen >= sent + crashes,
+            "{seen} attempts of {sent}: fewer hedges than crashes"
+        );
+        assert_eq!(vms.count("sound", QUARANTINED), 0);
+        assert!(vms.count("sound", CallEnd::Whole) * 20 >= sent * 19);
+    });
+}
--- a/crates/exchange/tests/part_crashes.rs
+++ b/crates/exchange/tests/part_crashes.rs
@@ -4,17 +4,13 @@
 
 use std::time;
 
-use cluster::crashing::{self, CallEnd};
-use exchange::{reply::RefusalCause, request};
+use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
+use exchange::request;
 
 /// First part of all prompts.
 const FIRST: u64 = 1;
 /// Part that crashes engines.
 const BAD: u64 = 50;
-/// Time after the fifth crash from which no more than [`MAX_MORE`] requests may reach engines.
-const CONTACT: time::Duration = time::Duration::from_secs(3);
-const MAX_MORE: usize = 3;
-const QUARANTINED: CallEnd = CallEnd::Refused(RefusalCause::Quarantined);
 
 /// Last part of prompts that have the same one.
 const LAST: u64 = 60;
@@ -60,10 +56,10 @@
             vms.board.events_before.set(events);
             send_both(&mut vms, 60, &[FIRST, BAD]).await;
             let late = vms.board.arrivals_after(5, CONTACT);
-            assert!(late <= MAX_MORE, "{events} events: {late} requests more");
+            assert!(late <= MAX_RETRIES, "{events} events: {late} requests more");
             let crashes = vms.board.crashes.borrow().len();
             assert!(
-                crashes <= 5 + MAX_MORE,
+                crashes <= 5 + MAX_RETRIES,
                 "{events} events: {crashes} crashed"
             );
             let (sent, whole) = (180, vms.count("sound", CallEnd::Whole));
