--- a/crates/exchange/tests/cluster/crashing.rs
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -2,7 +2,7 @@
 
 use std::{cell, collections, rc, time};
 
-use exchange::{announce, catalog, link, plane, reply, request, update};
+use exchange::{announce, catalog, crash_store, link, plane, reply, request, update};
 use tokio::time::{self as clock, Instant};
 
 /// Time from the arrival of a call until its server crashes.
@@ -226,6 +226,11 @@
     announced_at: Instant,
     /// VMs that receive no datagrams, and whose datagrams are lost.
     pub deaf: collections::BTreeSet<usize>,
+    /// Paths on which datagrams are lost, as their sender and recipient.
+    pub cut_paths: collections::BTreeSet<(usize, usize)>,
+    /// Store to which VMs write crashes, if there is one.
+    pub store: Option<rc::Rc<super::log_store::LogStore>>,
+    started: Instant,
     /// Whether datagrams are exchanged at all.
     pub connected: bool,
     /// How requests ended, in the order of their ends.
@@ -247,6 +252,9 @@
             offset: 1,
             announced_at: Instant::now(),
             deaf: collections::BTreeSet::new(),
+            cut_paths: collections::BTreeSet::new(),
+            store: None,
+            started: Instant::now(),
             connected: true,
             ends: rc::Rc::default(),
             requests: 0,
@@ -281,9 +289,32 @@
         let plane = rc::Rc::new(plane);
         *plane.port().crashing.borrow_mut() = Some(self.board.clone());
         super::start(&plane);
+        if let Some(store) = &self.store {
+            let uptime = u64::try_from(self.started.elapsed().as_millis()).expect("small");
+            let first_ms = u64::try_from(super::UPTIME.as_millis()).expect("small");
+            plane.state().settings.incarnation = 1 + first_ms + uptime;
+            tokio::task::spawn_local(crash_store::keep_crashes(plane.clone(), store.clone()));
+        }
         self.vms.push(plane);
     }
 
+    /// Gives all VMs a store, to which they write crashes.
+    pub fn add_store(&mut self) {
+        let store = rc::Rc::<super::log_store::LogStore>::default();
+        self.store = Some(store.clone());
+        for vm in &self.vms {
+            tokio::task::spawn_local(crash_store::keep_crashes(vm.clone(), store.clone()));
+        }
+    }
+
+    /// Cuts the VMs of a group from all others.
+    pub fn cut(&mut self, group: impl Fn(usize) -> bool) {
+        let vms = 0..self.vms.len();
+        let paths = vms.flat_map(|from| (0..self.vms.len()).map(move |to| (from, to)));
+        let cut = paths.filter(|(from, to)| group(*from) != group(*to));
+        self.cut_paths.extend(cut);
+    }
+
     /// Lets each VM introduce itself to all others.
     pub fn announce(&mut self) {
         self.announced_at = Instant::now();
@@ -296,6 +327,7 @@
             .collect();
         for (from, datagram) in datagrams.iter().enumerate() {
             let others = (0..self.vms.len()).filter(|to| *to != from);
+            let others = others.filter(|to| !self.cut_paths.contains(&(from, *to)));
             for to in others.filter(|to| !self.deaf.contains(to) && !self.deaf.contains(&from)) {
                 link::take_datagram(&self.vms[to], datagram);
             }
--- /dev/null
+++ b/crates/exchange/tests/crashes_cut_vms.rs
@@ -0,0 +1,211 @@
+//! Requests that crash servers, while VMs reach the store and not each other.
+
+mod cluster;
+
+use std::time;
+
+use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
+use exchange::catalog::ExchangeKind;
+
+const BAD: u64 = 77;
+const VMS: usize = 7;
+const STEP: time::Duration = time::Duration::from_millis(50);
+/// Time between the cut and the first bad request, in which VMs find that they hear no other.
+const CUT_TIME: time::Duration = time::Duration::from_secs(2);
+
+const fn ms(count: u64) -> time::Duration {
+    time::Duration::from_millis(count)
+}
+
+/// Which VMs do not hear each other.
+#[derive(Clone, Copy, Debug)]
+enum CutShape {
+    /// None hears any other.
+    All,
+    /// The first four and the last three.
+    Halves,
+    /// Nobody hears the first three; they hear all.
+    Unheard,
+}
+
+/// What is sent while VMs are cut.
+#[derive(Clone, Copy, Debug)]
+struct Play {
+    shape: CutShape,
+    kind: ExchangeKind,
+    interval: time::Duration,
+    delay: time::Duration,
+}
+
+const PLAY: Play = Play {
+    shape: CutShape::All,
+    kind: ExchangeKind::Idempotent,
+    interval: ms(200),
+    delay: ms(48),
+};
+
+impl Play {
+    fn start(self) -> crashing::CrashingVms {
+        let mut vms = crashing::CrashingVms::start(VMS, 3, 9);
+        vms.board.bad_requests.borrow_mut().insert(BAD);
+        vms.board.delay.set(Some(self.delay));
+        vms.add_store();
+        vms
+    }
+
+    fn cut(self, vms: &mut crashing::CrashingVms) {
+        match self.shape {
+            CutShape::All => (0..VMS).for_each(|own| vms.cut(|vm| vm == own)),
+            CutShape::Halves => vms.cut(|vm| vm < 4),
+            CutShape::Unheard => {
+                let paths = (0..3).flat_map(|from| (0..VMS).map(move |to| (from, to)));
+                vms.cut_paths.extend(paths);
+            }
+        }
+    }
+
+    /// Sends equal bad requests to the VMs in turn, and sound ones beside them.
+    async fn send(self, vms: &mut crashing::CrashingVms, span: time::Duration) {
+        let bad_steps = (self.interval.as_millis() / STEP.as_millis()) as usize;
+        let steps = (span.as_millis() / STEP.as_millis()) as usize;
+        for step in 0..steps {
+            let running = vms.vms.len();
+            if step % bad_steps == 0 {
+                let request = vms.alike("bad", self.kind, BAD);
+                vms.send(step / bad_steps % running, request);
+            }
+            let sound = vms.request("sound", ExchangeKind::Idempotent);
+            vms.send(step % running, sound);
+            vms.pass(STEP).await;
+        }
+    }
+
+    /// Whether the cause was refused in time, and no sound request was.
+    fn check(self, vms: &crashing::CrashingVms) -> bool {
+        let late = vms.board.late_of(BAD, 3, CONTACT);
+        let crashes = vms.board.crashes_under(BAD);
+        let (sent, whole) = (
+            vms.ends_of("sound").len(),
+            vms.count("sound", CallEnd::Whole),
+        );
+        println!("{self:?}: {late} late, {crashes} crashes, sound {whole} of {sent}");
+        late <= MAX_RETRIES && vms.count("sound", QUARANTINED) == 0
+    }
+}
+
+fn play_all(plays: impl IntoIterator<Item = Play>) {
+    crashing::check_all(plays, |play| async move {
+        let mut vms = play.start();
+        play.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        play.send(&mut vms, time::Duration::from_secs(40)).await;
+        play.check(&vms)
+    });
+}
+
+#[test]
+fn a_call_that_crashes_servers_is_refused_by_vms_that_hear_no_other_vm() {
+    // Guards against each VM that finds the cause by crashes of its own, though all reach the store.
+    let intervals = [ms(200), ms(2_000), ms(6_000)];
+    let delays = [ms(8), ms(48)];
+    play_all(intervals.into_iter().flat_map(|interval| {
+        delays.map(|delay| Play {
+            interval,
+            delay,
+            ..PLAY
+        })
+    }));
+}
+
+#[test]
+fn a_stream_that_crashes_engines_is_refused_by_vms_that_hear_no_other_vm() {
+    // Guards against the same with streams, of whose engines most are up.
+    let intervals = [ms(200), ms(2_000), ms(6_000)];
+    play_all(intervals.map(|interval| Play {
+        kind: ExchangeKind::Stream,
+        interval,
+        ..PLAY
+    }));
+}
+
+#[test]
+fn a_call_that_crashes_servers_is_refused_by_vms_that_nobody_hears() {
+    // Guards against crashes that only one side of a cut knows.
+    let intervals = [ms(200), ms(2_000)];
+    play_all(intervals.into_iter().flat_map(|interval| {
+        [CutShape::Halves, CutShape::Unheard].map(|shape| Play {
+            shape,
+            interval,
+            ..PLAY
+        })
+    }));
+}
+
+#[test]
+fn a_vm_that_starts_without_hearing_another_refuses_what_crashes_servers() {
+    // Guards against VMs that start while all are cut, and find the cause by crashes of their own.
+    cluster::run(async {
+        let play = PLAY;
+        let mut vms = play.start();
+        play.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        play.send(&mut vms, time::Duration::from_secs(5)).await;
+        for own in VMS..VMS + 5 {
+            vms.add_vm();
+            vms.cut(|vm| vm == own);
+            vms.pass(CUT_TIME).await;
+            play.send(&mut vms, time::Duration::from_secs(4)).await;
+        }
+        assert!(play.check(&vms));
+    });
+}
+
+#[test]
+fn crashes_are_told_once_the_store_is_back_to_vms_that_hear_no_other_vm() {
+    // Guards against crashes that were found while the store was away and never reach other VMs.
+    cluster::run(async {
+        let play = PLAY;
+        let mut vms = play.start();
+        play.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        let store = vms.store.clone().expect("a store");
+        store.away.set(true);
+        for vm in 0..2 {
+            let request = vms.alike("bad", play.kind, BAD);
+            vms.send(vm, request);
+            vms.pass(ms(200)).await;
+        }
+        vms.pass(ms(4_000)).await;
+        store.away.set(false);
+        // The users' time after which a VM is in touch with the store.
+        vms.pass(CONTACT).await;
+        let before = vms.board.crashes_under(BAD);
+        play.send(&mut vms, time::Duration::from_secs(20)).await;
+        let after = vms.board.crashes_under(BAD);
+        assert_eq!(after, before, "crashes of a cause that the store has");
+        assert!(play.check(&vms));
+    });
+}
+
+#[test]
+fn what_runs_well_at_one_vm_is_not_refused_at_vms_that_do_not_hear_it() {
+    // Guards against a sound call that is refused since only crashes pass between cut VMs.
+    const SOUND: u64 = 5;
+    cluster::run(async {
+        let play = PLAY;
+        let mut vms = play.start();
+        play.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        for step in 0..600_usize {
+            if step % 4 == 0 {
+                let request = vms.alike("bad", play.kind, BAD);
+                vms.send(step / 4 % VMS, request);
+            }
+            let request = vms.alike("polled", play.kind, SOUND);
+            vms.send(step * 3 % VMS, request);
+            vms.pass(STEP).await;
+        }
+        assert_eq!(vms.count("polled", QUARANTINED), 0);
+        assert!(play.check(&vms));
+    });
+}
