--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -427,6 +427,16 @@
         waiting.any(|item| item.service == service)
     }
 
+    /// Number of VMs and addresses of VMs that this VM knows of and does not hear, without those that
+    /// announced a stop. They may be cut off from it and still serve.
+    #[must_use]
+    pub fn silent_count(&self, now: time::Instant) -> usize {
+        let peers = self.peers.values();
+        let silent =
+            peers.filter(|peer| peer.stage != message::VmStage::Stopping && !peer.is_alive(now));
+        silent.count() + self.cut_off.len() + self.unanswered.len()
+    }
+
     /// Number of VMs that count as alive, including this one.
     #[must_use]
     pub fn alive_count(&self, now: time::Instant) -> u32 {
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -61,6 +61,8 @@
     pub peers: peers::PeerTable,
     /// Crashes of servers and their causes.
     pub crashes: crashes::CrashEvidence,
+    /// Whether VMs were not heard when that was last measured.
+    misses_vms: bool,
     /// Refused requests whose retry is expected.
     pub returning: returning::ReturningRequests,
     /// Demand of organisations.
@@ -136,6 +138,7 @@
             system: system::SystemBelief::default(),
             peers,
             crashes: crashes::CrashEvidence::default(),
+            misses_vms: false,
             returning: returning::ReturningRequests::default(),
             fair: fair::FairTable::default(),
             unannounced: Vec::new(),
@@ -420,6 +423,20 @@
             }
     }
 
+    /// Logs whether this VM hears all others that it knows of, when that changes, and sets the gauge of
+    /// those that it does not hear.
+    pub fn record_silence(&mut self, now: time::Instant) {
+        let silent = self.peers.silent_count(now);
+        metrics::gauge!("pollenchute_exchange_silent_vms").set(silent as f64);
+        if silent > 0 && !self.misses_vms {
+            let heard = self.peers.alive_count(now) - 1;
+            log::info!(silent, heard; "VMs are not heard");
+        } else if silent == 0 && self.misses_vms {
+            log::info!("all known VMs are heard");
+        }
+        self.misses_vms = silent > 0;
+    }
+
     /// Returns the rule of a service, if it is configured.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&catalog::ServiceRule> {
