exchange: VMs that do not hear each other share crashes through the store

Callers saw: a bad request took 14 or 15 servers where VMs reach the store and not each other, 9 to 11 of its arrivals later than 3 s after the third crash; sound calls beside it found no server.

Cause: evidence of crashes travelled in datagrams only. The store got what was refused already, and was read once, as a VM starts. Seven VMs that hear no other each need two crashes of their own.

Change: a VM that knows of others which it does not hear says so, and it and those that hear it share crashes through the store: finders and those that read the store for all write all they know when there is news, the latter wait there for records. Refutations and what ran well go the same way. While all VMs hear each other no call is added (test).

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -387,6 +387,7 @@
         limits: state.limit_items(false, now),
         brittle: state.brittle_items(false, now),
         cold: state.cold_items(false, now),
+        misses_vms: state.peers.silent_count(now) > 0,
         senders: u32::try_from(state.peers.senders(now).count() + 1).unwrap_or(u32::MAX),
         evacuations: evacuations_changed(state, now).then(|| state.fleet.evacuations().into()),
         cut_services: state
--- a/crates/exchange/src/crash_news.rs
+++ b/crates/exchange/src/crash_news.rs
@@ -7,9 +7,9 @@
 /// Number of contents of a crash in one message.
 pub const CHUNK_CONTENTS: usize = 32;
 /// Number of datagrams that tell news which this VM found itself.
-pub const OWN_SENDS: u32 = 3;
+const OWN_SENDS: u32 = 3;
 /// Number of datagrams that tell news from another VM.
-pub const FORWARDED_SENDS: u32 = 1;
+const FORWARDED_SENDS: u32 = 1;
 /// Maximum number of news that wait to be told; the oldest are told in their turn only.
 const MAX_NEWS: usize = 256;
 /// Interval between datagrams with a remembered crash, for a VM that missed the news.
@@ -17,6 +17,27 @@
 /// Number of VMs up to which that interval holds; it grows with their number.
 const TURN_VMS: u32 = 8;
 
+/// Where this VM has evidence from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvidenceSource {
+    /// It was found here.
+    Own,
+    /// Another VM told it.
+    Peer,
+    /// The store has it.
+    Store,
+}
+
+impl EvidenceSource {
+    /// Number of datagrams that tell evidence.
+    const fn sends(self) -> u32 {
+        match self {
+            Self::Own => OWN_SENDS,
+            Self::Peer | Self::Store => FORWARDED_SENDS,
+        }
+    }
+}
+
 /// A part of a crash: the hash of the server, and the number of the part.
 pub type CrashChunk = (u64, usize);
 
@@ -40,7 +61,8 @@
 
 impl CrashNews {
     /// Adds a part that is new or has changed.
-    pub fn add(&mut self, chunk: CrashChunk, sends: u32) {
+    pub fn add(&mut self, chunk: CrashChunk, source: EvidenceSource) {
+        let sends = source.sends();
         self.pending.retain(|news| news.chunk != chunk);
         self.pending.push_front(PendingNews { chunk, sends });
         self.pending.truncate(MAX_NEWS);
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -92,6 +92,22 @@
     found: collections::BTreeSet<u64>,
     /// Whether this VM is to save what is refused.
     unsaved: bool,
+    sharing: CrashSharing,
+    /// Whether there is evidence that the store may not have.
+    unshared: bool,
+}
+
+/// Which crashes this VM writes to the store for VMs that learn of them only there, since they and
+/// others do not hear each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CrashSharing {
+    /// None: all VMs hear each other.
+    #[default]
+    Off,
+    /// All that count, once it finds one itself.
+    Found,
+    /// All that count, those that others tell it too.
+    All,
 }
 
 impl Default for CrashEvidence {
@@ -120,6 +136,8 @@
             tied_often: collections::BTreeSet::new(),
             found: collections::BTreeSet::new(),
             unsaved: false,
+            sharing: CrashSharing::Off,
+            unshared: false,
         }
     }
 }
@@ -196,7 +214,7 @@
             self.found.insert(server);
         }
         let contents = record.contents.len();
-        let is_news = crashed && self.insert(record, crash_news::OWN_SENDS, now);
+        let is_news = crashed && self.insert(record, crash_news::EvidenceSource::Own, now);
         is_news.then_some(contents)
     }
 
@@ -210,8 +228,8 @@
         if self.table.record_answer(&server, sent_ms) {
             log::info!(server; "server answered after its alleged crash");
             metrics::counter!("pollenchute_exchange_crashes_refuted_total").increment(1);
-            self.add_news(server, crash_news::OWN_SENDS, |_| true);
-            self.note_causes(crash_news::OWN_SENDS);
+            self.add_news(server, crash_news::EvidenceSource::Own, |_| true);
+            self.note_causes(crash_news::EvidenceSource::Own);
         }
     }
 
@@ -229,7 +247,7 @@
         let crashes = self.table.deaths();
         let crash = crashes.rev().find(|crash| crash.server == server).cloned();
         if let Some(crash) = crash {
-            self.insert(crash, crash_news::OWN_SENDS, now);
+            self.insert(crash, crash_news::EvidenceSource::Own, now);
         }
     }
 
@@ -264,23 +282,28 @@
         crash.contents.len() > before
     }
 
-    fn insert(&mut self, mut record: CrashRecord, sends: u32, now: time::Instant) -> bool {
+    fn insert(
+        &mut self,
+        mut record: CrashRecord,
+        source: crash_news::EvidenceSource,
+        now: time::Instant,
+    ) -> bool {
         self.table.expire(self.millis(now));
-        let sends = match self.add_dropped(&mut record) {
-            true => crash_news::OWN_SENDS,
-            false => sends,
+        let source = match self.add_dropped(&mut record) {
+            true => crash_news::EvidenceSource::Own,
+            false => source,
         };
         let (server, contents) = (record.server, record.contents.clone());
         let is_new = self.table.record_death(record);
         if is_new {
-            self.add_news(server, sends, |_| true);
+            self.add_news(server, source, |_| true);
             for content in contents {
                 let times = self.ran_well.peek(&content).copied();
                 for (extent, ran_ms) in times.iter().flat_map(table::ClearedTimes::all) {
-                    self.clear(content, ran_ms, extent, crash_news::OWN_SENDS);
+                    self.clear(content, ran_ms, extent, crash_news::EvidenceSource::Own);
                 }
             }
-            self.note_causes(sends);
+            self.note_causes(source);
             self.log_crash(server);
         }
         is_new
@@ -310,18 +333,23 @@
             let times = self.ran_well.get_or_insert_mut(*content, default);
             times.take(now_ms, extent);
             self.table.names(*content)
-                && self.clear(*content, now_ms, extent, crash_news::OWN_SENDS)
+                && self.clear(*content, now_ms, extent, crash_news::EvidenceSource::Own)
         });
         contents
     }
 
     /// Adds the parts of crashes of a server that have a content as given to the news.
-    fn add_news(&mut self, server: u64, sends: u32, is_told: impl Fn(content::ContentKey) -> bool) {
+    fn add_news(
+        &mut self,
+        server: u64,
+        source: crash_news::EvidenceSource,
+        is_told: impl Fn(content::ContentKey) -> bool,
+    ) {
         let crashes = self.table.deaths().filter(|crash| crash.server == server);
         for crash in crashes {
             for (number, chunk) in chunks(crash).into_iter().enumerate() {
                 if chunk.contents.into_iter().any(&is_told) {
-                    self.news.add((server, number), sends);
+                    self.news.add((server, number), source);
                 }
             }
         }
@@ -333,7 +361,7 @@
         content: content::ContentKey,
         ran_ms: u64,
         extent: table::RunExtent,
-        sends: u32,
+        source: crash_news::EvidenceSource,
     ) -> bool {
         let step_ms = to_millis(CLEARED_STEP);
         let known = self.table.cleared_at(content);
@@ -346,18 +374,19 @@
         let crashes = crashes.filter(|crash| crash.contents.contains(&content));
         let servers: Vec<_> = crashes.map(|crash| crash.server).collect();
         for server in servers {
-            self.add_news(server, sends, |named| named == content);
+            self.add_news(server, source, |named| named == content);
         }
         log::info!(content:?, extent:?; "content ran well, and is cleared of crashes");
         metrics::counter!("pollenchute_exchange_crash_clearances_total").increment(1);
-        self.note_causes(sends);
+        self.note_causes(source);
         true
     }
 
-    /// Logs causes that are new, and forgets those that are none any more. `sends` tells whether this
-    /// VM found what changed.
-    fn note_causes(&mut self, sends: u32) {
+    /// Logs causes that are new, and forgets those that are none any more. `source` tells where what
+    /// changed is known from.
+    fn note_causes(&mut self, source: crash_news::EvidenceSource) {
         self.changed = true;
+        self.unshared |= source != crash_news::EvidenceSource::Store;
         let causes = self.table.causes();
         for content in causes.difference(&self.logged) {
             let crashes = self.table.against(*content);
@@ -386,7 +415,7 @@
             .copied()
             .collect();
         // Of many VMs that learn of a change, those save it that have a part in it.
-        self.unsaved |= !changed.is_empty() && sends == crash_news::OWN_SENDS
+        self.unsaved |= !changed.is_empty() && source == crash_news::EvidenceSource::Own
             || changed.into_iter().any(|content| self.has_found(content));
         self.logged = causes;
         self.tied = tied;
@@ -438,22 +467,48 @@
             .any(|crash| self.found.contains(&crash.server) && crash.contents.contains(&content))
     }
 
-    /// Whether what is refused has changed since the last call, and this VM is to save it.
+    /// Sets which crashes this VM writes to the store for VMs that learn of them only there.
+    pub const fn set_sharing(&mut self, sharing: CrashSharing) {
+        self.sharing = sharing;
+    }
+
+    /// Which crashes this VM writes to the store for VMs that learn of them only there.
+    #[must_use]
+    pub const fn sharing(&self) -> CrashSharing {
+        self.sharing
+    }
+
+    /// Records that the store may have lost what this VM wrote.
+    pub const fn record_store_loss(&mut self) {
+        self.unshared = true;
+    }
+
+    /// Whether what the store is to have has changed since the last call, and this VM is to save it.
     pub fn take_unsaved(&mut self) -> bool {
-        std::mem::take(&mut self.unsaved)
+        let shares = match self.sharing {
+            CrashSharing::Off => false,
+            CrashSharing::Found => !self.found.is_empty(),
+            CrashSharing::All => true,
+        };
+        let unshared = shares && std::mem::take(&mut self.unshared);
+        std::mem::take(&mut self.unsaved) || unshared
     }
 
-    /// Crashes for whose contents requests are refused, newest first, in at most `max_bytes`.
+    /// Crashes that the store is to have, in at most `max_bytes`: those for whose contents requests are
+    /// refused, and if this VM shares crashes, then others that count, and those that do not, so that
+    /// others learn why. Newest first.
     #[must_use]
-    pub fn refused_items(&self, max_bytes: usize, now: time::Instant) -> Vec<message::CrashItem> {
+    pub fn saved_items(&self, max_bytes: usize, now: time::Instant) -> Vec<message::CrashItem> {
         let now_ms = self.millis(now);
-        let is_refused = |crash: &&CrashRecord| {
-            let mut contents = crash.contents.iter();
-            contents.any(|content| self.table.is_refused(*content, now_ms))
-        };
+        let shares = self.sharing != CrashSharing::Off;
+        let mut crashes: Vec<_> = self.table.deaths().rev().collect();
+        if !shares {
+            crashes.retain(|crash| self.is_refused(crash, now_ms));
+        }
+        crashes.sort_by_key(|crash| (!self.is_refused(crash, now_ms), !self.counts(crash, now_ms)));
         let mut bytes = 0;
         let mut items = Vec::new();
-        for crash in self.table.deaths().rev().filter(is_refused) {
+        for crash in crashes {
             for chunk in chunks(crash) {
                 let item = self.item(crash, chunk, now_ms);
                 bytes += item.encoded_len();
@@ -466,6 +521,18 @@
         items
     }
 
+    /// Whether requests are refused for any content of a crash.
+    fn is_refused(&self, crash: &CrashRecord, now_ms: u64) -> bool {
+        let mut contents = crash.contents.iter();
+        contents.any(|content| self.table.is_refused(*content, now_ms))
+    }
+
+    /// Whether a crash speaks against any of its contents.
+    fn counts(&self, crash: &CrashRecord, now_ms: u64) -> bool {
+        let mut contents = crash.contents.iter();
+        contents.any(|content| self.table.is_accused(*content, now_ms))
+    }
+
     /// News of crashes for so many other VMs; now and then a crash that is remembered.
     pub fn news(&mut self, vms: usize, now: time::Instant) -> Vec<message::CrashItem> {
         let now_ms = self.millis(now);
@@ -498,11 +565,8 @@
     ) -> Vec<message::CrashItem> {
         let now_ms = self.millis(now);
         self.table.expire(now_ms);
-        let counts = |crash: &&CrashRecord| {
-            let mut contents = crash.contents.iter();
-            contents.any(|content| self.table.is_accused(*content, now_ms))
-        };
-        let crashes = self.table.deaths().rev().filter(counts);
+        let crashes = self.table.deaths().rev();
+        let crashes = crashes.filter(|crash| self.counts(crash, now_ms));
         let remembered = crashes.flat_map(|crash| {
             let numbers = 0..chunks(crash).len();
             numbers.map(move |number| (crash.server, number))
@@ -572,6 +636,20 @@
 
     /// Takes what another VM tells of a crash. Returns whether it is news.
     pub fn take_item(&mut self, item: &message::CrashItem, now: time::Instant) -> bool {
+        self.take_evidence(item, crash_news::EvidenceSource::Peer, now)
+    }
+
+    /// Takes what the store has of a crash. Returns whether it is news.
+    pub fn take_saved_item(&mut self, item: &message::CrashItem, now: time::Instant) -> bool {
+        self.take_evidence(item, crash_news::EvidenceSource::Store, now)
+    }
+
+    fn take_evidence(
+        &mut self,
+        item: &message::CrashItem,
+        source: crash_news::EvidenceSource,
+        now: time::Instant,
+    ) -> bool {
         let now_ms = self.millis(now);
         if time::Duration::from_millis(item.age_ms.into()) >= RETENTION {
             return false;
@@ -587,19 +665,19 @@
             },
             contents,
         };
-        let is_new = self.insert(record, crash_news::FORWARDED_SENDS, now);
+        let is_new = self.insert(record, source, now);
         if let Some(answered_ms) = item.answered_ms
             && self
                 .table
                 .record_answer(&item.server, at_ms + u64::from(answered_ms))
         {
-            self.add_news(item.server, crash_news::FORWARDED_SENDS, |_| true);
-            self.note_causes(crash_news::FORWARDED_SENDS);
+            self.add_news(item.server, source, |_| true);
+            self.note_causes(source);
         }
         for (content, age_ms, extent) in item.clearances() {
             if self.table.names(content) {
                 let ran_ms = now_ms.saturating_sub(age_ms.into());
-                self.clear(content, ran_ms, extent, crash_news::FORWARDED_SENDS);
+                self.clear(content, ran_ms, extent, source);
             }
         }
         is_new
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -62,6 +62,15 @@
     pub end: position::StorePosition,
 }
 
+/// Saved crashes up to one position in the store.
+#[derive(Clone, Debug, Default)]
+pub struct CrashPage {
+    /// Records, oldest first.
+    pub records: Vec<Bytes>,
+    /// Position from which to continue reading.
+    pub end: position::StorePosition,
+}
+
 /// The parts of the platform's store that this plane needs.
 pub trait StorePort {
     /// Reads a page of the current server entries, by name: the first page, or the one after a
@@ -104,11 +113,18 @@
         address: net::SocketAddr,
     ) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// Saves the crashes whose causes are refused, in place of what was saved before.
+    /// Saves crashes, in place of what was saved before.
     fn save_crashes(&self, record: Bytes) -> impl Future<Output = Result<(), StoreError>>;
 
-    /// The crashes that were saved last, if any were.
-    fn saved_crashes(&self) -> impl Future<Output = Result<Option<Bytes>, StoreError>>;
+    /// The crashes that were saved last.
+    fn saved_crashes(&self) -> impl Future<Output = Result<CrashPage, StoreError>>;
+
+    /// Waits for crashes that are saved at or after position `from`.
+    fn wait_crashes(
+        &self,
+        from: position::StorePosition,
+        wait: time::Duration,
+    ) -> impl Future<Output = Result<CrashPage, StoreError>>;
 
     /// Addresses of the VMs that are registered in the store.
     fn registered(&self) -> impl Future<Output = Result<Vec<net::SocketAddr>, StoreError>>;
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -465,6 +465,9 @@
     /// Demand of organisations, for services for which requests wait.
     #[prost(message, repeated, tag = "36")]
     pub demand: Vec<DemandItem>,
+    /// Whether the VM knows of others that it does not hear.
+    #[prost(bool, tag = "37")]
+    pub misses_vms: bool,
 }
 
 /// Failure domains that are evacuated.
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -65,6 +65,8 @@
     pub partial: bool,
     /// Number of VMs that may send to servers, as far as that VM knows.
     pub senders: u32,
+    /// Whether that VM knows of others that it does not hear.
+    pub misses_vms: bool,
     /// Memory planned for generations that wait at that VM.
     pub waiting: Vec<message::WaitingItem>,
     /// When the last datagram was received.
@@ -100,6 +102,7 @@
             standing_hash: 0,
             partial: false,
             senders: 0,
+            misses_vms: false,
             waiting: Vec::new(),
             received_at: now,
             alive_until: now,
@@ -126,6 +129,7 @@
         self.standing_hash = datagram.standing_hash;
         self.partial = datagram.partial;
         self.senders = datagram.senders;
+        self.misses_vms = datagram.misses_vms;
         self.cut_services.clone_from(&datagram.cut_services);
         self.cut_off = datagram.cut_off;
         self.waiting.clone_from(&datagram.waiting);
@@ -437,6 +441,14 @@
         silent.count() + self.cut_off.len() + self.unanswered.len()
     }
 
+    /// Whether there may be VMs that do not hear each other, as far as this VM and those that it hears
+    /// know.
+    #[must_use]
+    pub fn is_split(&self, now: time::Instant) -> bool {
+        let mut heard = self.peers.values().filter(|peer| peer.is_alive(now));
+        self.silent_count(now) > 0 || heard.any(|peer| peer.misses_vms)
+    }
+
     /// Number of VMs that count as alive, including this one.
     #[must_use]
     pub fn alive_count(&self, now: time::Instant) -> u32 {
--- a/crates/exchange/tests/cluster/log_store.rs
+++ b/crates/exchange/tests/cluster/log_store.rs
@@ -26,7 +26,7 @@
     operator: Vec<OperatorRecord>,
     pub vms: collections::BTreeMap<String, net::SocketAddr>,
     pub system: Option<system::SystemId>,
-    crashes: Option<Bytes>,
+    crashes: Vec<Bytes>,
 }
 
 /// The store that all VMs share.
@@ -39,6 +39,8 @@
     pub away: cell::Cell<bool>,
     /// Number of the oldest records of servers that are trimmed.
     trimmed: cell::Cell<u64>,
+    /// Number of calls that read or wrote crashes.
+    pub crash_calls: cell::Cell<u32>,
 }
 
 impl LogStore {
@@ -225,14 +227,41 @@
     }
 
     async fn save_crashes(&self, record: Bytes) -> Result<(), follow::StoreError> {
+        self.crash_calls.set(self.crash_calls.get() + 1);
         self.call().await?;
-        self.contents.borrow_mut().crashes = Some(record);
+        self.contents.borrow_mut().crashes.push(record);
         Ok(())
     }
 
-    async fn saved_crashes(&self) -> Result<Option<Bytes>, follow::StoreError> {
+    async fn saved_crashes(&self) -> Result<follow::CrashPage, follow::StoreError> {
+        self.crash_calls.set(self.crash_calls.get() + 1);
         self.call().await?;
-        Ok(self.contents.borrow().crashes.clone())
+        let records = &self.contents.borrow().crashes;
+        Ok(follow::CrashPage {
+            records: records.last().cloned().into_iter().collect(),
+            end: self.position(records.len()),
+        })
+    }
+
+    async fn wait_crashes(
+        &self,
+        from: position::StorePosition,
+        wait: time::Duration,
+    ) -> Result<follow::CrashPage, follow::StoreError> {
+        self.crash_calls.set(self.crash_calls.get() + 1);
+        self.call().await?;
+        let until = Instant::now() + wait;
+        loop {
+            let end = self.contents.borrow().crashes.len();
+            let first = index_of(from, end)?;
+            if end > first || Instant::now() >= until {
+                return Ok(follow::CrashPage {
+                    records: self.contents.borrow().crashes[first..].to_vec(),
+                    end: self.position(end),
+                });
+            }
+            self.call().await?;
+        }
     }
 
     async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreError> {
--- a/crates/exchange/tests/cluster/many_vms.rs
+++ b/crates/exchange/tests/cluster/many_vms.rs
@@ -259,8 +259,17 @@
         Ok(())
     }
 
-    async fn saved_crashes(&self) -> Result<Option<Bytes>, follow::StoreError> {
-        Ok(None)
+    async fn saved_crashes(&self) -> Result<follow::CrashPage, follow::StoreError> {
+        Ok(follow::CrashPage::default())
+    }
+
+    async fn wait_crashes(
+        &self,
+        _from: position::StorePosition,
+        wait: time::Duration,
+    ) -> Result<follow::CrashPage, follow::StoreError> {
+        clock::sleep(wait).await;
+        Ok(follow::CrashPage::default())
     }
 
     async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreError> {
--- a/crates/exchange/tests/crashes_cut_vms.rs
+++ b/crates/exchange/tests/crashes_cut_vms.rs
@@ -209,3 +209,81 @@
         assert!(play.check(&vms));
     });
 }
+
+#[test]
+fn a_refused_link_of_a_vm_that_hears_no_other_does_not_pass_for_a_crash() {
+    // Guards against a sound call that all refuse, since a VM whose links are cut tells of crashes.
+    const SOUND: u64 = 5;
+    cluster::run(async {
+        let play = PLAY;
+        let mut vms = play.start();
+        play.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        for plane in &vms.vms {
+            plane.port().pace.set(Some(ms(40)));
+        }
+        let plane = vms.vms[0].clone();
+        for step in 0..600_usize {
+            match step % 60 {
+                20 => {
+                    for _ in 0..4 {
+                        let request = vms.alike("polled", play.kind, SOUND);
+                        vms.send(0, request);
+                        let other = vms.request("sound", play.kind);
+                        vms.send(0, other);
+                    }
+                    vms.pass(ms(10)).await;
+                    plane.port().sever();
+                }
+                40 => plane.port().cut.set(None),
+                _ => {}
+            }
+            let request = vms.alike("polled", play.kind, SOUND);
+            vms.send(step % VMS, request);
+            for vm in 1..VMS {
+                let other = vms.request("sound", play.kind);
+                vms.send(vm, other);
+            }
+            vms.pass(STEP).await;
+        }
+        let crashes = vms.vms[0].state().crashes.knows_crashes();
+        assert!(crashes, "the cut links broke nothing off");
+        assert_eq!(vms.count("polled", QUARANTINED), 0);
+        assert_eq!(vms.count("sound", QUARANTINED), 0);
+    });
+}
+
+#[test]
+fn vms_that_hear_each_other_do_not_read_crashes_in_the_store() {
+    // Guards against calls to the store that tell what datagrams have told.
+    cluster::run(async {
+        let play = PLAY;
+        let mut vms = play.start();
+        vms.pass(CUT_TIME).await;
+        let store = vms.store.clone().expect("a store");
+        let first = store.crash_calls.get();
+        assert_eq!(first, VMS as u32, "each reads as it starts");
+        play.send(&mut vms, time::Duration::from_secs(40)).await;
+        let calls = store.crash_calls.get() - first;
+        assert!(calls <= VMS as u32, "{calls} calls for one cause");
+    });
+}
+
+#[test]
+fn vms_that_are_cut_call_the_store_within_its_limits() {
+    // Guards against a store that is busy with crashes: 2 calls a second and VM at most.
+    cluster::run(async {
+        let play = PLAY;
+        let mut vms = play.start();
+        play.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        let store = vms.store.clone().expect("a store");
+        let first = store.crash_calls.get();
+        let seconds = 40;
+        play.send(&mut vms, time::Duration::from_secs(seconds))
+            .await;
+        let calls = u64::from(store.crash_calls.get() - first);
+        assert!(calls <= 2 * seconds * VMS as u64, "{calls} calls");
+        assert!(play.check(&vms));
+    });
+}
