exchange: a crash that wall clocks date differently counts once

An incarnation crashes once, so a time that is more than 1 s off is not taken; refuted crashes do not count as known.

--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -47,6 +47,9 @@
 /// Maximum number of servers of which it is known when they took the connection of a check.
 const MAX_CHECKS_TAKEN: num::NonZeroUsize = num::NonZeroUsize::new(64).expect("not 0");
 
+/// Maximum difference of two times of a crash that VMs which hear each other tell.
+const MAX_TOLD_DELAY: time::Duration = time::Duration::from_secs(1);
+
 /// Time of the clock of records when this VM started, so that records may be older than this VM.
 const CLOCK_START: time::Duration = time::Duration::from_hours(1);
 
@@ -289,6 +292,7 @@
         now: time::Instant,
     ) -> bool {
         self.table.expire(self.millis(now));
+        record.at_ms = self.crash_time(record.server, record.at_ms);
         let source = match self.add_dropped(&mut record) {
             true => crash_news::EvidenceSource::Own,
             false => source,
@@ -309,6 +313,19 @@
         is_new
     }
 
+    /// When a server crashed that is said to have crashed at `told_ms`. An incarnation crashes once,
+    /// but ages of crashes in the store are off by the differences of wall clocks.
+    fn crash_time(&self, server: u64, told_ms: u64) -> u64 {
+        let mut crashes = self.table.deaths();
+        let known =
+            crashes.find(|crash| crash.server == server && self.table.answered_at(crash).is_none());
+        let known_ms = known.map_or(told_ms, |crash| crash.at_ms);
+        if known_ms.abs_diff(told_ms) <= to_millis(MAX_TOLD_DELAY) {
+            return told_ms;
+        }
+        known_ms
+    }
+
     /// Logs what is inferred of the crash of a server.
     fn log_crash(&self, server: u64) {
         let crashes = self.table.deaths_with_causes();
@@ -654,7 +671,7 @@
         if time::Duration::from_millis(item.age_ms.into()) >= RETENTION {
             return false;
         }
-        let at_ms = now_ms.saturating_sub(item.age_ms.into());
+        let at_ms = self.crash_time(item.server, now_ms.saturating_sub(item.age_ms.into()));
         let contents: collections::BTreeSet<_> = item.contents().collect();
         let record = CrashRecord {
             server: item.server,
--- a/crates/exchange/tests/crashes_cut_vms.rs
+++ b/crates/exchange/tests/crashes_cut_vms.rs
@@ -210,6 +210,36 @@
     });
 }
 
+#[test]
+fn a_crash_that_clocks_date_differently_counts_once() {
+    // Guards against one crash that counts as two, since wall clocks of VMs differ by 2 s.
+    cluster::run(async {
+        let play = PLAY;
+        let mut vms = play.start();
+        for (number, vm) in vms.vms.iter().enumerate() {
+            vm.state().settings.incarnation += 10_000 * (number as u64 % 2);
+        }
+        play.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        // Two VMs lose an attempt of the same cause on one server, a third one on none.
+        vms.board.crash("s1");
+        vms.board.crash("s2");
+        for vm in 0..2 {
+            let request = vms.alike("bad", ExchangeKind::Once, BAD);
+            vms.send(vm, request);
+        }
+        vms.pass(ms(1_000)).await;
+        assert_eq!(vms.board.crashes_under(BAD), 1);
+        vms.cut_paths.clear();
+        vms.pass(ms(1_000)).await;
+        vms.board.restart_all();
+        let request = vms.alike("bad", ExchangeKind::Once, BAD);
+        vms.send(2, request);
+        vms.pass(ms(500)).await;
+        assert_eq!(vms.count("bad", QUARANTINED), 0, "refused after one crash");
+    });
+}
+
 #[test]
 fn a_refused_link_of_a_vm_that_hears_no_other_does_not_pass_for_a_crash() {
     // Guards against a sound call that all refuse, since a VM whose links are cut tells of crashes.
