crash: each refuted death of a server stays refuted

A table kept one answer for each server: when a server was wrongly taken for dead a second time and answered again, the first death counted again, so that a sound request was refused after links to one server were cut three times. The table keeps an answer for each refuted death now.

--- a/crates/crash/src/table.rs
+++ b/crates/crash/src/table.rs
@@ -204,8 +204,9 @@
     /// At most `max_deaths`, in the order in which they were recorded.
     deaths: collections::VecDeque<DeathRecord<S, K>>,
     cleared: collections::BTreeMap<K, ClearedTimes>,
-    /// Servers that answered after a death in `deaths`, with the time of that answer's request.
-    answered: collections::BTreeMap<S, u64>,
+    /// Servers that answered after deaths in `deaths`, with the times of those answers' requests, one
+    /// for each death.
+    answered: collections::BTreeMap<S, collections::BTreeSet<u64>>,
     /// Indices into `deaths` that count against each content. Derived from the fields above, like
     /// those below.
     against: verdict::EvidenceMap<K>,
@@ -312,7 +313,8 @@
         if !self.deaths.iter().any(refutes) {
             return false;
         }
-        self.answered.insert(server.clone(), sent_ms);
+        let times = self.answered.entry(server.clone()).or_default();
+        times.insert(sent_ms);
         self.index();
         true
     }
@@ -320,8 +322,8 @@
     /// When a request was sent that a server answered after its alleged death.
     #[must_use]
     pub fn answered_at(&self, death: &DeathRecord<S, K>) -> Option<u64> {
-        let sent_ms = self.answered.get(&death.server).copied();
-        sent_ms.filter(|sent_ms| is_refutation(death.at_ms, *sent_ms))
+        let mut times = self.answered.get(&death.server)?.iter().copied();
+        times.find(|sent_ms| is_refutation(death.at_ms, *sent_ms))
     }
 
     fn is_refuted(&self, death: &DeathRecord<S, K>) -> bool {
@@ -398,7 +400,10 @@
         let before = self.deaths.len();
         self.deaths.retain(|death| is_kept(death.at_ms));
         self.cleared.retain(|_, times| is_kept(times.beginning_ms));
-        self.answered.retain(|_, sent_ms| is_kept(*sent_ms));
+        self.answered.retain(|_, times| {
+            times.retain(|sent_ms| is_kept(*sent_ms));
+            !times.is_empty()
+        });
         if self.deaths.len() < before {
             self.index();
         }
--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -421,6 +421,19 @@
     assert!(!is_quarantined(&table, Request(1), 5_000));
 }
 
+#[test]
+fn a_second_refuted_death_of_a_server_does_not_restore_the_first() {
+    // Guards against sound content that is refused after a link to one server was cut several times.
+    const SOUND: TestContent = TestContent::Request(1);
+    let mut table = TestTable::new(limits());
+    for round in 0..4 {
+        let at_ms = 1_000 + 5_000 * round;
+        table.record_death(death(1, at_ms, &[SOUND]));
+        assert!(table.record_answer(&1, at_ms + 500));
+        assert_eq!(table.against(SOUND).count(), 0, "after round {round}");
+    }
+}
+
 #[test]
 fn the_table_is_bounded_and_keeps_the_newest() {
     let mut table = TestTable::new(limits());
