--- a/crates/crash/tests/table.rs
+++ b/crates/crash/tests/table.rs
@@ -424,7 +424,7 @@
 #[test]
 fn a_second_refuted_death_of_a_server_does_not_restore_the_first() {
     // Guards against sound content that is refused after a link to one server was cut several times.
-    const SOUND: TestContent = TestContent::Request(1);
+    const SOUND: TestContent = Request(1);
     let mut table = TestTable::new(limits());
     for round in 0..4 {
         let at_ms = 1_000 + 5_000 * round;
