--- a/crates/exchange/src/crash_store.rs
+++ b/crates/exchange/src/crash_store.rs
@@ -2,8 +2,8 @@
 //! that reach the store and not each other.
 //!
 //! VMs that hear each other tell each other of crashes. Where a VM knows of others that it does not
-//! hear, those that find a crash write what they know to the store, and those that read the store for
-//! all read it there.
+//! hear, those that find a crash, and the first of those that read the store for all, write what they
+//! know to the store, and those that read it for all read it there.
 
 use std::rc;
 
@@ -19,12 +19,12 @@
 const SPLIT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// Time for which VMs must not be heard until crashes are shared: VMs that start have not heard the
 /// others yet.
-const MIN_SPLIT_TIME: time::Duration = time::Duration::from_millis(600);
+const MIN_SPLIT_TIME: time::Duration = time::Duration::from_millis(400);
 /// Timeout of a call that waits for crashes. One that hangs costs a VM less than the time after which
 /// the users count it as in touch with the store, 3 s.
 const CRASHES_LONG_POLL: time::Duration = time::Duration::from_millis(1_500);
 /// Minimum interval between two writes of a VM that shares crashes.
-const SHARE_INTERVAL: time::Duration = time::Duration::from_millis(250);
+const SHARE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Maximum random delay of such a write for each VM that is heard. At 410 VMs that find crashes at the
 /// same moment the store gets 200 writes a second, half of its limit.
 const SHARE_JITTER_PER_VM: time::Duration = time::Duration::from_millis(5);
@@ -109,7 +109,8 @@
         let sharing = sharing(&plane.state(), is_split, now);
         plane.state().crashes.set_sharing(sharing);
         plane.save_crashes();
-        if sharing != crashes::CrashSharing::All {
+        let reads = plane.state().reads_store(now);
+        if sharing == crashes::CrashSharing::Off || !reads {
             cursor = None;
             time::sleep(SPLIT_CHECK_INTERVAL).await;
             continue;
@@ -143,7 +144,7 @@
 fn sharing(state: &state::PlaneState, is_split: bool, now: time::Instant) -> crashes::CrashSharing {
     if !is_split {
         crashes::CrashSharing::Off
-    } else if state.reads_store(now) {
+    } else if state.reads_store_first(now) {
         crashes::CrashSharing::All
     } else {
         crashes::CrashSharing::Found
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -99,8 +99,10 @@
     /// Whether this VM is to save what is refused.
     unsaved: bool,
     sharing: CrashSharing,
-    /// Whether there is evidence that the store may not have.
+    /// Whether this VM found evidence that the store may not have.
     unshared: bool,
+    /// Whether other VMs told this one such evidence.
+    told_unshared: bool,
 }
 
 /// Which crashes this VM writes to the store for VMs that learn of them only there.
@@ -109,9 +111,9 @@
     /// None, since all VMs hear each other.
     #[default]
     Off,
-    /// All that it knows, once it has found one itself.
+    /// All that it knows, once it finds something.
     Found,
-    /// All that it knows.
+    /// All that it knows, once it finds something or is told.
     All,
 }
 
@@ -143,6 +145,7 @@
             unsaved: false,
             sharing: CrashSharing::Off,
             unshared: false,
+            told_unshared: false,
         }
     }
 }
@@ -233,6 +236,7 @@
         if self.table.record_answer(&server, sent_ms) {
             log::info!(server; "server answered after its alleged crash");
             metrics::counter!("pollenchute_exchange_crashes_refuted_total").increment(1);
+            self.note_unshared(crash_news::EvidenceSource::Own);
             self.add_news(server, crash_news::EvidenceSource::Own, |_| true);
             self.note_causes(crash_news::EvidenceSource::Own);
         }
@@ -302,6 +306,7 @@
         let (server, contents) = (record.server, record.contents.clone());
         let is_new = self.table.record_death(record);
         if is_new {
+            self.note_unshared(source);
             self.add_news(server, source, |_| true);
             for content in contents {
                 let times = self.ran_well.peek(&content).copied();
@@ -388,6 +393,9 @@
         if known_ms.is_some_and(|known_ms| ran_ms < known_ms.saturating_add(step_ms)) {
             return false;
         }
+        if self.table.is_accused(content, ran_ms) {
+            self.note_unshared(source);
+        }
         self.table.clear_to(content, ran_ms, extent);
         let crashes = self.table.deaths();
         let crashes = crashes.filter(|crash| crash.contents.contains(&content));
@@ -405,7 +413,6 @@
     /// changed is known from.
     fn note_causes(&mut self, source: crash_news::EvidenceSource) {
         self.changed = true;
-        self.unshared |= source != crash_news::EvidenceSource::Store;
         let causes = self.table.causes();
         for content in causes.difference(&self.logged) {
             let crashes = self.table.against(*content);
@@ -502,15 +509,24 @@
         self.unshared = true;
     }
 
+    /// Records that the store may not have evidence.
+    const fn note_unshared(&mut self, source: crash_news::EvidenceSource) {
+        match source {
+            crash_news::EvidenceSource::Own => self.unshared = true,
+            crash_news::EvidenceSource::Peer => self.told_unshared = true,
+            crash_news::EvidenceSource::Store => {}
+        }
+    }
+
     /// Whether what the store is to have has changed since the last call, and this VM is to save it.
     pub fn take_unsaved(&mut self) -> bool {
-        let shares = match self.sharing {
-            CrashSharing::Off => false,
-            CrashSharing::Found => !self.found.is_empty(),
-            CrashSharing::All => true,
-        };
-        let unshared = shares && std::mem::take(&mut self.unshared);
-        std::mem::take(&mut self.unsaved) || unshared
+        let refused = std::mem::take(&mut self.unsaved);
+        if self.sharing == CrashSharing::Off {
+            return refused;
+        }
+        let found = std::mem::take(&mut self.unshared);
+        let told = std::mem::take(&mut self.told_unshared) && self.sharing == CrashSharing::All;
+        refused || found || told
     }
 
     /// Crashes that the store is to have, in at most `max_bytes`: those for whose contents requests are
@@ -690,6 +706,7 @@
                 .table
                 .record_answer(&item.server, at_ms + u64::from(answered_ms))
         {
+            self.note_unshared(source);
             self.add_news(item.server, source, |_| true);
             self.note_causes(source);
         }
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -20,6 +20,9 @@
 /// Upper bound of the interval. A VM counts as silent after three intervals, which stay within the
 /// users' bound of two seconds.
 const MAX_ANNOUNCE_INTERVAL: time::Duration = time::Duration::from_millis(600);
+/// A VM that counts as alive no more for this long may be cut off. Without it, one of 87 VMs missed
+/// another for a moment in most seconds.
+const SILENCE_MARGIN: time::Duration = time::Duration::from_secs(1);
 /// A VM that announced its stop and sent nothing for this long no longer counts in limits that VMs
 /// share. Longer than the window of the retry budget, because what the VM spent before may still
 /// count.
@@ -436,8 +439,9 @@
     #[must_use]
     pub fn silent_count(&self, now: time::Instant) -> usize {
         let peers = self.peers.values();
-        let silent =
-            peers.filter(|peer| peer.stage != message::VmStage::Stopping && !peer.is_alive(now));
+        let silent = peers.filter(|peer| {
+            peer.stage != message::VmStage::Stopping && now >= peer.alive_until + SILENCE_MARGIN
+        });
         silent.count() + self.cut_off.len() + self.unanswered.len()
     }
 
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -403,24 +403,33 @@
     /// that reach it.
     #[must_use]
     pub fn reads_store(&self, now: time::Instant) -> bool {
+        let readers = if self.store_unavailable {
+            MAX_PROBING_VMS
+        } else {
+            READERS
+        };
+        self.readers_ahead(now) < readers
+    }
+
+    /// Whether this VM is the first of those that read the store for all.
+    #[must_use]
+    pub fn reads_store_first(&self, now: time::Instant) -> bool {
+        self.readers_ahead(now) == 0
+    }
+
+    /// Number of VMs that read the store rather than this one.
+    fn readers_ahead(&self, now: time::Instant) -> usize {
         let rank = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
         let own = rank(&self.settings.name);
         // VMs that can't reach the store elect readers among themselves as well; otherwise none of
         // them would notice its recovery.
-        let ahead = self
-            .peers
+        self.peers
             .all()
             .filter(|(_, peer)| {
                 peer.is_alive(now) && peer.store_unavailable == self.store_unavailable
             })
             .filter(|(name, _)| rank(name) < own)
-            .count();
-        ahead
-            < if self.store_unavailable {
-                MAX_PROBING_VMS
-            } else {
-                READERS
-            }
+            .count()
     }
 
     /// Logs whether this VM hears all others that it knows of, when that changes, and sets the gauge of
