--- a/crates/exchange/src/accusing.rs
+++ b/crates/exchange/src/accusing.rs
@@ -201,7 +201,7 @@
 
     /// Lets causes of crashes be saved that this VM found to have changed.
     pub(crate) fn save_crashes(&self) {
-        if self.state().crashes.take_unsaved() {
+        if self.state().crashes.unsaved.take() {
             self.crashes_unsaved.notify_one();
         }
     }
--- a/crates/exchange/src/crash_store.rs
+++ b/crates/exchange/src/crash_store.rs
@@ -11,7 +11,7 @@
 use prost::Message as _;
 use tokio::time;
 
-use crate::{crashes, follow, message, plane, position, state};
+use crate::{follow, message, plane, position, state, unsaved};
 
 /// Maximum size in bytes of the crashes that are saved.
 const MAX_SAVED_BYTES: usize = 8 * 1_024;
@@ -85,7 +85,7 @@
 
 /// Whether this VM shares crashes through the store, and a random delay for it.
 fn share_jitter(state: &mut state::PlaneState) -> (bool, time::Duration) {
-    if state.crashes.sharing() == crashes::CrashSharing::Off {
+    if state.crashes.unsaved.sharing() == unsaved::CrashSharing::Off {
         return (false, time::Duration::ZERO);
     }
     let heard = state.peers.alive_count(time::Instant::now());
@@ -107,10 +107,10 @@
         }
         let is_split = split_at.is_some_and(|at| at + MIN_SPLIT_TIME <= now);
         let sharing = sharing(&plane.state(), is_split, now);
-        plane.state().crashes.set_sharing(sharing);
+        plane.state().crashes.unsaved.set_sharing(sharing);
         plane.save_crashes();
         let reads = plane.state().reads_store(now);
-        if sharing == crashes::CrashSharing::Off || !reads {
+        if sharing == unsaved::CrashSharing::Off || !reads {
             cursor = None;
             time::sleep(SPLIT_CHECK_INTERVAL).await;
             continue;
@@ -126,11 +126,11 @@
                 // Offsets of another era name other records: all are read.
                 cursor = Some(page.end).filter(|end| from.is_none_or(|from| from.era == end.era));
                 if cursor.is_none() {
-                    plane.state().crashes.record_store_loss();
+                    plane.state().crashes.unsaved.add_lost();
                 }
             }
             Err(follow::StoreError::Trimmed) => {
-                plane.state().crashes.record_store_loss();
+                plane.state().crashes.unsaved.add_lost();
                 cursor = None;
             }
             Err(follow::StoreError::Unavailable) => {
@@ -141,13 +141,13 @@
 }
 
 /// Which crashes a VM shares through the store.
-fn sharing(state: &state::PlaneState, is_split: bool, now: time::Instant) -> crashes::CrashSharing {
+fn sharing(state: &state::PlaneState, is_split: bool, now: time::Instant) -> unsaved::CrashSharing {
     if !is_split {
-        crashes::CrashSharing::Off
+        unsaved::CrashSharing::Off
     } else if state.reads_store_first(now) {
-        crashes::CrashSharing::All
+        unsaved::CrashSharing::All
     } else {
-        crashes::CrashSharing::Found
+        unsaved::CrashSharing::Found
     }
 }
 
--- a/crates/exchange/src/crashes.rs
+++ b/crates/exchange/src/crashes.rs
@@ -10,10 +10,9 @@
 use std::{collections, num};
 
 use crash::table;
-use prost::Message as _;
 use tokio::time;
 
-use crate::{content, crash_news, dropped, message, request};
+use crate::{content, crash_items, crash_news, dropped, request, unsaved};
 
 /// Time after a crash for which its cause is refused.
 pub const QUARANTINE_TIME: time::Duration = time::Duration::from_mins(5);
@@ -24,7 +23,7 @@
 const MIN_LATE_SPAN: time::Duration = time::Duration::from_secs(2);
 /// Time for which crashes are remembered: a cause that crashes one more server after its quarantine
 /// is refused again at once.
-const RETENTION: time::Duration = time::Duration::from_mins(15);
+pub(crate) const RETENTION: time::Duration = time::Duration::from_mins(15);
 /// Time after a crash for which content is a suspect that may be its cause.
 const SUSPICION_TIME: time::Duration = time::Duration::from_secs(20);
 /// Number of crashes at its beginning from which a request is sent only once, while crashes do not
@@ -56,12 +55,9 @@
 /// Time of the clock of records when this VM started, so that records may be older than this VM.
 const CLOCK_START: time::Duration = time::Duration::from_hours(1);
 
-/// Size in bytes from which a datagram tells of no further crash.
-const MAX_TOLD_BYTES: usize = 400;
-
 /// Table of crashes by the hashes of incarnations.
 type CrashTable = table::SuspectTable<u64, content::ContentKey>;
-type CrashRecord = table::DeathRecord<u64, content::ContentKey>;
+pub(crate) type CrashRecord = table::DeathRecord<u64, content::ContentKey>;
 
 /// When a server broke a request off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,12 +71,12 @@
 /// What this VM knows of crashes and their causes.
 #[derive(Debug)]
 pub struct CrashEvidence {
-    table: CrashTable,
+    pub(crate) table: CrashTable,
     /// When the clock of records was [`CLOCK_START`].
     epoch: time::Instant,
     /// When contents last ran well at this VM, by the clock of records.
     ran_well: lru::LruCache<content::ContentKey, table::ClearedTimes>,
-    news: crash_news::CrashNews,
+    pub(crate) news: crash_news::CrashNews,
     dropped: dropped::DroppedAttempts,
     /// Servers that broke requests off, with these, while it is checked whether they crashed.
     unchecked: collections::HashMap<u64, CrashRecord>,
@@ -96,25 +92,8 @@
     tied_often: collections::BTreeSet<content::ContentKey>,
     /// Servers whose crashes this VM found.
     found: collections::BTreeSet<u64>,
-    /// Whether this VM is to save what is refused.
-    unsaved: bool,
-    sharing: CrashSharing,
-    /// Whether this VM found evidence that the store may not have.
-    unshared: bool,
-    /// Whether other VMs told this one such evidence.
-    told_unshared: bool,
-}
-
-/// Which crashes this VM writes to the store for VMs that learn of them only there.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum CrashSharing {
-    /// None, since all VMs hear each other.
-    #[default]
-    Off,
-    /// All that it knows, once it finds something.
-    Found,
-    /// All that it knows, once it finds something or is told.
-    All,
+    /// What the store may not have.
+    pub unsaved: unsaved::UnsavedCrashes,
 }
 
 impl Default for CrashEvidence {
@@ -142,10 +121,7 @@
             tied: collections::BTreeSet::new(),
             tied_often: collections::BTreeSet::new(),
             found: collections::BTreeSet::new(),
-            unsaved: false,
-            sharing: CrashSharing::Off,
-            unshared: false,
-            told_unshared: false,
+            unsaved: unsaved::UnsavedCrashes::default(),
         }
     }
 }
@@ -215,6 +191,7 @@
     ) -> Option<usize> {
         let mut record = self.unchecked.remove(&server)?;
         if crashed {
+            record.at_ms = self.crash_time(server, record.at_ms);
             self.add_dropped(&mut record);
             let table = &self.table;
             self.found
@@ -236,12 +213,17 @@
         if self.table.record_answer(&server, sent_ms) {
             log::info!(server; "server answered after its alleged crash");
             metrics::counter!("pollenchute_exchange_crashes_refuted_total").increment(1);
-            self.note_unshared(crash_news::EvidenceSource::Own);
-            self.add_news(server, crash_news::EvidenceSource::Own, |_| true);
-            self.note_causes(crash_news::EvidenceSource::Own);
+            self.note_refuted(server, crash_news::EvidenceSource::Own);
         }
     }
 
+    /// Tells that a server did not crash.
+    pub(crate) fn note_refuted(&mut self, server: u64, source: crash_news::EvidenceSource) {
+        self.unsaved.add(source);
+        self.add_news(server, source, |_| true);
+        self.note_causes(source);
+    }
+
     /// Records that this VM gave an attempt up while its server may have been at work on it.
     pub fn record_dropped(
         &mut self,
@@ -291,14 +273,13 @@
         crash.contents.len() > before
     }
 
-    fn insert(
+    pub(crate) fn insert(
         &mut self,
         mut record: CrashRecord,
         source: crash_news::EvidenceSource,
         now: time::Instant,
     ) -> bool {
         self.table.expire(self.millis(now));
-        record.at_ms = self.crash_time(record.server, record.at_ms);
         let source = match self.add_dropped(&mut record) {
             true => crash_news::EvidenceSource::Own,
             false => source,
@@ -306,7 +287,7 @@
         let (server, contents) = (record.server, record.contents.clone());
         let is_new = self.table.record_death(record);
         if is_new {
-            self.note_unshared(source);
+            self.unsaved.add(source);
             self.add_news(server, source, |_| true);
             for content in contents {
                 let times = self.ran_well.peek(&content).copied();
@@ -322,7 +303,7 @@
 
     /// When a server crashed that is said to have crashed at `told_ms`. An incarnation crashes once,
     /// but ages of crashes in the store are off by the differences of wall clocks.
-    fn crash_time(&self, server: u64, told_ms: u64) -> u64 {
+    pub(crate) fn crash_time(&self, server: u64, told_ms: u64) -> u64 {
         let mut crashes = self.table.deaths();
         let known = crashes.find(|crash| {
             let difference = time::Duration::from_millis(crash.at_ms.abs_diff(told_ms));
@@ -371,7 +352,7 @@
     ) {
         let crashes = self.table.deaths().filter(|crash| crash.server == server);
         for crash in crashes {
-            for (number, chunk) in chunks(crash).into_iter().enumerate() {
+            for (number, chunk) in crash_items::chunks(crash).into_iter().enumerate() {
                 if chunk.contents.into_iter().any(&is_told) {
                     self.news.add((server, number), source);
                 }
@@ -380,7 +361,7 @@
     }
 
     /// Clears content, unless it is known to have run well about then. Returns whether it does.
-    fn clear(
+    pub(crate) fn clear(
         &mut self,
         content: content::ContentKey,
         ran_ms: u64,
@@ -394,7 +375,7 @@
             return false;
         }
         if self.table.is_accused(content, ran_ms) {
-            self.note_unshared(source);
+            self.unsaved.add(source);
         }
         self.table.clear_to(content, ran_ms, extent);
         let crashes = self.table.deaths();
@@ -441,8 +422,11 @@
             .copied()
             .collect();
         // Of many VMs that learn of a change, those save it that have a part in it.
-        self.unsaved |= !changed.is_empty() && source == crash_news::EvidenceSource::Own
-            || changed.into_iter().any(|content| self.has_found(content));
+        if !changed.is_empty() && source == crash_news::EvidenceSource::Own
+            || changed.into_iter().any(|content| self.has_found(content))
+        {
+            self.unsaved.add_refused();
+        }
         self.logged = causes;
         self.tied = tied;
         self.tied_often = tied_often;
@@ -493,263 +477,12 @@
             .any(|crash| self.found.contains(&crash.server) && crash.contents.contains(&content))
     }
 
-    /// Sets which crashes this VM writes to the store for VMs that learn of them only there.
-    pub const fn set_sharing(&mut self, sharing: CrashSharing) {
-        self.sharing = sharing;
-    }
-
-    /// Which crashes this VM writes to the store for VMs that learn of them only there.
-    #[must_use]
-    pub const fn sharing(&self) -> CrashSharing {
-        self.sharing
-    }
-
-    /// Records that the store may have lost what this VM wrote.
-    pub const fn record_store_loss(&mut self) {
-        self.unshared = true;
-    }
-
-    /// Records that the store may not have evidence.
-    const fn note_unshared(&mut self, source: crash_news::EvidenceSource) {
-        match source {
-            crash_news::EvidenceSource::Own => self.unshared = true,
-            crash_news::EvidenceSource::Peer => self.told_unshared = true,
-            crash_news::EvidenceSource::Store => {}
-        }
-    }
-
-    /// Whether what the store is to have has changed since the last call, and this VM is to save it.
-    pub fn take_unsaved(&mut self) -> bool {
-        let refused = std::mem::take(&mut self.unsaved);
-        if self.sharing == CrashSharing::Off {
-            return refused;
-        }
-        let found = std::mem::take(&mut self.unshared);
-        let told = std::mem::take(&mut self.told_unshared) && self.sharing == CrashSharing::All;
-        refused || found || told
-    }
-
-    /// Crashes that the store is to have, in at most `max_bytes`: those for whose contents requests are
-    /// refused, and if this VM shares crashes, then others that count, and those that are refuted or whose
-    /// contents ran well. Newest first.
-    #[must_use]
-    pub fn saved_items(&self, max_bytes: usize, now: time::Instant) -> Vec<message::CrashItem> {
-        let now_ms = self.millis(now);
-        let shares = self.sharing != CrashSharing::Off;
-        let mut crashes: Vec<_> = self.table.deaths().rev().collect();
-        if !shares {
-            crashes.retain(|crash| self.is_refused(crash, now_ms));
-        }
-        crashes.sort_by_key(|crash| (!self.is_refused(crash, now_ms), !self.counts(crash, now_ms)));
-        let mut bytes = 0;
-        let mut items = Vec::new();
-        for crash in crashes {
-            for chunk in chunks(crash) {
-                let item = self.item(crash, chunk, now_ms);
-                bytes += item.encoded_len();
-                if bytes > max_bytes {
-                    return items;
-                }
-                items.push(item);
-            }
-        }
-        items
-    }
-
-    /// Whether requests are refused for any content of a crash.
-    fn is_refused(&self, crash: &CrashRecord, now_ms: u64) -> bool {
-        let mut contents = crash.contents.iter();
-        contents.any(|content| self.table.is_refused(*content, now_ms))
-    }
-
-    /// Whether a crash speaks against any of its contents.
-    fn counts(&self, crash: &CrashRecord, now_ms: u64) -> bool {
-        let mut contents = crash.contents.iter();
-        contents.any(|content| self.table.is_accused(*content, now_ms))
-    }
-
-    /// News of crashes for so many other VMs; now and then a crash that is remembered.
-    pub fn news(&mut self, vms: usize, now: time::Instant) -> Vec<message::CrashItem> {
-        let now_ms = self.millis(now);
-        let pending = self.news.pending().collect();
-        let (told, items) = self.items_of(pending, 0, now_ms);
-        self.news.record_told(told);
-        if !items.is_empty() || !self.news.is_turn_due(vms, now) {
-            return items;
-        }
-        self.remembered(1, 0, now)
-    }
-
-    /// News of crashes and those that are remembered, for a VM that may know of none.
-    pub fn introduction(&mut self, now: time::Instant) -> Vec<message::CrashItem> {
-        let now_ms = self.millis(now);
-        let pending = self.news.pending().collect();
-        let (told, mut items) = self.items_of(pending, 0, now_ms);
-        self.news.record_told(told);
-        let bytes = items.iter().map(message::CrashItem::encoded_len).sum();
-        items.extend(self.remembered(usize::MAX, bytes, now));
-        items
-    }
-
-    /// At most `max` parts of remembered crashes that still count, in turn, next to `bytes` of others.
-    fn remembered(
-        &mut self,
-        max: usize,
-        bytes: usize,
-        now: time::Instant,
-    ) -> Vec<message::CrashItem> {
-        let now_ms = self.millis(now);
-        self.table.expire(now_ms);
-        let crashes = self.table.deaths().rev();
-        let crashes = crashes.filter(|crash| self.counts(crash, now_ms));
-        let remembered = crashes.flat_map(|crash| {
-            let numbers = 0..chunks(crash).len();
-            numbers.map(move |number| (crash.server, number))
-        });
-        let mut in_turn = self.news.in_turn(remembered.collect());
-        in_turn.truncate(max);
-        let (told, items) = self.items_of(in_turn, bytes, now_ms);
-        self.news.record_turn(told, now);
-        items
-    }
-
-    /// Messages of parts of crashes, next to `bytes` of others, and the number of parts told.
-    fn items_of(
-        &self,
-        chunks: Vec<crash_news::CrashChunk>,
-        mut bytes: usize,
-        now_ms: u64,
-    ) -> (usize, Vec<message::CrashItem>) {
-        let mut told = 0;
-        let mut items = Vec::new();
-        for chunk in chunks {
-            if bytes >= MAX_TOLD_BYTES {
-                break;
-            }
-            told += 1;
-            for item in self.items_of_chunk(chunk, now_ms) {
-                bytes += item.encoded_len();
-                items.push(item);
-            }
-        }
-        (told, items)
-    }
-
-    fn items_of_chunk(
-        &self,
-        (server, number): crash_news::CrashChunk,
-        now_ms: u64,
-    ) -> Vec<message::CrashItem> {
-        let crashes = self.table.deaths().filter(|crash| crash.server == server);
-        let items = crashes.filter_map(|crash| {
-            let chunk = chunks(crash).into_iter().nth(number)?;
-            Some(self.item(crash, chunk, now_ms))
-        });
-        items.collect()
-    }
-
-    fn item(&self, crash: &CrashRecord, chunk: ContentChunk, now_ms: u64) -> message::CrashItem {
-        let mut item = message::CrashItem {
-            server: crash.server,
-            age_ms: age(crash.at_ms, now_ms),
-            answered_ms: self
-                .table
-                .answered_at(crash)
-                .map(|sent_ms| age(crash.at_ms, sent_ms)),
-            late: chunk.late,
-            ..message::CrashItem::default()
-        };
-        for content in chunk.contents {
-            item.add(content);
-            let times = self.table.cleared_at(content);
-            for (extent, ran_ms) in times.iter().flat_map(table::ClearedTimes::all) {
-                item.add_clearance(content, age(ran_ms, now_ms), extent);
-            }
-        }
-        item
-    }
-
-    /// Takes what another VM tells of a crash. Returns whether it is news.
-    pub fn take_item(&mut self, item: &message::CrashItem, now: time::Instant) -> bool {
-        self.take_evidence(item, crash_news::EvidenceSource::Peer, now)
-    }
-
-    /// Takes what the store has of a crash. Returns whether it is news.
-    pub fn take_saved_item(&mut self, item: &message::CrashItem, now: time::Instant) -> bool {
-        self.take_evidence(item, crash_news::EvidenceSource::Store, now)
-    }
-
-    fn take_evidence(
-        &mut self,
-        item: &message::CrashItem,
-        source: crash_news::EvidenceSource,
-        now: time::Instant,
-    ) -> bool {
-        let now_ms = self.millis(now);
-        if time::Duration::from_millis(item.age_ms.into()) >= RETENTION {
-            return false;
-        }
-        let at_ms = self.crash_time(item.server, now_ms.saturating_sub(item.age_ms.into()));
-        let contents: collections::BTreeSet<_> = item.contents().collect();
-        let record = CrashRecord {
-            server: item.server,
-            at_ms,
-            late: match item.late {
-                true => contents.clone(),
-                false => collections::BTreeSet::new(),
-            },
-            contents,
-        };
-        let is_new = self.insert(record, source, now);
-        if let Some(answered_ms) = item.answered_ms
-            && self
-                .table
-                .record_answer(&item.server, at_ms + u64::from(answered_ms))
-        {
-            self.note_unshared(source);
-            self.add_news(item.server, source, |_| true);
-            self.note_causes(source);
-        }
-        for (content, age_ms, extent) in item.clearances() {
-            if self.table.names(content) {
-                let ran_ms = now_ms.saturating_sub(age_ms.into());
-                self.clear(content, ran_ms, extent, source);
-            }
-        }
-        is_new
-    }
-
     /// The clock of records.
-    fn millis(&self, now: time::Instant) -> u64 {
+    pub(crate) fn millis(&self, now: time::Instant) -> u64 {
         to_millis(CLOCK_START + now.saturating_duration_since(self.epoch))
     }
 }
 
-/// Contents of a crash that fit into one message, all late or none.
-struct ContentChunk {
-    contents: Vec<content::ContentKey>,
-    late: bool,
-}
-
-/// Contents of a crash in parts that fit into messages.
-fn chunks(crash: &CrashRecord) -> Vec<ContentChunk> {
-    let early: Vec<_> = crash.contents.difference(&crash.late).copied().collect();
-    let late: Vec<_> = crash.late.iter().copied().collect();
-    let chunks = [(early, false), (late, true)];
-    let chunks = chunks.iter().flat_map(|(contents, late)| {
-        let chunks = contents.chunks(crash_news::CHUNK_CONTENTS);
-        chunks.map(|contents| ContentChunk {
-            contents: contents.to_vec(),
-            late: *late,
-        })
-    });
-    chunks.collect()
-}
-
-fn age(at_ms: u64, now_ms: u64) -> u32 {
-    u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)
-}
-
 fn to_millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/exchange/src/notices.rs
+++ b/crates/exchange/src/notices.rs
@@ -8,7 +8,7 @@
 //! After each poll, each VM that reads the store sends all others the servers that it recently
 //! found to be leaving. A notice is short, names one incarnation and is never revoked for it, so a
 //! VM may apply it any number of times. With at most a second between polls and
-//! [`READERS`](crate::state::READERS) VMs that poll, the last VM learns of it within one poll,
+//! [`READERS`](crate::readers::READERS) VMs that poll, the last VM learns of it within one poll,
 //! unless the datagrams of all of them are lost; each then sends it once more.
 
 use std::collections;
--- a/crates/exchange/src/peers.rs
+++ b/crates/exchange/src/peers.rs
@@ -186,6 +186,8 @@
     cut_off: collections::BTreeMap<String, time::Instant>,
     /// Addresses that were reported but have not answered, with the time of the last greeting.
     unanswered: collections::BTreeMap<net::SocketAddr, Option<time::Instant>>,
+    /// Whether it was last logged that VMs are not heard.
+    misses_vms: bool,
 }
 
 /// Interval between two greetings of an address that does not answer.
@@ -445,6 +447,19 @@
         silent.count() + self.cut_off.len() + self.unanswered.len()
     }
 
+    /// Logs whether all known VMs are heard, when that changes, and sets the gauge of those that are not.
+    pub fn record_silence(&mut self, now: time::Instant) {
+        let silent = self.silent_count(now);
+        metrics::gauge!("pollenchute_exchange_silent_vms").set(silent as f64);
+        let missed_vms = std::mem::replace(&mut self.misses_vms, silent > 0);
+        if self.misses_vms && !missed_vms {
+            let heard = self.alive_count(now) - 1;
+            log::info!(silent, heard; "VMs are not heard");
+        } else if !self.misses_vms && missed_vms {
+            log::info!("all known VMs are heard");
+        }
+    }
+
     /// Whether there may be VMs that do not hear each other, as far as this VM and those that it hears
     /// know.
     #[must_use]
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -170,7 +170,7 @@
                 measured_at = now;
                 self.state.borrow_mut().record_shares(now);
                 self.state.borrow_mut().record_paces(now);
-                self.state.borrow_mut().record_silence(now);
+                self.state.borrow_mut().peers.record_silence(now);
             }
             if now.saturating_duration_since(swept_at) >= SWEEP_INTERVAL {
                 swept_at = now;
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -61,8 +61,6 @@
     pub peers: peers::PeerTable,
     /// Crashes of servers and their causes.
     pub crashes: crashes::CrashEvidence,
-    /// Whether VMs were not heard when that was last measured.
-    misses_vms: bool,
     /// Refused requests whose retry is expected.
     pub returning: returning::ReturningRequests,
     /// Demand of organisations.
@@ -138,7 +136,6 @@
             system: system::SystemBelief::default(),
             peers,
             crashes: crashes::CrashEvidence::default(),
-            misses_vms: false,
             returning: returning::ReturningRequests::default(),
             fair: fair::FairTable::default(),
             unannounced: Vec::new(),
@@ -399,53 +396,6 @@
         }
     }
 
-    /// Returns whether this VM is one of the few that read the store on behalf of all, among those
-    /// that reach it.
-    #[must_use]
-    pub fn reads_store(&self, now: time::Instant) -> bool {
-        let readers = if self.store_unavailable {
-            MAX_PROBING_VMS
-        } else {
-            READERS
-        };
-        self.readers_ahead(now) < readers
-    }
-
-    /// Whether this VM is the first of those that read the store for all.
-    #[must_use]
-    pub fn reads_store_first(&self, now: time::Instant) -> bool {
-        self.readers_ahead(now) == 0
-    }
-
-    /// Number of VMs that read the store rather than this one.
-    fn readers_ahead(&self, now: time::Instant) -> usize {
-        let rank = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
-        let own = rank(&self.settings.name);
-        // VMs that can't reach the store elect readers among themselves as well; otherwise none of
-        // them would notice its recovery.
-        self.peers
-            .all()
-            .filter(|(_, peer)| {
-                peer.is_alive(now) && peer.store_unavailable == self.store_unavailable
-            })
-            .filter(|(name, _)| rank(name) < own)
-            .count()
-    }
-
-    /// Logs whether this VM hears all others that it knows of, when that changes, and sets the gauge of
-    /// those that it does not hear.
-    pub fn record_silence(&mut self, now: time::Instant) {
-        let silent = self.peers.silent_count(now);
-        metrics::gauge!("pollenchute_exchange_silent_vms").set(silent as f64);
-        if silent > 0 && !self.misses_vms {
-            let heard = self.peers.alive_count(now) - 1;
-            log::info!(silent, heard; "VMs are not heard");
-        } else if silent == 0 && self.misses_vms {
-            log::info!("all known VMs are heard");
-        }
-        self.misses_vms = silent > 0;
-    }
-
     /// Returns the rule of a service, if it is configured.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&catalog::ServiceRule> {
@@ -853,8 +803,3 @@
 const MAX_HEARTBEAT: time::Duration = time::Duration::from_secs(30);
 /// Age up to which a copy may be from which the store comes back: some seconds, and a margin.
 const MAX_COPY_AGE: time::Duration = time::Duration::from_secs(30);
-/// Number of VMs that read the store on behalf of all: enough that some remain when a third of them
-/// is partitioned, few enough that reading costs the same with 60 VMs as with 6.
-pub const READERS: usize = 6;
-/// Number of VMs that poll the store for its recovery, among those that can't reach it.
-const MAX_PROBING_VMS: usize = 3;
--- a/crates/exchange/tests/crashes_cut_vms.rs
+++ b/crates/exchange/tests/crashes_cut_vms.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use cluster::crashing::{self, CONTACT, CallEnd, MAX_RETRIES, QUARANTINED};
-use exchange::{catalog::ExchangeKind, crashes::CrashSharing};
+use exchange::{catalog::ExchangeKind, unsaved::CrashSharing};
 
 const BAD: u64 = 77;
 const VMS: usize = 7;
@@ -147,7 +147,7 @@
     cluster::run(async {
         let mut vms = PLAY.start();
         vms.pass(CUT_TIME).await;
-        let sharing = |vms: &crashing::CrashingVms| vms.vms[0].state().crashes.sharing();
+        let sharing = |vms: &crashing::CrashingVms| vms.vms[0].state().crashes.unsaved.sharing();
         assert_eq!(sharing(&vms), CrashSharing::Off);
         vms.cut_paths.extend((1..VMS).map(|to| (0, to)));
         vms.pass(CONTACT).await;
