--- a/crates/exchange/tests/cluster/crashing.rs
+++ b/crates/exchange/tests/cluster/crashing.rs
@@ -214,6 +214,12 @@
     }
 }
 
+/// Lets a VM read and write crashes in the store.
+fn keep_crashes(plane: &super::TestPlane, store: &rc::Rc<super::log_store::LogStore>) {
+    let keeping = crash_store::keep_crashes(plane.clone(), store.clone());
+    tokio::task::spawn_local(keeping);
+}
+
 /// VMs that tell each other of themselves, and servers that crash.
 pub struct CrashingVms {
     pub vms: Vec<super::TestPlane>,
@@ -224,8 +230,6 @@
     pub restart_time: time::Duration,
     offset: u64,
     announced_at: Instant,
-    /// VMs that receive no datagrams, and whose datagrams are lost.
-    pub deaf: collections::BTreeSet<usize>,
     /// Paths on which datagrams are lost, as their sender and recipient.
     pub cut_paths: collections::BTreeSet<(usize, usize)>,
     /// Store to which VMs write crashes, if there is one.
@@ -251,7 +255,6 @@
             restart_time: RESTART_TIME,
             offset: 1,
             announced_at: Instant::now(),
-            deaf: collections::BTreeSet::new(),
             cut_paths: collections::BTreeSet::new(),
             store: None,
             started: Instant::now(),
@@ -293,7 +296,7 @@
             let uptime = u64::try_from(self.started.elapsed().as_millis()).expect("small");
             let first_ms = u64::try_from(super::UPTIME.as_millis()).expect("small");
             plane.state().settings.incarnation = 1 + first_ms + uptime;
-            tokio::task::spawn_local(crash_store::keep_crashes(plane.clone(), store.clone()));
+            keep_crashes(&plane, store);
         }
         self.vms.push(plane);
     }
@@ -301,10 +304,10 @@
     /// Gives all VMs a store, to which they write crashes.
     pub fn add_store(&mut self) {
         let store = rc::Rc::<super::log_store::LogStore>::default();
-        self.store = Some(store.clone());
         for vm in &self.vms {
-            tokio::task::spawn_local(crash_store::keep_crashes(vm.clone(), store.clone()));
+            keep_crashes(vm, &store);
         }
+        self.store = Some(store);
     }
 
     /// Cuts the VMs of a group from all others.
@@ -327,8 +330,7 @@
             .collect();
         for (from, datagram) in datagrams.iter().enumerate() {
             let others = (0..self.vms.len()).filter(|to| *to != from);
-            let others = others.filter(|to| !self.cut_paths.contains(&(from, *to)));
-            for to in others.filter(|to| !self.deaf.contains(to) && !self.deaf.contains(&from)) {
+            for to in others.filter(|to| !self.cut_paths.contains(&(from, *to))) {
                 link::take_datagram(&self.vms[to], datagram);
             }
         }
--- a/crates/exchange/tests/cluster/log_store.rs
+++ b/crates/exchange/tests/cluster/log_store.rs
@@ -100,6 +100,26 @@
         Ok(())
     }
 
+    /// Waits for records of a topic from a position on; `end` is the number of all. Returns the index
+    /// of the first one.
+    async fn wait(
+        &self,
+        from: position::StorePosition,
+        wait: time::Duration,
+        end: impl Fn(&StoreContents) -> usize,
+    ) -> Result<usize, follow::StoreError> {
+        self.call().await?;
+        let until = Instant::now() + wait;
+        loop {
+            let end = end(&self.contents.borrow());
+            let first = index_of(from, end)?;
+            if end > first || Instant::now() >= until {
+                return Ok(first);
+            }
+            self.call().await?;
+        }
+    }
+
     fn document_page(&self, from: usize) -> follow::DocumentPage {
         let contents = self.contents.borrow();
         let records = || contents.operator.iter().enumerate().skip(from);
@@ -190,16 +210,8 @@
         from: position::StorePosition,
         wait: time::Duration,
     ) -> Result<follow::DocumentPage, follow::StoreError> {
-        self.call().await?;
-        let until = Instant::now() + wait;
-        loop {
-            let end = self.contents.borrow().operator.len();
-            let first = index_of(from, end)?;
-            if end > first || Instant::now() >= until {
-                return Ok(self.document_page(first));
-            }
-            self.call().await?;
-        }
+        let first = self.wait(from, wait, |contents| contents.operator.len());
+        Ok(self.document_page(first.await?))
     }
 
     fn document_meter(&self) -> transfer::TransferMeter {
@@ -249,19 +261,13 @@
         wait: time::Duration,
     ) -> Result<follow::CrashPage, follow::StoreError> {
         self.crash_calls.set(self.crash_calls.get() + 1);
-        self.call().await?;
-        let until = Instant::now() + wait;
-        loop {
-            let end = self.contents.borrow().crashes.len();
-            let first = index_of(from, end)?;
-            if end > first || Instant::now() >= until {
-                return Ok(follow::CrashPage {
-                    records: self.contents.borrow().crashes[first..].to_vec(),
-                    end: self.position(end),
-                });
-            }
-            self.call().await?;
-        }
+        let first = self.wait(from, wait, |contents| contents.crashes.len());
+        let first = first.await?;
+        let crashes = &self.contents.borrow().crashes;
+        Ok(follow::CrashPage {
+            records: crashes[first..].to_vec(),
+            end: self.position(crashes.len()),
+        })
     }
 
     async fn registered(&self) -> Result<Vec<net::SocketAddr>, follow::StoreError> {
--- a/crates/exchange/tests/crashes.rs
+++ b/crates/exchange/tests/crashes.rs
@@ -342,10 +342,10 @@
     // Guards against a VM that heard no report of the crashes and sends the request once more.
     cluster::run(async {
         let mut vms = crashing_vms(3, 0, 3);
-        vms.deaf.insert(2);
+        vms.cut(|vm| vm == 2);
         crash_two(&mut vms, ExchangeKind::Stream).await;
         vms.pass(time::Duration::from_secs(20)).await;
-        vms.deaf.clear();
+        vms.cut_paths.clear();
         vms.add_vm();
         vms.pass(ms(2_000)).await;
         for vm in 2..4 {
--- a/crates/exchange/tests/crashes_cut_vms.rs
+++ b/crates/exchange/tests/crashes_cut_vms.rs
@@ -53,6 +53,14 @@
         vms
     }
 
+    /// Starts VMs that know by now that they are cut from each other.
+    async fn start_cut(self) -> crashing::CrashingVms {
+        let mut vms = self.start();
+        self.cut(&mut vms);
+        vms.pass(CUT_TIME).await;
+        vms
+    }
+
     fn cut(self, vms: &mut crashing::CrashingVms) {
         match self.shape {
             CutShape::All => (0..VMS).for_each(|own| vms.cut(|vm| vm == own)),
@@ -95,9 +103,7 @@
 
 fn play_all(plays: impl IntoIterator<Item = Play>) {
     crashing::check_all(plays, |play| async move {
-        let mut vms = play.start();
-        play.cut(&mut vms);
-        vms.pass(CUT_TIME).await;
+        let mut vms = play.start_cut().await;
         play.send(&mut vms, time::Duration::from_secs(40)).await;
         play.check(&vms)
     });
@@ -188,9 +194,7 @@
     // Guards against VMs that start while all are cut, and find the cause by crashes of their own.
     cluster::run(async {
         let play = PLAY;
-        let mut vms = play.start();
-        play.cut(&mut vms);
-        vms.pass(CUT_TIME).await;
+        let mut vms = play.start_cut().await;
         play.send(&mut vms, time::Duration::from_secs(5)).await;
         for own in VMS..VMS + 5 {
             vms.add_vm();
@@ -207,9 +211,7 @@
     // Guards against crashes that were found while the store was away and never reach other VMs.
     cluster::run(async {
         let play = PLAY;
-        let mut vms = play.start();
-        play.cut(&mut vms);
-        vms.pass(CUT_TIME).await;
+        let mut vms = play.start_cut().await;
         let store = vms.store.clone().expect("a store");
         store.away.set(true);
         for vm in 0..2 {
@@ -235,9 +237,7 @@
     const SOUND: u64 = 5;
     cluster::run(async {
         let play = PLAY;
-        let mut vms = play.start();
-        play.cut(&mut vms);
-        vms.pass(CUT_TIME).await;
+        let mut vms = play.start_cut().await;
         for step in 0..600_usize {
             if step % 4 == 0 {
                 let request = vms.alike("bad", play.kind, BAD);
@@ -288,9 +288,7 @@
     const SOUND: u64 = 5;
     cluster::run(async {
         let play = PLAY;
-        let mut vms = play.start();
-        play.cut(&mut vms);
-        vms.pass(CUT_TIME).await;
+        let mut vms = play.start_cut().await;
         for plane in &vms.vms {
             plane.port().pace.set(Some(ms(40)));
         }
@@ -332,9 +330,7 @@
     const SOUND: u64 = 6;
     cluster::run(async {
         let play = PLAY;
-        let mut vms = play.start();
-        play.cut(&mut vms);
-        vms.pass(CUT_TIME).await;
+        let mut vms = play.start_cut().await;
         let plane = vms.vms[0].clone();
         plane.port().pace.set(Some(ms(40)));
         for step in 0..200_usize {
@@ -388,9 +384,7 @@
     // Guards against a store that is busy with crashes: 2 calls a second and VM at most.
     cluster::run(async {
         let play = PLAY;
-        let mut vms = play.start();
-        play.cut(&mut vms);
-        vms.pass(CUT_TIME).await;
+        let mut vms = play.start_cut().await;
         let store = vms.store.clone().expect("a store");
         let first = store.crash_calls.get();
         let seconds = 40;
--- a/crates/exchange/tests/part_crashes.rs
+++ b/crates/exchange/tests/part_crashes.rs
@@ -76,14 +76,14 @@
     // Guards against a VM that was told of no crash and sends a request with the part.
     cluster::run(async {
         let mut vms = crashing_vms(3);
-        vms.deaf.insert(2);
+        vms.cut(|vm| vm == 2);
         for number in 0..6 {
             let request = vms.stream_of("bad", &[FIRST, BAD]);
             vms.send(number % 2, request);
             vms.pass(ms(500)).await;
         }
         vms.pass(time::Duration::from_secs(20)).await;
-        vms.deaf.clear();
+        vms.cut_paths.clear();
         vms.add_vm();
         vms.pass(ms(2_000)).await;
         for vm in 2..4 {
