--- a/crates/exchange/tests/crashes_cut_vms.rs
+++ b/crates/exchange/tests/crashes_cut_vms.rs
@@ -35,6 +35,10 @@
     kind: ExchangeKind,
     interval: time::Duration,
     delay: time::Duration,
+    /// Number of different bad requests that come at the same moment.
+    causes: u64,
+    /// Time after which callers of bad requests leave, whose servers go on with them.
+    leaves: Option<time::Duration>,
 }
 
 const PLAY: Play = Play {
@@ -42,17 +46,24 @@
     kind: ExchangeKind::Idempotent,
     interval: ms(200),
     delay: ms(48),
+    causes: 1,
+    leaves: None,
 };
 
 impl Play {
     fn start(self) -> crashing::CrashingVms {
         let mut vms = crashing::CrashingVms::start(VMS, 3, 9);
-        vms.board.bad_requests.borrow_mut().insert(BAD);
+        vms.board.bad_requests.borrow_mut().extend(self.causes());
         vms.board.delay.set(Some(self.delay));
+        vms.board.keeps_on.set(self.leaves.is_some());
         vms.add_store();
         vms
     }
 
+    fn causes(self) -> std::ops::Range<u64> {
+        BAD..BAD + self.causes
+    }
+
     /// Starts VMs that know by now that they are cut from each other.
     async fn start_cut(self) -> crashing::CrashingVms {
         let mut vms = self.start();
@@ -78,26 +89,38 @@
         let steps = (span.as_millis() / STEP.as_millis()) as usize;
         for step in 0..steps {
             let running = vms.vms.len();
-            if step % bad_steps == 0 {
-                let request = vms.alike("bad", self.kind, BAD);
-                vms.send(step / bad_steps % running, request);
+            for cause in self.causes().filter(|_| step % bad_steps == 0) {
+                let request = vms.alike("bad", self.kind, cause);
+                let vm = (step / bad_steps + (cause - BAD) as usize) % running;
+                match self.leaves {
+                    Some(after) => vms.send_and_leave(vm, request, after),
+                    None => vms.send(vm, request),
+                }
             }
             let sound = vms.request("sound", ExchangeKind::Idempotent);
             vms.send(step % running, sound);
+            if self.kind == ExchangeKind::Stream {
+                let sound = vms.request("sound", self.kind);
+                vms.send(step % running, sound);
+            }
             vms.pass(STEP).await;
         }
     }
 
     /// Whether the cause was refused in time, and no sound request was.
     fn check(self, vms: &crashing::CrashingVms) -> bool {
-        let late = vms.board.late_of(BAD, 3, CONTACT);
-        let crashes = vms.board.crashes_under(BAD);
-        let (sent, whole) = (
+        let late = |cause| vms.board.late_of(cause, 3, CONTACT);
+        let late: Vec<_> = self.causes().map(late).collect();
+        let crashes = vms.board.crashes.borrow().len();
+        let (sent, whole, refused) = (
             vms.ends_of("sound").len(),
             vms.count("sound", CallEnd::Whole),
+            vms.count("sound", QUARANTINED),
         );
-        println!("{self:?}: {late} late, {crashes} crashes, sound {whole} of {sent}");
-        late <= MAX_RETRIES && vms.count("sound", QUARANTINED) == 0
+        println!(
+            "{self:?}: {late:?} late, {crashes} crashes, sound {whole} of {sent}, {refused} refused"
+        );
+        late.iter().all(|late| *late <= MAX_RETRIES) && refused == 0
     }
 }
 
@@ -134,6 +157,70 @@
     }));
 }
 
+#[test]
+fn a_hedged_call_that_crashes_servers_is_refused_by_vms_that_hear_no_other_vm() {
+    // Guards against the same with a call that is sent to a second server before the first crashes.
+    play_all([ms(200), ms(2_000)].map(|interval| Play {
+        interval,
+        delay: ms(90),
+        ..PLAY
+    }));
+}
+
+#[test]
+fn a_request_whose_caller_leaves_is_refused_by_vms_that_hear_no_other_vm() {
+    // Guards against crashes under attempts that were dropped, which cut VMs do not share.
+    let kinds = [ExchangeKind::Idempotent, ExchangeKind::Stream];
+    play_all(kinds.into_iter().flat_map(|kind| {
+        [ms(200), ms(2_000)].map(|interval| Play {
+            kind,
+            interval,
+            leaves: Some(ms(20)),
+            ..PLAY
+        })
+    }));
+}
+
+#[test]
+fn requests_that_crash_servers_together_are_refused_by_vms_that_hear_no_other_vm() {
+    // Guards against causes that are tied at one VM and never at three crashes there.
+    let kinds = [ExchangeKind::Idempotent, ExchangeKind::Stream];
+    play_all(kinds.into_iter().flat_map(|kind| {
+        [2, 4].map(|causes| Play {
+            kind,
+            causes,
+            interval: ms(300),
+            ..PLAY
+        })
+    }));
+}
+
+#[test]
+fn a_part_that_crashes_engines_is_refused_by_vms_that_hear_no_other_vm() {
+    // Guards against requests, no two alike, whose part each VM finds by five crashes of its own.
+    const FIRST: u64 = 1;
+    cluster::run(async {
+        let mut vms = PLAY.start_cut().await;
+        vms.board.bad_parts.borrow_mut().insert(BAD);
+        for number in 0..60_usize {
+            let request = vms.stream_of("bad", &[FIRST, BAD]);
+            vms.send(number * 3 % VMS, request);
+            for _ in 0..3 {
+                vms.pass(ms(130)).await;
+                let request = vms.stream_of("sound", &[FIRST, 2 + number as u64 % 3]);
+                vms.send(number % VMS, request);
+            }
+        }
+        vms.pass(ms(2_000)).await;
+        let late = vms.board.arrivals_after(5, CONTACT);
+        let crashes = vms.board.crashes.borrow().len();
+        let refused = vms.count("sound", QUARANTINED);
+        println!("part: {late} late, {crashes} crashes, {refused} refused");
+        assert!(late <= MAX_RETRIES, "{late} late");
+        assert_eq!(refused, 0);
+    });
+}
+
 #[test]
 fn a_call_that_crashes_servers_is_refused_by_vms_that_nobody_hears() {
     // Guards against crashes that only one side of a cut knows.
--- a/crates/exchange/tests/left_crashes.rs
+++ b/crates/exchange/tests/left_crashes.rs
@@ -78,6 +78,22 @@
     ]);
 }
 
+#[test]
+fn a_stream_whose_caller_leaves_an_idle_engine_is_refused() {
+    // Guards against crashes that no VM sees, since nothing else runs on the engine.
+    cluster::run(async {
+        let mut vms = crashing::CrashingVms::start(7, 3, 9);
+        vms.board.bad_requests.borrow_mut().insert(BAD);
+        vms.board.keeps_on.set(true);
+        for number in 0..20_usize {
+            let request = vms.alike("bad", ExchangeKind::Stream, BAD);
+            vms.send_and_leave(number % 7, request, ms(20));
+            vms.pass(ms(2_000)).await;
+        }
+        assert!(check(&vms, "idle engines"));
+    });
+}
+
 #[test]
 fn a_hedge_that_is_dropped_does_not_accuse_a_sound_call() {
     // Guards against a call that is refused since servers crashed where its hedges were dropped.
