exchange: speed classes of engines have one rule

PaceClass (exchange) and SpeedClass (pace) drew the same lines through the same value. Names in logs and metrics come from SpeedClass now, and unknown where there is no estimate.

--- a/crates/exchange/src/pauses.rs
+++ b/crates/exchange/src/pauses.rs
@@ -7,6 +7,8 @@
 
 use std::time;
 
+use pace::group;
+
 use crate::{catalog, fleet, forecast, loads, request};
 
 /// Number of events from which a stream is long: over a shorter one, a slow period seldom coincides
@@ -69,41 +71,11 @@
     forecast::expected_output(size, produced) >= tokens
 }
 
-/// Speed class of an engine, for logs and metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PaceClass {
-    /// Faster than usual for its service.
-    Fast,
-    /// As fast as usual.
-    Usual,
-    /// Slower than usual.
-    Slow,
-    /// Not known.
-    Unknown,
-}
-
-impl PaceClass {
-    /// The class of an engine.
-    #[must_use]
-    pub fn of(pace: Option<pace::EnginePace>) -> Self {
-        match pace.map(|pace| pace.relative) {
-            Some(relative) if relative < 1.0 => Self::Fast,
-            Some(relative) if relative > 1.0 => Self::Slow,
-            Some(relative) if relative.is_finite() => Self::Usual,
-            _ => Self::Unknown,
-        }
-    }
-
-    /// The name used in logs and metrics.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Fast => "fast",
-            Self::Usual => "usual",
-            Self::Slow => "slow",
-            Self::Unknown => "unknown",
-        }
-    }
+/// Name of the speed class of an engine in logs and metrics.
+#[must_use]
+pub fn class_name(pace: Option<pace::EnginePace>) -> &'static str {
+    let known = pace.filter(|pace| !pace.relative.is_nan());
+    known.map_or("unknown", |pace| group::SpeedClass::of(&pace).name())
 }
 
 /// Risk that pauses on an engine exceed the maximum, and its speed.
--- a/crates/exchange/src/pausing.rs
+++ b/crates/exchange/src/pausing.rs
@@ -39,7 +39,7 @@
         let server = worst.map(|worst| worst.server);
         let state = self.plane.state();
         let pace = server.and_then(|server| state.fleet.paces.pace(server));
-        let class = pauses::PaceClass::of(pace).name();
+        let class = pauses::class_name(pace);
         let long = self.splitter.events() as f64 >= pauses::LONG_EVENTS;
         if let Some(max_pause) = self.request.max_pause.filter(|_| long) {
             let held = self.pace.max_pause() <= max_pause;
