--- a/crates/exchange/src/crash_store.rs
+++ b/crates/exchange/src/crash_store.rs
@@ -67,8 +67,11 @@
 async fn save_crashes<P, S: follow::StorePort>(plane: &plane::ExchangePlane<P>, store: &S) {
     loop {
         plane.crashes_unsaved.notified().await;
-        let (shares, jitter) = share_jitter(&mut plane.state());
-        time::sleep(jitter).await;
+        let shares = plane.state().crashes.unsaved.sharing() != unsaved::CrashSharing::Off;
+        if shares {
+            let jitter = share_jitter(&mut plane.state());
+            time::sleep(jitter).await;
+        }
         loop {
             let record = record(&plane.state());
             if store.save_crashes(record).await.is_ok() {
@@ -83,14 +86,10 @@
     }
 }
 
-/// Whether this VM shares crashes through the store, and a random delay for it.
-fn share_jitter(state: &mut state::PlaneState) -> (bool, time::Duration) {
-    if state.crashes.unsaved.sharing() == unsaved::CrashSharing::Off {
-        return (false, time::Duration::ZERO);
-    }
+/// Random delay before crashes are shared.
+fn share_jitter(state: &mut state::PlaneState) -> time::Duration {
     let heard = state.peers.alive_count(time::Instant::now());
-    let draw = state.draw();
-    (true, (SHARE_JITTER_PER_VM * heard).mul_f64(draw))
+    (SHARE_JITTER_PER_VM * heard).mul_f64(state.draw())
 }
 
 /// Follows the crashes that others save while VMs do not hear each other, and this VM reads the store
