exchange: one order of VMs, one rank for a wait, one question for servers in use

The election of VMs that report demand had a copy of the one of VMs that read the store; both ask readers.rs now. The rank of a request that waits was derived twice from all reports on its service, once to place it and once to queue it; it is handed on. Whether a server is listed or takes work without an entry stood twice. No behaviour changes; the tests of shares, ranks, paces and overload pass.

--- a/crates/exchange/src/fair.rs
+++ b/crates/exchange/src/fair.rs
@@ -347,10 +347,7 @@
 
     /// Returns whether this VM is one of those that report to the others.
     fn is_reporter(&self, now: time::Instant) -> bool {
-        let rank = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
-        let own = rank(&self.settings.name);
-        let alive = self.peers.all().filter(|(_, peer)| peer.is_alive(now));
-        alive.filter(|(name, _)| rank(name) < own).count() < MAX_REPORTERS
+        self.vms_ahead(now, |_| true) < MAX_REPORTERS
     }
 
     /// Takes the reports in a datagram of another VM. Those of its last datagram with reports count
--- a/crates/exchange/src/pace_reports.rs
+++ b/crates/exchange/src/pace_reports.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use crate::{fleet, message, server, state};
+use crate::{fleet, message, state};
 
 /// Range of reports on the time between two events, in microseconds.
 const EVENT_US: ops::RangeInclusive<u32> = 1_000..=5_000_000;
@@ -29,10 +29,7 @@
             let key = self.fleet.find_by_hash(item.server);
             let key = key.filter(|&key| {
                 let record = self.fleet.server(key);
-                let is_listed = |record: &server::ServerRecord| {
-                    record.standing != server::ServerStanding::Gone || record.takes_work(now)
-                };
-                record.is_some_and(is_listed)
+                record.is_some_and(|record| record.is_in_use(now))
             });
             if let Some(key) = key {
                 let event_ms = f64::from(item.event_us) / 1_000.0;
--- a/crates/exchange/src/paces.rs
+++ b/crates/exchange/src/paces.rs
@@ -332,7 +332,7 @@
         }
         let mut by_service = collections::HashMap::<&str, Vec<_>>::new();
         for (key, record) in servers {
-            if record.standing != server::ServerStanding::Gone || record.takes_work(now) {
+            if record.is_in_use(now) {
                 by_service
                     .entry(&record.service)
                     .or_default()
--- a/crates/exchange/src/placing.rs
+++ b/crates/exchange/src/placing.rs
@@ -81,7 +81,8 @@
                 Err(_) => {}
             }
         }
-        self.wait_for_server(request, avoid, waited, now).await
+        self.wait_for_server(request, avoid, waited, basis, now)
+            .await
     }
 
     pub(crate) fn placed(
@@ -101,12 +102,13 @@
         request: &rc::Rc<request::ExchangeRequest>,
         avoid: &[fleet::ServerKey],
         waited: &mut Option<wait::WaitRecord>,
+        basis: wait::RankBasis,
         now: time::Instant,
     ) -> Result<plane::PlacedRun<P>, reply::Refusal> {
         let record = match *waited {
             Some(record) => record,
             None => {
-                let record = self.wait_record(request, avoid, now);
+                let record = self.wait_record(request, avoid, basis, now);
                 record.map_err(|cause| {
                     self.note_over_share(request, cause);
                     self.refuse(request, cause)
@@ -190,12 +192,12 @@
         &self,
         request: &request::ExchangeRequest,
         avoid: &[fleet::ServerKey],
+        basis: wait::RankBasis,
         now: time::Instant,
     ) -> Result<wait::WaitRecord, reply::RefusalCause> {
         let stream = request.kind == catalog::ExchangeKind::Stream;
         let max_wait = wait::max_wait(request.left(now), request.target_latency, stream);
         let mut state = self.state.borrow_mut();
-        let basis = state.rank_basis(request, now);
         let rank = basis.rank(now);
         let ahead = state.queue(&request.service).ahead(rank, now);
         let until = now + max_wait;
--- a/crates/exchange/src/readers.rs
+++ b/crates/exchange/src/readers.rs
@@ -2,7 +2,7 @@
 
 use tokio::time;
 
-use crate::state;
+use crate::{peers, state};
 
 /// Number of VMs that read the store on behalf of all: enough that some remain when a third of them
 /// is partitioned, few enough that reading costs the same with 60 VMs as with 6.
@@ -31,16 +31,22 @@
 
     /// Number of VMs that read the store rather than this one.
     fn readers_ahead(&self, now: time::Instant) -> usize {
-        let rank = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
-        let own = rank(&self.settings.name);
         // VMs that can't reach the store elect readers among themselves as well; otherwise none of
         // them would notice its recovery.
-        self.peers
-            .all()
-            .filter(|(_, peer)| {
-                peer.is_alive(now) && peer.store_unavailable == self.store_unavailable
-            })
-            .filter(|(name, _)| rank(name) < own)
-            .count()
+        self.vms_ahead(now, |peer| peer.store_unavailable == self.store_unavailable)
+    }
+
+    /// Number of such VMs that count as alive and come before this one in an order that all of them
+    /// derive from their names.
+    pub(crate) fn vms_ahead(
+        &self,
+        now: time::Instant,
+        counts: impl Fn(&peers::PeerRecord) -> bool,
+    ) -> usize {
+        let rank = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        let own = rank(&self.settings.name);
+        let vms = self.peers.all();
+        let vms = vms.filter(|(_, peer)| peer.is_alive(now) && counts(peer));
+        vms.filter(|(name, _)| rank(name) < own).count()
     }
 }
--- a/crates/exchange/src/server.rs
+++ b/crates/exchange/src/server.rs
@@ -327,6 +327,12 @@
         }
     }
 
+    /// Returns whether the server has an entry, or accepts new work without one.
+    #[must_use]
+    pub fn is_in_use(&self, now: time::Instant) -> bool {
+        self.is_listed() || self.takes_work(now)
+    }
+
     /// Returns whether the server accepts new work.
     #[must_use]
     pub fn takes_work(&self, now: time::Instant) -> bool {
