review: a stream that goes on at its backup also stays at its old engine

Cause: on a leaving engine a run is sent to the engine that holds its copy, and the old run is kept until that one has answered, without a time limit. Change: case 1, a script with stand-ins of its own (store, engines, clients).

--- /dev/null
+++ b/review/standin/src/engine.rs
@@ -0,0 +1,297 @@
+//! Stand-in of a model engine that streams events, keeps copies of runs and continues from them.
+
+use std::collections::HashMap;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::http::{self, Message};
+use crate::record::Record;
+use crate::store::Store;
+
+/// Tokens of one event.
+pub const STRIDE: u64 = 4;
+
+pub struct Engine {
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    /// Requests that it works on at a time.
+    slots: u32,
+    /// Time between two events.
+    interval: Duration,
+    record: Record,
+    store: Store,
+    /// Whether the engine reports that it drains.
+    draining: AtomicBool,
+    /// Whether it registers itself.
+    registered: AtomicBool,
+    /// Whether it has ended: it then takes nothing and works on nothing.
+    ended: AtomicBool,
+    /// Whether the answer to the next continued run is lost.
+    pub loses_answer: Arc<AtomicBool>,
+    /// Requests that ran.
+    pub runs: AtomicU64,
+    sequence: AtomicU64,
+    /// Copies from moves, by handle: the events that they hold.
+    copies: Arc<Mutex<HashMap<String, u64>>>,
+    /// Events of each run at work here, and whether it was asked to stop.
+    at_work: Mutex<HashMap<String, (u64, bool)>>,
+}
+
+/// Copies of all engines, since a copy made by one is used at another.
+pub type Copies = Arc<Mutex<HashMap<String, u64>>>;
+
+impl Engine {
+    pub fn start(
+        id: &str,
+        address: SocketAddr,
+        zone: &str,
+        (slots, interval): (u32, Duration),
+        record: &Record,
+        store: &Store,
+        copies: &Copies,
+        loses_answer: &Arc<AtomicBool>,
+    ) -> io::Result<Arc<Self>> {
+        let engine = Arc::new(Self {
+            id: id.to_owned(),
+            address,
+            zone: zone.to_owned(),
+            slots,
+            interval,
+            record: record.clone(),
+            store: store.clone(),
+            draining: AtomicBool::new(false),
+            registered: AtomicBool::new(true),
+            ended: AtomicBool::new(false),
+            loses_answer: loses_answer.clone(),
+            runs: AtomicU64::new(0),
+            sequence: AtomicU64::new(0),
+            copies: copies.clone(),
+            at_work: Mutex::default(),
+        });
+        let serving = engine.clone();
+        http::serve(address, move |request, stream| {
+            serving.answer(request, stream)
+        })?;
+        let beating = engine.clone();
+        thread::spawn(move || loop {
+            if beating.registered.load(Ordering::Relaxed) {
+                beating.register();
+            }
+            thread::sleep(Duration::from_millis(1_200));
+        });
+        Ok(engine)
+    }
+
+    fn register(&self) {
+        let state = match self.draining.load(Ordering::Relaxed) {
+            true => "draining",
+            false => "ready",
+        };
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let entry = format!(
+            r#"{{"service":"review-llm","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","cold_left_ms":0,"seq":{sequence}}}"#,
+            self.address, self.zone, self.slots
+        );
+        self.store.put("keyed.servers", &self.id, entry.as_bytes());
+    }
+
+    /// Number of requests at work.
+    pub fn at_work(&self) -> usize {
+        self.at_work.lock().unwrap().len()
+    }
+
+    /// Reports that the engine leaves.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.register();
+        self.record
+            .note(&format!("engine {} reports draining", self.id));
+    }
+
+    /// Ends the engine after it has drained, and removes its entry.
+    pub fn end(&self) {
+        self.registered.store(false, Ordering::Relaxed);
+        self.ended.store(true, Ordering::Relaxed);
+        self.store.put("keyed.servers", &self.id, b"");
+        self.record.note(&format!("engine {} has ended", self.id));
+    }
+
+    fn answer(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        if self.ended.load(Ordering::Relaxed) {
+            return Ok(false);
+        }
+        let path = request.path.split('?').next().unwrap_or_default();
+        let json = [("Content-Type", "application/json")];
+        if path == "/healthz" {
+            let status = if self.draining.load(Ordering::Relaxed) {
+                503
+            } else {
+                200
+            };
+            return http::respond(stream, status, &[("Instance-Id", &self.id)], b"");
+        }
+        if path == "/pollenchute/hold-take" {
+            let number = self.sequence.fetch_add(1, Ordering::Relaxed);
+            let body = format!(r#"{{"hold":"h{number}"}}"#);
+            return http::respond(stream, 200, &json, body.as_bytes());
+        }
+        if path == "/pollenchute/kv-move" {
+            return self.copy(request, stream);
+        }
+        if path.starts_with("/pollenchute/") {
+            return http::respond(stream, 200, &json, b"{}");
+        }
+        self.run(request, stream)
+    }
+
+    fn copy(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let id = body
+            .split("\"id\":\"")
+            .nth(1)
+            .and_then(|it| it.split('"').next());
+        let id = id.unwrap_or_default().to_owned();
+        let last = body.contains("\"last\":true");
+        self.record.note(&format!(
+            "engine {} is asked to copy run {id}, last {last}",
+            self.id
+        ));
+        thread::sleep(Duration::from_millis(20));
+        let json = [("Content-Type", "application/json")];
+        let events = {
+            let mut at_work = self.at_work.lock().unwrap();
+            let Some(run) = at_work.get_mut(&id) else {
+                return http::respond(stream, 404, &json, b"{}");
+            };
+            run.1 |= last;
+            run.0
+        };
+        let handle = format!("m{id}");
+        let key = format!("{}/{handle}", self.address);
+        self.copies.lock().unwrap().insert(key, events);
+        let body = format!(r#"{{"handle":"{handle}","created":{events}}}"#);
+        http::respond(stream, 200, &json, body.as_bytes())
+    }
+
+    /// Runs a request: streams its events, from where it continues.
+    fn run(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let id = request.header("attempt-id").unwrap_or_default().to_owned();
+        let echo = [("Attempt-Id", id.as_str())];
+        if id.is_empty() {
+            return http::respond(stream, 400, &[("Not-Executed", "1")], b"");
+        }
+        if request
+            .header("expect-instance")
+            .is_some_and(|it| it != self.id)
+        {
+            return http::respond(stream, 421, &echo, b"");
+        }
+        let tokens = request
+            .header("token-usage")
+            .and_then(|it| it.split(',').nth(1)?.parse().ok());
+        let total = tokens.unwrap_or(STRIDE).div_ceil(STRIDE).max(1);
+        let from = request.header("kv-from");
+        let last_event = request
+            .header("last-event-id")
+            .and_then(|it| it.parse().ok());
+        let first = if from.is_some() {
+            last_event.unwrap_or(0)
+        } else {
+            0
+        };
+        let backup = request.header("kv-backup").unwrap_or("none");
+        self.runs.fetch_add(1, Ordering::Relaxed);
+        self.record.note(&format!(
+            "engine {} runs {id} after event {first} of {total}, continued from {}, backup at {backup}",
+            self.id,
+            from.unwrap_or("nothing"),
+        ));
+        let lost = from.is_some() && self.loses_answer.swap(false, Ordering::Relaxed);
+        if lost {
+            self.record.note(&format!(
+                "engine {}: the answer to this run of {id} is lost",
+                self.id
+            ));
+        }
+        self.at_work
+            .lock()
+            .unwrap()
+            .insert(id.clone(), (first, false));
+        let end = self.stream_events(&id, first, total, lost, stream);
+        self.at_work.lock().unwrap().remove(&id);
+        let end_text = match &end {
+            Ok(true) => "whole".to_owned(),
+            Ok(false) => "stopped or ended".to_owned(),
+            Err(error) => format!("dropped, since its connection closed ({})", error.kind()),
+        };
+        self.record.note(&format!(
+            "engine {}: its run of {id} ends: {end_text}",
+            self.id
+        ));
+        end.map(|whole| whole && !lost)
+    }
+
+    fn stream_events(
+        &self,
+        id: &str,
+        first: u64,
+        total: u64,
+        lost: bool,
+        stream: &mut TcpStream,
+    ) -> io::Result<bool> {
+        let mut head = Some(format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+             Attempt-Id: {id}\r\nSignature: sound.{}\r\n\r\n",
+            self.id
+        ));
+        for event in first + 1..=total {
+            thread::sleep(self.interval);
+            let stopped = self
+                .at_work
+                .lock()
+                .unwrap()
+                .get(id)
+                .is_some_and(|run| run.1);
+            if stopped || self.ended.load(Ordering::Relaxed) {
+                return Ok(false);
+            }
+            // An engine that notices that its connection has closed drops the run.
+            if is_closed(stream) {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            if let Some(run) = self.at_work.lock().unwrap().get_mut(id) {
+                run.0 = event;
+            }
+            self.record.worked(&self.id, id, event);
+            if lost {
+                continue;
+            }
+            let data = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+            let mut bytes = head.take().unwrap_or_default().into_bytes();
+            bytes.extend(format!("{:x}\r\n{data}\r\n", data.len()).into_bytes());
+            stream.write_all(&bytes)?;
+        }
+        if !lost {
+            stream.write_all(b"0\r\n\r\n")?;
+        }
+        Ok(true)
+    }
+}
+
+/// Whether the peer has closed or reset a connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut byte);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(0) => true,
+        Ok(_) => false,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
