review: a stream goes on from the memory of another one

Cause: control calls to engines take any answer on a kept connection for theirs; a surplus answer shifts all answers after it by one.

--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -1,6 +1,6 @@
 //! Stand-in of a model engine that streams events, keeps copies of runs and continues from them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -36,14 +36,23 @@
     /// Requests that ran.
     pub runs: AtomicU64,
     sequence: AtomicU64,
-    /// Copies from moves, by handle: the events that they hold.
-    copies: Arc<Mutex<HashMap<String, u64>>>,
+    /// Copies from moves.
+    copies: Copies,
     /// Events of each run at work here, and whether it was asked to stop.
     at_work: Mutex<HashMap<String, (u64, bool)>>,
+    /// Runs that have produced enough, and end with their next event.
+    complete: Mutex<HashSet<String>>,
+    /// Request whose answer is sent once more, late.
+    answered_twice: Mutex<Option<String>>,
+    /// Surplus answers, by connection: sent before the next answer there.
+    surplus: Mutex<HashMap<SocketAddr, Vec<u8>>>,
+    /// Time that a copy of a run takes.
+    copy_time: Mutex<Duration>,
 }
 
-/// Copies of all engines, since a copy made by one is used at another.
-pub type Copies = Arc<Mutex<HashMap<String, u64>>>;
+/// Copies of all engines, since a copy made by one is used at another: the run whose memory each
+/// holds, by the address of its source and its handle.
+pub type Copies = Arc<Mutex<HashMap<String, String>>>;
 
 impl Engine {
     pub fn start(
@@ -72,6 +81,10 @@
             sequence: AtomicU64::new(0),
             copies: copies.clone(),
             at_work: Mutex::default(),
+            complete: Mutex::default(),
+            answered_twice: Mutex::default(),
+            surplus: Mutex::default(),
+            copy_time: Mutex::new(Duration::from_millis(20)),
         });
         let serving = engine.clone();
         http::serve(address, move |request, stream| {
@@ -121,7 +134,30 @@
         self.record.note(&format!("engine {} has ended", self.id));
     }
 
+    /// Ends a run with its next event.
+    pub fn complete(&self, id: &str) {
+        self.complete.lock().unwrap().insert(id.to_owned());
+    }
+
+    /// Sends the answer to a request once more, where the next answer on its connection is expected.
+    pub fn answer_twice(&self, id: &str) {
+        *self.answered_twice.lock().unwrap() = Some(id.to_owned());
+    }
+
+    /// Sets the time that a copy of a run takes.
+    pub fn set_copy_time(&self, copy_time: Duration) {
+        *self.copy_time.lock().unwrap() = copy_time;
+    }
+
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let surplus = self.surplus.lock().unwrap().remove(&stream.peer_addr()?);
+        if let Some(surplus) = surplus {
+            let (id, path) = (&self.id, &request.path);
+            self.record.note(&format!(
+                "engine {id} sends a surplus answer before that to {path}"
+            ));
+            stream.write_all(&surplus)?;
+        }
         if self.ended.load(Ordering::Relaxed) {
             return Ok(false);
         }
@@ -161,7 +197,6 @@
             "engine {} is asked to copy run {id}, last {last}",
             self.id
         ));
-        thread::sleep(Duration::from_millis(20));
         let json = [("Content-Type", "application/json")];
         let events = {
             let mut at_work = self.at_work.lock().unwrap();
@@ -171,9 +206,11 @@
             run.1 |= last;
             run.0
         };
+        let copy_time = *self.copy_time.lock().unwrap();
+        thread::sleep(copy_time);
         let handle = format!("m{id}");
         let key = format!("{}/{handle}", self.address);
-        self.copies.lock().unwrap().insert(key, events);
+        self.copies.lock().unwrap().insert(key, id.clone());
         let body = format!(r#"{{"handle":"{handle}","created":{events}}}"#);
         http::respond(stream, 200, &json, body.as_bytes())
     }
@@ -205,9 +242,20 @@
             0
         };
         let backup = request.header("kv-backup").unwrap_or("none");
+        // A copy that an engine keeps up to date is named by the run. One from a move is used once.
+        let copied = from.and_then(|from| self.copies.lock().unwrap().remove(from));
+        let named = from
+            .and_then(|from| from.split_once('/'))
+            .map(|(_, name)| name.to_owned());
+        if from.is_some() && copied.is_none() && named.as_deref() != Some(&id) {
+            let headers = [("Attempt-Id", id.as_str()), ("Not-Executed", "1")];
+            return http::respond(stream, 503, &headers, b"");
+        }
+        let memory = copied.unwrap_or_else(|| id.clone());
         self.runs.fetch_add(1, Ordering::Relaxed);
         self.record.note(&format!(
-            "engine {} runs {id} after event {first} of {total}, continued from {}, backup at {backup}",
+            "engine {} runs {id} after event {first} of {total}, continued from {}, the memory of {memory}, backup at \
+             {backup}",
             self.id,
             from.unwrap_or("nothing"),
         ));
@@ -222,7 +270,7 @@
             .lock()
             .unwrap()
             .insert(id.clone(), (first, false));
-        let end = self.stream_events(&id, first, total, lost, stream);
+        let end = self.stream_events((&id, &memory), first, total, lost, stream);
         self.at_work.lock().unwrap().remove(&id);
         let end_text = match &end {
             Ok(true) => "whole".to_owned(),
@@ -238,7 +286,7 @@
 
     fn stream_events(
         &self,
-        id: &str,
+        (id, memory): (&str, &str),
         first: u64,
         total: u64,
         lost: bool,
@@ -249,6 +297,7 @@
              Attempt-Id: {id}\r\nSignature: sound.{}\r\n\r\n",
             self.id
         ));
+        let mut answer = Vec::new();
         for event in first + 1..=total {
             thread::sleep(self.interval);
             let stopped = self
@@ -271,14 +320,23 @@
             if lost {
                 continue;
             }
-            let data = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+            let data = format!("id: {event}\ndata: piece {event} of {memory}\n\n");
             let mut bytes = head.take().unwrap_or_default().into_bytes();
             bytes.extend(format!("{:x}\r\n{data}\r\n", data.len()).into_bytes());
             stream.write_all(&bytes)?;
+            answer.extend(bytes);
+            if self.complete.lock().unwrap().contains(id) {
+                break;
+            }
         }
         if !lost {
             stream.write_all(b"0\r\n\r\n")?;
         }
+        if self.answered_twice.lock().unwrap().as_deref() == Some(id) {
+            answer.extend(b"0\r\n\r\n");
+            let peer = stream.peer_addr()?;
+            self.surplus.lock().unwrap().insert(peer, answer);
+        }
         Ok(true)
     }
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod engine;
 mod http;
+mod mixed;
 mod record;
 mod stop;
 mod store;
@@ -16,6 +17,9 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+/// Time after which a case is given up.
+const MAX_TIME: std::time::Duration = std::time::Duration::from_secs(105);
+
 /// Outcome of a case.
 pub enum Verdict {
     Broken,
@@ -39,10 +43,17 @@
         eprintln!("no temporary folder: {error}");
         return ExitCode::from(2);
     }
+    std::thread::spawn(|| {
+        std::thread::sleep(MAX_TIME);
+        vm::kill_all();
+        eprintln!("the case took too long");
+        std::process::exit(2);
+    });
     let played = record::Record::create(&folder.join("record.txt"))
         .map_err(|error| error.to_string())
         .and_then(|record| {
             let played = match case.as_str() {
+                "mixed" => mixed::play(root, &temporary, &record, trouble),
                 "stop" => stop::play(root, &temporary, &record, trouble),
                 "switch" => switch::play(root, &temporary, &record, trouble),
                 _ => Err(format!("no case {case}")),
--- a/review/standin/src/vm.rs
+++ b/review/standin/src/vm.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Message};
@@ -25,6 +26,18 @@
     SocketAddr::new(loopback(index), port)
 }
 
+/// Ids of the processes that were started and are not ended yet.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started.
+pub fn kill_all() {
+    for id in STARTED.lock().unwrap().drain(..) {
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
+}
+
 pub struct Vm {
     pub entry: SocketAddr,
     pub ready: SocketAddr,
@@ -64,6 +77,7 @@
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
+        STARTED.lock().unwrap().push(child.id());
         Ok(Self {
             entry: SocketAddr::new(ip, 8740),
             ready: SocketAddr::new(ip, 8749),
@@ -108,6 +122,7 @@
 
 impl Drop for Vm {
     fn drop(&mut self) {
+        STARTED.lock().unwrap().retain(|id| *id != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
