review: a stopped stream without length ends as complete

Cause: a kv-move whose reused connection breaks is sent again, and a 409 to the second call counts as a proof that the run was not stopped. The end of the stopped stream, which has no length, is taken for the end of the run.

--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -160,26 +160,34 @@
     whole
 }
 
+/// What a client got of a stream.
+#[derive(Debug, Default)]
+pub struct Pieces {
+    pub pieces: Vec<String>,
+    /// Whether its answer ended as a complete one.
+    pub is_complete: bool,
+}
+
 /// Sends a stream with a prompt and an estimate of the output of so many tokens, and reads its events
-/// until it ends or breaks off. Returns their data.
+/// until it ends or breaks off.
 pub fn pieces(
     entry: SocketAddr,
     id: &str,
     (prompt, hint): (u64, u64),
     events: u64,
     record: &Record,
-) -> Vec<String> {
+) -> Pieces {
     let request = sized_request(id, id, (prompt, hint), events);
     let sent = http::send(entry, &request, PATIENCE);
     let Ok((response, mut reader)) = sent else {
         record.note(&format!("client: {id} has no answer"));
-        return Vec::new();
+        return Pieces::default();
     };
     record.note(&format!("client: {id} is answered {}", response.path));
     let mut text = String::new();
     let end = loop {
         match http::read_chunk(&mut reader) {
-            Ok(chunk) if chunk.is_empty() => break "whole".to_owned(),
+            Ok(chunk) if chunk.is_empty() => break "its answer ends as complete".to_owned(),
             Ok(chunk) => text.push_str(&String::from_utf8_lossy(&chunk)),
             Err(error) => break format!("broken off ({})", error.kind()),
         }
@@ -187,5 +195,8 @@
     let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
     let pieces: Vec<String> = data.map(str::to_owned).collect();
     record.note(&format!("client: {id} has {} events, {end}", pieces.len()));
-    pieces
+    Pieces {
+        pieces,
+        is_complete: end.starts_with("its answer ends"),
+    }
 }
--- a/review/standin/src/engine.rs
+++ b/review/standin/src/engine.rs
@@ -1,8 +1,9 @@
 //! Stand-in of a model engine that streams events, keeps copies of runs and continues from them.
 
 use std::collections::{HashMap, HashSet};
-use std::io::{self, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -48,8 +49,19 @@
     surplus: Mutex<HashMap<SocketAddr, Vec<u8>>>,
     /// Time that a copy of a run takes.
     copy_time: Mutex<Duration>,
+    /// Events of runs that were stopped for a copy, whose memory is kept.
+    stopped: Mutex<HashMap<String, u64>>,
+    /// Runs that are being copied.
+    copying: Arc<Mutex<HashSet<String>>>,
+    /// Request whose answer has no length and ends with its connection.
+    unframed: Mutex<Option<String>>,
+    /// Whether the connection of the next call that stops and copies a run is reset.
+    pub resets_copy: AtomicBool,
 }
 
+/// Time after which that connection is reset.
+const RESET_AFTER: Duration = Duration::from_millis(60);
+
 /// Copies of all engines, since a copy made by one is used at another: the run whose memory each
 /// holds, by the address of its source and its handle.
 pub type Copies = Arc<Mutex<HashMap<String, String>>>;
@@ -85,6 +97,10 @@
             answered_twice: Mutex::default(),
             surplus: Mutex::default(),
             copy_time: Mutex::new(Duration::from_millis(20)),
+            stopped: Mutex::default(),
+            copying: Arc::default(),
+            unframed: Mutex::default(),
+            resets_copy: AtomicBool::new(false),
         });
         let serving = engine.clone();
         http::serve(address, move |request, stream| {
@@ -144,12 +160,44 @@
         *self.answered_twice.lock().unwrap() = Some(id.to_owned());
     }
 
+    /// Answers a request without a length: its answer ends with its connection.
+    pub fn answer_unframed(&self, id: &str) {
+        *self.unframed.lock().unwrap() = Some(id.to_owned());
+    }
+
     /// Sets the time that a copy of a run takes.
     pub fn set_copy_time(&self, copy_time: Duration) {
         *self.copy_time.lock().unwrap() = copy_time;
     }
 
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let goes_on = self.answer_one(request, stream)?;
+        if !goes_on {
+            stream.shutdown(Shutdown::Write)?;
+            stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+            let _ = stream.read(&mut [0; 4_096]);
+        }
+        Ok(goes_on)
+    }
+
+    /// Responds to a call; an engine that leaves closes the connection.
+    fn respond(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<bool> {
+        let leaves = self.draining.load(Ordering::Relaxed);
+        let mut headers = headers.to_vec();
+        if leaves {
+            headers.push(("Connection", "close"));
+        }
+        http::respond(stream, status, &headers, body)?;
+        Ok(!leaves)
+    }
+
+    fn answer_one(&self, request: &Message, stream: &mut TcpStream) -> io::Result<bool> {
         let surplus = self.surplus.lock().unwrap().remove(&stream.peer_addr()?);
         if let Some(surplus) = surplus {
             let (id, path) = (&self.id, &request.path);
@@ -169,18 +217,18 @@
             } else {
                 200
             };
-            return http::respond(stream, status, &[("Instance-Id", &self.id)], b"");
+            return self.respond(stream, status, &[("Instance-Id", &self.id)], b"");
         }
         if path == "/pollenchute/hold-take" {
             let number = self.sequence.fetch_add(1, Ordering::Relaxed);
             let body = format!(r#"{{"hold":"h{number}"}}"#);
-            return http::respond(stream, 200, &json, body.as_bytes());
+            return self.respond(stream, 200, &json, body.as_bytes());
         }
         if path == "/pollenchute/kv-move" {
             return self.copy(request, stream);
         }
         if path.starts_with("/pollenchute/") {
-            return http::respond(stream, 200, &json, b"{}");
+            return self.respond(stream, 200, &json, b"{}");
         }
         self.run(request, stream)
     }
@@ -198,21 +246,53 @@
             self.id
         ));
         let json = [("Content-Type", "application/json")];
+        let handle = format!("m{id}");
+        let key = format!("{}/{handle}", self.address);
+        let reply = |events: u64| format!(r#"{{"handle":"{handle}","created":{events}}}"#);
+        let is_copied = self.copying.lock().unwrap().contains(&id);
+        if is_copied {
+            let engine = &self.id;
+            self.record
+                .note(&format!("engine {engine}: 409, {id} is being copied"));
+            return self.respond(stream, 409, &json, b"{}");
+        }
         let events = {
             let mut at_work = self.at_work.lock().unwrap();
-            let Some(run) = at_work.get_mut(&id) else {
-                return http::respond(stream, 404, &json, b"{}");
-            };
-            run.1 |= last;
-            run.0
+            let run = at_work.get_mut(&id);
+            let stopped = self.stopped.lock().unwrap().get(&id).copied();
+            match (run, stopped) {
+                (Some(run), _) => {
+                    run.1 |= last;
+                    run.0
+                }
+                // Stopped before, its memory is kept.
+                (None, Some(events)) => events,
+                (None, None) => return self.respond(stream, 404, &json, b"{}"),
+            }
         };
+        self.copying.lock().unwrap().insert(id.clone());
         let copy_time = *self.copy_time.lock().unwrap();
+        let (copies, copying) = (self.copies.clone(), self.copying.clone());
+        let finish = move || {
+            copies.lock().unwrap().insert(key, id.clone());
+            copying.lock().unwrap().remove(&id);
+        };
+        if last && self.resets_copy.swap(false, Ordering::Relaxed) {
+            thread::sleep(RESET_AFTER);
+            let engine = &self.id;
+            self.record.note(&format!(
+                "the connection of this call to {engine} is reset; the copy goes on"
+            ));
+            reset_on_close(stream);
+            thread::spawn(move || {
+                thread::sleep(copy_time.saturating_sub(RESET_AFTER));
+                finish();
+            });
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         thread::sleep(copy_time);
-        let handle = format!("m{id}");
-        let key = format!("{}/{handle}", self.address);
-        self.copies.lock().unwrap().insert(key, id.clone());
-        let body = format!(r#"{{"handle":"{handle}","created":{events}}}"#);
-        http::respond(stream, 200, &json, body.as_bytes())
+        finish();
+        self.respond(stream, 200, &json, reply(events).as_bytes())
     }
 
     /// Runs a request: streams its events, from where it continues.
@@ -220,13 +300,13 @@
         let id = request.header("attempt-id").unwrap_or_default().to_owned();
         let echo = [("Attempt-Id", id.as_str())];
         if id.is_empty() {
-            return http::respond(stream, 400, &[("Not-Executed", "1")], b"");
+            return self.respond(stream, 400, &[("Not-Executed", "1")], b"");
         }
         if request
             .header("expect-instance")
             .is_some_and(|it| it != self.id)
         {
-            return http::respond(stream, 421, &echo, b"");
+            return self.respond(stream, 421, &echo, b"");
         }
         let tokens = request
             .header("token-usage")
@@ -249,7 +329,7 @@
             .map(|(_, name)| name.to_owned());
         if from.is_some() && copied.is_none() && named.as_deref() != Some(&id) {
             let headers = [("Attempt-Id", id.as_str()), ("Not-Executed", "1")];
-            return http::respond(stream, 503, &headers, b"");
+            return self.respond(stream, 503, &headers, b"");
         }
         let memory = copied.unwrap_or_else(|| id.clone());
         self.runs.fetch_add(1, Ordering::Relaxed);
@@ -281,7 +361,8 @@
             "engine {}: its run of {id} ends: {end_text}",
             self.id
         ));
-        end.map(|whole| whole && !lost)
+        let is_unframed = self.unframed.lock().unwrap().as_deref() == Some(&id);
+        end.map(|whole| whole && !lost && !is_unframed)
     }
 
     fn stream_events(
@@ -292,8 +373,15 @@
         lost: bool,
         stream: &mut TcpStream,
     ) -> io::Result<bool> {
+        let is_unframed = self.unframed.lock().unwrap().as_deref() == Some(id);
+        let leaves = self.draining.load(Ordering::Relaxed);
+        let framing = match (is_unframed, leaves) {
+            (true, _) => "Connection: close",
+            (false, true) => "Transfer-Encoding: chunked\r\nConnection: close",
+            (false, false) => "Transfer-Encoding: chunked",
+        };
         let mut head = Some(format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n\
              Attempt-Id: {id}\r\nSignature: sound.{}\r\n\r\n",
             self.id
         ));
@@ -306,6 +394,10 @@
                 .unwrap()
                 .get(id)
                 .is_some_and(|run| run.1);
+            if stopped {
+                let mut runs = self.stopped.lock().unwrap();
+                runs.insert(id.to_owned(), event - 1);
+            }
             if stopped || self.ended.load(Ordering::Relaxed) {
                 return Ok(false);
             }
@@ -322,14 +414,18 @@
             }
             let data = format!("id: {event}\ndata: piece {event} of {memory}\n\n");
             let mut bytes = head.take().unwrap_or_default().into_bytes();
-            bytes.extend(format!("{:x}\r\n{data}\r\n", data.len()).into_bytes());
+            if is_unframed {
+                bytes.extend(data.into_bytes());
+            } else {
+                bytes.extend(format!("{:x}\r\n{data}\r\n", data.len()).into_bytes());
+            }
             stream.write_all(&bytes)?;
             answer.extend(bytes);
             if self.complete.lock().unwrap().contains(id) {
                 break;
             }
         }
-        if !lost {
+        if !lost && !is_unframed {
             stream.write_all(b"0\r\n\r\n")?;
         }
         if self.answered_twice.lock().unwrap().as_deref() == Some(id) {
@@ -353,3 +449,22 @@
         Err(error) => error.kind() != io::ErrorKind::WouldBlock,
     }
 }
+
+/// Lets a connection be reset when it is closed.
+fn reset_on_close(stream: &TcpStream) {
+    #[repr(C)]
+    struct Linger {
+        on: i32,
+        seconds: i32,
+    }
+    unsafe extern "C" {
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32)
+            -> i32;
+    }
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = Linger { on: 1, seconds: 0 };
+    let length = std::mem::size_of::<Linger>() as u32;
+    // SAFETY: the socket is open, and the value is of the size that is stated.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, length) };
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,11 +7,13 @@
 mod client;
 mod engine;
 mod http;
+mod leaving;
 mod mixed;
 mod record;
 mod stop;
 mod store;
 mod switch;
+mod truncated;
 mod vm;
 
 use std::path::Path;
@@ -55,6 +57,7 @@
             let played = match case.as_str() {
                 "mixed" => mixed::play(root, &temporary, &record, trouble),
                 "stop" => stop::play(root, &temporary, &record, trouble),
+                "truncated" => truncated::play(root, &temporary, &record, trouble),
                 "switch" => switch::play(root, &temporary, &record, trouble),
                 _ => Err(format!("no case {case}")),
             };
