exchange: a stream whose backup gives no answer does not stay at its old server

Cause: as its engine leaves, a stream goes on at the engine that holds its copy, and the old run goes on until that has answered. The wait had no limit, and an answer that was reset counted like a proof that it had not run: in both cases the old run went on beside one that may have begun.

Change: `resume` tells whether another server may have run the request. After an unknown outcome the old run is stopped and copied to a third engine, or to the same one if no other has room, and the stream goes on from its memory; the server without an answer is asked to stop the run, too. `switch` moves from moving.rs into switching.rs.

--- a/crates/exchange/src/endless.rs
+++ b/crates/exchange/src/endless.rs
@@ -46,7 +46,7 @@
     ) {
         match outcome {
             port::CallOutcome::Lost(port::LostCause::Broken) => self.record_lost_at(server).await,
-            port::CallOutcome::Lost(port::LostCause::Endless) => {
+            port::CallOutcome::Lost(port::LostCause::Endless | port::LostCause::Silent) => {
                 let failed = server::ServerVerdict::Failed;
                 self.plane.record_outcome(server, failed);
             }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod shares;
 pub mod state;
 pub mod stopping;
+mod switching;
 pub mod system;
 pub mod unsaved;
 pub mod update;
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -6,11 +6,13 @@
 //! if there is one. In each case the caller gets the events of the same run after the last complete
 //! one that it received.
 
+use std::rc;
+
 use base::outcome;
 use tokio::time;
 
 use crate::{
-    budget, fleet, loans, permit, port,
+    budget, fleet, loans, permit, plane, port,
     port::ResponseBody as _,
     serve_stream::{CopyPlace, LiveRun, RelayEnd, StreamDriver, millis},
     server,
@@ -39,6 +41,22 @@
 /// leave after a pause of two seconds.
 const MAX_RESUME_WAIT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Timeout for the answer of the server on which a run continues, while the old run goes on. Both may
+/// work on the request for 400 ms at most, in which the old one is also stopped; servers answer within
+/// 50 ms.
+const MAX_OVERLAP: time::Duration = time::Duration::from_millis(250);
+
+/// Result of the attempts to continue a run on other servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ResumeEnd {
+    /// It goes on there.
+    WentOn,
+    /// No other server has run it.
+    NotRun,
+    /// Another server may have run it, and may be at work on it.
+    MayRun,
+}
+
 /// A copy completed before its source ended. The output produced since is recomputed on the
 /// server that holds the copy. Without these copies, runs that waited for others on their engine's
 /// link were lost with the engine, about twice as many streams.
@@ -78,46 +96,42 @@
     !matches!(copied, Err(port::CopyFault::NoRun | port::CopyFault::Busy))
 }
 
-impl<P: port::ServerPort + 'static> StreamDriver<P> {
-    /// Continues the run on the server that holds its copy. Forwarding pauses meanwhile, so that no
-    /// event is sent twice; the run here continues until the one there has started.
-    pub(crate) async fn switch(
-        &mut self,
-        live: &mut LiveRun<P>,
-        to: fleet::ServerKey,
-    ) -> Option<RelayEnd> {
-        let copy = CopyPlace {
-            to,
-            counted: true,
-            fallback: None,
-            origin: to,
-            handle: self.request.id.clone(),
-        };
-        log::info!(
-            request:% = self.request.id, from:% = self.plane.server_id(live.placed.server),
-            to:% = self.plane.server_id(to), events = self.splitter.events();
-            "goes on at its backup"
-        );
-        let old = live.body.take();
-        if self.resume(live, copy).await {
-            self.splitter.drop_partial();
-            drop(old);
-            return None;
-        }
-        live.body = old;
-        // Events that arrived meanwhile waited for this VM, not for the engine.
-        self.pace.arrivals.interrupt();
-        if let Some(run) = self.plane.state().fleet.run_mut(live.placed.run) {
-            run.backup = None;
+impl<P: port::ServerPort + 'static> plane::ExchangePlane<P> {
+    /// Releases an unused copy. Otherwise it would hold a run's memory on its engine for another
+    /// five seconds, and keep other runs from moving there.
+    pub(crate) fn release_copy(
+        self: &rc::Rc<Self>,
+        source: port::ServerTarget,
+        handle: Option<String>,
+    ) {
+        let Some(handle) = handle else { return };
+        let key = self.state().fleet.find(&source.id);
+        if let Some(key) = key {
+            // A restricted server frees the copy itself once it expires.
+            if self.is_restricted(key) {
+                return;
+            }
+            self.count_request(key, "release");
         }
-        None
+        let plane = self.clone();
+        tokio::task::spawn_local(async move {
+            let sent = time::Instant::now();
+            let reply = plane.port.release(source, handle).await;
+            if let Some(key) = key {
+                plane.take_signals(key, sent, reply);
+            }
+        });
     }
+}
 
-    /// Copies the run while it continues, then stops it and copies the rest.
+impl<P: port::ServerPort + 'static> StreamDriver<P> {
+    /// Copies the run while it continues, then stops it and copies the rest. With `at_once`, it is
+    /// stopped for the first copy.
     pub(crate) async fn move_run(
         &mut self,
         live: &mut LiveRun<P>,
         to: fleet::ServerKey,
+        at_once: bool,
     ) -> Option<RelayEnd> {
         let source = self.plane.target(live.placed.server)?;
         let target = self.plane.target(to)?;
@@ -131,7 +145,7 @@
             // for them, and stops for the last part only once that is fast or time is short.
             // A limited server gets a single request for the copy.
             let limited = self.plane.is_limited(live.placed.server);
-            let stop = limited || links_free || notice.elapsed() > STOP_DELAY;
+            let stop = at_once || limited || links_free || notice.elapsed() > STOP_DELAY;
             let copy_started = time::Instant::now();
             if copies > 0 {
                 // The move is ordered again once the server takes the request.
@@ -206,7 +220,7 @@
         }
         let spare = self.spare.take().map(|spare| spare.handle);
         let made = copied.ok().map(|done| done.handle).or(spare);
-        self.release(source, made);
+        self.plane.release_copy(source, made);
     }
 
     /// Copies a run once, and forwards its output meanwhile. Also returns how its stream ended, if
@@ -260,32 +274,10 @@
         let handle = spare.handle.clone();
         let before = self.spare.replace(spare);
         if let Some(before) = before.filter(|before| before.handle != handle) {
-            self.release(source.clone(), Some(before.handle));
+            self.plane.release_copy(source.clone(), Some(before.handle));
         }
     }
 
-    /// Releases an unused copy. Otherwise it would hold a run's memory on its engine for another
-    /// five seconds, and keep other runs from moving there.
-    fn release(&self, source: port::ServerTarget, handle: Option<String>) {
-        let Some(handle) = handle else { return };
-        let plane = self.plane.clone();
-        let key = plane.state().fleet.find(&source.id);
-        if let Some(key) = key {
-            // A restricted server frees the copy itself once it expires.
-            if plane.is_restricted(key) {
-                return;
-            }
-            plane.count_request(key, "release");
-        }
-        tokio::task::spawn_local(async move {
-            let sent = time::Instant::now();
-            let reply = plane.port.release(source, handle).await;
-            if let Some(key) = key {
-                plane.take_signals(key, sent, reply);
-            }
-        });
-    }
-
     /// Forwards the last events of a stopped run.
     async fn forward_rest(&mut self, live: &mut LiveRun<P>) {
         let until = time::Instant::now() + REST_TIMEOUT;
@@ -298,8 +290,8 @@
     }
 
     /// Sends the request to the server on which it continues. On success the run is assigned to
-    /// that server.
-    pub(crate) async fn resume(&mut self, live: &mut LiveRun<P>, copy: CopyPlace) -> bool {
+    /// that server, and the body of the old run is dropped if it still goes on.
+    pub(crate) async fn resume(&mut self, live: &mut LiveRun<P>, copy: CopyPlace) -> ResumeEnd {
         let now = time::Instant::now();
         for server in std::iter::once(copy.to).chain(copy.fallback) {
             let moves = server != live.placed.server;
@@ -317,7 +309,7 @@
             };
             let backup = self.next_backup(server);
             let Some(origin) = self.plane.target(copy.origin) else {
-                return false;
+                return ResumeEnd::NotRun;
             };
             let resume = port::ResumePoint {
                 origin: origin.address,
@@ -328,7 +320,7 @@
             let Some(call) = self.call(live, Some(resume), server) else {
                 continue;
             };
-            match self.plane.send_attempt(call, server, permit).await {
+            match self.send_resume(live, call, server, permit).await {
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
                     self.moved(live, server);
                     self.spare = None;
@@ -339,7 +331,7 @@
                         request:% = self.request.id, server:% = self.plane.server_id(server),
                         ms = millis(now), last_event:? = self.splitter.last_id(); "goes on"
                     );
-                    return true;
+                    return ResumeEnd::WentOn;
                 }
                 other => {
                     self.record_lost_resume(server, &other).await;
@@ -350,12 +342,29 @@
                         ran:? = ran, ms = millis(now); "does not go on there"
                     );
                     if ran != outcome::RanState::No {
-                        return false;
+                        return ResumeEnd::MayRun;
                     }
                 }
             }
         }
-        false
+        ResumeEnd::NotRun
+    }
+
+    /// Sends an attempt to continue. While the old run goes on, the wait for the answer is limited:
+    /// the server may have begun, and both would work on the request.
+    async fn send_resume(
+        &self,
+        live: &LiveRun<P>,
+        call: port::ServerCall,
+        server: fleet::ServerKey,
+        permit: permit::AttemptPermit,
+    ) -> port::CallOutcome<P::Body> {
+        let sending = self.plane.send_attempt(call, server, permit);
+        if live.body.is_none() {
+            return sending.await;
+        }
+        let answer = time::timeout(MAX_OVERLAP, sending).await;
+        answer.unwrap_or(port::CallOutcome::Lost(port::LostCause::Silent))
     }
 
     /// Counts an attempt to go on against the limit of its server, unless that is done already.
@@ -469,12 +478,6 @@
         let Some(to) = backup else {
             return self.spare.take().and_then(SpareCopy::place);
         };
-        Some(CopyPlace {
-            to,
-            counted: false,
-            fallback: None,
-            origin: to,
-            handle: self.request.id.clone(),
-        })
+        Some(self.proactive_copy(to, false))
     }
 }
--- a/crates/exchange/src/port.rs
+++ b/crates/exchange/src/port.rs
@@ -91,6 +91,8 @@
     Garbled,
     /// The head of the response did not end within its limit in bytes or in time.
     Endless,
+    /// The server had not answered when the attempt was given up.
+    Silent,
 }
 
 /// Outcome of an attempt.
@@ -118,7 +120,8 @@
     pub const fn reached(&self) -> bool {
         !matches!(
             self,
-            Self::NotRun(NotRunCause::Unreachable) | Self::Lost(LostCause::Broken)
+            Self::NotRun(NotRunCause::Unreachable)
+                | Self::Lost(LostCause::Broken | LostCause::Silent)
         )
     }
 
--- a/crates/exchange/src/relocate.rs
+++ b/crates/exchange/src/relocate.rs
@@ -96,6 +96,19 @@
     {
         return Some(RelocationOrder::Switch(backup));
     }
+    copy_target(fleet, key, service, engine, now, rng).map(RelocationOrder::Move)
+}
+
+/// Returns the server to which a run can be copied from its server.
+pub fn copy_target(
+    fleet: &fleet::ServerFleet,
+    key: fleet::RunKey,
+    service: &str,
+    engine: &catalog::EngineRule,
+    now: time::Instant,
+    rng: &mut impl rand::Rng,
+) -> Option<fleet::ServerKey> {
+    let run = fleet.run(key)?;
     let superseded = fleet
         .server(run.server)
         .is_some_and(|server| server.superseded);
@@ -109,5 +122,5 @@
         service,
         need: run.pause_need(engine),
     };
-    place::choose_copy(fleet, engine, &request, now, rng).map(RelocationOrder::Move)
+    place::choose_copy(fleet, engine, &request, now, rng)
 }
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -1,6 +1,6 @@
 //! Streams: events are forwarded as they arrive, and a run may continue on another server.
 //!
-//! Moves of runs are implemented in `moving`.
+//! Moves of runs are implemented in `moving`, and the switch to a proactive copy in `switching`.
 
 use std::rc;
 
@@ -247,9 +247,9 @@
             live.body = None;
             let resumed = match copy {
                 Some(copy) if self.may_continue(&live) => self.resume(&mut live, copy).await,
-                _ => false,
+                _ => moving::ResumeEnd::NotRun,
             };
-            if !resumed {
+            if resumed != moving::ResumeEnd::WentOn {
                 return Err(self.lost());
             }
         }
@@ -467,7 +467,7 @@
             let end = match order {
                 _ if !self.may_continue(live) => None,
                 relocate::RelocationOrder::Switch(to) => self.switch(live, to).await,
-                relocate::RelocationOrder::Move(to) => self.move_run(live, to).await,
+                relocate::RelocationOrder::Move(to) => self.move_run(live, to, false).await,
             };
             if let Some(end) = end {
                 return end;
