exchange: requests without an answer get one before their VM has stopped

Cause: a stopping VM takes streams for 2.5 s, but the wait for a server (3.3 times the target latency) and every other wait before an answer knew nothing of the stop, and the end of the stop answered nobody.

Change: `stopping::StopTimes`, derived from the grace of the process. A stream waits for a server only while streams are accepted, and is then refused as not run, with the time to come back; one that would surely wait for longer is refused on arrival. Calls, streams without a head and requests handed to another VM get their final answer 0.1 s before the stop ends: 503 if nothing was sent, else 504. `plane.stop` takes the grace, so two tests pass it; what they check is unchanged.

--- a/crates/exchange/src/placing.rs
+++ b/crates/exchange/src/placing.rs
@@ -58,6 +58,12 @@
         waited: &mut Option<wait::WaitRecord>,
     ) -> Result<plane::PlacedRun<P>, reply::Refusal> {
         let now = time::Instant::now();
+        if self
+            .starts_until(request.kind)
+            .is_some_and(|until| now >= until)
+        {
+            return Err(self.refuse(request, reply::RefusalCause::Stopping));
+        }
         let basis = waited.map(|record| record.basis);
         let basis = basis.unwrap_or_else(|| self.state.borrow().rank_basis(request, now));
         let rank = basis.rank(now);
@@ -159,7 +165,7 @@
     }
 
     /// Waits until a server is assigned, the max wait ends, or the request can't start in time any
-    /// more.
+    /// more, also since this VM stops.
     async fn receive_assignment(
         &self,
         request: &request::ExchangeRequest,
@@ -170,11 +176,20 @@
         tokio::pin!(receiving);
         loop {
             let now = time::Instant::now();
+            let stop_begins = self.stop_begins.notified();
+            let starts_until = self.starts_until(request.kind);
             let check_at = record.next_check(now);
-            if let Ok(placed) = time::timeout_at(check_at, &mut receiving).await {
-                return placed.ok_or(reply::RefusalCause::Patience);
+            let check_at = starts_until.map_or(check_at, |until| until.min(check_at));
+            tokio::select! {
+                biased;
+                placed = &mut receiving => return placed.ok_or(reply::RefusalCause::Patience),
+                () = stop_begins => continue,
+                () = time::sleep_until(check_at) => {}
             }
             let now = time::Instant::now();
+            if starts_until.is_some_and(|until| now >= until) {
+                return Err(reply::RefusalCause::Stopping);
+            }
             if now >= record.until {
                 return Err(reply::RefusalCause::Patience);
             }
@@ -197,6 +212,10 @@
     ) -> Result<wait::WaitRecord, reply::RefusalCause> {
         let stream = request.kind == catalog::ExchangeKind::Stream;
         let max_wait = wait::max_wait(request.left(now), request.target_latency, stream);
+        let starts_until = self.starts_until(request.kind);
+        let max_wait = starts_until.map_or(max_wait, |until| {
+            max_wait.min(until.saturating_duration_since(now))
+        });
         let mut state = self.state.borrow_mut();
         let rank = basis.rank(now);
         let ahead = state.queue(&request.service).ahead(rank, now);
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -6,8 +6,8 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    accusing, catalog, fleet, message, permit, placing, port, relocate, reply, request, serve_call,
-    serve_stream, server, state, stopping, wait,
+    accusing, catalog, fleet, permit, placing, port, relocate, reply, request, serve_call,
+    serve_stream, server, state, wait,
 };
 
 /// Interval between checks of waiting requests and due moves, while there are any: a tenth of the
@@ -50,6 +50,8 @@
     pub(crate) servers_checked: tokio::sync::Notify,
     /// Signals that causes of crashes changed which are not saved in the store.
     pub(crate) crashes_unsaved: tokio::sync::Notify,
+    /// Signals that this VM begins to stop.
+    pub(crate) stop_begins: tokio::sync::Notify,
     /// Signals that this VM's system is known, or that the store does not name one.
     pub(crate) identified: tokio::sync::Notify,
     /// Number of requests without a final response.
@@ -105,6 +107,7 @@
             reach_changed: tokio::sync::Notify::new(),
             servers_checked: tokio::sync::Notify::new(),
             crashes_unsaved: tokio::sync::Notify::new(),
+            stop_begins: tokio::sync::Notify::new(),
             identified: tokio::sync::Notify::new(),
             open: cell::Cell::new(0),
             long_sent: cell::Cell::new(0),
@@ -133,14 +136,6 @@
         self.open.get()
     }
 
-    /// Begins to stop: this VM is no longer listed for callers, and finishes its running requests.
-    pub fn stop(&self) {
-        let mut state = self.state.borrow_mut();
-        state.stage = message::VmStage::Stopping;
-        state.stopping_since = Some(time::Instant::now());
-        self.announce.notify_one();
-    }
-
     /// Wakes the decision loop after a change that may affect waiting requests or moves.
     pub fn wake_decisions(&self) {
         self.decisions_due.notify_one();
@@ -498,8 +493,8 @@
             self.state.borrow_mut().count_first(&request.service, now);
             self.state.borrow_mut().record_demand(&request, now);
         }
-        let since = self.state.borrow().stopping_since;
-        if since.is_some_and(|since| !stopping::takes(request.kind, since, now)) {
+        let stop = self.state.borrow().stop;
+        if stop.is_some_and(|stop| now >= stop.accepts_until(request.kind)) {
             return Err(self.refuse(&request, reply::RefusalCause::Stopping));
         }
         if self.is_quarantined(&request) {
--- a/crates/exchange/src/reaching.rs
+++ b/crates/exchange/src/reaching.rs
@@ -152,9 +152,11 @@
             };
             tried.push(peer);
             let handing = self.hand_to(peer, request, permit);
-            let answer = match tokio::time::timeout_at(request.limit, handing).await {
-                Ok(answer) => answer,
-                Err(_) => return Some(Err(lost(reply::RefusalCause::Timeout))),
+            let answer = tokio::select! {
+                answer = handing => answer,
+                () = self.answer_due(request.limit) => {
+                    return Some(Err(lost(reply::RefusalCause::Timeout)));
+                }
             };
             let is_idempotent = request.kind == catalog::ExchangeKind::Idempotent;
             match answer {
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -63,10 +63,12 @@
         ran: outcome::RanState::No,
         guard: Some(guard),
     };
-    match time::timeout_at(request.limit, call.run()).await {
-        Ok(end) => end,
-        Err(_) => Err(call.timed_out()),
+    tokio::select! {
+        biased;
+        end = call.run() => return end,
+        () = plane.answer_due(request.limit) => {}
     }
+    Err(call.timed_out())
 }
 
 struct CallState<'a, P: port::ServerPort, G> {
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -49,11 +49,12 @@
     attempts: permit::SharedAttempts,
     guard: G,
 ) -> Result<reply::Reply, reply::Refusal> {
-    let (head, head_receiver) = oneshot::channel();
+    let (head, mut head_receiver) = oneshot::channel();
     let (parts, parts_receiver) = mpsc::channel(MAX_BUFFERED_PARTS);
-    let plane = plane.clone();
+    let (give_up, given_up) = oneshot::channel();
+    let (driven, limit) = (plane.clone(), request.limit);
     tokio::task::spawn_local(async move {
-        drive(plane, request, attempts, head, parts).await;
+        drive(driven, request, attempts, head, parts, given_up).await;
         drop(guard);
     });
     let lost = reply::Refusal {
@@ -61,7 +62,19 @@
         ran: outcome::RanState::Unknown,
         retry_after: None,
     };
-    let head = head_receiver.await.map_err(|_| lost)??;
+    let answered = tokio::select! {
+        biased;
+        head = &mut head_receiver => Some(head),
+        () = plane.answer_due(limit) => None,
+    };
+    let head = match answered {
+        Some(head) => head,
+        None => {
+            let _ = give_up.send(());
+            head_receiver.await
+        }
+    };
+    let head = head.map_err(|_| lost)??;
     let body = reply::ReplyBody::Parts(parts_receiver);
     Ok(reply::Reply {
         status: head.status,
@@ -77,6 +90,7 @@
     attempts: permit::SharedAttempts,
     head: HeadSender,
     parts: mpsc::Sender<reply::StreamPart>,
+    given_up: oneshot::Receiver<()>,
 ) {
     let watched = parts.clone();
     let mut driver = StreamDriver {
@@ -95,6 +109,7 @@
     let ended = tokio::select! {
         biased;
         () = watched.closed() => Err("caller left"),
+        Ok(()) = given_up => Err("not answered in time"),
         () = time::sleep_until(request.limit) => Err("out of time"),
         end = driver.run() => Ok(end),
     };
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -10,7 +10,7 @@
 use crate::{
     budget, capacity, catalog, cold, crashes, delta, directory, era, evacuation, fair, fleet,
     forecast, limits, loans, message, notices, peers, place, port, reach, relocate, repeats,
-    request, returning, runs, server, system, update, wait,
+    request, returning, runs, server, stopping, system, update, wait,
 };
 
 /// Settings of the plane, fixed at its start.
@@ -77,8 +77,8 @@
     pub sequence: u64,
     /// Stage of this VM.
     pub stage: message::VmStage,
-    /// When this VM began to stop.
-    pub stopping_since: Option<time::Instant>,
+    /// Times of the stop of this VM, once it has begun.
+    pub stop: Option<stopping::StopTimes>,
     /// When the store last recovered from an outage.
     pub store_recovered_at: Option<time::Instant>,
     /// Whether the last call to the store failed.
@@ -144,7 +144,7 @@
             started_at: time::Instant::now(),
             sequence: 0,
             stage: message::VmStage::Starting,
-            stopping_since: None,
+            stop: None,
             store_recovered_at: None,
             store_unavailable: false,
             era: era::EraBelief::default(),
--- a/crates/exchange/src/stopping.rs
+++ b/crates/exchange/src/stopping.rs
@@ -2,7 +2,7 @@
 
 use tokio::time;
 
-use crate::{catalog, plane};
+use crate::{catalog, message, plane};
 
 /// Min duration of a stop, in which callers learn of it: a lookup's result is cached for 1.5 s, by
 /// some callers for three times as long.
@@ -12,27 +12,96 @@
 /// Interval between checks whether all requests have ended.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
-/// How long after the start of a stop streams are accepted: some last longer than the time that is
-/// left, and would be cut off when the process ends.
+/// Time before the end of a stop at which each request has its answer, or its head: the answers are
+/// written in it.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(100);
+
+/// How long after the start of a stop streams are accepted and sent to servers: some last longer than
+/// the time that is left, and would be cut off when the process ends.
 const STREAM_ACCEPT_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// How long after the start of a stop calls are accepted; they take at most a second.
 const CALL_ACCEPT_TIME: time::Duration = time::Duration::from_millis(6_000);
 
-/// Returns whether a VM that has been stopping since `since` still accepts a request of this kind.
-#[must_use]
-pub fn takes(kind: catalog::ExchangeKind, since: time::Instant, now: time::Instant) -> bool {
-    let accept_time = match kind {
-        catalog::ExchangeKind::Stream => STREAM_ACCEPT_TIME,
-        _ => CALL_ACCEPT_TIME,
-    };
-    now.saturating_duration_since(since) < accept_time
+/// Times of a stop that has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopTimes {
+    began: time::Instant,
+    /// When the process stops waiting for running requests; shortly before it is killed.
+    end: time::Instant,
+}
+
+impl StopTimes {
+    /// A stop that begins at `began`, of a process that is killed after `grace`.
+    #[must_use]
+    pub fn new(began: time::Instant, grace: time::Duration) -> Self {
+        let end = began + grace.saturating_sub(KILL_MARGIN);
+        Self { began, end }
+    }
+
+    /// When each request without an answer gets its final one.
+    #[must_use]
+    pub fn answers_due(&self) -> time::Instant {
+        self.began.max(self.end - ANSWER_MARGIN)
+    }
+
+    /// Until when requests of this kind are accepted.
+    #[must_use]
+    pub fn accepts_until(&self, kind: catalog::ExchangeKind) -> time::Instant {
+        let accept_time = match kind {
+            catalog::ExchangeKind::Stream => STREAM_ACCEPT_TIME,
+            _ => CALL_ACCEPT_TIME,
+        };
+        self.answers_due().min(self.began + accept_time)
+    }
+
+    /// Until when requests of this kind may be sent to servers, and wait for them.
+    #[must_use]
+    pub fn starts_until(&self, kind: catalog::ExchangeKind) -> time::Instant {
+        match kind {
+            catalog::ExchangeKind::Stream => self.accepts_until(kind),
+            _ => self.answers_due(),
+        }
+    }
+}
+
+impl<P> plane::ExchangePlane<P> {
+    /// Begins to stop: this VM is no longer listed for callers, and finishes its running requests
+    /// within `grace`.
+    pub fn stop(&self, grace: time::Duration) {
+        {
+            let mut state = self.state();
+            state.stage = message::VmStage::Stopping;
+            state.stop = Some(StopTimes::new(time::Instant::now(), grace));
+        }
+        self.announce.notify_one();
+        self.stop_begins.notify_waiters();
+    }
+
+    /// Until when a request of this kind may be sent to a server, if this VM stops.
+    pub(crate) fn starts_until(&self, kind: catalog::ExchangeKind) -> Option<time::Instant> {
+        let stop = self.state().stop;
+        stop.map(|stop| stop.starts_until(kind))
+    }
+
+    /// Waits until a request without an answer gets its final one: at `limit`, or before this VM has
+    /// stopped.
+    pub(crate) async fn answer_due(&self, limit: time::Instant) {
+        loop {
+            let begins = self.stop_begins.notified();
+            let stop = self.state().stop;
+            let due = stop.map_or(limit, |stop| stop.answers_due().min(limit));
+            if time::timeout_at(due, begins).await.is_err() {
+                return;
+            }
+        }
+    }
 }
 
 /// Announces the stop to callers, then waits until the running requests end, within `grace`.
 pub async fn drain<P>(plane: &plane::ExchangePlane<P>, grace: time::Duration) {
     let started = time::Instant::now();
     log::info!(open = plane.open_requests(); "stopping");
-    plane.stop();
+    plane.stop(grace);
     let max = grace.saturating_sub(KILL_MARGIN);
     loop {
         let elapsed = started.elapsed();
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -845,6 +845,9 @@
 /// Time that VMs have run which are not said to have just started.
 pub const UPTIME: time::Duration = time::Duration::from_secs(60);
 
+/// Time after which a VM that stops is killed.
+pub const GRACE: time::Duration = time::Duration::from_secs(8);
+
 /// A plane with two plain servers (`s1`, `s2`) and two engines (`e1`, `e2`), which has run for a
 /// while.
 pub fn plane() -> TestPlane {
--- a/crates/exchange/tests/handovers.rs
+++ b/crates/exchange/tests/handovers.rs
@@ -395,7 +395,7 @@
     cluster::run(async {
         let vms = TestVms::new(3);
         vms.cut(0, PathCut::Refused).await;
-        vms.planes[1].stop();
+        vms.planes[1].stop(cluster::GRACE);
         tokio::time::sleep(time::Duration::from_millis(6_500)).await;
         vms.tell_all();
         let before = vms.planes[1].port().seen.borrow().len();
--- a/crates/exchange/tests/streams.rs
+++ b/crates/exchange/tests/streams.rs
@@ -351,7 +351,7 @@
     cluster::run(async {
         let plane = cluster::plane();
         script_both(&plane, &ServerScript::Events(20, INTERVAL));
-        plane.stop();
+        plane.stop(cluster::GRACE);
         tokio::time::sleep(time::Duration::from_secs(1)).await;
         let reply = plane.serve(stream("a")).await.expect("early enough");
         assert!(cluster::read(cluster::parts(reply)).await.complete);
