--- a/crates/exchange/src/handed.rs
+++ b/crates/exchange/src/handed.rs
@@ -142,6 +142,9 @@
     /// Delay before a retry, in milliseconds.
     #[prost(uint64, optional, tag = "5")]
     pub retry_after_ms: Option<u64>,
+    /// Id of the request that is answered; empty from a VM of an earlier version.
+    #[prost(string, tag = "6")]
+    pub request: String,
 }
 
 /// The first bytes of an answer are no head.
@@ -332,6 +335,18 @@
         }
     }
 
+    /// The same head with the id of the request that it answers.
+    #[must_use]
+    pub fn answering(self, request: String) -> Self {
+        Self { request, ..self }
+    }
+
+    /// Whether it answers another request than that with this id.
+    #[must_use]
+    pub fn is_foreign(&self, request: &str) -> bool {
+        !self.request.is_empty() && self.request != request
+    }
+
     /// Encodes the head with its length.
     #[must_use]
     pub fn encode_with_length(&self) -> Bytes {
--- a/crates/exchange/src/handover.rs
+++ b/crates/exchange/src/handover.rs
@@ -69,6 +69,7 @@
         _proof: permit::PermitProof,
     ) -> Result<HandedAnswer, HandoverError> {
         let streams = request.is_stream();
+        let id = request.id.clone();
         let left = time::Duration::from_millis(request.limit_ms);
         let message = Bytes::from(request.encode_to_vec());
         let http_request = http::Request::builder()
@@ -90,6 +91,7 @@
             }
         };
         let answer = AnswerReader {
+            request: id,
             body: response.into_body(),
             connection,
             pool: self.pool.clone(),
@@ -100,6 +102,8 @@
 
 /// Answer of another VM that is being received.
 struct AnswerReader {
+    /// Id of the request.
+    request: String,
     body: Incoming,
     connection: pool::LiveConnection,
     pool: pool::ConnectionPool,
@@ -117,6 +121,10 @@
             let part = self.next().await.ok_or(HandoverError::Lost)?;
             first.extend_from_slice(&part?);
         };
+        if head.is_foreign(&self.request) {
+            log::info!(request:% = self.request, answered:% = head.request; "answer to another request");
+            return Err(HandoverError::Lost);
+        }
         let (status, headers) = match head.into_result().ok_or(HandoverError::Lost)? {
             Ok(head) => head,
             Err(refusal) => {
@@ -205,7 +213,10 @@
 ) -> http::Response<body::ReplyStream> {
     let is_stopping = plane.state().stage == message::VmStage::Stopping;
     let mut response = match read_request(&plane, http_request).await {
-        Ok(request) => handed_response(plane.serve(request).await),
+        Ok(request) => {
+            let id = request.id.clone();
+            handed_response(id, plane.serve(request).await)
+        }
         Err(status) => {
             let mut response = http::Response::new(body::ReplyStream::complete(Bytes::new()));
             *response.status_mut() = status;
@@ -266,7 +277,7 @@
     Some(request)
 }
 
-fn handed_response(answer: HandedAnswer) -> http::Response<body::ReplyStream> {
+fn handed_response(request: String, answer: HandedAnswer) -> http::Response<body::ReplyStream> {
     let (head, rest) = match answer {
         Ok(reply) => {
             let head = handed::AnswerHead::of_reply(&reply);
@@ -277,5 +288,6 @@
             (head, body::ReplyStream::complete(Bytes::new()))
         }
     };
+    let head = head.answering(request);
     http::Response::new(rest.after(head.encode_with_length()))
 }
