exchange: a call whose server closes right after the head is not answered with an empty success

Cause: the body of an answer without length ends with its connection, and a server that stops after its head closes it, too.

Change: the success of a call without length and without a byte counts as broken off, as that of a stream without an event does.

--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -427,6 +427,11 @@
             placed,
             watch,
         }),
+        // Only the close of its connection ended it, which a server that stops also causes.
+        Some(None) if status.is_success() && first.is_empty() && !body.is_delimited() => {
+            watch.settle();
+            AttemptEnd::Lost
+        }
         Some(None) => {
             watch.settle();
             AttemptEnd::Complete(CompleteResponse {
