exchange: a run that may have been stopped goes on from its memory

Cause: the connection of the call that stops a run for its move was reset, the client repeated the call by itself, and 409 to the second call counted as a proof that the run was not stopped. The memory of the stopped run was used by nobody.

Change: after a call to stop a run without an answer the plane repeats it for up to 0.6 s, also through "another call is in progress", unless the stream of the run was reset, each call counted against the limit of its server. How the stream ended is kept meanwhile.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -27,6 +27,12 @@
 /// 1.5 to 2.1 s after the notice.
 const STOP_DELAY: time::Duration = time::Duration::from_millis(1_150);
 
+/// Time for which a call to stop a run is repeated after one without an answer. A copy takes some
+/// 300 ms, and is answered once it is complete.
+const MAX_STOP_REPEATS: time::Duration = time::Duration::from_millis(600);
+/// Interval between these calls.
+const STOP_REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(40);
+
 /// Delay before a run is moved again that was stopped and found no room.
 const NO_ROOM_DELAY: time::Duration = time::Duration::from_millis(800);
 /// Time after a server's notice within which a run may continue there: the users allow new work for
@@ -57,6 +63,9 @@
     MayRun,
 }
 
+/// Result of a copy, and how the stream of its run ended, if it did.
+type CopyEnd = (Result<port::CopyDone, port::CopyFault>, Option<RelayEnd>);
+
 /// A copy completed before its source ended. The output produced since is recomputed on the
 /// server that holds the copy. Without these copies, runs that waited for others on their engine's
 /// link were lost with the engine, about twice as many streams.
@@ -155,7 +164,12 @@
                 self.plane.count_request(live.placed.server, "copy");
             }
             copies += 1;
-            let (copied, ended) = self.copy_once(live, &source, &target, stop).await;
+            let first = self.copy_once(live, &source, &target, stop, None).await;
+            let (copied, ended) = if stop {
+                self.repeat_stop(live, &source, &target, first).await
+            } else {
+                first
+            };
             log::info!(
                 request:% = self.request.id, from:% = source.id, to:% = target.id, stop,
                 outcome:? = copied, ms = millis(started); "copied"
@@ -223,15 +237,43 @@
         self.plane.release_copy(source, made);
     }
 
-    /// Copies a run once, and forwards its output meanwhile. Also returns how its stream ended, if
-    /// it did.
+    /// Repeats a call to stop and copy a run while it is unknown what became of it: the server may
+    /// have stopped the run, and keeps its memory. Without an answer nobody could use that.
+    async fn repeat_stop(
+        &mut self,
+        live: &mut LiveRun<P>,
+        source: &port::ServerTarget,
+        target: &port::ServerTarget,
+        first: CopyEnd,
+    ) -> CopyEnd {
+        let until = time::Instant::now() + MAX_STOP_REPEATS;
+        let (mut copied, mut ended) = first;
+        while matches!(
+            copied,
+            Err(port::CopyFault::Unreachable | port::CopyFault::Busy)
+        ) {
+            time::sleep(STOP_REPEAT_INTERVAL).await;
+            let server = live.placed.server;
+            let is_late = time::Instant::now() >= until;
+            if is_late || live.body.is_none() || !self.plane.may_send(server) {
+                break;
+            }
+            self.plane.count_request(server, "copy");
+            (copied, ended) = self.copy_once(live, source, target, true, ended).await;
+        }
+        (copied, ended)
+    }
+
+    /// Copies a run once, and forwards its output meanwhile, unless its stream has ended. Also returns
+    /// how its stream ended, if it did.
     async fn copy_once(
         &mut self,
         live: &mut LiveRun<P>,
         source: &port::ServerTarget,
         target: &port::ServerTarget,
         stop: bool,
-    ) -> (Result<port::CopyDone, port::CopyFault>, Option<RelayEnd>) {
+        mut ended: Option<RelayEnd>,
+    ) -> CopyEnd {
         let plane = self.plane.clone();
         let run = self.request.id.clone();
         let from = live.placed.server;
@@ -241,7 +283,7 @@
         }
         let copying = plane.port.copy(source.clone(), run, target.address, stop);
         tokio::pin!(copying);
-        let mut ended = None;
+        let mut was_reset = false;
         let copied = loop {
             let Some(body) = live.body.as_mut() else {
                 return (Err(port::CopyFault::Unreachable), Some(RelayEnd::Broken));
@@ -254,11 +296,17 @@
                         ended = Some(RelayEnd::Broken);
                     }
                     Some(Ok(_)) => {}
-                    Some(Err(_)) => ended = Some(RelayEnd::Broken),
+                    Some(Err(_)) => {
+                        was_reset = true;
+                        ended = Some(RelayEnd::Broken);
+                    }
                     None => ended = Some(self.end_of_body(live)),
                 },
             }
         };
+        if was_reset {
+            live.body = None;
+        }
         if stop && may_have_stopped(&copied) {
             live.may_be_stopped = true;
             if matches!(ended, Some(RelayEnd::Finished)) {
--- a/crates/exchange/tests/moves.rs
+++ b/crates/exchange/tests/moves.rs
@@ -103,3 +103,81 @@
         assert_eq!(plane.port().seen.borrow().len(), 1);
     });
 }
+
+/// Plays a stream without length on a server that leaves, whose calls to stop it get these results.
+/// Returns the plane and what the caller got.
+async fn play_stop(
+    results: Vec<Result<port::CopyDone, port::CopyFault>>,
+) -> (cluster::TestPlane, cluster::ReadStream) {
+    let plane = cluster::plane();
+    plane.state().settings.backups = false;
+    plane.port().undelimited.set(true);
+    cluster::start(&plane);
+    for server in ["e1", "e2"] {
+        for _ in 0..2 {
+            let script = cluster::ServerScript::Events(200, time::Duration::from_millis(20));
+            plane.port().push_script(server, script);
+        }
+    }
+    let request = cluster::request("r1", catalog::ExchangeKind::Stream);
+    let reply = plane.serve(request).await.expect("served");
+    let server = plane.port().seen.borrow()[0].server.clone();
+    // While it is copied first, the run goes on.
+    let first = port::CopyDone {
+        handle: String::from("h1"),
+        events: 3,
+    };
+    let results = std::iter::once(Ok(first)).chain(results);
+    plane.port().copies.borrow_mut().extend(results);
+    let number = if server == "e1" { 11 } else { 12 };
+    cluster::leave(&plane, &server, number);
+    let read = cluster::read(cluster::parts(reply)).await;
+    (plane, read)
+}
+
+#[test]
+fn a_run_that_may_have_been_stopped_goes_on_from_its_memory() {
+    // Guards against a stream that is lost, or ends early as complete, because the connection of the call
+    // that stops it was reset: the server keeps its memory, and answers a repeated call.
+    let done = || {
+        Ok(port::CopyDone {
+            handle: String::from("h2"),
+            events: 9,
+        })
+    };
+    let (lost, busy) = (port::CopyFault::Unreachable, port::CopyFault::Busy);
+    for busy_calls in [0, 1, 6] {
+        cluster::run(async {
+            let mut results = vec![Err(lost.clone())];
+            results.extend(vec![Err(busy.clone()); busy_calls]);
+            results.push(done());
+            let (plane, read) = play_stop(results).await;
+            assert!(read.complete, "{busy_calls}: {}", read.text.len());
+            assert_eq!(read.text, cluster::events(200));
+            let seen = plane.port().seen.borrow();
+            let resume = seen.last().and_then(|call| call.resume.clone());
+            assert_eq!(resume.map(|resume| resume.handle), Some(String::from("h2")));
+        });
+    }
+}
+
+#[test]
+fn a_run_that_may_have_been_stopped_never_ends_as_complete() {
+    // Guards against a stream that ends early as complete: after a call without an answer, neither "no
+    // such run" nor "another call is in progress" proves that it was not stopped.
+    for fault in [
+        port::CopyFault::Busy,
+        port::CopyFault::NoRun,
+        port::CopyFault::Unreachable,
+    ] {
+        cluster::run(async {
+            let mut results = vec![Err(port::CopyFault::Unreachable)];
+            results.extend(vec![Err(fault.clone()); 60]);
+            let (plane, read) = play_stop(results).await;
+            let all = read.text == cluster::events(200);
+            assert!(!read.complete || all, "{fault:?}: {}", read.text.len());
+            let calls = plane.port().copied.borrow().len();
+            assert!(calls <= 24, "{fault:?}: {calls} calls");
+        });
+    }
+}
