exchange: an event that comes once more where a stream goes on is not forwarded

What is shown is that nothing compared ids: a server that sends the last event once more, though it was told to go on after it, got it forwarded a second time.

Change: after a continuation, events with the id of the last forwarded one are dropped and counted (`pollenchute_exchange_repeated_events_total`). Ids increase within a stream, so that only repeats have it.

--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -29,6 +29,8 @@
     inside_event: bool,
     /// Whether an event was forwarded before it was complete.
     has_split_event: bool,
+    /// Whether the next event is the first one of a continued run.
+    is_continued: bool,
     /// Progress of the event that the bytes so far end in.
     pub(crate) progress: endless::EventProgress,
     /// Counts the bytes in `buffer`.
@@ -41,6 +43,7 @@
     /// Appends bytes and returns all events that are now complete, or nothing.
     pub fn take(&mut self, bytes: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(bytes);
+        self.drop_repeated();
         let mut end = 0;
         let mut at = self.scanned_bytes.saturating_sub(3);
         while let Some(after) = end_of_event(&self.buffer, at) {
@@ -71,8 +74,24 @@
         }
     }
 
+    /// Discards the last complete event if it comes once more at the begin of a continued run.
+    fn drop_repeated(&mut self) {
+        while self.is_continued
+            && let Some(after) = end_of_event(&self.buffer, 0)
+        {
+            let id = event_id(&self.buffer[..after]);
+            self.is_continued = id.is_some() && id == self.last_id;
+            if self.is_continued {
+                metrics::counter!("pollenchute_exchange_repeated_events_total").increment(1);
+                self.buffer.advance(after);
+                self.scanned_bytes = 0;
+            }
+        }
+    }
+
     /// Discards a partial event, since the run continues after the last complete one.
     pub fn drop_partial(&mut self) {
+        self.is_continued = true;
         self.buffer.clear();
         self.scanned_bytes = 0;
         self.progress = endless::EventProgress::default();
@@ -119,14 +138,20 @@
 
     fn record_event(&mut self, start: usize, end: usize) {
         self.events += 1;
-        for line in self.buffer[start..end].split(|&byte| byte == b'\n') {
-            if let Some(id) = line.strip_prefix(b"id:") {
-                self.last_id = Some(String::from_utf8_lossy(id).trim().to_owned());
-            }
+        if let Some(id) = event_id(&self.buffer[start..end]) {
+            self.last_id = Some(id);
         }
     }
 }
 
+/// Returns the id of an event.
+fn event_id(event: &[u8]) -> Option<String> {
+    let mut lines = event.split(|&byte| byte == b'\n');
+    let id = lines.rfind(|line| line.starts_with(b"id:"))?;
+    let id = String::from_utf8_lossy(&id["id:".len()..]);
+    Some(id.trim().to_owned())
+}
+
 /// Returns the position after the blank line of the first event that ends at or after `from`.
 fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
     (from..bytes.len()).find_map(|at| {
--- a/crates/exchange/tests/broken_streams.rs
+++ b/crates/exchange/tests/broken_streams.rs
@@ -333,3 +333,29 @@
         });
     }
 }
+
+#[test]
+fn an_event_that_comes_once_more_where_a_stream_goes_on_is_not_forwarded() {
+    // Guards against an event that a caller gets twice: a server sends the last one again, though it was
+    // told to go on after it.
+    let before = cluster::events(5);
+    let after: String = (4..9).map(|id| format!("id: {id}\ndata: x\n\n")).collect();
+    for part_bytes in [1, 2, 7, 1_000] {
+        for partial in ["", "id: 5", "id: 5\ndata: x\n"] {
+            let mut splitter = event::EventSplitter::default();
+            let mut text = splitter.take(before.as_bytes()).to_vec();
+            text.extend(splitter.take(partial.as_bytes()));
+            splitter.drop_partial();
+            for part in after.as_bytes().chunks(part_bytes) {
+                text.extend(splitter.take(part));
+            }
+            let all = cluster::events(9);
+            assert_eq!(
+                String::from_utf8_lossy(&text),
+                all,
+                "{part_bytes} {partial:?}"
+            );
+            assert_eq!(splitter.events(), 9);
+        }
+    }
+}
