--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod catchup;
 pub mod cold;
 pub mod content;
+mod copying;
 pub mod crash_items;
 pub mod crash_news;
 pub mod crash_store;
--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -6,13 +6,11 @@
 //! if there is one. In each case the caller gets the events of the same run after the last complete
 //! one that it received.
 
-use std::rc;
-
 use base::outcome;
 use tokio::time;
 
 use crate::{
-    budget, fleet, loans, permit, plane, port,
+    budget, fleet, loans, permit, port,
     port::ResponseBody as _,
     serve_stream::{CopyPlace, LiveRun, RelayEnd, StreamDriver, millis},
     server,
@@ -27,12 +25,6 @@
 /// 1.5 to 2.1 s after the notice.
 const STOP_DELAY: time::Duration = time::Duration::from_millis(1_150);
 
-/// Time for which a call to stop a run is repeated after one without an answer. A copy takes some
-/// 300 ms, and is answered once it is complete.
-const MAX_STOP_REPEATS: time::Duration = time::Duration::from_millis(600);
-/// Interval between these calls.
-const STOP_REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(40);
-
 /// Delay before a run is moved again that was stopped and found no room.
 const NO_ROOM_DELAY: time::Duration = time::Duration::from_millis(800);
 /// Time after a server's notice within which a run may continue there: the users allow new work for
@@ -63,9 +55,6 @@
     MayRun,
 }
 
-/// Result of a copy, and how the stream of its run ended, if it did.
-type CopyEnd = (Result<port::CopyDone, port::CopyFault>, Option<RelayEnd>);
-
 /// A copy completed before its source ended. The output produced since is recomputed on the
 /// server that holds the copy. Without these copies, runs that waited for others on their engine's
 /// link were lost with the engine, about twice as many streams.
@@ -100,39 +89,6 @@
     }
 }
 
-/// Whether a server may have stopped a run for a copy with this result.
-const fn may_have_stopped(copied: &Result<port::CopyDone, port::CopyFault>) -> bool {
-    !matches!(copied, Err(port::CopyFault::NoRun | port::CopyFault::Busy))
-}
-
-impl<P: port::ServerPort + 'static> plane::ExchangePlane<P> {
-    /// Releases an unused copy. Otherwise it would hold a run's memory on its engine for another
-    /// five seconds, and keep other runs from moving there.
-    pub(crate) fn release_copy(
-        self: &rc::Rc<Self>,
-        source: port::ServerTarget,
-        handle: Option<String>,
-    ) {
-        let Some(handle) = handle else { return };
-        let key = self.state().fleet.find(&source.id);
-        if let Some(key) = key {
-            // A restricted server frees the copy itself once it expires.
-            if self.is_restricted(key) {
-                return;
-            }
-            self.count_request(key, "release");
-        }
-        let plane = self.clone();
-        tokio::task::spawn_local(async move {
-            let sent = time::Instant::now();
-            let reply = plane.port.release(source, handle).await;
-            if let Some(key) = key {
-                plane.take_signals(key, sent, reply);
-            }
-        });
-    }
-}
-
 impl<P: port::ServerPort + 'static> StreamDriver<P> {
     /// Copies the run while it continues, then stops it and copies the rest. With `at_once`, it is
     /// stopped for the first copy.
@@ -164,12 +120,7 @@
                 self.plane.count_request(live.placed.server, "copy");
             }
             copies += 1;
-            let first = self.copy_once(live, &source, &target, stop, None).await;
-            let (copied, ended) = if stop {
-                self.repeat_stop(live, &source, &target, first).await
-            } else {
-                first
-            };
+            let (copied, ended) = self.copy(live, &source, &target, stop).await;
             log::info!(
                 request:% = self.request.id, from:% = source.id, to:% = target.id, stop,
                 outcome:? = copied, ms = millis(started); "copied"
@@ -237,85 +188,6 @@
         self.plane.release_copy(source, made);
     }
 
-    /// Repeats a call to stop and copy a run while it is unknown what became of it: the server may
-    /// have stopped the run, and keeps its memory. Without an answer nobody could use that.
-    async fn repeat_stop(
-        &mut self,
-        live: &mut LiveRun<P>,
-        source: &port::ServerTarget,
-        target: &port::ServerTarget,
-        first: CopyEnd,
-    ) -> CopyEnd {
-        let until = time::Instant::now() + MAX_STOP_REPEATS;
-        let (mut copied, mut ended) = first;
-        while matches!(
-            copied,
-            Err(port::CopyFault::Unreachable | port::CopyFault::Busy)
-        ) {
-            time::sleep(STOP_REPEAT_INTERVAL).await;
-            let server = live.placed.server;
-            let is_late = time::Instant::now() >= until;
-            if is_late || live.body.is_none() || !self.plane.may_send(server) {
-                break;
-            }
-            self.plane.count_request(server, "copy");
-            (copied, ended) = self.copy_once(live, source, target, true, ended).await;
-        }
-        (copied, ended)
-    }
-
-    /// Copies a run once, and forwards its output meanwhile, unless its stream has ended. Also returns
-    /// how its stream ended, if it did.
-    async fn copy_once(
-        &mut self,
-        live: &mut LiveRun<P>,
-        source: &port::ServerTarget,
-        target: &port::ServerTarget,
-        stop: bool,
-        mut ended: Option<RelayEnd>,
-    ) -> CopyEnd {
-        let plane = self.plane.clone();
-        let run = self.request.id.clone();
-        let from = live.placed.server;
-        let sent = time::Instant::now();
-        if stop {
-            self.pace.arrivals.interrupt();
-        }
-        let copying = plane.port.copy(source.clone(), run, target.address, stop);
-        tokio::pin!(copying);
-        let mut was_reset = false;
-        let copied = loop {
-            let Some(body) = live.body.as_mut() else {
-                return (Err(port::CopyFault::Unreachable), Some(RelayEnd::Broken));
-            };
-            tokio::select! {
-                biased;
-                copied = &mut copying => break plane.take_signals(from, sent, copied),
-                part = body.next(), if ended.is_none() => match part {
-                    Some(Ok(bytes)) if self.forward_event(live, &bytes).await => {
-                        ended = Some(RelayEnd::Broken);
-                    }
-                    Some(Ok(_)) => {}
-                    Some(Err(_)) => {
-                        was_reset = true;
-                        ended = Some(RelayEnd::Broken);
-                    }
-                    None => ended = Some(self.end_of_body(live)),
-                },
-            }
-        };
-        if was_reset {
-            live.body = None;
-        }
-        if stop && may_have_stopped(&copied) {
-            live.may_be_stopped = true;
-            if matches!(ended, Some(RelayEnd::Finished)) {
-                ended = Some(self.end_of_body(live));
-            }
-        }
-        (copied, ended)
-    }
-
     /// Keeps the newest copy, from which the run can continue if its server is lost, and releases
     /// the one before.
     fn keep_spare(&mut self, spare: SpareCopy, source: &port::ServerTarget) {
