exchange: the calls that stop a run go on until one tells what became of it

Callers saw: a stream that moves off a leaving engine breaks off, or pauses for longer than callers wait, after the call that stops its run got no answer, though the engine keeps the memory of the run.

Cause: whether the call was repeated hung on signs that do not tell whether the run was stopped. A chunked answer that broke off counted as that of a crashed engine and ended the repeats, but an engine closes each stopped stream without its end; repeats ended after 0.6 s also while the engine answered that it was still copying; a silent connection held up all others for 2.5 s; a 503 without its handle ended them.

Change: the calls for one run are one operation, stop_calls.rs, which ends with a handle, with a proof that the run was not stopped, or once the engine has shown no sign of the run for 0.6 s (2.5 s in all). A call that is silent for 0.4 s gets another beside it. How the stream ended does not matter.

--- a/crates/exchange/src/copying.rs
+++ b/crates/exchange/src/copying.rs
@@ -8,30 +8,17 @@
     plane, port,
     port::ResponseBody as _,
     serve_stream::{LiveRun, RelayEnd, StreamDriver},
+    stop_calls,
 };
 
-/// Time for which a call to stop a run is repeated after one without an answer. A copy takes some
-/// 300 ms, and is answered once it is complete.
-const MAX_STOP_REPEATS: time::Duration = time::Duration::from_millis(600);
-/// Interval between these calls.
-const STOP_REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(40);
-
 /// Result of a copy, and how the stream of its run ended, if it did.
-pub(crate) type CopyEnd = (Result<port::CopyDone, port::CopyFault>, Option<RelayEnd>);
+pub(crate) type CopyEnd = (stop_calls::CopyResult, Option<RelayEnd>);
 
 /// Whether a server may have stopped a run for a copy with this result.
-const fn may_have_stopped(copied: &Result<port::CopyDone, port::CopyFault>) -> bool {
+const fn may_have_stopped(copied: &stop_calls::CopyResult) -> bool {
     !matches!(copied, Err(port::CopyFault::NoRun | port::CopyFault::Busy))
 }
 
-/// Whether it is unknown what became of a call with this result.
-const fn is_in_doubt(copied: &Result<port::CopyDone, port::CopyFault>) -> bool {
-    matches!(
-        copied,
-        Err(port::CopyFault::Unreachable | port::CopyFault::Busy)
-    )
-}
-
 impl<P: port::ServerPort + 'static> plane::ExchangePlane<P> {
     /// Releases an unused copy. Otherwise it would hold a run's memory on its engine for another
     /// five seconds, and keep other runs from moving there.
@@ -61,73 +48,50 @@
 }
 
 impl<P: port::ServerPort + 'static> StreamDriver<P> {
-    /// Copies a run. With `stop`, the call is repeated while it is unknown what became of it: the
-    /// server may have stopped the run, and keeps its memory. Without an answer nobody could use that.
+    /// Copies a run, and forwards its output meanwhile. Also returns how its stream ended, if it did.
     pub(crate) async fn copy(
         &mut self,
         live: &mut LiveRun<P>,
         source: &port::ServerTarget,
         target: &port::ServerTarget,
         stop: bool,
-    ) -> CopyEnd {
-        let (mut copied, mut ended) = self.copy_once(live, source, target, stop, None).await;
-        let until = time::Instant::now() + MAX_STOP_REPEATS;
-        while stop && is_in_doubt(&copied) {
-            time::sleep(STOP_REPEAT_INTERVAL).await;
-            let server = live.placed.server;
-            let is_late = time::Instant::now() >= until;
-            if is_late || live.body.is_none() || !self.plane.may_send(server) {
-                break;
-            }
-            self.plane.count_request(server, "copy");
-            (copied, ended) = self.copy_once(live, source, target, true, ended).await;
-        }
-        (copied, ended)
-    }
-
-    /// Copies a run once, and forwards its output meanwhile, unless its stream has ended. Also returns
-    /// how its stream ended, if it did.
-    async fn copy_once(
-        &mut self,
-        live: &mut LiveRun<P>,
-        source: &port::ServerTarget,
-        target: &port::ServerTarget,
-        stop: bool,
-        mut ended: Option<RelayEnd>,
     ) -> CopyEnd {
         let plane = self.plane.clone();
-        let run = self.request.id.clone();
-        let from = live.placed.server;
-        let sent = time::Instant::now();
+        let call = stop_calls::StopCall {
+            server: live.placed.server,
+            source: source.clone(),
+            run: self.request.id.clone(),
+            to: target.address,
+        };
         if stop {
             self.pace.arrivals.interrupt();
         }
-        let copying = plane.port.copy(source.clone(), run, target.address, stop);
+        let copying = async {
+            if stop {
+                plane.stop_run(&call).await
+            } else {
+                plane.copy_run(&call, false).await
+            }
+        };
         tokio::pin!(copying);
-        let mut was_reset = false;
+        let mut ended = None;
         let copied = loop {
             let Some(body) = live.body.as_mut() else {
                 return (Err(port::CopyFault::Unreachable), Some(RelayEnd::Broken));
             };
             tokio::select! {
                 biased;
-                copied = &mut copying => break plane.take_signals(from, sent, copied),
+                copied = &mut copying => break copied,
                 part = body.next(), if ended.is_none() => match part {
                     Some(Ok(bytes)) if self.forward_event(live, &bytes).await => {
                         ended = Some(RelayEnd::Broken);
                     }
                     Some(Ok(_)) => {}
-                    Some(Err(_)) => {
-                        was_reset = true;
-                        ended = Some(RelayEnd::Broken);
-                    }
+                    Some(Err(_)) => ended = Some(RelayEnd::Broken),
                     None => ended = Some(self.end_of_body(live)),
                 },
             }
         };
-        if was_reset {
-            live.body = None;
-        }
         if stop && may_have_stopped(&copied) {
             live.may_be_stopped = true;
             if matches!(ended, Some(RelayEnd::Finished)) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod server;
 pub mod shares;
 pub mod state;
+mod stop_calls;
 pub mod stopping;
 mod switching;
 pub mod system;
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod called;
+pub mod copying;
 pub mod crashing;
 pub mod engines;
 pub mod handing;
@@ -116,6 +117,8 @@
     pub full: cell::RefCell<collections::HashSet<String>>,
     /// Results of copies, in order.
     pub copies: cell::RefCell<collections::VecDeque<Result<port::CopyDone, port::CopyFault>>>,
+    /// Answers copies in place of scripted results.
+    pub copier: cell::RefCell<Option<rc::Rc<copying::CopyServer>>>,
     /// Requested copies: source, target, whether the run was to stop.
     pub copied: cell::RefCell<Vec<(String, net::SocketAddr, bool)>>,
     /// Signals in each answer of a server.
@@ -182,6 +185,8 @@
     server: String,
     request: String,
     delimited: bool,
+    /// Whether it ends once its run was stopped.
+    ends_stopped: bool,
     stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
     open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
     severed: rc::Rc<tokio::sync::Notify>,
@@ -222,8 +227,8 @@
             return Some(Err(port::LostCause::Broken));
         }
         // The server closes the stream of a stopped run without its end.
-        if !self.delimited && self.stopped.borrow().contains(&self.request) {
-            return None;
+        if self.ends_stopped && self.stopped.borrow().contains(&self.request) {
+            return self.delimited.then_some(Err(port::LostCause::Broken));
         }
         self.left.pop_front()
     }
@@ -326,6 +331,7 @@
             server,
             request: call.request.id.clone(),
             delimited,
+            ends_stopped: !delimited || self.copier.borrow().is_some(),
             stopped: self.stopped.clone(),
             open: self.open.clone(),
             severed: self.severed.clone(),
@@ -420,6 +426,11 @@
     ) -> port::SignalledReply<Result<port::CopyDone, port::CopyFault>> {
         self.count(&source.id);
         self.copied.borrow_mut().push((source.id.clone(), to, stop));
+        let copier = self.copier.borrow().clone();
+        if let Some(copier) = copier {
+            let reply = copier.copy(&run, stop, &self.stopped).await;
+            return self.signalled(&source.id, reply, true);
+        }
         tokio::time::sleep(time::Duration::from_millis(20)).await;
         let reply = self.copies.borrow_mut().pop_front();
         let reply = reply.unwrap_or(Ok(port::CopyDone {
@@ -922,25 +933,27 @@
     pub complete: bool,
 }
 
-pub async fn read(mut parts: mpsc::Receiver<reply::StreamPart>) -> ReadStream {
-    let mut text = String::new();
-    while let Some(part) = parts.recv().await {
+pub async fn read(parts: mpsc::Receiver<reply::StreamPart>) -> ReadStream {
+    read_timed(parts).await.0
+}
+
+/// Reads a streamed response, and returns the longest time between two parts of it.
+pub async fn read_timed(
+    mut parts: mpsc::Receiver<reply::StreamPart>,
+) -> (ReadStream, time::Duration) {
+    let (mut text, mut complete) = (String::new(), false);
+    let (mut before, mut max_pause) = (tokio::time::Instant::now(), time::Duration::ZERO);
+    while let (false, Some(part)) = (complete, parts.recv().await) {
+        max_pause = max_pause.max(before.elapsed());
+        before = tokio::time::Instant::now();
         match part {
             reply::StreamPart::Bytes(bytes) => {
-                text.push_str(std::str::from_utf8(&bytes).expect("text"))
-            }
-            reply::StreamPart::End => {
-                return ReadStream {
-                    text,
-                    complete: true,
-                };
+                text.push_str(std::str::from_utf8(&bytes).expect("text"));
             }
+            reply::StreamPart::End => complete = true,
         }
     }
-    ReadStream {
-        text,
-        complete: false,
-    }
+    (ReadStream { text, complete }, max_pause)
 }
 
 pub fn parts(reply: reply::Reply) -> mpsc::Receiver<reply::StreamPart> {
