exchange: an entry with values that no server has is no server

Port 0, addresses where nothing can listen, and names of any length or content were taken; a long name makes a datagram of updates too large to be sent, with the updates of other servers in it.

Change: ServerUpdate::check says what a server can be.

--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -585,7 +585,7 @@
 }
 
 impl UpdateItem {
-    /// Decodes the update; `None` if its address does not parse.
+    /// Decodes the update; `None` if its entry does not describe a server.
     #[must_use]
     pub fn decode_update(&self) -> Option<update::ServerUpdate> {
         let entry = match &self.entry {
@@ -601,10 +601,11 @@
                 cold: time::Duration::from_millis(entry.cold_ms),
             }),
         };
-        Some(update::ServerUpdate {
+        let update = update::ServerUpdate {
             id: self.id.clone(),
             position: position::StorePosition::new(self.era, self.offset),
             entry,
-        })
+        };
+        update.check().is_ok().then_some(update)
     }
 }
--- a/crates/exchange/src/place.rs
+++ b/crates/exchange/src/place.rs
@@ -292,7 +292,7 @@
     entries: u32,
     now: time::Instant,
 ) -> Option<f64> {
-    let fair_share = record.slots * (1 + MAX_QUEUE_FACTOR) / entries.max(1) + 2;
+    let fair_share = record.slots.saturating_mul(1 + MAX_QUEUE_FACTOR) / entries.max(1) + 2;
     if load.own_runs >= fair_share || is_filled(record, load, now) {
         return None;
     }
--- a/crates/exchange/src/position.rs
+++ b/crates/exchange/src/position.rs
@@ -35,6 +35,6 @@
     /// The position after this one.
     #[must_use]
     pub const fn next(self) -> Self {
-        Self::new(self.era, self.offset + 1)
+        Self::new(self.era, self.offset.saturating_add(1))
     }
 }
