exchange: the wait for a verdict on links ends with the stop of its VM

Callers would see: a request that a stopping VM has read gets no answer.

Cause: a request that was refused as not run while its service is suspected to be cut waits up to 450 ms for the verdict; the last answers are due 0.1 s before the stop ends.

Change: the wait ends when the request's answer is due.

Evidence: the new test of stopping.rs failed before with 'the VM has stopped without an answer', and passes with it.

--- a/crates/exchange/src/reaching.rs
+++ b/crates/exchange/src/reaching.rs
@@ -78,16 +78,23 @@
         self.state().reach.stage(service) == reach::ReachStage::Cut
     }
 
-    /// Waits until a suspicion about a service is confirmed or not; returns whether it is cut.
-    async fn await_verdict(&self, service: &str) -> bool {
+    /// Waits until a suspicion about the service of a request is confirmed or not, or its answer is due;
+    /// returns whether the service is cut.
+    async fn await_verdict(&self, request: &request::ExchangeRequest) -> bool {
         let until = Instant::now() + MAX_VERDICT_TIME;
+        let due = self.answer_due(request.limit);
+        tokio::pin!(due);
         loop {
-            let stage = self.state().reach.stage(service);
+            let stage = self.state().reach.stage(&request.service);
             if stage != reach::ReachStage::Suspect {
                 return stage == reach::ReachStage::Cut;
             }
             let changed = self.reach_changed.notified();
-            if tokio::time::timeout_at(until, changed).await.is_err() {
+            let changed = tokio::select! {
+                changed = tokio::time::timeout_at(until, changed) => changed.is_ok(),
+                () = &mut due => false,
+            };
+            if !changed {
                 return false;
             }
         }
@@ -114,7 +121,7 @@
             Err(refusal) if !request.handed_over => refusal,
             _ => return answer,
         };
-        if refusal.ran != outcome::RanState::No || !self.await_verdict(&request.service).await {
+        if refusal.ran != outcome::RanState::No || !self.await_verdict(&request).await {
             return answer;
         }
         let handed = self.hand_over(&request, attempts, guard).await;
--- a/crates/exchange/tests/stopping.rs
+++ b/crates/exchange/tests/stopping.rs
@@ -126,6 +126,44 @@
     }
 }
 
+#[test]
+fn a_request_is_answered_before_its_vm_stops_while_its_service_is_suspected_to_be_cut() {
+    // Guards against connections that are closed without an answer as the process ends, since a request
+    // that no server got waits for the verdict on the links of its VM.
+    for kind in [
+        catalog::ExchangeKind::Idempotent,
+        catalog::ExchangeKind::Once,
+    ] {
+        for suspected_ms in [7_000, 7_400, 7_590] {
+            cluster::run(async {
+                let plane = cluster::plane();
+                cluster::start(&plane);
+                fill(&plane);
+                let suspecting = plane.clone();
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(time::Duration::from_millis(suspected_ms)).await;
+                    let mut state = suspecting.state();
+                    for id in ["s1", "s2"] {
+                        let server = state.fleet.find(id).expect("known");
+                        state
+                            .reach
+                            .record_unreached("app", server, 2, Instant::now());
+                    }
+                });
+                let request = patient("r1", kind);
+                let gap = (false, time::Duration::from_millis(100));
+                let (answer, _) = answer_of_stopping(&plane, request, gap).await;
+                let refusal = answer.expect_err("no server is free");
+                assert_eq!(
+                    refusal.ran,
+                    outcome::RanState::No,
+                    "{kind:?} {suspected_ms} ms"
+                );
+            });
+        }
+    }
+}
+
 #[test]
 fn a_stream_with_an_answer_goes_on_while_its_vm_stops() {
     // Guards against streams that are ended early by the limit for those without an answer.
