exchange: a stream goes on at a stopped backup only after the stop call there

Callers would see: a stream ends early as complete.

Cause: a backup without an answer is asked to stop the run it may have begun. With no third engine in reach the old run is copied to that backup and goes on there; a call that is read only then stops the new run, and the close of an answer without length was taken for its end.

Change: the stream goes on at a server only once the call that stops the run there was answered, within 1.3 s; if it was not, the run counts as one that may be stopped.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -218,6 +218,7 @@
             if moves && self.plane.state().fleet.is_evacuated(server) {
                 continue;
             }
+            let may_be_stopped = self.is_stop_pending(server).await;
             let counted = copy.counted && server == copy.to;
             if !self.count_resume(server, counted).await {
                 continue;
@@ -244,7 +245,8 @@
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
                     self.moved(live, server);
                     self.spare = None;
-                    live.continue_with(response.body, self.watch(server), self.splitter.events());
+                    let (watch, events) = (self.watch(server), self.splitter.events());
+                    live.continue_with(response.body, watch, events, may_be_stopped);
                     self.moves += 1;
                     metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
                     log::info!(
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     accusing, budget, crashes, endless, event, event_pace, fleet, forecast, moving, permit, plane,
-    port, port::ResponseBody as _, relocate, reply, request, server,
+    port, port::ResponseBody as _, relocate, reply, request, server, switching,
 };
 
 /// Stream parts buffered for a slow caller: limits the memory that it can hold.
@@ -105,6 +105,7 @@
         pace: event_pace::EventPace::default(),
         went_on_at: None,
         spare: None,
+        stop_elsewhere: None,
     };
     let ended = tokio::select! {
         biased;
@@ -163,6 +164,8 @@
     went_on_at: Option<time::Instant>,
     /// Copy made by an unfinished move: see [`moving::SpareCopy`].
     pub(crate) spare: Option<moving::SpareCopy>,
+    /// The last call that stops the run at a server other than that of its live attempt.
+    pub(crate) stop_elsewhere: Option<switching::StopElsewhere>,
 }
 
 /// An attempt whose response is being forwarded.
@@ -198,17 +201,19 @@
         }
     }
 
-    /// Continues with the body of another server, after so many events.
+    /// Continues with the body of another server, after so many events. `may_be_stopped` is set if a
+    /// call to stop the run there is pending.
     pub(crate) fn continue_with(
         &mut self,
         body: P::Body,
         watch: accusing::AttemptWatch<P>,
         events: u64,
+        may_be_stopped: bool,
     ) {
         self.body = Some(body);
         self.watch = Some(watch);
         self.first_event = events;
-        self.may_be_stopped = false;
+        self.may_be_stopped = may_be_stopped;
     }
 
     /// Ends the watch of the run on its server, at which its end is known.
--- a/crates/exchange/src/switching.rs
+++ b/crates/exchange/src/switching.rs
@@ -4,7 +4,7 @@
 //! If it is unknown whether the other server has begun, the old run is stopped, since both would work
 //! on the request, and the stream goes on from the memory of the stopped run.
 
-use tokio::time;
+use tokio::{sync::oneshot, time};
 
 use crate::{
     fleet, moving, port, relocate,
@@ -13,6 +13,16 @@
 
 /// Time for which a server gets no copy after an attempt there without a known outcome.
 const AVOID_TIME: time::Duration = time::Duration::from_millis(500);
+/// Timeout for the answer to a call that stops the run at a server where it is to go on: callers leave
+/// after a pause of two seconds.
+const MAX_STOP_WAIT: time::Duration = time::Duration::from_millis(1_300);
+
+/// A call that stops the run at a server that may have begun it.
+pub(crate) struct StopElsewhere {
+    server: fleet::ServerKey,
+    /// Completes once the server has answered the call.
+    answered: oneshot::Receiver<()>,
+}
 
 impl<P: port::ServerPort + 'static> StreamDriver<P> {
     /// Continues the run on the server that holds its copy. Forwarding pauses meanwhile, so that no
@@ -93,7 +103,7 @@
 
     /// Stops the run at a server that gave no answer: some servers work on after their connection has
     /// been closed. The call names a server for a copy, which is released.
-    fn stop_other_run(&self, live: &LiveRun<P>, other: fleet::ServerKey) {
+    fn stop_other_run(&mut self, live: &LiveRun<P>, other: fleet::ServerKey) {
         let server = self.plane.target(other);
         let source = self.plane.target(live.placed.server);
         let (Some(server), Some(source)) = (server, source) else {
@@ -104,6 +114,11 @@
         }
         self.plane.count_request(other, "copy");
         let (plane, run) = (self.plane.clone(), self.request.id.clone());
+        let (answer, answered) = oneshot::channel();
+        self.stop_elsewhere = Some(StopElsewhere {
+            server: other,
+            answered,
+        });
         tokio::task::spawn_local(async move {
             let sent = time::Instant::now();
             let copying = plane
@@ -111,6 +126,10 @@
                 .copy(server.clone(), run.clone(), source.address, true);
             let copied = plane.take_signals(other, sent, copying.await);
             log::info!(request:% = run, server:% = server.id, outcome:? = copied; "stopped elsewhere");
+            if copied != Err(port::CopyFault::Unreachable) {
+                // The driver may have gone on without waiting.
+                let _ = answer.send(());
+            }
             if let Ok(port::CopyDone { handle, .. }) | Err(port::CopyFault::NoRoom(Some(handle))) =
                 copied
             {
@@ -118,4 +137,19 @@
             }
         });
     }
+
+    /// Waits until a server has answered the call that stops the run there, if there was one: read later,
+    /// it would stop the run that goes on. Returns whether it may still do so.
+    pub(crate) async fn is_stop_pending(&mut self, server: fleet::ServerKey) -> bool {
+        let stop = self.stop_elsewhere.as_mut();
+        let Some(stop) = stop.filter(|stop| stop.server == server) else {
+            return false;
+        };
+        let answered = time::timeout(MAX_STOP_WAIT, &mut stop.answered).await;
+        let pending = !matches!(answered, Ok(Ok(())));
+        if !pending {
+            self.stop_elsewhere = None;
+        }
+        pending
+    }
 }
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -117,6 +117,8 @@
     pub full: cell::RefCell<collections::HashSet<String>>,
     /// Results of copies, in order.
     pub copies: cell::RefCell<collections::VecDeque<Result<port::CopyDone, port::CopyFault>>>,
+    /// Time after which a server reads a call to copy a run.
+    pub copy_delays: cell::RefCell<collections::HashMap<String, time::Duration>>,
     /// Answers copies in place of scripted results.
     pub copier: cell::RefCell<Option<rc::Rc<copying::CopyServer>>>,
     /// Requested copies: source, target, whether the run was to stop.
@@ -426,6 +428,8 @@
     ) -> port::SignalledReply<Result<port::CopyDone, port::CopyFault>> {
         self.count(&source.id);
         self.copied.borrow_mut().push((source.id.clone(), to, stop));
+        let delay = self.copy_delays.borrow().get(&source.id).copied();
+        tokio::time::sleep(delay.unwrap_or_default()).await;
         let copier = self.copier.borrow().clone();
         if let Some(copier) = copier {
             let reply = copier.copy(&run, stop, &self.stopped).await;
--- a/crates/exchange/tests/switches.rs
+++ b/crates/exchange/tests/switches.rs
@@ -14,13 +14,17 @@
     cluster::ServerScript::Events(EVENTS, time::Duration::from_millis(20))
 }
 
-/// Plays a stream whose server leaves, and whose backup has this script. Returns the plane, the names
-/// of the server and of the backup, and what the caller got.
+/// Plays a stream whose server leaves, and whose backup has this script and reads the call to stop the run
+/// after `stop_delay`. Returns the plane, the names of the server and of the backup, and what the caller
+/// got.
 async fn play(
     script: cluster::ServerScript,
     engines: u8,
+    stop_delay: time::Duration,
+    delimited: bool,
 ) -> (cluster::TestPlane, [String; 2], cluster::ReadStream) {
     let plane = cluster::plane();
+    plane.port().undelimited.set(!delimited);
     let now = tokio::time::Instant::now();
     for number in 3..=engines {
         let entry = cluster::entry("llm", 10 + number, "a");
@@ -49,6 +53,8 @@
         .scripts
         .borrow_mut()
         .insert(backup.clone(), [script, slow_events()].into());
+    let delays = &plane.port().copy_delays;
+    delays.borrow_mut().insert(backup.clone(), stop_delay);
     tokio::time::sleep(time::Duration::from_secs(1)).await;
     let number = 10 + source[1..].parse::<u8>().expect("a number");
     cluster::leave(&plane, &source, number);
@@ -88,7 +94,8 @@
     for script in scripts {
         for engines in [2, 3, 5] {
             cluster::run(async {
-                let (plane, names, read) = play(script.clone(), engines).await;
+                let (plane, names, read) =
+                    play(script.clone(), engines, time::Duration::ZERO, true).await;
                 let stopped = stopped_after(&plane, &names).expect("stopped");
                 assert!(
                     stopped <= MAX_BOTH,
@@ -110,3 +117,28 @@
         }
     }
 }
+
+#[test]
+fn a_stop_call_that_is_read_late_does_not_end_a_stream_as_complete() {
+    // Guards against a stream that ends early as complete, or is lost: it goes on at its backup, which only
+    // then reads the call to stop the run that it may have begun before.
+    let scripts = [cluster::ServerScript::Silent, cluster::ServerScript::Lost];
+    for script in scripts {
+        for delay_ms in [0, 100, 200, 400, 800, 1_200, 1_600, 3_000] {
+            for delimited in [false, true] {
+                cluster::run(async {
+                    let delay = time::Duration::from_millis(delay_ms);
+                    let (_, _, read) = play(script.clone(), 2, delay, delimited).await;
+                    // A call that is not answered before callers leave may cost the stream.
+                    let is_lost = delay_ms > 1_200 && !read.complete;
+                    assert!(
+                        is_lost || read.complete && read.text == cluster::events(EVENTS),
+                        "{script:?}, {delay_ms} ms, delimited: {delimited}: {} bytes, {}",
+                        read.text.len(),
+                        read.complete
+                    );
+                });
+            }
+        }
+    }
+}
