--- a/crates/exchange/src/stop_calls.rs
+++ b/crates/exchange/src/stop_calls.rs
@@ -3,7 +3,7 @@
 //! A call without an answer may have stopped the run. Its server then keeps the memory, and answers a later
 //! call with a handle of it, so that the stream can go on.
 
-use std::{net, rc};
+use std::net;
 
 use futures_util::{StreamExt as _, stream};
 use tokio::time;
@@ -46,7 +46,7 @@
 
     /// Stops a run and copies it. Returns `NoRun` or `Busy` only if the run was certainly not stopped. The
     /// first call has been counted against the limit of its server.
-    pub(crate) async fn stop_run(self: &rc::Rc<Self>, call: &StopCall) -> CopyResult {
+    pub(crate) async fn stop_run(&self, call: &StopCall) -> CopyResult {
         let began = time::Instant::now();
         let mut calls = stream::FuturesUnordered::new();
         calls.push(self.copy_run(call, true));
