exchange: the call that stops a run at its backup is the one of all copies

Reading the diff: the call at a backup repeated what copy_run does (the call and the signals of its answer); it calls that now.

--- a/crates/exchange/src/switching.rs
+++ b/crates/exchange/src/switching.rs
@@ -9,6 +9,7 @@
 use crate::{
     fleet, moving, port, relocate,
     serve_stream::{CopyPlace, LiveRun, RelayEnd, StreamDriver},
+    stop_calls,
 };
 
 /// Time for which a server gets no copy after an attempt there without a known outcome.
@@ -113,19 +114,22 @@
             return;
         }
         self.plane.count_request(other, "copy");
-        let (plane, run) = (self.plane.clone(), self.request.id.clone());
+        let plane = self.plane.clone();
+        let call = stop_calls::StopCall {
+            server: other,
+            source: server,
+            run: self.request.id.clone(),
+            to: source.address,
+        };
         let (answer, answered) = oneshot::channel();
         self.stop_elsewhere = Some(StopElsewhere {
             server: other,
             answered,
         });
         tokio::task::spawn_local(async move {
-            let sent = time::Instant::now();
-            let copying = plane
-                .port
-                .copy(server.clone(), run.clone(), source.address, true);
-            let copied = plane.take_signals(other, sent, copying.await);
-            log::info!(request:% = run, server:% = server.id, outcome:? = copied; "stopped elsewhere");
+            let copied = plane.copy_run(&call, true).await;
+            let server = call.source;
+            log::info!(request:% = call.run, server:% = server.id, outcome:? = copied; "stopped elsewhere");
             if copied != Err(port::CopyFault::Unreachable) {
                 // The driver may have gone on without waiting.
                 let _ = answer.send(());
