exchange: a complete answer counts as kept until its caller has received it

Cause: the count of kept answers ended when an answer was complete, so those of callers that do not read were in no bound: 256 KB for each request. Change: the bytes carry their count, as the parts of long answers do.

--- a/crates/exchange/src/endless.rs
+++ b/crates/exchange/src/endless.rs
@@ -159,9 +159,13 @@
         self.kept.as_mut().is_some_and(|kept| kept.set(read))
     }
 
-    /// Notes that the body ended, or is long.
-    pub(crate) fn end(&mut self) {
+    /// Notes that the body ended, or is long. Returns it, counted until its caller has received it.
+    pub(crate) fn end(&mut self, bytes: Bytes) -> Bytes {
         self.kept = None;
+        if bytes.len() <= MAX_SMALL_PART_BYTES {
+            return bytes;
+        }
+        KeptPart::count(bytes)
     }
 }
 
--- a/crates/exchange/src/serve_call.rs
+++ b/crates/exchange/src/serve_call.rs
@@ -415,9 +415,8 @@
             break None;
         }
     };
-    body_watch.end();
+    let first = body_watch.end(buffer.freeze());
     drop(body_watch);
-    let first = buffer.freeze();
     let end = match last {
         None => AttemptEnd::Long(LongResponse {
             status,
