carry: one bound on what the bytes of callers cost a VM, and one on their time

What callers saw: clients that nobody controls ended a process, which ran out of memory. Many bodies of legal size at once, most of them just short of their end; in chunks, large or tiny; bodies over the limit, announced or just sent. A crowd of idle connections kept everybody else out.

Cause: nothing bounded the bodies of all callers together, only each by itself, and nothing bounded the time of one. A body was kept as the list of its parts, each of which kept its read buffer alive. Bodies were read before their key, their route and their stated length were looked at. A listener that was full closed what came, so that whoever held its places kept them; the limits of all listeners together were more than the descriptors. State requests of other VMs were not limited at all.

Change: a third of the VM's memory (`limits.memory_mb`) is for callers, half of it for bodies (carry::memory, carry::intake), half for connections (carry::share, carry::places). Bodies are copied into one buffer whose grant ends with its last user; a body handed to another VM is sent from it. A body that stalls gives way to one that needs its memory, a quiet connection to a new one; an accepted request gives way to nobody, and one route and organisation leaves a third of the places to others. What is decided by the head is refused unread; the refusal reaches callers that send on. Heads and bodies have a time. The same holds at the listener for handed requests, for lookups, probes, metrics and for connections between VMs.

Tests changed: connections_past_the_most_are_closed had two idle connections that kept a third out, which is the fault itself. Now two accepted requests keep their places and the third is closed, and a test beside it has an idle one give way. Callers of listen::serve name their listener, pool sends carry::call.

--- a/crates/carry/src/listen.rs
+++ b/crates/carry/src/listen.rs
@@ -1,12 +1,12 @@
 //! Listeners for callers.
 
-use std::{cell, convert, io, net, rc};
+use std::{cell, convert, error, io, net, pin, rc, task};
 
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
-use tokio::{sync, task, time};
+use tokio::{sync, task as tasks, time};
 
-use crate::{caller, socket};
+use crate::{caller, intake, places, socket};
 
 /// Delay after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
@@ -21,10 +21,22 @@
     pub header_bytes: usize,
     /// Timeout for receiving a request head, counted from the end of the previous answer.
     pub idle: time::Duration,
-    /// Maximum number of open connections; further ones are closed immediately.
+    /// Timeout for receiving a request head, counted from its first byte.
+    pub head_timeout: time::Duration,
+    /// Maximum number of open connections. A further one takes the place of the one that has been quiet
+    /// longest; it is closed immediately while all of them carry accepted requests.
     pub connections: usize,
 }
 
+/// Where a listener counts its connections and the bytes of its callers.
+#[derive(Clone, Debug)]
+pub struct ListenerIntake {
+    /// The listener.
+    pub listener: places::ListenerName,
+    /// What the bytes of callers may cost, over all listeners.
+    pub intake: intake::CallerIntake,
+}
+
 /// Stops listeners gracefully: connections with a request in progress finish it first.
 #[derive(Clone, Debug)]
 pub struct StopSwitch {
@@ -82,21 +94,50 @@
     }
 }
 
+/// Maximum time in which the caller of a body that was ended for others takes its refusal.
+const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Body of an answer, which holds the place of its connection until it is complete.
+struct AnswerBody<B> {
+    body: B,
+    _guard: places::AnswerGuard,
+}
+
+impl<B: http_body::Body + Unpin> http_body::Body for AnswerBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<http_body::Frame<B::Data>, B::Error>>> {
+        pin::Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Serves callers until stopped. `rule` is evaluated for each connection, so that a new
 /// configuration applies to the next one.
 pub async fn serve<S, F, B>(
     listener: tokio::net::TcpListener,
     rule: impl Fn() -> ListenRule,
+    counts: ListenerIntake,
     stop: StopSwitch,
     service: S,
 ) where
-    S: Fn(http::Request<body::Incoming>) -> F + Clone + 'static,
+    S: Fn(http::Request<intake::CallerBody>) -> F + Clone + 'static,
     F: Future<Output = http::Response<B>> + 'static,
-    B: http_body::Body + 'static,
+    B: http_body::Body + Unpin + 'static,
     B::Data: 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
 {
-    let open = rc::Rc::new(cell::Cell::new(0));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -108,14 +149,24 @@
             continue;
         };
         let rule = rule();
-        if open.get() >= rule.connections {
-            metrics::counter!("pollenchute_carry_connections_refused_total").increment(1);
+        let place = counts
+            .intake
+            .places
+            .enter(counts.listener, rule.connections);
+        let Some(place) = place else {
+            metrics::counter!("pollenchute_carry_connections_refused_total", "listener" => counts.listener.0).increment(1);
             continue;
-        }
-        let counted = (OpenConnection::new(&open), OpenConnection::new(&stop.open));
-        let (service, stop) = (service.clone(), stop.clone());
-        task::spawn_local(async move {
-            if let Err(error) = serve_connection(stream, rule, stop, service).await {
+        };
+        let connection = CallerTask {
+            place: rc::Rc::new(place),
+            intake: counts.intake.clone(),
+            rule,
+            stop: stop.clone(),
+        };
+        let counted = OpenConnection::new(&stop.open);
+        let service = service.clone();
+        tasks::spawn_local(async move {
+            if let Err(error) = connection.serve(stream, service).await {
                 log::debug!(error:% = error; "connection of a caller ended");
             }
             drop(counted);
@@ -123,41 +174,78 @@
     }
 }
 
-async fn serve_connection<S, F, B>(
-    stream: tokio::net::TcpStream,
+/// One connection of a caller.
+struct CallerTask {
+    place: rc::Rc<places::HeldPlace>,
+    intake: intake::CallerIntake,
     rule: ListenRule,
     stop: StopSwitch,
-    service: S,
-) -> io::Result<()>
-where
-    S: Fn(http::Request<body::Incoming>) -> F + 'static,
-    F: Future<Output = http::Response<B>> + 'static,
-    B: http_body::Body + 'static,
-    B::Data: 'static,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    socket::tune(&stream, socket::CALLER_ACK_TIMEOUT)?;
-    let framing = caller::AnswerFraming::default();
-    let stream = caller::CallerConnection::new(stream, framing.clone());
-    let answer = service::service_fn(move |request: http::Request<body::Incoming>| {
-        framing.note_version(request.version());
-        let answer = service(request);
-        async move { Ok::<_, convert::Infallible>(answer.await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(rule.idle)
-        .max_buf_size(rule.header_bytes.max(16 * 1_024))
-        .serve_connection(stream, answer);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = stop.stopped() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    ended.map_err(io::Error::other)
+}
+
+impl CallerTask {
+    async fn serve<S, F, B>(self, stream: tokio::net::TcpStream, service: S) -> io::Result<()>
+    where
+        S: Fn(http::Request<intake::CallerBody>) -> F + 'static,
+        F: Future<Output = http::Response<B>> + 'static,
+        B: http_body::Body + Unpin + 'static,
+        B::Data: 'static,
+        B::Error: Into<Box<dyn error::Error + Send + Sync>>,
+    {
+        let Self {
+            place,
+            intake,
+            rule,
+            stop,
+        } = self;
+        socket::tune(&stream, socket::CALLER_ACK_TIMEOUT)?;
+        let framing = caller::AnswerFraming::default();
+        let stream = caller::CallerConnection::new(
+            stream,
+            framing.clone(),
+            place.clone(),
+            rule.head_timeout,
+        );
+        let answering = place.clone();
+        let answer = service::service_fn(move |request: http::Request<body::Incoming>| {
+            framing.note_version(request.version());
+            let (head, body) = request.into_parts();
+            let body = intake::CallerBody::new(&head, body, intake.clone(), answering.clone());
+            let answer = service(http::Request::from_parts(head, body));
+            let guard = places::AnswerGuard::new(answering.clone());
+            async move {
+                let (head, body) = answer.await.into_parts();
+                let body = AnswerBody {
+                    body,
+                    _guard: guard,
+                };
+                let response = http::Response::from_parts(head, body);
+                Ok::<_, convert::Infallible>(response)
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(rt::TokioTimer::new())
+            .header_read_timeout(rule.idle)
+            .max_buf_size(rule.header_bytes.max(16 * 1_024))
+            .serve_connection(stream, answer);
+        tokio::pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = stop.stopped() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+            () = place.evicted() => {
+                if !place.has_body() {
+                    return Ok(());
+                }
+                // The caller of a body gets a refusal.
+                connection.as_mut().graceful_shutdown();
+                let ended = time::timeout(REFUSAL_TIMEOUT, connection).await;
+                ended.unwrap_or(Ok(()))
+            }
+        };
+        ended.map_err(io::Error::other)
+    }
 }
 
 /// Binds a listener.
--- /dev/null
+++ b/crates/carry/src/memory.rs
@@ -0,0 +1,151 @@
+//! Memory that the bytes of callers may take, over all listeners of a process.
+
+use std::sync::{self, atomic};
+
+use snafu::Snafu;
+use tokio::sync::Notify;
+
+/// Largest grant that may take the memory that is reserved for ordinary requests.
+pub const SMALL_GRANT_BYTES: usize = 64 * 1_024;
+/// Fraction of the memory that only small grants may take: one over this number.
+const RESERVE_DIVISOR: usize = 4;
+
+/// The memory for the bytes of callers has no room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display(
+    "{used} of {limit} bytes for requests of callers are in use; send it again later"
+))]
+pub struct MemoryFull {
+    /// Bytes granted.
+    pub used: usize,
+    /// Bytes that may be granted.
+    pub limit: usize,
+}
+
+/// Memory that the bytes of callers may take. Clones share it.
+#[derive(Clone, Debug)]
+pub struct CallerMemory(sync::Arc<MemoryState>);
+
+#[derive(Debug)]
+struct MemoryState {
+    /// Bytes that may be granted.
+    limit: usize,
+    /// Bytes granted; never more than `limit`.
+    used: atomic::AtomicUsize,
+    /// Notified when memory is released.
+    released: Notify,
+    /// Whether a grant found no room, and most of the memory has been granted since.
+    is_full: atomic::AtomicBool,
+}
+
+/// A share of the memory, released when dropped.
+#[derive(Debug)]
+pub struct MemoryGrant {
+    memory: CallerMemory,
+    bytes: usize,
+}
+
+impl CallerMemory {
+    /// Memory of this size, in bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self(sync::Arc::new(MemoryState {
+            limit,
+            used: atomic::AtomicUsize::new(0),
+            released: Notify::new(),
+            is_full: atomic::AtomicBool::new(false),
+        }))
+    }
+
+    /// Size of the largest grant, if there is no other one.
+    #[must_use]
+    pub fn largest_grant(&self) -> usize {
+        self.room_for(usize::MAX)
+    }
+
+    /// Bytes granted.
+    #[must_use]
+    pub fn used(&self) -> usize {
+        self.0.used.load(atomic::Ordering::Relaxed)
+    }
+
+    /// An empty grant, which can grow.
+    #[must_use]
+    pub fn grant(&self) -> MemoryGrant {
+        MemoryGrant {
+            memory: self.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Waits until memory is released.
+    pub(crate) async fn released(&self) {
+        self.0.released.notified().await;
+    }
+
+    /// Notes that a grant lacks so many bytes.
+    pub(crate) fn note_full(&self, missing: usize) {
+        if !self.0.is_full.swap(true, atomic::Ordering::Relaxed) {
+            log::warn!(
+                used = self.used(), limit = self.0.limit, missing;
+                "the memory for requests of callers is in use; large requests wait or are refused"
+            );
+        }
+    }
+
+    /// Notes that memory was released.
+    fn note_released(&self) {
+        self.0.released.notify_waiters();
+        let is_low = self.used() < self.0.limit / 2;
+        if is_low && self.0.is_full.swap(false, atomic::Ordering::Relaxed) {
+            log::info!(used = self.used(); "the memory for requests of callers has room again");
+        }
+    }
+
+    /// Total of all grants up to which one of this size may grow.
+    fn room_for(&self, bytes: usize) -> usize {
+        let limit = self.0.limit;
+        if bytes <= SMALL_GRANT_BYTES {
+            limit
+        } else {
+            limit - limit / RESERVE_DIVISOR
+        }
+    }
+}
+
+impl MemoryGrant {
+    /// Size of this grant, in bytes.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Changes the size of this grant.
+    ///
+    /// # Errors
+    ///
+    /// When it grows and the memory has no room; it keeps its size.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryFull> {
+        let state = &self.memory.0;
+        let used = self.memory.used() - self.bytes + bytes;
+        if bytes > self.bytes && used > self.memory.room_for(bytes) {
+            return Err(MemoryFull {
+                used: self.memory.used(),
+                limit: state.limit,
+            });
+        }
+        state.used.store(used, atomic::Ordering::Relaxed);
+        if bytes < self.bytes {
+            self.memory.note_released();
+        }
+        self.bytes = bytes;
+        Ok(())
+    }
+}
+
+impl Drop for MemoryGrant {
+    fn drop(&mut self) {
+        // A grant that shrinks is never refused.
+        let _ = self.resize(0);
+    }
+}
--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -2,13 +2,11 @@
 
 use std::{cell, collections, io, net, rc};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{body, body::Body as _, client::conn::http1};
 use snafu::Snafu;
 use tokio::{task, time};
 
-use crate::{bounded, socket};
+use crate::{bounded, call, socket};
 
 /// Maximum idle time of a connection that is reused, unless its server states a shorter timeout.
 /// Servers close idle connections after a timeout of their own, and a request that crosses the
@@ -81,7 +79,7 @@
 /// A connection; closed immediately when dropped, even with a request in progress.
 #[derive(Debug)]
 pub struct LiveConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<call::CallBody>,
     address: net::SocketAddr,
     reused: bool,
     heads: bounded::HeadMeter,
@@ -239,7 +237,7 @@
     /// When the connection is closed first, or the head is too long.
     pub async fn send(
         &mut self,
-        request: http::Request<Full<Bytes>>,
+        request: http::Request<call::CallBody>,
     ) -> Result<http::Response<body::Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::Unsent);
@@ -266,7 +264,7 @@
     /// When the connection is closed first, or the head is too long or too slow.
     pub async fn send_within(
         &mut self,
-        request: http::Request<Full<Bytes>>,
+        request: http::Request<call::CallBody>,
         left: time::Duration,
     ) -> Result<http::Response<body::Incoming>, SendError> {
         let heads = self.heads.clone();
--- a/crates/carry/tests/connections.rs
+++ b/crates/carry/tests/connections.rs
@@ -3,10 +3,11 @@
 use std::{io, pin, sync, time};
 
 use bytes::Bytes;
-use carry::{listen, output, pool};
+use carry::{call, intake, listen, output, places, pool};
 use http_body_util::{BodyExt as _, Full};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
     task,
 };
 
@@ -22,10 +23,18 @@
     listen::ListenRule {
         header_bytes: 16_384,
         idle: time::Duration::from_secs(5),
+        head_timeout: time::Duration::from_millis(300),
         connections: 2,
     }
 }
 
+fn counts() -> listen::ListenerIntake {
+    listen::ListenerIntake {
+        listener: places::ListenerName("test"),
+        intake: intake::CallerIntake::new(1_024 * 1_024),
+    }
+}
+
 async fn listener() -> (tokio::net::TcpListener, std::net::SocketAddr) {
     let listener = listen::bind("127.0.0.1:0".parse().expect("address"))
         .await
@@ -34,9 +43,9 @@
     (listener, address)
 }
 
-fn request() -> http::Request<Full<Bytes>> {
+fn request() -> http::Request<call::CallBody> {
     let request = http::Request::builder().uri("/x").header("host", "h");
-    request.body(Full::new(Bytes::new())).expect("request")
+    request.body(call::CallBody::default()).expect("request")
 }
 
 const WAIT: time::Duration = time::Duration::from_millis(500);
@@ -51,6 +60,7 @@
         task::spawn_local(listen::serve(
             listener,
             rule,
+            counts(),
             listen::StopSwitch::default(),
             move |_| {
                 let ended = ended.clone();
@@ -86,10 +96,16 @@
     run(async {
         let (listener, address) = listener().await;
         let switch = listen::StopSwitch::default();
-        let serving = task::spawn_local(listen::serve(listener, rule, switch.clone(), |_| async {
-            tokio::time::sleep(time::Duration::from_millis(100)).await;
-            http::Response::new(Full::new(Bytes::from("whole")))
-        }));
+        let serving = task::spawn_local(listen::serve(
+            listener,
+            rule,
+            counts(),
+            switch.clone(),
+            |_| async {
+                tokio::time::sleep(time::Duration::from_millis(100)).await;
+                http::Response::new(Full::new(Bytes::from("whole")))
+            },
+        ));
         let pool = pool::ConnectionPool::default();
         let mut connection = pool
             .get(address, pool::ReuseRule::Any, WAIT)
@@ -115,28 +131,91 @@
     });
 }
 
+/// Opens connections, each of which sends these bytes.
+async fn open(address: std::net::SocketAddr, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    for _ in 0..count {
+        let mut stream = TcpStream::connect(address).await.expect("connected");
+        stream.write_all(bytes).await.expect("sent");
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+        streams.push(stream);
+    }
+    streams
+}
+
+/// Whether the other side has closed a connection.
+async fn is_closed(stream: &mut TcpStream) -> bool {
+    let mut buffer = [0; 1];
+    let read = tokio::time::timeout(time::Duration::from_millis(50), stream.read(&mut buffer));
+    matches!(read.await, Ok(Ok(0) | Err(_)))
+}
+
 #[test]
 fn connections_past_the_most_are_closed() {
+    // Guards against more connections than the limit, and against accepted requests that end since
+    // another caller connects.
     run(async {
         let (listener, address) = listener().await;
-        task::spawn_local(listen::serve(
-            listener,
-            rule,
-            listen::StopSwitch::default(),
-            |_| async { http::Response::new(Full::new(Bytes::new())) },
-        ));
-        let mut streams = Vec::new();
-        for _ in 0..3 {
-            streams.push(
-                tokio::net::TcpStream::connect(address)
-                    .await
-                    .expect("connected"),
-            );
-            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        let accepting = |request: http::Request<intake::CallerBody>| async {
+            let limit = intake::IntakeLimit {
+                bytes: 10,
+                until: tokio::time::Instant::now() + WAIT,
+            };
+            // Requests of two groups, so that they take all places.
+            let group = request.uri().path().len() as u64;
+            request
+                .into_body()
+                .collect(limit, group)
+                .await
+                .expect("accepted");
+            std::future::pending::<http::Response<Full<Bytes>>>().await
+        };
+        let stop = listen::StopSwitch::default();
+        task::spawn_local(listen::serve(listener, rule, counts(), stop, accepting));
+        let mut streams = open(address, 1, b"GET /a HTTP/1.1\r\n\r\n").await;
+        streams.extend(open(address, 1, b"GET /bc HTTP/1.1\r\n\r\n").await);
+        streams.extend(open(address, 1, b"").await);
+        let mut closed = Vec::new();
+        for stream in &mut streams {
+            closed.push(is_closed(stream).await);
+        }
+        assert_eq!(closed, [false, false, true]);
+    });
+}
+
+#[test]
+fn a_connection_that_sends_nothing_gives_way() {
+    // Guards against a crowd of idle connections that keeps every other caller out.
+    run(async {
+        let (listener, address) = listener().await;
+        let stop = listen::StopSwitch::default();
+        task::spawn_local(listen::serve(listener, rule, counts(), stop, |_| async {
+            http::Response::new(Full::new(Bytes::new()))
+        }));
+        let mut streams = open(address, 3, b"").await;
+        let mut closed = Vec::new();
+        for stream in &mut streams {
+            closed.push(is_closed(stream).await);
         }
-        let mut buffer = [0; 1];
-        let last = streams.last_mut().expect("three");
-        assert_eq!(last.read(&mut buffer).await.unwrap_or(0), 0, "closed");
+        assert_eq!(closed, [true, false, false]);
+    });
+}
+
+#[test]
+fn a_head_that_does_not_end_is_given_up() {
+    // Guards against heads that are sent byte by byte and hold their connection for good.
+    run(async {
+        let (listener, address) = listener().await;
+        let stop = listen::StopSwitch::default();
+        task::spawn_local(listen::serve(listener, rule, counts(), stop, |_| async {
+            http::Response::new(Full::new(Bytes::new()))
+        }));
+        let mut stream = open(address, 1, b"GET / HT").await.remove(0);
+        let dripping = async {
+            while stream.write_all(b"T").await.is_ok() && !is_closed(&mut stream).await {}
+        };
+        let ended = tokio::time::timeout(4 * rule().head_timeout, dripping).await;
+        ended.expect("the connection is closed");
     });
 }
 
@@ -147,9 +226,13 @@
     run(async {
         let (listener, address) = listener().await;
         let switch = listen::StopSwitch::default();
-        task::spawn_local(listen::serve(listener, rule, switch.clone(), |_| async {
-            http::Response::new(Full::new(Bytes::new()))
-        }));
+        task::spawn_local(listen::serve(
+            listener,
+            rule,
+            counts(),
+            switch.clone(),
+            |_| async { http::Response::new(Full::new(Bytes::new())) },
+        ));
         let pool = pool::ConnectionPool::default();
         let mut connection = pool
             .get(address, pool::ReuseRule::Any, WAIT)
@@ -231,14 +314,20 @@
 async fn read_raw(version: &str, breaks: bool) -> io::Result<String> {
     let (listener, address) = listener().await;
     let stop = listen::StopSwitch::default();
-    task::spawn_local(listen::serve(listener, rule, stop, move |_| async move {
-        http::Response::new(OnePart {
-            part: Some(Bytes::from("part")),
-            breaks,
-            waits: true,
-        })
-    }));
-    let mut stream = tokio::net::TcpStream::connect(address).await?;
+    task::spawn_local(listen::serve(
+        listener,
+        rule,
+        counts(),
+        stop,
+        move |_| async move {
+            http::Response::new(OnePart {
+                part: Some(Bytes::from("part")),
+                breaks,
+                waits: true,
+            })
+        },
+    ));
+    let mut stream = TcpStream::connect(address).await?;
     let request = format!("GET /x HTTP/{version}\r\nHost: h\r\nConnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).await?;
     let mut text = String::new();
--- a/crates/exchange/src/catalog.rs
+++ b/crates/exchange/src/catalog.rs
@@ -107,6 +107,8 @@
     pub header_bytes: usize,
     /// Maximum size of a request's body.
     pub body_bytes: usize,
+    /// Time in which a head must arrive, from its first byte.
+    pub head_timeout: time::Duration,
     /// Time that a connection may stay idle.
     pub idle_timeout: time::Duration,
 }
--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -4,7 +4,7 @@
 use std::{collections, io, net, rc};
 
 use bytes::Bytes;
-use carry::{bounded, transfer};
+use carry::{bounded, places, transfer};
 use futures_util::{SinkExt as _, StreamExt as _};
 use prost::Message as _;
 use tokio::{net as sockets, time};
@@ -37,6 +37,10 @@
     first: time::Duration::from_millis(1_500),
     ..STATE_LIMIT
 };
+/// Listener for state requests among those that count connections.
+const LISTENER: places::ListenerName = places::ListenerName("link");
+/// Group of all state requests among those that hold places.
+const STATE_GROUP: u64 = 0;
 /// Mean pause of a VM that lacks a configuration or a part of the list, after the VM that it asked
 /// was busy.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -338,17 +342,28 @@
 pub(crate) async fn serve_state_requests<P: 'static>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
     listener: sockets::TcpListener,
+    connections: usize,
 ) {
+    let table = places::PlaceTable::default();
     loop {
         let Ok((stream, address)) = listener.accept().await else {
             time::sleep(link::ERROR_PAUSE).await;
             continue;
         };
+        let Some(place) = table.enter(LISTENER, connections) else {
+            metrics::counter!("pollenchute_carry_connections_refused_total", "listener" => LISTENER.0)
+                .increment(1);
+            continue;
+        };
         let plane = plane.clone();
         tokio::task::spawn_local(async move {
             let meter = transfer::TransferMeter::default();
-            let serving = serve_state_request(plane, stream, address, &meter);
-            if let Err(stalled) = meter.limit(&LIST_LIMIT, serving).await {
+            let serving = serve_state_request(plane, stream, address, &meter, &place);
+            let stalled = tokio::select! {
+                served = meter.limit(&LIST_LIMIT, serving) => served.err(),
+                () = place.evicted() => None,
+            };
+            if let Some(stalled) = stalled {
                 log::debug!(fault:% = stalled; "VM does not read the state that it requested");
             }
         });
@@ -360,6 +375,7 @@
     stream: sockets::TcpStream,
     address: net::SocketAddr,
     meter: &transfer::TransferMeter,
+    place: &places::HeldPlace,
 ) -> io::Result<()> {
     bounded::reset_on_close(&stream)?;
     let stream = taps::InspectWriter::new(stream, |bytes: &[u8]| meter.note(bytes.len()));
@@ -368,6 +384,9 @@
     let frame =
         frame.inspect_err(|fault| endless::report_frame(fault, MAX_REQUEST_BYTES, &address))?;
     let request = message::StateRequest::decode(frame).map_err(io::Error::other)?;
+    if !place.accept(STATE_GROUP) {
+        return Err(io::ErrorKind::ResourceBusy.into());
+    }
     let (reply, _guard) = answer(&plane, &request).ok_or(io::ErrorKind::ResourceBusy)?;
     framed.codec_mut().set_max_frame_length(MAX_STATE_BYTES);
     framed.send(Bytes::from(reply.encode_to_vec())).await?;
--- a/crates/exchange/src/handed.rs
+++ b/crates/exchange/src/handed.rs
@@ -1,10 +1,10 @@
 //! Messages by which a VM hands a request over to another one, as protobuf.
 
-use std::time;
+use std::{mem, time};
 
 use base::outcome;
 use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
-use prost::Message as _;
+use prost::{Message as _, encoding};
 use snafu::Snafu;
 use tokio::time::Instant;
 
@@ -12,6 +12,8 @@
 
 /// Size of the length before the head of an answer.
 const LENGTH_BYTES: usize = 4;
+/// Tag of the body in a handed request.
+const BODY_TAG: u32 = 8;
 /// Maximum size of the head of an answer.
 const MAX_HEAD_BYTES: usize = 256 * 1_024;
 
@@ -277,6 +279,18 @@
         }
     }
 
+    /// Encodes the message in two parts: the body is its last field, and stays in its buffer.
+    #[must_use]
+    pub fn encode_parts(mut self) -> (Bytes, Bytes) {
+        let body = mem::take(&mut self.body);
+        let mut head = self.encode_to_vec();
+        if !body.is_empty() {
+            encoding::encode_key(BODY_TAG, encoding::WireType::LengthDelimited, &mut head);
+            encoding::encode_varint(body.len() as u64, &mut head);
+        }
+        (head.into(), body)
+    }
+
     /// The request that was handed over; `None` if a field is not valid.
     #[must_use]
     pub fn into_request(self, now: Instant) -> Option<request::ExchangeRequest> {
--- a/crates/exchange/src/handover.rs
+++ b/crates/exchange/src/handover.rs
@@ -8,7 +8,7 @@
 use std::{net, rc, time};
 
 use bytes::{Bytes, BytesMut};
-use carry::{bounded, listen, pool};
+use carry::{bounded, call, intake, listen, pool};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use prost::Message as _;
@@ -25,6 +25,8 @@
 const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 /// Bytes of a handed request beyond the body of the caller.
 const EXTRA_BYTES: usize = 64 * 1_024;
+/// Group of all handed requests among those that hold places.
+const HANDED_GROUP: u64 = 0;
 /// Maximum size of a complete answer: a whole body (`endless::MAX_KEPT_BODY_BYTES`) with its head.
 const MAX_COMPLETE_BYTES: u64 = 768 * 1_024;
 /// Parts of an answer buffered for a slow caller.
@@ -71,12 +73,12 @@
         let streams = request.is_stream();
         let id = request.id.clone();
         let left = time::Duration::from_millis(request.limit_ms);
-        let message = Bytes::from(request.encode_to_vec());
+        let (head, body) = request.encode_parts();
         let http_request = http::Request::builder()
             .method(http::Method::POST)
             .uri(HANDOVER_PATH)
             .header(http::header::HOST, peer.to_string())
-            .body(message.into())
+            .body(call::CallBody::joined(head, body))
             .map_err(|_| HandoverError::Unsent)?;
         let rule = pool::ReuseRule::Within(port::ReuseRule::FRESH_TIME);
         let connected = self.pool.get(peer, rule, CONNECT_TIMEOUT).await;
@@ -201,15 +203,16 @@
     plane: rc::Rc<plane::ExchangePlane<P>>,
     listener: tokio::net::TcpListener,
     rule: impl Fn() -> listen::ListenRule,
+    counts: listen::ListenerIntake,
     stop: listen::StopSwitch,
 ) {
     let answering = move |request| answer(plane.clone(), request);
-    listen::serve(listener, rule, stop, answering).await;
+    listen::serve(listener, rule, counts, stop, answering).await;
 }
 
 async fn answer<P: port::ServerPort + 'static>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
-    http_request: http::Request<Incoming>,
+    http_request: http::Request<intake::CallerBody>,
 ) -> http::Response<body::ReplyStream> {
     let is_stopping = plane.state().stage == message::VmStage::Stopping;
     let mut response = match read_request(&plane, http_request).await {
@@ -234,23 +237,26 @@
 /// Reads a handed request. The status of an error tells the other VM that it was not taken.
 async fn read_request<P>(
     plane: &plane::ExchangePlane<P>,
-    http_request: http::Request<Incoming>,
+    http_request: http::Request<intake::CallerBody>,
 ) -> Result<request::ExchangeRequest, http::StatusCode> {
     let catalog = plane.catalog();
     let catalog = catalog.ok_or(http::StatusCode::SERVICE_UNAVAILABLE)?;
     if http_request.uri().path() != HANDOVER_PATH {
+        http_request.into_body().refuse();
         return Err(http::StatusCode::NOT_FOUND);
     }
-    let limit = bounded::BodyLimit {
+    let limit = intake::IntakeLimit {
         bytes: catalog.limits.body_bytes + catalog.limits.header_bytes + EXTRA_BYTES,
-        left: REQUEST_TIMEOUT,
+        until: Instant::now() + REQUEST_TIMEOUT,
     };
-    let body = bounded::collect(http_request.into_body(), limit, |_| ()).await;
-    let bytes = body.map_err(|error| {
-        if let bounded::BodyError::Endless { answer } = error {
-            answer.report(bounded::EndlessPlace::Link, "sender of a handed request");
+    let body = http_request.into_body();
+    let bytes = body.collect(limit, HANDED_GROUP).await.map_err(|error| {
+        log::info!(cause:% = error; "handed request not read");
+        match error {
+            intake::IntakeError::Broken => http::StatusCode::BAD_REQUEST,
+            intake::IntakeError::TooLarge { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
+            _ => http::StatusCode::SERVICE_UNAVAILABLE,
         }
-        http::StatusCode::BAD_REQUEST
     })?;
     let message = handed::HandedRequest::decode(bytes);
     let message = message.map_err(|_| http::StatusCode::BAD_REQUEST)?;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -37,10 +37,11 @@
     Ok((datagrams, listener))
 }
 
-/// Sends and receives; never ends.
+/// Sends and receives; never ends. At most `connections` of other VMs are open.
 pub async fn run<P: 'static>(
     plane: rc::Rc<plane::ExchangePlane<P>>,
     sockets: (sockets::UdpSocket, sockets::TcpListener),
+    connections: usize,
     decode: follow::DocumentDecoder,
 ) {
     let (datagrams, listener) = sockets;
@@ -48,7 +49,7 @@
     tokio::join!(
         announce::run(plane.clone(), datagrams.clone()),
         listen(plane.clone(), datagrams),
-        catchup::serve_state_requests(plane.clone(), listener),
+        catchup::serve_state_requests(plane.clone(), listener, connections),
         catchup::catch_up(plane, catchup::TcpPeers, decode),
     );
 }
--- a/crates/exchange/src/reply.rs
+++ b/crates/exchange/src/reply.rs
@@ -17,6 +17,12 @@
     BadRequest,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The memory for requests of callers has no room.
+    NoMemory,
+    /// The body stopped arriving, or did not arrive in time.
+    SlowBody,
+    /// The caller has as many requests in progress as there are places for.
+    Crowded,
     /// No server of the service is known.
     NoServer,
     /// The queue is too long to serve the request in time.
@@ -67,6 +73,9 @@
             Self::Unroutable(crate::catalog::RouteError::NoKey) => "no_key",
             Self::BadRequest => "bad_request",
             Self::TooLarge => "too_large",
+            Self::NoMemory => "no_memory",
+            Self::SlowBody => "slow_body",
+            Self::Crowded => "crowded",
             Self::NoServer => "no_server",
             Self::Overload => "overload",
             Self::OverShare => "over_share",
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -824,6 +824,7 @@
         limits: catalog::CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1_000_000,
+            head_timeout: time::Duration::from_secs(3),
             idle_timeout: time::Duration::from_secs(15),
         },
     }
