--- a/crates/carry/src/intake.rs
+++ b/crates/carry/src/intake.rs
@@ -11,7 +11,7 @@
 use snafu::Snafu;
 use tokio::time;
 
-use crate::{memory, places};
+use crate::{memory, places, share};
 
 /// Bytes of a request's head and body that the fixed cost of its connection covers.
 pub const COVERED_BYTES: usize = 8 * 1_024;
@@ -98,6 +98,19 @@
         }
     }
 
+    /// Sizes the memory for the machine and the largest body in force.
+    pub fn fit(&self, machine: share::MachineLimit, body_bytes: usize) {
+        let before = self.memory.largest_grant();
+        self.memory.set_limit(machine.body_memory(body_bytes));
+        let largest = self.memory.largest_grant();
+        if largest != before && largest < body_bytes {
+            log::warn!(
+                limit = body_bytes, largest, machine = machine.memory;
+                "the largest body in force does not fit the memory of this VM; larger ones are refused"
+            );
+        }
+    }
+
     /// Memory for bodies.
     #[must_use]
     pub const fn memory(&self) -> &memory::CallerMemory {
@@ -273,7 +286,8 @@
                 return Ok(());
             };
             let missing = bytes - self.grant.bytes();
-            let may_end = self.intake.places.held_by_bodies() - self.grant.bytes();
+            let held = self.intake.places.held_by_bodies();
+            let may_end = held.saturating_sub(self.grant.bytes());
             self.intake.memory.note_full(missing);
             if may_end < missing || time::Instant::now() >= until {
                 return Err(IntakeError::Full { source });
--- a/crates/carry/src/memory.rs
+++ b/crates/carry/src/memory.rs
@@ -29,8 +29,8 @@
 #[derive(Debug)]
 struct MemoryState {
     /// Bytes that may be granted.
-    limit: usize,
-    /// Bytes granted; never more than `limit`.
+    limit: atomic::AtomicUsize,
+    /// Bytes granted; more than `limit` only after that was lowered.
     used: atomic::AtomicUsize,
     /// Notified when memory is released.
     released: Notify,
@@ -50,13 +50,31 @@
     #[must_use]
     pub fn new(limit: usize) -> Self {
         Self(sync::Arc::new(MemoryState {
-            limit,
+            limit: atomic::AtomicUsize::new(limit),
             used: atomic::AtomicUsize::new(0),
             released: Notify::new(),
             is_full: atomic::AtomicBool::new(false),
         }))
     }
 
+    /// Size of the memory of which one grant may take so many bytes.
+    #[must_use]
+    pub(crate) const fn limit_for(bytes: usize) -> usize {
+        bytes
+            .saturating_add(bytes / (RESERVE_DIVISOR - 1))
+            .saturating_add(1)
+    }
+
+    /// Changes the size; grants stay as they are.
+    pub fn set_limit(&self, limit: usize) {
+        self.0.limit.store(limit, atomic::Ordering::Relaxed);
+    }
+
+    /// Bytes that may be granted.
+    fn limit(&self) -> usize {
+        self.0.limit.load(atomic::Ordering::Relaxed)
+    }
+
     /// Size of the largest grant, if there is no other one.
     #[must_use]
     pub fn largest_grant(&self) -> usize {
@@ -87,7 +105,7 @@
     pub(crate) fn note_full(&self, missing: usize) {
         if !self.0.is_full.swap(true, atomic::Ordering::Relaxed) {
             log::warn!(
-                used = self.used(), limit = self.0.limit, missing;
+                used = self.used(), limit = self.limit(), missing;
                 "the memory for requests of callers is in use; large requests wait or are refused"
             );
         }
@@ -96,7 +114,7 @@
     /// Notes that memory was released.
     fn note_released(&self) {
         self.0.released.notify_waiters();
-        let is_low = self.used() < self.0.limit / 2;
+        let is_low = self.used() < self.limit() / 2;
         if is_low && self.0.is_full.swap(false, atomic::Ordering::Relaxed) {
             log::info!(used = self.used(); "the memory for requests of callers has room again");
         }
@@ -104,7 +122,7 @@
 
     /// Total of all grants up to which one of this size may grow.
     fn room_for(&self, bytes: usize) -> usize {
-        let limit = self.0.limit;
+        let limit = self.limit();
         if bytes <= SMALL_GRANT_BYTES {
             limit
         } else {
@@ -131,7 +149,7 @@
         if bytes > self.bytes && used > self.memory.room_for(bytes) {
             return Err(MemoryFull {
                 used: self.memory.used(),
-                limit: state.limit,
+                limit: self.memory.limit(),
             });
         }
         state.used.store(used, atomic::Ordering::Relaxed);
--- a/crates/carry/src/share.rs
+++ b/crates/carry/src/share.rs
@@ -1,6 +1,6 @@
 //! Shares of a VM's memory and descriptors that the listeners for callers may take.
 
-use crate::intake;
+use crate::{intake, memory};
 
 /// Part of the memory that the bytes of callers may take, as one over this number. The rest is for the
 /// state of the process, for answers, and for memory that the allocator does not give back.
@@ -10,7 +10,7 @@
 /// Memory of a connection beside its read buffer and its covered bytes.
 const CONNECTION_BYTES: usize = 8 * 1_024;
 /// Connections that any listener may have.
-const MIN_CONNECTIONS: usize = 8;
+const MIN_CONNECTIONS: usize = 4;
 
 /// Memory and descriptors that a process may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,10 +42,13 @@
 }
 
 impl MachineLimit {
-    /// Memory for the heads and bodies of requests that connections do not cover.
+    /// Memory for the heads and bodies of requests that connections do not cover: half of that for
+    /// callers, or more on a small VM, so that one request with a body of `body_bytes` can be served.
     #[must_use]
-    pub const fn body_memory(&self) -> usize {
-        self.memory / CALLERS_DIVISOR / 2
+    pub fn body_memory(&self, body_bytes: usize) -> usize {
+        let all = self.memory / CALLERS_DIVISOR;
+        let one = memory::CallerMemory::limit_for(body_bytes + memory::SMALL_GRANT_BYTES);
+        (all / 2).max(one).min(all)
     }
 
     /// Maximum number of connections of a listener whose request heads have at most `header_bytes`: all
