carry: a replaced connection closes at once, and an evicted one accepts nothing

Cause, found in reading the diff, not seen in a run: a connection whose body was ended for a newer connection no longer counted, and lived on for up to 1 s for its refusal, so that a crowd that connects fast could hold more descriptors than allowed. And a request that completed in the same turn as its eviction could be accepted and then dropped. Change: a connection that is replaced closes at once, without an answer; one whose body ends for memory counts until it is closed. Evictions are looked at before bytes are, and an evicted place accepts nothing.

--- a/crates/carry/src/intake.rs
+++ b/crates/carry/src/intake.rs
@@ -226,8 +226,9 @@
         };
         tokio::select! {
             biased;
+            // An evicted place must not accept a request any more.
+            _ = place.evicted() => Err(IntakeError::Stalled { received: received.get() }),
             read = reading => read,
-            () = place.evicted() => Err(IntakeError::Stalled { received: received.get() }),
             () = time::sleep_until(limit.until) => Err(IntakeError::Late { received: received.get() }),
         }
     }
--- a/crates/carry/src/listen.rs
+++ b/crates/carry/src/listen.rs
@@ -229,20 +229,20 @@
             .serve_connection(stream, answer);
         tokio::pin!(connection);
         let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
-            () = stop.stopped() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-            () = place.evicted() => {
-                if !place.has_body() {
+            biased;
+            eviction = place.evicted() => {
+                if eviction == places::PlaceEviction::Connection {
                     return Ok(());
                 }
-                // The caller of a body gets a refusal.
                 connection.as_mut().graceful_shutdown();
                 let ended = time::timeout(REFUSAL_TIMEOUT, connection).await;
                 ended.unwrap_or(Ok(()))
             }
+            ended = connection.as_mut() => ended,
+            () = stop.stopped() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         };
         ended.map_err(io::Error::other)
     }
--- a/crates/carry/src/places.rs
+++ b/crates/carry/src/places.rs
@@ -61,17 +61,34 @@
     group: Option<u64>,
     /// Memory that the body holds, in bytes.
     held: usize,
-    evicted: bool,
+    /// Present once the place is evicted.
+    eviction: Option<PlaceEviction>,
     /// Whether a body was refused that its caller may still send.
     refused: bool,
     /// Notified when the place is evicted.
-    eviction: rc::Rc<Notify>,
+    evicted: rc::Rc<Notify>,
+}
+
+/// What a place is evicted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlaceEviction {
+    /// A new connection, which counts in its place: the old one must close at once.
+    Connection,
+    /// Memory of another body: the caller of this one gets a refusal.
+    Memory,
+}
+
+impl Place {
+    /// Whether the connection counts among the open ones of its listener.
+    fn is_counted(&self) -> bool {
+        self.eviction != Some(PlaceEviction::Connection)
+    }
 }
 
 /// Counts of one listener.
 #[derive(Debug, Default)]
 struct ListenerCounts {
-    /// Connections that are not evicted.
+    /// Connections that no other one has replaced.
     open: usize,
     /// Maximum number of them, as of the newest connection.
     limit: usize,
@@ -139,14 +156,16 @@
 }
 
 impl PlaceState {
-    fn evict(&mut self, key: PlaceKey) {
+    fn evict(&mut self, key: PlaceKey, eviction: PlaceEviction) {
         let Some(place) = self.places.get_mut(key) else {
             return;
         };
-        place.evicted = true;
-        place.eviction.notify_waiters();
+        place.eviction = Some(eviction);
+        place.evicted.notify_waiters();
         let (listener, stage) = (place.listener, place.stage.name());
-        if let Some(counts) = self.listeners.get_mut(&listener) {
+        if eviction == PlaceEviction::Connection
+            && let Some(counts) = self.listeners.get_mut(&listener)
+        {
             counts.leave(listener);
         }
         metrics::counter!(
@@ -162,7 +181,7 @@
                 place.stage,
                 PlaceStage::Idle | PlaceStage::Head | PlaceStage::Body
             );
-            arrives && !place.evicted && place.listener == listener
+            arrives && place.is_counted() && place.listener == listener
         };
         let candidates = self.places.iter().filter(|(_, place)| gives_way(place));
         let quietest = candidates.min_by_key(|(_, place)| (place.known, place.since));
@@ -181,7 +200,7 @@
         if counts.open >= limit {
             counts.note_full(listener);
             let quietest = state.quietest(listener)?;
-            state.evict(quietest);
+            state.evict(quietest, PlaceEviction::Connection);
         }
         if let Some(counts) = state.listeners.get_mut(&listener) {
             counts.open += 1;
@@ -193,9 +212,9 @@
             known: false,
             group: None,
             held: 0,
-            evicted: false,
+            eviction: None,
             refused: false,
-            eviction: rc::Rc::default(),
+            evicted: rc::Rc::default(),
         });
         let table = self.clone();
         Some(HeldPlace { table, key })
@@ -207,7 +226,7 @@
         let now = time::Instant::now();
         let stalls = |place: &Place| {
             let stalls = now.saturating_duration_since(place.since) >= STALL_TIMEOUT;
-            place.stage == PlaceStage::Body && place.held > 0 && stalls && !place.evicted
+            place.stage == PlaceStage::Body && place.held > 0 && stalls && place.eviction.is_none()
         };
         let stalled = state.places.iter().filter(|(_, place)| stalls(place));
         let mut stalled: Vec<_> = stalled
@@ -220,7 +239,7 @@
                 return;
             }
             ended += held;
-            state.evict(key);
+            state.evict(key, PlaceEviction::Memory);
         }
     }
 
@@ -307,17 +326,13 @@
         self.change(|place| place.refused).unwrap_or_default()
     }
 
-    /// Whether the connection carries a body that has not arrived completely.
-    pub(crate) fn has_body(&self) -> bool {
-        self.stage() == PlaceStage::Body
-    }
-
     /// Accepts the request that has arrived. A group may hold at most twice the places that no accepted
     /// request holds, so that there is always room for other groups. Returns whether there is room.
     pub fn accept(&self, group: u64) -> bool {
         let mut state = self.table.0.borrow_mut();
         let PlaceState { places, listeners } = &mut *state;
-        let Some(place) = places.get_mut(self.key) else {
+        let place = places.get_mut(self.key);
+        let Some(place) = place.filter(|place| place.eviction.is_none()) else {
             return false;
         };
         let counts = listeners.entry(place.listener).or_default();
@@ -361,11 +376,16 @@
         self.set_stage(PlaceStage::Sending);
     }
 
-    /// Waits until the place is given to another connection, or its body ends for others.
-    pub async fn evicted(&self) {
-        let eviction = self.change(|place| (!place.evicted).then(|| place.eviction.clone()));
-        if let Some(Some(eviction)) = eviction {
-            eviction.notified().await;
+    /// Waits until the place is evicted.
+    pub async fn evicted(&self) -> PlaceEviction {
+        loop {
+            let state = self.change(|place| (place.eviction, place.evicted.clone()));
+            // The place is in the table until this is dropped.
+            let (eviction, evicted) = state.unwrap_or_default();
+            match eviction {
+                Some(eviction) => return eviction,
+                None => evicted.notified().await,
+            }
         }
     }
 }
@@ -377,7 +397,7 @@
         let Some(place) = state.places.remove(self.key) else {
             return;
         };
-        if !place.evicted
+        if place.is_counted()
             && let Some(counts) = state.listeners.get_mut(&place.listener)
         {
             counts.leave(place.listener);
--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -361,7 +361,7 @@
             let serving = serve_state_request(plane, stream, address, &meter, &place);
             let stalled = tokio::select! {
                 served = meter.limit(&LIST_LIMIT, serving) => served.err(),
-                () = place.evicted() => None,
+                _ = place.evicted() => None,
             };
             if let Some(stalled) = stalled {
                 log::debug!(fault:% = stalled; "VM does not read the state that it requested");
