carry: a grant changes the count of memory in one step

What callers would see: bodies of pollenchuted refused with 503 for good, or taken beyond the memory. Not seen in a run of the program; found in reading. Cause: `MemoryGrant::resize` loaded the count and stored it again, and pollenchuted changes grants on several threads, so that changes were lost. pollenedge has one thread and was not affected. Change: one compare-and-exchange.

--- a/crates/carry/src/memory.rs
+++ b/crates/carry/src/memory.rs
@@ -34,7 +34,7 @@
     used: atomic::AtomicUsize,
     /// Notified when memory is released.
     released: Notify,
-    /// Whether a grant found no room, and most of the memory has been granted since.
+    /// Whether a grant found no room, and at least half of the memory has been granted since.
     is_full: atomic::AtomicBool,
 }
 
@@ -144,15 +144,17 @@
     ///
     /// When it grows and the memory has no room; it keeps its size.
     pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryFull> {
-        let state = &self.memory.0;
-        let used = self.memory.used() - self.bytes + bytes;
-        if bytes > self.bytes && used > self.memory.room_for(bytes) {
-            return Err(MemoryFull {
-                used: self.memory.used(),
-                limit: self.memory.limit(),
-            });
-        }
-        state.used.store(used, atomic::Ordering::Relaxed);
+        let room = self.memory.room_for(bytes);
+        let change = |used: usize| {
+            let used = used - self.bytes + bytes;
+            (bytes <= self.bytes || used <= room).then_some(used)
+        };
+        let order = atomic::Ordering::Relaxed;
+        let changed = self.memory.0.used.fetch_update(order, order, change);
+        changed.map_err(|used| MemoryFull {
+            used,
+            limit: self.memory.limit(),
+        })?;
         if bytes < self.bytes {
             self.memory.note_released();
         }
--- a/crates/carry/tests/intake.rs
+++ b/crates/carry/tests/intake.rs
@@ -64,6 +64,24 @@
     });
 }
 
+#[test]
+fn grants_of_several_threads_all_come_back() {
+    // Guards against a count that loses changes of threads that make them at once, after which bodies are
+    // refused for good, or beyond the memory.
+    let memory = memory::CallerMemory::new(1_000_000);
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| {
+                for number in 0..20_000 {
+                    let mut grant = memory.grant();
+                    let _ = grant.resize(1 + number % 1_000);
+                }
+            });
+        }
+    });
+    assert_eq!(memory.used(), 0);
+}
+
 /// A connection as the oracle knows it.
 struct KnownPlace {
     place: places::HeldPlace,
