--- a/crates/carry/src/intake.rs
+++ b/crates/carry/src/intake.rs
@@ -3,7 +3,7 @@
 //! A body is copied into one buffer, since a part of it would keep the whole read buffer of its
 //! connection. The buffer counts against the memory for callers until the last user of the body is gone.
 
-use std::rc;
+use std::{cell, rc};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -211,7 +211,7 @@
         buffer.reserve(length.unwrap_or(0)).await?;
         let incoming = self.incoming;
         let place = buffer.place.clone();
-        let received = rc::Rc::new(std::cell::Cell::new(0));
+        let received = rc::Rc::new(cell::Cell::new(0));
         let counted = received.clone();
         let reading = async move {
             let mut incoming = incoming;
@@ -309,22 +309,6 @@
         self.bytes.shrink_to_fit();
         // A grant that shrinks is never refused.
         let _ = self.grant.resize(self.base + self.bytes.capacity());
-        Bytes::from_owner(GrantedBody {
-            bytes: self.bytes,
-            _grant: self.grant,
-        })
-    }
-}
-
-/// Bytes that are granted until dropped.
-#[derive(Debug)]
-struct GrantedBody {
-    bytes: Vec<u8>,
-    _grant: memory::MemoryGrant,
-}
-
-impl AsRef<[u8]> for GrantedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.grant.hold(self.bytes)
     }
 }
--- a/crates/carry/src/memory.rs
+++ b/crates/carry/src/memory.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{self, atomic};
 
+use bytes::Bytes;
 use snafu::Snafu;
 use tokio::sync::Notify;
 
@@ -138,6 +139,15 @@
         self.bytes
     }
 
+    /// Shared bytes that hold this grant until the last clone of them is dropped.
+    #[must_use]
+    pub fn hold(self, bytes: Vec<u8>) -> Bytes {
+        Bytes::from_owner(GrantedBytes {
+            bytes,
+            _grant: self,
+        })
+    }
+
     /// Changes the size of this grant.
     ///
     /// # Errors
@@ -163,6 +173,19 @@
     }
 }
 
+/// Bytes that are granted until dropped.
+#[derive(Debug)]
+struct GrantedBytes {
+    bytes: Vec<u8>,
+    _grant: MemoryGrant,
+}
+
+impl AsRef<[u8]> for GrantedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for MemoryGrant {
     fn drop(&mut self) {
         // A grant that shrinks is never refused.
--- a/crates/entry/src/http/intake.rs
+++ b/crates/entry/src/http/intake.rs
@@ -103,10 +103,7 @@
                 Err(error) => return Err(broken(&error)),
             }
         }
-        Ok(Bytes::from_owner(GrantedBody {
-            bytes: self.bytes,
-            _grant: self.grant,
-        }))
+        Ok(self.grant.hold(self.bytes))
     }
 
     fn too_large(&self) -> refusal::RefusalBody {
@@ -129,15 +126,3 @@
     let message = format!("the body could not be read ({error}); send it again");
     refused("broken", refusal::RefusalCode::BadRequest, message)
 }
-
-/// Bytes that are granted until dropped.
-struct GrantedBody {
-    bytes: Vec<u8>,
-    _grant: memory::MemoryGrant,
-}
-
-impl AsRef<[u8]> for GrantedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
