--- a/review/standin2/src/engine.rs
+++ b/review/standin2/src/engine.rs
@@ -12,7 +12,7 @@
         Arc, Condvar, Mutex,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -48,6 +48,13 @@
     pub resumed: bool,
 }
 
+/// A call that a plain server has begun.
+pub struct Call {
+    pub id: String,
+    pub engine: String,
+    pub began: Instant,
+}
+
 /// What all engines know: runs, and copies of their memory.
 #[derive(Clone)]
 pub struct Engines {
@@ -56,8 +63,8 @@
     /// Copies by the engine that holds them and their handle; the value is the run.
     copies: Arc<Mutex<HashMap<(SocketAddr, String), Arc<Run>>>>,
     handles: Arc<AtomicU64>,
-    /// Ids of the calls that plain servers have begun.
-    pub calls: Arc<Mutex<Vec<String>>>,
+    /// Calls that plain servers have begun.
+    pub calls: Arc<Mutex<Vec<Call>>>,
     /// Time that a plain server works on a call, in milliseconds.
     pub work_ms: Arc<AtomicU64>,
 }
@@ -117,6 +124,12 @@
         store.put("keyed.servers", &self.id, &entry);
     }
 
+    /// Leaves without a report: its entry is removed, and it serves on.
+    pub fn leave(&self, store: &Store) {
+        store.put("keyed.servers", &self.id, "");
+        self.engines.record.line(&format!("the entry of {} is removed; it serves on", self.id));
+    }
+
     /// Exits after a planned shutdown: its work ends, its entry is removed, its connections are closed, and
     /// new ones refused.
     pub fn exit(&self, store: &Store) {
@@ -206,7 +219,8 @@
         }
         if self.service != crate::LLM {
             self.engines.record.line(&format!("{} runs {id} {} {}", self.id, request.method, request.target));
-            self.engines.calls.lock().unwrap().push(id.clone());
+            let call = Call { id: id.clone(), engine: self.id.clone(), began: Instant::now() };
+            self.engines.calls.lock().unwrap().push(call);
             thread::sleep(Duration::from_millis(self.engines.work_ms.load(Ordering::Relaxed)));
             let headers = [("Attempt-Id", id.as_str()), ("Signature", "s1")];
             return http::respond(stream, 200, &headers, format!("answer to {id}").as_bytes());
--- a/review/standin2/src/grace.rs
+++ b/review/standin2/src/grace.rs
@@ -108,7 +108,7 @@
     let sent = sent.lock().unwrap();
     let lost: Vec<_> = sent
         .iter()
-        .filter(|sent| !sent.answered && sent.after_term_ms > EXCUSED_MS && calls.contains(&sent.id))
+        .filter(|sent| !sent.answered && sent.after_term_ms > EXCUSED_MS && calls.iter().any(|call| call.id == sent.id))
         .collect();
     for lost in &lost {
         record.line(&format!("check: {} was sent {} ms after SIGTERM, was run, and has no answer", lost.id, lost.after_term_ms));
--- a/review/standin2/src/main.rs
+++ b/review/standin2/src/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod left;
 mod record;
+mod removed;
 mod stale;
 mod store;
 
@@ -57,6 +58,7 @@
     let run = || match case.as_str() {
         "stale" => stale::run(&record, &folder.to_string_lossy(), trouble),
         "grace" => grace::run(&record, &folder.to_string_lossy(), trouble),
+        "removed" => removed::run(&record, &folder.to_string_lossy(), trouble),
         "left" => left::run(&record, &folder.to_string_lossy(), trouble),
         _ => cannot_run("no such case"),
     };
--- a/review/standin2/src/store.rs
+++ b/review/standin2/src/store.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     net::{SocketAddr, TcpStream},
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Condvar, Mutex,
     },
     time::{Duration, Instant},
@@ -24,12 +24,36 @@
     silent: Arc<AtomicBool>,
 }
 
+/// Address of the store for one machine, which it may turn away.
+#[derive(Clone, Default)]
+pub struct Gate {
+    /// Whether calls get 503.
+    pub refuses: Arc<AtomicBool>,
+    /// Number of calls about servers that got 503.
+    pub refused: Arc<AtomicUsize>,
+}
+
 impl Store {
     pub fn start(&self, address: SocketAddr) {
         let store = self.clone();
         http::serve(http::listen(address), move |request, stream| store.answer(&request, stream));
     }
 
+    /// Starts it at an address for one machine.
+    pub fn start_for(&self, address: SocketAddr) -> Gate {
+        let (store, gate) = (self.clone(), Gate::default());
+        let asked = gate.clone();
+        http::serve(http::listen(address), move |request, stream| {
+            if !asked.refuses.load(Ordering::Relaxed) {
+                return store.answer(&request, stream);
+            }
+            let about_servers = request.query("topic").as_deref() == Some("keyed.servers");
+            asked.refused.fetch_add(usize::from(about_servers), Ordering::Relaxed);
+            http::respond(stream, 503, &[], b"")
+        });
+        gate
+    }
+
     /// Sets whether calls get no response. "A connection on which a response is lost returns nothing
     /// further."
     pub fn set_silent(&self, silent: bool) {
