review: case 10, a fresh VM takes a removed server from a stale one

Cause: a VM that starts adopts each server that its peers list and the store doesn't (note_difference, take_state and insert_new), though its own list is complete up to a later position. Where one VM is stale because the store turns it away, and no other VM is heard, the stale one is the majority.

--- a/review/standin2/src/main.rs
+++ b/review/standin2/src/main.rs
@@ -11,6 +11,7 @@
 mod left;
 mod record;
 mod removed;
+mod revived;
 mod stale;
 mod store;
 
@@ -59,6 +60,7 @@
         "stale" => stale::run(&record, &folder.to_string_lossy(), trouble),
         "grace" => grace::run(&record, &folder.to_string_lossy(), trouble),
         "removed" => removed::run(&record, &folder.to_string_lossy(), trouble),
+        "revived" => revived::run(&record, &folder.to_string_lossy(), trouble),
         "left" => left::run(&record, &folder.to_string_lossy(), trouble),
         _ => cannot_run("no such case"),
     };
