exchange: drop what other VMs tell of servers that the complete list no longer has

Cause: a server that a VM did not know was added from another VM's list at any age. The store answered the VM that started and turned the other one away; the stale VM was the majority of one in the comparison of lists. Change: a list that was read to its end is complete up to a position of the store. Entries from before it of servers that it does not have are outdated, whichever way another VM tells them; state replies name the position and the requester's servers that the replier does not know; and only VMs that the store answers count in the comparison, where there are any. Test: a_vm_that_starts_takes_no_removed_server_from_vms_that_the_store_turns_away failed before after 490 ms with 1 stale VM; passes with 1, 3 and 9.

--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -186,15 +186,26 @@
     }
 }
 
+/// Whether the store answers any VM that counts as alive. If so, only the views of such VMs count:
+/// one that the store turns away knows no removal since.
+fn is_any_answered(state: &state::PlaneState, now: time::Instant) -> bool {
+    let mut peers = state.peers.all();
+    peers.any(|(_, peer)| peer.is_alive(now) && !peer.store_unavailable)
+}
+
 /// Notes whether most VMs have a different view of the servers than this one, for instance because
 /// a datagram with updates was lost on its way here.
 fn note_difference(state: &mut state::PlaneState) {
     let now = time::Instant::now();
     let own = state.fleet.standing_hash();
     let version = state.version();
+    let any_answered = is_any_answered(state, now);
     let (mut behind, mut same, mut other) = (false, 0, 0);
     for (_, peer) in state.peers.all().filter(|(_, peer)| peer.is_alive(now)) {
         behind |= peer.catalog_version > version;
+        if any_answered && peer.store_unavailable {
+            continue;
+        }
         if peer.standing_hash == own {
             same += 1;
         } else {
@@ -251,7 +262,9 @@
         .is_some_and(|since| now.saturating_duration_since(since) >= DIFFERENCE_DELAY);
     let own = state.fleet.standing_hash();
     let source = source.or_else(|| {
-        let other = alive().filter(|peer| differs && peer.standing_hash != own);
+        let any_answered = is_any_answered(&state, now);
+        let counts = alive().filter(|peer| !(any_answered && peer.store_unavailable));
+        let other = counts.filter(|peer| differs && peer.standing_hash != own);
         let candidates = preferred_sources(other.collect(), &state.settings.domain);
         candidates.get(draw % candidates.len().max(1)).copied()
     });
@@ -307,9 +320,13 @@
         .iter()
         .filter_map(message::UpdateItem::decode_update)
         .collect();
-    let changed = link::take_updates(plane, &updates, SOURCE_STATE, now);
+    let mut changed = link::take_updates(plane, &updates, SOURCE_STATE, now);
+    let removals = plane.state().fleet.removals_of(&reply);
+    changed |= link::take_updates(plane, &removals, SOURCE_STATE, now);
     let mut state = plane.state();
     state.servers_complete |= !reply.partial;
+    let known_until = state.fleet.complete_until.max(reply.complete_until());
+    state.fleet.complete_until = known_until;
     for known in reply.known.iter().filter_map(|known| known.parse().ok()) {
         if known != state.settings.link_address {
             state.peers.add_address(known);
@@ -464,6 +481,10 @@
         .filter(|server| differs(server))
         .map(|server| message::UpdateItem::from(&server.update()));
     let updates = updates.collect();
+    let complete_until = state.vouched_until(time::Instant::now());
+    let unlisted = request.ready.iter().chain(&request.leaving);
+    let unlisted = unlisted.filter(|&&hash| state.fleet.find_by_hash(hash).is_none());
+    let unlisted = unlisted.copied().collect();
     let delta = (newer && request.takes_delta).then(|| state.document.delta(&request.chunks));
     let catalog = if newer && delta.is_none() {
         state.document.bytes().clone()
@@ -478,6 +499,9 @@
         system: state.system.number(),
         store_era: state.era(),
         partial: !state.servers_complete,
+        complete_offset: complete_until.offset,
+        complete_era: complete_until.era,
+        unlisted,
     }
 }
 
--- a/crates/exchange/src/fleet.rs
+++ b/crates/exchange/src/fleet.rs
@@ -54,6 +54,9 @@
     in_lapse_grace: Vec<ServerKey>,
     /// Servers that the store may list only because it came back from an older copy.
     distrusted: collections::HashSet<ServerKey>,
+    /// End of the store's records up to which this VM knows all servers; the first position if it
+    /// knows none for certain.
+    pub(crate) complete_until: position::StorePosition,
     /// Until then entries may come from an older copy of the store.
     pub(crate) settles_at: Option<time::Instant>,
     /// Servers with failed attempts since the last sweep.
@@ -242,30 +245,6 @@
         known && entry.is_some_and(|entry| !entry.started_at.is_known())
     }
 
-    /// Removals of the servers that a complete read of the store did not list. `end` is the log
-    /// position up to which the list is complete.
-    #[must_use]
-    pub fn unlisted(
-        &self,
-        listed: &collections::HashSet<String>,
-        end: position::StorePosition,
-    ) -> Vec<update::ServerUpdate> {
-        let records = self.servers.values();
-        let unlisted = records
-            .filter(|record| record.position < end && !listed.contains(&record.id))
-            .filter(|record| record.standing != server::ServerStanding::Gone);
-        let removals = unlisted.map(|record| update::ServerUpdate {
-            id: record.id.clone(),
-            position: if record.position.era < end.era {
-                position::StorePosition::era_start(end.era)
-            } else {
-                record.position.next()
-            },
-            entry: None,
-        });
-        removals.collect()
-    }
-
     /// Ends expired grace periods, and returns the servers that are removed for good.
     pub fn end_lapse_grace(&mut self, now: time::Instant) -> Vec<ServerKey> {
         let mut ended = Vec::new();
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cold;
 pub mod content;
 mod copying;
+pub mod coverage;
 pub mod crash_items;
 pub mod crash_news;
 pub mod crash_store;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -214,7 +214,7 @@
     now: time::Instant,
 ) -> bool {
     let changes = updates.iter().map(|update| {
-        let change = plane.state().apply_update(update.clone(), false, now);
+        let change = plane.state().take_peer_update(update.clone(), source, now);
         (update.clone(), change)
     });
     let changes: Vec<_> = changes.collect();
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -221,6 +221,9 @@
             }
         }
     };
+    if let ListCursor::Complete(end) = &cursor {
+        plane.state().fleet.complete_until = *end;
+    }
     if changed {
         plane.wake_decisions();
         plane.updates.notify_one();
--- a/crates/exchange/src/message.rs
+++ b/crates/exchange/src/message.rs
@@ -562,6 +562,24 @@
     /// Latest era of the store that the replying VM knows.
     #[prost(uint64, tag = "8")]
     pub store_era: u64,
+    /// End of the store's records up to which the replying VM knows all servers; the first position if
+    /// it vouches for none.
+    #[prost(uint64, tag = "9")]
+    pub complete_offset: u64,
+    /// Era of that position.
+    #[prost(uint64, tag = "10")]
+    pub complete_era: u64,
+    /// Servers of the requester that the replying VM does not know, by the hash of their names.
+    #[prost(fixed32, repeated, tag = "11")]
+    pub unlisted: Vec<u32>,
+}
+
+impl StateReply {
+    /// End of the records up to which the replying VM knows all servers.
+    #[must_use]
+    pub const fn complete_until(&self) -> position::StorePosition {
+        position::StorePosition::new(self.complete_era, self.complete_offset)
+    }
 }
 
 impl From<&update::ServerUpdate> for UpdateItem {
--- a/crates/exchange/tests/cluster/log_store.rs
+++ b/crates/exchange/tests/cluster/log_store.rs
@@ -11,6 +11,11 @@
 /// Duration of a call.
 const STORE_TIME: time::Duration = time::Duration::from_millis(4);
 
+tokio::task_local! {
+    /// Number of the VM whose calls a task makes.
+    pub static CALLER: usize;
+}
+
 /// Record of the operator.
 #[derive(Clone, Debug)]
 pub enum OperatorRecord {
@@ -37,6 +42,8 @@
     pub era: cell::Cell<u64>,
     /// Whether no call is answered.
     pub away: cell::Cell<bool>,
+    /// VMs whose calls the store refuses while it answers others.
+    pub turned_away: cell::RefCell<collections::BTreeSet<usize>>,
     /// Number of the oldest records of servers that are trimmed.
     trimmed: cell::Cell<u64>,
     /// Number of calls that read or wrote crashes.
@@ -94,7 +101,8 @@
     async fn call(&self) -> Result<(), follow::StoreError> {
         let era = self.era.get();
         clock::sleep(STORE_TIME).await;
-        if self.away.get() || self.era.get() != era {
+        let refused = CALLER.try_with(|own| self.turned_away.borrow().contains(own));
+        if self.away.get() || refused == Ok(true) || self.era.get() != era {
             return Err(follow::StoreError::Unavailable);
         }
         Ok(())
--- a/crates/exchange/tests/cluster/running.rs
+++ b/crates/exchange/tests/cluster/running.rs
@@ -101,14 +101,16 @@
         super::start(&plane);
         let store = self.store.clone();
         let vms = self.vms.clone();
-        self.runs.push(tokio::task::spawn_local(async move {
+        let run = async move {
             tokio::join!(
                 lossy::run_vm(vms, store.clone(), own),
                 follow::follow_catalog(plane.clone(), store.clone(), lossy::decode),
                 crash_store::keep_crashes(plane.clone(), store.clone()),
                 follow::discover_peers(plane, store),
             );
-        }));
+        };
+        let run = log_store::CALLER.scope(own, run);
+        self.runs.push(tokio::task::spawn_local(run));
     }
 
     /// Takes the store away for a while.
--- a/crates/exchange/tests/removals.rs
+++ b/crates/exchange/tests/removals.rs
@@ -103,3 +103,30 @@
         assert_eq!(reply.updates, []);
     });
 }
+
+#[test]
+fn a_vm_that_starts_takes_no_removed_server_from_vms_that_the_store_turns_away() {
+    // Guards against a fresh VM that adds servers which its complete list no longer has, since VMs that
+    // know nothing newer name them.
+    for stale in [1, 3, 9] {
+        cluster::run(async move {
+            let mut running = running::RunningVms::start_with_fresh(stale, 1, 0.05).await;
+            running.store.turned_away.borrow_mut().extend(0..stale);
+            clock::sleep(OUTAGE).await;
+            let server = running::name(7);
+            running.store.append(&server, None);
+            running.start_vm(stale);
+            let started = Instant::now();
+            while started.elapsed() < SETTLED {
+                clock::sleep(running::CHECK_INTERVAL).await;
+                let senders = running.senders(&server);
+                let after = started.elapsed();
+                assert!(!senders.contains(&stale), "{stale} stale VMs, {after:?}");
+            }
+            let senders = running.senders(&server);
+            assert!(senders.is_empty(), "{senders:?} of {stale} stale VMs send");
+            let (known, fresh) = (running.senders(&running::name(8)), stale);
+            assert_eq!(known.len(), stale + 1, "VM {fresh} knows the others");
+        });
+    }
+}
