exchange: stop the old run after each continuation on another server

Cause: after a switch to a backup the old run was left to the close of its connection. So it was where a stream went on from a copy after its connection broke. Change: unless the run was certainly stopped there, the server that it leaves is asked to stop it 50 ms after the close, until an answer tells what became of the run; a copy is released. Calls to several servers may be pending. The fake server of the tests stops a run at one server, not each run of a request.

--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -13,7 +13,7 @@
     budget, fleet, loans, permit, port,
     port::ResponseBody as _,
     serve_stream::{CopyPlace, LiveRun, RelayEnd, StreamDriver, millis},
-    server,
+    server, switching,
 };
 
 /// Timeout for the last events of a stopped run.
@@ -85,6 +85,7 @@
             fallback: None,
             origin: self.origin,
             handle: self.handle,
+            is_stopped: false,
         })
     }
 }
@@ -132,6 +133,7 @@
                 fallback,
                 origin: from,
                 handle,
+                is_stopped: true,
             };
             let stopped = match (copied, stop) {
                 (Ok(done), false) if !matches!(ended, Some(RelayEnd::Finished)) => {
@@ -243,10 +245,14 @@
             };
             match self.send_resume(live, call, server, permit).await {
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
+                    let left = live.placed.server;
                     self.moved(live, server);
                     self.spare = None;
                     let (watch, events) = (self.watch(server), self.splitter.events());
                     live.continue_with(response.body, watch, events, may_be_stopped);
+                    if moves && !copy.is_stopped {
+                        self.stop_elsewhere(left, server, switching::StopCause::WentOn);
+                    }
                     self.moves += 1;
                     metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
                     log::info!(
--- a/crates/exchange/src/serve_stream.rs
+++ b/crates/exchange/src/serve_stream.rs
@@ -105,7 +105,7 @@
         pace: event_pace::EventPace::default(),
         went_on_at: None,
         spare: None,
-        stop_elsewhere: None,
+        stops_elsewhere: Vec::new(),
     };
     let ended = tokio::select! {
         biased;
@@ -164,8 +164,8 @@
     went_on_at: Option<time::Instant>,
     /// Copy made by an unfinished move: see [`moving::SpareCopy`].
     pub(crate) spare: Option<moving::SpareCopy>,
-    /// The last call that stops the run at a server other than that of its live attempt.
-    pub(crate) stop_elsewhere: Option<switching::StopElsewhere>,
+    /// Calls that stop the run at servers other than that of its live attempt.
+    pub(crate) stops_elsewhere: Vec<switching::StopElsewhere>,
 }
 
 /// An attempt whose response is being forwarded.
@@ -246,6 +246,8 @@
     /// run.
     pub(crate) origin: fleet::ServerKey,
     pub(crate) handle: String,
+    /// Whether the run was certainly stopped on the server that it leaves.
+    pub(crate) is_stopped: bool,
 }
 
 impl<P: port::ServerPort + 'static> StreamDriver<P> {
--- a/crates/exchange/src/switching.rs
+++ b/crates/exchange/src/switching.rs
@@ -1,6 +1,8 @@
 //! Continuation of a stream's run at the server that holds its proactive copy.
 //!
 //! The old run goes on until the other server has begun, so that nothing is lost if that has no copy.
+//! Then it is stopped, as after each continuation of a run that was not stopped before: some servers
+//! work on after their connection has been closed.
 //! If it is unknown whether the other server has begun, the old run is stopped, since both would work
 //! on the request, and the stream goes on from the memory of the stopped run.
 
@@ -18,7 +20,29 @@
 /// after a pause of two seconds.
 const MAX_STOP_WAIT: time::Duration = time::Duration::from_millis(1_300);
 
-/// A call that stops the run at a server that may have begun it.
+/// Time for a server to notice that the connection of a run was closed, before it is asked to stop the
+/// run: most servers drop it then, and have nothing to copy.
+const CLOSE_NOTICE_TIME: time::Duration = time::Duration::from_millis(50);
+
+/// Why a run is stopped at a server other than that of the live attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StopCause {
+    /// The server gave no answer, and may have begun the run.
+    NoAnswer,
+    /// The run went on at another server.
+    WentOn,
+}
+
+impl StopCause {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::NoAnswer => "no_answer",
+            Self::WentOn => "went_on",
+        }
+    }
+}
+
+/// A call that stops the run at a server that may be at work on it.
 pub(crate) struct StopElsewhere {
     server: fleet::ServerKey,
     /// Completes once the server has answered the call.
@@ -62,6 +86,7 @@
             fallback: None,
             origin: at,
             handle: self.request.id.clone(),
+            is_stopped: false,
         }
     }
 
@@ -76,7 +101,7 @@
             to:? = to.map(|to| self.plane.server_id(to)); "may run at its backup; stopping the old run"
         );
         if let Some(to) = to {
-            self.stop_other_run(live, other);
+            self.stop_elsewhere(other, live.placed.server, StopCause::NoAnswer);
             self.plane.count_request(live.placed.server, "copy");
             self.plane.count_request(to, "copy");
             if let Some(end) = self.move_run(live, to, true).await {
@@ -102,34 +127,47 @@
         third.or(Some(other))
     }
 
-    /// Stops the run at a server that gave no answer: some servers work on after their connection has
-    /// been closed. The call names a server for a copy, which is released.
-    fn stop_other_run(&mut self, live: &LiveRun<P>, other: fleet::ServerKey) {
-        let server = self.plane.target(other);
-        let source = self.plane.target(live.placed.server);
-        let (Some(server), Some(source)) = (server, source) else {
+    /// Stops the run at a server. The call names another server for a copy, which is released.
+    pub(crate) fn stop_elsewhere(
+        &mut self,
+        server: fleet::ServerKey,
+        copy_to: fleet::ServerKey,
+        cause: StopCause,
+    ) {
+        let (source, to) = (self.plane.target(server), self.plane.target(copy_to));
+        let (Some(source), Some(to)) = (source, to) else {
             return;
         };
-        if !self.plane.may_send(other) {
+        if !self.plane.may_send(server) {
             return;
         }
-        self.plane.count_request(other, "copy");
+        self.plane.count_request(server, "copy");
         let plane = self.plane.clone();
         let call = stop_calls::StopCall {
-            server: other,
-            source: server,
+            server,
+            source,
             run: self.request.id.clone(),
-            to: source.address,
+            to: to.address,
         };
         let (answer, answered) = oneshot::channel();
-        self.stop_elsewhere = Some(StopElsewhere {
-            server: other,
-            answered,
-        });
+        self.stops_elsewhere.retain(|stop| stop.server != server);
+        self.stops_elsewhere
+            .push(StopElsewhere { server, answered });
         tokio::task::spawn_local(async move {
-            let copied = plane.copy_run(&call, true).await;
-            let server = call.source;
-            log::info!(request:% = call.run, server:% = server.id, outcome:? = copied; "stopped elsewhere");
+            let copied = match cause {
+                StopCause::NoAnswer => plane.copy_run(&call, true).await,
+                StopCause::WentOn => {
+                    time::sleep(CLOSE_NOTICE_TIME).await;
+                    plane.stop_run(&call).await
+                }
+            };
+            let (server, outcome) = (call.source, outcome_name(&copied));
+            metrics::counter!("pollenchute_exchange_stops_elsewhere_total", "cause" => cause.name(), "outcome" => outcome)
+                .increment(1);
+            log::info!(
+                request:% = call.run, server:% = server.id, cause = cause.name(), outcome:? = copied;
+                "stopped elsewhere"
+            );
             if copied != Err(port::CopyFault::Unreachable) {
                 // The driver may have gone on without waiting.
                 let _ = answer.send(());
@@ -145,15 +183,24 @@
     /// Waits until a server has answered the call that stops the run there, if there was one: read later,
     /// it would stop the run that goes on. Returns whether it may still do so.
     pub(crate) async fn is_stop_pending(&mut self, server: fleet::ServerKey) -> bool {
-        let stop = self.stop_elsewhere.as_mut();
-        let Some(stop) = stop.filter(|stop| stop.server == server) else {
+        let mut stops = self.stops_elsewhere.iter_mut();
+        let Some(stop) = stops.find(|stop| stop.server == server) else {
             return false;
         };
         let answered = time::timeout(MAX_STOP_WAIT, &mut stop.answered).await;
         let pending = !matches!(answered, Ok(Ok(())));
         if !pending {
-            self.stop_elsewhere = None;
+            self.stops_elsewhere.retain(|stop| stop.server != server);
         }
         pending
     }
 }
+
+/// What a call to stop a run found, in metrics.
+const fn outcome_name(copied: &stop_calls::CopyResult) -> &'static str {
+    match copied {
+        Ok(_) | Err(port::CopyFault::NoRoom(Some(_))) => "stopped",
+        Err(port::CopyFault::NoRun) => "no_run",
+        Err(_) => "unknown",
+    }
+}
--- a/crates/exchange/tests/cluster/copying.rs
+++ b/crates/exchange/tests/cluster/copying.rs
@@ -1,10 +1,13 @@
 //! A server that stops and copies runs, and whose answers to these calls may be lost.
 
-use std::{cell, collections, time};
+use std::{cell, collections, rc, time};
 
 use exchange::port;
 use tokio::time::{self as clock, Instant};
 
+/// Runs that were stopped for a copy, by server and request.
+pub type StoppedRuns = rc::Rc<cell::RefCell<collections::BTreeSet<(String, String)>>>;
+
 /// When the connection of a call that stops a run is reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallLoss {
@@ -54,9 +57,10 @@
     /// Answers a call. The copy goes on whatever becomes of the call's connection.
     pub async fn copy(
         &self,
+        server: &str,
         run: &str,
         stop: bool,
-        stopped: &cell::RefCell<collections::BTreeSet<String>>,
+        stopped: &StoppedRuns,
     ) -> Result<port::CopyDone, port::CopyFault> {
         clock::sleep(CALL_TIME).await;
         if stop && self.losses.borrow().front() == Some(&CallLoss::Unread) {
@@ -70,14 +74,15 @@
         if !stop && self.refuses_running {
             return Err(port::CopyFault::NoRoom(None));
         }
-        let is_stopped = stopped.borrow().contains(run);
+        let key = (server.to_owned(), run.to_owned());
+        let is_stopped = stopped.borrow().contains(&key);
         // The memory of a run that was stopped and copied has not grown since.
         let copy_time = match is_stopped && busy.is_some() {
             true => CALL_TIME,
             false => self.copy_time,
         };
         if stop {
-            stopped.borrow_mut().insert(run.to_owned());
+            stopped.borrow_mut().insert(key);
         }
         let complete = Instant::now() + copy_time;
         self.busy.borrow_mut().insert(run.to_owned(), complete);
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -149,8 +149,8 @@
     pub loss_delay: cell::Cell<Option<time::Duration>>,
     /// Whether streams have neither a length nor chunks, and end with their connection.
     pub undelimited: cell::Cell<bool>,
-    /// Requests whose runs were stopped for a copy.
-    pub stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
+    /// Runs that were stopped for a copy, by server and request.
+    pub stopped: copying::StoppedRuns,
     /// Brittle servers that all VMs share, by name.
     pub shared: cell::RefCell<SharedServers>,
     /// Servers that refuse connections.
@@ -189,7 +189,7 @@
     delimited: bool,
     /// Whether it ends once its run was stopped.
     ends_stopped: bool,
-    stopped: rc::Rc<cell::RefCell<collections::BTreeSet<String>>>,
+    stopped: copying::StoppedRuns,
     open: rc::Rc<cell::RefCell<collections::BTreeMap<String, u32>>>,
     severed: rc::Rc<tokio::sync::Notify>,
     crashing: Option<rc::Rc<crashing::CrashBoard>>,
@@ -229,7 +229,8 @@
             return Some(Err(port::LostCause::Broken));
         }
         // The server closes the stream of a stopped run without its end.
-        if self.ends_stopped && self.stopped.borrow().contains(&self.request) {
+        let run = (self.server.clone(), self.request.clone());
+        if self.ends_stopped && self.stopped.borrow().contains(&run) {
             return self.delimited.then_some(Err(port::LostCause::Broken));
         }
         self.left.pop_front()
@@ -325,7 +326,8 @@
         let server = call.target.id.clone();
         *self.open.borrow_mut().entry(server.clone()).or_default() += 1;
         if call.resume.is_some() {
-            self.stopped.borrow_mut().remove(&call.request.id);
+            let run = (call.target.id.clone(), call.request.id.clone());
+            self.stopped.borrow_mut().remove(&run);
         }
         FakeBody {
             left,
@@ -432,7 +434,7 @@
         tokio::time::sleep(delay.unwrap_or_default()).await;
         let copier = self.copier.borrow().clone();
         if let Some(copier) = copier {
-            let reply = copier.copy(&run, stop, &self.stopped).await;
+            let reply = copier.copy(&source.id, &run, stop, &self.stopped).await;
             return self.signalled(&source.id, reply, true);
         }
         tokio::time::sleep(time::Duration::from_millis(20)).await;
@@ -443,7 +445,8 @@
         }));
         let refused = matches!(reply, Err(port::CopyFault::NoRun | port::CopyFault::Busy));
         if stop && !refused {
-            self.stopped.borrow_mut().insert(run);
+            let stopped = (source.id.clone(), run);
+            self.stopped.borrow_mut().insert(stopped);
         }
         self.signalled(&source.id, reply, true)
     }
--- a/crates/exchange/tests/switches.rs
+++ b/crates/exchange/tests/switches.rs
@@ -14,15 +14,36 @@
     cluster::ServerScript::Events(EVENTS, time::Duration::from_millis(20))
 }
 
+/// A plane, the names of the server and of the backup of a stream, and what its caller got.
+type PlayedStream = (cluster::TestPlane, [String; 2], cluster::ReadStream);
+
 /// Plays a stream whose server leaves, and whose backup has this script and reads the call to stop the run
-/// after `stop_delay`. Returns the plane, the names of the server and of the backup, and what the caller
-/// got.
+/// after `stop_delay`.
 async fn play(
     script: cluster::ServerScript,
     engines: u8,
     stop_delay: time::Duration,
     delimited: bool,
-) -> (cluster::TestPlane, [String; 2], cluster::ReadStream) {
+) -> PlayedStream {
+    play_with([slow_events(), script], engines, stop_delay, delimited).await
+}
+
+/// Plays a stream whose server has the first script and leaves, and whose backup has the second one.
+async fn play_from(
+    old: cluster::ServerScript,
+    backup: cluster::ServerScript,
+    engines: u8,
+    delimited: bool,
+) -> PlayedStream {
+    play_with([old, backup], engines, time::Duration::ZERO, delimited).await
+}
+
+async fn play_with(
+    [old, script]: [cluster::ServerScript; 2],
+    engines: u8,
+    stop_delay: time::Duration,
+    delimited: bool,
+) -> PlayedStream {
     let plane = cluster::plane();
     plane.port().undelimited.set(!delimited);
     let now = tokio::time::Instant::now();
@@ -34,7 +55,7 @@
     cluster::start(&plane);
     let names: Vec<_> = (1..=engines).map(|number| format!("e{number}")).collect();
     for name in &names {
-        plane.port().push_script(name, slow_events());
+        plane.port().push_script(name, old.clone());
     }
     let request = cluster::request("r1", catalog::ExchangeKind::Stream);
     let reply = plane.serve(request).await.expect("served");
@@ -142,3 +163,30 @@
         }
     }
 }
+
+#[test]
+fn a_run_whose_stream_went_on_elsewhere_is_stopped_at_its_old_server() {
+    // Guards against two servers at work on one stream: the old one leaves, or resets the connection, and
+    // works on although its connection was closed.
+    let broken = cluster::ServerScript::Breaks(40, time::Duration::from_millis(20));
+    for old in [slow_events(), broken] {
+        for engines in [2, 3, 5] {
+            for delimited in [false, true] {
+                cluster::run(async {
+                    let (plane, names, read) =
+                        play_from(old.clone(), slow_events(), engines, delimited).await;
+                    let stopped = stopped_after(&plane, &names).expect("stopped");
+                    assert!(
+                        stopped <= MAX_BOTH,
+                        "{old:?}, {engines} engines: {stopped:?}"
+                    );
+                    let expected = cluster::events(EVENTS);
+                    assert!(read.complete && read.text == expected, "{old:?}: {read:?}");
+                    // A second call there could stop a run that comes back later.
+                    let copied = plane.port().copied.borrow();
+                    assert_eq!(copied.len(), 1, "{copied:?}");
+                });
+            }
+        }
+    }
+}
