exchange: an outage costs entries only if it is longer than a heartbeat

Cause: another VM's report that the store turned it away counted as an outage that had just ended at this VM, whose removals were deferred for 2.2 s; all VMs were in that state, so that none told the others. Change: an outage defers removals only if the store answered this VM nothing for a heartbeat of the servers or longer: an entry expires after three, and a shorter outage loses one write at most. This holds for own failed calls and for reports. The answers of the store are in contact.rs, out of state.rs; a log line names the gap, who noticed it and whether it counts. Tests: a_removal_is_known_in_time_while_the_store_turns_other_vms_away and an_outage_that_loses_no_heartbeat_defers_no_removal failed before.

--- a/crates/exchange/src/announce.rs
+++ b/crates/exchange/src/announce.rs
@@ -379,7 +379,7 @@
         stage: state.stage.into(),
         catalog_version: state.version(),
         loads,
-        store_unavailable: state.store_unavailable,
+        store_unavailable: state.contact.is_unavailable(),
         store_era: state.era(),
         standing_hash: state.fleet.standing_hash(),
         waiting: state.waiting(now),
--- a/crates/exchange/src/catchup.rs
+++ b/crates/exchange/src/catchup.rs
@@ -242,7 +242,7 @@
     };
     let overdue = !state.from_store.is_moving()
         && state.behind_since.is_some_and(|since| {
-            let grace = if state.reads_store(now) && !state.store_unavailable {
+            let grace = if state.reads_store(now) && !state.contact.is_unavailable() {
                 STORE_GRACE
             } else {
                 time::Duration::ZERO
--- a/crates/exchange/src/coverage.rs
+++ b/crates/exchange/src/coverage.rs
@@ -104,7 +104,7 @@
     #[must_use]
     pub fn vouched_until(&self, now: time::Instant) -> position::StorePosition {
         let settles = self.fleet.settles_at.is_some_and(|at| now < at);
-        if settles || self.lapse_grace_until(now).is_some() {
+        if settles || self.contact.lapse_grace_until(now).is_some() {
             return position::StorePosition::default();
         }
         self.fleet.complete_until
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod catalog;
 pub mod catchup;
 pub mod cold;
+pub mod contact;
 pub mod content;
 mod copying;
 pub mod coverage;
--- a/crates/exchange/src/readers.rs
+++ b/crates/exchange/src/readers.rs
@@ -15,7 +15,7 @@
     /// that reach it.
     #[must_use]
     pub fn reads_store(&self, now: time::Instant) -> bool {
-        let readers = if self.store_unavailable {
+        let readers = if self.contact.is_unavailable() {
             MAX_PROBING_VMS
         } else {
             READERS
@@ -33,7 +33,9 @@
     fn readers_ahead(&self, now: time::Instant) -> usize {
         // VMs that can't reach the store elect readers among themselves as well; otherwise none of
         // them would notice its recovery.
-        self.vms_ahead(now, |peer| peer.store_unavailable == self.store_unavailable)
+        self.vms_ahead(now, |peer| {
+            peer.store_unavailable == self.contact.is_unavailable()
+        })
     }
 
     /// Number of such VMs that count as alive and come before this one in an order that all of them
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -8,8 +8,8 @@
 use tokio::time;
 
 use crate::{
-    budget, capacity, catalog, cold, crashes, delta, directory, era, evacuation, fair, fleet,
-    forecast, limits, loans, message, notices, peers, place, port, reach, relocate, repeats,
+    budget, capacity, catalog, cold, contact, crashes, delta, directory, era, evacuation, fair,
+    fleet, forecast, limits, loans, message, notices, peers, place, port, reach, relocate, repeats,
     request, returning, runs, server, stopping, system, update, wait,
 };
 
@@ -79,16 +79,12 @@
     pub stage: message::VmStage,
     /// Times of the stop of this VM, once it has begun.
     pub stop: Option<stopping::StopTimes>,
-    /// When the store last recovered from an outage.
-    pub store_recovered_at: Option<time::Instant>,
-    /// Whether the last call to the store failed.
-    pub store_unavailable: bool,
+    /// Answers of the store to this VM.
+    pub contact: contact::StoreContact,
     /// Latest era of the store.
     era: era::EraBelief,
     /// When this VM last learnt that the store came back from an older copy.
     store_restored_at: Option<time::Instant>,
-    /// When the store last answered this VM.
-    store_answered_at: Option<time::Instant>,
     /// Whether the list of servers was complete once: read from the store, or received from a VM
     /// that has it complete.
     pub servers_complete: bool,
@@ -145,11 +141,9 @@
             sequence: 0,
             stage: message::VmStage::Starting,
             stop: None,
-            store_recovered_at: None,
-            store_unavailable: false,
+            contact: contact::StoreContact::default(),
             era: era::EraBelief::default(),
             store_restored_at: None,
-            store_answered_at: None,
             servers_complete: false,
             evacuated_at: None,
             behind_since: None,
@@ -212,7 +206,8 @@
         from_store: bool,
         now: time::Instant,
     ) -> fleet::FleetChange {
-        let grace_until = self.lapse_grace_until(now).filter(|_| from_store);
+        let grace_until = self.contact.lapse_grace_until(now);
+        let grace_until = grace_until.filter(|_| from_store);
         self.apply_with_grace(update, from_store, grace_until, now)
     }
 
@@ -230,7 +225,7 @@
         let restored_at = self.store_restored_at.filter(|_| is_new);
         let until = restored_at.map(|at| at + fleet::LAPSE_GRACE);
         let restore_grace = until.filter(|until| now < *until);
-        let grace_until = restore_grace.max(self.lapse_grace_until(now));
+        let grace_until = restore_grace.max(self.contact.lapse_grace_until(now));
         self.apply_with_grace(removal, true, grace_until, now)
     }
 
@@ -336,35 +331,26 @@
         }
     }
 
-    /// End of the grace period for entries whose removal is read now; `None` unless the store has
-    /// just recovered from an outage.
-    #[must_use]
-    pub fn lapse_grace_until(&self, now: time::Instant) -> Option<time::Instant> {
-        let until = self.store_recovered_at? + fleet::LAPSE_GRACE;
-        (now < until).then_some(until)
-    }
-
     /// Records whether a call to the store succeeded. Returns whether its availability changed.
     ///
     /// A VM that made no call during an outage knows of it from others: several VMs take the place
     /// of those that the store does not answer, and the last one may make its first call after the
     /// outage.
     pub fn note_store(&mut self, answered: bool, now: time::Instant) -> bool {
-        if answered {
-            let reported_at = self.peers.last_outage_report();
-            if reported_at.is_some() && reported_at > self.store_answered_at {
-                self.store_recovered_at = Some(now);
-            }
-            self.store_answered_at = Some(now);
+        if !answered {
+            return self.contact.note_failure();
         }
-        if answered != self.store_unavailable {
-            return false;
-        }
-        self.store_unavailable = !answered;
-        if answered {
-            self.store_recovered_at = Some(now);
+        let reported_at = self.peers.last_outage_report();
+        let heartbeat = self.settings.server_heartbeat;
+        let outage = self.contact.note_answer(reported_at, heartbeat, now);
+        if let Some(outage) = outage {
+            let gap_ms = outage.gap.map(|gap| gap.as_millis());
+            log::info!(
+                gap_ms:?, noticed = outage.noticed, grace = outage.may_cost_entries;
+                "outage of the store is over"
+            );
         }
-        true
+        outage.is_some_and(|outage| outage.noticed)
     }
 
     /// Latest era of the store that this VM knows; 0 if it knows none.
--- a/crates/exchange/tests/removals.rs
+++ b/crates/exchange/tests/removals.rs
@@ -130,3 +130,52 @@
         });
     }
 }
+
+#[test]
+fn a_removal_is_known_in_time_while_the_store_turns_other_vms_away() {
+    // Guards against VMs that the store answers and that defer removals, since another VM reports an
+    // outage.
+    for vms in [3, 7, 9, 78] {
+        cluster::run(async move {
+            let running = running::RunningVms::start(vms, 0.05).await;
+            for round in 0..6 {
+                let refused = (0..vms).filter(|number| (number + round) % 3 == 0);
+                let refused: std::collections::BTreeSet<_> = refused.collect();
+                running.store.turned_away.replace(refused.clone());
+                clock::sleep(time::Duration::from_millis(170 * (1 + round as u64))).await;
+                let server = running::name(round);
+                running.store.append(&server, None);
+                let no_sender = || {
+                    let senders = running.senders(&server);
+                    senders.iter().all(|number| refused.contains(number))
+                };
+                let took = running::wait_until(no_sender, KNOWN_WITHIN).await;
+                assert!(took <= KNOWN_WITHIN, "{vms} VMs, round {round}");
+                running.store.turned_away.borrow_mut().clear();
+                clock::sleep(time::Duration::from_millis(3_300)).await;
+            }
+        });
+    }
+}
+
+#[test]
+fn an_outage_that_loses_no_heartbeat_defers_no_removal() {
+    // Guards against a single failed call after which removals are deferred for longer than servers that
+    // leave may get work.
+    cluster::run(async {
+        let plane = cluster::plane();
+        plane.state().note_store(true, Instant::now());
+        clock::sleep(time::Duration::from_millis(600)).await;
+        plane.state().note_store(false, Instant::now());
+        clock::sleep(time::Duration::from_millis(400)).await;
+        plane.state().note_store(true, Instant::now());
+        let now = Instant::now();
+        let change = plane
+            .state()
+            .apply_update(cluster::update("s1", 2, None), true, now);
+        assert!(
+            matches!(change, fleet::FleetChange::Leaves(_)),
+            "{change:?}"
+        );
+    });
+}
