exchange: bound the sum of a wait on the store, its timeout and pause

Cause: the wait for a configuration had a bound of its own, 2.5 s. A call that is sent just before the store's silence ends gets no response; with the 1 s of its timeout and the pause of 0.4 s it hid changes for 3.9 s, while contact_ms is 3,000. Change: the wait follows from bounds.contact_ms less the timeout, the interval and the time to read. The interval between calls counts from the start of the call before, for each call to the store.

--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, address: net::SocketAddr) {
+        self.kept.borrow_mut().remove(&address);
+    }
+
     /// Closes idle connections that may no longer be reused.
     pub fn sweep(&self) {
         let now = time::Instant::now();
--- a/crates/exchange/src/crash_store.rs
+++ b/crates/exchange/src/crash_store.rs
@@ -20,8 +20,8 @@
 /// Time for which VMs must not be heard until crashes are shared: VMs that start have not heard the
 /// others yet.
 const MIN_SPLIT_TIME: time::Duration = time::Duration::from_millis(400);
-/// Timeout of a call that waits for crashes. One that hangs costs a VM less than the time after which
-/// the users count it as in touch with the store, 3 s.
+/// Wait of a call for crashes. One that went silent is given up within the time after which the users
+/// count a VM as in touch with the store, 3 s.
 const CRASHES_LONG_POLL: time::Duration = time::Duration::from_millis(1_500);
 /// Minimum interval between two writes of a VM that shares crashes.
 const SHARE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -51,9 +51,10 @@
     store: rc::Rc<S>,
 ) {
     let page = loop {
+        let called_at = time::Instant::now();
         match store.saved_crashes().await {
             Ok(page) => break page,
-            Err(_) => time::sleep(follow::STORE_RETRY_INTERVAL).await,
+            Err(_) => follow::pause_after_failure(called_at).await,
         }
     };
     take_page(&plane, &page);
@@ -74,10 +75,11 @@
         }
         loop {
             let record = record(&plane.state());
+            let called_at = time::Instant::now();
             if store.save_crashes(record).await.is_ok() {
                 break;
             }
-            time::sleep(follow::STORE_RETRY_INTERVAL).await;
+            follow::pause_after_failure(called_at).await;
         }
         if shares {
             metrics::counter!("pollenchute_exchange_crash_shares_total").increment(1);
@@ -132,9 +134,7 @@
                 plane.state().crashes.unsaved.add_lost();
                 cursor = None;
             }
-            Err(follow::StoreError::Unavailable) => {
-                time::sleep(follow::STORE_RETRY_INTERVAL).await;
-            }
+            Err(follow::StoreError::Unavailable) => follow::pause_after_failure(now).await,
         }
     }
 }
--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -10,9 +10,14 @@
 
 use crate::{catalog, evacuation, plane, position, state, system, update};
 
-/// Timeout of one call that waits for a configuration: short enough that a connection that went
-/// silent costs less than the users' bound of 3 s for a VM to be in touch again.
-const CATALOG_LONG_POLL: time::Duration = time::Duration::from_millis(2_500);
+/// Time for the store to respond, in addition to the wait that a call requests. It takes 4 ms, or 240 ms
+/// when it is slow.
+pub const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Time for one call to a slow store, and for the transfer of its response.
+const READ_TIME: time::Duration = time::Duration::from_millis(300);
+/// Bounds of the wait for a change of the configuration in one call: a long one costs fewer calls.
+const MIN_CATALOG_WAIT: time::Duration = time::Duration::from_millis(300);
+const MAX_CATALOG_WAIT: time::Duration = time::Duration::from_millis(2_500);
 /// Interval between two checks whether other VMs have a newer configuration.
 const BEHIND_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(60);
 /// Time for other VMs to deliver a configuration before a VM that does not read the store for all
@@ -25,9 +30,24 @@
 /// Without it, in a burst of changes, one every 165 ms, 68 such VMs read each version: 3,629 calls
 /// a day at 74 VMs. Callers must see a change within 2 s.
 const MIN_CATALOG_READ_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Pause after the store did not answer: within the first second after it is back, each VM is
-/// served.
-pub(crate) const STORE_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Minimum interval between two calls while the store does not answer: within the first second after it
+/// is back, each VM is served.
+const STORE_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
+
+/// How long a call may wait for a change, so that a VM whose call went silent knows of the change within
+/// `contact`: the call is given up, the interval to the next call passes, and that one reads the change.
+#[must_use]
+pub fn catalog_wait(contact: time::Duration) -> time::Duration {
+    let rest = RESPONSE_TIMEOUT + STORE_RETRY_INTERVAL + READ_TIME;
+    let wait = contact.saturating_sub(rest);
+    wait.clamp(MIN_CATALOG_WAIT, MAX_CATALOG_WAIT)
+}
+
+/// Waits until the next call is due after one at `called_at` that the store did not answer. A call that
+/// went silent has taken longer already.
+pub(crate) async fn pause_after_failure(called_at: time::Instant) {
+    time::sleep_until(called_at + STORE_RETRY_INTERVAL).await;
+}
 
 /// Reason why a call to the store failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -253,6 +273,7 @@
     let mut cursor = None;
     let mut read_at = None::<time::Instant>;
     let mut grace = PeerGrace::draw(plane.state().draw());
+    let wait = catalog_wait(plane.state().settings.contact);
     loop {
         let first = cursor.is_none() && plane.state().version() == 0;
         let reader = first || plane.state().reads_store(time::Instant::now());
@@ -263,11 +284,12 @@
             time::sleep(BEHIND_CHECK_INTERVAL).await;
             continue;
         }
-        read_at = Some(time::Instant::now());
+        let called_at = time::Instant::now();
+        read_at = Some(called_at);
         grace = PeerGrace::draw(plane.state().draw());
         let complete = !reader || cursor.is_none();
         let page = match cursor {
-            Some(from) if !complete => store.wait_document(from, CATALOG_LONG_POLL).await,
+            Some(from) if !complete => store.wait_document(from, wait).await,
             _ => store.read_document().await,
         };
         match page {
@@ -293,7 +315,7 @@
                 }
             }
             Err(StoreError::Trimmed) => cursor = None,
-            Err(StoreError::Unavailable) => time::sleep(STORE_RETRY_INTERVAL).await,
+            Err(StoreError::Unavailable) => pause_after_failure(called_at).await,
         }
         if !reader {
             cursor = None;
--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -116,6 +116,7 @@
             .await;
             continue;
         }
+        let called_at = time::Instant::now();
         let page = match &cursor {
             ListCursor::Start => store.read_servers(None).await,
             ListCursor::Partial(list) => store.read_servers(Some(&list.after)).await,
@@ -145,7 +146,7 @@
                 }
             }
             Err(follow::StoreError::Trimmed) => cursor = ListCursor::Start,
-            Err(follow::StoreError::Unavailable) => time::sleep(follow::STORE_RETRY_INTERVAL).await,
+            Err(follow::StoreError::Unavailable) => follow::pause_after_failure(called_at).await,
         }
     }
 }
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -38,6 +38,8 @@
     pub moves: bool,
     /// Interval at which servers write their entries; an entry expires after three.
     pub server_heartbeat: time::Duration,
+    /// Time after the end of a disruption of the store within which this VM must know of changes.
+    pub contact: time::Duration,
     /// Limit on requests to cold engines, over all VMs.
     pub cold: cold::ColdRule,
 }
--- a/crates/exchange/src/system.rs
+++ b/crates/exchange/src/system.rs
@@ -112,8 +112,6 @@
 
 /// Time for the store to identify this system before the system named by other VMs is accepted.
 const STORE_GRACE: time::Duration = time::Duration::from_millis(500);
-/// Interval between two attempts to read the system while the store is unavailable.
-const STORE_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
 
 /// Interval between two checks whether the store came back from an older copy.
 const RESTORE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -135,9 +133,10 @@
         loop {
             // A restored store may have lost the number of the system that this VM has joined.
             let proposed = plane.state().system.id().unwrap_or(drawn);
+            let called_at = time::Instant::now();
             match store.system(proposed).await {
                 Ok(id) => return id,
-                Err(_) => time::sleep(STORE_RETRY_INTERVAL).await,
+                Err(_) => follow::pause_after_failure(called_at).await,
             }
         }
     };
--- a/crates/exchange/tests/cluster/log_store.rs
+++ b/crates/exchange/tests/cluster/log_store.rs
@@ -10,6 +10,8 @@
 
 /// Duration of a call.
 const STORE_TIME: time::Duration = time::Duration::from_millis(4);
+/// Time for which VMs wait for an answer, in addition to the wait that a call requests.
+const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 tokio::task_local! {
     /// Number of the VM whose calls a task makes.
@@ -42,6 +44,8 @@
     pub era: cell::Cell<u64>,
     /// Whether no call is answered.
     pub away: cell::Cell<bool>,
+    /// Whether no call gets a response, also after the store is back.
+    pub silent: cell::Cell<bool>,
     /// VMs whose calls the store refuses while it answers others.
     pub turned_away: cell::RefCell<collections::BTreeSet<usize>>,
     /// Number of the oldest records of servers that are trimmed.
@@ -99,8 +103,17 @@
 
     /// The time of a call, and whether it is answered.
     async fn call(&self) -> Result<(), follow::StoreError> {
+        self.call_until(Instant::now() + RESPONSE_TIMEOUT).await
+    }
+
+    /// The same for a call that is given up at a time.
+    async fn call_until(&self, given_up_at: Instant) -> Result<(), follow::StoreError> {
         let era = self.era.get();
         clock::sleep(STORE_TIME).await;
+        if self.silent.get() {
+            clock::sleep_until(given_up_at).await;
+            return Err(follow::StoreError::Unavailable);
+        }
         let refused = CALLER.try_with(|own| self.turned_away.borrow().contains(own));
         if self.away.get() || refused == Ok(true) || self.era.get() != era {
             return Err(follow::StoreError::Unavailable);
@@ -116,15 +129,16 @@
         wait: time::Duration,
         end: impl Fn(&StoreContents) -> usize,
     ) -> Result<usize, follow::StoreError> {
-        self.call().await?;
         let until = Instant::now() + wait;
+        let given_up_at = until + RESPONSE_TIMEOUT;
+        self.call_until(given_up_at).await?;
         loop {
             let end = end(&self.contents.borrow());
             let first = index_of(from, end)?;
             if end > first || Instant::now() >= until {
                 return Ok(first);
             }
-            self.call().await?;
+            self.call_until(given_up_at).await?;
         }
     }
 
