carry, flow: an answer without a final status is none

What callers saw: on other systems, an answer with the status 000. Here 000 and all that does not parse already ended the connection; 101 and 600 to 999 reached callers with the engine's signature, counted as a refusal of a reservation or a copy, and started a generation of pollenchuted elsewhere. Cause: each reader of an answer took a status that it did not know for the server's answer. Change: base::outcome::is_final_status, 200 to 599. pollenedge checks it once, where a connection returns the head of an answer, and in the reply of another VM; pollenchuted where it starts generations and calls plain services. What fails it may have run, whatever its headers say.

--- a/crates/base/src/outcome.rs
+++ b/crates/base/src/outcome.rs
@@ -49,3 +49,11 @@
         }
     }
 }
+
+/// Whether the status of an HTTP answer is that of a final one. HTTP clients also return a change of
+/// protocol, which nobody asks for, and any other number of three digits that does not begin with a
+/// zero: such an answer proves nothing.
+#[must_use]
+pub const fn is_final_status(status: u16) -> bool {
+    200 <= status && status <= 599
+}
--- a/crates/carry/src/pool.rs
+++ b/crates/carry/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{cell, collections, io, net, rc};
 
+use base::outcome;
 use hyper::{body, body::Body as _, client::conn::http1};
 use snafu::Snafu;
 use tokio::{task, time};
@@ -102,7 +103,7 @@
     /// Nothing of the request was written.
     #[snafu(display("the connection was closed before anything was sent"))]
     Unsent,
-    /// Part of the request may have been written.
+    /// Part of the request may have been written, and what was read is no final answer.
     #[snafu(display("the connection broke without an answer"))]
     Broken,
     /// The head of the answer did not end within its limit in bytes or in time. The request may have
@@ -239,7 +240,8 @@
     ///
     /// # Errors
     ///
-    /// When the connection is closed first, or the head is too long.
+    /// When the connection is closed first, the head is too long, or its status is not that of a final
+    /// answer.
     pub async fn send(
         &mut self,
         request: http::Request<call::CallBody>,
@@ -257,6 +259,17 @@
             }
         });
         self.heads.end();
+        let status = response.as_ref().map(http::Response::status);
+        if let Ok(status) = status
+            && !outcome::is_final_status(status.as_u16())
+        {
+            metrics::counter!("pollenchute_carry_statuses_refused_total").increment(1);
+            log::info!(
+                address:% = self.address, status = status.as_u16(), reused = self.reused;
+                "status is not that of a final answer"
+            );
+            return Err(SendError::Broken);
+        }
         response
     }
 
--- a/crates/exchange/src/handed.rs
+++ b/crates/exchange/src/handed.rs
@@ -405,6 +405,9 @@
             }));
         }
         let status = u16::try_from(self.status).ok()?;
+        if !outcome::is_final_status(status) {
+            return None;
+        }
         let status = http::StatusCode::from_u16(status).ok()?;
         Some(Ok((status, header_map(self.headers)?)))
     }
--- a/crates/flow/src/http.rs
+++ b/crates/flow/src/http.rs
@@ -6,7 +6,7 @@
 
 use std::{error, io, time::Duration};
 
-use base::id;
+use base::{id, outcome};
 use bytes::{Bytes, BytesMut};
 use reqwest::header;
 
@@ -126,6 +126,12 @@
             Ok(response) if response.status().is_success() => {
                 Ok(events_of(response, target, start_request.id))
             }
+            Ok(response) if !outcome::is_final_status(response.status().as_u16()) => {
+                Err(link_error::StartError::Lost {
+                    server: server(),
+                    cause: not_final(response.status()),
+                })
+            }
             Ok(response) => Err(link_error::StartError::Declined {
                 server: server(),
                 status: response.status().as_u16(),
@@ -329,6 +335,11 @@
     }
 }
 
+/// What an answer proves whose status is not that of a final one.
+fn not_final(status: reqwest::StatusCode) -> String {
+    format!("status {status} is not that of a final answer")
+}
+
 /// Reads the complete answer and checks that it belongs to this call.
 async fn answer_of(
     mut response: reqwest::Response,
@@ -343,6 +354,9 @@
         return Err("the answer belongs to another request".to_owned());
     }
     let status = response.status().as_u16();
+    if !outcome::is_final_status(status) {
+        return Err(not_final(response.status()));
+    }
     let content_type = header(header::CONTENT_TYPE.as_str());
     let mut body = BytesMut::new();
     loop {
--- a/crates/flow/tests/http.rs
+++ b/crates/flow/tests/http.rs
@@ -106,6 +106,40 @@
     }
 }
 
+// Guards against a status that is none, or not that of a final answer, which counts as a refusal of a
+// generation or as the answer to a call.
+#[tokio::test]
+async fn an_answer_without_a_final_status_proves_nothing() {
+    let engines = http::HttpEngines::new().unwrap();
+    let services = http::HttpServices::new().unwrap();
+    for status in ["000", "001", "099", "101", "600", "999", "20", "2xx"] {
+        let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}");
+        let address = start_raw(answer.into_bytes(), false).await;
+        let started = engines
+            .start(&target(address), &start_request(1, "x"), permit())
+            .await;
+        let is_lost = matches!(started, Err(link_error::StartError::Lost { .. }));
+        assert!(is_lost, "{status}");
+        let limit = time::Duration::from_secs(2);
+        let answer = services
+            .call(&target(address), &service_call(), limit, permit())
+            .await;
+        let is_lost = matches!(answer, Err(link_error::CallError::Lost { .. }));
+        assert!(is_lost, "{status}: {answer:?}");
+    }
+}
+
+fn service_call() -> port::ServiceCall {
+    port::ServiceCall {
+        request: id::RequestId(9),
+        method: "POST".to_owned(),
+        path: "/charge".to_owned(),
+        key: None,
+        content_type: None,
+        body: Bytes::new(),
+    }
+}
+
 // Guards against a call's answer taken for whole that ended in its head or by a reset.
 #[tokio::test]
 async fn only_the_close_of_a_connection_ends_an_answer_without_length() {
@@ -115,14 +149,7 @@
     for length in 0..=whole.len() {
         for resets in [false, true] {
             let address = start_raw(whole.as_bytes()[..length].to_vec(), resets).await;
-            let call = port::ServiceCall {
-                request: id::RequestId(9),
-                method: "POST".to_owned(),
-                path: "/charge".to_owned(),
-                key: None,
-                content_type: None,
-                body: Bytes::new(),
-            };
+            let call = service_call();
             let limit = time::Duration::from_secs(2);
             let answer = services
                 .call(&target(address), &call, limit, permit())
