exchange: a stopping VM sends no call late that may outlast the stop

What callers saw: on other systems, requests that came late in a planned stop were passed on and cut without an answer. Here each got 504, but while its server was at work, also calls that run at most once. Cause: calls were accepted for 6 s of a stop, as if all took a second at most. Change: a call whose time limit is later than the last answers of the stop is accepted and sent for 2.5 s, like a stream; then it is refused as not run.

--- a/crates/exchange/src/placing.rs
+++ b/crates/exchange/src/placing.rs
@@ -58,10 +58,7 @@
         waited: &mut Option<wait::WaitRecord>,
     ) -> Result<plane::PlacedRun<P>, reply::Refusal> {
         let now = time::Instant::now();
-        if self
-            .starts_until(request.kind)
-            .is_some_and(|until| now >= until)
-        {
+        if self.starts_until(request).is_some_and(|until| now >= until) {
             return Err(self.refuse(request, reply::RefusalCause::Stopping));
         }
         let basis = waited.map(|record| record.basis);
@@ -177,7 +174,7 @@
         loop {
             let now = time::Instant::now();
             let stop_begins = self.stop_begins.notified();
-            let starts_until = self.starts_until(request.kind);
+            let starts_until = self.starts_until(request);
             let check_at = record.next_check(now);
             let check_at = starts_until.map_or(check_at, |until| until.min(check_at));
             tokio::select! {
@@ -212,7 +209,7 @@
     ) -> Result<wait::WaitRecord, reply::RefusalCause> {
         let stream = request.kind == catalog::ExchangeKind::Stream;
         let max_wait = wait::max_wait(request.left(now), request.target_latency, stream);
-        let starts_until = self.starts_until(request.kind);
+        let starts_until = self.starts_until(request);
         let max_wait = starts_until.map_or(max_wait, |until| {
             max_wait.min(until.saturating_duration_since(now))
         });
--- a/crates/exchange/src/plane.rs
+++ b/crates/exchange/src/plane.rs
@@ -494,7 +494,7 @@
             self.state.borrow_mut().record_demand(&request, now);
         }
         let stop = self.state.borrow().stop;
-        if stop.is_some_and(|stop| now >= stop.accepts_until(request.kind)) {
+        if stop.is_some_and(|stop| now >= stop.accepts_until(&request)) {
             return Err(self.refuse(&request, reply::RefusalCause::Stopping));
         }
         if self.is_quarantined(&request) {
--- a/crates/exchange/src/stopping.rs
+++ b/crates/exchange/src/stopping.rs
@@ -2,7 +2,7 @@
 
 use tokio::time;
 
-use crate::{catalog, message, plane};
+use crate::{catalog, message, plane, request};
 
 /// Min duration of a stop, in which callers learn of it: a lookup's result is cached for 1.5 s, by
 /// some callers for three times as long.
@@ -16,11 +16,12 @@
 /// written in it.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(100);
 
-/// How long after the start of a stop streams are accepted and sent to servers: some last longer than
-/// the time that is left, and would be cut off when the process ends.
-const STREAM_ACCEPT_TIME: time::Duration = time::Duration::from_millis(2_500);
-/// How long after the start of a stop calls are accepted; they take at most a second.
-const CALL_ACCEPT_TIME: time::Duration = time::Duration::from_millis(6_000);
+/// How long after the start of a stop requests are accepted and sent to servers that may last longer
+/// than the time that is left: streams, and calls whose time limit is later. Some would be given up
+/// before the process ends.
+const LONG_ACCEPT_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// How long after the start of a stop calls are accepted whose time limit is earlier.
+const SHORT_ACCEPT_TIME: time::Duration = time::Duration::from_millis(6_000);
 
 /// Times of a stop that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,22 +45,22 @@
         self.began.max(self.end - ANSWER_MARGIN)
     }
 
-    /// Until when requests of this kind are accepted.
+    /// Until when a request is accepted.
     #[must_use]
-    pub fn accepts_until(&self, kind: catalog::ExchangeKind) -> time::Instant {
-        let accept_time = match kind {
-            catalog::ExchangeKind::Stream => STREAM_ACCEPT_TIME,
-            _ => CALL_ACCEPT_TIME,
-        };
-        self.answers_due().min(self.began + accept_time)
+    pub fn accepts_until(&self, request: &request::ExchangeRequest) -> time::Instant {
+        let until = self.starts_until(request);
+        until.min(self.began + SHORT_ACCEPT_TIME)
     }
 
-    /// Until when requests of this kind may be sent to servers, and wait for them.
+    /// Until when a request may be sent to servers, and wait for them.
     #[must_use]
-    pub fn starts_until(&self, kind: catalog::ExchangeKind) -> time::Instant {
-        match kind {
-            catalog::ExchangeKind::Stream => self.accepts_until(kind),
-            _ => self.answers_due(),
+    pub fn starts_until(&self, request: &request::ExchangeRequest) -> time::Instant {
+        let due = self.answers_due();
+        let is_stream = request.kind == catalog::ExchangeKind::Stream;
+        if is_stream || request.limit > due {
+            due.min(self.began + LONG_ACCEPT_TIME)
+        } else {
+            due
         }
     }
 }
@@ -77,10 +78,10 @@
         self.stop_begins.notify_waiters();
     }
 
-    /// Until when a request of this kind may be sent to a server, if this VM stops.
-    pub(crate) fn starts_until(&self, kind: catalog::ExchangeKind) -> Option<time::Instant> {
+    /// Until when a request may be sent to a server, if this VM stops.
+    pub(crate) fn starts_until(&self, request: &request::ExchangeRequest) -> Option<time::Instant> {
         let stop = self.state().stop;
-        stop.map(|stop| stop.starts_until(kind))
+        stop.map(|stop| stop.starts_until(request))
     }
 
     /// Waits until a request without an answer gets its final one: at `limit`, or before this VM has
--- a/crates/exchange/tests/stopping.rs
+++ b/crates/exchange/tests/stopping.rs
@@ -126,6 +126,64 @@
     }
 }
 
+#[test]
+fn a_call_that_may_outlast_the_stop_of_its_vm_is_not_sent_late() {
+    // Guards against calls, also those that run at most once, that a stopping VM takes late and sends to a
+    // server, and gives up before its process ends.
+    let work = time::Duration::from_secs(5);
+    for kind in [
+        catalog::ExchangeKind::Idempotent,
+        catalog::ExchangeKind::Once,
+    ] {
+        for sent_ms in [100, 1_000, 2_400, 2_600, 3_500, 4_500, 5_900, 6_500, 7_500] {
+            for left_ms in [300, 1_000, 1_500, 2_500, 4_000, 6_000, 39_000] {
+                for is_free in [true, false] {
+                    cluster::run(async {
+                        let plane = cluster::plane();
+                        cluster::start(&plane);
+                        // A stream keeps the VM from stopping early.
+                        for server in ["e1", "e2"] {
+                            let step = time::Duration::from_millis(100);
+                            let events = cluster::ServerScript::Events(76, step);
+                            plane.port().push_script(server, events);
+                        }
+                        let stream = cluster::request("r0", catalog::ExchangeKind::Stream);
+                        let reply: reply::Reply = plane.serve(stream).await.expect("served");
+                        tokio::task::spawn_local(cluster::read(cluster::parts(reply)));
+                        if !is_free {
+                            fill(&plane);
+                        }
+                        for server in ["s1", "s2"] {
+                            let slow = cluster::ServerScript::Answer(200, work);
+                            plane.port().push_script(server, slow.clone());
+                            plane.port().push_script(server, slow);
+                        }
+                        let sent = time::Duration::from_millis(sent_ms);
+                        let left = time::Duration::from_millis(left_ms);
+                        let mut request = patient("r1", kind);
+                        request.limit = Instant::now() + sent + left;
+                        request.deadline = request.limit;
+                        let (answer, after) =
+                            answer_of_stopping(&plane, request, (false, sent)).await;
+                        let what = format!("{kind:?}, {sent_ms}, {left_ms} ms: {answer:?}");
+                        let is_sent = plane.port().seen.borrow().len() > 1;
+                        // The VM takes calls for 7.6 s at most, and those that may last longer for 2.5 s.
+                        let outlasts = sent_ms + left_ms > 7_600;
+                        assert!(!is_sent || !outlasts || sent_ms <= 2_500, "{what}");
+                        if outlasts && sent_ms > 2_500 {
+                            let refusal = answer.expect_err("not sent");
+                            assert_eq!(refusal.ran, outcome::RanState::No, "{what}");
+                            assert!(refusal.retry_after.is_some() && after == sent, "{what}");
+                        } else if is_free && sent_ms < 6_000 {
+                            assert!(is_sent, "{what}");
+                        }
+                    });
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn a_request_is_answered_before_its_vm_stops_while_its_service_is_suspected_to_be_cut() {
     // Guards against connections that are closed without an answer as the process ends, since a request
