--- a/crates/exchange/src/moving.rs
+++ b/crates/exchange/src/moving.rs
@@ -246,15 +246,10 @@
             match self.send_resume(live, call, server, permit).await {
                 port::CallOutcome::Responded(response) if response.status.is_success() => {
                     let left = live.placed.server;
-                    self.moved(live, server);
-                    self.spare = None;
-                    let (watch, events) = (self.watch(server), self.splitter.events());
-                    live.continue_with(response.body, watch, events, may_be_stopped);
+                    self.go_on(live, server, response.body, may_be_stopped);
                     if moves && !copy.is_stopped {
                         self.stop_elsewhere(left, server, switching::StopCause::WentOn);
                     }
-                    self.moves += 1;
-                    metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
                     log::info!(
                         request:% = self.request.id, server:% = self.plane.server_id(server),
                         ms = millis(now), last_event:? = self.splitter.last_id(); "goes on"
@@ -278,6 +273,22 @@
         ResumeEnd::NotRun
     }
 
+    /// Continues with the body of a server on which the run goes on.
+    fn go_on(
+        &mut self,
+        live: &mut LiveRun<P>,
+        server: fleet::ServerKey,
+        body: P::Body,
+        may_be_stopped: bool,
+    ) {
+        self.moved(live, server);
+        self.spare = None;
+        let (watch, events) = (self.watch(server), self.splitter.events());
+        live.continue_with(body, watch, events, may_be_stopped);
+        self.moves += 1;
+        metrics::counter!("pollenchute_exchange_resumed_total").increment(1);
+    }
+
     /// Sends an attempt to continue. While the old run goes on, the wait for the answer is limited:
     /// the server may have begun, and both would work on the request.
     async fn send_resume(
