exchange: settings that change hold for the stop of a running process

Cause: of the settings that are read again on SIGHUP and every 5 s, only the allowance of repeats was applied.

--- a/crates/exchange/src/follow.rs
+++ b/crates/exchange/src/follow.rs
@@ -273,7 +273,6 @@
     let mut cursor = None;
     let mut read_at = None::<time::Instant>;
     let mut grace = PeerGrace::draw(plane.state().draw());
-    let wait = catalog_wait(plane.state().settings.contact);
     loop {
         let first = cursor.is_none() && plane.state().version() == 0;
         let reader = first || plane.state().reads_store(time::Instant::now());
@@ -288,6 +287,7 @@
         read_at = Some(called_at);
         grace = PeerGrace::draw(plane.state().draw());
         let complete = !reader || cursor.is_none();
+        let wait = catalog_wait(plane.state().settings.contact);
         let page = match cursor {
             Some(from) if !complete => store.wait_document(from, wait).await,
             _ => store.read_document().await,
--- a/crates/exchange/src/state.rs
+++ b/crates/exchange/src/state.rs
@@ -36,6 +36,8 @@
     pub backups: bool,
     /// Whether generations are moved off leaving engines.
     pub moves: bool,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: time::Duration,
     /// Interval at which servers write their entries; an entry expires after three.
     pub server_heartbeat: time::Duration,
     /// Time after the end of a disruption of the store within which this VM must know of changes.
--- a/crates/exchange/tests/cluster/mod.rs
+++ b/crates/exchange/tests/cluster/mod.rs
@@ -728,6 +728,7 @@
         backups: true,
         moves: true,
         server_heartbeat: time::Duration::from_millis(1_200),
+        grace: GRACE,
         contact: time::Duration::from_secs(3),
         cold: cold::ColdRule::default(),
     }
