exchange: only a VM that reads on ends a grace period for others

Cause: a VM that takes the place of others in an outage may read that an entry expired, and then no longer read the list. As its grace period ended it told all that the removal was final, though the entry was back 0.5 s before; VMs that had lost the notice of its return stopped sending. Test: a_vm_that_reads_the_store_no_longer_ends_no_grace_period.

--- a/crates/exchange/src/listing.rs
+++ b/crates/exchange/src/listing.rs
@@ -193,7 +193,8 @@
             let peers_known = state.servers_complete || waited >= DISCOVERY_TIME;
             peers_known && reader || waited >= PEERS_TIMEOUT && !state.servers_complete
         }
-        ListCursor::Complete(_) => reader,
+        // A VM whose word ends a grace period must have read shortly before.
+        ListCursor::Complete(_) => reader || state.fleet.next_lapse_end().is_some(),
     }
 }
 
--- a/crates/exchange/tests/removals.rs
+++ b/crates/exchange/tests/removals.rs
@@ -47,31 +47,43 @@
 #[test]
 fn servers_whose_entries_expired_in_an_outage_get_work_on_all_vms_until_they_are_back() {
     // Guards against VMs that hear of an expired entry from another one and grant it no grace.
-    running::check(|vms| async move {
-        let running = running::RunningVms::start(vms, 0.05).await;
-        running.store.away.set(true);
-        clock::sleep(OUTAGE).await;
-        for number in 0..running::SERVERS {
-            running.store.append(&running::name(number), None);
-        }
-        running.store.away.set(false);
-        let server = running::name(7);
-        let back_at = Instant::now();
-        while back_at.elapsed() < time::Duration::from_millis(1_900) {
-            clock::sleep(running::CHECK_INTERVAL).await;
-            let senders = running.senders(&server).len();
-            assert_eq!(senders, vms, "after {:?}", back_at.elapsed());
-        }
-        for number in 0..running::SERVERS {
-            let entry = running::entry();
-            running.store.append(&running::name(number), Some(entry));
-        }
-        while back_at.elapsed() < SETTLED {
-            clock::sleep(running::CHECK_INTERVAL).await;
-            let senders = running.senders(&server).len();
-            assert_eq!(senders, vms, "after {:?}", back_at.elapsed());
-        }
-    });
+    running::check(lose_entries_for_a_while);
+}
+
+#[test]
+fn a_vm_that_reads_the_store_no_longer_ends_no_grace_period() {
+    // Guards against a VM that took the place of others in an outage, read that an entry had expired, and
+    // tells all that the server is gone, though the entry has been back since.
+    for vms in [200, 280, 301] {
+        cluster::run(lose_entries_for_a_while(vms));
+    }
+}
+
+/// All entries expire in an outage and are back 1.9 s after it. All VMs send work all the time.
+async fn lose_entries_for_a_while(vms: usize) {
+    let running = running::RunningVms::start(vms, 0.05).await;
+    running.store.away.set(true);
+    clock::sleep(OUTAGE).await;
+    for number in 0..running::SERVERS {
+        running.store.append(&running::name(number), None);
+    }
+    running.store.away.set(false);
+    let server = running::name(7);
+    let back_at = Instant::now();
+    while back_at.elapsed() < time::Duration::from_millis(1_900) {
+        clock::sleep(running::CHECK_INTERVAL).await;
+        let senders = running.senders(&server).len();
+        assert_eq!(senders, vms, "after {:?}", back_at.elapsed());
+    }
+    for number in 0..running::SERVERS {
+        let entry = running::entry();
+        running.store.append(&running::name(number), Some(entry));
+    }
+    while back_at.elapsed() < SETTLED {
+        clock::sleep(running::CHECK_INTERVAL).await;
+        let senders = running.senders(&server).len();
+        assert_eq!(senders, vms, "after {:?}", back_at.elapsed());
+    }
 }
 
 #[test]
